--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,105 @@
+//! Calls of the daemons.
+
+use crate::CliError;
+use http::Method;
+use ospreywing_http::{Answer, Call, HttpClient, HttpError};
+use ospreywing_types::api::{Refusal, OUTCOME};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+const TIME_LIMIT: Duration = Duration::from_secs(15);
+
+/// Daemons, any of which will do.
+#[derive(Clone, Debug)]
+pub struct Daemons {
+    addrs: Vec<String>,
+    http: HttpClient,
+}
+
+impl Daemons {
+    /// Creates a client of the daemons at `addrs` (`IP:port`).
+    pub fn new(addrs: Vec<String>) -> Self {
+        Self {
+            addrs,
+            http: HttpClient::new(1),
+        }
+    }
+
+    /// Calls the first daemon that can be reached.
+    ///
+    /// `prepare` completes the call. A call that may have been received is not
+    /// made again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no daemon gave a whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        prepare: impl Fn(Call) -> Result<Call, HttpError>,
+    ) -> Result<Answer, CliError> {
+        let mut last = HttpError::Invalid("no daemon is named".to_owned());
+        for addr in &self.addrs {
+            let call = Call::new(method.clone(), addr, path, TIME_LIMIT);
+            let call = prepare(call).map_err(|error| CliError::Usage(error.to_string()))?;
+            match self.http.call(call).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) if error.is_not_sent() => last = error,
+                Err(error) => return Err(CliError::Lost(error)),
+            }
+        }
+        Err(CliError::Unreachable(last))
+    }
+
+    /// Reads JSON from the first daemon that can be reached.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no daemon gave such an answer.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        let answer = self.call(Method::GET, path, Ok).await?;
+        read(&answer)
+    }
+
+    /// Reads JSON from every daemon that answers, with its address.
+    pub async fn get_all<T: DeserializeOwned>(&self, path: &str) -> Vec<T> {
+        let mut found = Vec::new();
+        for addr in &self.addrs {
+            let call = Call::new(Method::GET, addr, path, TIME_LIMIT);
+            let answer = self.http.call(call).await;
+            found.extend(answer.ok().and_then(|answer| answer.json().ok()));
+        }
+        found
+    }
+}
+
+/// Reads the JSON of a good answer.
+///
+/// # Errors
+///
+/// Returns what a bad answer says.
+pub fn read<T: DeserializeOwned>(answer: &Answer) -> Result<T, CliError> {
+    if !answer.status.is_success() {
+        return Err(refusal(answer));
+    }
+    answer.json().map_err(CliError::Lost)
+}
+
+/// Turns an answer without success into an error.
+pub fn refusal(answer: &Answer) -> CliError {
+    let refusal: Result<Refusal, HttpError> = answer.json();
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let (reason, retry_after_ms) = match refusal {
+        Ok(refusal) => (refusal.reason, refusal.retry_after_ms),
+        Err(_) => (text, None),
+    };
+    if answer.header(OUTCOME) == Some("unknown") {
+        return CliError::Unknown(reason);
+    }
+    CliError::Refused {
+        status: answer.status.as_u16(),
+        reason,
+        retry_after_ms,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,184 @@
+//! The command line.
+
+use clap::{value_parser, Arg, ArgAction, Command};
+use clap_complete::Shell;
+use ospreywing_types::{Key, Name};
+
+const DAEMONS_HELP: &str = "IP:port of daemons, any of which will do, with commas between them";
+
+fn name(text: &str) -> Result<Name, String> {
+    Name::new(text).map_err(|error| error.to_string())
+}
+
+fn key(text: &str) -> Result<Key, String> {
+    Key::new(text).map_err(|error| error.to_string())
+}
+
+fn row() -> Arg {
+    Arg::new("row")
+        .required(true)
+        .value_parser(name)
+        .help("The row's name")
+}
+
+fn key_arg() -> Arg {
+    Arg::new("key")
+        .required(true)
+        .value_parser(key)
+        .help("The caller's key")
+}
+
+fn number(flag: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(flag)
+        .long(flag)
+        .default_value(default)
+        .value_parser(value_parser!(u32))
+        .help(help)
+}
+
+/// Returns the whole command line.
+pub fn command() -> Command {
+    Command::new("ospreywing")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates a cell of ospreywing")
+        .after_help(
+            "Exit codes: 0 done, 1 failed, 2 wrong usage or input, 3 not run, \
+             4 unknown, 5 changed by another",
+        )
+        .subcommand_required(true)
+        .arg(
+            Arg::new("daemons")
+                .long("daemons")
+                .env("OSPREYWING_DAEMONS")
+                .value_delimiter(',')
+                .global(true)
+                .default_value("127.0.0.1:7480")
+                .help(DAEMONS_HELP),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .global(true)
+                .help("Print JSON"),
+        )
+        .subcommand(table())
+        .subcommand(submit())
+        .subcommand(task())
+        .subcommand(call())
+        .subcommand(Command::new("boxes").about("Shows the workers and which are connected"))
+        .subcommand(Command::new("status").about("Shows the cell as each daemon sees it"))
+        .subcommand(report())
+        .subcommand(check_settings())
+        .subcommand(
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+}
+
+fn table() -> Command {
+    let file = Arg::new("file").required(true).help("The CSV file");
+    let prune = Arg::new("prune")
+        .long("prune")
+        .action(ArgAction::SetTrue)
+        .help("Remove the rows that the file does not have");
+    let dry_run = Arg::new("dry-run")
+        .long("dry-run")
+        .action(ArgAction::SetTrue)
+        .help("Show the difference and write nothing");
+    let column = Arg::new("column").required(true).help("The column's name");
+    let value = Arg::new("value").required(true).help("The cell's new text");
+    Command::new("table")
+        .about("Reads and edits the table of weights and limits")
+        .subcommand_required(true)
+        .subcommand(Command::new("get").about("Shows a row").arg(row()))
+        .subcommand(
+            Command::new("set")
+                .about("Sets one cell")
+                .arg(row())
+                .arg(column)
+                .arg(value),
+        )
+        .subcommand(Command::new("export").about("Prints the table as CSV"))
+        .subcommand(
+            Command::new("apply")
+                .about("Makes the table as a CSV file says, after showing what differs")
+                .arg(file)
+                .arg(prune)
+                .arg(dry_run),
+        )
+        .subcommand(Command::new("remove").about("Removes a row").arg(row()))
+        .subcommand(
+            Command::new("history")
+                .about("Shows the last edits of a row")
+                .arg(row()),
+        )
+        .subcommand(Command::new("columns").about("Explains the columns"))
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Hands in a task")
+        .arg(row())
+        .arg(key_arg())
+        .arg(
+            Arg::new("command")
+                .required(true)
+                .help("The work, as the workers understand it"),
+        )
+        .arg(number(
+            "cores-milli",
+            "1000",
+            "Processors needed, in thousandths of a core",
+        ))
+        .arg(number("memory-mib", "1024", "Memory needed, in mebibytes"))
+        .arg(number("accelerators", "0", "Accelerators needed"))
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Wait until the task has ended"),
+        )
+}
+
+fn task() -> Command {
+    Command::new("task")
+        .about("Shows and stops tasks")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("Lists tasks"))
+        .subcommand(Command::new("show").about("Shows a task").arg(key_arg()))
+        .subcommand(Command::new("cancel").about("Stops a task").arg(key_arg()))
+}
+
+fn call() -> Command {
+    Command::new("call")
+        .about("Sends a request")
+        .arg(row())
+        .arg(Arg::new("body").required(true).help("The request's body"))
+        .arg(
+            Arg::new("key")
+                .long("key")
+                .value_parser(key)
+                .help("The request's key; rows that are unsafe to repeat need one"),
+        )
+}
+
+fn report() -> Command {
+    Command::new("report")
+        .about("Prints reports")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("burn").about("How fast each service row uses up its error budget"),
+        )
+}
+
+fn check_settings() -> Command {
+    Command::new("check-settings")
+        .about("Checks a daemon's settings, given as its flags or in the environment")
+        .args(ospreywing_settings::arguments())
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,15 @@
+//! The operators' tool: talks to any daemon over HTTP.
+
+mod client;
+pub mod command;
+mod error;
+mod print;
+mod report;
+mod run;
+mod settings_check;
+mod table_commands;
+mod task_commands;
+
+pub use client::Daemons;
+pub use error::{CliError, ExitKind};
+pub use run::run;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,25 @@
+//! The program `ospreywing`.
+
+use ospreywing_cli::{command, run, ExitKind};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = command::command().get_matches();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("ospreywing: {error}");
+            return ExitCode::from(ExitKind::Failure as u8);
+        }
+    };
+    match runtime.block_on(run(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ospreywing: {error}");
+            ExitCode::from(error.exit_kind() as u8)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/settings_check.rs
@@ -0,0 +1,14 @@
+//! `check-settings`.
+
+use crate::CliError;
+use clap::ArgMatches;
+use ospreywing_settings::Settings;
+
+/// Checks the settings as the daemon does when it starts.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let variables = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    let settings = Settings::check_variables(variables).and_then(|()| Settings::new(matches));
+    let settings = settings.map_err(|error| CliError::Usage(error.to_string()))?;
+    println!("sound: daemon {} of cell {}", settings.name, settings.cell);
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/api.rs
@@ -0,0 +1,527 @@
+//! The HTTP interface for callers and operators.
+
+use crate::engine::{EngineHandle, RequestReply};
+use crate::metrics::{self, StoreCounts};
+use crate::minions::MinionAnswer;
+use crate::table_edit::{EditError, TableEdits};
+use ospreywing_node::{Answer, Event};
+use ospreywing_routing::GiveUp;
+use ospreywing_table::Row;
+use ospreywing_types::api::{Refusal, SubmitTask, OUTCOME, REQUEST_KEY};
+use ospreywing_types::peer::{Query, QueryReply, Submit, SubmitReply, TaskStatus};
+use ospreywing_types::{Duration, Key, Name, Outcome};
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde::Serialize;
+use std::net::TcpListener;
+use std::sync::Arc;
+use tokio::runtime::Handle;
+use xitca_web::handler::body::Limit;
+use xitca_web::handler::handler_service;
+use xitca_web::handler::params::Params;
+use xitca_web::http::header::{HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use xitca_web::http::{StatusCode, WebResponse};
+use xitca_web::route::{get, post};
+use xitca_web::{App, HttpServer, WebContext};
+
+/// The largest body that is read.
+const BODY_LIMIT_BYTES: usize = 1024 * 1024;
+/// Tasks that one list returns.
+const LIST_LIMIT_COUNT: usize = 1000;
+const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(30);
+const HEAD_LIMIT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// What the handlers need.
+#[derive(Clone)]
+pub struct Api {
+    /// The engine.
+    pub engine: EngineHandle,
+    /// Edits of the table.
+    pub edits: TableEdits,
+    /// Calls of the store.
+    pub counts: Arc<StoreCounts>,
+    /// Where calls of the store run.
+    pub runtime: Handle,
+}
+
+type Context<'r> = WebContext<'r, Api>;
+
+/// Stops the interface.
+pub type Stop = Box<dyn Fn() + Send>;
+
+/// Starts the interface on threads of its own.
+///
+/// # Errors
+///
+/// Returns an error where the listener can't be used.
+pub fn start(listener: TcpListener, api: Api, threads_count: usize) -> std::io::Result<Stop> {
+    let app = App::new()
+        .with_state(api)
+        .at("/live", get(handler_service(live)))
+        .at("/ready", get(handler_service(ready)))
+        .at("/metrics", get(handler_service(metrics_text)))
+        .at("/v1/status", get(handler_service(status)))
+        .at("/v1/burn", get(handler_service(burn)))
+        .at("/v1/boxes", get(handler_service(boxes)))
+        .at(
+            "/v1/tasks",
+            post(handler_service(submit)).get(handler_service(list_tasks)),
+        )
+        .at(
+            "/v1/tasks/{name}",
+            get(handler_service(show_task)).delete(handler_service(cancel)),
+        )
+        .at("/v1/call/{name}", post(handler_service(call)))
+        .at("/v1/table", get(handler_service(table)))
+        .at(
+            "/v1/table/rows/{name}",
+            get(handler_service(show_row))
+                .put(handler_service(put_row))
+                .delete(handler_service(delete_row)),
+        )
+        .at("/v1/table/history/{name}", get(handler_service(history)));
+    let mut server = HttpServer::serve(app.finish())
+        .worker_threads(threads_count)
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(HEAD_LIMIT)
+        .disable_signal()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    std::thread::spawn(move || server.wait());
+    Ok(Box::new(move || handle.stop(true)))
+}
+
+/// The variable part of a path.
+#[derive(Deserialize)]
+struct Path {
+    name: String,
+}
+
+async fn path(ctx: &Context<'_>) -> String {
+    let path = ctx.extract::<Params<Path>>().await;
+    path.map(|Params(path)| path.name).unwrap_or_default()
+}
+
+fn name_of(field: &str, text: &str) -> Result<Name, Reject> {
+    Name::new(text).map_err(|error| Reject::bad(format!("{field}: {text:?} {error}")))
+}
+
+fn key_of(field: &str, text: &str) -> Result<Key, Reject> {
+    Key::new(text).map_err(|error| Reject::bad(format!("{field}: {text:?} {error}")))
+}
+
+async fn body(ctx: &Context<'_>) -> Result<Vec<u8>, Reject> {
+    let body = ctx.extract::<(Vec<u8>, Limit<BODY_LIMIT_BYTES>)>().await;
+    match body {
+        Ok((body, _)) => Ok(body),
+        Err(_) => Err(Reject {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            refusal: Refusal {
+                outcome: Outcome::NotRun,
+                reason: format!("body: unreadable, or more than {BODY_LIMIT_BYTES} bytes"),
+                retry_after_ms: None,
+            },
+        }),
+    }
+}
+
+async fn json_body<T: DeserializeOwned>(ctx: &Context<'_>) -> Result<T, Reject> {
+    let body = body(ctx).await?;
+    serde_json::from_slice(&body).map_err(|error| Reject::bad(format!("body: {error}")))
+}
+
+/// A request that is answered with a refusal.
+struct Reject {
+    status: StatusCode,
+    refusal: Refusal,
+}
+
+impl Reject {
+    fn bad(reason: String) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, reason, None)
+    }
+
+    fn new(status: StatusCode, reason: String, retry_after: Option<Duration>) -> Self {
+        Self {
+            status,
+            refusal: Refusal {
+                outcome: Outcome::NotRun,
+                reason,
+                retry_after_ms: retry_after.map(Duration::as_ms),
+            },
+        }
+    }
+
+    fn stopping() -> Self {
+        let reason = "the daemon is stopping".to_owned();
+        Self::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            Some(STOPPING_RETRY_AFTER),
+        )
+    }
+
+    fn response(&self) -> WebResponse {
+        let retry_after = self.refusal.retry_after_ms.map(Duration::from_ms);
+        let response = json(self.status, &self.refusal);
+        with_outcome(response, self.refusal.outcome, retry_after)
+    }
+}
+
+const STOPPING_RETRY_AFTER: Duration = Duration::from_s(1);
+
+fn json(status: StatusCode, value: &impl Serialize) -> WebResponse {
+    let body = serde_json::to_string(value).unwrap_or_default();
+    respond(status, "application/json", body.into_bytes())
+}
+
+fn respond(status: StatusCode, content_type: &str, body: Vec<u8>) -> WebResponse {
+    let mut response = WebResponse::new(body.into());
+    *response.status_mut() = status;
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    response
+}
+
+fn with_outcome(
+    mut response: WebResponse,
+    outcome: Outcome,
+    retry_after: Option<Duration>,
+) -> WebResponse {
+    let name = HeaderName::from_static(OUTCOME);
+    let value = HeaderValue::from_static(outcome.as_str());
+    response.headers_mut().insert(name, value);
+    if let Some(retry_after) = retry_after {
+        let value = HeaderValue::from(retry_after.as_retry_after_s());
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+fn finish(result: Result<WebResponse, Reject>) -> WebResponse {
+    result.unwrap_or_else(|reject| reject.response())
+}
+
+async fn live(_: &Context<'_>) -> WebResponse {
+    respond(StatusCode::OK, "text/plain", b"live\n".to_vec())
+}
+
+async fn ready(ctx: &Context<'_>) -> WebResponse {
+    let is_ready = ctx.state().engine.ask(|node, _| node.is_ready()).await;
+    if is_ready == Ok(true) {
+        respond(StatusCode::OK, "text/plain", b"ready\n".to_vec())
+    } else {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        respond(status, "text/plain", b"not ready\n".to_vec())
+    }
+}
+
+async fn metrics_text(ctx: &Context<'_>) -> WebResponse {
+    let state = ctx.state();
+    let report = state.engine.ask(|node, now| node.report(now)).await;
+    match report {
+        Ok(report) => {
+            let text = metrics::text(&report, &state.counts);
+            respond(StatusCode::OK, "text/plain", text.into_bytes())
+        }
+        Err(_) => Reject::stopping().response(),
+    }
+}
+
+/// Answers with what `question` returns, as JSON.
+async fn ask_json<T: Serialize + Send + 'static>(
+    ctx: &Context<'_>,
+    question: impl FnOnce(&mut ospreywing_node::Node, ospreywing_types::Instant) -> T + Send + 'static,
+) -> WebResponse {
+    match ctx.state().engine.ask(question).await {
+        Ok(value) => json(StatusCode::OK, &value),
+        Err(_) => Reject::stopping().response(),
+    }
+}
+
+async fn status(ctx: &Context<'_>) -> WebResponse {
+    ask_json(ctx, |node, now| node.report(now)).await
+}
+
+async fn burn(ctx: &Context<'_>) -> WebResponse {
+    ask_json(ctx, |node, now| node.burn(now)).await
+}
+
+async fn boxes(ctx: &Context<'_>) -> WebResponse {
+    ask_json(ctx, |node, now| node.box_reports(now)).await
+}
+
+async fn table(ctx: &Context<'_>) -> WebResponse {
+    ask_json(ctx, |node, _| (*node.table()).clone()).await
+}
+
+async fn list_tasks(ctx: &Context<'_>) -> WebResponse {
+    ask_json(ctx, |node, _| node.tasks(LIST_LIMIT_COUNT)).await
+}
+
+async fn submit(ctx: &Context<'_>) -> WebResponse {
+    finish(try_submit(ctx).await)
+}
+
+async fn try_submit(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let task: SubmitTask = json_body(ctx).await?;
+    let submit = Submit {
+        key: task.key,
+        row: task.row,
+        spec: task.spec,
+    };
+    let answer = ctx.state().engine.call(|token| Event::Submit {
+        token,
+        submit,
+        is_forwarded: false,
+    });
+    submit_response(answer.await.ok())
+}
+
+async fn cancel(ctx: &Context<'_>) -> WebResponse {
+    finish(try_cancel(ctx).await)
+}
+
+async fn try_cancel(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let query = Query {
+        key: key_of("key", &path(ctx).await)?,
+    };
+    let answer = ctx.state().engine.call(|token| Event::Cancel {
+        token,
+        query,
+        is_forwarded: false,
+    });
+    submit_response(answer.await.ok())
+}
+
+fn submit_response(answer: Option<Answer>) -> Result<WebResponse, Reject> {
+    match answer {
+        Some(Answer::Submit(SubmitReply::Accepted(status))) => Ok(task_response(&status)),
+        Some(Answer::Submit(SubmitReply::Refused {
+            reason,
+            retry_after_ms,
+        })) => {
+            let status = match retry_after_ms {
+                Some(_) => StatusCode::SERVICE_UNAVAILABLE,
+                None => StatusCode::UNPROCESSABLE_ENTITY,
+            };
+            let retry_after = retry_after_ms.map(Duration::from_ms);
+            Err(Reject::new(status, reason, retry_after))
+        }
+        Some(Answer::Submit(SubmitReply::Unknown)) => Err(Reject {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            refusal: Refusal {
+                outcome: Outcome::Unknown,
+                reason: "whether the task is on record is unknown; ask again with its key"
+                    .to_owned(),
+                retry_after_ms: Some(UNKNOWN_RETRY_AFTER.as_ms()),
+            },
+        }),
+        _ => Err(Reject::stopping()),
+    }
+}
+
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_s(2);
+
+fn task_response(status: &TaskStatus) -> WebResponse {
+    with_outcome(json(StatusCode::OK, status), Outcome::Done, None)
+}
+
+async fn show_task(ctx: &Context<'_>) -> WebResponse {
+    finish(try_show_task(ctx).await)
+}
+
+async fn try_show_task(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let query = Query {
+        key: key_of("key", &path(ctx).await)?,
+    };
+    let answer = ctx.state().engine.call(|token| Event::Query {
+        token,
+        query,
+        is_forwarded: false,
+    });
+    match answer.await {
+        Ok(Answer::Query(QueryReply::Found(status))) => Ok(task_response(&status)),
+        Ok(Answer::Query(QueryReply::Absent)) => {
+            let reason = "key: no task of this key is on record".to_owned();
+            Err(Reject::new(StatusCode::NOT_FOUND, reason, None))
+        }
+        Ok(Answer::Query(QueryReply::NotOwner)) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let reason = "the key's shard is changing hands".to_owned();
+            Err(Reject::new(status, reason, Some(UNKNOWN_RETRY_AFTER)))
+        }
+        Ok(_) | Err(_) => Err(Reject::stopping()),
+    }
+}
+
+async fn call(ctx: &Context<'_>) -> WebResponse {
+    finish(try_call(ctx).await)
+}
+
+async fn try_call(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let row = name_of("row", &path(ctx).await)?;
+    let key = header(ctx, REQUEST_KEY)?;
+    let key = match key {
+        Some(text) => Some(key_of(REQUEST_KEY, &text)?),
+        None => None,
+    };
+    let body = body(ctx).await?;
+    match ctx.state().engine.request(row, key, body).await {
+        Ok(RequestReply::Answer(answer)) => Ok(answer_response(answer)),
+        Ok(RequestReply::GiveUp(give_up)) => Err(give_up_reject(give_up)),
+        Err(_) => Err(Reject::stopping()),
+    }
+}
+
+fn header(ctx: &Context<'_>, name: &str) -> Result<Option<String>, Reject> {
+    let Some(value) = ctx.req().headers().get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) => Ok(Some(text.to_owned())),
+        Err(_) => Err(Reject::bad(format!("{name}: is not text"))),
+    }
+}
+
+fn answer_response(answer: MinionAnswer) -> WebResponse {
+    let status = StatusCode::from_u16(answer.status.as_u16()).unwrap_or(StatusCode::OK);
+    let content_type = answer.content_type.as_deref();
+    let content_type = content_type.unwrap_or("application/octet-stream");
+    with_outcome(
+        respond(status, content_type, answer.body),
+        Outcome::Done,
+        None,
+    )
+}
+
+fn give_up_reject(give_up: GiveUp) -> Reject {
+    let status = match (give_up.outcome, give_up.retry_after) {
+        (Outcome::NotRun, Some(_)) => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::NotRun, None) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Outcome::Unknown | Outcome::Done, _) => StatusCode::GATEWAY_TIMEOUT,
+    };
+    Reject {
+        status,
+        refusal: Refusal {
+            outcome: give_up.outcome,
+            reason: give_up.reason,
+            retry_after_ms: give_up.retry_after.map(Duration::as_ms),
+        },
+    }
+}
+
+async fn show_row(ctx: &Context<'_>) -> WebResponse {
+    finish(try_show_row(ctx).await)
+}
+
+async fn try_show_row(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let name = name_of("row", &path(ctx).await)?;
+    let edits = ctx.state().edits.clone();
+    let read = on_runtime(ctx, async move { edits.read(&name).await }).await?;
+    match read {
+        Ok(row) => Ok(json(StatusCode::OK, &row)),
+        Err(error) => Ok(edit_error(&error)),
+    }
+}
+
+async fn history(ctx: &Context<'_>) -> WebResponse {
+    finish(try_history(ctx).await)
+}
+
+async fn try_history(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let name = name_of("row", &path(ctx).await)?;
+    let edits = ctx.state().edits.clone();
+    let read = on_runtime(ctx, async move { edits.history(&name).await }).await?;
+    match read {
+        Ok(entries) => Ok(json(StatusCode::OK, &entries)),
+        Err(error) => Ok(edit_error(&error)),
+    }
+}
+
+async fn put_row(ctx: &Context<'_>) -> WebResponse {
+    finish(try_put_row(ctx).await)
+}
+
+async fn try_put_row(ctx: &Context<'_>) -> Result<WebResponse, Reject> {
+    let row: Row = json_body(ctx).await?;
+    edit(ctx, Some(row)).await
+}
+
+async fn delete_row(ctx: &Context<'_>) -> WebResponse {
+    finish(edit(ctx, None).await)
+}
+
+/// The header that names the revision at which the operator saw the row.
+const IF_MATCH: &str = "if-match";
+/// The query that makes an edit not wait to be in force everywhere.
+const NO_WAIT: &str = "wait=no";
+
+async fn edit(ctx: &Context<'_>, row: Option<Row>) -> Result<WebResponse, Reject> {
+    let name = name_of("row", &path(ctx).await)?;
+    if row.as_ref().is_some_and(|row| row.name != name) {
+        let reason = format!("body.name: must be {name:?}, as in the path");
+        return Err(Reject::bad(reason));
+    }
+    let text = header(ctx, IF_MATCH)?;
+    let revision = text.as_deref().map(str::parse::<u64>);
+    let Some(Ok(revision)) = revision else {
+        let reason = "if-match: must be the row's revision, 0 for a new row".to_owned();
+        return Err(Reject::bad(reason));
+    };
+    let waits = ctx.req().uri().query() != Some(NO_WAIT);
+    let edits = ctx.state().edits.clone();
+    let edit = async move { edits.edit(&name, row, revision, waits).await };
+    match on_runtime(ctx, edit).await? {
+        Ok(accepted) => Ok(json(StatusCode::OK, &accepted)),
+        Err(error) => Ok(edit_error(&error)),
+    }
+}
+
+/// Runs calls of the store where its connections live.
+async fn on_runtime<T: Send + 'static>(
+    ctx: &Context<'_>,
+    work: impl core::future::Future<Output = T> + Send + 'static,
+) -> Result<T, Reject> {
+    let done = ctx.state().runtime.spawn(work).await;
+    done.map_err(|_| Reject::stopping())
+}
+
+/// The body of a refused edit.
+#[derive(Serialize)]
+struct EditRefusal<'a> {
+    reason: String,
+    /// The row as it is, where another changed it.
+    newer: Option<&'a crate::table_edit::VersionedRow>,
+    /// What differs between it and the row that was not taken.
+    changes: &'a [ospreywing_table::CellChange],
+}
+
+fn edit_error(error: &EditError) -> WebResponse {
+    let status = match error {
+        EditError::Unsound(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        EditError::Conflict { .. } => StatusCode::CONFLICT,
+        EditError::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+        EditError::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let (newer, changes): (_, &[ospreywing_table::CellChange]) = match error {
+        EditError::Conflict { newer, changes } => (Some(newer.as_ref()), changes),
+        _ => (None, &[]),
+    };
+    let refusal = EditRefusal {
+        reason: error.to_string(),
+        newer,
+        changes,
+    };
+    let outcome = match error {
+        EditError::Unknown => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
+    let retry_after = match error {
+        EditError::Unavailable(_) | EditError::Unknown => Some(UNKNOWN_RETRY_AFTER),
+        EditError::Unsound(_) | EditError::Conflict { .. } => None,
+    };
+    with_outcome(json(status, &refusal), outcome, retry_after)
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,201 @@
+//! Putting the parts together, and the daemon's life from start to stop.
+
+use crate::api::{self, Api};
+use crate::engine::{Engine, EngineHandle, Hands};
+use crate::error::DaemonError;
+use crate::layout::Layout;
+use crate::metrics::{self, StoreCounts};
+use crate::minions::Minions;
+use crate::peer_client::PeerClients;
+use crate::sessions::Sessions;
+use crate::store_calls::{Backoff, StoreCalls};
+use crate::store_poll::StorePoll;
+use crate::table_edit::TableEdits;
+use crate::{box_list, peer_server};
+use ospreywing_membership::{Member, MembershipConfig};
+use ospreywing_node::{Event, Node, NodeConfig};
+use ospreywing_settings::Settings;
+use ospreywing_store::{Compare, Op, StoreClient, Txn};
+use ospreywing_types::DaemonIdentity;
+use slog::{info, Logger};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::Notify;
+
+/// Threads that serve callers.
+const API_THREADS_COUNT: usize = 1;
+/// How long answers may take to reach callers once all work is done.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Runs the daemon until it was asked to stop and has left.
+///
+/// # Errors
+///
+/// Returns an error where a socket can't be opened or the store says what the
+/// daemon can't work with.
+pub async fn run(settings: Settings, log: Logger) -> Result<(), DaemonError> {
+    let (engine, messages) = EngineHandle::new();
+    let (rpc, rpc_addr) = peer_server::start(settings.rpc_addr, engine.clone())
+        .await
+        .map_err(|source| socket_error("--rpc-addr", settings.rpc_addr, source))?;
+    let listener = TcpListener::bind(settings.http_addr)
+        .map_err(|source| socket_error("--http-addr", settings.http_addr, source))?;
+    let http_addr = listener
+        .local_addr()
+        .map_err(|source| socket_error("--http-addr", settings.http_addr, source))?;
+    let member = member(&settings, rpc_addr, http_addr);
+    let time_limit = settings.store_time_limit.into();
+    let store = StoreClient::new(&settings.store_addr.to_string(), time_limit);
+    let layout = Layout::new(&settings.cell);
+    check_shards(&store, &layout, settings.shards_count).await?;
+
+    let counts = Arc::new(StoreCounts::default());
+    let wake = Arc::new(Notify::new());
+    let calls = StoreCalls::new(
+        store.clone(),
+        layout.clone(),
+        engine.clone(),
+        Arc::clone(&counts),
+        member.clone(),
+        Arc::clone(&wake),
+    );
+    let edits = TableEdits::new(
+        store.clone(),
+        layout.clone(),
+        engine.clone(),
+        Arc::clone(&counts),
+        settings.name.clone(),
+        Arc::clone(&wake),
+    );
+    let api = Api {
+        engine: engine.clone(),
+        edits,
+        counts: Arc::clone(&counts),
+        runtime: tokio::runtime::Handle::current(),
+    };
+    let stop_api = api::start(listener, api, API_THREADS_COUNT)
+        .map_err(|source| socket_error("--http-addr", http_addr, source))?;
+
+    let poll = StorePoll::new(store, layout, engine.clone(), Arc::clone(&counts));
+    tokio::spawn(poll.run(settings.poll_every, wake));
+    tokio::spawn(calls.clone().keep_member());
+    let boxes_addr = settings.boxes_addr.to_string();
+    tokio::spawn(box_list::run(
+        engine.clone(),
+        boxes_addr,
+        settings.boxes_every,
+    ));
+    if let Some(addr) = settings.statsd_addr {
+        let client =
+            metrics::client(addr).map_err(|source| socket_error("--statsd-addr", addr, source))?;
+        tokio::spawn(metrics::run(client, engine.clone(), counts));
+    }
+    tokio::spawn(leave_on_signal(engine.clone(), log.clone()));
+
+    info!(log, "started"; "http" => http_addr.to_string(), "rpc" => rpc_addr.to_string(),
+        "incarnation" => member.identity.incarnation);
+    let hands = Hands {
+        store: calls.clone(),
+        sessions: Sessions::new(engine.clone()),
+        peers: PeerClients::new(member.identity.clone(), engine.clone()),
+        minions: Minions::new(engine),
+    };
+    let node = Node::new(node_config(&settings, member));
+    let drain_limit = settings.drain_limit;
+    Engine::new(node, hands, log)
+        .run(messages, drain_limit)
+        .await;
+    calls.leave().await;
+    tokio::time::sleep(LAST_ANSWERS).await;
+    stop_api();
+    // The endpoint goes last: that nobody listens there proves the end.
+    let _ = rpc.stop();
+    Ok(())
+}
+
+fn socket_error(what: &'static str, addr: SocketAddr, source: std::io::Error) -> DaemonError {
+    DaemonError::Socket {
+        what,
+        addr: addr.to_string(),
+        source,
+    }
+}
+
+fn member(settings: &Settings, rpc_addr: SocketAddr, http_addr: SocketAddr) -> Member {
+    Member {
+        identity: DaemonIdentity {
+            name: settings.name.clone(),
+            incarnation: rand::random(),
+            rpc_addr: rpc_addr.to_string(),
+        },
+        http_addr: http_addr.to_string(),
+        data_centre: settings.data_centre.clone(),
+        box_name: settings.box_name.clone(),
+    }
+}
+
+fn node_config(settings: &Settings, member: Member) -> NodeConfig {
+    let mut membership = MembershipConfig::new(member, settings.shards_count);
+    membership.seat_quarantine = settings.seat_quarantine;
+    membership.unlisted_quarantine = settings.unlisted_quarantine;
+    let mut config = NodeConfig::new(membership, rand::random());
+    config.commit_rate_per_s = settings.commit_rate_per_s;
+    config.router.queue_limit_count = settings.queue_limit_count as usize;
+    config.router.slot_quarantine = settings.seat_quarantine;
+    config.owner.lease = settings.task_lease;
+    config.owner.unlisted_quarantine = settings.unlisted_quarantine;
+    config.owner.result_retention = settings.result_retention;
+    config.owner.key_retention = settings.result_retention;
+    config.owner.waiting_limit_count = settings.waiting_limit_count as usize;
+    config
+}
+
+/// Puts the number of shards on record, or compares it with what is there.
+async fn check_shards(
+    store: &StoreClient,
+    layout: &Layout,
+    shards_count: u32,
+) -> Result<(), DaemonError> {
+    let key = layout.shards();
+    let txn = Txn::new()
+        .with_compare(Compare::Absent { key: key.clone() })
+        .with_then(Op::Put {
+            key: key.clone(),
+            value: shards_count.to_string().into_bytes(),
+            lease: 0,
+        })
+        .with_otherwise(Op::Get { key });
+    let mut backoff = Backoff::new();
+    let reply = loop {
+        match store.txn(&txn).await {
+            Ok(reply) => break reply,
+            // A daemon that starts in an outage of the store waits for its end.
+            Err(_) => backoff.wait().await,
+        }
+    };
+    let found = reply.pages.first().and_then(|page| page.key_values.first());
+    let text = found.map(|found| String::from_utf8_lossy(&found.value).into_owned());
+    match text.and_then(|text| text.parse::<u32>().ok()) {
+        Some(cell) if cell != shards_count => Err(DaemonError::ShardsCount {
+            setting: shards_count,
+            cell,
+        }),
+        _ => Ok(()),
+    }
+}
+
+async fn leave_on_signal(engine: EngineHandle, log: Logger) {
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    info!(log, "leaving");
+    engine.tell(Event::Leave).await;
+}
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,23 @@
+//! The logger.
+
+use ospreywing_settings::LogFormat;
+use slog::{o, Drain, Logger};
+
+/// Lines that may wait to be written; more are dropped and counted by `slog`.
+const QUEUE_COUNT: usize = 1024;
+
+/// Creates the root logger; lines go to standard error.
+pub fn logger(format: LogFormat, name: &str) -> Logger {
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            Box::new(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+        LogFormat::Json => Box::new(slog_json::Json::default(std::io::stderr()).fuse()),
+    };
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE_COUNT)
+        .build()
+        .fuse();
+    Logger::root(drain, o!("daemon" => name.to_owned()))
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Counters: over UDP by `cadence`, and as text over HTTP.
+
+use crate::engine::EngineHandle;
+use cadence::{Gauged, StatsdClient, UdpMetricSink};
+use ospreywing_node::CellReport;
+use std::fmt::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Calls of the store, by kind.
+#[derive(Debug, Default)]
+pub struct StoreCounts {
+    /// Reads of the control part.
+    pub polls_count: AtomicU64,
+    /// Writes of a shard's log.
+    pub commits_count: AtomicU64,
+    /// Claims and vacations of shards and seats.
+    pub claims_count: AtomicU64,
+    /// Reads of a shard's log.
+    pub log_reads_count: AtomicU64,
+    /// Calls that keep this daemon's entry.
+    pub leases_count: AtomicU64,
+    /// Reads and writes for edits of the table.
+    pub edits_count: AtomicU64,
+    /// Calls without an answer.
+    pub failures_count: AtomicU64,
+}
+
+impl StoreCounts {
+    /// Adds one.
+    pub fn add(count: &AtomicU64) {
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// One counter with its name.
+struct Metric {
+    name: &'static str,
+    value: u64,
+}
+
+fn metrics(report: &CellReport, store: &StoreCounts) -> Vec<Metric> {
+    let stored = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    let sum = |part: fn(&ospreywing_node::ShardReport) -> u64| report.shards.iter().map(part).sum();
+    let metric = |name, value| Metric { name, value };
+    vec![
+        metric("requests_done", report.requests_done_count),
+        metric("requests_not_run", report.requests_not_run_count),
+        metric("requests_unknown", report.requests_unknown_count),
+        metric("requests_open", report.requests_open_count as u64),
+        metric("tasks_waiting", sum(|s| s.waiting_count as u64)),
+        metric("tasks_started", sum(|s| s.started_count as u64)),
+        metric("tasks_submitted", sum(|s| s.submitted_count)),
+        metric("tasks_ended", sum(|s| s.ended_count)),
+        metric("attempts_requeued", sum(|s| s.requeued_count)),
+        metric("attempts_stray", sum(|s| s.stray_attempts_count)),
+        metric("commit_bytes", sum(|s| s.commit_bytes)),
+        metric("shards_owned", report.shards.len() as u64),
+        metric("table_revision", report.table_revision),
+        metric("store_polls", stored(&store.polls_count)),
+        metric("store_commits", stored(&store.commits_count)),
+        metric("store_claims", stored(&store.claims_count)),
+        metric("store_log_reads", stored(&store.log_reads_count)),
+        metric("store_leases", stored(&store.leases_count)),
+        metric("store_edits", stored(&store.edits_count)),
+        metric("store_failures", stored(&store.failures_count)),
+    ]
+}
+
+/// Returns the counters, a name and a value to a line.
+pub fn text(report: &CellReport, store: &StoreCounts) -> String {
+    let mut text = String::new();
+    for metric in metrics(report, store) {
+        // Writing to memory does not fail.
+        let _ = writeln!(text, "ospreywing_{} {}", metric.name, metric.value);
+    }
+    text
+}
+
+const SEND_EVERY: Duration = Duration::from_secs(10);
+
+/// Sends the counters for ever.
+///
+/// # Errors
+///
+/// Returns an error where no socket can be opened.
+pub fn client(addr: SocketAddr) -> Result<StatsdClient, std::io::Error> {
+    let socket = UdpSocket::bind("0.0.0.0:0")?;
+    socket.set_nonblocking(true)?;
+    let sink = UdpMetricSink::from(addr, socket).map_err(std::io::Error::other)?;
+    Ok(StatsdClient::from_sink("ospreywing", sink))
+}
+
+/// Sends the counters for ever.
+pub async fn run(client: StatsdClient, engine: EngineHandle, store: Arc<StoreCounts>) {
+    let mut ticks = tokio::time::interval(SEND_EVERY);
+    loop {
+        ticks.tick().await;
+        let report = engine.ask(|node, now| node.report(now)).await;
+        let Ok(report) = report else { return };
+        for metric in metrics(&report, &store) {
+            // A metric that is lost is followed by the next.
+            let _ = client.gauge(metric.name, metric.value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/minions.rs
@@ -0,0 +1,92 @@
+//! Calls of minions: `POST /run/ROW`.
+
+use crate::engine::{EngineHandle, Message};
+use http::{Method, StatusCode};
+use ospreywing_http::{Answer, Call, HttpClient};
+use ospreywing_node::Event;
+use ospreywing_routing::Request;
+use ospreywing_types::{api, Duration, Key, Name};
+
+/// A minion's whole answer.
+#[derive(Clone, Debug)]
+pub struct MinionAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl MinionAnswer {
+    fn new(answer: &Answer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.header("content-type").map(str::to_owned),
+            body: answer.body.to_vec(),
+        }
+    }
+}
+
+/// Calls of minions.
+#[derive(Clone)]
+pub struct Minions {
+    http: HttpClient,
+    engine: EngineHandle,
+}
+
+/// Idle connections kept to each minion, well under an eighth of its 64.
+const IDLE_CONNECTIONS: usize = 2;
+
+impl Minions {
+    /// Creates the calls; what becomes of them goes to `engine`.
+    pub fn new(engine: EngineHandle) -> Self {
+        Self {
+            http: HttpClient::new(IDLE_CONNECTIONS),
+            engine,
+        }
+    }
+
+    /// Sends a request to a minion, once.
+    #[allow(clippy::too_many_arguments)]
+    pub fn send(
+        &self,
+        request: Request,
+        token: u64,
+        addr: String,
+        row: Name,
+        key: Option<Key>,
+        body: Vec<u8>,
+        time_limit: Duration,
+    ) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let path = format!("/run/{row}");
+            let mut call = Call::new(Method::POST, &addr, &path, time_limit.into()).with_body(body);
+            if let Some(key) = key {
+                call = call.with_header(api::REQUEST_KEY, key.as_str());
+            }
+            match this.http.call(call).await {
+                Ok(answer) => {
+                    let answer = MinionAnswer::new(&answer);
+                    let message = Message::MinionAnswered {
+                        request,
+                        token,
+                        answer,
+                    };
+                    this.engine.send(message).await;
+                }
+                Err(error) if error.is_not_sent() => {
+                    this.engine.tell(Event::RequestNotSent(request)).await;
+                }
+                Err(_) => this.engine.tell(Event::RequestBroken(request)).await,
+            }
+        });
+    }
+
+    /// Reports that a request was not sent.
+    pub fn not_sent(&self, request: Request) {
+        let engine = self.engine.clone();
+        tokio::spawn(async move { engine.tell(Event::RequestNotSent(request)).await });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer_client.rs
@@ -0,0 +1,275 @@
+//! Calls of other daemons, over one WebSocket to each.
+
+use crate::clock;
+use crate::engine::EngineHandle;
+use jsonrpsee::core::client::{ClientT, Error as RpcError};
+use jsonrpsee::core::traits::ToRpcParams;
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use ospreywing_node::{Answer, Event};
+use ospreywing_routing::Request;
+use ospreywing_types::peer::{
+    self, CloseEpoch, CloseEpochReply, Ping, Pong, Query, QueryReply, Submit, SubmitReply, TakeKey,
+    TakeKeyReply,
+};
+use ospreywing_types::DaemonIdentity;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
+const PING_LIMIT: Duration = Duration::from_millis(1500);
+const CALL_LIMIT: Duration = Duration::from_millis(4000);
+/// When to come back where the owner of a shard can't be reached.
+const RETRY_AFTER_MS: u64 = 1000;
+/// Refused connections in a row that prove a process ended.
+const REFUSALS_COUNT: u32 = 2;
+
+/// Why a call of a peer failed.
+#[derive(Debug)]
+enum CallError {
+    /// No process listens at the address.
+    Refused,
+    /// Nothing was sent.
+    NotSent,
+    /// The call may have been received.
+    InDoubt,
+}
+
+/// What is kept of one process.
+#[derive(Default)]
+struct Link {
+    client: Option<Arc<WsClient>>,
+    refusals_count: u32,
+}
+
+/// Calls of other daemons.
+#[derive(Clone)]
+pub struct PeerClients {
+    me: DaemonIdentity,
+    engine: EngineHandle,
+    links: Arc<Mutex<HashMap<u64, Link>>>,
+}
+
+impl PeerClients {
+    /// Creates the calls; what becomes of them goes to `engine`.
+    pub fn new(me: DaemonIdentity, engine: EngineHandle) -> Self {
+        Self {
+            me,
+            engine,
+            links: Arc::new(Mutex::new(HashMap::new())),
+        }
+    }
+
+    /// Pings a process.
+    pub fn ping(&self, to: DaemonIdentity, table_revision: u64) {
+        let this = self.clone();
+        let ping = Ping {
+            from: self.me.clone(),
+            table_revision,
+        };
+        tokio::spawn(async move {
+            let asked_at = clock::now();
+            let pong: Result<Pong, CallError> = this
+                .call(&to, peer::PING, rpc_params![ping], PING_LIMIT)
+                .await;
+            match pong {
+                Ok(pong) if pong.from.incarnation == to.incarnation => {
+                    this.engine.tell(Event::Ponged { asked_at, pong }).await;
+                }
+                // Another process has its address.
+                Ok(_) => this.gone(&to).await,
+                Err(CallError::Refused) => this.refused(&to).await,
+                Err(CallError::NotSent | CallError::InDoubt) => {}
+            }
+        });
+    }
+
+    async fn refused(&self, to: &DaemonIdentity) {
+        let is_proof = {
+            let mut links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+            let link = links.entry(to.incarnation).or_default();
+            link.refusals_count += 1;
+            link.refusals_count >= REFUSALS_COUNT
+        };
+        if is_proof {
+            self.gone(to).await;
+        }
+    }
+
+    async fn gone(&self, to: &DaemonIdentity) {
+        let incarnation = to.incarnation;
+        self.drop_client(incarnation);
+        self.engine.tell(Event::ProcessGone { incarnation }).await;
+    }
+
+    /// Asks a former owner to close its epoch.
+    pub fn close_epoch(&self, shard: u32, epoch: u64, owner: DaemonIdentity) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let message = CloseEpoch {
+                shard,
+                epoch,
+                incarnation: owner.incarnation,
+            };
+            let params = rpc_params![message];
+            let reply: Result<CloseEpochReply, CallError> = this
+                .call(&owner, peer::CLOSE_EPOCH, params, PING_LIMIT)
+                .await;
+            let reply = match reply {
+                Ok(reply) => reply,
+                Err(CallError::Refused) if this.is_proved_gone(&owner) => {
+                    CloseEpochReply::OtherIncarnation
+                }
+                Err(_) => return,
+            };
+            this.engine
+                .tell(Event::EpochAnswered {
+                    shard,
+                    epoch,
+                    reply,
+                })
+                .await;
+        });
+    }
+
+    /// Counts one more refusal and returns whether that is proof.
+    fn is_proved_gone(&self, owner: &DaemonIdentity) -> bool {
+        let mut links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+        let link = links.entry(owner.incarnation).or_default();
+        link.refusals_count += 1;
+        link.refusals_count >= REFUSALS_COUNT
+    }
+
+    /// Passes a task on to the owner of its shard.
+    pub fn submit(&self, to: DaemonIdentity, token: u64, submit: Submit) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let params = rpc_params![submit];
+            let reply = this.call(&to, peer::SUBMIT, params, CALL_LIMIT).await;
+            let reply = submit_reply(reply);
+            this.engine
+                .tell(Event::ForwardAnswered { token, reply })
+                .await;
+        });
+    }
+
+    /// Passes a cancellation on to the owner of its shard.
+    pub fn cancel(&self, to: DaemonIdentity, token: u64, query: Query) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let params = rpc_params![query];
+            let reply = this.call(&to, peer::CANCEL, params, CALL_LIMIT).await;
+            let reply = submit_reply(reply);
+            this.engine
+                .tell(Event::ForwardAnswered { token, reply })
+                .await;
+        });
+    }
+
+    /// Passes a question on to the owner of its shard.
+    pub fn query(&self, to: DaemonIdentity, query: Query, reply: oneshot::Sender<Answer>) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let params = rpc_params![query];
+            let answer = this.call(&to, peer::QUERY, params, CALL_LIMIT).await;
+            let answer = answer.unwrap_or(QueryReply::NotOwner);
+            let _ = reply.send(Answer::Query(answer));
+        });
+    }
+
+    /// Claims a request's key from the owner of its shard.
+    ///
+    /// A claim without an answer is as good as refused: the key may be burnt,
+    /// but this daemon, which alone could use it, sends nothing.
+    pub fn take_key(&self, to: DaemonIdentity, request: Request, claim: TakeKey) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let params = rpc_params![claim];
+            let reply = this.call(&to, peer::TAKE_KEY, params, CALL_LIMIT).await;
+            let reply = reply.unwrap_or(TakeKeyReply::Refused {
+                retry_after_ms: RETRY_AFTER_MS,
+            });
+            this.engine
+                .tell(Event::KeyAnswered { request, reply })
+                .await;
+        });
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        to: &DaemonIdentity,
+        method: &str,
+        params: impl ToRpcParams + Send,
+        limit: Duration,
+    ) -> Result<T, CallError> {
+        let client = self.client(to).await?;
+        let reply = tokio::time::timeout(limit, client.request(method, params)).await;
+        match reply {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(RpcError::Call(_))) => Err(CallError::NotSent),
+            Ok(Err(_)) | Err(_) => {
+                self.drop_client(to.incarnation);
+                Err(CallError::InDoubt)
+            }
+        }
+    }
+
+    async fn client(&self, to: &DaemonIdentity) -> Result<Arc<WsClient>, CallError> {
+        if let Some(client) = self.open_client(to.incarnation) {
+            return Ok(client);
+        }
+        let client = connect(&to.rpc_addr).await?;
+        let client = Arc::new(client);
+        let mut links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+        let link = links.entry(to.incarnation).or_default();
+        link.refusals_count = 0;
+        link.client = Some(Arc::clone(&client));
+        Ok(client)
+    }
+
+    fn open_client(&self, incarnation: u64) -> Option<Arc<WsClient>> {
+        let links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+        let client = links.get(&incarnation)?.client.as_ref()?;
+        client.is_connected().then(|| Arc::clone(client))
+    }
+
+    fn drop_client(&self, incarnation: u64) {
+        let mut links = self.links.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(link) = links.get_mut(&incarnation) {
+            link.client = None;
+        }
+    }
+}
+
+async fn connect(addr: &str) -> Result<WsClient, CallError> {
+    let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await;
+    let stream = match stream {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(CallError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
+    };
+    let _ = stream.set_nodelay(true);
+    let built = WsClientBuilder::new().build_with_stream(format!("ws://{addr}"), stream);
+    match tokio::time::timeout(CONNECT_LIMIT, built).await {
+        Ok(Ok(client)) => Ok(client),
+        Ok(Err(_)) | Err(_) => Err(CallError::NotSent),
+    }
+}
+
+fn submit_reply(reply: Result<SubmitReply, CallError>) -> SubmitReply {
+    match reply {
+        Ok(reply) => reply,
+        Err(CallError::InDoubt) => SubmitReply::Unknown,
+        Err(CallError::Refused | CallError::NotSent) => SubmitReply::Refused {
+            reason: "the owner of the key's shard can't be reached".to_owned(),
+            retry_after_ms: Some(RETRY_AFTER_MS),
+        },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sessions.rs
@@ -0,0 +1,326 @@
+//! Connections to workers, each bound to one run of its worker.
+//!
+//! A start goes only over the connection that is open when it is carried out,
+//! and only to the run of the worker that it names. When this process ends,
+//! the system discards what it has not sent: connections linger for no time.
+
+use crate::clock;
+use crate::engine::EngineHandle;
+use crate::store_calls::Backoff;
+use jsonrpsee::core::client::{ClientT, Error as RpcError, Subscription, SubscriptionClientT};
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use ospreywing_node::{Action, Event};
+use ospreywing_types::worker::{self, Ended, Renew, Report, Start, Stop};
+use ospreywing_types::Name;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(2000);
+const CALL_LIMIT: Duration = Duration::from_millis(4000);
+/// Unacknowledged bytes are given up on after this time.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An order for one worker.
+#[derive(Clone, Debug)]
+enum Order {
+    Start { incarnation: u64, start: Start },
+    Renew(Renew),
+    Stop(Stop),
+    AskReport,
+}
+
+/// Connections to workers.
+pub struct Sessions {
+    engine: EngineHandle,
+    orders: HashMap<Name, mpsc::UnboundedSender<Order>>,
+}
+
+impl Sessions {
+    /// Creates no connections; what happens on them goes to `engine`.
+    pub fn new(engine: EngineHandle) -> Self {
+        Self {
+            engine,
+            orders: HashMap::new(),
+        }
+    }
+
+    /// Carries out an action that is about a worker; passes over others.
+    pub fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Connect { worker, addr } => self.connect(worker, addr),
+            Action::Disconnect { worker } => {
+                self.orders.remove(&worker);
+            }
+            Action::SendStart {
+                worker,
+                incarnation,
+                attempt,
+                resources,
+                command,
+                lease,
+            } => {
+                let start = Start {
+                    attempt,
+                    resources,
+                    command,
+                    lease_ms: lease.as_ms(),
+                };
+                self.start(&worker, incarnation, start);
+            }
+            Action::SendRenew {
+                worker,
+                attempts,
+                lease,
+                forget,
+            } => self.order(
+                &worker,
+                Order::Renew(Renew {
+                    attempts,
+                    lease_ms: lease.as_ms(),
+                    forget,
+                }),
+            ),
+            Action::SendStop { worker, attempt } => {
+                self.order(&worker, Order::Stop(Stop { attempt }));
+            }
+            Action::AskReport { worker } => self.order(&worker, Order::AskReport),
+            _ => {}
+        }
+    }
+
+    fn connect(&mut self, worker: Name, addr: String) {
+        let (sender, orders) = mpsc::unbounded_channel();
+        self.orders.insert(worker.clone(), sender);
+        let session = WorkerSession {
+            worker,
+            addr,
+            engine: self.engine.clone(),
+        };
+        tokio::spawn(session.run(orders));
+    }
+
+    fn order(&self, worker: &Name, order: Order) {
+        // An order for a connection that has gone is moot.
+        let _ = self.orders.get(worker).map(|orders| orders.send(order));
+    }
+
+    fn start(&self, worker: &Name, incarnation: u64, start: Start) {
+        let attempt = start.attempt;
+        let order = Order::Start { incarnation, start };
+        let sent = self.orders.get(worker).map(|orders| orders.send(order));
+        if !matches!(sent, Some(Ok(()))) {
+            let engine = self.engine.clone();
+            tokio::spawn(async move { engine.tell(Event::StartNotSent { attempt }).await });
+        }
+    }
+}
+
+/// The connections to one worker, one after the other.
+#[derive(Clone)]
+struct WorkerSession {
+    worker: Name,
+    addr: String,
+    engine: EngineHandle,
+}
+
+/// One open connection.
+#[derive(Clone)]
+struct OpenSession {
+    session: WorkerSession,
+    client: Arc<WsClient>,
+    incarnation: u64,
+    broken: Arc<tokio::sync::Notify>,
+}
+
+impl WorkerSession {
+    /// Keeps a connection until no more orders can come.
+    async fn run(self, mut orders: mpsc::UnboundedReceiver<Order>) {
+        let mut backoff = Backoff::new();
+        loop {
+            if let Ok((open, ends)) = self.open().await {
+                backoff = Backoff::new();
+                let is_over = open.serve(ends, &mut orders).await;
+                let worker = self.worker.clone();
+                self.engine.tell(Event::SessionClosed { worker }).await;
+                if is_over {
+                    return;
+                }
+            }
+            if self.refuse_orders(&mut orders).await {
+                return;
+            }
+            backoff.wait().await;
+        }
+    }
+
+    /// Refuses the orders that wait and returns whether no more can come.
+    async fn refuse_orders(&self, orders: &mut mpsc::UnboundedReceiver<Order>) -> bool {
+        loop {
+            match orders.try_recv() {
+                Ok(Order::Start { start, .. }) => {
+                    let attempt = start.attempt;
+                    self.engine.tell(Event::StartNotSent { attempt }).await;
+                }
+                Ok(_) => {}
+                Err(mpsc::error::TryRecvError::Empty) => return false,
+                Err(mpsc::error::TryRecvError::Disconnected) => return true,
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<(OpenSession, Subscription<Ended>), RpcError> {
+        let opened = tokio::time::timeout(CONNECT_LIMIT, self.open_at_length()).await;
+        opened.unwrap_or(Err(RpcError::RequestTimeout))
+    }
+
+    async fn open_at_length(&self) -> Result<(OpenSession, Subscription<Ended>), RpcError> {
+        let stream = TcpStream::connect(&self.addr)
+            .await
+            .map_err(|error| RpcError::Transport(Box::new(error)))?;
+        set_options(&stream);
+        let url = format!("ws://{}", self.addr);
+        let client = WsClientBuilder::new()
+            .build_with_stream(url, stream)
+            .await?;
+        let ends = client
+            .subscribe(
+                worker::SUBSCRIBE_ENDS,
+                rpc_params![],
+                worker::UNSUBSCRIBE_ENDS,
+            )
+            .await?;
+        let report: Report = client.request(worker::REPORT, rpc_params![]).await?;
+        let open = OpenSession {
+            session: self.clone(),
+            client: Arc::new(client),
+            incarnation: report.incarnation,
+            broken: Arc::new(tokio::sync::Notify::new()),
+        };
+        let worker = self.worker.clone();
+        self.engine
+            .tell(Event::SessionOpened { worker, report })
+            .await;
+        Ok((open, ends))
+    }
+}
+
+fn set_options(stream: &TcpStream) {
+    // Each option only makes an end be noticed sooner; without it, later.
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_linger(Some(Duration::ZERO));
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+impl OpenSession {
+    /// Serves orders until the connection breaks or no more can come; returns
+    /// whether the latter.
+    async fn serve(
+        &self,
+        mut ends: Subscription<Ended>,
+        orders: &mut mpsc::UnboundedReceiver<Order>,
+    ) -> bool {
+        loop {
+            tokio::select! {
+                ended = ends.next() => match ended {
+                    Some(Ok(ended)) => self.on_ended(ended).await,
+                    Some(Err(_)) | None => return false,
+                },
+                () = self.broken.notified() => return false,
+                order = orders.recv() => match order {
+                    Some(order) => self.carry_out(order).await,
+                    None => return true,
+                },
+            }
+        }
+    }
+
+    async fn on_ended(&self, ended: Ended) {
+        let worker = self.session.worker.clone();
+        self.session
+            .engine
+            .tell(Event::Ended { worker, ended })
+            .await;
+    }
+
+    async fn carry_out(&self, order: Order) {
+        let this = self.clone();
+        match order {
+            Order::Start { incarnation, start } => {
+                if incarnation != self.incarnation || !self.client.is_connected() {
+                    let attempt = start.attempt;
+                    let event = Event::StartNotSent { attempt };
+                    self.session.engine.tell(event).await;
+                    return;
+                }
+                tokio::spawn(async move { this.start(start).await });
+            }
+            Order::Renew(renew) => {
+                tokio::spawn(async move { this.renew(renew).await });
+            }
+            Order::Stop(stop) => {
+                tokio::spawn(async move { this.stop(stop).await });
+            }
+            Order::AskReport => {
+                tokio::spawn(async move { this.ask_report().await });
+            }
+        }
+    }
+
+    async fn start(&self, start: Start) {
+        let attempt = start.attempt;
+        let call = self
+            .client
+            .request::<(), _>(worker::START, rpc_params![start]);
+        let event = match tokio::time::timeout(CALL_LIMIT, call).await {
+            Ok(Ok(())) => Event::StartAcked { attempt },
+            // The worker itself says that it did not start it.
+            Ok(Err(RpcError::Call(_))) => Event::StartNotSent { attempt },
+            Ok(Err(_)) | Err(_) => {
+                self.broken.notify_one();
+                Event::StartInDoubt { attempt }
+            }
+        };
+        self.session.engine.tell(event).await;
+    }
+
+    async fn renew(&self, renew: Renew) {
+        let call = self
+            .client
+            .request::<(), _>(worker::RENEW, rpc_params![renew]);
+        if !matches!(tokio::time::timeout(CALL_LIMIT, call).await, Ok(Ok(()))) {
+            self.broken.notify_one();
+        }
+    }
+
+    async fn stop(&self, stop: Stop) {
+        let call = self
+            .client
+            .request::<(), _>(worker::STOP, rpc_params![stop]);
+        if !matches!(tokio::time::timeout(CALL_LIMIT, call).await, Ok(Ok(()))) {
+            self.broken.notify_one();
+        }
+    }
+
+    async fn ask_report(&self) {
+        let asked_at = clock::now();
+        let call = self
+            .client
+            .request::<Report, _>(worker::REPORT, rpc_params![]);
+        match tokio::time::timeout(CALL_LIMIT, call).await {
+            Ok(Ok(report)) => {
+                let event = Event::Reported {
+                    worker: self.session.worker.clone(),
+                    asked_at,
+                    report,
+                };
+                self.session.engine.tell(event).await;
+            }
+            Ok(Err(_)) | Err(_) => self.broken.notify_one(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store_calls.rs
@@ -0,0 +1,329 @@
+//! Writes of the store: claims, commits, seats, and the lease of this daemon.
+//!
+//! A write whose answer is lost is resolved, not repeated blindly: each is a
+//! transaction that takes effect at most once, and is made again until the
+//! store says whether it has.
+
+use crate::engine::EngineHandle;
+use crate::layout::Layout;
+use crate::metrics::StoreCounts;
+use ospreywing_membership::Member;
+use ospreywing_node::{ClaimedLog, Event};
+use ospreywing_shard::Commit;
+use ospreywing_store::{Compare, KeyValue, Op, StoreClient, StoreError, Txn, TxnReply};
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Batches that one call may return.
+const PAGE_COUNT: u64 = 500;
+const BACKOFF_FIRST: Duration = Duration::from_millis(40);
+const BACKOFF_LIMIT: Duration = Duration::from_millis(1000);
+/// The lease of this daemon's entry, and how often it is kept alive.
+const MEMBER_TTL_S: u64 = 10;
+const KEEPALIVE_EVERY: Duration = Duration::from_secs(3);
+
+/// Writes of the store.
+#[derive(Clone)]
+pub struct StoreCalls {
+    store: StoreClient,
+    layout: Layout,
+    engine: EngineHandle,
+    counts: Arc<StoreCounts>,
+    member: Member,
+    wake: Arc<Notify>,
+}
+
+/// What became of a claim.
+enum Claim {
+    Won { revision: u64 },
+    Lost,
+}
+
+impl StoreCalls {
+    /// Creates the calls; `wake` makes the poller read what they changed.
+    pub fn new(
+        store: StoreClient,
+        layout: Layout,
+        engine: EngineHandle,
+        counts: Arc<StoreCounts>,
+        member: Member,
+        wake: Arc<Notify>,
+    ) -> Self {
+        Self {
+            store,
+            layout,
+            engine,
+            counts,
+            member,
+            wake,
+        }
+    }
+
+    /// Claims a shard, reads its log and tells the engine.
+    pub fn claim_shard(&self, shard: u32, revision: u64) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let key = this.layout.owner(shard);
+            let event = match this.claim(key, revision).await {
+                Claim::Won { revision } => {
+                    Event::ShardClaimed(this.read_log(shard, revision).await)
+                }
+                Claim::Lost => Event::ClaimFailed { shard },
+            };
+            this.engine.tell(event).await;
+            this.wake.notify_one();
+        });
+    }
+
+    /// Claims a seat; the poller sees whether it was won.
+    pub fn claim_seat(&self, seat: u32, revision: u64) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let key = this.layout.seat(seat);
+            let txn = Txn::new()
+                .with_compare(Compare::ModRevision {
+                    key: key.clone(),
+                    revision,
+                })
+                .with_then(this.put_me(key));
+            StoreCounts::add(&this.counts.claims_count);
+            let _ = this.store.txn(&txn).await;
+            this.wake.notify_one();
+        });
+    }
+
+    /// Vacates a shard's key; the poller sees whether that took effect.
+    pub fn vacate_shard(&self, shard: u32, revision: u64) {
+        self.vacate(self.layout.owner(shard), revision);
+    }
+
+    /// Vacates a seat's key; the poller sees whether that took effect.
+    pub fn vacate_seat(&self, seat: u32, revision: u64) {
+        self.vacate(self.layout.seat(seat), revision);
+    }
+
+    fn vacate(&self, key: String, revision: u64) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let txn = Txn::new()
+                .with_compare(Compare::ModRevision {
+                    key: key.clone(),
+                    revision,
+                })
+                .with_then(Op::Put {
+                    key,
+                    value: b"null".to_vec(),
+                    lease: 0,
+                });
+            StoreCounts::add(&this.counts.claims_count);
+            let _ = this.store.txn(&txn).await;
+            this.wake.notify_one();
+        });
+    }
+
+    fn put_me(&self, key: String) -> Op {
+        let identity = &self.member.identity;
+        Op::Put {
+            key,
+            value: serde_json::to_vec(identity).unwrap_or_default(),
+            lease: 0,
+        }
+    }
+
+    /// Writes this process under `key` where it has `revision`, and finds out
+    /// whether that took effect even when answers are lost.
+    async fn claim(&self, key: String, revision: u64) -> Claim {
+        let txn = Txn::new()
+            .with_compare(Compare::ModRevision {
+                key: key.clone(),
+                revision,
+            })
+            .with_then(self.put_me(key.clone()))
+            .with_otherwise(Op::Get { key });
+        let reply = self
+            .txn_until_answered(&txn, &self.counts.claims_count)
+            .await;
+        if reply.succeeded {
+            return Claim::Won {
+                revision: reply.revision,
+            };
+        }
+        // An earlier try of ours may have taken effect with its answer lost.
+        match first_of(&reply) {
+            Some(found) if self.is_me(found) => Claim::Won {
+                revision: found.mod_revision,
+            },
+            _ => Claim::Lost,
+        }
+    }
+
+    fn is_me(&self, found: &KeyValue) -> bool {
+        let identity: Option<ospreywing_types::DaemonIdentity> =
+            serde_json::from_slice(&found.value).unwrap_or(None);
+        identity.is_some_and(|identity| identity == self.member.identity)
+    }
+
+    /// Reads a shard's log. Its former owner is fenced, so it stands still.
+    async fn read_log(&self, shard: u32, epoch: u64) -> ClaimedLog {
+        let prefix = self.layout.log(shard);
+        let mut backoff = Backoff::new();
+        loop {
+            StoreCounts::add(&self.counts.log_reads_count);
+            if let Ok(page) = self.store.range_all(&prefix, PAGE_COUNT).await {
+                let found = page.key_values.into_iter().filter_map(|found| {
+                    let seq = self.layout.seq_of(shard, &found.key)?;
+                    Some((seq, found.value))
+                });
+                return ClaimedLog {
+                    shard,
+                    epoch,
+                    batches: found.collect(),
+                };
+            }
+            backoff.wait().await;
+        }
+    }
+
+    /// Writes a commit and tells the engine whether it took effect.
+    pub fn commit(&self, shard: u32, epoch: u64, commit: Commit) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let is_done = this.commit_until_known(shard, epoch, &commit).await;
+            let event = if is_done {
+                Event::CommitDone { shard, epoch }
+            } else {
+                Event::CommitFenced { shard, epoch }
+            };
+            this.engine.tell(event).await;
+        });
+    }
+
+    async fn commit_until_known(&self, shard: u32, epoch: u64, commit: &Commit) -> bool {
+        let owner_key = self.layout.owner(shard);
+        let batch_key = self.layout.batch(shard, commit.seq);
+        let mut txn = Txn::new()
+            .with_compare(Compare::ModRevision {
+                key: owner_key,
+                revision: epoch,
+            })
+            .with_compare(Compare::Absent {
+                key: batch_key.clone(),
+            })
+            .with_then(Op::Put {
+                key: batch_key.clone(),
+                value: commit.value.clone(),
+                lease: 0,
+            })
+            .with_otherwise(Op::Get { key: batch_key });
+        if commit.first_kept_seq > 1 {
+            txn = txn.with_then(Op::DeleteRange {
+                first: self.layout.batch(shard, 0),
+                end: self.layout.batch(shard, commit.first_kept_seq),
+            });
+        }
+        let reply = self
+            .txn_until_answered(&txn, &self.counts.commits_count)
+            .await;
+        // The batch stands there because an earlier try of ours took effect.
+        let stands = first_of(&reply).is_some_and(|found| found.value == commit.value);
+        reply.succeeded || stands
+    }
+
+    async fn txn_until_answered(
+        &self,
+        txn: &Txn,
+        count: &std::sync::atomic::AtomicU64,
+    ) -> TxnReply {
+        let mut backoff = Backoff::new();
+        loop {
+            StoreCounts::add(count);
+            match self.store.txn(txn).await {
+                Ok(reply) => return reply,
+                Err(_) => {
+                    StoreCounts::add(&self.counts.failures_count);
+                    backoff.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Keeps this daemon's entry in the store for ever, under a lease.
+    pub async fn keep_member(self) {
+        let mut lease = None;
+        let mut ticks = tokio::time::interval(KEEPALIVE_EVERY);
+        loop {
+            ticks.tick().await;
+            let kept = match lease {
+                Some(lease) => self.keep_alive(lease).await,
+                None => Ok(false),
+            };
+            match kept {
+                Ok(true) => {}
+                Ok(false) => lease = self.enter().await.ok(),
+                // The lease may still be there: ask again.
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn keep_alive(&self, lease: u64) -> Result<bool, StoreError> {
+        StoreCounts::add(&self.counts.leases_count);
+        self.store.lease_keepalive(lease).await
+    }
+
+    async fn enter(&self) -> Result<u64, StoreError> {
+        StoreCounts::add(&self.counts.leases_count);
+        let lease = self.store.lease_grant(MEMBER_TTL_S).await?;
+        let txn = Txn::new().with_then(Op::Put {
+            key: self.layout.member(&self.member.identity.name),
+            value: serde_json::to_vec(&self.member).unwrap_or_default(),
+            lease,
+        });
+        StoreCounts::add(&self.counts.leases_count);
+        self.store.txn(&txn).await?;
+        self.wake.notify_one();
+        Ok(lease)
+    }
+
+    /// Removes this daemon's entry, as its last word.
+    pub async fn leave(&self) {
+        let key = self.layout.member(&self.member.identity.name);
+        let txn = Txn::new().with_then(Op::Delete { key });
+        StoreCounts::add(&self.counts.leases_count);
+        // An entry that stays lapses with its lease.
+        let _ = self.store.txn(&txn).await;
+    }
+}
+
+fn first_of(reply: &TxnReply) -> Option<&KeyValue> {
+    reply.pages.first()?.key_values.first()
+}
+
+/// Waiting times between tries, doubled up to a limit, with jitter.
+pub struct Backoff {
+    next: Duration,
+}
+
+impl Backoff {
+    /// Creates the times of a first try.
+    pub const fn new() -> Self {
+        Self {
+            next: BACKOFF_FIRST,
+        }
+    }
+
+    /// Waits for the next time.
+    pub async fn wait(&mut self) {
+        let part = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.next.mul_f64(part)).await;
+        self.next = (self.next * 2).min(BACKOFF_LIMIT);
+    }
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/table_edit.rs
@@ -0,0 +1,334 @@
+//! Edits of the table: one row, on condition that it is as the operator saw it.
+
+use crate::clock;
+use crate::engine::EngineHandle;
+use crate::layout::{Layout, StoredRow};
+use crate::metrics::StoreCounts;
+use crate::store_calls::Backoff;
+use ospreywing_store::{Compare, KeyValue, Op, Page, StoreClient, StoreError, Txn, TxnReply};
+use ospreywing_table::{differences, CellChange, Row, Table};
+use ospreywing_types::Name;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::Notify;
+
+/// How long an edit may take until its fate is said to be unknown.
+const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// How long an edit waits to be in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(7);
+const IN_FORCE_CHECK_EVERY: Duration = Duration::from_millis(50);
+/// Edits of a row that are remembered.
+const HISTORY_COUNT: usize = 20;
+
+/// A row with the revision that an edit must name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedRow {
+    /// The row; `None` where there is none.
+    pub row: Option<Row>,
+    /// The revision; zero where the row never was.
+    pub revision: u64,
+}
+
+/// An edit that the store has taken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The row's new revision.
+    pub revision: u64,
+    /// Whether every daemon goes by it.
+    pub is_in_force: bool,
+    /// The daemons that are not known to.
+    pub lagging: Vec<Name>,
+}
+
+/// One remembered edit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// When, in seconds since 1970.
+    pub unix_s: u64,
+    /// The daemon that took it.
+    pub daemon: Name,
+    /// The cells that changed.
+    pub changes: Vec<CellChange>,
+}
+
+/// Why an edit was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum EditError {
+    /// The table would not be sound.
+    #[error("{}", .0.join("; "))]
+    Unsound(Vec<String>),
+    /// The row is not as the operator saw it.
+    #[error("the row was changed by another; it is at revision {}", .newer.revision)]
+    Conflict {
+        /// The row as it is.
+        newer: Box<VersionedRow>,
+        /// What differs between it and the row that was not taken.
+        changes: Vec<CellChange>,
+    },
+    /// This daemon can't take edits now; nothing was written.
+    #[error("no edit can be taken now: {0}")]
+    Unavailable(String),
+    /// The store did not say whether the edit was taken.
+    #[error("whether the edit was taken is unknown; read the row again")]
+    Unknown,
+}
+
+/// Edits of the table.
+#[derive(Clone)]
+pub struct TableEdits {
+    store: StoreClient,
+    layout: Layout,
+    engine: EngineHandle,
+    counts: Arc<StoreCounts>,
+    daemon: Name,
+    wake: Arc<Notify>,
+}
+
+/// The row and its history as the store has them.
+struct Stored {
+    row: VersionedRow,
+    history: Vec<HistoryEntry>,
+}
+
+impl TableEdits {
+    /// Creates the edits; `wake` makes the poller read what they changed.
+    pub fn new(
+        store: StoreClient,
+        layout: Layout,
+        engine: EngineHandle,
+        counts: Arc<StoreCounts>,
+        daemon: Name,
+        wake: Arc<Notify>,
+    ) -> Self {
+        Self {
+            store,
+            layout,
+            engine,
+            counts,
+            daemon,
+            wake,
+        }
+    }
+
+    /// Reads a row with its revision from the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EditError::Unavailable`] where the store does not answer.
+    pub async fn read(&self, name: &Name) -> Result<VersionedRow, EditError> {
+        let stored = self.stored(name).await.map_err(unavailable)?;
+        Ok(stored.row)
+    }
+
+    /// Reads the last edits of a row from the store, newest last.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EditError::Unavailable`] where the store does not answer.
+    pub async fn history(&self, name: &Name) -> Result<Vec<HistoryEntry>, EditError> {
+        let stored = self.stored(name).await.map_err(unavailable)?;
+        Ok(stored.history)
+    }
+
+    async fn stored(&self, name: &Name) -> Result<Stored, StoreError> {
+        let txn = Txn::new()
+            .with_then(Op::Get {
+                key: self.layout.row(name),
+            })
+            .with_then(Op::Get {
+                key: self.layout.history(name),
+            });
+        StoreCounts::add(&self.counts.edits_count);
+        let reply = self.store.txn(&txn).await?;
+        let mut pages = reply.pages.into_iter();
+        let row = pages.next().and_then(first);
+        let history = pages.next().and_then(first);
+        let history = history.and_then(|found| serde_json::from_slice(&found.value).ok());
+        Ok(Stored {
+            row: row.map_or(absent(), |found| versioned(&found)),
+            history: history.unwrap_or_default(),
+        })
+    }
+
+    /// Puts or removes a row that the operator saw at `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was not taken; see [`EditError`].
+    pub async fn edit(
+        &self,
+        name: &Name,
+        row: Option<Row>,
+        revision: u64,
+        waits: bool,
+    ) -> Result<Accepted, EditError> {
+        self.check(name, row.as_ref()).await?;
+        let before = self.stored(name).await.map_err(unavailable)?;
+        if before.row.revision != revision {
+            return Err(conflict(before.row, row.as_ref()));
+        }
+        let stored = StoredRow {
+            row: row.clone(),
+            edit_id: rand::random(),
+        };
+        let txn = self.txn(name, &stored, &before, revision);
+        let written = tokio::time::timeout(WRITE_LIMIT, self.write(&txn)).await;
+        let reply = written.map_err(|_| EditError::Unknown)?;
+        self.wake.notify_one();
+        let revision = self.resolve(&reply, &stored, row.as_ref())?;
+        Ok(self.accepted(revision, waits).await)
+    }
+
+    async fn check(&self, name: &Name, row: Option<&Row>) -> Result<(), EditError> {
+        let (name, row) = (name.clone(), row.cloned());
+        let checked = self.engine.ask(move |node, now| {
+            if !node.may_edit(now) {
+                let reason = "this daemon does not reach the store and most daemons";
+                return Err(EditError::Unavailable(reason.to_owned()));
+            }
+            let mut table = (*node.table()).clone();
+            match row {
+                Some(row) => table.put(row),
+                None => {
+                    table.remove(&name);
+                }
+            }
+            table.check(node.shards_count()).map_err(|faults| {
+                EditError::Unsound(faults.iter().map(ToString::to_string).collect())
+            })
+        });
+        checked
+            .await
+            .unwrap_or_else(|gone| Err(EditError::Unavailable(gone.to_string())))
+    }
+
+    fn txn(&self, name: &Name, stored: &StoredRow, before: &Stored, revision: u64) -> Txn {
+        let key = self.layout.row(name);
+        let mut history = before.history.clone();
+        history.push(HistoryEntry {
+            unix_s: unix_s(),
+            daemon: self.daemon.clone(),
+            changes: changes(before.row.row.as_ref(), stored.row.as_ref()),
+        });
+        let surplus = history.len().saturating_sub(HISTORY_COUNT);
+        history.drain(..surplus);
+        Txn::new()
+            .with_compare(Compare::ModRevision {
+                key: key.clone(),
+                revision,
+            })
+            .with_then(Op::Put {
+                key: key.clone(),
+                value: serde_json::to_vec(stored).unwrap_or_default(),
+                lease: 0,
+            })
+            .with_then(Op::Put {
+                key: self.layout.history(name),
+                value: serde_json::to_vec(&history).unwrap_or_default(),
+                lease: 0,
+            })
+            .with_otherwise(Op::Get { key })
+    }
+
+    async fn write(&self, txn: &Txn) -> TxnReply {
+        let mut backoff = Backoff::new();
+        loop {
+            StoreCounts::add(&self.counts.edits_count);
+            match self.store.txn(txn).await {
+                Ok(reply) => return reply,
+                Err(_) => backoff.wait().await,
+            }
+        }
+    }
+
+    /// Returns the new revision, also where an earlier try took effect with
+    /// its answer lost.
+    fn resolve(
+        &self,
+        reply: &TxnReply,
+        stored: &StoredRow,
+        row: Option<&Row>,
+    ) -> Result<u64, EditError> {
+        if reply.succeeded {
+            return Ok(reply.revision);
+        }
+        let found = reply.pages.first().and_then(|page| page.key_values.first());
+        let found_row = found.and_then(|f| serde_json::from_slice::<StoredRow>(&f.value).ok());
+        match (found, found_row) {
+            (Some(found), Some(there)) if there.edit_id == stored.edit_id => Ok(found.mod_revision),
+            (Some(found), _) => Err(conflict(versioned(found), row)),
+            (None, _) => Err(conflict(absent(), row)),
+        }
+    }
+
+    /// Waits until every daemon goes by `revision`, for a while.
+    async fn accepted(&self, revision: u64, waits: bool) -> Accepted {
+        let until =
+            clock::now() + ospreywing_types::Duration::from_ms(IN_FORCE_LIMIT.as_millis() as u64);
+        loop {
+            let lagging = self.engine.ask(move |node, now| {
+                let mut lagging = node.lagging(now, revision);
+                if node.table().revision < revision {
+                    lagging.push(node.membership_config().me.identity.name.clone());
+                }
+                lagging
+            });
+            let lagging = lagging.await.unwrap_or_default();
+            if lagging.is_empty() || !waits || clock::now() >= until {
+                return Accepted {
+                    revision,
+                    is_in_force: lagging.is_empty(),
+                    lagging,
+                };
+            }
+            tokio::time::sleep(IN_FORCE_CHECK_EVERY).await;
+        }
+    }
+}
+
+fn first(page: Page) -> Option<KeyValue> {
+    page.key_values.into_iter().next()
+}
+
+const fn absent() -> VersionedRow {
+    VersionedRow {
+        row: None,
+        revision: 0,
+    }
+}
+
+fn versioned(found: &KeyValue) -> VersionedRow {
+    let stored: Option<StoredRow> = serde_json::from_slice(&found.value).ok();
+    VersionedRow {
+        row: stored.and_then(|stored| stored.row),
+        revision: found.mod_revision,
+    }
+}
+
+fn unavailable(error: StoreError) -> EditError {
+    EditError::Unavailable(error.to_string())
+}
+
+fn changes(before: Option<&Row>, after: Option<&Row>) -> Vec<CellChange> {
+    let table_of = |row: Option<&Row>| {
+        let mut table = Table::new();
+        row.cloned().into_iter().for_each(|row| table.put(row));
+        table
+    };
+    differences(&table_of(before), &table_of(after))
+}
+
+fn conflict(newer: VersionedRow, row: Option<&Row>) -> EditError {
+    let changes = changes(newer.row.as_ref(), row);
+    EditError::Conflict {
+        newer: Box::new(newer),
+        changes,
+    }
+}
+
+fn unix_s() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,177 @@
+//! The client and its calls.
+
+use crate::HttpError;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Bytes;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error as ClientError};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::time::Duration;
+
+/// The largest answer that is read.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: Method,
+    addr: String,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    time_limit: Duration,
+}
+
+impl Call {
+    /// Creates a call without a body.
+    ///
+    /// `addr` is `IP:port`; `path` starts with a slash and may have a query.
+    pub fn new(method: Method, addr: &str, path: &str, time_limit: Duration) -> Self {
+        Self {
+            method,
+            addr: addr.to_owned(),
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            time_limit,
+        }
+    }
+
+    /// Adds a header; one whose value is not printable text is left out.
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = value.parse() {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets the body to `value` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Invalid`] where `value` has no JSON form.
+    pub fn with_json(self, value: &impl Serialize) -> Result<Self, HttpError> {
+        let body =
+            serde_json::to_vec(value).map_err(|error| HttpError::Invalid(error.to_string()))?;
+        Ok(self
+            .with_header("content-type", "application/json")
+            .with_body(body))
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Malformed`] where the body is not such JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, HttpError> {
+        serde_json::from_slice(&self.body).map_err(|error| HttpError::Malformed(error.to_string()))
+    }
+
+    /// Returns a header's text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A client with a pool of connections for each address.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Creates a client that keeps up to `idle_count` idle connections for each
+    /// address.
+    pub fn new(idle_count: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_LIMIT)
+            .pool_max_idle_per_host(idle_count)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Makes a call, once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is no whole answer; see
+    /// [`HttpError::is_not_sent`].
+    pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
+        let limit = call.time_limit;
+        let answer = tokio::time::timeout(limit, self.exchange(call)).await;
+        answer.unwrap_or(Err(HttpError::TimedOut {
+            limit_ms: limit.as_millis() as u64,
+        }))
+    }
+
+    async fn exchange(&self, call: Call) -> Result<Answer, HttpError> {
+        let request = request_of(call)?;
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| error_of(&error))?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await;
+        let body = body.map_err(|error| {
+            if error.downcast_ref::<LengthLimitError>().is_some() {
+                let limit_bytes = ANSWER_LIMIT_BYTES;
+                HttpError::TooLarge { limit_bytes }
+            } else {
+                HttpError::Broken(error.to_string())
+            }
+        })?;
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+fn request_of(call: Call) -> Result<Request<Full<Bytes>>, HttpError> {
+    let uri = format!("http://{}{}", call.addr, call.path);
+    let request = Request::builder().method(call.method).uri(uri);
+    let mut request = request
+        .body(Full::new(call.body))
+        .map_err(|error| HttpError::Invalid(error.to_string()))?;
+    request.headers_mut().extend(call.headers);
+    Ok(request)
+}
+
+fn error_of(error: &ClientError) -> HttpError {
+    use std::error::Error;
+    let cause = error.source().map_or(String::new(), |e| format!(": {e}"));
+    let text = format!("{error}{cause}");
+    if error.is_connect() {
+        HttpError::NotSent(text)
+    } else {
+        HttpError::Broken(text)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership.rs
@@ -0,0 +1,452 @@
+//! A daemon's view of the cell, and what it does about it.
+
+use crate::assignment::assign;
+use crate::control::{Control, ControlChange, Member, Versioned, SEATS_COUNT};
+use crate::freshness::{has_majority, Freshness};
+use crate::peer::{PeerState, Peers};
+use crate::seat::{seat_target_count, SeatSet};
+use ospreywing_types::peer::Pong;
+use ospreywing_types::{BoxFacts, BoxKind, DaemonIdentity, Duration, Instant, Name};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The settings of a membership.
+#[derive(Clone, Debug)]
+pub struct MembershipConfig {
+    /// This daemon.
+    pub me: Member,
+    /// How many shards the cell has.
+    pub shards_count: u32,
+    /// How often each peer is pinged.
+    pub ping_every: Duration,
+    /// How long without an answer until a peer counts as silent.
+    pub silent_after: Duration,
+    /// How long each daemon lets the one before it in line claim a shard.
+    pub claim_stagger: Duration,
+    /// How long a view must stand before a shard changes hands by plan.
+    pub steady_for: Duration,
+    /// How long after its holder's end a seat's requests may still run.
+    pub seat_quarantine: Duration,
+    /// How long after an entry box left the box list its process is over.
+    pub unlisted_quarantine: Duration,
+}
+
+impl MembershipConfig {
+    /// Creates a configuration with every period at its default.
+    pub const fn new(me: Member, shards_count: u32) -> Self {
+        Self {
+            me,
+            shards_count,
+            ping_every: Duration::from_ms(400),
+            silent_after: Duration::from_ms(2000),
+            claim_stagger: Duration::from_ms(400),
+            steady_for: Duration::from_s(5),
+            seat_quarantine: Duration::from_s(10),
+            unlisted_quarantine: Duration::from_s(120),
+        }
+    }
+}
+
+/// One thing to do. Claims are writes on condition of the revision given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipAction {
+    /// Ping a process.
+    Ping(DaemonIdentity),
+    /// Claim a shard.
+    ClaimShard {
+        /// The shard.
+        shard: u32,
+        /// The revision of the owner's key.
+        revision: u64,
+    },
+    /// Give a shard up: settle what is on its way, then vacate its key.
+    HandOverShard(u32),
+    /// Claim a seat.
+    ClaimSeat {
+        /// The seat.
+        seat: u32,
+        /// The revision of the seat's key.
+        revision: u64,
+    },
+    /// Use a seat no more, and vacate its key once it is idle.
+    DrainSeat(u32),
+}
+
+/// A daemon's view of the cell.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    config: MembershipConfig,
+    control: Control,
+    peers: Peers,
+    /// When the last call that the store answered was begun.
+    heard_at: Option<Instant>,
+    listed: BTreeSet<Name>,
+    dropped: BTreeMap<Name, Instant>,
+    orphan_since: BTreeMap<u32, Instant>,
+    members_since: Instant,
+    members_seen: Vec<Name>,
+    is_leaving: bool,
+}
+
+impl Membership {
+    /// Creates the view of a daemon that has seen nothing.
+    pub fn new(config: MembershipConfig) -> Self {
+        Self {
+            config,
+            control: Control::default(),
+            peers: Peers::default(),
+            heard_at: None,
+            listed: BTreeSet::new(),
+            dropped: BTreeMap::new(),
+            orphan_since: BTreeMap::new(),
+            members_since: Instant::default(),
+            members_seen: Vec::new(),
+            is_leaving: false,
+        }
+    }
+
+    /// Forgets the control part; what is there comes next.
+    pub fn forget_control(&mut self) {
+        self.control = Control::default();
+    }
+
+    /// Takes in changes of the store's control part.
+    pub fn on_control(&mut self, now: Instant, changes: Vec<ControlChange>) {
+        for change in changes {
+            self.control.apply(change);
+        }
+        for identity in self.control.identities() {
+            if identity.incarnation != self.me().incarnation {
+                self.peers.meet(now, &identity);
+            }
+        }
+        self.note_replaced(now);
+        let named: BTreeSet<u64> = self
+            .control
+            .identities()
+            .iter()
+            .map(|identity| identity.incarnation)
+            .collect();
+        self.peers
+            .retain(|incarnation| named.contains(&incarnation));
+    }
+
+    /// A process that listens on another's address shows that the other ended.
+    fn note_replaced(&mut self, now: Instant) {
+        let members: Vec<DaemonIdentity> = self
+            .control
+            .members
+            .values()
+            .map(|member| member.identity.clone())
+            .collect();
+        let mut gone = Vec::new();
+        for peer in self.peers.iter() {
+            let is_replaced = |member: &DaemonIdentity| {
+                member.rpc_addr == peer.identity.rpc_addr
+                    && member.incarnation != peer.identity.incarnation
+            };
+            if members.iter().any(is_replaced) && !self.is_member(&peer.identity) {
+                gone.push(peer.identity.incarnation);
+            }
+        }
+        for incarnation in gone {
+            self.peers.set_gone(now, incarnation);
+        }
+    }
+
+    fn is_member(&self, identity: &DaemonIdentity) -> bool {
+        let member = self.control.members.get(&identity.name);
+        member.is_some_and(|member| member.identity.incarnation == identity.incarnation)
+    }
+
+    /// Notes that the store answered a call that was begun at `asked_at`.
+    pub fn on_store_answer(&mut self, asked_at: Instant) {
+        self.heard_at = self.heard_at.max(Some(asked_at));
+    }
+
+    /// Takes in a peer's answer to a ping that was sent at `asked_at`.
+    pub fn on_pong(&mut self, asked_at: Instant, pong: &Pong) {
+        let silent_after = self.config.silent_after;
+        let Some(peer) = self.peers.get_mut(pong.from.incarnation) else {
+            return;
+        };
+        if asked_at.since(peer.seen_at()) >= silent_after {
+            peer.steady_since = asked_at;
+        }
+        peer.answered_at = peer.answered_at.max(Some(asked_at));
+        let heard_at = asked_at - Duration::from_ms(pong.store_age_ms);
+        peer.store_heard_at = peer.store_heard_at.max(Some(heard_at));
+        peer.is_leaving = pong.is_leaving;
+    }
+
+    /// Takes in that the process `incarnation` has certainly ended.
+    pub fn on_gone(&mut self, now: Instant, incarnation: u64) {
+        self.peers.set_gone(now, incarnation);
+    }
+
+    /// Takes in the platform's box list.
+    pub fn on_boxes(&mut self, now: Instant, boxes: &[BoxFacts]) {
+        let entry = boxes.iter().filter(|facts| facts.kind == BoxKind::Entry);
+        let listed: BTreeSet<Name> = entry.map(|facts| facts.name.clone()).collect();
+        for name in self.listed.difference(&listed) {
+            self.dropped.insert(name.clone(), now);
+        }
+        self.dropped.retain(|name, _| !listed.contains(name));
+        self.listed = listed;
+    }
+
+    /// Notes that this daemon is stopping.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns whether this daemon is stopping.
+    pub const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Returns this daemon's identity.
+    pub const fn me(&self) -> &DaemonIdentity {
+        &self.config.me.identity
+    }
+
+    /// Returns the control part as last seen.
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Returns when the last call that the store answered was begun.
+    pub const fn heard_at(&self) -> Option<Instant> {
+        self.heard_at
+    }
+
+    /// Returns what the knowledge of the table rests on.
+    pub fn freshness(&self, now: Instant) -> Freshness {
+        Freshness::new(now, self.heard_at, &self.peers)
+    }
+
+    /// Returns whether an edit of the table may be accepted: see [`Freshness::StoreDown`].
+    pub fn may_edit(&self, now: Instant) -> bool {
+        has_majority(now, &self.peers) && self.freshness(now) == Freshness::Store
+    }
+
+    /// Returns since when nothing newer is known to be in the store, by this
+    /// daemon's own calls or through its peers.
+    pub fn known_as_of(&self) -> Option<Instant> {
+        let by_peers = self.peers.iter().filter_map(|peer| peer.store_heard_at);
+        by_peers.chain(self.heard_at).max()
+    }
+
+    /// Returns what is known of a process.
+    pub fn peer_state(&self, now: Instant, incarnation: u64) -> PeerState {
+        self.peers.state(now, incarnation, self.config.silent_after)
+    }
+
+    /// Returns whether a process has certainly ended.
+    pub fn is_gone(&self, now: Instant, incarnation: u64) -> bool {
+        matches!(self.peer_state(now, incarnation), PeerState::Gone(_))
+    }
+
+    /// Returns the daemons that serve, this one included, by name.
+    pub fn serving(&self, now: Instant) -> Vec<Member> {
+        let mut serving: Vec<Member> = self
+            .control
+            .members
+            .values()
+            .filter(|member| self.is_serving(now, &member.identity))
+            .cloned()
+            .collect();
+        let is_listed = |member: &Member| member.identity.incarnation == self.me().incarnation;
+        if !self.is_leaving && !serving.iter().any(is_listed) {
+            serving.push(self.config.me.clone());
+            serving.sort_by(|a, b| a.identity.name.cmp(&b.identity.name));
+        }
+        serving
+    }
+
+    fn is_serving(&self, now: Instant, identity: &DaemonIdentity) -> bool {
+        if identity.incarnation == self.me().incarnation {
+            return !self.is_leaving;
+        }
+        let is_leaving = self
+            .peers
+            .get(identity.incarnation)
+            .is_some_and(|peer| peer.is_leaving);
+        let state = self.peer_state(now, identity.incarnation);
+        !is_leaving && state == PeerState::Live
+    }
+
+    /// Returns the seats that this daemon holds.
+    pub fn seats(&self) -> SeatSet {
+        let mine = |holder: &Versioned<Option<DaemonIdentity>>| {
+            let holder = holder.value.as_ref();
+            holder.is_some_and(|holder| holder.incarnation == self.me().incarnation)
+        };
+        let seats = self.control.seats.iter();
+        seats
+            .filter(|(_, holder)| mine(holder))
+            .map(|(&seat, _)| seat)
+            .collect()
+    }
+
+    /// Decides what to do now.
+    pub fn decide(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        self.note_dropped(now);
+        self.ping(now, actions);
+        let serving = self.serving(now);
+        self.note_members(now, &serving);
+        self.decide_shards(now, &serving, actions);
+        self.decide_seats(now, &serving, actions);
+    }
+
+    fn note_dropped(&mut self, now: Instant) {
+        let quarantine = self.config.unlisted_quarantine;
+        let mut gone = Vec::new();
+        for member in self.control.members.values() {
+            let dropped = self.dropped.get(&member.box_name);
+            if dropped.is_some_and(|&since| now >= since + quarantine) {
+                gone.push(member.identity.incarnation);
+            }
+        }
+        for incarnation in gone {
+            self.peers.set_gone(now, incarnation);
+        }
+    }
+
+    fn ping(&mut self, now: Instant, actions: &mut Vec<MembershipAction>) {
+        let every = self.config.ping_every;
+        for peer in self.peers.iter_mut() {
+            let is_due = peer.pinged_at.is_none_or(|at| now.since(at) >= every);
+            if is_due && peer.gone_at.is_none() {
+                peer.pinged_at = Some(now);
+                actions.push(MembershipAction::Ping(peer.identity.clone()));
+            }
+        }
+    }
+
+    fn note_members(&mut self, now: Instant, serving: &[Member]) {
+        let names = serving.iter().map(|member| member.identity.name.clone());
+        let names: Vec<Name> = names.collect();
+        if names != self.members_seen {
+            self.members_seen = names;
+            self.members_since = now;
+        }
+    }
+
+    fn decide_shards(
+        &mut self,
+        now: Instant,
+        serving: &[Member],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let names: Vec<Name> = self.members_seen.clone();
+        let assigned = assign(&names, self.config.shards_count);
+        let mut is_handing_over = false;
+        for shard in 0..self.config.shards_count {
+            let owner = self.control.owner(shard);
+            let is_mine = owner
+                .value
+                .as_ref()
+                .is_some_and(|owner| owner.incarnation == self.me().incarnation);
+            let preferred = assigned.get(shard as usize).map(|&index| &serving[index]);
+            if is_mine {
+                let should_move = self.should_hand_over(now, preferred) && !is_handing_over;
+                if should_move {
+                    is_handing_over = true;
+                    actions.push(MembershipAction::HandOverShard(shard));
+                }
+            } else if self.is_orphan(now, &owner) && !self.is_leaving {
+                self.claim_in_turn(now, shard, owner.revision, preferred, actions);
+            } else {
+                self.orphan_since.remove(&shard);
+            }
+        }
+    }
+
+    /// A shard moves by plan when this daemon stops, or when the members have
+    /// stood for a while and another should have it: one shard at a time.
+    fn should_hand_over(&self, now: Instant, preferred: Option<&Member>) -> bool {
+        if self.is_leaving {
+            return true;
+        }
+        let is_steady = now.since(self.members_since) >= self.config.steady_for;
+        let is_other =
+            preferred.is_some_and(|member| member.identity.incarnation != self.me().incarnation);
+        is_steady && is_other
+    }
+
+    fn is_orphan(&self, now: Instant, owner: &Versioned<Option<DaemonIdentity>>) -> bool {
+        match &owner.value {
+            None => true,
+            Some(owner) => self.peer_state(now, owner.incarnation) != PeerState::Live,
+        }
+    }
+
+    /// Claims a shard when it is this daemon's turn: the preferred owner at
+    /// once, each of the others a step later, so that few claims collide.
+    fn claim_in_turn(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        revision: u64,
+        preferred: Option<&Member>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let since = *self.orphan_since.entry(shard).or_insert(now);
+        let names = &self.members_seen;
+        let place_of = |name: &Name| names.iter().position(|n| n == name).unwrap_or(0);
+        let mine = place_of(&self.me().name);
+        let first = preferred.map_or(0, |member| place_of(&member.identity.name));
+        let turn = (mine + names.len() - first) % names.len().max(1);
+        if now >= since + self.config.claim_stagger.times(turn as u64) {
+            actions.push(MembershipAction::ClaimShard { shard, revision });
+        }
+    }
+
+    fn decide_seats(
+        &mut self,
+        now: Instant,
+        serving: &[Member],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mine = self.seats();
+        if self.is_leaving {
+            actions.extend(mine.iter().map(MembershipAction::DrainSeat));
+            return;
+        }
+        let target = seat_target_count(serving.len());
+        let free: Vec<u32> = (0..SEATS_COUNT)
+            .filter(|&seat| self.is_seat_free(now, seat))
+            .collect();
+        if mine.len() < target && !free.is_empty() {
+            // Daemons that start together reach for different seats.
+            let names = &self.members_seen;
+            let place = names.iter().position(|name| *name == self.me().name);
+            let seat = free[place.unwrap_or(0) % free.len()];
+            let revision = self.control.seat(seat).revision;
+            actions.push(MembershipAction::ClaimSeat { seat, revision });
+        }
+        if mine.len() > target && free.is_empty() && self.is_someone_short(serving, target) {
+            actions.extend(mine.iter().last().map(MembershipAction::DrainSeat));
+        }
+    }
+
+    fn is_seat_free(&self, now: Instant, seat: u32) -> bool {
+        let Some(holder) = self.control.seat(seat).value else {
+            return true;
+        };
+        match self.peer_state(now, holder.incarnation) {
+            PeerState::Gone(at) => now >= at + self.config.seat_quarantine,
+            PeerState::Live | PeerState::Silent => false,
+        }
+    }
+
+    fn is_someone_short(&self, serving: &[Member], target: u32) -> bool {
+        serving.iter().any(|member| {
+            let held = self.control.seats.values().filter(|holder| {
+                let holder = holder.value.as_ref();
+                holder.is_some_and(|h| h.incarnation == member.identity.incarnation)
+            });
+            (held.count() as u32) < target
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,391 @@
+//! The node: its state, and what each event does to it.
+
+use crate::action::{Action, Answer};
+use crate::config::NodeConfig;
+use crate::event::{Change, Event, Poll};
+use crate::shard_slot::ShardSlot;
+use crate::table_view::TableView;
+use ospreywing_membership::{
+    Freshness, Membership, MembershipAction, MembershipConfig, Pace, SeatSet,
+};
+use ospreywing_routing as routing;
+use ospreywing_shard as shard;
+use ospreywing_table::Table;
+use ospreywing_types::peer::{Ping, Pong};
+use ospreywing_types::{shard_of, BoxFacts, BoxKind, DaemonIdentity, Instant, Key, Name};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Who waits for an owner's reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Waiter {
+    /// A caller or a peer.
+    Outside(u64),
+    /// The router, for a request's key.
+    Router(routing::Request),
+}
+
+/// The decisions of one daemon.
+pub struct Node {
+    pub(crate) config: NodeConfig,
+    pub(crate) membership: Membership,
+    pub(crate) router: routing::Router,
+    pub(crate) table: TableView,
+    pub(crate) shards: Vec<ShardSlot>,
+    pub(crate) workers: BTreeMap<Name, BoxFacts>,
+    /// Workers that a connection is kept to.
+    pub(crate) connected: BTreeMap<Name, String>,
+    pub(crate) pace: Pace,
+    pub(crate) waiters: HashMap<u64, Waiter>,
+    pub(crate) next_token: u64,
+    pub(crate) next_nonce: u64,
+    pub(crate) draining: SeatSet,
+    pub(crate) closing_asked_at: Instant,
+    /// The newest table that each peer said it has, by incarnation.
+    pub(crate) peer_tables: BTreeMap<u64, u64>,
+    freshness: Freshness,
+    seats_in_use: SeatSet,
+    router_actions: Vec<routing::Action>,
+    pub(crate) shard_actions: Vec<shard::Action>,
+    membership_actions: Vec<MembershipAction>,
+}
+
+const COMMIT_BURST_COUNT: u32 = 4;
+
+impl Node {
+    /// Creates a node that has seen nothing.
+    pub fn new(config: NodeConfig) -> Self {
+        let shards_count = config.membership.shards_count as usize;
+        Self {
+            membership: Membership::new(config.membership.clone()),
+            router: routing::Router::new(config.router.clone()),
+            table: TableView::default(),
+            shards: (0..shards_count).map(|_| ShardSlot::Idle).collect(),
+            workers: BTreeMap::new(),
+            connected: BTreeMap::new(),
+            pace: Pace::new(config.commit_rate_per_s, COMMIT_BURST_COUNT),
+            waiters: HashMap::new(),
+            next_token: 0,
+            next_nonce: 0,
+            draining: SeatSet::EMPTY,
+            closing_asked_at: Instant::default(),
+            peer_tables: BTreeMap::new(),
+            freshness: Freshness::Unknown,
+            seats_in_use: SeatSet::EMPTY,
+            router_actions: Vec::new(),
+            shard_actions: Vec::new(),
+            membership_actions: Vec::new(),
+            config,
+        }
+    }
+
+    /// Takes in one event and appends what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Polled(poll) => self.on_polled(now, poll, actions),
+            Event::Boxes(boxes) => self.on_boxes(now, boxes, actions),
+            Event::Ponged { asked_at, pong } => self.on_ponged(now, asked_at, &pong, actions),
+            Event::ProcessGone { incarnation } => self.membership.on_gone(now, incarnation),
+            Event::Pinged { token, ping } => {
+                let answer = Answer::Pong(self.pong(now, &ping));
+                actions.push(Action::Answer { token, answer });
+            }
+            Event::Arrived(arrival) => {
+                self.route(now, routing::Event::Arrived(arrival), actions);
+            }
+            Event::CallerLeft { token } => {
+                self.route(now, routing::Event::CallerLeft { token }, actions);
+            }
+            Event::RequestAnswered(request) => {
+                self.route(now, routing::Event::Answered(request), actions);
+            }
+            Event::RequestNotSent(request) => {
+                self.route(now, routing::Event::NotSent(request), actions);
+            }
+            Event::RequestBroken(request) => {
+                self.route(now, routing::Event::Broken(request), actions);
+            }
+            Event::Leave => self.membership.leave(),
+            Event::Tick => self.on_tick(now, actions),
+            Event::Submit { .. }
+            | Event::Cancel { .. }
+            | Event::Query { .. }
+            | Event::TakeKey { .. }
+            | Event::ForwardAnswered { .. }
+            | Event::KeyAnswered { .. } => self.on_request(now, event, actions),
+            _ => self.on_shard_event(now, event, actions),
+        }
+        self.pump(now, actions);
+    }
+
+    fn on_polled(&mut self, now: Instant, poll: Poll, actions: &mut Vec<Action>) {
+        let mut control = Vec::new();
+        let mut rows = Vec::new();
+        for change in poll.changes {
+            match change {
+                Change::Control(change) => control.push(change),
+                Change::Row { name, row } => rows.push((name, row)),
+            }
+        }
+        if poll.is_whole {
+            self.membership.forget_control();
+        }
+        self.membership.on_control(now, control);
+        self.membership.on_store_answer(poll.asked_at);
+        if self.table.apply(rows) {
+            self.set_table(now, actions);
+        }
+        self.check_ownership(now, poll.asked_at, actions);
+        self.set_seats(now, actions);
+        self.set_freshness(now, actions);
+    }
+
+    fn on_boxes(&mut self, now: Instant, boxes: Vec<BoxFacts>, actions: &mut Vec<Action>) {
+        self.membership.on_boxes(now, &boxes);
+        let of_kind = |kind: BoxKind| {
+            let boxes = boxes.iter().filter(move |facts| facts.kind == kind);
+            boxes.cloned().collect::<Vec<_>>()
+        };
+        let minions = of_kind(BoxKind::Minion);
+        self.route(now, routing::Event::Boxes(minions), actions);
+        let workers = of_kind(BoxKind::Worker).into_iter();
+        self.workers = workers.map(|facts| (facts.name.clone(), facts)).collect();
+        for shard in 0..self.shards_count() {
+            self.give_boxes(now, shard, actions);
+        }
+        self.connect_workers(actions);
+    }
+
+    fn on_ponged(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        pong: &Pong,
+        actions: &mut Vec<Action>,
+    ) {
+        let table = pong.table_json.as_deref().map(serde_json::from_str);
+        let is_short = pong.table_revision > self.table.table().revision;
+        match table {
+            Some(Ok(table)) if self.table.replace(&table) => self.set_table(now, actions),
+            Some(Ok(_)) => {}
+            // The answer proves nothing of a table that did not come with it.
+            Some(Err(_)) => return,
+            None if is_short => return,
+            None => {}
+        }
+        self.peer_tables
+            .insert(pong.from.incarnation, pong.table_revision);
+        self.membership.on_pong(asked_at, pong);
+        self.set_freshness(now, actions);
+    }
+
+    fn pong(&self, now: Instant, ping: &Ping) -> Pong {
+        let table = self.table.table();
+        let is_older = ping.table_revision < table.revision;
+        let known_as_of = self.membership.known_as_of().unwrap_or_default();
+        Pong {
+            from: self.membership.me().clone(),
+            store_age_ms: now.since(known_as_of).as_ms(),
+            table_revision: table.revision,
+            table_json: is_older.then(|| serde_json::to_string(&*table).unwrap_or_default()),
+            is_leaving: self.membership.is_leaving(),
+        }
+    }
+
+    fn set_table(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let table = self.table.table();
+        self.route(now, routing::Event::Table(Arc::clone(&table)), actions);
+        for shard in 0..self.shards_count() {
+            let event = shard::Event::Table(Arc::clone(&table));
+            self.tell_owner(now, shard, event, actions);
+        }
+    }
+
+    fn set_freshness(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let freshness = self.membership.freshness(now);
+        let is_deciding = freshness.may_decide();
+        let changed = is_deciding != self.freshness.may_decide();
+        self.freshness = freshness;
+        if !changed {
+            return;
+        }
+        self.route(now, routing::Event::Deciding(is_deciding), actions);
+        for shard in 0..self.shards_count() {
+            let event = shard::Event::Deciding(is_deciding);
+            self.tell_owner(now, shard, event, actions);
+        }
+    }
+
+    /// Lets the router use the seats held, less those to be given up.
+    fn set_seats(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let held = self.membership.seats();
+        let draining = self.draining.iter().filter(|&seat| held.contains(seat));
+        self.draining = draining.collect();
+        let in_use: SeatSet = held
+            .iter()
+            .filter(|&seat| !self.draining.contains(seat))
+            .collect();
+        if in_use != self.seats_in_use {
+            self.seats_in_use = in_use;
+            self.route(now, routing::Event::Seats(in_use), actions);
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.set_freshness(now, actions);
+        let mut decided = core::mem::take(&mut self.membership_actions);
+        self.membership.decide(now, &mut decided);
+        for action in decided.drain(..) {
+            self.on_membership_action(now, action, actions);
+        }
+        self.membership_actions = decided;
+        self.route(now, routing::Event::Tick, actions);
+        self.release_idle_seats(actions);
+        for shard in 0..self.shards_count() {
+            self.tell_owner(now, shard, shard::Event::Tick, actions);
+        }
+        self.ask_to_close(now, actions);
+        self.advance_hand_overs(now, actions);
+        let owners = self.membership.control().owners.values();
+        let mut owners: Vec<u64> = owners
+            .filter_map(|owner| Some(owner.value.as_ref()?.incarnation))
+            .collect();
+        owners.sort_unstable();
+        owners.dedup();
+        self.pace.set_sharers(owners.len());
+    }
+
+    fn on_membership_action(
+        &mut self,
+        now: Instant,
+        action: MembershipAction,
+        actions: &mut Vec<Action>,
+    ) {
+        match action {
+            MembershipAction::Ping(identity) => actions.push(Action::Ping(identity)),
+            MembershipAction::ClaimShard { shard, revision } => {
+                self.claim_shard(shard, revision, actions);
+            }
+            MembershipAction::HandOverShard(shard) => self.begin_hand_over(now, shard),
+            MembershipAction::ClaimSeat { seat, revision } => {
+                actions.push(Action::ClaimSeat { seat, revision });
+            }
+            MembershipAction::DrainSeat(seat) => {
+                self.draining.insert(seat);
+                self.set_seats(now, actions);
+            }
+        }
+    }
+
+    fn release_idle_seats(&mut self, actions: &mut Vec<Action>) {
+        let idle = self
+            .draining
+            .iter()
+            .filter(|&seat| self.router.is_seat_idle(seat));
+        for seat in idle {
+            let revision = self.membership.control().seat(seat).revision;
+            actions.push(Action::VacateSeat { seat, revision });
+        }
+    }
+
+    /// Hands an event to the router and turns its actions into the node's.
+    pub(crate) fn route(&mut self, now: Instant, event: routing::Event, actions: &mut Vec<Action>) {
+        let mut routed = core::mem::take(&mut self.router_actions);
+        self.router.handle(now, event, &mut routed);
+        for action in routed.drain(..) {
+            match action {
+                routing::Action::TakeKey { request, key } => {
+                    self.take_key(now, request, key, actions);
+                }
+                routing::Action::Send {
+                    request,
+                    token,
+                    addr,
+                    time_limit,
+                    ..
+                } => actions.push(Action::SendRequest {
+                    request,
+                    token,
+                    addr,
+                    time_limit,
+                }),
+                routing::Action::Deliver { token } => actions.push(Action::Answer {
+                    token,
+                    answer: Answer::Deliver,
+                }),
+                routing::Action::GiveUp { token, give_up } => actions.push(Action::Answer {
+                    token,
+                    answer: Answer::GiveUp(give_up),
+                }),
+            }
+        }
+        self.router_actions = routed;
+    }
+
+    /// Returns how many shards the cell has.
+    pub const fn shards_count(&self) -> u32 {
+        self.config.membership.shards_count
+    }
+
+    /// Returns the shard that a key's task or request belongs to.
+    pub fn shard_of_key(&self, key: &Key) -> u32 {
+        shard_of(key.as_str(), self.shards_count())
+    }
+
+    /// Returns the shard that a worker belongs to.
+    pub fn shard_of_worker(&self, name: &Name) -> u32 {
+        shard_of(name.as_str(), self.shards_count())
+    }
+
+    /// Returns the process that the store last named as a shard's owner.
+    pub fn owner_of(&self, shard: u32) -> Option<DaemonIdentity> {
+        self.membership.control().owner(shard).value
+    }
+
+    /// Returns the table in force.
+    pub fn table(&self) -> Arc<Table> {
+        self.table.table()
+    }
+
+    /// Returns whether an edit of the table may be accepted now.
+    pub fn may_edit(&self, now: Instant) -> bool {
+        self.membership.may_edit(now)
+    }
+
+    /// Returns what the knowledge of the table rests on.
+    pub const fn freshness(&self) -> Freshness {
+        self.freshness
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let is_serving = !self.membership.is_leaving() && self.freshness.may_decide();
+        is_serving && !self.seats_in_use.is_empty()
+    }
+
+    /// Returns whether nothing is left to do before the process may end.
+    pub fn has_left(&self) -> bool {
+        let is_idle = |slot: &ShardSlot| matches!(slot, ShardSlot::Idle);
+        self.membership.is_leaving()
+            && self.shards.iter().all(is_idle)
+            && self.membership.seats().is_empty()
+            && self.router.open_count() == 0
+    }
+
+    /// Returns the settings of the membership.
+    pub const fn membership_config(&self) -> &MembershipConfig {
+        &self.config.membership
+    }
+
+    /// Returns the daemons that may not have the table of `revision` in force.
+    pub fn lagging(&self, now: Instant, revision: u64) -> Vec<Name> {
+        let me = self.membership.me().incarnation;
+        let identities = self.membership.control().identities();
+        let lagging = identities.into_iter().filter(|identity| {
+            let known = self.peer_tables.get(&identity.incarnation);
+            let is_gone = self.membership.is_gone(now, identity.incarnation);
+            identity.incarnation != me && !is_gone && known.is_none_or(|&known| known < revision)
+        });
+        lagging.map(|identity| identity.name).collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/requests.rs
@@ -0,0 +1,205 @@
+//! Requests that belong to the owner of a shard, here or elsewhere.
+
+use crate::action::{Action, Answer, Forward};
+use crate::event::Event;
+use crate::node::{Node, Waiter};
+use crate::shards::NO_OWNER_RETRY_AFTER;
+use ospreywing_routing as routing;
+use ospreywing_shard as shard;
+use ospreywing_types::peer::{Query, QueryReply, Submit, TakeKey, TakeKeyReply};
+use ospreywing_types::{stable_hash, DaemonIdentity, Instant, Key};
+
+/// Where a request is to be handled.
+enum Place {
+    Here,
+    There(DaemonIdentity),
+    Nowhere,
+}
+
+impl Node {
+    pub(crate) fn on_request(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Submit {
+                token,
+                submit,
+                is_forwarded,
+            } => self.on_submit(now, token, submit, is_forwarded, actions),
+            Event::Cancel {
+                token,
+                query,
+                is_forwarded,
+            } => self.on_cancel(now, token, query, is_forwarded, actions),
+            Event::Query {
+                token,
+                query,
+                is_forwarded,
+            } => self.on_query(token, query, is_forwarded, actions),
+            Event::TakeKey { token, claim } => self.on_take_key(now, token, claim, actions),
+            Event::ForwardAnswered { token, reply } => {
+                let answer = Answer::Submit(reply);
+                actions.push(Action::Answer { token, answer });
+            }
+            Event::KeyAnswered { request, reply } => {
+                self.on_key_answered(now, request, &reply, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn place_of(&self, shard: u32, is_forwarded: bool) -> Place {
+        if self.shards[shard as usize].owner().is_some() {
+            return Place::Here;
+        }
+        let me = self.membership.me().incarnation;
+        match self.owner_of(shard) {
+            Some(owner) if owner.incarnation != me && !is_forwarded => Place::There(owner),
+            _ => Place::Nowhere,
+        }
+    }
+
+    fn on_submit(
+        &mut self,
+        now: Instant,
+        token: u64,
+        submit: Submit,
+        is_forwarded: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = self.shard_of_key(&submit.key);
+        match self.place_of(shard, is_forwarded) {
+            Place::Here => {
+                let event = shard::Event::Submit {
+                    token: self.wait(Waiter::Outside(token)),
+                    key: submit.key,
+                    row: submit.row,
+                    spec: submit.spec,
+                };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Place::There(to) => {
+                let message = Forward::Submit { token, submit };
+                actions.push(Action::Forward { to, message });
+            }
+            Place::Nowhere => {
+                let answer = Answer::Submit(Self::no_owner(shard));
+                actions.push(Action::Answer { token, answer });
+            }
+        }
+    }
+
+    fn on_cancel(
+        &mut self,
+        now: Instant,
+        token: u64,
+        query: Query,
+        is_forwarded: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = self.shard_of_key(&query.key);
+        match self.place_of(shard, is_forwarded) {
+            Place::Here => {
+                let event = shard::Event::Cancel {
+                    token: self.wait(Waiter::Outside(token)),
+                    key: query.key,
+                };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Place::There(to) => {
+                let message = Forward::Cancel { token, query };
+                actions.push(Action::Forward { to, message });
+            }
+            Place::Nowhere => {
+                let answer = Answer::Submit(Self::no_owner(shard));
+                actions.push(Action::Answer { token, answer });
+            }
+        }
+    }
+
+    fn on_query(
+        &mut self,
+        token: u64,
+        query: Query,
+        is_forwarded: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = self.shard_of_key(&query.key);
+        let reply = match self.place_of(shard, is_forwarded) {
+            Place::Here => {
+                let owner = self.shards[shard as usize].owner();
+                let status = owner.and_then(|owner| owner.status(&query.key));
+                status.map_or(QueryReply::Absent, QueryReply::Found)
+            }
+            Place::There(to) => {
+                let message = Forward::Query { token, query };
+                actions.push(Action::Forward { to, message });
+                return;
+            }
+            Place::Nowhere => QueryReply::NotOwner,
+        };
+        let answer = Answer::Query(reply);
+        actions.push(Action::Answer { token, answer });
+    }
+
+    /// A peer's router claims a key that this node's shard keeps.
+    fn on_take_key(&mut self, now: Instant, token: u64, claim: TakeKey, actions: &mut Vec<Action>) {
+        let shard = self.shard_of_key(&claim.key);
+        if self.shards[shard as usize].owner().is_none() {
+            let answer = Answer::TakeKey(no_owner_of_key());
+            actions.push(Action::Answer { token, answer });
+            return;
+        }
+        let event = shard::Event::TakeKey {
+            token: self.wait(Waiter::Outside(token)),
+            key: claim.key,
+            nonce: claim.nonce,
+        };
+        self.tell_owner(now, shard, event, actions);
+    }
+
+    /// This node's router claims a key.
+    pub(crate) fn take_key(
+        &mut self,
+        now: Instant,
+        request: routing::Request,
+        key: Key,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = self.shard_of_key(&key);
+        let nonce = self.nonce();
+        match self.place_of(shard, false) {
+            Place::Here => {
+                let event = shard::Event::TakeKey {
+                    token: self.wait(Waiter::Router(request)),
+                    key,
+                    nonce,
+                };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Place::There(to) => {
+                let claim = TakeKey { key, nonce };
+                let message = Forward::TakeKey { request, claim };
+                actions.push(Action::Forward { to, message });
+            }
+            Place::Nowhere => self.on_key_answered(now, request, &no_owner_of_key(), actions),
+        }
+    }
+
+    /// Returns a number that no other claim of any daemon has.
+    fn nonce(&mut self) -> u64 {
+        self.next_nonce += 1;
+        let incarnation = self.membership.me().incarnation;
+        stable_hash(&format!("{incarnation}/{}", self.next_nonce))
+    }
+
+    fn wait(&mut self, waiter: Waiter) -> shard::Token {
+        self.next_token += 1;
+        self.waiters.insert(self.next_token, waiter);
+        shard::Token(self.next_token)
+    }
+}
+
+fn no_owner_of_key() -> TakeKeyReply {
+    TakeKeyReply::Refused {
+        retry_after_ms: NO_OWNER_RETRY_AFTER.as_ms(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/shards.rs
@@ -0,0 +1,523 @@
+//! Claiming, serving and giving up shards.
+
+use crate::action::{Action, Answer};
+use crate::event::{ClaimedLog, Event};
+use crate::node::{Node, Waiter};
+use crate::shard_slot::ShardSlot;
+use ospreywing_routing as routing;
+use ospreywing_shard::{self as shard, Owner, Recovery};
+use ospreywing_types::peer::{CloseEpochReply, SubmitReply, TakeKeyReply};
+use ospreywing_types::{AttemptId, BoxFacts, Duration, Instant, Name};
+
+/// How often a former owner is asked to close its epoch.
+const ASK_TO_CLOSE_EVERY: Duration = Duration::from_ms(500);
+/// A hand-over that has not settled by then goes on without settling.
+const HAND_OVER_LIMIT: Duration = Duration::from_s(5);
+/// How often a key that should be vacant is vacated again.
+const VACATE_AGAIN_EVERY: Duration = Duration::from_s(1);
+
+impl Node {
+    pub(crate) fn on_shard_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::ShardClaimed(log) => self.on_claimed(now, &log, actions),
+            Event::ClaimFailed { shard } => {
+                if matches!(self.shards[shard as usize], ShardSlot::Claiming) {
+                    self.shards[shard as usize] = ShardSlot::Idle;
+                }
+            }
+            Event::CommitDone { shard, epoch } => {
+                if self.owns(shard, epoch) {
+                    self.tell_owner(now, shard, shard::Event::CommitDone, actions);
+                }
+            }
+            Event::CommitFenced { shard, epoch } => {
+                if self.owns(shard, epoch) {
+                    self.close_shard(now, shard, actions);
+                }
+            }
+            Event::EpochAnswered {
+                shard,
+                epoch,
+                reply,
+            } => self.on_epoch_answered(now, shard, epoch, reply, actions),
+            Event::CloseEpoch {
+                token,
+                shard,
+                epoch,
+                incarnation,
+            } => {
+                let reply = self.on_close_epoch(now, shard, epoch, incarnation, actions);
+                let answer = Answer::CloseEpoch(reply);
+                actions.push(Action::Answer { token, answer });
+            }
+            other => self.on_worker_event(now, other, actions),
+        }
+    }
+
+    fn on_worker_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::SessionOpened { worker, report } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::SessionOpened { worker, report };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Event::Reported {
+                worker,
+                asked_at,
+                report,
+            } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::Reported {
+                    worker,
+                    asked_at,
+                    report,
+                };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Event::SessionClosed { worker } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::SessionClosed { worker };
+                self.tell_owner(now, shard, event, actions);
+            }
+            Event::StartAcked { attempt } => {
+                self.on_start_resolved(now, attempt, shard::Event::StartAcked { attempt }, actions);
+            }
+            Event::StartNotSent { attempt } => {
+                let event = shard::Event::StartNotSent { attempt };
+                self.on_start_resolved(now, attempt, event, actions);
+            }
+            Event::StartInDoubt { attempt } => {
+                let event = shard::Event::StartInDoubt { attempt };
+                self.on_start_resolved(now, attempt, event, actions);
+            }
+            Event::Ended { worker, ended } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::Ended { worker, ended };
+                self.tell_owner(now, shard, event, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_start_resolved(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        event: shard::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        let slot = self.shards.get_mut(attempt.shard as usize);
+        if let Some(ShardSlot::Closing(closing)) = slot {
+            closing.resolve(attempt);
+            if closing.is_closed() {
+                self.shards[attempt.shard as usize] = ShardSlot::Idle;
+                self.connect_workers(actions);
+            }
+            return;
+        }
+        self.tell_owner(now, attempt.shard, event, actions);
+    }
+
+    fn owns(&self, shard: u32, epoch: u64) -> bool {
+        let owner = self.shards[shard as usize].owner();
+        owner.is_some_and(|owner| owner.config().epoch == epoch)
+    }
+
+    pub(crate) fn claim_shard(&mut self, shard: u32, revision: u64, actions: &mut Vec<Action>) {
+        if matches!(self.shards[shard as usize], ShardSlot::Idle) {
+            self.shards[shard as usize] = ShardSlot::Claiming;
+            actions.push(Action::ClaimShard { shard, revision });
+        }
+    }
+
+    fn on_claimed(&mut self, now: Instant, log: &ClaimedLog, actions: &mut Vec<Action>) {
+        if !matches!(self.shards[log.shard as usize], ShardSlot::Claiming) {
+            return;
+        }
+        let mut config = self.config.owner.clone();
+        config.shard = log.shard;
+        config.epoch = log.epoch;
+        let mut recovery = Recovery::new(config);
+        for (seq, value) in &log.batches {
+            if recovery.read(*seq, value).is_err() {
+                // A log that can't be read is not served; another may be newer.
+                self.shards[log.shard as usize] = ShardSlot::Idle;
+                return;
+            }
+        }
+        let owner = recovery.finish(now);
+        self.shards[log.shard as usize] = ShardSlot::Owned(Box::new(owner));
+        let table = shard::Event::Table(self.table.table());
+        self.tell_owner(now, log.shard, table, actions);
+        let is_deciding = self.freshness().may_decide();
+        let deciding = shard::Event::Deciding(is_deciding);
+        self.tell_owner(now, log.shard, deciding, actions);
+        self.give_boxes(now, log.shard, actions);
+        self.connect_workers(actions);
+        self.closing_asked_at = Instant::default();
+    }
+
+    /// Compares what the store says with what this node believes to own.
+    pub(crate) fn check_ownership(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        for shard in 0..self.shards_count() {
+            let stored = self.membership.control().owner(shard);
+            let revision = stored.revision;
+            let is_me = stored
+                .value
+                .is_some_and(|owner| owner.incarnation == self.membership.me().incarnation);
+            match &self.shards[shard as usize] {
+                ShardSlot::Owned(owner) | ShardSlot::HandingOver { owner, .. } => {
+                    let epoch = owner.config().epoch;
+                    if revision > epoch {
+                        self.close_shard(now, shard, actions);
+                    } else if revision == epoch {
+                        let event = shard::Event::OwnershipConfirmed { asked_at };
+                        self.tell_owner(now, shard, event, actions);
+                    }
+                }
+                ShardSlot::Vacating { epoch, .. } if revision > *epoch => {
+                    self.shards[shard as usize] = ShardSlot::Idle;
+                }
+                // A claim whose answer was lost: claim it again to know its epoch.
+                ShardSlot::Idle if is_me && !self.membership.is_leaving() => {
+                    self.claim_shard(shard, revision, actions);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends an ownership that the store has given to another.
+    fn close_shard(&mut self, now: Instant, shard: u32, actions: &mut Vec<Action>) {
+        let slot = core::mem::take(&mut self.shards[shard as usize]);
+        let owner = match slot {
+            ShardSlot::Owned(owner) | ShardSlot::HandingOver { owner, .. } => owner,
+            other => {
+                self.shards[shard as usize] = other;
+                return;
+            }
+        };
+        let mut said = core::mem::take(&mut self.shard_actions);
+        let closing = owner.close(&mut said);
+        self.carry_out(now, &mut said, actions);
+        self.shard_actions = said;
+        if !closing.is_closed() {
+            self.shards[shard as usize] = ShardSlot::Closing(closing);
+        }
+        self.connect_workers(actions);
+    }
+
+    fn on_close_epoch(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        epoch: u64,
+        incarnation: u64,
+        actions: &mut Vec<Action>,
+    ) -> CloseEpochReply {
+        if incarnation != self.membership.me().incarnation {
+            return CloseEpochReply::OtherIncarnation;
+        }
+        if shard >= self.shards_count() {
+            return CloseEpochReply::Closed;
+        }
+        if self.owns(shard, epoch) {
+            self.close_shard(now, shard, actions);
+        }
+        match &self.shards[shard as usize] {
+            ShardSlot::Closing(closing) if closing.epoch() == epoch => CloseEpochReply::Busy,
+            _ => CloseEpochReply::Closed,
+        }
+    }
+
+    fn on_epoch_answered(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        epoch: u64,
+        reply: CloseEpochReply,
+        actions: &mut Vec<Action>,
+    ) {
+        if reply != CloseEpochReply::Busy {
+            let event = shard::Event::EpochClosed { epoch };
+            self.tell_owner(now, shard, event, actions);
+        }
+    }
+
+    /// Asks former owners to close their epochs; those proved gone have.
+    pub(crate) fn ask_to_close(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now.since(self.closing_asked_at) < ASK_TO_CLOSE_EVERY {
+            return;
+        }
+        self.closing_asked_at = now;
+        for shard in 0..self.shards_count() {
+            let Some(owner) = self.shards[shard as usize].owner() else {
+                continue;
+            };
+            for former in owner.open_epochs() {
+                let incarnation = former.owner.incarnation;
+                let is_mine = incarnation == self.membership.me().incarnation;
+                if is_mine || self.membership.is_gone(now, incarnation) {
+                    let epoch = former.epoch;
+                    let event = shard::Event::EpochClosed { epoch };
+                    self.tell_owner(now, shard, event, actions);
+                } else {
+                    actions.push(Action::CloseEpoch {
+                        shard,
+                        epoch: former.epoch,
+                        owner: former.owner,
+                    });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn begin_hand_over(&mut self, now: Instant, shard: u32) {
+        let slot = core::mem::take(&mut self.shards[shard as usize]);
+        self.shards[shard as usize] = match slot {
+            ShardSlot::Owned(mut owner) => {
+                owner.begin_hand_over();
+                ShardSlot::HandingOver {
+                    owner,
+                    since: now,
+                    is_finishing: false,
+                }
+            }
+            other => other,
+        };
+    }
+
+    /// Moves each hand-over on: settle, put the end on record, vacate the key.
+    pub(crate) fn advance_hand_overs(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for shard in 0..self.shards_count() {
+            if let ShardSlot::Vacating { epoch, asked_at } = self.shards[shard as usize] {
+                if now.since(asked_at) >= VACATE_AGAIN_EVERY {
+                    self.vacate_shard(now, shard, epoch, actions);
+                }
+            }
+            let ShardSlot::HandingOver {
+                owner,
+                since,
+                is_finishing,
+            } = &mut self.shards[shard as usize]
+            else {
+                continue;
+            };
+            let is_overdue = now.since(*since) >= HAND_OVER_LIMIT;
+            if *is_finishing && owner.is_settled() && !owner.wants_commit() || is_overdue {
+                let epoch = owner.config().epoch;
+                self.close_shard(now, shard, actions);
+                self.vacate_shard(now, shard, epoch, actions);
+            } else if !*is_finishing && owner.is_settled() {
+                owner.finish();
+                *is_finishing = true;
+            }
+        }
+    }
+
+    fn vacate_shard(&mut self, now: Instant, shard: u32, epoch: u64, actions: &mut Vec<Action>) {
+        let revision = epoch;
+        actions.push(Action::VacateShard { shard, revision });
+        // Starts that are still on their way go first.
+        if matches!(
+            self.shards[shard as usize],
+            ShardSlot::Idle | ShardSlot::Vacating { .. }
+        ) {
+            let asked_at = now;
+            self.shards[shard as usize] = ShardSlot::Vacating { epoch, asked_at };
+        }
+    }
+
+    /// Makes the commits that are due, as far as the pace allows.
+    pub(crate) fn pump(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for shard in 0..self.shards_count() {
+            let Some(owner) = self.shards[shard as usize].owner_mut() else {
+                continue;
+            };
+            if !owner.wants_commit() || !self.pace.take(now) {
+                continue;
+            }
+            let epoch = owner.config().epoch;
+            if let Some(commit) = owner.next_commit(now) {
+                actions.push(Action::Commit {
+                    shard,
+                    epoch,
+                    commit,
+                });
+            }
+        }
+    }
+
+    /// Gives an owner the workers of its shard.
+    pub(crate) fn give_boxes(&mut self, now: Instant, shard: u32, actions: &mut Vec<Action>) {
+        if self.shards[shard as usize].owner().is_none() {
+            return;
+        }
+        let workers = self.workers.values();
+        let boxes: Vec<BoxFacts> = workers
+            .filter(|facts| self.shard_of_worker(&facts.name) == shard)
+            .cloned()
+            .collect();
+        self.tell_owner(now, shard, shard::Event::Boxes(boxes), actions);
+    }
+
+    /// Keeps connections to the workers of owned shards, and to no others.
+    pub(crate) fn connect_workers(&mut self, actions: &mut Vec<Action>) {
+        let is_wanted = |name: &Name| {
+            let slot = &self.shards[self.shard_of_worker(name) as usize];
+            matches!(
+                slot,
+                ShardSlot::Owned(_) | ShardSlot::HandingOver { .. } | ShardSlot::Closing(_)
+            )
+        };
+        let wanted = self.workers.values().filter(|facts| is_wanted(&facts.name));
+        let wanted: Vec<(Name, String)> = wanted
+            .map(|facts| (facts.name.clone(), facts.addr.clone()))
+            .collect();
+        let is_kept = |name: &Name| is_wanted(name) && self.workers.contains_key(name);
+        let gone: Vec<Name> = self
+            .connected
+            .keys()
+            .filter(|name| !is_kept(name))
+            .cloned()
+            .collect();
+        for worker in gone {
+            self.connected.remove(&worker);
+            actions.push(Action::Disconnect { worker });
+        }
+        for (worker, addr) in wanted {
+            let before = self.connected.insert(worker.clone(), addr.clone());
+            if before.as_ref() != Some(&addr) {
+                actions.push(Action::Connect { worker, addr });
+            }
+        }
+    }
+
+    /// Hands an event to the owner of a shard, where this node is that.
+    pub(crate) fn tell_owner(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        event: shard::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        let slot = self.shards.get_mut(shard as usize);
+        let Some(owner) = slot.and_then(ShardSlot::owner_mut) else {
+            return;
+        };
+        let mut said = core::mem::take(&mut self.shard_actions);
+        owner.handle(now, event, &mut said);
+        self.carry_out(now, &mut said, actions);
+        self.shard_actions = said;
+    }
+
+    /// Turns an owner's actions into the node's.
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        said: &mut Vec<shard::Action>,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in said.drain(..) {
+            match action {
+                shard::Action::Reply { token, reply } => {
+                    self.on_owner_reply(now, token, reply, actions);
+                }
+                shard::Action::SendStart {
+                    worker,
+                    incarnation,
+                    attempt,
+                    resources,
+                    command,
+                    lease,
+                } => actions.push(Action::SendStart {
+                    worker,
+                    incarnation,
+                    attempt,
+                    resources,
+                    command,
+                    lease,
+                }),
+                shard::Action::SendRenew {
+                    worker,
+                    attempts,
+                    lease,
+                    forget,
+                } => actions.push(Action::SendRenew {
+                    worker,
+                    attempts,
+                    lease,
+                    forget,
+                }),
+                shard::Action::SendStop { worker, attempt } => {
+                    actions.push(Action::SendStop { worker, attempt });
+                }
+                shard::Action::AskReport { worker } => {
+                    actions.push(Action::AskReport { worker });
+                }
+            }
+        }
+    }
+
+    fn on_owner_reply(
+        &mut self,
+        now: Instant,
+        token: shard::Token,
+        reply: shard::Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        match (self.waiters.remove(&token.0), reply) {
+            (Some(Waiter::Outside(token)), shard::Reply::Submit(reply)) => {
+                let answer = Answer::Submit(reply);
+                actions.push(Action::Answer { token, answer });
+            }
+            (Some(Waiter::Outside(token)), shard::Reply::TakeKey(reply)) => {
+                let answer = Answer::TakeKey(reply);
+                actions.push(Action::Answer { token, answer });
+            }
+            (Some(Waiter::Router(request)), shard::Reply::TakeKey(reply)) => {
+                self.on_key_answered(now, request, &reply, actions);
+            }
+            (Some(Waiter::Router(_)), shard::Reply::Submit(_)) | (None, _) => {}
+        }
+    }
+
+    pub(crate) fn on_key_answered(
+        &mut self,
+        now: Instant,
+        request: routing::Request,
+        reply: &TakeKeyReply,
+        actions: &mut Vec<Action>,
+    ) {
+        let event = match reply {
+            TakeKeyReply::Granted => routing::Event::KeyGranted(request),
+            TakeKeyReply::Taken => routing::Event::KeyTaken(request),
+            TakeKeyReply::Refused { retry_after_ms } => routing::Event::KeyRefused {
+                request,
+                retry_after: Duration::from_ms(*retry_after_ms),
+            },
+        };
+        self.route(now, event, actions);
+    }
+
+    /// Returns the owner of a shard, where this node is that.
+    pub fn owner(&self, shard: u32) -> Option<&Owner> {
+        self.shards.get(shard as usize)?.owner()
+    }
+
+    /// What a caller is told while a shard has no owner that can be reached.
+    pub(crate) fn no_owner(shard: u32) -> SubmitReply {
+        SubmitReply::Refused {
+            reason: format!("shard {shard} is changing hands"),
+            retry_after_ms: Some(NO_OWNER_RETRY_AFTER.as_ms()),
+        }
+    }
+}
+
+/// When to come back while a shard changes hands.
+pub(crate) const NO_OWNER_RETRY_AFTER: Duration = Duration::from_s(1);
--- /dev/null
+++ b/crates/routing/src/request.rs
@@ -0,0 +1,107 @@
+//! Requests between their arrival and the end of their last slot.
+
+use crate::entity::{Minion, Request, Service};
+use cranelift_entity::PrimaryMap;
+use ospreywing_types::{Instant, Key};
+use std::collections::HashMap;
+
+/// The slot that a request uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Place {
+    pub(crate) minion: Minion,
+    pub(crate) seat: u32,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Its entry is free for another request.
+    Vacant,
+    /// It waits for a slot.
+    Queued,
+    /// It has a slot and waits for the grant of its one run.
+    TakingKey(Place),
+    /// It was sent.
+    Sent(Place),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestData {
+    pub(crate) service: Service,
+    pub(crate) key: Option<Key>,
+    pub(crate) sent_at: Instant,
+    pub(crate) expires_at: Instant,
+    pub(crate) retries_count: u32,
+    pub(crate) stage: Stage,
+    /// Whether its one run was granted.
+    pub(crate) has_key: bool,
+    /// The caller, until it has its final answer.
+    pub(crate) token: Option<u64>,
+}
+
+/// Requests, with free entries used again.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestTable {
+    requests: PrimaryMap<Request, RequestData>,
+    vacant: Vec<Request>,
+    by_token: HashMap<u64, Request>,
+}
+
+impl RequestTable {
+    /// Adds a request.
+    pub(crate) fn insert(&mut self, data: RequestData) -> Request {
+        let token = data.token;
+        let request = match self.vacant.pop() {
+            Some(request) => {
+                self.requests[request] = data;
+                request
+            }
+            None => self.requests.push(data),
+        };
+        if let Some(token) = token {
+            self.by_token.insert(token, request);
+        }
+        request
+    }
+
+    /// Frees a request's entry.
+    pub(crate) fn remove(&mut self, request: Request) {
+        self.take_token(request);
+        self.requests[request].stage = Stage::Vacant;
+        self.vacant.push(request);
+    }
+
+    /// Takes the caller, who now gets its final answer.
+    pub(crate) fn take_token(&mut self, request: Request) -> Option<u64> {
+        let token = self.requests[request].token.take()?;
+        self.by_token.remove(&token);
+        Some(token)
+    }
+
+    /// Returns the request of a caller.
+    pub(crate) fn by_token(&self, token: u64) -> Option<Request> {
+        self.by_token.get(&token).copied()
+    }
+
+    /// Returns a request's data.
+    pub(crate) fn get(&self, request: Request) -> &RequestData {
+        &self.requests[request]
+    }
+
+    /// Returns a request's data to be changed.
+    pub(crate) fn get_mut(&mut self, request: Request) -> &mut RequestData {
+        &mut self.requests[request]
+    }
+
+    /// Iterates over the requests that exist.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Request, &RequestData)> {
+        let all = self.requests.iter();
+        all.filter(|(_, data)| data.stage != Stage::Vacant)
+    }
+
+    /// Returns the number of requests that exist.
+    pub(crate) fn len(&self) -> usize {
+        self.requests.len() - self.vacant.len()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/verifier.rs
@@ -0,0 +1,137 @@
+//! Checks every invariant of a router's data and names the entity at fault.
+
+use crate::entity::{Minion, Request, Service};
+use crate::minion::Slot;
+use crate::request::{Place, Stage};
+use crate::router::Router;
+use thiserror::Error;
+
+/// An invariant that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum VerifierError {
+    /// A slot names a request that does not use it.
+    #[error("{minion}, seat {seat}: names {request}, which does not use it")]
+    Slot {
+        /// The minion.
+        minion: Minion,
+        /// The seat.
+        seat: u32,
+        /// The request named.
+        request: Request,
+    },
+    /// A request uses a slot that does not name it.
+    #[error("{request}: uses a slot of {minion} that does not name it")]
+    Unslotted {
+        /// The request.
+        request: Request,
+        /// The minion.
+        minion: Minion,
+    },
+    /// A row's count of requests in flight is wrong.
+    #[error("{service}: counts {counted} in flight, {found} are")]
+    Inflight {
+        /// The row.
+        service: Service,
+        /// The count kept.
+        counted: u32,
+        /// The requests found.
+        found: u32,
+    },
+    /// A queued request stands in no queue, or another stands in one.
+    #[error("{request}: is queued {queued_count} times")]
+    Queued {
+        /// The request.
+        request: Request,
+        /// How often it stands in a queue.
+        queued_count: usize,
+    },
+    /// A request that is unsafe to repeat was sent without its grant.
+    #[error("{request}: sent without the grant of its key")]
+    Ungranted {
+        /// The request.
+        request: Request,
+    },
+}
+
+/// Checks every invariant.
+///
+/// # Errors
+///
+/// Returns all that does not hold.
+pub fn verify(router: &Router) -> Result<(), Vec<VerifierError>> {
+    let mut errors = Vec::new();
+    verify_slots(router, &mut errors);
+    verify_requests(router, &mut errors);
+    verify_services(router, &mut errors);
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(errors)
+    }
+}
+
+fn place_of(stage: Stage) -> Option<Place> {
+    match stage {
+        Stage::TakingKey(place) | Stage::Sent(place) => Some(place),
+        Stage::Vacant | Stage::Queued => None,
+    }
+}
+
+fn verify_slots(router: &Router, errors: &mut Vec<VerifierError>) {
+    for (minion, data) in router.minions.iter() {
+        for (seat, slot) in (0..).zip(data.slots) {
+            let Slot::Busy(request) = slot else { continue };
+            let place = place_of(router.requests.get(request).stage);
+            if place != Some(Place { minion, seat }) {
+                errors.push(VerifierError::Slot {
+                    minion,
+                    seat,
+                    request,
+                });
+            }
+        }
+    }
+}
+
+fn verify_requests(router: &Router, errors: &mut Vec<VerifierError>) {
+    for (request, data) in router.requests.iter() {
+        if let Some(place) = place_of(data.stage) {
+            let minion = place.minion;
+            let slot = router.minions.get(minion).slots[place.seat as usize];
+            if slot != Slot::Busy(request) {
+                errors.push(VerifierError::Unslotted { request, minion });
+            }
+        }
+        if matches!(data.stage, Stage::Sent(_)) && data.key.is_some() && !data.has_key {
+            errors.push(VerifierError::Ungranted { request });
+        }
+        let queues = router.services.iter().map(|(_, service)| &service.queue);
+        let queued_count = queues
+            .flatten()
+            .filter(|queued| **queued == request)
+            .count();
+        if queued_count != usize::from(data.stage == Stage::Queued) {
+            errors.push(VerifierError::Queued {
+                request,
+                queued_count,
+            });
+        }
+    }
+}
+
+fn verify_services(router: &Router, errors: &mut Vec<VerifierError>) {
+    for (service, data) in router.services.iter() {
+        let uses = router
+            .requests
+            .iter()
+            .filter(|(_, request)| request.service == service && place_of(request.stage).is_some());
+        let found = uses.count() as u32;
+        if found != data.inflight_count {
+            errors.push(VerifierError::Inflight {
+                service,
+                counted: data.inflight_count,
+                found,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/free_index.rs
@@ -0,0 +1,88 @@
+//! Workers in the order of their free processors.
+
+use crate::entity::Worker;
+use ospreywing_table::Policy;
+use ospreywing_types::Resources;
+use std::collections::BTreeSet;
+
+/// A worker with its free processors, the order of the index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Slot {
+    cores_milli: u32,
+    worker: Worker,
+}
+
+/// The workers that may be given work, plain ones apart from those with
+/// accelerators, so that plain tasks leave accelerators free where they can.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FreeIndex {
+    plain: BTreeSet<Slot>,
+    accelerated: BTreeSet<Slot>,
+}
+
+impl FreeIndex {
+    /// Adds a worker with `free` room.
+    pub(crate) fn insert(&mut self, worker: Worker, free: &Resources, is_accelerated: bool) {
+        self.part(is_accelerated).insert(slot(worker, free));
+    }
+
+    /// Removes a worker that was added with `free` room.
+    pub(crate) fn remove(&mut self, worker: Worker, free: &Resources, is_accelerated: bool) {
+        self.part(is_accelerated).remove(&slot(worker, free));
+    }
+
+    /// Returns the number of workers in the index.
+    pub(crate) fn len(&self) -> usize {
+        self.plain.len() + self.accelerated.len()
+    }
+
+    /// Returns the worker to give `need` to, where one has room.
+    ///
+    /// `fits` says whether a worker has room for the whole need.
+    pub(crate) fn find(
+        &self,
+        need: &Resources,
+        policy: Policy,
+        fits: impl Fn(Worker) -> bool,
+    ) -> Option<Worker> {
+        if need.accelerators_count == 0 {
+            let plain = find_in(&self.plain, need, policy, &fits);
+            if plain.is_some() {
+                return plain;
+            }
+        }
+        find_in(&self.accelerated, need, policy, &fits)
+    }
+
+    fn part(&mut self, is_accelerated: bool) -> &mut BTreeSet<Slot> {
+        if is_accelerated {
+            &mut self.accelerated
+        } else {
+            &mut self.plain
+        }
+    }
+}
+
+fn slot(worker: Worker, free: &Resources) -> Slot {
+    Slot {
+        cores_milli: free.cores_milli,
+        worker,
+    }
+}
+
+fn find_in(
+    slots: &BTreeSet<Slot>,
+    need: &Resources,
+    policy: Policy,
+    fits: &impl Fn(Worker) -> bool,
+) -> Option<Worker> {
+    let least = Slot {
+        cores_milli: need.cores_milli,
+        worker: Worker::from_u32(0),
+    };
+    let mut roomy = slots.range(least..).map(|slot| slot.worker);
+    match policy {
+        Policy::Packing => roomy.find(|&worker| fits(worker)),
+        Policy::Waiting => roomy.rfind(|&worker| fits(worker)),
+    }
+}
--- /dev/null
+++ b/crates/shard/src/intake.rs
@@ -0,0 +1,322 @@
+//! Requests that wait for the next commit, and those that are refused.
+//!
+//! Nothing of a request is in the state before a commit takes it up. Until
+//! then it can be refused with certainty, and it is, as soon as the store is
+//! seen to be slow.
+
+use crate::action::{Action, Reply, Token};
+use crate::owner::{Effect, Owner, Retained};
+use crate::record::Record;
+use crate::state::Position;
+use ospreywing_types::peer::{SubmitReply, TakeKeyReply};
+use ospreywing_types::{Duration, Instant, Key, Name, TaskId, TaskPhase, TaskSpec};
+use std::collections::HashMap;
+
+/// A task that is not on record yet.
+#[derive(Clone, Debug)]
+pub(crate) struct NewTask {
+    pub(crate) tokens: Vec<Token>,
+    pub(crate) row: Name,
+    pub(crate) spec: TaskSpec,
+}
+
+/// A claim that is not on record yet.
+#[derive(Clone, Debug)]
+pub(crate) struct NewKey {
+    pub(crate) token: Token,
+    pub(crate) nonce: u64,
+}
+
+/// Requests that no commit has taken up, in the order of their keys' arrival.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Intake {
+    pub(crate) tasks: HashMap<Key, NewTask>,
+    pub(crate) order: Vec<Key>,
+    pub(crate) keys: HashMap<Key, NewKey>,
+}
+
+impl Intake {
+    /// Returns whether nothing waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.order.is_empty() && self.keys.is_empty()
+    }
+}
+
+/// When to come back after a refusal while the store is slow or down.
+const STORE_RETRY_AFTER: Duration = Duration::from_s(2);
+/// When to come back after a refusal because too many tasks wait.
+const FULL_RETRY_AFTER: Duration = Duration::from_s(10);
+/// When to come back after a refusal because the owner hands over.
+const HAND_OVER_RETRY_AFTER: Duration = Duration::from_s(1);
+
+fn refused(reason: impl Into<String>, retry_after: Option<Duration>) -> Reply {
+    Reply::Submit(SubmitReply::Refused {
+        reason: reason.into(),
+        retry_after_ms: retry_after.map(Duration::as_ms),
+    })
+}
+
+impl Owner {
+    pub(crate) fn on_submit(
+        &mut self,
+        now: Instant,
+        token: Token,
+        key: Key,
+        row: Name,
+        spec: TaskSpec,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(task) = self.state.by_key(&key) {
+            if self.state.tasks[task].image.row != row {
+                let reason = "key: in use by a task of another row";
+                self.answer(token, refused(reason, None), actions);
+                return;
+            }
+            self.reply_when_committed(token, task, actions);
+            return;
+        }
+        if let Some(task) = self.intake.tasks.get_mut(&key) {
+            task.tokens.push(token);
+            return;
+        }
+        if let Some(reply) = self.refusal(now, &row, &spec) {
+            self.answer(token, reply, actions);
+            return;
+        }
+        self.intake.order.push(key.clone());
+        let tokens = vec![token];
+        let task = NewTask { tokens, row, spec };
+        self.intake.tasks.insert(key, task);
+    }
+
+    fn refusal(&self, now: Instant, row: &Name, spec: &TaskSpec) -> Option<Reply> {
+        let workload = self.workloads.by_name(row);
+        if !workload.is_some_and(|workload| self.workloads.get(workload).is_listed) {
+            let reason = format!("row: the table has no batch row {row:?}");
+            return Some(refused(reason, None));
+        }
+        if spec.resources.is_zero() {
+            return Some(refused("spec.resources: all are zero", None));
+        }
+        if !self.workers.could_hold(&spec.resources) {
+            let reason = format!("spec.resources: no worker holds {}", spec.resources);
+            return Some(refused(reason, None));
+        }
+        let waiting_count = self.waiting_count() + self.intake.order.len();
+        if waiting_count >= self.config.waiting_limit_count {
+            let reason = format!("{waiting_count} tasks wait in the shard, the limit");
+            return Some(refused(reason, Some(FULL_RETRY_AFTER)));
+        }
+        self.trouble(now)
+            .map(|(reason, retry_after)| refused(reason, Some(retry_after)))
+    }
+
+    /// Why nothing new can be put on record now, if so.
+    fn trouble(&self, now: Instant) -> Option<(&'static str, Duration)> {
+        if self.is_handing_over {
+            return Some(("the shard is changing hands", HAND_OVER_RETRY_AFTER));
+        }
+        let inflight = self.inflight.as_ref()?;
+        let is_slow = now.since(inflight.since) >= self.config.commit_patience;
+        is_slow.then_some(("the platform's store does not answer", STORE_RETRY_AFTER))
+    }
+
+    /// Answers with a task's status once all that is decided so far is on record.
+    fn reply_when_committed(&mut self, token: Token, task: crate::Task, actions: &mut Vec<Action>) {
+        let status = SubmitReply::Accepted(self.status_of(task));
+        let reply = Reply::Submit(status);
+        if self.is_all_committed() {
+            self.answer(token, reply, actions);
+        } else {
+            self.pending_effects.push(Effect::Reply(token, reply));
+        }
+    }
+
+    fn is_all_committed(&self) -> bool {
+        self.inflight.is_none() && self.pending.is_empty()
+    }
+
+    pub(crate) fn on_cancel(
+        &mut self,
+        now: Instant,
+        token: Token,
+        key: &Key,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.state.by_key(key) else {
+            let reason = "key: no task of this key is on record";
+            self.answer(token, refused(reason, None), actions);
+            return;
+        };
+        let id = self.state.tasks[task].image.id;
+        match &self.state.tasks[task].image.position {
+            Position::Waiting => {
+                self.end(now, task, TaskPhase::Cancelled, None);
+            }
+            Position::Started(_) => {
+                self.append(Record::Cancel { id });
+                self.pending_effects.push(Effect::Stop(task));
+            }
+            Position::Ended { .. } => {}
+        }
+        self.reply_when_committed(token, task, actions);
+    }
+
+    pub(crate) fn on_take_key(
+        &mut self,
+        now: Instant,
+        token: Token,
+        key: Key,
+        nonce: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(&holder) = self.state.taken_keys.get(&key) {
+            let is_same = holder == nonce;
+            let reply = if is_same {
+                Reply::TakeKey(TakeKeyReply::Granted)
+            } else {
+                Reply::TakeKey(TakeKeyReply::Taken)
+            };
+            if is_same && !self.is_all_committed() {
+                self.pending_effects.push(Effect::Reply(token, reply));
+            } else {
+                self.answer(token, reply, actions);
+            }
+            return;
+        }
+        if self.intake.keys.contains_key(&key) {
+            self.answer(token, Reply::TakeKey(TakeKeyReply::Taken), actions);
+            return;
+        }
+        if let Some((_, retry_after)) = self.trouble(now) {
+            self.answer(token, key_refused(retry_after), actions);
+            return;
+        }
+        self.intake.keys.insert(key, NewKey { token, nonce });
+    }
+
+    /// Moves what waits into the state and the next commit.
+    pub(crate) fn take_up_intake(&mut self, now: Instant) {
+        for key in core::mem::take(&mut self.intake.order) {
+            if let Some(new) = self.intake.tasks.remove(&key) {
+                self.take_up_task(now, key, new);
+            }
+        }
+        for (key, new) in core::mem::take(&mut self.intake.keys) {
+            self.append(Record::TakeKey {
+                key: key.clone(),
+                nonce: new.nonce,
+            });
+            self.keys.push_back(Retained {
+                since: now,
+                item: key,
+            });
+            let reply = Reply::TakeKey(TakeKeyReply::Granted);
+            self.pending_effects.push(Effect::Reply(new.token, reply));
+        }
+    }
+
+    fn take_up_task(&mut self, now: Instant, key: Key, new: NewTask) {
+        let id = TaskId(self.state.next_id);
+        let workload = self.workloads.intern(&new.row);
+        let record = Record::Submit {
+            id,
+            key,
+            row: new.row,
+            spec: new.spec,
+        };
+        let Some(task) = self.append(record) else {
+            return;
+        };
+        self.counts.submitted_count += 1;
+        self.waiting_since[task] = now;
+        self.workloads.enqueue(workload, id, task, now);
+        let status = self.status_of(task);
+        for token in new.tokens {
+            let reply = Reply::Submit(SubmitReply::Accepted(status.clone()));
+            self.pending_effects.push(Effect::Reply(token, reply));
+        }
+    }
+
+    /// Gives up on callers that wait on a store that does not answer.
+    ///
+    /// What no commit has taken up was not run; what one has is unknown.
+    pub(crate) fn refuse_overdue(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.trouble(now).is_none() {
+            return;
+        }
+        self.refuse_intake(STORE_RETRY_AFTER, actions);
+        self.answer_unknown(actions);
+    }
+
+    /// Gives up on every caller that waits.
+    pub(crate) fn refuse_all(&mut self, actions: &mut Vec<Action>) {
+        self.refuse_intake(HAND_OVER_RETRY_AFTER, actions);
+        self.answer_unknown(actions);
+    }
+
+    fn refuse_intake(&mut self, retry_after: Duration, actions: &mut Vec<Action>) {
+        self.intake.order.clear();
+        for (_, new) in self.intake.tasks.drain() {
+            for token in new.tokens {
+                self.counts.refused_count += 1;
+                let reason = "the platform's store does not answer";
+                let reply = refused(reason, Some(retry_after));
+                actions.push(Action::Reply { token, reply });
+            }
+        }
+        for (_, new) in self.intake.keys.drain() {
+            self.counts.refused_count += 1;
+            let reply = key_refused(retry_after);
+            actions.push(Action::Reply {
+                token: new.token,
+                reply,
+            });
+        }
+    }
+
+    fn answer_unknown(&mut self, actions: &mut Vec<Action>) {
+        let inflight = self.inflight.as_mut();
+        let in_flight = inflight.map(|inflight| {
+            inflight.is_overdue = true;
+            &mut inflight.effects
+        });
+        for effects in in_flight.into_iter().chain([&mut self.pending_effects]) {
+            effects.retain(|effect| {
+                let Effect::Reply(token, reply) = effect else {
+                    return true;
+                };
+                let (token, reply) = (*token, in_doubt(reply));
+                actions.push(Action::Reply { token, reply });
+                false
+            });
+        }
+    }
+
+    pub(crate) fn answer(&mut self, token: Token, reply: Reply, actions: &mut Vec<Action>) {
+        let is_refusal = matches!(
+            reply,
+            Reply::Submit(SubmitReply::Refused { .. })
+                | Reply::TakeKey(TakeKeyReply::Refused { .. })
+        );
+        self.counts.refused_count += u64::from(is_refusal);
+        actions.push(Action::Reply { token, reply });
+    }
+}
+
+fn key_refused(retry_after: Duration) -> Reply {
+    Reply::TakeKey(TakeKeyReply::Refused {
+        retry_after_ms: retry_after.as_ms(),
+    })
+}
+
+/// What a caller is told in place of `reply` when the commit's fate is unknown.
+///
+/// A claim that is not known to be on record is refused: the claimant must not
+/// send, and nobody else will be granted the key if it is.
+fn in_doubt(reply: &Reply) -> Reply {
+    match reply {
+        Reply::Submit(_) => Reply::Submit(SubmitReply::Unknown),
+        Reply::TakeKey(_) => key_refused(STORE_RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/crates/shard/src/owner.rs
@@ -0,0 +1,499 @@
+//! The owner of a shard: its state, and what each event does to it.
+
+use crate::action::{Action, Reply, Token};
+use crate::closing::Closing;
+use crate::config::OwnerConfig;
+use crate::entity::{Task, Worker, Workload};
+use crate::event::Event;
+use crate::intake::Intake;
+use crate::log::Log;
+use crate::presence::Presence;
+use crate::record::Record;
+use crate::state::{Position, State};
+use crate::worker::WorkerTable;
+use crate::workload::WorkloadTable;
+use cranelift_entity::{EntitySet, SecondaryMap};
+use ospreywing_types::peer::TaskStatus;
+use ospreywing_types::{AttemptId, Instant, Key, Name, TaskPhase};
+use std::collections::VecDeque;
+
+/// What has happened so far, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Tasks accepted.
+    pub submitted_count: u64,
+    /// Starts recorded.
+    pub started_count: u64,
+    /// Tasks ended, in any way.
+    pub ended_count: u64,
+    /// Attempts that waited again.
+    pub requeued_count: u64,
+    /// Commits made.
+    pub commits_count: u64,
+    /// Bytes committed.
+    pub commit_bytes: u64,
+    /// Requests refused.
+    pub refused_count: u64,
+    /// Attempts that ran though the log does not say so.
+    pub stray_attempts_count: u64,
+}
+
+/// What follows once a commit has taken effect.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// A caller is answered.
+    Reply(Token, Reply),
+    /// A start is sent.
+    Start(Task, u32),
+    /// An attempt is stopped.
+    Stop(Task),
+    /// A worker may forget an attempt.
+    Forget(Worker, AttemptId),
+}
+
+/// A commit whose outcome is not known yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Inflight {
+    pub(crate) since: Instant,
+    pub(crate) effects: Vec<Effect>,
+    /// Whether the callers that wait on it were told that the outcome is unknown.
+    pub(crate) is_overdue: bool,
+}
+
+/// An entity to be dropped from the state when its time comes.
+#[derive(Clone, Debug)]
+pub(crate) struct Retained<T> {
+    pub(crate) since: Instant,
+    pub(crate) item: T,
+}
+
+/// The daemon's ownership of one shard.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    pub(crate) config: OwnerConfig,
+    pub(crate) state: State,
+    pub(crate) log: Log,
+    pub(crate) workers: WorkerTable,
+    pub(crate) workloads: WorkloadTable,
+    pub(crate) presence: SecondaryMap<Task, Presence>,
+    pub(crate) waiting_since: SecondaryMap<Task, Instant>,
+    pub(crate) intake: Intake,
+    pub(crate) pending: Vec<Record>,
+    pub(crate) pending_effects: Vec<Effect>,
+    pub(crate) inflight: Option<Inflight>,
+    pub(crate) is_deciding: bool,
+    pub(crate) is_handing_over: bool,
+    pub(crate) confirmed_at: Instant,
+    /// When the shard was claimed; no former owner was confirmed after it.
+    pub(crate) claimed_at: Instant,
+    /// Since when no former owner can act; `None` while one may.
+    pub(crate) sole_since: Option<Instant>,
+    pub(crate) ended: VecDeque<Retained<Task>>,
+    pub(crate) keys: VecDeque<Retained<Key>>,
+    pub(crate) passed: EntitySet<Workload>,
+    /// Whether something may have made room since tasks were last placed.
+    pub(crate) may_place: bool,
+    pub(crate) counts: Counts,
+}
+
+impl Owner {
+    /// Makes the owner that a recovery ends in.
+    pub(crate) fn new(config: OwnerConfig, state: State, log: Log, now: Instant) -> Self {
+        let mut owner = Self {
+            config,
+            state,
+            log,
+            workers: WorkerTable::default(),
+            workloads: WorkloadTable::default(),
+            presence: SecondaryMap::new(),
+            waiting_since: SecondaryMap::new(),
+            intake: Intake::default(),
+            pending: Vec::new(),
+            pending_effects: Vec::new(),
+            inflight: None,
+            is_deciding: true,
+            is_handing_over: false,
+            confirmed_at: now,
+            claimed_at: now,
+            sole_since: None,
+            ended: VecDeque::new(),
+            keys: VecDeque::new(),
+            passed: EntitySet::new(),
+            may_place: true,
+            counts: Counts::default(),
+        };
+        owner.take_in_tasks(now);
+        owner.note_sole(now);
+        owner.append(Record::Open {
+            epoch: owner.config.epoch,
+            owner: owner.config.identity.clone(),
+        });
+        owner
+    }
+
+    /// Sets up what is not in the log for every task that is.
+    fn take_in_tasks(&mut self, now: Instant) {
+        let tasks: Vec<Task> = self.state.live_tasks().map(|(task, _)| task).collect();
+        for task in tasks {
+            let image = self.state.tasks[task].image.clone();
+            let workload = self.workloads.intern(&image.row);
+            match &image.position {
+                Position::Waiting => {
+                    self.waiting_since[task] = now;
+                    self.workloads.enqueue(workload, image.id, task, now);
+                }
+                Position::Started(started) => {
+                    let worker = self.workers.intern(&started.worker);
+                    self.occupy(task, worker);
+                    self.presence[task] = Presence::IN_DOUBT;
+                }
+                Position::Ended { .. } => self.ended.push_back(Retained {
+                    since: now,
+                    item: task,
+                }),
+            }
+        }
+        for key in self.state.taken_keys.keys() {
+            self.keys.push_back(Retained {
+                since: now,
+                item: key.clone(),
+            });
+        }
+    }
+
+    /// Takes in one event and appends what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.may_place |= !matches!(event, Event::Tick | Event::OwnershipConfirmed { .. });
+        match event {
+            Event::Boxes(boxes) => self.workers.set_boxes(&boxes, now),
+            Event::Table(table) => {
+                let config = &self.config;
+                self.workloads
+                    .set_table(&table, config.shard, config.shards_count);
+            }
+            Event::Submit {
+                token,
+                key,
+                row,
+                spec,
+            } => self.on_submit(now, token, key, row, spec, actions),
+            Event::Cancel { token, key } => self.on_cancel(now, token, &key, actions),
+            Event::TakeKey { token, key, nonce } => {
+                self.on_take_key(now, token, key, nonce, actions);
+            }
+            Event::CommitDone => self.on_commit_done(now, actions),
+            Event::OwnershipConfirmed { asked_at } => {
+                self.confirmed_at = self.confirmed_at.max(asked_at);
+            }
+            Event::SessionOpened { worker, report } => {
+                self.on_session_opened(now, &worker, &report);
+            }
+            Event::Reported {
+                worker,
+                asked_at,
+                report,
+            } => self.on_report(now, asked_at, &worker, &report, actions),
+            Event::SessionClosed { worker } => self.on_session_closed(&worker),
+            Event::StartAcked { attempt } => self.on_start_acked(now, attempt),
+            Event::StartNotSent { attempt } => self.on_start_not_sent(now, attempt),
+            Event::StartInDoubt { attempt } => self.on_start_in_doubt(attempt),
+            Event::Ended { worker, ended } => {
+                let worker = self.workers.intern(&worker);
+                self.on_ended(now, worker, &ended);
+            }
+            Event::EpochClosed { epoch } => self.on_epoch_closed(now, epoch),
+            Event::Deciding(is_deciding) => self.is_deciding = is_deciding,
+            Event::Tick => self.on_tick(now, actions),
+        }
+    }
+
+    fn on_epoch_closed(&mut self, now: Instant, epoch: u64) {
+        if epoch != self.config.epoch && self.state.open_epochs.contains_key(&epoch) {
+            self.append(Record::Close { epoch });
+            self.note_sole(now);
+        }
+    }
+
+    /// Notes since when this owner alone can send orders to the workers.
+    fn note_sole(&mut self, now: Instant) {
+        let own = self.config.epoch;
+        let is_sole = self.state.open_epochs.keys().all(|&epoch| epoch == own);
+        if is_sole && self.sole_since.is_none() {
+            self.sole_since = Some(now);
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.refuse_overdue(now, actions);
+        self.resolve_silent(now);
+        self.drop_expired(now);
+        let workers: Vec<Worker> = self.workers.keys().collect();
+        for worker in workers {
+            self.renew(now, worker, actions);
+            self.ask_report(now, worker, actions);
+        }
+    }
+
+    /// Renews the leases on a worker where it is time.
+    fn renew(&mut self, now: Instant, worker: Worker, actions: &mut Vec<Action>) {
+        let data = self.workers.get(worker);
+        let Some(session) = &data.session else { return };
+        if now.since(session.renewed_at) < self.config.renew_every {
+            return;
+        }
+        let attempts = data.tasks.iter().filter(|&&task| self.may_renew(now, task));
+        let attempts: Vec<AttemptId> = attempts
+            .filter_map(|&task| self.state.attempt(self.config.shard, task))
+            .collect();
+        let is_idle = attempts.is_empty() && data.forget.is_empty();
+        let worker_name = data.name.clone();
+        let forget = self.workers.update(worker, |data| {
+            if let Some(session) = &mut data.session {
+                session.renewed_at = now;
+            }
+            if !is_idle {
+                data.ordered_at = now;
+            }
+            core::mem::take(&mut data.forget)
+        });
+        if !is_idle {
+            actions.push(Action::SendRenew {
+                worker: worker_name,
+                attempts,
+                lease: self.config.lease,
+                forget,
+            });
+        }
+    }
+
+    /// An owner that can't prove its ownership renews only for the row's hold.
+    fn may_renew(&self, now: Instant, task: Task) -> bool {
+        let is_recording = self.presence[task] == Presence::Recording;
+        let hold = self.workloads.get(self.workload_of(task)).hold;
+        !is_recording && now.since(self.confirmed_at) < hold
+    }
+
+    fn ask_report(&mut self, now: Instant, worker: Worker, actions: &mut Vec<Action>) {
+        let data = self.workers.get(worker);
+        let Some(session) = &data.session else { return };
+        let is_in_doubt = |task: &Task| matches!(self.presence[*task], Presence::InDoubt { .. });
+        let every = if data.tasks.iter().any(is_in_doubt) {
+            self.config.settle
+        } else {
+            self.config.report_every
+        };
+        if now.since(session.asked_at) < every {
+            return;
+        }
+        let name = data.name.clone();
+        self.workers.update(worker, |data| {
+            if let Some(session) = &mut data.session {
+                session.asked_at = now;
+            }
+        });
+        actions.push(Action::AskReport { worker: name });
+    }
+
+    /// Drops results and keys that were kept long enough.
+    fn drop_expired(&mut self, now: Instant) {
+        while let Some(first) = self.ended.front() {
+            if now.since(first.since) < self.config.result_retention {
+                break;
+            }
+            let id = self.state.tasks[first.item].image.id;
+            self.ended.pop_front();
+            self.append(Record::Forget { id });
+        }
+        while let Some(first) = self.keys.front() {
+            if now.since(first.since) < self.config.key_retention {
+                break;
+            }
+            let key = first.item.clone();
+            self.keys.pop_front();
+            self.append(Record::ForgetKey { key });
+        }
+    }
+
+    /// Puts a record in the next commit and applies it to the state.
+    pub(crate) fn append(&mut self, record: Record) -> Option<Task> {
+        let task = self.state.apply(&record);
+        self.pending.push(record);
+        task
+    }
+
+    /// Counts a recorded start as occupying its worker and its workload.
+    pub(crate) fn occupy(&mut self, task: Task, worker: Worker) {
+        let need = self.state.tasks[task].resources();
+        let workload = self.workload_of(task);
+        self.workers.update(worker, |data| {
+            data.used += need;
+            data.tasks.insert(task);
+        });
+        self.workloads.occupy(workload, &need);
+    }
+
+    /// Undoes [`Self::occupy`] before the start's record is replaced.
+    pub(crate) fn release(&mut self, task: Task) {
+        let data = &self.state.tasks[task];
+        let need = data.resources();
+        let Some(started) = data.started() else {
+            return;
+        };
+        let Some(worker) = self.workers.by_name(&started.worker) else {
+            return;
+        };
+        let workload = self.workload_of(task);
+        self.workers.update(worker, |data| {
+            data.used -= need;
+            data.tasks.remove(&task);
+        });
+        self.workloads.release(workload, &need);
+        self.presence[task] = Presence::None;
+    }
+
+    /// Returns the workload that a task was submitted to.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the task's row was never interned, which every path does.
+    pub(crate) fn workload_of(&self, task: Task) -> Workload {
+        let row = &self.state.tasks[task].image.row;
+        self.workloads
+            .by_name(row)
+            .expect("the row of every task is interned")
+    }
+
+    /// Returns a task as callers see it.
+    pub fn status(&self, key: &Key) -> Option<TaskStatus> {
+        let task = self.state.by_key(key)?;
+        Some(self.status_of(task))
+    }
+
+    pub(crate) fn status_of(&self, task: Task) -> TaskStatus {
+        let image = &self.state.tasks[task].image;
+        let (phase, worker, result) = match &image.position {
+            Position::Waiting => (TaskPhase::Waiting, None, None),
+            Position::Started(started) => {
+                let is_confirmed = self.presence[task].is_confirmed();
+                let phase = if is_confirmed {
+                    TaskPhase::Running
+                } else {
+                    TaskPhase::Starting
+                };
+                (phase, Some(started.worker.clone()), None)
+            }
+            Position::Ended { phase, result } => (*phase, None, result.clone()),
+        };
+        TaskStatus {
+            key: image.key.clone(),
+            row: image.row.clone(),
+            phase,
+            attempts_count: image.attempts_count,
+            worker,
+            result,
+        }
+    }
+
+    /// Returns up to `limit_count` tasks as callers see them.
+    pub fn statuses(&self, limit_count: usize) -> Vec<TaskStatus> {
+        let tasks = self.state.live_tasks().take(limit_count);
+        tasks.map(|(task, _)| self.status_of(task)).collect()
+    }
+
+    /// Returns the names of the listed workers, each with whether it is connected.
+    pub fn workers(&self) -> Vec<(Name, bool)> {
+        let workers = self.workers.iter();
+        workers
+            .map(|(_, data)| (data.name.clone(), data.session.is_some()))
+            .collect()
+    }
+
+    /// Returns the former epochs that may still have starts on their way.
+    pub fn open_epochs(&self) -> Vec<crate::Epoch> {
+        let own = self.config.epoch;
+        let former = self.state.open_epochs.iter().filter(|(&e, _)| e != own);
+        former
+            .map(|(&epoch, owner)| crate::Epoch {
+                epoch,
+                owner: owner.clone(),
+            })
+            .collect()
+    }
+
+    /// Returns the settings.
+    pub const fn config(&self) -> &OwnerConfig {
+        &self.config
+    }
+
+    /// Returns the durable state, the uncommitted part included.
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns what has happened so far.
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns the number of waiting tasks.
+    pub const fn waiting_count(&self) -> usize {
+        self.workloads.waiting_count()
+    }
+
+    /// Returns the number of recorded starts that are not over.
+    pub fn started_count(&self) -> usize {
+        self.workers.iter().map(|(_, data)| data.tasks.len()).sum()
+    }
+
+    /// Returns the number of workers that may be given work.
+    pub fn placeable_count(&self) -> usize {
+        self.workers.placeable_count()
+    }
+
+    /// Returns the log's size in bytes.
+    pub const fn log_bytes(&self) -> usize {
+        self.log.size_bytes()
+    }
+
+    /// Returns whether [`Self::next_commit`] has something to do.
+    pub fn wants_commit(&self) -> bool {
+        let is_asked = !self.intake.is_empty() || !self.pending_effects.is_empty();
+        let is_due = !self.pending.iter().all(Record::is_rider);
+        let has_room = self.may_place && self.is_deciding && self.waiting_count() > 0;
+        self.inflight.is_none() && (is_asked || is_due || has_room)
+    }
+
+    /// Puts on record that nothing of this epoch is on its way.
+    ///
+    /// To be called once settled; the next commit is the last.
+    pub fn finish(&mut self) {
+        let epoch = self.config.epoch;
+        self.append(Record::Close { epoch });
+    }
+
+    /// Takes no more work, so that what is on its way can settle.
+    pub fn begin_hand_over(&mut self) {
+        self.is_handing_over = true;
+    }
+
+    /// Returns whether nothing of this owner is on its way to a worker.
+    pub fn is_settled(&self) -> bool {
+        let mut tasks = self.state.live_tasks();
+        let is_on_its_way = |presence| matches!(presence, Presence::Sent | Presence::Recording);
+        !tasks.any(|(task, _)| is_on_its_way(self.presence[task])) && self.inflight.is_none()
+    }
+
+    /// Ends the ownership, after the store has refused a commit or named another.
+    ///
+    /// What was not committed is dropped; callers that wait are told so.
+    pub fn close(mut self, actions: &mut Vec<Action>) -> Closing {
+        self.refuse_all(actions);
+        let mut attempts = Vec::new();
+        for (task, _) in self.state.live_tasks() {
+            if self.presence[task] == Presence::Sent {
+                attempts.extend(self.state.attempt(self.config.shard, task));
+            }
+        }
+        Closing::new(self.config.shard, self.config.epoch, attempts)
+    }
+}
