--- /dev/null
+++ b/crates/shard/src/recovery.rs
@@ -0,0 +1,65 @@
+//! Reading a shard's log after its ownership was claimed.
+
+use crate::config::OwnerConfig;
+use crate::log::Log;
+use crate::owner::Owner;
+use crate::record::Batch;
+use crate::state::State;
+use crate::LogError;
+use ospreywing_types::Instant;
+
+/// A claim whose log is being read. It becomes an [`Owner`].
+#[derive(Debug)]
+pub struct Recovery {
+    config: OwnerConfig,
+    state: State,
+    log: Log,
+    last_seq: u64,
+}
+
+impl Recovery {
+    /// Creates the recovery of the shard named in `config`.
+    pub fn new(config: OwnerConfig) -> Self {
+        Self {
+            config,
+            state: State::new(),
+            log: Log::default(),
+            last_seq: 0,
+        }
+    }
+
+    /// Reads the next batch, in the order of the log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the value is no batch of this shard or stands
+    /// out of order; the shard must then not be served.
+    pub fn read(&mut self, seq: u64, value: &[u8]) -> Result<(), LogError> {
+        let batch = Batch::decode(seq, value)?;
+        if batch.shard != self.config.shard {
+            return Err(LogError::OtherShard {
+                seq,
+                found: batch.shard,
+                expected: self.config.shard,
+            });
+        }
+        if batch.seq != seq || seq <= self.last_seq {
+            return Err(LogError::OutOfOrder {
+                seq,
+                previous: self.last_seq,
+            });
+        }
+        self.last_seq = seq;
+        for record in &batch.records {
+            self.state.apply(record);
+        }
+        self.state.next_id = self.state.next_id.max(batch.next_id);
+        self.log.note(&batch, value.len());
+        Ok(())
+    }
+
+    /// Ends the recovery: the whole log was read.
+    pub fn finish(self, now: Instant) -> Owner {
+        Owner::new(self.config, self.state, self.log, now)
+    }
+}
--- /dev/null
+++ b/crates/shard/src/resolve.rs
@@ -0,0 +1,378 @@
+//! What became of recorded starts: the proofs that each may rest on.
+//!
+//! Workers have no guards, and a former owner may wake at any time and send a
+//! start that it recorded. A recorded start therefore counts as occupying its
+//! worker until one of these resolves it:
+//!
+//! 1. the worker says that the attempt runs or has ended;
+//! 2. another incarnation of the worker answers: a start goes only over a
+//!    connection to the incarnation on record;
+//! 3. every daemon that could send it has closed its epoch, and the worker,
+//!    awake, has lacked it in two reports that lie a settling time apart;
+//! 4. the worker once confirmed it, every other daemon that could renew its
+//!    lease has closed its epoch, and the lease has lapsed;
+//! 5. the platform took the worker off its box list some minutes ago, and
+//!    every former epoch is closed.
+
+use crate::action::Action;
+use crate::entity::{Task, Worker};
+use crate::owner::{Effect, Owner, Retained};
+use crate::presence::Presence;
+use crate::record::Record;
+use crate::state::Started;
+use crate::worker::{Listing, Session};
+use ospreywing_table::Repeat;
+use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::{AttemptId, Instant, Name, TaskEnd, TaskPhase};
+
+impl Owner {
+    pub(crate) fn on_session_opened(&mut self, now: Instant, name: &Name, report: &Report) {
+        let worker = self.workers.intern(name);
+        self.workers.update(worker, |data| {
+            data.session = Some(Session {
+                incarnation: report.incarnation,
+                asked_at: now,
+                renewed_at: Instant::default(),
+            });
+        });
+        self.read_report(now, now, worker, report);
+    }
+
+    pub(crate) fn on_session_closed(&mut self, name: &Name) {
+        let worker = self.workers.intern(name);
+        self.workers.update(worker, |data| data.session = None);
+        for task in self.tasks_on(worker) {
+            if matches!(self.presence[task], Presence::InDoubt { .. }) {
+                self.presence[task] = Presence::IN_DOUBT;
+            }
+        }
+    }
+
+    pub(crate) fn on_report(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        name: &Name,
+        report: &Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let worker = self.workers.intern(name);
+        let session = self.workers.get(worker).session.as_ref();
+        if session.is_none_or(|session| session.incarnation != report.incarnation) {
+            return;
+        }
+        self.read_report(now, asked_at, worker, report);
+        self.stop_strays(worker, report, actions);
+        for task in self.tasks_on(worker) {
+            if self.state.tasks[task].image.is_cancelled {
+                self.send_stop(task, actions);
+            }
+        }
+    }
+
+    fn tasks_on(&self, worker: Worker) -> Vec<Task> {
+        self.workers.get(worker).tasks.iter().copied().collect()
+    }
+
+    fn read_report(&mut self, now: Instant, asked_at: Instant, worker: Worker, report: &Report) {
+        for ended in &report.ended {
+            self.on_ended(now, worker, ended);
+        }
+        for task in self.tasks_on(worker) {
+            let Some(started) = self.state.tasks[task].started().cloned() else {
+                continue;
+            };
+            let attempt = self.state.attempt(self.config.shard, task);
+            if started.incarnation != report.incarnation {
+                self.on_other_incarnation(now, task, &started);
+            } else if attempt.is_some_and(|attempt| report.running.contains(&attempt)) {
+                self.confirm(now, task);
+            } else {
+                self.on_absent(now, asked_at, task, &started);
+            }
+        }
+    }
+
+    /// Proof 2: the run of the worker that alone could receive it is over.
+    ///
+    /// A start that was not yet sent never will be; [`Self::send_start`] sees to it.
+    fn on_other_incarnation(&mut self, now: Instant, task: Task, started: &Started) {
+        let is_mine = started.epoch == self.config.epoch;
+        match self.presence[task] {
+            Presence::Recording => {}
+            // The connection it was sent over breaks with the worker's run,
+            // and the send is then reported as in doubt.
+            Presence::Sent if is_mine => {}
+            _ => self.lose(now, task),
+        }
+    }
+
+    fn on_absent(&mut self, now: Instant, asked_at: Instant, task: Task, started: &Started) {
+        match self.presence[task] {
+            Presence::None | Presence::Recording | Presence::Sent => {}
+            Presence::Confirmed { since } => {
+                if since < asked_at {
+                    self.presence[task] = Presence::InDoubt {
+                        absent_since: Some(now),
+                    };
+                }
+            }
+            Presence::InDoubt { absent_since: None } => {
+                if self.is_epoch_closed(started.epoch) {
+                    self.presence[task] = Presence::InDoubt {
+                        absent_since: Some(now),
+                    };
+                }
+            }
+            Presence::InDoubt {
+                absent_since: Some(since),
+            } => {
+                if asked_at >= since + self.config.settle {
+                    self.on_proved_absent(now, task, started);
+                }
+            }
+        }
+    }
+
+    /// Proof 3: nobody will send it, and the worker does not have it.
+    fn on_proved_absent(&mut self, now: Instant, task: Task, started: &Started) {
+        if started.is_confirmed {
+            self.lose(now, task);
+        } else if self.state.tasks[task].image.is_cancelled {
+            self.end(now, task, TaskPhase::Cancelled, None);
+        } else {
+            self.requeue(now, task, false);
+        }
+    }
+
+    /// Returns whether nothing of `epoch` can still be sent.
+    fn is_epoch_closed(&self, epoch: u64) -> bool {
+        epoch == self.config.epoch || !self.state.open_epochs.contains_key(&epoch)
+    }
+
+    fn confirm(&mut self, now: Instant, task: Task) {
+        if !self.presence[task].is_confirmed() {
+            self.presence[task] = Presence::Confirmed { since: now };
+        }
+        let data = &self.state.tasks[task];
+        let Some(started) = data.started() else {
+            return;
+        };
+        if !started.is_confirmed {
+            let (id, number) = (data.image.id, started.number);
+            self.append(Record::Confirm { id, number });
+        }
+    }
+
+    /// Returns the task whose attempt on record is `attempt`.
+    fn current(&self, attempt: AttemptId) -> Option<Task> {
+        if attempt.shard != self.config.shard {
+            return None;
+        }
+        let task = self.state.by_id(attempt.task)?;
+        let on_record = self.state.attempt(self.config.shard, task)?;
+        (on_record == attempt).then_some(task)
+    }
+
+    pub(crate) fn on_start_acked(&mut self, now: Instant, attempt: AttemptId) {
+        if let Some(task) = self.current(attempt) {
+            self.confirm(now, task);
+        }
+    }
+
+    pub(crate) fn on_start_not_sent(&mut self, now: Instant, attempt: AttemptId) {
+        let Some(task) = self.current(attempt) else {
+            return;
+        };
+        if self.presence[task] == Presence::Sent {
+            self.requeue(now, task, false);
+        }
+    }
+
+    pub(crate) fn on_start_in_doubt(&mut self, attempt: AttemptId) {
+        let Some(task) = self.current(attempt) else {
+            return;
+        };
+        if self.presence[task] == Presence::Sent {
+            self.presence[task] = Presence::IN_DOUBT;
+        }
+    }
+
+    pub(crate) fn on_ended(&mut self, now: Instant, worker: Worker, ended: &Ended) {
+        let Some(task) = self.current(ended.attempt) else {
+            if self.is_settled_attempt(ended.attempt) {
+                let effect = Effect::Forget(worker, ended.attempt);
+                self.forget_soon(effect);
+            }
+            return;
+        };
+        let is_cancelled = self.state.tasks[task].image.is_cancelled;
+        match &ended.end {
+            TaskEnd::Finished(result) => {
+                self.end(now, task, TaskPhase::Finished, Some(result.clone()));
+            }
+            TaskEnd::Failed(reason) => self.fail(now, task, reason),
+            _ if is_cancelled => self.end(now, task, TaskPhase::Cancelled, None),
+            TaskEnd::LeaseLapsed | TaskEnd::Stopped | TaskEnd::WorkerLost => self.lose(now, task),
+        }
+        let effect = Effect::Forget(worker, ended.attempt);
+        self.pending_effects.push(effect);
+    }
+
+    /// Returns whether the log, as far as it is committed, is past `attempt`.
+    fn is_settled_attempt(&self, attempt: AttemptId) -> bool {
+        if attempt.shard != self.config.shard {
+            return false;
+        }
+        match self.state.by_id(attempt.task) {
+            Some(task) => {
+                let data = &self.state.tasks[task];
+                let is_past = attempt.number < data.image.attempts_count;
+                is_past || (data.started().is_none() && attempt.number == data.image.attempts_count)
+            }
+            None => attempt.task.0 < self.state.next_id,
+        }
+    }
+
+    /// Lets a worker forget an attempt, not before all so far is on record.
+    fn forget_soon(&mut self, effect: Effect) {
+        let Effect::Forget(worker, attempt) = effect else {
+            return;
+        };
+        if self.inflight.is_some() || !self.pending.is_empty() {
+            self.pending_effects.push(Effect::Forget(worker, attempt));
+            return;
+        }
+        self.workers.update(worker, |data| {
+            if !data.forget.contains(&attempt) {
+                data.forget.push(attempt);
+            }
+        });
+    }
+
+    fn fail(&mut self, now: Instant, task: Task, reason: &str) {
+        let image = &self.state.tasks[task].image;
+        let workload = self.workloads.get(self.workload_of(task));
+        let may_retry = workload.repeat == Repeat::Repeatable
+            && image.failures_count < workload.retry_limit_count;
+        if may_retry && !image.is_cancelled {
+            self.requeue(now, task, true);
+        } else {
+            self.end(now, task, TaskPhase::Failed, Some(reason.to_owned()));
+        }
+    }
+
+    /// Ends an attempt that may have run in part and will not go on.
+    pub(crate) fn lose(&mut self, now: Instant, task: Task) {
+        let workload = self.workloads.get(self.workload_of(task));
+        if self.state.tasks[task].image.is_cancelled {
+            self.end(now, task, TaskPhase::Cancelled, None);
+        } else if workload.repeat == Repeat::AtMostOnce {
+            let reason = "its worker was lost and the work is unsafe to repeat";
+            self.end(now, task, TaskPhase::Unknown, Some(reason.to_owned()));
+        } else {
+            self.requeue(now, task, false);
+        }
+    }
+
+    /// Lets a task wait again; its attempt is over.
+    pub(crate) fn requeue(&mut self, now: Instant, task: Task, is_failure: bool) {
+        let Some(started) = self.state.tasks[task].started() else {
+            return;
+        };
+        let number = started.number;
+        let id = self.state.tasks[task].image.id;
+        let workload = self.workload_of(task);
+        self.release(task);
+        self.append(Record::Requeue {
+            id,
+            number,
+            is_failure,
+        });
+        self.counts.requeued_count += 1;
+        self.waiting_since[task] = now;
+        self.workloads.enqueue(workload, id, task, now);
+    }
+
+    /// Ends a task for good.
+    pub(crate) fn end(
+        &mut self,
+        now: Instant,
+        task: Task,
+        phase: TaskPhase,
+        result: Option<String>,
+    ) {
+        let id = self.state.tasks[task].image.id;
+        if self.state.tasks[task].is_waiting() {
+            let workload = self.workload_of(task);
+            self.workloads.dequeue(workload, id);
+        }
+        self.release(task);
+        self.append(Record::End { id, phase, result });
+        self.counts.ended_count += 1;
+        self.ended.push_back(Retained {
+            since: now,
+            item: task,
+        });
+    }
+
+    /// Proofs 4 and 5, for workers that have no open connection.
+    pub(crate) fn resolve_silent(&mut self, now: Instant) {
+        let workers: Vec<Worker> = self.workers.keys().collect();
+        for worker in workers {
+            if self.workers.get(worker).session.is_some() {
+                continue;
+            }
+            let is_off = self.is_off(now, worker);
+            for task in self.tasks_on(worker) {
+                self.resolve_silent_task(now, worker, task, is_off);
+            }
+        }
+    }
+
+    /// Proof 5: the platform dropped the box, and no former owner can act.
+    fn is_off(&self, now: Instant, worker: Worker) -> bool {
+        let Listing::Dropped(since) = self.workers.get(worker).listing else {
+            return false;
+        };
+        let quarantine = self.config.unlisted_quarantine;
+        self.sole_since
+            .is_some_and(|sole| now >= sole.max(since) + quarantine)
+    }
+
+    fn resolve_silent_task(&mut self, now: Instant, worker: Worker, task: Task, is_off: bool) {
+        if matches!(self.presence[task], Presence::Recording | Presence::Sent) {
+            return;
+        }
+        let started = self.state.tasks[task].started();
+        let was_confirmed = started.is_some_and(|started| started.is_confirmed);
+        let is_lapsed = was_confirmed && now >= self.lapse_of(worker, task);
+        if is_off || is_lapsed {
+            self.lose(now, task);
+        }
+    }
+
+    /// Proof 4: when the lease of a confirmed attempt on a silent worker is over.
+    ///
+    /// A former owner that has not closed its epoch may renew for the row's
+    /// hold after it was last confirmed, which was before the claim.
+    fn lapse_of(&self, worker: Worker, task: Task) -> Instant {
+        let hold = self.workloads.get(self.workload_of(task)).hold;
+        let others_until = self.sole_since.unwrap_or(self.claimed_at + hold);
+        let renewed_until = self.workers.get(worker).ordered_at.max(others_until);
+        renewed_until + self.config.lapse()
+    }
+
+    /// Stops attempts that run though the log is past them.
+    fn stop_strays(&mut self, worker: Worker, report: &Report, actions: &mut Vec<Action>) {
+        for &attempt in &report.running {
+            if self.current(attempt).is_none() && self.is_settled_attempt(attempt) {
+                self.counts.stray_attempts_count += 1;
+                actions.push(Action::SendStop {
+                    worker: self.workers.get(worker).name.clone(),
+                    attempt,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shard/src/verifier.rs
@@ -0,0 +1,203 @@
+//! Checks every invariant of an owner's data and names the entity at fault.
+
+use crate::entity::{Task, Team, Worker, Workload};
+use crate::owner::Owner;
+use crate::presence::Presence;
+use crate::workload::Usage;
+use cranelift_entity::SecondaryMap;
+use ospreywing_types::Resources;
+use std::collections::BTreeSet;
+use thiserror::Error;
+
+/// An invariant that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum VerifierError {
+    /// A worker's recorded starts need more than it holds.
+    #[error("{worker}: used {used}, holds {capacity}")]
+    Overcommitted {
+        /// The worker.
+        worker: Worker,
+        /// What its recorded starts need.
+        used: Resources,
+        /// What it holds.
+        capacity: Resources,
+    },
+    /// A worker's sum differs from its tasks.
+    #[error("{worker}: used {used}, its tasks need {sum}")]
+    WorkerSum {
+        /// The worker.
+        worker: Worker,
+        /// The sum kept.
+        used: Resources,
+        /// The sum of its tasks.
+        sum: Resources,
+    },
+    /// A workload's sum differs from its tasks.
+    #[error("{workload}: its sums differ from its tasks")]
+    WorkloadSum {
+        /// The workload.
+        workload: Workload,
+    },
+    /// A team's sum differs from its workloads.
+    #[error("{team}: its sums differ from its workloads")]
+    TeamSum {
+        /// The team.
+        team: Team,
+    },
+    /// A waiting task stands in no queue, or another task stands in one.
+    #[error("{task}: is_waiting is {is_waiting}, is queued {queued_count} times")]
+    Queued {
+        /// The task.
+        task: Task,
+        /// Whether it waits.
+        is_waiting: bool,
+        /// How often it stands in a queue.
+        queued_count: usize,
+    },
+    /// A started task is not among its worker's tasks, or another is.
+    #[error("{task}: does not stand with the worker of its start")]
+    Misplaced {
+        /// The task.
+        task: Task,
+    },
+    /// What is known of a start does not go with the log.
+    #[error("{task}: presence {presence:?} does not go with the log")]
+    Presence {
+        /// The task.
+        task: Task,
+        /// What is kept.
+        presence: Presence,
+    },
+    /// The maps of the state don't lead back to the task.
+    #[error("{task}: is not found under its number or key")]
+    Unreachable {
+        /// The task.
+        task: Task,
+    },
+}
+
+/// Checks every invariant.
+///
+/// # Errors
+///
+/// Returns all that does not hold.
+pub fn verify(owner: &Owner) -> Result<(), Vec<VerifierError>> {
+    let mut errors = Vec::new();
+    verify_workers(owner, &mut errors);
+    verify_tasks(owner, &mut errors);
+    verify_workloads(owner, &mut errors);
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(errors)
+    }
+}
+
+fn verify_workers(owner: &Owner, errors: &mut Vec<VerifierError>) {
+    for (worker, data) in owner.workers.iter() {
+        let needs = data.tasks.iter();
+        let sum = needs
+            .map(|&task| owner.state.tasks[task].resources())
+            .fold(Resources::ZERO, |sum, need| sum + need);
+        if sum != data.used {
+            let used = data.used;
+            errors.push(VerifierError::WorkerSum { worker, used, sum });
+        }
+        // A box whose facts are not known yet holds what the log says.
+        let is_known = !data.capacity.is_zero();
+        if is_known && !data.used.fits_in(&data.capacity) {
+            errors.push(VerifierError::Overcommitted {
+                worker,
+                used: data.used,
+                capacity: data.capacity,
+            });
+        }
+    }
+}
+
+fn verify_tasks(owner: &Owner, errors: &mut Vec<VerifierError>) {
+    let mut queued_count: SecondaryMap<Task, usize> = SecondaryMap::new();
+    for (_, data) in owner.workloads.iter() {
+        for task in data.queue.iter() {
+            queued_count[task] += 1;
+        }
+    }
+    let mut placed = BTreeSet::new();
+    for (worker, data) in owner.workers.iter() {
+        placed.extend(data.tasks.iter().map(|&task| (task, worker)));
+    }
+    for (task, data) in owner.state.tasks.iter() {
+        let is_waiting = data.is_waiting();
+        if queued_count[task] != usize::from(is_waiting) {
+            errors.push(VerifierError::Queued {
+                task,
+                is_waiting,
+                queued_count: queued_count[task],
+            });
+        }
+        if data.is_vacant {
+            continue;
+        }
+        verify_start(owner, task, &mut placed, errors);
+        let by_id = owner.state.by_id(data.image.id);
+        let by_key = owner.state.by_key(&data.image.key);
+        if by_id != Some(task) || by_key != Some(task) {
+            errors.push(VerifierError::Unreachable { task });
+        }
+    }
+    for (task, _) in placed {
+        errors.push(VerifierError::Misplaced { task });
+    }
+}
+
+fn verify_start(
+    owner: &Owner,
+    task: Task,
+    placed: &mut BTreeSet<(Task, Worker)>,
+    errors: &mut Vec<VerifierError>,
+) {
+    let started = owner.state.tasks[task].started();
+    let presence = owner.presence[task];
+    if let Some(started) = started {
+        let worker = owner.workers.by_name(&started.worker);
+        let is_placed = worker.is_some_and(|worker| placed.remove(&(task, worker)));
+        if !is_placed {
+            errors.push(VerifierError::Misplaced { task });
+        }
+    }
+    let is_own = started.is_some_and(|started| started.epoch == owner.config.epoch);
+    let is_sound = match presence {
+        Presence::None => started.is_none(),
+        Presence::Recording | Presence::Sent => is_own,
+        Presence::Confirmed { .. } | Presence::InDoubt { .. } => started.is_some(),
+    };
+    if !is_sound {
+        errors.push(VerifierError::Presence { task, presence });
+    }
+}
+
+fn verify_workloads(owner: &Owner, errors: &mut Vec<VerifierError>) {
+    let mut sums: SecondaryMap<Workload, Usage> = SecondaryMap::new();
+    for (task, data) in owner.state.live_tasks() {
+        if data.started().is_some() {
+            let sum = &mut sums[owner.workload_of(task)];
+            sum.resources += data.resources();
+            sum.running_count += 1;
+        }
+    }
+    let mut team_sums: SecondaryMap<Team, Usage> = SecondaryMap::new();
+    for (workload, data) in owner.workloads.iter() {
+        if sums[workload] != data.usage {
+            errors.push(VerifierError::WorkloadSum { workload });
+        }
+        if let Some(team) = data.team {
+            team_sums[team].resources += data.usage.resources;
+            team_sums[team].running_count += data.usage.running_count;
+        }
+    }
+    for (team, data) in owner.workloads.teams() {
+        if team_sums[team] != data.usage {
+            errors.push(VerifierError::TeamSum { team });
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/drive.rs
@@ -0,0 +1,379 @@
+//! Callers: they send both deployments' work through all daemons and check
+//! every answer.
+
+use crate::minion::MinionReply;
+use hdrhistogram::Histogram;
+use http::Method;
+use ospreywing_http::{Answer, Call, HttpClient, HttpError};
+use ospreywing_types::api::{Refusal, SubmitTask, OUTCOME, REQUEST_KEY};
+use ospreywing_types::peer::TaskStatus;
+use ospreywing_types::{Key, Name, Resources, TaskPhase, TaskSpec};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What the callers are told.
+#[derive(Clone, Debug)]
+pub struct Drive {
+    /// `IP:port` of the daemons.
+    pub daemons: Vec<String>,
+    /// How long requests are sent.
+    pub length: Duration,
+    /// Requests a second.
+    pub rate_per_s: u32,
+    /// Tasks submitted, evenly over the time.
+    pub tasks_count: u32,
+    /// How long tasks may take to finish after that.
+    pub finish_limit: Duration,
+    /// The seed of all choices.
+    pub seed: u64,
+    /// Put before every key, so that drives don't share keys.
+    pub run_name: String,
+}
+
+/// What became of the work.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DriveReport {
+    /// Tasks that a daemon said are on record.
+    pub tasks_submitted: u64,
+    /// Tasks that finished with the right result.
+    pub tasks_finished: u64,
+    /// Tasks that were never accepted.
+    pub tasks_refused: u64,
+    /// Tasks of rows unsafe to repeat whose end is unknown.
+    pub tasks_unknown: u64,
+    /// Requests sent.
+    pub requests_sent: u64,
+    /// Requests with the right and whole answer.
+    pub requests_done: u64,
+    /// Requests with an answer that is not theirs.
+    pub requests_wrong: u64,
+    /// Requests that gave up after being told that they did not run.
+    pub requests_not_run: u64,
+    /// Requests that were told that nothing is known.
+    pub requests_unknown: u64,
+    /// Times a daemon said "not run", first tries and later ones.
+    pub refusals: u64,
+    /// How long requests took, in milliseconds.
+    pub request_ms: Quantiles,
+    /// How long the acknowledgement of tasks took, in milliseconds.
+    pub submit_ms: Quantiles,
+}
+
+/// Quantiles of a length of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Half took at most this.
+    pub p50: f64,
+    /// Of a hundred, ninety-nine took at most this.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// A service row that is driven.
+struct ServiceRow {
+    name: &'static str,
+    is_repeatable: bool,
+    work_ms: std::ops::Range<u64>,
+}
+
+/// A batch row that is driven.
+struct BatchRow {
+    name: &'static str,
+    resources: Resources,
+    work_ms: std::ops::Range<u64>,
+}
+
+const SERVICE_ROWS: [ServiceRow; 2] = [
+    ServiceRow {
+        name: "seat-check",
+        is_repeatable: false,
+        work_ms: 5..30,
+    },
+    ServiceRow {
+        name: "thumbnail",
+        is_repeatable: true,
+        work_ms: 5..40,
+    },
+];
+
+const BATCH_ROWS: [BatchRow; 4] = [
+    BatchRow {
+        name: "season-plan",
+        resources: Resources::new(8000, 16384, 0),
+        work_ms: 1000..4000,
+    },
+    BatchRow {
+        name: "weekly-reshuffle",
+        resources: Resources::new(2000, 4096, 0),
+        work_ms: 300..1500,
+    },
+    BatchRow {
+        name: "album-render",
+        resources: Resources::new(4000, 16384, 1),
+        work_ms: 500..3000,
+    },
+    BatchRow {
+        name: "guest-bundle",
+        resources: Resources::new(1000, 2048, 0),
+        work_ms: 200..1000,
+    },
+];
+
+/// A caller gives up on a request after this time.
+const REQUEST_LIMIT: Duration = Duration::from_secs(10);
+const CALL_LIMIT: Duration = Duration::from_secs(12);
+const SUBMIT_LIMIT: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Default)]
+struct Tally {
+    report: DriveReport,
+    request_us: Option<Histogram<u64>>,
+    submit_us: Option<Histogram<u64>>,
+}
+
+#[derive(Clone)]
+struct Caller {
+    drive: Arc<Drive>,
+    http: HttpClient,
+    tally: Arc<Mutex<Tally>>,
+}
+
+const IDLE_CONNECTIONS: usize = 64;
+
+/// Drives the daemons and returns what became of the work.
+pub async fn run(drive: Drive) -> DriveReport {
+    let caller = Caller {
+        http: HttpClient::new(IDLE_CONNECTIONS),
+        tally: Arc::new(Mutex::new(Tally::default())),
+        drive: Arc::new(drive),
+    };
+    let requests = tokio::spawn(caller.clone().send_requests());
+    let tasks = tokio::spawn(caller.clone().send_tasks());
+    let _ = requests.await;
+    let _ = tasks.await;
+    caller.report()
+}
+
+impl Caller {
+    fn note(&self, change: impl FnOnce(&mut Tally)) {
+        change(&mut self.tally.lock().unwrap_or_else(|e| e.into_inner()));
+    }
+
+    fn report(&self) -> DriveReport {
+        let tally = self.tally.lock().unwrap_or_else(|e| e.into_inner());
+        let mut report = tally.report.clone();
+        report.request_ms = quantiles(tally.request_us.as_ref());
+        report.submit_ms = quantiles(tally.submit_us.as_ref());
+        report
+    }
+
+    async fn send_requests(self) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.drive.seed);
+        let count = u64::from(self.drive.rate_per_s) * self.drive.length.as_secs();
+        let gap = Duration::from_secs(1) / self.drive.rate_per_s.max(1);
+        let mut ticks = tokio::time::interval(gap);
+        let mut open = Vec::new();
+        for number in 0..count {
+            ticks.tick().await;
+            let row = &SERVICE_ROWS[number as usize % SERVICE_ROWS.len()];
+            let ms = rng.random_range(row.work_ms.clone());
+            let caller = self.clone();
+            open.push(tokio::spawn(async move {
+                caller.request(row, number, ms).await;
+            }));
+        }
+        for request in open {
+            let _ = request.await;
+        }
+    }
+
+    fn daemon(&self, number: u64) -> &str {
+        &self.drive.daemons[number as usize % self.drive.daemons.len()]
+    }
+
+    /// Sends one request, with one key, until it has a final answer.
+    async fn request(&self, row: &ServiceRow, number: u64, ms: u64) {
+        let safety = if row.is_repeatable {
+            "repeatable"
+        } else {
+            "unsafe"
+        };
+        let key = format!("{safety}-{}-{number}", self.drive.run_name);
+        let body = format!("{ms} payload-{key}");
+        let began = Instant::now();
+        self.note(|tally| tally.report.requests_sent += 1);
+        for turn in 0.. {
+            if began.elapsed() >= REQUEST_LIMIT {
+                self.note(|tally| tally.report.requests_not_run += 1);
+                return;
+            }
+            let path = format!("/v1/call/{}", row.name);
+            let call = Call::new(Method::POST, self.daemon(number + turn), &path, CALL_LIMIT)
+                .with_header(REQUEST_KEY, &key)
+                .with_body(body.clone());
+            match self.http.call(call).await {
+                Ok(answer) if outcome(&answer) == "done" => {
+                    self.note_answer(&answer, &key, row, began);
+                    return;
+                }
+                Ok(answer) if outcome(&answer) == "not_run" => {
+                    self.note(|tally| tally.report.refusals += 1);
+                    tokio::time::sleep(retry_after(&answer)).await;
+                }
+                Ok(_) => {
+                    self.note(|tally| tally.report.requests_unknown += 1);
+                    return;
+                }
+                // The daemon is gone: ask another, with the same key.
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    fn note_answer(&self, answer: &Answer, key: &str, row: &ServiceRow, began: Instant) {
+        let reply: Result<MinionReply, HttpError> = answer.json();
+        let is_own = reply.is_ok_and(|reply| {
+            let is_key = reply.key == key || row.is_repeatable && reply.key.is_empty();
+            is_key && reply.row == row.name && reply.text == format!("payload-{key}")
+        });
+        let took_us = began.elapsed().as_micros() as u64;
+        self.note(|tally| {
+            if is_own {
+                tally.report.requests_done += 1;
+                record(&mut tally.request_us, took_us);
+            } else {
+                tally.report.requests_wrong += 1;
+            }
+        });
+    }
+
+    async fn send_tasks(self) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.drive.seed + 1);
+        let gap = self.drive.length / self.drive.tasks_count.max(1);
+        let mut open = Vec::new();
+        for number in 0..self.drive.tasks_count {
+            let row = &BATCH_ROWS[number as usize % BATCH_ROWS.len()];
+            let ms = rng.random_range(row.work_ms.clone());
+            let caller = self.clone();
+            open.push(tokio::spawn(async move {
+                caller.task(row, u64::from(number), ms).await;
+            }));
+            tokio::time::sleep(gap).await;
+        }
+        for task in open {
+            let _ = task.await;
+        }
+    }
+
+    /// Submits one task and waits for its end.
+    async fn task(&self, row: &BatchRow, number: u64, ms: u64) {
+        let key = format!("task-{}-{number}", self.drive.run_name);
+        if !self.submit(row, &key, number, ms).await {
+            self.note(|tally| tally.report.tasks_refused += 1);
+            return;
+        }
+        self.note(|tally| tally.report.tasks_submitted += 1);
+        let until = Instant::now() + self.drive.finish_limit;
+        let mut turn = number;
+        while Instant::now() < until {
+            tokio::time::sleep(PAUSE).await;
+            turn += 1;
+            let Some(status) = self.status(&key, turn).await else {
+                continue;
+            };
+            match status.phase {
+                TaskPhase::Finished if status.result == Some(format!("result-{key}")) => {
+                    self.note(|tally| tally.report.tasks_finished += 1);
+                    return;
+                }
+                TaskPhase::Unknown => {
+                    self.note(|tally| tally.report.tasks_unknown += 1);
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn submit(&self, row: &BatchRow, key: &str, number: u64, ms: u64) -> bool {
+        let (Ok(key), Ok(row_name)) = (Key::new(key), Name::new(row.name)) else {
+            return false;
+        };
+        let task = SubmitTask {
+            row: row_name,
+            spec: TaskSpec {
+                resources: row.resources,
+                command: format!("work {ms} result-{key}"),
+            },
+            key,
+        };
+        let began = Instant::now();
+        for turn in 0.. {
+            if began.elapsed() >= SUBMIT_LIMIT {
+                return false;
+            }
+            let daemon = self.daemon(number + turn);
+            let call = Call::new(Method::POST, daemon, "/v1/tasks", CALL_LIMIT).with_json(&task);
+            let Ok(call) = call else { return false };
+            match self.http.call(call).await {
+                Ok(answer) if outcome(&answer) == "done" => {
+                    let took_us = began.elapsed().as_micros() as u64;
+                    self.note(|tally| record(&mut tally.submit_us, took_us));
+                    return true;
+                }
+                Ok(answer) => {
+                    self.note(|tally| tally.report.refusals += 1);
+                    tokio::time::sleep(retry_after(&answer)).await;
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+        false
+    }
+
+    async fn status(&self, key: &str, turn: u64) -> Option<TaskStatus> {
+        let path = format!("/v1/tasks/{key}");
+        let call = Call::new(Method::GET, self.daemon(turn), &path, CALL_LIMIT);
+        self.http.call(call).await.ok()?.json().ok()
+    }
+}
+
+fn outcome(answer: &Answer) -> &str {
+    answer.header(OUTCOME).unwrap_or_default()
+}
+
+fn retry_after(answer: &Answer) -> Duration {
+    let refusal: Result<Refusal, HttpError> = answer.json();
+    let ms = refusal.ok().and_then(|refusal| refusal.retry_after_ms);
+    ms.map_or(PAUSE, Duration::from_millis)
+}
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+/// Longer times count as this: ten minutes.
+const LONGEST_US: u64 = 600_000_000;
+
+fn record(histogram: &mut Option<Histogram<u64>>, value_us: u64) {
+    if histogram.is_none() {
+        *histogram = Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS).ok();
+    }
+    if let Some(histogram) = histogram {
+        histogram.saturating_record(value_us);
+    }
+}
+
+fn quantiles(histogram: Option<&Histogram<u64>>) -> Quantiles {
+    let Some(histogram) = histogram else {
+        return Quantiles::default();
+    };
+    let ms = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    Quantiles {
+        p50: ms(0.5),
+        p99: ms(0.99),
+        max: histogram.max() as f64 / 1000.0,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/judge.rs
@@ -0,0 +1,112 @@
+//! Judges the records: what ran twice, what was given too much.
+
+use crate::clock::now_ms;
+use crate::record::{MinionRecord, Run, WorkerRecord};
+use http::Method;
+use ospreywing_http::{Call, HttpClient, HttpError};
+use ospreywing_types::TaskId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What the records show.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Judgement {
+    /// Runs of tasks.
+    pub task_runs_count: u64,
+    /// Runs that finished.
+    pub task_runs_finished_count: u64,
+    /// Tasks that ran in two places at once, or finished twice.
+    pub tasks_run_twice: u64,
+    /// The tasks at fault.
+    pub tasks_at_fault: Vec<String>,
+    /// Starts and requests that gave a box more than it holds.
+    pub overcommits: u64,
+    /// Requests that minions ran.
+    pub request_runs_count: u64,
+    /// Keys of requests that are unsafe to repeat and ran more than once.
+    pub unsafe_run_twice: u64,
+    /// The most requests that one minion had at once.
+    pub peak_slots_count: u64,
+}
+
+/// The task of a run, over all shards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TaskKey {
+    shard: u32,
+    task: TaskId,
+}
+
+/// Judges records of workers and minions.
+///
+/// Keys of rows that are safe to repeat start with `repeatable-`.
+pub fn judge(workers: &[WorkerRecord], minions: &[MinionRecord]) -> Judgement {
+    let mut judgement = Judgement::default();
+    let mut tasks: BTreeMap<TaskKey, Vec<&Run>> = BTreeMap::new();
+    for run in workers.iter().flat_map(|record| &record.runs) {
+        let key = TaskKey {
+            shard: run.attempt.shard,
+            task: run.attempt.task,
+        };
+        tasks.entry(key).or_default().push(run);
+        judgement.task_runs_count += 1;
+        judgement.task_runs_finished_count += u64::from(run.is_finished);
+    }
+    for (key, runs) in &mut tasks {
+        runs.sort_by_key(|run| run.began_at_ms);
+        let finished_count = runs.iter().filter(|run| run.is_finished).count();
+        if finished_count > 1 || overlap(runs) {
+            judgement.tasks_run_twice += 1;
+            let name = format!("shard{}/{}", key.shard, key.task);
+            judgement.tasks_at_fault.push(name);
+        }
+    }
+    for record in workers {
+        judgement.overcommits += record.overcommits_count;
+    }
+    for record in minions {
+        judgement.overcommits += record.overcommits_count;
+        judgement.request_runs_count += record.runs_count;
+        judgement.peak_slots_count = judgement.peak_slots_count.max(record.peak_slots_count);
+        let twice = record
+            .keys
+            .iter()
+            .filter(|key| key.runs_count > 1 && !key.key.starts_with("repeatable-"));
+        judgement.unsafe_run_twice += twice.count() as u64;
+    }
+    judgement
+}
+
+/// Returns whether two of the runs, in the order of their beginnings, overlap.
+fn overlap(runs: &[&Run]) -> bool {
+    let now = now_ms();
+    let mut until = 0;
+    for run in runs {
+        if run.began_at_ms < until {
+            return true;
+        }
+        until = until.max(run.ended_at_ms.unwrap_or(now));
+    }
+    false
+}
+
+/// Fetches the records and judges them.
+///
+/// # Errors
+///
+/// Returns an error where a host does not answer.
+pub async fn fetch(workers: &[String], minions: &[String]) -> Result<Judgement, HttpError> {
+    let http = HttpClient::new(1);
+    let limit = Duration::from_secs(10);
+    let mut worker_records = Vec::new();
+    for addr in workers {
+        let call = Call::new(Method::GET, addr, "/admin/record", limit);
+        worker_records.push(http.call(call).await?.json()?);
+    }
+    let mut minion_records = Vec::new();
+    for addr in minions {
+        let call = Call::new(Method::GET, addr, "/admin/record", limit);
+        minion_records.push(http.call(call).await?.json()?);
+    }
+    Ok(judge(&worker_records, &minion_records))
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,240 @@
+//! The program `ospreywing-standin`.
+
+use clap::{value_parser, Arg, ArgMatches, Command};
+use ospreywing_standin::drive::{self, Drive};
+use ospreywing_standin::judge;
+use ospreywing_standin::minion::{self, MinionHost};
+use ospreywing_standin::platform::{self, Platform, PlatformLimits};
+use ospreywing_standin::worker::{self, WorkerHost};
+use ospreywing_types::{Name, Resources};
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::time::Duration;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let done = runtime.and_then(|runtime| runtime.block_on(run(&matches)));
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ospreywing-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("ospreywing-standin")
+        .about("Stand-ins for the platform, its workers, its minions and callers")
+        .subcommand_required(true)
+        .subcommand(platform_command())
+        .subcommand(workers_command())
+        .subcommand(minions_command())
+        .subcommand(drive_command())
+        .subcommand(
+            Command::new("judge")
+                .about("Judges the records of workers and minions")
+                .arg(list("workers", "IP:port of worker hosts' switches"))
+                .arg(list("minions", "IP:port of minion hosts' switches")),
+        )
+}
+
+fn list(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_delimiter(',').help(help)
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u32))
+        .help(help)
+}
+
+fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn platform_command() -> Command {
+    Command::new("platform")
+        .about("The store and the box list")
+        .arg(list("listen", "IP:port, one or more"))
+        .arg(number("writes-per-s", "100", "Writes a second"))
+        .arg(number("reads-per-s", "2000", "Reads a second"))
+        .arg(number(
+            "box-lag-ms",
+            "5000",
+            "How long a box that is gone stays listed",
+        ))
+}
+
+fn workers_command() -> Command {
+    Command::new("workers")
+        .about("Workers, in one process")
+        .arg(text("listen", "127.0.0.1:0", "IP:port of the switches"))
+        .arg(text(
+            "platform",
+            "127.0.0.1:7400",
+            "IP:port of the platform",
+        ))
+        .arg(text("prefix", "w", "The beginning of the workers' names"))
+        .arg(number("count", "8", "How many"))
+        .arg(number("cores-milli", "64000", "Processors of each"))
+        .arg(number("memory-mib", "131072", "Memory of each"))
+        .arg(number(
+            "accelerators",
+            "4",
+            "Accelerators of the accelerated",
+        ))
+        .arg(number("accelerated", "2", "How many have accelerators"))
+        .arg(number("rack-size", "8", "Workers in a rack"))
+        .arg(list("data-centres", "Data centres to spread racks over").default_value("dc-a"))
+}
+
+fn minions_command() -> Command {
+    Command::new("minions")
+        .about("Minions, in one process")
+        .arg(text("listen", "127.0.0.1:0", "IP:port of the switches"))
+        .arg(text(
+            "platform",
+            "127.0.0.1:7400",
+            "IP:port of the platform",
+        ))
+        .arg(text("prefix", "m", "The beginning of the minions' names"))
+        .arg(number("count", "8", "How many"))
+        .arg(list("serves", "The rows that they serve").required(true))
+        .arg(list("data-centres", "Data centres to spread over").default_value("dc-a"))
+}
+
+fn drive_command() -> Command {
+    Command::new("drive")
+        .about("Callers of both deployments")
+        .arg(list("daemons", "IP:port of the daemons").required(true))
+        .arg(number("seconds", "10", "How long requests are sent"))
+        .arg(number("rate", "50", "Requests a second"))
+        .arg(number("tasks", "50", "Tasks"))
+        .arg(number(
+            "finish-seconds",
+            "60",
+            "How long tasks may take after that",
+        ))
+        .arg(number("seed", "1", "The seed of all choices"))
+        .arg(text("run-name", "drive", "Put into every key"))
+}
+
+async fn run(matches: &ArgMatches) -> std::io::Result<()> {
+    match matches.subcommand() {
+        Some(("platform", matches)) => run_platform(matches),
+        Some(("workers", matches)) => run_workers(matches).await,
+        Some(("minions", matches)) => run_minions(matches).await,
+        Some(("drive", matches)) => run_drive(matches).await,
+        Some(("judge", matches)) => run_judge(matches).await,
+        _ => Ok(()),
+    }
+}
+
+fn texts(matches: &ArgMatches, name: &str) -> Vec<String> {
+    let values = matches.get_many::<String>(name).into_iter().flatten();
+    values.cloned().collect()
+}
+
+fn one(matches: &ArgMatches, name: &str) -> String {
+    let value = matches.get_one::<String>(name);
+    value.cloned().unwrap_or_default()
+}
+
+fn count(matches: &ArgMatches, name: &str) -> u32 {
+    matches.get_one::<u32>(name).copied().unwrap_or_default()
+}
+
+fn names(matches: &ArgMatches, name: &str) -> std::io::Result<Vec<Name>> {
+    let texts = texts(matches, name);
+    let names = texts.iter().map(|text| Name::new(text));
+    let names: Result<Vec<Name>, _> = names.collect();
+    names.map_err(std::io::Error::other)
+}
+
+fn bind(addr: &str) -> std::io::Result<TcpListener> {
+    let addr: SocketAddr = addr.parse().map_err(std::io::Error::other)?;
+    TcpListener::bind(addr)
+}
+
+/// Prints where the switches are, as the first line.
+fn say_addr(listener: &TcpListener) -> std::io::Result<()> {
+    println!("{}", listener.local_addr()?);
+    Ok(())
+}
+
+fn run_platform(matches: &ArgMatches) -> std::io::Result<()> {
+    let mut listeners = Vec::new();
+    for addr in texts(matches, "listen") {
+        let listener = bind(&addr)?;
+        say_addr(&listener)?;
+        listeners.push(listener);
+    }
+    let limits = PlatformLimits {
+        writes_per_s: u64::from(count(matches, "writes-per-s")),
+        reads_per_s: u64::from(count(matches, "reads-per-s")),
+        box_lag_ms: u64::from(count(matches, "box-lag-ms")),
+    };
+    platform::serve(listeners, Platform::new(limits))
+}
+
+async fn run_workers(matches: &ArgMatches) -> std::io::Result<()> {
+    let listener = bind(&one(matches, "listen"))?;
+    say_addr(&listener)?;
+    let host = WorkerHost {
+        prefix: one(matches, "prefix"),
+        count: count(matches, "count"),
+        capacity: Resources::new(
+            count(matches, "cores-milli"),
+            count(matches, "memory-mib"),
+            count(matches, "accelerators"),
+        ),
+        accelerated_count: count(matches, "accelerated"),
+        rack_size: count(matches, "rack-size").max(1),
+        data_centres: names(matches, "data-centres")?,
+        platform_addr: one(matches, "platform"),
+    };
+    worker::run(host, listener).await
+}
+
+async fn run_minions(matches: &ArgMatches) -> std::io::Result<()> {
+    let listener = bind(&one(matches, "listen"))?;
+    say_addr(&listener)?;
+    let host = MinionHost {
+        prefix: one(matches, "prefix"),
+        count: count(matches, "count"),
+        serves: names(matches, "serves")?,
+        data_centres: names(matches, "data-centres")?,
+        platform_addr: one(matches, "platform"),
+    };
+    minion::run(host, listener).await
+}
+
+async fn run_drive(matches: &ArgMatches) -> std::io::Result<()> {
+    let report = drive::run(Drive {
+        daemons: texts(matches, "daemons"),
+        length: Duration::from_secs(u64::from(count(matches, "seconds"))),
+        rate_per_s: count(matches, "rate"),
+        tasks_count: count(matches, "tasks"),
+        finish_limit: Duration::from_secs(u64::from(count(matches, "finish-seconds"))),
+        seed: u64::from(count(matches, "seed")),
+        run_name: one(matches, "run-name"),
+    })
+    .await;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(())
+}
+
+async fn run_judge(matches: &ArgMatches) -> std::io::Result<()> {
+    let (workers, minions) = (texts(matches, "workers"), texts(matches, "minions"));
+    let judgement = judge::fetch(&workers, &minions).await;
+    let judgement = judgement.map_err(std::io::Error::other)?;
+    println!("{}", serde_json::to_string(&judgement)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,22 @@
+//! The operators' table of weights and limits.
+//!
+//! One row per workload, one per team with its quota, and one for the cell's
+//! policy. The crate parses, checks, compares and prints the table; it does no
+//! I/O. A table is edited as CSV in a spreadsheet and kept in the store as one
+//! JSON value per row.
+
+mod allowance;
+mod column;
+mod csv_form;
+mod difference;
+mod error;
+mod row;
+mod table;
+
+pub use allowance::{part_of, part_of_resources};
+pub use column::{Column, COLUMNS};
+pub use csv_form::{from_csv, to_csv};
+pub use difference::{differences, CellChange};
+pub use error::{CellError, TableError};
+pub use row::{Caps, Policy, Repeat, Row, RowKind};
+pub use table::{Table, CELL_ROW};
