Search the interleavings of owners, workers and the store

Cause: the promises on tasks had no proof. The search found three faults in what was committed before: - word of an earlier connection to a worker could come after that of a later one, so an owner could take an open connection for closed; - a report made before a shard was claimed could be read after the claim and take a newer start for lost; - two absent reports a settling time apart did not prove that a start in another connection's buffer was read, if the worker was frozen between.

Change: connections have numbers and carry the epoch they were asked for under; a start in doubt needs four reports in a row that lack it, each asked for after the one before. crates/shard/tests/search.rs plays random steps of three daemons, three workers and a store: delay, loss and reordering, pauses between check and send, deaths, takeovers, lost answers, frozen, restarted and delisted workers; the verifier and the record of what ran are checked after each step, then all is mended and every acknowledged task must end.

Ruled out: the epoch in the compare alone as the fence.

--- a/crates/daemon/src/sessions.rs
+++ b/crates/daemon/src/sessions.rs
@@ -14,6 +14,7 @@
 use ospreywing_types::worker::{self, Ended, Renew, Report, Start, Stop};
 use ospreywing_types::Name;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -24,6 +25,9 @@
 /// Unacknowledged bytes are given up on after this time.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The number of the next connection; each is used once in a process.
+static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
+
 /// An order for one worker.
 #[derive(Clone, Debug)]
 enum Order {
@@ -51,7 +55,11 @@
     /// Carries out an action that is about a worker; passes over others.
     pub fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Connect { worker, addr } => self.connect(worker, addr),
+            Action::Connect {
+                worker,
+                addr,
+                epoch,
+            } => self.connect(worker, addr, epoch),
             Action::Disconnect { worker } => {
                 self.orders.remove(&worker);
             }
@@ -92,12 +100,13 @@
         }
     }
 
-    fn connect(&mut self, worker: Name, addr: String) {
+    fn connect(&mut self, worker: Name, addr: String, epoch: u64) {
         let (sender, orders) = mpsc::unbounded_channel();
         self.orders.insert(worker.clone(), sender);
         let session = WorkerSession {
             worker,
             addr,
+            epoch,
             engine: self.engine.clone(),
         };
         tokio::spawn(session.run(orders));
@@ -124,6 +133,7 @@
 struct WorkerSession {
     worker: Name,
     addr: String,
+    epoch: u64,
     engine: EngineHandle,
 }
 
@@ -132,6 +142,7 @@
 struct OpenSession {
     session: WorkerSession,
     client: Arc<WsClient>,
+    number: u64,
     incarnation: u64,
     broken: Arc<tokio::sync::Notify>,
 }
@@ -145,7 +156,13 @@
                 backoff = Backoff::new();
                 let is_over = open.serve(ends, &mut orders).await;
                 let worker = self.worker.clone();
-                self.engine.tell(Event::SessionClosed { worker }).await;
+                let session = open.number;
+                let closed = Event::SessionClosed {
+                    worker,
+                    epoch: self.epoch,
+                    session,
+                };
+                self.engine.tell(closed).await;
                 if is_over {
                     return;
                 }
@@ -197,12 +214,18 @@
         let open = OpenSession {
             session: self.clone(),
             client: Arc::new(client),
+            number: NEXT_SESSION.fetch_add(1, Ordering::Relaxed),
             incarnation: report.incarnation,
             broken: Arc::new(tokio::sync::Notify::new()),
         };
         let worker = self.worker.clone();
         self.engine
-            .tell(Event::SessionOpened { worker, report })
+            .tell(Event::SessionOpened {
+                worker,
+                epoch: self.epoch,
+                session: open.number,
+                report,
+            })
             .await;
         Ok((open, ends))
     }
@@ -315,6 +338,8 @@
             Ok(Ok(report)) => {
                 let event = Event::Reported {
                     worker: self.session.worker.clone(),
+                    epoch: self.session.epoch,
+                    session: self.number,
                     asked_at,
                     report,
                 };
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -130,6 +130,9 @@
         worker: Name,
         /// `IP:port` of the worker.
         addr: String,
+        /// The epoch under which it is asked for; what happens on the
+        /// connection is reported with it.
+        epoch: u64,
     },
     /// Close the connection to a worker and open it no more.
     Disconnect {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -98,6 +98,10 @@
     SessionOpened {
         /// The worker.
         worker: Name,
+        /// The epoch under which the connection was asked for.
+        epoch: u64,
+        /// The connection's number, never used again by this process.
+        session: u64,
         /// Its report.
         report: Report,
     },
@@ -105,6 +109,10 @@
     Reported {
         /// The worker.
         worker: Name,
+        /// The epoch under which the connection was asked for.
+        epoch: u64,
+        /// The connection.
+        session: u64,
         /// When it was asked.
         asked_at: Instant,
         /// Its report.
@@ -114,6 +122,10 @@
     SessionClosed {
         /// The worker.
         worker: Name,
+        /// The epoch under which the connection was asked for.
+        epoch: u64,
+        /// The connection.
+        session: u64,
     },
     /// A worker took a start.
     StartAcked {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,13 @@
     Router(routing::Request),
 }
 
+/// How a connection to a worker was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Connected {
+    pub(crate) addr: String,
+    pub(crate) epoch: u64,
+}
+
 /// The decisions of one daemon.
 pub struct Node {
     pub(crate) config: NodeConfig,
@@ -34,7 +41,7 @@
     pub(crate) shards: Vec<ShardSlot>,
     pub(crate) workers: BTreeMap<Name, BoxFacts>,
     /// Workers that a connection is kept to.
-    pub(crate) connected: BTreeMap<Name, String>,
+    pub(crate) connected: BTreeMap<Name, Connected>,
     pub(crate) pace: Pace,
     pub(crate) waiters: HashMap<u64, Waiter>,
     pub(crate) next_token: u64,
--- a/crates/node/src/shard_slot.rs
+++ b/crates/node/src/shard_slot.rs
@@ -35,6 +35,15 @@
         }
     }
 
+    /// Returns the epoch under which connections to workers are needed.
+    pub(crate) fn epoch(&self) -> Option<u64> {
+        match self {
+            Self::Owned(owner) | Self::HandingOver { owner, .. } => Some(owner.config().epoch),
+            Self::Closing(closing) => Some(closing.epoch()),
+            Self::Idle | Self::Claiming | Self::Vacating { .. } => None,
+        }
+    }
+
     /// Returns the owner to be changed, where the shard is owned.
     pub(crate) fn owner_mut(&mut self) -> Option<&mut Owner> {
         match self {
--- a/crates/node/src/shards.rs
+++ b/crates/node/src/shards.rs
@@ -2,12 +2,13 @@
 
 use crate::action::{Action, Answer};
 use crate::event::{ClaimedLog, Event};
-use crate::node::{Node, Waiter};
+use crate::node::{Connected, Node, Waiter};
 use crate::shard_slot::ShardSlot;
 use ospreywing_routing as routing;
 use ospreywing_shard::{self as shard, Owner, Recovery};
 use ospreywing_types::peer::{CloseEpochReply, SubmitReply, TakeKeyReply};
 use ospreywing_types::{AttemptId, BoxFacts, Duration, Instant, Name};
+use std::collections::BTreeMap;
 
 /// How often a former owner is asked to close its epoch.
 const ASK_TO_CLOSE_EVERY: Duration = Duration::from_ms(500);
@@ -26,9 +27,7 @@
                 }
             }
             Event::CommitDone { shard, epoch } => {
-                if self.owns(shard, epoch) {
-                    self.tell_owner(now, shard, shard::Event::CommitDone, actions);
-                }
+                self.tell_owner_of(now, shard, epoch, shard::Event::CommitDone, actions);
             }
             Event::CommitFenced { shard, epoch } => {
                 if self.owns(shard, epoch) {
@@ -56,28 +55,44 @@
 
     fn on_worker_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::SessionOpened { worker, report } => {
+            Event::SessionOpened {
+                worker,
+                epoch,
+                session,
+                report,
+            } => {
                 let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::SessionOpened { worker, report };
-                self.tell_owner(now, shard, event, actions);
+                let event = shard::Event::SessionOpened {
+                    worker,
+                    session,
+                    report,
+                };
+                self.tell_owner_of(now, shard, epoch, event, actions);
             }
             Event::Reported {
                 worker,
+                epoch,
+                session,
                 asked_at,
                 report,
             } => {
                 let shard = self.shard_of_worker(&worker);
                 let event = shard::Event::Reported {
                     worker,
+                    session,
                     asked_at,
                     report,
                 };
-                self.tell_owner(now, shard, event, actions);
+                self.tell_owner_of(now, shard, epoch, event, actions);
             }
-            Event::SessionClosed { worker } => {
+            Event::SessionClosed {
+                worker,
+                epoch,
+                session,
+            } => {
                 let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::SessionClosed { worker };
-                self.tell_owner(now, shard, event, actions);
+                let event = shard::Event::SessionClosed { worker, session };
+                self.tell_owner_of(now, shard, epoch, event, actions);
             }
             Event::StartAcked { attempt } => {
                 self.on_start_resolved(now, attempt, shard::Event::StartAcked { attempt }, actions);
@@ -368,34 +383,46 @@
 
     /// Keeps connections to the workers of owned shards, and to no others.
     pub(crate) fn connect_workers(&mut self, actions: &mut Vec<Action>) {
-        let is_wanted = |name: &Name| {
-            let slot = &self.shards[self.shard_of_worker(name) as usize];
-            matches!(
-                slot,
-                ShardSlot::Owned(_) | ShardSlot::HandingOver { .. } | ShardSlot::Closing(_)
-            )
-        };
-        let wanted = self.workers.values().filter(|facts| is_wanted(&facts.name));
-        let wanted: Vec<(Name, String)> = wanted
-            .map(|facts| (facts.name.clone(), facts.addr.clone()))
-            .collect();
-        let is_kept = |name: &Name| is_wanted(name) && self.workers.contains_key(name);
-        let gone: Vec<Name> = self
-            .connected
-            .keys()
-            .filter(|name| !is_kept(name))
-            .cloned()
+        let wanted: BTreeMap<Name, Connected> = self
+            .workers
+            .values()
+            .filter_map(|facts| {
+                let slot = &self.shards[self.shard_of_worker(&facts.name) as usize];
+                let epoch = slot.epoch()?;
+                let addr = facts.addr.clone();
+                Some((facts.name.clone(), Connected { addr, epoch }))
+            })
             .collect();
+        let is_gone = |name: &&Name| wanted.get(*name) != self.connected.get(*name);
+        let gone: Vec<Name> = self.connected.keys().filter(is_gone).cloned().collect();
         for worker in gone {
-            self.connected.remove(&worker);
             actions.push(Action::Disconnect { worker });
         }
-        for (worker, addr) in wanted {
-            let before = self.connected.insert(worker.clone(), addr.clone());
-            if before.as_ref() != Some(&addr) {
-                actions.push(Action::Connect { worker, addr });
+        for (worker, connected) in &wanted {
+            if self.connected.get(worker) != Some(connected) {
+                actions.push(Action::Connect {
+                    worker: worker.clone(),
+                    addr: connected.addr.clone(),
+                    epoch: connected.epoch,
+                });
             }
         }
+        self.connected = wanted;
+    }
+
+    /// Hands an event to the owner of a shard, where this node is that under
+    /// `epoch`. What a worker said before a shard was claimed may be out of date.
+    fn tell_owner_of(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        epoch: u64,
+        event: shard::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.owns(shard, epoch) {
+            self.tell_owner(now, shard, event, actions);
+        }
     }
 
     /// Hands an event to the owner of a shard, where this node is that.
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -19,6 +19,8 @@
     pub renew_every: Duration,
     /// How often a worker is asked for its report.
     pub report_every: Duration,
+    /// How often it is asked while a start on it is in doubt.
+    pub doubt_report_every: Duration,
     /// How long an awake worker may take to read what is in its buffers.
     pub settle: Duration,
     /// How long after a box has left the box list nothing runs on it.
@@ -46,6 +48,7 @@
             lease: Duration::from_s(30),
             renew_every: Duration::from_s(5),
             report_every: Duration::from_s(20),
+            doubt_report_every: Duration::from_ms(1500),
             settle: Duration::from_s(5),
             unlisted_quarantine: Duration::from_s(120),
             commit_patience: Duration::from_ms(1500),
--- a/crates/shard/src/event.rs
+++ b/crates/shard/src/event.rs
@@ -51,6 +51,8 @@
     SessionOpened {
         /// The worker.
         worker: Name,
+        /// The connection's number, never used again by this process.
+        session: u64,
         /// Its report.
         report: Report,
     },
@@ -58,6 +60,8 @@
     Reported {
         /// The worker.
         worker: Name,
+        /// The connection.
+        session: u64,
         /// When it was asked.
         asked_at: Instant,
         /// Its report.
@@ -67,6 +71,8 @@
     SessionClosed {
         /// The worker.
         worker: Name,
+        /// The connection.
+        session: u64,
     },
     /// A worker took a start.
     StartAcked {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -39,7 +39,7 @@
 pub use event::Event;
 pub use log::Commit;
 pub use owner::{Counts, Owner};
-pub use presence::Presence;
+pub use presence::{Absence, Presence};
 pub use record::{Batch, Record, TaskImage};
 pub use recovery::Recovery;
 pub use state::{Epoch, Position, Started, State, TaskData};
--- a/crates/shard/src/owner.rs
+++ b/crates/shard/src/owner.rs
@@ -185,15 +185,26 @@
             Event::OwnershipConfirmed { asked_at } => {
                 self.confirmed_at = self.confirmed_at.max(asked_at);
             }
-            Event::SessionOpened { worker, report } => {
-                self.on_session_opened(now, &worker, &report);
-            }
+            Event::SessionOpened {
+                worker,
+                session,
+                report,
+            } => self.on_session_opened(now, &worker, session, &report),
             Event::Reported {
                 worker,
+                session,
                 asked_at,
                 report,
-            } => self.on_report(now, asked_at, &worker, &report, actions),
-            Event::SessionClosed { worker } => self.on_session_closed(&worker),
+            } => {
+                if self.has_session(&worker, session) {
+                    self.on_report(now, asked_at, &worker, &report, actions);
+                }
+            }
+            Event::SessionClosed { worker, session } => {
+                if self.has_session(&worker, session) {
+                    self.on_session_closed(&worker);
+                }
+            }
             Event::StartAcked { attempt } => self.on_start_acked(now, attempt),
             Event::StartNotSent { attempt } => self.on_start_not_sent(now, attempt),
             Event::StartInDoubt { attempt } => self.on_start_in_doubt(attempt),
@@ -278,7 +289,7 @@
         let Some(session) = &data.session else { return };
         let is_in_doubt = |task: &Task| matches!(self.presence[*task], Presence::InDoubt { .. });
         let every = if data.tasks.iter().any(is_in_doubt) {
-            self.config.settle
+            self.config.doubt_report_every
         } else {
             self.config.report_every
         };
--- a/crates/shard/src/presence.rs
+++ b/crates/shard/src/presence.rs
@@ -2,6 +2,28 @@
 
 use ospreywing_types::Instant;
 
+/// Reports of one open connection that lacked an attempt, one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// When the first came.
+    pub since: Instant,
+    /// When the last came; the next is asked for after it.
+    pub last_at: Instant,
+    /// How many there were.
+    pub reports_count: u32,
+}
+
+impl Absence {
+    /// Creates the absence that one report shows.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            last_at: now,
+            reports_count: 1,
+        }
+    }
+}
+
 /// Whether a recorded start has reached its worker.
 ///
 /// Until it is resolved, a start counts as occupying its worker.
@@ -21,14 +43,14 @@
     },
     /// It may have been sent, by a former owner or over a connection that broke.
     InDoubt {
-        /// When a report first lacked it after every sender had closed.
-        absent_since: Option<Instant>,
+        /// Reports that lacked it, all after every sender had closed.
+        absence: Option<Absence>,
     },
 }
 
 impl Presence {
     /// In doubt, with no report that lacks it.
-    pub const IN_DOUBT: Self = Self::InDoubt { absent_since: None };
+    pub const IN_DOUBT: Self = Self::InDoubt { absence: None };
 
     /// Returns whether the worker said that it has the attempt.
     pub const fn is_confirmed(&self) -> bool {
--- a/crates/shard/src/resolve.rs
+++ b/crates/shard/src/resolve.rs
@@ -7,8 +7,9 @@
 //! 1. the worker says that the attempt runs or has ended;
 //! 2. another incarnation of the worker answers: a start goes only over a
 //!    connection to the incarnation on record;
-//! 3. every daemon that could send it has closed its epoch, and the worker,
-//!    awake, has lacked it in two reports that lie a settling time apart;
+//! 3. every daemon that could send it has closed its epoch, and the worker has
+//!    lacked it in several reports, one asked for after the other, over a
+//!    settling time;
 //! 4. the worker once confirmed it, every other daemon that could renew its
 //!    lease has closed its epoch, and the lease has lapsed;
 //! 5. the platform took the worker off its box list some minutes ago, and
@@ -17,7 +18,7 @@
 use crate::action::Action;
 use crate::entity::{Task, Worker};
 use crate::owner::{Effect, Owner, Retained};
-use crate::presence::Presence;
+use crate::presence::{Absence, Presence};
 use crate::record::Record;
 use crate::state::Started;
 use crate::worker::{Listing, Session};
@@ -25,11 +26,34 @@
 use ospreywing_types::worker::{Ended, Report};
 use ospreywing_types::{AttemptId, Instant, Name, TaskEnd, TaskPhase};
 
+/// Reports in a row that must lack a start in doubt.
+const ABSENT_REPORTS_COUNT: u32 = 4;
+
 impl Owner {
-    pub(crate) fn on_session_opened(&mut self, now: Instant, name: &Name, report: &Report) {
+    /// Returns whether the worker's open connection is `session`.
+    ///
+    /// Word of an earlier connection may come after that of a later one.
+    pub(crate) fn has_session(&self, name: &Name, session: u64) -> bool {
+        let worker = self.workers.by_name(name);
+        let open = worker.and_then(|worker| self.workers.get(worker).session.as_ref());
+        open.is_some_and(|open| open.number == session)
+    }
+
+    pub(crate) fn on_session_opened(
+        &mut self,
+        now: Instant,
+        name: &Name,
+        session: u64,
+        report: &Report,
+    ) {
+        if self.has_session(name, session) {
+            return;
+        }
+        self.on_session_closed(name);
         let worker = self.workers.intern(name);
         self.workers.update(worker, |data| {
             data.session = Some(Session {
+                number: session,
                 incarnation: report.incarnation,
                 asked_at: now,
                 renewed_at: Instant::default(),
@@ -112,25 +136,41 @@
             Presence::None | Presence::Recording | Presence::Sent => {}
             Presence::Confirmed { since } => {
                 if since < asked_at {
-                    self.presence[task] = Presence::InDoubt {
-                        absent_since: Some(now),
-                    };
-                }
-            }
-            Presence::InDoubt { absent_since: None } => {
-                if self.is_epoch_closed(started.epoch) {
-                    self.presence[task] = Presence::InDoubt {
-                        absent_since: Some(now),
-                    };
-                }
-            }
-            Presence::InDoubt {
-                absent_since: Some(since),
-            } => {
-                if asked_at >= since + self.config.settle {
-                    self.on_proved_absent(now, task, started);
+                    self.presence[task] = Presence::IN_DOUBT;
+                    self.note_absence(now, asked_at, task, started);
                 }
             }
+            Presence::InDoubt { .. } => self.note_absence(now, asked_at, task, started),
+        }
+    }
+
+    /// Counts reports that lack a start in doubt, each asked for after the one
+    /// before had come.
+    ///
+    /// A worker that was frozen may read a later report's call before an older
+    /// start in another connection's buffer, but not one call after the other.
+    fn note_absence(&mut self, now: Instant, asked_at: Instant, task: Task, started: &Started) {
+        let Presence::InDoubt { absence } = self.presence[task] else {
+            return;
+        };
+        if !self.is_epoch_closed(started.epoch) {
+            return;
+        }
+        let absence = match absence {
+            None => Absence::new(now),
+            Some(absence) if asked_at > absence.last_at => Absence {
+                since: absence.since,
+                last_at: now,
+                reports_count: absence.reports_count + 1,
+            },
+            Some(_) => return,
+        };
+        self.presence[task] = Presence::InDoubt {
+            absence: Some(absence),
+        };
+        let is_settled = now >= absence.since + self.config.settle;
+        if is_settled && absence.reports_count >= ABSENT_REPORTS_COUNT {
+            self.on_proved_absent(now, task, started);
         }
     }
 
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -10,6 +10,8 @@
 /// An open connection to one run of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Session {
+    /// The connection's number.
+    pub(crate) number: u64,
     /// The run of the worker.
     pub(crate) incarnation: u64,
     /// When it was last asked for a report.
--- /dev/null
+++ b/crates/shard/tests/support/box_fake.rs
@@ -0,0 +1,124 @@
+//! A worker without guards, and its record of what really ran.
+
+use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::{AttemptId, Instant, Resources, TaskEnd};
+use std::collections::BTreeMap;
+
+/// One attempt that runs.
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub attempt: AttemptId,
+    pub resources: Resources,
+    pub lease_until: Instant,
+}
+
+/// A worker.
+pub struct BoxFake {
+    pub incarnation: u64,
+    pub capacity: Resources,
+    pub running: Vec<Running>,
+    pub ended: BTreeMap<AttemptId, TaskEnd>,
+    pub is_frozen: bool,
+    pub is_dead: bool,
+    /// Every attempt that ever began here.
+    pub begun: Vec<AttemptId>,
+    pub finished: Vec<AttemptId>,
+}
+
+impl BoxFake {
+    pub fn new(incarnation: u64, capacity: Resources) -> Self {
+        Self {
+            incarnation,
+            capacity,
+            running: Vec::new(),
+            ended: BTreeMap::new(),
+            is_frozen: false,
+            is_dead: false,
+            begun: Vec::new(),
+            finished: Vec::new(),
+        }
+    }
+
+    pub fn is_awake(&self) -> bool {
+        !self.is_frozen && !self.is_dead
+    }
+
+    /// Does what it is told, whatever that is.
+    pub fn start(&mut self, running: Running) {
+        self.begun.push(running.attempt);
+        self.running.push(running);
+    }
+
+    /// Ends what has lapsed; returns the ends.
+    pub fn lapse(&mut self, now: Instant) -> Vec<Ended> {
+        let (lapsed, kept) = self
+            .running
+            .drain(..)
+            .partition(|running| running.lease_until <= now);
+        self.running = kept;
+        let lapsed: Vec<Running> = lapsed;
+        lapsed
+            .into_iter()
+            .map(|running| self.note_end(running.attempt, TaskEnd::LeaseLapsed))
+            .collect()
+    }
+
+    fn note_end(&mut self, attempt: AttemptId, end: TaskEnd) -> Ended {
+        self.ended.insert(attempt, end.clone());
+        Ended { attempt, end }
+    }
+
+    pub fn finish(&mut self, index: usize, is_good: bool) -> Option<Ended> {
+        if self.running.is_empty() {
+            return None;
+        }
+        let running = self.running.remove(index % self.running.len());
+        let end = if is_good {
+            self.finished.push(running.attempt);
+            TaskEnd::Finished("result".to_owned())
+        } else {
+            TaskEnd::Failed("fault".to_owned())
+        };
+        Some(self.note_end(running.attempt, end))
+    }
+
+    pub fn stop(&mut self, attempt: AttemptId) -> Option<Ended> {
+        let index = self.running.iter().position(|r| r.attempt == attempt)?;
+        self.running.remove(index);
+        Some(self.note_end(attempt, TaskEnd::Stopped))
+    }
+
+    pub fn renew(&mut self, attempts: &[AttemptId], until: Instant) {
+        for running in &mut self.running {
+            if attempts.contains(&running.attempt) {
+                running.lease_until = until;
+            }
+        }
+    }
+
+    /// Begins a new run with nothing of the old one.
+    pub fn restart(&mut self, incarnation: u64) {
+        self.incarnation = incarnation;
+        self.running.clear();
+        self.ended.clear();
+        self.is_frozen = false;
+    }
+
+    pub fn report(&self) -> Report {
+        let ended = self.ended.iter().map(|(&attempt, end)| Ended {
+            attempt,
+            end: end.clone(),
+        });
+        Report {
+            incarnation: self.incarnation,
+            running: self.running.iter().map(|r| r.attempt).collect(),
+            ended: ended.collect(),
+        }
+    }
+
+    /// What runs, at `now`: a lapsed attempt of a frozen box does not.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Running> {
+        let runs = self.running.iter().filter(|_| !self.is_dead);
+        runs.filter(move |running| running.lease_until > now)
+    }
+}
--- /dev/null
+++ b/crates/shard/tests/support/daemon_fake.rs
@@ -0,0 +1,67 @@
+//! One daemon's shell around an owner: what it holds between check and send.
+
+use ospreywing_shard::{Closing, Commit, Event, Owner};
+use std::collections::VecDeque;
+
+/// An order that was decided and not yet sent: a pause may lie in between.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub worker: usize,
+    pub session: u64,
+    pub order: Order,
+}
+
+/// An order for a worker.
+#[derive(Clone, Debug)]
+pub enum Order {
+    Start {
+        attempt: ospreywing_types::AttemptId,
+        resources: ospreywing_types::Resources,
+        lease_ms: u64,
+    },
+    Renew {
+        attempts: Vec<ospreywing_types::AttemptId>,
+        forget: Vec<ospreywing_types::AttemptId>,
+        lease_ms: u64,
+    },
+    Stop(ospreywing_types::AttemptId),
+    Report,
+}
+
+/// An open connection to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Link {
+    pub worker: usize,
+    pub session: u64,
+    pub incarnation: u64,
+}
+
+/// A daemon.
+#[derive(Default)]
+pub struct DaemonFake {
+    pub process: u64,
+    pub owner: Option<Owner>,
+    pub closing: Vec<Closing>,
+    /// A commit whose fate the daemon does not know.
+    pub commit: Option<Commit>,
+    pub links: Vec<Link>,
+    pub held: Vec<Held>,
+    pub inbox: VecDeque<Event>,
+    pub is_paused: bool,
+    /// Whether what has happened waits to be taken in.
+    pub is_lagging: bool,
+    pub is_dead: bool,
+}
+
+impl DaemonFake {
+    pub fn is_awake(&self) -> bool {
+        !self.is_paused && !self.is_dead
+    }
+
+    pub fn link(&self, worker: usize) -> Option<Link> {
+        self.links
+            .iter()
+            .find(|link| link.worker == worker)
+            .copied()
+    }
+}
--- /dev/null
+++ b/crates/shard/tests/support/mod.rs
@@ -0,0 +1,6 @@
+//! Fakes at the interfaces of an owner: a store, workers, and what lies between.
+
+pub mod box_fake;
+pub mod daemon_fake;
+pub mod store_fake;
+pub mod world;
