State outcomes of failures as traces, and refuse what is certain

And a caller whose task was in a commit that the store refused was told "unknown" though it was certain.

Change: a silent worker's leases are reckoned from the end of its connection, after which nothing of ours can be sent.

Ruled out: counting a start's lease from its acknowledgement; a renewal that is held has the same fault.

--- a/crates/daemon/src/store_calls.rs
+++ b/crates/daemon/src/store_calls.rs
@@ -35,6 +35,12 @@
     wake: Arc<Notify>,
 }
 
+/// What became of a commit.
+enum Committed {
+    Done,
+    Fenced { is_refused: bool },
+}
+
 /// What became of a claim.
 enum Claim {
     Won { revision: u64 },
@@ -142,7 +148,7 @@
             })
             .with_then(self.put_me(key.clone()))
             .with_otherwise(Op::Get { key });
-        let reply = self
+        let (reply, _) = self
             .txn_until_answered(&txn, &self.counts.claims_count)
             .await;
         if reply.succeeded {
@@ -190,17 +196,19 @@
     pub fn commit(&self, shard: u32, epoch: u64, commit: Commit) {
         let this = self.clone();
         tokio::spawn(async move {
-            let is_done = this.commit_until_known(shard, epoch, &commit).await;
-            let event = if is_done {
-                Event::CommitDone { shard, epoch }
-            } else {
-                Event::CommitFenced { shard, epoch }
+            let event = match this.commit_until_known(shard, epoch, &commit).await {
+                Committed::Done => Event::CommitDone { shard, epoch },
+                Committed::Fenced { is_refused } => Event::CommitFenced {
+                    shard,
+                    epoch,
+                    is_refused,
+                },
             };
             this.engine.tell(event).await;
         });
     }
 
-    async fn commit_until_known(&self, shard: u32, epoch: u64, commit: &Commit) -> bool {
+    async fn commit_until_known(&self, shard: u32, epoch: u64, commit: &Commit) -> Committed {
         let owner_key = self.layout.owner(shard);
         let batch_key = self.layout.batch(shard, commit.seq);
         let mut txn = Txn::new()
@@ -223,30 +231,38 @@
                 end: self.layout.batch(shard, commit.first_kept_seq),
             });
         }
-        let reply = self
+        let (reply, tries_count) = self
             .txn_until_answered(&txn, &self.counts.commits_count)
             .await;
         // The batch stands there because an earlier try of ours took effect.
         let stands = first_of(&reply).is_some_and(|found| found.value == commit.value);
-        reply.succeeded || stands
+        if reply.succeeded || stands {
+            return Committed::Done;
+        }
+        // After an earlier try the batch may have stood and been cleaned away.
+        Committed::Fenced {
+            is_refused: tries_count == 1,
+        }
     }
 
+    /// Makes a transaction until it is answered; returns the number of tries too.
     async fn txn_until_answered(
         &self,
         txn: &Txn,
         count: &std::sync::atomic::AtomicU64,
-    ) -> TxnReply {
+    ) -> (TxnReply, u32) {
         let mut backoff = Backoff::new();
-        loop {
+        for tries_count in 1.. {
             StoreCounts::add(count);
             match self.store.txn(txn).await {
-                Ok(reply) => return reply,
+                Ok(reply) => return (reply, tries_count),
                 Err(_) => {
                     StoreCounts::add(&self.counts.failures_count);
                     backoff.wait().await;
                 }
             }
         }
+        unreachable!("the numbers of tries do not end")
     }
 
     /// Keeps this daemon's entry in the store for ever, under a lease.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -66,12 +66,15 @@
         /// The epoch.
         epoch: u64,
     },
-    /// The store names another owner: the commit has no effect.
+    /// The store names another owner.
     CommitFenced {
         /// The shard.
         shard: u32,
         /// The epoch.
         epoch: u64,
+        /// Whether the commit certainly had no effect. It may have had one
+        /// where the answer to an earlier try was lost.
+        is_refused: bool,
     },
     /// A peer answered a ping.
     Ponged {
--- a/crates/node/src/shards.rs
+++ b/crates/node/src/shards.rs
@@ -29,9 +29,13 @@
             Event::CommitDone { shard, epoch } => {
                 self.tell_owner_of(now, shard, epoch, shard::Event::CommitDone, actions);
             }
-            Event::CommitFenced { shard, epoch } => {
+            Event::CommitFenced {
+                shard,
+                epoch,
+                is_refused,
+            } => {
                 if self.owns(shard, epoch) {
-                    self.close_shard(now, shard, actions);
+                    self.close_shard(now, shard, is_refused, actions);
                 }
             }
             Event::EpochAnswered {
@@ -189,7 +193,7 @@
                 ShardSlot::Owned(owner) | ShardSlot::HandingOver { owner, .. } => {
                     let epoch = owner.config().epoch;
                     if revision > epoch {
-                        self.close_shard(now, shard, actions);
+                        self.close_shard(now, shard, false, actions);
                     } else if revision == epoch {
                         let event = shard::Event::OwnershipConfirmed { asked_at };
                         self.tell_owner(now, shard, event, actions);
@@ -208,7 +212,13 @@
     }
 
     /// Ends an ownership that the store has given to another.
-    fn close_shard(&mut self, now: Instant, shard: u32, actions: &mut Vec<Action>) {
+    fn close_shard(
+        &mut self,
+        now: Instant,
+        shard: u32,
+        is_refused: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let slot = core::mem::take(&mut self.shards[shard as usize]);
         let owner = match slot {
             ShardSlot::Owned(owner) | ShardSlot::HandingOver { owner, .. } => owner,
@@ -218,7 +228,7 @@
             }
         };
         let mut said = core::mem::take(&mut self.shard_actions);
-        let closing = owner.close(&mut said);
+        let closing = owner.close(is_refused, &mut said);
         self.carry_out(now, &mut said, actions);
         self.shard_actions = said;
         if !closing.is_closed() {
@@ -242,7 +252,7 @@
             return CloseEpochReply::Closed;
         }
         if self.owns(shard, epoch) {
-            self.close_shard(now, shard, actions);
+            self.close_shard(now, shard, false, actions);
         }
         match &self.shards[shard as usize] {
             ShardSlot::Closing(closing) if closing.epoch() == epoch => CloseEpochReply::Busy,
@@ -326,7 +336,7 @@
             let is_overdue = now.since(*since) >= HAND_OVER_LIMIT;
             if *is_finishing && owner.is_settled() && !owner.wants_commit() || is_overdue {
                 let epoch = owner.config().epoch;
-                self.close_shard(now, shard, actions);
+                self.close_shard(now, shard, false, actions);
                 self.vacate_shard(now, shard, epoch, actions);
             } else if !*is_finishing && owner.is_settled() {
                 owner.finish();
--- a/crates/shard/src/commit.rs
+++ b/crates/shard/src/commit.rs
@@ -130,7 +130,6 @@
             return;
         };
         self.presence[task] = Presence::Sent;
-        self.workers.update(worker, |data| data.ordered_at = now);
         actions.push(Action::SendStart {
             worker: started.worker,
             incarnation: started.incarnation,
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -59,11 +59,13 @@
         }
     }
 
-    /// Returns how long after its last order a silent worker may run an attempt.
+    /// Returns how long after the last order was sent a silent worker may run an
+    /// attempt.
     ///
-    /// A renewal that was checked before a pause and sent after it can reach a
-    /// worker that still holds the lease, once: hence twice the lease. The
-    /// margin of a quarter is for clocks that run at different rates.
+    /// A worker may take a moment to read a renewal, and one that was checked
+    /// before a pause can reach a worker that still holds the lease, once:
+    /// hence twice the lease. The margin of a quarter is for clocks that run
+    /// at different rates.
     pub const fn lapse(&self) -> Duration {
         Duration::from_ms(self.lease.as_ms() * 2 + self.lease.as_ms() / 4)
     }
--- a/crates/shard/src/intake.rs
+++ b/crates/shard/src/intake.rs
@@ -246,13 +246,17 @@
             return;
         }
         self.refuse_intake(STORE_RETRY_AFTER, actions);
-        self.answer_unknown(actions);
+        self.answer_inflight(in_doubt, actions);
     }
 
     /// Gives up on every caller that waits.
-    pub(crate) fn refuse_all(&mut self, actions: &mut Vec<Action>) {
+    pub(crate) fn refuse_all(&mut self, is_refused: bool, actions: &mut Vec<Action>) {
         self.refuse_intake(HAND_OVER_RETRY_AFTER, actions);
-        self.answer_unknown(actions);
+        if is_refused {
+            self.answer_inflight(not_run, actions);
+        } else {
+            self.answer_inflight(in_doubt, actions);
+        }
     }
 
     fn refuse_intake(&mut self, retry_after: Duration, actions: &mut Vec<Action>) {
@@ -275,7 +279,8 @@
         }
     }
 
-    fn answer_unknown(&mut self, actions: &mut Vec<Action>) {
+    /// Answers those that wait on a commit with `word` in place of their reply.
+    fn answer_inflight(&mut self, word: fn(&Reply) -> Reply, actions: &mut Vec<Action>) {
         let inflight = self.inflight.as_mut();
         let in_flight = inflight.map(|inflight| {
             inflight.is_overdue = true;
@@ -286,7 +291,7 @@
                 let Effect::Reply(token, reply) = effect else {
                     return true;
                 };
-                let (token, reply) = (*token, in_doubt(reply));
+                let (token, reply) = (*token, word(reply));
                 actions.push(Action::Reply { token, reply });
                 false
             });
@@ -320,3 +325,11 @@
         Reply::TakeKey(_) => key_refused(STORE_RETRY_AFTER),
     }
 }
+
+/// What a caller is told in place of `reply` when the commit had no effect.
+fn not_run(reply: &Reply) -> Reply {
+    match reply {
+        Reply::Submit(_) => refused("the shard has another owner", Some(HAND_OVER_RETRY_AFTER)),
+        Reply::TakeKey(_) => key_refused(HAND_OVER_RETRY_AFTER),
+    }
+}
--- a/crates/shard/src/owner.rs
+++ b/crates/shard/src/owner.rs
@@ -202,7 +202,7 @@
             }
             Event::SessionClosed { worker, session } => {
                 if self.has_session(&worker, session) {
-                    self.on_session_closed(&worker);
+                    self.on_session_closed(now, &worker);
                 }
             }
             Event::StartAcked { attempt } => self.on_start_acked(now, attempt),
@@ -262,9 +262,6 @@
             if let Some(session) = &mut data.session {
                 session.renewed_at = now;
             }
-            if !is_idle {
-                data.ordered_at = now;
-            }
             core::mem::take(&mut data.forget)
         });
         if !is_idle {
@@ -496,9 +493,11 @@
 
     /// Ends the ownership, after the store has refused a commit or named another.
     ///
-    /// What was not committed is dropped; callers that wait are told so.
-    pub fn close(mut self, actions: &mut Vec<Action>) -> Closing {
-        self.refuse_all(actions);
+    /// What was not committed is dropped, and callers that wait are told so.
+    /// `is_refused` says that the commit under way certainly had no effect;
+    /// otherwise its callers are told that nothing is known.
+    pub fn close(mut self, is_refused: bool, actions: &mut Vec<Action>) -> Closing {
+        self.refuse_all(is_refused, actions);
         let mut attempts = Vec::new();
         for (task, _) in self.state.live_tasks() {
             if self.presence[task] == Presence::Sent {
--- a/crates/shard/src/resolve.rs
+++ b/crates/shard/src/resolve.rs
@@ -49,7 +49,7 @@
         if self.has_session(name, session) {
             return;
         }
-        self.on_session_closed(name);
+        self.on_session_closed(now, name);
         let worker = self.workers.intern(name);
         self.workers.update(worker, |data| {
             data.session = Some(Session {
@@ -62,9 +62,13 @@
         self.read_report(now, now, worker, report);
     }
 
-    pub(crate) fn on_session_closed(&mut self, name: &Name) {
+    pub(crate) fn on_session_closed(&mut self, now: Instant, name: &Name) {
         let worker = self.workers.intern(name);
-        self.workers.update(worker, |data| data.session = None);
+        self.workers.update(worker, |data| {
+            if data.session.take().is_some() {
+                data.silent_since = now;
+            }
+        });
         for task in self.tasks_on(worker) {
             if matches!(self.presence[task], Presence::InDoubt { .. }) {
                 self.presence[task] = Presence::IN_DOUBT;
@@ -394,12 +398,13 @@
 
     /// Proof 4: when the lease of a confirmed attempt on a silent worker is over.
     ///
-    /// A former owner that has not closed its epoch may renew for the row's
+    /// An order may be held for long between its decision and its sending, but
+    /// not beyond the end of its connection. A former owner that has not closed its epoch may renew for the row's
     /// hold after it was last confirmed, which was before the claim.
     fn lapse_of(&self, worker: Worker, task: Task) -> Instant {
         let hold = self.workloads.get(self.workload_of(task)).hold;
         let others_until = self.sole_since.unwrap_or(self.claimed_at + hold);
-        let renewed_until = self.workers.get(worker).ordered_at.max(others_until);
+        let renewed_until = self.workers.get(worker).silent_since.max(others_until);
         renewed_until + self.config.lapse()
     }
 
--- a/crates/shard/src/worker.rs
+++ b/crates/shard/src/worker.rs
@@ -44,8 +44,8 @@
     /// The tasks whose recorded start names this worker.
     pub(crate) tasks: BTreeSet<Task>,
     pub(crate) session: Option<Session>,
-    /// When this owner last sent a start or a renewal.
-    pub(crate) ordered_at: Instant,
+    /// When the last connection closed; nothing was sent after that.
+    pub(crate) silent_since: Instant,
     /// Ended attempts that are on record and may be forgotten.
     pub(crate) forget: Vec<AttemptId>,
     is_indexed: bool,
@@ -61,7 +61,7 @@
             used: Resources::ZERO,
             tasks: BTreeSet::new(),
             session: None,
-            ordered_at: Instant::default(),
+            silent_since: Instant::default(),
             forget: Vec::new(),
             is_indexed: false,
         }
--- /dev/null
+++ b/crates/shard/tests/owner/main.rs
@@ -0,0 +1,5 @@
+//! Proofs of what an owner promises: searched interleavings and stated traces.
+
+mod search;
+mod support;
+mod traces;
--- a/crates/shard/tests/search.rs
+++ b/crates/shard/tests/owner/search.rs
@@ -2,12 +2,10 @@
 //! breaks a promise: message delay, loss and reordering, pauses between a check
 //! and its send, deaths, takeovers, lost answers. Seeds are fixed.
 
-mod support;
-
+use crate::support::world::{Broken, Op, Tally, World, DAEMONS_COUNT, WORKERS_COUNT};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 use std::sync::Mutex;
-use support::world::{Broken, Op, Tally, World, DAEMONS_COUNT, WORKERS_COUNT};
 
 const CASES_COUNT: u32 = 1500;
 const STEPS_COUNT: usize = 160;
@@ -41,6 +39,11 @@
             Op::Finish { worker, index, is_good }
         }),
         1 => any_index().prop_map(|index| Op::Cancel { index }),
+        2 => (daemon(), 0u64..3, 0u64..4).prop_map(|(daemon, number, nonce)| Op::TakeKey {
+            daemon,
+            number,
+            nonce,
+        }),
     ]
 }
 
--- a/crates/shard/tests/support/daemon_fake.rs
+++ b/crates/shard/tests/owner/support/daemon_fake.rs
@@ -44,6 +44,8 @@
     pub closing: Vec<Closing>,
     /// A commit whose fate the daemon does not know.
     pub commit: Option<Commit>,
+    /// Whether an answer to that commit was lost.
+    pub has_tried: bool,
     pub links: Vec<Link>,
     pub held: Vec<Held>,
     pub inbox: VecDeque<Event>,
--- a/crates/shard/tests/support/mod.rs
+++ b/crates/shard/tests/owner/support/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod box_fake;
 pub mod daemon_fake;
+pub mod script;
 pub mod store_fake;
 pub mod world;
--- a/crates/shard/tests/support/world.rs
+++ b/crates/shard/tests/owner/support/world.rs
@@ -8,7 +8,7 @@
     verify, Action, Event, Owner, OwnerConfig, Position, Recovery, Reply, Token,
 };
 use ospreywing_table::{Repeat, Row, RowKind, Table};
-use ospreywing_types::peer::SubmitReply;
+use ospreywing_types::peer::{SubmitReply, TakeKeyReply};
 use ospreywing_types::worker::Ended;
 use ospreywing_types::{
     AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Duration, Instant, Key, Name,
@@ -23,6 +23,8 @@
 const NEED: Resources = Resources::new(2000, 1024, 0);
 /// How often an order in a worker's buffer may be overtaken by later ones.
 const OVERTAKEN_LIMIT: u32 = 3;
+/// An awake worker reads what is in its buffers within this time.
+const READ_WITHIN_MS: u64 = 10_000;
 /// A box that the list has dropped goes off within this time.
 const OFF_WITHIN: Duration = Duration::from_s(60);
 /// The length of one step of a run without faults.
@@ -31,6 +33,11 @@
 /// One step.
 #[derive(Clone, Debug)]
 pub enum Op {
+    TakeKey {
+        daemon: usize,
+        number: u64,
+        nonce: u64,
+    },
     Submit {
         row: bool,
     },
@@ -116,6 +123,7 @@
     link: Link,
     order: Order,
     overtaken_count: u32,
+    awake_ms: u64,
 }
 
 /// A worker's word on its way back.
@@ -155,6 +163,13 @@
     keys: Vec<Key>,
     unsafe_keys: BTreeSet<Key>,
     accepted: BTreeSet<Key>,
+    /// Keys of which a caller was told anything but a refusal, or nothing yet.
+    doubtful: BTreeSet<Key>,
+    /// The claims that got each request key.
+    granted: BTreeMap<Key, BTreeSet<u64>>,
+    claims: BTreeMap<u64, u64>,
+    /// The last word to the callers of each key.
+    said: BTreeMap<Key, &'static str>,
     tokens: BTreeMap<u64, Key>,
     asked_at: BTreeMap<u64, Instant>,
     next: u64,
@@ -218,6 +233,10 @@
             keys: Vec::new(),
             unsafe_keys: BTreeSet::new(),
             accepted: BTreeSet::new(),
+            doubtful: BTreeSet::new(),
+            granted: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            said: BTreeMap::new(),
             tokens: BTreeMap::new(),
             asked_at: BTreeMap::new(),
             next: 0,
@@ -269,6 +288,11 @@
                 is_good,
             } => self.finish(worker, index, is_good),
             Op::Cancel { index } => self.cancel(index),
+            Op::TakeKey {
+                daemon,
+                number,
+                nonce,
+            } => self.take_key(daemon, number, nonce),
             Op::Pause { daemon } => self.pause(daemon),
             Op::Resume { daemon } => self.daemons[daemon].is_paused = false,
             Op::Kill { daemon } => self.kill(daemon),
@@ -323,8 +347,19 @@
         }
     }
 
+    /// A daemon claims the one run of a request that is unsafe to repeat.
+    fn take_key(&mut self, daemon: usize, number: u64, nonce: u64) {
+        let key = Key::new(&format!("r{number}")).expect("a key");
+        let token = self.number();
+        self.tokens.insert(token, key.clone());
+        self.claims.insert(token, nonce);
+        let token = Token(token);
+        self.tell(daemon, Event::TakeKey { token, key, nonce });
+    }
+
     /// Lets time pass.
     fn pass(&mut self, ms: u64) {
+        self.read_overdue(ms);
         self.now = self.now + Duration::from_ms(ms);
         self.turn_off();
         for worker in 0..WORKERS_COUNT {
@@ -338,6 +373,22 @@
         }
     }
 
+    /// Awake workers read what would otherwise lie in their buffers too long.
+    fn read_overdue(&mut self, ms: u64) {
+        let mut index = 0;
+        while index < self.buffers.len() {
+            let worker = self.buffers[index].link.worker;
+            let is_awake = self.workers[worker].is_awake();
+            self.buffers[index].awake_ms += if is_awake { ms } else { 0 };
+            if is_awake && self.buffers[index].awake_ms > READ_WITHIN_MS {
+                self.buffers[index].overtaken_count = OVERTAKEN_LIMIT;
+                self.arrive(index);
+            } else {
+                index += 1;
+            }
+        }
+    }
+
     /// Lets time pass with everything that is up at work.
     fn run(&mut self, ms: u64) {
         for _ in 0..ms / RUN_STEP_MS {
@@ -419,13 +470,16 @@
         let is_done = self.store.commit(epoch, &commit);
         if !is_answered {
             self.tally.faults_count += 1;
+            self.daemons[daemon].has_tried = true;
             return;
         }
         self.daemons[daemon].commit = None;
         if is_done {
+            self.daemons[daemon].has_tried = false;
             self.daemons[daemon].inbox.push_back(Event::CommitDone);
         } else if self.daemons[daemon].is_awake() {
-            self.close(daemon);
+            let is_refused = !self.daemons[daemon].has_tried;
+            self.close(daemon, is_refused);
         } else {
             // It learns of it when it wakes and asks again.
             self.daemons[daemon].commit = Some(commit);
@@ -437,13 +491,14 @@
         Some(owner.config().epoch)
     }
 
-    fn close(&mut self, daemon: usize) {
+    fn close(&mut self, daemon: usize, is_refused: bool) {
         let Some(owner) = self.daemons[daemon].owner.take() else {
             return;
         };
         let mut actions = Vec::new();
-        let closing = owner.close(&mut actions);
+        let closing = owner.close(is_refused, &mut actions);
         self.daemons[daemon].closing.push(closing);
+        self.daemons[daemon].has_tried = false;
         // The node passes over what is said of another epoch's commit.
         let inbox = &mut self.daemons[daemon].inbox;
         inbox.retain(|event| !matches!(event, Event::CommitDone));
@@ -471,6 +526,7 @@
         let mut config = OwnerConfig::new(0, 1, epoch, identity);
         // What was acknowledged must be found at the end.
         config.result_retention = Duration::from_s(u64::MAX / 2000);
+        config.key_retention = config.result_retention;
         let mut recovery = Recovery::new(config);
         for (seq, value) in &self.store.batches {
             recovery.read(*seq, value).expect("the log is sound");
@@ -527,7 +583,7 @@
             let asked_at = self.now;
             self.tell(daemon, Event::OwnershipConfirmed { asked_at });
         } else {
-            self.close(daemon);
+            self.close(daemon, false);
         }
     }
 
@@ -558,7 +614,7 @@
             return false;
         }
         if self.epoch_of(former) == Some(epoch) {
-            self.close(former);
+            self.close(former, false);
         }
         let mut closings = self.daemons[former].closing.iter();
         closings.all(|closing| closing.epoch() != epoch || closing.is_closed())
@@ -658,6 +714,7 @@
             link,
             order: held.order,
             overtaken_count: 0,
+            awake_ms: 0,
         });
     }
 
@@ -900,10 +957,28 @@
             let Action::Reply { token, reply } = action else {
                 continue;
             };
-            let key = self.tokens.remove(&token.0);
-            if let (Some(key), Reply::Submit(SubmitReply::Accepted(_))) = (key, reply) {
-                self.accepted.insert(key);
-            }
+            let Some(key) = self.tokens.remove(&token.0) else {
+                continue;
+            };
+            let word = match reply {
+                Reply::Submit(SubmitReply::Accepted(_)) => {
+                    self.accepted.insert(key.clone());
+                    "accepted"
+                }
+                Reply::Submit(SubmitReply::Refused { .. }) => "refused",
+                Reply::Submit(SubmitReply::Unknown) => {
+                    self.doubtful.insert(key.clone());
+                    "unknown"
+                }
+                Reply::TakeKey(TakeKeyReply::Granted) => {
+                    let nonce = self.claims[&token.0];
+                    self.granted.entry(key.clone()).or_default().insert(nonce);
+                    "granted"
+                }
+                Reply::TakeKey(TakeKeyReply::Taken) => "taken",
+                Reply::TakeKey(TakeKeyReply::Refused { .. }) => "refused",
+            };
+            self.said.insert(key, word);
         }
     }
 
@@ -976,11 +1051,20 @@
                 "{attempt}: began while the log was past it"
             )));
         }
+        self.check_granted()?;
         self.check_runs()?;
         self.check_capacity()?;
         self.check_unsafe()
     }
 
+    /// The one run of a request is granted to one claim.
+    fn check_granted(&self) -> Result<(), Broken> {
+        match self.granted.iter().find(|(_, nonces)| nonces.len() > 1) {
+            Some((key, nonces)) => Err(Broken(format!("{key}: granted to {nonces:?}"))),
+            None => Ok(()),
+        }
+    }
+
     fn check_runs(&self) -> Result<(), Broken> {
         let mut places: BTreeMap<TaskId, usize> = BTreeMap::new();
         for (worker, state) in self.workers.iter().enumerate() {
@@ -1103,9 +1187,23 @@
         is_owner && tasks.all(|(_, data)| data.is_ended())
     }
 
+    /// What was refused is not on record: "not run" means that it will not run.
+    fn check_refused(&self, reader: &Owner) -> Result<(), Broken> {
+        let waits: BTreeSet<&Key> = self.tokens.values().collect();
+        let mut refused = self.said.iter().filter(|(key, &word)| {
+            let is_settled = !self.doubtful.contains(key) && !self.accepted.contains(key);
+            word == "refused" && is_settled && !waits.contains(key)
+        });
+        match refused.find(|(key, _)| reader.state().by_key(key).is_some()) {
+            Some((key, _)) => Err(Broken(format!("{key}: was refused and is on record"))),
+            None => Ok(()),
+        }
+    }
+
     /// Every task that was acknowledged is in the log with an end.
     fn check_accepted(&mut self) -> Result<(), Broken> {
         let reader = reader(&self.store);
+        self.check_refused(&reader)?;
         self.tally.requeues_count += self
             .daemons
             .iter()
@@ -1124,3 +1222,47 @@
         Ok(())
     }
 }
+
+impl World {
+    /// Returns the last word to the callers of a key.
+    pub fn said(&self, key: &str) -> &'static str {
+        let key = Key::new(key).expect("a key");
+        self.said.get(&key).copied().unwrap_or("nothing")
+    }
+
+    /// Returns the phase of a task at the owner that the store names.
+    pub fn phase(&self, key: &str) -> String {
+        let key = Key::new(key).expect("a key");
+        let owner = self.store.owner.map(|daemon| &self.daemons[daemon]);
+        let owner = owner.and_then(|daemon| daemon.owner.as_ref());
+        let status = owner.and_then(|owner| owner.status(&key));
+        status.map_or("absent".to_owned(), |status| status.phase.to_string())
+    }
+
+    /// Returns how often a task began to run.
+    pub fn runs_count(&self, key: &str) -> usize {
+        let key = Key::new(key).expect("a key");
+        let reader = reader(&self.store);
+        let task = reader.state().by_key(&key);
+        let id = task.map(|task| reader.state().tasks[task].image.id);
+        let begun = self.workers.iter().flat_map(|worker| &worker.begun);
+        begun.filter(|attempt| Some(attempt.task) == id).count()
+    }
+
+    /// Returns how many attempts run on a worker.
+    pub fn running_count(&self, worker: usize) -> usize {
+        self.workers[worker].live(self.now).count()
+    }
+
+    /// Returns how many starts a daemon holds between check and send.
+    pub fn held_starts_count(&self, daemon: usize) -> usize {
+        let held = self.daemons[daemon].held.iter();
+        held.filter(|held| matches!(held.order, Order::Start { .. }))
+            .count()
+    }
+
+    /// Returns how many batches the log has.
+    pub fn batches_count(&self) -> usize {
+        self.store.batches.len()
+    }
+}
