--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -335,8 +335,8 @@
             Action::Answer { token, answer } => self.answer(token, answer),
             Action::Forward { to, message } => self.forward(&to, message),
             Action::Ping(to) => {
-                let revision = self.node.table().revision;
-                self.hands.peers.ping(to, revision);
+                let digest = self.node.table_digest();
+                self.hands.peers.ping(to, digest);
             }
             Action::CloseEpoch {
                 shard,
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -66,11 +66,11 @@
     }
 
     /// Pings a process.
-    pub fn ping(&self, to: DaemonIdentity, table_revision: u64) {
+    pub fn ping(&self, to: DaemonIdentity, table_digest: u64) {
         let this = self.clone();
         let ping = Ping {
             from: self.me.clone(),
-            table_revision,
+            table_digest,
         };
         tokio::spawn(async move {
             let asked_at = clock::now();
--- a/crates/daemon/src/table_edit.rs
+++ b/crates/daemon/src/table_edit.rs
@@ -5,6 +5,8 @@
 use crate::layout::{Layout, StoredRow};
 use crate::metrics::StoreCounts;
 use crate::store_calls::Backoff;
+use ospreywing_membership::Versioned;
+use ospreywing_node::Event;
 use ospreywing_store::{Compare, KeyValue, Op, Page, StoreClient, StoreError, Txn, TxnReply};
 use ospreywing_table::{differences, CellChange, Row, Table};
 use ospreywing_types::Name;
@@ -178,6 +180,12 @@
         let reply = written.map_err(|_| EditError::Unknown)?;
         self.wake.notify_one();
         let revision = self.resolve(&reply, &stored, row.as_ref())?;
+        let name = name.clone();
+        let row = Versioned {
+            value: row,
+            revision,
+        };
+        self.engine.tell(Event::RowWritten { name, row }).await;
         Ok(self.accepted(revision, waits).await)
     }
 
@@ -268,13 +276,7 @@
         let until =
             clock::now() + ospreywing_types::Duration::from_ms(IN_FORCE_LIMIT.as_millis() as u64);
         loop {
-            let lagging = self.engine.ask(move |node, now| {
-                let mut lagging = node.lagging(now, revision);
-                if node.table().revision < revision {
-                    lagging.push(node.membership_config().me.identity.name.clone());
-                }
-                lagging
-            });
+            let lagging = self.engine.ask(|node, now| node.lagging(now));
             let lagging = lagging.await.unwrap_or_default();
             if lagging.is_empty() || !waits || clock::now() >= until {
                 return Accepted {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -20,7 +20,8 @@
     pub ping_every: Duration,
     /// How long without an answer until a peer counts as silent.
     pub silent_after: Duration,
-    /// How long each daemon lets the one before it in line claim a shard.
+    /// How long each daemon lets the one before it in line claim a shard; longer
+    /// than it takes the other to read that the shard is free.
     pub claim_stagger: Duration,
     /// How long a view must stand before a shard changes hands by plan.
     pub steady_for: Duration,
@@ -38,7 +39,7 @@
             shards_count,
             ping_every: Duration::from_ms(400),
             silent_after: Duration::from_ms(2000),
-            claim_stagger: Duration::from_ms(400),
+            claim_stagger: Duration::from_ms(1000),
             steady_for: Duration::from_s(5),
             seat_quarantine: Duration::from_s(10),
             unlisted_quarantine: Duration::from_s(120),
@@ -82,6 +83,8 @@
     listed: BTreeSet<Name>,
     dropped: BTreeMap<Name, Instant>,
     orphan_since: BTreeMap<u32, Instant>,
+    /// When this daemon last gave a shard up by plan.
+    given_up_at: BTreeMap<u32, Instant>,
     members_since: Instant,
     members_seen: Vec<Name>,
     is_leaving: bool,
@@ -98,6 +101,7 @@
             listed: BTreeSet::new(),
             dropped: BTreeMap::new(),
             orphan_since: BTreeMap::new(),
+            given_up_at: BTreeMap::new(),
             members_since: Instant::default(),
             members_seen: Vec::new(),
             is_leaving: false,
@@ -163,6 +167,14 @@
         self.heard_at = self.heard_at.max(Some(asked_at));
     }
 
+    /// Takes in that a process pinged this one, which may not know it from the
+    /// store: it must then be asked in return for what it has heard.
+    pub fn on_ping(&mut self, now: Instant, from: &DaemonIdentity) {
+        if from.incarnation != self.me().incarnation {
+            self.peers.meet(now, from);
+        }
+    }
+
     /// Takes in a peer's answer to a ping that was sent at `asked_at`.
     pub fn on_pong(&mut self, asked_at: Instant, pong: &Pong) {
         let silent_after = self.config.silent_after;
@@ -352,6 +364,7 @@
                 let should_move = self.should_hand_over(now, preferred) && !is_handing_over;
                 if should_move {
                     is_handing_over = true;
+                    self.given_up_at.insert(shard, now);
                     actions.push(MembershipAction::HandOverShard(shard));
                 }
             } else if self.is_orphan(now, &owner) && !self.is_leaving {
@@ -392,6 +405,11 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         let since = *self.orphan_since.entry(shard).or_insert(now);
+        let given_up_at = self.given_up_at.get(&shard);
+        if given_up_at.is_some_and(|&at| now < at + self.config.steady_for) {
+            // It was given up for another; that one comes first.
+            return;
+        }
         let names = &self.members_seen;
         let place_of = |name: &Name| names.iter().position(|n| n == name).unwrap_or(0);
         let mine = place_of(&self.me().name);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -50,6 +50,13 @@
 pub enum Event {
     /// The store answered a poll.
     Polled(Poll),
+    /// An edit made through this daemon took effect.
+    RowWritten {
+        /// The row's name.
+        name: Name,
+        /// The row.
+        row: Versioned<Option<Row>>,
+    },
     /// The platform's box list.
     Boxes(Vec<BoxFacts>),
     /// A shard was claimed and its log read.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,13 @@
     Router(routing::Request),
 }
 
+/// The table that a peer said it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PeerTable {
+    pub(crate) digest: u64,
+    pub(crate) revision: u64,
+}
+
 /// How a connection to a worker was asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Connected {
@@ -48,8 +55,8 @@
     pub(crate) next_nonce: u64,
     pub(crate) draining: SeatSet,
     pub(crate) closing_asked_at: Instant,
-    /// The newest table that each peer said it has, by incarnation.
-    pub(crate) peer_tables: BTreeMap<u64, u64>,
+    /// The table that each peer last said it has, by incarnation.
+    pub(crate) peer_tables: BTreeMap<u64, PeerTable>,
     freshness: Freshness,
     seats_in_use: SeatSet,
     router_actions: Vec<routing::Action>,
@@ -88,12 +95,20 @@
 
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        // A daemon that was paused must not act on what it knew before.
+        self.set_freshness(now, actions);
         match event {
             Event::Polled(poll) => self.on_polled(now, poll, actions),
+            Event::RowWritten { name, row } => {
+                if self.table.apply(vec![(name, row)]) {
+                    self.set_table(now, actions);
+                }
+            }
             Event::Boxes(boxes) => self.on_boxes(now, boxes, actions),
             Event::Ponged { asked_at, pong } => self.on_ponged(now, asked_at, &pong, actions),
             Event::ProcessGone { incarnation } => self.membership.on_gone(now, incarnation),
             Event::Pinged { token, ping } => {
+                self.membership.on_ping(now, &ping.from);
                 let answer = Answer::Pong(self.pong(now, &ping));
                 actions.push(Action::Answer { token, answer });
             }
@@ -170,31 +185,32 @@
         pong: &Pong,
         actions: &mut Vec<Action>,
     ) {
-        let table = pong.table_json.as_deref().map(serde_json::from_str);
-        let is_short = pong.table_revision > self.table.table().revision;
-        match table {
-            Some(Ok(table)) if self.table.replace(&table) => self.set_table(now, actions),
-            Some(Ok(_)) => {}
-            // The answer proves nothing of a table that did not come with it.
-            Some(Err(_)) => return,
-            None if is_short => return,
-            None => {}
+        if let Some(json) = &pong.table_json {
+            match self.table.merge_json(json) {
+                Some(true) => self.set_table(now, actions),
+                Some(false) => {}
+                // The answer proves nothing of a table that can't be read.
+                None => return,
+            }
         }
-        self.peer_tables
-            .insert(pong.from.incarnation, pong.table_revision);
+        let tables = PeerTable {
+            digest: pong.table_digest,
+            revision: pong.table_revision,
+        };
+        self.peer_tables.insert(pong.from.incarnation, tables);
         self.membership.on_pong(asked_at, pong);
         self.set_freshness(now, actions);
     }
 
     fn pong(&self, now: Instant, ping: &Ping) -> Pong {
-        let table = self.table.table();
-        let is_older = ping.table_revision < table.revision;
+        let digest = self.table.digest();
         let known_as_of = self.membership.known_as_of().unwrap_or_default();
         Pong {
             from: self.membership.me().clone(),
             store_age_ms: now.since(known_as_of).as_ms(),
-            table_revision: table.revision,
-            table_json: is_older.then(|| serde_json::to_string(&*table).unwrap_or_default()),
+            table_revision: self.table.table().revision,
+            table_digest: digest,
+            table_json: (ping.table_digest != digest).then(|| self.table.to_json()),
             is_leaving: self.membership.is_leaving(),
         }
     }
@@ -359,7 +375,12 @@
         self.membership.may_edit(now)
     }
 
-    /// Returns what the knowledge of the table rests on.
+    /// Returns whether the daemon may decide by its table at `now`.
+    pub fn may_decide(&self, now: Instant) -> bool {
+        self.membership.freshness(now).may_decide()
+    }
+
+    /// Returns what the knowledge of the table rested on at the last event.
     pub const fn freshness(&self) -> Freshness {
         self.freshness
     }
@@ -384,15 +405,21 @@
         &self.config.membership
     }
 
-    /// Returns the daemons that may not have the table of `revision` in force.
-    pub fn lagging(&self, now: Instant, revision: u64) -> Vec<Name> {
+    /// Returns the daemons that may not go by the same table as this one.
+    pub fn lagging(&self, now: Instant) -> Vec<Name> {
         let me = self.membership.me().incarnation;
         let identities = self.membership.control().identities();
         let lagging = identities.into_iter().filter(|identity| {
             let known = self.peer_tables.get(&identity.incarnation);
+            let is_same = known.is_some_and(|known| known.digest == self.table.digest());
             let is_gone = self.membership.is_gone(now, identity.incarnation);
-            identity.incarnation != me && !is_gone && known.is_none_or(|&known| known < revision)
+            identity.incarnation != me && !is_gone && !is_same
         });
         lagging.map(|identity| identity.name).collect()
     }
+
+    /// Returns a hash of the versions of all rows of the table in force.
+    pub const fn table_digest(&self) -> u64 {
+        self.table.digest()
+    }
 }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -135,7 +135,8 @@
         if incarnation == self.membership.me().incarnation {
             return self.table().revision;
         }
-        self.peer_tables.get(&incarnation).copied().unwrap_or(0)
+        let table = self.peer_tables.get(&incarnation);
+        table.map_or(0, |table| table.revision)
     }
 
     fn state_word(&self, now: Instant, incarnation: u64) -> &'static str {
--- a/crates/node/src/table_view.rs
+++ b/crates/node/src/table_view.rs
@@ -2,13 +2,28 @@
 
 use ospreywing_membership::Versioned;
 use ospreywing_table::{Row, Table};
-use ospreywing_types::Name;
+use ospreywing_types::{stable_hash, Name};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The table in force. It never goes back to an older version.
+/// A row with the store's revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RowVersion {
+    name: Name,
+    row: Option<Row>,
+    revision: u64,
+}
+
+/// The table in force. No row ever goes back to an older version.
+///
+/// A row may be known, from the answer to its own edit or from a peer, before
+/// an older change of another row is; hence a version for each row.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TableView {
     table: Arc<Table>,
+    revisions: BTreeMap<Name, u64>,
+    digest: u64,
 }
 
 impl TableView {
@@ -17,36 +32,70 @@
         Arc::clone(&self.table)
     }
 
-    /// Takes in rows that changed and returns whether the table is another now.
+    /// Returns a hash of the versions of all rows.
+    pub(crate) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes in rows that are newer than the known ones and returns whether
+    /// there were any.
     pub(crate) fn apply(&mut self, rows: Vec<(Name, Versioned<Option<Row>>)>) -> bool {
-        let newest = rows.iter().map(|(_, row)| row.revision).max();
-        let Some(newest) = newest.filter(|&newest| newest > self.table.revision) else {
-            return false;
-        };
-        let before = self.table.revision;
-        let table = Arc::make_mut(&mut self.table);
+        let mut is_changed = false;
         for (name, row) in rows {
-            if row.revision <= before {
-                continue;
-            }
-            match row.value {
-                Some(row) => table.put(row),
-                None => {
-                    table.remove(&name);
-                }
+            let known = self.revisions.get(&name).copied().unwrap_or(0);
+            if row.revision > known {
+                self.put(name, row);
+                is_changed = true;
             }
         }
-        table.revision = newest;
-        true
+        if is_changed {
+            self.digest = digest(&self.revisions);
+        }
+        is_changed
     }
 
-    /// Takes in a whole table from a peer where it is newer than the one in
-    /// force, and returns whether it was.
-    pub(crate) fn replace(&mut self, table: &Table) -> bool {
-        let is_newer = table.revision > self.table.revision;
-        if is_newer {
-            self.table = Arc::new(table.clone());
+    fn put(&mut self, name: Name, row: Versioned<Option<Row>>) {
+        let table = Arc::make_mut(&mut self.table);
+        table.revision = table.revision.max(row.revision);
+        match row.value {
+            Some(row) => table.put(row),
+            None => {
+                table.remove(&name);
+            }
         }
-        is_newer
+        self.revisions.insert(name, row.revision);
+    }
+
+    /// Returns all rows with their versions, for a peer.
+    pub(crate) fn to_json(&self) -> String {
+        let versions = self.revisions.iter().map(|(name, &revision)| RowVersion {
+            name: name.clone(),
+            row: self.table.get(name).cloned(),
+            revision,
+        });
+        let versions: Vec<RowVersion> = versions.collect();
+        serde_json::to_string(&versions).unwrap_or_default()
+    }
+
+    /// Takes in what a peer has; `None` where it is not readable, else whether
+    /// anything was newer.
+    pub(crate) fn merge_json(&mut self, json: &str) -> Option<bool> {
+        let versions: Vec<RowVersion> = serde_json::from_str(json).ok()?;
+        let rows = versions.into_iter().map(|version| {
+            let row = Versioned {
+                value: version.row,
+                revision: version.revision,
+            };
+            (version.name, row)
+        });
+        Some(self.apply(rows.collect()))
+    }
+}
+
+fn digest(revisions: &BTreeMap<Name, u64>) -> u64 {
+    let mut digest = 0;
+    for (name, revision) in revisions {
+        digest ^= stable_hash(&format!("{name}@{revision}"));
     }
+    digest
 }
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -21,8 +21,8 @@
 pub struct Ping {
     /// Who asks.
     pub from: DaemonIdentity,
-    /// The newest version of the table that the sender has.
-    pub table_revision: u64,
+    /// A hash of the versions of all rows of the table that the sender has.
+    pub table_digest: u64,
 }
 
 /// The answer to a heartbeat.
@@ -34,7 +34,9 @@
     pub store_age_ms: u64,
     /// The newest version of the table that the answerer has.
     pub table_revision: u64,
-    /// The table at that version, where the asker's is older.
+    /// A hash of the versions of all rows of that table.
+    pub table_digest: u64,
+    /// The rows with their versions as JSON, where the asker's digest differs.
     pub table_json: Option<String>,
     /// Whether the answerer is stopping.
     pub is_leaving: bool,
