--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -6,3 +6,4 @@
 mod bad_input;
 mod cell;
 mod failures;
+mod table;
--- /dev/null
+++ b/crates/daemon/tests/processes/table.rs
@@ -0,0 +1,82 @@
+//! Edits of the table: two operators at once, and answers that are lost.
+
+use crate::cell::Cell;
+use http::Method;
+use ospreywing_http::{Answer, Call};
+use ospreywing_standin::faults::PlatformFaults;
+use ospreywing_table::{Row, RowKind};
+use ospreywing_types::Name;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn row(share: u32) -> Row {
+    let mut row = Row::new(Name::new("edited").expect("a name"), RowKind::Batch);
+    row.share = share;
+    row
+}
+
+fn put(addr: &str, row: &Row, revision: u64) -> Call {
+    let path = format!("/v1/table/rows/{}", row.name);
+    Call::new(Method::PUT, addr, &path, LIMIT)
+        .with_header("if-match", &revision.to_string())
+        .with_json(row)
+        .expect("a row has a JSON form")
+}
+
+fn body(answer: &Answer) -> serde_json::Value {
+    answer.json().expect("the answer is JSON")
+}
+
+#[test]
+fn two_operators_at_once_one_wins() {
+    let cell = Cell::new(2);
+    let addrs = [0, 1].map(|daemon| cell.daemons[daemon].http_addr.clone());
+    let answers = cell.runtime.block_on(async {
+        let first = tokio::spawn({
+            let (http, call) = (cell.http.clone(), put(&addrs[0], &row(11), 0));
+            async move { http.call(call).await }
+        });
+        let (http, call) = (cell.http.clone(), put(&addrs[1], &row(22), 0));
+        let second = http.call(call).await;
+        [first.await.expect("the call ends"), second]
+    });
+    let answers = answers.map(|answer| answer.expect("an answer comes"));
+    let mut statuses = answers.clone().map(|answer| answer.status.as_u16());
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409]);
+    let loser = answers.iter().find(|answer| answer.status.as_u16() == 409);
+    let loser = body(loser.expect("one lost"));
+    // The loser gets the newer row, and what differs from it to its own.
+    let winner_share = loser["newer"]["row"]["share"].as_u64();
+    assert!(matches!(winner_share, Some(11 | 22)), "{loser}");
+    assert_eq!(loser["changes"][0]["column"], "share", "{loser}");
+    let read = Call::new(Method::GET, &addrs[0], "/v1/table/rows/edited", LIMIT);
+    let there = body(&cell.call(read).expect("an answer comes"));
+    assert_eq!(there["row"]["share"].as_u64(), winner_share);
+}
+
+#[test]
+fn lost_answers_are_resolved_not_repeated() {
+    let cell = Cell::new(2);
+    let addr = cell.daemons[0].http_addr.clone();
+    let faults = PlatformFaults {
+        lose_answers_permille: 500,
+        ..PlatformFaults::default()
+    };
+    cell.set_faults(&cell.platform_addr, &faults);
+    let mut revision = 0;
+    for share in 1..=8 {
+        let answer = cell.call(put(&addr, &row(share), revision));
+        let answer = answer.expect("an answer comes");
+        assert_eq!(answer.status.as_u16(), 200, "{:?}", answer.body);
+        let newer = body(&answer)["revision"].as_u64().unwrap_or_default();
+        assert!(newer > revision, "{newer} after {revision}");
+        revision = newer;
+    }
+    cell.set_faults(&cell.platform_addr, &PlatformFaults::default());
+    let history = Call::new(Method::GET, &addr, "/v1/table/history/edited", LIMIT);
+    let history = body(&cell.call(history).expect("an answer comes"));
+    // Each edit is there once.
+    assert_eq!(history.as_array().map(Vec::len), Some(8), "{history}");
+}
