Replay traces, measure takeovers and decisions, keep the daemon's entry

Cause: an operator could not ask what a table would have done; what a decision and a takeover cost was not known. Measuring takeovers showed two faults: a daemon's entry in the store was gone ten seconds after its predecessor had stopped by plan, so that it never got shards (the stand-in let a key that was put again live by its old lease); and a killed daemon's shards waited for a proof that claiming does not need.

The stand-in's leases are mended with a test, and the daemon enters itself again when a poll does not find it, whatever its lease says. The first refused ping makes a peer suspect, which is reason enough to claim its shards; that it is gone, on which seats and starts rest, still takes two.

Ruled out: a fault in hand-over or assignment; the log showed the member missing from its own view.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -69,6 +69,7 @@
         .subcommand(Command::new("boxes").about("Shows the workers and which are connected"))
         .subcommand(Command::new("status").about("Shows the cell as each daemon sees it"))
         .subcommand(report())
+        .subcommand(replay())
         .subcommand(check_settings())
         .subcommand(
             Command::new("completions")
@@ -177,6 +178,24 @@
         )
 }
 
+fn replay() -> Command {
+    let table = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
+    Command::new("replay")
+        .about("Replays a recorded trace through the same decisions, under a table or two")
+        .arg(Arg::new("trace").required(true).help("The trace's file"))
+        .arg(table("table", "The table's CSV file").required(true))
+        .arg(table(
+            "other-table",
+            "A second table, whose figures are printed beside the first's",
+        ))
+        .arg(
+            Arg::new("baseline")
+                .long("baseline")
+                .action(ArgAction::SetTrue)
+                .help("Print first fit in arrival order beside it"),
+        )
+}
+
 fn check_settings() -> Command {
     Command::new("check-settings")
         .about("Checks a daemon's settings, given as its flags or in the environment")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command;
 mod error;
 mod print;
+mod replay;
 mod report;
 mod run;
 mod settings_check;
--- /dev/null
+++ b/crates/cli/src/replay.rs
@@ -0,0 +1,109 @@
+//! `replay`.
+
+use crate::print::{columns, print, Format};
+use crate::CliError;
+use clap::ArgMatches;
+use ospreywing_replay::{play, play_first_fit, Quantiles, ReplayReport, Trace};
+use ospreywing_table::{from_csv, Table};
+use serde::Serialize;
+
+/// One replay with what it was played under.
+#[derive(Clone, Debug, Serialize)]
+struct Played {
+    under: String,
+    #[serde(flatten)]
+    report: ReplayReport,
+}
+
+/// Replays a trace under one or two tables, and the baseline where asked.
+pub(crate) fn run(format: Format, matches: &ArgMatches) -> Result<(), CliError> {
+    let path = |name: &str| matches.get_one::<String>(name).cloned();
+    let trace_path = path("trace").unwrap_or_default();
+    let trace = Trace::parse(&read(&trace_path)?)
+        .map_err(|error| CliError::Usage(format!("{trace_path}: {error}")))?;
+    let mut played = Vec::new();
+    for table_path in [path("table"), path("other-table")].into_iter().flatten() {
+        let table = read_table(&table_path)?;
+        played.push(Played {
+            under: table_path,
+            report: play(&trace, &table),
+        });
+    }
+    if matches.get_flag("baseline") {
+        played.push(Played {
+            under: "first fit".to_owned(),
+            report: play_first_fit(&trace),
+        });
+    }
+    match (format, played.as_slice()) {
+        (Format::Json, [one]) => print(format, one, String::new),
+        _ => print(format, &played, || text(&played)),
+    }
+    Ok(())
+}
+
+fn read(path: &str) -> Result<String, CliError> {
+    std::fs::read_to_string(path).map_err(|source| CliError::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn read_table(path: &str) -> Result<Table, CliError> {
+    from_csv(&read(path)?).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|f| format!("{path}: {f}")).collect();
+        CliError::Usage(lines.join("\n"))
+    })
+}
+
+fn quantiles(quantiles: &Quantiles) -> String {
+    let Quantiles { p50, p99, max } = quantiles;
+    format!("{p50:.0} / {p99:.0} / {max:.0}")
+}
+
+fn text(played: &[Played]) -> String {
+    let mut heading = vec!["MEASURE"];
+    heading.extend(played.iter().map(|played| played.under.as_str()));
+    let line = |name: &str, cell: &dyn Fn(&ReplayReport) -> String| {
+        let mut line = vec![name.to_owned()];
+        line.extend(played.iter().map(|played| cell(&played.report)));
+        line
+    };
+    let mut lines = vec![
+        line("tasks", &|r| r.tasks.to_string()),
+        line("refused / lost / run twice", &|r| {
+            format!("{} / {} / {}", r.refused, r.lost, r.run_twice)
+        }),
+        line("overcommits", &|r| r.overcommits.to_string()),
+        line("restarted", &|r| r.restarted.to_string()),
+        line("wait ms p50 / p99 / max", &|r| quantiles(&r.wait_ms)),
+        line("cores in use", &|r| format!("{:.3}", r.packing_ratio)),
+        line("  at most, were tasks divisible", &|r| {
+            format!("{:.3}", r.packing_bound_ratio)
+        }),
+        line("memory in use", &|r| format!("{:.3}", r.packing.memory)),
+        line("accelerators in use", &|r| {
+            format!("{:.3}", r.packing.accelerators)
+        }),
+        line("decisions a second of deciding", &|r| {
+            format!("{:.0}", r.decisions_per_s)
+        }),
+        line("decision us p50 / p99", &|r| {
+            format!("{:.1} / {:.1}", r.decision_us.p50, r.decision_us.p99)
+        }),
+        line("commits a second", &|r| {
+            format!("{:.1}", r.store_calls_per_s)
+        }),
+        line("bytes committed a start", &|r| {
+            format!("{:.0}", r.store_bytes_per_start)
+        }),
+    ];
+    let rows = played.first().map(|played| &played.report.wait_by_row);
+    for row in rows.into_iter().flatten() {
+        lines.push(line(&format!("wait ms of {}", row.row), &|r| {
+            let same = r.wait_by_row.iter().find(|other| other.row == row.row);
+            same.map_or(String::new(), |same| quantiles(&same.wait_ms))
+        }));
+    }
+    columns(&heading, &lines)
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use ospreywing_types::DaemonIdentity;
 use slog::{info, Logger};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
@@ -77,9 +78,18 @@
     let stop_api = api::start(listener, api, API_THREADS_COUNT)
         .map_err(|source| socket_error("--http-addr", http_addr, source))?;
 
-    let poll = StorePoll::new(store, layout, engine.clone(), Arc::clone(&counts));
+    let is_entered = Arc::new(AtomicBool::new(false));
+    let member_key = layout.member(&settings.name);
+    let poll = StorePoll::new(
+        store,
+        layout,
+        engine.clone(),
+        Arc::clone(&counts),
+        member_key,
+        Arc::clone(&is_entered),
+    );
     tokio::spawn(poll.run(settings.poll_every, wake));
-    tokio::spawn(calls.clone().keep_member());
+    tokio::spawn(calls.clone().keep_member(is_entered));
     let boxes_addr = settings.boxes_addr.to_string();
     tokio::spawn(box_list::run(
         engine.clone(),
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -98,6 +98,9 @@
         };
         if is_proof {
             self.gone(to).await;
+        } else {
+            let incarnation = to.incarnation;
+            self.engine.tell(Event::PeerRefused { incarnation }).await;
         }
     }
 
--- a/crates/daemon/src/store_calls.rs
+++ b/crates/daemon/src/store_calls.rs
@@ -12,6 +12,7 @@
 use ospreywing_shard::Commit;
 use ospreywing_store::{Compare, KeyValue, Op, StoreClient, StoreError, Txn, TxnReply};
 use rand::Rng;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -246,11 +247,7 @@
     }
 
     /// Makes a transaction until it is answered; returns the number of tries too.
-    async fn txn_until_answered(
-        &self,
-        txn: &Txn,
-        count: &std::sync::atomic::AtomicU64,
-    ) -> (TxnReply, u32) {
+    async fn txn_until_answered(&self, txn: &Txn, count: &AtomicU64) -> (TxnReply, u32) {
         let mut backoff = Backoff::new();
         for tries_count in 1.. {
             StoreCounts::add(count);
@@ -266,12 +263,16 @@
     }
 
     /// Keeps this daemon's entry in the store for ever, under a lease.
-    pub async fn keep_member(self) {
+    ///
+    /// `is_entered` says whether the last poll found the entry: a lease that is
+    /// alive does not prove that the entry is there.
+    pub async fn keep_member(self, is_entered: Arc<AtomicBool>) {
         let mut lease = None;
         let mut ticks = tokio::time::interval(KEEPALIVE_EVERY);
         loop {
             ticks.tick().await;
             let kept = match lease {
+                Some(_) if !is_entered.load(Ordering::Relaxed) => Ok(false),
                 Some(lease) => self.keep_alive(lease).await,
                 None => Ok(false),
             };
--- a/crates/daemon/src/store_poll.rs
+++ b/crates/daemon/src/store_poll.rs
@@ -13,6 +13,7 @@
 use ospreywing_store::{Page, StoreClient, StoreError};
 use ospreywing_types::Duration;
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tokio::sync::Notify;
 
@@ -27,15 +28,21 @@
     counts: Arc<StoreCounts>,
     known: HashSet<String>,
     revision: u64,
+    member_key: String,
+    is_entered: Arc<AtomicBool>,
 }
 
 impl StorePoll {
     /// Creates the poller.
+    ///
+    /// `is_entered` says whether the last poll found `member_key`.
     pub fn new(
         store: StoreClient,
         layout: Layout,
         engine: EngineHandle,
         counts: Arc<StoreCounts>,
+        member_key: String,
+        is_entered: Arc<AtomicBool>,
     ) -> Self {
         Self {
             store,
@@ -44,6 +51,8 @@
             counts,
             known: HashSet::new(),
             revision: 0,
+            member_key,
+            is_entered,
         }
     }
 
@@ -89,6 +98,8 @@
 
     async fn tell(&mut self, asked_at: ospreywing_types::Instant, page: &Page, is_whole: bool) {
         self.revision = page.revision;
+        let is_entered = self.known.contains(&self.member_key);
+        self.is_entered.store(is_entered, Ordering::Relaxed);
         let found = page.key_values.iter();
         let poll = Poll {
             asked_at,
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -188,6 +188,17 @@
         let heard_at = asked_at - Duration::from_ms(pong.store_age_ms);
         peer.store_heard_at = peer.store_heard_at.max(Some(heard_at));
         peer.is_leaving = pong.is_leaving;
+        peer.is_suspect = false;
+    }
+
+    /// Takes in that a process's address refused a connection.
+    ///
+    /// That is reason enough to claim its shards, which is safe from a live
+    /// owner too, and no proof that it has ended.
+    pub fn on_refused(&mut self, incarnation: u64) {
+        if let Some(peer) = self.peers.get_mut(incarnation) {
+            peer.is_suspect = true;
+        }
     }
 
     /// Takes in that the process `incarnation` has certainly ended.
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -29,6 +29,8 @@
     pub store_heard_at: Option<Instant>,
     /// Whether it said that it is stopping.
     pub is_leaving: bool,
+    /// Whether its address last refused a connection; it need not have ended.
+    pub is_suspect: bool,
     /// When it was proved to have ended.
     pub gone_at: Option<Instant>,
     /// When a ping was last sent.
@@ -61,6 +63,7 @@
                 steady_since: now,
                 store_heard_at: None,
                 is_leaving: false,
+                is_suspect: false,
                 gone_at: None,
                 pinged_at: None,
             });
@@ -100,6 +103,7 @@
         };
         match peer.gone_at {
             Some(at) => PeerState::Gone(at),
+            None if peer.is_suspect => PeerState::Silent,
             None if now.since(peer.seen_at()) >= silent_after => PeerState::Silent,
             None => PeerState::Live,
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -90,6 +90,11 @@
         /// The answer.
         pong: Pong,
     },
+    /// A process's address refused a connection.
+    PeerRefused {
+        /// The process.
+        incarnation: u64,
+    },
     /// A process has certainly ended.
     ProcessGone {
         /// The process.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -110,6 +110,7 @@
             }
             Event::Boxes(boxes) => self.on_boxes(now, boxes, actions),
             Event::Ponged { asked_at, pong } => self.on_ponged(now, asked_at, &pong, actions),
+            Event::PeerRefused { incarnation } => self.membership.on_refused(incarnation),
             Event::ProcessGone { incarnation } => self.membership.on_gone(now, incarnation),
             Event::Pinged { token, ping } => {
                 self.membership.on_ping(now, &ping.from);
--- /dev/null
+++ b/crates/replay/src/baseline.rs
@@ -0,0 +1,188 @@
+//! The baseline: first fit, in the order of arrival, with neither shares nor
+//! priorities nor caps, and the first task that fits nowhere holds up the rest.
+
+use crate::gauge::Gauge;
+use crate::report::ReplayReport;
+use crate::trace::{TaskArrival, Trace, TraceStep};
+use ospreywing_types::{Name, Resources};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+struct Worker {
+    resources: Resources,
+    free: Resources,
+    run: u64,
+    is_up: bool,
+    running: BTreeMap<u64, Waiting>,
+}
+
+#[derive(Clone)]
+struct Waiting {
+    arrival: TaskArrival,
+    at_ms: u64,
+    has_started: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct End {
+    at_ms: u64,
+    worker: Name,
+    run: u64,
+    number: u64,
+}
+
+struct FirstFit {
+    workers: BTreeMap<Name, Worker>,
+    queue: VecDeque<Waiting>,
+    ends: BinaryHeap<Reverse<End>>,
+    gauge: Gauge,
+    report: ReplayReport,
+    now_ms: u64,
+    next_number: u64,
+    ended_count: u64,
+}
+
+/// Plays `trace` by first fit in arrival order and returns what was measured.
+pub fn play_first_fit(trace: &Trace) -> ReplayReport {
+    let mut player = FirstFit {
+        workers: BTreeMap::new(),
+        queue: VecDeque::new(),
+        ends: BinaryHeap::new(),
+        gauge: Gauge::new(),
+        report: ReplayReport::default(),
+        now_ms: 0,
+        next_number: 0,
+        ended_count: 0,
+    };
+    for event in &trace.events {
+        player.run_until(event.at_ms);
+        player.take_step(&event.step);
+        player.place();
+    }
+    while let Some(at_ms) = player.ends.peek().map(|end| end.0.at_ms) {
+        player.run_until(at_ms);
+    }
+    player.report.lost = player.report.tasks - player.ended_count;
+    player.gauge.fill(&mut player.report);
+    player.report
+}
+
+impl FirstFit {
+    fn run_until(&mut self, until_ms: u64) {
+        while self.ends.peek().is_some_and(|end| end.0.at_ms <= until_ms) {
+            let Some(Reverse(end)) = self.ends.pop() else {
+                break;
+            };
+            self.advance(end.at_ms);
+            self.end(&end);
+            self.place();
+        }
+        self.advance(until_ms);
+    }
+
+    fn advance(&mut self, at_ms: u64) {
+        self.gauge.advance(at_ms);
+        self.now_ms = self.now_ms.max(at_ms);
+    }
+
+    fn end(&mut self, end: &End) {
+        let Some(worker) = self.workers.get_mut(&end.worker) else {
+            return;
+        };
+        if worker.run != end.run {
+            return;
+        }
+        if let Some(task) = worker.running.remove(&end.number) {
+            let need = task.arrival.resources;
+            worker.free += need;
+            self.gauge.end(&need);
+            self.gauge.leave(&need);
+            self.ended_count += 1;
+        }
+    }
+
+    fn take_step(&mut self, step: &TraceStep) {
+        match step {
+            TraceStep::Worker {
+                name, resources, ..
+            } => {
+                let worker = Worker {
+                    resources: *resources,
+                    free: *resources,
+                    run: 0,
+                    is_up: true,
+                    running: BTreeMap::new(),
+                };
+                self.workers.insert(name.clone(), worker);
+                self.gauge.add_worker(resources);
+            }
+            TraceStep::Task(arrival) => {
+                self.report.tasks += 1;
+                self.gauge.arrive(&arrival.resources);
+                self.queue.push_back(Waiting {
+                    arrival: arrival.clone(),
+                    at_ms: self.now_ms,
+                    has_started: false,
+                });
+            }
+            TraceStep::Lost(name) => self.lose(name),
+            TraceStep::Back(name) => self.bring_back(name),
+        }
+    }
+
+    fn lose(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.is_up = false;
+        worker.run += 1;
+        let running = core::mem::take(&mut worker.running);
+        let resources = worker.resources;
+        self.gauge.remove_worker(&resources);
+        for task in running.into_values() {
+            self.gauge.end(&task.arrival.resources);
+            self.report.restarted += 1;
+            self.queue.push_front(task);
+        }
+    }
+
+    fn bring_back(&mut self, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.is_up = true;
+            worker.free = worker.resources;
+            let resources = worker.resources;
+            self.gauge.add_worker(&resources);
+        }
+    }
+
+    fn place(&mut self) {
+        while let Some(first) = self.queue.front() {
+            let need = first.arrival.resources;
+            let began = std::time::Instant::now();
+            let fits = |worker: &&mut Worker| worker.is_up && need.fits_in(&worker.free);
+            let mut workers = self.workers.iter_mut();
+            let found = workers.find(|(_, worker)| fits(worker));
+            let length = began.elapsed();
+            let Some((name, worker)) = found else { return };
+            let Some(mut task) = self.queue.pop_front() else {
+                return;
+            };
+            self.gauge.note_decisions(length, 1);
+            self.next_number += 1;
+            worker.free -= need;
+            self.gauge.begin(&need);
+            if !task.has_started {
+                task.has_started = true;
+                let waited_ms = self.now_ms - task.at_ms;
+                self.gauge.note_wait(&task.arrival.row, waited_ms);
+            }
+            self.ends.push(Reverse(End {
+                at_ms: self.now_ms + task.arrival.duration_ms,
+                worker: name.clone(),
+                run: worker.run,
+                number: self.next_number,
+            }));
+            worker.running.insert(self.next_number, task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/player.rs
@@ -0,0 +1,445 @@
+//! Plays a trace through an owner.
+
+use crate::gauge::Gauge;
+use crate::report::ReplayReport;
+use crate::trace::{TaskArrival, Trace, TraceStep};
+use ospreywing_shard::{Action, Event, Owner, OwnerConfig, Recovery, Reply, Token};
+use ospreywing_table::Table;
+use ospreywing_types::peer::SubmitReply;
+use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::{
+    AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Instant, Key, Name, Resources, TaskEnd,
+    TaskId, TaskSpec,
+};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::sync::Arc;
+
+/// The store's answer to a commit comes after this time.
+const COMMIT_MS: u64 = 5;
+/// The pace of commits: one owner's even part of sixty a second.
+const COMMIT_EVERY_MS: u64 = 50;
+const TICK_MS: u64 = 250;
+/// A replay ends this long after its last event at the latest.
+const TAIL_MS: u64 = 24 * 3600 * 1000;
+/// What is decided in a trace is not to be dropped before its end.
+const KEEP: ospreywing_types::Duration = ospreywing_types::Duration::from_s(u64::MAX / 2000);
+
+/// Something that is due.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Committed,
+    Ended {
+        worker: Name,
+        attempt: AttemptId,
+        incarnation: u64,
+    },
+    Commit,
+    Tick,
+}
+
+/// A worker of the trace.
+struct WorkerFake {
+    rack: Name,
+    resources: Resources,
+    incarnation: u64,
+    session: u64,
+    is_up: bool,
+    running: BTreeMap<AttemptId, Resources>,
+}
+
+struct Player {
+    owner: Owner,
+    gauge: Gauge,
+    report: ReplayReport,
+    now_ms: u64,
+    due: BinaryHeap<Reverse<(u64, Due)>>,
+    workers: BTreeMap<Name, WorkerFake>,
+    tasks: BTreeMap<Key, Arrived>,
+    tokens: BTreeMap<u64, Key>,
+    running: BTreeMap<TaskId, u32>,
+    next_session: u64,
+    is_commit_due: bool,
+    committed_at_ms: u64,
+    ended_count: u64,
+    actions: Vec<Action>,
+    /// What the workers answer to the actions that are being carried out.
+    inbox: VecDeque<Event>,
+}
+
+struct Arrived {
+    arrival: TaskArrival,
+    at_ms: u64,
+    has_started: bool,
+}
+
+/// Plays `trace` under `table` and returns what was measured.
+pub fn play(trace: &Trace, table: &Table) -> ReplayReport {
+    let mut player = Player::new(table);
+    for event in &trace.events {
+        player.run_until(event.at_ms);
+        player.take_step(&event.step);
+    }
+    player.run_to_end();
+    player.finish()
+}
+
+impl Player {
+    fn new(table: &Table) -> Self {
+        let identity = DaemonIdentity {
+            name: Name::new("replay").expect("a name"),
+            incarnation: 1,
+            rpc_addr: String::new(),
+        };
+        let mut config = OwnerConfig::new(0, 1, 1, identity);
+        config.result_retention = KEEP;
+        config.waiting_limit_count = usize::MAX;
+        let owner = Recovery::new(config).finish(Instant::from_ms(0));
+        let mut player = Self {
+            owner,
+            gauge: Gauge::new(),
+            report: ReplayReport::default(),
+            now_ms: 0,
+            due: BinaryHeap::new(),
+            workers: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            running: BTreeMap::new(),
+            next_session: 0,
+            is_commit_due: false,
+            committed_at_ms: 0,
+            ended_count: 0,
+            actions: Vec::new(),
+            inbox: VecDeque::new(),
+        };
+        player.tell(Event::Table(Arc::new(table.clone())));
+        player.at(TICK_MS, Due::Tick);
+        player
+    }
+
+    fn at(&mut self, at_ms: u64, due: Due) {
+        self.due.push(Reverse((at_ms, due)));
+    }
+
+    fn run_until(&mut self, until_ms: u64) {
+        while self.due.peek().is_some_and(|due| due.0 .0 <= until_ms) {
+            let Some(Reverse((at_ms, due))) = self.due.pop() else {
+                break;
+            };
+            self.advance(at_ms);
+            self.take_due(due);
+        }
+        self.advance(until_ms);
+    }
+
+    fn run_to_end(&mut self) {
+        let limit_ms = self.now_ms + TAIL_MS;
+        while self.ended_count + self.report.refused < self.report.tasks {
+            let next = self.due.peek().map_or(limit_ms, |due| due.0 .0);
+            if next >= limit_ms {
+                return;
+            }
+            self.run_until(next);
+        }
+    }
+
+    fn advance(&mut self, at_ms: u64) {
+        self.gauge.advance(at_ms);
+        self.now_ms = self.now_ms.max(at_ms);
+    }
+
+    fn take_due(&mut self, due: Due) {
+        match due {
+            Due::Tick => {
+                self.tell(Event::OwnershipConfirmed {
+                    asked_at: Instant::from_ms(self.now_ms),
+                });
+                self.tell(Event::Tick);
+                self.at(self.now_ms + TICK_MS, Due::Tick);
+            }
+            Due::Commit => {
+                self.is_commit_due = false;
+                self.commit();
+            }
+            Due::Committed => self.tell(Event::CommitDone),
+            Due::Ended {
+                worker,
+                attempt,
+                incarnation,
+            } => self.end(&worker, attempt, incarnation),
+        }
+    }
+
+    fn take_step(&mut self, step: &TraceStep) {
+        match step {
+            TraceStep::Worker {
+                name,
+                rack,
+                resources,
+            } => {
+                let worker = WorkerFake {
+                    rack: rack.clone(),
+                    resources: *resources,
+                    incarnation: 0,
+                    session: 0,
+                    is_up: false,
+                    running: BTreeMap::new(),
+                };
+                self.workers.insert(name.clone(), worker);
+                self.tell_boxes();
+                self.connect(name);
+            }
+            TraceStep::Task(arrival) => self.arrive(arrival),
+            TraceStep::Lost(name) => self.lose(name),
+            TraceStep::Back(name) => self.connect(name),
+        }
+    }
+
+    fn tell_boxes(&mut self) {
+        let facts = |(name, worker): (&Name, &WorkerFake)| BoxFacts {
+            name: name.clone(),
+            kind: BoxKind::Worker,
+            state: BoxState::Live,
+            addr: String::new(),
+            data_centre: worker.rack.clone(),
+            rack: worker.rack.clone(),
+            resources: worker.resources,
+            serves: Vec::new(),
+        };
+        let boxes = self.workers.iter().map(facts).collect();
+        self.tell(Event::Boxes(boxes));
+    }
+
+    fn connect(&mut self, name: &Name) {
+        self.next_session += 1;
+        let session = self.next_session;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.is_up {
+            return;
+        }
+        worker.is_up = true;
+        worker.session = session;
+        worker.incarnation = session;
+        let resources = worker.resources;
+        self.gauge.add_worker(&resources);
+        let report = Report {
+            incarnation: session,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        let worker = name.clone();
+        self.tell(Event::SessionOpened {
+            worker,
+            session,
+            report,
+        });
+    }
+
+    fn lose(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !worker.is_up {
+            return;
+        }
+        worker.is_up = false;
+        let session = worker.session;
+        let resources = worker.resources;
+        let running = core::mem::take(&mut worker.running);
+        self.gauge.remove_worker(&resources);
+        for (attempt, need) in running {
+            self.gauge.end(&need);
+            self.stop_counting(attempt);
+        }
+        let worker = name.clone();
+        self.tell(Event::SessionClosed { worker, session });
+    }
+
+    fn stop_counting(&mut self, attempt: AttemptId) {
+        if let Some(count) = self.running.get_mut(&attempt.task) {
+            *count -= 1;
+        }
+    }
+
+    fn arrive(&mut self, arrival: &TaskArrival) {
+        self.report.tasks += 1;
+        let token = Token(self.report.tasks);
+        self.gauge.arrive(&arrival.resources);
+        let arrived = Arrived {
+            arrival: arrival.clone(),
+            at_ms: self.now_ms,
+            has_started: false,
+        };
+        self.tasks.insert(arrival.key.clone(), arrived);
+        self.tokens.insert(token.0, arrival.key.clone());
+        self.tell(Event::Submit {
+            token,
+            key: arrival.key.clone(),
+            row: arrival.row.clone(),
+            spec: TaskSpec {
+                resources: arrival.resources,
+                command: arrival.key.to_string(),
+            },
+        });
+    }
+
+    fn commit(&mut self) {
+        if !self.owner.wants_commit() {
+            return;
+        }
+        let before = self.owner.counts().started_count;
+        let began = std::time::Instant::now();
+        let commit = self.owner.next_commit(Instant::from_ms(self.now_ms));
+        let length = began.elapsed();
+        let starts_count = self.owner.counts().started_count - before;
+        self.gauge.note_decisions(length, starts_count);
+        if let Some(commit) = commit {
+            self.gauge.note_commit(commit.value.len());
+            self.committed_at_ms = self.now_ms;
+            self.at(self.now_ms + COMMIT_MS, Due::Committed);
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.inbox.push_back(event);
+        let now = Instant::from_ms(self.now_ms);
+        while let Some(event) = self.inbox.pop_front() {
+            let mut actions = core::mem::take(&mut self.actions);
+            self.owner.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+            self.actions = actions;
+        }
+        if self.owner.wants_commit() && !self.is_commit_due {
+            self.is_commit_due = true;
+            let earliest_ms = self.committed_at_ms + COMMIT_EVERY_MS;
+            self.at(self.now_ms.max(earliest_ms), Due::Commit);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Reply {
+                reply: Reply::Submit(SubmitReply::Refused { .. }),
+                token,
+            } => self.refuse(token),
+            Action::SendStart {
+                worker,
+                incarnation,
+                attempt,
+                resources,
+                command,
+                ..
+            } => self.begin(&worker, incarnation, attempt, resources, &command),
+            Action::AskReport { worker } => self.send_report(&worker),
+            _ => {}
+        }
+    }
+
+    fn refuse(&mut self, token: Token) {
+        self.report.refused += 1;
+        let key = self.tokens.get(&token.0);
+        if let Some(task) = key.and_then(|key| self.tasks.get(key)) {
+            self.gauge.leave(&task.arrival.resources);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        name: &Name,
+        incarnation: u64,
+        attempt: AttemptId,
+        need: Resources,
+        command: &str,
+    ) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !worker.is_up || worker.incarnation != incarnation {
+            return;
+        }
+        worker.running.insert(attempt, need);
+        let used = worker.running.values();
+        let used = used.fold(Resources::ZERO, |sum, need| sum + *need);
+        self.report.overcommits += u64::from(!used.fits_in(&worker.resources));
+        let count = self.running.entry(attempt.task).or_default();
+        *count += 1;
+        self.report.run_twice += u64::from(*count > 1);
+        self.report.restarted += u64::from(attempt.number > 1);
+        self.gauge.begin(&need);
+        let Some(task) = Key::new(command)
+            .ok()
+            .and_then(|key| self.tasks.get_mut(&key))
+        else {
+            return;
+        };
+        if !task.has_started {
+            task.has_started = true;
+            let waited_ms = self.now_ms - task.at_ms;
+            let row = task.arrival.row.clone();
+            self.gauge.note_wait(&row, waited_ms);
+        }
+        let ends_at_ms = self.now_ms + task.arrival.duration_ms;
+        let worker = name.clone();
+        self.at(
+            ends_at_ms,
+            Due::Ended {
+                worker,
+                attempt,
+                incarnation,
+            },
+        );
+        self.inbox.push_back(Event::StartAcked { attempt });
+    }
+
+    fn send_report(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        if !worker.is_up {
+            return;
+        }
+        let report = Report {
+            incarnation: worker.incarnation,
+            running: worker.running.keys().copied().collect(),
+            ended: Vec::new(),
+        };
+        self.inbox.push_back(Event::Reported {
+            worker: name.clone(),
+            session: worker.session,
+            asked_at: Instant::from_ms(self.now_ms),
+            report,
+        });
+    }
+
+    fn end(&mut self, name: &Name, attempt: AttemptId, incarnation: u64) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.incarnation != incarnation {
+            return;
+        }
+        let Some(need) = worker.running.remove(&attempt) else {
+            return;
+        };
+        self.gauge.end(&need);
+        self.gauge.leave(&need);
+        self.stop_counting(attempt);
+        self.ended_count += 1;
+        let worker = name.clone();
+        let ended = Ended {
+            attempt,
+            end: TaskEnd::Finished(String::new()),
+        };
+        self.tell(Event::Ended { worker, ended });
+    }
+
+    fn finish(mut self) -> ReplayReport {
+        self.report.lost = self.report.tasks - self.report.refused - self.ended_count;
+        self.gauge.fill(&mut self.report);
+        self.report
+    }
+}
--- /dev/null
+++ b/crates/shard/benches/decisions.rs
@@ -0,0 +1,220 @@
+//! What a decision costs: starts placed on workers that are part full, with as
+//! many ended, at several sizes. Prints decisions a second on one core and the
+//! time of one decision, as the mean of its commit.
+
+use hdrhistogram::Histogram;
+use ospreywing_shard::{Action, Event, Owner, OwnerConfig, Recovery, Token};
+use ospreywing_table::{Row, RowKind, Table};
+use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::{
+    AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Duration, Instant, Key, Name,
+    Resources, TaskEnd, TaskSpec,
+};
+use std::sync::Arc;
+
+const TEAMS_COUNT: usize = 100;
+const BATCH_COUNT: usize = 64;
+const ROUNDS_COUNT: usize = 300;
+/// Longer decisions count as this: a second.
+const LONGEST_NS: u64 = 1_000_000_000;
+const NEED: Resources = Resources::new(1000, 1024, 0);
+
+struct Size {
+    workers_count: usize,
+    running_count: usize,
+}
+
+const SIZES: [Size; 5] = [
+    Size {
+        workers_count: 50,
+        running_count: 1000,
+    },
+    Size {
+        workers_count: 680,
+        running_count: 1000,
+    },
+    Size {
+        workers_count: 680,
+        running_count: 7200,
+    },
+    Size {
+        workers_count: 6800,
+        running_count: 7200,
+    },
+    Size {
+        workers_count: 6800,
+        running_count: 72_000,
+    },
+];
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+struct Bench {
+    owner: Owner,
+    now: Instant,
+    actions: Vec<Action>,
+    running: Vec<(Name, AttemptId)>,
+    next_key: u64,
+}
+
+impl Bench {
+    fn new(size: &Size) -> Self {
+        let identity = DaemonIdentity {
+            name: name("bench"),
+            incarnation: 1,
+            rpc_addr: String::new(),
+        };
+        let mut config = OwnerConfig::new(0, 1, 1, identity);
+        config.waiting_limit_count = usize::MAX;
+        // Ended tasks are dropped soon, so that the state stays of one size.
+        config.result_retention = Duration::from_ms(1);
+        let mut bench = Self {
+            owner: Recovery::new(config).finish(Instant::from_ms(1000)),
+            now: Instant::from_ms(1000),
+            actions: Vec::new(),
+            running: Vec::new(),
+            next_key: 0,
+        };
+        bench.tell(Event::Table(table()));
+        bench.add_workers(size.workers_count);
+        while bench.running.len() < size.running_count {
+            let missing = size.running_count - bench.running.len();
+            bench.submit(missing.min(500));
+            bench.commit();
+        }
+        bench
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.owner.handle(self.now, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            if let Action::SendStart {
+                worker, attempt, ..
+            } = action
+            {
+                self.running.push((worker, attempt));
+            }
+        }
+    }
+
+    fn add_workers(&mut self, count: usize) {
+        let facts = |index: usize| BoxFacts {
+            name: name(&format!("w{index}")),
+            kind: BoxKind::Worker,
+            state: BoxState::Live,
+            addr: String::new(),
+            data_centre: name("dc"),
+            rack: name(&format!("rack{}", index / 8)),
+            resources: Resources::new(64_000, 262_144, (index % 2) as u32 * 4),
+            serves: Vec::new(),
+        };
+        self.tell(Event::Boxes((0..count).map(facts).collect()));
+        for index in 0..count {
+            let report = Report {
+                incarnation: 1,
+                running: Vec::new(),
+                ended: Vec::new(),
+            };
+            self.tell(Event::SessionOpened {
+                worker: name(&format!("w{index}")),
+                session: index as u64,
+                report,
+            });
+        }
+    }
+
+    fn submit(&mut self, count: usize) {
+        for _ in 0..count {
+            self.next_key += 1;
+            let row = self.next_key as usize % TEAMS_COUNT;
+            self.tell(Event::Submit {
+                token: Token(self.next_key),
+                key: Key::new(&format!("k{}", self.next_key)).expect("a key"),
+                row: name(&format!("row{row}")),
+                spec: TaskSpec {
+                    resources: NEED,
+                    command: "work".to_owned(),
+                },
+            });
+        }
+    }
+
+    /// Makes a commit and returns how long it took and how many starts it has.
+    fn commit(&mut self) -> (std::time::Duration, usize) {
+        self.now = self.now + Duration::from_ms(10);
+        let before = self.running.len();
+        let began = std::time::Instant::now();
+        let commit = self.owner.next_commit(self.now);
+        self.tell(Event::CommitDone);
+        let length = began.elapsed();
+        drop(commit);
+        let started = self.running[before..].to_vec();
+        for (_, attempt) in &started {
+            self.tell(Event::StartAcked { attempt: *attempt });
+        }
+        (length, started.len())
+    }
+
+    /// Ends the oldest of what runs.
+    fn end(&mut self, count: usize) {
+        for (worker, attempt) in self.running.drain(..count).collect::<Vec<_>>() {
+            let end = TaskEnd::Finished(String::new());
+            let ended = Ended { attempt, end };
+            self.tell(Event::Ended { worker, ended });
+        }
+        self.tell(Event::Tick);
+    }
+}
+
+fn table() -> Arc<Table> {
+    let mut table = Table::new();
+    for index in 0..TEAMS_COUNT {
+        let mut team = Row::new(name(&format!("team{index}")), RowKind::Team);
+        team.caps.cores_milli = 1_000_000_000;
+        table.put(team);
+        let mut row = Row::new(name(&format!("row{index}")), RowKind::Batch);
+        row.team = Some(name(&format!("team{index}")));
+        table.put(row);
+    }
+    Arc::new(table)
+}
+
+fn resident_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0.0) * 4096.0 / 1024.0 / 1024.0
+}
+
+fn main() {
+    println!("workers  running  decisions/s   p50 us   p99 us   resident MB");
+    for size in &SIZES {
+        let mut bench = Bench::new(size);
+        let each_ns = Histogram::new_with_max(LONGEST_NS, 3);
+        let mut each_ns: Histogram<u64> = each_ns.expect("the bounds are sound");
+        let mut deciding = std::time::Duration::ZERO;
+        let mut starts_count = 0;
+        for _ in 0..ROUNDS_COUNT {
+            bench.end(BATCH_COUNT);
+            bench.submit(BATCH_COUNT);
+            let (length, started_count) = bench.commit();
+            assert_eq!(started_count, BATCH_COUNT, "there is room for all");
+            deciding += length;
+            starts_count += started_count;
+            each_ns.saturating_record(length.as_nanos() as u64 / started_count as u64);
+        }
+        println!(
+            "{:7}  {:7}  {:11.0}  {:7.1}  {:7.1}  {:12.1}",
+            size.workers_count,
+            size.running_count,
+            starts_count as f64 / deciding.as_secs_f64(),
+            each_ns.value_at_quantile(0.5) as f64 / 1000.0,
+            each_ns.value_at_quantile(0.99) as f64 / 1000.0,
+            resident_mb(),
+        );
+    }
+}
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -161,7 +161,12 @@
         }
         let gone: Vec<Vec<u8>> = self.keys.range(bounds).map(|(k, _)| k.clone()).collect();
         for key in &gone {
-            self.keys.remove(key);
+            let removed = self.keys.remove(key);
+            let lease = removed.map_or(0, |kv| kv.lease.0);
+            // A key that is put again later does not live by the old lease.
+            if let Some(lease) = self.leases.get_mut(&lease) {
+                lease.keys.remove(key);
+            }
         }
         gone.len()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod platform;
 pub mod rate;
 pub mod record;
+pub mod trace_maker;
 pub mod web;
 pub mod worker;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,6 +5,7 @@
 use ospreywing_standin::judge;
 use ospreywing_standin::minion::{self, MinionHost};
 use ospreywing_standin::platform::{self, Platform, PlatformLimits};
+use ospreywing_standin::trace_maker;
 use ospreywing_standin::worker::{self, WorkerHost};
 use ospreywing_types::{Name, Resources};
 use std::net::{SocketAddr, TcpListener};
@@ -35,6 +36,17 @@
         .subcommand(workers_command())
         .subcommand(minions_command())
         .subcommand(drive_command())
+        .subcommand(
+            Command::new("make-trace")
+                .about("Prints a trace for replay")
+                .arg(
+                    Arg::new("shape")
+                        .required(true)
+                        .value_parser(["swaramala", "gallery", "letter"])
+                        .help("The deployment"),
+                )
+                .arg(number("seed", "1", "The seed of all choices")),
+        )
         .subcommand(
             Command::new("judge")
                 .about("Judges the records of workers and minions")
@@ -138,6 +150,10 @@
         Some(("minions", matches)) => run_minions(matches).await,
         Some(("drive", matches)) => run_drive(matches).await,
         Some(("judge", matches)) => run_judge(matches).await,
+        Some(("make-trace", matches)) => {
+            make_trace(matches);
+            Ok(())
+        }
         _ => Ok(()),
     }
 }
@@ -174,6 +190,13 @@
     Ok(())
 }
 
+fn make_trace(matches: &ArgMatches) {
+    let seed = u64::from(count(matches, "seed"));
+    if let Some(shape) = trace_maker::shape(&one(matches, "shape")) {
+        print!("{}", trace_maker::make(&shape, seed));
+    }
+}
+
 fn run_platform(matches: &ArgMatches) -> std::io::Result<()> {
     let mut listeners = Vec::new();
     for addr in texts(matches, "listen") {
--- /dev/null
+++ b/crates/standin/src/trace_maker.rs
@@ -0,0 +1,255 @@
+//! Makes traces for replay, from stated distributions and a seed.
+//!
+//! Arrivals are a Poisson process whose rate follows a shape over the trace; the
+//! durations of each row are log-normal, so that a few tasks take most of the
+//! time. The trace of the letter's size has a rack lost at its peak.
+
+use ospreywing_types::Resources;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64Mcg;
+use std::fmt::Write;
+
+/// One row's tasks.
+#[derive(Clone, Debug)]
+pub struct RowShape {
+    /// The row.
+    pub row: &'static str,
+    /// Its part of the arrivals.
+    pub weight: u32,
+    /// What each task needs.
+    pub need: Resources,
+    /// The median duration.
+    pub median_ms: f64,
+    /// The spread of the duration: the standard deviation of its logarithm.
+    pub spread: f64,
+}
+
+/// What a trace is made from.
+#[derive(Clone, Debug)]
+pub struct TraceShape {
+    /// Workers, in the order of their racks.
+    pub workers_count: u32,
+    /// How many of them have accelerators.
+    pub accelerated_count: u32,
+    /// What each holds.
+    pub capacity: Resources,
+    /// Workers in a rack.
+    pub rack_size: u32,
+    /// The trace's length.
+    pub length_ms: u64,
+    /// Arrivals a second at the peak, which is in the middle.
+    pub peak_per_s: f64,
+    /// The rate at both ends, as a part of the peak's.
+    pub floor: f64,
+    /// Whether a rack is lost at the peak and back after a tenth of the trace.
+    pub loses_rack: bool,
+    /// The rows.
+    pub rows: Vec<RowShape>,
+}
+
+/// Returns the shape of a deployment: `swaramala`, `gallery` or `letter`.
+pub fn shape(name: &str) -> Option<TraceShape> {
+    match name {
+        "swaramala" => Some(swaramala()),
+        "gallery" => Some(gallery()),
+        "letter" => Some(letter()),
+        _ => None,
+    }
+}
+
+const fn row(
+    row: &'static str,
+    weight: u32,
+    need: Resources,
+    median_ms: f64,
+    spread: f64,
+) -> RowShape {
+    RowShape {
+        row,
+        weight,
+        need,
+        median_ms,
+        spread,
+    }
+}
+
+/// An evening on which leaders hand in season plans, and a venue that cancels.
+fn swaramala() -> TraceShape {
+    TraceShape {
+        workers_count: 50,
+        accelerated_count: 0,
+        capacity: Resources::new(64_000, 131_072, 0),
+        rack_size: 8,
+        length_ms: 2 * 3600 * 1000,
+        peak_per_s: 1.0,
+        floor: 0.2,
+        loses_rack: false,
+        rows: vec![
+            row(
+                "season-plan",
+                3,
+                Resources::new(8000, 16_384, 0),
+                900_000.0,
+                0.8,
+            ),
+            row(
+                "weekly-reshuffle",
+                7,
+                Resources::new(2000, 4096, 0),
+                60_000.0,
+                1.0,
+            ),
+        ],
+    }
+}
+
+/// A Saturday evening: albums and bundles after many weddings.
+fn gallery() -> TraceShape {
+    TraceShape {
+        workers_count: 50,
+        accelerated_count: 30,
+        capacity: Resources::new(64_000, 262_144, 4),
+        rack_size: 6,
+        length_ms: 2 * 3600 * 1000,
+        peak_per_s: 0.75,
+        floor: 0.1,
+        loses_rack: false,
+        rows: vec![
+            row(
+                "album-render",
+                4,
+                Resources::new(4000, 16_384, 1),
+                300_000.0,
+                1.0,
+            ),
+            row(
+                "guest-bundle",
+                6,
+                Resources::new(2000, 8192, 0),
+                120_000.0,
+                1.2,
+            ),
+        ],
+    }
+}
+
+/// One region at the size to design for, at its peak, with a rack lost.
+fn letter() -> TraceShape {
+    TraceShape {
+        workers_count: 340,
+        accelerated_count: 175,
+        capacity: Resources::new(64_000, 262_144, 4),
+        rack_size: 8,
+        length_ms: 3 * 60 * 1000,
+        peak_per_s: 60.0,
+        floor: 0.7,
+        loses_rack: true,
+        rows: vec![
+            row(
+                "album-render",
+                3,
+                Resources::new(4000, 16_384, 1),
+                20_000.0,
+                1.0,
+            ),
+            row(
+                "guest-bundle",
+                7,
+                Resources::new(2000, 8192, 0),
+                40_000.0,
+                1.2,
+            ),
+        ],
+    }
+}
+
+/// Makes a trace.
+///
+/// # Panics
+///
+/// Panics where the shape has no rows or no arrivals.
+pub fn make(shape: &TraceShape, seed: u64) -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut text = format!("ospreywing-trace 1\n# made with seed {seed}\n");
+    for index in 0..shape.workers_count {
+        let mut holds = shape.capacity;
+        if index >= shape.accelerated_count {
+            holds.accelerators_count = 0;
+        }
+        let rack = index / shape.rack_size;
+        let line = format!("0 worker w{index:03} rack{rack} {}", words(&holds));
+        push(&mut text, &line);
+    }
+    let gap = Exp::new(shape.peak_per_s / 1000.0).expect("there are arrivals");
+    let middle_ms = shape.length_ms / 2;
+    let back_ms = middle_ms + shape.length_ms / 10;
+    let mut losses = if shape.loses_rack {
+        vec![(back_ms, "back"), (middle_ms, "lost")]
+    } else {
+        Vec::new()
+    };
+    let mut at_ms = 0.0;
+    let mut number = 0;
+    loop {
+        at_ms += gap.sample(&mut rng);
+        while losses.last().is_some_and(|&(ms, _)| ms as f64 <= at_ms) {
+            if let Some((ms, word)) = losses.pop() {
+                push_rack(&mut text, shape, ms, word);
+            }
+        }
+        if at_ms >= shape.length_ms as f64 {
+            return text;
+        }
+        // Thinning: an arrival of the peak's rate is kept with the shape's odds.
+        let odds = rate(shape, at_ms);
+        if rng.random_range(0.0..1.0) < odds {
+            number += 1;
+            push_task(&mut text, shape, at_ms as u64, number, &mut rng);
+        }
+    }
+}
+
+/// The rate at a time, as a part of the peak's: a triangle over the floor.
+fn rate(shape: &TraceShape, at_ms: f64) -> f64 {
+    let place = at_ms / shape.length_ms as f64;
+    let from_peak = (place - 0.5).abs() * 2.0;
+    shape.floor + (1.0 - shape.floor) * (1.0 - from_peak)
+}
+
+fn push_task(text: &mut String, shape: &TraceShape, at_ms: u64, number: u64, rng: &mut Pcg64Mcg) {
+    let weights: u32 = shape.rows.iter().map(|row| row.weight).sum();
+    let mut pick = rng.random_range(0..weights);
+    let row = shape.rows.iter().find(|row| {
+        let is_it = pick < row.weight;
+        pick = pick.saturating_sub(row.weight);
+        is_it
+    });
+    let row = row.expect("there are rows");
+    let durations = LogNormal::new(row.median_ms.ln(), row.spread).expect("the spread is sound");
+    let duration_ms = durations.sample(rng).max(1.0) as u64;
+    let need = words(&row.need);
+    let line = format!("{at_ms} task t{number} {} {need} {duration_ms}", row.row);
+    push(text, &line);
+}
+
+/// Writes what happens to every worker of one rack.
+fn push_rack(text: &mut String, shape: &TraceShape, at_ms: u64, word: &str) {
+    for index in 0..shape.rack_size {
+        push(text, &format!("{at_ms} {word} w{index:03}"));
+    }
+}
+
+fn words(resources: &Resources) -> String {
+    let Resources {
+        cores_milli,
+        memory_mib,
+        accelerators_count,
+    } = resources;
+    format!("{cores_milli} {memory_mib} {accelerators_count}")
+}
+
+fn push(text: &mut String, line: &str) {
+    // Writing to memory does not fail.
+    let _ = writeln!(text, "{line}");
+}
