Name a worker's orders once; part large files

Cause: read as a newcomer: the orders to a worker stood three times, as actions of the owner, of the node and of the sessions, with code that copied one into the other; two files had grown beyond one job.

Change: ospreywing_types::worker::Order is what an owner wants of a worker, passed on as it is. The node's part about workers and the search's checks have files of their own. Behaviour stays as it was.

--- a/crates/daemon/src/sessions.rs
+++ b/crates/daemon/src/sessions.rs
@@ -11,7 +11,7 @@
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use ospreywing_node::{Action, Event};
-use ospreywing_types::worker::{self, Ended, Renew, Report, Start, Stop};
+use ospreywing_types::worker::{self, Ended, Order, Renew, Report, Start, Stop};
 use ospreywing_types::Name;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -28,15 +28,6 @@
 /// The number of the next connection; each is used once in a process.
 static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
 
-/// An order for one worker.
-#[derive(Clone, Debug)]
-enum Order {
-    Start { incarnation: u64, start: Start },
-    Renew(Renew),
-    Stop(Stop),
-    AskReport,
-}
-
 /// Connections to workers.
 pub struct Sessions {
     engine: EngineHandle,
@@ -63,39 +54,7 @@
             Action::Disconnect { worker } => {
                 self.orders.remove(&worker);
             }
-            Action::SendStart {
-                worker,
-                incarnation,
-                attempt,
-                resources,
-                command,
-                lease,
-            } => {
-                let start = Start {
-                    attempt,
-                    resources,
-                    command,
-                    lease_ms: lease.as_ms(),
-                };
-                self.start(&worker, incarnation, start);
-            }
-            Action::SendRenew {
-                worker,
-                attempts,
-                lease,
-                forget,
-            } => self.order(
-                &worker,
-                Order::Renew(Renew {
-                    attempts,
-                    lease_ms: lease.as_ms(),
-                    forget,
-                }),
-            ),
-            Action::SendStop { worker, attempt } => {
-                self.order(&worker, Order::Stop(Stop { attempt }));
-            }
-            Action::AskReport { worker } => self.order(&worker, Order::AskReport),
+            Action::Order { worker, order } => self.order(&worker, order),
             _ => {}
         }
     }
@@ -113,15 +72,13 @@
     }
 
     fn order(&self, worker: &Name, order: Order) {
-        // An order for a connection that has gone is moot.
-        let _ = self.orders.get(worker).map(|orders| orders.send(order));
-    }
-
-    fn start(&self, worker: &Name, incarnation: u64, start: Start) {
-        let attempt = start.attempt;
-        let order = Order::Start { incarnation, start };
+        let attempt = match &order {
+            Order::Start { start, .. } => Some(start.attempt),
+            Order::Renew(_) | Order::Stop(_) | Order::Report => None,
+        };
         let sent = self.orders.get(worker).map(|orders| orders.send(order));
-        if !matches!(sent, Some(Ok(()))) {
+        // Any other order for a connection that has gone is moot.
+        if let (Some(attempt), None | Some(Err(_))) = (attempt, sent) {
             let engine = self.engine.clone();
             tokio::spawn(async move { engine.tell(Event::StartNotSent { attempt }).await });
         }
@@ -288,7 +245,7 @@
             Order::Stop(stop) => {
                 tokio::spawn(async move { this.stop(stop).await });
             }
-            Order::AskReport => {
+            Order::Report => {
                 tokio::spawn(async move { this.ask_report().await });
             }
         }
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -5,7 +5,8 @@
 use ospreywing_types::peer::{
     CloseEpochReply, Pong, Query, QueryReply, Submit, SubmitReply, TakeKey, TakeKeyReply,
 };
-use ospreywing_types::{AttemptId, DaemonIdentity, Duration, Name, Resources};
+use ospreywing_types::worker::Order;
+use ospreywing_types::{DaemonIdentity, Duration, Name};
 
 /// An answer to a caller or a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -139,43 +140,12 @@
         /// The worker.
         worker: Name,
     },
-    /// Send a start over the open connection to this run of the worker, once.
-    SendStart {
-        /// The worker.
-        worker: Name,
-        /// The run of the worker that alone may receive it.
-        incarnation: u64,
-        /// The attempt.
-        attempt: AttemptId,
-        /// What it needs.
-        resources: Resources,
-        /// The work itself.
-        command: String,
-        /// How long it may run without a renewal.
-        lease: Duration,
-    },
-    /// Renew leases and let the worker forget what is on record.
-    SendRenew {
-        /// The worker.
-        worker: Name,
-        /// The attempts to renew.
-        attempts: Vec<AttemptId>,
-        /// The lease.
-        lease: Duration,
-        /// The ended attempts to forget.
-        forget: Vec<AttemptId>,
-    },
-    /// Ask a worker to stop an attempt.
-    SendStop {
-        /// The worker.
-        worker: Name,
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Ask a worker for its report.
-    AskReport {
+    /// Give a worker an order over its open connection.
+    Order {
         /// The worker.
         worker: Name,
+        /// The order.
+        order: Order,
     },
     /// Send a request to a minion, once.
     SendRequest {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod shard_slot;
 mod shards;
 mod table_view;
+mod workers;
 
 pub use action::{Action, Answer, Forward};
 pub use config::NodeConfig;
--- a/crates/node/src/shards.rs
+++ b/crates/node/src/shards.rs
@@ -2,13 +2,12 @@
 
 use crate::action::{Action, Answer};
 use crate::event::{ClaimedLog, Event};
-use crate::node::{Connected, Node, Waiter};
+use crate::node::{Node, Waiter};
 use crate::shard_slot::ShardSlot;
 use ospreywing_routing as routing;
 use ospreywing_shard::{self as shard, Owner, Recovery};
 use ospreywing_types::peer::{CloseEpochReply, SubmitReply, TakeKeyReply};
-use ospreywing_types::{AttemptId, BoxFacts, Duration, Instant, Name};
-use std::collections::BTreeMap;
+use ospreywing_types::{Duration, Instant};
 
 /// How often a former owner is asked to close its epoch.
 const ASK_TO_CLOSE_EVERY: Duration = Duration::from_ms(500);
@@ -57,86 +56,6 @@
         }
     }
 
-    fn on_worker_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
-        match event {
-            Event::SessionOpened {
-                worker,
-                epoch,
-                session,
-                report,
-            } => {
-                let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::SessionOpened {
-                    worker,
-                    session,
-                    report,
-                };
-                self.tell_owner_of(now, shard, epoch, event, actions);
-            }
-            Event::Reported {
-                worker,
-                epoch,
-                session,
-                asked_at,
-                report,
-            } => {
-                let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::Reported {
-                    worker,
-                    session,
-                    asked_at,
-                    report,
-                };
-                self.tell_owner_of(now, shard, epoch, event, actions);
-            }
-            Event::SessionClosed {
-                worker,
-                epoch,
-                session,
-            } => {
-                let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::SessionClosed { worker, session };
-                self.tell_owner_of(now, shard, epoch, event, actions);
-            }
-            Event::StartAcked { attempt } => {
-                self.on_start_resolved(now, attempt, shard::Event::StartAcked { attempt }, actions);
-            }
-            Event::StartNotSent { attempt } => {
-                let event = shard::Event::StartNotSent { attempt };
-                self.on_start_resolved(now, attempt, event, actions);
-            }
-            Event::StartInDoubt { attempt } => {
-                let event = shard::Event::StartInDoubt { attempt };
-                self.on_start_resolved(now, attempt, event, actions);
-            }
-            Event::Ended { worker, ended } => {
-                let shard = self.shard_of_worker(&worker);
-                let event = shard::Event::Ended { worker, ended };
-                self.tell_owner(now, shard, event, actions);
-            }
-            _ => {}
-        }
-    }
-
-    fn on_start_resolved(
-        &mut self,
-        now: Instant,
-        attempt: AttemptId,
-        event: shard::Event,
-        actions: &mut Vec<Action>,
-    ) {
-        let slot = self.shards.get_mut(attempt.shard as usize);
-        if let Some(ShardSlot::Closing(closing)) = slot {
-            closing.resolve(attempt);
-            if closing.is_closed() {
-                self.shards[attempt.shard as usize] = ShardSlot::Idle;
-                self.connect_workers(actions);
-            }
-            return;
-        }
-        self.tell_owner(now, attempt.shard, event, actions);
-    }
-
     fn owns(&self, shard: u32, epoch: u64) -> bool {
         let owner = self.shards[shard as usize].owner();
         owner.is_some_and(|owner| owner.config().epoch == epoch)
@@ -378,51 +297,9 @@
         }
     }
 
-    /// Gives an owner the workers of its shard.
-    pub(crate) fn give_boxes(&mut self, now: Instant, shard: u32, actions: &mut Vec<Action>) {
-        if self.shards[shard as usize].owner().is_none() {
-            return;
-        }
-        let workers = self.workers.values();
-        let boxes: Vec<BoxFacts> = workers
-            .filter(|facts| self.shard_of_worker(&facts.name) == shard)
-            .cloned()
-            .collect();
-        self.tell_owner(now, shard, shard::Event::Boxes(boxes), actions);
-    }
-
-    /// Keeps connections to the workers of owned shards, and to no others.
-    pub(crate) fn connect_workers(&mut self, actions: &mut Vec<Action>) {
-        let wanted: BTreeMap<Name, Connected> = self
-            .workers
-            .values()
-            .filter_map(|facts| {
-                let slot = &self.shards[self.shard_of_worker(&facts.name) as usize];
-                let epoch = slot.epoch()?;
-                let addr = facts.addr.clone();
-                Some((facts.name.clone(), Connected { addr, epoch }))
-            })
-            .collect();
-        let is_gone = |name: &&Name| wanted.get(*name) != self.connected.get(*name);
-        let gone: Vec<Name> = self.connected.keys().filter(is_gone).cloned().collect();
-        for worker in gone {
-            actions.push(Action::Disconnect { worker });
-        }
-        for (worker, connected) in &wanted {
-            if self.connected.get(worker) != Some(connected) {
-                actions.push(Action::Connect {
-                    worker: worker.clone(),
-                    addr: connected.addr.clone(),
-                    epoch: connected.epoch,
-                });
-            }
-        }
-        self.connected = wanted;
-    }
-
     /// Hands an event to the owner of a shard, where this node is that under
     /// `epoch`. What a worker said before a shard was claimed may be out of date.
-    fn tell_owner_of(
+    pub(crate) fn tell_owner_of(
         &mut self,
         now: Instant,
         shard: u32,
@@ -465,37 +342,8 @@
                 shard::Action::Reply { token, reply } => {
                     self.on_owner_reply(now, token, reply, actions);
                 }
-                shard::Action::SendStart {
-                    worker,
-                    incarnation,
-                    attempt,
-                    resources,
-                    command,
-                    lease,
-                } => actions.push(Action::SendStart {
-                    worker,
-                    incarnation,
-                    attempt,
-                    resources,
-                    command,
-                    lease,
-                }),
-                shard::Action::SendRenew {
-                    worker,
-                    attempts,
-                    lease,
-                    forget,
-                } => actions.push(Action::SendRenew {
-                    worker,
-                    attempts,
-                    lease,
-                    forget,
-                }),
-                shard::Action::SendStop { worker, attempt } => {
-                    actions.push(Action::SendStop { worker, attempt });
-                }
-                shard::Action::AskReport { worker } => {
-                    actions.push(Action::AskReport { worker });
+                shard::Action::Order { worker, order } => {
+                    actions.push(Action::Order { worker, order });
                 }
             }
         }
--- /dev/null
+++ b/crates/node/src/workers.rs
@@ -0,0 +1,138 @@
+//! The workers of owned shards: connections, and word that comes over them.
+
+use crate::action::Action;
+use crate::event::Event;
+use crate::node::{Connected, Node};
+use crate::shard_slot::ShardSlot;
+use ospreywing_shard as shard;
+use ospreywing_types::{AttemptId, BoxFacts, Instant, Name};
+use std::collections::BTreeMap;
+
+impl Node {
+    pub(crate) fn on_worker_event(
+        &mut self,
+        now: Instant,
+        event: Event,
+        actions: &mut Vec<Action>,
+    ) {
+        match event {
+            Event::SessionOpened {
+                worker,
+                epoch,
+                session,
+                report,
+            } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::SessionOpened {
+                    worker,
+                    session,
+                    report,
+                };
+                self.tell_owner_of(now, shard, epoch, event, actions);
+            }
+            Event::Reported {
+                worker,
+                epoch,
+                session,
+                asked_at,
+                report,
+            } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::Reported {
+                    worker,
+                    session,
+                    asked_at,
+                    report,
+                };
+                self.tell_owner_of(now, shard, epoch, event, actions);
+            }
+            Event::SessionClosed {
+                worker,
+                epoch,
+                session,
+            } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::SessionClosed { worker, session };
+                self.tell_owner_of(now, shard, epoch, event, actions);
+            }
+            Event::StartAcked { attempt } => {
+                self.on_start_resolved(now, attempt, shard::Event::StartAcked { attempt }, actions);
+            }
+            Event::StartNotSent { attempt } => {
+                let event = shard::Event::StartNotSent { attempt };
+                self.on_start_resolved(now, attempt, event, actions);
+            }
+            Event::StartInDoubt { attempt } => {
+                let event = shard::Event::StartInDoubt { attempt };
+                self.on_start_resolved(now, attempt, event, actions);
+            }
+            Event::Ended { worker, ended } => {
+                let shard = self.shard_of_worker(&worker);
+                let event = shard::Event::Ended { worker, ended };
+                self.tell_owner(now, shard, event, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_start_resolved(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        event: shard::Event,
+        actions: &mut Vec<Action>,
+    ) {
+        let slot = self.shards.get_mut(attempt.shard as usize);
+        if let Some(ShardSlot::Closing(closing)) = slot {
+            closing.resolve(attempt);
+            if closing.is_closed() {
+                self.shards[attempt.shard as usize] = ShardSlot::Idle;
+                self.connect_workers(actions);
+            }
+            return;
+        }
+        self.tell_owner(now, attempt.shard, event, actions);
+    }
+
+    /// Gives an owner the workers of its shard.
+    pub(crate) fn give_boxes(&mut self, now: Instant, shard: u32, actions: &mut Vec<Action>) {
+        if self.shards[shard as usize].owner().is_none() {
+            return;
+        }
+        let workers = self.workers.values();
+        let boxes: Vec<BoxFacts> = workers
+            .filter(|facts| self.shard_of_worker(&facts.name) == shard)
+            .cloned()
+            .collect();
+        self.tell_owner(now, shard, shard::Event::Boxes(boxes), actions);
+    }
+
+    /// Keeps connections to the workers of owned shards, and to no others.
+    pub(crate) fn connect_workers(&mut self, actions: &mut Vec<Action>) {
+        let wanted: BTreeMap<Name, Connected> = self
+            .workers
+            .values()
+            .filter_map(|facts| {
+                let slot = &self.shards[self.shard_of_worker(&facts.name) as usize];
+                let epoch = slot.epoch()?;
+                let addr = facts.addr.clone();
+                Some((facts.name.clone(), Connected { addr, epoch }))
+            })
+            .collect();
+        let is_gone = |name: &&Name| wanted.get(*name) != self.connected.get(*name);
+        let gone: Vec<Name> = self.connected.keys().filter(is_gone).cloned().collect();
+        for worker in gone {
+            actions.push(Action::Disconnect { worker });
+        }
+        for (worker, connected) in &wanted {
+            if self.connected.get(worker) != Some(connected) {
+                actions.push(Action::Connect {
+                    worker: worker.clone(),
+                    addr: connected.addr.clone(),
+                    epoch: connected.epoch,
+                });
+            }
+        }
+        self.connected = wanted;
+    }
+}
--- a/crates/replay/src/player.rs
+++ b/crates/replay/src/player.rs
@@ -6,7 +6,7 @@
 use ospreywing_shard::{Action, Event, Owner, OwnerConfig, Recovery, Reply, Token};
 use ospreywing_table::Table;
 use ospreywing_types::peer::SubmitReply;
-use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::worker::{Ended, Order, Report, Start};
 use ospreywing_types::{
     AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Instant, Key, Name, Resources, TaskEnd,
     TaskId, TaskSpec,
@@ -326,15 +326,11 @@
                 reply: Reply::Submit(SubmitReply::Refused { .. }),
                 token,
             } => self.refuse(token),
-            Action::SendStart {
-                worker,
-                incarnation,
-                attempt,
-                resources,
-                command,
-                ..
-            } => self.begin(&worker, incarnation, attempt, resources, &command),
-            Action::AskReport { worker } => self.send_report(&worker),
+            Action::Order { worker, order } => match order {
+                Order::Start { incarnation, start } => self.begin(&worker, incarnation, &start),
+                Order::Report => self.send_report(&worker),
+                Order::Renew(_) | Order::Stop(_) => {}
+            },
             _ => {}
         }
     }
@@ -347,14 +343,8 @@
         }
     }
 
-    fn begin(
-        &mut self,
-        name: &Name,
-        incarnation: u64,
-        attempt: AttemptId,
-        need: Resources,
-        command: &str,
-    ) {
+    fn begin(&mut self, name: &Name, incarnation: u64, start: &Start) {
+        let (attempt, need) = (start.attempt, start.resources);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -370,7 +360,7 @@
         self.report.run_twice += u64::from(*count > 1);
         self.report.restarted += u64::from(attempt.number > 1);
         self.gauge.begin(&need);
-        let Some(task) = Key::new(command)
+        let Some(task) = Key::new(&start.command)
             .ok()
             .and_then(|key| self.tasks.get_mut(&key))
         else {
--- a/crates/shard/benches/decisions.rs
+++ b/crates/shard/benches/decisions.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use ospreywing_shard::{Action, Event, Owner, OwnerConfig, Recovery, Token};
 use ospreywing_table::{Row, RowKind, Table};
-use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::worker::{Ended, Order, Report};
 use ospreywing_types::{
     AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Duration, Instant, Key, Name,
     Resources, TaskEnd, TaskSpec,
@@ -90,11 +90,12 @@
     fn tell(&mut self, event: Event) {
         self.owner.handle(self.now, event, &mut self.actions);
         for action in self.actions.drain(..) {
-            if let Action::SendStart {
-                worker, attempt, ..
+            if let Action::Order {
+                worker,
+                order: Order::Start { start, .. },
             } = action
             {
-                self.running.push((worker, attempt));
+                self.running.push((worker, start.attempt));
             }
         }
     }
--- a/crates/shard/src/action.rs
+++ b/crates/shard/src/action.rs
@@ -1,7 +1,8 @@
 //! What an owner wants done.
 
 use ospreywing_types::peer::{SubmitReply, TakeKeyReply};
-use ospreywing_types::{AttemptId, Duration, Name, Resources};
+use ospreywing_types::worker::Order;
+use ospreywing_types::Name;
 
 /// Stands for a caller that waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -26,42 +27,11 @@
         /// The answer.
         reply: Reply,
     },
-    /// Send a start over the open connection to this run of the worker, once.
-    SendStart {
-        /// The worker.
-        worker: Name,
-        /// The run of the worker that alone may receive it.
-        incarnation: u64,
-        /// The attempt.
-        attempt: AttemptId,
-        /// What it needs.
-        resources: Resources,
-        /// The work itself.
-        command: String,
-        /// How long it may run without a renewal.
-        lease: Duration,
-    },
-    /// Renew leases and let the worker forget what is on record.
-    SendRenew {
-        /// The worker.
-        worker: Name,
-        /// The attempts to renew.
-        attempts: Vec<AttemptId>,
-        /// The lease from the worker's receipt on.
-        lease: Duration,
-        /// The ended attempts to forget.
-        forget: Vec<AttemptId>,
-    },
-    /// Ask a worker to stop an attempt.
-    SendStop {
-        /// The worker.
-        worker: Name,
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Ask a worker for its report.
-    AskReport {
+    /// Give a worker an order over its open connection.
+    Order {
         /// The worker.
         worker: Name,
+        /// The order.
+        order: Order,
     },
 }
--- a/crates/shard/src/commit.rs
+++ b/crates/shard/src/commit.rs
@@ -6,6 +6,7 @@
 use crate::owner::{Effect, Inflight, Owner};
 use crate::presence::Presence;
 use crate::record::Record;
+use ospreywing_types::worker::{Order, Start, Stop};
 use ospreywing_types::Instant;
 
 /// Starts in one commit at most, so that a batch stays small.
@@ -130,13 +131,18 @@
             return;
         };
         self.presence[task] = Presence::Sent;
-        actions.push(Action::SendStart {
-            worker: started.worker,
-            incarnation: started.incarnation,
+        let start = Start {
             attempt,
             resources: spec.resources,
             command: spec.command,
-            lease: self.config.lease,
+            lease_ms: self.config.lease.as_ms(),
+        };
+        actions.push(Action::Order {
+            worker: started.worker,
+            order: Order::Start {
+                incarnation: started.incarnation,
+                start,
+            },
         });
     }
 
@@ -146,9 +152,9 @@
         };
         let started = self.state.tasks[task].started();
         if let Some(started) = started {
-            actions.push(Action::SendStop {
+            actions.push(Action::Order {
                 worker: started.worker.clone(),
-                attempt,
+                order: Order::Stop(Stop { attempt }),
             });
         }
     }
--- a/crates/shard/src/owner.rs
+++ b/crates/shard/src/owner.rs
@@ -14,6 +14,7 @@
 use crate::workload::WorkloadTable;
 use cranelift_entity::{EntitySet, SecondaryMap};
 use ospreywing_types::peer::TaskStatus;
+use ospreywing_types::worker::{Order, Renew};
 use ospreywing_types::{AttemptId, Instant, Key, Name, TaskPhase};
 use std::collections::VecDeque;
 
@@ -265,11 +266,13 @@
             core::mem::take(&mut data.forget)
         });
         if !is_idle {
-            actions.push(Action::SendRenew {
+            actions.push(Action::Order {
                 worker: worker_name,
-                attempts,
-                lease: self.config.lease,
-                forget,
+                order: Order::Renew(Renew {
+                    attempts,
+                    lease_ms: self.config.lease.as_ms(),
+                    forget,
+                }),
             });
         }
     }
@@ -299,7 +302,10 @@
                 session.asked_at = now;
             }
         });
-        actions.push(Action::AskReport { worker: name });
+        actions.push(Action::Order {
+            worker: name,
+            order: Order::Report,
+        });
     }
 
     /// Drops results and keys that were kept long enough.
--- a/crates/shard/src/resolve.rs
+++ b/crates/shard/src/resolve.rs
@@ -23,7 +23,7 @@
 use crate::state::Started;
 use crate::worker::{Listing, Session};
 use ospreywing_table::Repeat;
-use ospreywing_types::worker::{Ended, Report};
+use ospreywing_types::worker::{Ended, Order, Report, Stop};
 use ospreywing_types::{AttemptId, Instant, Name, TaskEnd, TaskPhase};
 
 /// Reports in a row that must lack a start in doubt.
@@ -413,9 +413,9 @@
         for &attempt in &report.running {
             if self.current(attempt).is_none() && self.is_settled_attempt(attempt) {
                 self.counts.stray_attempts_count += 1;
-                actions.push(Action::SendStop {
+                actions.push(Action::Order {
                     worker: self.workers.get(worker).name.clone(),
-                    attempt,
+                    order: Order::Stop(Stop { attempt }),
                 });
             }
         }
--- a/crates/shard/tests/owner/support/daemon_fake.rs
+++ b/crates/shard/tests/owner/support/daemon_fake.rs
@@ -1,6 +1,7 @@
 //! One daemon's shell around an owner: what it holds between check and send.
 
 use ospreywing_shard::{Closing, Commit, Event, Owner};
+use ospreywing_types::worker::Order;
 use std::collections::VecDeque;
 
 /// An order that was decided and not yet sent: a pause may lie in between.
@@ -11,23 +12,6 @@
     pub order: Order,
 }
 
-/// An order for a worker.
-#[derive(Clone, Debug)]
-pub enum Order {
-    Start {
-        attempt: ospreywing_types::AttemptId,
-        resources: ospreywing_types::Resources,
-        lease_ms: u64,
-    },
-    Renew {
-        attempts: Vec<ospreywing_types::AttemptId>,
-        forget: Vec<ospreywing_types::AttemptId>,
-        lease_ms: u64,
-    },
-    Stop(ospreywing_types::AttemptId),
-    Report,
-}
-
 /// An open connection to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Link {
--- a/crates/shard/tests/owner/support/mod.rs
+++ b/crates/shard/tests/owner/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fakes at the interfaces of an owner: a store, workers, and what lies between.
 
 pub mod box_fake;
+mod checks;
 pub mod daemon_fake;
 pub mod script;
 pub mod store_fake;
--- a/crates/shard/tests/owner/support/world.rs
+++ b/crates/shard/tests/owner/support/world.rs
@@ -2,17 +2,15 @@
 //! between them, step by step.
 
 use super::box_fake::{BoxFake, Running};
-use super::daemon_fake::{DaemonFake, Held, Link, Order};
+use super::daemon_fake::{DaemonFake, Held, Link};
 use super::store_fake::StoreFake;
-use ospreywing_shard::{
-    verify, Action, Event, Owner, OwnerConfig, Position, Recovery, Reply, Token,
-};
+use ospreywing_shard::{Action, Event, Owner, OwnerConfig, Recovery, Reply, Token};
 use ospreywing_table::{Repeat, Row, RowKind, Table};
 use ospreywing_types::peer::{SubmitReply, TakeKeyReply};
-use ospreywing_types::worker::Ended;
+use ospreywing_types::worker::{Ended, Order};
 use ospreywing_types::{
     AttemptId, BoxFacts, BoxKind, BoxState, DaemonIdentity, Duration, Instant, Key, Name,
-    Resources, TaskId, TaskSpec,
+    Resources, TaskSpec,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -117,7 +115,7 @@
 }
 
 /// An order in a worker's buffer.
-struct Buffered {
+pub(super) struct Buffered {
     daemon: usize,
     process: u64,
     link: Link,
@@ -127,7 +125,7 @@
 }
 
 /// A worker's word on its way back.
-struct Back {
+pub(super) struct Back {
     daemon: usize,
     process: u64,
     session: u64,
@@ -152,30 +150,30 @@
 
 pub struct World {
     pub now: Instant,
-    store: StoreFake,
-    daemons: Vec<DaemonFake>,
-    workers: Vec<BoxFake>,
-    buffers: Vec<Buffered>,
-    backs: Vec<Back>,
-    table: Arc<Table>,
-    listed: BTreeSet<usize>,
-    off_at: [Option<Instant>; WORKERS_COUNT],
-    keys: Vec<Key>,
-    unsafe_keys: BTreeSet<Key>,
-    accepted: BTreeSet<Key>,
+    pub(super) store: StoreFake,
+    pub(super) daemons: Vec<DaemonFake>,
+    pub(super) workers: Vec<BoxFake>,
+    pub(super) buffers: Vec<Buffered>,
+    pub(super) backs: Vec<Back>,
+    pub(super) table: Arc<Table>,
+    pub(super) listed: BTreeSet<usize>,
+    pub(super) off_at: [Option<Instant>; WORKERS_COUNT],
+    pub(super) keys: Vec<Key>,
+    pub(super) unsafe_keys: BTreeSet<Key>,
+    pub(super) accepted: BTreeSet<Key>,
     /// Keys of which a caller was told anything but a refusal, or nothing yet.
-    doubtful: BTreeSet<Key>,
+    pub(super) doubtful: BTreeSet<Key>,
     /// The claims that got each request key.
-    granted: BTreeMap<Key, BTreeSet<u64>>,
-    claims: BTreeMap<u64, u64>,
+    pub(super) granted: BTreeMap<Key, BTreeSet<u64>>,
+    pub(super) claims: BTreeMap<u64, u64>,
     /// The last word to the callers of each key.
-    said: BTreeMap<Key, &'static str>,
-    tokens: BTreeMap<u64, Key>,
-    asked_at: BTreeMap<u64, Instant>,
-    next: u64,
+    pub(super) said: BTreeMap<Key, &'static str>,
+    pub(super) tokens: BTreeMap<u64, Key>,
+    pub(super) asked_at: BTreeMap<u64, Instant>,
+    pub(super) next: u64,
     pub tally: Tally,
     /// An attempt that began though the log did not have it as current.
-    off_log: Option<AttemptId>,
+    pub(super) off_log: Option<AttemptId>,
 }
 
 fn name(text: &str) -> Name {
@@ -197,7 +195,7 @@
 }
 
 /// Reads the log as one that takes over would.
-fn reader(store: &StoreFake) -> Owner {
+pub(super) fn reader(store: &StoreFake) -> Owner {
     let identity = DaemonIdentity {
         name: name("reader"),
         incarnation: 0,
@@ -305,7 +303,7 @@
     }
 
     /// The daemon that believes to own the shard and is awake, if any.
-    fn owners(&self) -> Vec<usize> {
+    pub(super) fn owners(&self) -> Vec<usize> {
         let awake = |&daemon: &usize| {
             let daemon = &self.daemons[daemon];
             daemon.is_awake() && daemon.owner.is_some()
@@ -661,7 +659,8 @@
         state.held = kept;
         let lost: Vec<Held> = lost;
         for held in &lost {
-            if let Order::Start { attempt, .. } = held.order {
+            if let Order::Start { start, .. } = &held.order {
+                let attempt = start.attempt;
                 self.queue(daemon, Event::StartNotSent { attempt });
             }
         }
@@ -669,8 +668,8 @@
             .buffers
             .iter()
             .filter(|b| b.daemon == daemon && b.link == link)
-            .filter_map(|b| match b.order {
-                Order::Start { attempt, .. } => Some(attempt),
+            .filter_map(|b| match &b.order {
+                Order::Start { start, .. } => Some(start.attempt),
                 _ => None,
             })
             .collect();
@@ -753,34 +752,28 @@
             return;
         }
         let event = match buffered.order {
-            Order::Start {
-                attempt,
-                resources,
-                lease_ms,
-            } => {
+            Order::Start { start, .. } => {
+                let attempt = start.attempt;
                 let is_on_log = is_on_log(&self.store, attempt);
                 self.off_log = (!is_on_log).then_some(attempt);
                 state.start(Running {
                     attempt,
-                    resources,
-                    lease_until: now + Duration::from_ms(lease_ms),
+                    resources: start.resources,
+                    lease_until: now + Duration::from_ms(start.lease_ms),
                 });
                 self.tally.runs_count += 1;
                 Some(Event::StartAcked { attempt })
             }
-            Order::Renew {
-                attempts,
-                forget,
-                lease_ms,
-            } => {
-                state.renew(&attempts, now + Duration::from_ms(lease_ms));
-                for attempt in forget {
+            Order::Renew(renew) => {
+                let until = now + Duration::from_ms(renew.lease_ms);
+                state.renew(&renew.attempts, until);
+                for attempt in renew.forget {
                     state.ended.remove(&attempt);
                 }
                 None
             }
-            Order::Stop(attempt) => {
-                let ended = state.stop(attempt);
+            Order::Stop(stop) => {
+                let ended = state.stop(stop.attempt);
                 if let Some(ended) = ended {
                     self.say_ended(worker, &ended);
                 }
@@ -984,45 +977,23 @@
 
     /// What the owner wants sent is held: a pause may come before the send.
     fn hold(&mut self, daemon: usize, action: Action) {
-        let (worker_name, order, incarnation) = match action {
-            Action::Reply { .. } => return,
-            Action::SendStart {
-                worker,
-                incarnation,
-                attempt,
-                resources,
-                lease,
-                ..
-            } => {
-                let lease_ms = lease.as_ms();
-                let order = Order::Start {
-                    attempt,
-                    resources,
-                    lease_ms,
-                };
-                (worker, order, Some(incarnation))
-            }
-            Action::SendRenew {
-                worker,
-                attempts,
-                lease,
-                forget,
-            } => {
-                let order = Order::Renew {
-                    attempts,
-                    forget,
-                    lease_ms: lease.as_ms(),
-                };
-                (worker, order, None)
-            }
-            Action::SendStop { worker, attempt } => (worker, Order::Stop(attempt), None),
-            Action::AskReport { worker } => (worker, Order::Report, None),
+        let Action::Order {
+            worker: worker_name,
+            order,
+        } = action
+        else {
+            return;
+        };
+        let incarnation = match &order {
+            Order::Start { incarnation, .. } => Some(*incarnation),
+            Order::Renew(_) | Order::Stop(_) | Order::Report => None,
         };
         let worker = worker_name.as_str()[1..].parse().expect("a worker");
         let link = self.daemons[daemon].link(worker);
         let link = link.filter(|link| incarnation.is_none_or(|i| i == link.incarnation));
         let Some(link) = link else {
-            if let Order::Start { attempt, .. } = order {
+            if let Order::Start { start, .. } = order {
+                let attempt = start.attempt;
                 self.queue(daemon, Event::StartNotSent { attempt });
             }
             return;
@@ -1037,190 +1008,6 @@
             order,
         });
     }
-
-    /// Checks what must always hold, in the owners and in the world.
-    fn check(&mut self) -> Result<(), Broken> {
-        for (daemon, state) in self.daemons.iter().enumerate() {
-            let Some(owner) = &state.owner else { continue };
-            if let Err(errors) = verify(owner) {
-                return Err(Broken(format!("daemon {daemon}: {}", errors[0])));
-            }
-        }
-        if let Some(attempt) = self.off_log.take() {
-            return Err(Broken(format!(
-                "{attempt}: began while the log was past it"
-            )));
-        }
-        self.check_granted()?;
-        self.check_runs()?;
-        self.check_capacity()?;
-        self.check_unsafe()
-    }
-
-    /// The one run of a request is granted to one claim.
-    fn check_granted(&self) -> Result<(), Broken> {
-        match self.granted.iter().find(|(_, nonces)| nonces.len() > 1) {
-            Some((key, nonces)) => Err(Broken(format!("{key}: granted to {nonces:?}"))),
-            None => Ok(()),
-        }
-    }
-
-    fn check_runs(&self) -> Result<(), Broken> {
-        let mut places: BTreeMap<TaskId, usize> = BTreeMap::new();
-        for (worker, state) in self.workers.iter().enumerate() {
-            for running in state.live(self.now) {
-                let task = running.attempt.task;
-                if let Some(other) = places.insert(task, worker) {
-                    return Err(Broken(format!(
-                        "{task}: runs on worker {other} and on worker {worker}"
-                    )));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn check_capacity(&self) -> Result<(), Broken> {
-        for (worker, state) in self.workers.iter().enumerate() {
-            let needs = state.live(self.now).map(|running| running.resources);
-            let used = needs.fold(Resources::ZERO, |sum, need| sum + need);
-            if !used.fits_in(&state.capacity) {
-                return Err(Broken(format!("worker {worker}: runs {used}")));
-            }
-        }
-        Ok(())
-    }
-
-    fn check_unsafe(&self) -> Result<(), Broken> {
-        let mut begun: BTreeMap<TaskId, u32> = BTreeMap::new();
-        for state in &self.workers {
-            for attempt in &state.begun {
-                *begun.entry(attempt.task).or_default() += 1;
-            }
-        }
-        // What a fenced owner has not committed is nothing.
-        let owners = self.daemons.iter().filter_map(|d| d.owner.as_ref());
-        for owner in owners.filter(|owner| owner.config().epoch == self.store.epoch) {
-            for (_, data) in owner.state().live_tasks() {
-                let is_unsafe = self.unsafe_keys.contains(&data.image.key);
-                let count = begun.get(&data.image.id).copied().unwrap_or(0);
-                // A failed run is not repeated either.
-                if is_unsafe && count > 1 {
-                    let id = data.image.id;
-                    return Err(Broken(format!("{id}: unsafe to repeat, ran {count} times")));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Mends everything and lets the world run until all tasks have ended.
-    pub fn heal(&mut self) -> Result<(), Broken> {
-        for worker in 0..WORKERS_COUNT {
-            self.step(&Op::Thaw { worker })?;
-        }
-        self.step(&Op::Relist)?;
-        for daemon in 0..DAEMONS_COUNT {
-            self.step(&Op::Resume { daemon })?;
-            let is_on = false;
-            self.step(&Op::Lag { daemon, is_on })?;
-        }
-        for round in 0..400 {
-            self.heal_round()?;
-            if round > 3 && self.is_done() {
-                return self.check_accepted();
-            }
-        }
-        let owner = self.daemons.iter().find_map(|d| d.owner.as_ref());
-        let stuck = owner.and_then(|owner| {
-            let mut tasks = owner.state().live_tasks();
-            let task = tasks.find(|(_, data)| !data.is_ended())?;
-            Some(format!("{}: {:?}", task.1.image.id, task.1.image.position))
-        });
-        Err(Broken(format!("stuck: {stuck:?}")))
-    }
-
-    fn heal_round(&mut self) -> Result<(), Broken> {
-        for daemon in 0..DAEMONS_COUNT {
-            self.step(&Op::Poll { daemon })?;
-            self.step(&Op::Commit { daemon })?;
-            for _ in 0..self.daemons[daemon].held.len() {
-                self.step(&Op::Send { daemon, index: 0 })?;
-            }
-        }
-        for _ in 0..self.buffers.len() {
-            self.step(&Op::Arrive { index: 0 })?;
-        }
-        for _ in 0..self.backs.len() {
-            self.step(&Op::Answer { index: 0 })?;
-        }
-        let owner = self.owners().first().copied();
-        match owner {
-            Some(daemon) if self.store.owner == Some(daemon) => {
-                self.step(&Op::AskClosed { daemon })?;
-                for worker in 0..WORKERS_COUNT {
-                    self.step(&Op::Connect { daemon, worker })?;
-                    let index = 0;
-                    let is_good = true;
-                    self.step(&Op::Finish {
-                        worker,
-                        index,
-                        is_good,
-                    })?;
-                }
-            }
-            _ => self.step(&Op::Claim { daemon: 0 })?,
-        }
-        self.step(&Op::Pass { ms: 1700 })
-    }
-
-    fn is_done(&self) -> bool {
-        let Some(daemon) = self.owners().first().copied() else {
-            return self.keys.is_empty();
-        };
-        let Some(owner) = &self.daemons[daemon].owner else {
-            return false;
-        };
-        let is_committed = self.daemons[daemon].commit.is_none() && !owner.wants_commit();
-        let is_owner = self.store.owner == Some(daemon) && is_committed;
-        let mut tasks = owner.state().live_tasks();
-        is_owner && tasks.all(|(_, data)| data.is_ended())
-    }
-
-    /// What was refused is not on record: "not run" means that it will not run.
-    fn check_refused(&self, reader: &Owner) -> Result<(), Broken> {
-        let waits: BTreeSet<&Key> = self.tokens.values().collect();
-        let mut refused = self.said.iter().filter(|(key, &word)| {
-            let is_settled = !self.doubtful.contains(key) && !self.accepted.contains(key);
-            word == "refused" && is_settled && !waits.contains(key)
-        });
-        match refused.find(|(key, _)| reader.state().by_key(key).is_some()) {
-            Some((key, _)) => Err(Broken(format!("{key}: was refused and is on record"))),
-            None => Ok(()),
-        }
-    }
-
-    /// Every task that was acknowledged is in the log with an end.
-    fn check_accepted(&mut self) -> Result<(), Broken> {
-        let reader = reader(&self.store);
-        self.check_refused(&reader)?;
-        self.tally.requeues_count += self
-            .daemons
-            .iter()
-            .filter_map(|d| d.owner.as_ref())
-            .map(|owner| owner.counts().requeued_count)
-            .sum::<u64>();
-        for key in &self.accepted {
-            let Some(task) = reader.state().by_key(key) else {
-                return Err(Broken(format!("{key}: was acknowledged and is lost")));
-            };
-            let position = &reader.state().tasks[task].image.position;
-            if !matches!(position, Position::Ended { .. }) {
-                return Err(Broken(format!("{key}: has no end on record")));
-            }
-        }
-        Ok(())
-    }
 }
 
 impl World {
--- a/crates/types/src/worker.rs
+++ b/crates/types/src/worker.rs
@@ -71,3 +71,22 @@
     /// The attempt.
     pub attempt: AttemptId,
 }
+
+/// One thing that an owner wants of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Start an attempt: over the open connection, to this run of the worker
+    /// and no other, once.
+    Start {
+        /// The run of the worker that alone may receive it.
+        incarnation: u64,
+        /// The order itself.
+        start: Start,
+    },
+    /// Renew leases and drop reports.
+    Renew(Renew),
+    /// Stop an attempt.
+    Stop(Stop),
+    /// Give a report.
+    Report,
+}
