Let one player serve the traces of both crates

Cause: reading a trace stood twice, line by line, in the tests of the owner and of the cell.

Change: crates/filetest plays a text file of steps and stated outcomes and names the line at fault; the steps stay with their tests.

--- a/crates/node/tests/cell/traces.rs
+++ b/crates/node/tests/cell/traces.rs
@@ -3,6 +3,7 @@
 //! One step a line; `#` begins a comment. Daemons are `d0` to `d2`.
 
 use crate::world::{Broken, Op, World};
+use ospreywing_filetest::{index, ms};
 use rstest::rstest;
 use std::path::PathBuf;
 
@@ -16,16 +17,7 @@
 
 fn play(text: &str) -> Result<(), Broken> {
     let mut world = World::new();
-    for (number, line) in (1..).zip(text.lines()) {
-        let line = line.split('#').next().unwrap_or("").trim();
-        if line.is_empty() {
-            continue;
-        }
-        let words: Vec<&str> = line.split_whitespace().collect();
-        step(&mut world, &words)
-            .map_err(|Broken(reason)| Broken(format!("line {number}: {line}: {reason}")))?;
-    }
-    Ok(())
+    ospreywing_filetest::play(text, |words| step(&mut world, words))
 }
 
 fn step(world: &mut World, words: &[&str]) -> Result<(), Broken> {
@@ -36,21 +28,6 @@
     }
 }
 
-/// Reads the number behind a letter, as in `d2`.
-fn index(word: &str) -> usize {
-    word[1..].parse().expect("a letter and a number")
-}
-
-fn ms(word: &str) -> u64 {
-    match word.strip_suffix("ms") {
-        Some(number) => number.parse().expect("milliseconds"),
-        None => {
-            let number = word.strip_suffix('s').expect("a time such as 5s");
-            number.parse::<u64>().expect("seconds") * 1000
-        }
-    }
-}
-
 const STEP_MS: u64 = 100;
 
 fn op(words: &[&str]) -> Result<Op, Broken> {
@@ -114,9 +91,5 @@
         ["left", daemon, wanted] => (world.has_left(index(daemon)).to_string(), wanted),
         _ => return Err(Broken("no such outcome".to_owned())),
     };
-    if found == wanted {
-        Ok(())
-    } else {
-        Err(Broken(format!("found {found}")))
-    }
+    ospreywing_filetest::expect(&found, wanted)
 }
--- a/crates/node/tests/cell/world.rs
+++ b/crates/node/tests/cell/world.rs
@@ -148,8 +148,8 @@
     pub peak_slots_count: usize,
 }
 
-#[derive(Clone, Debug)]
-pub struct Broken(pub String);
+/// A promise that was broken, with the entity at fault.
+pub use ospreywing_filetest::Broken;
 
 pub struct World {
     pub now: Instant,
--- a/crates/shard/tests/owner/support/script.rs
+++ b/crates/shard/tests/owner/support/script.rs
@@ -5,6 +5,7 @@
 //! in the order of their submission.
 
 use super::world::{Broken, Op, World};
+use ospreywing_filetest::{index, ms};
 
 /// Plays a trace.
 ///
@@ -13,16 +14,7 @@
 /// Returns what went wrong, with the line's number.
 pub fn play(text: &str) -> Result<(), Broken> {
     let mut world = World::new();
-    for (number, line) in (1..).zip(text.lines()) {
-        let line = line.split('#').next().unwrap_or("").trim();
-        if line.is_empty() {
-            continue;
-        }
-        let words: Vec<&str> = line.split_whitespace().collect();
-        step(&mut world, &words)
-            .map_err(|Broken(reason)| Broken(format!("line {number}: {line}: {reason}")))?;
-    }
-    Ok(())
+    ospreywing_filetest::play(text, |words| step(&mut world, words))
 }
 
 fn step(world: &mut World, words: &[&str]) -> Result<(), Broken> {
@@ -133,24 +125,5 @@
         ["batches", wanted] => (world.batches_count().to_string(), wanted),
         _ => return Err(Broken("no such outcome".to_owned())),
     };
-    if found == wanted {
-        Ok(())
-    } else {
-        Err(Broken(format!("found {found}")))
-    }
-}
-
-/// Reads the number behind a letter, as in `w2`.
-fn index(word: &str) -> usize {
-    word[1..].parse().expect("a letter and a number")
-}
-
-fn ms(word: &str) -> u64 {
-    match word.strip_suffix("ms") {
-        Some(number) => number.parse().expect("milliseconds"),
-        None => {
-            let number = word.strip_suffix('s').expect("a time such as 5s");
-            number.parse::<u64>().expect("seconds") * 1000
-        }
-    }
+    ospreywing_filetest::expect(&found, wanted)
 }
--- a/crates/shard/tests/owner/support/world.rs
+++ b/crates/shard/tests/owner/support/world.rs
@@ -145,8 +145,7 @@
 }
 
 /// A promise that was broken, with the entity at fault.
-#[derive(Clone, Debug)]
-pub struct Broken(pub String);
+pub use ospreywing_filetest::Broken;
 
 pub struct World {
     pub now: Instant,
