--- /dev/null
+++ b/crates/control/src/commit.rs
@@ -0,0 +1,107 @@
+//! The leader's commits: one transaction at a time in each lane.
+//!
+//! A lane's key changes with each of its transactions and is the condition of
+//! the next. A transaction that is done late, or sent by a leader that is none
+//! any more, finds another revision there and does nothing.
+
+use crate::keys;
+use crate::store::{CommitError, Revision, Store, Transaction};
+use ospreywing_scheduler::Change;
+use ospreywing_types::Duration;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The time until a call that failed is made again.
+const RETRY: Duration = Duration::from_ms(60);
+
+/// What became of a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommitOutcome {
+    /// It is in the store.
+    Done,
+    /// Another leader has taken the lanes.
+    Lost,
+}
+
+/// A lane of the leader's commits.
+pub struct CommitLane<S> {
+    store: S,
+    number: u32,
+    fence: u64,
+    revision: Cell<Revision>,
+    sequence: Cell<u64>,
+}
+
+/// Returns the value of a lane's key after the given commit of a term.
+pub fn lane_value(fence: u64, sequence: u64) -> Vec<u8> {
+    format!("{fence}.{sequence}").into_bytes()
+}
+
+impl<S: Store> CommitLane<S> {
+    /// Creates a lane whose key has the given revision.
+    pub fn new(store: S, number: u32, fence: u64, revision: Revision) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            number,
+            fence,
+            revision: Cell::new(revision),
+            sequence: Cell::new(0),
+        })
+    }
+
+    /// Writes changes until they are certainly there, or another leader is.
+    ///
+    /// `is_over` tells whether the caller has given up leading.
+    pub async fn commit(&self, changes: Vec<Change>, is_over: impl Fn() -> bool) -> CommitOutcome {
+        let key = keys::lane(self.number);
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let value = lane_value(self.fence, sequence);
+        let transaction = transaction_of(&key, self.revision.get(), &value, changes);
+        loop {
+            match self.store.commit(&transaction).await {
+                Ok(committed) => {
+                    self.revision.set(committed.revision);
+                    return CommitOutcome::Done;
+                }
+                Err(CommitError::Conflict(items)) => {
+                    let item = items.into_iter().find(|item| item.key == key);
+                    let Some(item) = item.filter(|item| item.value == value) else {
+                        return CommitOutcome::Lost;
+                    };
+                    // An earlier call of this transaction was done, unheard.
+                    self.revision.set(item.revision);
+                    return CommitOutcome::Done;
+                }
+                Err(CommitError::Store(_)) => {
+                    if is_over() {
+                        return CommitOutcome::Lost;
+                    }
+                    tokio::time::sleep(RETRY.into()).await;
+                }
+            }
+        }
+    }
+}
+
+fn transaction_of(
+    key: &str,
+    revision: Revision,
+    value: &[u8],
+    changes: Vec<Change>,
+) -> Transaction {
+    let mut transaction = Transaction::new()
+        .with_expect(key, revision)
+        .with_put(key, value.to_vec());
+    for change in changes {
+        let state_key = keys::state(change.job);
+        transaction = match change.state {
+            Some(state) => transaction.with_put(state_key, state),
+            None => transaction
+                .with_remove(state_key)
+                .with_remove(keys::job(change.job))
+                .with_remove(keys::cancel(change.job)),
+        };
+    }
+    transaction
+}
--- /dev/null
+++ b/crates/control/src/election.rs
@@ -0,0 +1,279 @@
+//! Membership and the leader's lease.
+//!
+//! Every node keeps an item with a lease of its own, so that the others find
+//! it. The leader's item is written on the condition that there is none, in
+//! one transaction with the keys of the commit lanes: whoever led before can
+//! commit nothing from then on. The transaction's revision is the term's
+//! fencing token.
+
+use crate::commit::lane_value;
+use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::store::WatchedChange;
+use crate::store::{CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction};
+use crate::{clock, keys, leader};
+use ospreywing_types::{Duration, Instant};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// The leader's lease.
+pub const LEADER_LEASE: Duration = Duration::from_ms(2000);
+/// The lanes of the leader's commits.
+pub const LANES_COUNT: u32 = 4;
+/// A node's lease.
+const NODE_LEASE: Duration = Duration::from_ms(4000);
+/// The time between two renewals of a node's lease.
+const NODE_RENEWAL: Duration = Duration::from_ms(1200);
+/// The time after which the view of the cell is read again.
+const CELL_REFRESH: Duration = Duration::from_ms(2000);
+/// The longest that a look at the cell may be old for a campaign.
+const VIEW_LIMIT: Duration = Duration::from_ms(2500);
+/// The time by which each further node campaigns later.
+const CAMPAIGN_STAGGER: Duration = Duration::from_ms(25);
+/// The time until something that failed is tried again.
+const RETRY: Duration = Duration::from_ms(200);
+
+/// A node, as the others find it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Where it is called.
+    pub address: String,
+    /// Its share of a core, in thousandths.
+    pub cores_milli: u32,
+}
+
+/// The leader, as the others find it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// The node's name.
+    pub name: String,
+    /// Where it is called.
+    pub address: String,
+    /// Its lease.
+    pub lease: LeaseId,
+}
+
+/// What a node knows of the cell.
+#[derive(Clone, Debug, Default)]
+pub struct CellView {
+    /// The leader, where there is one.
+    pub leader: Option<LeaderRecord>,
+    /// The live nodes by name.
+    pub nodes: BTreeMap<String, NodeRecord>,
+    /// When the store last confirmed the view.
+    pub seen_at: Instant,
+}
+
+impl CellView {
+    fn put(&mut self, item: &Item) {
+        if item.key == keys::LEADER {
+            self.leader = postcard::from_bytes(&item.value).ok();
+        } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
+            if let Ok(record) = postcard::from_bytes(&item.value) {
+                self.nodes.insert(name.to_owned(), record);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if key == keys::LEADER {
+            self.leader = None;
+        } else if let Some(name) = key.strip_prefix(keys::NODES_PREFIX) {
+            self.nodes.remove(name);
+        }
+    }
+}
+
+/// Keeps the view of the cell.
+pub async fn follow_cell<P: Platform>(node: Rc<Node<P>>) {
+    let policy = FollowPolicy {
+        wait: CELL_REFRESH,
+        refresh: Some(CELL_REFRESH),
+        pace: Duration::ZERO,
+    };
+    let store = node.store.clone();
+    follow(store, keys::CELL_PREFIX, policy, None, |update| {
+        learn_cell(&node, update);
+        Flow::Continue
+    })
+    .await;
+}
+
+fn learn_cell<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+    let mut view = node.cell.borrow_mut();
+    let before = view.leader.clone();
+    match update {
+        Update::Snapshot(items) => {
+            *view = CellView::default();
+            items.iter().for_each(|item| view.put(item));
+        }
+        Update::Changes(changes) => {
+            for change in &changes {
+                match change {
+                    WatchedChange::Put(item) => view.put(item),
+                    WatchedChange::Gone { key } => view.remove(key),
+                }
+            }
+        }
+        Update::Unchanged => {}
+        Update::Failed(error) => {
+            warn!(node.log, "store call failed";
+                "what" => "cell", "error" => error.to_string());
+            return;
+        }
+    }
+    view.seen_at = clock::now();
+    if view.leader != before {
+        let name = view.leader.as_ref().map(|leader| leader.name.clone());
+        info!(node.log, "leader known"; "leader" => name.unwrap_or_default());
+    }
+    drop(view);
+    node.note_contact();
+    node.cell_changed.notify_waiters();
+}
+
+/// Keeps the node's own item.
+pub async fn keep_membership<P: Platform>(node: Rc<Node<P>>) {
+    let mut lease = None;
+    while !node.is_draining.get() {
+        let kept = match lease {
+            None => register(&node).await,
+            Some(lease) => node.store.keep_lease(lease).await.map(|()| lease),
+        };
+        let pause = match kept {
+            Ok(kept) => {
+                lease = Some(kept);
+                node.note_contact();
+                NODE_RENEWAL
+            }
+            Err(StoreError::LeaseOver) => {
+                lease = None;
+                Duration::ZERO
+            }
+            Err(_) => RETRY,
+        };
+        tokio::time::sleep(pause.into()).await;
+    }
+}
+
+async fn register<P: Platform>(node: &Rc<Node<P>>) -> Result<LeaseId, StoreError> {
+    let grant = node.store.grant_lease(NODE_LEASE).await?;
+    let record = NodeRecord {
+        address: node.settings.peer_address.to_string(),
+        cores_milli: node.settings.cores_milli,
+    };
+    let value = postcard::to_allocvec(&record).unwrap_or_default();
+    let key = keys::node(&node.settings.name);
+    let transaction = Transaction::new().with_leased_put(key, value, grant.id);
+    match node.store.commit(&transaction).await {
+        Ok(_) => Ok(grant.id),
+        Err(CommitError::Store(error)) => Err(error),
+        Err(CommitError::Conflict(_)) => Err(StoreError::LeaseOver),
+    }
+}
+
+/// Takes the node's own item away, so that nobody calls it any more.
+pub async fn leave<P: Platform>(node: &Rc<Node<P>>) {
+    let key = keys::node(&node.settings.name);
+    let transaction = Transaction::new().with_remove(key);
+    // The item goes with its lease otherwise.
+    let _ = node.store.commit(&transaction).await;
+}
+
+/// Campaigns whenever there is no leader.
+pub async fn campaign<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        let changed = node.cell_changed.notified();
+        if !may_campaign(&node) {
+            // A view that grows old is noticed by the clock.
+            let _ = tokio::time::timeout(RETRY.into(), changed).await;
+            continue;
+        }
+        tokio::time::sleep(stagger(&node).into()).await;
+        if !may_campaign(&node) {
+            continue;
+        }
+        if let Err(error) = stand(&node).await {
+            info!(node.log, "campaign lost"; "error" => error.to_string());
+            tokio::time::sleep(RETRY.into()).await;
+        }
+    }
+}
+
+fn may_campaign<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let view = node.cell.borrow();
+    let is_fresh = clock::now().since(view.seen_at) <= VIEW_LIMIT;
+    let is_able = node.in_force.borrow().is_some() && !node.is_draining.get();
+    view.leader.is_none() && is_fresh && is_able
+}
+
+/// Returns how long this node lets others go first: the strongest node first.
+fn stagger<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+    let view = node.cell.borrow();
+    let own = (
+        core::cmp::Reverse(node.settings.cores_milli),
+        &node.settings.name,
+    );
+    let earlier = view
+        .nodes
+        .iter()
+        .filter(|(name, record)| (core::cmp::Reverse(record.cores_milli), *name) < own);
+    CAMPAIGN_STAGGER.times(earlier.count().min(8) as u64)
+}
+
+/// Stands for leader, and leads where elected, until the term is over.
+async fn stand<P: Platform>(node: &Rc<Node<P>>) -> Result<(), CommitError> {
+    let asked_at = clock::now();
+    let grant = node.store.grant_lease(LEADER_LEASE).await?;
+    let record = LeaderRecord {
+        name: node.settings.name.clone(),
+        address: node.settings.peer_address.to_string(),
+        lease: grant.id,
+    };
+    let fence = elect(node, &record, grant.id).await?;
+    info!(node.log, "elected"; "fence" => fence, "lease" => grant.id);
+    let valid_until = asked_at + grant.ttl;
+    let was_resigned = leader::lead(node, grant, fence, valid_until).await;
+    info!(node.log, "term over"; "fence" => fence, "was_resigned" => was_resigned);
+    Ok(())
+}
+
+/// Writes the leader's item; returns the term's fencing token.
+async fn elect<P: Platform>(
+    node: &Rc<Node<P>>,
+    record: &LeaderRecord,
+    lease: LeaseId,
+) -> Result<Revision, CommitError> {
+    let value = postcard::to_allocvec(record).unwrap_or_default();
+    let mut transaction = Transaction::new()
+        .with_expect(keys::LEADER, 0)
+        .with_leased_put(keys::LEADER, value.clone(), lease);
+    for lane in 0..LANES_COUNT {
+        // The lease's number is the term's until its fence is known.
+        transaction = transaction.with_put(keys::lane(lane), lane_value(lease, 0));
+    }
+    let begun = clock::now();
+    loop {
+        match node.store.commit(&transaction).await {
+            Ok(committed) => return Ok(committed.revision),
+            Err(CommitError::Conflict(items)) => {
+                let own = items
+                    .iter()
+                    .find(|item| item.key == keys::LEADER && item.value == value);
+                // An earlier call of this transaction was done, unheard.
+                return own
+                    .map(|item| item.revision)
+                    .ok_or(CommitError::Conflict(items.clone()));
+            }
+            Err(error) => {
+                if clock::now().since(begun) >= LEADER_LEASE {
+                    return Err(error);
+                }
+                tokio::time::sleep(RETRY.into()).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/front.rs
@@ -0,0 +1,249 @@
+//! Listening: clients, the balancer's question, other nodes.
+
+use crate::node::{Node, NodeError};
+use crate::platform::{FrontLimits, Incoming, Platform, Reply, Retry};
+use crate::{peer, requests};
+use http::header::{HeaderValue, CONNECTION};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Bytes, Incoming as IncomingBody};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ospreywing_types::Duration;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// The least room that the HTTP library needs for a head.
+const HEAD_FLOOR_BYTES: usize = 8192;
+/// The largest body of another node.
+const PEER_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+/// Limits before the operators have set any.
+const FIRST_LIMITS: FrontLimits = FrontLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 256 * 1024,
+    head_time: Duration::from_ms(3000),
+    idle_time: Duration::from_ms(15_000),
+};
+/// When a client may come back that came before there was a configuration.
+const COME_BACK: Retry = Retry {
+    after: Duration::from_ms(1000),
+};
+
+/// Whom a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Clients.
+    Clients,
+    /// The balancer, which asks whether the node is ready.
+    Ready,
+    /// Other nodes.
+    Peer,
+}
+
+/// The listeners of a node and their connections.
+pub struct Front<P: Platform> {
+    node: Rc<Node<P>>,
+    stopped: watch::Receiver<bool>,
+    open_count: Rc<Cell<usize>>,
+}
+
+/// Counts something for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl<P: Platform> Front<P> {
+    /// Creates a front without listeners, which ends when `stopped` says so.
+    pub fn new(node: Rc<Node<P>>, stopped: watch::Receiver<bool>) -> Self {
+        Self {
+            node,
+            stopped,
+            open_count: Rc::default(),
+        }
+    }
+
+    /// Returns how many client connections are open.
+    pub fn open_count(&self) -> usize {
+        self.open_count.get()
+    }
+
+    /// Listens on an address until the front ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] where the address can't be listened on.
+    pub async fn listen(&self, address: SocketAddr, role: Role) -> Result<(), NodeError> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|error| NodeError::Listen { address, error })?;
+        let accept = accept(
+            listener,
+            self.node.clone(),
+            self.stopped.clone(),
+            self.open_count.clone(),
+            role,
+        );
+        tokio::task::spawn_local(accept);
+        Ok(())
+    }
+}
+
+async fn accept<P: Platform>(
+    listener: TcpListener,
+    node: Rc<Node<P>>,
+    mut stopped: watch::Receiver<bool>,
+    open_count: Rc<Cell<usize>>,
+    role: Role,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let counted = (role == Role::Clients).then(|| Counted::new(&open_count));
+        let connection = serve(stream, node.clone(), stopped.clone(), role);
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(counted);
+        });
+    }
+}
+
+async fn serve<P: Platform>(
+    stream: TcpStream,
+    node: Rc<Node<P>>,
+    mut stopped: watch::Receiver<bool>,
+    role: Role,
+) {
+    // A stream without it is only slower.
+    let _ = stream.set_nodelay(true);
+    let limits = limits(&node);
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(respond(&node, request, role).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(core::time::Duration::from(limits.idle_time))
+        .max_buf_size(limits.head_bytes.max(HEAD_FLOOR_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stopped| *stopped) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    // How a connection ends concerns nobody.
+    let _ = connection.await;
+}
+
+fn limits<P: Platform>(node: &Rc<Node<P>>) -> FrontLimits {
+    let in_force = node.in_force();
+    in_force.map_or(FIRST_LIMITS, |in_force| P::limits(&in_force.routes))
+}
+
+async fn respond<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: Request<IncomingBody>,
+    role: Role,
+) -> Response<Full<Bytes>> {
+    match role {
+        Role::Ready => respond_ready(node, &request),
+        Role::Peer => respond_peer(node, request).await,
+        Role::Clients => {
+            let reply = respond_client(node, request).await;
+            let mut response = node.platform.encode(&reply);
+            if node.is_draining.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response
+        }
+    }
+}
+
+fn respond_ready<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: &Request<IncomingBody>,
+) -> Response<Full<Bytes>> {
+    let is_asked = node
+        .platform
+        .is_ready_question(request.method(), request.uri().path());
+    let status = match (is_asked, node.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+async fn respond_peer<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: Request<IncomingBody>,
+) -> Response<Full<Bytes>> {
+    let body = Limited::new(request.into_body(), PEER_BODY_LIMIT_BYTES);
+    let body = body.collect().await;
+    let request = body.ok().and_then(|body| peer::decode(&body.to_bytes()));
+    let Some(request) = request else {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return response;
+    };
+    peer::encode(&requests::answer_peer(node, request).await)
+}
+
+async fn respond_client<P: Platform>(node: &Rc<Node<P>>, request: Request<IncomingBody>) -> Reply {
+    let limits = limits(node);
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = match tokio::time::timeout(limits.head_time.into(), body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            let limit_bytes = limits.body_bytes;
+            return Reply::TooLarge { limit_bytes };
+        }
+        Ok(Err(error)) => {
+            return Reply::Invalid {
+                field: "body".to_owned(),
+                reason: error.to_string(),
+            }
+        }
+        Err(_) => return Reply::TooSlow,
+    };
+    let Some(in_force) = node.in_force() else {
+        return Reply::Unavailable(COME_BACK);
+    };
+    let incoming = Incoming {
+        method: &parts.method,
+        path: parts.uri.path(),
+        headers: &parts.headers,
+        body: &body,
+    };
+    match node.platform.decode(&in_force.routes, incoming) {
+        Ok(call) => requests::execute(node, call).await,
+        Err(reply) => reply,
+    }
+}
--- /dev/null
+++ b/crates/control/src/intake.rs
@@ -0,0 +1,163 @@
+//! Group commits of what clients hand in: accepted jobs and cancels.
+//!
+//! Every entry is written on the condition that its key does not exist, so a
+//! repeated id stays one job whichever node takes it, and a write that is done
+//! late can do no harm.
+
+use crate::clock;
+use crate::store::{CommitError, Store, StoreError, Transaction};
+use ospreywing_types::Duration;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::{oneshot, Notify};
+
+/// Entries of one transaction; each takes a condition and a write.
+const GROUP_LIMIT_COUNT: usize = 15;
+/// Entries that may wait.
+const QUEUE_LIMIT_COUNT: usize = 400;
+/// How long an entry is tried for.
+const TRY_LIMIT: Duration = Duration::from_ms(1200);
+/// The time until a call that failed is made again.
+const RETRY: Duration = Duration::from_ms(60);
+
+/// What became of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntakeOutcome {
+    /// It is in the store.
+    Stored,
+    /// It certainly is not and will not be.
+    NotStored,
+    /// It may be, or may come to be.
+    Unknown,
+}
+
+struct Entry {
+    key: String,
+    value: Vec<u8>,
+    since: ospreywing_types::Instant,
+    /// Whether a call that carried it had no answer.
+    is_doubtful: bool,
+    reply: oneshot::Sender<IntakeOutcome>,
+}
+
+/// The queue before the store.
+pub struct Intake<S> {
+    store: S,
+    queue: RefCell<VecDeque<Entry>>,
+    arrived: Notify,
+    failures_count: Cell<u32>,
+}
+
+impl<S: Store> Intake<S> {
+    /// Creates an empty queue.
+    pub fn new(store: S) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            queue: RefCell::new(VecDeque::new()),
+            arrived: Notify::new(),
+            failures_count: Cell::new(0),
+        })
+    }
+
+    /// Writes an entry, once, and waits for what becomes of it.
+    pub async fn write(&self, key: String, value: Vec<u8>) -> IntakeOutcome {
+        let (reply, outcome) = oneshot::channel();
+        if self.queue.borrow().len() >= QUEUE_LIMIT_COUNT {
+            return IntakeOutcome::NotStored;
+        }
+        self.queue.borrow_mut().push_back(Entry {
+            key,
+            value,
+            since: clock::now(),
+            is_doubtful: false,
+            reply,
+        });
+        self.arrived.notify_one();
+        outcome.await.unwrap_or(IntakeOutcome::Unknown)
+    }
+
+    /// Returns how many calls in a row have failed.
+    pub fn failures_count(&self) -> u32 {
+        self.failures_count.get()
+    }
+
+    /// Writes groups for ever.
+    pub async fn run(&self) {
+        loop {
+            if self.queue.borrow().is_empty() {
+                self.arrived.notified().await;
+                continue;
+            }
+            let count = self.queue.borrow().len().min(GROUP_LIMIT_COUNT);
+            let group: Vec<Entry> = self.queue.borrow_mut().drain(..count).collect();
+            self.write_group(group).await;
+        }
+    }
+
+    async fn write_group(&self, mut group: Vec<Entry>) {
+        let mut transaction = Transaction::new();
+        for entry in &group {
+            transaction = transaction
+                .with_expect(entry.key.clone(), 0)
+                .with_put(entry.key.clone(), entry.value.clone());
+        }
+        match self.store.commit(&transaction).await {
+            Ok(_) => {
+                self.failures_count.set(0);
+                answer_all(group, IntakeOutcome::Stored);
+            }
+            Err(CommitError::Conflict(items)) => {
+                self.failures_count.set(0);
+                let exists = |entry: &Entry| {
+                    let mut found = items.iter();
+                    found.any(|item| item.key == entry.key && item.revision > 0)
+                };
+                let (there, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(exists);
+                if there.is_empty() {
+                    // A conflict that names no entry can't be told apart from none.
+                    return answer_all(rest, IntakeOutcome::Unknown);
+                }
+                answer_all(there, IntakeOutcome::Stored);
+                self.put_back(rest);
+            }
+            Err(CommitError::Store(error)) => {
+                self.failures_count.set(self.failures_count.get() + 1);
+                if !matches!(error, StoreError::Refused(_)) {
+                    group.iter_mut().for_each(|entry| entry.is_doubtful = true);
+                }
+                self.retry_or_give_up(group).await;
+            }
+        }
+    }
+
+    async fn retry_or_give_up(&self, group: Vec<Entry>) {
+        let now = clock::now();
+        let is_over = |entry: &Entry| now.since(entry.since) >= TRY_LIMIT;
+        let (over, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(is_over);
+        for entry in over {
+            let outcome = if entry.is_doubtful {
+                IntakeOutcome::Unknown
+            } else {
+                IntakeOutcome::NotStored
+            };
+            answer_all(vec![entry], outcome);
+        }
+        self.put_back(rest);
+        tokio::time::sleep(RETRY.into()).await;
+    }
+
+    fn put_back(&self, rest: Vec<Entry>) {
+        let mut queue = self.queue.borrow_mut();
+        for entry in rest.into_iter().rev() {
+            queue.push_front(entry);
+        }
+    }
+}
+
+fn answer_all(group: Vec<Entry>, outcome: IntakeOutcome) {
+    for entry in group {
+        // Who asked may have gone.
+        let _ = entry.reply.send(outcome);
+    }
+}
--- /dev/null
+++ b/crates/control/src/keys.rs
@@ -0,0 +1,68 @@
+//! The product's keys in the store.
+
+use ospreywing_scheduler::JobId;
+
+/// Accepted jobs and cancels, written by any node.
+pub const INTAKE_PREFIX: &str = "ospreywing/intake/";
+/// The leader and the live nodes, each with its lease.
+pub const CELL_PREFIX: &str = "ospreywing/cell/";
+/// The leader.
+pub const LEADER: &str = "ospreywing/cell/leader";
+/// The live nodes.
+pub const NODES_PREFIX: &str = "ospreywing/cell/node/";
+/// Jobs' progress, written by the leader.
+pub const STATE_PREFIX: &str = "ospreywing/state/";
+/// One key for each lane of the leader's commits.
+pub const LANE_PREFIX: &str = "ospreywing/lane/";
+
+const JOB_PART: &str = "job/";
+const CANCEL_PART: &str = "cancel/";
+
+/// What an intake key stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntakeKey {
+    /// An accepted job.
+    Job(JobId),
+    /// A cancel.
+    Cancel(JobId),
+}
+
+/// Returns the key of an accepted job.
+pub fn job(id: JobId) -> String {
+    format!("{INTAKE_PREFIX}{JOB_PART}{id}")
+}
+
+/// Returns the key of a cancel.
+pub fn cancel(id: JobId) -> String {
+    format!("{INTAKE_PREFIX}{CANCEL_PART}{id}")
+}
+
+/// Returns the key of a job's progress.
+pub fn state(id: JobId) -> String {
+    format!("{STATE_PREFIX}{id}")
+}
+
+/// Returns the key of a lane.
+pub fn lane(number: u32) -> String {
+    format!("{LANE_PREFIX}{number}")
+}
+
+/// Returns the key of a node.
+pub fn node(name: &str) -> String {
+    format!("{NODES_PREFIX}{name}")
+}
+
+/// Reads an intake key.
+pub fn parse_intake(key: &str) -> Option<IntakeKey> {
+    let rest = key.strip_prefix(INTAKE_PREFIX)?;
+    if let Some(id) = rest.strip_prefix(JOB_PART) {
+        return id.parse().ok().map(IntakeKey::Job);
+    }
+    let id = rest.strip_prefix(CANCEL_PART)?;
+    id.parse().ok().map(IntakeKey::Cancel)
+}
+
+/// Reads the key of a job's progress.
+pub fn parse_state(key: &str) -> Option<JobId> {
+    key.strip_prefix(STATE_PREFIX)?.parse().ok()
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,32 @@
+//! A node of the cell.
+//!
+//! All nodes are alike. Each takes requests from clients and writes accepted
+//! jobs and cancels to the store itself. One of them holds the leader's lease
+//! and runs the [`ospreywing_scheduler::Scheduler`]; the others pass questions
+//! to it and ask the adviser on its behalf. The crate is the shell around the
+//! decisions: it owns sockets, clocks and the store's calls, and speaks to the
+//! outside through the [`Platform`] trait alone.
+
+pub mod advisers;
+pub mod clock;
+pub mod commit;
+pub mod election;
+pub mod follow;
+pub mod front;
+pub mod intake;
+pub mod keys;
+pub mod leader;
+pub mod log;
+pub mod node;
+pub mod orders;
+pub mod peer;
+pub mod platform;
+pub mod requests;
+pub mod store;
+
+pub use node::{run, NodeError, NodeSettings};
+pub use platform::{Call, CallError, FrontLimits, Incoming, Platform, Reply, Retry};
+pub use store::{
+    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
+    Transaction, Watched, WatchedChange, Write,
+};
--- /dev/null
+++ b/crates/control/src/log.rs
@@ -0,0 +1,123 @@
+//! The log: JSON lines on standard output, bounded, never blocking.
+//!
+//! Lines are formatted into a buffer in memory. A thread of its own writes the
+//! buffer out. Where the reader stops reading, the buffer fills up, further
+//! lines are counted and dropped, and the count is written once there is room.
+
+use slog::{o, Drain, FnValue, Logger, PushFnValue, Record};
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// What may wait to be written.
+const BUFFER_LIMIT_BYTES: usize = 512 * 1024;
+/// How long lines are gathered before they are written.
+const GATHER_TIME: Duration = Duration::from_millis(100);
+
+#[derive(Default)]
+struct Buffer {
+    lines: Vec<u8>,
+    dropped_count: u64,
+}
+
+/// The buffer between the node and the thread that writes.
+#[derive(Clone, Default)]
+pub struct LogBuffer {
+    shared: Arc<(Mutex<Buffer>, Condvar)>,
+}
+
+impl LogBuffer {
+    /// Creates an empty buffer.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes everything that waits, and the number of lines that were dropped.
+    pub fn take(&self) -> (Vec<u8>, u64) {
+        let mut buffer = self.lock();
+        let dropped_count = core::mem::take(&mut buffer.dropped_count);
+        (core::mem::take(&mut buffer.lines), dropped_count)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Buffer> {
+        let guard = self.shared.0.lock();
+        guard.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn push(&self, line: &[u8]) {
+        let mut buffer = self.lock();
+        if buffer.lines.len() + line.len() > BUFFER_LIMIT_BYTES {
+            buffer.dropped_count += 1;
+            return;
+        }
+        let was_empty = buffer.lines.is_empty();
+        buffer.lines.extend_from_slice(line);
+        drop(buffer);
+        if was_empty {
+            self.shared.1.notify_one();
+        }
+    }
+
+    /// Writes what waits to `output` for ever, a gathering time after it came.
+    pub fn write_to(&self, mut output: impl Write) {
+        loop {
+            let buffer = self.lock();
+            let waited = self.shared.1.wait_while(buffer, |b| b.lines.is_empty());
+            drop(waited);
+            std::thread::sleep(GATHER_TIME);
+            self.flush_to(&mut output);
+        }
+    }
+
+    /// Writes what waits to `output` now.
+    pub fn flush_to(&self, output: &mut impl Write) {
+        let (mut lines, dropped_count) = self.take();
+        if dropped_count > 0 {
+            let line = format!("{{\"msg\":\"lines dropped\",\"count\":{dropped_count}}}\n");
+            lines.extend_from_slice(line.as_bytes());
+        }
+        // A closed output leaves nobody to be told.
+        let _ = output.write_all(&lines);
+        let _ = output.flush();
+    }
+}
+
+/// Creates a logger whose lines go to the buffer.
+pub fn logger(buffer: &LogBuffer, node: &str) -> Logger {
+    let writer = BufferWriter {
+        buffer: buffer.clone(),
+        line: Vec::new(),
+    };
+    let json = slog_json::Json::new(writer)
+        .set_newlines(true)
+        .add_key_value(o!(
+            "at_ms" => FnValue(|_| crate::clock::now().as_ms()),
+            "level" => FnValue(|record: &Record<'_>| record.level().as_short_str()),
+            "msg" => PushFnValue(|record: &Record<'_>, serializer| {
+                serializer.emit(record.msg())
+            }),
+        ))
+        .build();
+    Logger::root(Mutex::new(json).fuse(), o!("node" => node.to_owned()))
+}
+
+/// Puts lines together from the parts that the formatter writes.
+struct BufferWriter {
+    buffer: LogBuffer,
+    line: Vec<u8>,
+}
+
+impl Write for BufferWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            self.buffer.push(&self.line);
+            self.line.clear();
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,318 @@
+//! A node's life, from start to stop.
+
+use crate::election::{self, CellView};
+use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::front::{self, Front};
+use crate::intake::Intake;
+use crate::leader::Leading;
+use crate::log::LogBuffer;
+use crate::platform::Platform;
+use crate::store::{Item, WatchedChange};
+use crate::{clock, peer};
+use ospreywing_http::HttpClient;
+use ospreywing_scheduler::Configuration;
+use ospreywing_types::{Duration, Instant};
+use slog::{info, warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
+
+/// Idle connections that are kept to each peer.
+const PEER_IDLE_COUNT: usize = 8;
+/// How long a node is ready after the store last answered.
+const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
+/// How often the operators' configuration is read again.
+const CONFIGURATION_REFRESH: Duration = Duration::from_ms(1000);
+/// How often the settings are looked at for a silent change.
+const RELOAD_PERIOD: Duration = Duration::from_s(2);
+/// How long a stopping node still takes connections, so that the balancer
+/// finds out first.
+const DRAIN_ACCEPT_TIME: Duration = Duration::from_ms(2600);
+/// What is left of the grace time at the end of a drain.
+const DRAIN_MARGIN: Duration = Duration::from_ms(1000);
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The node's name.
+    pub name: String,
+    /// Where clients are served.
+    pub front_address: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub ready_address: SocketAddr,
+    /// Where other nodes call.
+    pub peer_address: SocketAddr,
+    /// The node's share of a core, in thousandths.
+    pub cores_milli: u32,
+    /// The longest lease that a worker grants.
+    pub grant_limit: Duration,
+    /// How long a stop may take.
+    pub grace: Duration,
+    /// How long a job's outcome is kept.
+    pub retention: Duration,
+}
+
+/// Why a node could not run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address could not be listened on.
+    #[error("can't listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// The configuration that is in force.
+pub struct InForce<P: Platform> {
+    /// The product's part.
+    pub configuration: Configuration,
+    /// How requests find their queues.
+    pub routes: P::Routes,
+}
+
+/// A node.
+pub struct Node<P: Platform> {
+    /// The platform.
+    pub platform: P,
+    /// The platform's store.
+    pub store: P::Store,
+    /// The settings.
+    pub settings: NodeSettings,
+    /// The log.
+    pub log: Logger,
+    /// Connections to other nodes.
+    pub peers: HttpClient,
+    /// What clients have handed in.
+    pub intake: Rc<Intake<P::Store>>,
+    /// The configuration, once there is one.
+    pub in_force: RefCell<Option<Rc<InForce<P>>>>,
+    /// Who leads, and who lives.
+    pub cell: RefCell<CellView>,
+    /// Told when the view of the cell has changed.
+    pub cell_changed: Notify,
+    /// The node's own term, while it leads.
+    pub leading: RefCell<Option<Rc<Leading<P>>>>,
+    /// When the store last answered.
+    pub contact_at: Cell<Instant>,
+    /// Whether the node is stopping.
+    pub is_draining: Cell<bool>,
+}
+
+impl<P: Platform> Node<P> {
+    /// Notes that the store has answered.
+    pub fn note_contact(&self) {
+        let now = clock::now();
+        if now.since(self.contact_at.get()) > CONTACT_LIMIT {
+            info!(self.log, "store regained");
+        }
+        self.contact_at.set(now);
+    }
+
+    /// Returns whether the store answered a short while ago.
+    pub fn has_contact(&self) -> bool {
+        clock::now().since(self.contact_at.get()) <= CONTACT_LIMIT
+    }
+
+    /// Returns whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let has_configuration = self.in_force.borrow().is_some();
+        has_configuration && self.has_contact() && !self.is_draining.get()
+    }
+
+    /// Returns the configuration that is in force.
+    pub fn in_force(&self) -> Option<Rc<InForce<P>>> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Returns the node's own term, while it leads.
+    pub fn leading(&self) -> Option<Rc<Leading<P>>> {
+        self.leading.borrow().clone()
+    }
+
+    fn learn_configuration(&self, item: &Item) {
+        let parsed = self.platform.parse_configuration(&item.value);
+        let (configuration, routes) = match parsed {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                warn!(self.log, "configuration refused"; "error" => error.to_string());
+                return;
+            }
+        };
+        let known = self.in_force().map(|known| known.configuration.version);
+        if known.is_some_and(|known| known >= configuration.version) {
+            return;
+        }
+        info!(self.log, "configuration in force";
+            "version" => configuration.version, "before" => known.unwrap_or_default());
+        if let Some(leading) = self.leading() {
+            leading.configure(configuration.clone());
+        }
+        *self.in_force.borrow_mut() = Some(Rc::new(InForce {
+            configuration,
+            routes,
+        }));
+        self.cell_changed.notify_waiters();
+    }
+}
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// Returns a [`NodeError`] where it can't begin.
+pub async fn run<P: Platform>(
+    platform: P,
+    settings: NodeSettings,
+    log: Logger,
+    buffer: LogBuffer,
+) -> Result<(), NodeError> {
+    let store = platform.store();
+    let node = Rc::new(Node {
+        intake: Intake::new(store.clone()),
+        store,
+        platform,
+        log,
+        peers: HttpClient::new(PEER_IDLE_COUNT),
+        in_force: RefCell::new(None),
+        cell: RefCell::new(CellView::default()),
+        cell_changed: Notify::new(),
+        leading: RefCell::new(None),
+        contact_at: Cell::new(Instant::default()),
+        is_draining: Cell::new(false),
+        settings,
+    });
+    let term = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let hup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let (stop, stopped) = watch::channel(false);
+    let front = Front::new(node.clone(), stopped);
+    front
+        .listen(node.settings.ready_address, front::Role::Ready)
+        .await?;
+    front
+        .listen(node.settings.peer_address, front::Role::Peer)
+        .await?;
+    front
+        .listen(node.settings.front_address, front::Role::Clients)
+        .await?;
+    info!(node.log, "started";
+        "version" => env!("CARGO_PKG_VERSION"),
+        "front" => node.settings.front_address.to_string(),
+        "peer" => node.settings.peer_address.to_string());
+    spawn_loops(&node);
+    tokio::task::spawn_local(reload_on_signal(node.clone(), hup));
+    wait_for_stop(term).await;
+    drain(&node, &front, &stop).await;
+    info!(node.log, "stopped"; "open" => front.open_count());
+    buffer.flush_to(&mut std::io::stdout());
+    Ok(())
+}
+
+fn spawn_loops<P: Platform>(node: &Rc<Node<P>>) {
+    let intake = node.intake.clone();
+    tokio::task::spawn_local(async move { intake.run().await });
+    tokio::task::spawn_local(follow_configuration(node.clone()));
+    tokio::task::spawn_local(election::follow_cell(node.clone()));
+    tokio::task::spawn_local(election::keep_membership(node.clone()));
+    tokio::task::spawn_local(election::campaign(node.clone()));
+}
+
+async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
+    let policy = FollowPolicy {
+        wait: CONFIGURATION_REFRESH,
+        refresh: Some(CONFIGURATION_REFRESH),
+        pace: Duration::ZERO,
+    };
+    let key = node.platform.configuration_key();
+    let store = node.store.clone();
+    follow(store, key, policy, None, |update| {
+        match update {
+            Update::Snapshot(items) => {
+                node.note_contact();
+                items
+                    .iter()
+                    .filter(|item| item.key == key)
+                    .for_each(|item| node.learn_configuration(item));
+            }
+            Update::Changes(changes) => {
+                node.note_contact();
+                for change in &changes {
+                    match change {
+                        WatchedChange::Put(item) if item.key == key => {
+                            node.learn_configuration(item);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            Update::Unchanged => node.note_contact(),
+            Update::Failed(error) => {
+                warn!(node.log, "store call failed";
+                    "what" => "configuration", "error" => error.to_string());
+            }
+        }
+        Flow::Continue
+    })
+    .await;
+}
+
+async fn reload_on_signal<P: Platform>(node: Rc<Node<P>>, mut hup: tokio::signal::unix::Signal) {
+    let mut period = tokio::time::interval(RELOAD_PERIOD.into());
+    loop {
+        tokio::select! {
+            _ = hup.recv() => info!(node.log, "settings read again"; "reason" => "signal"),
+            _ = period.tick() => {}
+        }
+        node.platform.reload();
+    }
+}
+
+async fn wait_for_stop(mut term: tokio::signal::unix::Signal) {
+    let interrupt = signal(SignalKind::interrupt());
+    match interrupt {
+        Ok(mut interrupt) => {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        Err(_) => {
+            term.recv().await;
+        }
+    }
+}
+
+/// Gives up the lead, lets the balancer find out, and answers what is open.
+async fn drain<P: Platform>(node: &Rc<Node<P>>, front: &Front<P>, stop: &watch::Sender<bool>) {
+    info!(node.log, "stopping"; "open" => front.open_count());
+    node.is_draining.set(true);
+    let begun = clock::now();
+    if let Some(leading) = node.leading() {
+        leading.resign().await;
+    }
+    election::leave(node).await;
+    let grace_ms = node.settings.grace.as_ms();
+    let grace = Duration::from_ms(grace_ms.saturating_sub(DRAIN_MARGIN.as_ms()));
+    tokio::time::sleep(DRAIN_ACCEPT_TIME.into()).await;
+    // A receiver that is gone has nothing open.
+    let _ = stop.send(true);
+    while front.open_count() > 0 && clock::now().since(begun) < grace {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Answers another node.
+pub async fn answer_peer<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: peer::PeerRequest,
+) -> peer::PeerReply {
+    crate::requests::answer_peer(node, request).await
+}
--- /dev/null
+++ b/crates/control/src/orders.rs
@@ -0,0 +1,160 @@
+//! Orders to workers and calls for advice, each in a task of its own.
+
+use crate::advisers::Assignment;
+use crate::clock;
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::peer::{self, AdviceAnswer, PeerReply, PeerRequest};
+use crate::platform::Platform;
+use ospreywing_scheduler::{
+    AdviceReply, Endpoint, Event, HoldReply, RefusedStart, StartOrder, StartReply, StepKey,
+    StopReply, TaskKey, Ticket,
+};
+use ospreywing_types::Duration;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// What a call for advice may take beyond the adviser's own time.
+const ADVICE_SLACK: Duration = Duration::from_ms(700);
+
+/// Sends a start, unless the term may be over.
+pub fn start<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    to: Endpoint,
+    order: StartOrder,
+) {
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        let reply = if leading.may_order() {
+            node.platform.start(&to, leading.fence, &order).await
+        } else {
+            StartReply::Refused(RefusedStart::Late)
+        };
+        leading.tell(Event::StartAnswered {
+            worker: to.worker,
+            task: order.task,
+            run: order.run,
+            reply,
+        });
+    });
+}
+
+/// Sends a stop, unless the term may be over.
+pub fn stop<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    to: Endpoint,
+    task: TaskKey,
+    run: u32,
+) {
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        let reply = if leading.may_order() {
+            node.platform.stop(&to, leading.fence, task, run).await
+        } else {
+            StopReply::Unanswered
+        };
+        leading.tell(Event::StopAnswered {
+            worker: to.worker,
+            task,
+            run,
+            reply,
+        });
+    });
+}
+
+/// Renews a worker's lease, unless the term may be over.
+pub fn hold<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    to: Endpoint,
+    until_ms: Option<u64>,
+    last_seen: u64,
+    wait: Duration,
+) {
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        let sent_at = clock::now();
+        let reply = if leading.may_order() {
+            let platform = &node.platform;
+            platform
+                .hold(&to, leading.fence, until_ms, last_seen, wait)
+                .await
+        } else {
+            HoldReply::Unanswered
+        };
+        leading.tell(Event::HoldAnswered {
+            worker: to.worker,
+            sent_at,
+            reply,
+        });
+    });
+}
+
+/// Has a node ask the adviser.
+pub fn advise<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    step: StepKey,
+    workers: Vec<Endpoint>,
+    cost: Duration,
+) {
+    let now = clock::now();
+    let assignment = leading
+        .advisers
+        .assign(now, &node.cell.borrow(), &node.settings.name, cost);
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        let ids: Vec<Arc<str>> = workers.iter().map(|to| to.id.clone()).collect();
+        let reply = match assignment {
+            Some(assignment) => ask(&node, &leading, &assignment, step, ids).await,
+            None => AdviceReply::Unanswered,
+        };
+        leading.tell(Event::AdviceAnswered {
+            step,
+            named: workers.iter().map(|to| to.worker).collect(),
+            reply,
+        });
+    });
+}
+
+async fn ask<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    assignment: &Assignment,
+    step: StepKey,
+    ids: Vec<Arc<str>>,
+) -> AdviceReply {
+    let limit = assignment.expected + ADVICE_SLACK;
+    let Some(address) = &assignment.address else {
+        return node.platform.advise(step, &ids, limit).await;
+    };
+    let request = PeerRequest::Advise {
+        step,
+        workers: ids.iter().map(ToString::to_string).collect(),
+        limit_ms: limit.as_ms(),
+    };
+    let reply = peer::call(&node.peers, address, &request, limit).await;
+    match reply {
+        Ok(PeerReply::Advice(Some(answer))) => advice_of(answer),
+        _ => {
+            leading.advisers.note_failure(clock::now(), assignment);
+            AdviceReply::Unanswered
+        }
+    }
+}
+
+fn advice_of(answer: AdviceAnswer) -> AdviceReply {
+    AdviceReply::Good {
+        tickets: answer
+            .good
+            .into_iter()
+            .map(|good| Ticket {
+                worker: good.worker,
+                text: good.ticket,
+            })
+            .collect(),
+        validity: Duration::from_ms(answer.validity_ms),
+    }
+}
--- /dev/null
+++ b/crates/control/src/peer.rs
@@ -0,0 +1,140 @@
+//! What nodes say to one another: one request, one answer, over HTTP.
+//!
+//! Bodies are in a compact binary form. The calls are few and small, and the
+//! machines have a quarter of a core, so a general RPC library does not pay.
+
+use http::Method;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use ospreywing_http::{Call, HttpClient, HttpError};
+use ospreywing_scheduler::{JobId, JobRecord, JobView, StepKey};
+use ospreywing_types::Duration;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// The path of every call.
+pub const PATH: &str = "/peer";
+
+/// What one node asks of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// To tell a job's state, as its leader.
+    Status(JobId),
+    /// To tell how many jobs of a queue have not begun, as its leader.
+    Pending(String),
+    /// To know of a job that is in the store.
+    JobTaken {
+        /// The job.
+        job: JobId,
+        /// What was accepted.
+        record: JobRecord,
+    },
+    /// To know of a cancel that is in the store.
+    CancelTaken(JobId),
+    /// To write a job to the store, where the caller can't reach it.
+    Submit {
+        /// The job.
+        job: JobId,
+        /// What is to be accepted.
+        record: JobRecord,
+    },
+    /// To write a cancel to the store, where the caller can't reach it.
+    Cancel(JobId),
+    /// To ask the adviser.
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The ids of the workers to be named.
+        workers: Vec<String>,
+        /// How long the call may take, in milliseconds.
+        limit_ms: u64,
+    },
+}
+
+/// What it answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// The job's state, where the leader knows the job.
+    Status(Option<JobView>),
+    /// How many jobs have not begun.
+    Pending(u64),
+    /// Noted.
+    Taken,
+    /// The node is not the leader.
+    NotLeader,
+    /// The job or cancel is in the store.
+    Accepted,
+    /// There is no such job.
+    NoJob,
+    /// Nothing was done.
+    Refused,
+    /// What was done is not known.
+    Unknown,
+    /// The workers that may run the step, with their tickets.
+    Advice(Option<AdviceAnswer>),
+}
+
+/// The adviser's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceAnswer {
+    /// Ids of workers and their tickets.
+    pub good: Vec<GoodWorker>,
+    /// How long the tickets hold, in milliseconds.
+    pub validity_ms: u64,
+}
+
+/// A worker that may run a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GoodWorker {
+    /// Its id.
+    pub worker: Arc<str>,
+    /// Its ticket.
+    pub ticket: Arc<str>,
+}
+
+/// Why a peer gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum PeerError {
+    /// The call failed.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// The answer can't be read.
+    #[error("the answer can't be read")]
+    Malformed,
+}
+
+impl PeerError {
+    /// Returns whether the peer certainly has not received the call.
+    pub const fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Http(error) if error.is_not_sent())
+    }
+}
+
+/// Calls another node.
+///
+/// # Errors
+///
+/// Returns a [`PeerError`] where there was no usable answer.
+pub async fn call(
+    client: &HttpClient,
+    address: &str,
+    request: &PeerRequest,
+    limit: Duration,
+) -> Result<PeerReply, PeerError> {
+    let body = postcard::to_allocvec(request).map_err(|_| PeerError::Malformed)?;
+    let call = Call::new(Method::POST, address, PATH, limit.into()).with_body(body);
+    let answer = client.call(call).await?;
+    postcard::from_bytes(&answer.body).map_err(|_| PeerError::Malformed)
+}
+
+/// Reads a call.
+pub fn decode(body: &[u8]) -> Option<PeerRequest> {
+    postcard::from_bytes(body).ok()
+}
+
+/// Writes an answer.
+pub fn encode(reply: &PeerReply) -> http::Response<Full<Bytes>> {
+    let body = postcard::to_allocvec(reply).unwrap_or_default();
+    http::Response::new(Full::new(Bytes::from(body)))
+}
--- /dev/null
+++ b/crates/control/src/platform.rs
@@ -0,0 +1,202 @@
+//! What the product needs of the platform that it runs on.
+
+use crate::store::Store;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use ospreywing_scheduler::{
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobSpec, Phase, StartOrder, StartReply,
+    StepKey, StopReply, TaskKey, WorkerFacts,
+};
+use ospreywing_types::Duration;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// To take a job.
+    Submit {
+        /// The job's id.
+        job: JobId,
+        /// The queue.
+        queue: String,
+        /// The queue's service.
+        service: String,
+        /// What is to be done.
+        spec: JobSpec,
+    },
+    /// To tell a job's state.
+    Status {
+        /// The job's id.
+        job: JobId,
+    },
+    /// To cancel a job.
+    Cancel {
+        /// The job's id.
+        job: JobId,
+    },
+    /// To tell how many jobs of a queue have not begun.
+    Pending {
+        /// The queue.
+        queue: String,
+    },
+}
+
+/// When to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retry {
+    /// After this time.
+    pub after: Duration,
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The job is in the store.
+    Accepted,
+    /// The cancel is in the store.
+    Cancelled,
+    /// The job's state.
+    Status {
+        /// Its life.
+        phase: Phase,
+        /// Whether a task has begun.
+        has_begun: bool,
+    },
+    /// How many jobs have not begun.
+    Pending(u64),
+    /// There is no such queue.
+    NoQueue,
+    /// There is no such job.
+    NoJob,
+    /// The request is malformed; nothing was done.
+    Invalid {
+        /// The field.
+        field: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The request is too large; nothing was done.
+    TooLarge {
+        /// The limit.
+        limit_bytes: usize,
+    },
+    /// The method is not one of the queue's.
+    NoMethod,
+    /// The request did not arrive in time; nothing was done.
+    TooSlow,
+    /// Nothing was done.
+    Unavailable(Retry),
+    /// The outcome is not known; the request may be repeated.
+    Unknown,
+}
+
+/// A request as it came in.
+#[derive(Clone, Copy, Debug)]
+pub struct Incoming<'a> {
+    /// The method.
+    pub method: &'a http::Method,
+    /// The path.
+    pub path: &'a str,
+    /// The headers.
+    pub headers: &'a http::HeaderMap,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Limits on what clients send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrontLimits {
+    /// The largest head.
+    pub head_bytes: usize,
+    /// The largest body.
+    pub body_bytes: usize,
+    /// How long a request may take to arrive.
+    pub head_time: Duration,
+    /// How long a connection may be idle.
+    pub idle_time: Duration,
+}
+
+/// A call of an outside system brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// What was read is not as agreed.
+    #[error("{field}: {reason}")]
+    Malformed {
+        /// The field.
+        field: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// The platform.
+#[allow(async_fn_in_trait, reason = "every node runs on one thread")]
+pub trait Platform: Clone + 'static {
+    /// The store.
+    type Store: Store;
+    /// How requests find their queues, from the operators' configuration.
+    type Routes: 'static;
+
+    /// Returns the store.
+    fn store(&self) -> Self::Store;
+
+    /// Returns the key of the operators' configuration.
+    fn configuration_key(&self) -> &'static str;
+
+    /// Reads the operators' configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] that names the field.
+    fn parse_configuration(&self, value: &[u8])
+        -> Result<(Configuration, Self::Routes), CallError>;
+
+    /// Returns the prefix below which live workers stand.
+    fn workers_prefix(&self) -> &'static str;
+
+    /// Reads a worker's entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] that names the field.
+    fn parse_worker(&self, key: &str, value: &[u8]) -> Result<WorkerFacts, CallError>;
+
+    /// Returns the limits on what clients send.
+    fn limits(routes: &Self::Routes) -> FrontLimits;
+
+    /// Reads a client's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply to a request that can't be read.
+    fn decode(&self, routes: &Self::Routes, request: Incoming<'_>) -> Result<Call, Reply>;
+
+    /// Writes a reply.
+    fn encode(&self, reply: &Reply) -> http::Response<Full<Bytes>>;
+
+    /// Returns whether this is the question whether the node is ready.
+    fn is_ready_question(&self, method: &http::Method, path: &str) -> bool;
+
+    /// Renews a worker's lease and asks for its lists.
+    async fn hold(
+        &self,
+        to: &Endpoint,
+        fence: u64,
+        until_ms: Option<u64>,
+        last_seen: u64,
+        wait: Duration,
+    ) -> HoldReply;
+
+    /// Starts a run.
+    async fn start(&self, to: &Endpoint, fence: u64, order: &StartOrder) -> StartReply;
+
+    /// Stops a run.
+    async fn stop(&self, to: &Endpoint, fence: u64, task: TaskKey, run: u32) -> StopReply;
+
+    /// Asks the adviser which workers may run a step.
+    async fn advise(&self, step: StepKey, workers: &[Arc<str>], limit: Duration) -> AdviceReply;
+
+    /// Reads the platform's settings again; called on a signal and now and then.
+    fn reload(&self) {}
+}
--- /dev/null
+++ b/crates/control/src/requests.rs
@@ -0,0 +1,304 @@
+//! What becomes of a request, from a client or from another node.
+
+use crate::intake::IntakeOutcome;
+use crate::keys;
+use crate::node::Node;
+use crate::peer::{self, AdviceAnswer, GoodWorker, PeerReply, PeerRequest};
+use crate::platform::{Call, Platform, Reply, Retry};
+use crate::store::Store;
+use ospreywing_scheduler::{
+    AdviceReply, Event, JobId, JobRecord, JobState, JobView, Phase, TaskStatus,
+};
+use ospreywing_types::Duration;
+use slog::info;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// How long the leader may take for an answer.
+const LEADER_LIMIT: Duration = Duration::from_ms(400);
+/// How long another node may take to write to the store.
+const FORWARD_LIMIT: Duration = Duration::from_ms(1500);
+/// When a client that was turned away may come back.
+const COME_BACK: Retry = Retry {
+    after: Duration::from_ms(1000),
+};
+/// Failed calls in a row after which others are asked to write.
+const FORWARD_AFTER_COUNT: u32 = 2;
+/// How many other nodes are asked to write.
+const FORWARDS_COUNT: usize = 2;
+
+/// Does what a client asks for.
+pub async fn execute<P: Platform>(node: &Rc<Node<P>>, call: Call) -> Reply {
+    match call {
+        Call::Submit {
+            job,
+            queue,
+            service,
+            spec,
+        } => {
+            let record = JobRecord {
+                queue,
+                service,
+                spec,
+            };
+            submit(node, job, record).await
+        }
+        Call::Status { job } => status(node, job).await,
+        Call::Cancel { job } => cancel(node, job).await,
+        Call::Pending { queue } => pending(node, queue).await,
+    }
+}
+
+async fn submit<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: JobRecord) -> Reply {
+    let local = write_job(node, job, &record).await;
+    let reply = match local {
+        IntakeOutcome::Stored => Reply::Accepted,
+        IntakeOutcome::Unknown => Reply::Unknown,
+        IntakeOutcome::NotStored => {
+            let request = PeerRequest::Submit { job, record };
+            forward(node, request, Reply::Accepted).await
+        }
+    };
+    let word = match reply {
+        Reply::Accepted => "accepted",
+        Reply::Unknown => "unknown",
+        _ => "refused",
+    };
+    info!(node.log, "job answered"; "job" => %job, "outcome" => word);
+    reply
+}
+
+/// Writes a job to the store and tells the leader.
+async fn write_job<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    record: &JobRecord,
+) -> IntakeOutcome {
+    if is_cut_off(node) {
+        return IntakeOutcome::NotStored;
+    }
+    let outcome = node.intake.write(keys::job(job), record.to_bytes()).await;
+    if outcome == IntakeOutcome::Stored {
+        node.note_contact();
+        tell_leader(node, job, record.clone());
+    }
+    outcome
+}
+
+/// Returns whether the store is known not to answer this node.
+fn is_cut_off<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    !node.has_contact()
+        || node.intake.failures_count() >= FORWARD_AFTER_COUNT && !node.has_contact()
+}
+
+fn tell_leader<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: JobRecord) {
+    if let Some(leading) = node.leading() {
+        let record = Box::new(record);
+        leading.tell(Event::JobAccepted { job, record });
+        return;
+    }
+    send_to_leader(node, PeerRequest::JobTaken { job, record });
+}
+
+/// Sends the leader a message; it learns from the store where that is lost.
+fn send_to_leader<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) {
+    let leader = node.cell.borrow().leader.clone();
+    let Some(leader) = leader else {
+        return;
+    };
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let _ = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
+    });
+}
+
+/// Has another node write, where the store does not answer this one.
+async fn forward<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest, success: Reply) -> Reply {
+    for address in other_nodes(node) {
+        match peer::call(&node.peers, &address, &request, FORWARD_LIMIT).await {
+            Ok(PeerReply::Accepted) => return success,
+            Ok(PeerReply::NoJob) => return Reply::NoJob,
+            Ok(PeerReply::Unknown) => return Reply::Unknown,
+            Ok(_) => {}
+            Err(error) if error.is_not_sent() => {}
+            Err(_) => return Reply::Unknown,
+        }
+    }
+    Reply::Unavailable(COME_BACK)
+}
+
+/// Returns a few other nodes, the leader first.
+fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
+    let cell = node.cell.borrow();
+    let leader = cell.leader.iter().map(|leader| leader.address.clone());
+    let nodes = cell.nodes.values().map(|node| node.address.clone());
+    let own = node.settings.peer_address.to_string();
+    let mut addresses: Vec<String> = Vec::new();
+    for address in leader.chain(nodes) {
+        if address != own && !addresses.contains(&address) {
+            addresses.push(address);
+        }
+    }
+    addresses.truncate(FORWARDS_COUNT);
+    addresses
+}
+
+async fn cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Reply {
+    let reply = match write_cancel(node, job).await {
+        PeerReply::Accepted => Reply::Cancelled,
+        PeerReply::NoJob => Reply::NoJob,
+        PeerReply::Refused => forward(node, PeerRequest::Cancel(job), Reply::Cancelled).await,
+        _ => Reply::Unknown,
+    };
+    let is_done = reply == Reply::Cancelled;
+    info!(node.log, "cancel answered"; "job" => %job, "is_done" => is_done);
+    reply
+}
+
+/// Writes a cancel to the store and tells the leader.
+async fn write_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> PeerReply {
+    if is_cut_off(node) {
+        return PeerReply::Refused;
+    }
+    match node.store.get(&keys::job(job)).await {
+        Ok(Some(_)) => {}
+        Ok(None) => return PeerReply::NoJob,
+        Err(_) => return PeerReply::Refused,
+    }
+    match node.intake.write(keys::cancel(job), Vec::new()).await {
+        IntakeOutcome::Stored => {
+            match node.leading() {
+                Some(leading) => leading.tell(Event::CancelAccepted { job }),
+                None => send_to_leader(node, PeerRequest::CancelTaken(job)),
+            }
+            PeerReply::Accepted
+        }
+        IntakeOutcome::NotStored => PeerReply::Refused,
+        IntakeOutcome::Unknown => PeerReply::Unknown,
+    }
+}
+
+async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Reply {
+    if let Some(view) = leaders_view(node, job).await {
+        return reply_of(view);
+    }
+    match stored_view(node, job).await {
+        Some(Some(view)) => reply_of(view),
+        Some(None) => Reply::NoJob,
+        None => Reply::Unavailable(COME_BACK),
+    }
+}
+
+const fn reply_of(view: JobView) -> Reply {
+    Reply::Status {
+        phase: view.phase,
+        has_begun: view.has_begun,
+    }
+}
+
+/// Returns what the leader knows of a job, where it can be asked.
+async fn leaders_view<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Option<JobView> {
+    if let Some(leading) = node.leading() {
+        return leading.job(job);
+    }
+    let leader = node.cell.borrow().leader.clone()?;
+    let request = PeerRequest::Status(job);
+    let reply = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
+    match reply {
+        Ok(PeerReply::Status(view)) => view,
+        _ => None,
+    }
+}
+
+/// Returns what the store keeps of a job: `None` where the store does not
+/// answer, `Some(None)` where there is no such job.
+async fn stored_view<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Option<Option<JobView>> {
+    let record = node.store.get(&keys::job(job)).await.ok()?;
+    if record.is_none() {
+        return Some(None);
+    }
+    let state = node.store.get(&keys::state(job)).await.ok()?;
+    let state = state.and_then(|item| JobState::from_bytes(&item.value).ok());
+    let state = state.unwrap_or_default();
+    let steps = state.rounds.iter().flat_map(|round| &round.steps);
+    let mut tasks = steps.flat_map(|step| &step.tasks);
+    Some(Some(JobView {
+        phase: state.phase,
+        has_begun: state.phase != Phase::Active
+            || tasks.any(|task| task.status != TaskStatus::Waiting),
+    }))
+}
+
+async fn pending<P: Platform>(node: &Rc<Node<P>>, queue: String) -> Reply {
+    if let Some(leading) = node.leading() {
+        return Reply::Pending(leading.pending_count(&queue));
+    }
+    let leader = node.cell.borrow().leader.clone();
+    let Some(leader) = leader else {
+        return Reply::Unavailable(COME_BACK);
+    };
+    let request = PeerRequest::Pending(queue);
+    let reply = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
+    match reply {
+        Ok(PeerReply::Pending(count)) => Reply::Pending(count),
+        _ => Reply::Unavailable(COME_BACK),
+    }
+}
+
+/// Answers another node.
+pub async fn answer_peer<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Status(job) => match node.leading() {
+            Some(leading) => PeerReply::Status(leading.job(job)),
+            None => PeerReply::NotLeader,
+        },
+        PeerRequest::Pending(queue) => match node.leading() {
+            Some(leading) => PeerReply::Pending(leading.pending_count(&queue)),
+            None => PeerReply::NotLeader,
+        },
+        PeerRequest::JobTaken { job, record } => {
+            let record = Box::new(record);
+            note_for_leader(node, Event::JobAccepted { job, record })
+        }
+        PeerRequest::CancelTaken(job) => note_for_leader(node, Event::CancelAccepted { job }),
+        PeerRequest::Submit { job, record } => match write_job(node, job, &record).await {
+            IntakeOutcome::Stored => PeerReply::Accepted,
+            IntakeOutcome::NotStored => PeerReply::Refused,
+            IntakeOutcome::Unknown => PeerReply::Unknown,
+        },
+        PeerRequest::Cancel(job) => write_cancel(node, job).await,
+        PeerRequest::Advise {
+            step,
+            workers,
+            limit_ms,
+        } => {
+            let ids: Vec<Arc<str>> = workers.iter().map(|id| Arc::from(id.as_str())).collect();
+            let limit = Duration::from_ms(limit_ms);
+            PeerReply::Advice(answer_of(node.platform.advise(step, &ids, limit).await))
+        }
+    }
+}
+
+fn note_for_leader<P: Platform>(node: &Rc<Node<P>>, event: Event) -> PeerReply {
+    match node.leading() {
+        Some(leading) => {
+            leading.tell(event);
+            PeerReply::Taken
+        }
+        None => PeerReply::NotLeader,
+    }
+}
+
+fn answer_of(reply: AdviceReply) -> Option<AdviceAnswer> {
+    let AdviceReply::Good { tickets, validity } = reply else {
+        return None;
+    };
+    let good = tickets.into_iter().map(|ticket| GoodWorker {
+        worker: ticket.worker,
+        ticket: ticket.text,
+    });
+    Some(AdviceAnswer {
+        good: good.collect(),
+        validity_ms: validity.as_ms(),
+    })
+}
--- /dev/null
+++ b/crates/scheduler/src/advice.rs
@@ -0,0 +1,72 @@
+//! Tickets for steps whose queue needs advice.
+
+use crate::worker::WorkerKey;
+use ospreywing_types::{Duration, Instant};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What is taken off a ticket's validity for the ways between.
+const TICKET_MARGIN: Duration = Duration::from_ms(150);
+
+/// What is known of one worker for one step.
+#[derive(Clone, Debug)]
+enum Opinion {
+    Good { ticket: Arc<str>, until: Instant },
+    Bad,
+}
+
+/// The advice for one step. Who may run a step never changes, tickets expire.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepAdvice {
+    opinions: BTreeMap<WorkerKey, Opinion>,
+    /// When the call was made that is open.
+    pub(crate) asked_at: Option<Instant>,
+    /// When the next call may be made after one that failed.
+    pub(crate) retry_at: Instant,
+}
+
+impl StepAdvice {
+    /// Takes in an answer that named `named` and found `good` of them.
+    pub(crate) fn take_in(
+        &mut self,
+        now: Instant,
+        named: &[WorkerKey],
+        good: &[(WorkerKey, Arc<str>)],
+        validity: Duration,
+    ) {
+        for &worker in named {
+            self.opinions.insert(worker, Opinion::Bad);
+        }
+        let until = (now + validity) - TICKET_MARGIN;
+        for (worker, ticket) in good {
+            let ticket = ticket.clone();
+            self.opinions
+                .insert(*worker, Opinion::Good { ticket, until });
+        }
+    }
+
+    /// Returns the worker's ticket, where one holds.
+    pub(crate) fn ticket(&self, now: Instant, worker: WorkerKey) -> Option<Arc<str>> {
+        match self.opinions.get(&worker) {
+            Some(Opinion::Good { ticket, until }) if now < *until => Some(ticket.clone()),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the worker is known to be unfit for the step.
+    pub(crate) fn is_bad(&self, worker: WorkerKey) -> bool {
+        matches!(self.opinions.get(&worker), Some(Opinion::Bad))
+    }
+
+    /// Returns whether the worker is known to be fit, whether or not its ticket holds.
+    pub(crate) fn is_good(&self, worker: WorkerKey) -> bool {
+        matches!(self.opinions.get(&worker), Some(Opinion::Good { .. }))
+    }
+
+    /// Ends the ticket of a worker that refused it.
+    pub(crate) fn expire(&mut self, worker: WorkerKey) {
+        if let Some(Opinion::Good { until, .. }) = self.opinions.get_mut(&worker) {
+            *until = Instant::default();
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/commits.rs
@@ -0,0 +1,136 @@
+//! Group commits: what changed goes to the store, then what waited for it
+//! happens.
+//!
+//! A job belongs to one lane. A lane has one transaction open at a time, so a
+//! later state of a job never reaches the store before an earlier one.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, Change};
+use crate::job::{JobId, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::state::Phase;
+use crate::worker::WorkerKey;
+use ospreywing_types::Instant;
+use std::collections::VecDeque;
+
+/// What waits for a job's state to be in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    /// A recorded start may be sent.
+    Start {
+        worker: WorkerKey,
+        task: TaskKey,
+        run: u32,
+    },
+    /// The worker may forget an end.
+    AckEnd { worker: WorkerKey, number: u64 },
+    /// Clients may be told of the phase.
+    Show(Phase),
+    /// The job is forgotten.
+    Forget,
+}
+
+/// A lane of commits.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    dirty: VecDeque<JobId>,
+    open: Option<Vec<(JobId, u64)>>,
+    next_at: Instant,
+}
+
+impl Scheduler {
+    /// Notes that a job's state has changed, and what waits for its commit.
+    pub(crate) fn touch(&mut self, id: JobId, effect: Option<Effect>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.version += 1;
+        job.ready = None;
+        if let Some(effect) = effect {
+            job.effects.push((job.version, effect));
+        }
+        if !job.is_dirty {
+            job.is_dirty = true;
+            let lane = (id.number() % u64::from(self.config.lanes_count)) as usize;
+            self.lanes[lane].dirty.push_back(id);
+        }
+    }
+
+    pub(crate) fn flush_commits(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for number in 0..self.lanes.len() {
+            let lane = &mut self.lanes[number];
+            if lane.open.is_some() || lane.dirty.is_empty() || now < lane.next_at {
+                continue;
+            }
+            lane.next_at = now + self.config.commit_pace;
+            let count = lane.dirty.len().min(self.config.commit_limit_count);
+            let ids: Vec<JobId> = lane.dirty.drain(..count).collect();
+            self.commit(number, ids, out);
+        }
+    }
+
+    fn commit(&mut self, lane: usize, ids: Vec<JobId>, out: &mut Vec<Action>) {
+        let mut changes = Vec::with_capacity(ids.len());
+        let mut open = Vec::with_capacity(ids.len());
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.is_dirty = false;
+            let is_forgotten = job.effects.iter().any(|(_, e)| *e == Effect::Forget);
+            let state = (!is_forgotten).then(|| job.state.to_bytes());
+            changes.push(Change { job: id, state });
+            open.push((id, job.version));
+        }
+        if changes.is_empty() {
+            return;
+        }
+        self.lanes[lane].open = Some(open);
+        out.push(Action::Commit {
+            lane: lane as u32,
+            changes,
+        });
+    }
+
+    pub(crate) fn on_committed(&mut self, now: Instant, lane: u32, out: &mut Vec<Action>) {
+        let open = self.lanes[lane as usize].open.take().unwrap_or_default();
+        for (id, version) in open {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let due = job.effects.iter().take_while(|(v, _)| *v <= version);
+            let due_count = due.count();
+            let due: Vec<_> = job.effects.drain(..due_count).collect();
+            for (_, effect) in due {
+                self.take_effect(now, id, effect, out);
+            }
+        }
+        self.is_place_due = true;
+    }
+
+    fn take_effect(&mut self, now: Instant, id: JobId, effect: Effect, out: &mut Vec<Action>) {
+        match effect {
+            Effect::Start { worker, task, run } => self.send_start(now, worker, task, run, out),
+            Effect::AckEnd { worker, number } => self.ack_end(worker, number),
+            Effect::Show(phase) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.shown = phase;
+                }
+                let line = Decision::new(DecisionKind::JobEnded, "shown").with_job(id);
+                out.push(Action::Log(line));
+            }
+            Effect::Forget => {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+
+    /// Lets the worker forget an end that is in the store.
+    pub(crate) fn ack_end(&mut self, key: WorkerKey, number: u64) {
+        let worker = &mut self.workers[key];
+        worker.uncommitted_ends.retain(|end| *end != number);
+        if worker.uncommitted_ends.is_empty() {
+            worker.acked_end = worker.seen_end;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/config.rs
@@ -0,0 +1,132 @@
+//! The operators' configuration and the scheduler's own constants.
+
+use ospreywing_types::Duration;
+
+/// How a queue's advice is to be asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdvicePolicy {
+    /// The time that the adviser takes for a call, in milliseconds.
+    pub decision_ms: f64,
+    /// The time that it takes besides for each worker named, in milliseconds.
+    pub per_worker_ms: f64,
+    /// How long a ticket holds.
+    pub validity: Duration,
+}
+
+impl AdvicePolicy {
+    /// Returns how long a call that names `workers_count` workers takes.
+    pub fn cost(&self, workers_count: usize) -> Duration {
+        let cost_ms = self.decision_ms + self.per_worker_ms * workers_count as f64;
+        Duration::from_ms(cost_ms.ceil() as u64)
+    }
+}
+
+/// A queue, as the operators have set it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Its name.
+    pub name: String,
+    /// The service whose workers run its tasks.
+    pub service: String,
+    /// Its priority; 0 comes first.
+    pub priority: u32,
+    /// How often a task may fail.
+    pub attempts_limit_count: u32,
+    /// The factor on a job's work in its objective.
+    pub stretch: f64,
+    /// What the objective allows besides, in milliseconds.
+    pub objective_ms: u64,
+    /// How advice is asked for, where the queue needs it.
+    pub advice: Option<AdvicePolicy>,
+}
+
+/// A service, as the operators have set it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServicePolicy {
+    /// Its name.
+    pub name: String,
+}
+
+/// What the operators have set.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// The version; a higher one is newer.
+    pub version: u64,
+    /// The queues.
+    pub queues: Vec<Queue>,
+    /// The services.
+    pub services: Vec<ServicePolicy>,
+}
+
+impl Configuration {
+    /// Returns a queue by its name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.name == name)
+    }
+}
+
+/// The scheduler's constants.
+#[derive(Clone, Copy, Debug)]
+pub struct SchedulerConfig {
+    /// The fencing token of this leader's term.
+    pub fence: u64,
+    /// The lanes in which commits go out side by side.
+    pub lanes_count: u32,
+    /// The entries that one commit may have.
+    pub commit_limit_count: usize,
+    /// The time between the starts of two commits of a lane.
+    pub commit_pace: Duration,
+    /// How long a renewal keeps a worker's runs alive.
+    pub grant: Duration,
+    /// The same while the store is in trouble.
+    pub long_grant: Duration,
+    /// The longest that a worker's runs can outlive a grant by any leader.
+    pub grant_limit: Duration,
+    /// The longest that runs which an earlier leader started can be leased,
+    /// from the start of this term. A leader whose lease was taken away may
+    /// grant leases until it learns of it.
+    pub inherited_limit: Duration,
+    /// How long a renewal waits at the worker for an end.
+    pub hold_wait: Duration,
+    /// The time between an answered renewal and the next.
+    pub hold_pace: Duration,
+    /// The time until a stop that was not answered is sent again.
+    pub stop_retry: Duration,
+    /// How long a job's outcome is kept.
+    pub retention: Duration,
+}
+
+impl SchedulerConfig {
+    /// Creates the constants for a term, where workers keep leases of
+    /// `grant_limit` at most.
+    pub fn new(fence: u64, grant_limit: Duration) -> Self {
+        let limit_ms = grant_limit.as_ms();
+        Self {
+            fence,
+            lanes_count: 4,
+            commit_limit_count: 30,
+            commit_pace: Duration::from_ms(15),
+            grant: Duration::from_ms(limit_ms.min(4000)),
+            long_grant: grant_limit,
+            grant_limit,
+            inherited_limit: grant_limit,
+            hold_wait: Duration::from_ms(800),
+            hold_pace: Duration::from_ms(40),
+            stop_retry: Duration::from_ms(400),
+            retention: Duration::from_s(300),
+        }
+    }
+
+    /// Adds the time for which an earlier leader may not know that it is none
+    /// any more.
+    pub fn with_leader_lease(mut self, leader_lease: Duration) -> Self {
+        self.inherited_limit = self.grant_limit + leader_lease;
+        self
+    }
+
+    /// Sets how long outcomes are kept.
+    pub fn with_retention(mut self, retention: Duration) -> Self {
+        self.retention = retention;
+        self
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/decision.rs
@@ -0,0 +1,130 @@
+//! What is logged: one entry per decision.
+
+use crate::job::{JobId, TaskKey};
+use std::sync::Arc;
+
+/// What was decided or came to be believed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DecisionKind {
+    /// A job came in.
+    JobTaken,
+    /// A run was given to a worker.
+    Placed,
+    /// A start was sent.
+    StartSent,
+    /// The worker began the run.
+    Started,
+    /// The run can't have begun.
+    NotStarted,
+    /// Whether the run began is not known; it is being stopped.
+    StartUnknown,
+    /// A run is being stopped.
+    StopSent,
+    /// A run's end was noted.
+    Ended,
+    /// A run was given up for lost.
+    RunLost,
+    /// A job reached its outcome.
+    JobEnded,
+    /// A worker became known.
+    WorkerListed,
+    /// A worker's list of runs was taken over.
+    WorkerSynced,
+    /// A worker did not answer.
+    WorkerSilent,
+    /// A worker's life is over.
+    WorkerGone,
+    /// A worker is avoided for a while.
+    WorkerAvoided,
+    /// Advice was asked for.
+    AdviceAsked,
+    /// Advice came, or did not.
+    AdviceAnswered,
+    /// A configuration came into force.
+    Configured,
+}
+
+impl DecisionKind {
+    /// Returns the word for the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::JobTaken => "job taken",
+            Self::Placed => "placed",
+            Self::StartSent => "start sent",
+            Self::Started => "started",
+            Self::NotStarted => "not started",
+            Self::StartUnknown => "start unknown",
+            Self::StopSent => "stop sent",
+            Self::Ended => "run ended",
+            Self::RunLost => "run lost",
+            Self::JobEnded => "job ended",
+            Self::WorkerListed => "worker listed",
+            Self::WorkerSynced => "worker synced",
+            Self::WorkerSilent => "worker silent",
+            Self::WorkerGone => "worker gone",
+            Self::WorkerAvoided => "worker avoided",
+            Self::AdviceAsked => "advice asked",
+            Self::AdviceAnswered => "advice answered",
+            Self::Configured => "configured",
+        }
+    }
+}
+
+/// One entry for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// What was decided.
+    pub kind: DecisionKind,
+    /// The job, where one is concerned.
+    pub job: Option<JobId>,
+    /// The task, where one is concerned.
+    pub task: Option<TaskKey>,
+    /// The run, where one is concerned; 0 otherwise.
+    pub run: u32,
+    /// The worker's id, where one is concerned.
+    pub worker: Option<Arc<str>>,
+    /// Why, or how it came out.
+    pub reason: &'static str,
+    /// The age of the belief or the size that decided, by kind.
+    pub figure: u64,
+}
+
+impl Decision {
+    /// Creates an entry.
+    pub const fn new(kind: DecisionKind, reason: &'static str) -> Self {
+        Self {
+            kind,
+            job: None,
+            task: None,
+            run: 0,
+            worker: None,
+            reason,
+            figure: 0,
+        }
+    }
+
+    /// Names the job.
+    pub const fn with_job(mut self, job: JobId) -> Self {
+        self.job = Some(job);
+        self
+    }
+
+    /// Names the task and its run.
+    pub const fn with_run(mut self, task: TaskKey, run: u32) -> Self {
+        self.task = Some(task);
+        self.run = run;
+        self
+    }
+
+    /// Names the worker.
+    pub fn with_worker(mut self, worker: &Arc<str>) -> Self {
+        self.worker = Some(worker.clone());
+        self
+    }
+
+    /// Sets the figure.
+    pub const fn with_figure(mut self, figure: u64) -> Self {
+        self.figure = figure;
+        self
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/ends.rs
@@ -0,0 +1,292 @@
+//! Ends of runs, and what follows from them.
+
+use crate::commits::Effect;
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, EndKind, EndedRun};
+use crate::job::{StepKey, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::state::{Phase, TaskStatus};
+use crate::worker::{RunPhase, WorkerKey};
+use ospreywing_types::{Duration, Instant};
+
+/// Failures in a row after which a worker is avoided.
+const AVOID_AFTER_COUNT: u32 = 2;
+/// How long it is avoided at first; doubled with each further failure.
+const AVOID_BASE: Duration = Duration::from_ms(1500);
+/// The most doublings.
+const AVOID_DOUBLINGS_COUNT: u32 = 3;
+
+impl Scheduler {
+    /// Takes in an end that a worker lists.
+    pub(crate) fn take_end(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        end: EndedRun,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        if end.number <= worker.seen_end {
+            return;
+        }
+        worker.seen_end = end.number;
+        let line = Decision::new(DecisionKind::Ended, end.kind.as_str())
+            .with_run(end.task, end.run)
+            .with_worker(&worker.facts.id)
+            .with_figure(end.number);
+        out.push(Action::Log(line));
+        let is_current = worker.runs.get(&end.task).map(|run| run.run) == Some(end.run);
+        if is_current {
+            worker.remove_run(end.task);
+            if self.placements.get(&end.task) == Some(&key) {
+                self.placements.remove(&end.task);
+            }
+        }
+        self.note_health(now, key, end.kind, out);
+        self.is_place_due = true;
+        let changed = self.record_end(&end, is_current);
+        if changed {
+            let number = end.number;
+            self.workers[key].uncommitted_ends.push(number);
+            let effect = Effect::AckEnd {
+                worker: key,
+                number,
+            };
+            self.touch(end.task.step.job, Some(effect));
+            self.after_end(now, &end, out);
+        } else if self.workers[key].uncommitted_ends.is_empty() {
+            let worker = &mut self.workers[key];
+            worker.acked_end = worker.seen_end;
+        }
+    }
+
+    /// Changes the job's state; returns whether anything has to be committed.
+    fn record_end(&mut self, end: &EndedRun, is_current: bool) -> bool {
+        let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
+            return false;
+        };
+        if job.state.phase != Phase::Active {
+            return false;
+        }
+        let Some(spec) = job.record.spec.steps.get(end.task.step.step as usize) else {
+            return false;
+        };
+        let (is_gang, is_perpetual) = (spec.is_gang, spec.is_perpetual);
+        let round = job.state.round_mut(end.task.step.round);
+        let Some(step) = round.and_then(|r| r.steps.get_mut(end.task.step.step as usize)) else {
+            return false;
+        };
+        let index = end.task.index as usize;
+        if index >= step.tasks.len() {
+            return false;
+        }
+        if end.checkpoint.is_some() {
+            step.tasks[index].checkpoint.clone_from(&end.checkpoint);
+        }
+        if end.kind == EndKind::Done && !is_perpetual {
+            if is_gang {
+                step.tasks
+                    .iter_mut()
+                    .for_each(|task| task.status = TaskStatus::Done);
+            } else {
+                step.tasks[index].status = TaskStatus::Done;
+            }
+            return true;
+        }
+        if end.kind == EndKind::Failed && !is_perpetual {
+            if is_gang && step.gang_failed_run != end.run {
+                step.gang_failed_run = end.run;
+                step.gang_failed_count += 1;
+            }
+            step.tasks[index].failed_count += 1;
+        }
+        let task = &mut step.tasks[index];
+        if is_current && task.status != TaskStatus::Done {
+            task.status = TaskStatus::Waiting;
+        }
+        is_current || end.kind == EndKind::Failed
+    }
+
+    fn after_end(&mut self, now: Instant, end: &EndedRun, out: &mut Vec<Action>) {
+        let step = end.task.step;
+        if end.kind == EndKind::Done {
+            // Another run of a task that is done has nothing to win.
+            if !self.is_gang(step) && self.placements.contains_key(&end.task) {
+                self.stop_task(now, end.task, "done elsewhere", out);
+            }
+            self.advice.remove(&step);
+            self.check_complete(now, step.job, out);
+            return;
+        }
+        if end.kind == EndKind::Failed && self.has_failed_too_often(end.task) {
+            self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
+            return;
+        }
+        self.break_gang(now, step, out);
+    }
+
+    fn has_failed_too_often(&self, task: TaskKey) -> bool {
+        let limit = self.attempts_limit(task.step.job);
+        let job = self.jobs.get(&task.step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        if spec.is_none_or(|spec| spec.is_perpetual) {
+            return false;
+        }
+        let round = job.and_then(|job| job.state.round(task.step.round));
+        let step = round.and_then(|round| round.steps.get(task.step.step as usize));
+        step.is_some_and(|step| {
+            let failed_count = step.tasks.get(task.index as usize).map(|t| t.failed_count);
+            step.gang_failed_count >= limit || failed_count.is_some_and(|count| count >= limit)
+        })
+    }
+
+    pub(crate) fn is_gang(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(&step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
+        spec.is_some_and(|spec| spec.is_gang)
+    }
+
+    /// Stops the members of a gang that has lost one of them.
+    pub(crate) fn break_gang(&mut self, now: Instant, step: StepKey, out: &mut Vec<Action>) {
+        if !self.is_gang(step) {
+            return;
+        }
+        let members = self.placed_tasks(step.job);
+        for task in members.into_iter().filter(|task| task.step == step) {
+            self.stop_task(now, task, "gang broken", out);
+        }
+    }
+
+    /// Takes back a run of which nothing was sent.
+    pub(crate) fn take_back(&mut self, task: TaskKey) {
+        let Some(key) = self.placements.remove(&task) else {
+            return;
+        };
+        self.workers[key].remove_run(task);
+        if let Some(state) = self.task_state_mut(task) {
+            if state.status != TaskStatus::Done {
+                state.status = TaskStatus::Waiting;
+            }
+        }
+        self.touch(task.step.job, None);
+        self.is_place_due = true;
+    }
+
+    /// Takes back a run that can't be alive any more, and the gang with it.
+    pub(crate) fn release(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        kind: DecisionKind,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(&key) = self.placements.get(&task) else {
+            return;
+        };
+        let worker = &self.workers[key];
+        let run = worker.runs.get(&task).map_or(0, |run| run.run);
+        let line = Decision::new(kind, reason)
+            .with_run(task, run)
+            .with_worker(&worker.facts.id);
+        out.push(Action::Log(line));
+        self.take_back(task);
+        self.break_gang(now, task.step, out);
+    }
+
+    fn note_health(&mut self, now: Instant, key: WorkerKey, kind: EndKind, out: &mut Vec<Action>) {
+        match kind {
+            EndKind::Done => self.workers[key].failures_count = 0,
+            EndKind::Failed => self.note_failure(now, key, "runs fail", out),
+            _ => {}
+        }
+    }
+
+    /// Counts a failure against a worker; after a few in a row it is avoided.
+    pub(crate) fn note_failure(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        worker.failures_count += 1;
+        if worker.failures_count < AVOID_AFTER_COUNT {
+            return;
+        }
+        let doublings = (worker.failures_count - AVOID_AFTER_COUNT).min(AVOID_DOUBLINGS_COUNT);
+        let length = AVOID_BASE.times(1 << doublings);
+        worker.avoided_until = now + length;
+        let line = Decision::new(DecisionKind::WorkerAvoided, reason)
+            .with_worker(&worker.facts.id)
+            .with_figure(length.as_ms());
+        out.push(Action::Log(line));
+    }
+
+    /// Takes back all runs of a worker whose life, or whose leases, are over.
+    pub(crate) fn release_all(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let tasks: Vec<TaskKey> = self.workers[key].runs.keys().copied().collect();
+        for task in tasks {
+            if self.placements.get(&task) == Some(&key) {
+                self.release(now, task, DecisionKind::RunLost, reason, out);
+            } else {
+                self.workers[key].remove_run(task);
+            }
+        }
+    }
+
+    /// Takes in that a worker's life is over.
+    pub(crate) fn bury(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        if core::mem::replace(&mut self.workers[key].is_gone, true) {
+            return;
+        }
+        let line = Decision::new(DecisionKind::WorkerGone, reason);
+        out.push(Action::Log(line.with_worker(&self.workers[key].facts.id)));
+        self.release_all(now, key, reason, out);
+    }
+
+    /// Sends stops again that were not answered.
+    pub(crate) fn repeat_stops(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let retry = self.config.stop_retry;
+        for (key, worker) in self.workers.iter_mut() {
+            if worker.is_gone || worker.facts.address.is_empty() {
+                continue;
+            }
+            let to = worker.endpoint(key);
+            for (task, run) in &mut worker.runs {
+                let RunPhase::Stopping {
+                    sent_at,
+                    taken_at: None,
+                } = run.phase
+                else {
+                    continue;
+                };
+                if now.since(sent_at) < retry {
+                    continue;
+                }
+                run.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    taken_at: None,
+                };
+                out.push(Action::Stop {
+                    to: to.clone(),
+                    task: *task,
+                    run: run.run,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/jobs.rs
@@ -0,0 +1,308 @@
+//! Jobs: taken, cancelled, brought to their outcome, forgotten.
+
+use crate::commits::Effect;
+use crate::decision::{Decision, DecisionKind};
+use crate::event::Action;
+use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::state::{JobState, Phase, RoundState, TaskStatus};
+use crate::worker::RunPhase;
+use ospreywing_types::Instant;
+use std::sync::Arc;
+
+/// How often a task may fail where the queue is no longer configured.
+const DEFAULT_ATTEMPTS_COUNT: u32 = 3;
+/// The priority of a queue that is no longer configured.
+const DEFAULT_PRIORITY: u32 = 9;
+
+/// A job in memory.
+pub(crate) struct Job {
+    pub(crate) record: Arc<JobRecord>,
+    pub(crate) payload: Arc<str>,
+    pub(crate) state: JobState,
+    /// Counts the changes of the state.
+    pub(crate) version: u64,
+    /// Whether a lane has the job on its list.
+    pub(crate) is_dirty: bool,
+    /// What waits for a version to be in the store.
+    pub(crate) effects: Vec<(u64, Effect)>,
+    pub(crate) has_begun: bool,
+    /// The phase that is in the store.
+    pub(crate) shown: Phase,
+    pub(crate) ended_at: Option<Instant>,
+    pub(crate) rank: (u32, u64),
+    /// The steps that may be started, where they have been worked out.
+    pub(crate) ready: Option<Vec<StepKey>>,
+}
+
+impl Job {
+    pub(crate) fn new(record: JobRecord, state: JobState, rank: (u32, u64)) -> Self {
+        let tasks = state.rounds.iter().flat_map(|round| &round.steps);
+        let mut tasks = tasks.flat_map(|step| &step.tasks);
+        let has_begun = state.phase != Phase::Active || tasks.any(|task| task.last_run > 0);
+        Self {
+            payload: Arc::from(record.spec.payload.as_str()),
+            record: Arc::new(record),
+            version: 0,
+            is_dirty: false,
+            effects: Vec::new(),
+            has_begun,
+            shown: state.phase,
+            ended_at: None,
+            rank,
+            ready: None,
+            state,
+        }
+    }
+
+    /// Returns the steps whose turn has come and that have a waiting task.
+    pub(crate) fn ready_steps(&mut self, id: JobId) -> Vec<StepKey> {
+        if let Some(ready) = &self.ready {
+            return ready.clone();
+        }
+        let mut ready = Vec::new();
+        if self.state.phase == Phase::Active {
+            for round in &self.state.rounds {
+                self.push_ready(id, round, &mut ready);
+            }
+        }
+        self.ready = Some(ready.clone());
+        ready
+    }
+
+    fn push_ready(&self, id: JobId, round: &RoundState, ready: &mut Vec<StepKey>) {
+        for (number, spec) in self.record.spec.steps.iter().enumerate() {
+            let is_done = |step: &u32| round.steps.get(*step as usize).is_none_or(|s| s.is_done());
+            let has_waiting = round.steps.get(number).is_some_and(|step| {
+                step.tasks
+                    .iter()
+                    .any(|task| task.status == TaskStatus::Waiting)
+            });
+            if has_waiting && spec.depends_on.iter().all(is_done) {
+                ready.push(StepKey {
+                    job: id,
+                    round: round.number,
+                    step: number as u32,
+                });
+            }
+        }
+    }
+}
+
+impl Scheduler {
+    pub(crate) fn take_job(&mut self, id: JobId, record: JobRecord, out: &mut Vec<Action>) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let line = Decision::new(DecisionKind::JobTaken, "accepted").with_job(id);
+        out.push(Action::Log(line.with_figure(self.active.len() as u64)));
+        self.insert_job(id, record, JobState::default());
+    }
+
+    /// Adds a job to the tables, with its first round where that is due.
+    pub(crate) fn insert_job(&mut self, id: JobId, record: JobRecord, state: JobState) {
+        let priority = self.configuration.queue(&record.queue);
+        let priority = priority.map_or(DEFAULT_PRIORITY, |queue| queue.priority);
+        let rank = (priority, self.next_order);
+        self.next_order += 1;
+        let mut job = Job::new(record, state, rank);
+        if job.state.phase == Phase::Active {
+            self.active.insert(rank, id);
+            if job.record.spec.schedule.is_some() {
+                self.scheduled.push(id);
+            } else if job.state.next_round == 0 {
+                job.state.rounds.push(RoundState::new(0, &job.record));
+                job.state.next_round = 1;
+            }
+        }
+        self.jobs.insert(id, job);
+        self.is_place_due = true;
+        let wall_ms = self.wall_ms;
+        self.begin_due_rounds(wall_ms);
+    }
+
+    pub(crate) fn begin_due_rounds(&mut self, wall_ms: u64) {
+        self.wall_ms = wall_ms;
+        let scheduled = core::mem::take(&mut self.scheduled);
+        for id in scheduled {
+            if self.begin_due_rounds_of(id, wall_ms) {
+                self.scheduled.push(id);
+            }
+        }
+    }
+
+    /// Returns whether the job has rounds left to begin.
+    fn begin_due_rounds_of(&mut self, id: JobId, wall_ms: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let Some(schedule) = job.record.spec.schedule else {
+            return false;
+        };
+        if job.state.phase != Phase::Active {
+            return false;
+        }
+        let due_ms = |round: u32| schedule.first_due_ms + u64::from(round) * schedule.interval_ms;
+        while job.state.next_round < schedule.rounds_count
+            && due_ms(job.state.next_round) <= wall_ms
+        {
+            let round = RoundState::new(job.state.next_round, &job.record);
+            job.state.rounds.push(round);
+            job.state.next_round += 1;
+            job.ready = None;
+            self.is_place_due = true;
+        }
+        job.state.next_round < schedule.rounds_count
+    }
+
+    pub(crate) fn cancel_job(&mut self, now: Instant, id: JobId, out: &mut Vec<Action>) {
+        self.end_job(now, id, Phase::Canceled, "cancelled", out);
+    }
+
+    /// Brings a job to its outcome, once.
+    pub(crate) fn end_job(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        phase: Phase,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state.phase != Phase::Active {
+            return;
+        }
+        job.state.phase = phase;
+        job.ended_at = Some(now);
+        job.ready = None;
+        let rank = job.rank;
+        self.active.remove(&rank);
+        let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
+        out.push(Action::Log(line));
+        self.touch(id, Some(Effect::Show(phase)));
+        self.stop_job(now, id, out);
+        self.advice.retain(|step, _| step.job != id);
+    }
+
+    /// Stops every run of a job.
+    fn stop_job(&mut self, now: Instant, id: JobId, out: &mut Vec<Action>) {
+        for task in self.placed_tasks(id) {
+            self.stop_task(now, task, "job ended", out);
+        }
+    }
+
+    /// Returns the tasks of a job that have a run.
+    pub(crate) fn placed_tasks(&self, id: JobId) -> Vec<TaskKey> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let mut tasks = Vec::new();
+        for round in &job.state.rounds {
+            for (number, step) in round.steps.iter().enumerate() {
+                let key = StepKey {
+                    job: id,
+                    round: round.number,
+                    step: number as u32,
+                };
+                let indices = 0..step.tasks.len() as u32;
+                tasks.extend(indices.map(|index| key.task(index)));
+            }
+        }
+        tasks.retain(|task| self.placements.contains_key(task));
+        tasks
+    }
+
+    /// Ends the job where every round is done.
+    pub(crate) fn check_complete(&mut self, now: Instant, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let rounds_count = job
+            .record
+            .spec
+            .schedule
+            .map_or(1, |schedule| schedule.rounds_count);
+        let is_over = job.state.next_round >= rounds_count;
+        // The rounds of a finished job stay until its members have been heard of.
+        if job.state.rounds.len() > 1 {
+            job.state.rounds.retain(|round| !round.is_done());
+        }
+        if is_over && job.state.rounds.iter().all(RoundState::is_done) {
+            self.end_job(now, id, Phase::Complete, "complete", out);
+        }
+    }
+
+    /// Returns how often a task of the job may fail.
+    pub(crate) fn attempts_limit(&self, id: JobId) -> u32 {
+        let queue = self.jobs.get(&id).map(|job| job.record.queue.as_str());
+        let queue = queue.and_then(|name| self.configuration.queue(name));
+        queue.map_or(DEFAULT_ATTEMPTS_COUNT, |queue| queue.attempts_limit_count)
+    }
+
+    /// Removes jobs whose outcome has been kept long enough.
+    pub(crate) fn forget_old_jobs(&mut self, now: Instant) {
+        let retention = self.config.retention;
+        let is_old = |job: &Job| {
+            let ended = job.ended_at.is_some_and(|at| now.since(at) > retention);
+            ended && !job.is_dirty && job.effects.is_empty()
+        };
+        let old: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| is_old(job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in old {
+            if self.placed_tasks(id).is_empty() {
+                self.touch(id, Some(Effect::Forget));
+            }
+        }
+    }
+
+    /// Returns the task's place in the job's state.
+    pub(crate) fn task_state_mut(&mut self, task: TaskKey) -> Option<&mut crate::state::TaskState> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        let round = job.state.round_mut(task.step.round)?;
+        let step = round.steps.get_mut(task.step.step as usize)?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Stops a task's run, or takes it back where nothing was sent.
+    pub(crate) fn stop_task(
+        &mut self,
+        now: Instant,
+        task: TaskKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(&key) = self.placements.get(&task) else {
+            return;
+        };
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        match run.phase {
+            RunPhase::Recording => self.take_back(task),
+            RunPhase::Stopping { .. } => {}
+            RunPhase::Inherited | RunPhase::Starting | RunPhase::Running { .. } => {
+                run.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    taken_at: None,
+                };
+                let number = run.run;
+                let line = Decision::new(DecisionKind::StopSent, reason)
+                    .with_run(task, number)
+                    .with_worker(&worker.facts.id);
+                out.push(Action::Log(line));
+                out.push(Action::Stop {
+                    to: worker.endpoint(key),
+                    task,
+                    run: number,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leases.rs
@@ -0,0 +1,306 @@
+//! Workers' lists and leases: renewed, taken in, given up.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, EndedRun, HoldReply, RunningRun};
+use crate::job::TaskKey;
+use crate::scheduler::Scheduler;
+use crate::worker::{ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
+use ospreywing_types::{Duration, Instant, Resources};
+use std::collections::BTreeSet;
+
+/// The time until a worker that did not answer is asked again.
+const SILENT_RETRY: Duration = Duration::from_ms(250);
+
+impl Scheduler {
+    /// Returns how long leases are granted now.
+    pub(crate) fn grant_length(&self) -> Duration {
+        if self.has_store_trouble {
+            self.config.long_grant
+        } else {
+            self.config.grant
+        }
+    }
+
+    pub(crate) fn list_workers(
+        &mut self,
+        now: Instant,
+        list: Vec<WorkerFacts>,
+        out: &mut Vec<Action>,
+    ) {
+        let ids: BTreeSet<_> = list.iter().map(|facts| facts.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.is_listed = ids.contains(&worker.facts.id);
+        }
+        for facts in list {
+            match self.workers_by_id.get(&facts.id) {
+                Some(&key) => self.workers[key].facts = facts,
+                None => self.add_worker(now, facts, out),
+            }
+        }
+        self.is_place_due = true;
+    }
+
+    fn add_worker(&mut self, now: Instant, facts: WorkerFacts, out: &mut Vec<Action>) {
+        let earlier: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.is_gone && is_earlier_life(&worker.facts, &facts))
+            .map(|(key, _)| key)
+            .collect();
+        for key in earlier {
+            self.bury(now, key, "a newer life is listed", out);
+        }
+        let line = Decision::new(DecisionKind::WorkerListed, "listed");
+        out.push(Action::Log(line.with_worker(&facts.id)));
+        let id = facts.id.clone();
+        let key = self.workers.push(Worker::new(facts, now));
+        self.workers_by_id.insert(id, key);
+    }
+
+    /// Sends the renewals that are due.
+    pub(crate) fn renew_leases(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let length = self.grant_length();
+        let config = self.config;
+        for (key, worker) in self.workers.iter_mut() {
+            if !is_hold_due(worker, now) {
+                continue;
+            }
+            worker.is_hold_open = true;
+            let is_quick = !worker.is_synced || worker.runs.is_empty();
+            let until_ms = if worker.is_synced {
+                worker.grant(now, length)
+            } else {
+                None
+            };
+            out.push(Action::Hold {
+                to: worker.endpoint(key),
+                until_ms,
+                last_seen: worker.acked_end,
+                wait: if is_quick {
+                    Duration::ZERO
+                } else {
+                    config.hold_wait
+                },
+            });
+        }
+    }
+
+    pub(crate) fn on_hold_answered(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        sent_at: Instant,
+        reply: HoldReply,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        worker.is_hold_open = false;
+        worker.next_hold_at = now + self.config.hold_pace;
+        match reply {
+            HoldReply::Listed {
+                clock_ms,
+                running,
+                ended,
+            } => {
+                worker.clock = Some(ClockReading {
+                    clock_ms,
+                    read_at: now,
+                });
+                worker.is_reachable = true;
+                self.take_lists(now, key, sent_at, running, ended, out);
+            }
+            HoldReply::Fenced => out.push(Action::StepDown),
+            HoldReply::OtherLife => self.bury(now, key, "another life answers", out),
+            HoldReply::Unanswered => {
+                worker.next_hold_at = now + SILENT_RETRY;
+                if core::mem::replace(&mut worker.is_reachable, false) {
+                    let line = Decision::new(DecisionKind::WorkerSilent, "renewal unanswered");
+                    let line = line.with_worker(&worker.facts.id);
+                    let line = line.with_figure(worker.runs.len() as u64);
+                    out.push(Action::Log(line));
+                }
+            }
+        }
+    }
+
+    fn take_lists(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        sent_at: Instant,
+        running: Vec<RunningRun>,
+        ended: Vec<EndedRun>,
+        out: &mut Vec<Action>,
+    ) {
+        let is_first = !core::mem::replace(&mut self.workers[key].is_synced, true);
+        if is_first {
+            let line = Decision::new(DecisionKind::WorkerSynced, "fence raised")
+                .with_worker(&self.workers[key].facts.id)
+                .with_figure(running.len() as u64);
+            out.push(Action::Log(line));
+            self.is_place_due = true;
+        }
+        let mut listed: BTreeSet<(TaskKey, u32)> = BTreeSet::new();
+        listed.extend(ended.iter().map(|end| (end.task, end.run)));
+        listed.extend(running.iter().map(|run| (run.task, run.run)));
+        for end in ended {
+            self.take_end(now, key, end, out);
+        }
+        self.workers[key].has_unknown_run = false;
+        for run in running {
+            self.take_running(now, key, run, out);
+        }
+        self.release_unlisted(now, key, sent_at, &listed, out);
+    }
+
+    /// Takes in a run that a worker lists as alive.
+    fn take_running(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        listed: RunningRun,
+        out: &mut Vec<Action>,
+    ) {
+        let task = listed.task;
+        let worker = &mut self.workers[key];
+        let to = worker.endpoint(key);
+        if let Some(run) = worker.runs.get_mut(&task) {
+            if run.run == listed.run {
+                run.progress_percent = listed.progress_percent;
+                if matches!(run.phase, RunPhase::Inherited) {
+                    run.phase = RunPhase::Running { since: now };
+                }
+                self.take_checkpoint(task, listed.checkpoint);
+                return;
+            }
+        }
+        // The run is no run of ours: it is stopped, and its room counts until then.
+        let demand = self.demand_of(task);
+        let worker = &mut self.workers[key];
+        match demand {
+            Some(demand) if !worker.runs.contains_key(&task) => {
+                let run = Run {
+                    run: listed.run,
+                    phase: RunPhase::Stopping {
+                        sent_at: now,
+                        taken_at: None,
+                    },
+                    demand,
+                    ticket: None,
+                    placed_at: now,
+                    progress_percent: listed.progress_percent,
+                };
+                worker.insert_run(task, run);
+            }
+            _ => worker.has_unknown_run = true,
+        }
+        let line = Decision::new(DecisionKind::StopSent, "not ours")
+            .with_run(task, listed.run)
+            .with_worker(&worker.facts.id);
+        out.push(Action::Log(line));
+        out.push(Action::Stop {
+            to,
+            task,
+            run: listed.run,
+        });
+    }
+
+    /// Keeps a run's newest checkpoint; it goes to the store with the job's
+    /// next change.
+    fn take_checkpoint(&mut self, task: TaskKey, checkpoint: Option<String>) {
+        if checkpoint.is_none() {
+            return;
+        }
+        if let Some(state) = self.task_state_mut(task) {
+            if state.checkpoint != checkpoint {
+                state.checkpoint = checkpoint;
+            }
+        }
+    }
+
+    /// Takes back runs that the worker neither lists nor can begin any more.
+    fn release_unlisted(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        sent_at: Instant,
+        listed: &BTreeSet<(TaskKey, u32)>,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &self.workers[key];
+        let mut released = Vec::new();
+        let mut vanished = Vec::new();
+        for (task, run) in &worker.runs {
+            if listed.contains(&(*task, run.run)) {
+                continue;
+            }
+            match run.phase {
+                RunPhase::Inherited => released.push((*task, "never begun")),
+                RunPhase::Stopping {
+                    taken_at: Some(at), ..
+                } if at < sent_at => released.push((*task, "stopped before it began")),
+                RunPhase::Running { since } if since < sent_at => vanished.push(*task),
+                _ => {}
+            }
+        }
+        for (task, reason) in released {
+            if self.placements.get(&task) == Some(&key) {
+                self.release(now, task, DecisionKind::NotStarted, reason, out);
+            } else {
+                self.workers[key].remove_run(task);
+            }
+        }
+        for task in vanished {
+            self.stop_task(now, task, "vanished", out);
+        }
+    }
+
+    /// Gives up the runs of silent workers whose leases are certainly over.
+    pub(crate) fn give_up_lapsed(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let lapsed: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let is_silent = !worker.is_reachable || !worker.is_synced;
+                is_silent
+                    && !worker.is_gone
+                    && !worker.runs.is_empty()
+                    && now >= worker.leased_until
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in lapsed {
+            self.release_all(now, key, "lease over", out);
+            self.workers[key].is_synced = false;
+        }
+    }
+
+    pub(crate) fn demand_of(&self, task: TaskKey) -> Option<Resources> {
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        Some(crate::placing::counted_demand(spec))
+    }
+}
+
+/// Returns whether `new` is a later life at the place of `known`.
+fn is_earlier_life(known: &WorkerFacts, new: &WorkerFacts) -> bool {
+    match (&known.machine, &new.machine) {
+        (Some(known), Some(new)) => known == new,
+        _ => !known.address.is_empty() && known.address == new.address,
+    }
+}
+
+fn is_hold_due(worker: &Worker, now: Instant) -> bool {
+    if worker.is_gone || worker.is_hold_open || worker.facts.address.is_empty() {
+        return false;
+    }
+    if now < worker.next_hold_at || !worker.uncommitted_ends.is_empty() {
+        return false;
+    }
+    let has_news = worker.seen_end > worker.acked_end;
+    let has_runs = worker
+        .runs
+        .values()
+        .any(|run| run.phase != RunPhase::Recording);
+    has_runs || has_news || (worker.is_listed && (!worker.is_synced || !worker.is_reachable))
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,44 @@
+//! The decisions of the cell's leader.
+//!
+//! One node holds the leader's lease. Its [`Scheduler`] takes typed events
+//! (accepted jobs, lists of workers, answers to orders) and appends typed
+//! actions (commits, starts, stops, renewals, calls for advice). It does no
+//! I/O, reads no clock and draws no random number: every event brings its
+//! instant.
+//!
+//! Three rules carry its promises:
+//!
+//! - a start is recorded in the store before it is sent;
+//! - an end is recorded before the worker is told to forget it;
+//! - a task is started again only after its last run has ended, can't start
+//!   any more, or has outlived every lease that was granted to its worker.
+
+mod advice;
+mod commits;
+mod config;
+mod decision;
+mod ends;
+mod event;
+mod job;
+mod jobs;
+mod leases;
+mod orders;
+mod placing;
+mod recovery;
+mod scheduler;
+mod state;
+mod verifier;
+mod worker;
+
+pub use config::{AdvicePolicy, Configuration, Queue, SchedulerConfig, ServicePolicy};
+pub use decision::{Decision, DecisionKind};
+pub use event::{
+    Action, AdviceReply, Change, EndKind, EndedRun, Endpoint, Event, HoldReply, RefusedStart,
+    RunningRun, StartOrder, StartReply, StopReply, Ticket,
+};
+pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
+pub use recovery::Recovered;
+pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use state::{JobState, Phase, RoundState, StateError, StepState, TaskState, TaskStatus};
+pub use verifier::Violation;
+pub use worker::{WorkerFacts, WorkerKey};
--- /dev/null
+++ b/crates/scheduler/src/orders.rs
@@ -0,0 +1,187 @@
+//! Starts and stops, and what their answers mean.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, RefusedStart, StartOrder, StartReply, StopReply};
+use crate::job::TaskKey;
+use crate::scheduler::Scheduler;
+use crate::worker::{RunPhase, WorkerKey};
+use ospreywing_types::Instant;
+
+impl Scheduler {
+    /// Sends a start whose record is in the store.
+    pub(crate) fn send_start(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let length = self.grant_length();
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let payload = job.payload.clone();
+        let checkpoint = self.checkpoint_of(task);
+        let needs_ticket = self.needs_ticket(task.step);
+        let fresh = self.advice.get(&task.step);
+        let fresh = fresh.and_then(|advice| advice.ticket(now, key));
+        let worker = &mut self.workers[key];
+        let is_able = !worker.is_gone && worker.is_reachable && worker.is_synced;
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        if run.run != number || run.phase != RunPhase::Recording {
+            return;
+        }
+        if needs_ticket && fresh.is_none() {
+            self.release(now, task, DecisionKind::NotStarted, "ticket over", out);
+            return;
+        }
+        run.ticket = fresh;
+        run.phase = RunPhase::Starting;
+        let ticket = run.ticket.clone();
+        let waited_ms = now.since(run.placed_at).as_ms();
+        let until_ms = if is_able {
+            worker.grant(now, length)
+        } else {
+            None
+        };
+        let Some(until_ms) = until_ms else {
+            self.release(now, task, DecisionKind::NotStarted, "worker lost", out);
+            return;
+        };
+        let line = Decision::new(DecisionKind::StartSent, "recorded")
+            .with_run(task, number)
+            .with_worker(&worker.facts.id)
+            .with_figure(waited_ms);
+        out.push(Action::Log(line));
+        out.push(Action::Start {
+            to: worker.endpoint(key),
+            order: StartOrder {
+                task,
+                run: number,
+                payload,
+                until_ms,
+                checkpoint,
+                ticket,
+            },
+        });
+    }
+
+    /// Returns the checkpoint from which a task goes on.
+    fn checkpoint_of(&self, task: TaskKey) -> Option<String> {
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        let step = job.state.round(task.step.round)?;
+        let step = step.steps.get(task.step.step as usize)?;
+        if spec.is_gang {
+            // Any member's checkpoint is good for its gang, if all bring the same.
+            return step.tasks.iter().find_map(|task| task.checkpoint.clone());
+        }
+        step.tasks.get(task.index as usize)?.checkpoint.clone()
+    }
+
+    pub(crate) fn on_start_answered(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u32,
+        reply: StartReply,
+        out: &mut Vec<Action>,
+    ) {
+        if reply == StartReply::OtherLife {
+            self.bury(now, key, "another life answers", out);
+            return;
+        }
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        if run.run != number {
+            return;
+        }
+        let id = worker.facts.id.clone();
+        let line = |kind, reason| {
+            let line = Decision::new(kind, reason);
+            Action::Log(line.with_run(task, number).with_worker(&id))
+        };
+        match reply {
+            StartReply::Started => {
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running { since: now };
+                }
+                out.push(line(DecisionKind::Started, "answered"));
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.has_begun = true;
+                }
+            }
+            StartReply::Unanswered => {
+                out.push(line(DecisionKind::StartUnknown, "no answer"));
+                self.note_failure(now, key, "starts unanswered", out);
+                self.stop_task(now, task, "start unknown", out);
+            }
+            StartReply::Refused(why) => {
+                if why == RefusedStart::Fence {
+                    out.push(Action::StepDown);
+                    return;
+                }
+                self.on_refused(now, key, task, why, out);
+            }
+            StartReply::OtherLife => {}
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        why: RefusedStart,
+        out: &mut Vec<Action>,
+    ) {
+        match why {
+            RefusedStart::Ticket => {
+                if let Some(advice) = self.advice.get_mut(&task.step) {
+                    advice.expire(key);
+                }
+            }
+            RefusedStart::Unhealthy | RefusedStart::NotSent | RefusedStart::Room => {
+                self.note_failure(now, key, "starts refused", out);
+            }
+            _ => {}
+        }
+        self.release(now, task, DecisionKind::NotStarted, why.as_str(), out);
+    }
+
+    pub(crate) fn on_stop_answered(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        number: u32,
+        reply: StopReply,
+        out: &mut Vec<Action>,
+    ) {
+        match reply {
+            StopReply::OtherLife => self.bury(now, key, "another life answers", out),
+            StopReply::Fenced => out.push(Action::StepDown),
+            StopReply::Unanswered => {}
+            StopReply::Stopping => {
+                let worker = &mut self.workers[key];
+                let Some(run) = worker.runs.get_mut(&task) else {
+                    return;
+                };
+                if let RunPhase::Stopping { sent_at, .. } = run.phase {
+                    if run.run == number {
+                        run.phase = RunPhase::Stopping {
+                            sent_at,
+                            taken_at: Some(now),
+                        };
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/recovery.rs
@@ -0,0 +1,132 @@
+//! The start of a leader's term, from what the store keeps.
+
+use crate::config::{Configuration, SchedulerConfig};
+use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::state::{JobState, Phase, TaskStatus};
+use crate::worker::{Run, RunPhase, Worker, WorkerFacts, WorkerKey};
+use ospreywing_types::{Instant, Resources};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+/// What the store keeps at the start of a term.
+#[derive(Clone, Debug, Default)]
+pub struct Recovered {
+    /// The accepted jobs, in the order in which they were accepted.
+    pub jobs: Vec<(JobId, JobRecord)>,
+    /// The jobs that were cancelled.
+    pub cancels: Vec<JobId>,
+    /// The jobs' progress, for those that have any.
+    pub states: Vec<(JobId, JobState)>,
+}
+
+/// A run that an earlier leader recorded.
+struct InheritedRun {
+    task: TaskKey,
+    run: u32,
+    worker: String,
+}
+
+impl Scheduler {
+    /// Begins a term with what the store keeps.
+    ///
+    /// A run that was recorded may be alive, or its start may be on its way,
+    /// until its worker has answered under this term's fence or every lease
+    /// that an earlier leader can have granted is over.
+    pub fn new(
+        config: SchedulerConfig,
+        configuration: Configuration,
+        now: Instant,
+        recovered: Recovered,
+    ) -> Self {
+        let mut scheduler = Self::empty(config, configuration);
+        let mut states: HashMap<JobId, JobState> = recovered.states.into_iter().collect();
+        let cancelled: HashSet<JobId> = recovered.cancels.into_iter().collect();
+        for (id, record) in recovered.jobs {
+            let state = states.remove(&id).unwrap_or_default();
+            scheduler.inherit_job(now, id, record, state);
+        }
+        let mut ignored = Vec::new();
+        for id in cancelled {
+            scheduler.cancel_job(now, id, &mut ignored);
+        }
+        scheduler
+    }
+
+    fn inherit_job(&mut self, now: Instant, id: JobId, record: JobRecord, state: JobState) {
+        let runs = inherited_runs(id, &state);
+        let phase = state.phase;
+        self.insert_job(id, record, state);
+        if phase != Phase::Active {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.ended_at = Some(now);
+            }
+        }
+        for run in runs {
+            self.inherit_run(now, run);
+        }
+    }
+
+    fn inherit_run(&mut self, now: Instant, inherited: InheritedRun) {
+        let key = self.placeholder(now, &inherited.worker);
+        let demand = self.demand_of(inherited.task).unwrap_or_default();
+        let run = Run {
+            run: inherited.run,
+            phase: RunPhase::Inherited,
+            demand,
+            ticket: None,
+            placed_at: now,
+            progress_percent: 0,
+        };
+        self.workers[key].insert_run(inherited.task, run);
+        self.placements.insert(inherited.task, key);
+    }
+
+    /// Returns the worker with this id, of which nothing else may be known.
+    fn placeholder(&mut self, now: Instant, id: &str) -> WorkerKey {
+        if let Some(&key) = self.workers_by_id.get(id) {
+            return key;
+        }
+        let id: Arc<str> = Arc::from(id);
+        let facts = WorkerFacts {
+            id: id.clone(),
+            address: Arc::from(""),
+            service: Arc::from(""),
+            machine: None,
+            rack: None,
+            labels: Vec::new(),
+            capacity: Resources::ZERO,
+            is_draining: false,
+        };
+        let mut worker = Worker::new(facts, now);
+        // What an earlier leader granted last can be no longer than the limit.
+        worker.grant_inherited(now, self.config.inherited_limit);
+        worker.is_listed = false;
+        let key = self.workers.push(worker);
+        self.workers_by_id.insert(id, key);
+        key
+    }
+}
+
+fn inherited_runs(id: JobId, state: &JobState) -> Vec<InheritedRun> {
+    let mut runs = Vec::new();
+    for round in &state.rounds {
+        for (number, step) in round.steps.iter().enumerate() {
+            let key = StepKey {
+                job: id,
+                round: round.number,
+                step: number as u32,
+            };
+            for (index, task) in step.tasks.iter().enumerate() {
+                if let TaskStatus::Placed { worker } = &task.status {
+                    runs.push(InheritedRun {
+                        task: key.task(index as u32),
+                        run: task.last_run,
+                        worker: worker.clone(),
+                    });
+                }
+            }
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,183 @@
+//! The scheduler: its state, and where each event goes.
+
+use crate::advice::StepAdvice;
+use crate::commits::Lane;
+use crate::config::{Configuration, SchedulerConfig};
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, Event};
+use crate::job::{JobId, StepKey, TaskKey};
+use crate::jobs::Job;
+use crate::state::Phase;
+use crate::worker::{Worker, WorkerKey};
+use cranelift_entity::PrimaryMap;
+use ospreywing_types::Instant;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// A job as clients may see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The job's life, as far as it is in the store.
+    pub phase: Phase,
+    /// Whether a task of it has begun.
+    pub has_begun: bool,
+}
+
+/// Sizes for metrics and operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SchedulerStatus {
+    /// Jobs with work left.
+    pub active_jobs_count: usize,
+    /// Jobs that are known.
+    pub jobs_count: usize,
+    /// Runs that occupy workers.
+    pub runs_count: usize,
+    /// Workers that may take a run.
+    pub placeable_workers_count: usize,
+    /// Workers that are listed.
+    pub listed_workers_count: usize,
+}
+
+/// The decisions of one leader's term.
+pub struct Scheduler {
+    pub(crate) config: SchedulerConfig,
+    pub(crate) configuration: Configuration,
+    pub(crate) workers: PrimaryMap<WorkerKey, Worker>,
+    pub(crate) workers_by_id: HashMap<Arc<str>, WorkerKey>,
+    pub(crate) jobs: HashMap<JobId, Job>,
+    /// Jobs with work left, in the order in which they are served.
+    pub(crate) active: BTreeMap<(u32, u64), JobId>,
+    /// Jobs with a schedule that have rounds left to begin.
+    pub(crate) scheduled: Vec<JobId>,
+    pub(crate) next_order: u64,
+    /// Where each task's run is.
+    pub(crate) placements: HashMap<TaskKey, WorkerKey>,
+    pub(crate) advice: HashMap<StepKey, StepAdvice>,
+    /// Workers found good and workers named, by queue.
+    pub(crate) goodness: HashMap<String, (f64, f64)>,
+    pub(crate) lanes: Vec<Lane>,
+    pub(crate) has_store_trouble: bool,
+    /// Whether something has changed that may let a task be placed.
+    pub(crate) is_place_due: bool,
+    pub(crate) wall_ms: u64,
+}
+
+impl Scheduler {
+    pub(crate) fn empty(config: SchedulerConfig, configuration: Configuration) -> Self {
+        let lanes = (0..config.lanes_count).map(|_| Lane::default()).collect();
+        Self {
+            config,
+            configuration,
+            workers: PrimaryMap::new(),
+            workers_by_id: HashMap::new(),
+            jobs: HashMap::new(),
+            active: BTreeMap::new(),
+            scheduled: Vec::new(),
+            next_order: 0,
+            placements: HashMap::new(),
+            advice: HashMap::new(),
+            goodness: HashMap::new(),
+            lanes,
+            has_store_trouble: false,
+            is_place_due: true,
+            wall_ms: 0,
+        }
+    }
+
+    /// Takes in an event and appends what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::JobAccepted { job, record } => self.take_job(job, *record, out),
+            Event::CancelAccepted { job } => self.cancel_job(now, job, out),
+            Event::Configured(configuration) => self.configure(configuration, out),
+            Event::WorkersListed(list) => self.list_workers(now, list, out),
+            Event::HoldAnswered {
+                worker,
+                sent_at,
+                reply,
+            } => self.on_hold_answered(now, worker, sent_at, reply, out),
+            Event::StartAnswered {
+                worker,
+                task,
+                run,
+                reply,
+            } => self.on_start_answered(now, worker, task, run, reply, out),
+            Event::StopAnswered {
+                worker,
+                task,
+                run,
+                reply,
+            } => self.on_stop_answered(now, worker, task, run, reply, out),
+            Event::AdviceAnswered { step, named, reply } => {
+                self.on_advice_answered(now, step, &named, reply, out);
+            }
+            Event::Committed { lane } => self.on_committed(now, lane, out),
+            Event::StoreTrouble(has_trouble) => self.has_store_trouble = has_trouble,
+            Event::WallClock(wall_ms) => self.begin_due_rounds(wall_ms),
+            Event::Tick => self.on_tick(now, out),
+        }
+    }
+
+    /// Does what is due: places, commits, renews. Called after each batch of
+    /// events, so that one pass serves them all.
+    pub fn settle(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if core::mem::take(&mut self.is_place_due) {
+            self.place(now, out);
+        }
+        self.renew_leases(now, out);
+        self.flush_commits(now, out);
+    }
+
+    /// Returns a job as clients may see it, where it is known.
+    pub fn job(&self, job: JobId) -> Option<JobView> {
+        let job = self.jobs.get(&job)?;
+        Some(JobView {
+            phase: job.shown,
+            has_begun: job.has_begun,
+        })
+    }
+
+    /// Returns how many of a queue's jobs have no task that has begun.
+    pub fn pending_count(&self, queue: &str) -> usize {
+        let jobs = self.active.values().filter_map(|id| self.jobs.get(id));
+        jobs.filter(|job| job.record.queue == queue && !job.has_begun)
+            .count()
+    }
+
+    /// Returns sizes for metrics.
+    pub fn status(&self, now: Instant) -> SchedulerStatus {
+        SchedulerStatus {
+            active_jobs_count: self.active.len(),
+            jobs_count: self.jobs.len(),
+            runs_count: self.placements.len(),
+            placeable_workers_count: self
+                .workers
+                .values()
+                .filter(|worker| worker.is_placeable(now))
+                .count(),
+            listed_workers_count: self
+                .workers
+                .values()
+                .filter(|worker| worker.is_listed)
+                .count(),
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.give_up_lapsed(now, out);
+        self.repeat_stops(now, out);
+        self.forget_old_jobs(now);
+        self.is_place_due = true;
+    }
+
+    fn configure(&mut self, configuration: Configuration, out: &mut Vec<Action>) {
+        if configuration.version < self.configuration.version {
+            return;
+        }
+        let line = Decision::new(DecisionKind::Configured, "newer version");
+        out.push(Action::Log(line.with_figure(configuration.version)));
+        self.configuration = configuration;
+        self.is_place_due = true;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/state.rs
@@ -0,0 +1,176 @@
+//! What the store keeps of a job's progress.
+
+use crate::job::JobRecord;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The version of the stored form, its first byte.
+const FORM_VERSION: u8 = 1;
+
+/// A job's life, as clients are told of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Work is left.
+    #[default]
+    Active,
+    /// Every task has ended well.
+    Complete,
+    /// A task, or a gang, has failed too often.
+    Failed,
+    /// The job was cancelled.
+    Canceled,
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskStatus {
+    /// No run of it can be alive.
+    #[default]
+    Waiting,
+    /// A run may be alive on a worker.
+    Placed {
+        /// The worker's id.
+        worker: String,
+    },
+    /// A run has ended well.
+    Done,
+}
+
+/// A task's progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskState {
+    /// The number of the last run that was recorded; 0 for none.
+    pub last_run: u32,
+    /// How many runs have failed.
+    pub failed_count: u32,
+    /// Where the task stands.
+    pub status: TaskStatus,
+    /// The newest checkpoint that was reported for the task.
+    pub checkpoint: Option<String>,
+}
+
+/// A step's progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepState {
+    /// The last run of a gang that failed; 0 for none.
+    pub gang_failed_run: u32,
+    /// How many runs of a gang have failed.
+    pub gang_failed_count: u32,
+    /// The tasks.
+    pub tasks: Vec<TaskState>,
+}
+
+/// The progress of one round.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoundState {
+    /// The round's number, from 0.
+    pub number: u32,
+    /// The steps.
+    pub steps: Vec<StepState>,
+}
+
+/// A job's progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobState {
+    /// The job's life.
+    pub phase: Phase,
+    /// The next round that is not yet due.
+    pub next_round: u32,
+    /// The rounds that have begun and have work left.
+    pub rounds: Vec<RoundState>,
+}
+
+/// The stored bytes are not a job's state.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StateError {
+    /// The form is of another version.
+    #[error("the stored form has version {0}")]
+    Version(u8),
+    /// The bytes are damaged.
+    #[error("the stored form can't be read: {0}")]
+    Malformed(String),
+}
+
+impl StepState {
+    /// Returns whether every task has ended well.
+    pub fn is_done(&self) -> bool {
+        self.tasks
+            .iter()
+            .all(|task| task.status == TaskStatus::Done)
+    }
+}
+
+impl RoundState {
+    /// Creates the state of a round in which nothing has begun.
+    pub fn new(number: u32, record: &JobRecord) -> Self {
+        let steps = record.spec.steps.iter().map(|step| StepState {
+            tasks: vec![TaskState::default(); step.tasks_count as usize],
+            ..StepState::default()
+        });
+        Self {
+            number,
+            steps: steps.collect(),
+        }
+    }
+
+    /// Returns whether every step has ended well.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+}
+
+impl JobState {
+    /// Returns the round with this number, where it has begun and has work left.
+    pub fn round(&self, number: u32) -> Option<&RoundState> {
+        self.rounds.iter().find(|round| round.number == number)
+    }
+
+    /// Returns the round with this number, to be changed.
+    pub fn round_mut(&mut self, number: u32) -> Option<&mut RoundState> {
+        self.rounds.iter_mut().find(|round| round.number == number)
+    }
+
+    /// Returns the stored form.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        to_stored(self)
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StateError`] where the bytes are of another version or damaged.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, StateError> {
+        from_stored(bytes)
+    }
+}
+
+impl JobRecord {
+    /// Returns the stored form.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        to_stored(self)
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StateError`] where the bytes are of another version or damaged.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, StateError> {
+        from_stored(bytes)
+    }
+}
+
+fn to_stored<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![FORM_VERSION]).unwrap_or_default()
+}
+
+fn from_stored<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, StateError> {
+    match bytes.split_first() {
+        Some((&FORM_VERSION, rest)) => {
+            postcard::from_bytes(rest).map_err(|error| StateError::Malformed(error.to_string()))
+        }
+        Some((&version, _)) => Err(StateError::Version(version)),
+        None => Err(StateError::Malformed("it is empty".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/verifier.rs
@@ -0,0 +1,93 @@
+//! A verifier of the scheduler's invariants, for tests and searches.
+
+use crate::job::TaskKey;
+use crate::scheduler::Scheduler;
+use crate::state::{Phase, TaskStatus};
+use ospreywing_types::Resources;
+use thiserror::Error;
+
+/// An invariant that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// A worker's account of its room differs from its runs.
+    #[error("the room of worker {0} is miscounted")]
+    Room(String),
+    /// A worker has been given more than it holds.
+    #[error("worker {0} has been given more than it holds")]
+    Overcommitted(String),
+    /// A task's state and the table of runs disagree.
+    #[error("task {0} is not where its state says")]
+    Placement(TaskKey),
+    /// A job with an outcome is still served.
+    #[error("a job that has its outcome is still served")]
+    Outcome,
+}
+
+impl Scheduler {
+    /// Checks every invariant.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Violation`] found.
+    pub fn verify(&self) -> Result<(), Violation> {
+        self.verify_rooms()?;
+        self.verify_placements()?;
+        let is_over = |id| {
+            self.jobs
+                .get(id)
+                .is_none_or(|j| j.state.phase != Phase::Active)
+        };
+        if self.active.values().any(is_over) {
+            return Err(Violation::Outcome);
+        }
+        Ok(())
+    }
+
+    fn verify_rooms(&self) -> Result<(), Violation> {
+        for worker in self.workers.values() {
+            let mut used = Resources::ZERO;
+            for run in worker.runs.values() {
+                used += run.demand;
+            }
+            if used != worker.used {
+                return Err(Violation::Room(worker.facts.id.to_string()));
+            }
+            let is_counted = !worker.facts.address.is_empty() && !worker.is_gone;
+            if is_counted && !used.fits_in(&worker.facts.capacity) {
+                return Err(Violation::Overcommitted(worker.facts.id.to_string()));
+            }
+        }
+        Ok(())
+    }
+
+    fn verify_placements(&self) -> Result<(), Violation> {
+        for (task, worker) in &self.placements {
+            if !self.workers[*worker].runs.contains_key(task) {
+                return Err(Violation::Placement(*task));
+            }
+        }
+        for (id, job) in &self.jobs {
+            if job.state.phase != Phase::Active {
+                continue;
+            }
+            for round in &job.state.rounds {
+                for (number, step) in round.steps.iter().enumerate() {
+                    for (index, state) in step.tasks.iter().enumerate() {
+                        let step = crate::job::StepKey {
+                            job: *id,
+                            round: round.number,
+                            step: number as u32,
+                        };
+                        let task = step.task(index as u32);
+                        let is_placed = matches!(state.status, TaskStatus::Placed { .. });
+                        let has_run = self.placements.contains_key(&task);
+                        if is_placed && !has_run || has_run && state.status == TaskStatus::Waiting {
+                            return Err(Violation::Placement(task));
+                        }
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/worker.rs
@@ -0,0 +1,191 @@
+//! Workers and the runs that occupy them.
+
+use crate::event::Endpoint;
+use crate::job::TaskKey;
+use cranelift_entity::entity_impl;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A worker's life, as known to one scheduler.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerKey(u32);
+entity_impl!(WorkerKey, "worker");
+
+/// The share by which a worker's clock may be slow, in thousandths, and more
+/// to be sure.
+const CLOCK_SLACK_PER_MILLE: u64 = 30;
+/// What is added to every bound on a lease.
+const LEASE_MARGIN: Duration = Duration::from_ms(100);
+
+/// What the platform's list says of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerFacts {
+    /// The id of its life.
+    pub id: Arc<str>,
+    /// The address of its agent.
+    pub address: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// The machine that it is a life of, where the platform tells.
+    pub machine: Option<Arc<str>>,
+    /// Its rack, where the platform tells.
+    pub rack: Option<Arc<str>>,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// What it holds.
+    pub capacity: Resources,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// Its record is on the way to the store; nothing was sent.
+    Recording,
+    /// An earlier leader recorded it; the worker has not been asked yet.
+    Inherited,
+    /// The start was sent and is not answered.
+    Starting,
+    /// The worker has it, at least since this instant.
+    Running {
+        /// When the worker said so.
+        since: Instant,
+    },
+    /// It is being stopped.
+    Stopping {
+        /// When the last stop was sent.
+        sent_at: Instant,
+        /// When the worker took a stop.
+        taken_at: Option<Instant>,
+    },
+}
+
+/// A run that occupies a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: u32,
+    pub(crate) phase: RunPhase,
+    pub(crate) demand: Resources,
+    pub(crate) ticket: Option<Arc<str>>,
+    pub(crate) placed_at: Instant,
+    pub(crate) progress_percent: u32,
+}
+
+/// The worker's clock as it was last told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClockReading {
+    pub(crate) clock_ms: u64,
+    pub(crate) read_at: Instant,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) facts: WorkerFacts,
+    /// Whether the platform's list has it.
+    pub(crate) is_listed: bool,
+    /// Whether this life is certainly over.
+    pub(crate) is_gone: bool,
+    /// Whether its lists have been taken over under this fence.
+    pub(crate) is_synced: bool,
+    /// Whether the last renewal was answered.
+    pub(crate) is_reachable: bool,
+    /// Whether it runs something that nobody can account for.
+    pub(crate) has_unknown_run: bool,
+    pub(crate) clock: Option<ClockReading>,
+    /// When every lease granted to its runs is certainly over.
+    pub(crate) leased_until: Instant,
+    pub(crate) runs: BTreeMap<TaskKey, Run>,
+    pub(crate) used: Resources,
+    /// The last end that it may forget.
+    pub(crate) acked_end: u64,
+    /// The last end that was taken in.
+    pub(crate) seen_end: u64,
+    /// Ends that wait for their commit.
+    pub(crate) uncommitted_ends: Vec<u64>,
+    pub(crate) is_hold_open: bool,
+    pub(crate) next_hold_at: Instant,
+    /// Starts that were refused or runs that failed, in a row.
+    pub(crate) failures_count: u32,
+    pub(crate) avoided_until: Instant,
+}
+
+impl Worker {
+    pub(crate) fn new(facts: WorkerFacts, leased_until: Instant) -> Self {
+        Self {
+            facts,
+            is_listed: true,
+            is_gone: false,
+            is_synced: false,
+            is_reachable: true,
+            has_unknown_run: false,
+            clock: None,
+            leased_until,
+            runs: BTreeMap::new(),
+            used: Resources::ZERO,
+            acked_end: 0,
+            seen_end: 0,
+            uncommitted_ends: Vec::new(),
+            is_hold_open: false,
+            next_hold_at: Instant::default(),
+            failures_count: 0,
+            avoided_until: Instant::default(),
+        }
+    }
+
+    /// Returns what is not taken.
+    pub(crate) fn free(&self) -> Resources {
+        self.facts.capacity - self.used
+    }
+
+    /// Returns whether a new run may be sent there.
+    pub(crate) fn is_placeable(&self, now: Instant) -> bool {
+        self.is_listed
+            && !self.is_gone
+            && self.is_synced
+            && self.is_reachable
+            && !self.has_unknown_run
+            && !self.facts.is_draining
+            && now >= self.avoided_until
+    }
+
+    pub(crate) fn endpoint(&self, worker: WorkerKey) -> Endpoint {
+        Endpoint {
+            worker,
+            id: self.facts.id.clone(),
+            address: self.facts.address.clone(),
+        }
+    }
+
+    pub(crate) fn insert_run(&mut self, task: TaskKey, run: Run) {
+        self.used += run.demand;
+        self.runs.insert(task, run);
+    }
+
+    pub(crate) fn remove_run(&mut self, task: TaskKey) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        self.used -= run.demand;
+        Some(run)
+    }
+
+    /// Grants a lease of `length` and returns its end on the worker's clock.
+    ///
+    /// Returns `None` where the worker's clock is not known. The worker's own
+    /// clock may be slow, so the lease may last longer on this node's clock.
+    pub(crate) fn grant(&mut self, now: Instant, length: Duration) -> Option<u64> {
+        let clock = self.clock?;
+        let age = now.since(clock.read_at);
+        let slack_ms = (length.as_ms() + age.as_ms()) * CLOCK_SLACK_PER_MILLE / 1000;
+        let bound = now + length + Duration::from_ms(slack_ms) + LEASE_MARGIN;
+        self.leased_until = self.leased_until.max(bound);
+        Some(clock.clock_ms + age.as_ms() + length.as_ms())
+    }
+
+    /// Notes that an earlier leader may have granted leases of `limit`.
+    pub(crate) fn grant_inherited(&mut self, now: Instant, limit: Duration) {
+        let slack_ms = limit.as_ms() * CLOCK_SLACK_PER_MILLE / 1000;
+        self.leased_until = now + limit + Duration::from_ms(slack_ms) + LEASE_MARGIN;
+    }
+}
