--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -22,7 +22,7 @@
 /// The leader's lease.
 pub const LEADER_LEASE: Duration = Duration::from_ms(2000);
 /// The lanes of the leader's commits.
-pub const LANES_COUNT: u32 = 4;
+pub const LANES_COUNT: u32 = 2;
 /// A node's lease.
 const NODE_LEASE: Duration = Duration::from_ms(4000);
 /// The time between two renewals of a node's lease.
@@ -33,6 +33,8 @@
 const VIEW_LIMIT: Duration = Duration::from_ms(2500);
 /// The time by which each further node campaigns later.
 const CAMPAIGN_STAGGER: Duration = Duration::from_ms(25);
+/// The least time between two evictions by one node.
+const EVICTION_PERIOD: Duration = Duration::from_ms(5000);
 /// The time until something that failed is tried again.
 const RETRY: Duration = Duration::from_ms(200);
 
@@ -130,7 +132,14 @@
         let name = view.leader.as_ref().map(|leader| leader.name.clone());
         info!(node.log, "leader known"; "leader" => name.unwrap_or_default());
     }
+    let stale = view
+        .leader
+        .clone()
+        .filter(|leader| is_own_earlier_life(node, leader));
     drop(view);
+    if let Some(leader) = stale {
+        tokio::task::spawn_local(evict(node.clone(), leader, "own earlier life"));
+    }
     node.note_contact();
     node.cell_changed.notify_waiters();
 }
@@ -233,6 +242,7 @@
         address: node.settings.peer_address.to_string(),
         lease: grant.id,
     };
+    node.own_lease.set(grant.id);
     let fence = elect(node, &record, grant.id).await?;
     info!(node.log, "elected"; "fence" => fence, "lease" => grant.id);
     let valid_until = asked_at + grant.ttl;
@@ -277,3 +287,32 @@
         }
     }
 }
+
+/// Returns whether the leader is an earlier life of this very process.
+fn is_own_earlier_life<P: Platform>(node: &Rc<Node<P>>, leader: &LeaderRecord) -> bool {
+    let own_address = node.settings.peer_address.to_string();
+    leader.address == own_address && node.own_lease.get() != leader.lease
+}
+
+/// Ends the lease of a leader that is certainly gone.
+async fn evict<P: Platform>(node: Rc<Node<P>>, leader: LeaderRecord, reason: &'static str) {
+    info!(node.log, "leader evicted"; "leader" => leader.name, "reason" => reason);
+    // The lease runs out by itself otherwise.
+    let _ = node.store.end_lease(leader.lease).await;
+}
+
+/// Takes in that nothing listens at the leader's address any more.
+///
+/// A node that is itself cut off in a way that refuses connections would be
+/// mistaken, so each node does this once in a while at most. A leader that is
+/// evicted by mistake loses its lease, not its promises: its commits and its
+/// orders are fenced like those of any former leader.
+pub fn suspect_leader<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord) {
+    let now = clock::now();
+    let is_current = node.cell.borrow().leader.as_ref() == Some(&leader);
+    if !is_current || now < node.next_eviction_at.get() {
+        return;
+    }
+    node.next_eviction_at.set(now + EVICTION_PERIOD);
+    tokio::task::spawn_local(evict(node.clone(), leader, "connection refused"));
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,6 +1,5 @@
 //! A leader's term: the scheduler and the loops that feed it.
 
-use crate::advisers::Advisers;
 use crate::commit::{CommitLane, CommitOutcome};
 use crate::election::{LANES_COUNT, LEADER_LEASE};
 use crate::follow::{follow, read_all, Flow, FollowPolicy, Update};
@@ -65,8 +64,6 @@
     events: mpsc::UnboundedSender<Event>,
     lanes: Vec<Rc<CommitLane<P::Store>>>,
     open_commits_count: Cell<usize>,
-    /// The nodes that ask the adviser.
-    pub advisers: Advisers,
 }
 
 impl<P: Platform> Leading<P> {
@@ -125,8 +122,10 @@
     fence: u64,
     valid_until: Instant,
 ) -> bool {
-    let Some(in_force) = node.in_force() else {
-        return false;
+    let Some(in_force) = node.in_force().filter(|_| !node.is_draining.get()) else {
+        // The lease runs out by itself otherwise.
+        let _ = node.store.end_lease(grant.id).await;
+        return true;
     };
     let (events, received) = mpsc::unbounded_channel();
     let config = SchedulerConfig::new(fence, node.settings.grant_limit)
@@ -153,7 +152,6 @@
         events,
         lanes,
         open_commits_count: Cell::new(0),
-        advisers: Advisers::new(),
     });
     tokio::task::spawn_local(keep_lease(node.clone(), leading.clone()));
     if let Some((recovered, at)) = recover(node, &leading).await {
@@ -163,6 +161,9 @@
         let scheduler = Scheduler::new(config, configuration, clock::now(), recovered);
         *leading.scheduler.borrow_mut() = scheduler;
         *node.leading.borrow_mut() = Some(leading.clone());
+        if node.is_draining.get() {
+            leading.resign().await;
+        }
         tokio::task::spawn_local(follow_intake(node.clone(), leading.clone(), at));
         tokio::task::spawn_local(follow_workers(node.clone(), leading.clone()));
         run(node, &leading, received).await;
@@ -223,7 +224,10 @@
     let (states, _) = read_all(&node.store, keys::STATE_PREFIX).await?;
     // The order in which jobs were accepted.
     intake.sort_by_key(|item| item.revision);
-    let mut recovered = Recovered::default();
+    let mut recovered = Recovered {
+        wall_ms: clock::wall_ms(),
+        ..Recovered::default()
+    };
     for item in &intake {
         match keys::parse_intake(&item.key) {
             Some(IntakeKey::Job(id)) => match JobRecord::from_bytes(&item.value) {
@@ -364,6 +368,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut actions = Vec::new();
     let mut has_trouble = false;
+    let mut nodes = Vec::new();
     while !leading.is_over() {
         let first = tokio::select! {
             event = received.recv() => event,
@@ -383,6 +388,11 @@
                 scheduler.handle(now, Event::StoreTrouble(trouble), &mut actions);
             }
             scheduler.handle(now, Event::WallClock(clock::wall_ms()), &mut actions);
+            let listed = node.names();
+            if listed != nodes {
+                nodes.clone_from(&listed);
+                scheduler.handle(now, Event::NodesListed(listed), &mut actions);
+            }
         }
         scheduler.handle(now, first, &mut actions);
         while let Ok(event) = received.try_recv() {
@@ -429,8 +439,9 @@
         Action::Advise {
             step,
             workers,
-            cost,
-        } => orders::advise(node, leading, step, workers, cost),
+            node: asker,
+            expected,
+        } => orders::advise(node, leading, step, workers, &asker, expected),
         Action::StepDown => {
             warn!(node.log, "fenced by a newer leader"; "fence" => leading.fence);
             leading.end();
@@ -450,7 +461,7 @@
             "task" => %task, "run" => decision.run, "worker" => worker,
             "reason" => decision.reason, "figure" => decision.figure, "fence" => fence),
         (None, Some(job)) => info!(log, "{}", kind;
-            "job" => %job, "reason" => decision.reason, "figure" => decision.figure),
+            "job" => %job, "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
         (None, None) if decision.kind == DecisionKind::WorkerListed => {
             debug!(log, "{}", kind; "worker" => worker, "reason" => decision.reason);
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,7 +7,6 @@
 //! decisions: it owns sockets, clocks and the store's calls, and speaks to the
 //! outside through the [`Platform`] trait alone.
 
-pub mod advisers;
 pub mod clock;
 pub mod commit;
 pub mod election;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -11,6 +11,8 @@
 
 /// What may wait to be written.
 const BUFFER_LIMIT_BYTES: usize = 512 * 1024;
+/// What is written at once.
+const PIECE_BYTES: usize = 4096;
 /// How long lines are gathered before they are written.
 const GATHER_TIME: Duration = Duration::from_millis(100);
 
@@ -76,12 +78,29 @@
             let line = format!("{{\"msg\":\"lines dropped\",\"count\":{dropped_count}}}\n");
             lines.extend_from_slice(line.as_bytes());
         }
-        // A closed output leaves nobody to be told.
-        let _ = output.write_all(&lines);
-        let _ = output.flush();
+        for piece in pieces(&lines) {
+            // A closed output leaves nobody to be told.
+            let _ = output.write_all(piece);
+            let _ = output.flush();
+        }
     }
 }
 
+/// Cuts lines into pieces that a pipe takes whole, each ending with a line.
+fn pieces(lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = lines;
+    core::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let reach = rest.len().min(PIECE_BYTES);
+        let end = rest[..reach].iter().rposition(|byte| *byte == b'\n');
+        let (piece, left) = rest.split_at(end.map_or(reach, |end| end + 1));
+        rest = left;
+        Some(piece)
+    })
+}
+
 /// Creates a logger whose lines go to the buffer.
 pub fn logger(buffer: &LogBuffer, node: &str) -> Logger {
     let writer = BufferWriter {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,7 +7,7 @@
 use crate::leader::Leading;
 use crate::log::LogBuffer;
 use crate::platform::Platform;
-use crate::store::{Item, WatchedChange};
+use crate::store::{Item, LeaseId, WatchedChange};
 use crate::{clock, peer};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::Configuration;
@@ -16,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use thiserror::Error;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
@@ -103,6 +104,10 @@
     pub leading: RefCell<Option<Rc<Leading<P>>>>,
     /// When the store last answered.
     pub contact_at: Cell<Instant>,
+    /// The lease with which this process last stood for leader.
+    pub own_lease: Cell<LeaseId>,
+    /// When the node may next take a leader for gone.
+    pub next_eviction_at: Cell<Instant>,
     /// Whether the node is stopping.
     pub is_draining: Cell<bool>,
 }
@@ -138,6 +143,16 @@
         self.leading.borrow().clone()
     }
 
+    /// Returns the names of the live nodes, this one among them.
+    pub fn names(&self) -> Vec<Arc<str>> {
+        let cell = self.cell.borrow();
+        let mut names: Vec<Arc<str>> = cell.nodes.keys().map(|n| Arc::from(n.as_str())).collect();
+        if !cell.nodes.contains_key(&self.settings.name) {
+            names.push(Arc::from(self.settings.name.as_str()));
+        }
+        names
+    }
+
     fn learn_configuration(&self, item: &Item) {
         let parsed = self.platform.parse_configuration(&item.value);
         let (configuration, routes) = match parsed {
@@ -187,6 +202,8 @@
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
         contact_at: Cell::new(Instant::default()),
+        own_lease: Cell::new(0),
+        next_eviction_at: Cell::new(Instant::default()),
         is_draining: Cell::new(false),
         settings,
     });
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,6 +1,5 @@
 //! Orders to workers and calls for advice, each in a task of its own.
 
-use crate::advisers::Assignment;
 use crate::clock;
 use crate::leader::Leading;
 use crate::node::Node;
@@ -98,17 +97,23 @@
     leading: &Rc<Leading<P>>,
     step: StepKey,
     workers: Vec<Endpoint>,
-    cost: Duration,
+    asker: &str,
+    expected: Duration,
 ) {
-    let now = clock::now();
-    let assignment = leading
-        .advisers
-        .assign(now, &node.cell.borrow(), &node.settings.name, cost);
+    let is_own = asker == node.settings.name;
+    let address = node
+        .cell
+        .borrow()
+        .nodes
+        .get(asker)
+        .map(|record| record.address.clone());
     let (node, leading) = (node.clone(), leading.clone());
     tokio::task::spawn_local(async move {
         let ids: Vec<Arc<str>> = workers.iter().map(|to| to.id.clone()).collect();
-        let reply = match assignment {
-            Some(assignment) => ask(&node, &leading, &assignment, step, ids).await,
+        let limit = expected + ADVICE_SLACK;
+        let reply = match address {
+            _ if is_own => node.platform.advise(step, &ids, limit).await,
+            Some(address) => ask(&node, &address, step, ids, limit).await,
             None => AdviceReply::Unanswered,
         };
         leading.tell(Event::AdviceAnswered {
@@ -119,29 +124,22 @@
     });
 }
 
+/// Asks through another node.
 async fn ask<P: Platform>(
     node: &Rc<Node<P>>,
-    leading: &Rc<Leading<P>>,
-    assignment: &Assignment,
+    address: &str,
     step: StepKey,
     ids: Vec<Arc<str>>,
+    limit: Duration,
 ) -> AdviceReply {
-    let limit = assignment.expected + ADVICE_SLACK;
-    let Some(address) = &assignment.address else {
-        return node.platform.advise(step, &ids, limit).await;
-    };
     let request = PeerRequest::Advise {
         step,
         workers: ids.iter().map(ToString::to_string).collect(),
         limit_ms: limit.as_ms(),
     };
-    let reply = peer::call(&node.peers, address, &request, limit).await;
-    match reply {
+    match peer::call(&node.peers, address, &request, limit).await {
         Ok(PeerReply::Advice(Some(answer))) => advice_of(answer),
-        _ => {
-            leading.advisers.note_failure(clock::now(), assignment);
-            AdviceReply::Unanswered
-        }
+        _ => AdviceReply::Unanswered,
     }
 }
 
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -1,11 +1,12 @@
 //! What becomes of a request, from a client or from another node.
 
+use crate::election::{self, LeaderRecord};
 use crate::intake::IntakeOutcome;
-use crate::keys;
 use crate::node::Node;
-use crate::peer::{self, AdviceAnswer, GoodWorker, PeerReply, PeerRequest};
+use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
 use crate::store::Store;
+use crate::{clock, keys};
 use ospreywing_scheduler::{
     AdviceReply, Event, JobId, JobRecord, JobState, JobView, Phase, TaskStatus,
 };
@@ -22,8 +23,6 @@
 const COME_BACK: Retry = Retry {
     after: Duration::from_ms(1000),
 };
-/// Failed calls in a row after which others are asked to write.
-const FORWARD_AFTER_COUNT: u32 = 2;
 /// How many other nodes are asked to write.
 const FORWARDS_COUNT: usize = 2;
 
@@ -39,6 +38,7 @@
             let record = JobRecord {
                 queue,
                 service,
+                accepted_ms: clock::wall_ms(),
                 spec,
             };
             submit(node, job, record).await
@@ -88,7 +88,6 @@
 /// Returns whether the store is known not to answer this node.
 fn is_cut_off<P: Platform>(node: &Rc<Node<P>>) -> bool {
     !node.has_contact()
-        || node.intake.failures_count() >= FORWARD_AFTER_COUNT && !node.has_contact()
 }
 
 fn tell_leader<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: JobRecord) {
@@ -108,10 +107,23 @@
     };
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        let _ = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
+        let _ = call_leader(&node, leader, &request).await;
     });
 }
 
+/// Calls the leader; where nothing listens at its address, it is gone.
+async fn call_leader<P: Platform>(
+    node: &Rc<Node<P>>,
+    leader: LeaderRecord,
+    request: &PeerRequest,
+) -> Result<PeerReply, PeerError> {
+    let reply = peer::call(&node.peers, &leader.address, request, LEADER_LIMIT).await;
+    if reply.as_ref().is_err_and(PeerError::is_not_sent) {
+        election::suspect_leader(node, leader);
+    }
+    reply
+}
+
 /// Has another node write, where the store does not answer this one.
 async fn forward<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest, success: Reply) -> Reply {
     for address in other_nodes(node) {
@@ -202,9 +214,7 @@
         return leading.job(job);
     }
     let leader = node.cell.borrow().leader.clone()?;
-    let request = PeerRequest::Status(job);
-    let reply = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
-    match reply {
+    match call_leader(node, leader, &PeerRequest::Status(job)).await {
         Ok(PeerReply::Status(view)) => view,
         _ => None,
     }
@@ -237,9 +247,7 @@
     let Some(leader) = leader else {
         return Reply::Unavailable(COME_BACK);
     };
-    let request = PeerRequest::Pending(queue);
-    let reply = peer::call(&node.peers, &leader.address, &request, LEADER_LIMIT).await;
-    match reply {
+    match call_leader(node, leader, &PeerRequest::Pending(queue)).await {
         Ok(PeerReply::Pending(count)) => Reply::Pending(count),
         _ => Reply::Unavailable(COME_BACK),
     }
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -15,12 +15,21 @@
     Bad,
 }
 
+/// A call for advice that has not been answered.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenCall {
+    /// When it was made.
+    pub(crate) asked_at: Instant,
+    /// The node that makes it.
+    pub(crate) node: Arc<str>,
+}
+
 /// The advice for one step. Who may run a step never changes, tickets expire.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
     opinions: BTreeMap<WorkerKey, Opinion>,
-    /// When the call was made that is open.
-    pub(crate) asked_at: Option<Instant>,
+    /// The call that is open.
+    pub(crate) open: Option<OpenCall>,
     /// When the next call may be made after one that failed.
     pub(crate) retry_at: Instant,
 }
@@ -63,6 +72,11 @@
         matches!(self.opinions.get(&worker), Some(Opinion::Good { .. }))
     }
 
+    /// Returns whether anything is known of the worker.
+    pub(crate) fn is_known(&self, worker: WorkerKey) -> bool {
+        self.opinions.contains_key(&worker)
+    }
+
     /// Ends the ticket of a worker that refused it.
     pub(crate) fn expire(&mut self, worker: WorkerKey) {
         if let Some(Opinion::Good { until, .. }) = self.opinions.get_mut(&worker) {
--- /dev/null
+++ b/crates/scheduler/src/asking.rs
@@ -0,0 +1,360 @@
+//! Asking for advice: about which workers, for which steps, and when.
+//!
+//! Who may run a step never changes, while a ticket holds for a moment only
+//! and the adviser's time is scarce. So a step asks when it could be placed at
+//! once; a gang asks once about all workers, then waits for room on those that
+//! are good, keeps that room, and asks again about these alone.
+
+use crate::advice::OpenCall;
+use crate::config::AdvicePolicy;
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, AdviceReply};
+use crate::gangs::Reservation;
+use crate::job::StepKey;
+use crate::placing::{fit_sum, Candidate, Pass, Turn};
+use crate::scheduler::Scheduler;
+use crate::worker::WorkerKey;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+/// The most workers that one call for advice names.
+const NAMED_LIMIT_COUNT: usize = 100;
+/// How many times the room that is needed the named workers should have.
+const NAMED_ROOM_FACTOR: f64 = 1.5;
+/// The part of a call's own time that naming further workers may add.
+const NAMED_COST_SHARE: f64 = 0.25;
+/// How many times the room that a gang needs its good workers should have.
+const GANG_ROOM_FACTOR: f64 = 2.0;
+/// The share of good workers that is assumed before anything is known.
+const FIRST_GOODNESS: f64 = 0.5;
+/// The least share of good workers that is assumed.
+const GOODNESS_FLOOR: f64 = 0.05;
+/// The time until advice is asked for again after a call that failed.
+const ADVICE_RETRY: Duration = Duration::from_ms(100);
+/// The weight of what was learned before, so that the estimate can follow.
+const GOODNESS_DECAY: f64 = 0.98;
+
+impl Scheduler {
+    /// Asks for advice on a step that could not be placed, where that serves.
+    #[allow(clippy::too_many_arguments, reason = "one step of a pass")]
+    pub(crate) fn seek_advice(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        candidates: Vec<Candidate>,
+        placed_count: usize,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let needed = turn.waiting.len() - placed_count;
+        if self.advice[&turn.key].open.is_some() {
+            claim_room(pass, turn, needed);
+            return;
+        }
+        if now < self.advice[&turn.key].retry_at {
+            return;
+        }
+        if turn.spec().is_gang {
+            self.seek_for_gang(now, turn, policy, &candidates, pass, out);
+        } else if has_room(pass, turn) {
+            let candidates = self.still_free(turn, candidates);
+            let named = self.choose_named(turn, &candidates, needed);
+            if !named.is_empty() && self.ask(now, turn, policy, named, out) {
+                claim_room(pass, turn, needed);
+            }
+        }
+    }
+
+    /// Drops candidates whose room was taken since they were found.
+    fn still_free(&self, turn: &Turn, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+        candidates.retain(|c| turn.demand.fits_in(&self.workers[c.worker].free()));
+        candidates
+    }
+
+    /// Chooses workers with room until enough of them should be good.
+    fn choose_named(&self, turn: &Turn, candidates: &[Candidate], needed: usize) -> Vec<WorkerKey> {
+        let goodness = self.goodness_of(&turn.record.queue);
+        let advice = &self.advice[&turn.key];
+        let mut candidates: Vec<&Candidate> = candidates.iter().collect();
+        candidates.sort_by_key(|c| {
+            let is_known = advice.is_good(c.worker);
+            (!is_known, !c.is_near, Reverse(c.free.cores_milli))
+        });
+        let wanted = needed as f64 * NAMED_ROOM_FACTOR;
+        let mut expected = 0.0;
+        let mut named = Vec::new();
+        for candidate in candidates {
+            if expected >= wanted || named.len() >= NAMED_LIMIT_COUNT {
+                break;
+            }
+            let is_good = advice.is_good(candidate.worker);
+            let chance = if is_good { 1.0 } else { goodness };
+            let fit_count = candidate.fit_count(&turn.demand).min(needed as u32);
+            expected += chance * f64::from(fit_count);
+            named.push(candidate.worker);
+        }
+        named
+    }
+
+    fn seek_for_gang(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        candidates: &[Candidate],
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let needed = turn.waiting.len();
+        let fitting: Vec<Candidate> = candidates
+            .iter()
+            .filter(|c| self.advice[&turn.key].is_good(c.worker))
+            .cloned()
+            .collect();
+        if fit_sum(&fitting, &turn.demand) >= needed as u64 {
+            let reservations = reserve(fitting, &turn.demand, needed);
+            let named = reservations.iter().map(|r| r.worker).collect();
+            if self.ask(now, turn, policy, named, out) {
+                self.reservations.insert(turn.key, reservations);
+                claim_room(pass, turn, needed);
+            }
+            return;
+        }
+        let unknown = self.unknown_workers(now, turn);
+        let good = self.good_workers(now, turn);
+        let total: u64 = good
+            .iter()
+            .map(|(_, capacity_count, _)| u64::from(*capacity_count))
+            .sum();
+        if (total as f64) < needed as f64 * GANG_ROOM_FACTOR && !unknown.is_empty() {
+            let missing = needed as f64 - total as f64;
+            let named = self.choose_unknown(turn, policy, unknown, missing);
+            self.ask(now, turn, policy, named, out);
+            return;
+        }
+        self.await_room(turn, &good, pass);
+    }
+
+    /// Returns the workers of which nothing is known for the step, the
+    /// freest first.
+    fn unknown_workers(&self, now: Instant, turn: &Turn) -> Vec<(WorkerKey, u32)> {
+        let advice = &self.advice[&turn.key];
+        let mut unknown = Vec::new();
+        for (key, worker) in self.workers.iter() {
+            if !worker.is_placeable(now) || advice.is_known(key) {
+                continue;
+            }
+            if !self.is_eligible(turn, worker) {
+                continue;
+            }
+            unknown.push((key, worker.free().cores_milli));
+        }
+        unknown.sort_by_key(|(key, free)| (Reverse(*free), *key));
+        unknown
+    }
+
+    /// Chooses unknown workers until enough of them should be good, whether
+    /// or not they have room now.
+    fn choose_unknown(
+        &self,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        unknown: Vec<(WorkerKey, u32)>,
+        missing: f64,
+    ) -> Vec<WorkerKey> {
+        let goodness = self.goodness_of(&turn.record.queue);
+        let wanted = missing.max(1.0) * GANG_ROOM_FACTOR;
+        // Naming more costs little beside the call itself.
+        let cheap_count = policy.decision_ms * NAMED_COST_SHARE / policy.per_worker_ms.max(0.01);
+        let least_count = cheap_count as usize;
+        let mut expected = 0.0;
+        let mut named = Vec::new();
+        for (key, _) in unknown {
+            let is_enough = expected >= wanted && named.len() >= least_count;
+            if is_enough || named.len() >= NAMED_LIMIT_COUNT {
+                break;
+            }
+            let capacity = self.workers[key].facts.capacity;
+            expected += goodness * f64::from(fit_in(&capacity, &turn.demand));
+            named.push(key);
+        }
+        named
+    }
+
+    /// Returns the workers known to be good for a gang, with how many members
+    /// they hold when empty and how many now; the soonest to hold any first.
+    fn good_workers(&self, now: Instant, turn: &Turn) -> Vec<(WorkerKey, u32, u32)> {
+        let advice = &self.advice[&turn.key];
+        let mut good = Vec::new();
+        for (key, worker) in self.workers.iter() {
+            if !worker.is_placeable(now) || !advice.is_good(key) {
+                continue;
+            }
+            let capacity_count = fit_in(&worker.facts.capacity, &turn.demand);
+            let free_count = fit_in(&worker.free(), &turn.demand);
+            good.push((key, capacity_count, free_count));
+        }
+        good.sort_by_key(|(key, capacity_count, free_count)| {
+            (Reverse(*free_count), Reverse(*capacity_count), *key)
+        });
+        good
+    }
+
+    /// Keeps less urgent work off enough good workers for the gang.
+    fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
+        let mut held: u64 = 0;
+        for (key, capacity_count, _) in good {
+            if held >= turn.waiting.len() as u64 {
+                return;
+            }
+            if pass.awaited.contains_key(key) {
+                continue;
+            }
+            pass.awaited.insert(*key, turn.priority);
+            held += u64::from(*capacity_count);
+        }
+    }
+
+    /// Has a node ask about workers; returns whether one could.
+    fn ask(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        named: Vec<WorkerKey>,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if named.is_empty() {
+            return false;
+        }
+        let cost = policy.cost(named.len());
+        let Some(assignment) = self.advisers.assign(now, cost) else {
+            return false;
+        };
+        let Some(advice) = self.advice.get_mut(&turn.key) else {
+            return false;
+        };
+        advice.open = Some(OpenCall {
+            asked_at: now,
+            node: assignment.node.clone(),
+        });
+        let line = Decision::new(DecisionKind::AdviceAsked, "workers with room");
+        let line = line.with_job(turn.key.job).with_figure(named.len() as u64);
+        out.push(Action::Log(line));
+        let workers = named.iter().map(|&key| self.workers[key].endpoint(key));
+        out.push(Action::Advise {
+            step: turn.key,
+            workers: workers.collect(),
+            node: assignment.node,
+            expected: assignment.expected,
+        });
+        true
+    }
+
+    fn goodness_of(&self, queue: &str) -> f64 {
+        let known = self.goodness.get(queue);
+        let (good, named) = known.copied().unwrap_or((FIRST_GOODNESS, 1.0));
+        (good / named).max(GOODNESS_FLOOR)
+    }
+
+    pub(crate) fn on_advice_answered(
+        &mut self,
+        now: Instant,
+        step: StepKey,
+        named: &[WorkerKey],
+        reply: AdviceReply,
+        out: &mut Vec<Action>,
+    ) {
+        self.is_place_due = true;
+        let Some(advice) = self.advice.get_mut(&step) else {
+            return;
+        };
+        let Some(open) = advice.open.take() else {
+            return;
+        };
+        let waited_ms = now.since(open.asked_at).as_ms();
+        let AdviceReply::Good { tickets, validity } = reply else {
+            advice.retry_at = now + ADVICE_RETRY;
+            self.reservations.remove(&step);
+            self.advisers.note_failure(now, &open.node);
+            let line = Decision::new(DecisionKind::AdviceAnswered, "no answer");
+            out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
+            return;
+        };
+        let good: Vec<(WorkerKey, Arc<str>)> = tickets
+            .into_iter()
+            .filter_map(|ticket| {
+                let worker = self.workers_by_id.get(&ticket.worker)?;
+                Some((*worker, ticket.text))
+            })
+            .collect();
+        // What was known before tells nothing of workers that are not.
+        let fresh: Vec<WorkerKey> = named
+            .iter()
+            .filter(|worker| !advice.is_known(**worker))
+            .copied()
+            .collect();
+        let fresh_good = good.iter().filter(|(w, _)| fresh.contains(w)).count();
+        advice.take_in(now, named, &good, validity);
+        let line = Decision::new(DecisionKind::AdviceAnswered, "answered");
+        out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
+        self.learn_goodness(step, fresh_good, fresh.len());
+    }
+
+    fn learn_goodness(&mut self, step: StepKey, good_count: usize, named_count: usize) {
+        let queue = self.jobs.get(&step.job).map(|job| job.record.queue.clone());
+        let Some(queue) = queue else {
+            return;
+        };
+        let known = self.goodness.entry(queue).or_insert((FIRST_GOODNESS, 1.0));
+        known.0 = known.0 * GOODNESS_DECAY + good_count as f64;
+        known.1 = known.1 * GOODNESS_DECAY + named_count as f64;
+    }
+}
+
+/// Returns how many tasks of a demand fit into a room.
+fn fit_in(room: &Resources, demand: &Resources) -> u32 {
+    let by = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
+    by(room.cores_milli, demand.cores_milli)
+        .min(by(room.memory_mib, demand.memory_mib))
+        .min(by(room.accelerators_count, demand.accelerators_count))
+}
+
+/// Returns whether the pass has room left for at least one task.
+fn has_room(pass: &Pass, turn: &Turn) -> bool {
+    let room = pass.room_milli.get(turn.record.service.as_str());
+    room.is_some_and(|room| *room >= i64::from(turn.demand.cores_milli))
+}
+
+/// Takes a step's demand off the room that the pass has left.
+fn claim_room(pass: &mut Pass, turn: &Turn, tasks_count: usize) {
+    if let Some(room) = pass.room_milli.get_mut(turn.record.service.as_str()) {
+        *room -= i64::from(turn.demand.cores_milli) * tasks_count as i64;
+    }
+}
+
+/// Keeps room for a whole gang on the fullest workers that fit.
+fn reserve(candidates: Vec<Candidate>, demand: &Resources, needed: usize) -> Vec<Reservation> {
+    let mut reservations = Vec::new();
+    let mut left_count = needed as u32;
+    for candidate in candidates {
+        let count = candidate.fit_count(demand).min(left_count);
+        let mut room = Resources::ZERO;
+        for _ in 0..count {
+            room += *demand;
+        }
+        if count > 0 {
+            reservations.push(Reservation {
+                worker: candidate.worker,
+                room,
+            });
+        }
+        left_count -= count;
+        if left_count == 0 {
+            break;
+        }
+    }
+    reservations
+}
--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -13,6 +13,9 @@
 use ospreywing_types::Instant;
 use std::collections::VecDeque;
 
+/// The keys that are removed where a job is forgotten.
+const FORGET_ENTRIES_COUNT: usize = 3;
+
 /// What waits for a job's state to be in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Effect {
@@ -63,12 +66,29 @@
                 continue;
             }
             lane.next_at = now + self.config.commit_pace;
-            let count = lane.dirty.len().min(self.config.commit_limit_count);
-            let ids: Vec<JobId> = lane.dirty.drain(..count).collect();
+            let ids = self.next_group(number);
             self.commit(number, ids, out);
         }
     }
 
+    /// Takes as many changed jobs off a lane's list as one transaction holds.
+    fn next_group(&mut self, number: usize) -> Vec<JobId> {
+        let mut left_count = self.config.commit_limit_count;
+        let mut ids = Vec::new();
+        while let Some(id) = self.lanes[number].dirty.front() {
+            let entries_count = match self.jobs.get(id) {
+                Some(job) if job.is_forgotten() => FORGET_ENTRIES_COUNT,
+                _ => 1,
+            };
+            if entries_count > left_count {
+                break;
+            }
+            left_count -= entries_count;
+            ids.extend(self.lanes[number].dirty.pop_front());
+        }
+        ids
+    }
+
     fn commit(&mut self, lane: usize, ids: Vec<JobId>, out: &mut Vec<Action>) {
         let mut changes = Vec::with_capacity(ids.len());
         let mut open = Vec::with_capacity(ids.len());
@@ -77,8 +97,7 @@
                 continue;
             };
             job.is_dirty = false;
-            let is_forgotten = job.effects.iter().any(|(_, e)| *e == Effect::Forget);
-            let state = (!is_forgotten).then(|| job.state.to_bytes());
+            let state = (!job.is_forgotten()).then(|| job.state.to_bytes());
             changes.push(Change { job: id, state });
             open.push((id, job.version));
         }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -103,9 +103,9 @@
         let limit_ms = grant_limit.as_ms();
         Self {
             fence,
-            lanes_count: 4,
+            lanes_count: 2,
             commit_limit_count: 30,
-            commit_pace: Duration::from_ms(15),
+            commit_pace: Duration::from_ms(25),
             grant: Duration::from_ms(limit_ms.min(4000)),
             long_grant: grant_limit,
             grant_limit,
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -81,7 +81,8 @@
             return false;
         }
         if end.checkpoint.is_some() {
-            step.tasks[index].checkpoint.clone_from(&end.checkpoint);
+            let keeper = if is_gang { 0 } else { index };
+            step.tasks[keeper].checkpoint.clone_from(&end.checkpoint);
         }
         if end.kind == EndKind::Done && !is_perpetual {
             if is_gang {
@@ -122,7 +123,7 @@
             self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
             return;
         }
-        self.break_gang(now, step, out);
+        self.break_gang(now, step);
     }
 
     fn has_failed_too_often(&self, task: TaskKey) -> bool {
@@ -146,17 +147,6 @@
         spec.is_some_and(|spec| spec.is_gang)
     }
 
-    /// Stops the members of a gang that has lost one of them.
-    pub(crate) fn break_gang(&mut self, now: Instant, step: StepKey, out: &mut Vec<Action>) {
-        if !self.is_gang(step) {
-            return;
-        }
-        let members = self.placed_tasks(step.job);
-        for task in members.into_iter().filter(|task| task.step == step) {
-            self.stop_task(now, task, "gang broken", out);
-        }
-    }
-
     /// Takes back a run of which nothing was sent.
     pub(crate) fn take_back(&mut self, task: TaskKey) {
         let Some(key) = self.placements.remove(&task) else {
@@ -191,7 +181,7 @@
             .with_worker(&worker.facts.id);
         out.push(Action::Log(line));
         self.take_back(task);
-        self.break_gang(now, task.step, out);
+        self.break_gang(now, task.step);
     }
 
     fn note_health(&mut self, now: Instant, key: WorkerKey, kind: EndKind, out: &mut Vec<Action>) {
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -236,6 +236,8 @@
         /// What became of it.
         reply: StopReply,
     },
+    /// The nodes that can ask the adviser, whole.
+    NodesListed(Vec<Arc<str>>),
     /// Advice was answered, or not.
     AdviceAnswered {
         /// The step.
@@ -328,8 +330,10 @@
         step: StepKey,
         /// The workers to be named.
         workers: Vec<Endpoint>,
-        /// How long the adviser will take.
-        cost: Duration,
+        /// The node that asks.
+        node: Arc<str>,
+        /// How long the adviser will take, with the calls before this one.
+        expected: Duration,
     },
     /// A newer leader exists.
     StepDown,
--- /dev/null
+++ b/crates/scheduler/src/gangs.rs
@@ -0,0 +1,82 @@
+//! Gangs: room kept for them, and what follows when a member is lost.
+
+use crate::event::Action;
+use crate::job::{StepKey, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::worker::{RunPhase, WorkerKey};
+use ospreywing_types::{Duration, Instant, Resources};
+
+/// How long the members of a gang that has lost one are given to end by
+/// themselves, which spares the stops.
+const BREAK_TIME: Duration = Duration::from_ms(400);
+
+/// Room on a worker that is kept for a gang.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) worker: WorkerKey,
+    pub(crate) room: Resources,
+}
+
+impl Scheduler {
+    /// Returns what is kept on a worker for gangs other than `step`.
+    pub(crate) fn reserved(&self, worker: WorkerKey, step: StepKey) -> Resources {
+        let mut room = Resources::ZERO;
+        for (holder, reservations) in &self.reservations {
+            if *holder == step {
+                continue;
+            }
+            for reservation in reservations.iter().filter(|r| r.worker == worker) {
+                room += reservation.room;
+            }
+        }
+        room
+    }
+
+    /// Takes in that a gang has lost a member: the others end by themselves
+    /// or are stopped after a while.
+    pub(crate) fn break_gang(&mut self, now: Instant, step: StepKey) {
+        if !self.is_gang(step) {
+            return;
+        }
+        let members = self.members(step);
+        for task in &members {
+            let phase = self.run_phase(*task);
+            if phase == Some(RunPhase::Recording) {
+                self.take_back(*task);
+            }
+        }
+        self.broken_gangs.entry(step).or_insert(now);
+    }
+
+    /// Stops the members of broken gangs that have not ended by themselves.
+    pub(crate) fn stop_broken_gangs(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let broken: Vec<(StepKey, Instant)> =
+            self.broken_gangs.iter().map(|(k, at)| (*k, *at)).collect();
+        for (step, broken_at) in broken {
+            let members = self.members(step);
+            if members.is_empty() {
+                self.broken_gangs.remove(&step);
+                continue;
+            }
+            if now.since(broken_at) < BREAK_TIME {
+                continue;
+            }
+            for task in members {
+                self.stop_task(now, task, "gang broken", out);
+            }
+        }
+    }
+
+    /// Returns the tasks of a step that have a run.
+    fn members(&self, step: StepKey) -> Vec<TaskKey> {
+        let mut members = self.placed_tasks(step.job);
+        members.retain(|task| task.step == step);
+        members
+    }
+
+    fn run_phase(&self, task: TaskKey) -> Option<RunPhase> {
+        let worker = self.placements.get(&task)?;
+        let run = self.workers[*worker].runs.get(&task)?;
+        Some(run.phase)
+    }
+}
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -158,6 +158,9 @@
     pub queue: String,
     /// The service of the queue when the job was accepted.
     pub service: String,
+    /// When the job was accepted, in milliseconds since 1970 on the clock of
+    /// the node that took it.
+    pub accepted_ms: u64,
     /// What the client asks for.
     pub spec: JobSpec,
 }
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, RoundState, TaskStatus};
 use crate::worker::RunPhase;
-use ospreywing_types::Instant;
+use ospreywing_types::{Duration, Instant};
 use std::sync::Arc;
 
 /// How often a task may fail where the queue is no longer configured.
@@ -31,12 +31,19 @@
     pub(crate) shown: Phase,
     pub(crate) ended_at: Option<Instant>,
     pub(crate) rank: (u32, u64),
+    /// When the job was accepted, on this node's clock.
+    pub(crate) accepted_at: Instant,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
 }
 
 impl Job {
-    pub(crate) fn new(record: JobRecord, state: JobState, rank: (u32, u64)) -> Self {
+    pub(crate) fn new(
+        record: JobRecord,
+        state: JobState,
+        rank: (u32, u64),
+        accepted_at: Instant,
+    ) -> Self {
         let tasks = state.rounds.iter().flat_map(|round| &round.steps);
         let mut tasks = tasks.flat_map(|step| &step.tasks);
         let has_begun = state.phase != Phase::Active || tasks.any(|task| task.last_run > 0);
@@ -50,11 +57,17 @@
             shown: state.phase,
             ended_at: None,
             rank,
+            accepted_at,
             ready: None,
             state,
         }
     }
 
+    /// Returns whether the job's next commit removes it.
+    pub(crate) fn is_forgotten(&self) -> bool {
+        self.effects.iter().any(|(_, e)| *e == Effect::Forget)
+    }
+
     /// Returns the steps whose turn has come and that have a waiting task.
     pub(crate) fn ready_steps(&mut self, id: JobId) -> Vec<StepKey> {
         if let Some(ready) = &self.ready {
@@ -90,22 +103,35 @@
 }
 
 impl Scheduler {
-    pub(crate) fn take_job(&mut self, id: JobId, record: JobRecord, out: &mut Vec<Action>) {
+    pub(crate) fn take_job(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        record: JobRecord,
+        out: &mut Vec<Action>,
+    ) {
         if self.jobs.contains_key(&id) {
             return;
         }
         let line = Decision::new(DecisionKind::JobTaken, "accepted").with_job(id);
         out.push(Action::Log(line.with_figure(self.active.len() as u64)));
-        self.insert_job(id, record, JobState::default());
+        self.insert_job(now, id, record, JobState::default());
     }
 
     /// Adds a job to the tables, with its first round where that is due.
-    pub(crate) fn insert_job(&mut self, id: JobId, record: JobRecord, state: JobState) {
+    pub(crate) fn insert_job(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        record: JobRecord,
+        state: JobState,
+    ) {
         let priority = self.configuration.queue(&record.queue);
         let priority = priority.map_or(DEFAULT_PRIORITY, |queue| queue.priority);
         let rank = (priority, self.next_order);
         self.next_order += 1;
-        let mut job = Job::new(record, state, rank);
+        let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
+        let mut job = Job::new(record, state, rank, now - age);
         if job.state.phase == Phase::Active {
             self.active.insert(rank, id);
             if job.record.spec.schedule.is_some() {
@@ -182,8 +208,12 @@
         let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
         out.push(Action::Log(line));
         self.touch(id, Some(Effect::Show(phase)));
-        self.stop_job(now, id, out);
+        if phase != Phase::Complete {
+            // The other members of a gang that is done end by themselves.
+            self.stop_job(now, id, out);
+        }
         self.advice.retain(|step, _| step.job != id);
+        self.reservations.retain(|step, _| step.job != id);
     }
 
     /// Stops every run of a job.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -211,7 +211,12 @@
         if checkpoint.is_none() {
             return;
         }
-        if let Some(state) = self.task_state_mut(task) {
+        let keeper = if self.is_gang(task.step) {
+            task.step.task(0)
+        } else {
+            task
+        };
+        if let Some(state) = self.task_state_mut(keeper) {
             if state.checkpoint != checkpoint {
                 state.checkpoint = checkpoint;
             }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,14 +14,18 @@
 //!   any more, or has outlived every lease that was granted to its worker.
 
 mod advice;
+mod advisers;
+mod asking;
 mod commits;
 mod config;
 mod decision;
 mod ends;
 mod event;
+mod gangs;
 mod job;
 mod jobs;
 mod leases;
+mod order;
 mod orders;
 mod placing;
 mod recovery;
--- /dev/null
+++ b/crates/scheduler/src/order.rs
@@ -0,0 +1,98 @@
+//! The order in which waiting jobs are served.
+
+use crate::job::{JobId, JobRecord};
+use crate::jobs::Job;
+use crate::scheduler::Scheduler;
+use crate::state::{RoundState, StepState};
+use ospreywing_types::{Duration, Instant};
+
+/// How many times its objective a job may take and still be worth something.
+const LATE_FACTOR: u64 = 3;
+/// The part of an estimate that is surely needed, in percent: estimates are
+/// rough, and a job must not be given up that could still make it.
+const SURE_PERCENT: u64 = 60;
+/// The objective's factor where the queue is no longer configured.
+const DEFAULT_STRETCH: f64 = 3.0;
+/// The objective's rest where the queue is no longer configured.
+const DEFAULT_OBJECTIVE_MS: u64 = 1000;
+
+/// What can still become of a waiting job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Prospect {
+    /// It can be done within its objective.
+    InTime,
+    /// It can be done late.
+    Late,
+    /// It will be too late to be worth much; it is done all the same.
+    Overdue,
+}
+
+impl Scheduler {
+    /// Returns the jobs with work left in the order in which they are served:
+    /// what can still be in time first, then by priority, then by age.
+    pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
+        let mut order: Vec<(Prospect, (u32, u64), JobId)> = self
+            .active
+            .values()
+            .filter_map(|id| {
+                let job = self.jobs.get(id)?;
+                Some((self.prospect(now, job), job.rank, *id))
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    fn prospect(&self, now: Instant, job: &Job) -> Prospect {
+        let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
+        if is_perpetual || job.record.spec.schedule.is_some() {
+            return Prospect::InTime;
+        }
+        let objective = self.objective(&job.record);
+        let left_ms = job
+            .state
+            .rounds
+            .iter()
+            .map(|round| chain_ms(&job.record, Some(round)))
+            .max()
+            .unwrap_or(0);
+        let sure = Duration::from_ms(left_ms * SURE_PERCENT / 100);
+        let ends_at = now + sure;
+        if ends_at <= job.accepted_at + objective {
+            Prospect::InTime
+        } else if ends_at <= job.accepted_at + objective.times(LATE_FACTOR) {
+            Prospect::Late
+        } else {
+            Prospect::Overdue
+        }
+    }
+
+    /// Returns the time within which a job should be done, by its estimates.
+    pub(crate) fn objective(&self, record: &JobRecord) -> Duration {
+        let queue = self.configuration.queue(&record.queue);
+        let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
+        let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
+        let chain = chain_ms(record, None) as f64;
+        Duration::from_ms((chain * stretch) as u64 + rest_ms)
+    }
+}
+
+/// Returns the estimate of a job's longest chain of steps that are not done.
+fn chain_ms(record: &JobRecord, round: Option<&RoundState>) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
+    for (number, step) in record.spec.steps.iter().enumerate() {
+        let begins_ms = step
+            .depends_on
+            .iter()
+            .filter_map(|earlier| ends_ms.get(*earlier as usize))
+            .max()
+            .copied()
+            .unwrap_or(0);
+        let is_done = round
+            .and_then(|round| round.steps.get(number))
+            .is_some_and(StepState::is_done);
+        let length_ms = if is_done { 0 } else { step.estimate_ms };
+        ends_ms.push(begins_ms + length_ms);
+    }
+    ends_ms.into_iter().max().unwrap_or(0)
+}
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -75,11 +75,9 @@
         let spec = job.record.spec.steps.get(task.step.step as usize)?;
         let step = job.state.round(task.step.round)?;
         let step = step.steps.get(task.step.step as usize)?;
-        if spec.is_gang {
-            // Any member's checkpoint is good for its gang, if all bring the same.
-            return step.tasks.iter().find_map(|task| task.checkpoint.clone());
-        }
-        step.tasks.get(task.index as usize)?.checkpoint.clone()
+        // Any member's checkpoint is good for its gang, if all bring the same.
+        let keeper = if spec.is_gang { 0 } else { task.index };
+        step.tasks.get(keeper as usize)?.checkpoint.clone()
     }
 
     pub(crate) fn on_start_answered(
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -1,27 +1,19 @@
-//! Placement: which waiting task goes to which worker, and whom to ask about.
+//! Placement: which waiting task goes to which worker.
 
 use crate::commits::Effect;
 use crate::config::AdvicePolicy;
 use crate::decision::{Decision, DecisionKind};
-use crate::event::{Action, AdviceReply};
-use crate::job::{JobId, JobRecord, StepKey, StepSpec, TaskKey};
+use crate::event::Action;
+use crate::job::{JobRecord, StepKey, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::state::{StepState, TaskStatus};
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
-use ospreywing_types::{Duration, Instant, Resources};
-use std::collections::BTreeMap;
+use ospreywing_types::{Instant, Resources};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// The most workers that one call for advice names.
-const NAMED_LIMIT_COUNT: usize = 100;
-/// How many times the room that is needed the named workers should have.
-const NAMED_ROOM_FACTOR: f64 = 1.5;
-/// The share of good workers that is assumed before anything is known.
-const FIRST_GOODNESS: f64 = 0.5;
-/// The time until advice is asked for again after a call that failed.
-const ADVICE_RETRY: Duration = Duration::from_ms(100);
-/// The weight of what was learned before, so that the estimate can follow.
-const GOODNESS_DECAY: f64 = 0.98;
+/// The most steps that one pass looks at; the rest has its turn in the next.
+const EXAMINED_LIMIT_COUNT: usize = 400;
 
 /// Returns what a task counts against a worker's room.
 pub(crate) fn counted_demand(spec: &StepSpec) -> Resources {
@@ -34,18 +26,18 @@
 
 /// A worker that could take tasks of a step.
 #[derive(Clone, Debug)]
-struct Candidate {
-    worker: WorkerKey,
-    free: Resources,
+pub(crate) struct Candidate {
+    pub(crate) worker: WorkerKey,
+    pub(crate) free: Resources,
     /// How many more tasks of the step it may hold.
-    left_count: u32,
-    is_near: bool,
+    pub(crate) left_count: u32,
+    pub(crate) is_near: bool,
     rack: Option<Arc<str>>,
 }
 
 impl Candidate {
     /// Returns how many tasks of this demand fit.
-    fn fit_count(&self, demand: &Resources) -> u32 {
+    pub(crate) fn fit_count(&self, demand: &Resources) -> u32 {
         let by = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
         by(self.free.cores_milli, demand.cores_milli)
             .min(by(self.free.memory_mib, demand.memory_mib))
@@ -60,42 +52,66 @@
 }
 
 /// A step that is being placed.
-struct Turn {
-    key: StepKey,
-    record: Arc<JobRecord>,
-    waiting: Vec<u32>,
-    demand: Resources,
-    advice: Option<AdvicePolicy>,
+pub(crate) struct Turn {
+    pub(crate) key: StepKey,
+    pub(crate) record: Arc<JobRecord>,
+    pub(crate) waiting: Vec<u32>,
+    pub(crate) demand: Resources,
+    pub(crate) advice: Option<AdvicePolicy>,
+    pub(crate) priority: u32,
 }
 
 impl Turn {
-    fn spec(&self) -> &StepSpec {
+    pub(crate) fn spec(&self) -> &StepSpec {
         &self.record.spec.steps[self.key.step as usize]
     }
 }
 
+/// What one pass over the waiting steps keeps in mind.
+#[derive(Debug, Default)]
+pub(crate) struct Pass {
+    /// The processors that are free and not yet asked for, by service, in
+    /// thousandths of a core.
+    pub(crate) room_milli: BTreeMap<Arc<str>, i64>,
+    /// Workers on which a gang waits for room, and its priority.
+    pub(crate) awaited: BTreeMap<WorkerKey, u32>,
+    examined_count: usize,
+}
+
 impl Scheduler {
-    /// Places what can be placed, in the order of the queues' priorities.
+    /// Places what can be placed.
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let jobs: Vec<JobId> = self.active.values().copied().collect();
-        for id in jobs {
+        let mut pass = self.new_pass(now);
+        for id in self.service_order(now) {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             for step in job.ready_steps(id) {
-                self.place_step(now, step, out);
+                pass.examined_count += 1;
+                self.place_step(now, step, &mut pass, out);
+            }
+            if pass.examined_count >= EXAMINED_LIMIT_COUNT {
+                return;
+            }
+        }
+    }
+
+    fn new_pass(&self, now: Instant) -> Pass {
+        let mut pass = Pass::default();
+        for worker in self.workers.values() {
+            if worker.is_placeable(now) {
+                let room = pass.room_milli.entry(worker.facts.service.clone());
+                *room.or_default() += i64::from(worker.free().cores_milli);
             }
         }
+        pass
     }
 
-    fn place_step(&mut self, now: Instant, key: StepKey, out: &mut Vec<Action>) {
+    fn place_step(&mut self, now: Instant, key: StepKey, pass: &mut Pass, out: &mut Vec<Action>) {
         let Some(turn) = self.turn(key) else {
             return;
         };
-        let mut candidates = self.candidates(now, &turn);
-        if candidates.is_empty() {
-            return;
-        }
+        let mut candidates = self.candidates(now, &turn, pass);
         let Some(policy) = turn.advice else {
             self.allocate(now, &turn, candidates, out);
             return;
@@ -108,8 +124,16 @@
             .cloned()
             .collect();
         let placed_count = self.allocate(now, &turn, ticketed, out);
+        if self
+            .advice
+            .get(&key)
+            .is_none_or(|advice| advice.open.is_none())
+        {
+            // The answer has come: what was kept has been used, or is given back.
+            self.reservations.remove(&key);
+        }
         if placed_count < turn.waiting.len() {
-            self.ask_advice(now, &turn, policy, candidates, placed_count, out);
+            self.seek_advice(now, &turn, policy, candidates, placed_count, pass, out);
         }
     }
 
@@ -128,6 +152,7 @@
             waiting,
             demand: counted_demand(spec),
             advice: queue.and_then(|queue| queue.advice),
+            priority: job.rank.0,
             record: job.record.clone(),
         })
     }
@@ -138,40 +163,57 @@
         queue.is_some_and(|queue| queue.advice.is_some())
     }
 
-    /// Returns the workers that could take at least one task, the fullest first.
-    fn candidates(&self, now: Instant, turn: &Turn) -> Vec<Candidate> {
-        let spec = turn.spec();
+    /// Returns whether a worker may ever run tasks of the step.
+    pub(crate) fn is_eligible(&self, turn: &Turn, worker: &Worker) -> bool {
         let queue = self.configuration.queue(&turn.record.queue);
         let service = queue.map_or(&turn.record.service, |queue| &queue.service);
+        let label = turn.spec().required_label.as_ref();
+        *worker.facts.service == **service
+            && label.is_none_or(|label| worker.facts.labels.contains(label))
+            && turn.demand.fits_in(&worker.facts.capacity)
+    }
+
+    /// Returns the workers that could take at least one task, the fullest first.
+    fn candidates(&self, now: Instant, turn: &Turn, pass: &Pass) -> Vec<Candidate> {
         let mut found = Vec::new();
         for (key, worker) in self.workers.iter() {
-            if !worker.is_placeable(now) || *worker.facts.service != **service {
+            if !worker.is_placeable(now) || !turn.demand.fits_in(&worker.free()) {
                 continue;
             }
-            let label = spec.required_label.as_ref();
-            if label.is_some_and(|label| !worker.facts.labels.contains(label)) {
+            let awaited = pass.awaited.get(&key);
+            if awaited.is_some_and(|priority| *priority < turn.priority) {
                 continue;
             }
-            if !turn.demand.fits_in(&worker.free()) {
-                continue;
+            if let Some(candidate) = self.candidate(turn, key, worker) {
+                if turn.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
+                    found.push(candidate);
+                }
             }
-            let left_count = left_count(worker, turn.key, spec);
-            if left_count == 0 {
-                continue;
-            }
-            let near = spec.data_rack.as_deref();
-            found.push(Candidate {
-                worker: key,
-                free: worker.free(),
-                left_count,
-                is_near: near.is_none() || near == worker.facts.rack.as_deref(),
-                rack: worker.facts.rack.clone(),
-            });
         }
         found.sort_by_key(|c| (!c.is_near, c.free.cores_milli, c.worker));
         found
     }
 
+    /// Returns what a worker has for a step, where it may run the step at all.
+    pub(crate) fn candidate(
+        &self,
+        turn: &Turn,
+        key: WorkerKey,
+        worker: &Worker,
+    ) -> Option<Candidate> {
+        if !self.is_eligible(turn, worker) {
+            return None;
+        }
+        let near = turn.spec().data_rack.as_deref();
+        Some(Candidate {
+            worker: key,
+            free: worker.free() - self.reserved(key, turn.key),
+            left_count: left_count(worker, turn.key, turn.spec()),
+            is_near: near.is_none() || near == worker.facts.rack.as_deref(),
+            rack: worker.facts.rack.clone(),
+        })
+    }
+
     /// Places as many waiting tasks as fit, or a whole gang or nothing;
     /// returns how many.
     fn allocate(
@@ -186,11 +228,7 @@
             if spec.is_same_rack {
                 candidates = one_rack_first(candidates, &turn.demand, turn.waiting.len());
             }
-            let room: u64 = candidates
-                .iter()
-                .map(|c| u64::from(c.fit_count(&turn.demand)))
-                .sum();
-            if room < turn.waiting.len() as u64 {
+            if fit_sum(&candidates, &turn.demand) < turn.waiting.len() as u64 {
                 return 0;
             }
         }
@@ -210,6 +248,9 @@
         for (task, worker) in chosen {
             self.record_start(now, turn, task, worker, run, out);
         }
+        if count > 0 {
+            self.reservations.remove(&turn.key);
+        }
         count
     }
 
@@ -266,111 +307,14 @@
         };
         self.touch(task.step.job, Some(effect));
     }
+}
 
-    /// Asks for advice on workers that have room.
-    fn ask_advice(
-        &mut self,
-        now: Instant,
-        turn: &Turn,
-        policy: AdvicePolicy,
-        mut candidates: Vec<Candidate>,
-        placed_count: usize,
-        out: &mut Vec<Action>,
-    ) {
-        let goodness = self.goodness_of(&turn.record.queue);
-        let Some(advice) = self.advice.get_mut(&turn.key) else {
-            return;
-        };
-        if advice.asked_at.is_some() || now < advice.retry_at {
-            return;
-        }
-        // What was just placed has taken room that the candidates still show.
-        candidates.retain(|c| turn.demand.fits_in(&self.workers[c.worker].free()));
-        candidates.sort_by_key(|c| {
-            let is_known = advice.is_good(c.worker);
-            (
-                !is_known,
-                !c.is_near,
-                core::cmp::Reverse(c.free.cores_milli),
-            )
-        });
-        let needed = (turn.waiting.len() - placed_count) as f64;
-        let is_gang = turn.spec().is_gang;
-        let mut expected = 0.0;
-        let mut named = Vec::new();
-        for candidate in &candidates {
-            if expected >= needed * NAMED_ROOM_FACTOR || named.len() >= NAMED_LIMIT_COUNT {
-                break;
-            }
-            let chance = if advice.is_good(candidate.worker) {
-                1.0
-            } else {
-                goodness
-            };
-            expected += chance * f64::from(candidate.fit_count(&turn.demand).min(1000));
-            named.push(candidate.worker);
-        }
-        if named.is_empty() || (is_gang && expected < needed) {
-            return;
-        }
-        advice.asked_at = Some(now);
-        let cost = policy.cost(named.len());
-        let line = Decision::new(DecisionKind::AdviceAsked, "workers with room");
-        let line = line.with_job(turn.key.job).with_figure(named.len() as u64);
-        out.push(Action::Log(line));
-        out.push(Action::Advise {
-            step: turn.key,
-            workers: named
-                .iter()
-                .map(|&worker| self.workers[worker].endpoint(worker))
-                .collect(),
-            cost,
-        });
-    }
-
-    fn goodness_of(&self, queue: &str) -> f64 {
-        let known = self.goodness.get(queue);
-        let (good, named) = known.copied().unwrap_or((FIRST_GOODNESS, 1.0));
-        (good / named).max(0.05)
-    }
-
-    pub(crate) fn on_advice_answered(
-        &mut self,
-        now: Instant,
-        step: StepKey,
-        named: &[WorkerKey],
-        reply: AdviceReply,
-        out: &mut Vec<Action>,
-    ) {
-        self.is_place_due = true;
-        let Some(advice) = self.advice.get_mut(&step) else {
-            return;
-        };
-        let asked_at = advice.asked_at.take().unwrap_or(now);
-        let waited_ms = now.since(asked_at).as_ms();
-        let AdviceReply::Good { tickets, validity } = reply else {
-            advice.retry_at = now + ADVICE_RETRY;
-            let line = Decision::new(DecisionKind::AdviceAnswered, "no answer");
-            out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
-            return;
-        };
-        let good: Vec<(WorkerKey, Arc<str>)> = tickets
-            .into_iter()
-            .filter_map(|ticket| {
-                let worker = self.workers_by_id.get(&ticket.worker)?;
-                Some((*worker, ticket.text))
-            })
-            .collect();
-        advice.take_in(now, named, &good, validity);
-        let line = Decision::new(DecisionKind::AdviceAnswered, "answered");
-        out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
-        let queue = self.jobs.get(&step.job).map(|job| job.record.queue.clone());
-        if let Some(queue) = queue {
-            let known = self.goodness.entry(queue).or_insert((FIRST_GOODNESS, 1.0));
-            known.0 = known.0 * GOODNESS_DECAY + good.len() as f64;
-            known.1 = known.1 * GOODNESS_DECAY + named.len() as f64;
-        }
-    }
+/// Returns how many tasks of a demand fit on all candidates together.
+pub(crate) fn fit_sum(candidates: &[Candidate], demand: &Resources) -> u64 {
+    candidates
+        .iter()
+        .map(|c| u64::from(c.fit_count(demand)))
+        .sum()
 }
 
 fn waiting_tasks(step: &StepState) -> Vec<u32> {
@@ -395,17 +339,15 @@
 
 /// Puts the workers of one rack first, where the whole gang fits into it.
 fn one_rack_first(candidates: Vec<Candidate>, demand: &Resources, needed: usize) -> Vec<Candidate> {
-    let mut by_rack: BTreeMap<Option<Arc<str>>, u64> = BTreeMap::new();
-    for candidate in &candidates {
-        let room = by_rack.entry(candidate.rack.clone()).or_default();
-        *room += u64::from(candidate.fit_count(demand));
-    }
-    let fitting = by_rack
-        .into_iter()
-        .filter(|(rack, room)| rack.is_some() && *room >= needed as u64)
-        .min_by_key(|(_, room)| *room);
-    match fitting {
-        Some((rack, _)) => candidates.into_iter().filter(|c| c.rack == rack).collect(),
-        None => candidates,
-    }
+    let racks: BTreeSet<Arc<str>> = candidates.iter().filter_map(|c| c.rack.clone()).collect();
+    let in_rack = |rack: &Arc<str>| -> Vec<Candidate> {
+        let here = candidates.iter().filter(|c| c.rack.as_ref() == Some(rack));
+        here.cloned().collect()
+    };
+    let fitting = racks
+        .iter()
+        .map(in_rack)
+        .filter(|here| fit_sum(here, demand) >= needed as u64)
+        .min_by_key(|here| fit_sum(here, demand));
+    fitting.unwrap_or(candidates)
 }
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -18,6 +18,8 @@
     pub cancels: Vec<JobId>,
     /// The jobs' progress, for those that have any.
     pub states: Vec<(JobId, JobState)>,
+    /// The wall clock, in milliseconds since 1970.
+    pub wall_ms: u64,
 }
 
 /// A run that an earlier leader recorded.
@@ -40,6 +42,7 @@
         recovered: Recovered,
     ) -> Self {
         let mut scheduler = Self::empty(config, configuration);
+        scheduler.wall_ms = recovered.wall_ms;
         let mut states: HashMap<JobId, JobState> = recovered.states.into_iter().collect();
         let cancelled: HashSet<JobId> = recovered.cancels.into_iter().collect();
         for (id, record) in recovered.jobs {
@@ -56,7 +59,7 @@
     fn inherit_job(&mut self, now: Instant, id: JobId, record: JobRecord, state: JobState) {
         let runs = inherited_runs(id, &state);
         let phase = state.phase;
-        self.insert_job(id, record, state);
+        self.insert_job(now, id, record, state);
         if phase != Phase::Active {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.ended_at = Some(now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,10 +1,12 @@
 //! The scheduler: its state, and where each event goes.
 
 use crate::advice::StepAdvice;
+use crate::advisers::Advisers;
 use crate::commits::Lane;
 use crate::config::{Configuration, SchedulerConfig};
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
+use crate::gangs::Reservation;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::state::Phase;
@@ -54,6 +56,11 @@
     /// Where each task's run is.
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
+    pub(crate) advisers: Advisers,
+    /// Room that is kept for gangs whose advice is being asked for.
+    pub(crate) reservations: BTreeMap<StepKey, Vec<Reservation>>,
+    /// Gangs that have lost a member, and when.
+    pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
     pub(crate) lanes: Vec<Lane>,
@@ -77,6 +84,9 @@
             next_order: 0,
             placements: HashMap::new(),
             advice: HashMap::new(),
+            advisers: Advisers::default(),
+            reservations: BTreeMap::new(),
+            broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
             lanes,
             has_store_trouble: false,
@@ -88,7 +98,7 @@
     /// Takes in an event and appends what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::JobAccepted { job, record } => self.take_job(job, *record, out),
+            Event::JobAccepted { job, record } => self.take_job(now, job, *record, out),
             Event::CancelAccepted { job } => self.cancel_job(now, job, out),
             Event::Configured(configuration) => self.configure(configuration, out),
             Event::WorkersListed(list) => self.list_workers(now, list, out),
@@ -109,6 +119,7 @@
                 run,
                 reply,
             } => self.on_stop_answered(now, worker, task, run, reply, out),
+            Event::NodesListed(nodes) => self.advisers.set_nodes(nodes),
             Event::AdviceAnswered { step, named, reply } => {
                 self.on_advice_answered(now, step, &named, reply, out);
             }
@@ -166,6 +177,7 @@
 
     fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.give_up_lapsed(now, out);
+        self.stop_broken_gangs(now, out);
         self.repeat_stops(now, out);
         self.forget_old_jobs(now);
         self.is_place_due = true;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -45,7 +45,8 @@
     pub failed_count: u32,
     /// Where the task stands.
     pub status: TaskStatus,
-    /// The newest checkpoint that was reported for the task.
+    /// The newest checkpoint that was reported for the task; that of a gang
+    /// stands at its first member.
     pub checkpoint: Option<String>,
 }
 
