Search the scheduler's interleavings; give up silent workers; count a failure once

Every retry of a renewal granted a silent worker a new lease, so its runs were never given up. A new leader is listed ends that the old one noted but did not acknowledge, and counted failures twice. Found by the search written here: a gang that was placed again before its break was cleared was stopped for ever.

Paces of watches and commits made slower, since calls of the store are the largest price.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -8,7 +8,7 @@
 
 use crate::commit::lane_value;
 use crate::follow::{follow, Flow, FollowPolicy, Update};
-use crate::node::Node;
+use crate::node::{Node, WATCH_WAIT};
 use crate::platform::Platform;
 use crate::store::WatchedChange;
 use crate::store::{CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction};
@@ -26,11 +26,12 @@
 /// A node's lease.
 const NODE_LEASE: Duration = Duration::from_ms(4000);
 /// The time between two renewals of a node's lease.
-const NODE_RENEWAL: Duration = Duration::from_ms(1200);
+const NODE_RENEWAL: Duration = Duration::from_ms(900);
 /// The time after which the view of the cell is read again.
-const CELL_REFRESH: Duration = Duration::from_ms(2000);
-/// The longest that a look at the cell may be old for a campaign.
-const VIEW_LIMIT: Duration = Duration::from_ms(2500);
+const CELL_REFRESH: Duration = Duration::from_ms(10_000);
+/// The longest that a look at the cell may be old for a campaign; standing
+/// on an old view is harmless, since the store decides.
+const VIEW_LIMIT: Duration = Duration::from_ms(15_000);
 /// The time by which each further node campaigns later.
 const CAMPAIGN_STAGGER: Duration = Duration::from_ms(25);
 /// The least time between two evictions by one node.
@@ -92,7 +93,7 @@
 /// Keeps the view of the cell.
 pub async fn follow_cell<P: Platform>(node: Rc<Node<P>>) {
     let policy = FollowPolicy {
-        wait: CELL_REFRESH,
+        wait: WATCH_WAIT,
         refresh: Some(CELL_REFRESH),
         pace: Duration::ZERO,
     };
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -39,14 +39,14 @@
 const INTAKE_POLICY: FollowPolicy = FollowPolicy {
     wait: Duration::from_ms(5000),
     refresh: None,
-    pace: Duration::from_ms(200),
+    pace: Duration::from_ms(400),
 };
 
 /// How the list of workers is followed.
 const WORKERS_POLICY: FollowPolicy = FollowPolicy {
     wait: Duration::from_ms(3000),
-    refresh: Some(Duration::from_ms(3000)),
-    pace: Duration::from_ms(250),
+    refresh: Some(Duration::from_ms(10_000)),
+    pace: Duration::from_ms(400),
 };
 
 /// A term.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -25,8 +25,10 @@
 const PEER_IDLE_COUNT: usize = 8;
 /// How long a node is ready after the store last answered.
 const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
-/// How often the operators' configuration is read again.
-const CONFIGURATION_REFRESH: Duration = Duration::from_ms(1000);
+/// How long a watch of what every node follows waits.
+pub const WATCH_WAIT: Duration = Duration::from_ms(5000);
+/// How often the operators' configuration is read again, whatever a watch said.
+const CONFIGURATION_REFRESH: Duration = Duration::from_ms(10_000);
 /// How often the settings are looked at for a silent change.
 const RELOAD_PERIOD: Duration = Duration::from_s(2);
 /// How long a stopping node still takes connections, so that the balancer
@@ -244,7 +246,7 @@
 
 async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
     let policy = FollowPolicy {
-        wait: CONFIGURATION_REFRESH,
+        wait: WATCH_WAIT,
         refresh: Some(CONFIGURATION_REFRESH),
         pace: Duration::ZERO,
     };
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -95,11 +95,14 @@
             return true;
         }
         if end.kind == EndKind::Failed && !is_perpetual {
-            if is_gang && step.gang_failed_run != end.run {
-                step.gang_failed_run = end.run;
-                step.gang_failed_count += 1;
+            let failed_runs = if is_gang {
+                &mut step.gang_failed_runs
+            } else {
+                &mut step.tasks[index].failed_runs
+            };
+            if !failed_runs.contains(&end.run) {
+                failed_runs.push(end.run);
             }
-            step.tasks[index].failed_count += 1;
         }
         let task = &mut step.tasks[index];
         if is_current && task.status != TaskStatus::Done {
@@ -136,8 +139,9 @@
         let round = job.and_then(|job| job.state.round(task.step.round));
         let step = round.and_then(|round| round.steps.get(task.step.step as usize));
         step.is_some_and(|step| {
-            let failed_count = step.tasks.get(task.index as usize).map(|t| t.failed_count);
-            step.gang_failed_count >= limit || failed_count.is_some_and(|count| count >= limit)
+            let task = step.tasks.get(task.index as usize);
+            let failed_count = task.map_or(0, |task| task.failed_runs.len());
+            step.gang_failed_runs.len().max(failed_count) >= limit as usize
         })
     }
 
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -66,8 +66,11 @@
                 continue;
             }
             worker.is_hold_open = true;
-            let is_quick = !worker.is_synced || worker.runs.is_empty();
-            let until_ms = if worker.is_synced {
+            // A silent worker is only asked: a grant that it may have received
+            // would keep its runs from ever being given up.
+            let is_granted = worker.is_synced && worker.is_reachable;
+            let is_quick = !is_granted || worker.runs.is_empty();
+            let until_ms = if is_granted {
                 worker.grant(now, length)
             } else {
                 None
@@ -106,7 +109,9 @@
                     clock_ms,
                     read_at: now,
                 });
-                worker.is_reachable = true;
+                if !core::mem::replace(&mut worker.is_reachable, true) {
+                    worker.next_hold_at = now;
+                }
                 self.take_lists(now, key, sent_at, running, ended, out);
             }
             HoldReply::Fenced => out.push(Action::StepDown),
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -250,6 +250,8 @@
         }
         if count > 0 {
             self.reservations.remove(&turn.key);
+            // What broke was an earlier run.
+            self.broken_gangs.remove(&turn.key);
         }
         count
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -156,6 +156,11 @@
             .count()
     }
 
+    /// Returns a worker's key by the id of its life.
+    pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
+        self.workers_by_id.get(id).copied()
+    }
+
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
         SchedulerStatus {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -41,8 +41,9 @@
 pub struct TaskState {
     /// The number of the last run that was recorded; 0 for none.
     pub last_run: u32,
-    /// How many runs have failed.
-    pub failed_count: u32,
+    /// The runs that have failed; a worker lists an end until it is told that
+    /// it was noted, so the same end may come more than once.
+    pub failed_runs: Vec<u32>,
     /// Where the task stands.
     pub status: TaskStatus,
     /// The newest checkpoint that was reported for the task; that of a gang
@@ -53,10 +54,8 @@
 /// A step's progress.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepState {
-    /// The last run of a gang that failed; 0 for none.
-    pub gang_failed_run: u32,
-    /// How many runs of a gang have failed.
-    pub gang_failed_count: u32,
+    /// The runs of a gang that have failed.
+    pub gang_failed_runs: Vec<u32>,
     /// The tasks.
     pub tasks: Vec<TaskState>,
 }
--- /dev/null
+++ b/crates/scheduler/tests/scheduler_cases.rs
@@ -0,0 +1,304 @@
+//! Single cases, most of them failures that were found on the users' bench.
+
+mod support;
+
+use ospreywing_scheduler::{
+    Action, EndKind, EndedRun, Event, HoldReply, JobState, Phase, Recovered, Scheduler,
+    SchedulerConfig, StartReply, StepSpec, TaskKey, TaskStatus, WorkerKey,
+};
+use ospreywing_types::{Duration, Instant, Resources};
+use rstest::rstest;
+use support::worker::FakeWorker;
+use support::world::{Faults, World};
+use support::{advice, configuration, job, step};
+
+const LEASE_LIMIT: Duration = Duration::from_ms(6000);
+
+/// A scheduler with workers that answer by hand.
+struct Bench {
+    now: Instant,
+    scheduler: Scheduler,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    fn new(recovered: Recovered, workers: &[FakeWorker]) -> Self {
+        let now = Instant::from_ms(50_000);
+        let config = SchedulerConfig::new(7, LEASE_LIMIT);
+        let mut bench = Self {
+            now,
+            scheduler: Scheduler::new(config, configuration(None), now, recovered),
+            actions: Vec::new(),
+        };
+        let list = workers.iter().map(FakeWorker::facts).collect();
+        bench.tell(Event::WorkersListed(list));
+        for worker in workers {
+            let key = bench
+                .scheduler
+                .worker_key(&worker.id)
+                .expect("a listed worker");
+            bench.list(key, Vec::new());
+        }
+        bench
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.scheduler.handle(self.now, event, &mut self.actions);
+        self.scheduler.settle(self.now, &mut self.actions);
+        self.scheduler.verify().expect("the invariants hold");
+    }
+
+    fn list(&mut self, worker: WorkerKey, ended: Vec<EndedRun>) {
+        let sent_at = self.now;
+        self.now = self.now + Duration::from_ms(60);
+        self.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Listed {
+                clock_ms: self.now.as_ms(),
+                running: Vec::new(),
+                ended,
+            },
+        });
+    }
+
+    fn be_silent(&mut self, worker: WorkerKey) {
+        self.now = self.now + Duration::from_ms(700);
+        let sent_at = self.now;
+        self.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Unanswered,
+        });
+        self.tell(Event::Tick);
+    }
+
+    /// Answers commits until there are none; returns the states written.
+    fn commit_all(&mut self) -> Vec<JobState> {
+        let mut states = Vec::new();
+        for _ in 0..20 {
+            self.now = self.now + Duration::from_ms(30);
+            self.tell(Event::Tick);
+            let taken = core::mem::take(&mut self.actions);
+            let mut lanes = Vec::new();
+            for action in taken {
+                if let Action::Commit { lane, changes } = action {
+                    lanes.push(lane);
+                    let written = changes.into_iter().filter_map(|change| change.state);
+                    states.extend(written.map(|bytes| JobState::from_bytes(&bytes).unwrap()));
+                } else {
+                    self.actions.push(action);
+                }
+            }
+            for lane in lanes {
+                self.tell(Event::Committed { lane });
+            }
+        }
+        states
+    }
+
+    fn starts(&mut self) -> Vec<(WorkerKey, TaskKey, u32)> {
+        let taken = core::mem::take(&mut self.actions);
+        let starts = taken.into_iter().filter_map(|action| match action {
+            Action::Start { to, order } => Some((to.worker, order.task, order.run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn started(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
+        self.tell(Event::StartAnswered {
+            worker,
+            task,
+            run,
+            reply: StartReply::Started,
+        });
+    }
+
+    fn submit(&mut self, number: u64, steps: Vec<StepSpec>) {
+        let (job, record) = job(number, steps);
+        let record = Box::new(record);
+        self.tell(Event::JobAccepted { job, record });
+    }
+}
+
+fn workers(count: usize) -> Vec<FakeWorker> {
+    (0..count)
+        .map(|number| FakeWorker::new(&format!("w{number}"), 1000))
+        .collect()
+}
+
+fn failed(number: u64, task: TaskKey, run: u32) -> EndedRun {
+    EndedRun {
+        number,
+        task,
+        run,
+        kind: EndKind::Failed,
+        checkpoint: None,
+    }
+}
+
+/// Found on swaramala-ow hunt-0d08-3: a new leader is listed the ends that the
+/// old one had noted but not acknowledged, and counted the failure again.
+#[test]
+fn take_end_listed_again_by_next_leader() {
+    let (id, record) = job(1, vec![step(1)]);
+    let mut state = JobState::default();
+    let mut kept = Recovered {
+        jobs: vec![(id, record)],
+        ..Recovered::default()
+    };
+    for _leader in 0..4 {
+        let mut bench = Bench::new(kept.clone(), &workers(1));
+        let worker = bench.scheduler.worker_key("w0").unwrap();
+        if state == JobState::default() {
+            bench.commit_all();
+            let start = bench.starts()[0];
+            bench.started(start);
+            bench.list(worker, vec![failed(1, start.1, start.2)]);
+        } else {
+            let task = ospreywing_scheduler::StepKey {
+                job: id,
+                round: 0,
+                step: 0,
+            };
+            bench.list(worker, vec![failed(1, task.task(0), 1)]);
+        }
+        if let Some(last) = bench.commit_all().pop() {
+            state = last;
+        }
+        assert_eq!(state.phase, Phase::Active);
+        assert_eq!(state.rounds[0].steps[0].tasks[0].failed_runs, vec![1]);
+        // The next leader comes before the second run was sent.
+        state.rounds[0].steps[0].tasks[0].status = TaskStatus::Waiting;
+        kept.states = vec![(id, state.clone())];
+    }
+}
+
+/// Found on aigerim-galleries mix 303545282396: every retry granted a new
+/// lease, so a silent worker's runs were never given up.
+#[test]
+fn renew_leases_silent_worker() {
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let first = bench.starts()[0];
+    bench.started(first);
+    bench.be_silent(first.0);
+    bench.actions.clear();
+    for _ in 0..4 {
+        bench.be_silent(first.0);
+    }
+    let granted = bench.actions.iter().any(|action| {
+        matches!(action, Action::Hold { to, until_ms: Some(_), .. } if to.worker == first.0)
+    });
+    assert!(!granted, "a silent worker is granted nothing");
+    for _ in 0..6 {
+        bench.be_silent(first.0);
+    }
+    bench.commit_all();
+    let again = bench.starts();
+    let (worker, task, run) = again[0];
+    assert_eq!((task, run), (first.1, 2));
+    assert_ne!(worker, first.0);
+}
+
+/// A silent worker's runs are not given up while a lease may hold.
+#[test]
+fn give_up_lapsed_lease_that_may_hold() {
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let first = bench.starts()[0];
+    bench.started(first);
+    for _ in 0..4 {
+        bench.be_silent(first.0);
+    }
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// Found on scale-2 of both sites: goodness was learned from workers known to
+/// be good, so that a gang asked about two unknown workers at a time.
+#[test]
+fn seek_for_gang_few_good_workers() {
+    let mut world = World::new(3, 16, Faults::default(), Some(advice()));
+    world.good_one_in = 4;
+    for number in 1..=6 {
+        let gang = StepSpec {
+            is_gang: true,
+            ..step(6)
+        };
+        world.submit(job(number, vec![gang]));
+    }
+    world.run_until_done(40_000);
+}
+
+/// A task that can't be started anywhere doesn't keep others from it.
+#[test]
+fn place_impossible_demand() {
+    let mut world = World::new(5, 3, Faults::default(), None);
+    let huge = StepSpec {
+        demand: Resources::new(64_000, 1000, 0),
+        ..step(1)
+    };
+    let (id, record) = job(1, vec![huge]);
+    world.submit((id, record));
+    world.submit(job(2, vec![step(3)]));
+    world.run_for(8_000);
+    assert_eq!(
+        world.phase(ospreywing_scheduler::JobId::new(2)),
+        Some(Phase::Complete)
+    );
+    world.cancel(id);
+    world.run_until_done(5_000);
+}
+
+#[rstest]
+#[case::before_start(0)]
+#[case::while_running(300)]
+fn cancel_job_stops_its_runs(#[case] after_ms: u64) {
+    let mut world = World::new(9, 3, Faults::default(), None);
+    let (id, record) = job(1, vec![step(4)]);
+    world.submit((id, record));
+    world.run_for(after_ms);
+    world.cancel(id);
+    world.run_for(1_000);
+    assert_eq!(world.phase(id), Some(Phase::Canceled));
+    assert!(world.workers.iter().all(|worker| worker.runs.is_empty()));
+}
+
+/// A job that fails for good is shown as failed after its attempts, no more.
+#[test]
+fn end_job_attempts_used_up() {
+    let faults = Faults {
+        failing_run: 1000,
+        ..Faults::default()
+    };
+    let mut world = World::new(1, 3, faults, None);
+    let (id, record) = job(1, vec![step(1)]);
+    world.submit((id, record));
+    world.run_until_done(20_000);
+    assert_eq!(world.phase(id), Some(Phase::Failed));
+    assert_eq!(world.rules.starts_count, support::ATTEMPTS_COUNT as usize);
+}
+
+/// A worker that does not list a recorded run under the new fence never
+/// begins it: the task starts again at once, with a higher run.
+#[test]
+fn release_unlisted_start_never_sent() {
+    let (id, record) = job(1, vec![step(1)]);
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    bench.submit(1, vec![step(1)]);
+    let state = bench.commit_all().pop().expect("a recorded start");
+    let kept = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, state)],
+        ..Recovered::default()
+    };
+    let mut next = Bench::new(kept, &workers(1));
+    next.commit_all();
+    let starts = next.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].2, 2);
+}
--- /dev/null
+++ b/crates/scheduler/tests/scheduler_search.rs
@@ -0,0 +1,81 @@
+//! Searches over interleavings: seeds draw delays, losses, late orders,
+//! crashes, cuts and takeovers; the rules are checked at each start, the
+//! scheduler's invariants after each event, and every job must have its
+//! outcome once the faults are over.
+
+mod support;
+
+use ospreywing_scheduler::{AdvicePolicy, StepSpec};
+use rstest::rstest;
+use support::world::{Faults, World};
+use support::{advice, job, step};
+
+/// Seeds per case in CI; `OSPREYWING_SEARCH_SEEDS` sets another number.
+const SEEDS_COUNT: u64 = 25;
+const SEEDS_VARIABLE: &str = "OSPREYWING_SEARCH_SEEDS";
+const STORM_MS: u64 = 12_000;
+const CALM_LIMIT_MS: u64 = 90_000;
+
+fn seeds_count() -> u64 {
+    let set = std::env::var(SEEDS_VARIABLE);
+    set.ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SEEDS_COUNT)
+}
+
+fn gang(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..step(tasks_count)
+    }
+}
+
+fn after(earlier: u32, spec: StepSpec) -> StepSpec {
+    StepSpec {
+        depends_on: vec![earlier],
+        ..spec
+    }
+}
+
+fn search(faults: Faults, policy: Option<AdvicePolicy>) {
+    for seed in 0..seeds_count() {
+        let mut world = World::new(seed, 6, faults, policy);
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=10 {
+            let steps = match number % 4 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                2 => vec![step(1), after(0, gang(2))],
+                _ => vec![step(4)],
+            };
+            world.submit(job(number, steps));
+            world.run_for(400);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+        assert!(
+            world.rules.starts_count >= 10,
+            "seed {seed} started next to nothing"
+        );
+    }
+}
+
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::failing_runs(Faults { failing_run: 120, ..Faults::default() })]
+#[case::lost_answers(Faults { lost_answer: 80, ..Faults::default() })]
+#[case::late_orders(Faults { late_order: 80, ..Faults::default() })]
+#[case::crashes(Faults { crash: 30, ..Faults::default() })]
+#[case::cuts(Faults { cut: 40, ..Faults::default() })]
+#[case::takeovers(Faults { takeover: 30, ..Faults::default() })]
+#[case::everything(Faults {
+    lost_answer: 40,
+    late_order: 40,
+    failing_run: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+})]
+fn scheduler_keeps_its_rules(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
+    search(faults, has_advice.then(advice));
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/mod.rs
@@ -0,0 +1,71 @@
+//! A cell in miniature: fake workers, a fake store and an adviser, driven
+//! through time by a seed, with every rule checked from the outside.
+
+pub mod rules;
+pub mod worker;
+pub mod world;
+
+use ospreywing_scheduler::{
+    AdvicePolicy, Configuration, JobId, JobRecord, JobSpec, Queue, ServicePolicy, StepSpec,
+};
+use ospreywing_types::{Duration, Resources};
+
+/// The queue of all jobs in these tests.
+pub const QUEUE: &str = "render";
+/// The service of all workers in these tests.
+pub const SERVICE: &str = "gallery";
+/// How often a task may fail.
+pub const ATTEMPTS_COUNT: u32 = 3;
+
+/// Returns a configuration with one queue.
+pub fn configuration(advice: Option<AdvicePolicy>) -> Configuration {
+    Configuration {
+        version: 1,
+        queues: vec![Queue {
+            name: QUEUE.to_owned(),
+            service: SERVICE.to_owned(),
+            priority: 1,
+            attempts_limit_count: ATTEMPTS_COUNT,
+            stretch: 2.0,
+            objective_ms: 1000,
+            advice,
+        }],
+        services: vec![ServicePolicy {
+            name: SERVICE.to_owned(),
+        }],
+    }
+}
+
+/// Returns an adviser's policy with short calls.
+pub fn advice() -> AdvicePolicy {
+    AdvicePolicy {
+        decision_ms: 40.0,
+        per_worker_ms: 1.0,
+        validity: Duration::from_ms(1500),
+    }
+}
+
+/// Returns a step of tasks that take half a worker each.
+pub fn step(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        tasks_count,
+        demand: Resources::new(2000, 1000, 0),
+        estimate_ms: 1000,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a job of the steps.
+pub fn job(number: u64, steps: Vec<StepSpec>) -> (JobId, JobRecord) {
+    let record = JobRecord {
+        queue: QUEUE.to_owned(),
+        service: SERVICE.to_owned(),
+        accepted_ms: 0,
+        spec: JobSpec {
+            payload: format!("job {number}"),
+            steps,
+            schedule: None,
+        },
+    };
+    (JobId::new(number), record)
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/rules.rs
@@ -0,0 +1,90 @@
+//! The rules, checked from the outside at each start and at the end.
+
+use super::worker::FakeWorker;
+use ospreywing_scheduler::{EndKind, JobId, JobRecord, StartOrder, TaskKey};
+use ospreywing_types::Resources;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What has been seen of all tasks.
+#[derive(Default)]
+pub struct Rules {
+    /// Tasks with an end `done` that a worker was told to forget.
+    pub done_noted: BTreeSet<TaskKey>,
+    /// Tasks with any end `done`.
+    pub done: BTreeSet<TaskKey>,
+    /// Runs that failed and were noted, by task.
+    pub failed_noted: BTreeMap<TaskKey, BTreeSet<u32>>,
+    pub starts_count: usize,
+}
+
+impl Rules {
+    /// Notes the ends that a worker is about to forget.
+    pub fn note_acks(&mut self, worker: &FakeWorker, last_seen: u64) {
+        for end in worker.ended.iter().filter(|end| end.number <= last_seen) {
+            match end.kind {
+                EndKind::Done => {
+                    self.done_noted.insert(end.task);
+                }
+                EndKind::Failed => {
+                    let runs = self.failed_noted.entry(end.task).or_default();
+                    runs.insert(end.run);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Checks a start that worker `index` is about to carry out.
+    pub fn check_start(
+        &mut self,
+        workers: &[FakeWorker],
+        index: usize,
+        order: &StartOrder,
+        jobs: &BTreeMap<JobId, JobRecord>,
+    ) {
+        self.starts_count += 1;
+        let task = order.task;
+        let record = jobs.get(&task.step.job).expect("a job that was accepted");
+        let spec = &record.spec.steps[task.step.step as usize];
+        assert!(
+            !self.done_noted.contains(&task),
+            "{task} starts after its end was noted"
+        );
+        let failed_count = self.failed_noted.get(&task).map_or(0, BTreeSet::len);
+        assert!(
+            failed_count < super::ATTEMPTS_COUNT as usize,
+            "{task} starts after its attempts were used up"
+        );
+        for (other, worker) in workers.iter().enumerate() {
+            let is_same =
+                other == index && worker.runs.get(&task).is_some_and(|r| r.run == order.run);
+            let runs = worker.is_alive && worker.runs.contains_key(&task);
+            assert!(!runs || is_same, "{task} runs twice, on {}", worker.id);
+        }
+        for earlier in &spec.depends_on {
+            let earlier_step = &record.spec.steps[*earlier as usize];
+            for number in 0..earlier_step.tasks_count {
+                let mut key = task;
+                key.step.step = *earlier;
+                key.index = number;
+                let is_done = self.done.contains(&key) || earlier_step.is_gang;
+                assert!(is_done, "{task} starts before {key} is done");
+            }
+        }
+        self.check_room(&workers[index], order, spec.demand);
+    }
+
+    fn check_room(&self, worker: &FakeWorker, order: &StartOrder, demand: Resources) {
+        let mut used = demand;
+        for (task, run) in &worker.runs {
+            if *task != order.task {
+                used += run.demand;
+            }
+        }
+        let id = &worker.id;
+        assert!(
+            used.fits_in(&worker.capacity),
+            "{id} is given more than it holds"
+        );
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/worker.rs
@@ -0,0 +1,184 @@
+//! A fake worker: fence, tombstones, leases on its own clock, a list of ends.
+
+use ospreywing_scheduler::{
+    EndKind, EndedRun, HoldReply, RefusedStart, RunningRun, StartOrder, StartReply, StopReply,
+    TaskKey, WorkerFacts,
+};
+use ospreywing_types::Resources;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A run on a fake worker.
+#[derive(Clone, Debug)]
+pub struct FakeRun {
+    pub run: u32,
+    pub ends_at_ms: u64,
+    pub kind: EndKind,
+    pub demand: Resources,
+}
+
+/// A fake worker.
+pub struct FakeWorker {
+    pub id: Arc<str>,
+    pub capacity: Resources,
+    pub is_alive: bool,
+    pub is_cut: bool,
+    /// How fast its clock runs, in thousandths.
+    pub clock_per_mille: u64,
+    pub fence: u64,
+    pub lease_until_ms: u64,
+    pub runs: BTreeMap<TaskKey, FakeRun>,
+    pub ended: Vec<EndedRun>,
+    pub next_end: u64,
+    /// The highest run that stopped or ended here, by task.
+    pub tombstones: BTreeMap<TaskKey, u32>,
+}
+
+impl FakeWorker {
+    pub fn new(id: &str, clock_per_mille: u64) -> Self {
+        Self {
+            id: Arc::from(id),
+            capacity: Resources::new(4000, 4000, 0),
+            is_alive: true,
+            is_cut: false,
+            clock_per_mille,
+            fence: 0,
+            lease_until_ms: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            tombstones: BTreeMap::new(),
+        }
+    }
+
+    pub fn facts(&self) -> WorkerFacts {
+        WorkerFacts {
+            id: self.id.clone(),
+            address: Arc::from(format!("at {}", self.id)),
+            service: Arc::from(super::SERVICE),
+            machine: None,
+            rack: None,
+            labels: Vec::new(),
+            capacity: self.capacity,
+            is_draining: false,
+        }
+    }
+
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        7_000 + now_ms * self.clock_per_mille / 1000
+    }
+
+    /// Ends what is due; returns the tasks whose runs ended by themselves.
+    pub fn advance(&mut self, now_ms: u64) {
+        if !self.is_alive {
+            return;
+        }
+        let has_lapsed = self.clock_ms(now_ms) >= self.lease_until_ms;
+        let due: Vec<TaskKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| has_lapsed || run.ends_at_ms <= now_ms)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            let kind = match has_lapsed {
+                true => EndKind::Lapsed,
+                false => self.runs[&task].kind,
+            };
+            self.end(task, kind);
+        }
+    }
+
+    pub fn end(&mut self, task: TaskKey, kind: EndKind) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        let highest = self.tombstones.entry(task).or_default();
+        *highest = (*highest).max(run.run);
+        self.ended.push(EndedRun {
+            number: self.next_end,
+            task,
+            run: run.run,
+            kind,
+            checkpoint: None,
+        });
+        self.next_end += 1;
+    }
+
+    fn raise_fence(&mut self, fence: u64) -> bool {
+        let is_taken = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        is_taken
+    }
+
+    fn lease(&mut self, now_ms: u64, until_ms: u64, limit_ms: u64) {
+        let most_ms = self.clock_ms(now_ms) + limit_ms;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(most_ms));
+    }
+
+    pub fn hold(
+        &mut self,
+        now_ms: u64,
+        fence: u64,
+        until_ms: Option<u64>,
+        last_seen: u64,
+        limit_ms: u64,
+    ) -> HoldReply {
+        if !self.raise_fence(fence) {
+            return HoldReply::Fenced;
+        }
+        if let Some(until_ms) = until_ms {
+            self.lease(now_ms, until_ms, limit_ms);
+        }
+        self.ended.retain(|end| end.number > last_seen);
+        let running = self.runs.iter().map(|(task, run)| RunningRun {
+            task: *task,
+            run: run.run,
+            checkpoint: None,
+            progress_percent: 0,
+            usage_figure: 0,
+        });
+        HoldReply::Listed {
+            clock_ms: self.clock_ms(now_ms),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// Takes a start; the run is added by the caller, which checks the rules.
+    pub fn admits(&mut self, now_ms: u64, fence: u64, order: &StartOrder) -> StartReply {
+        if !self.raise_fence(fence) {
+            return StartReply::Refused(RefusedStart::Fence);
+        }
+        let clock_ms = self.clock_ms(now_ms);
+        if order.until_ms <= clock_ms {
+            return StartReply::Refused(RefusedStart::Late);
+        }
+        let known = self.runs.get(&order.task).map(|run| run.run);
+        if known == Some(order.run) {
+            return StartReply::Started;
+        }
+        let ended = self.tombstones.get(&order.task).copied().unwrap_or(0);
+        if order.run <= ended.max(known.unwrap_or(0)) {
+            return StartReply::Refused(RefusedStart::Old);
+        }
+        StartReply::Started
+    }
+
+    pub fn stop(&mut self, fence: u64, task: TaskKey, run: u32) -> StopReply {
+        if !self.raise_fence(fence) {
+            return StopReply::Fenced;
+        }
+        if self.runs.get(&task).is_some_and(|known| known.run <= run) {
+            self.end(task, EndKind::Stopped);
+        }
+        let highest = self.tombstones.entry(task).or_default();
+        *highest = (*highest).max(run);
+        StopReply::Stopping
+    }
+
+    pub fn begin(&mut self, now_ms: u64, order: &StartOrder, run: FakeRun, limit_ms: u64) {
+        self.lease(now_ms, order.until_ms, limit_ms);
+        self.runs.insert(order.task, run);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/world.rs
@@ -0,0 +1,624 @@
+//! The world: time, messages on their way, faults drawn from a seed.
+
+use super::rules::Rules;
+use super::worker::{FakeRun, FakeWorker};
+use ospreywing_scheduler::{
+    Action, AdvicePolicy, AdviceReply, Change, Configuration, EndKind, Endpoint, Event, HoldReply,
+    JobId, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
+    StartReply, StopReply, TaskKey, Ticket,
+};
+use ospreywing_types::{Duration, Instant};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The longest lease of a fake worker.
+pub const LEASE_LIMIT_MS: u64 = 6000;
+/// The leader's lease.
+const LEADER_LEASE_MS: u64 = 2000;
+const TICK_MS: u64 = 20;
+/// When an order or a renewal is taken for unanswered.
+const ORDER_LIMIT_MS: u64 = 700;
+
+/// How often faults strike, in thousandths.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Answers that are lost.
+    pub lost_answer: u32,
+    /// Orders that are carried out 2 to 12 s late, unanswered.
+    pub late_order: u32,
+    /// Runs that fail.
+    pub failing_run: u32,
+    /// Ticks at which a worker's power goes.
+    pub crash: u32,
+    /// Ticks at which a worker is cut off for a while.
+    pub cut: u32,
+    /// Ticks at which the leader is replaced, the old one acting on for a while.
+    pub takeover: u32,
+}
+
+enum Message {
+    Hold {
+        term: u64,
+        to: Endpoint,
+        until_ms: Option<u64>,
+        last_seen: u64,
+        sent_at: Instant,
+    },
+    Start {
+        term: u64,
+        to: Endpoint,
+        order: StartOrder,
+        is_answered: bool,
+    },
+    Stop {
+        term: u64,
+        to: Endpoint,
+        task: TaskKey,
+        run: u32,
+        is_answered: bool,
+    },
+    Commit {
+        term: u64,
+        lane: u32,
+        changes: Vec<Change>,
+    },
+    Tell {
+        term: u64,
+        event: Event,
+    },
+    Heal {
+        worker: usize,
+    },
+}
+
+struct Leader {
+    fence: u64,
+    scheduler: Scheduler,
+    /// When it stops giving orders.
+    acts_until_ms: u64,
+}
+
+/// The world.
+pub struct World {
+    pub now_ms: u64,
+    rng: Pcg64,
+    faults: Faults,
+    configuration: Configuration,
+    has_advice: bool,
+    leaders: Vec<Leader>,
+    pub workers: Vec<FakeWorker>,
+    messages: BTreeMap<(u64, u64), Message>,
+    next_message: u64,
+    jobs: BTreeMap<JobId, JobRecord>,
+    order: Vec<JobId>,
+    cancels: Vec<JobId>,
+    states: BTreeMap<JobId, Vec<u8>>,
+    pub rules: Rules,
+    last_faults_at_ms: u64,
+    /// After this time no new fault strikes.
+    pub calm_from_ms: u64,
+    /// One of so many workers is good for a job; 0 for two of three.
+    pub good_one_in: u64,
+}
+
+impl World {
+    pub fn new(
+        seed: u64,
+        workers_count: usize,
+        faults: Faults,
+        advice: Option<AdvicePolicy>,
+    ) -> Self {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let workers = (0..workers_count).map(|number| {
+            let clock_per_mille = rng.random_range(980..=1000);
+            FakeWorker::new(&format!("w{number}"), clock_per_mille)
+        });
+        let workers = workers.collect();
+        let mut world = Self {
+            now_ms: 1_000,
+            rng,
+            faults,
+            configuration: super::configuration(advice),
+            has_advice: advice.is_some(),
+            leaders: Vec::new(),
+            workers,
+            messages: BTreeMap::new(),
+            next_message: 0,
+            jobs: BTreeMap::new(),
+            order: Vec::new(),
+            cancels: Vec::new(),
+            states: BTreeMap::new(),
+            rules: Rules::default(),
+            last_faults_at_ms: 0,
+            calm_from_ms: u64::MAX,
+            good_one_in: 0,
+        };
+        world.elect();
+        world
+    }
+
+    fn now(&self) -> Instant {
+        Instant::from_ms(self.now_ms)
+    }
+
+    fn draw(&mut self, per_mille: u32) -> bool {
+        let is_calm = self.now_ms >= self.calm_from_ms;
+        let drawn = self.rng.random_range(0..1000) < per_mille;
+        drawn && !is_calm
+    }
+
+    fn post(&mut self, after_ms: u64, message: Message) {
+        let key = (self.now_ms + after_ms, self.next_message);
+        self.next_message += 1;
+        self.messages.insert(key, message);
+    }
+
+    /// Begins a term; the leader before may act on until its lease is over.
+    pub fn elect(&mut self) {
+        let fence = self.leaders.last().map_or(1, |leader| leader.fence + 1);
+        if let Some(before) = self.leaders.last_mut() {
+            before.acts_until_ms = self.now_ms + self.rng.random_range(0..LEADER_LEASE_MS);
+        }
+        let jobs = self.order.iter().map(|id| (*id, self.jobs[id].clone()));
+        let states = self.states.iter().map(|(id, bytes)| {
+            let state = JobState::from_bytes(bytes).expect("a state that was written here");
+            (*id, state)
+        });
+        let recovered = Recovered {
+            jobs: jobs.collect(),
+            cancels: self.cancels.clone(),
+            states: states.collect(),
+            wall_ms: self.now_ms,
+        };
+        let config = SchedulerConfig::new(fence, Duration::from_ms(LEASE_LIMIT_MS))
+            .with_leader_lease(Duration::from_ms(LEADER_LEASE_MS));
+        let scheduler = Scheduler::new(config, self.configuration.clone(), self.now(), recovered);
+        self.leaders.push(Leader {
+            fence,
+            scheduler,
+            acts_until_ms: u64::MAX,
+        });
+        self.tell_all(Event::NodesListed(vec![Arc::from("n1"), Arc::from("n2")]));
+        self.list_workers();
+    }
+
+    pub fn list_workers(&mut self) {
+        let alive = self.workers.iter().filter(|worker| worker.is_alive);
+        let list = alive.map(FakeWorker::facts).collect();
+        self.tell_all(Event::WorkersListed(list));
+    }
+
+    pub fn submit(&mut self, (id, record): (JobId, JobRecord)) {
+        self.jobs.insert(id, record.clone());
+        self.order.push(id);
+        let record = Box::new(record);
+        self.tell_all(Event::JobAccepted { job: id, record });
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        self.cancels.push(id);
+        self.tell_all(Event::CancelAccepted { job: id });
+    }
+
+    pub fn phase(&self, id: JobId) -> Option<Phase> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.job(id).map(|view| view.phase)
+    }
+
+    fn tell_all(&mut self, event: Event) {
+        let fences: Vec<u64> = self.leaders.iter().map(|leader| leader.fence).collect();
+        for fence in fences {
+            self.tell(fence, event.clone());
+        }
+    }
+
+    fn tell(&mut self, fence: u64, event: Event) {
+        let now = self.now();
+        let now_ms = self.now_ms;
+        let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == fence) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        leader.scheduler.handle(now, event, &mut actions);
+        let acts = now_ms < leader.acts_until_ms;
+        if acts {
+            leader.scheduler.settle(now, &mut actions);
+        }
+        leader
+            .scheduler
+            .verify()
+            .expect("the scheduler's invariants hold");
+        if acts {
+            for action in actions {
+                self.carry_out(fence, action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, term: u64, action: Action) {
+        match action {
+            Action::Commit { lane, changes } => {
+                let after_ms = self.rng.random_range(3..40);
+                self.post(
+                    after_ms,
+                    Message::Commit {
+                        term,
+                        lane,
+                        changes,
+                    },
+                );
+            }
+            Action::Hold {
+                to,
+                until_ms,
+                last_seen,
+                ..
+            } => {
+                let sent_at = self.now();
+                let after_ms = self.rng.random_range(0..5);
+                self.post(
+                    after_ms,
+                    Message::Hold {
+                        term,
+                        to,
+                        until_ms,
+                        last_seen,
+                        sent_at,
+                    },
+                );
+            }
+            Action::Start { to, order } => self.send_start(term, to, order),
+            Action::Stop { to, task, run } => self.send_stop(term, to, task, run),
+            Action::Advise {
+                step,
+                workers,
+                expected,
+                ..
+            } => {
+                let good = workers.iter().filter(|to| self.is_good(&to.id, step.job));
+                let tickets = good.map(|to| Ticket {
+                    worker: to.id.clone(),
+                    text: Arc::from("ticket"),
+                });
+                let reply = AdviceReply::Good {
+                    tickets: tickets.collect(),
+                    validity: Duration::from_ms(1500),
+                };
+                let named = workers.iter().map(|to| to.worker).collect();
+                let event = Event::AdviceAnswered { step, named, reply };
+                self.post(expected.as_ms(), Message::Tell { term, event });
+            }
+            Action::StepDown => {
+                if let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == term) {
+                    leader.acts_until_ms = 0;
+                }
+            }
+            Action::Log(_) => {}
+        }
+    }
+
+    fn send_start(&mut self, term: u64, to: Endpoint, order: StartOrder) {
+        assert_eq!(
+            order.ticket.is_some(),
+            self.has_advice,
+            "a ticket where one is needed"
+        );
+        let is_late = self.draw(self.faults.late_order);
+        let after_ms = self.delay(is_late);
+        if is_late {
+            self.post_unanswered_start(term, &to, &order);
+        }
+        let is_answered = !is_late;
+        self.post(
+            after_ms,
+            Message::Start {
+                term,
+                to,
+                order,
+                is_answered,
+            },
+        );
+    }
+
+    fn post_unanswered_start(&mut self, term: u64, to: &Endpoint, order: &StartOrder) {
+        let event = Event::StartAnswered {
+            worker: to.worker,
+            task: order.task,
+            run: order.run,
+            reply: StartReply::Unanswered,
+        };
+        self.post(ORDER_LIMIT_MS, Message::Tell { term, event });
+    }
+
+    fn send_stop(&mut self, term: u64, to: Endpoint, task: TaskKey, run: u32) {
+        let is_late = self.draw(self.faults.late_order);
+        let after_ms = self.delay(is_late);
+        let is_answered = !is_late;
+        self.post(
+            after_ms,
+            Message::Stop {
+                term,
+                to,
+                task,
+                run,
+                is_answered,
+            },
+        );
+    }
+
+    fn delay(&mut self, is_late: bool) -> u64 {
+        if is_late {
+            self.rng.random_range(2_000..12_000)
+        } else {
+            self.rng.random_range(0..5)
+        }
+    }
+
+    fn worker_index(&self, to: &Endpoint) -> usize {
+        let found = self.workers.iter().position(|worker| worker.id == to.id);
+        found.expect("a worker of this world")
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Tell { term, event } => self.tell(term, event),
+            Message::Heal { worker } => self.workers[worker].is_cut = false,
+            Message::Commit {
+                term,
+                lane,
+                changes,
+            } => self.deliver_commit(term, lane, changes),
+            Message::Hold {
+                term,
+                to,
+                until_ms,
+                last_seen,
+                sent_at,
+            } => {
+                let reply = self.deliver_hold(term, &to, until_ms, last_seen);
+                let after_ms = if reply == HoldReply::Unanswered {
+                    ORDER_LIMIT_MS
+                } else {
+                    2
+                };
+                let event = Event::HoldAnswered {
+                    worker: to.worker,
+                    sent_at,
+                    reply,
+                };
+                self.post(after_ms, Message::Tell { term, event });
+            }
+            Message::Start {
+                term,
+                to,
+                order,
+                is_answered,
+            } => self.deliver_start(term, &to, &order, is_answered),
+            Message::Stop {
+                term,
+                to,
+                task,
+                run,
+                is_answered,
+            } => self.deliver_stop(term, &to, task, run, is_answered),
+        }
+    }
+
+    /// A commit of a leader that has been followed does nothing.
+    fn deliver_commit(&mut self, term: u64, lane: u32, changes: Vec<Change>) {
+        if self.leaders.last().map(|leader| leader.fence) != Some(term) {
+            if let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == term) {
+                leader.acts_until_ms = 0;
+            }
+            return;
+        }
+        for change in changes {
+            match change.state {
+                Some(state) => self.states.insert(change.job, state),
+                None => self.states.remove(&change.job),
+            };
+        }
+        self.tell(term, Event::Committed { lane });
+    }
+
+    fn is_lost(&mut self, index: usize) -> bool {
+        let worker = &self.workers[index];
+        !worker.is_alive || worker.is_cut
+    }
+
+    fn deliver_hold(
+        &mut self,
+        term: u64,
+        to: &Endpoint,
+        until_ms: Option<u64>,
+        last_seen: u64,
+    ) -> HoldReply {
+        let index = self.worker_index(to);
+        if self.is_lost(index) {
+            return HoldReply::Unanswered;
+        }
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[index];
+        worker.advance(now_ms);
+        if term >= worker.fence {
+            self.rules.note_acks(worker, last_seen);
+        }
+        let reply = worker.hold(now_ms, term, until_ms, last_seen, LEASE_LIMIT_MS);
+        if self.draw(self.faults.lost_answer) {
+            return HoldReply::Unanswered;
+        }
+        reply
+    }
+
+    fn deliver_start(&mut self, term: u64, to: &Endpoint, order: &StartOrder, is_answered: bool) {
+        let index = self.worker_index(to);
+        let mut reply = StartReply::Unanswered;
+        if !self.is_lost(index) {
+            reply = self.start_at(term, index, order);
+        }
+        if self.draw(self.faults.lost_answer) {
+            reply = StartReply::Unanswered;
+        }
+        if !is_answered {
+            return;
+        }
+        let after_ms = if reply == StartReply::Unanswered {
+            ORDER_LIMIT_MS
+        } else {
+            1
+        };
+        let event = Event::StartAnswered {
+            worker: to.worker,
+            task: order.task,
+            run: order.run,
+            reply,
+        };
+        self.post(after_ms, Message::Tell { term, event });
+    }
+
+    fn start_at(&mut self, term: u64, index: usize, order: &StartOrder) -> StartReply {
+        let now_ms = self.now_ms;
+        for worker in &mut self.workers {
+            worker.advance(now_ms);
+        }
+        self.note_done();
+        let reply = self.workers[index].admits(now_ms, term, order);
+        if reply != StartReply::Started {
+            return reply;
+        }
+        self.rules
+            .check_start(&self.workers, index, order, &self.jobs);
+        let fails = self.draw(self.faults.failing_run);
+        let length_ms = self.rng.random_range(200..2_500);
+        let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
+        let run = FakeRun {
+            run: order.run,
+            ends_at_ms: now_ms + length_ms,
+            kind: if fails {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            },
+            demand: spec.demand,
+        };
+        self.workers[index].begin(now_ms, order, run, LEASE_LIMIT_MS);
+        StartReply::Started
+    }
+
+    fn deliver_stop(
+        &mut self,
+        term: u64,
+        to: &Endpoint,
+        task: TaskKey,
+        run: u32,
+        is_answered: bool,
+    ) {
+        let index = self.worker_index(to);
+        let mut reply = StopReply::Unanswered;
+        if !self.is_lost(index) {
+            let now_ms = self.now_ms;
+            self.workers[index].advance(now_ms);
+            reply = self.workers[index].stop(term, task, run);
+        }
+        if !is_answered || reply == StopReply::Unanswered || self.draw(self.faults.lost_answer) {
+            return;
+        }
+        let event = Event::StopAnswered {
+            worker: to.worker,
+            task,
+            run,
+            reply,
+        };
+        self.post(1, Message::Tell { term, event });
+    }
+
+    fn note_done(&mut self) {
+        for worker in &self.workers {
+            let done = worker.ended.iter().filter(|end| end.kind == EndKind::Done);
+            self.rules.done.extend(done.map(|end| end.task));
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, length_ms: u64) {
+        let until_ms = self.now_ms + length_ms;
+        while self.now_ms < until_ms {
+            let next_tick_ms = (self.now_ms / TICK_MS + 1) * TICK_MS;
+            let due = self.messages.keys().next().copied();
+            match due {
+                Some((at_ms, number)) if at_ms <= next_tick_ms => {
+                    self.now_ms = at_ms.max(self.now_ms);
+                    let message = self.messages.remove(&(at_ms, number));
+                    self.deliver(message.expect("a message that was just seen"));
+                }
+                _ => {
+                    self.now_ms = next_tick_ms;
+                    self.tick();
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.now_ms;
+        for worker in &mut self.workers {
+            worker.advance(now_ms);
+        }
+        self.note_done();
+        self.strike();
+        self.tell_all(Event::Tick);
+    }
+
+    fn strike(&mut self) {
+        if self.now_ms < self.last_faults_at_ms + 100 {
+            return;
+        }
+        self.last_faults_at_ms = self.now_ms;
+        let index = self.rng.random_range(0..self.workers.len());
+        if self.draw(self.faults.crash) {
+            self.workers[index].is_alive = false;
+            let fresh = format!("{}+", self.workers[index].id);
+            self.workers.push(FakeWorker::new(&fresh, 990));
+            self.list_workers();
+        }
+        if self.draw(self.faults.cut) {
+            self.workers[index].is_cut = true;
+            let length_ms = self.rng.random_range(500..9_000);
+            self.post(length_ms, Message::Heal { worker: index });
+        }
+        if self.draw(self.faults.takeover) {
+            self.elect();
+        }
+    }
+
+    /// Runs until every job has its outcome, at most for the given time.
+    pub fn run_until_done(&mut self, limit_ms: u64) {
+        let until_ms = self.now_ms + limit_ms;
+        while self.now_ms < until_ms {
+            self.run_for(200);
+            let ids: Vec<JobId> = self.order.clone();
+            let is_open = |id: &JobId| matches!(self.phase(*id), None | Some(Phase::Active));
+            if !ids.iter().any(is_open) {
+                return;
+            }
+        }
+        let open: Vec<JobId> = self.order.clone();
+        let open: Vec<String> = open
+            .iter()
+            .filter(|id| matches!(self.phase(**id), None | Some(Phase::Active)))
+            .map(ToString::to_string)
+            .collect();
+        panic!("no outcome in time for {open:?}");
+    }
+
+    /// Returns whether the adviser finds a worker good for a job, always alike.
+    fn is_good(&self, worker: &str, job: JobId) -> bool {
+        let sum: u64 = worker.bytes().map(u64::from).sum::<u64>() + job.number();
+        match self.good_one_in {
+            0 => !sum.is_multiple_of(3),
+            one_in => sum.is_multiple_of(one_in),
+        }
+    }
+}
