--- /dev/null
+++ b/crates/control/tests/control/main.rs
@@ -0,0 +1,6 @@
+//! Tests of a node's parts against a store in memory.
+
+mod following;
+mod logging;
+mod store_writes;
+mod support;
--- /dev/null
+++ b/crates/control/tests/control/store_writes.rs
@@ -0,0 +1,139 @@
+//! Intake and commits against a store that loses, refuses and delays.
+
+use crate::support::{run_local, MemoryStore, Treatment};
+use ospreywing_control::commit::{lane_value, CommitLane, CommitOutcome};
+use ospreywing_control::intake::{Intake, IntakeOutcome};
+use ospreywing_control::{keys, Store, Transaction};
+use ospreywing_scheduler::{Change, JobId};
+use rstest::rstest;
+
+const FENCE: u64 = 9;
+
+#[rstest]
+#[case::answered(&[], IntakeOutcome::Stored)]
+#[case::answer_lost(&[Treatment::Lose], IntakeOutcome::Stored)]
+#[case::refused_once(&[Treatment::Refuse], IntakeOutcome::Stored)]
+#[case::delayed_once(&[Treatment::Delay], IntakeOutcome::Stored)]
+#[case::always_refused(&[Treatment::Refuse; 60], IntakeOutcome::NotStored)]
+#[case::never_answered(&[Treatment::Delay; 60], IntakeOutcome::Unknown)]
+#[case::delayed_then_refused(
+    &[&[Treatment::Delay][..], &[Treatment::Refuse; 60][..]].concat(),
+    IntakeOutcome::Unknown
+)]
+fn write_store_in_trouble(#[case] treatments: &[Treatment], #[case] expected: IntakeOutcome) {
+    run_local(async {
+        let store = MemoryStore::new();
+        store.treat(treatments);
+        let intake = Intake::new(store.clone());
+        let runner = intake.clone();
+        tokio::task::spawn_local(async move { runner.run().await });
+        let outcome = intake.write("k".to_owned(), b"first".to_vec()).await;
+        assert_eq!(outcome, expected);
+        store.do_late();
+        // Nothing that is done late takes the place of what is there.
+        let again = intake.write("k".to_owned(), b"second".to_vec()).await;
+        if expected == IntakeOutcome::Stored {
+            assert_eq!(again, IntakeOutcome::Stored);
+            assert_eq!(store.value("k"), Some(b"first".to_vec()));
+        }
+    });
+}
+
+#[test]
+fn write_one_of_a_group_exists() {
+    run_local(async {
+        let store = MemoryStore::new();
+        let known = Transaction::new().with_put("b", b"known".to_vec());
+        store.commit(&known).await.expect("the store answers");
+        let intake = Intake::new(store.clone());
+        let writes = ["a", "b", "c"].map(|key| {
+            let intake = intake.clone();
+            tokio::task::spawn_local(async move { intake.write(key.to_owned(), key.into()).await })
+        });
+        let runner = intake.clone();
+        tokio::task::spawn_local(async move { runner.run().await });
+        for write in writes {
+            assert_eq!(write.await.expect("a write"), IntakeOutcome::Stored);
+        }
+        assert_eq!(store.value("a"), Some(b"a".to_vec()));
+        assert_eq!(store.value("b"), Some(b"known".to_vec()));
+        assert_eq!(store.value("c"), Some(b"c".to_vec()));
+    });
+}
+
+async fn lane_of(store: &MemoryStore, fence: u64) -> std::rc::Rc<CommitLane<MemoryStore>> {
+    let begin = Transaction::new().with_put(keys::lane(0), lane_value(fence, 0));
+    let begun = store.commit(&begin).await.expect("the store answers");
+    CommitLane::new(store.clone(), 0, fence, begun.revision)
+}
+
+fn change(text: &str) -> Vec<Change> {
+    vec![Change {
+        job: JobId::new(1),
+        state: Some(text.as_bytes().to_vec()),
+    }]
+}
+
+#[rstest]
+#[case::answered(&[])]
+#[case::answer_lost(&[Treatment::Lose])]
+#[case::refused(&[Treatment::Refuse, Treatment::Refuse])]
+#[case::delayed(&[Treatment::Delay, Treatment::Delay])]
+fn commit_store_in_trouble(#[case] treatments: &[Treatment]) {
+    run_local(async {
+        let store = MemoryStore::new();
+        let lane = lane_of(&store, FENCE).await;
+        store.treat(treatments);
+        let first = lane.commit(change("first"), || false).await;
+        let second = lane.commit(change("second"), || false).await;
+        assert_eq!((first, second), (CommitOutcome::Done, CommitOutcome::Done));
+        // A commit that is done late must not bring an earlier state back.
+        store.do_late();
+        assert_eq!(
+            store.value(&keys::state(JobId::new(1))),
+            Some(b"second".to_vec())
+        );
+        let third = lane.commit(change("third"), || false).await;
+        assert_eq!(third, CommitOutcome::Done);
+    });
+}
+
+#[test]
+fn commit_another_leader() {
+    run_local(async {
+        let store = MemoryStore::new();
+        let lane = lane_of(&store, FENCE).await;
+        assert_eq!(
+            lane.commit(change("old"), || false).await,
+            CommitOutcome::Done
+        );
+        let _next = lane_of(&store, FENCE + 5).await;
+        assert_eq!(
+            lane.commit(change("late"), || false).await,
+            CommitOutcome::Lost
+        );
+        assert_eq!(
+            store.value(&keys::state(JobId::new(1))),
+            Some(b"old".to_vec())
+        );
+    });
+}
+
+#[test]
+fn commit_forgotten_job() {
+    run_local(async {
+        let store = MemoryStore::new();
+        let lane = lane_of(&store, FENCE).await;
+        let id = JobId::new(1);
+        let accepted = Transaction::new().with_put(keys::job(id), b"job".to_vec());
+        store.commit(&accepted).await.expect("the store answers");
+        lane.commit(change("done"), || false).await;
+        let forget = vec![Change {
+            job: id,
+            state: None,
+        }];
+        assert_eq!(lane.commit(forget, || false).await, CommitOutcome::Done);
+        assert_eq!(store.value(&keys::job(id)), None);
+        assert_eq!(store.value(&keys::state(id)), None);
+    });
+}
--- /dev/null
+++ b/crates/control/tests/control/support.rs
@@ -0,0 +1,197 @@
+//! A store in memory that loses, refuses and delays on demand.
+
+use ospreywing_control::{
+    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
+    Transaction, Watched, WatchedChange,
+};
+use ospreywing_types::Duration;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// How the store treats a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Treatment {
+    /// As it should.
+    Answer,
+    /// It is done and not answered.
+    Lose,
+    /// It is not answered and done later, by [`MemoryStore::do_late`].
+    Delay,
+    /// It is turned away.
+    Refuse,
+}
+
+#[derive(Default)]
+struct Inner {
+    items: BTreeMap<String, Item>,
+    revision: Revision,
+    history: Vec<(Revision, WatchedChange)>,
+    compacted: Revision,
+    treatments: VecDeque<Treatment>,
+    late: Vec<Transaction>,
+}
+
+/// A store in memory.
+#[derive(Clone, Default)]
+pub struct MemoryStore(Rc<RefCell<Inner>>);
+
+impl MemoryStore {
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets how the next transactions are treated; later ones are answered.
+    pub fn treat(&self, treatments: &[Treatment]) {
+        self.0
+            .borrow_mut()
+            .treatments
+            .extend(treatments.iter().copied());
+    }
+
+    /// Does the transactions that were delayed, as far as their conditions hold.
+    pub fn do_late(&self) {
+        let late = core::mem::take(&mut self.0.borrow_mut().late);
+        for transaction in late {
+            let _ = self.0.borrow_mut().apply(&transaction);
+        }
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        let mut inner = self.0.borrow_mut();
+        inner.compacted = inner.revision;
+        inner.history.clear();
+    }
+
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let inner = self.0.borrow();
+        inner.items.get(key).map(|item| item.value.clone())
+    }
+}
+
+impl Inner {
+    fn apply(&mut self, transaction: &Transaction) -> Result<Committed, CommitError> {
+        let revision_of = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
+        if transaction
+            .expect
+            .iter()
+            .any(|(key, revision)| revision_of(key) != *revision)
+        {
+            let keys = transaction.expect.iter().map(|(key, _)| key);
+            let items = keys.filter_map(|key| self.items.get(key).cloned());
+            return Err(CommitError::Conflict(items.collect()));
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        for write in &transaction.put {
+            let item = Item {
+                key: write.key.clone(),
+                value: write.value.clone(),
+                revision,
+            };
+            self.history
+                .push((revision, WatchedChange::Put(item.clone())));
+            self.items.insert(write.key.clone(), item);
+        }
+        for key in &transaction.remove {
+            if self.items.remove(key).is_some() {
+                let gone = WatchedChange::Gone { key: key.clone() };
+                self.history.push((revision, gone));
+            }
+        }
+        Ok(Committed { revision })
+    }
+}
+
+fn no_answer() -> StoreError {
+    StoreError::Unknown("lost".to_owned())
+}
+
+impl Store for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        Ok(self.0.borrow().items.get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        const PAGE_COUNT: usize = 2;
+        let inner = self.0.borrow();
+        let found = inner
+            .items
+            .values()
+            .filter(|item| item.key.starts_with(prefix));
+        let found = found.filter(|item| after.is_none_or(|after| item.key.as_str() > after));
+        let mut items: Vec<Item> = found.cloned().collect();
+        let has_more = items.len() > PAGE_COUNT;
+        items.truncate(PAGE_COUNT);
+        Ok(Page {
+            items,
+            has_more,
+            at: inner.revision,
+        })
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        _wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        let inner = self.0.borrow();
+        if from < inner.compacted {
+            return Err(StoreError::Compacted);
+        }
+        let later = inner
+            .history
+            .iter()
+            .filter(|(revision, _)| *revision > from);
+        let is_ours = |change: &WatchedChange| match change {
+            WatchedChange::Put(item) => item.key.starts_with(prefix),
+            WatchedChange::Gone { key } => key.starts_with(prefix),
+        };
+        let changes = later.map(|(_, change)| change.clone()).filter(is_ours);
+        Ok(Watched {
+            changes: changes.collect(),
+            at: inner.revision,
+        })
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
+        tokio::task::yield_now().await;
+        let mut inner = self.0.borrow_mut();
+        match inner.treatments.pop_front().unwrap_or(Treatment::Answer) {
+            Treatment::Answer => inner.apply(transaction),
+            Treatment::Lose => {
+                let _ = inner.apply(transaction);
+                Err(no_answer().into())
+            }
+            Treatment::Delay => {
+                inner.late.push(transaction.clone());
+                Err(no_answer().into())
+            }
+            Treatment::Refuse => Err(StoreError::Refused("busy".to_owned()).into()),
+        }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
+        Ok(LeaseGrant { id: 1, ttl })
+    }
+
+    async fn keep_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn end_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+/// Runs a test on one thread, as a node runs.
+pub fn run_local(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/scheduler/tests/scheduler_cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -1,16 +1,14 @@
 //! Single cases, most of them failures that were found on the users' bench.
 
-mod support;
-
+use crate::support::worker::FakeWorker;
+use crate::support::world::{Faults, World};
+use crate::support::{self, advice, configuration, job, step};
 use ospreywing_scheduler::{
     Action, EndKind, EndedRun, Event, HoldReply, JobState, Phase, Recovered, Scheduler,
     SchedulerConfig, StartReply, StepSpec, TaskKey, TaskStatus, WorkerKey,
 };
 use ospreywing_types::{Duration, Instant, Resources};
 use rstest::rstest;
-use support::worker::FakeWorker;
-use support::world::{Faults, World};
-use support::{advice, configuration, job, step};
 
 const LEASE_LIMIT: Duration = Duration::from_ms(6000);
 
--- a/crates/scheduler/tests/scheduler_search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -3,12 +3,10 @@
 //! scheduler's invariants after each event, and every job must have its
 //! outcome once the faults are over.
 
-mod support;
-
+use crate::support::world::{Faults, World};
+use crate::support::{advice, job, step};
 use ospreywing_scheduler::{AdvicePolicy, StepSpec};
 use rstest::rstest;
-use support::world::{Faults, World};
-use support::{advice, job, step};
 
 /// Seeds per case in CI; `OSPREYWING_SEARCH_SEEDS` sets another number.
 const SEEDS_COUNT: u64 = 25;
