--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -238,12 +238,8 @@
 async fn stand<P: Platform>(node: &Rc<Node<P>>) -> Result<(), CommitError> {
     let asked_at = clock::now();
     let grant = node.store.grant_lease(LEADER_LEASE).await?;
-    let record = LeaderRecord {
-        name: node.settings.name.clone(),
-        address: node.settings.peer_address.to_string(),
-        lease: grant.id,
-    };
     node.own_lease.set(grant.id);
+    let record = own_record(node);
     let fence = elect(node, &record, grant.id).await?;
     info!(node.log, "elected"; "fence" => fence, "lease" => grant.id);
     let valid_until = asked_at + grant.ttl;
@@ -252,6 +248,15 @@
     Ok(())
 }
 
+/// Returns what the others are told where this node leads.
+pub fn own_record<P: Platform>(node: &Rc<Node<P>>) -> LeaderRecord {
+    LeaderRecord {
+        name: node.settings.name.clone(),
+        address: node.settings.peer_address.to_string(),
+        lease: node.own_lease.get(),
+    }
+}
+
 /// Writes the leader's item; returns the term's fencing token.
 async fn elect<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -16,10 +16,14 @@
 const GROUP_LIMIT_COUNT: usize = 15;
 /// Entries that may wait.
 const QUEUE_LIMIT_COUNT: usize = 400;
-/// How long an entry is tried for.
-const TRY_LIMIT: Duration = Duration::from_ms(1200);
+/// How long an entry is tried for that may be in the store.
+const DOUBT_LIMIT: Duration = Duration::from_ms(1200);
+/// How long an entry is tried for that certainly is not: others can take it.
+const TRY_LIMIT: Duration = Duration::from_ms(120);
 /// The time until a call that failed is made again.
-const RETRY: Duration = Duration::from_ms(60);
+const RETRY: Duration = Duration::from_ms(40);
+/// Failed calls in a row after which the store is taken not to answer.
+const FAILING_COUNT: u32 = 2;
 
 /// What became of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,9 +81,15 @@
         outcome.await.unwrap_or(IntakeOutcome::Unknown)
     }
 
-    /// Returns how many calls in a row have failed.
-    pub fn failures_count(&self) -> u32 {
-        self.failures_count.get()
+    /// Returns whether the last calls have failed and no other call of the
+    /// node has been answered since.
+    pub fn is_failing(&self) -> bool {
+        self.failures_count.get() >= FAILING_COUNT
+    }
+
+    /// Notes that the store has answered some other call.
+    pub fn note_answer(&self) {
+        self.failures_count.set(0);
     }
 
     /// Writes groups for ever.
@@ -133,7 +143,14 @@
 
     async fn retry_or_give_up(&self, group: Vec<Entry>) {
         let now = clock::now();
-        let is_over = |entry: &Entry| now.since(entry.since) >= TRY_LIMIT;
+        let is_over = |entry: &Entry| {
+            let limit = if entry.is_doubtful {
+                DOUBT_LIMIT
+            } else {
+                TRY_LIMIT
+            };
+            now.since(entry.since) >= limit
+        };
         let (over, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(is_over);
         for entry in over {
             let outcome = if entry.is_doubtful {
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -6,9 +6,10 @@
 use crate::keys::IntakeKey;
 use crate::node::Node;
 use crate::orders;
+use crate::peer::{self, PeerReply, PeerRequest};
 use crate::platform::Platform;
 use crate::store::{Item, LeaseGrant, LeaseId, Revision, Store, StoreError, WatchedChange};
-use crate::{clock, keys};
+use crate::{clock, keys, requests};
 use ospreywing_scheduler::{
     Action, Configuration, Decision, DecisionKind, Event, JobId, JobRecord, JobState, JobView,
     Recovered, Scheduler, SchedulerConfig, WorkerFacts,
@@ -29,6 +30,12 @@
 const LEASE_MARGIN: Duration = Duration::from_ms(150);
 /// The time without a renewal after which the store is in trouble.
 const TROUBLE_AFTER: Duration = Duration::from_ms(900);
+/// Failed renewals in a row after which the lead is handed over.
+const HAND_OVER_AFTER_COUNT: u32 = 2;
+/// Failed renewals after which that is tried again.
+const HAND_OVER_PERIOD_COUNT: u32 = 6;
+/// How long another node may take to end the lease.
+const HAND_OVER_LIMIT: Duration = Duration::from_ms(300);
 /// The time until something that failed is tried again.
 const RETRY: Duration = Duration::from_ms(100);
 /// How long a resigning leader waits for its open commits.
@@ -176,12 +183,15 @@
 }
 
 async fn keep_lease<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    let mut failures_count = 0;
     while !leading.is_over() {
-        tokio::time::sleep(RENEWAL.into()).await;
+        let pause = if failures_count == 0 { RENEWAL } else { RETRY };
+        tokio::time::sleep(pause.into()).await;
         let sent_at = clock::now();
         match node.store.keep_lease(leading.lease).await {
             Ok(()) => {
                 node.note_contact();
+                failures_count = 0;
                 leading.renewed_at.set(clock::now());
                 leading
                     .valid_until
@@ -193,11 +203,30 @@
             }
             Err(error) => {
                 warn!(node.log, "leader's lease not renewed"; "error" => error.to_string());
+                failures_count += 1;
+                if failures_count % HAND_OVER_PERIOD_COUNT == HAND_OVER_AFTER_COUNT {
+                    hand_over(&node, &leading).await;
+                }
             }
         }
     }
 }
 
+/// Has another node end the lease, where the store answers that node: a
+/// leader that can't commit is none, and the others need not wait for its
+/// lease to run out.
+async fn hand_over<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) {
+    let request = PeerRequest::EndLease(leading.lease);
+    for address in requests::other_nodes(node) {
+        let reply = peer::call(&node.peers, &address, &request, HAND_OVER_LIMIT).await;
+        if matches!(reply, Ok(PeerReply::Ended)) {
+            info!(node.log, "lead handed over"; "fence" => leading.fence, "through" => address);
+            leading.end();
+            return;
+        }
+    }
+}
+
 /// Reads what the store keeps; `None` where the term is over before.
 async fn recover<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -122,6 +122,7 @@
             info!(self.log, "store regained");
         }
         self.contact_at.set(now);
+        self.intake.note_answer();
     }
 
     /// Returns whether the store answered a short while ago.
@@ -140,8 +141,14 @@
         self.in_force.borrow().clone()
     }
 
-    /// Returns the node's own term, while it leads.
+    /// Returns the node's own term, while it certainly leads.
     pub fn leading(&self) -> Option<Rc<Leading<P>>> {
+        let leading = self.leading.borrow().clone();
+        leading.filter(|leading| leading.may_order())
+    }
+
+    /// Returns the node's own term, whether or not its lease still holds.
+    pub fn term(&self) -> Option<Rc<Leading<P>>> {
         self.leading.borrow().clone()
     }
 
@@ -170,7 +177,7 @@
         }
         info!(self.log, "configuration in force";
             "version" => configuration.version, "before" => known.unwrap_or_default());
-        if let Some(leading) = self.leading() {
+        if let Some(leading) = self.term() {
             leading.configure(configuration.clone());
         }
         *self.in_force.borrow_mut() = Some(Rc::new(InForce {
@@ -314,7 +321,7 @@
     info!(node.log, "stopping"; "open" => front.open_count());
     node.is_draining.set(true);
     let begun = clock::now();
-    if let Some(leading) = node.leading() {
+    if let Some(leading) = node.term() {
         leading.resign().await;
     }
     election::leave(node).await;
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -3,6 +3,8 @@
 //! Bodies are in a compact binary form. The calls are few and small, and the
 //! machines have a quarter of a core, so a general RPC library does not pay.
 
+use crate::election::LeaderRecord;
+use crate::store::LeaseId;
 use http::Method;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -41,6 +43,10 @@
     },
     /// To write a cancel to the store, where the caller can't reach it.
     Cancel(JobId),
+    /// To tell who leads.
+    Leader,
+    /// To end the lease of a leader that the store does not answer.
+    EndLease(LeaseId),
     /// To ask the adviser.
     Advise {
         /// The step.
@@ -61,8 +67,10 @@
     Pending(u64),
     /// Noted.
     Taken,
-    /// The node is not the leader.
-    NotLeader,
+    /// The node is not the leader; it knows of this one, or of none.
+    NotLeader(Option<LeaderRecord>),
+    /// The lease is over.
+    Ended,
     /// The job or cancel is in the store.
     Accepted,
     /// There is no such job.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
-use crate::store::Store;
+use crate::store::{LeaseId, Store};
 use crate::{clock, keys};
 use ospreywing_scheduler::{
     AdviceReply, Event, JobId, JobRecord, JobState, JobView, Phase, TaskStatus,
@@ -17,6 +17,8 @@
 
 /// How long the leader may take for an answer.
 const LEADER_LIMIT: Duration = Duration::from_ms(400);
+/// How long another node may take to say who leads.
+const ASK_LIMIT: Duration = Duration::from_ms(150);
 /// How long another node may take to write to the store.
 const FORWARD_LIMIT: Duration = Duration::from_ms(1500);
 /// When a client that was turned away may come back.
@@ -24,7 +26,7 @@
     after: Duration::from_ms(1000),
 };
 /// How many other nodes are asked to write.
-const FORWARDS_COUNT: usize = 2;
+pub const FORWARDS_COUNT: usize = 2;
 
 /// Does what a client asks for.
 pub async fn execute<P: Platform>(node: &Rc<Node<P>>, call: Call) -> Reply {
@@ -87,7 +89,7 @@
 
 /// Returns whether the store is known not to answer this node.
 fn is_cut_off<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    !node.has_contact()
+    !node.has_contact() || node.intake.is_failing()
 }
 
 fn tell_leader<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: JobRecord) {
@@ -101,16 +103,30 @@
 
 /// Sends the leader a message; it learns from the store where that is lost.
 fn send_to_leader<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) {
-    let leader = node.cell.borrow().leader.clone();
-    let Some(leader) = leader else {
-        return;
-    };
     let node = node.clone();
     tokio::task::spawn_local(async move {
+        let Some(leader) = find_leader(&node).await else {
+            return;
+        };
         let _ = call_leader(&node, leader, &request).await;
     });
 }
 
+/// Returns the leader. A node that the store does not answer may be out of
+/// date and asks others.
+async fn find_leader<P: Platform>(node: &Rc<Node<P>>) -> Option<LeaderRecord> {
+    if node.has_contact() {
+        return node.cell.borrow().leader.clone();
+    }
+    for address in other_nodes(node) {
+        let reply = peer::call(&node.peers, &address, &PeerRequest::Leader, ASK_LIMIT).await;
+        if let Ok(PeerReply::NotLeader(Some(leader))) = reply {
+            return Some(leader);
+        }
+    }
+    node.cell.borrow().leader.clone()
+}
+
 /// Calls the leader; where nothing listens at its address, it is gone.
 async fn call_leader<P: Platform>(
     node: &Rc<Node<P>>,
@@ -140,7 +156,7 @@
 }
 
 /// Returns a few other nodes, the leader first.
-fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
+pub fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
     let cell = node.cell.borrow();
     let leader = cell.leader.iter().map(|leader| leader.address.clone());
     let nodes = cell.nodes.values().map(|node| node.address.clone());
@@ -213,7 +229,7 @@
     if let Some(leading) = node.leading() {
         return leading.job(job);
     }
-    let leader = node.cell.borrow().leader.clone()?;
+    let leader = find_leader(node).await?;
     match call_leader(node, leader, &PeerRequest::Status(job)).await {
         Ok(PeerReply::Status(view)) => view,
         _ => None,
@@ -243,8 +259,7 @@
     if let Some(leading) = node.leading() {
         return Reply::Pending(leading.pending_count(&queue));
     }
-    let leader = node.cell.borrow().leader.clone();
-    let Some(leader) = leader else {
+    let Some(leader) = find_leader(node).await else {
         return Reply::Unavailable(COME_BACK);
     };
     match call_leader(node, leader, &PeerRequest::Pending(queue)).await {
@@ -258,11 +273,11 @@
     match request {
         PeerRequest::Status(job) => match node.leading() {
             Some(leading) => PeerReply::Status(leading.job(job)),
-            None => PeerReply::NotLeader,
+            None => not_leader(node),
         },
         PeerRequest::Pending(queue) => match node.leading() {
             Some(leading) => PeerReply::Pending(leading.pending_count(&queue)),
-            None => PeerReply::NotLeader,
+            None => not_leader(node),
         },
         PeerRequest::JobTaken { job, record } => {
             let record = Box::new(record);
@@ -275,6 +290,11 @@
             IntakeOutcome::Unknown => PeerReply::Unknown,
         },
         PeerRequest::Cancel(job) => write_cancel(node, job).await,
+        PeerRequest::Leader => match node.leading() {
+            Some(_) => PeerReply::NotLeader(Some(election::own_record(node))),
+            None => not_leader(node),
+        },
+        PeerRequest::EndLease(lease) => end_lease(node, lease).await,
         PeerRequest::Advise {
             step,
             workers,
@@ -293,7 +313,23 @@
             leading.tell(event);
             PeerReply::Taken
         }
-        None => PeerReply::NotLeader,
+        None => not_leader(node),
+    }
+}
+
+/// Names the leader, as far as this node knows it.
+fn not_leader<P: Platform>(node: &Rc<Node<P>>) -> PeerReply {
+    let leader = node.cell.borrow().leader.clone();
+    PeerReply::NotLeader(leader.filter(|_| node.has_contact()))
+}
+
+async fn end_lease<P: Platform>(node: &Rc<Node<P>>, lease: LeaseId) -> PeerReply {
+    if is_cut_off(node) {
+        return PeerReply::Refused;
+    }
+    match node.store.end_lease(lease).await {
+        Ok(()) => PeerReply::Ended,
+        Err(_) => PeerReply::Refused,
     }
 }
 
