Ask a worker with a stray run until it is gone; keep advice for a step's other tasks

Looking for what could do that: a worker that lists a run nobody can account for was never asked again and never given anything. Also, each end wiped the advice of its whole step: 42 calls for 40 tasks.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -5,7 +5,7 @@
 use crate::event::{Action, EndKind, EndedRun};
 use crate::job::{StepKey, TaskKey};
 use crate::scheduler::Scheduler;
-use crate::state::{Phase, TaskStatus};
+use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
 use ospreywing_types::{Duration, Instant};
 
@@ -118,7 +118,9 @@
             if !self.is_gang(step) && self.placements.contains_key(&end.task) {
                 self.stop_task(now, end.task, "done elsewhere", out);
             }
-            self.advice.remove(&step);
+            if self.is_step_done(step) {
+                self.advice.remove(&step);
+            }
             self.check_complete(now, step.job, out);
             return;
         }
@@ -145,6 +147,13 @@
         })
     }
 
+    fn is_step_done(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(&step.job);
+        let round = job.and_then(|job| job.state.round(step.round));
+        let state = round.and_then(|round| round.steps.get(step.step as usize));
+        state.is_none_or(StepState::is_done)
+    }
+
     pub(crate) fn is_gang(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -312,5 +312,8 @@
         .runs
         .values()
         .any(|run| run.phase != RunPhase::Recording);
-    has_runs || has_news || (worker.is_listed && (!worker.is_synced || !worker.is_reachable))
+    has_runs
+        || has_news
+        || worker.has_unknown_run
+        || (worker.is_listed && (!worker.is_synced || !worker.is_reachable))
 }
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -37,6 +37,8 @@
 
 fn search(faults: Faults, policy: Option<AdvicePolicy>) {
     for seed in 0..seeds_count() {
+        // Shown where the test fails.
+        println!("seed {seed}");
         let mut world = World::new(seed, 6, faults, policy);
         world.calm_from_ms = world.now_ms + STORM_MS;
         for number in 1..=10 {
@@ -77,3 +79,36 @@
 fn scheduler_keeps_its_rules(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
     search(faults, has_advice.then(advice));
 }
+
+/// Gangs whose good workers are few, among work that could take their room.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::everything(Faults {
+    lost_answer: 40,
+    late_order: 40,
+    failing_run: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+})]
+fn scheduler_serves_gangs_on_few_good_workers(#[case] faults: Faults) {
+    for seed in 0..seeds_count() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 16, faults, Some(advice()));
+        world.good_one_in = 4;
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=24 {
+            let steps = match number % 3 {
+                // Two good workers, which crashes leave, hold four.
+                0 => vec![gang(4)],
+                1 => vec![gang(2), after(0, gang(3))],
+                _ => vec![step(8)],
+            };
+            world.submit(job(number, steps));
+            world.run_for(300);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
