Don't let a watch hang on; let a gang look further and keep its turn

Change: after a failed call a follower asks without waiting; watches wait 1.5 to 3 s. A gang whose good workers are busy asks about free ones that are unknown; who comes later in a pass leaves the workers that a gang waits for. Leader's lease 2 s -> 1.5 s. Each with a test that failed first (the lease has none).

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 
 /// The leader's lease.
-pub const LEADER_LEASE: Duration = Duration::from_ms(2000);
+pub const LEADER_LEASE: Duration = Duration::from_ms(1500);
 /// The lanes of the leader's commits.
 pub const LANES_COUNT: u32 = 2;
 /// A node's lease.
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -80,7 +80,14 @@
 ) {
     let mut at = from;
     let mut read_at = clock::now();
+    let mut is_failing = false;
     loop {
+        // A call that waits may hang on after the store is back.
+        let wait = if is_failing {
+            Duration::ZERO
+        } else {
+            policy.wait
+        };
         let update = match at {
             None => match read_all(&store, prefix).await {
                 Ok((items, revision)) => {
@@ -90,7 +97,7 @@
                 }
                 Err(error) => Update::Failed(error),
             },
-            Some(revision) => match store.watch(prefix, revision, policy.wait).await {
+            Some(revision) => match store.watch(prefix, revision, wait).await {
                 Ok(watched) => {
                     at = Some(watched.at.max(revision));
                     if watched.changes.is_empty() {
@@ -106,6 +113,7 @@
                 Err(error) => Update::Failed(error),
             },
         };
+        is_failing = matches!(update, Update::Failed(_));
         if is_stale(policy, read_at) {
             at = None;
         }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -25,11 +25,11 @@
 /// The time between two ticks.
 const TICK: Duration = Duration::from_ms(20);
 /// The time between two renewals of the leader's lease.
-const RENEWAL: Duration = Duration::from_ms(450);
+const RENEWAL: Duration = Duration::from_ms(350);
 /// What is taken off the leader's lease for calls on their way.
 const LEASE_MARGIN: Duration = Duration::from_ms(150);
 /// The time without a renewal after which the store is in trouble.
-const TROUBLE_AFTER: Duration = Duration::from_ms(900);
+const TROUBLE_AFTER: Duration = Duration::from_ms(800);
 /// Failed renewals in a row after which the lead is handed over.
 const HAND_OVER_AFTER_COUNT: u32 = 2;
 /// Failed renewals after which that is tried again.
@@ -44,14 +44,14 @@
 /// How the intake is followed: nodes tell the leader of what they took, so
 /// this finds only what such a message did not bring.
 const INTAKE_POLICY: FollowPolicy = FollowPolicy {
-    wait: Duration::from_ms(5000),
+    wait: Duration::from_ms(1500),
     refresh: None,
     pace: Duration::from_ms(400),
 };
 
 /// How the list of workers is followed.
 const WORKERS_POLICY: FollowPolicy = FollowPolicy {
-    wait: Duration::from_ms(3000),
+    wait: Duration::from_ms(2000),
     refresh: Some(Duration::from_ms(10_000)),
     pace: Duration::from_ms(400),
 };
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -26,7 +26,7 @@
 /// How long a node is ready after the store last answered.
 const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
 /// How long a watch of what every node follows waits.
-pub const WATCH_WAIT: Duration = Duration::from_ms(5000);
+pub const WATCH_WAIT: Duration = Duration::from_ms(3000);
 /// How often the operators' configuration is read again, whatever a watch said.
 const CONFIGURATION_REFRESH: Duration = Duration::from_ms(10_000);
 /// How often the settings are looked at for a silent change.
--- a/crates/control/tests/control/following.rs
+++ b/crates/control/tests/control/following.rs
@@ -85,3 +85,19 @@
         follow_keys(MemoryStore::new(), &["p/1", "p/2", "p/3"], 2).await;
     });
 }
+
+/// Found on swaramala-ow trouble-3 937447387656: a watch that was begun while
+/// the store was silent hung on after it was back, and a cancel that only the
+/// store knew of came too late.
+#[test]
+fn follow_store_was_silent() {
+    run_local(async {
+        let store = MemoryStore::new();
+        put(&store, "p/0").await;
+        store.fail_watches(2);
+        follow_keys(store.clone(), &["p/1", "p/2"], 99).await;
+        let waits = store.watch_waits();
+        assert_eq!(waits[0], POLICY.wait);
+        assert_eq!(waits[1..3], [Duration::ZERO, Duration::ZERO]);
+    });
+}
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -30,6 +30,8 @@
     compacted: Revision,
     treatments: VecDeque<Treatment>,
     late: Vec<Transaction>,
+    failing_watches_count: usize,
+    watch_waits: Vec<Duration>,
 }
 
 /// A store in memory.
@@ -57,6 +59,16 @@
         }
     }
 
+    /// Lets the next watches fail.
+    pub fn fail_watches(&self, count: usize) {
+        self.0.borrow_mut().failing_watches_count = count;
+    }
+
+    /// Returns how long each watch so far was to wait.
+    pub fn watch_waits(&self) -> Vec<Duration> {
+        self.0.borrow().watch_waits.clone()
+    }
+
     /// Forgets the history.
     pub fn compact(&self) {
         let mut inner = self.0.borrow_mut();
@@ -135,10 +147,15 @@
         &self,
         prefix: &str,
         from: Revision,
-        _wait: Duration,
+        wait: Duration,
     ) -> Result<Watched, StoreError> {
         tokio::time::sleep(std::time::Duration::from_millis(1)).await;
-        let inner = self.0.borrow();
+        let mut inner = self.0.borrow_mut();
+        inner.watch_waits.push(wait);
+        if inner.failing_watches_count > 0 {
+            inner.failing_watches_count -= 1;
+            return Err(no_answer());
+        }
         if from < inner.compacted {
             return Err(StoreError::Compacted);
         }
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -128,7 +128,9 @@
             .iter()
             .map(|(_, capacity_count, _)| u64::from(*capacity_count))
             .sum();
-        if (total as f64) < needed as f64 * GANG_ROOM_FACTOR && !unknown.is_empty() {
+        let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
+        let has_free = self.expected_fit(turn, &unknown) >= needed as f64;
+        if !unknown.is_empty() && (is_short || has_free) {
             let missing = needed as f64 - total as f64;
             let named = self.choose_unknown(turn, policy, unknown, missing);
             self.ask(now, turn, policy, named, out);
@@ -155,6 +157,15 @@
         unknown
     }
 
+    /// Returns how many members should fit now on workers of which nothing is
+    /// known: a gang whose good workers are busy may find others.
+    fn expected_fit(&self, turn: &Turn, unknown: &[(WorkerKey, u32)]) -> f64 {
+        let goodness = self.goodness_of(&turn.record.queue);
+        let fit = |key: &WorkerKey| fit_in(&self.workers[*key].free(), &turn.demand);
+        let fit_count: u64 = unknown.iter().map(|(key, _)| u64::from(fit(key))).sum();
+        goodness * fit_count as f64
+    }
+
     /// Chooses unknown workers until enough of them should be good, whether
     /// or not they have room now.
     fn choose_unknown(
@@ -202,17 +213,16 @@
         good
     }
 
-    /// Keeps less urgent work off enough good workers for the gang.
+    /// Keeps later work off enough good workers for the gang.
     fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
         let mut held: u64 = 0;
         for (key, capacity_count, _) in good {
             if held >= turn.waiting.len() as u64 {
                 return;
             }
-            if pass.awaited.contains_key(key) {
+            if !pass.awaited.insert(*key) {
                 continue;
             }
-            pass.awaited.insert(*key, turn.priority);
             held += u64::from(*capacity_count);
         }
     }
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -58,7 +58,6 @@
     pub(crate) waiting: Vec<u32>,
     pub(crate) demand: Resources,
     pub(crate) advice: Option<AdvicePolicy>,
-    pub(crate) priority: u32,
 }
 
 impl Turn {
@@ -73,8 +72,9 @@
     /// The processors that are free and not yet asked for, by service, in
     /// thousandths of a core.
     pub(crate) room_milli: BTreeMap<Arc<str>, i64>,
-    /// Workers on which a gang waits for room, and its priority.
-    pub(crate) awaited: BTreeMap<WorkerKey, u32>,
+    /// Workers on which a gang waits for room: whoever comes later in the pass
+    /// is less urgent and leaves them alone.
+    pub(crate) awaited: BTreeSet<WorkerKey>,
     examined_count: usize,
 }
 
@@ -152,7 +152,6 @@
             waiting,
             demand: counted_demand(spec),
             advice: queue.and_then(|queue| queue.advice),
-            priority: job.rank.0,
             record: job.record.clone(),
         })
     }
@@ -180,8 +179,7 @@
             if !worker.is_placeable(now) || !turn.demand.fits_in(&worker.free()) {
                 continue;
             }
-            let awaited = pass.awaited.get(&key);
-            if awaited.is_some_and(|priority| *priority < turn.priority) {
+            if pass.awaited.contains(&key) {
                 continue;
             }
             if let Some(candidate) = self.candidate(turn, key, worker) {
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -4,8 +4,9 @@
 use crate::support::world::{Faults, World};
 use crate::support::{self, advice, configuration, job, step};
 use ospreywing_scheduler::{
-    Action, EndKind, EndedRun, Event, HoldReply, JobState, Phase, Recovered, RunningRun, Scheduler,
-    SchedulerConfig, StartReply, StepSpec, TaskKey, TaskStatus, WorkerKey,
+    Action, AdvicePolicy, AdviceReply, EndKind, EndedRun, Event, HoldReply, JobState, Phase,
+    Recovered, RunningRun, Scheduler, SchedulerConfig, StartReply, StepSpec, TaskKey, TaskStatus,
+    Ticket, WorkerKey,
 };
 use ospreywing_types::{Duration, Instant, Resources};
 use rstest::rstest;
@@ -21,11 +22,19 @@
 
 impl Bench {
     fn new(recovered: Recovered, workers: &[FakeWorker]) -> Self {
+        Self::with_advice(recovered, workers, None)
+    }
+
+    fn with_advice(
+        recovered: Recovered,
+        workers: &[FakeWorker],
+        advice: Option<AdvicePolicy>,
+    ) -> Self {
         let now = Instant::from_ms(50_000);
         let config = SchedulerConfig::new(7, LEASE_LIMIT);
         let mut bench = Self {
             now,
-            scheduler: Scheduler::new(config, configuration(None), now, recovered),
+            scheduler: Scheduler::new(config, configuration(advice), now, recovered),
             actions: Vec::new(),
         };
         let list = workers.iter().map(FakeWorker::facts).collect();
@@ -118,11 +127,14 @@
 
     fn starts(&mut self) -> Vec<(WorkerKey, TaskKey, u32)> {
         let taken = core::mem::take(&mut self.actions);
-        let starts = taken.into_iter().filter_map(|action| match action {
-            Action::Start { to, order } => Some((to.worker, order.task, order.run)),
-            _ => None,
-        });
-        starts.collect()
+        let mut starts = Vec::new();
+        for action in taken {
+            match action {
+                Action::Start { to, order } => starts.push((to.worker, order.task, order.run)),
+                other => self.actions.push(other),
+            }
+        }
+        starts
     }
 
     fn started(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
@@ -134,6 +146,32 @@
         });
     }
 
+    /// Answers the open calls for advice, finding only these workers good;
+    /// returns how many workers each call named.
+    fn advise(&mut self, good: &[&str]) -> Vec<usize> {
+        let taken = core::mem::take(&mut self.actions);
+        let mut named_counts = Vec::new();
+        for action in taken {
+            let Action::Advise { step, workers, .. } = action else {
+                self.actions.push(action);
+                continue;
+            };
+            named_counts.push(workers.len());
+            let found = workers.iter().filter(|to| good.contains(&&*to.id));
+            let tickets = found.map(|to| Ticket {
+                worker: to.id.clone(),
+                text: "ticket".into(),
+            });
+            let reply = AdviceReply::Good {
+                tickets: tickets.collect(),
+                validity: Duration::from_ms(1500),
+            };
+            let named = workers.iter().map(|to| to.worker).collect();
+            self.tell(Event::AdviceAnswered { step, named, reply });
+        }
+        named_counts
+    }
+
     fn submit(&mut self, number: u64, steps: Vec<StepSpec>) {
         let (job, record) = job(number, steps);
         let record = Box::new(record);
@@ -257,6 +295,39 @@
     world.run_until_done(40_000);
 }
 
+/// Found on swaramala-ow mix 516891905458: a gang waited for its good workers,
+/// which other gangs kept busy, and asked nobody about the workers that were free.
+#[test]
+fn seek_for_gang_good_workers_busy() {
+    let policy = AdvicePolicy {
+        decision_ms: 1.0,
+        per_worker_ms: 10.0,
+        validity: Duration::from_ms(1500),
+    };
+    let mut bench = Bench::with_advice(Recovered::default(), &workers(10), Some(policy));
+    bench.tell(Event::NodesListed(vec!["n1".into()]));
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2)
+    };
+    for number in 1..=3 {
+        bench.submit(number, vec![gang.clone()]);
+    }
+    let first = bench.advise(&["w0", "w1", "w9"]);
+    assert_eq!(
+        first,
+        vec![4, 4, 4],
+        "each call names a part of the workers"
+    );
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 4, "two gangs fill their good workers");
+    for _ in 0..3 {
+        bench.advise(&["w0", "w1", "w9"]);
+        bench.commit_all();
+    }
+    assert_eq!(bench.starts().len(), 2, "the third starts on another");
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
