Ask about the last unknown workers too

Change: what counts is the room on unknown workers, whatever their chance; each call leaves fewer unknown.

--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -129,7 +129,7 @@
             .map(|(_, capacity_count, _)| u64::from(*capacity_count))
             .sum();
         let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
-        let has_free = self.expected_fit(turn, &unknown) >= needed as f64;
+        let has_free = self.unknown_room(turn, &unknown) >= needed as u64;
         if !unknown.is_empty() && (is_short || has_free) {
             let missing = needed as f64 - total as f64;
             let named = self.choose_unknown(turn, policy, unknown, missing);
@@ -157,13 +157,12 @@
         unknown
     }
 
-    /// Returns how many members should fit now on workers of which nothing is
-    /// known: a gang whose good workers are busy may find others.
-    fn expected_fit(&self, turn: &Turn, unknown: &[(WorkerKey, u32)]) -> f64 {
-        let goodness = self.goodness_of(&turn.record.queue);
+    /// Returns how many members fit now on workers of which nothing is known: a
+    /// gang whose good workers are busy may find others. Each call leaves fewer
+    /// unknown, so even a small chance is taken.
+    fn unknown_room(&self, turn: &Turn, unknown: &[(WorkerKey, u32)]) -> u64 {
         let fit = |key: &WorkerKey| fit_in(&self.workers[*key].free(), &turn.demand);
-        let fit_count: u64 = unknown.iter().map(|(key, _)| u64::from(fit(key))).sum();
-        goodness * fit_count as f64
+        unknown.iter().map(|(key, _)| u64::from(fit(key))).sum()
     }
 
     /// Chooses unknown workers until enough of them should be good, whether
