Scan less when placing; read recovery at once; three lanes and three writers; let gangs look further only after a while

Asking about unknown workers at once held up other gangs' calls.

Change: a pass orders the workers once and looks at tickets' workers alone; estimates are kept with the job; passes are 8 ms apart; at most 16 gangs wait at a time, on 60% of the workers. Intake and states are read at once; each node writes up to three groups side by side; three lanes in place of two.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -22,7 +22,7 @@
 /// The leader's lease.
 pub const LEADER_LEASE: Duration = Duration::from_ms(1500);
 /// The lanes of the leader's commits.
-pub const LANES_COUNT: u32 = 2;
+pub const LANES_COUNT: u32 = 3;
 /// A node's lease.
 const NODE_LEASE: Duration = Duration::from_ms(4000);
 /// The time between two renewals of a node's lease.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -249,8 +249,11 @@
 async fn read_recovered<P: Platform>(
     node: &Rc<Node<P>>,
 ) -> Result<(Recovered, Revision), StoreError> {
-    let (mut intake, at) = read_all(&node.store, keys::INTAKE_PREFIX).await?;
-    let (states, _) = read_all(&node.store, keys::STATE_PREFIX).await?;
+    // Both at once: a slow store makes each page long.
+    let intake = read_all(&node.store, keys::INTAKE_PREFIX);
+    let states = read_all(&node.store, keys::STATE_PREFIX);
+    let (intake, states) = tokio::join!(intake, states);
+    let ((mut intake, at), (states, _)) = (intake?, states?);
     // The order in which jobs were accepted.
     intake.sort_by_key(|item| item.revision);
     let mut recovered = Recovered {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -23,6 +23,9 @@
 
 /// Idle connections that are kept to each peer.
 const PEER_IDLE_COUNT: usize = 8;
+/// Groups that may be on their way to the store at once, so that a slow store
+/// does not make one wait for another.
+const INTAKE_WRITERS_COUNT: usize = 3;
 /// How long a node is ready after the store last answered.
 const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
 /// How long a watch of what every node follows waits.
@@ -243,8 +246,10 @@
 }
 
 fn spawn_loops<P: Platform>(node: &Rc<Node<P>>) {
-    let intake = node.intake.clone();
-    tokio::task::spawn_local(async move { intake.run().await });
+    for _ in 0..INTAKE_WRITERS_COUNT {
+        let intake = node.intake.clone();
+        tokio::task::spawn_local(async move { intake.run().await });
+    }
     tokio::task::spawn_local(follow_configuration(node.clone()));
     tokio::task::spawn_local(election::follow_cell(node.clone()));
     tokio::task::spawn_local(election::keep_membership(node.clone()));
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -30,6 +30,8 @@
     opinions: BTreeMap<WorkerKey, Opinion>,
     /// The call that is open.
     pub(crate) open: Option<OpenCall>,
+    /// When the last call was answered.
+    pub(crate) answered_at: Instant,
     /// When the next call may be made after one that failed.
     pub(crate) retry_at: Instant,
 }
@@ -62,14 +64,19 @@
         }
     }
 
-    /// Returns whether the worker is known to be unfit for the step.
-    pub(crate) fn is_bad(&self, worker: WorkerKey) -> bool {
-        matches!(self.opinions.get(&worker), Some(Opinion::Bad))
+    /// Returns the workers whose tickets hold.
+    pub(crate) fn ticketed(&self, now: Instant) -> Vec<WorkerKey> {
+        let holds =
+            |opinion: &Opinion| matches!(opinion, Opinion::Good { until, .. } if now < *until);
+        let holding = self.opinions.iter().filter(|(_, opinion)| holds(opinion));
+        holding.map(|(worker, _)| *worker).collect()
     }
 
-    /// Returns whether the worker is known to be fit, whether or not its ticket holds.
-    pub(crate) fn is_good(&self, worker: WorkerKey) -> bool {
-        matches!(self.opinions.get(&worker), Some(Opinion::Good { .. }))
+    /// Returns the workers known to be fit, whether or not their tickets hold.
+    pub(crate) fn good(&self) -> Vec<WorkerKey> {
+        let is_good = |opinion: &Opinion| matches!(opinion, Opinion::Good { .. });
+        let good = self.opinions.iter().filter(|(_, opinion)| is_good(opinion));
+        good.map(|(worker, _)| *worker).collect()
     }
 
     /// Returns whether anything is known of the worker.
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -30,6 +30,13 @@
 const FIRST_GOODNESS: f64 = 0.5;
 /// The least share of good workers that is assumed.
 const GOODNESS_FLOOR: f64 = 0.05;
+/// How long a gang waits for its good workers before it asks about others
+/// that have room: a long call holds up those of other gangs.
+const LOOK_FURTHER_AFTER: Duration = Duration::from_ms(2500);
+/// The gangs that may wait for room at a time; the others have their turn later.
+const WAITING_GANGS_LIMIT_COUNT: usize = 16;
+/// The part of the workers that is kept for gangs that wait, at most.
+const AWAITED_PERCENT: usize = 60;
 /// The time until advice is asked for again after a call that failed.
 const ADVICE_RETRY: Duration = Duration::from_ms(100);
 /// The weight of what was learned before, so that the estimate can follow.
@@ -37,82 +44,109 @@
 
 impl Scheduler {
     /// Asks for advice on a step that could not be placed, where that serves.
-    #[allow(clippy::too_many_arguments, reason = "one step of a pass")]
     pub(crate) fn seek_advice(
         &mut self,
         now: Instant,
         turn: &Turn,
         policy: AdvicePolicy,
-        candidates: Vec<Candidate>,
         placed_count: usize,
         pass: &mut Pass,
         out: &mut Vec<Action>,
     ) {
         let needed = turn.waiting.len() - placed_count;
-        if self.advice[&turn.key].open.is_some() {
-            claim_room(pass, turn, needed);
-            return;
-        }
         if now < self.advice[&turn.key].retry_at {
             return;
         }
         if turn.spec().is_gang {
-            self.seek_for_gang(now, turn, policy, &candidates, pass, out);
+            self.seek_for_gang(now, turn, policy, pass, out);
         } else if has_room(pass, turn) {
-            let candidates = self.still_free(turn, candidates);
-            let named = self.choose_named(turn, &candidates, needed);
+            let named = self.choose_named(now, turn, pass, needed);
             if !named.is_empty() && self.ask(now, turn, policy, named, out) {
                 claim_room(pass, turn, needed);
             }
         }
     }
 
-    /// Drops candidates whose room was taken since they were found.
-    fn still_free(&self, turn: &Turn, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
-        candidates.retain(|c| turn.demand.fits_in(&self.workers[c.worker].free()));
-        candidates
-    }
-
-    /// Chooses workers with room until enough of them should be good.
-    fn choose_named(&self, turn: &Turn, candidates: &[Candidate], needed: usize) -> Vec<WorkerKey> {
+    /// Chooses workers with room until enough of them should be good: those
+    /// known to be good first, then those with most room.
+    fn choose_named(
+        &self,
+        now: Instant,
+        turn: &Turn,
+        pass: &Pass,
+        needed: usize,
+    ) -> Vec<WorkerKey> {
         let goodness = self.goodness_of(&turn.record.queue);
         let advice = &self.advice[&turn.key];
-        let mut candidates: Vec<&Candidate> = candidates.iter().collect();
-        candidates.sort_by_key(|c| {
-            let is_known = advice.is_good(c.worker);
-            (!is_known, !c.is_near, Reverse(c.free.cores_milli))
-        });
-        let wanted = needed as f64 * NAMED_ROOM_FACTOR;
-        let mut expected = 0.0;
+        let mut wanted = needed as f64 * NAMED_ROOM_FACTOR;
         let mut named = Vec::new();
-        for candidate in candidates {
-            if expected >= wanted || named.len() >= NAMED_LIMIT_COUNT {
+        for candidate in self.candidates(now, turn, pass, advice.good().into_iter()) {
+            if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
+                return named;
+            }
+            wanted -= f64::from(candidate.fit_count(&turn.demand).min(needed as u32));
+            named.push(candidate.worker);
+        }
+        let spec = turn.spec();
+        let is_preferring = spec.data_rack.is_some();
+        for &key in &pass.by_room {
+            let worker = &self.workers[key];
+            if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
-            let is_good = advice.is_good(candidate.worker);
-            let chance = if is_good { 1.0 } else { goodness };
+            if advice.is_known(key) || pass.awaited.contains(&key) {
+                continue;
+            }
+            let Some(candidate) = self.candidate(turn, key, worker) else {
+                continue;
+            };
             let fit_count = candidate.fit_count(&turn.demand).min(needed as u32);
-            expected += chance * f64::from(fit_count);
-            named.push(candidate.worker);
+            if fit_count == 0 {
+                continue;
+            }
+            wanted -= goodness * f64::from(fit_count);
+            named.push(key);
+        }
+        if is_preferring {
+            self.prefer_near(now, turn, pass, &mut named);
         }
         named
     }
 
+    /// Puts unknown workers near the step's data before the others.
+    fn prefer_near(&self, now: Instant, turn: &Turn, pass: &Pass, named: &mut Vec<WorkerKey>) {
+        let advice = &self.advice[&turn.key];
+        let count = named.len();
+        let unknown = pass.by_room.iter().copied();
+        let unknown = unknown.filter(|key| !advice.is_known(*key));
+        let near = self.candidates(now, turn, pass, unknown);
+        let near = near.iter().filter(|candidate| candidate.is_near);
+        let mut preferred: Vec<WorkerKey> = near.map(|candidate| candidate.worker).collect();
+        preferred.extend(
+            named
+                .iter()
+                .filter(|key| !preferred.contains(key))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
+        preferred.truncate(count);
+        *named = preferred;
+    }
+
     fn seek_for_gang(
         &mut self,
         now: Instant,
         turn: &Turn,
         policy: AdvicePolicy,
-        candidates: &[Candidate],
         pass: &mut Pass,
         out: &mut Vec<Action>,
     ) {
+        if pass.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+            return;
+        }
         let needed = turn.waiting.len();
-        let fitting: Vec<Candidate> = candidates
-            .iter()
-            .filter(|c| self.advice[&turn.key].is_good(c.worker))
-            .cloned()
-            .collect();
+        let good = self.advice[&turn.key].good();
+        let fitting = self.candidates(now, turn, pass, good.iter().copied());
         if fit_sum(&fitting, &turn.demand) >= needed as u64 {
             let reservations = reserve(fitting, &turn.demand, needed);
             let named = reservations.iter().map(|r| r.worker).collect();
@@ -122,14 +156,17 @@
             }
             return;
         }
-        let unknown = self.unknown_workers(now, turn);
-        let good = self.good_workers(now, turn);
+        pass.waiting_gangs_count += 1;
+        let unknown = self.unknown_workers(turn, pass);
+        let good = self.good_workers(now, turn, good);
         let total: u64 = good
             .iter()
             .map(|(_, capacity_count, _)| u64::from(*capacity_count))
             .sum();
         let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
-        let has_free = self.unknown_room(turn, &unknown) >= needed as u64;
+        let answered_at = self.advice[&turn.key].answered_at;
+        let has_free = now.since(answered_at) >= LOOK_FURTHER_AFTER
+            && self.unknown_room(turn, &unknown) >= needed as u64;
         if !unknown.is_empty() && (is_short || has_free) {
             let missing = needed as f64 - total as f64;
             let named = self.choose_unknown(turn, policy, unknown, missing);
@@ -141,28 +178,21 @@
 
     /// Returns the workers of which nothing is known for the step, the
     /// freest first.
-    fn unknown_workers(&self, now: Instant, turn: &Turn) -> Vec<(WorkerKey, u32)> {
+    fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
         let advice = &self.advice[&turn.key];
-        let mut unknown = Vec::new();
-        for (key, worker) in self.workers.iter() {
-            if !worker.is_placeable(now) || advice.is_known(key) {
-                continue;
-            }
-            if !self.is_eligible(turn, worker) {
-                continue;
-            }
-            unknown.push((key, worker.free().cores_milli));
-        }
-        unknown.sort_by_key(|(key, free)| (Reverse(*free), *key));
+        let unknown = pass.by_room.iter().copied();
+        let unknown = unknown.filter(|key| !advice.is_known(*key));
         unknown
+            .filter(|key| self.is_eligible(turn, &self.workers[*key]))
+            .collect()
     }
 
     /// Returns how many members fit now on workers of which nothing is known: a
     /// gang whose good workers are busy may find others. Each call leaves fewer
     /// unknown, so even a small chance is taken.
-    fn unknown_room(&self, turn: &Turn, unknown: &[(WorkerKey, u32)]) -> u64 {
+    fn unknown_room(&self, turn: &Turn, unknown: &[WorkerKey]) -> u64 {
         let fit = |key: &WorkerKey| fit_in(&self.workers[*key].free(), &turn.demand);
-        unknown.iter().map(|(key, _)| u64::from(fit(key))).sum()
+        unknown.iter().map(|key| u64::from(fit(key))).sum()
     }
 
     /// Chooses unknown workers until enough of them should be good, whether
@@ -171,7 +201,7 @@
         &self,
         turn: &Turn,
         policy: AdvicePolicy,
-        unknown: Vec<(WorkerKey, u32)>,
+        unknown: Vec<WorkerKey>,
         missing: f64,
     ) -> Vec<WorkerKey> {
         let goodness = self.goodness_of(&turn.record.queue);
@@ -181,7 +211,7 @@
         let least_count = cheap_count as usize;
         let mut expected = 0.0;
         let mut named = Vec::new();
-        for (key, _) in unknown {
+        for key in unknown {
             let is_enough = expected >= wanted && named.len() >= least_count;
             if is_enough || named.len() >= NAMED_LIMIT_COUNT {
                 break;
@@ -195,28 +225,34 @@
 
     /// Returns the workers known to be good for a gang, with how many members
     /// they hold when empty and how many now; the soonest to hold any first.
-    fn good_workers(&self, now: Instant, turn: &Turn) -> Vec<(WorkerKey, u32, u32)> {
-        let advice = &self.advice[&turn.key];
-        let mut good = Vec::new();
-        for (key, worker) in self.workers.iter() {
-            if !worker.is_placeable(now) || !advice.is_good(key) {
-                continue;
-            }
-            let capacity_count = fit_in(&worker.facts.capacity, &turn.demand);
-            let free_count = fit_in(&worker.free(), &turn.demand);
-            good.push((key, capacity_count, free_count));
-        }
-        good.sort_by_key(|(key, capacity_count, free_count)| {
+    fn good_workers(
+        &self,
+        now: Instant,
+        turn: &Turn,
+        good: Vec<WorkerKey>,
+    ) -> Vec<(WorkerKey, u32, u32)> {
+        let able = good
+            .into_iter()
+            .filter(|key| self.workers[*key].is_placeable(now));
+        let mut found: Vec<(WorkerKey, u32, u32)> = able
+            .map(|key| {
+                let worker = &self.workers[key];
+                let capacity_count = fit_in(&worker.facts.capacity, &turn.demand);
+                (key, capacity_count, fit_in(&worker.free(), &turn.demand))
+            })
+            .collect();
+        found.sort_by_key(|(key, capacity_count, free_count)| {
             (Reverse(*free_count), Reverse(*capacity_count), *key)
         });
-        good
+        found
     }
 
     /// Keeps later work off enough good workers for the gang.
     fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
         let mut held: u64 = 0;
+        let limit_count = pass.by_room.len() * AWAITED_PERCENT / 100;
         for (key, capacity_count, _) in good {
-            if held >= turn.waiting.len() as u64 {
+            if held >= turn.waiting.len() as u64 || pass.awaited.len() >= limit_count {
                 return;
             }
             if !pass.awaited.insert(*key) {
@@ -292,6 +328,7 @@
             out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
             return;
         };
+        advice.answered_at = now;
         let good: Vec<(WorkerKey, Arc<str>)> = tickets
             .into_iter()
             .filter_map(|ticket| {
@@ -332,13 +369,13 @@
 }
 
 /// Returns whether the pass has room left for at least one task.
-fn has_room(pass: &Pass, turn: &Turn) -> bool {
+pub(crate) fn has_room(pass: &Pass, turn: &Turn) -> bool {
     let room = pass.room_milli.get(turn.record.service.as_str());
     room.is_some_and(|room| *room >= i64::from(turn.demand.cores_milli))
 }
 
 /// Takes a step's demand off the room that the pass has left.
-fn claim_room(pass: &mut Pass, turn: &Turn, tasks_count: usize) {
+pub(crate) fn claim_room(pass: &mut Pass, turn: &Turn, tasks_count: usize) {
     if let Some(room) = pass.room_milli.get_mut(turn.record.service.as_str()) {
         *room -= i64::from(turn.demand.cores_milli) * tasks_count as i64;
     }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -76,6 +76,8 @@
     pub commit_limit_count: usize,
     /// The time between the starts of two commits of a lane.
     pub commit_pace: Duration,
+    /// The least time between two passes over the waiting steps.
+    pub place_pace: Duration,
     /// How long a renewal keeps a worker's runs alive.
     pub grant: Duration,
     /// The same while the store is in trouble.
@@ -103,9 +105,10 @@
         let limit_ms = grant_limit.as_ms();
         Self {
             fence,
-            lanes_count: 2,
+            lanes_count: 3,
             commit_limit_count: 30,
-            commit_pace: Duration::from_ms(45),
+            commit_pace: Duration::from_ms(60),
+            place_pace: Duration::from_ms(8),
             grant: Duration::from_ms(limit_ms.min(4000)),
             long_grant: grant_limit,
             grant_limit,
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -3,7 +3,8 @@
 use crate::commits::Effect;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, EndKind, EndedRun};
-use crate::job::{StepKey, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
+use crate::order::left_ms;
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
@@ -119,6 +120,7 @@
                 self.stop_task(now, end.task, "done elsewhere", out);
             }
             if self.is_step_done(step) {
+                self.note_step_done(step.job);
                 self.advice.remove(&step);
             }
             self.check_complete(now, step.job, out);
@@ -147,6 +149,13 @@
         })
     }
 
+    /// Works out anew what is left of a job.
+    fn note_step_done(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.left_ms = left_ms(&job.record, &job.state);
+        }
+    }
+
     fn is_step_done(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
         let round = job.and_then(|job| job.state.round(step.round));
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -4,6 +4,7 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::order::left_ms;
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, RoundState, TaskStatus};
 use crate::worker::RunPhase;
@@ -31,6 +32,10 @@
     pub(crate) shown: Phase,
     pub(crate) ended_at: Option<Instant>,
     pub(crate) rank: (u32, u64),
+    /// The time within which the job should be done, by its estimates.
+    pub(crate) objective: Duration,
+    /// The estimate of what is left of its longest chain, in milliseconds.
+    pub(crate) left_ms: u64,
     /// When the job was accepted, on this node's clock.
     pub(crate) accepted_at: Instant,
     /// The steps that may be started, where they have been worked out.
@@ -58,6 +63,8 @@
             ended_at: None,
             rank,
             accepted_at,
+            objective: Duration::ZERO,
+            left_ms: 0,
             ready: None,
             state,
         }
@@ -131,7 +138,9 @@
         let rank = (priority, self.next_order);
         self.next_order += 1;
         let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
+        let objective = self.objective(&record);
         let mut job = Job::new(record, state, rank, now - age);
+        job.objective = objective;
         if job.state.phase == Phase::Active {
             self.active.insert(rank, id);
             if job.record.spec.schedule.is_some() {
@@ -141,6 +150,7 @@
                 job.state.next_round = 1;
             }
         }
+        job.left_ms = left_ms(&job.record, &job.state);
         self.jobs.insert(id, job);
         self.is_place_due = true;
         let wall_ms = self.wall_ms;
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -3,7 +3,7 @@
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
-use crate::state::{RoundState, StepState};
+use crate::state::{JobState, RoundState, StepState};
 use ospreywing_types::{Duration, Instant};
 
 /// How many times its objective a job may take and still be worth something.
@@ -48,15 +48,8 @@
         if is_perpetual || job.record.spec.schedule.is_some() {
             return Prospect::InTime;
         }
-        let objective = self.objective(&job.record);
-        let left_ms = job
-            .state
-            .rounds
-            .iter()
-            .map(|round| chain_ms(&job.record, Some(round)))
-            .max()
-            .unwrap_or(0);
-        let sure = Duration::from_ms(left_ms * SURE_PERCENT / 100);
+        let sure = Duration::from_ms(job.left_ms * SURE_PERCENT / 100);
+        let objective = job.objective;
         let ends_at = now + sure;
         if ends_at <= job.accepted_at + objective {
             Prospect::InTime
@@ -77,6 +70,13 @@
     }
 }
 
+/// Returns the estimate of what is left of a job's longest chain.
+pub(crate) fn left_ms(record: &JobRecord, state: &JobState) -> u64 {
+    let rounds = state.rounds.iter();
+    let left_ms = rounds.map(|round| chain_ms(record, Some(round)));
+    left_ms.max().unwrap_or(0)
+}
+
 /// Returns the estimate of a job's longest chain of steps that are not done.
 fn chain_ms(record: &JobRecord, round: Option<&RoundState>) -> u64 {
     let mut ends_ms: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -1,5 +1,6 @@
 //! Placement: which waiting task goes to which worker.
 
+use crate::asking::{claim_room, has_room};
 use crate::commits::Effect;
 use crate::config::AdvicePolicy;
 use crate::decision::{Decision, DecisionKind};
@@ -9,6 +10,7 @@
 use crate::state::{StepState, TaskStatus};
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Instant, Resources};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -72,9 +74,14 @@
     /// The processors that are free and not yet asked for, by service, in
     /// thousandths of a core.
     pub(crate) room_milli: BTreeMap<Arc<str>, i64>,
+    /// The workers that may take a run, those with most room first, as they
+    /// were when the pass began.
+    pub(crate) by_room: Vec<WorkerKey>,
     /// Workers on which a gang waits for room: whoever comes later in the pass
     /// is less urgent and leaves them alone.
     pub(crate) awaited: BTreeSet<WorkerKey>,
+    /// The gangs that wait for room so far.
+    pub(crate) waiting_gangs_count: usize,
     examined_count: usize,
 }
 
@@ -98,12 +105,15 @@
 
     fn new_pass(&self, now: Instant) -> Pass {
         let mut pass = Pass::default();
-        for worker in self.workers.values() {
+        for (key, worker) in self.workers.iter() {
             if worker.is_placeable(now) {
+                pass.by_room.push(key);
                 let room = pass.room_milli.entry(worker.facts.service.clone());
                 *room.or_default() += i64::from(worker.free().cores_milli);
             }
         }
+        let free = |key: &WorkerKey| self.workers[*key].free().cores_milli;
+        pass.by_room.sort_by_key(|key| (Reverse(free(key)), *key));
         pass
     }
 
@@ -111,29 +121,28 @@
         let Some(turn) = self.turn(key) else {
             return;
         };
-        let mut candidates = self.candidates(now, &turn, pass);
         let Some(policy) = turn.advice else {
-            self.allocate(now, &turn, candidates, out);
+            if has_room(pass, &turn) {
+                let candidates = self.candidates(now, &turn, pass, pass.by_room.iter().copied());
+                self.allocate(now, &turn, candidates, out);
+            }
             return;
         };
         let advice = self.advice.entry(key).or_default();
-        candidates.retain(|candidate| !advice.is_bad(candidate.worker));
-        let ticketed: Vec<Candidate> = candidates
-            .iter()
-            .filter(|candidate| advice.ticket(now, candidate.worker).is_some())
-            .cloned()
-            .collect();
-        let placed_count = self.allocate(now, &turn, ticketed, out);
-        if self
-            .advice
-            .get(&key)
-            .is_none_or(|advice| advice.open.is_none())
-        {
-            // The answer has come: what was kept has been used, or is given back.
-            self.reservations.remove(&key);
+        if advice.open.is_some() {
+            claim_room(pass, &turn, turn.waiting.len());
+            return;
+        }
+        let ticketed = advice.ticketed(now);
+        let mut placed_count = 0;
+        if !ticketed.is_empty() {
+            let candidates = self.candidates(now, &turn, pass, ticketed.into_iter());
+            placed_count = self.allocate(now, &turn, candidates, out);
         }
+        // The answer has come: what was kept has been used, or is given back.
+        self.reservations.remove(&key);
         if placed_count < turn.waiting.len() {
-            self.seek_advice(now, &turn, policy, candidates, placed_count, pass, out);
+            self.seek_advice(now, &turn, policy, placed_count, pass, out);
         }
     }
 
@@ -172,10 +181,18 @@
             && turn.demand.fits_in(&worker.facts.capacity)
     }
 
-    /// Returns the workers that could take at least one task, the fullest first.
-    fn candidates(&self, now: Instant, turn: &Turn, pass: &Pass) -> Vec<Candidate> {
+    /// Returns those of the workers that could take at least one task, the
+    /// fullest first.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        turn: &Turn,
+        pass: &Pass,
+        workers: impl Iterator<Item = WorkerKey>,
+    ) -> Vec<Candidate> {
         let mut found = Vec::new();
-        for (key, worker) in self.workers.iter() {
+        for key in workers {
+            let worker = &self.workers[key];
             if !worker.is_placeable(now) || !turn.demand.fits_in(&worker.free()) {
                 continue;
             }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -67,6 +67,7 @@
     pub(crate) has_store_trouble: bool,
     /// Whether something has changed that may let a task be placed.
     pub(crate) is_place_due: bool,
+    next_place_at: Instant,
     pub(crate) wall_ms: u64,
 }
 
@@ -91,6 +92,7 @@
             lanes,
             has_store_trouble: false,
             is_place_due: true,
+            next_place_at: Instant::default(),
             wall_ms: 0,
         }
     }
@@ -133,7 +135,9 @@
     /// Does what is due: places, commits, renews. Called after each batch of
     /// events, so that one pass serves them all.
     pub fn settle(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if core::mem::take(&mut self.is_place_due) {
+        if self.is_place_due && now >= self.next_place_at {
+            self.is_place_due = false;
+            self.next_place_at = now + self.config.place_pace;
             self.place(now, out);
         }
         self.renew_leases(now, out);
