--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -70,6 +70,7 @@
         .subcommand(Command::new("status").about("Shows the cell as each daemon sees it"))
         .subcommand(report())
         .subcommand(replay())
+        .subcommand(explain())
         .subcommand(check_settings())
         .subcommand(
             Command::new("completions")
@@ -178,6 +179,18 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the story of one request from the logs of the nodes")
+        .arg(Arg::new("id").required(true).help("The job's id"))
+        .arg(
+            Arg::new("log")
+                .required(true)
+                .num_args(1..)
+                .help("The nodes' logs, JSON lines"),
+        )
+}
+
 fn replay() -> Command {
     let table = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
     Command::new("replay")
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,174 @@
+//! `explain`: the story of one request, from the logs of several nodes.
+
+use crate::input::read_text;
+use crate::print::{print, Format};
+use crate::CliError;
+use clap::ArgMatches;
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+
+/// A change of a node's time of day against its steady clock that is named.
+const CLOCK_DOUBT_MS: i64 = 250;
+/// A time without a line that is named.
+const GAP_MS: u64 = 1000;
+/// Fields that every line has.
+const COMMON_FIELDS: [&str; 5] = ["at_ms", "wall_ms", "node", "msg", "level"];
+
+/// One line of the story.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Entry {
+    /// The time of day, in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// The node.
+    pub node: String,
+    /// What happened.
+    pub message: String,
+    /// The other fields, in words.
+    pub fields: String,
+}
+
+/// A node whose time of day jumped.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ClockDoubt {
+    /// The node.
+    pub node: String,
+    /// By how much, in milliseconds.
+    pub jump_ms: i64,
+}
+
+/// The story of one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Story {
+    /// The lines that name the request, in the order of the time of day.
+    pub entries: Vec<Entry>,
+    /// Clocks that make the order doubtful.
+    pub clock_doubts: Vec<ClockDoubt>,
+    /// Lines that nodes dropped, so that something may be missing.
+    pub dropped_count: u64,
+    /// Lines that can't be read.
+    pub unread_count: u64,
+}
+
+#[derive(Default)]
+struct Clock {
+    offset_ms: Option<i64>,
+}
+
+impl Story {
+    /// Gathers the lines that name a job, or one of its tasks, from logs.
+    pub fn new<'a>(id: &str, logs: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut story = Self::default();
+        let mut clocks: BTreeMap<String, Clock> = BTreeMap::new();
+        for line in logs.into_iter().flat_map(str::lines) {
+            match serde_json::from_str::<Map<String, Value>>(line) {
+                Ok(fields) => story.take(id, &fields, &mut clocks),
+                Err(_) => story.unread_count += 1,
+            }
+        }
+        story.entries.sort_by_key(|entry| entry.wall_ms);
+        story
+    }
+
+    fn take(
+        &mut self,
+        id: &str,
+        fields: &Map<String, Value>,
+        clocks: &mut BTreeMap<String, Clock>,
+    ) {
+        let number = |name: &str| fields.get(name).and_then(Value::as_u64).unwrap_or_default();
+        let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default();
+        if text("msg") == "lines dropped" {
+            self.dropped_count += number("count");
+            return;
+        }
+        let (wall_ms, node) = (number("wall_ms"), text("node"));
+        if text("msg") == "started" && fields.contains_key("version") {
+            // A process that starts may be on another machine.
+            clocks.remove(node);
+        }
+        let offset_ms = wall_ms as i64 - number("at_ms") as i64;
+        self.check_clock(node, offset_ms, clocks);
+        let is_named = text("job") == id || text("task").split('.').next() == Some(id);
+        if is_named {
+            self.entries.push(Entry {
+                wall_ms,
+                node: node.to_owned(),
+                message: text("msg").to_owned(),
+                fields: words_of(fields),
+            });
+        }
+    }
+
+    fn check_clock(&mut self, node: &str, offset_ms: i64, clocks: &mut BTreeMap<String, Clock>) {
+        let clock = clocks.entry(node.to_owned()).or_default();
+        let before_ms = clock.offset_ms.replace(offset_ms).unwrap_or(offset_ms);
+        let jump_ms = offset_ms - before_ms;
+        if jump_ms.abs() >= CLOCK_DOUBT_MS {
+            self.clock_doubts.push(ClockDoubt {
+                node: node.to_owned(),
+                jump_ms,
+            });
+        }
+    }
+
+    /// Returns the story as text, with its gaps.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let begun_ms = self.entries.first().map_or(0, |entry| entry.wall_ms);
+        let mut last_ms = begun_ms;
+        for entry in &self.entries {
+            if entry.wall_ms - last_ms >= GAP_MS {
+                text.push_str(&format!("          ... {} ms\n", entry.wall_ms - last_ms));
+            }
+            last_ms = entry.wall_ms;
+            let after_ms = entry.wall_ms - begun_ms;
+            let Entry {
+                node,
+                message,
+                fields,
+                ..
+            } = entry;
+            text.push_str(&format!("{after_ms:>8} ms  {node}  {message}  {fields}\n"));
+        }
+        if self.entries.is_empty() {
+            text.push_str("no line names it\n");
+        }
+        for doubt in &self.clock_doubts {
+            let ClockDoubt { node, jump_ms } = doubt;
+            text.push_str(&format!(
+                "doubt: the time of day of {node} moved by {jump_ms} ms\n"
+            ));
+        }
+        if self.dropped_count + self.unread_count > 0 {
+            let (dropped, unread) = (self.dropped_count, self.unread_count);
+            text.push_str(&format!(
+                "doubt: {dropped} lines were dropped, {unread} can't be read\n"
+            ));
+        }
+        text
+    }
+}
+
+fn words_of(fields: &Map<String, Value>) -> String {
+    let others = fields
+        .iter()
+        .filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
+    let words: Vec<String> = others
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    words.join(" ")
+}
+
+/// Prints the story of one request.
+pub(crate) fn run(format: Format, matches: &ArgMatches) -> Result<(), CliError> {
+    let id = matches.get_one::<String>("id").cloned().unwrap_or_default();
+    let paths = matches.get_many::<String>("log").into_iter().flatten();
+    let logs: Result<Vec<String>, CliError> = paths.map(|path| read_text(path)).collect();
+    let story = Story::new(&id, logs?.iter().map(String::as_str));
+    print(format, &story, || story.to_text());
+    Ok(())
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 pub mod command;
 mod error;
+mod explain;
 mod input;
 mod print;
 mod replay;
@@ -14,4 +15,5 @@
 
 pub use client::Daemons;
 pub use error::{CliError, ExitKind};
+pub use explain::{ClockDoubt, Entry, Story};
 pub use run::run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Daemons;
 use crate::print::Format;
-use crate::{replay, report, settings_check, table_commands, task_commands, CliError};
+use crate::{explain, replay, report, settings_check, table_commands, task_commands, CliError};
 use clap::ArgMatches;
 use clap_complete::{generate, Shell};
 
@@ -28,6 +28,7 @@
         Some(("status", _)) => report::status(&daemons, format).await,
         Some(("report", _)) => report::burn(&daemons, format).await,
         Some(("replay", matches)) => replay::run(format, matches),
+        Some(("explain", matches)) => explain::run(format, matches),
         Some(("check-settings", matches)) => settings_check::run(matches),
         Some(("completions", matches)) => {
             print_completions(matches);
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -111,6 +111,7 @@
         .set_newlines(true)
         .add_key_value(o!(
             "at_ms" => FnValue(|_| crate::clock::now().as_ms()),
+            "wall_ms" => FnValue(|_| crate::clock::wall_ms()),
             "level" => FnValue(|record: &Record<'_>| record.level().as_short_str()),
             "msg" => PushFnValue(|record: &Record<'_>, serializer| {
                 serializer.emit(record.msg())
