--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -16,6 +16,7 @@
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -36,6 +37,12 @@
 const CAMPAIGN_STAGGER: Duration = Duration::from_ms(25);
 /// The least time between two evictions by one node.
 const EVICTION_PERIOD: Duration = Duration::from_ms(5000);
+/// The most ranks that are told apart.
+const CAMPAIGN_RANKS_COUNT: usize = 8;
+/// How much longer a node waits that is much weaker than others.
+const WEAK_DELAY: Duration = Duration::from_ms(400);
+/// How many times as strong a node must be to count as much stronger.
+const STRONGER_FACTOR: u32 = 2;
 /// The time until something that failed is tried again.
 const RETRY: Duration = Duration::from_ms(200);
 
@@ -220,18 +227,40 @@
     view.leader.is_none() && is_fresh && is_able
 }
 
-/// Returns how long this node lets others go first: the strongest node first.
+/// Returns how long this node lets others go first.
 fn stagger<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    let view = node.cell.borrow();
-    let own = (
-        core::cmp::Reverse(node.settings.cores_milli),
-        &node.settings.name,
-    );
-    let earlier = view
-        .nodes
+    let own = NodeRecord {
+        address: node.settings.peer_address.to_string(),
+        cores_milli: node.settings.cores_milli,
+    };
+    campaign_delay(&node.settings.name, &own, &node.cell.borrow().nodes)
+}
+
+/// Returns how long a node lets others stand first: the stronger ones, and of
+/// equal ones those whose names come first. A node that is much weaker than
+/// others waits long enough for all of them, since the whole cell's speed is
+/// the leader's.
+pub fn campaign_delay(
+    name: &str,
+    own: &NodeRecord,
+    nodes: &BTreeMap<String, NodeRecord>,
+) -> Duration {
+    let rank = (Reverse(own.cores_milli), name);
+    let earlier = nodes
         .iter()
-        .filter(|(name, record)| (core::cmp::Reverse(record.cores_milli), *name) < own);
-    CAMPAIGN_STAGGER.times(earlier.count().min(8) as u64)
+        .filter(|(other, record)| (Reverse(record.cores_milli), other.as_str()) < rank);
+    let delay = CAMPAIGN_STAGGER.times(earlier.count().min(CAMPAIGN_RANKS_COUNT) as u64);
+    if is_much_weaker(own, nodes) {
+        delay + WEAK_DELAY
+    } else {
+        delay
+    }
+}
+
+/// Returns whether a live node is much stronger than this one.
+pub fn is_much_weaker(own: &NodeRecord, nodes: &BTreeMap<String, NodeRecord>) -> bool {
+    let strongest = nodes.values().map(|record| record.cores_milli).max();
+    strongest.is_some_and(|strongest| strongest >= own.cores_milli * STRONGER_FACTOR)
 }
 
 /// Stands for leader, and leads where elected, until the term is over.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,7 +1,7 @@
 //! A leader's term: the scheduler and the loops that feed it.
 
 use crate::commit::{CommitLane, CommitOutcome};
-use crate::election::{LANES_COUNT, LEADER_LEASE};
+use crate::election::{self, NodeRecord, LANES_COUNT, LEADER_LEASE};
 use crate::follow::{follow, read_all, Flow, FollowPolicy, Update};
 use crate::keys::IntakeKey;
 use crate::node::Node;
@@ -30,6 +30,10 @@
 const LEASE_MARGIN: Duration = Duration::from_ms(150);
 /// The time without a renewal after which the store is in trouble.
 const TROUBLE_AFTER: Duration = Duration::from_ms(800);
+/// Failed attempts to recover after which another node may try.
+const RECOVERIES_LIMIT_COUNT: usize = 3;
+/// How long a node leads before it gives way to a much stronger one.
+const GIVE_WAY_AFTER: Duration = Duration::from_ms(4000);
 /// Failed renewals in a row after which the lead is handed over.
 const HAND_OVER_AFTER_COUNT: u32 = 2;
 /// Failed renewals after which that is tried again.
@@ -232,7 +236,7 @@
     node: &Rc<Node<P>>,
     leading: &Rc<Leading<P>>,
 ) -> Option<(Recovered, Revision)> {
-    loop {
+    for _ in 0..RECOVERIES_LIMIT_COUNT {
         if leading.is_over() {
             return None;
         }
@@ -244,6 +248,7 @@
             }
         }
     }
+    None
 }
 
 async fn read_recovered<P: Platform>(
@@ -390,56 +395,103 @@
     }
 }
 
+/// What the loop of a term keeps from one batch of events to the next.
+struct Feed {
+    received: mpsc::UnboundedReceiver<Event>,
+    actions: Vec<Action>,
+    has_trouble: bool,
+    nodes: Vec<Arc<str>>,
+}
+
 /// Feeds the scheduler until the term is over.
 async fn run<P: Platform>(
     node: &Rc<Node<P>>,
     leading: &Rc<Leading<P>>,
-    mut received: mpsc::UnboundedReceiver<Event>,
+    received: mpsc::UnboundedReceiver<Event>,
 ) {
     let mut ticks = tokio::time::interval(TICK.into());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut actions = Vec::new();
-    let mut has_trouble = false;
-    let mut nodes = Vec::new();
+    let begun = clock::now();
+    let mut feed = Feed {
+        received,
+        actions: Vec::new(),
+        has_trouble: false,
+        nodes: Vec::new(),
+    };
     while !leading.is_over() {
         let first = tokio::select! {
-            event = received.recv() => event,
+            event = feed.received.recv() => event,
             _ = ticks.tick() => Some(Event::Tick),
             () = leading.ended.notified() => return,
         };
         let Some(first) = first else {
             return;
         };
-        let now = clock::now();
-        let mut scheduler = leading.scheduler.borrow_mut();
-        if matches!(first, Event::Tick) {
-            let trouble = now.since(leading.renewed_at.get()) > TROUBLE_AFTER;
-            if trouble != has_trouble {
-                has_trouble = trouble;
-                info!(node.log, "store trouble"; "has_trouble" => trouble);
-                scheduler.handle(now, Event::StoreTrouble(trouble), &mut actions);
-            }
-            scheduler.handle(now, Event::WallClock(clock::wall_ms()), &mut actions);
-            let listed = node.names();
-            if listed != nodes {
-                nodes.clone_from(&listed);
-                scheduler.handle(now, Event::NodesListed(listed), &mut actions);
-            }
-        }
-        scheduler.handle(now, first, &mut actions);
-        while let Ok(event) = received.try_recv() {
-            scheduler.handle(now, event, &mut actions);
-        }
-        if leading.may_order() && !leading.is_resigned.get() {
-            scheduler.settle(now, &mut actions);
-        }
-        drop(scheduler);
-        for action in actions.drain(..) {
-            carry_out(node, leading, action);
+        handle_batch(node, leading, &mut feed, first);
+        if clock::now().since(begun) >= GIVE_WAY_AFTER && should_give_way(node, leading) {
+            info!(node.log, "lead given up"; "reason" => "a much stronger node lives");
+            leading.resign().await;
         }
     }
 }
 
+/// Takes in an event and those that wait behind it, and carries out what follows.
+fn handle_batch<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    feed: &mut Feed,
+    first: Event,
+) {
+    let now = clock::now();
+    let mut scheduler = leading.scheduler.borrow_mut();
+    if matches!(first, Event::Tick) {
+        tell_surroundings(node, leading, feed, &mut scheduler);
+    }
+    scheduler.handle(now, first, &mut feed.actions);
+    while let Ok(event) = feed.received.try_recv() {
+        scheduler.handle(now, event, &mut feed.actions);
+    }
+    if leading.may_order() && !leading.is_resigned.get() {
+        scheduler.settle(now, &mut feed.actions);
+    }
+    drop(scheduler);
+    for action in feed.actions.drain(..) {
+        carry_out(node, leading, action);
+    }
+}
+
+/// Tells the scheduler of the store, the clock and the nodes, where they changed.
+fn tell_surroundings<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    feed: &mut Feed,
+    scheduler: &mut Scheduler,
+) {
+    let now = clock::now();
+    let has_trouble = now.since(leading.renewed_at.get()) > TROUBLE_AFTER;
+    if has_trouble != feed.has_trouble {
+        feed.has_trouble = has_trouble;
+        info!(node.log, "store trouble"; "has_trouble" => has_trouble);
+        scheduler.handle(now, Event::StoreTrouble(has_trouble), &mut feed.actions);
+    }
+    let wall_clock = Event::WallClock(clock::wall_ms());
+    scheduler.handle(now, wall_clock, &mut feed.actions);
+    let nodes = node.names();
+    if nodes != feed.nodes {
+        feed.nodes.clone_from(&nodes);
+        scheduler.handle(now, Event::NodesListed(nodes), &mut feed.actions);
+    }
+}
+
+/// Returns whether a much stronger node should lead instead.
+fn should_give_way<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) -> bool {
+    let own = NodeRecord {
+        address: node.settings.peer_address.to_string(),
+        cores_milli: node.settings.cores_milli,
+    };
+    leading.may_order() && election::is_much_weaker(&own, &node.cell.borrow().nodes)
+}
+
 fn carry_out<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, action: Action) {
     match action {
         Action::Commit { lane, changes } => {
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a node's parts against a store in memory.
 
+mod campaign;
 mod following;
 mod logging;
 mod store_writes;
