Let tasks with time to spare leave room to gangs that wait

Change: while a gang waits and less than a third of the workers is free, a step that has 4 s to spare is not placed. The test fails without it.

--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -9,7 +9,7 @@
 use crate::scheduler::Scheduler;
 use crate::state::{StepState, TaskStatus};
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
-use ospreywing_types::{Instant, Resources};
+use ospreywing_types::{Duration, Instant, Resources};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,6 +17,11 @@
 /// The most steps that one pass looks at; the rest has its turn in the next.
 const EXAMINED_LIMIT_COUNT: usize = 400;
 
+/// A step with this much time to spare leaves room to gangs that wait.
+const YIELD_SLACK: Duration = Duration::from_ms(4000);
+/// Only where less than one of so many parts of the workers is free.
+const YIELD_FREE_SHARE: u64 = 3;
+
 /// Returns what a task counts against a worker's room.
 pub(crate) fn counted_demand(spec: &StepSpec) -> Resources {
     let mut demand = spec.demand;
@@ -80,6 +85,10 @@
     /// Workers on which a gang waits for room: whoever comes later in the pass
     /// is less urgent and leaves them alone.
     pub(crate) awaited: BTreeSet<WorkerKey>,
+    /// What all workers that may take a run hold, and what of it is free, in
+    /// thousandths of a core.
+    capacity_milli: u64,
+    free_milli: u64,
     /// The gangs that wait for room so far.
     pub(crate) waiting_gangs_count: usize,
     examined_count: usize,
@@ -108,6 +117,8 @@
         for (key, worker) in self.workers.iter() {
             if worker.is_placeable(now) {
                 pass.by_room.push(key);
+                pass.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
+                pass.free_milli += u64::from(worker.free().cores_milli);
                 let room = pass.room_milli.entry(worker.facts.service.clone());
                 *room.or_default() += i64::from(worker.free().cores_milli);
             }
@@ -121,6 +132,9 @@
         let Some(turn) = self.turn(key) else {
             return;
         };
+        if self.yields_to_gangs(now, &turn, pass) {
+            return;
+        }
         let Some(policy) = turn.advice else {
             if has_room(pass, &turn) {
                 let candidates = self.candidates(now, &turn, pass, pass.by_room.iter().copied());
@@ -146,6 +160,20 @@
         }
     }
 
+    /// Returns whether a step leaves room to gangs that wait for it: a gang needs
+    /// much room at once, which tasks that can wait would take away bit by bit.
+    fn yields_to_gangs(&self, now: Instant, turn: &Turn, pass: &Pass) -> bool {
+        let is_crowded = pass.free_milli * YIELD_FREE_SHARE < pass.capacity_milli;
+        if pass.waiting_gangs_count == 0 || !is_crowded || turn.spec().is_gang {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&turn.key.job) else {
+            return false;
+        };
+        let needed_until = now + Duration::from_ms(job.left_ms) + YIELD_SLACK;
+        needed_until < job.accepted_at + job.objective
+    }
+
     /// Returns what is to be placed of a step, where anything is.
     fn turn(&self, key: StepKey) -> Option<Turn> {
         let job = self.jobs.get(&key.job)?;
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -331,6 +331,38 @@
     assert_eq!(bench.starts().len(), 2, "the third starts on another");
 }
 
+/// Found on swaramala-ow scale-2: tasks that could wait took the room away bit
+/// by bit that gangs needed at once.
+#[test]
+fn yields_to_gangs_while_there_is_time() {
+    let mut bench = Bench::with_advice(Recovered::default(), &workers(3), Some(advice()));
+    bench.tell(Event::NodesListed(vec!["n1".into()]));
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(4)
+    };
+    let patient = StepSpec {
+        estimate_ms: 10_000,
+        ..step(1)
+    };
+    let good = [["w0", "w1"], ["w2", "w2"], ["w0", "w1"]];
+    for (steps, good) in [gang.clone(), step(1), gang].into_iter().zip(good) {
+        bench.submit(bench.now.as_ms(), vec![steps]);
+        bench.advise(&good);
+        bench.commit_all();
+    }
+    assert_eq!(bench.starts().len(), 5, "the second gang waits");
+    bench.submit(9, vec![patient]);
+    bench.commit_all();
+    assert_eq!(bench.advise(&["w0", "w1", "w2"]), vec![]);
+    // Its objective is 21 s, of which it needs 10 and keeps 4 in hand.
+    bench.now = bench.now + Duration::from_ms(8_000);
+    bench.commit_all();
+    assert_eq!(bench.advise(&["w0", "w1", "w2"]).len(), 1);
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 1);
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
