Part the leader's file; log its sizes; drop a dead function

Change: what it follows goes to feeds.rs, reading the store at the start of a term to recovery.rs; a status line every 5 s; node::answer_peer, which only called another, is gone. No decision is changed.

--- /dev/null
+++ b/crates/control/src/feeds.rs
@@ -0,0 +1,136 @@
+//! What a leader follows in the store: the intake and the list of workers.
+
+use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::keys::{self, IntakeKey};
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::recovery::damaged;
+use crate::store::{Item, Revision, WatchedChange};
+use ospreywing_scheduler::{Event, JobRecord, WorkerFacts};
+use ospreywing_types::Duration;
+use slog::warn;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How the intake is followed: nodes tell the leader of what they took, so
+/// this finds only what such a message did not bring.
+const INTAKE_POLICY: FollowPolicy = FollowPolicy {
+    wait: Duration::from_ms(1500),
+    refresh: None,
+    pace: Duration::from_ms(400),
+};
+
+/// How the list of workers is followed.
+const WORKERS_POLICY: FollowPolicy = FollowPolicy {
+    wait: Duration::from_ms(2000),
+    refresh: Some(Duration::from_ms(10_000)),
+    pace: Duration::from_ms(400),
+};
+
+/// Tells the scheduler of accepted jobs and cancels until the term is over.
+pub async fn follow_intake<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>, at: Revision) {
+    let store = node.store.clone();
+    follow(
+        store,
+        keys::INTAKE_PREFIX,
+        INTAKE_POLICY,
+        Some(at),
+        |update| {
+            match update {
+                Update::Snapshot(items) => {
+                    node.note_contact();
+                    items.iter().for_each(|item| learn_intake(&leading, item));
+                }
+                Update::Changes(changes) => {
+                    node.note_contact();
+                    for change in &changes {
+                        if let WatchedChange::Put(item) = change {
+                            learn_intake(&leading, item);
+                        }
+                    }
+                }
+                Update::Unchanged => node.note_contact(),
+                Update::Failed(error) => {
+                    warn!(node.log, "store call failed";
+                    "what" => "intake", "error" => error.to_string());
+                }
+            }
+            flow_of(&leading)
+        },
+    )
+    .await;
+}
+
+fn flow_of<P: Platform>(leading: &Leading<P>) -> Flow {
+    if leading.is_over() {
+        Flow::Stop
+    } else {
+        Flow::Continue
+    }
+}
+
+fn learn_intake<P: Platform>(leading: &Leading<P>, item: &Item) {
+    match keys::parse_intake(&item.key) {
+        Some(IntakeKey::Job(job)) if leading.job(job).is_none() => {
+            if let Ok(record) = JobRecord::from_bytes(&item.value) {
+                let record = Box::new(record);
+                leading.tell(Event::JobAccepted { job, record });
+            }
+        }
+        Some(IntakeKey::Cancel(job)) => leading.tell(Event::CancelAccepted { job }),
+        _ => {}
+    }
+}
+
+/// Tells the scheduler of the list of workers until the term is over.
+pub async fn follow_workers<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    let mut known: BTreeMap<String, WorkerFacts> = BTreeMap::new();
+    let store = node.store.clone();
+    let prefix = node.platform.workers_prefix();
+    follow(store, prefix, WORKERS_POLICY, None, |update| {
+        let has_changed = match update {
+            Update::Snapshot(items) => {
+                let read = items.iter().filter_map(|item| read_worker(&node, item));
+                let read: BTreeMap<_, _> = read.collect();
+                let has_changed = read != known;
+                known = read;
+                has_changed
+            }
+            Update::Changes(changes) => {
+                let before = known.clone();
+                for change in changes {
+                    match change {
+                        WatchedChange::Put(item) => known.extend(read_worker(&node, &item)),
+                        WatchedChange::Gone { key } => {
+                            known.remove(&key);
+                        }
+                    }
+                }
+                before != known
+            }
+            Update::Unchanged => false,
+            Update::Failed(error) => {
+                warn!(node.log, "store call failed";
+                    "what" => "workers", "error" => error.to_string());
+                return flow_of(&leading);
+            }
+        };
+        node.note_contact();
+        if has_changed {
+            leading.tell(Event::WorkersListed(known.values().cloned().collect()));
+        }
+        flow_of(&leading)
+    })
+    .await;
+}
+
+fn read_worker<P: Platform>(node: &Node<P>, item: &Item) -> Option<(String, WorkerFacts)> {
+    match node.platform.parse_worker(&item.key, &item.value) {
+        Ok(facts) => Some((item.key.clone(), facts)),
+        Err(error) => {
+            damaged(&node.log, &item.key, &error.to_string());
+            None
+        }
+    }
+}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,26 +2,25 @@
 
 use crate::commit::{CommitLane, CommitOutcome};
 use crate::election::{self, NodeRecord, LANES_COUNT, LEADER_LEASE};
-use crate::follow::{follow, read_all, Flow, FollowPolicy, Update};
-use crate::keys::IntakeKey;
 use crate::node::Node;
 use crate::orders;
 use crate::peer::{self, PeerReply, PeerRequest};
 use crate::platform::Platform;
-use crate::store::{Item, LeaseGrant, LeaseId, Revision, Store, StoreError, WatchedChange};
-use crate::{clock, keys, requests};
+use crate::store::{LeaseGrant, LeaseId, Store, StoreError};
+use crate::{clock, feeds, recovery, requests};
 use ospreywing_scheduler::{
-    Action, Configuration, Decision, DecisionKind, Event, JobId, JobRecord, JobState, JobView,
-    Recovered, Scheduler, SchedulerConfig, WorkerFacts,
+    Action, Configuration, Decision, DecisionKind, Event, JobId, JobView, Recovered, Scheduler,
+    SchedulerConfig, SchedulerStatus,
 };
 use ospreywing_types::{Duration, Instant};
 use slog::{debug, info, warn, Logger};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{mpsc, Notify};
 
+/// The time between two lines with sizes.
+const STATUS_PERIOD: Duration = Duration::from_s(5);
 /// The time between two ticks.
 const TICK: Duration = Duration::from_ms(20);
 /// The time between two renewals of the leader's lease.
@@ -30,8 +29,6 @@
 const LEASE_MARGIN: Duration = Duration::from_ms(150);
 /// The time without a renewal after which the store is in trouble.
 const TROUBLE_AFTER: Duration = Duration::from_ms(800);
-/// Failed attempts to recover after which another node may try.
-const RECOVERIES_LIMIT_COUNT: usize = 3;
 /// How long a node leads before it gives way to a much stronger one.
 const GIVE_WAY_AFTER: Duration = Duration::from_ms(4000);
 /// Failed renewals in a row after which the lead is handed over.
@@ -45,21 +42,6 @@
 /// How long a resigning leader waits for its open commits.
 const RESIGN_LIMIT: Duration = Duration::from_ms(400);
 
-/// How the intake is followed: nodes tell the leader of what they took, so
-/// this finds only what such a message did not bring.
-const INTAKE_POLICY: FollowPolicy = FollowPolicy {
-    wait: Duration::from_ms(1500),
-    refresh: None,
-    pace: Duration::from_ms(400),
-};
-
-/// How the list of workers is followed.
-const WORKERS_POLICY: FollowPolicy = FollowPolicy {
-    wait: Duration::from_ms(2000),
-    refresh: Some(Duration::from_ms(10_000)),
-    pace: Duration::from_ms(400),
-};
-
 /// A term.
 pub struct Leading<P: Platform> {
     /// The fencing token.
@@ -165,7 +147,7 @@
         open_commits_count: Cell::new(0),
     });
     tokio::task::spawn_local(keep_lease(node.clone(), leading.clone()));
-    if let Some((recovered, at)) = recover(node, &leading).await {
+    if let Some((recovered, at)) = recovery::recover(node, &leading).await {
         info!(node.log, "recovered";
             "jobs" => recovered.jobs.len(), "states" => recovered.states.len(), "at" => at);
         let configuration = node.in_force().unwrap_or(in_force).configuration.clone();
@@ -175,8 +157,8 @@
         if node.is_draining.get() {
             leading.resign().await;
         }
-        tokio::task::spawn_local(follow_intake(node.clone(), leading.clone(), at));
-        tokio::task::spawn_local(follow_workers(node.clone(), leading.clone()));
+        tokio::task::spawn_local(feeds::follow_intake(node.clone(), leading.clone(), at));
+        tokio::task::spawn_local(feeds::follow_workers(node.clone(), leading.clone()));
         run(node, &leading, received).await;
         *node.leading.borrow_mut() = None;
     }
@@ -231,176 +213,13 @@
     }
 }
 
-/// Reads what the store keeps; `None` where the term is over before.
-async fn recover<P: Platform>(
-    node: &Rc<Node<P>>,
-    leading: &Rc<Leading<P>>,
-) -> Option<(Recovered, Revision)> {
-    for _ in 0..RECOVERIES_LIMIT_COUNT {
-        if leading.is_over() {
-            return None;
-        }
-        match read_recovered(node).await {
-            Ok(found) => return Some(found),
-            Err(error) => {
-                warn!(node.log, "recovery failed"; "error" => error.to_string());
-                tokio::time::sleep(RETRY.into()).await;
-            }
-        }
-    }
-    None
-}
-
-async fn read_recovered<P: Platform>(
-    node: &Rc<Node<P>>,
-) -> Result<(Recovered, Revision), StoreError> {
-    // Both at once: a slow store makes each page long.
-    let intake = read_all(&node.store, keys::INTAKE_PREFIX);
-    let states = read_all(&node.store, keys::STATE_PREFIX);
-    let (intake, states) = tokio::join!(intake, states);
-    let ((mut intake, at), (states, _)) = (intake?, states?);
-    // The order in which jobs were accepted.
-    intake.sort_by_key(|item| item.revision);
-    let mut recovered = Recovered {
-        wall_ms: clock::wall_ms(),
-        ..Recovered::default()
-    };
-    for item in &intake {
-        match keys::parse_intake(&item.key) {
-            Some(IntakeKey::Job(id)) => match JobRecord::from_bytes(&item.value) {
-                Ok(record) => recovered.jobs.push((id, record)),
-                Err(error) => damaged(&node.log, &item.key, &error.to_string()),
-            },
-            Some(IntakeKey::Cancel(id)) => recovered.cancels.push(id),
-            None => damaged(&node.log, &item.key, "unknown key"),
-        }
-    }
-    for item in &states {
-        let state = JobState::from_bytes(&item.value);
-        match (keys::parse_state(&item.key), state) {
-            (Some(id), Ok(state)) => recovered.states.push((id, state)),
-            (_, Err(error)) => damaged(&node.log, &item.key, &error.to_string()),
-            (None, _) => damaged(&node.log, &item.key, "unknown key"),
-        }
-    }
-    Ok((recovered, at))
-}
-
-fn damaged(log: &Logger, key: &str, error: &str) {
-    warn!(log, "stored item can't be read"; "key" => key, "error" => error);
-}
-
-async fn follow_intake<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>, at: Revision) {
-    let store = node.store.clone();
-    follow(
-        store,
-        keys::INTAKE_PREFIX,
-        INTAKE_POLICY,
-        Some(at),
-        |update| {
-            match update {
-                Update::Snapshot(items) => {
-                    node.note_contact();
-                    items.iter().for_each(|item| learn_intake(&leading, item));
-                }
-                Update::Changes(changes) => {
-                    node.note_contact();
-                    for change in &changes {
-                        if let WatchedChange::Put(item) = change {
-                            learn_intake(&leading, item);
-                        }
-                    }
-                }
-                Update::Unchanged => node.note_contact(),
-                Update::Failed(error) => {
-                    warn!(node.log, "store call failed";
-                    "what" => "intake", "error" => error.to_string());
-                }
-            }
-            flow_of(&leading)
-        },
-    )
-    .await;
-}
-
-fn flow_of<P: Platform>(leading: &Leading<P>) -> Flow {
-    if leading.is_over() {
-        Flow::Stop
-    } else {
-        Flow::Continue
-    }
-}
-
-fn learn_intake<P: Platform>(leading: &Leading<P>, item: &Item) {
-    match keys::parse_intake(&item.key) {
-        Some(IntakeKey::Job(job)) if leading.job(job).is_none() => {
-            if let Ok(record) = JobRecord::from_bytes(&item.value) {
-                let record = Box::new(record);
-                leading.tell(Event::JobAccepted { job, record });
-            }
-        }
-        Some(IntakeKey::Cancel(job)) => leading.tell(Event::CancelAccepted { job }),
-        _ => {}
-    }
-}
-
-async fn follow_workers<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
-    let mut known: BTreeMap<String, WorkerFacts> = BTreeMap::new();
-    let store = node.store.clone();
-    let prefix = node.platform.workers_prefix();
-    follow(store, prefix, WORKERS_POLICY, None, |update| {
-        let has_changed = match update {
-            Update::Snapshot(items) => {
-                let read = items.iter().filter_map(|item| read_worker(&node, item));
-                let read: BTreeMap<_, _> = read.collect();
-                let has_changed = read != known;
-                known = read;
-                has_changed
-            }
-            Update::Changes(changes) => {
-                let before = known.clone();
-                for change in changes {
-                    match change {
-                        WatchedChange::Put(item) => known.extend(read_worker(&node, &item)),
-                        WatchedChange::Gone { key } => {
-                            known.remove(&key);
-                        }
-                    }
-                }
-                before != known
-            }
-            Update::Unchanged => false,
-            Update::Failed(error) => {
-                warn!(node.log, "store call failed";
-                    "what" => "workers", "error" => error.to_string());
-                return flow_of(&leading);
-            }
-        };
-        node.note_contact();
-        if has_changed {
-            leading.tell(Event::WorkersListed(known.values().cloned().collect()));
-        }
-        flow_of(&leading)
-    })
-    .await;
-}
-
-fn read_worker<P: Platform>(node: &Node<P>, item: &Item) -> Option<(String, WorkerFacts)> {
-    match node.platform.parse_worker(&item.key, &item.value) {
-        Ok(facts) => Some((item.key.clone(), facts)),
-        Err(error) => {
-            damaged(&node.log, &item.key, &error.to_string());
-            None
-        }
-    }
-}
-
 /// What the loop of a term keeps from one batch of events to the next.
 struct Feed {
     received: mpsc::UnboundedReceiver<Event>,
     actions: Vec<Action>,
     has_trouble: bool,
     nodes: Vec<Arc<str>>,
+    next_status_at: Instant,
 }
 
 /// Feeds the scheduler until the term is over.
@@ -417,6 +236,7 @@
         actions: Vec::new(),
         has_trouble: false,
         nodes: Vec::new(),
+        next_status_at: begun + STATUS_PERIOD,
     };
     while !leading.is_over() {
         let first = tokio::select! {
@@ -474,6 +294,10 @@
         info!(node.log, "store trouble"; "has_trouble" => has_trouble);
         scheduler.handle(now, Event::StoreTrouble(has_trouble), &mut feed.actions);
     }
+    if now >= feed.next_status_at {
+        feed.next_status_at = now + STATUS_PERIOD;
+        log_status(&node.log, &scheduler.status(now));
+    }
     let wall_clock = Event::WallClock(clock::wall_ms());
     scheduler.handle(now, wall_clock, &mut feed.actions);
     let nodes = node.names();
@@ -483,6 +307,15 @@
     }
 }
 
+fn log_status(log: &Logger, status: &SchedulerStatus) {
+    info!(log, "status";
+        "active_jobs" => status.active_jobs_count,
+        "jobs" => status.jobs_count,
+        "runs" => status.runs_count,
+        "workers" => status.listed_workers_count,
+        "placeable_workers" => status.placeable_workers_count);
+}
+
 /// Returns whether a much stronger node should lead instead.
 fn should_give_way<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) -> bool {
     let own = NodeRecord {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod commit;
 pub mod election;
+pub mod feeds;
 pub mod follow;
 pub mod front;
 pub mod intake;
@@ -20,6 +21,7 @@
 pub mod orders;
 pub mod peer;
 pub mod platform;
+pub mod recovery;
 pub mod requests;
 pub mod store;
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! A node's life, from start to stop.
 
+use crate::clock;
 use crate::election::{self, CellView};
 use crate::follow::{follow, Flow, FollowPolicy, Update};
 use crate::front::{self, Front};
@@ -8,7 +9,6 @@
 use crate::log::LogBuffer;
 use crate::platform::Platform;
 use crate::store::{Item, LeaseId, WatchedChange};
-use crate::{clock, peer};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::Configuration;
 use ospreywing_types::{Duration, Instant};
@@ -339,11 +339,3 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
 }
-
-/// Answers another node.
-pub async fn answer_peer<P: Platform>(
-    node: &Rc<Node<P>>,
-    request: peer::PeerRequest,
-) -> peer::PeerReply {
-    crate::requests::answer_peer(node, request).await
-}
--- /dev/null
+++ b/crates/control/src/recovery.rs
@@ -0,0 +1,78 @@
+//! Reading what the store keeps, at the start of a term.
+
+use crate::clock;
+use crate::follow::read_all;
+use crate::keys::{self, IntakeKey};
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::store::{Revision, StoreError};
+use ospreywing_scheduler::{JobRecord, JobState, Recovered};
+use ospreywing_types::Duration;
+use slog::{warn, Logger};
+use std::rc::Rc;
+
+/// Failed attempts after which another node may try.
+const RECOVERIES_LIMIT_COUNT: usize = 3;
+/// The time between two attempts.
+const RETRY: Duration = Duration::from_ms(100);
+
+/// Reads what the store keeps; `None` where the term is over before.
+pub async fn recover<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+) -> Option<(Recovered, Revision)> {
+    for _ in 0..RECOVERIES_LIMIT_COUNT {
+        if leading.is_over() {
+            return None;
+        }
+        match read_recovered(node).await {
+            Ok(found) => return Some(found),
+            Err(error) => {
+                warn!(node.log, "recovery failed"; "error" => error.to_string());
+                tokio::time::sleep(RETRY.into()).await;
+            }
+        }
+    }
+    None
+}
+
+async fn read_recovered<P: Platform>(
+    node: &Rc<Node<P>>,
+) -> Result<(Recovered, Revision), StoreError> {
+    // Both at once: a slow store makes each page long.
+    let intake = read_all(&node.store, keys::INTAKE_PREFIX);
+    let states = read_all(&node.store, keys::STATE_PREFIX);
+    let (intake, states) = tokio::join!(intake, states);
+    let ((mut intake, at), (states, _)) = (intake?, states?);
+    // The order in which jobs were accepted.
+    intake.sort_by_key(|item| item.revision);
+    let mut recovered = Recovered {
+        wall_ms: clock::wall_ms(),
+        ..Recovered::default()
+    };
+    for item in &intake {
+        match keys::parse_intake(&item.key) {
+            Some(IntakeKey::Job(id)) => match JobRecord::from_bytes(&item.value) {
+                Ok(record) => recovered.jobs.push((id, record)),
+                Err(error) => damaged(&node.log, &item.key, &error.to_string()),
+            },
+            Some(IntakeKey::Cancel(id)) => recovered.cancels.push(id),
+            None => damaged(&node.log, &item.key, "unknown key"),
+        }
+    }
+    for item in &states {
+        let state = JobState::from_bytes(&item.value);
+        match (keys::parse_state(&item.key), state) {
+            (Some(id), Ok(state)) => recovered.states.push((id, state)),
+            (_, Err(error)) => damaged(&node.log, &item.key, &error.to_string()),
+            (None, _) => damaged(&node.log, &item.key, "unknown key"),
+        }
+    }
+    Ok((recovered, at))
+}
+
+/// Notes a stored item that can't be read.
+pub fn damaged(log: &Logger, key: &str, error: &str) {
+    warn!(log, "stored item can't be read"; "key" => key, "error" => error);
+}
