Let gangs take the room of patient work; ask about more workers while advisers are idle

In the log gangs waited 8 to 40 s: work that came later or could wait held their good workers; a gang asked about 17 unknown workers every 2.5 s, so it never learned of most of 350; and beyond 16 waiting gangs none was looked at, even where its room was free.

Change: a gang that can be in time takes room from runs of less urgent queues that save checkpoints, are under 70% and whose job has 3 s to spare. The stops go out with the call for tickets and the room is kept until the tickets end. While advisers are idle a call names workers for four times the room. Every gang is placed where its room is free; only asking further and keeping workers free is limited to 16.

Ruled out: stopping work that saves nothing (its core-seconds are priced); preempting for late gangs (a fifth of the worth).

--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -34,6 +34,8 @@
     pub(crate) answered_at: Instant,
     /// When the next call may be made after one that failed.
     pub(crate) retry_at: Instant,
+    /// When a gang may next try to take the room of less urgent work.
+    pub(crate) preempt_at: Instant,
 }
 
 impl StepAdvice {
@@ -79,6 +81,11 @@
         good.map(|(worker, _)| *worker).collect()
     }
 
+    /// Returns whether nothing is known of any worker.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.opinions.is_empty()
+    }
+
     /// Returns whether anything is known of the worker.
     pub(crate) fn is_known(&self, worker: WorkerKey) -> bool {
         self.opinions.contains_key(&worker)
--- a/crates/scheduler/src/advisers.rs
+++ b/crates/scheduler/src/advisers.rs
@@ -48,26 +48,24 @@
         }
     }
 
+    /// Returns whether a node that takes such calls has nothing to do.
+    pub(crate) fn is_idle(&self, now: Instant, cost: Duration) -> bool {
+        let mut group = self.group(now, cost).into_iter();
+        group.any(|name| self.loads[&name].busy_until <= now)
+    }
+
     /// Gives a call to the node that will have answered first; `None` where
     /// all have too much before it.
     pub(crate) fn assign(&mut self, now: Instant, cost: Duration) -> Option<Assignment> {
-        let able: Vec<Arc<str>> = self
-            .loads
-            .iter()
-            .filter(|(_, load)| now >= load.paused_until)
-            .map(|(name, _)| name.clone())
-            .collect();
-        let is_long = cost >= LONG_CALL;
-        let long_count = able.len().div_ceil(2);
-        let group = match (able.len(), is_long) {
-            (0 | 1, _) => &able[..],
-            (_, true) => &able[..long_count],
-            (_, false) => &able[long_count..],
-        };
+        let group = self.group(now, cost);
         let begins = |name: &Arc<str>| self.loads[name].busy_until.max(now);
         let node = group.iter().min_by_key(|name| begins(name))?.clone();
         let begins = begins(&node);
-        let backlog = if is_long { LONG_BACKLOG } else { SHORT_BACKLOG };
+        let backlog = if cost >= LONG_CALL {
+            LONG_BACKLOG
+        } else {
+            SHORT_BACKLOG
+        };
         if begins.since(now) > backlog {
             return None;
         }
@@ -78,6 +76,22 @@
         Some(Assignment { node, expected })
     }
 
+    /// Returns the nodes that take calls of this cost.
+    fn group(&self, now: Instant, cost: Duration) -> Vec<Arc<str>> {
+        let able: Vec<Arc<str>> = self
+            .loads
+            .iter()
+            .filter(|(_, load)| now >= load.paused_until)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let long_count = able.len().div_ceil(2);
+        match (able.len(), cost >= LONG_CALL) {
+            (0 | 1, _) => able,
+            (_, true) => able[..long_count].to_vec(),
+            (_, false) => able[long_count..].to_vec(),
+        }
+    }
+
     /// Passes over a node that did not answer, for a while.
     pub(crate) fn note_failure(&mut self, now: Instant, node: &Arc<str>) {
         if let Some(load) = self.loads.get_mut(node) {
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -26,6 +26,9 @@
 const NAMED_COST_SHARE: f64 = 0.25;
 /// How many times the room that a gang needs its good workers should have.
 const GANG_ROOM_FACTOR: f64 = 2.0;
+/// The same, and the part of a call's time, where advisers have nothing to do.
+const IDLE_ROOM_FACTOR: f64 = 4.0;
+const IDLE_COST_SHARE: f64 = 1.0;
 /// The share of good workers that is assumed before anything is known.
 const FIRST_GOODNESS: f64 = 0.5;
 /// The least share of good workers that is assumed.
@@ -141,9 +144,6 @@
         pass: &mut Pass,
         out: &mut Vec<Action>,
     ) {
-        if pass.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
-            return;
-        }
         let needed = turn.waiting.len();
         let good = self.advice[&turn.key].good();
         let fitting = self.candidates(now, turn, pass, good.iter().copied());
@@ -156,6 +156,18 @@
             }
             return;
         }
+        let is_first_call = self.advice[&turn.key].is_empty();
+        if pass.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT && !is_first_call {
+            return;
+        }
+        if let Some(plan) = self.plan_preemption(now, turn, pass, &good) {
+            let named = plan.reservations.iter().map(|r| r.worker).collect();
+            if self.ask(now, turn, policy, named, out) {
+                self.reservations.insert(turn.key, plan.reservations);
+                self.preempt(now, plan.victims, out);
+            }
+            return;
+        }
         pass.waiting_gangs_count += 1;
         let unknown = self.unknown_workers(turn, pass);
         let good = self.good_workers(now, turn, good);
@@ -169,7 +181,7 @@
             && self.unknown_room(turn, &unknown) >= needed as u64;
         if !unknown.is_empty() && (is_short || has_free) {
             let missing = needed as f64 - total as f64;
-            let named = self.choose_unknown(turn, policy, unknown, missing);
+            let named = self.choose_unknown(now, turn, policy, unknown, missing);
             self.ask(now, turn, policy, named, out);
             return;
         }
@@ -199,15 +211,24 @@
     /// or not they have room now.
     fn choose_unknown(
         &self,
+        now: Instant,
         turn: &Turn,
         policy: AdvicePolicy,
         unknown: Vec<WorkerKey>,
         missing: f64,
     ) -> Vec<WorkerKey> {
         let goodness = self.goodness_of(&turn.record.queue);
-        let wanted = missing.max(1.0) * GANG_ROOM_FACTOR;
-        // Naming more costs little beside the call itself.
-        let cheap_count = policy.decision_ms * NAMED_COST_SHARE / policy.per_worker_ms.max(0.01);
+        // Naming more costs little beside the call itself, and nothing that
+        // anybody waits for where the advisers are idle: what is learned of
+        // a worker never changes.
+        let is_idle = self.advisers.is_idle(now, policy.cost(1));
+        let (factor, cost_share) = if is_idle {
+            (IDLE_ROOM_FACTOR, IDLE_COST_SHARE)
+        } else {
+            (GANG_ROOM_FACTOR, NAMED_COST_SHARE)
+        };
+        let wanted = missing.max(1.0) * factor;
+        let cheap_count = policy.decision_ms * cost_share / policy.per_worker_ms.max(0.01);
         let least_count = cheap_count as usize;
         let mut expected = 0.0;
         let mut named = Vec::new();
@@ -387,15 +408,8 @@
     let mut left_count = needed as u32;
     for candidate in candidates {
         let count = candidate.fit_count(demand).min(left_count);
-        let mut room = Resources::ZERO;
-        for _ in 0..count {
-            room += *demand;
-        }
         if count > 0 {
-            reservations.push(Reservation {
-                worker: candidate.worker,
-                room,
-            });
+            reservations.push(Reservation::new(candidate.worker, demand, count));
         }
         left_count -= count;
         if left_count == 0 {
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -17,6 +17,17 @@
     pub(crate) room: Resources,
 }
 
+impl Reservation {
+    /// Creates a reservation for so many members.
+    pub(crate) fn new(worker: WorkerKey, demand: &Resources, members_count: u32) -> Self {
+        let mut room = Resources::ZERO;
+        for _ in 0..members_count {
+            room += *demand;
+        }
+        Self { worker, room }
+    }
+}
+
 impl Scheduler {
     /// Returns what is kept on a worker for gangs other than `step`.
     pub(crate) fn reserved(&self, worker: WorkerKey, step: StepKey) -> Resources {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod order;
 mod orders;
 mod placing;
+mod preemption;
 mod recovery;
 mod scheduler;
 mod state;
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -43,7 +43,7 @@
         order.into_iter().map(|(_, _, id)| id).collect()
     }
 
-    fn prospect(&self, now: Instant, job: &Job) -> Prospect {
+    pub(crate) fn prospect(&self, now: Instant, job: &Job) -> Prospect {
         let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
         if is_perpetual || job.record.spec.schedule.is_some() {
             return Prospect::InTime;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -150,9 +150,12 @@
         let ticketed = advice.ticketed(now);
         let mut placed_count = 0;
         if !ticketed.is_empty() {
-            let candidates = self.candidates(now, &turn, pass, ticketed.into_iter());
+            let candidates = self.candidates(now, &turn, pass, ticketed.iter().copied());
             placed_count = self.allocate(now, &turn, candidates, out);
         }
+        if placed_count == 0 && self.awaits_stops(now, &turn, &ticketed) {
+            return;
+        }
         // The answer has come: what was kept has been used, or is given back.
         self.reservations.remove(&key);
         if placed_count < turn.waiting.len() {
@@ -160,6 +163,14 @@
         }
     }
 
+    /// Returns whether a gang that holds its tickets only waits for runs that
+    /// are being stopped for it.
+    fn awaits_stops(&self, now: Instant, turn: &Turn, ticketed: &[WorkerKey]) -> bool {
+        turn.spec().is_gang
+            && self.reservations.contains_key(&turn.key)
+            && self.is_room_coming(now, turn, ticketed)
+    }
+
     /// Returns whether a step leaves room to gangs that wait for it: a gang needs
     /// much room at once, which tasks that can wait would take away bit by bit.
     fn yields_to_gangs(&self, now: Instant, turn: &Turn, pass: &Pass) -> bool {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -140,6 +140,18 @@
         self.facts.capacity - self.used
     }
 
+    /// Returns what will not be taken once the runs that are being stopped
+    /// have ended.
+    pub(crate) fn room_without_stopping(&self) -> Resources {
+        let mut room = self.free();
+        for run in self.runs.values() {
+            if matches!(run.phase, RunPhase::Stopping { .. }) {
+                room += run.demand;
+            }
+        }
+        room
+    }
+
     /// Returns whether a new run may be sent there.
     pub(crate) fn is_placeable(&self, now: Instant) -> bool {
         self.is_listed
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -4,7 +4,7 @@
 //! outcome once the faults are over.
 
 use crate::support::world::{Faults, World};
-use crate::support::{advice, job, step};
+use crate::support::{advice, job, patient_job, step};
 use ospreywing_scheduler::{AdvicePolicy, StepSpec};
 use rstest::rstest;
 
@@ -112,3 +112,34 @@
         world.run_until_done(CALM_LIMIT_MS);
     }
 }
+
+/// Gangs that take the room of patient work, which goes on later.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::everything(Faults {
+    lost_answer: 40,
+    late_order: 40,
+    failing_run: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+})]
+fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
+    for seed in 0..seeds_count() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 8, faults, Some(advice()));
+        world.good_one_in = 2;
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=20 {
+            let job = match number % 2 {
+                0 => job(number, vec![gang(3)]),
+                _ => patient_job(number, 8),
+            };
+            world.submit(job);
+            world.run_for(300);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
