Wait for the commit on its way when a shard is handed over

Cause: planned_stop_cuts_off_nothing failed now and then. With the refusals printed, one run in about twenty beside load showed it: at the stop the owner turned away the callers of the commit that was on its way as if the store were silent. The key was put on record all the same, the caller asked again after two seconds, as told, and learned `unknown: was asked before`. Submissions were answered `unknown` the same way.

Change: a hand-over refuses only what no commit has taken up; what a commit carries is answered by it. Only a silent store ends that wait. The reason that callers are given names the hand-over.

Ruled out: answers lost as the endpoint closes (it stays open a while longer); a minion that hangs (the request never reached one).

--- a/crates/shard/src/intake.rs
+++ b/crates/shard/src/intake.rs
@@ -46,7 +46,8 @@
 const STORE_RETRY_AFTER: Duration = Duration::from_s(2);
 /// When to come back after a refusal because too many tasks wait.
 const FULL_RETRY_AFTER: Duration = Duration::from_s(10);
-/// When to come back after a refusal because the owner hands over.
+/// What callers are told while the owner hands over, and when to come back.
+const HAND_OVER_REASON: &str = "the shard is changing hands";
 const HAND_OVER_RETRY_AFTER: Duration = Duration::from_s(1);
 
 fn refused(reason: impl Into<String>, retry_after: Option<Duration>) -> Reply {
@@ -114,11 +115,17 @@
     /// Why nothing new can be put on record now, if so.
     fn trouble(&self, now: Instant) -> Option<(&'static str, Duration)> {
         if self.is_handing_over {
-            return Some(("the shard is changing hands", HAND_OVER_RETRY_AFTER));
+            return Some((HAND_OVER_REASON, HAND_OVER_RETRY_AFTER));
         }
-        let inflight = self.inflight.as_ref()?;
-        let is_slow = now.since(inflight.since) >= self.config.commit_patience;
-        is_slow.then_some(("the platform's store does not answer", STORE_RETRY_AFTER))
+        let reason = "the platform's store does not answer";
+        self.is_store_silent(now)
+            .then_some((reason, STORE_RETRY_AFTER))
+    }
+
+    /// Returns whether the commit under way has waited too long for its answer.
+    fn is_store_silent(&self, now: Instant) -> bool {
+        let inflight = self.inflight.as_ref();
+        inflight.is_some_and(|it| now.since(it.since) >= self.config.commit_patience)
     }
 
     /// Answers with a task's status once all that is decided so far is on record.
@@ -238,20 +245,24 @@
         }
     }
 
-    /// Gives up on callers that wait on a store that does not answer.
+    /// Gives up on callers that wait on a store that does not answer, or for an
+    /// owner that hands its shard over.
     ///
-    /// What no commit has taken up was not run; what one has is unknown.
+    /// What no commit has taken up was not run. What one has is unknown where
+    /// the store is silent; a commit on its way at a hand-over is waited for.
     pub(crate) fn refuse_overdue(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.trouble(now).is_none() {
+        let Some((reason, retry_after)) = self.trouble(now) else {
             return;
+        };
+        self.refuse_intake(reason, retry_after, actions);
+        if self.is_store_silent(now) {
+            self.answer_inflight(in_doubt, actions);
         }
-        self.refuse_intake(STORE_RETRY_AFTER, actions);
-        self.answer_inflight(in_doubt, actions);
     }
 
     /// Gives up on every caller that waits.
     pub(crate) fn refuse_all(&mut self, is_refused: bool, actions: &mut Vec<Action>) {
-        self.refuse_intake(HAND_OVER_RETRY_AFTER, actions);
+        self.refuse_intake(HAND_OVER_REASON, HAND_OVER_RETRY_AFTER, actions);
         if is_refused {
             self.answer_inflight(not_run, actions);
         } else {
@@ -259,12 +270,16 @@
         }
     }
 
-    fn refuse_intake(&mut self, retry_after: Duration, actions: &mut Vec<Action>) {
+    fn refuse_intake(
+        &mut self,
+        reason: &'static str,
+        retry_after: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         self.intake.order.clear();
         for (_, new) in self.intake.tasks.drain() {
             for token in new.tokens {
                 self.counts.refused_count += 1;
-                let reason = "the platform's store does not answer";
                 let reply = refused(reason, Some(retry_after));
                 actions.push(Action::Reply { token, reply });
             }
--- a/crates/shard/tests/owner/support/script.rs
+++ b/crates/shard/tests/owner/support/script.rs
@@ -41,6 +41,9 @@
         ["commit-lost-answer", daemon] => Op::CommitLostAnswer {
             daemon: index(daemon),
         },
+        ["hand-over", daemon] => Op::HandOver {
+            daemon: index(daemon),
+        },
         ["claim", daemon] => Op::Claim {
             daemon: index(daemon),
         },
--- a/crates/shard/tests/owner/support/world.rs
+++ b/crates/shard/tests/owner/support/world.rs
@@ -55,6 +55,9 @@
     CommitLostAnswer {
         daemon: usize,
     },
+    HandOver {
+        daemon: usize,
+    },
     Claim {
         daemon: usize,
     },
@@ -271,6 +274,7 @@
             Op::Lag { daemon, is_on } => self.daemons[daemon].is_lagging = is_on,
             Op::Commit { daemon } => self.commit(daemon, true),
             Op::CommitLostAnswer { daemon } => self.commit(daemon, false),
+            Op::HandOver { daemon } => self.hand_over(daemon),
             Op::Claim { daemon } => self.claim(daemon),
             Op::AskClosed { daemon } => self.ask_closed(daemon),
             Op::Poll { daemon } => self.poll(daemon),
@@ -483,6 +487,12 @@
         }
     }
 
+    fn hand_over(&mut self, daemon: usize) {
+        if let Some(owner) = self.daemons[daemon].owner.as_mut() {
+            owner.begin_hand_over();
+        }
+    }
+
     fn epoch_of(&self, daemon: usize) -> Option<u64> {
         let owner = self.daemons[daemon].owner.as_ref()?;
         Some(owner.config().epoch)
