Let calls for advice name different workers; learn at once that the store is back

Change: a step counts on room of the workers that its open call names, and others name other workers; the room itself still goes to who is first. A failed watch goes on from where it was; before pages are read after a failure a small call must be answered. A gang searches every 100 ms at most, and beyond the 16 while an adviser's node has nothing to do. Five of eight nodes take long calls. The service of a step is looked up once, and room is looked for in the service that the queue has now. The search of gangs is a file of its own.

Ruled out: a leader that goes on renewing without its lease (its successor's bound on leases would not hold).

Tests: choose_named_beside_open_calls, follow_goes_on_after_a_failed_watch and follow_first_read_fails fail without the change.

--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -67,6 +67,19 @@
     Ok((items, at))
 }
 
+/// Reads everything, where the store answers a small call first after a
+/// failure: a page is given much time, which an outage would use up.
+async fn read_again<S: Store>(
+    store: &S,
+    prefix: &str,
+    is_failing: bool,
+) -> Result<(Vec<Item>, Revision), StoreError> {
+    if is_failing {
+        store.get(prefix).await?;
+    }
+    read_all(store, prefix).await
+}
+
 /// Follows a prefix until told to stop.
 ///
 /// `from` is the revision up to which the caller knows everything; without it
@@ -89,7 +102,7 @@
             policy.wait
         };
         let update = match at {
-            None => match read_all(&store, prefix).await {
+            None => match read_again(&store, prefix, is_failing).await {
                 Ok((items, revision)) => {
                     at = Some(revision);
                     read_at = clock::now();
@@ -118,10 +131,7 @@
             at = None;
         }
         let pause = match &update {
-            Update::Failed(_) => {
-                at = at.filter(|_| policy.refresh.is_none());
-                RETRY
-            }
+            Update::Failed(_) => RETRY,
             Update::Changes(_) => policy.pace,
             Update::Snapshot(_) | Update::Unchanged => Duration::ZERO,
         };
--- a/crates/control/tests/control/following.rs
+++ b/crates/control/tests/control/following.rs
@@ -1,6 +1,6 @@
 //! Following a part of the store.
 
-use crate::support::{run_local, MemoryStore};
+use crate::support::{run_local, MemoryStore, Read};
 use ospreywing_control::follow::{follow, read_all, Flow, FollowPolicy, Update};
 use ospreywing_control::{Store, Transaction, WatchedChange};
 use ospreywing_types::Duration;
@@ -46,7 +46,11 @@
     });
     let mut seen: BTreeSet<String> = BTreeSet::new();
     let mut snapshots_count = 0;
-    follow(store, "p/", POLICY, None, |update| {
+    let refreshing = FollowPolicy {
+        refresh: Some(Duration::from_s(60)),
+        ..POLICY
+    };
+    follow(store, "p/", refreshing, None, |update| {
         match update {
             Update::Snapshot(items) => {
                 snapshots_count += 1;
@@ -101,3 +105,31 @@
         assert_eq!(waits[1..3], [Duration::ZERO, Duration::ZERO]);
     });
 }
+
+/// Found on the grown gallery's scale-1: after a failed watch every node read
+/// all pages again, with the time limit of a large page, while the store was
+/// silent; so nobody learned for 3.5 s that it was back and stood for leader.
+#[test]
+fn follow_goes_on_after_a_failed_watch() {
+    run_local(async {
+        let store = MemoryStore::new();
+        put(&store, "p/0").await;
+        store.fail_watches(2);
+        let snapshots = follow_keys(store, &["p/1", "p/2"], 99).await;
+        assert_eq!(snapshots, 1, "the watch goes on from where it was");
+    });
+}
+
+/// A page is asked for only once a small call was answered.
+#[test]
+fn follow_first_read_fails() {
+    run_local(async {
+        let store = MemoryStore::new();
+        put(&store, "p/0").await;
+        store.fail_reads(2);
+        follow_keys(store.clone(), &["p/1"], 99).await;
+        let reads = store.reads();
+        assert_eq!(reads[..3], [Read::Page, Read::Item, Read::Item]);
+        assert_eq!(reads[3], Read::Page);
+    });
+}
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -32,6 +32,17 @@
     late: Vec<Transaction>,
     failing_watches_count: usize,
     watch_waits: Vec<Duration>,
+    silent_reads_count: usize,
+    reads: Vec<Read>,
+}
+
+/// A kind of reading call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// One item.
+    Item,
+    /// A page of items.
+    Page,
 }
 
 /// A store in memory.
@@ -64,6 +75,16 @@
         self.0.borrow_mut().failing_watches_count = count;
     }
 
+    /// Lets the next reads of items and pages go without an answer.
+    pub fn fail_reads(&self, count: usize) {
+        self.0.borrow_mut().silent_reads_count = count;
+    }
+
+    /// Returns the reads of items and pages so far.
+    pub fn reads(&self) -> Vec<Read> {
+        self.0.borrow().reads.clone()
+    }
+
     /// Returns how long each watch so far was to wait.
     pub fn watch_waits(&self) -> Vec<Duration> {
         self.0.borrow().watch_waits.clone()
@@ -83,6 +104,15 @@
 }
 
 impl Inner {
+    fn note_read(&mut self, read: Read) -> Result<(), StoreError> {
+        self.reads.push(read);
+        if self.silent_reads_count == 0 {
+            return Ok(());
+        }
+        self.silent_reads_count -= 1;
+        Err(no_answer())
+    }
+
     fn apply(&mut self, transaction: &Transaction) -> Result<Committed, CommitError> {
         let revision_of = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
         if transaction
@@ -122,11 +152,13 @@
 
 impl Store for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        self.0.borrow_mut().note_read(Read::Item)?;
         Ok(self.0.borrow().items.get(key).cloned())
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
         const PAGE_COUNT: usize = 2;
+        self.0.borrow_mut().note_read(Read::Page)?;
         let inner = self.0.borrow();
         let found = inner
             .items
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -34,8 +34,8 @@
     pub(crate) answered_at: Instant,
     /// When the next call may be made after one that failed.
     pub(crate) retry_at: Instant,
-    /// When a gang may next try to take the room of less urgent work.
-    pub(crate) preempt_at: Instant,
+    /// When a gang may next search for room.
+    pub(crate) search_at: Instant,
 }
 
 impl StepAdvice {
--- a/crates/scheduler/src/advisers.rs
+++ b/crates/scheduler/src/advisers.rs
@@ -10,6 +10,9 @@
 
 /// A call that takes at least this long goes to the nodes for long calls.
 const LONG_CALL: Duration = Duration::from_ms(150);
+/// The part of the nodes that take long calls.
+const LONG_NODES_NUMERATOR: usize = 5;
+const LONG_NODES_DENOMINATOR: usize = 8;
 /// The longest that a long call waits for its turn.
 const LONG_BACKLOG: Duration = Duration::from_ms(900);
 /// The longest that a short call waits for its turn: what waits can't be
@@ -84,7 +87,7 @@
             .filter(|(_, load)| now >= load.paused_until)
             .map(|(name, _)| name.clone())
             .collect();
-        let long_count = able.len().div_ceil(2);
+        let long_count = able.len() * LONG_NODES_NUMERATOR / LONG_NODES_DENOMINATOR;
         match (able.len(), cost >= LONG_CALL) {
             (0 | 1, _) => able,
             (_, true) => able[..long_count].to_vec(),
--- /dev/null
+++ b/crates/scheduler/src/gang_search.rs
@@ -0,0 +1,273 @@
+//! How a gang finds its room: on good workers that are free, on those that
+//! less urgent work can leave, or on workers of which nothing is known yet.
+//!
+//! Whoever is not served keeps later work off enough of its good workers.
+
+use crate::asking::{claim_room, fit_in, NAMED_LIMIT_COUNT};
+use crate::config::AdvicePolicy;
+use crate::event::Action;
+use crate::gangs::Reservation;
+use crate::placing::{fit_sum, Candidate, Pass, Turn};
+use crate::scheduler::Scheduler;
+use crate::worker::WorkerKey;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::cmp::Reverse;
+
+/// The part of a call's own time that naming further workers may add.
+const NAMED_COST_SHARE: f64 = 0.25;
+/// How many times the room that a gang needs its good workers should have.
+const GANG_ROOM_FACTOR: f64 = 2.0;
+/// The same, and the part of a call's time, where advisers have nothing to do.
+const IDLE_ROOM_FACTOR: f64 = 4.0;
+const IDLE_COST_SHARE: f64 = 1.0;
+/// How long a gang waits for its good workers before it asks about others
+/// that have room: a long call holds up those of other gangs.
+const LOOK_FURTHER_AFTER: Duration = Duration::from_ms(2500);
+/// The gangs that may wait for room at a time; the others have their turn later.
+const WAITING_GANGS_LIMIT_COUNT: usize = 16;
+/// The time between two searches of a gang for room.
+const SEARCH_PERIOD: Duration = Duration::from_ms(100);
+/// The part of the workers that is kept for gangs that wait, at most.
+const AWAITED_PERCENT: usize = 60;
+
+impl Scheduler {
+    /// Brings a gang that could not be placed nearer to its room.
+    pub(crate) fn seek_for_gang(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let good = self.advice[&turn.key].good();
+        if self.reserve_free_room(now, turn, policy, &good, pass, out) {
+            return;
+        }
+        if self.is_search_due(now, turn, pass) {
+            let is_made = self.make_room(now, turn, policy, &good, pass, out);
+            if is_made || self.look_further(now, turn, policy, &good, pass, out) {
+                return;
+            }
+        }
+        if pass.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT {
+            pass.waiting_gangs_count += 1;
+            let good = self.good_workers(now, turn, &good);
+            self.await_room(turn, &good, pass);
+        }
+    }
+
+    /// Keeps free room on good workers for a gang and asks for its tickets;
+    /// returns whether there is enough.
+    fn reserve_free_room(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        good: &[WorkerKey],
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let needed = turn.waiting.len();
+        let needed_milli = u64::from(turn.demand.cores_milli) * needed as u64;
+        if needed_milli > pass.free_milli {
+            return false;
+        }
+        let fitting = self.candidates(now, turn, pass, good.iter().copied());
+        if fit_sum(&fitting, &turn.demand) < needed as u64 {
+            return false;
+        }
+        let reservations = reserve(fitting, &turn.demand, needed);
+        let named = reservations.iter().map(|r| r.worker).collect();
+        if self.ask(now, turn, policy, named, out) {
+            self.reservations.insert(turn.key, reservations);
+            claim_room(pass, turn, needed);
+        }
+        true
+    }
+
+    /// Returns whether a gang without room may search for some now: searching
+    /// takes long on large sites, so it is done now and then, and by the most
+    /// urgent gangs alone unless advisers have nothing to do.
+    fn is_search_due(&mut self, now: Instant, turn: &Turn, pass: &Pass) -> bool {
+        let is_urgent = pass.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT;
+        let cost = turn.advice.map_or(Duration::ZERO, |policy| policy.cost(1));
+        let is_idle = self.advisers.is_idle(now, cost);
+        let Some(advice) = self.advice.get_mut(&turn.key) else {
+            return false;
+        };
+        let is_allowed = is_urgent || is_idle || advice.is_empty();
+        if !is_allowed || now < advice.search_at {
+            return false;
+        }
+        advice.search_at = now + SEARCH_PERIOD;
+        true
+    }
+
+    /// Takes the room of less urgent work for a gang and asks for its tickets;
+    /// returns whether there is enough.
+    fn make_room(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        good: &[WorkerKey],
+        pass: &Pass,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(plan) = self.plan_preemption(now, turn, pass, good) else {
+            return false;
+        };
+        let named = plan.reservations.iter().map(|r| r.worker).collect();
+        if self.ask(now, turn, policy, named, out) {
+            self.reservations.insert(turn.key, plan.reservations);
+            self.preempt(now, plan.victims, out);
+        }
+        true
+    }
+
+    /// Asks about workers of which nothing is known for a gang, where its good
+    /// ones hold too little or stay busy; returns whether it did.
+    fn look_further(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        good: &[WorkerKey],
+        pass: &Pass,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let needed = turn.waiting.len();
+        let unknown = self.unknown_workers(turn, pass);
+        let able = good
+            .iter()
+            .filter(|key| self.workers[**key].is_placeable(now));
+        let total: u64 = able
+            .map(|key| u64::from(fit_in(&self.workers[*key].facts.capacity, &turn.demand)))
+            .sum();
+        let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
+        let answered_at = self.advice[&turn.key].answered_at;
+        let has_free = now.since(answered_at) >= LOOK_FURTHER_AFTER
+            && self.unknown_room(turn, &unknown) >= needed as u64;
+        if unknown.is_empty() || !(is_short || has_free) {
+            return false;
+        }
+        let missing = needed as f64 - total as f64;
+        let named = self.choose_unknown(now, turn, policy, unknown, missing);
+        self.ask(now, turn, policy, named, out);
+        true
+    }
+
+    /// Returns the workers of which nothing is known for the step, the
+    /// freest first.
+    fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
+        let advice = &self.advice[&turn.key];
+        let unknown = pass.by_room.iter().copied();
+        let unknown = unknown.filter(|key| !advice.is_known(*key));
+        unknown
+            .filter(|key| Self::is_eligible(turn, &self.workers[*key]))
+            .collect()
+    }
+
+    /// Returns how many members fit now on workers of which nothing is known: a
+    /// gang whose good workers are busy may find others. Each call leaves fewer
+    /// unknown, so even a small chance is taken.
+    fn unknown_room(&self, turn: &Turn, unknown: &[WorkerKey]) -> u64 {
+        let fit = |key: &WorkerKey| fit_in(&self.workers[*key].free(), &turn.demand);
+        unknown.iter().map(|key| u64::from(fit(key))).sum()
+    }
+
+    /// Chooses unknown workers until enough of them should be good, whether
+    /// or not they have room now.
+    fn choose_unknown(
+        &self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        unknown: Vec<WorkerKey>,
+        missing: f64,
+    ) -> Vec<WorkerKey> {
+        let goodness = self.goodness_of(&turn.record.queue);
+        // Naming more costs little beside the call itself, and nothing that
+        // anybody waits for where the advisers are idle: what is learned of
+        // a worker never changes.
+        let is_idle = self.advisers.is_idle(now, policy.cost(1));
+        let (factor, cost_share) = if is_idle {
+            (IDLE_ROOM_FACTOR, IDLE_COST_SHARE)
+        } else {
+            (GANG_ROOM_FACTOR, NAMED_COST_SHARE)
+        };
+        let wanted = missing.max(1.0) * factor;
+        let cheap_count = policy.decision_ms * cost_share / policy.per_worker_ms.max(0.01);
+        let least_count = cheap_count as usize;
+        let mut expected = 0.0;
+        let mut named = Vec::new();
+        for key in unknown {
+            let is_enough = expected >= wanted && named.len() >= least_count;
+            if is_enough || named.len() >= NAMED_LIMIT_COUNT {
+                break;
+            }
+            let capacity = self.workers[key].facts.capacity;
+            expected += goodness * f64::from(fit_in(&capacity, &turn.demand));
+            named.push(key);
+        }
+        named
+    }
+
+    /// Returns the workers known to be good for a gang, with how many members
+    /// they hold when empty and how many now; the soonest to hold any first.
+    fn good_workers(
+        &self,
+        now: Instant,
+        turn: &Turn,
+        good: &[WorkerKey],
+    ) -> Vec<(WorkerKey, u32, u32)> {
+        let able = good
+            .iter()
+            .copied()
+            .filter(|key| self.workers[*key].is_placeable(now));
+        let mut found: Vec<(WorkerKey, u32, u32)> = able
+            .map(|key| {
+                let worker = &self.workers[key];
+                let capacity_count = fit_in(&worker.facts.capacity, &turn.demand);
+                (key, capacity_count, fit_in(&worker.free(), &turn.demand))
+            })
+            .collect();
+        found.sort_by_key(|(key, capacity_count, free_count)| {
+            (Reverse(*free_count), Reverse(*capacity_count), *key)
+        });
+        found
+    }
+
+    /// Keeps later work off enough good workers for the gang.
+    fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
+        let mut held: u64 = 0;
+        let limit_count = pass.by_room.len() * AWAITED_PERCENT / 100;
+        for (key, capacity_count, _) in good {
+            if held >= turn.waiting.len() as u64 || pass.awaited.len() >= limit_count {
+                return;
+            }
+            if !pass.awaited.insert(*key) {
+                continue;
+            }
+            held += u64::from(*capacity_count);
+        }
+    }
+}
+
+/// Keeps room for a whole gang on the fullest workers that fit.
+fn reserve(candidates: Vec<Candidate>, demand: &Resources, needed: usize) -> Vec<Reservation> {
+    let mut reservations = Vec::new();
+    let mut left_count = needed as u32;
+    for candidate in candidates {
+        let count = candidate.fit_count(demand).min(left_count);
+        if count > 0 {
+            reservations.push(Reservation::new(candidate.worker, demand, count));
+        }
+        left_count -= count;
+        if left_count == 0 {
+            break;
+        }
+    }
+    reservations
+}
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -20,10 +20,7 @@
 impl Reservation {
     /// Creates a reservation for so many members.
     pub(crate) fn new(worker: WorkerKey, demand: &Resources, members_count: u32) -> Self {
-        let mut room = Resources::ZERO;
-        for _ in 0..members_count {
-            room += *demand;
-        }
+        let room = demand.times(members_count);
         Self { worker, room }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod decision;
 mod ends;
 mod event;
+mod gang_search;
 mod gangs;
 mod job;
 mod jobs;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -65,6 +65,8 @@
     pub(crate) waiting: Vec<u32>,
     pub(crate) demand: Resources,
     pub(crate) advice: Option<AdvicePolicy>,
+    /// The service whose workers run the step now.
+    pub(crate) service: String,
 }
 
 impl Turn {
@@ -88,7 +90,7 @@
     /// What all workers that may take a run hold, and what of it is free, in
     /// thousandths of a core.
     capacity_milli: u64,
-    free_milli: u64,
+    pub(crate) free_milli: u64,
     /// The gangs that wait for room so far.
     pub(crate) waiting_gangs_count: usize,
     examined_count: usize,
@@ -195,7 +197,9 @@
             return None;
         }
         let queue = self.configuration.queue(&job.record.queue);
+        let service = queue.map_or(&job.record.service, |queue| &queue.service);
         Some(Turn {
+            service: service.clone(),
             key,
             waiting,
             demand: counted_demand(spec),
@@ -211,11 +215,9 @@
     }
 
     /// Returns whether a worker may ever run tasks of the step.
-    pub(crate) fn is_eligible(&self, turn: &Turn, worker: &Worker) -> bool {
-        let queue = self.configuration.queue(&turn.record.queue);
-        let service = queue.map_or(&turn.record.service, |queue| &queue.service);
+    pub(crate) fn is_eligible(turn: &Turn, worker: &Worker) -> bool {
         let label = turn.spec().required_label.as_ref();
-        *worker.facts.service == **service
+        *worker.facts.service == *turn.service
             && label.is_none_or(|label| worker.facts.labels.contains(label))
             && turn.demand.fits_in(&worker.facts.capacity)
     }
@@ -255,7 +257,7 @@
         key: WorkerKey,
         worker: &Worker,
     ) -> Option<Candidate> {
-        if !self.is_eligible(turn, worker) {
+        if !Self::is_eligible(turn, worker) {
             return None;
         }
         let near = turn.spec().data_rack.as_deref();
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -19,8 +19,6 @@
 const VICTIM_SLACK: Duration = Duration::from_ms(3000);
 /// A run that is further on than this ends soon by itself.
 const VICTIM_PROGRESS_PERCENT: u32 = 70;
-/// The time between two attempts of a gang to make room.
-const ATTEMPT_PERIOD: Duration = Duration::from_ms(100);
 
 /// A run that may be stopped for a gang.
 #[derive(Clone, Copy, Debug)]
@@ -96,7 +94,7 @@
     /// Plans room for a whole gang on the workers known to be good for it,
     /// stopping as little as possible; `None` where that can't be had.
     pub(crate) fn plan_preemption(
-        &mut self,
+        &self,
         now: Instant,
         turn: &Turn,
         pass: &Pass,
@@ -106,11 +104,6 @@
         if self.prospect(now, job) != Prospect::InTime {
             return None;
         }
-        let advice = self.advice.get_mut(&turn.key)?;
-        if now < advice.preempt_at {
-            return None;
-        }
-        advice.preempt_at = now + ATTEMPT_PERIOD;
         let mut sites = self.sites(now, turn, pass, good);
         let needed_count = turn.waiting.len() as u32;
         if !choose_stops(&mut sites, &turn.demand, needed_count) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,7 +1,7 @@
 //! Workers and the runs that occupy them.
 
 use crate::event::Endpoint;
-use crate::job::TaskKey;
+use crate::job::{StepKey, TaskKey};
 use cranelift_entity::entity_impl;
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeMap;
@@ -80,6 +80,13 @@
     pub(crate) read_at: Instant,
 }
 
+/// Room that a step counts on while its call for advice is open.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    step: StepKey,
+    room: Resources,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -99,6 +106,9 @@
     pub(crate) leased_until: Instant,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
+    /// Room that steps count on whose calls for advice name the worker. It
+    /// keeps others from naming it too, not from taking the room.
+    claims: Vec<Claim>,
     /// The last end that it may forget.
     pub(crate) acked_end: u64,
     /// The last end that was taken in.
@@ -125,6 +135,7 @@
             leased_until,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            claims: Vec::new(),
             acked_end: 0,
             seen_end: 0,
             uncommitted_ends: Vec::new(),
@@ -140,6 +151,26 @@
         self.facts.capacity - self.used
     }
 
+    /// Notes that a step counts on room for so many tasks.
+    pub(crate) fn claim(&mut self, step: StepKey, demand: &Resources, tasks_count: u32) {
+        let room = demand.times(tasks_count);
+        self.claims.push(Claim { step, room });
+    }
+
+    /// Drops what a step counted on.
+    pub(crate) fn drop_claim(&mut self, step: StepKey) {
+        self.claims.retain(|claim| claim.step != step);
+    }
+
+    /// Returns what steps count on whose calls for advice are open.
+    pub(crate) fn claimed(&self) -> Resources {
+        let mut room = Resources::ZERO;
+        for claim in &self.claims {
+            room += claim.room;
+        }
+        room
+    }
+
     /// Returns what will not be taken once the runs that are being stopped
     /// have ended.
     pub(crate) fn room_without_stopping(&self) -> Resources {
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -474,7 +474,9 @@
 #[test]
 fn seek_for_gang_beyond_those_that_wait() {
     let mut bench = Bench::with_advice(Recovered::default(), &workers(24), Some(advice()));
-    bench.tell(Event::NodesListed(vec!["n1".into(), "n2".into()]));
+    // Enough of them that no call waits for another.
+    let nodes = (0..60).map(|number| format!("n{number}").into());
+    bench.tell(Event::NodesListed(nodes.collect()));
     let gang = |tasks_count| StepSpec {
         is_gang: true,
         ..step(tasks_count)
@@ -496,6 +498,33 @@
         .all(|(_, task, _)| task.step.job == JobId::new(21)));
 }
 
+/// Found on the grown gallery's trouble-3: after an outage many steps named the
+/// same three workers, the freest, in call after call, and most of them in vain.
+#[test]
+fn choose_named_beside_open_calls() {
+    let mut bench = Bench::with_advice(Recovered::default(), &workers(12), Some(advice()));
+    let nodes = (0..6).map(|number| format!("n{number}").into());
+    bench.tell(Event::NodesListed(nodes.collect()));
+    for number in 1..=6 {
+        bench.submit(number, vec![step(2)]);
+    }
+    let mut first_named = Vec::new();
+    for action in &bench.actions {
+        if let Action::Advise { workers, .. } = action {
+            first_named.push(workers[0].id.clone());
+        }
+    }
+    first_named.sort();
+    first_named.dedup();
+    assert_eq!(first_named.len(), 6, "each call begins with another worker");
+    bench.advise(&["w0", "w1", "w2", "w3", "w4", "w5"]);
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 12, "no step needs another call");
+    // What was counted on is free again for later calls.
+    bench.submit(7, vec![step(2)]);
+    assert!(!bench.advise(&["w11"]).is_empty());
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -48,6 +48,15 @@
         })
     }
 
+    /// Returns so many times the amount, stopping each part at the largest number.
+    pub const fn times(&self, count: u32) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators_count: self.accelerators_count.saturating_mul(count),
+        }
+    }
+
     /// Returns whether every part is zero.
     pub fn is_zero(&self) -> bool {
         *self == Self::ZERO
