Keep fillers off serving tasks; look up kept room by worker

Change: fillers are not placed on a worker with a serving task; where a serving task comes, or a takeover left both, the fillers are stopped. A filler goes to the worker with most left unused. Reservations stand with their workers, with a check of the verifier; a step that needs more than a worker had free when the pass began passes over it and all that follow.

Ruled out: pacing fillers down (the harm differs by image and changes within seconds; a figure to steer by comes every half second).

Test: part_fillers_serving_task_comes fails without the change.

--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -80,7 +80,7 @@
                 named.push(candidate.worker);
             }
         }
-        for &key in &pass.by_room {
+        for key in pass.workers_for(&turn.demand) {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
@@ -127,7 +127,7 @@
     fn prefer_near(&self, now: Instant, turn: &Turn, pass: &Pass, named: &mut Vec<WorkerKey>) {
         let advice = &self.advice[&turn.key];
         let count = named.len();
-        let unknown = pass.by_room.iter().copied();
+        let unknown = pass.workers_for(&turn.demand);
         let unknown = unknown.filter(|key| !advice.is_known(*key));
         let near = self.candidates(now, turn, pass, unknown);
         let near = near.iter().filter(|candidate| candidate.is_near);
@@ -206,7 +206,7 @@
         let waited_ms = now.since(open.asked_at).as_ms();
         let AdviceReply::Good { tickets, validity } = reply else {
             advice.retry_at = now + ADVICE_RETRY;
-            self.reservations.remove(&step);
+            self.release_room(step);
             self.advisers.note_failure(now, &open.node);
             let line = Decision::new(DecisionKind::AdviceAnswered, "no answer");
             out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -80,7 +80,7 @@
         let reservations = reserve(fitting, &turn.demand, needed);
         let named = reservations.iter().map(|r| r.worker).collect();
         if self.ask(now, turn, policy, named, out) {
-            self.reservations.insert(turn.key, reservations);
+            self.reserve_room(turn.key, reservations);
             claim_room(pass, turn, needed);
         }
         true
@@ -120,7 +120,7 @@
         };
         let named = plan.reservations.iter().map(|r| r.worker).collect();
         if self.ask(now, turn, policy, named, out) {
-            self.reservations.insert(turn.key, plan.reservations);
+            self.reserve_room(turn.key, plan.reservations);
             self.preempt(now, plan.victims, out);
         }
         true
@@ -162,8 +162,7 @@
     /// freest first.
     fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
         let advice = &self.advice[&turn.key];
-        let unknown = pass.by_room.iter().copied();
-        let unknown = unknown.filter(|key| !advice.is_known(*key));
+        let unknown = pass.workers().filter(|key| !advice.is_known(*key));
         unknown
             .filter(|key| Self::is_eligible(turn, &self.workers[*key]))
             .collect()
@@ -242,7 +241,7 @@
     /// Keeps later work off enough good workers for the gang.
     fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
         let mut held: u64 = 0;
-        let limit_count = pass.by_room.len() * AWAITED_PERCENT / 100;
+        let limit_count = pass.workers_count() * AWAITED_PERCENT / 100;
         for (key, capacity_count, _) in good {
             if held >= turn.waiting.len() as u64 || pass.awaited.len() >= limit_count {
                 return;
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -1,9 +1,9 @@
 //! Gangs: room kept for them, and what follows when a member is lost.
 
 use crate::event::Action;
-use crate::job::{StepKey, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
-use crate::worker::{RunPhase, WorkerKey};
+use crate::worker::{Claim, RunPhase, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 
 /// How long the members of a gang that has lost one are given to end by
@@ -26,18 +26,33 @@
 }
 
 impl Scheduler {
-    /// Returns what is kept on a worker for gangs other than `step`.
-    pub(crate) fn reserved(&self, worker: WorkerKey, step: StepKey) -> Resources {
-        let mut room = Resources::ZERO;
-        for (holder, reservations) in &self.reservations {
-            if *holder == step {
-                continue;
-            }
-            for reservation in reservations.iter().filter(|r| r.worker == worker) {
-                room += reservation.room;
-            }
+    /// Keeps room for a gang, in the place of what was kept for it before.
+    pub(crate) fn reserve_room(&mut self, step: StepKey, reservations: Vec<Reservation>) {
+        self.release_room(step);
+        let mut workers = Vec::with_capacity(reservations.len());
+        for Reservation { worker, room } in reservations {
+            self.workers[worker].reservations.push(Claim { step, room });
+            workers.push(worker);
+        }
+        self.reservations.insert(step, workers);
+    }
+
+    /// Gives back the room that was kept for a gang.
+    pub(crate) fn release_room(&mut self, step: StepKey) {
+        let workers = self.reservations.remove(&step).unwrap_or_default();
+        for worker in workers {
+            let reservations = &mut self.workers[worker].reservations;
+            reservations.retain(|reservation| reservation.step != step);
+        }
+    }
+
+    /// Gives back the room that was kept for a job's gangs.
+    pub(crate) fn release_room_of(&mut self, job: JobId) {
+        let steps = self.reservations.keys().copied();
+        let steps: Vec<StepKey> = steps.filter(|step| step.job == job).collect();
+        for step in steps {
+            self.release_room(step);
         }
-        room
     }
 
     /// Takes in that a gang has lost a member: the others end by themselves
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -236,7 +236,7 @@
             self.stop_job(now, id, out);
         }
         self.advice.retain(|step, _| step.job != id);
-        self.reservations.retain(|step, _| step.job != id);
+        self.release_room_of(id);
     }
 
     /// Stops every run of a job.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -4,6 +4,7 @@
 use crate::event::{Action, EndedRun, HoldReply, RunningRun};
 use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::sharing::RunRole;
 use crate::worker::{ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeSet;
@@ -191,6 +192,7 @@
                         taken_at: None,
                     },
                     demand,
+                    role: RunRole::Plain,
                     ticket: None,
                     placed_at: now,
                     progress_percent: listed.progress_percent,
@@ -285,6 +287,13 @@
         }
     }
 
+    /// Returns the role of a task's runs.
+    pub(crate) fn role_of(&self, task: TaskKey) -> RunRole {
+        let job = self.jobs.get(&task.step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        spec.map_or(RunRole::Plain, RunRole::of)
+    }
+
     pub(crate) fn demand_of(&self, task: TaskKey) -> Option<Resources> {
         let job = self.jobs.get(&task.step.job)?;
         let spec = job.record.spec.steps.get(task.step.step as usize)?;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -32,6 +32,7 @@
 mod preemption;
 mod recovery;
 mod scheduler;
+mod sharing;
 mod state;
 mod verifier;
 mod worker;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -7,6 +7,7 @@
 use crate::event::Action;
 use crate::job::{JobRecord, StepKey, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
+use crate::sharing::RunRole;
 use crate::state::{StepState, TaskStatus};
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
@@ -75,6 +76,36 @@
     }
 }
 
+/// A worker as it was when a pass began.
+#[derive(Clone, Copy, Debug)]
+struct FreeWorker {
+    worker: WorkerKey,
+    /// Its free processors, in thousandths of a core.
+    free_milli: u32,
+}
+
+impl Pass {
+    /// Returns the workers that may take a run, those with most room first.
+    pub(crate) fn workers(&self) -> impl Iterator<Item = WorkerKey> + '_ {
+        self.by_room.iter().map(|free| free.worker)
+    }
+
+    /// Returns those of them that had room for a demand: a pass only takes room.
+    pub(crate) fn workers_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        let needed_milli = demand.cores_milli;
+        let able = self
+            .by_room
+            .iter()
+            .take_while(move |free| free.free_milli >= needed_milli);
+        able.map(|free| free.worker)
+    }
+
+    /// Returns how many workers may take a run.
+    pub(crate) const fn workers_count(&self) -> usize {
+        self.by_room.len()
+    }
+}
+
 /// What one pass over the waiting steps keeps in mind.
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
@@ -83,7 +114,7 @@
     pub(crate) room_milli: BTreeMap<Arc<str>, i64>,
     /// The workers that may take a run, those with most room first, as they
     /// were when the pass began.
-    pub(crate) by_room: Vec<WorkerKey>,
+    by_room: Vec<FreeWorker>,
     /// Workers on which a gang waits for room: whoever comes later in the pass
     /// is less urgent and leaves them alone.
     pub(crate) awaited: BTreeSet<WorkerKey>,
@@ -118,15 +149,18 @@
         let mut pass = Pass::default();
         for (key, worker) in self.workers.iter() {
             if worker.is_placeable(now) {
-                pass.by_room.push(key);
+                pass.by_room.push(FreeWorker {
+                    worker: key,
+                    free_milli: worker.free().cores_milli,
+                });
                 pass.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
                 pass.free_milli += u64::from(worker.free().cores_milli);
                 let room = pass.room_milli.entry(worker.facts.service.clone());
                 *room.or_default() += i64::from(worker.free().cores_milli);
             }
         }
-        let free = |key: &WorkerKey| self.workers[*key].free().cores_milli;
-        pass.by_room.sort_by_key(|key| (Reverse(free(key)), *key));
+        pass.by_room
+            .sort_by_key(|free| (Reverse(free.free_milli), free.worker));
         pass
     }
 
@@ -139,7 +173,8 @@
         }
         let Some(policy) = turn.advice else {
             if has_room(pass, &turn) {
-                let candidates = self.candidates(now, &turn, pass, pass.by_room.iter().copied());
+                let workers = pass.workers_for(&turn.demand);
+                let candidates = self.candidates(now, &turn, pass, workers);
                 self.allocate(now, &turn, candidates, out);
             }
             return;
@@ -159,7 +194,7 @@
             return;
         }
         // The answer has come: what was kept has been used, or is given back.
-        self.reservations.remove(&key);
+        self.release_room(key);
         if placed_count < turn.waiting.len() {
             self.seek_advice(now, &turn, policy, placed_count, pass, out);
         }
@@ -246,7 +281,12 @@
                 }
             }
         }
-        found.sort_by_key(|c| (!c.is_near, c.free.cores_milli, c.worker));
+        // A filler works on what is left unused, others leave large rooms whole.
+        let by_room = |free_milli: u32| match RunRole::of(turn.spec()) {
+            RunRole::Filler => u32::MAX - free_milli,
+            RunRole::Plain | RunRole::Serving => free_milli,
+        };
+        found.sort_by_key(|c| (!c.is_near, by_room(c.free.cores_milli), c.worker));
         found
     }
 
@@ -257,13 +297,14 @@
         key: WorkerKey,
         worker: &Worker,
     ) -> Option<Candidate> {
-        if !Self::is_eligible(turn, worker) {
+        let role = RunRole::of(turn.spec());
+        if !Self::is_eligible(turn, worker) || (role == RunRole::Filler && worker.is_serving()) {
             return None;
         }
         let near = turn.spec().data_rack.as_deref();
         Some(Candidate {
             worker: key,
-            free: worker.free() - self.reserved(key, turn.key),
+            free: worker.free() - worker.reserved(turn.key),
             left_count: left_count(worker, turn.key, turn.spec()),
             is_near: near.is_none() || near == worker.facts.rack.as_deref(),
             rack: worker.facts.rack.clone(),
@@ -305,7 +346,7 @@
             self.record_start(now, turn, task, worker, run, out);
         }
         if count > 0 {
-            self.reservations.remove(&turn.key);
+            self.release_room(turn.key);
             // What broke was an earlier run.
             self.broken_gangs.remove(&turn.key);
         }
@@ -346,6 +387,7 @@
             run: number,
             phase: RunPhase::Recording,
             demand: turn.demand,
+            role: RunRole::of(turn.spec()),
             ticket: None,
             placed_at: now,
             progress_percent: 0,
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -191,7 +191,7 @@
             let Some(mut candidate) = self.candidate(turn, key, worker) else {
                 continue;
             };
-            candidate.free = worker.room_without_stopping() - self.reserved(key, turn.key);
+            candidate.free = worker.room_without_stopping() - worker.reserved(turn.key);
             members_count += candidate.fit_count(&turn.demand);
         }
         members_count as usize >= turn.waiting.len()
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -94,6 +94,7 @@
             run: inherited.run,
             phase: RunPhase::Inherited,
             demand,
+            role: self.role_of(inherited.task),
             ticket: None,
             placed_at: now,
             progress_percent: 0,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -6,7 +6,6 @@
 use crate::config::{Configuration, SchedulerConfig};
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
-use crate::gangs::Reservation;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::state::Phase;
@@ -62,8 +61,8 @@
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
     pub(crate) advisers: Advisers,
-    /// Room that is kept for gangs whose advice is being asked for.
-    pub(crate) reservations: BTreeMap<StepKey, Vec<Reservation>>,
+    /// The workers that keep room for gangs whose advice is being asked for.
+    pub(crate) reservations: BTreeMap<StepKey, Vec<WorkerKey>>,
     /// Gangs that have lost a member, and when.
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
@@ -195,6 +194,7 @@
     fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.give_up_lapsed(now, out);
         self.stop_broken_gangs(now, out);
+        self.part_fillers(now, out);
         self.repeat_stops(now, out);
         if now >= self.next_upkeep_at {
             self.next_upkeep_at = now + UPKEEP_PERIOD;
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -19,6 +19,9 @@
     /// A task's state and the table of runs disagree.
     #[error("task {0} is not where its state says")]
     Placement(TaskKey),
+    /// A worker keeps room for a gang that has none kept, or the reverse.
+    #[error("the room that is kept on worker {0} is miscounted")]
+    Reservation(String),
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -33,6 +36,7 @@
     pub fn verify(&self) -> Result<(), Violation> {
         self.verify_rooms()?;
         self.verify_placements()?;
+        self.verify_reservations()?;
         let is_over = |id| {
             self.jobs
                 .get(id)
@@ -70,6 +74,23 @@
         Ok(())
     }
 
+    fn verify_reservations(&self) -> Result<(), Violation> {
+        for (key, worker) in self.workers.iter() {
+            let is_known = |step| {
+                let workers = self.reservations.get(step);
+                workers.is_some_and(|workers| workers.contains(&key))
+            };
+            let kept = worker.reservations.iter();
+            let kept_count = kept.filter(|kept| is_known(&kept.step)).count();
+            let known = self.reservations.values().flatten();
+            let known_count = known.filter(|known| **known == key).count();
+            if kept_count != worker.reservations.len() || kept_count != known_count {
+                return Err(Violation::Reservation(worker.facts.id.to_string()));
+            }
+        }
+        Ok(())
+    }
+
     fn verify_placements(&self) -> Result<(), Violation> {
         for (task, worker) in &self.placements {
             if !self.workers[*worker].runs.contains_key(task) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::event::Endpoint;
 use crate::job::{StepKey, TaskKey};
+use crate::sharing::RunRole;
 use cranelift_entity::entity_impl;
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeMap;
@@ -68,6 +69,7 @@
     pub(crate) run: u32,
     pub(crate) phase: RunPhase,
     pub(crate) demand: Resources,
+    pub(crate) role: RunRole,
     pub(crate) ticket: Option<Arc<str>>,
     pub(crate) placed_at: Instant,
     pub(crate) progress_percent: u32,
@@ -80,11 +82,11 @@
     pub(crate) read_at: Instant,
 }
 
-/// Room that a step counts on while its call for advice is open.
+/// Room that a step counts on.
 #[derive(Clone, Copy, Debug)]
-struct Claim {
-    step: StepKey,
-    room: Resources,
+pub(crate) struct Claim {
+    pub(crate) step: StepKey,
+    pub(crate) room: Resources,
 }
 
 /// A worker.
@@ -106,9 +108,13 @@
     pub(crate) leased_until: Instant,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
+    serving_count: usize,
+    fillers_count: usize,
     /// Room that steps count on whose calls for advice name the worker. It
     /// keeps others from naming it too, not from taking the room.
     claims: Vec<Claim>,
+    /// Room that is kept for gangs: nobody else may take it.
+    pub(crate) reservations: Vec<Claim>,
     /// The last end that it may forget.
     pub(crate) acked_end: u64,
     /// The last end that was taken in.
@@ -135,7 +141,10 @@
             leased_until,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            serving_count: 0,
+            fillers_count: 0,
             claims: Vec::new(),
+            reservations: Vec::new(),
             acked_end: 0,
             seen_end: 0,
             uncommitted_ends: Vec::new(),
@@ -164,11 +173,13 @@
 
     /// Returns what steps count on whose calls for advice are open.
     pub(crate) fn claimed(&self) -> Resources {
-        let mut room = Resources::ZERO;
-        for claim in &self.claims {
-            room += claim.room;
-        }
-        room
+        sum_of(self.claims.iter())
+    }
+
+    /// Returns what is kept for gangs other than `step`.
+    pub(crate) fn reserved(&self, step: StepKey) -> Resources {
+        let others = self.reservations.iter();
+        sum_of(others.filter(|reservation| reservation.step != step))
     }
 
     /// Returns what will not be taken once the runs that are being stopped
@@ -204,12 +215,36 @@
 
     pub(crate) fn insert_run(&mut self, task: TaskKey, run: Run) {
         self.used += run.demand;
+        if let Some(count) = self.count_of(run.role) {
+            *count += 1;
+        }
         self.runs.insert(task, run);
     }
 
+    const fn count_of(&mut self, role: RunRole) -> Option<&mut usize> {
+        match role {
+            RunRole::Plain => None,
+            RunRole::Serving => Some(&mut self.serving_count),
+            RunRole::Filler => Some(&mut self.fillers_count),
+        }
+    }
+
+    /// Returns whether a task that serves users runs there.
+    pub(crate) const fn is_serving(&self) -> bool {
+        self.serving_count > 0
+    }
+
+    /// Returns whether a filler runs there beside a task that serves users.
+    pub(crate) const fn is_shared(&self) -> bool {
+        self.serving_count > 0 && self.fillers_count > 0
+    }
+
     pub(crate) fn remove_run(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used -= run.demand;
+        if let Some(count) = self.count_of(run.role) {
+            *count -= 1;
+        }
         Some(run)
     }
 
@@ -232,3 +267,11 @@
         self.leased_until = now + limit + Duration::from_ms(slack_ms) + LEASE_MARGIN;
     }
 }
+
+fn sum_of<'a>(claims: impl Iterator<Item = &'a Claim>) -> Resources {
+    let mut room = Resources::ZERO;
+    for claim in claims {
+        room += claim.room;
+    }
+    room
+}
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -525,6 +525,34 @@
     assert!(!bench.advise(&["w11"]).is_empty());
 }
 
+/// A filler gives way to a task that serves users, and none comes beside one.
+#[test]
+fn part_fillers_serving_task_comes() {
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    let filler = StepSpec {
+        is_filler: true,
+        is_perpetual: true,
+        ..step(1)
+    };
+    let serving = StepSpec {
+        target_ms: 200,
+        is_perpetual: true,
+        ..step(1)
+    };
+    bench.submit(1, vec![filler.clone()]);
+    bench.commit_all();
+    let first = bench.starts()[0];
+    bench.started(first);
+    bench.submit(2, vec![serving]);
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 1, "the serving task starts");
+    assert_eq!(bench.stops(), vec![first], "the filler is stopped");
+    bench.list(first.0, vec![end(1, first.1, first.2, EndKind::Stopped)]);
+    bench.submit(3, vec![filler]);
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![], "no filler comes beside it");
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
