Let gangs ask about free workers as soon as these should complete their room

Cause: on the grown sites a quarter to three tenths of the workers' cores stood idle while gangs waited (now in the log's status lines): a gang knew some of its good workers, and after each answer waited 2.5 s before it asked about others.

Change: where its good workers are busy, a gang asks at once about unknown workers with room, if those that should be good among them complete its room and an adviser's node has nothing to do; what its good workers have free is kept meanwhile. Four gangs, not sixteen, may keep workers free. Status lines tell how full the workers are, how many gangs wait and how many workers are kept free.

Tests: ask_about_free_completes_room fails without the change.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -322,7 +322,11 @@
         "jobs" => status.jobs_count,
         "runs" => status.runs_count,
         "workers" => status.listed_workers_count,
-        "placeable_workers" => status.placeable_workers_count);
+        "placeable_workers" => status.placeable_workers_count,
+        "capacity_milli" => status.capacity_milli,
+        "used_milli" => status.used_milli,
+        "waiting_gangs" => status.waiting_gangs_count,
+        "awaited_workers" => status.awaited_workers_count);
 }
 
 /// Returns whether a much stronger node should lead instead: one that has come
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -23,13 +23,34 @@
 /// How long a gang waits for its good workers before it asks about others
 /// that have room: a long call holds up those of other gangs.
 const LOOK_FURTHER_AFTER: Duration = Duration::from_ms(2500);
+/// How many times the room that a gang lacks the workers should have that it
+/// asks about because they are free.
+const FREE_ROOM_FACTOR: f64 = 1.5;
 /// The gangs that may wait for room at a time; the others have their turn later.
-const WAITING_GANGS_LIMIT_COUNT: usize = 16;
+const WAITING_GANGS_LIMIT_COUNT: usize = 4;
 /// The time between two searches of a gang for room.
 const SEARCH_PERIOD: Duration = Duration::from_ms(100);
 /// The part of the workers that is kept for gangs that wait, at most.
 const AWAITED_PERCENT: usize = 60;
 
+/// What a gang knows of the workers.
+struct Search<'a> {
+    /// Those that are good for it.
+    good: &'a [WorkerKey],
+    /// Those of which nothing is known.
+    unknown: Vec<WorkerKey>,
+}
+
+/// Unknown workers that have room for members of a gang.
+#[derive(Default)]
+struct FreeWorkers {
+    named: Vec<WorkerKey>,
+    /// The members that they hold where all of them are good.
+    possible: f64,
+    /// The members that they should hold.
+    expected: f64,
+}
+
 impl Scheduler {
     /// Brings a gang that could not be placed nearer to its room.
     pub(crate) fn seek_for_gang(
@@ -134,7 +155,7 @@
         turn: &Turn,
         policy: AdvicePolicy,
         good: &[WorkerKey],
-        pass: &Pass,
+        pass: &mut Pass,
         out: &mut Vec<Action>,
     ) -> bool {
         let needed = turn.waiting.len();
@@ -146,18 +167,80 @@
             .map(|key| u64::from(fit_in(&self.workers[*key].facts.capacity, &turn.demand)))
             .sum();
         let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
-        let answered_at = self.advice[&turn.key].answered_at;
-        let has_free = now.since(answered_at) >= LOOK_FURTHER_AFTER
-            && self.unknown_room(turn, &unknown) >= needed as u64;
-        if unknown.is_empty() || !(is_short || has_free) {
+        if unknown.is_empty() {
+            return false;
+        }
+        if is_short {
+            let missing = needed as f64 - total as f64;
+            let named = self.choose_unknown(now, turn, policy, unknown, missing);
+            self.ask(now, turn, policy, named, out);
+            return true;
+        }
+        self.ask_about_free(now, turn, policy, Search { good, unknown }, pass, out)
+    }
+
+    /// Asks about unknown workers that have room now, where those that should
+    /// be good among them complete the gang's room; keeps what its good workers
+    /// have free meanwhile.
+    fn ask_about_free(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        search: Search<'_>,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let waited = now.since(self.advice[&turn.key].answered_at);
+        let has_waited = waited >= LOOK_FURTHER_AFTER;
+        if !has_waited && !self.advisers.is_idle(now, policy.cost(1)) {
+            return false;
+        }
+        let needed = turn.waiting.len();
+        let fitting = self.candidates(now, turn, pass, search.good.iter().copied());
+        let missing = needed as f64 - fit_sum(&fitting, &turn.demand) as f64;
+        let found = self.choose_free(turn, search.unknown, missing, pass);
+        // Each call leaves fewer unknown, so in the end a small chance will do.
+        let is_worth_it = found.expected >= missing || has_waited && found.possible >= missing;
+        if !is_worth_it {
             return false;
         }
-        let missing = needed as f64 - total as f64;
-        let named = self.choose_unknown(now, turn, policy, unknown, missing);
-        self.ask(now, turn, policy, named, out);
+        let named = found.named;
+        if self.ask(now, turn, policy, named, out) {
+            let reservations = reserve(fitting, &turn.demand, needed);
+            self.reserve_room(turn.key, reservations);
+            claim_room(pass, turn, needed);
+        }
         true
     }
 
+    /// Chooses unknown workers with room until those that should be good hold
+    /// enough members.
+    fn choose_free(
+        &self,
+        turn: &Turn,
+        unknown: Vec<WorkerKey>,
+        missing: f64,
+        pass: &Pass,
+    ) -> FreeWorkers {
+        let goodness = self.goodness_of(&turn.record.queue);
+        let mut found = FreeWorkers::default();
+        for key in unknown {
+            let is_enough = found.expected >= missing * FREE_ROOM_FACTOR;
+            if is_enough || found.named.len() >= NAMED_LIMIT_COUNT {
+                break;
+            }
+            let candidate = self.candidate(turn, key, &self.workers[key]);
+            let fit_count = candidate.map_or(0, |it| it.fit_count(&turn.demand));
+            if fit_count > 0 && !pass.awaited.contains(&key) {
+                found.possible += f64::from(fit_count);
+                found.expected += goodness * f64::from(fit_count);
+                found.named.push(key);
+            }
+        }
+        found
+    }
+
     /// Returns the workers of which nothing is known for the step, the
     /// freest first.
     fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
@@ -168,14 +251,6 @@
             .collect()
     }
 
-    /// Returns how many members fit now on workers of which nothing is known: a
-    /// gang whose good workers are busy may find others. Each call leaves fewer
-    /// unknown, so even a small chance is taken.
-    fn unknown_room(&self, turn: &Turn, unknown: &[WorkerKey]) -> u64 {
-        let fit = |key: &WorkerKey| fit_in(&self.workers[*key].free(), &turn.demand);
-        unknown.iter().map(|key| u64::from(fit(key))).sum()
-    }
-
     /// Chooses unknown workers until enough of them should be good, whether
     /// or not they have room now.
     fn choose_unknown(
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -127,17 +127,32 @@
     examined_count: usize,
 }
 
+/// What a pass left, for metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PassSummary {
+    pub(crate) awaited_workers_count: usize,
+    pub(crate) waiting_gangs_count: usize,
+}
+
 impl Scheduler {
     /// Places what can be placed.
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) {
         let mut pass = self.new_pass(now);
+        self.place_all(now, &mut pass, out);
+        self.last_pass = PassSummary {
+            awaited_workers_count: pass.awaited.len(),
+            waiting_gangs_count: pass.waiting_gangs_count,
+        };
+    }
+
+    fn place_all(&mut self, now: Instant, pass: &mut Pass, out: &mut Vec<Action>) {
         for id in self.service_order(now) {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             for step in job.ready_steps(id) {
                 pass.examined_count += 1;
-                self.place_step(now, step, &mut pass, out);
+                self.place_step(now, step, pass, out);
             }
             if pass.examined_count >= EXAMINED_LIMIT_COUNT {
                 return;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::event::{Action, Event};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::placing::PassSummary;
 use crate::state::Phase;
 use crate::worker::{Worker, WorkerKey};
 use cranelift_entity::PrimaryMap;
@@ -41,6 +42,14 @@
     pub placeable_workers_count: usize,
     /// Workers that are listed.
     pub listed_workers_count: usize,
+    /// The processors of the workers that may take a run, in thousandths of a core.
+    pub capacity_milli: u64,
+    /// What of them runs occupy.
+    pub used_milli: u64,
+    /// Workers that were kept free for waiting gangs when work was last placed.
+    pub awaited_workers_count: usize,
+    /// Gangs that waited then.
+    pub waiting_gangs_count: usize,
 }
 
 /// The decisions of one leader's term.
@@ -67,6 +76,8 @@
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
+    /// What the last pass over waiting steps left.
+    pub(crate) last_pass: PassSummary,
     pub(crate) lanes: Vec<Lane>,
     pub(crate) has_store_trouble: bool,
     /// Whether something has changed that may let a task be placed.
@@ -95,6 +106,7 @@
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
+            last_pass: PassSummary::default(),
             lanes,
             has_store_trouble: false,
             is_place_due: true,
@@ -174,15 +186,18 @@
 
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
+        let placeable = || self.workers.values().filter(|w| w.is_placeable(now));
         SchedulerStatus {
+            capacity_milli: placeable()
+                .map(|w| u64::from(w.facts.capacity.cores_milli))
+                .sum(),
+            used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
+            awaited_workers_count: self.last_pass.awaited_workers_count,
+            waiting_gangs_count: self.last_pass.waiting_gangs_count,
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
-            placeable_workers_count: self
-                .workers
-                .values()
-                .filter(|worker| worker.is_placeable(now))
-                .count(),
+            placeable_workers_count: placeable().count(),
             listed_workers_count: self
                 .workers
                 .values()
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -553,6 +553,40 @@
     assert_eq!(bench.starts(), vec![], "no filler comes beside it");
 }
 
+/// Found on the grown gallery's trouble-1: a gang whose good workers others had
+/// taken waited 2.5 s before it asked about workers that were free all the while.
+#[test]
+fn ask_about_free_completes_room() {
+    let policy = AdvicePolicy {
+        decision_ms: 1.0,
+        per_worker_ms: 10.0,
+        validity: Duration::from_ms(1500),
+    };
+    let mut bench = Bench::with_advice(Recovered::default(), &workers(24), Some(policy));
+    let nodes = (0..6).map(|number| format!("n{number}").into());
+    bench.tell(Event::NodesListed(nodes.collect()));
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2)
+    };
+    for number in 1..=3 {
+        bench.submit(number, vec![gang.clone()]);
+    }
+    let good = ["w0", "w1", "w9"];
+    assert_eq!(bench.advise(&good), vec![8, 8, 8]);
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 4, "two gangs fill their good workers");
+    let begun = bench.now;
+    for _ in 0..20 {
+        bench.now = bench.now + Duration::from_ms(20);
+        bench.advise(&good);
+        bench.tell(Event::Tick);
+    }
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 2, "the third starts on another");
+    assert!(bench.now.since(begun) < Duration::from_ms(1500));
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
