--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -2,8 +2,8 @@
 
 use crate::node::{Node, NodeError};
 use crate::platform::{FrontLimits, Incoming, Platform, Reply, Retry};
-use crate::{peer, requests};
-use http::header::{HeaderValue, CONNECTION};
+use crate::{clock, metrics, peer, requests};
+use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming as IncomingBody};
@@ -45,6 +45,8 @@
     Ready,
     /// Other nodes.
     Peer,
+    /// Whoever watches the node.
+    Metrics,
 }
 
 /// The listeners of a node and their connections.
@@ -171,6 +173,7 @@
     match role {
         Role::Ready => respond_ready(node, &request),
         Role::Peer => respond_peer(node, request).await,
+        Role::Metrics => respond_metrics(node),
         Role::Clients => {
             let reply = respond_client(node, request).await;
             let mut response = node.platform.encode(&reply);
@@ -200,6 +203,14 @@
     response
 }
 
+fn respond_metrics<P: Platform>(node: &Rc<Node<P>>) -> Response<Full<Bytes>> {
+    let text = node.metrics.to_text();
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
 async fn respond_peer<P: Platform>(
     node: &Rc<Node<P>>,
     request: Request<IncomingBody>,
@@ -242,8 +253,11 @@
         headers: &parts.headers,
         body: &body,
     };
-    match node.platform.decode(&in_force.routes, incoming) {
+    let begun_at = clock::now();
+    let reply = match node.platform.decode(&in_force.routes, incoming) {
         Ok(call) => requests::execute(node, call).await,
         Err(reply) => reply,
-    }
+    };
+    node.metrics.note_reply(&reply, begun_at);
+    reply
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,6 +2,7 @@
 
 use crate::commit::{CommitLane, CommitOutcome};
 use crate::election::{self, LEADER_LEASE};
+use crate::metered::MeteredStore;
 use crate::node::Node;
 use crate::orders;
 use crate::peer::{self, PeerReply, PeerRequest};
@@ -56,7 +57,7 @@
     ended: Notify,
     scheduler: RefCell<Scheduler>,
     events: mpsc::UnboundedSender<Event>,
-    lanes: Vec<Rc<CommitLane<P::Store>>>,
+    lanes: Vec<Rc<CommitLane<MeteredStore<P::Store>>>>,
     open_commits_count: Cell<usize>,
 }
 
@@ -164,6 +165,7 @@
         let scheduler = Scheduler::new(config, configuration, clock::now(), recovered);
         *leading.scheduler.borrow_mut() = scheduler;
         *node.leading.borrow_mut() = Some(leading.clone());
+        node.metrics.note_term(true);
         if node.is_draining.get() {
             leading.resign().await;
         }
@@ -171,6 +173,7 @@
         tokio::task::spawn_local(feeds::follow_workers(node.clone(), leading.clone()));
         run(node, &leading, received).await;
         *node.leading.borrow_mut() = None;
+        node.metrics.note_term(false);
     }
     leading.is_over.set(true);
     // The lease runs out by itself otherwise.
@@ -305,7 +308,9 @@
     }
     if now >= feed.next_status_at {
         feed.next_status_at = now + STATUS_PERIOD;
-        log_status(&node.log, &scheduler.status(now));
+        let status = scheduler.status(now);
+        node.metrics.note_status(&status);
+        log_status(&node.log, &status);
     }
     let wall_clock = Event::WallClock(clock::wall_ms());
     scheduler.handle(now, wall_clock, &mut feed.actions);
@@ -395,7 +400,10 @@
             warn!(node.log, "fenced by a newer leader"; "fence" => leading.fence);
             leading.end();
         }
-        Action::Log(decision) => log_decision(&node.log, leading.fence, &decision),
+        Action::Log(decision) => {
+            node.metrics.note_decision(&decision);
+            log_decision(&node.log, leading.fence, &decision);
+        }
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod keys;
 pub mod leader;
 pub mod log;
+pub mod metered;
+pub mod metrics;
 pub mod node;
 pub mod orders;
 pub mod peer;
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,262 @@
+//! A node's counters, gauges and histograms, as text for whoever asks.
+
+use crate::clock;
+use crate::platform::Reply;
+use ospreywing_scheduler::{Decision, SchedulerStatus};
+use ospreywing_types::{Duration, Instant};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicI64;
+
+/// The type of the text, as its format asks for.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// The first bound of histograms, in seconds; each further one is twice as high.
+const FIRST_BUCKET_S: f64 = 0.002;
+const BUCKETS_COUNT: u16 = 13;
+/// A page of memory, in bytes.
+const PAGE_BYTES: i64 = 4096;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReplyLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabels {
+    kind: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+type Amount = Gauge<i64, AtomicI64>;
+
+/// What a node counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    replies: Family<ReplyLabels, Counter>,
+    reply_s: Histogram,
+    decisions: Family<DecisionLabels, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
+    store_call_s: Histogram,
+    terms: Counter,
+    is_leader: Amount,
+    active_jobs: Amount,
+    runs: Amount,
+    workers: Amount,
+    placeable_workers: Amount,
+    capacity_millicores: Amount,
+    used_millicores: Amount,
+    waiting_gangs: Amount,
+    awaited_workers: Amount,
+    resident_bytes: Amount,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates metrics that stand at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ospreywing"),
+            replies: Family::default(),
+            reply_s: new_histogram(),
+            decisions: Family::default(),
+            store_calls: Family::default(),
+            store_call_s: new_histogram(),
+            terms: Counter::default(),
+            is_leader: Amount::default(),
+            active_jobs: Amount::default(),
+            runs: Amount::default(),
+            workers: Amount::default(),
+            placeable_workers: Amount::default(),
+            capacity_millicores: Amount::default(),
+            used_millicores: Amount::default(),
+            waiting_gangs: Amount::default(),
+            awaited_workers: Amount::default(),
+            resident_bytes: Amount::default(),
+        };
+        metrics.register_counters();
+        metrics.register_amounts();
+        metrics
+    }
+
+    fn register_counters(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "replies",
+            "Replies to clients, by outcome",
+            self.replies.clone(),
+        );
+        registry.register(
+            "reply_seconds",
+            "Time from a whole request to its reply",
+            self.reply_s.clone(),
+        );
+        registry.register(
+            "decisions",
+            "The scheduler's decisions, by kind and reason",
+            self.decisions.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls of the platform's store",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "store_call_seconds",
+            "Time of the store's calls, but for watches",
+            self.store_call_s.clone(),
+        );
+        registry.register("terms", "Terms that this node has led", self.terms.clone());
+    }
+
+    fn register_amounts(&mut self) {
+        let amounts = [
+            ("is_leader", "1 while this node leads", &self.is_leader),
+            ("active_jobs", "Jobs with work left", &self.active_jobs),
+            ("runs", "Runs that occupy workers", &self.runs),
+            ("workers", "Workers that are listed", &self.workers),
+            (
+                "placeable_workers",
+                "Workers that may take a run",
+                &self.placeable_workers,
+            ),
+            (
+                "capacity_millicores",
+                "What these hold, in thousandths of a core",
+                &self.capacity_millicores,
+            ),
+            (
+                "used_millicores",
+                "What of it runs occupy",
+                &self.used_millicores,
+            ),
+            (
+                "waiting_gangs",
+                "Gangs that workers are kept free for",
+                &self.waiting_gangs,
+            ),
+            (
+                "awaited_workers",
+                "Workers that are kept free",
+                &self.awaited_workers,
+            ),
+            (
+                "resident_bytes",
+                "The process's resident memory",
+                &self.resident_bytes,
+            ),
+        ];
+        for (name, help, amount) in amounts {
+            self.registry.register(name, help, amount.clone());
+        }
+    }
+
+    /// Counts a reply to a request that was read whole at `begun_at`.
+    pub fn note_reply(&self, reply: &Reply, begun_at: Instant) {
+        let outcome = outcome_of(reply);
+        self.replies.get_or_create(&ReplyLabels { outcome }).inc();
+        self.reply_s.observe(seconds_since(begun_at));
+    }
+
+    /// Counts a decision.
+    pub fn note_decision(&self, decision: &Decision) {
+        let labels = DecisionLabels {
+            kind: decision.kind.as_str(),
+            reason: decision.reason,
+        };
+        self.decisions.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call of the store that began at `begun_at`.
+    pub fn note_store_call(&self, call: &'static str, outcome: &'static str, begun_at: Instant) {
+        self.store_calls
+            .get_or_create(&StoreLabels { call, outcome })
+            .inc();
+        self.store_call_s.observe(seconds_since(begun_at));
+    }
+
+    /// Notes that a term has begun or is over.
+    pub fn note_term(&self, is_leader: bool) {
+        self.is_leader.set(i64::from(is_leader));
+        if is_leader {
+            self.terms.inc();
+        } else {
+            self.note_status(&SchedulerStatus::default());
+        }
+    }
+
+    /// Notes the sizes of what the leader decides on.
+    pub fn note_status(&self, status: &SchedulerStatus) {
+        let set = |amount: &Amount, count: usize| {
+            amount.set(count as i64);
+        };
+        set(&self.active_jobs, status.active_jobs_count);
+        set(&self.runs, status.runs_count);
+        set(&self.workers, status.listed_workers_count);
+        set(&self.placeable_workers, status.placeable_workers_count);
+        set(&self.waiting_gangs, status.waiting_gangs_count);
+        set(&self.awaited_workers, status.awaited_workers_count);
+        self.capacity_millicores.set(status.capacity_milli as i64);
+        self.used_millicores.set(status.used_milli as i64);
+    }
+
+    /// Returns everything as text.
+    pub fn to_text(&self) -> String {
+        if let Some(bytes) = resident_bytes() {
+            self.resident_bytes.set(bytes);
+        }
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn new_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS_COUNT))
+}
+
+fn seconds_since(begun_at: Instant) -> f64 {
+    let took: Duration = clock::now().since(begun_at);
+    took.as_ms() as f64 / 1000.0
+}
+
+const fn outcome_of(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Accepted => "accepted",
+        Reply::Cancelled => "cancelled",
+        Reply::Status { .. } => "status",
+        Reply::Pending(_) => "pending",
+        Reply::NoQueue => "no_queue",
+        Reply::NoJob => "no_job",
+        Reply::Invalid { .. } => "invalid",
+        Reply::TooLarge { .. } => "too_large",
+        Reply::NoMethod => "no_method",
+        Reply::TooSlow => "too_slow",
+        Reply::Unavailable(_) => "unavailable",
+        Reply::Unknown => "unknown",
+    }
+}
+
+/// Returns the process's resident memory, where the system tells.
+fn resident_bytes() -> Option<i64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: i64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,6 +7,8 @@
 use crate::intake::Intake;
 use crate::leader::Leading;
 use crate::log::LogBuffer;
+use crate::metered::MeteredStore;
+use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::store::{Item, LeaseId, WatchedChange};
 use ospreywing_http::HttpClient;
@@ -51,6 +53,8 @@
     pub ready_address: SocketAddr,
     /// Where other nodes call.
     pub peer_address: SocketAddr,
+    /// Where metrics are told, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
     /// The node's share of a core, in thousandths.
     pub cores_milli: u32,
     /// The longest lease that a worker grants.
@@ -90,15 +94,17 @@
     /// The platform.
     pub platform: P,
     /// The platform's store.
-    pub store: P::Store,
+    pub store: MeteredStore<P::Store>,
     /// The settings.
     pub settings: NodeSettings,
+    /// What is counted.
+    pub metrics: Rc<Metrics>,
     /// The log.
     pub log: Logger,
     /// Connections to other nodes.
     pub peers: HttpClient,
     /// What clients have handed in.
-    pub intake: Rc<Intake<P::Store>>,
+    pub intake: Rc<Intake<MeteredStore<P::Store>>>,
     /// The configuration, once there is one.
     pub in_force: RefCell<Option<Rc<InForce<P>>>>,
     /// Who leads, and who lives.
@@ -202,11 +208,13 @@
     log: Logger,
     buffer: LogBuffer,
 ) -> Result<(), NodeError> {
-    let store = platform.store();
+    let metrics = Rc::new(Metrics::new());
+    let store = MeteredStore::new(platform.store(), metrics.clone());
     let node = Rc::new(Node {
         intake: Intake::new(store.clone()),
         store,
         platform,
+        metrics,
         log,
         peers: HttpClient::new(PEER_IDLE_COUNT),
         in_force: RefCell::new(None),
@@ -232,6 +240,7 @@
     front
         .listen(node.settings.front_address, front::Role::Clients)
         .await?;
+    listen_for_metrics(&node, &front).await;
     info!(node.log, "started";
         "version" => env!("CARGO_PKG_VERSION"),
         "front" => node.settings.front_address.to_string(),
@@ -245,6 +254,16 @@
     Ok(())
 }
 
+/// Tells metrics where that was asked for; a node works without them.
+async fn listen_for_metrics<P: Platform>(node: &Rc<Node<P>>, front: &Front<P>) {
+    let Some(address) = node.settings.metrics_address else {
+        return;
+    };
+    if let Err(error) = front.listen(address, front::Role::Metrics).await {
+        warn!(node.log, "no metrics"; "error" => error.to_string());
+    }
+}
+
 fn spawn_loops<P: Platform>(node: &Rc<Node<P>>) {
     for _ in 0..INTAKE_WRITERS_COUNT {
         let intake = node.intake.clone();
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -3,5 +3,6 @@
 mod campaign;
 mod following;
 mod logging;
+mod measuring;
 mod store_writes;
 mod support;
--- /dev/null
+++ b/crates/control/tests/control/measuring.rs
@@ -0,0 +1,70 @@
+//! What a node counts.
+
+use crate::support::{run_local, MemoryStore, Treatment};
+use ospreywing_control::metered::MeteredStore;
+use ospreywing_control::metrics::Metrics;
+use ospreywing_control::{clock, Reply, Retry, Store, Transaction};
+use ospreywing_scheduler::{Decision, DecisionKind, SchedulerStatus};
+use ospreywing_types::Duration;
+use std::rc::Rc;
+
+#[test]
+fn to_text_counts_by_label() {
+    let metrics = Metrics::new();
+    let refused = Reply::Unavailable(Retry {
+        after: Duration::from_s(1),
+    });
+    metrics.note_reply(&refused, clock::now());
+    metrics.note_reply(&Reply::Accepted, clock::now());
+    metrics.note_reply(&Reply::Accepted, clock::now());
+    let decision = Decision::new(DecisionKind::NotStarted, "ticket over");
+    metrics.note_decision(&decision);
+    let text = metrics.to_text();
+    for line in [
+        r#"ospreywing_replies_total{outcome="accepted"} 2"#,
+        r#"ospreywing_replies_total{outcome="unavailable"} 1"#,
+        r#"ospreywing_decisions_total{kind="not started",reason="ticket over"} 1"#,
+        "ospreywing_reply_seconds_count 3",
+    ] {
+        assert!(text.contains(line), "{line} in:\n{text}");
+    }
+}
+
+#[test]
+fn note_term_over_clears_sizes() {
+    let metrics = Metrics::new();
+    metrics.note_term(true);
+    metrics.note_status(&SchedulerStatus {
+        runs_count: 7,
+        ..SchedulerStatus::default()
+    });
+    assert!(metrics.to_text().contains("ospreywing_runs 7"));
+    metrics.note_term(false);
+    let text = metrics.to_text();
+    assert!(text.contains("ospreywing_runs 0"));
+    assert!(text.contains("ospreywing_is_leader 0"));
+    assert!(text.contains("ospreywing_terms_total 1"));
+}
+
+#[test]
+fn commit_is_counted_by_outcome() {
+    run_local(async {
+        let metrics = Rc::new(Metrics::new());
+        let inner = MemoryStore::new();
+        inner.treat(&[Treatment::Answer, Treatment::Lose, Treatment::Refuse]);
+        let store = MeteredStore::new(inner, metrics.clone());
+        let new = Transaction::new()
+            .with_expect("k", 0)
+            .with_put("k", vec![1]);
+        // The last finds the key there.
+        for _ in 0..4 {
+            let _ = store.commit(&new).await;
+        }
+        let text = metrics.to_text();
+        for outcome in ["ok", "refused", "conflict"] {
+            let line = format!(r#"store_calls_total{{call="commit",outcome="{outcome}"}} 1"#);
+            assert!(text.contains(&line), "{line} in:\n{text}");
+        }
+        assert!(text.contains("ospreywing_store_call_seconds_count 4"));
+    });
+}
