--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -49,6 +49,27 @@
     Metrics,
 }
 
+/// A socket that listens.
+pub struct Listener {
+    listener: TcpListener,
+    /// Its address, with the port that it was given where any would do.
+    pub address: SocketAddr,
+}
+
+impl Listener {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] where the address can't be listened on.
+    pub async fn bind(address: SocketAddr) -> Result<Self, NodeError> {
+        let failed = |error| NodeError::Listen { address, error };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        Ok(Self { listener, address })
+    }
+}
+
 /// The listeners of a node and their connections.
 pub struct Front<P: Platform> {
     node: Rc<Node<P>>,
@@ -87,23 +108,16 @@
         self.open_count.get()
     }
 
-    /// Listens on an address until the front ends.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`NodeError`] where the address can't be listened on.
-    pub async fn listen(&self, address: SocketAddr, role: Role) -> Result<(), NodeError> {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.map_err(|error| NodeError::Listen { address, error })?;
+    /// Serves whoever connects to a listener until the front ends.
+    pub fn serve(&self, listener: Listener, role: Role) {
         let accept = accept(
-            listener,
+            listener.listener,
             self.node.clone(),
             self.stopped.clone(),
             self.open_count.clone(),
             role,
         );
         tokio::task::spawn_local(accept);
-        Ok(())
     }
 }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::election::{self, CellView};
 use crate::follow::{follow, Flow, FollowPolicy, Update};
-use crate::front::{self, Front};
+use crate::front::{self, Front, Listener};
 use crate::intake::Intake;
 use crate::leader::Leading;
 use crate::log::LogBuffer;
@@ -197,6 +197,28 @@
     }
 }
 
+/// The sockets without which a node is of no use.
+struct Sockets {
+    clients: Listener,
+    ready: Listener,
+    peer: Listener,
+}
+
+impl Sockets {
+    /// Listens where the settings say, and notes there which ports were given.
+    async fn bind(settings: &mut NodeSettings) -> Result<Self, NodeError> {
+        let sockets = Self {
+            ready: Listener::bind(settings.ready_address).await?,
+            peer: Listener::bind(settings.peer_address).await?,
+            clients: Listener::bind(settings.front_address).await?,
+        };
+        settings.ready_address = sockets.ready.address;
+        settings.peer_address = sockets.peer.address;
+        settings.front_address = sockets.clients.address;
+        Ok(sockets)
+    }
+}
+
 /// Runs a node until it is told to stop.
 ///
 /// # Errors
@@ -204,10 +226,11 @@
 /// Returns a [`NodeError`] where it can't begin.
 pub async fn run<P: Platform>(
     platform: P,
-    settings: NodeSettings,
+    mut settings: NodeSettings,
     log: Logger,
     buffer: LogBuffer,
 ) -> Result<(), NodeError> {
+    let sockets = Sockets::bind(&mut settings).await?;
     let metrics = Rc::new(Metrics::new());
     let store = MeteredStore::new(platform.store(), metrics.clone());
     let node = Rc::new(Node {
@@ -231,19 +254,14 @@
     let hup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
     let (stop, stopped) = watch::channel(false);
     let front = Front::new(node.clone(), stopped);
-    front
-        .listen(node.settings.ready_address, front::Role::Ready)
-        .await?;
-    front
-        .listen(node.settings.peer_address, front::Role::Peer)
-        .await?;
-    front
-        .listen(node.settings.front_address, front::Role::Clients)
-        .await?;
+    front.serve(sockets.ready, front::Role::Ready);
+    front.serve(sockets.peer, front::Role::Peer);
+    front.serve(sockets.clients, front::Role::Clients);
     listen_for_metrics(&node, &front).await;
     info!(node.log, "started";
         "version" => env!("CARGO_PKG_VERSION"),
         "front" => node.settings.front_address.to_string(),
+        "ready" => node.settings.ready_address.to_string(),
         "peer" => node.settings.peer_address.to_string());
     spawn_loops(&node);
     tokio::task::spawn_local(reload_on_signal(node.clone(), hup));
@@ -259,8 +277,9 @@
     let Some(address) = node.settings.metrics_address else {
         return;
     };
-    if let Err(error) = front.listen(address, front::Role::Metrics).await {
-        warn!(node.log, "no metrics"; "error" => error.to_string());
+    match Listener::bind(address).await {
+        Ok(listener) => front.serve(listener, front::Role::Metrics),
+        Err(error) => warn!(node.log, "no metrics"; "error" => error.to_string()),
     }
 }
 
