--- /dev/null
+++ b/crates/control/src/decision_log.rs
@@ -0,0 +1,40 @@
+//! Log lines of the scheduler's decisions and sizes.
+
+use ospreywing_scheduler::{Decision, DecisionKind, SchedulerStatus};
+use slog::{debug, info, Logger};
+use std::sync::Arc;
+
+/// Logs how much the leader has to decide on.
+pub(crate) fn log_status(log: &Logger, status: &SchedulerStatus) {
+    info!(log, "status";
+        "active_jobs" => status.active_jobs_count,
+        "jobs" => status.jobs_count,
+        "runs" => status.runs_count,
+        "workers" => status.listed_workers_count,
+        "placeable_workers" => status.placeable_workers_count,
+        "capacity_milli" => status.capacity_milli,
+        "used_milli" => status.used_milli,
+        "waiting_gangs" => status.waiting_gangs_count,
+        "awaited_workers" => status.awaited_workers_count);
+}
+
+/// Logs a decision.
+pub(crate) fn log_decision(log: &Logger, fence: u64, decision: &Decision) {
+    let kind = decision.kind.as_str();
+    let worker: &str = decision
+        .worker
+        .as_ref()
+        .map_or("", |worker: &Arc<str>| worker);
+    match (decision.task, decision.job) {
+        (Some(task), _) => info!(log, "{}", kind;
+            "task" => %task, "run" => decision.run, "worker" => worker,
+            "reason" => decision.reason, "figure" => decision.figure, "fence" => fence),
+        (None, Some(job)) => info!(log, "{}", kind;
+            "job" => %job, "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
+        (None, None) if decision.kind == DecisionKind::WorkerListed => {
+            debug!(log, "{}", kind; "worker" => worker, "reason" => decision.reason);
+        }
+        (None, None) => info!(log, "{}", kind;
+            "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
+    }
+}
--- /dev/null
+++ b/crates/control/src/decision_loop.rs
@@ -0,0 +1,171 @@
+//! The loop of a term: events go to the scheduler, its actions are carried out.
+
+use crate::clock;
+use crate::commit::CommitOutcome;
+use crate::decision_log::{log_decision, log_status};
+use crate::giving_way;
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::orders;
+use crate::platform::Platform;
+use ospreywing_scheduler::{Action, Change, Event, Scheduler};
+use ospreywing_types::{Duration, Instant};
+use slog::{info, warn};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// The time between two lines with sizes.
+const STATUS_PERIOD: Duration = Duration::from_s(5);
+/// The time between two ticks.
+const TICK: Duration = Duration::from_ms(20);
+/// The time without a renewal after which the store is in trouble.
+const TROUBLE_AFTER: Duration = Duration::from_ms(800);
+
+/// What the loop of a term keeps from one batch of events to the next.
+struct Feed {
+    received: mpsc::UnboundedReceiver<Event>,
+    actions: Vec<Action>,
+    has_trouble: bool,
+    nodes: Vec<Arc<str>>,
+    next_status_at: Instant,
+}
+
+/// Feeds the scheduler until the term is over.
+pub(crate) async fn run<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    received: mpsc::UnboundedReceiver<Event>,
+) {
+    let mut ticks = tokio::time::interval(TICK.into());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut feed = Feed {
+        received,
+        actions: Vec::new(),
+        has_trouble: false,
+        nodes: Vec::new(),
+        next_status_at: clock::now() + STATUS_PERIOD,
+    };
+    while !leading.is_over() {
+        let first = tokio::select! {
+            event = feed.received.recv() => event,
+            _ = ticks.tick() => Some(Event::Tick),
+            () = leading.ended.notified() => return,
+        };
+        let Some(first) = first else {
+            return;
+        };
+        handle_batch(node, leading, &mut feed, first);
+        if giving_way::should_give_way(node, leading) {
+            giving_way::log_given_up(node, leading.fence, "leading");
+            leading.resign().await;
+        }
+    }
+}
+
+/// Takes in an event and those that wait behind it, and carries out what follows.
+fn handle_batch<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    feed: &mut Feed,
+    first: Event,
+) {
+    let now = clock::now();
+    let mut scheduler = leading.scheduler.borrow_mut();
+    if matches!(first, Event::Tick) {
+        tell_surroundings(node, leading, feed, &mut scheduler);
+    }
+    scheduler.handle(now, first, &mut feed.actions);
+    while let Ok(event) = feed.received.try_recv() {
+        scheduler.handle(now, event, &mut feed.actions);
+    }
+    if leading.may_order() && !leading.is_resigned.get() {
+        scheduler.settle(now, &mut feed.actions);
+    }
+    drop(scheduler);
+    for action in feed.actions.drain(..) {
+        carry_out(node, leading, action);
+    }
+}
+
+/// Tells the scheduler of the store, the clock and the nodes, where they changed.
+fn tell_surroundings<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    feed: &mut Feed,
+    scheduler: &mut Scheduler,
+) {
+    let now = clock::now();
+    let has_trouble = now.since(leading.renewed_at.get()) > TROUBLE_AFTER;
+    if has_trouble != feed.has_trouble {
+        feed.has_trouble = has_trouble;
+        info!(node.log, "store trouble"; "has_trouble" => has_trouble);
+        scheduler.handle(now, Event::StoreTrouble(has_trouble), &mut feed.actions);
+    }
+    if now >= feed.next_status_at {
+        feed.next_status_at = now + STATUS_PERIOD;
+        let status = scheduler.status(now);
+        node.metrics.note_status(&status);
+        log_status(&node.log, &status);
+    }
+    let wall_clock = Event::WallClock(clock::wall_ms());
+    scheduler.handle(now, wall_clock, &mut feed.actions);
+    let nodes = node.names();
+    if nodes != feed.nodes {
+        feed.nodes.clone_from(&nodes);
+        scheduler.handle(now, Event::NodesListed(nodes), &mut feed.actions);
+    }
+}
+
+fn carry_out<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, action: Action) {
+    match action {
+        Action::Commit { lane, changes } => commit(node, leading, lane, changes),
+        Action::Start { to, order } => orders::start(node, leading, to, order),
+        Action::Stop { to, task, run } => orders::stop(node, leading, to, task, run),
+        Action::Hold {
+            to,
+            until_ms,
+            last_seen,
+            wait,
+        } => orders::hold(node, leading, to, until_ms, last_seen, wait),
+        Action::Advise {
+            step,
+            workers,
+            node: asker,
+            expected,
+        } => orders::advise(node, leading, step, workers, &asker, expected),
+        Action::StepDown => {
+            warn!(node.log, "fenced by a newer leader"; "fence" => leading.fence);
+            leading.end();
+        }
+        Action::Log(decision) => {
+            node.metrics.note_decision(&decision);
+            log_decision(&node.log, leading.fence, &decision);
+        }
+    }
+}
+
+/// Writes changes to the store, in a task of its own.
+fn commit<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    lane: u32,
+    changes: Vec<Change>,
+) {
+    let commits_count = &leading.open_commits_count;
+    commits_count.set(commits_count.get() + 1);
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        let writer = leading.lanes[lane as usize].clone();
+        let outcome = writer.commit(changes, || leading.is_over()).await;
+        let commits_count = &leading.open_commits_count;
+        commits_count.set(commits_count.get() - 1);
+        match outcome {
+            CommitOutcome::Done => leading.tell(Event::Committed { lane }),
+            CommitOutcome::Lost => {
+                warn!(node.log, "commit lost"; "lane" => lane, "fence" => leading.fence);
+                leading.end();
+            }
+        }
+    });
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,13 +9,17 @@
 
 pub mod clock;
 pub mod commit;
+mod decision_log;
+mod decision_loop;
 pub mod election;
 pub mod feeds;
 pub mod follow;
 pub mod front;
+mod giving_way;
 pub mod intake;
 pub mod keys;
 pub mod leader;
+mod leader_lease;
 pub mod log;
 pub mod metered;
 pub mod metrics;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -10,12 +10,32 @@
     StopReply, TaskKey, Ticket,
 };
 use ospreywing_types::Duration;
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 
 /// What a call for advice may take beyond the adviser's own time.
 const ADVICE_SLACK: Duration = Duration::from_ms(700);
 
+/// Gives an order in a task of its own, unless the term may be over, and tells
+/// the scheduler what became of it.
+fn spawn_order<P: Platform, R: 'static>(
+    leading: &Rc<Leading<P>>,
+    order: impl Future<Output = R> + 'static,
+    not_sent: R,
+    event: impl FnOnce(R) -> Event + 'static,
+) {
+    let leading = leading.clone();
+    tokio::task::spawn_local(async move {
+        let reply = if leading.may_order() {
+            order.await
+        } else {
+            not_sent
+        };
+        leading.tell(event(reply));
+    });
+}
+
 /// Sends a start, unless the term may be over.
 pub fn start<P: Platform>(
     node: &Rc<Node<P>>,
@@ -23,19 +43,15 @@
     to: Endpoint,
     order: StartOrder,
 ) {
-    let (node, leading) = (node.clone(), leading.clone());
-    tokio::task::spawn_local(async move {
-        let reply = if leading.may_order() {
-            node.platform.start(&to, leading.fence, &order).await
-        } else {
-            StartReply::Refused(RefusedStart::Late)
-        };
-        leading.tell(Event::StartAnswered {
-            worker: to.worker,
-            task: order.task,
-            run: order.run,
-            reply,
-        });
+    let (node, fence) = (node.clone(), leading.fence);
+    let (worker, task, run) = (to.worker, order.task, order.run);
+    let sent = async move { node.platform.start(&to, fence, &order).await };
+    let not_sent = StartReply::Refused(RefusedStart::Late);
+    spawn_order(leading, sent, not_sent, move |reply| Event::StartAnswered {
+        worker,
+        task,
+        run,
+        reply,
     });
 }
 
@@ -47,19 +63,16 @@
     task: TaskKey,
     run: u32,
 ) {
-    let (node, leading) = (node.clone(), leading.clone());
-    tokio::task::spawn_local(async move {
-        let reply = if leading.may_order() {
-            node.platform.stop(&to, leading.fence, task, run).await
-        } else {
-            StopReply::Unanswered
-        };
-        leading.tell(Event::StopAnswered {
-            worker: to.worker,
+    let (node, fence) = (node.clone(), leading.fence);
+    let worker = to.worker;
+    let sent = async move { node.platform.stop(&to, fence, task, run).await };
+    spawn_order(leading, sent, StopReply::Unanswered, move |reply| {
+        Event::StopAnswered {
+            worker,
             task,
             run,
             reply,
-        });
+        }
     });
 }
 
@@ -72,22 +85,18 @@
     last_seen: u64,
     wait: Duration,
 ) {
-    let (node, leading) = (node.clone(), leading.clone());
-    tokio::task::spawn_local(async move {
-        let sent_at = clock::now();
-        let reply = if leading.may_order() {
-            let platform = &node.platform;
-            platform
-                .hold(&to, leading.fence, until_ms, last_seen, wait)
-                .await
-        } else {
-            HoldReply::Unanswered
-        };
-        leading.tell(Event::HoldAnswered {
-            worker: to.worker,
+    let (node, fence) = (node.clone(), leading.fence);
+    let (worker, sent_at) = (to.worker, clock::now());
+    let sent = async move {
+        let platform = &node.platform;
+        platform.hold(&to, fence, until_ms, last_seen, wait).await
+    };
+    spawn_order(leading, sent, HoldReply::Unanswered, move |reply| {
+        Event::HoldAnswered {
+            worker,
             sent_at,
             reply,
-        });
+        }
     });
 }
 
