Let work that saves nothing give way to gangs where it has barely begun

Cause: a fifth of the weekly reshuffles save no checkpoints and kept their room from gangs even in their first tenths of a second.

Change: runs that save nothing may be stopped up to 25% of their work.

Ruled out: more than that: a core-second thrown away is priced, little as it is.

Tests: plan_preemption_barely_begun fails without the change; plan_preemption_nothing_to_stop states the limits, at 50% for what saves nothing, as strict as before.

--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -1,9 +1,8 @@
 //! Preemption: room that less urgent work gives up to a gang.
 //!
 //! A gang needs much room at once, on the few workers that are good for it.
-//! Tasks of less urgent queues that save checkpoints lose little when they are
-//! stopped: the checkpoint is written at the stop, and they go on from there.
-//! So a gang that can still be in time takes their room, while its call for
+//! Tasks of less urgent queues lose little when they are stopped where they save
+//! checkpoints, since one is written at the stop, or have barely begun. So a gang that can still be in time takes their room, while its call for
 //! advice is on the way.
 
 use crate::event::Action;
@@ -19,6 +18,8 @@
 const VICTIM_SLACK: Duration = Duration::from_ms(3000);
 /// A run that is further on than this ends soon by itself.
 const VICTIM_PROGRESS_PERCENT: u32 = 70;
+/// A run that saves nothing and is further on than this loses too much.
+const UNSAVED_PROGRESS_PERCENT: u32 = 25;
 
 /// A run that may be stopped for a gang.
 #[derive(Clone, Copy, Debug)]
@@ -155,9 +156,6 @@
         if !matches!(run.phase, RunPhase::Running { .. }) {
             return false;
         }
-        if run.progress_percent > VICTIM_PROGRESS_PERCENT {
-            return false;
-        }
         let (Some(job), Some(for_job)) =
             (self.jobs.get(&task.step.job), self.jobs.get(&turn.key.job))
         else {
@@ -166,7 +164,12 @@
         let Some(spec) = job.record.spec.steps.get(task.step.step as usize) else {
             return false;
         };
-        let is_cheap = spec.saves_progress && !spec.is_gang && !spec.is_perpetual;
+        let limit_percent = if spec.saves_progress {
+            VICTIM_PROGRESS_PERCENT
+        } else {
+            UNSAVED_PROGRESS_PERCENT
+        };
+        let is_cheap = run.progress_percent <= limit_percent && !spec.is_gang && !spec.is_perpetual;
         let is_less_urgent = job.rank.0 > for_job.rank.0;
         let needed_until = now + Duration::from_ms(job.left_ms) + VICTIM_SLACK;
         is_cheap && is_less_urgent && needed_until < job.accepted_at + job.objective
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -91,6 +91,34 @@
         });
     }
 
+    /// Has the workers list runs that are so far on.
+    fn list_progress(&mut self, runs: &[(WorkerKey, TaskKey, u32)], progress_percent: u32) {
+        let mut workers: Vec<WorkerKey> = runs.iter().map(|(worker, ..)| *worker).collect();
+        workers.dedup();
+        for worker in workers {
+            let here = runs.iter().filter(|(at, ..)| *at == worker);
+            let running = here.map(|(_, task, run)| RunningRun {
+                task: *task,
+                run: *run,
+                checkpoint: None,
+                progress_percent,
+                usage_figure: 0,
+            });
+            let sent_at = self.now;
+            self.now = self.now + Duration::from_ms(60);
+            let reply = HoldReply::Listed {
+                clock_ms: self.now.as_ms(),
+                running: running.collect(),
+                ended: Vec::new(),
+            };
+            self.tell(Event::HoldAnswered {
+                worker,
+                sent_at,
+                reply,
+            });
+        }
+    }
+
     fn be_silent(&mut self, worker: WorkerKey) {
         self.now = self.now + Duration::from_ms(700);
         let sent_at = self.now;
@@ -408,9 +436,9 @@
     assert_eq!(bench.starts().len(), 1);
 }
 
-/// Fills two workers with four tasks of the job, and has a gang of two ask for
-/// room there.
-fn gang_before_full_workers((id, record): (JobId, JobRecord)) -> Bench {
+/// Fills two workers with four tasks of the job, which are so far on, and has a
+/// gang of two ask for room there.
+fn gang_before_full_workers((id, record): (JobId, JobRecord), progress_percent: u32) -> Bench {
     let mut bench = Bench::with_advice(Recovered::default(), &workers(2), Some(advice()));
     bench.tell(Event::NodesListed(vec!["n1".into()]));
     bench.submit_job((id, record));
@@ -418,7 +446,10 @@
     bench.commit_all();
     let starts = bench.starts();
     assert_eq!(starts.len(), 4);
-    starts.into_iter().for_each(|start| bench.started(start));
+    for start in &starts {
+        bench.started(*start);
+    }
+    bench.list_progress(&starts, progress_percent);
     let gang = StepSpec {
         is_gang: true,
         ..step(2)
@@ -433,7 +464,7 @@
 /// work, which could have gone on later from its checkpoints, had their room.
 #[test]
 fn plan_preemption_saving_work() {
-    let mut bench = gang_before_full_workers(patient_job(1, 4));
+    let mut bench = gang_before_full_workers(patient_job(1, 4), 50);
     let stops = bench.stops();
     assert_eq!(stops.len(), 2, "as many as the gang needs");
     assert_eq!(bench.starts(), vec![], "the room is not free yet");
@@ -457,19 +488,33 @@
     assert_eq!(bench.stops(), vec![], "nothing else is stopped");
 }
 
-/// What would lose its work, is as urgent or has no time to spare goes on.
+/// What would lose much, is as urgent, has no time to spare or is nearly done
+/// goes on.
 #[rstest]
-#[case::saves_nothing(|record: &mut JobRecord| record.spec.steps[0].saves_progress = false)]
-#[case::as_urgent(|record: &mut JobRecord| record.queue = support::QUEUE.to_owned())]
-#[case::no_time(|record: &mut JobRecord| record.spec.steps[0].estimate_ms = 1000)]
-#[case::perpetual(|record: &mut JobRecord| record.spec.steps[0].is_perpetual = true)]
-fn plan_preemption_nothing_to_stop(#[case] change: fn(&mut JobRecord)) {
+#[case::saves_nothing(|record: &mut JobRecord| record.spec.steps[0].saves_progress = false, 50)]
+#[case::nearly_done(|_: &mut JobRecord| (), 80)]
+#[case::as_urgent(|record: &mut JobRecord| record.queue = support::QUEUE.to_owned(), 0)]
+#[case::no_time(|record: &mut JobRecord| record.spec.steps[0].estimate_ms = 1000, 0)]
+#[case::perpetual(|record: &mut JobRecord| record.spec.steps[0].is_perpetual = true, 0)]
+fn plan_preemption_nothing_to_stop(
+    #[case] change: fn(&mut JobRecord),
+    #[case] progress_percent: u32,
+) {
     let (id, mut record) = patient_job(1, 4);
     change(&mut record);
-    let mut bench = gang_before_full_workers((id, record));
+    let mut bench = gang_before_full_workers((id, record), progress_percent);
     assert_eq!(bench.stops(), vec![]);
 }
 
+/// Work that saves nothing gives way where it has barely begun.
+#[test]
+fn plan_preemption_barely_begun() {
+    let (id, mut record) = patient_job(1, 4);
+    record.spec.steps[0].saves_progress = false;
+    let mut bench = gang_before_full_workers((id, record), 10);
+    assert_eq!(bench.stops().len(), 2);
+}
+
 /// Found on the grown swaramala-ow: gangs beyond those that wait for room were
 /// not looked at, though their good workers were free.
 #[test]
