Grant long leases as soon as a renewal of the leader's lease is late

Cause: in an outage of the store a leader may order for 1.35 s after its last renewal, and granted its workers 6 s in place of 4 only for the last 0.55 s of that: less than the 0.88 s in which it meets every worker.

Change: the store is in trouble 0.45 s after the last renewal, not 0.8 s, so that each worker is met in time.

Ruled out: a longer leader's lease (a leader that dies in silence would be missed for longer, and its workers' runs with it).

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -20,7 +20,7 @@
 /// The time between two ticks.
 const TICK: Duration = Duration::from_ms(20);
 /// The time without a renewal after which the store is in trouble.
-const TROUBLE_AFTER: Duration = Duration::from_ms(800);
+const TROUBLE_AFTER: Duration = Duration::from_ms(450);
 
 /// What the loop of a term keeps from one batch of events to the next.
 struct Feed {
