Search checkpoints, and preemption that really happens

Cause: checkpoints were not in the search of interleavings, and in the calm case of scheduler_preempts_for_gangs nothing was preempted, so that it said little.

Change: fake workers save checkpoints; a start must bring one of its own task or gang, and all members of a run the same. All workers are good in that case, so that patient work fills them and gangs must take their room; some run must go on from a checkpoint. Product code is not changed.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -24,6 +24,7 @@
 fn gang(tasks_count: u32) -> StepSpec {
     StepSpec {
         is_gang: true,
+        saves_progress: true,
         ..step(tasks_count)
     }
 }
@@ -125,21 +126,26 @@
     takeover: 20,
 })]
 fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
+    let mut resumed_count = 0;
     for seed in 0..seeds_count() {
         // Shown where the test fails.
         println!("seed {seed}");
         let mut world = World::new(seed, 8, faults, Some(advice()));
-        world.good_one_in = 2;
+        // All are good, so that patient work fills them all.
+        world.good_one_in = 1;
         world.calm_from_ms = world.now_ms + STORM_MS;
         for number in 1..=20 {
+            // Patient work fills the workers before each gang comes.
             let job = match number % 2 {
                 0 => job(number, vec![gang(3)]),
-                _ => patient_job(number, 8),
+                _ => patient_job(number, 16),
             };
             world.submit(job);
-            world.run_for(300);
+            world.run_for(900);
         }
         world.run_for(STORM_MS);
         world.run_until_done(CALM_LIMIT_MS);
+        resumed_count += world.rules.resumed_count;
     }
+    assert!(resumed_count > 0, "nothing went on from a checkpoint");
 }
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -1,7 +1,7 @@
 //! The rules, checked from the outside at each start and at the end.
 
 use super::worker::FakeWorker;
-use ospreywing_scheduler::{EndKind, JobId, JobRecord, StartOrder, TaskKey};
+use ospreywing_scheduler::{EndKind, JobId, JobRecord, StartOrder, StepKey, TaskKey};
 use ospreywing_types::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +15,10 @@
     /// Runs that failed and were noted, by task.
     pub failed_noted: BTreeMap<TaskKey, BTreeSet<u32>>,
     pub starts_count: usize,
+    /// Starts that went on from a checkpoint.
+    pub resumed_count: usize,
+    /// The checkpoint that the members of a gang's run bring.
+    gang_checkpoints: BTreeMap<(StepKey, u32), Option<String>>,
 }
 
 impl Rules {
@@ -72,6 +76,30 @@
             }
         }
         self.check_room(&workers[index], order, spec.demand);
+        self.check_checkpoint(order, spec.is_gang);
+    }
+
+    /// Checks that a start brings a checkpoint of its own task, or of its gang,
+    /// and all members of a gang's run the same.
+    fn check_checkpoint(&mut self, order: &StartOrder, is_gang: bool) {
+        let task = order.task;
+        if let Some(checkpoint) = &order.checkpoint {
+            self.resumed_count += 1;
+            let owner = if is_gang {
+                format!("{}.", task.step)
+            } else {
+                format!("{task} ")
+            };
+            assert!(
+                checkpoint.starts_with(&owner),
+                "{task} brings the checkpoint {checkpoint}"
+            );
+        }
+        if is_gang {
+            let of_run = self.gang_checkpoints.entry((task.step, order.run));
+            let first = of_run.or_insert_with(|| order.checkpoint.clone());
+            assert_eq!(first, &order.checkpoint, "{task}: members bring different");
+        }
     }
 
     fn check_room(&self, worker: &FakeWorker, order: &StartOrder, demand: Resources) {
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -15,6 +15,15 @@
     pub ends_at_ms: u64,
     pub kind: EndKind,
     pub demand: Resources,
+    /// Whether it saves checkpoints.
+    pub saves: bool,
+}
+
+impl FakeRun {
+    /// Returns the checkpoint that was saved last, in a text that names its task.
+    fn checkpoint(&self, task: TaskKey) -> Option<String> {
+        self.saves.then(|| format!("{task} run {}", self.run))
+    }
 }
 
 /// A fake worker.
@@ -100,7 +109,7 @@
             task,
             run: run.run,
             kind,
-            checkpoint: None,
+            checkpoint: run.checkpoint(task),
         });
         self.next_end += 1;
     }
@@ -134,7 +143,7 @@
         let running = self.runs.iter().map(|(task, run)| RunningRun {
             task: *task,
             run: run.run,
-            checkpoint: None,
+            checkpoint: run.checkpoint(*task),
             progress_percent: 0,
             usage_figure: 0,
         });
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -522,6 +522,7 @@
                 EndKind::Done
             },
             demand: spec.demand,
+            saves: spec.saves_progress,
         };
         self.workers[index].begin(now_ms, order, run, LEASE_LIMIT_MS);
         StartReply::Started
