Write an ended job's outcome once

Cause, found on reading the change again: every 100 ms settle_ended_jobs touched each ended job without runs, also while its outcome waited to be written or was on its way, so that a slow store was given some outcomes twice.

Change: jobs that wait or are on their way are passed over; the note that a job is unsettled goes with the outcome's commit alone.

Ruled out: any change of what is kept; a second write brought the same bytes.

--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -193,12 +193,16 @@
         }
     }
 
-    /// Has the outcomes written of jobs whose last run is over.
+    /// Has the outcomes written of jobs whose last run is over, unless they wait
+    /// to be written or are on their way already.
     pub(crate) fn settle_ended_jobs(&mut self) {
-        let ended: Vec<JobId> = self.unsettled.iter().copied().collect();
+        let is_idle = |id: &&JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| !job.is_dirty && !job.is_on_its_way)
+        };
+        let ended: Vec<JobId> = self.unsettled.iter().filter(is_idle).copied().collect();
         for id in ended {
             if !self.has_runs(id) {
-                self.unsettled.remove(&id);
                 self.touch(id, None);
             }
         }
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -662,6 +662,44 @@
     assert_eq!(jobs.len(), committed_count, "no job is on its way twice");
 }
 
+/// Found on reading: an outcome that was on its way was written once more.
+#[test]
+fn settle_ended_jobs_outcome_on_its_way() {
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    // Nothing of it is placed, so that only the outcome is to be written.
+    let huge = StepSpec {
+        demand: Resources::new(64_000, 1000, 0),
+        ..step(1)
+    };
+    bench.submit(1, vec![huge]);
+    let job = JobId::new(1);
+    bench.tell(Event::CancelAccepted { job });
+    let mut outcomes_count = 0;
+    for _ in 0..20 {
+        // The store takes 300 ms for each answer.
+        let mut lanes = Vec::new();
+        for _ in 0..10 {
+            bench.now = bench.now + Duration::from_ms(30);
+            bench.tell(Event::Tick);
+            for action in bench.actions.drain(..) {
+                if let Action::Commit { lane, changes } = action {
+                    lanes.push(lane);
+                    let outcomes = changes.iter();
+                    outcomes_count += outcomes
+                        .filter(|change| matches!(change.kind, ChangeKind::Outcome(_)))
+                        .count();
+                }
+            }
+        }
+        for lane in lanes {
+            bench.tell(Event::Committed { lane });
+        }
+    }
+    assert_eq!(outcomes_count, 1);
+    let view = bench.scheduler.job(job).map(|view| view.phase);
+    assert_eq!(view, Some(Phase::Canceled));
+}
+
 /// A task that can't be started anywhere doesn't keep others from it.
 #[test]
 fn place_impossible_demand() {
