Name a job's queue and objective where the leader takes it

Cause: the logs did not tell which queue a job came from, so worth lost could not be counted by kind. Change: the line 'job taken' brings the queue and, as its figure, the objective in milliseconds.

--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -30,7 +30,8 @@
             "task" => %task, "run" => decision.run, "worker" => worker,
             "reason" => decision.reason, "figure" => decision.figure, "fence" => fence),
         (None, Some(job)) => info!(log, "{}", kind;
-            "job" => %job, "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
+            "job" => %job, "queue" => decision.queue.as_deref().unwrap_or(""), "worker" => worker,
+            "reason" => decision.reason, "figure" => decision.figure),
         (None, None) if decision.kind == DecisionKind::WorkerListed => {
             debug!(log, "{}", kind; "worker" => worker, "reason" => decision.reason);
         }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -83,6 +83,8 @@
     pub run: u32,
     /// The worker's id, where one is concerned.
     pub worker: Option<Arc<str>>,
+    /// The job's queue, where the job is named for the first time in a term.
+    pub queue: Option<Arc<str>>,
     /// Why, or how it came out.
     pub reason: &'static str,
     /// The age of the belief or the size that decided, by kind.
@@ -98,6 +100,7 @@
             task: None,
             run: 0,
             worker: None,
+            queue: None,
             reason,
             figure: 0,
         }
@@ -122,6 +125,12 @@
         self
     }
 
+    /// Names the job's queue.
+    pub fn with_queue(mut self, queue: &str) -> Self {
+        self.queue = Some(Arc::from(queue));
+        self
+    }
+
     /// Sets the figure.
     pub const fn with_figure(mut self, figure: u64) -> Self {
         self.figure = figure;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -135,8 +135,11 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let line = Decision::new(DecisionKind::JobTaken, "accepted").with_job(id);
-        out.push(Action::Log(line.with_figure(self.active.len() as u64)));
+        let line = Decision::new(DecisionKind::JobTaken, "accepted")
+            .with_job(id)
+            .with_queue(&record.queue)
+            .with_figure(self.objective(&record).as_ms());
+        out.push(Action::Log(line));
         self.insert_job(now, id, record, JobState::default());
     }
 
