Serve jobs of one priority in the order of their slack

Hypothesis: jobs whose objective is a multiple of their work have unlike slack; first come first served makes short ones late while long ones have time. Change: within a prospect and a priority, the job whose latest start comes first is served first. Ruled out: nothing else changed.

--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -31,16 +31,18 @@
     /// Returns the jobs with work left in the order in which they are served:
     /// what can still be in time first, then by priority, then by age.
     pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
-        let mut order: Vec<(Prospect, (u32, u64), JobId)> = self
+        let mut order: Vec<(Prospect, u32, Instant, u64, JobId)> = self
             .active
             .values()
             .filter_map(|id| {
                 let job = self.jobs.get(id)?;
-                Some((self.prospect(now, job), job.rank, *id))
+                let prospect = self.prospect(now, job);
+                let due = (job.accepted_at + job.objective) - Duration::from_ms(job.left_ms);
+                Some((prospect, job.rank.0, due, job.rank.1, *id))
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, id)| id).collect()
+        order.into_iter().map(|(_, _, _, _, id)| id).collect()
     }
 
     pub(crate) fn prospect(&self, now: Instant, job: &Job) -> Prospect {
