Let tasks that fill workers wait for those that are good for them

Cause: a step that is no gang asked about workers with room only, one at a time. A task that wants all accelerators of a worker asked ten times about one unknown worker, three of ten of which are good, while smaller tasks kept taking the good ones apart; some never began (LOST with most of the room free). Change: a step of which at most four tasks fill a worker asks about further workers, with or without room, while known good ones hold less than twice what it needs and an adviser is idle; it keeps later work off as much room as it needs on the good workers that should have it first, by the estimates of their runs; it renews its tickets for these shortly before. Room is kept by amount, not by worker, and tasks are placed on ticketed workers also while a call is open.

--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -30,29 +30,33 @@
 const GOODNESS_DECAY: f64 = 0.98;
 
 impl Scheduler {
-    /// Asks for advice on a step that could not be placed, where that serves.
-    pub(crate) fn seek_advice(
+    /// Asks for advice on tasks that could not be placed, where that serves.
+    pub(crate) fn seek_for_tasks(
         &mut self,
         now: Instant,
         turn: &Turn,
         policy: AdvicePolicy,
-        placed_count: usize,
+        needed: usize,
         pass: &mut Pass,
         out: &mut Vec<Action>,
     ) {
-        let needed = turn.waiting.len() - placed_count;
         if now < self.advice[&turn.key].retry_at {
             return;
         }
-        if turn.spec().is_gang {
-            self.seek_for_gang(now, turn, policy, pass, out);
-        } else if has_room(pass, turn) {
-            let named = self.choose_named(now, turn, pass, needed);
-            if self.ask(now, turn, policy, named.clone(), out) {
-                self.claim_named(turn, &named, needed);
-                claim_room(pass, turn, needed);
+        let mut named = if has_room(pass, turn) {
+            self.choose_named(now, turn, pass, needed)
+        } else {
+            Vec::new()
+        };
+        for key in self.workers_to_learn_of(now, turn, policy, needed, pass) {
+            if named.len() < NAMED_LIMIT_COUNT && !named.contains(&key) {
+                named.push(key);
             }
         }
+        if self.ask(now, turn, policy, named.clone(), out) {
+            self.claim_named(turn, &named, needed);
+            claim_room(pass, turn, needed);
+        }
     }
 
     /// Chooses workers with room until enough of them should be good: those
@@ -84,12 +88,13 @@
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
-            if advice.is_known(key) || pass.awaited.contains(&key) {
+            if advice.is_known(key) {
                 continue;
             }
-            let Some(candidate) = self.candidate(turn, key, &self.workers[key]) else {
+            let Some(mut candidate) = self.candidate(turn, key, &self.workers[key]) else {
                 continue;
             };
+            candidate.free -= pass.kept_room(key);
             let fit_count = self.unclaimed_fit(&candidate, turn).min(needed as u32);
             if fit_count > 0 {
                 wanted -= goodness * f64::from(fit_count);
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -232,7 +232,7 @@
             }
             let candidate = self.candidate(turn, key, &self.workers[key]);
             let fit_count = candidate.map_or(0, |it| it.fit_count(&turn.demand));
-            if fit_count > 0 && !pass.awaited.contains(&key) {
+            if fit_count > 0 && !pass.is_kept(key) {
                 found.possible += f64::from(fit_count);
                 found.expected += goodness * f64::from(fit_count);
                 found.named.push(key);
@@ -243,7 +243,7 @@
 
     /// Returns the workers of which nothing is known for the step, the
     /// freest first.
-    fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
+    pub(crate) fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
         let advice = &self.advice[&turn.key];
         let unknown = pass.workers().filter(|key| !advice.is_known(*key));
         unknown
@@ -253,7 +253,7 @@
 
     /// Chooses unknown workers until enough of them should be good, whether
     /// or not they have room now.
-    fn choose_unknown(
+    pub(crate) fn choose_unknown(
         &self,
         now: Instant,
         turn: &Turn,
@@ -318,12 +318,13 @@
         let mut held: u64 = 0;
         let limit_count = pass.workers_count() * AWAITED_PERCENT / 100;
         for (key, capacity_count, _) in good {
-            if held >= turn.waiting.len() as u64 || pass.awaited.len() >= limit_count {
+            if held >= turn.waiting.len() as u64 || pass.kept_workers_count() >= limit_count {
                 return;
             }
-            if !pass.awaited.insert(*key) {
+            if pass.is_kept(*key) {
                 continue;
             }
+            pass.keep_room(*key, self.workers[*key].facts.capacity);
             held += u64::from(*capacity_count);
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod advice;
 mod advisers;
 mod asking;
+mod awaiting;
 mod commits;
 mod config;
 mod decision;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -100,6 +100,31 @@
         able.map(|free| free.worker)
     }
 
+    /// Keeps room on a worker for a step that waits for it.
+    pub(crate) fn keep_room(&mut self, worker: WorkerKey, room: Resources) {
+        *self.kept.entry(worker).or_default() += room;
+    }
+
+    /// Returns the room that is kept on a worker.
+    pub(crate) fn kept_room(&self, worker: WorkerKey) -> Resources {
+        self.kept.get(&worker).copied().unwrap_or_default()
+    }
+
+    /// Returns whether room is kept on a worker.
+    pub(crate) fn is_kept(&self, worker: WorkerKey) -> bool {
+        self.kept.contains_key(&worker)
+    }
+
+    /// Returns on how many workers room is kept.
+    pub(crate) fn kept_workers_count(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Returns the most that any worker of a service holds.
+    pub(crate) fn largest_of(&self, service: &str) -> Resources {
+        self.largest.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns how many workers may take a run.
     pub(crate) const fn workers_count(&self) -> usize {
         self.by_room.len()
@@ -115,9 +140,13 @@
     /// The workers that may take a run, those with most room first, as they
     /// were when the pass began.
     by_room: Vec<FreeWorker>,
-    /// Workers on which a gang waits for room: whoever comes later in the pass
-    /// is less urgent and leaves them alone.
-    pub(crate) awaited: BTreeSet<WorkerKey>,
+    /// Room that is kept on workers for steps that wait for it: steps that come
+    /// later in the pass are less urgent and don't take it.
+    kept: BTreeMap<WorkerKey, Resources>,
+    /// The most that any worker of a service holds.
+    largest: BTreeMap<Arc<str>, Resources>,
+    /// The steps of single tasks that wait for workers so far.
+    pub(crate) waiting_steps_count: usize,
     /// What all workers that may take a run hold, and what of it is free, in
     /// thousandths of a core.
     capacity_milli: u64,
@@ -140,7 +169,7 @@
         let mut pass = self.new_pass(now);
         self.place_all(now, &mut pass, out);
         self.last_pass = PassSummary {
-            awaited_workers_count: pass.awaited.len(),
+            awaited_workers_count: pass.kept_workers_count(),
             waiting_gangs_count: pass.waiting_gangs_count,
         };
     }
@@ -172,6 +201,9 @@
                 pass.free_milli += u64::from(worker.free().cores_milli);
                 let room = pass.room_milli.entry(worker.facts.service.clone());
                 *room.or_default() += i64::from(worker.free().cores_milli);
+                let largest = pass.largest.entry(worker.facts.service.clone());
+                let largest = largest.or_default();
+                *largest = largest.max(worker.facts.capacity);
             }
         }
         pass.by_room
@@ -194,27 +226,79 @@
             }
             return;
         };
-        let advice = self.advice.entry(key).or_default();
+        if turn.spec().is_gang {
+            self.place_gang(now, &turn, policy, pass, out);
+        } else {
+            self.place_tasks(now, &turn, policy, pass, out);
+        }
+    }
+
+    /// Places a gang whose queue needs advice, or brings it nearer to its room.
+    fn place_gang(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let advice = self.advice.entry(turn.key).or_default();
         if advice.open.is_some() {
-            claim_room(pass, &turn, turn.waiting.len());
+            claim_room(pass, turn, turn.waiting.len());
             return;
         }
         let ticketed = advice.ticketed(now);
-        let mut placed_count = 0;
-        if !ticketed.is_empty() {
-            let candidates = self.candidates(now, &turn, pass, ticketed.iter().copied());
-            placed_count = self.allocate(now, &turn, candidates, out);
-        }
-        if placed_count == 0 && self.awaits_stops(now, &turn, &ticketed) {
+        let placed_count = self.place_ticketed(now, turn, &ticketed, pass, out);
+        if placed_count > 0 || self.awaits_stops(now, turn, &ticketed) {
             return;
         }
         // The answer has come: what was kept has been used, or is given back.
-        self.release_room(key);
-        if placed_count < turn.waiting.len() {
-            self.seek_advice(now, &turn, policy, placed_count, pass, out);
+        self.release_room(turn.key);
+        if now >= self.advice[&turn.key].retry_at {
+            self.seek_for_gang(now, turn, policy, pass, out);
         }
     }
 
+    /// Places tasks whose queue needs advice where tickets hold, and asks for
+    /// more of them.
+    fn place_tasks(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let advice = self.advice.entry(turn.key).or_default();
+        let ticketed = advice.ticketed(now);
+        let placed_count = self.place_ticketed(now, turn, &ticketed, pass, out);
+        let missing_count = turn.waiting.len() - placed_count;
+        if missing_count == 0 {
+            return;
+        }
+        if self.advice[&turn.key].open.is_some() {
+            claim_room(pass, turn, missing_count);
+        } else {
+            self.seek_for_tasks(now, turn, policy, missing_count, pass, out);
+        }
+        self.await_workers(now, turn, policy, missing_count, pass, out);
+    }
+
+    fn place_ticketed(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        ticketed: &[WorkerKey],
+        pass: &Pass,
+        out: &mut Vec<Action>,
+    ) -> usize {
+        if ticketed.is_empty() {
+            return 0;
+        }
+        let candidates = self.candidates(now, turn, pass, ticketed.iter().copied());
+        self.allocate(now, turn, candidates, out)
+    }
+
     /// Returns whether a gang that holds its tickets only waits for runs that
     /// are being stopped for it.
     fn awaits_stops(&self, now: Instant, turn: &Turn, ticketed: &[WorkerKey]) -> bool {
@@ -287,10 +371,8 @@
             if !worker.is_placeable(now) || !turn.demand.fits_in(&worker.free()) {
                 continue;
             }
-            if pass.awaited.contains(&key) {
-                continue;
-            }
-            if let Some(candidate) = self.candidate(turn, key, worker) {
+            if let Some(mut candidate) = self.candidate(turn, key, worker) {
+                candidate.free -= pass.kept_room(key);
                 if turn.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
                     found.push(candidate);
                 }
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -118,7 +118,7 @@
         let mut sites = Vec::new();
         for &key in good {
             let worker = &self.workers[key];
-            if !worker.is_placeable(now) || pass.awaited.contains(&key) {
+            if !worker.is_placeable(now) || pass.is_kept(key) {
                 continue;
             }
             let Some(candidate) = self.candidate(turn, key, worker) else {
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// Returns the larger of both in each part.
+    pub fn max(&self, other: Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.max(other.cores_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators_count: self.accelerators_count.max(other.accelerators_count),
+        }
+    }
+
     /// Returns whether every part is zero.
     pub fn is_zero(&self) -> bool {
         *self == Self::ZERO
