--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -9,6 +9,9 @@
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeSet;
 
+/// Renewals in a row without an answer after which a worker is taken for silent.
+/// A single answer may be lost while the worker is well.
+const SILENT_AFTER_COUNT: u32 = 2;
 /// The time until a worker that did not answer is asked again.
 const SILENT_RETRY: Duration = Duration::from_ms(250);
 
@@ -69,7 +72,7 @@
             worker.is_hold_open = true;
             // A silent worker is only asked: a grant that it may have received
             // would keep its runs from ever being given up.
-            let is_granted = worker.is_synced && worker.is_reachable;
+            let is_granted = worker.is_synced && worker.unanswered_holds_count == 0;
             let is_quick = !is_granted || worker.runs.is_empty();
             let until_ms = if is_granted {
                 worker.grant(now, length)
@@ -110,6 +113,7 @@
                     clock_ms,
                     read_at: now,
                 });
+                worker.unanswered_holds_count = 0;
                 if !core::mem::replace(&mut worker.is_reachable, true) {
                     worker.next_hold_at = now;
                 }
@@ -117,15 +121,25 @@
             }
             HoldReply::Fenced => out.push(Action::StepDown),
             HoldReply::OtherLife => self.bury(now, key, "another life answers", out),
-            HoldReply::Unanswered => {
-                worker.next_hold_at = now + SILENT_RETRY;
-                if core::mem::replace(&mut worker.is_reachable, false) {
-                    let line = Decision::new(DecisionKind::WorkerSilent, "renewal unanswered");
-                    let line = line.with_worker(&worker.facts.id);
-                    let line = line.with_figure(worker.runs.len() as u64);
-                    out.push(Action::Log(line));
-                }
-            }
+            HoldReply::Unanswered => self.note_unanswered_hold(now, key, out),
+        }
+    }
+
+    /// Asks again at once after the first renewal without an answer; after a
+    /// further one the worker is silent.
+    fn note_unanswered_hold(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
+        let worker = &mut self.workers[key];
+        worker.unanswered_holds_count += 1;
+        if worker.unanswered_holds_count < SILENT_AFTER_COUNT {
+            worker.next_hold_at = now;
+            return;
+        }
+        worker.next_hold_at = now + SILENT_RETRY;
+        if core::mem::replace(&mut worker.is_reachable, false) {
+            let line = Decision::new(DecisionKind::WorkerSilent, "renewal unanswered")
+                .with_worker(&worker.facts.id)
+                .with_figure(worker.runs.len() as u64);
+            out.push(Action::Log(line));
         }
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -122,6 +122,8 @@
     /// Ends that wait for their commit.
     pub(crate) uncommitted_ends: Vec<u64>,
     pub(crate) is_hold_open: bool,
+    /// Renewals in a row that were not answered.
+    pub(crate) unanswered_holds_count: u32,
     pub(crate) next_hold_at: Instant,
     /// Starts that were refused or runs that failed, in a row.
     pub(crate) failures_count: u32,
@@ -149,6 +151,7 @@
             seen_end: 0,
             uncommitted_ends: Vec::new(),
             is_hold_open: false,
+            unanswered_holds_count: 0,
             next_hold_at: Instant::default(),
             failures_count: 0,
             avoided_until: Instant::default(),
