Send a start again that was not answered

Cause: a start without an answer was given up after 700 ms: the run was stopped, and the task placed anew once the worker's lists had shown it gone. A worker that has the run answers a repeat with success, so nothing had to be thrown away. What a repeat's refusal tells is less than what a first one tells, since an earlier one may have been or may still be carried out: an old run is left to the worker's lists, others count as unanswered. Found on the way by the search: a repeat that brings a newer checkpoint than its gang's other members; the run keeps what it was first sent with.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -208,6 +208,8 @@
                     demand,
                     role: RunRole::Plain,
                     ticket: None,
+                    checkpoint: None,
+                    sends_count: 0,
                     placed_at: now,
                     progress_percent: listed.progress_percent,
                 };
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -7,6 +7,11 @@
 use crate::worker::{RunPhase, WorkerKey};
 use ospreywing_types::Instant;
 
+/// How often a start is sent that is not answered. A worker that has the run
+/// answers a repeat as it answers the first; a lost answer is rare enough that
+/// three in a row tell of the worker.
+const START_SENDS_LIMIT_COUNT: u32 = 3;
+
 impl Scheduler {
     /// Sends a start whose record is in the store.
     pub(crate) fn send_start(
@@ -17,17 +22,11 @@
         number: u32,
         out: &mut Vec<Action>,
     ) {
-        let length = self.grant_length();
-        let Some(job) = self.jobs.get(&task.step.job) else {
-            return;
-        };
-        let payload = job.payload.clone();
         let checkpoint = self.checkpoint_of(task);
         let needs_ticket = self.needs_ticket(task.step);
         let fresh = self.advice.get(&task.step);
         let fresh = fresh.and_then(|advice| advice.ticket(now, key));
         let worker = &mut self.workers[key];
-        let is_able = !worker.is_gone && worker.is_reachable && worker.is_synced;
         let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
@@ -39,34 +38,74 @@
             return;
         }
         run.ticket = fresh;
+        run.checkpoint = checkpoint;
         run.phase = RunPhase::Starting;
-        let ticket = run.ticket.clone();
         let waited_ms = now.since(run.placed_at).as_ms();
-        let until_ms = if is_able {
-            worker.grant(now, length)
-        } else {
-            None
-        };
-        let Some(until_ms) = until_ms else {
-            self.release(now, task, DecisionKind::NotStarted, "worker lost", out);
-            return;
-        };
         let line = Decision::new(DecisionKind::StartSent, "recorded")
             .with_run(task, number)
             .with_worker(&worker.facts.id)
             .with_figure(waited_ms);
-        out.push(Action::Log(line));
+        if self.send_order(now, key, task, out) {
+            out.push(Action::Log(line));
+        } else {
+            self.release(now, task, DecisionKind::NotStarted, "worker lost", out);
+        }
+    }
+
+    /// Sends a run's start with a lease; returns whether the worker could be
+    /// granted one.
+    fn send_order(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let length = self.grant_length();
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let payload = job.payload.clone();
+        let worker = &mut self.workers[key];
+        let is_able = !worker.is_gone && worker.is_reachable && worker.is_synced;
+        if !is_able {
+            return false;
+        }
+        let Some(until_ms) = worker.grant(now, length) else {
+            return false;
+        };
+        let to = worker.endpoint(key);
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return false;
+        };
+        run.sends_count += 1;
         out.push(Action::Start {
-            to: worker.endpoint(key),
+            to,
             order: StartOrder {
                 task,
-                run: number,
+                run: run.run,
                 payload,
                 until_ms,
-                checkpoint,
-                ticket,
+                checkpoint: run.checkpoint.clone(),
+                ticket: run.ticket.clone(),
             },
         });
+        true
+    }
+
+    /// Sends a start again that was not answered; returns whether it did.
+    fn repeat_start(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskKey,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(run) = self.workers[key].runs.get(&task) else {
+            return false;
+        };
+        let is_open = run.phase == RunPhase::Starting && run.sends_count < START_SENDS_LIMIT_COUNT;
+        is_open && self.send_order(now, key, task, out)
     }
 
     /// Returns the checkpoint from which a task goes on.
@@ -100,6 +139,7 @@
         if run.run != number {
             return;
         }
+        let reply = told_by_repeat(reply, run.sends_count);
         let id = worker.facts.id.clone();
         let line = |kind, reason| {
             let line = Decision::new(kind, reason);
@@ -116,6 +156,10 @@
                 }
             }
             StartReply::Unanswered => {
+                if self.repeat_start(now, key, task, out) {
+                    out.push(line(DecisionKind::StartUnknown, "no answer, sent again"));
+                    return;
+                }
                 out.push(line(DecisionKind::StartUnknown, "no answer"));
                 self.note_failure(now, key, "starts unanswered", out);
                 self.stop_task(now, task, "start unknown", out);
@@ -183,3 +227,16 @@
         }
     }
 }
+
+/// Returns what the answer to a start tells where the start may have been sent
+/// before: an earlier one may have been carried out, or may still be.
+fn told_by_repeat(reply: StartReply, sends_count: u32) -> StartReply {
+    match reply {
+        StartReply::Refused(_) if sends_count < 2 => reply,
+        // The run is or was there, or has been stopped: the worker's lists tell.
+        StartReply::Refused(RefusedStart::Old) => StartReply::Started,
+        StartReply::Refused(RefusedStart::Fence) => reply,
+        StartReply::Refused(_) => StartReply::Unanswered,
+        _ => reply,
+    }
+}
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -486,6 +486,8 @@
             demand: turn.demand,
             role: RunRole::of(turn.spec()),
             ticket: None,
+            checkpoint: None,
+            sends_count: 0,
             placed_at: now,
             progress_percent: 0,
         };
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -96,6 +96,8 @@
             demand,
             role: self.role_of(inherited.task),
             ticket: None,
+            checkpoint: None,
+            sends_count: 0,
             placed_at: now,
             progress_percent: 0,
         };
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -71,6 +71,10 @@
     pub(crate) demand: Resources,
     pub(crate) role: RunRole,
     pub(crate) ticket: Option<Arc<str>>,
+    /// The checkpoint that its start brings.
+    pub(crate) checkpoint: Option<String>,
+    /// How often its start was sent.
+    pub(crate) sends_count: u32,
     pub(crate) placed_at: Instant,
     pub(crate) progress_percent: u32,
 }
