Serve late jobs before less urgent ones that have time to spare

Change: jobs that can be in time and have under 4 s to spare come first; then late jobs and those with time to spare, by priority and slack; overdue ones last.

--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -27,24 +27,52 @@
     Overdue,
 }
 
+/// A job that can be in time is patient while it has more time to spare than this.
+const PATIENT_SLACK: Duration = Duration::from_ms(4000);
+
+/// How soon a job must be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// It will soon be too late to be in time.
+    Pressing,
+    /// It has time to spare, or can only be late.
+    Patient,
+    /// It is worth little whenever it is done.
+    Overdue,
+}
+
 impl Scheduler {
     /// Returns the jobs with work left in the order in which they are served:
     /// what can still be in time first, then by priority, then by age.
     pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
-        let mut order: Vec<(Prospect, u32, Instant, u64, JobId)> = self
+        let mut order: Vec<(Urgency, u32, Instant, u64, JobId)> = self
             .active
             .values()
             .filter_map(|id| {
                 let job = self.jobs.get(id)?;
-                let prospect = self.prospect(now, job);
-                let due = (job.accepted_at + job.objective) - Duration::from_ms(job.left_ms);
-                Some((prospect, job.rank.0, due, job.rank.1, *id))
+                let (urgency, due) = self.urgency(now, job);
+                Some((urgency, job.rank.0, due, job.rank.1, *id))
             })
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, _, _, _, id)| id).collect()
     }
 
+    /// Returns how soon a job must be served, and by when.
+    fn urgency(&self, now: Instant, job: &Job) -> (Urgency, Instant) {
+        let left = Duration::from_ms(job.left_ms);
+        let due = (job.accepted_at + job.objective) - left;
+        match self.prospect(now, job) {
+            Prospect::InTime if due < now + PATIENT_SLACK => (Urgency::Pressing, due),
+            Prospect::InTime => (Urgency::Patient, due),
+            Prospect::Late => {
+                let late_due = (job.accepted_at + job.objective.times(LATE_FACTOR)) - left;
+                (Urgency::Patient, late_due)
+            }
+            Prospect::Overdue => (Urgency::Overdue, due),
+        }
+    }
+
     pub(crate) fn prospect(&self, now: Instant, job: &Job) -> Prospect {
         let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
         if is_perpetual || job.record.spec.schedule.is_some() {
