Let tasks that wait for workers stop less urgent runs that lose little

Cause: a task that wants all accelerators of a worker waited for the runs there to end, though those had ten seconds to spare and save their progress; 15 to 30 of some 120 accelerators stood idle meanwhile.

--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -11,7 +11,7 @@
 use crate::job::TaskKey;
 use crate::placing::{Pass, Turn};
 use crate::scheduler::Scheduler;
-use crate::worker::{Run, Worker, WorkerKey};
+use crate::worker::{Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 
 /// A step waits for workers only where so few of its tasks fill one: room for
@@ -22,6 +22,9 @@
 /// Tickets are asked for so long before the room is expected, besides the time
 /// that the call takes: expectations come from rough estimates.
 const TICKET_LEAD: Duration = Duration::from_ms(700);
+/// Less urgent runs are stopped for room that would come later than this: a stop
+/// itself takes some hundred milliseconds.
+const PREEMPT_DELAY: Duration = Duration::from_ms(500);
 /// How many times the room that is needed the known good workers should hold.
 const KNOWN_ROOM_FACTOR: u32 = 2;
 
@@ -53,6 +56,9 @@
             return;
         }
         pass.waiting_steps_count += 1;
+        if expected.iter().any(|room| room.delay > PREEMPT_DELAY) {
+            self.preempt_for_tasks(now, turn, pass, missing_count, out);
+        }
         for room in &expected {
             pass.keep_room(room.worker, turn.demand);
         }
@@ -136,6 +142,9 @@
     fn time_left(&self, task: TaskKey, run: &Run) -> Option<Duration> {
         let job = self.jobs.get(&task.step.job)?;
         let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        if matches!(run.phase, RunPhase::Stopping { .. }) {
+            return Some(Duration::ZERO);
+        }
         if spec.is_perpetual {
             return None;
         }
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -21,6 +21,10 @@
 /// A run that saves nothing and is further on than this loses too much.
 const UNSAVED_PROGRESS_PERCENT: u32 = 25;
 
+/// A task that was started this often is not stopped again, so that none is
+/// stopped for ever.
+const VICTIM_RUNS_COUNT: u32 = 3;
+
 /// A run that may be stopped for a gang.
 #[derive(Clone, Copy, Debug)]
 struct Victim {
@@ -72,6 +76,11 @@
         candidate.fit_count(demand)
     }
 
+    /// Returns how many members fit once all that may be stopped has ended.
+    fn most_members(&self, demand: &Resources) -> u32 {
+        self.members_after(self.victims.len(), demand)
+    }
+
     /// Returns the fewest further stops that let another member fit.
     fn next_gain(&self, site: usize, demand: &Resources) -> Option<Gain> {
         let mut cost_milli = 0;
@@ -113,6 +122,36 @@
         Some(plan_of(sites, &turn.demand, needed_count))
     }
 
+    /// Stops less urgent runs so that as many of so many tasks as can be have
+    /// room on the workers known to be good for them.
+    pub(crate) fn preempt_for_tasks(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        pass: &Pass,
+        missing_count: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get(&turn.key.job) else {
+            return;
+        };
+        if self.prospect(now, job) != Prospect::InTime {
+            return;
+        }
+        let good = self.advice[&turn.key].good();
+        let mut sites = self.sites(now, turn, pass, &good);
+        let possible_count: u32 = sites
+            .iter()
+            .map(|site| site.most_members(&turn.demand))
+            .sum();
+        let needed_count = possible_count.min(missing_count as u32);
+        if needed_count == 0 || !choose_stops(&mut sites, &turn.demand, needed_count) {
+            return;
+        }
+        let plan = plan_of(sites, &turn.demand, needed_count);
+        self.preempt(now, plan.victims, out);
+    }
+
     /// Returns the good workers with what may be stopped on each.
     fn sites(&self, now: Instant, turn: &Turn, pass: &Pass, good: &[WorkerKey]) -> Vec<Site> {
         let mut sites = Vec::new();
@@ -169,7 +208,10 @@
         } else {
             UNSAVED_PROGRESS_PERCENT
         };
-        let is_cheap = run.progress_percent <= limit_percent && !spec.is_gang && !spec.is_perpetual;
+        let is_cheap = run.progress_percent <= limit_percent
+            && run.run <= VICTIM_RUNS_COUNT
+            && !spec.is_gang
+            && !spec.is_perpetual;
         let is_less_urgent = job.rank.0 > for_job.rank.0;
         let needed_until = now + Duration::from_ms(job.left_ms) + VICTIM_SLACK;
         is_cheap && is_less_urgent && needed_until < job.accepted_at + job.objective
@@ -178,7 +220,7 @@
     /// Stops the runs that a gang's room is taken from.
     pub(crate) fn preempt(&mut self, now: Instant, victims: Vec<TaskKey>, out: &mut Vec<Action>) {
         for task in victims {
-            self.stop_task(now, task, "preempted by a gang", out);
+            self.stop_task(now, task, "preempted", out);
         }
     }
 
