Count a job as begun only where a run of it certainly was

Cause: a new leader took every job with a recorded start for begun. Change: after a takeover a job has begun where its state shows a run's trace (done, failed, a checkpoint) or a worker lists a run or an end of it. Tests: `pending_count_start_never_sent` fails on the code before, its two twins pass before and after. The hand-answered scheduler of the cases stands in a file of its own.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -31,6 +31,8 @@
             return;
         }
         worker.seen_end = end.number;
+        self.note_begun(end.task.step.job);
+        let worker = &mut self.workers[key];
         let line = Decision::new(DecisionKind::Ended, end.kind.as_str())
             .with_run(end.task, end.run)
             .with_worker(&worker.facts.id)
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -51,9 +51,6 @@
         rank: (u32, u64),
         accepted_at: Instant,
     ) -> Self {
-        let tasks = state.rounds.iter().flat_map(|round| &round.steps);
-        let mut tasks = tasks.flat_map(|step| &step.tasks);
-        let has_begun = state.phase != Phase::Active || tasks.any(|task| task.last_run > 0);
         Self {
             payload: Arc::from(record.spec.payload.as_str()),
             record: Arc::new(record),
@@ -61,7 +58,7 @@
             is_dirty: false,
             is_on_its_way: false,
             effects: Vec::new(),
-            has_begun,
+            has_begun: state.has_certainly_begun(),
             shown: state.phase,
             ended_at: None,
             rank,
@@ -298,6 +295,13 @@
         }
     }
 
+    /// Notes that a task of the job has begun.
+    pub(crate) fn note_begun(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.has_begun = true;
+        }
+    }
+
     /// Returns how often a task of the job may fail.
     pub(crate) fn attempts_limit(&self, id: JobId) -> u32 {
         let queue = self.jobs.get(&id).map(|job| job.record.queue.as_str());
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -182,6 +182,7 @@
         out: &mut Vec<Action>,
     ) {
         let task = listed.task;
+        self.note_begun(task.step.job);
         let worker = &mut self.workers[key];
         let to = worker.endpoint(key);
         if let Some(run) = worker.runs.get_mut(&task) {
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -151,9 +151,7 @@
                     run.phase = RunPhase::Running { since: now };
                 }
                 out.push(line(DecisionKind::Started, "answered"));
-                if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                    job.has_begun = true;
-                }
+                self.note_begun(task.step.job);
             }
             StartReply::Unanswered => {
                 if self.repeat_start(now, key, task, out) {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -102,6 +102,15 @@
     }
 }
 
+impl TaskState {
+    /// Returns whether a run of the task has left a trace. A start that was
+    /// recorded may never have been sent.
+    fn has_certainly_begun(&self) -> bool {
+        let is_done = self.status == TaskStatus::Done;
+        is_done || !self.failed_runs.is_empty() || self.checkpoint.is_some()
+    }
+}
+
 impl RoundState {
     /// Creates the state of a round in which nothing has begun.
     pub fn new(number: u32, record: &JobRecord) -> Self {
@@ -122,6 +131,16 @@
 }
 
 impl JobState {
+    /// Returns whether a task has begun, as far as the state tells.
+    pub fn has_certainly_begun(&self) -> bool {
+        let mut steps = self.rounds.iter().flat_map(|round| &round.steps);
+        let has_begun = |step: &StepState| {
+            let mut tasks = step.tasks.iter();
+            !step.gang_failed_runs.is_empty() || tasks.any(TaskState::has_certainly_begun)
+        };
+        self.phase != Phase::Active || steps.any(has_begun)
+    }
+
     /// Returns the round with this number, where it has begun and has work left.
     pub fn round(&self, number: u32) -> Option<&RoundState> {
         self.rounds.iter().find(|round| round.number == number)
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the scheduler: single cases, and searches over interleavings.
 
+mod awaiting;
 mod cases;
+mod pending;
+mod repeats;
 mod search;
 mod support;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/pending.rs
@@ -0,0 +1,54 @@
+//! Which jobs are told to wait.
+
+use crate::support::bench::{end, workers, Bench};
+use crate::support::{job, step, QUEUE};
+use ospreywing_scheduler::{EndKind, JobId, Recovered, StepKey, TaskKey};
+
+/// Returns a term that begins where an earlier leader recorded a start, and the
+/// task.
+fn after_recorded_start() -> (Bench, TaskKey) {
+    let (id, record) = job(1, vec![step(1)]);
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    bench.submit(1, vec![step(1)]);
+    let state = bench.commit_all().pop().expect("a recorded start");
+    let kept = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, state)],
+        ..Recovered::default()
+    };
+    // Without a worker the run can't be asked for, so it stays in doubt.
+    let next = Bench::new(kept, &[]);
+    let step = StepKey {
+        job: id,
+        round: 0,
+        step: 0,
+    };
+    (next, step.task(0))
+}
+
+/// Found on bluemahoe-ops trouble-2: after a takeover beside a slow store many
+/// starts were recorded and never sent, and their jobs counted as begun.
+#[test]
+fn pending_count_start_never_sent() {
+    let (bench, _) = after_recorded_start();
+    assert_eq!(bench.scheduler.pending_count(QUEUE), 1);
+}
+
+#[test]
+fn pending_count_run_listed_to_next_leader() {
+    let (mut bench, task) = after_recorded_start();
+    bench.list_worker(&workers(1)[0]);
+    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    bench.list_running(worker, task);
+    assert_eq!(bench.scheduler.pending_count(QUEUE), 0);
+}
+
+#[test]
+fn pending_count_end_listed_to_next_leader() {
+    let (mut bench, task) = after_recorded_start();
+    bench.list_worker(&workers(1)[0]);
+    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    bench.list(worker, vec![end(1, task, 1, EndKind::Stopped)]);
+    let view = bench.scheduler.job(JobId::new(1)).expect("a known job");
+    assert!(view.has_begun);
+}
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/repeats.rs
@@ -0,0 +1,126 @@
+//! Calls to workers that are repeated where no answer came.
+
+use crate::support::bench::{end, workers, Bench};
+use crate::support::step;
+use ospreywing_scheduler::{
+    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, RefusedStart, StartReply, TaskKey,
+    WorkerKey,
+};
+use rstest::rstest;
+
+/// A start that was sent: worker, task, run.
+type Start = (WorkerKey, TaskKey, u32);
+
+/// Returns a scheduler that has sent one start, and the start.
+fn after_start() -> (Bench, Start) {
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    (bench, start)
+}
+
+fn answer(bench: &mut Bench, (worker, task, run): Start, reply: StartReply) {
+    bench.tell(Event::StartAnswered {
+        worker,
+        task,
+        run,
+        reply,
+    });
+}
+
+/// Found on bluemahoe-ops scale-2: every start whose answer was lost was stopped
+/// and its task started again, though the worker had it.
+#[test]
+fn on_start_answered_sent_again_without_answer() {
+    let (mut bench, start) = after_start();
+    answer(&mut bench, start, StartReply::Unanswered);
+    assert_eq!(
+        bench.starts(),
+        vec![start],
+        "the same run, to the same worker"
+    );
+    assert_eq!(bench.stops(), vec![]);
+}
+
+#[test]
+fn on_start_answered_stopped_after_three_without_answer() {
+    let (mut bench, start) = after_start();
+    for _ in 0..2 {
+        answer(&mut bench, start, StartReply::Unanswered);
+        assert_eq!(bench.starts(), vec![start]);
+    }
+    answer(&mut bench, start, StartReply::Unanswered);
+    assert_eq!(bench.starts(), vec![]);
+    assert_eq!(bench.stops(), vec![start]);
+}
+
+/// A short run may have ended before the repeat of its start came.
+#[test]
+fn on_start_answered_repeat_refused_as_old() {
+    let (mut bench, start) = after_start();
+    answer(&mut bench, start, StartReply::Unanswered);
+    assert_eq!(bench.starts(), vec![start]);
+    answer(&mut bench, start, StartReply::Refused(RefusedStart::Old));
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![], "the worker's list has to tell");
+    let (worker, task, run) = start;
+    bench.list(worker, vec![end(1, task, run, EndKind::Done)]);
+    bench.commit_all();
+    let view = bench.scheduler.job(JobId::new(1)).expect("a known job");
+    assert_eq!(view.phase, Phase::Complete);
+}
+
+/// The start that was not answered may still be carried out.
+#[rstest]
+#[case::room(RefusedStart::Room)]
+#[case::unhealthy(RefusedStart::Unhealthy)]
+#[case::not_sent(RefusedStart::NotSent)]
+fn on_start_answered_repeat_refused_is_in_doubt(#[case] why: RefusedStart) {
+    let (mut bench, start) = after_start();
+    answer(&mut bench, start, StartReply::Unanswered);
+    assert_eq!(bench.starts(), vec![start]);
+    answer(&mut bench, start, StartReply::Refused(why));
+    bench.commit_all();
+    let others = bench.starts();
+    assert!(others.iter().all(|other| *other == start), "no other run");
+}
+
+/// Found on bluemahoe-ops scale-2: one lost answer kept the ends of a worker's
+/// runs unknown for two seconds.
+#[test]
+fn on_hold_answered_asked_again_at_once() {
+    let (mut bench, start) = after_start();
+    bench.started(start);
+    bench.actions.clear();
+    let sent_at = bench.now;
+    bench.tell(Event::HoldAnswered {
+        worker: start.0,
+        sent_at,
+        reply: HoldReply::Unanswered,
+    });
+    let asked = bench.actions.iter().find_map(|action| match action {
+        Action::Hold { to, until_ms, .. } if to.worker == start.0 => Some(*until_ms),
+        _ => None,
+    });
+    assert_eq!(asked, Some(None), "at once, and without a grant");
+}
+
+#[test]
+fn on_hold_answered_one_without_answer_keeps_worker() {
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    for (expected_count, reply_count) in [(1, 1), (0, 2)] {
+        let sent_at = bench.now;
+        bench.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Unanswered,
+        });
+        let status = bench.scheduler.status(bench.now);
+        assert_eq!(
+            status.placeable_workers_count, expected_count,
+            "after {reply_count} without answer"
+        );
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -0,0 +1,278 @@
+//! A scheduler whose surroundings answer by hand, one event after the other.
+
+use super::worker::FakeWorker;
+use super::{configuration, job};
+use ospreywing_scheduler::{
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, HoldReply,
+    JobId, JobRecord, JobState, Recovered, RunningRun, Scheduler, SchedulerConfig, StartReply,
+    StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerKey,
+};
+use ospreywing_types::{Duration, Instant};
+
+/// The longest lease of a worker.
+pub const LEASE_LIMIT: Duration = Duration::from_ms(6000);
+
+/// A scheduler with workers that answer by hand.
+pub struct Bench {
+    pub now: Instant,
+    pub scheduler: Scheduler,
+    pub actions: Vec<Action>,
+}
+
+impl Bench {
+    pub fn new(recovered: Recovered, workers: &[FakeWorker]) -> Self {
+        Self::with_advice(recovered, workers, None)
+    }
+
+    pub fn with_advice(
+        recovered: Recovered,
+        workers: &[FakeWorker],
+        advice: Option<AdvicePolicy>,
+    ) -> Self {
+        let now = Instant::from_ms(50_000);
+        let config = SchedulerConfig::new(7, LEASE_LIMIT);
+        let mut bench = Self {
+            now,
+            scheduler: Scheduler::new(config, configuration(advice), now, recovered),
+            actions: Vec::new(),
+        };
+        let list = workers.iter().map(FakeWorker::facts).collect();
+        bench.tell(Event::WorkersListed(list));
+        for worker in workers {
+            let key = bench
+                .scheduler
+                .worker_key(&worker.id)
+                .expect("a listed worker");
+            bench.list(key, Vec::new());
+        }
+        bench
+    }
+
+    /// Lists a worker that has joined.
+    pub fn list_worker(&mut self, worker: &FakeWorker) {
+        self.tell(Event::WorkersListed(vec![worker.facts()]));
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        self.scheduler.handle(self.now, event, &mut self.actions);
+        self.scheduler.settle(self.now, &mut self.actions);
+        self.scheduler.verify().expect("the invariants hold");
+    }
+
+    pub fn list(&mut self, worker: WorkerKey, ended: Vec<EndedRun>) {
+        let sent_at = self.now;
+        self.now = self.now + Duration::from_ms(60);
+        self.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Listed {
+                clock_ms: self.now.as_ms(),
+                running: Vec::new(),
+                ended,
+            },
+        });
+    }
+
+    pub fn list_running(&mut self, worker: WorkerKey, task: TaskKey) {
+        let stray = RunningRun {
+            task,
+            run: 1,
+            checkpoint: None,
+            progress_percent: 0,
+            usage_figure: 0,
+        };
+        let sent_at = self.now;
+        self.now = self.now + Duration::from_ms(60);
+        self.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Listed {
+                clock_ms: self.now.as_ms(),
+                running: vec![stray],
+                ended: Vec::new(),
+            },
+        });
+    }
+
+    /// Has the workers list runs that are so far on.
+    pub fn list_progress(&mut self, runs: &[(WorkerKey, TaskKey, u32)], progress_percent: u32) {
+        let mut workers: Vec<WorkerKey> = runs.iter().map(|(worker, ..)| *worker).collect();
+        workers.dedup();
+        for worker in workers {
+            let here = runs.iter().filter(|(at, ..)| *at == worker);
+            let running = here.map(|(_, task, run)| RunningRun {
+                task: *task,
+                run: *run,
+                checkpoint: None,
+                progress_percent,
+                usage_figure: 0,
+            });
+            let sent_at = self.now;
+            self.now = self.now + Duration::from_ms(60);
+            let reply = HoldReply::Listed {
+                clock_ms: self.now.as_ms(),
+                running: running.collect(),
+                ended: Vec::new(),
+            };
+            self.tell(Event::HoldAnswered {
+                worker,
+                sent_at,
+                reply,
+            });
+        }
+    }
+
+    pub fn be_silent(&mut self, worker: WorkerKey) {
+        self.now = self.now + Duration::from_ms(700);
+        let sent_at = self.now;
+        self.tell(Event::HoldAnswered {
+            worker,
+            sent_at,
+            reply: HoldReply::Unanswered,
+        });
+        // The next look is sent after a while, and is not answered either.
+        self.now = self.now + Duration::from_ms(300);
+        self.tell(Event::Tick);
+    }
+
+    /// Answers commits until there are none; returns the states written.
+    pub fn commit_all(&mut self) -> Vec<JobState> {
+        let mut states = Vec::new();
+        for _ in 0..20 {
+            self.now = self.now + Duration::from_ms(30);
+            self.tell(Event::Tick);
+            let taken = core::mem::take(&mut self.actions);
+            let mut lanes = Vec::new();
+            for action in taken {
+                if let Action::Commit { lane, changes } = action {
+                    lanes.push(lane);
+                    states.extend(changes.into_iter().filter_map(state_of));
+                } else {
+                    self.actions.push(action);
+                }
+            }
+            for lane in lanes {
+                self.tell(Event::Committed { lane });
+            }
+        }
+        states
+    }
+
+    pub fn starts(&mut self) -> Vec<(WorkerKey, TaskKey, u32)> {
+        let taken = core::mem::take(&mut self.actions);
+        let mut starts = Vec::new();
+        for action in taken {
+            match action {
+                Action::Start { to, order } => starts.push((to.worker, order.task, order.run)),
+                other => self.actions.push(other),
+            }
+        }
+        starts
+    }
+
+    pub fn started(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
+        self.tell(Event::StartAnswered {
+            worker,
+            task,
+            run,
+            reply: StartReply::Started,
+        });
+    }
+
+    /// Answers the open calls for advice, finding only these workers good;
+    /// returns how many workers each call named.
+    pub fn advise(&mut self, good: &[&str]) -> Vec<usize> {
+        let taken = core::mem::take(&mut self.actions);
+        let mut named_counts = Vec::new();
+        for action in taken {
+            let Action::Advise { step, workers, .. } = action else {
+                self.actions.push(action);
+                continue;
+            };
+            named_counts.push(workers.len());
+            let found = workers.iter().filter(|to| good.contains(&&*to.id));
+            let tickets = found.map(|to| Ticket {
+                worker: to.id.clone(),
+                text: "ticket".into(),
+            });
+            let reply = AdviceReply::Good {
+                tickets: tickets.collect(),
+                validity: Duration::from_ms(1500),
+            };
+            let named = workers.iter().map(|to| to.worker).collect();
+            self.tell(Event::AdviceAnswered { step, named, reply });
+        }
+        named_counts
+    }
+
+    /// Takes out and answers the stops that were sent, each once however often
+    /// it was sent.
+    pub fn stops(&mut self) -> Vec<(WorkerKey, TaskKey, u32)> {
+        let taken = core::mem::take(&mut self.actions);
+        let mut stops = Vec::new();
+        for action in taken {
+            match action {
+                Action::Stop { to, task, run } => stops.push((to.worker, task, run)),
+                other => self.actions.push(other),
+            }
+        }
+        stops.sort();
+        stops.dedup();
+        for (worker, task, run) in stops.iter().copied() {
+            let reply = StopReply::Stopping;
+            self.tell(Event::StopAnswered {
+                worker,
+                task,
+                run,
+                reply,
+            });
+        }
+        stops
+    }
+
+    pub fn submit(&mut self, number: u64, steps: Vec<StepSpec>) {
+        self.submit_job(job(number, steps));
+    }
+
+    pub fn submit_job(&mut self, (job, record): (JobId, JobRecord)) {
+        let record = Box::new(record);
+        // The scheduler places at a pace of its own.
+        self.now = self.now + Duration::from_ms(20);
+        self.tell(Event::JobAccepted { job, record });
+    }
+}
+
+/// Returns the state that a change writes, as a leader would read it.
+fn state_of(change: Change) -> Option<JobState> {
+    match change.kind {
+        ChangeKind::Progress(bytes) => JobState::from_bytes(&bytes).ok(),
+        ChangeKind::Outcome(bytes) => match StoredJob::from_bytes(&bytes) {
+            Ok(StoredJob::Ended(phase)) => Some(JobState {
+                phase,
+                ..JobState::default()
+            }),
+            other => panic!("not an outcome: {other:?}"),
+        },
+        ChangeKind::Forget => None,
+    }
+}
+
+pub fn workers(count: usize) -> Vec<FakeWorker> {
+    (0..count)
+        .map(|number| FakeWorker::new(&format!("w{number}"), 1000))
+        .collect()
+}
+
+pub fn failed(number: u64, task: TaskKey, run: u32) -> EndedRun {
+    end(number, task, run, EndKind::Failed)
+}
+
+pub fn end(number: u64, task: TaskKey, run: u32, kind: EndKind) -> EndedRun {
+    EndedRun {
+        number,
+        task,
+        run,
+        kind,
+        checkpoint: None,
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -1,6 +1,7 @@
 //! A cell in miniature: fake workers, a fake store and an adviser, driven
 //! through time by a seed, with every rule checked from the outside.
 
+pub mod bench;
 pub mod rules;
 pub mod worker;
 pub mod world;
