Let gangs keep room by amount where it comes first, and renew tickets ahead

Cause: a waiting gang kept whole workers, those with most free room first, and asked for tickets only once all its room was free: four workers then stood idle for the 600 ms of the call. Change: gangs wait as single tasks do: they keep as much as their members take on the good workers that should have it first by the estimates of the runs there, ask for tickets as soon as the last room is nearer than the call takes, and go on keeping while the call is open.

--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -19,6 +19,10 @@
 const FILLING_TASKS_COUNT: u32 = 4;
 /// The steps that may wait for workers at a time in a pass.
 const WAITING_STEPS_LIMIT_COUNT: usize = 6;
+/// The gangs that may wait for workers at a time; the others have their turn later.
+pub(crate) const WAITING_GANGS_LIMIT_COUNT: usize = 4;
+/// The part of the workers on which room is kept for gangs that wait, at most.
+const AWAITED_PERCENT: usize = 60;
 /// Tickets are asked for so long before the room is expected, besides the time
 /// that the call takes: expectations come from rough estimates.
 const TICKET_LEAD: Duration = Duration::from_ms(700);
@@ -52,9 +56,9 @@
         }
         let mut expected = self.expected_rooms(now, turn, pass);
         expected.truncate(missing_count);
-        if expected.is_empty() {
+        let Some(soonest) = expected.first().map(|room| room.delay) else {
             return;
-        }
+        };
         pass.waiting_steps_count += 1;
         if expected.iter().any(|room| room.delay > PREEMPT_DELAY) {
             self.preempt_for_tasks(now, turn, pass, missing_count, out);
@@ -62,7 +66,36 @@
         for room in &expected {
             pass.keep_room(room.worker, turn.demand);
         }
-        self.renew_tickets(now, turn, policy, &expected, out);
+        self.renew_tickets(now, turn, policy, &expected, soonest, out);
+    }
+
+    /// Keeps later work off the workers on which a gang will have room first, and
+    /// asks for tickets for them where the room of all members is near.
+    pub(crate) fn await_workers_for_gang(
+        &mut self,
+        now: Instant,
+        turn: &Turn,
+        policy: AdvicePolicy,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        if pass.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+            return;
+        }
+        pass.waiting_gangs_count += 1;
+        let needed_count = turn.waiting.len();
+        let mut expected = self.expected_rooms(now, turn, pass);
+        expected.truncate(needed_count);
+        let limit_count = pass.workers_count() * AWAITED_PERCENT / 100;
+        for room in &expected {
+            if pass.kept_workers_count() < limit_count || pass.is_kept(room.worker) {
+                pass.keep_room(room.worker, turn.demand);
+            }
+        }
+        if expected.len() == needed_count {
+            let last = expected.last().map_or(Duration::ZERO, |room| room.delay);
+            self.renew_tickets(now, turn, policy, &expected, last, out);
+        }
     }
 
     /// Returns unknown workers to ask about, with or without room, where those
@@ -160,14 +193,14 @@
         turn: &Turn,
         policy: AdvicePolicy,
         expected: &[ExpectedRoom],
+        delay: Duration,
         out: &mut Vec<Action>,
     ) {
         let mut named: Vec<WorkerKey> = expected.iter().map(|room| room.worker).collect();
         named.sort_unstable();
         named.dedup();
         let cost = policy.cost(named.len());
-        let soonest = expected.iter().map(|room| room.delay).min();
-        let is_near = soonest.is_some_and(|delay| delay <= cost + TICKET_LEAD);
+        let is_near = delay <= cost + TICKET_LEAD;
         let advice = &self.advice[&turn.key];
         let holds = |key: &WorkerKey| advice.ticket(now + cost, *key).is_some();
         let is_held = named.iter().all(holds);
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -4,6 +4,7 @@
 //! Whoever is not served keeps later work off enough of its good workers.
 
 use crate::asking::{claim_room, fit_in, NAMED_LIMIT_COUNT};
+use crate::awaiting::WAITING_GANGS_LIMIT_COUNT;
 use crate::config::AdvicePolicy;
 use crate::event::Action;
 use crate::gangs::Reservation;
@@ -11,7 +12,6 @@
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Duration, Instant, Resources};
-use std::cmp::Reverse;
 
 /// The part of a call's own time that naming further workers may add.
 const NAMED_COST_SHARE: f64 = 0.25;
@@ -26,12 +26,8 @@
 /// How many times the room that a gang lacks the workers should have that it
 /// asks about because they are free.
 const FREE_ROOM_FACTOR: f64 = 1.5;
-/// The gangs that may wait for room at a time; the others have their turn later.
-const WAITING_GANGS_LIMIT_COUNT: usize = 4;
 /// The time between two searches of a gang for room.
 const SEARCH_PERIOD: Duration = Duration::from_ms(100);
-/// The part of the workers that is kept for gangs that wait, at most.
-const AWAITED_PERCENT: usize = 60;
 
 /// What a gang knows of the workers.
 struct Search<'a> {
@@ -71,11 +67,7 @@
                 return;
             }
         }
-        if pass.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT {
-            pass.waiting_gangs_count += 1;
-            let good = self.good_workers(now, turn, &good);
-            self.await_room(turn, &good, pass);
-        }
+        self.await_workers_for_gang(now, turn, policy, pass, out);
     }
 
     /// Keeps free room on good workers for a gang and asks for its tickets;
@@ -287,47 +279,6 @@
         }
         named
     }
-
-    /// Returns the workers known to be good for a gang, with how many members
-    /// they hold when empty and how many now; the soonest to hold any first.
-    fn good_workers(
-        &self,
-        now: Instant,
-        turn: &Turn,
-        good: &[WorkerKey],
-    ) -> Vec<(WorkerKey, u32, u32)> {
-        let able = good
-            .iter()
-            .copied()
-            .filter(|key| self.workers[*key].is_placeable(now));
-        let mut found: Vec<(WorkerKey, u32, u32)> = able
-            .map(|key| {
-                let worker = &self.workers[key];
-                let capacity_count = fit_in(&worker.facts.capacity, &turn.demand);
-                (key, capacity_count, fit_in(&worker.free(), &turn.demand))
-            })
-            .collect();
-        found.sort_by_key(|(key, capacity_count, free_count)| {
-            (Reverse(*free_count), Reverse(*capacity_count), *key)
-        });
-        found
-    }
-
-    /// Keeps later work off enough good workers for the gang.
-    fn await_room(&self, turn: &Turn, good: &[(WorkerKey, u32, u32)], pass: &mut Pass) {
-        let mut held: u64 = 0;
-        let limit_count = pass.workers_count() * AWAITED_PERCENT / 100;
-        for (key, capacity_count, _) in good {
-            if held >= turn.waiting.len() as u64 || pass.kept_workers_count() >= limit_count {
-                return;
-            }
-            if pass.is_kept(*key) {
-                continue;
-            }
-            pass.keep_room(*key, self.workers[*key].facts.capacity);
-            held += u64::from(*capacity_count);
-        }
-    }
 }
 
 /// Keeps room for a whole gang on the fullest workers that fit.
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -245,6 +245,9 @@
         let advice = self.advice.entry(turn.key).or_default();
         if advice.open.is_some() {
             claim_room(pass, turn, turn.waiting.len());
+            if !self.reservations.contains_key(&turn.key) {
+                self.await_workers_for_gang(now, turn, policy, pass, out);
+            }
             return;
         }
         let ticketed = advice.ticketed(now);
