Let renewals wait less at the workers while answers are being lost

Change: for 3 s after a worker left a look unanswered that answered before, looks wait 250 ms. A worker that stays silent counts once.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -12,6 +12,11 @@
 /// Renewals in a row without an answer after which a worker is taken for silent.
 /// A single answer may be lost while the worker is well.
 const SILENT_AFTER_COUNT: u32 = 2;
+/// For how long after a lost answer renewals wait less: about as long as a few
+/// rounds of looks at all workers take.
+const LOSSY_PERIOD: Duration = Duration::from_ms(3000);
+/// How long a renewal then waits at the worker.
+const LOSSY_HOLD_WAIT: Duration = Duration::from_ms(250);
 /// The time until a worker that did not answer is asked again.
 const SILENT_RETRY: Duration = Duration::from_ms(250);
 
@@ -64,7 +69,7 @@
     /// Sends the renewals that are due.
     pub(crate) fn renew_leases(&mut self, now: Instant, out: &mut Vec<Action>) {
         let length = self.grant_length();
-        let config = self.config;
+        let wait = self.hold_wait(now);
         for (key, worker) in self.workers.iter_mut() {
             if !is_hold_due(worker, now) {
                 continue;
@@ -83,15 +88,25 @@
                 to: worker.endpoint(key),
                 until_ms,
                 last_seen: worker.acked_end,
-                wait: if is_quick {
-                    Duration::ZERO
-                } else {
-                    config.hold_wait
-                },
+                wait: if is_quick { Duration::ZERO } else { wait },
             });
         }
     }
 
+    /// Returns how long a renewal waits for an end. What a worker lists is not
+    /// learned while an answer is missing, so where answers were lost lately
+    /// the waits are short.
+    fn hold_wait(&self, now: Instant) -> Duration {
+        let is_lossy = self
+            .last_lost_hold_at
+            .is_some_and(|at| now.since(at) < LOSSY_PERIOD);
+        if is_lossy {
+            LOSSY_HOLD_WAIT
+        } else {
+            self.config.hold_wait
+        }
+    }
+
     pub(crate) fn on_hold_answered(
         &mut self,
         now: Instant,
@@ -132,6 +147,7 @@
         worker.unanswered_holds_count += 1;
         if worker.unanswered_holds_count < SILENT_AFTER_COUNT {
             worker.next_hold_at = now;
+            self.last_lost_hold_at = Some(now);
             return;
         }
         worker.next_hold_at = now + SILENT_RETRY;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -80,6 +80,8 @@
     pub(crate) last_pass: PassSummary,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
+    /// When a worker last left a renewal unanswered that answered before.
+    pub(crate) last_lost_hold_at: Option<Instant>,
     /// Whether something has changed that may let a task be placed.
     pub(crate) is_place_due: bool,
     next_place_at: Instant,
@@ -108,6 +110,7 @@
             last_pass: PassSummary::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
+            last_lost_hold_at: None,
             is_place_due: true,
             next_place_at: Instant::default(),
             next_upkeep_at: Instant::default(),
