--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -3,11 +3,11 @@
 use crate::clock;
 use crate::commit::CommitOutcome;
 use crate::decision_log::{log_decision, log_status};
-use crate::giving_way;
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::orders;
 use crate::platform::Platform;
+use crate::step_down;
 use ospreywing_scheduler::{Action, Change, Event, Scheduler};
 use ospreywing_types::{Duration, Instant};
 use slog::{info, warn};
@@ -23,7 +23,7 @@
 const TROUBLE_AFTER: Duration = Duration::from_ms(450);
 
 /// What the loop of a term keeps from one batch of events to the next.
-struct Feed {
+struct EventLoop {
     received: mpsc::UnboundedReceiver<Event>,
     actions: Vec<Action>,
     has_trouble: bool,
@@ -39,7 +39,7 @@
 ) {
     let mut ticks = tokio::time::interval(TICK.into());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut feed = Feed {
+    let mut state = EventLoop {
         received,
         actions: Vec::new(),
         has_trouble: false,
@@ -48,16 +48,16 @@
     };
     while !leading.is_over() {
         let first = tokio::select! {
-            event = feed.received.recv() => event,
+            event = state.received.recv() => event,
             _ = ticks.tick() => Some(Event::Tick),
             () = leading.ended.notified() => return,
         };
         let Some(first) = first else {
             return;
         };
-        handle_batch(node, leading, &mut feed, first);
-        if giving_way::should_give_way(node, leading) {
-            giving_way::log_given_up(node, leading.fence, "leading");
+        handle_batch(node, leading, &mut state, first);
+        if step_down::should_step_down(node, leading) {
+            step_down::log_stepped_down(node, leading.fence, "leading");
             leading.resign().await;
         }
     }
@@ -67,23 +67,23 @@
 fn handle_batch<P: Platform>(
     node: &Rc<Node<P>>,
     leading: &Rc<Leading<P>>,
-    feed: &mut Feed,
+    state: &mut EventLoop,
     first: Event,
 ) {
     let now = clock::now();
     let mut scheduler = leading.scheduler.borrow_mut();
     if matches!(first, Event::Tick) {
-        tell_surroundings(node, leading, feed, &mut scheduler);
+        tell_surroundings(node, leading, state, &mut scheduler);
     }
-    scheduler.handle(now, first, &mut feed.actions);
-    while let Ok(event) = feed.received.try_recv() {
-        scheduler.handle(now, event, &mut feed.actions);
+    scheduler.handle(now, first, &mut state.actions);
+    while let Ok(event) = state.received.try_recv() {
+        scheduler.handle(now, event, &mut state.actions);
     }
     if leading.may_order() && !leading.is_resigned.get() {
-        scheduler.settle(now, &mut feed.actions);
+        scheduler.settle(now, &mut state.actions);
     }
     drop(scheduler);
-    for action in feed.actions.drain(..) {
+    for action in state.actions.drain(..) {
         carry_out(node, leading, action);
     }
 }
@@ -92,28 +92,28 @@
 fn tell_surroundings<P: Platform>(
     node: &Rc<Node<P>>,
     leading: &Rc<Leading<P>>,
-    feed: &mut Feed,
+    state: &mut EventLoop,
     scheduler: &mut Scheduler,
 ) {
     let now = clock::now();
     let has_trouble = now.since(leading.renewed_at.get()) > TROUBLE_AFTER;
-    if has_trouble != feed.has_trouble {
-        feed.has_trouble = has_trouble;
+    if has_trouble != state.has_trouble {
+        state.has_trouble = has_trouble;
         info!(node.log, "store trouble"; "has_trouble" => has_trouble);
-        scheduler.handle(now, Event::StoreTrouble(has_trouble), &mut feed.actions);
+        scheduler.handle(now, Event::StoreTrouble(has_trouble), &mut state.actions);
     }
-    if now >= feed.next_status_at {
-        feed.next_status_at = now + STATUS_PERIOD;
+    if now >= state.next_status_at {
+        state.next_status_at = now + STATUS_PERIOD;
         let status = scheduler.status(now);
         node.metrics.note_status(&status);
         log_status(&node.log, &status);
     }
     let wall_clock = Event::WallClock(clock::wall_ms());
-    scheduler.handle(now, wall_clock, &mut feed.actions);
+    scheduler.handle(now, wall_clock, &mut state.actions);
     let nodes = node.names();
-    if nodes != feed.nodes {
-        feed.nodes.clone_from(&nodes);
-        scheduler.handle(now, Event::NodesListed(nodes), &mut feed.actions);
+    if nodes != state.nodes {
+        state.nodes.clone_from(&nodes);
+        scheduler.handle(now, Event::NodesListed(nodes), &mut state.actions);
     }
 }
 
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -29,7 +29,7 @@
 const NODE_RENEWAL: Duration = Duration::from_ms(900);
 /// The time after which the view of the cell is read again.
 const CELL_REFRESH: Duration = Duration::from_ms(10_000);
-/// The longest that a look at the cell may be old for a campaign; standing
+/// The longest that a look at the cell may be old for a campaign; a campaign
 /// on an old view is harmless, since the store decides.
 const VIEW_LIMIT: Duration = Duration::from_ms(15_000);
 /// The time by which each further node campaigns later.
@@ -213,7 +213,7 @@
         if !may_campaign(&node) {
             continue;
         }
-        if let Err(error) = stand(&node).await {
+        if let Err(error) = run_campaign(&node).await {
             info!(node.log, "campaign lost"; "error" => error.to_string());
             tokio::time::sleep(RETRY.into()).await;
         }
@@ -286,8 +286,8 @@
     other.cores_milli >= own.cores_milli * STRONGER_FACTOR
 }
 
-/// Stands for leader, and leads where elected, until the term is over.
-async fn stand<P: Platform>(node: &Rc<Node<P>>) -> Result<(), CommitError> {
+/// Campaigns for the lead, and leads where elected until the term is over.
+async fn run_campaign<P: Platform>(node: &Rc<Node<P>>) -> Result<(), CommitError> {
     let asked_at = clock::now();
     let grant = node.store.grant_lease(LEADER_LEASE).await?;
     node.own_lease.set(grant.id);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::store::{LeaseGrant, LeaseId, Store};
-use crate::{clock, decision_loop, feeds, giving_way, leader_lease, recovery};
+use crate::{clock, decision_loop, leader_lease, recovery, step_down, watches};
 use ospreywing_scheduler::{
     Configuration, Event, JobId, JobView, Recovered, Scheduler, SchedulerConfig, LANES_COUNT,
 };
@@ -61,7 +61,7 @@
         self.is_over.get()
     }
 
-    /// Returns a job as clients may see it.
+    /// Returns the state of a job that clients are shown.
     pub fn job(&self, job: JobId) -> Option<JobView> {
         self.scheduler.borrow().job(job)
     }
@@ -131,8 +131,8 @@
     tokio::task::spawn_local(leader_lease::keep_lease(node.clone(), leading.clone()));
     let recovered = tokio::select! {
         recovered = recovery::recover(node, &leading) => recovered,
-        () = giving_way::wait_to_give_way(node, &leading) => {
-            giving_way::log_given_up(node, fence, "recovering");
+        () = step_down::wait_to_step_down(node, &leading) => {
+            step_down::log_stepped_down(node, fence, "recovering");
             leading.is_resigned.set(true);
             None
         }
@@ -148,8 +148,8 @@
         if node.is_draining.get() {
             leading.resign().await;
         }
-        tokio::task::spawn_local(feeds::follow_intake(node.clone(), leading.clone(), at));
-        tokio::task::spawn_local(feeds::follow_workers(node.clone(), leading.clone()));
+        tokio::task::spawn_local(watches::follow_intake(node.clone(), leading.clone(), at));
+        tokio::task::spawn_local(watches::follow_workers(node.clone(), leading.clone()));
         decision_loop::run(node, &leading, received).await;
         *node.leading.borrow_mut() = None;
         node.metrics.note_term(false);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -42,7 +42,7 @@
 /// What is left of the grace time at the end of a drain.
 const DRAIN_MARGIN: Duration = Duration::from_ms(1000);
 
-/// What a node is told at its start.
+/// A node's settings.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
     /// The node's name.
--- a/crates/control/src/giving_way.rs
+++ b/crates/control/src/step_down.rs
@@ -1,4 +1,4 @@
-//! When a weak leader gives up the lead.
+//! When a leader on a weak node steps down.
 
 use crate::clock;
 use crate::election;
@@ -9,27 +9,27 @@
 use slog::info;
 use std::rc::Rc;
 
-/// How long a node leads before it gives way to a much stronger one.
-const GIVE_WAY_AFTER: Duration = Duration::from_ms(4000);
+/// How long a node leads before it steps down for a much stronger one.
+const STEP_DOWN_AFTER: Duration = Duration::from_ms(4000);
 /// How long a look at the cell is taken for new.
 const VIEW_PERIOD: Duration = Duration::from_ms(100);
 
 /// Returns whether a much stronger node should lead instead: one that has come
 /// since the election, or after a while one that is still there.
-pub(crate) fn should_give_way<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) -> bool {
+pub(crate) fn should_step_down<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) -> bool {
     let own = election::membership_record(node);
     let view = node.cell.borrow();
-    let is_settled = clock::now().since(leading.begun_at) >= GIVE_WAY_AFTER;
+    let is_settled = clock::now().since(leading.begun_at) >= STEP_DOWN_AFTER;
     let is_weaker = election::has_stronger_joined(&own, &view, leading.fence)
         || is_settled && election::is_much_weaker(&own, &view.nodes);
     leading.may_order() && is_weaker
 }
 
 /// Returns once the lead should be given up to a much stronger node.
-pub(crate) async fn wait_to_give_way<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) {
+pub(crate) async fn wait_to_step_down<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) {
     loop {
         let changed = node.cell_changed.notified();
-        if should_give_way(node, leading) {
+        if should_step_down(node, leading) {
             return;
         }
         // A view that grows old is noticed by the clock.
@@ -38,7 +38,7 @@
 }
 
 /// Logs that the lead is given up.
-pub(crate) fn log_given_up<P: Platform>(node: &Node<P>, fence: u64, stage: &'static str) {
-    info!(node.log, "lead given up";
+pub(crate) fn log_stepped_down<P: Platform>(node: &Node<P>, fence: u64, stage: &'static str) {
+    info!(node.log, "stepped down";
         "reason" => "a much stronger node lives", "stage" => stage, "fence" => fence);
 }
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -6,11 +6,13 @@
 //! are good, keeps that room, and asks again about these alone.
 
 use crate::advice::OpenCall;
+use crate::candidate::Candidate;
 use crate::config::AdvicePolicy;
+use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, AdviceReply};
 use crate::job::StepKey;
-use crate::placing::{Candidate, Pass, Turn};
+use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Duration, Instant, Resources};
@@ -34,28 +36,28 @@
     pub(crate) fn seek_for_tasks(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         needed: usize,
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if now < self.advice[&turn.key].retry_at {
+        if now < self.advice[&pending.key].retry_at {
             return;
         }
-        let mut named = if has_room(pass, turn) {
-            self.choose_named(now, turn, pass, needed)
+        let mut named = if has_room(cycle, pending) {
+            self.choose_named(now, pending, cycle, needed)
         } else {
             Vec::new()
         };
-        for key in self.workers_to_learn_of(now, turn, policy, needed, pass) {
+        for key in self.workers_to_learn_of(now, pending, policy, needed, cycle) {
             if named.len() < NAMED_LIMIT_COUNT && !named.contains(&key) {
                 named.push(key);
             }
         }
-        if self.ask(now, turn, policy, named.clone(), out) {
-            self.claim_named(turn, &named, needed);
-            claim_room(pass, turn, needed);
+        if self.ask(now, pending, policy, named.clone(), out) {
+            self.claim_named(pending, &named, needed);
+            claim_room(cycle, pending, needed);
         }
     }
 
@@ -66,75 +68,81 @@
     fn choose_named(
         &self,
         now: Instant,
-        turn: &Turn,
-        pass: &Pass,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
         needed: usize,
     ) -> Vec<WorkerKey> {
-        let goodness = self.goodness_of(&turn.record.queue);
-        let advice = &self.advice[&turn.key];
+        let goodness = self.goodness_of(&pending.record.queue);
+        let advice = &self.advice[&pending.key];
         let mut wanted = needed as f64 * NAMED_ROOM_FACTOR;
         let mut named = Vec::new();
-        for candidate in self.candidates(now, turn, pass, advice.good().into_iter()) {
+        for candidate in self.candidates(now, pending, cycle, advice.good().into_iter()) {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 return named;
             }
-            let fit_count = self.unclaimed_fit(&candidate, turn).min(needed as u32);
+            let fit_count = self.unclaimed_fit(&candidate, pending).min(needed as u32);
             if fit_count > 0 {
                 wanted -= f64::from(fit_count);
                 named.push(candidate.worker);
             }
         }
-        for key in pass.workers_for(&turn.demand) {
+        for key in cycle.workers_for(&pending.demand) {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
             if advice.is_known(key) {
                 continue;
             }
-            let Some(mut candidate) = self.candidate(turn, key, &self.workers[key]) else {
+            let Some(mut candidate) = self.candidate(pending, key, &self.workers[key]) else {
                 continue;
             };
-            candidate.free -= pass.kept_room(key);
-            let fit_count = self.unclaimed_fit(&candidate, turn).min(needed as u32);
+            candidate.free -= cycle.kept_room(key);
+            let fit_count = self.unclaimed_fit(&candidate, pending).min(needed as u32);
             if fit_count > 0 {
                 wanted -= goodness * f64::from(fit_count);
                 named.push(key);
             }
         }
-        if turn.spec().data_rack.is_some() {
-            self.prefer_near(now, turn, pass, &mut named);
+        if pending.spec().data_rack.is_some() {
+            self.prefer_near(now, pending, cycle, &mut named);
         }
         named
     }
 
     /// Returns how many tasks fit beside what other steps count on.
-    fn unclaimed_fit(&self, candidate: &Candidate, turn: &Turn) -> u32 {
+    fn unclaimed_fit(&self, candidate: &Candidate, pending: &PendingStep) -> u32 {
         let mut candidate = candidate.clone();
         candidate.free -= self.workers[candidate.worker].claimed();
-        candidate.fit_count(&turn.demand)
+        candidate.fit_count(&pending.demand)
     }
 
     /// Notes that a step counts on room for its tasks on the workers that its
     /// call names, the first ones first.
-    fn claim_named(&mut self, turn: &Turn, named: &[WorkerKey], needed: usize) {
+    fn claim_named(&mut self, pending: &PendingStep, named: &[WorkerKey], needed: usize) {
         let mut left_count = needed as u32;
         for &key in named {
-            let fit_count = fit_in(&self.workers[key].free(), &turn.demand);
+            let fit_count = fit_in(&self.workers[key].free(), &pending.demand);
             let count = fit_count.min(left_count);
             if count > 0 {
-                self.workers[key].claim(turn.key, &turn.demand, count);
+                self.workers[key].claim(pending.key, &pending.demand, count);
             }
             left_count -= count;
         }
     }
 
     /// Puts unknown workers near the step's data before the others.
-    fn prefer_near(&self, now: Instant, turn: &Turn, pass: &Pass, named: &mut Vec<WorkerKey>) {
-        let advice = &self.advice[&turn.key];
+    fn prefer_near(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+        named: &mut Vec<WorkerKey>,
+    ) {
+        let advice = &self.advice[&pending.key];
         let count = named.len();
-        let unknown = pass.workers_for(&turn.demand);
+        let unknown = cycle.workers_for(&pending.demand);
         let unknown = unknown.filter(|key| !advice.is_known(*key));
-        let near = self.candidates(now, turn, pass, unknown);
+        let near = self.candidates(now, pending, cycle, unknown);
         let near = near.iter().filter(|candidate| candidate.is_near);
         let mut preferred: Vec<WorkerKey> = near.map(|candidate| candidate.worker).collect();
         preferred.extend(
@@ -152,7 +160,7 @@
     pub(crate) fn ask(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         named: Vec<WorkerKey>,
         out: &mut Vec<Action>,
@@ -164,7 +172,7 @@
         let Some(assignment) = self.advisers.assign(now, cost) else {
             return false;
         };
-        let Some(advice) = self.advice.get_mut(&turn.key) else {
+        let Some(advice) = self.advice.get_mut(&pending.key) else {
             return false;
         };
         advice.open = Some(OpenCall {
@@ -172,11 +180,13 @@
             node: assignment.node.clone(),
         });
         let line = Decision::new(DecisionKind::AdviceAsked, "workers with room");
-        let line = line.with_job(turn.key.job).with_figure(named.len() as u64);
+        let line = line
+            .with_job(pending.key.job)
+            .with_figure(named.len() as u64);
         out.push(Action::Log(line));
         let workers = named.iter().map(|&key| self.workers[key].endpoint(key));
         out.push(Action::Advise {
-            step: turn.key,
+            step: pending.key,
             workers: workers.collect(),
             node: assignment.node,
             expected: assignment.expected,
@@ -258,15 +268,15 @@
         .min(by(room.accelerators_count, demand.accelerators_count))
 }
 
-/// Returns whether the pass has room left for at least one task.
-pub(crate) fn has_room(pass: &Pass, turn: &Turn) -> bool {
-    let room = pass.room_milli.get(turn.service.as_str());
-    room.is_some_and(|room| *room >= i64::from(turn.demand.cores_milli))
+/// Returns whether the cycle has room left for at least one task.
+pub(crate) fn has_room(cycle: &SchedulingCycle, pending: &PendingStep) -> bool {
+    let room = cycle.room_milli.get(pending.service.as_str());
+    room.is_some_and(|room| *room >= i64::from(pending.demand.cores_milli))
 }
 
-/// Takes a step's demand off the room that the pass has left.
-pub(crate) fn claim_room(pass: &mut Pass, turn: &Turn, tasks_count: usize) {
-    if let Some(room) = pass.room_milli.get_mut(turn.service.as_str()) {
-        *room -= i64::from(turn.demand.cores_milli) * tasks_count as i64;
+/// Takes a step's demand off the room that the cycle has left.
+pub(crate) fn claim_room(cycle: &mut SchedulingCycle, pending: &PendingStep, tasks_count: usize) {
+    if let Some(room) = cycle.room_milli.get_mut(pending.service.as_str()) {
+        *room -= i64::from(pending.demand.cores_milli) * tasks_count as i64;
     }
 }
--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -6,10 +6,12 @@
 //! that a task starts as soon as its room is there.
 
 use crate::asking::fit_in;
+use crate::candidate::left_count;
 use crate::config::AdvicePolicy;
+use crate::cycle::SchedulingCycle;
 use crate::event::Action;
 use crate::job::TaskKey;
-use crate::placing::{Pass, Turn};
+use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
@@ -17,7 +19,7 @@
 /// A step waits for workers only where so few of its tasks fill one: room for
 /// smaller tasks comes up all the time.
 const FILLING_TASKS_COUNT: u32 = 4;
-/// The steps that may wait for workers at a time in a pass.
+/// The steps that may wait for workers at a time in a cycle.
 const WAITING_STEPS_LIMIT_COUNT: usize = 6;
 /// The gangs that may wait for workers at a time; the others have their turn later.
 pub(crate) const WAITING_GANGS_LIMIT_COUNT: usize = 4;
@@ -45,28 +47,28 @@
     pub(crate) fn await_workers(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         missing_count: usize,
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if pass.waiting_steps_count >= WAITING_STEPS_LIMIT_COUNT || !fills_workers(turn, pass) {
+        if cycle.waiting_steps_count >= WAITING_STEPS_LIMIT_COUNT || !fills_workers(pending, cycle)
+        {
             return;
         }
-        let mut expected = self.expected_rooms(now, turn, pass);
-        expected.truncate(missing_count);
+        let expected = self.expected_rooms(now, pending, missing_count, cycle);
         let Some(soonest) = expected.first().map(|room| room.delay) else {
             return;
         };
-        pass.waiting_steps_count += 1;
+        cycle.waiting_steps_count += 1;
         if expected.iter().any(|room| room.delay > PREEMPT_DELAY) {
-            self.preempt_for_tasks(now, turn, pass, missing_count, out);
+            self.preempt_for_tasks(now, pending, cycle, missing_count, out);
         }
         for room in &expected {
-            pass.keep_room(room.worker, turn.demand);
+            cycle.keep_room(room.worker, pending.demand);
         }
-        self.renew_tickets(now, turn, policy, &expected, soonest, out);
+        self.renew_tickets(now, pending, policy, &expected, soonest, out);
     }
 
     /// Keeps later work off the workers on which a gang will have room first, and
@@ -74,27 +76,26 @@
     pub(crate) fn await_workers_for_gang(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if pass.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
             return;
         }
-        pass.waiting_gangs_count += 1;
-        let needed_count = turn.waiting.len();
-        let mut expected = self.expected_rooms(now, turn, pass);
-        expected.truncate(needed_count);
-        let limit_count = pass.workers_count() * AWAITED_PERCENT / 100;
+        cycle.waiting_gangs_count += 1;
+        let needed_count = pending.waiting.len();
+        let expected = self.expected_rooms(now, pending, needed_count, cycle);
+        let limit_count = cycle.workers_count() * AWAITED_PERCENT / 100;
         for room in &expected {
-            if pass.kept_workers_count() < limit_count || pass.is_kept(room.worker) {
-                pass.keep_room(room.worker, turn.demand);
+            if cycle.kept_workers_count() < limit_count || cycle.is_kept(room.worker) {
+                cycle.keep_room(room.worker, pending.demand);
             }
         }
         if expected.len() == needed_count {
             let last = expected.last().map_or(Duration::ZERO, |room| room.delay);
-            self.renew_tickets(now, turn, policy, &expected, last, out);
+            self.renew_tickets(now, pending, policy, &expected, last, out);
         }
     }
 
@@ -103,54 +104,67 @@
     pub(crate) fn workers_to_learn_of(
         &self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         needed_count: usize,
-        pass: &Pass,
+        cycle: &SchedulingCycle,
     ) -> Vec<WorkerKey> {
-        if !fills_workers(turn, pass) || !self.advisers.is_idle(now, policy.cost(1)) {
+        if !fills_workers(pending, cycle) || !self.advisers.is_idle(now, policy.cost(1)) {
             return Vec::new();
         }
-        let good = self.advice[&turn.key].good();
+        let good = self.advice[&pending.key].good();
         let able = good
             .iter()
             .filter(|key| self.workers[**key].is_placeable(now));
         let known_count: u32 = able
-            .map(|key| fit_in(&self.workers[*key].facts.capacity, &turn.demand))
+            .map(|key| fit_in(&self.workers[*key].facts.capacity, &pending.demand))
             .sum();
         let wanted_count = needed_count as u32 * KNOWN_ROOM_FACTOR;
         if known_count >= wanted_count {
             return Vec::new();
         }
-        let unknown = self.unknown_workers(turn, pass);
+        let unknown = self.unknown_workers(pending, cycle);
         let missing = f64::from(wanted_count - known_count);
-        self.choose_unknown(now, turn, policy, unknown, missing)
+        self.choose_unknown(now, pending, policy, unknown, missing)
     }
 
-    /// Returns the good workers with when they will have room for one more task,
-    /// the soonest first; a worker is there once for each task.
-    fn expected_rooms(&self, now: Instant, turn: &Turn, pass: &Pass) -> Vec<ExpectedRoom> {
+    /// Returns where and when so many tasks will have room on good workers, the
+    /// soonest first; a worker is there once for each task.
+    fn expected_rooms(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        tasks_count: usize,
+        cycle: &SchedulingCycle,
+    ) -> Vec<ExpectedRoom> {
         let mut found = Vec::new();
-        for key in self.advice[&turn.key].good() {
+        for key in self.advice[&pending.key].good() {
             let worker = &self.workers[key];
-            if !worker.is_placeable(now) || !Self::is_eligible(turn, worker) {
+            if !worker.is_placeable(now) || !Self::is_eligible(pending, worker) {
                 continue;
             }
-            let taken = worker.reserved(turn.key) + pass.kept_room(key);
-            let delays = self.room_delays(worker, taken, &turn.demand);
-            found.extend(
-                delays
-                    .into_iter()
-                    .map(|delay| ExpectedRoom { worker: key, delay }),
-            );
+            let taken = worker.reserved(pending.key) + cycle.kept_room(key);
+            let left_count = left_count(worker, pending.key, pending.spec());
+            let limit_count = left_count.min(tasks_count as u32);
+            let delays = self.room_delays(worker, taken, &pending.demand, limit_count);
+            let rooms = delays.into_iter();
+            found.extend(rooms.map(|delay| ExpectedRoom { worker: key, delay }));
         }
         found.sort_by_key(|room| (room.delay, room.worker));
+        found.truncate(tasks_count);
         found
     }
 
-    /// Returns when a worker will have room for a first, a second task and so on
-    /// beside what is taken besides its runs, by the estimates of its runs.
-    fn room_delays(&self, worker: &Worker, taken: Resources, demand: &Resources) -> Vec<Duration> {
+    /// Returns when a worker will have room for a first, a second task and so on,
+    /// up to a limit, by the estimates of its runs. `taken` is what is kept for
+    /// others on it.
+    fn room_delays(
+        &self,
+        worker: &Worker,
+        taken: Resources,
+        demand: &Resources,
+        limit_count: u32,
+    ) -> Vec<Duration> {
         let mut runs: Vec<(Duration, Resources)> = worker
             .runs
             .iter()
@@ -158,12 +172,11 @@
             .collect();
         runs.sort_by_key(|(left, _)| *left);
         let mut used = worker.used + taken;
-        let mut delays = Vec::new();
-        let mut fit_count = fit_in(&(worker.facts.capacity - used), demand);
-        delays.extend((0..fit_count).map(|_| Duration::ZERO));
+        let mut fit_count = fit_in(&(worker.facts.capacity - used), demand).min(limit_count);
+        let mut delays = vec![Duration::ZERO; fit_count as usize];
         for (left, freed) in runs {
             used -= freed;
-            let count = fit_in(&(worker.facts.capacity - used), demand);
+            let count = fit_in(&(worker.facts.capacity - used), demand).min(limit_count);
             delays.extend((fit_count..count).map(|_| left));
             fit_count = fit_count.max(count);
         }
@@ -190,7 +203,7 @@
     fn renew_tickets(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         expected: &[ExpectedRoom],
         delay: Duration,
@@ -201,20 +214,20 @@
         named.dedup();
         let cost = policy.cost(named.len());
         let is_near = delay <= cost + TICKET_LEAD;
-        let advice = &self.advice[&turn.key];
+        let advice = &self.advice[&pending.key];
         let holds = |key: &WorkerKey| advice.ticket(now + cost, *key).is_some();
         let is_held = named.iter().all(holds);
         if advice.open.is_some() || now < advice.retry_at || !is_near || is_held {
             return;
         }
         if self.advisers.is_idle(now, policy.cost(1)) {
-            self.ask(now, turn, policy, named, out);
+            self.ask(now, pending, policy, named, out);
         }
     }
 }
 
 /// Returns whether few of the step's tasks fill a worker of its service.
-fn fills_workers(turn: &Turn, pass: &Pass) -> bool {
-    let largest = pass.largest_of(&turn.service);
-    fit_in(&largest, &turn.demand) <= FILLING_TASKS_COUNT
+fn fills_workers(pending: &PendingStep, cycle: &SchedulingCycle) -> bool {
+    let largest = cycle.largest_of(&pending.service);
+    fit_in(&largest, &pending.demand) <= FILLING_TASKS_COUNT
 }
--- /dev/null
+++ b/crates/scheduler/src/candidate.rs
@@ -0,0 +1,138 @@
+//! Candidates: the workers that could take tasks of a step, with their room.
+
+use crate::asking::fit_in;
+use crate::cycle::SchedulingCycle;
+use crate::job::{StepKey, StepSpec};
+use crate::placing::PendingStep;
+use crate::scheduler::Scheduler;
+use crate::sharing::RunRole;
+use crate::worker::{Worker, WorkerKey};
+use ospreywing_types::{Instant, Resources};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// A worker that could take tasks of a step.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) worker: WorkerKey,
+    pub(crate) free: Resources,
+    /// How many more tasks of the step it may hold.
+    pub(crate) left_count: u32,
+    pub(crate) is_near: bool,
+    /// The rack of the worker, where the platform tells.
+    rack: Option<Arc<str>>,
+}
+
+impl Candidate {
+    /// Returns how many tasks of this demand fit.
+    pub(crate) fn fit_count(&self, demand: &Resources) -> u32 {
+        fit_in(&self.free, demand).min(self.left_count)
+    }
+
+    /// Takes the room of one task.
+    pub(crate) fn take(&mut self, demand: &Resources) {
+        self.free -= *demand;
+        self.left_count -= 1;
+    }
+}
+
+impl Scheduler {
+    /// Returns whether a worker may ever run tasks of the step.
+    pub(crate) fn is_eligible(pending: &PendingStep, worker: &Worker) -> bool {
+        let label = pending.spec().required_label.as_ref();
+        *worker.facts.service == *pending.service
+            && label.is_none_or(|label| worker.facts.labels.contains(label))
+            && pending.demand.fits_in(&worker.facts.capacity)
+    }
+
+    /// Returns those of the workers that could take at least one task, the
+    /// fullest first.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+        workers: impl Iterator<Item = WorkerKey>,
+    ) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        for key in workers {
+            let worker = &self.workers[key];
+            if !worker.is_placeable(now) || !pending.demand.fits_in(&worker.free()) {
+                continue;
+            }
+            if let Some(mut candidate) = self.candidate(pending, key, worker) {
+                candidate.free -= cycle.kept_room(key);
+                if pending.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
+                    found.push(candidate);
+                }
+            }
+        }
+        // A filler works on what is left unused, others leave large rooms whole.
+        let by_room = |free_milli: u32| match RunRole::of(pending.spec()) {
+            RunRole::Filler => u32::MAX - free_milli,
+            RunRole::Plain | RunRole::Serving => free_milli,
+        };
+        found.sort_by_key(|c| (!c.is_near, by_room(c.free.cores_milli), c.worker));
+        found
+    }
+
+    /// Returns what a worker has for a step, where it may run the step at all.
+    pub(crate) fn candidate(
+        &self,
+        pending: &PendingStep,
+        key: WorkerKey,
+        worker: &Worker,
+    ) -> Option<Candidate> {
+        let role = RunRole::of(pending.spec());
+        if !Self::is_eligible(pending, worker) || (role == RunRole::Filler && worker.is_serving()) {
+            return None;
+        }
+        let near = pending.spec().data_rack.as_deref();
+        Some(Candidate {
+            worker: key,
+            free: worker.free() - worker.reserved(pending.key),
+            left_count: left_count(worker, pending.key, pending.spec()),
+            is_near: near.is_none() || near == worker.facts.rack.as_deref(),
+            rack: worker.facts.rack.clone(),
+        })
+    }
+}
+
+/// Returns how many tasks of a demand fit on all candidates together.
+pub(crate) fn fit_sum(candidates: &[Candidate], demand: &Resources) -> u64 {
+    candidates
+        .iter()
+        .map(|c| u64::from(c.fit_count(demand)))
+        .sum()
+}
+
+/// Returns how many more tasks of a step the worker may hold.
+pub(crate) fn left_count(worker: &Worker, step: StepKey, spec: &StepSpec) -> u32 {
+    if spec.per_worker_limit_count == 0 {
+        return u32::MAX;
+    }
+    let held = worker
+        .runs
+        .range(step.task(0)..=step.task(u32::MAX))
+        .count();
+    spec.per_worker_limit_count.saturating_sub(held as u32)
+}
+
+/// Puts the workers of one rack first, where the whole gang fits into it.
+pub(crate) fn one_rack_first(
+    candidates: Vec<Candidate>,
+    demand: &Resources,
+    needed: usize,
+) -> Vec<Candidate> {
+    let racks: BTreeSet<Arc<str>> = candidates.iter().filter_map(|c| c.rack.clone()).collect();
+    let in_rack = |rack: &Arc<str>| -> Vec<Candidate> {
+        let here = candidates.iter().filter(|c| c.rack.as_ref() == Some(rack));
+        here.cloned().collect()
+    };
+    let fitting = racks
+        .iter()
+        .map(in_rack)
+        .filter(|here| fit_sum(here, demand) >= needed as u64)
+        .min_by_key(|here| fit_sum(here, demand));
+    fitting.unwrap_or(candidates)
+}
--- /dev/null
+++ b/crates/scheduler/src/cycle.rs
@@ -0,0 +1,123 @@
+//! One scheduling cycle: the free workers as it begins, and the room that steps
+//! served earlier in it have asked for or keep.
+
+use crate::scheduler::Scheduler;
+use crate::worker::WorkerKey;
+use ospreywing_types::{Instant, Resources};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A worker as it was when a cycle began.
+#[derive(Clone, Copy, Debug)]
+struct FreeWorker {
+    worker: WorkerKey,
+    /// Its free processors, in thousandths of a core.
+    free_milli: u32,
+}
+
+/// The state of one scheduling cycle, in which every waiting step is looked at.
+#[derive(Debug, Default)]
+pub(crate) struct SchedulingCycle {
+    /// The processors that are free and not yet asked for, by service, in
+    /// thousandths of a core.
+    pub(crate) room_milli: BTreeMap<Arc<str>, i64>,
+    /// The workers that may take a run, those with most room first, as they
+    /// were when the cycle began.
+    by_room: Vec<FreeWorker>,
+    /// Room that is kept on workers for steps that wait for it: steps that come
+    /// later in the cycle are less urgent and don't take it.
+    kept: BTreeMap<WorkerKey, Resources>,
+    /// The most that any worker of a service holds.
+    largest: BTreeMap<Arc<str>, Resources>,
+    /// The steps of single tasks that wait for workers so far.
+    pub(crate) waiting_steps_count: usize,
+    /// What all workers that may take a run hold, and what of it is free, in
+    /// thousandths of a core.
+    pub(crate) capacity_milli: u64,
+    pub(crate) free_milli: u64,
+    /// The gangs that wait for room so far.
+    pub(crate) waiting_gangs_count: usize,
+    /// The steps that were looked at so far.
+    pub(crate) examined_count: usize,
+}
+
+impl SchedulingCycle {
+    /// Returns the workers that may take a run, those with most room first.
+    pub(crate) fn workers(&self) -> impl Iterator<Item = WorkerKey> + '_ {
+        self.by_room.iter().map(|free| free.worker)
+    }
+
+    /// Returns those of them that had room for a demand: a cycle only takes room.
+    pub(crate) fn workers_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        let needed_milli = demand.cores_milli;
+        let able = self
+            .by_room
+            .iter()
+            .take_while(move |free| free.free_milli >= needed_milli);
+        able.map(|free| free.worker)
+    }
+
+    /// Keeps room on a worker for a step that waits for it.
+    pub(crate) fn keep_room(&mut self, worker: WorkerKey, room: Resources) {
+        *self.kept.entry(worker).or_default() += room;
+    }
+
+    /// Returns the room that is kept on a worker.
+    pub(crate) fn kept_room(&self, worker: WorkerKey) -> Resources {
+        self.kept.get(&worker).copied().unwrap_or_default()
+    }
+
+    /// Returns whether room is kept on a worker.
+    pub(crate) fn is_kept(&self, worker: WorkerKey) -> bool {
+        self.kept.contains_key(&worker)
+    }
+
+    /// Returns on how many workers room is kept.
+    pub(crate) fn kept_workers_count(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Returns the most that any worker of a service holds.
+    pub(crate) fn largest_of(&self, service: &str) -> Resources {
+        self.largest.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns how many workers may take a run.
+    pub(crate) const fn workers_count(&self) -> usize {
+        self.by_room.len()
+    }
+}
+
+/// What a cycle ended with, for metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CycleSummary {
+    pub(crate) awaited_workers_count: usize,
+    pub(crate) waiting_gangs_count: usize,
+}
+
+impl Scheduler {
+    /// Begins a cycle.
+    pub(crate) fn new_cycle(&self, now: Instant) -> SchedulingCycle {
+        let mut cycle = SchedulingCycle::default();
+        for (key, worker) in self.workers.iter() {
+            if worker.is_placeable(now) {
+                cycle.by_room.push(FreeWorker {
+                    worker: key,
+                    free_milli: worker.free().cores_milli,
+                });
+                cycle.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
+                cycle.free_milli += u64::from(worker.free().cores_milli);
+                let room = cycle.room_milli.entry(worker.facts.service.clone());
+                *room.or_default() += i64::from(worker.free().cores_milli);
+                let largest = cycle.largest.entry(worker.facts.service.clone());
+                let largest = largest.or_default();
+                *largest = largest.max(worker.facts.capacity);
+            }
+        }
+        cycle
+            .by_room
+            .sort_by_key(|free| (Reverse(free.free_milli), free.worker));
+        cycle
+    }
+}
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -257,7 +257,7 @@
     }
 
     /// Takes in that a worker's life is over.
-    pub(crate) fn bury(
+    pub(crate) fn mark_gone(
         &mut self,
         now: Instant,
         key: WorkerKey,
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -5,10 +5,12 @@
 
 use crate::asking::{claim_room, fit_in, NAMED_LIMIT_COUNT};
 use crate::awaiting::WAITING_GANGS_LIMIT_COUNT;
+use crate::candidate::{fit_sum, Candidate};
 use crate::config::AdvicePolicy;
+use crate::cycle::SchedulingCycle;
 use crate::event::Action;
 use crate::gangs::Reservation;
-use crate::placing::{fit_sum, Candidate, Pass, Turn};
+use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Duration, Instant, Resources};
@@ -52,22 +54,22 @@
     pub(crate) fn seek_for_gang(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let good = self.advice[&turn.key].good();
-        if self.reserve_free_room(now, turn, policy, &good, pass, out) {
+        let good = self.advice[&pending.key].good();
+        if self.reserve_free_room(now, pending, policy, &good, cycle, out) {
             return;
         }
-        if self.is_search_due(now, turn, pass) {
-            let is_made = self.make_room(now, turn, policy, &good, pass, out);
-            if is_made || self.look_further(now, turn, policy, &good, pass, out) {
+        if self.is_search_due(now, pending, cycle) {
+            let is_made = self.make_room(now, pending, policy, &good, cycle, out);
+            if is_made || self.look_further(now, pending, policy, &good, cycle, out) {
                 return;
             }
         }
-        self.await_workers_for_gang(now, turn, policy, pass, out);
+        self.await_workers_for_gang(now, pending, policy, cycle, out);
     }
 
     /// Keeps free room on good workers for a gang and asks for its tickets;
@@ -75,26 +77,26 @@
     fn reserve_free_room(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         good: &[WorkerKey],
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) -> bool {
-        let needed = turn.waiting.len();
-        let needed_milli = u64::from(turn.demand.cores_milli) * needed as u64;
-        if needed_milli > pass.free_milli {
+        let needed = pending.waiting.len();
+        let needed_milli = u64::from(pending.demand.cores_milli) * needed as u64;
+        if needed_milli > cycle.free_milli {
             return false;
         }
-        let fitting = self.candidates(now, turn, pass, good.iter().copied());
-        if fit_sum(&fitting, &turn.demand) < needed as u64 {
+        let fitting = self.candidates(now, pending, cycle, good.iter().copied());
+        if fit_sum(&fitting, &pending.demand) < needed as u64 {
             return false;
         }
-        let reservations = reserve(fitting, &turn.demand, needed);
+        let reservations = reserve(fitting, &pending.demand, needed);
         let named = reservations.iter().map(|r| r.worker).collect();
-        if self.ask(now, turn, policy, named, out) {
-            self.reserve_room(turn.key, reservations);
-            claim_room(pass, turn, needed);
+        if self.ask(now, pending, policy, named, out) {
+            self.reserve_room(pending.key, reservations);
+            claim_room(cycle, pending, needed);
         }
         true
     }
@@ -102,11 +104,18 @@
     /// Returns whether a gang without room may search for some now: searching
     /// takes long on large sites, so it is done now and then, and by the most
     /// urgent gangs alone unless advisers have nothing to do.
-    fn is_search_due(&mut self, now: Instant, turn: &Turn, pass: &Pass) -> bool {
-        let is_urgent = pass.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT;
-        let cost = turn.advice.map_or(Duration::ZERO, |policy| policy.cost(1));
+    fn is_search_due(
+        &mut self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+    ) -> bool {
+        let is_urgent = cycle.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT;
+        let cost = pending
+            .advice
+            .map_or(Duration::ZERO, |policy| policy.cost(1));
         let is_idle = self.advisers.is_idle(now, cost);
-        let Some(advice) = self.advice.get_mut(&turn.key) else {
+        let Some(advice) = self.advice.get_mut(&pending.key) else {
             return false;
         };
         let is_allowed = is_urgent || is_idle || advice.is_empty();
@@ -122,18 +131,18 @@
     fn make_room(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         good: &[WorkerKey],
-        pass: &Pass,
+        cycle: &SchedulingCycle,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(plan) = self.plan_preemption(now, turn, pass, good) else {
+        let Some(plan) = self.plan_preemption(now, pending, cycle, good) else {
             return false;
         };
         let named = plan.reservations.iter().map(|r| r.worker).collect();
-        if self.ask(now, turn, policy, named, out) {
-            self.reserve_room(turn.key, plan.reservations);
+        if self.ask(now, pending, policy, named, out) {
+            self.reserve_room(pending.key, plan.reservations);
             self.preempt(now, plan.victims, out);
         }
         true
@@ -144,19 +153,19 @@
     fn look_further(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         good: &[WorkerKey],
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) -> bool {
-        let needed = turn.waiting.len();
-        let unknown = self.unknown_workers(turn, pass);
+        let needed = pending.waiting.len();
+        let unknown = self.unknown_workers(pending, cycle);
         let able = good
             .iter()
             .filter(|key| self.workers[**key].is_placeable(now));
         let total: u64 = able
-            .map(|key| u64::from(fit_in(&self.workers[*key].facts.capacity, &turn.demand)))
+            .map(|key| u64::from(fit_in(&self.workers[*key].facts.capacity, &pending.demand)))
             .sum();
         let is_short = (total as f64) < needed as f64 * GANG_ROOM_FACTOR;
         if unknown.is_empty() {
@@ -164,11 +173,11 @@
         }
         if is_short {
             let missing = needed as f64 - total as f64;
-            let named = self.choose_unknown(now, turn, policy, unknown, missing);
-            self.ask(now, turn, policy, named, out);
+            let named = self.choose_unknown(now, pending, policy, unknown, missing);
+            self.ask(now, pending, policy, named, out);
             return true;
         }
-        self.ask_about_free(now, turn, policy, Search { good, unknown }, pass, out)
+        self.ask_about_free(now, pending, policy, Search { good, unknown }, cycle, out)
     }
 
     /// Asks about unknown workers that have room now, where those that should
@@ -177,31 +186,31 @@
     fn ask_about_free(
         &mut self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         search: Search<'_>,
-        pass: &mut Pass,
+        cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) -> bool {
-        let waited = now.since(self.advice[&turn.key].answered_at);
+        let waited = now.since(self.advice[&pending.key].answered_at);
         let has_waited = waited >= LOOK_FURTHER_AFTER;
         if !has_waited && !self.advisers.is_idle(now, policy.cost(1)) {
             return false;
         }
-        let needed = turn.waiting.len();
-        let fitting = self.candidates(now, turn, pass, search.good.iter().copied());
-        let missing = needed as f64 - fit_sum(&fitting, &turn.demand) as f64;
-        let found = self.choose_free(turn, search.unknown, missing, pass);
+        let needed = pending.waiting.len();
+        let fitting = self.candidates(now, pending, cycle, search.good.iter().copied());
+        let missing = needed as f64 - fit_sum(&fitting, &pending.demand) as f64;
+        let found = self.choose_free(pending, search.unknown, missing, cycle);
         // Each call leaves fewer unknown, so in the end a small chance will do.
         let is_worth_it = found.expected >= missing || has_waited && found.possible >= missing;
         if !is_worth_it {
             return false;
         }
         let named = found.named;
-        if self.ask(now, turn, policy, named, out) {
-            let reservations = reserve(fitting, &turn.demand, needed);
-            self.reserve_room(turn.key, reservations);
-            claim_room(pass, turn, needed);
+        if self.ask(now, pending, policy, named, out) {
+            let reservations = reserve(fitting, &pending.demand, needed);
+            self.reserve_room(pending.key, reservations);
+            claim_room(cycle, pending, needed);
         }
         true
     }
@@ -210,21 +219,21 @@
     /// enough members.
     fn choose_free(
         &self,
-        turn: &Turn,
+        pending: &PendingStep,
         unknown: Vec<WorkerKey>,
         missing: f64,
-        pass: &Pass,
+        cycle: &SchedulingCycle,
     ) -> FreeWorkers {
-        let goodness = self.goodness_of(&turn.record.queue);
+        let goodness = self.goodness_of(&pending.record.queue);
         let mut found = FreeWorkers::default();
         for key in unknown {
             let is_enough = found.expected >= missing * FREE_ROOM_FACTOR;
             if is_enough || found.named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
-            let candidate = self.candidate(turn, key, &self.workers[key]);
-            let fit_count = candidate.map_or(0, |it| it.fit_count(&turn.demand));
-            if fit_count > 0 && !pass.is_kept(key) {
+            let candidate = self.candidate(pending, key, &self.workers[key]);
+            let fit_count = candidate.map_or(0, |it| it.fit_count(&pending.demand));
+            if fit_count > 0 && !cycle.is_kept(key) {
                 found.possible += f64::from(fit_count);
                 found.expected += goodness * f64::from(fit_count);
                 found.named.push(key);
@@ -235,11 +244,15 @@
 
     /// Returns the workers of which nothing is known for the step, the
     /// freest first.
-    pub(crate) fn unknown_workers(&self, turn: &Turn, pass: &Pass) -> Vec<WorkerKey> {
-        let advice = &self.advice[&turn.key];
-        let unknown = pass.workers().filter(|key| !advice.is_known(*key));
+    pub(crate) fn unknown_workers(
+        &self,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+    ) -> Vec<WorkerKey> {
+        let advice = &self.advice[&pending.key];
+        let unknown = cycle.workers().filter(|key| !advice.is_known(*key));
         unknown
-            .filter(|key| Self::is_eligible(turn, &self.workers[*key]))
+            .filter(|key| Self::is_eligible(pending, &self.workers[*key]))
             .collect()
     }
 
@@ -248,12 +261,12 @@
     pub(crate) fn choose_unknown(
         &self,
         now: Instant,
-        turn: &Turn,
+        pending: &PendingStep,
         policy: AdvicePolicy,
         unknown: Vec<WorkerKey>,
         missing: f64,
     ) -> Vec<WorkerKey> {
-        let goodness = self.goodness_of(&turn.record.queue);
+        let goodness = self.goodness_of(&pending.record.queue);
         // Naming more costs little beside the call itself, and nothing that
         // anybody waits for where the advisers are idle: what is learned of
         // a worker never changes.
@@ -274,7 +287,7 @@
                 break;
             }
             let capacity = self.workers[key].facts.capacity;
-            expected += goodness * f64::from(fit_in(&capacity, &turn.demand));
+            expected += goodness * f64::from(fit_in(&capacity, &pending.demand));
             named.push(key);
         }
         named
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -57,7 +57,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in earlier {
-            self.bury(now, key, "a newer life is listed", out);
+            self.mark_gone(now, key, "a newer life is listed", out);
         }
         let line = Decision::new(DecisionKind::WorkerListed, "listed");
         out.push(Action::Log(line.with_worker(&facts.id)));
@@ -135,7 +135,7 @@
                 self.take_lists(now, key, sent_at, running, ended, out);
             }
             HoldReply::Fenced => out.push(Action::StepDown),
-            HoldReply::OtherLife => self.bury(now, key, "another life answers", out),
+            HoldReply::OtherLife => self.mark_gone(now, key, "another life answers", out),
             HoldReply::Unanswered => self.note_unanswered_hold(now, key, out),
         }
     }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -129,7 +129,7 @@
         out: &mut Vec<Action>,
     ) {
         if reply == StartReply::OtherLife {
-            self.bury(now, key, "another life answers", out);
+            self.mark_gone(now, key, "another life answers", out);
             return;
         }
         let worker = &mut self.workers[key];
@@ -205,7 +205,7 @@
         out: &mut Vec<Action>,
     ) {
         match reply {
-            StopReply::OtherLife => self.bury(now, key, "another life answers", out),
+            StopReply::OtherLife => self.mark_gone(now, key, "another life answers", out),
             StopReply::Fenced => out.push(Action::StepDown),
             StopReply::Unanswered => {}
             StopReply::Stopping => {
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -5,11 +5,13 @@
 //! checkpoints, since one is written at the stop, or have barely begun. So a gang that can still be in time takes their room, while its call for
 //! advice is on the way.
 
+use crate::candidate::Candidate;
+use crate::cycle::SchedulingCycle;
 use crate::event::Action;
 use crate::gangs::Reservation;
 use crate::job::TaskKey;
 use crate::order::Prospect;
-use crate::placing::{Candidate, Pass, Turn};
+use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::{Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
@@ -106,20 +108,20 @@
     pub(crate) fn plan_preemption(
         &self,
         now: Instant,
-        turn: &Turn,
-        pass: &Pass,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
         good: &[WorkerKey],
     ) -> Option<PreemptionPlan> {
-        let job = self.jobs.get(&turn.key.job)?;
+        let job = self.jobs.get(&pending.key.job)?;
         if self.prospect(now, job) != Prospect::InTime {
             return None;
         }
-        let mut sites = self.sites(now, turn, pass, good);
-        let needed_count = turn.waiting.len() as u32;
-        if !choose_stops(&mut sites, &turn.demand, needed_count) {
+        let mut sites = self.sites(now, pending, cycle, good);
+        let needed_count = pending.waiting.len() as u32;
+        if !choose_stops(&mut sites, &pending.demand, needed_count) {
             return None;
         }
-        Some(plan_of(sites, &turn.demand, needed_count))
+        Some(plan_of(sites, &pending.demand, needed_count))
     }
 
     /// Stops less urgent runs so that as many of so many tasks as can be have
@@ -127,46 +129,52 @@
     pub(crate) fn preempt_for_tasks(
         &mut self,
         now: Instant,
-        turn: &Turn,
-        pass: &Pass,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
         missing_count: usize,
         out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get(&turn.key.job) else {
+        let Some(job) = self.jobs.get(&pending.key.job) else {
             return;
         };
         if self.prospect(now, job) != Prospect::InTime {
             return;
         }
-        let good = self.advice[&turn.key].good();
-        let mut sites = self.sites(now, turn, pass, &good);
+        let good = self.advice[&pending.key].good();
+        let mut sites = self.sites(now, pending, cycle, &good);
         let possible_count: u32 = sites
             .iter()
-            .map(|site| site.most_members(&turn.demand))
+            .map(|site| site.most_members(&pending.demand))
             .sum();
         let needed_count = possible_count.min(missing_count as u32);
-        if needed_count == 0 || !choose_stops(&mut sites, &turn.demand, needed_count) {
+        if needed_count == 0 || !choose_stops(&mut sites, &pending.demand, needed_count) {
             return;
         }
-        let plan = plan_of(sites, &turn.demand, needed_count);
+        let plan = plan_of(sites, &pending.demand, needed_count);
         self.preempt(now, plan.victims, out);
     }
 
     /// Returns the good workers with what may be stopped on each.
-    fn sites(&self, now: Instant, turn: &Turn, pass: &Pass, good: &[WorkerKey]) -> Vec<Site> {
+    fn sites(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+        good: &[WorkerKey],
+    ) -> Vec<Site> {
         let mut sites = Vec::new();
         for &key in good {
             let worker = &self.workers[key];
-            if !worker.is_placeable(now) || pass.is_kept(key) {
+            if !worker.is_placeable(now) || cycle.is_kept(key) {
                 continue;
             }
-            let Some(candidate) = self.candidate(turn, key, worker) else {
+            let Some(candidate) = self.candidate(pending, key, worker) else {
                 continue;
             };
-            let members_count = candidate.fit_count(&turn.demand);
+            let members_count = candidate.fit_count(&pending.demand);
             sites.push(Site {
                 candidate,
-                victims: self.victims_on(now, turn, worker),
+                victims: self.victims_on(now, pending, worker),
                 stopped_count: 0,
                 members_count,
             });
@@ -174,11 +182,11 @@
         sites
     }
 
-    fn victims_on(&self, now: Instant, turn: &Turn, worker: &Worker) -> Vec<Victim> {
+    fn victims_on(&self, now: Instant, pending: &PendingStep, worker: &Worker) -> Vec<Victim> {
         let mut victims: Vec<Victim> = worker
             .runs
             .iter()
-            .filter(|(task, run)| self.is_victim(now, turn, **task, run))
+            .filter(|(task, run)| self.is_victim(now, pending, **task, run))
             .map(|(task, run)| Victim {
                 task: *task,
                 demand: run.demand,
@@ -191,13 +199,14 @@
 
     /// Returns whether a run may be stopped for the step: it is less urgent,
     /// loses little, and its job has time to spare.
-    fn is_victim(&self, now: Instant, turn: &Turn, task: TaskKey, run: &Run) -> bool {
+    fn is_victim(&self, now: Instant, pending: &PendingStep, task: TaskKey, run: &Run) -> bool {
         if !matches!(run.phase, RunPhase::Running { .. }) {
             return false;
         }
-        let (Some(job), Some(for_job)) =
-            (self.jobs.get(&task.step.job), self.jobs.get(&turn.key.job))
-        else {
+        let (Some(job), Some(for_job)) = (
+            self.jobs.get(&task.step.job),
+            self.jobs.get(&pending.key.job),
+        ) else {
             return false;
         };
         let Some(spec) = job.record.spec.steps.get(task.step.step as usize) else {
@@ -226,20 +235,25 @@
 
     /// Returns whether a gang fits on workers once the runs that are being
     /// stopped there have ended.
-    pub(crate) fn is_room_coming(&self, now: Instant, turn: &Turn, workers: &[WorkerKey]) -> bool {
+    pub(crate) fn is_room_coming(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        workers: &[WorkerKey],
+    ) -> bool {
         let mut members_count = 0;
         for &key in workers {
             let worker = &self.workers[key];
             if !worker.is_placeable(now) {
                 continue;
             }
-            let Some(mut candidate) = self.candidate(turn, key, worker) else {
+            let Some(mut candidate) = self.candidate(pending, key, worker) else {
                 continue;
             };
-            candidate.free = worker.room_without_stopping() - worker.reserved(turn.key);
-            members_count += candidate.fit_count(&turn.demand);
+            candidate.free = worker.room_without_stopping() - worker.reserved(pending.key);
+            members_count += candidate.fit_count(&pending.demand);
         }
-        members_count as usize >= turn.waiting.len()
+        members_count as usize >= pending.waiting.len()
     }
 }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,14 +1,14 @@
-//! The scheduler: its state, and where each event goes.
+//! The scheduler: its state and the dispatch of events.
 
 use crate::advice::StepAdvice;
 use crate::advisers::Advisers;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
+use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
-use crate::placing::PassSummary;
 use crate::state::Phase;
 use crate::worker::{Worker, WorkerKey};
 use cranelift_entity::PrimaryMap;
@@ -18,9 +18,9 @@
 use std::sync::Arc;
 
 /// The time between two looks at jobs that have their outcome.
-const UPKEEP_PERIOD: Duration = Duration::from_ms(100);
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_ms(100);
 
-/// A job as clients may see it.
+/// The state of a job that clients are shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobView {
     /// The job's life, as far as it is in the store.
@@ -76,8 +76,8 @@
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
-    /// What the last pass over waiting steps left.
-    pub(crate) last_pass: PassSummary,
+    /// What the last cycle over waiting steps left.
+    pub(crate) last_cycle: CycleSummary,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
     /// When a worker last left a renewal unanswered that answered before.
@@ -85,7 +85,7 @@
     /// Whether something has changed that may let a task be placed.
     pub(crate) is_place_due: bool,
     next_place_at: Instant,
-    next_upkeep_at: Instant,
+    next_housekeeping_at: Instant,
     pub(crate) wall_ms: u64,
 }
 
@@ -107,13 +107,13 @@
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
-            last_pass: PassSummary::default(),
+            last_cycle: CycleSummary::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
             last_lost_hold_at: None,
             is_place_due: true,
             next_place_at: Instant::default(),
-            next_upkeep_at: Instant::default(),
+            next_housekeeping_at: Instant::default(),
             wall_ms: 0,
         }
     }
@@ -154,7 +154,7 @@
     }
 
     /// Does what is due: places, commits, renews. Called after each batch of
-    /// events, so that one pass serves them all.
+    /// events, so that one cycle serves them all.
     pub fn settle(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.is_place_due && now >= self.next_place_at {
             self.is_place_due = false;
@@ -165,7 +165,7 @@
         self.flush_commits(now, out);
     }
 
-    /// Returns a job as clients may see it, where it is known.
+    /// Returns the state of a job that clients are shown, where the job is known.
     pub fn job(&self, job: JobId) -> Option<JobView> {
         let job = self.jobs.get(&job)?;
         Some(JobView {
@@ -194,8 +194,8 @@
                 .map(|w| u64::from(w.facts.capacity.cores_milli))
                 .sum(),
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
-            awaited_workers_count: self.last_pass.awaited_workers_count,
-            waiting_gangs_count: self.last_pass.waiting_gangs_count,
+            awaited_workers_count: self.last_cycle.awaited_workers_count,
+            waiting_gangs_count: self.last_cycle.waiting_gangs_count,
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
@@ -211,10 +211,10 @@
     fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.give_up_lapsed(now, out);
         self.stop_broken_gangs(now, out);
-        self.part_fillers(now, out);
+        self.evict_fillers(now, out);
         self.repeat_stops(now, out);
-        if now >= self.next_upkeep_at {
-            self.next_upkeep_at = now + UPKEEP_PERIOD;
+        if now >= self.next_housekeeping_at {
+            self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
             self.settle_ended_jobs();
             self.forget_old_jobs(now);
         }
--- a/crates/scheduler/src/sharing.rs
+++ b/crates/scheduler/src/sharing.rs
@@ -38,11 +38,11 @@
 impl Scheduler {
     /// Stops fillers that run beside serving tasks, whether a serving task has
     /// come or an earlier leader's stop did not arrive.
-    pub(crate) fn part_fillers(&mut self, now: Instant, out: &mut Vec<Action>) {
+    pub(crate) fn evict_fillers(&mut self, now: Instant, out: &mut Vec<Action>) {
         let shared = self.workers.values().filter(|worker| worker.is_shared());
         let fillers: Vec<TaskKey> = shared.flat_map(working_fillers).collect();
         for task in fillers {
-            self.stop_task(now, task, "gives way to a serving task", out);
+            self.stop_task(now, task, "evicted for a serving task", out);
         }
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -9,7 +9,7 @@
 /// The first byte of what stands for a job that has its outcome.
 const OUTCOME_FORM: u8 = 2;
 
-/// A job's life, as clients are told of it.
+/// The phase of a job's life that clients are shown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// Work is left.
--- a/crates/scheduler/tests/scheduler/cases.rs
+++ b/crates/scheduler/tests/scheduler/cases.rs
@@ -242,7 +242,7 @@
     assert_eq!(bench.stops(), vec![]);
 }
 
-/// Work that saves nothing gives way where it has barely begun.
+/// Work that saves nothing is preempted where it has barely begun.
 #[test]
 fn plan_preemption_barely_begun() {
     let (id, mut record) = patient_job(1, 4);
@@ -307,9 +307,9 @@
     assert!(!bench.advise(&["w11"]).is_empty());
 }
 
-/// A filler gives way to a task that serves users, and none comes beside one.
+/// A filler is evicted for a task that serves users, and none is placed beside one.
 #[test]
-fn part_fillers_serving_task_comes() {
+fn evict_fillers_serving_task_comes() {
     let mut bench = Bench::new(Recovered::default(), &workers(1));
     let filler = StepSpec {
         is_filler: true,
