Report where the time of jobs goes: `ospreywing report delays LOG...`

Change: from the logs of all nodes, by queue, the mean time of jobs and of late ones, cut into parts that add up: handing over, advice, room, record, running, outcome.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -177,18 +177,25 @@
         .subcommand(
             Command::new("burn").about("How fast each service row uses up its error budget"),
         )
+        .subcommand(
+            Command::new("delays")
+                .about("Where the time of jobs goes, by queue, from the logs of the nodes")
+                .arg(logs()),
+        )
+}
+
+fn logs() -> Arg {
+    Arg::new("log")
+        .required(true)
+        .num_args(1..)
+        .help("The nodes' logs, JSON lines")
 }
 
 fn explain() -> Command {
     Command::new("explain")
         .about("Tells the story of one request from the logs of the nodes")
         .arg(Arg::new("id").required(true).help("The job's id"))
-        .arg(
-            Arg::new("log")
-                .required(true)
-                .num_args(1..)
-                .help("The nodes' logs, JSON lines"),
-        )
+        .arg(logs())
 }
 
 fn replay() -> Command {
--- /dev/null
+++ b/crates/cli/src/delays.rs
@@ -0,0 +1,298 @@
+//! `report delays`: where the time of jobs goes, from the logs of the nodes.
+//!
+//! The time from a job's acceptance until it is shown complete is cut into parts
+//! that follow one another and add up to the whole, by queue. A job is late where
+//! that time exceeds its objective, which the leader reckons from the estimates
+//! that the client gave.
+
+use crate::input::read_text;
+use crate::print::{columns, print, Format};
+use crate::CliError;
+use clap::ArgMatches;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The parts of a job's time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Delays {
+    /// Until the leader knew of it.
+    pub handing_over_ms: u64,
+    /// Its steps waited for an answer of the adviser.
+    pub advice_ms: u64,
+    /// Its steps waited for room, or for their turn.
+    pub room_ms: u64,
+    /// Starts waited for their record in the store.
+    pub record_ms: u64,
+    /// Tasks ran, or were sent to their workers, or had ended unheard.
+    pub running_ms: u64,
+    /// The outcome waited for its record in the store.
+    pub outcome_ms: u64,
+}
+
+impl Delays {
+    /// Returns the whole time.
+    pub const fn total_ms(&self) -> u64 {
+        self.handing_over_ms
+            + self.advice_ms
+            + self.room_ms
+            + self.record_ms
+            + self.running_ms
+            + self.outcome_ms
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.handing_over_ms += other.handing_over_ms;
+        self.advice_ms += other.advice_ms;
+        self.room_ms += other.room_ms;
+        self.record_ms += other.record_ms;
+        self.running_ms += other.running_ms;
+        self.outcome_ms += other.outcome_ms;
+    }
+
+    const fn share_of(&self, count: u64) -> Self {
+        Self {
+            handing_over_ms: self.handing_over_ms / count,
+            advice_ms: self.advice_ms / count,
+            room_ms: self.room_ms / count,
+            record_ms: self.record_ms / count,
+            running_ms: self.running_ms / count,
+            outcome_ms: self.outcome_ms / count,
+        }
+    }
+}
+
+/// The jobs of one queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct QueueDelays {
+    /// The queue.
+    pub queue: String,
+    /// Jobs that were shown complete within their objective.
+    pub in_time_count: u64,
+    /// Jobs that were shown complete later.
+    pub late_count: u64,
+    /// Jobs that the logs do not show complete.
+    pub open_count: u64,
+    /// Runs that ended in another way than well.
+    pub lost_runs_count: u64,
+    /// The parts of the mean job's time, of those shown complete.
+    pub mean: Delays,
+    /// The parts of the mean late job's time.
+    pub mean_late: Delays,
+}
+
+/// A line of a log, as far as it is needed here.
+#[derive(Deserialize)]
+struct Line {
+    msg: String,
+    wall_ms: u64,
+    #[serde(default)]
+    job: String,
+    #[serde(default)]
+    task: String,
+    #[serde(default)]
+    queue: String,
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    outcome: String,
+    #[serde(default)]
+    figure: u64,
+}
+
+/// The moments of one step.
+#[derive(Clone, Copy, Debug, Default)]
+struct StepTimes {
+    placed_ms: u64,
+    sent_ms: u64,
+    ended_ms: u64,
+}
+
+/// The moments of one job.
+#[derive(Debug, Default)]
+struct JobTimes {
+    queue: String,
+    objective_ms: u64,
+    accepted_ms: Option<u64>,
+    taken_ms: Option<u64>,
+    shown_ms: Option<u64>,
+    /// When calls for advice began and ended.
+    calls: Vec<(u64, u64)>,
+    asked_ms: Option<u64>,
+    steps: BTreeMap<String, StepTimes>,
+    lost_runs_count: u64,
+}
+
+impl JobTimes {
+    fn take(&mut self, line: &Line) {
+        let at_ms = line.wall_ms;
+        match line.msg.as_str() {
+            "job answered" if line.outcome == "accepted" => {
+                self.accepted_ms.get_or_insert(at_ms);
+            }
+            "job taken" => {
+                self.taken_ms.get_or_insert(at_ms);
+                self.queue.clone_from(&line.queue);
+                self.objective_ms = line.figure;
+            }
+            "advice asked" => self.asked_ms = Some(at_ms),
+            "advice answered" => {
+                if let Some(asked_ms) = self.asked_ms.take() {
+                    self.calls.push((asked_ms, at_ms));
+                }
+            }
+            "placed" => self.step(&line.task).placed_ms = at_ms,
+            "start sent" => self.step(&line.task).sent_ms = at_ms,
+            "run ended" => {
+                self.step(&line.task).ended_ms = at_ms;
+                self.lost_runs_count += u64::from(line.reason != "done");
+            }
+            "job ended" if line.reason == "shown" => {
+                self.shown_ms.get_or_insert(at_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the moments of a task's step.
+    fn step(&mut self, task: &str) -> &mut StepTimes {
+        let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
+        self.steps.entry(step.to_owned()).or_default()
+    }
+
+    /// Returns how long calls for advice were open between two moments.
+    fn open_calls_ms(&self, from_ms: u64, until_ms: u64) -> u64 {
+        let within = self.calls.iter().map(|(asked_ms, answered_ms)| {
+            let begun_ms = (*asked_ms).max(from_ms);
+            (*answered_ms).min(until_ms).saturating_sub(begun_ms)
+        });
+        within.sum::<u64>().min(until_ms - from_ms)
+    }
+
+    /// Returns the parts of the job's time, where it was shown complete.
+    fn delays(&self) -> Option<Delays> {
+        let accepted_ms = self.accepted_ms.or(self.taken_ms)?;
+        let shown_ms = self.shown_ms?;
+        let mut delays = Delays::default();
+        let mut at_ms = accepted_ms;
+        let mut advance = |to_ms: u64| {
+            // Clocks of two nodes may differ a little.
+            let to_ms = to_ms.clamp(at_ms, shown_ms.max(at_ms));
+            let from_ms = core::mem::replace(&mut at_ms, to_ms);
+            (from_ms, to_ms)
+        };
+        let (from_ms, to_ms) = advance(self.taken_ms.unwrap_or(accepted_ms));
+        delays.handing_over_ms = to_ms - from_ms;
+        let mut steps: Vec<&StepTimes> = self.steps.values().collect();
+        steps.sort_by_key(|step| step.ended_ms);
+        for step in steps {
+            let (from_ms, to_ms) = advance(step.placed_ms);
+            let advice_ms = self.open_calls_ms(from_ms, to_ms);
+            delays.advice_ms += advice_ms;
+            delays.room_ms += to_ms - from_ms - advice_ms;
+            let (from_ms, to_ms) = advance(step.sent_ms);
+            delays.record_ms += to_ms - from_ms;
+            let (from_ms, to_ms) = advance(step.ended_ms);
+            delays.running_ms += to_ms - from_ms;
+        }
+        let (from_ms, to_ms) = advance(shown_ms);
+        delays.outcome_ms = to_ms - from_ms;
+        Some(delays)
+    }
+}
+
+/// Gathers the delays of all jobs from logs, by queue; lines that are no JSON are
+/// passed over.
+pub fn delays_by_queue<'a>(logs: impl IntoIterator<Item = &'a str>) -> Vec<QueueDelays> {
+    let mut lines: Vec<Line> = logs
+        .into_iter()
+        .flat_map(str::lines)
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect();
+    lines.sort_by_key(|line| line.wall_ms);
+    let mut jobs: BTreeMap<String, JobTimes> = BTreeMap::new();
+    for line in &lines {
+        let id = if line.job.is_empty() {
+            line.task.split('.').next().unwrap_or_default()
+        } else {
+            &line.job
+        };
+        if !id.is_empty() {
+            jobs.entry(id.to_owned()).or_default().take(line);
+        }
+    }
+    let mut queues: BTreeMap<&str, QueueDelays> = BTreeMap::new();
+    // A cancel for a job that no leader took names no queue.
+    for job in jobs.values().filter(|job| !job.queue.is_empty()) {
+        count_job(queues.entry(&job.queue).or_default(), job);
+    }
+    queues.into_values().map(means_of).collect()
+}
+
+fn count_job(queue: &mut QueueDelays, job: &JobTimes) {
+    queue.queue.clone_from(&job.queue);
+    queue.lost_runs_count += job.lost_runs_count;
+    let Some(delays) = job.delays() else {
+        queue.open_count += 1;
+        return;
+    };
+    queue.mean.add(&delays);
+    if delays.total_ms() > job.objective_ms {
+        queue.late_count += 1;
+        queue.mean_late.add(&delays);
+    } else {
+        queue.in_time_count += 1;
+    }
+}
+
+fn means_of(mut queue: QueueDelays) -> QueueDelays {
+    let shown_count = queue.in_time_count + queue.late_count;
+    queue.mean = queue.mean.share_of(shown_count.max(1));
+    queue.mean_late = queue.mean_late.share_of(queue.late_count.max(1));
+    queue
+}
+
+fn line_of(name: String, jobs_count: u64, delays: &Delays) -> Vec<String> {
+    let numbers = [
+        jobs_count,
+        delays.total_ms(),
+        delays.handing_over_ms,
+        delays.advice_ms,
+        delays.room_ms,
+        delays.record_ms,
+        delays.running_ms,
+        delays.outcome_ms,
+    ];
+    let cells = numbers.iter().map(u64::to_string);
+    core::iter::once(name).chain(cells).collect()
+}
+
+fn to_text(queues: &[QueueDelays]) -> String {
+    let heading = [
+        "queue",
+        "jobs",
+        "ms",
+        "handing over",
+        "advice",
+        "room",
+        "record",
+        "running",
+        "outcome",
+    ];
+    let mut lines = Vec::new();
+    for queue in queues {
+        let shown_count = queue.in_time_count + queue.late_count;
+        lines.push(line_of(queue.queue.clone(), shown_count, &queue.mean));
+        let late = format!("  late of these ({} open)", queue.open_count);
+        lines.push(line_of(late, queue.late_count, &queue.mean_late));
+    }
+    columns(&heading, &lines)
+}
+
+/// Prints the delays of all jobs in the logs.
+pub(crate) fn run(format: Format, matches: &ArgMatches) -> Result<(), CliError> {
+    let paths = matches.get_many::<String>("log").into_iter().flatten();
+    let logs: Result<Vec<String>, CliError> = paths.map(|path| read_text(path)).collect();
+    let queues = delays_by_queue(logs?.iter().map(String::as_str));
+    print(format, &queues, || to_text(&queues));
+    Ok(())
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod client;
 pub mod command;
+mod delays;
 mod error;
 mod explain;
 mod input;
@@ -14,6 +15,7 @@
 mod task_commands;
 
 pub use client::Daemons;
+pub use delays::{delays_by_queue, Delays, QueueDelays};
 pub use error::{CliError, ExitKind};
 pub use explain::{ClockDoubt, Entry, Story};
 pub use run::run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,7 +2,9 @@
 
 use crate::client::Daemons;
 use crate::print::Format;
-use crate::{explain, replay, report, settings_check, table_commands, task_commands, CliError};
+use crate::{
+    delays, explain, replay, report, settings_check, table_commands, task_commands, CliError,
+};
 use clap::ArgMatches;
 use clap_complete::{generate, Shell};
 
@@ -26,7 +28,10 @@
         Some(("call", matches)) => task_commands::call(&daemons, format, matches).await,
         Some(("boxes", _)) => report::boxes(&daemons, format).await,
         Some(("status", _)) => report::status(&daemons, format).await,
-        Some(("report", _)) => report::burn(&daemons, format).await,
+        Some(("report", matches)) => match matches.subcommand() {
+            Some(("delays", matches)) => delays::run(format, matches),
+            _ => report::burn(&daemons, format).await,
+        },
         Some(("replay", matches)) => replay::run(format, matches),
         Some(("explain", matches)) => explain::run(format, matches),
         Some(("check-settings", matches)) => settings_check::run(matches),
