--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -1,9 +1,10 @@
-//! Steps of single tasks that wait for room on workers known to be good.
+//! Waiting for room on workers that are known to be good for a step.
 //!
 //! Who may run a step never changes, so a step whose tasks fill much of a worker
-//! learns once which workers are good for it. It then keeps later work off those
-//! that will have room first, and renews its tickets for them shortly before, so
-//! that a task starts as soon as its room is there.
+//! learns early which workers are good for it. Such a step, and every gang, keeps
+//! later work off as much room as it needs where that will be free first, and
+//! renews its tickets shortly before, so that tasks start as soon as their room is
+//! there.
 
 use crate::asking::fit_in;
 use crate::candidate::left_count;
@@ -17,21 +18,25 @@
 use ospreywing_types::{Duration, Instant, Resources};
 
 /// A step waits for workers only where so few of its tasks fill one: room for
-/// smaller tasks comes up all the time.
+/// smaller tasks comes up all the time. A judgement, not measured against others.
 const FILLING_TASKS_COUNT: u32 = 4;
-/// The steps that may wait for workers at a time in a cycle.
+/// The steps that may wait for workers at a time. A judgement: more would keep too
+/// much of a small site's room.
 const WAITING_STEPS_LIMIT_COUNT: usize = 6;
 /// The gangs that may wait for workers at a time; the others have their turn later.
+/// With ten, worth fell on two grown sites (docs/worth.md).
 pub(crate) const WAITING_GANGS_LIMIT_COUNT: usize = 4;
-/// The part of the workers on which room is kept for gangs that wait, at most.
+/// The part of the workers on which room is kept for gangs that wait, at most: the
+/// rest stays for work that is no gang's.
 const AWAITED_PERCENT: usize = 60;
 /// Tickets are asked for so long before the room is expected, besides the time
-/// that the call takes: expectations come from rough estimates.
+/// that the call takes: expectations come from estimates that are off by half.
 const TICKET_LEAD: Duration = Duration::from_ms(700);
 /// Less urgent runs are stopped for room that would come later than this: a stop
-/// itself takes some hundred milliseconds.
+/// itself takes up to 400 ms (the platform's bound at the first deployments).
 const PREEMPT_DELAY: Duration = Duration::from_ms(500);
-/// How many times the room that is needed the known good workers should hold.
+/// How many times the room that is needed the known good workers should hold, as
+/// for gangs.
 const KNOWN_ROOM_FACTOR: u32 = 2;
 
 /// A worker that will have room for tasks of a step.
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -27,9 +27,24 @@
     Overdue,
 }
 
-/// A job that can be in time is patient while it has more time to spare than this.
+/// A job that can be in time is patient while it has more time to spare than this:
+/// the time at which work begins to leave room to gangs, and a few times what a
+/// step usually waits for room.
 const PATIENT_SLACK: Duration = Duration::from_ms(4000);
 
+/// A job's place in the order of service; the smallest is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ServiceRank {
+    urgency: Urgency,
+    /// The priority of its queue; 0 comes first.
+    priority: u32,
+    /// When it must start at the latest.
+    due: Instant,
+    /// Its number in the order of acceptance.
+    number: u64,
+    job: JobId,
+}
+
 /// How soon a job must be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -42,20 +57,27 @@
 }
 
 impl Scheduler {
-    /// Returns the jobs with work left in the order in which they are served:
-    /// what can still be in time first, then by priority, then by age.
+    /// Returns the jobs with work left in the order in which they are served: by
+    /// urgency, then by priority, then by the latest start at which each is in time.
     pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
-        let mut order: Vec<(Urgency, u32, Instant, u64, JobId)> = self
-            .active
-            .values()
-            .filter_map(|id| {
-                let job = self.jobs.get(id)?;
-                let (urgency, due) = self.urgency(now, job);
-                Some((urgency, job.rank.0, due, job.rank.1, *id))
-            })
-            .collect();
+        let ids = self.active.values();
+        let mut order: Vec<ServiceRank> =
+            ids.filter_map(|id| self.service_rank(now, *id)).collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, _, id)| id).collect()
+        order.into_iter().map(|rank| rank.job).collect()
+    }
+
+    fn service_rank(&self, now: Instant, id: JobId) -> Option<ServiceRank> {
+        let job = self.jobs.get(&id)?;
+        let (priority, number) = job.rank;
+        let (urgency, due) = self.urgency(now, job);
+        Some(ServiceRank {
+            urgency,
+            priority,
+            due,
+            number,
+            job: id,
+        })
     }
 
     /// Returns how soon a job must be served, and by when.
