--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -6,3 +6,4 @@
 mod repeats;
 mod search;
 mod support;
+mod takeover;
