Stop unwanted runs when their worker lists them

Change: an inherited run is stopped when its worker first lists it, where its job was cancelled or has failed or its task is done; one that is not listed was never begun. A cancel that a new leader carries out itself takes the same way, so its stop goes with the first list too. Tests: `inherit_job_cancelled_*` become `take_running_cancel_*`, which ask for the stop with the first list, as soon as before or sooner; `take_running_cancel_recorded_before` fails without the change.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -355,7 +355,9 @@
         match run.phase {
             RunPhase::Recording => self.take_back(task),
             RunPhase::Stopping { .. } => {}
-            RunPhase::Inherited | RunPhase::Starting | RunPhase::Running { .. } => {
+            // Whether it is there is not known: it is stopped once it is listed.
+            RunPhase::Inherited => {}
+            RunPhase::Starting | RunPhase::Running { .. } => {
                 run.phase = RunPhase::Stopping {
                     sent_at: now,
                     taken_at: None,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -5,6 +5,7 @@
 use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
+use crate::state::{Phase, TaskStatus};
 use crate::worker::{ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeSet;
@@ -208,6 +209,10 @@
                     run.phase = RunPhase::Running { since: now };
                 }
                 self.take_checkpoint(task, listed.checkpoint);
+                if self.is_unwanted(task) {
+                    // An earlier leader may not have lived to send the stop.
+                    self.stop_task(now, task, "job ended", out);
+                }
                 return;
             }
         }
@@ -245,6 +250,20 @@
         });
     }
 
+    /// Returns whether a task's runs serve nobody: its job was cancelled or has
+    /// failed, or the task is done. Members of a gang that is done end by themselves.
+    fn is_unwanted(&self, task: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let is_over = matches!(job.state.phase, Phase::Canceled | Phase::Failed);
+        let round = job.state.round(task.step.round);
+        let step = round.and_then(|round| round.steps.get(task.step.step as usize));
+        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        let is_done = state.is_some_and(|state| state.status == TaskStatus::Done);
+        is_over || is_done && !self.is_gang(task.step)
+    }
+
     /// Keeps a run's newest checkpoint; it goes to the store with the job's
     /// next change.
     fn take_checkpoint(&mut self, task: TaskKey, checkpoint: Option<String>) {
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -59,7 +59,6 @@
         for id in cancelled {
             scheduler.cancel_job(now, id, &mut ignored);
         }
-        scheduler.stop_inherited_runs();
         scheduler
     }
 
@@ -88,35 +87,6 @@
         }
     }
 
-    /// Marks the runs of jobs that were cancelled or have failed as to be stopped.
-    ///
-    /// An earlier leader may have recorded the outcome without living to send the
-    /// stops. Those of this term are sent as soon as the workers are known, as
-    /// stops that were not answered.
-    fn stop_inherited_runs(&mut self) {
-        let is_over = |phase| matches!(phase, Phase::Canceled | Phase::Failed);
-        let ended = self.jobs.iter();
-        let ended = ended.filter(|(_, job)| is_over(job.state.phase));
-        let ended: Vec<JobId> = ended.map(|(id, _)| *id).collect();
-        for id in ended {
-            for task in self.placed_tasks(id) {
-                self.mark_unstopped(task);
-            }
-        }
-    }
-
-    fn mark_unstopped(&mut self, task: TaskKey) {
-        let Some(worker) = self.placements.get(&task) else {
-            return;
-        };
-        if let Some(run) = self.workers[*worker].runs.get_mut(&task) {
-            run.phase = RunPhase::Stopping {
-                sent_at: Instant::default(),
-                taken_at: None,
-            };
-        }
-    }
-
     fn inherit_run(&mut self, now: Instant, inherited: InheritedRun) {
         let key = self.placeholder(now, &inherited.worker);
         let demand = self.demand_of(inherited.task).unwrap_or_default();
--- a/crates/scheduler/tests/scheduler/takeover.rs
+++ b/crates/scheduler/tests/scheduler/takeover.rs
@@ -2,52 +2,80 @@
 
 use crate::support::bench::{workers, Bench};
 use crate::support::{job, step};
-use ospreywing_scheduler::{Event, JobId, Phase, Recovered, TaskKey, WorkerKey};
-use ospreywing_types::Duration;
+use ospreywing_scheduler::{
+    Event, JobId, JobState, Phase, Recovered, RoundState, TaskKey, TaskStatus, WorkerKey,
+};
 
-/// Returns a term that begins after an earlier leader recorded a cancel and before
-/// the job's run was stopped, with the run.
-fn after_recorded_cancel() -> (Bench, WorkerKey, TaskKey, u32) {
-    let (id, record) = job(1, vec![step(1)]);
+/// Returns a leader of which a run has begun, and the run.
+fn after_start() -> (Bench, TaskKey, u32) {
     let mut bench = Bench::new(Recovered::default(), &workers(1));
     bench.submit(1, vec![step(1)]);
     bench.commit_all();
-    let (_, task, run) = bench.starts()[0];
-    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    let (worker, task, run) = bench.starts()[0];
     bench.started((worker, task, run));
-    bench.tell(Event::CancelAccepted { job: id });
-    let state = bench.commit_all().pop().expect("a recorded cancel");
-    assert_eq!(state.phase, Phase::Canceled);
+    (bench, task, run)
+}
+
+/// Returns the next leader, to which the only worker is listed; the worker has not
+/// been asked yet.
+fn next_leader(state: JobState) -> (Bench, WorkerKey) {
+    let (id, record) = job(1, vec![step(1)]);
     let kept = Recovered {
         jobs: vec![(id, record)],
         cancels: vec![id],
         states: vec![(id, state)],
         ..Recovered::default()
     };
-    // The worker is listed and has not been asked yet.
     let mut next = Bench::new(kept, &[]);
     next.list_worker(&workers(1)[0]);
     let worker = next.scheduler.worker_key("w0").expect("a listed worker");
-    (next, worker, task, run)
+    (next, worker)
 }
 
 /// Found on bluemahoe-ops hunt-3b0b-11: two leaders were lost one after the other,
 /// and the runs of cancelled jobs went on for ever.
 #[test]
-fn inherit_job_cancelled_run_goes_on() {
-    let (mut next, worker, task, run) = after_recorded_cancel();
+fn take_running_cancel_recorded_before() {
+    let (mut bench, task, run) = after_start();
+    let id = JobId::new(1);
+    bench.tell(Event::CancelAccepted { job: id });
+    let state = bench.commit_all().pop().expect("a recorded cancel");
+    assert_eq!(state.phase, Phase::Canceled);
+    let (mut next, worker) = next_leader(state);
     next.list_running(worker, task);
-    next.now = next.now + Duration::from_ms(20);
-    next.tell(Event::Tick);
-    assert_eq!(next.stops(), vec![(worker, task, run)]);
+    assert_eq!(
+        next.stops(),
+        vec![(worker, task, run)],
+        "with the first list"
+    );
 }
 
 /// The stop does not wait for the time after which stops are sent again.
 #[test]
-fn inherit_job_cancelled_is_stopped_at_once() {
-    let (mut next, worker, task, run) = after_recorded_cancel();
-    next.tell(Event::Tick);
-    assert_eq!(next.stops(), vec![(worker, task, run)]);
-    let view = next.scheduler.job(JobId::new(1)).expect("a known job");
-    assert_eq!(view.phase, Phase::Canceled);
+fn take_running_cancel_not_recorded_before() {
+    let (_, task, run) = after_start();
+    let state = JobState {
+        next_round: 1,
+        rounds: vec![placed_round(run)],
+        ..JobState::default()
+    };
+    let (mut next, worker) = next_leader(state);
+    next.list_running(worker, task);
+    assert_eq!(
+        next.stops(),
+        vec![(worker, task, run)],
+        "with the first list"
+    );
+}
+
+/// Returns the state of a round whose only task was given to the worker.
+fn placed_round(run: u32) -> RoundState {
+    let (_, record) = job(1, vec![step(1)]);
+    let mut round = RoundState::new(0, &record);
+    let task = &mut round.steps[0].tasks[0];
+    task.last_run = run;
+    task.status = TaskStatus::Placed {
+        worker: "w0".to_owned(),
+    };
+    round
 }
