Tell how much of an unfinished answer came, and how old the configuration is

Change: the error of a call whose time is up names the bytes that had come; metrics name the configuration's version and the time since the store last confirmed it. No decision changes.

Ruled out: a log line for each part of an answer (too many on a busy node).

--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -218,6 +218,7 @@
 }
 
 fn respond_metrics<P: Platform>(node: &Rc<Node<P>>) -> Response<Full<Bytes>> {
+    node.note_configuration_age();
     let text = node.metrics.to_text();
     let mut response = Response::new(Full::new(Bytes::from(text)));
     let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -59,6 +59,8 @@
     used_millicores: Amount,
     waiting_gangs: Amount,
     awaited_workers: Amount,
+    configuration_version: Amount,
+    configuration_age_ms: Amount,
     resident_bytes: Amount,
 }
 
@@ -88,6 +90,8 @@
             used_millicores: Amount::default(),
             waiting_gangs: Amount::default(),
             awaited_workers: Amount::default(),
+            configuration_version: Amount::default(),
+            configuration_age_ms: Amount::default(),
             resident_bytes: Amount::default(),
         };
         metrics.register_counters();
@@ -156,6 +160,16 @@
                 "Workers that are kept free",
                 &self.awaited_workers,
             ),
+            (
+                "configuration_version",
+                "The version of the operators' configuration that is in force",
+                &self.configuration_version,
+            ),
+            (
+                "configuration_age_milliseconds",
+                "Time since the store last confirmed it",
+                &self.configuration_age_ms,
+            ),
             (
                 "resident_bytes",
                 "The process's resident memory",
@@ -216,6 +230,13 @@
         self.used_millicores.set(status.used_milli as i64);
     }
 
+    /// Notes which configuration is in force, and how long ago the store
+    /// confirmed that there is no newer one.
+    pub fn note_configuration(&self, version: u64, age: Duration) {
+        self.configuration_version.set(version as i64);
+        self.configuration_age_ms.set(age.as_ms() as i64);
+    }
+
     /// Returns everything as text.
     pub fn to_text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -107,6 +107,8 @@
     pub intake: Rc<Intake<MeteredStore<P::Store>>>,
     /// The configuration, once there is one.
     pub in_force: RefCell<Option<Rc<InForce<P>>>>,
+    /// When the store last confirmed that there is no newer one.
+    pub confirmed_at: Cell<Instant>,
     /// Who leads, and who lives.
     pub cell: RefCell<CellView>,
     /// Told when the view of the cell has changed.
@@ -171,6 +173,16 @@
         names
     }
 
+    /// Tells the metrics which configuration is in force, and how old it is.
+    pub(crate) fn note_configuration_age(&self) {
+        let Some(in_force) = self.in_force() else {
+            return;
+        };
+        let age = clock::now().since(self.confirmed_at.get());
+        let version = in_force.configuration.version;
+        self.metrics.note_configuration(version, age);
+    }
+
     fn learn_configuration(&self, item: &Item) {
         let parsed = self.platform.parse_configuration(&item.value);
         let (configuration, routes) = match parsed {
@@ -241,6 +253,7 @@
         log,
         peers: HttpClient::new(PEER_IDLE_COUNT),
         in_force: RefCell::new(None),
+        confirmed_at: Cell::new(Instant::default()),
         cell: RefCell::new(CellView::default()),
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
@@ -303,6 +316,9 @@
     let key = node.platform.configuration_key();
     let store = node.store.clone();
     follow(store, key, policy, None, |update| {
+        if !matches!(update, Update::Failed(_)) {
+            node.confirmed_at.set(clock::now());
+        }
         match update {
             Update::Snapshot(items) => {
                 node.note_contact();
--- a/crates/control/tests/control/measuring.rs
+++ b/crates/control/tests/control/measuring.rs
@@ -46,6 +46,15 @@
     assert!(text.contains("ospreywing_terms_total 1"));
 }
 
+#[test]
+fn note_configuration_tells_version_and_age() {
+    let metrics = Metrics::new();
+    metrics.note_configuration(16, Duration::from_ms(750));
+    let text = metrics.to_text();
+    assert!(text.contains("ospreywing_configuration_version 16"));
+    assert!(text.contains("ospreywing_configuration_age_milliseconds 750"));
+}
+
 #[test]
 fn commit_is_counted_by_outcome() {
     run_local(async {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -127,34 +127,72 @@
     /// [`HttpError::is_not_sent`].
     pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
         let limit = call.time_limit;
-        let answer = tokio::time::timeout(limit, self.exchange(call)).await;
-        answer.unwrap_or(Err(HttpError::TimedOut {
-            limit_ms: limit.as_millis() as u64,
-        }))
+        let mut received = Received::default();
+        let exchange = self.exchange(call, &mut received);
+        let answer = tokio::time::timeout(limit, exchange).await;
+        answer.unwrap_or_else(|_| {
+            Err(HttpError::TimedOut {
+                limit_ms: limit.as_millis() as u64,
+                received_bytes: received.len_bytes,
+            })
+        })
     }
 
-    async fn exchange(&self, call: Call) -> Result<Answer, HttpError> {
+    async fn exchange(&self, call: Call, received: &mut Received) -> Result<Answer, HttpError> {
         let request = request_of(call)?;
         let response = self.client.request(request).await;
         let response = response.map_err(|error| error_of(&error))?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, ANSWER_LIMIT_BYTES).collect().await;
-        let body = body.map_err(|error| {
-            if error.downcast_ref::<LengthLimitError>().is_some() {
-                let limit_bytes = ANSWER_LIMIT_BYTES;
-                HttpError::TooLarge { limit_bytes }
-            } else {
-                HttpError::Broken(error.to_string())
+        let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| body_error_of(&*error))?;
+            if let Ok(data) = frame.into_data() {
+                received.add(data);
             }
-        })?;
+        }
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body: received.take(),
         })
     }
 }
 
+/// What has come of an answer's body.
+#[derive(Default)]
+struct Received {
+    parts: Vec<Bytes>,
+    len_bytes: usize,
+}
+
+impl Received {
+    fn add(&mut self, part: Bytes) {
+        self.len_bytes += part.len();
+        self.parts.push(part);
+    }
+
+    /// Returns the parts as one, without a copy where there is one only.
+    fn take(&mut self) -> Bytes {
+        if self.parts.len() == 1 {
+            return self.parts.pop().unwrap_or_default();
+        }
+        let mut whole = Vec::with_capacity(self.len_bytes);
+        for part in self.parts.drain(..) {
+            whole.extend_from_slice(&part);
+        }
+        Bytes::from(whole)
+    }
+}
+
+fn body_error_of(error: &(dyn std::error::Error + Send + Sync + 'static)) -> HttpError {
+    if error.is::<LengthLimitError>() {
+        let limit_bytes = ANSWER_LIMIT_BYTES;
+        HttpError::TooLarge { limit_bytes }
+    } else {
+        HttpError::Broken(error.to_string())
+    }
+}
+
 fn request_of(call: Call) -> Result<Request<Full<Bytes>>, HttpError> {
     let uri = format!("http://{}{}", call.addr, call.path);
     let request = Request::builder().method(call.method).uri(uri);
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -15,10 +15,12 @@
     #[error("broken off: {0}")]
     Broken(String),
     /// The time was up: the request may have been received.
-    #[error("no answer within {limit_ms} ms")]
+    #[error("no answer within {limit_ms} ms, {received_bytes} bytes of it received")]
     TimedOut {
         /// The time limit.
         limit_ms: u64,
+        /// How much of the answer's body had come.
+        received_bytes: usize,
     },
     /// The answer is larger than allowed.
     #[error("the answer has more than {limit_bytes} bytes")]
