Let time limits of the store's answers measure silence, and refuse by an unconfirmed configuration

A watch that is repeated after a failure had 500 ms; a configuration of 987 KB takes 0.8 s over 10 Mbit/s, so 34 of 43 nodes threw away what had come, began again every 0.65 s, filled their links and never learned of version 16. The class: a retry that starts from nothing, under a limit that does not grow with what is to be brought. The small call that is made first after a failure asked for the configuration's own key and could not succeed either. And a node that could not confirm its configuration went on by it as long as the store answered other calls.

A node that writes for another refuses what was read by an older version. The configuration is no longer read again every 10 s: a watch that is answered has missed nothing.

Ruled out: longer limits (any fixed one is too short for some link, and an outage would use it up); asking for the configuration in parts (the store has no such call); refusing during an outage of the store (nothing that is accepted then takes effect without the store).

Before: watch_answer_longer_than_call_limit and configuration_unconfirmed_while_store_answers fail. After: both pass, with watch_answer_stops_half_way; platform, control and http: 96 tests pass.

--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -1,7 +1,7 @@
 //! Following a part of the store: read it whole, then watch what changes.
 
-use crate::clock;
 use crate::store::{Item, Revision, Store, StoreError, WatchedChange};
+use crate::{clock, keys};
 use ospreywing_types::{Duration, Instant};
 
 /// The time until a call that failed is made again.
@@ -67,15 +67,15 @@
     Ok((items, at))
 }
 
-/// Reads everything, where the store answers a small call first after a
-/// failure: a page is given much time, which an outage would use up.
+/// Reads everything, where the store answers a call for a small item first
+/// after a failure: a page is given much time, which an outage would use up.
 async fn read_again<S: Store>(
     store: &S,
     prefix: &str,
     is_failing: bool,
 ) -> Result<(Vec<Item>, Revision), StoreError> {
     if is_failing {
-        store.get(prefix).await?;
+        store.get(keys::LEADER).await?;
     }
     read_all(store, prefix).await
 }
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -31,7 +31,8 @@
     head_time: Duration::from_ms(3000),
     idle_time: Duration::from_ms(15_000),
 };
-/// When a client may come back that came before there was a configuration.
+/// When a client may come back that came before there was a configuration, or
+/// while it was not known whether there is a newer one.
 const COME_BACK: Retry = Retry {
     after: Duration::from_ms(1000),
 };
@@ -259,7 +260,7 @@
         }
         Err(_) => return Reply::TooSlow,
     };
-    let Some(in_force) = node.in_force() else {
+    let Some(in_force) = node.current_configuration().await else {
         return Reply::Unavailable(COME_BACK);
     };
     let incoming = Incoming {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -32,8 +32,12 @@
 const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
 /// How long a watch of what every node follows waits.
 pub const WATCH_WAIT: Duration = Duration::from_ms(3000);
-/// How often the operators' configuration is read again, whatever a watch said.
-const CONFIGURATION_REFRESH: Duration = Duration::from_ms(10_000);
+/// The watches of the configuration that answer within the time in which a
+/// change must be in force: one may fail.
+const CONFIRMATIONS_COUNT: u64 = 2;
+/// How long a request waits for the configuration to be confirmed: a call
+/// that fails, and the next.
+const CONFIRMATION_WAIT: Duration = Duration::from_ms(700);
 /// How often the settings are looked at for a silent change.
 const RELOAD_PERIOD: Duration = Duration::from_s(2);
 /// How long a stopping node still takes connections, so that the balancer
@@ -63,6 +67,8 @@
     pub grace: Duration,
     /// How long a job's outcome is kept.
     pub retention: Duration,
+    /// The time in which a change of the configuration must be in force.
+    pub apply_limit: Duration,
 }
 
 /// Why a node could not run.
@@ -109,6 +115,10 @@
     pub in_force: RefCell<Option<Rc<InForce<P>>>>,
     /// When the store last confirmed that there is no newer one.
     pub confirmed_at: Cell<Instant>,
+    /// Told whenever it does.
+    pub confirmed: Notify,
+    /// Whether it was found out that the confirmation is missing.
+    pub is_outdated: Cell<bool>,
     /// Who leads, and who lives.
     pub cell: RefCell<CellView>,
     /// Told when the view of the cell has changed.
@@ -144,7 +154,32 @@
     /// Returns whether new connections should come here.
     pub fn is_ready(&self) -> bool {
         let has_configuration = self.in_force.borrow().is_some();
-        has_configuration && self.has_contact() && !self.is_draining.get()
+        has_configuration && self.has_contact() && self.is_current() && !self.is_draining.get()
+    }
+
+    /// Returns whether requests may be answered by the configuration at hand.
+    ///
+    /// It may be outdated where the store has not confirmed it for as long as
+    /// a change may take to be in force. While the store answers this node
+    /// nothing at all, that decides nothing: what is accepted or cancelled
+    /// has to be written there.
+    pub fn is_current(&self) -> bool {
+        !self.has_contact() || self.is_confirmed()
+    }
+
+    fn is_confirmed(&self) -> bool {
+        clock::now().since(self.confirmed_at.get()) <= self.settings.apply_limit
+    }
+
+    /// Returns the configuration by which requests may be answered; waits a
+    /// while for its confirmation where that is missing.
+    pub async fn current_configuration(&self) -> Option<Rc<InForce<P>>> {
+        let confirmed = self.confirmed.notified();
+        if !self.is_current() {
+            // Whether it came is looked at below.
+            let _ = tokio::time::timeout(CONFIRMATION_WAIT.into(), confirmed).await;
+        }
+        self.in_force().filter(|_| self.is_current())
     }
 
     /// Returns the configuration that is in force.
@@ -173,14 +208,41 @@
         names
     }
 
+    /// Notes that the store knows of no newer configuration.
+    fn note_confirmed(&self) {
+        self.note_contact();
+        self.confirmed_at.set(clock::now());
+        if self.is_outdated.replace(false) {
+            info!(self.log, "configuration confirmed again"; "version" => self.version());
+        }
+        self.confirmed.notify_waiters();
+    }
+
+    /// Notes that the store was asked for the configuration in vain.
+    fn note_unconfirmed(&self) {
+        if self.is_confirmed() || self.is_outdated.replace(true) {
+            return;
+        }
+        let age = clock::now().since(self.confirmed_at.get());
+        warn!(self.log, "configuration not confirmed";
+            "version" => self.version(), "age_ms" => age.as_ms());
+    }
+
+    /// Returns the version of the configuration that is in force, 0 without one.
+    pub fn version(&self) -> u64 {
+        let in_force = self.in_force.borrow();
+        in_force
+            .as_ref()
+            .map_or(0, |in_force| in_force.configuration.version)
+    }
+
     /// Tells the metrics which configuration is in force, and how old it is.
     pub(crate) fn note_configuration_age(&self) {
-        let Some(in_force) = self.in_force() else {
+        if self.in_force.borrow().is_none() {
             return;
-        };
+        }
         let age = clock::now().since(self.confirmed_at.get());
-        let version = in_force.configuration.version;
-        self.metrics.note_configuration(version, age);
+        self.metrics.note_configuration(self.version(), age);
     }
 
     fn learn_configuration(&self, item: &Item) {
@@ -254,6 +316,8 @@
         peers: HttpClient::new(PEER_IDLE_COUNT),
         in_force: RefCell::new(None),
         confirmed_at: Cell::new(Instant::default()),
+        confirmed: Notify::new(),
+        is_outdated: Cell::new(false),
         cell: RefCell::new(CellView::default()),
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
@@ -308,27 +372,25 @@
 }
 
 async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
+    let apply_limit_ms = node.settings.apply_limit.as_ms();
     let policy = FollowPolicy {
-        wait: WATCH_WAIT,
-        refresh: Some(CONFIGURATION_REFRESH),
+        wait: Duration::from_ms(apply_limit_ms / CONFIRMATIONS_COUNT),
+        // A watch that is answered has missed nothing.
+        refresh: None,
         pace: Duration::ZERO,
     };
     let key = node.platform.configuration_key();
     let store = node.store.clone();
     follow(store, key, policy, None, |update| {
-        if !matches!(update, Update::Failed(_)) {
-            node.confirmed_at.set(clock::now());
-        }
         match update {
             Update::Snapshot(items) => {
-                node.note_contact();
                 items
                     .iter()
                     .filter(|item| item.key == key)
                     .for_each(|item| node.learn_configuration(item));
+                node.note_confirmed();
             }
             Update::Changes(changes) => {
-                node.note_contact();
                 for change in &changes {
                     match change {
                         WatchedChange::Put(item) if item.key == key => {
@@ -337,11 +399,13 @@
                         _ => {}
                     }
                 }
+                node.note_confirmed();
             }
-            Update::Unchanged => node.note_contact(),
+            Update::Unchanged => node.note_confirmed(),
             Update::Failed(error) => {
                 warn!(node.log, "store call failed";
                     "what" => "configuration", "error" => error.to_string());
+                node.note_unconfirmed();
             }
         }
         Flow::Continue
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -40,6 +40,8 @@
         job: JobId,
         /// What is to be accepted.
         record: JobRecord,
+        /// The version of the configuration by which it was read.
+        version: u64,
     },
     /// To write a cancel to the store, where the caller can't reach it.
     Cancel(JobId),
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -57,7 +57,12 @@
         IntakeOutcome::Stored => Reply::Accepted,
         IntakeOutcome::Unknown => Reply::Unknown,
         IntakeOutcome::NotStored => {
-            let request = PeerRequest::Submit { job, record };
+            let version = node.version();
+            let request = PeerRequest::Submit {
+                job,
+                record,
+                version,
+            };
             forward(node, request, Reply::Accepted).await
         }
     };
@@ -289,11 +294,11 @@
             note_for_leader(node, Event::JobAccepted { job, record })
         }
         PeerRequest::CancelTaken(job) => note_for_leader(node, Event::CancelAccepted { job }),
-        PeerRequest::Submit { job, record } => match write_job(node, job, &record).await {
-            IntakeOutcome::Stored => PeerReply::Accepted,
-            IntakeOutcome::NotStored => PeerReply::Refused,
-            IntakeOutcome::Unknown => PeerReply::Unknown,
-        },
+        PeerRequest::Submit {
+            job,
+            record,
+            version,
+        } => write_for_peer(node, job, &record, version).await,
         PeerRequest::Cancel(job) => write_cancel(node, job).await,
         PeerRequest::Leader => match node.leading() {
             Some(_) => PeerReply::NotLeader(Some(election::own_record(node))),
@@ -312,6 +317,26 @@
     }
 }
 
+/// Writes a job that another node has read, unless that node's configuration
+/// is known to be outdated or this node's may be.
+async fn write_for_peer<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    record: &JobRecord,
+    version: u64,
+) -> PeerReply {
+    if version < node.version() || !node.is_current() {
+        info!(node.log, "job of another node refused";
+            "job" => %job, "version" => version, "known" => node.version());
+        return PeerReply::Refused;
+    }
+    match write_job(node, job, record).await {
+        IntakeOutcome::Stored => PeerReply::Accepted,
+        IntakeOutcome::NotStored => PeerReply::Refused,
+        IntakeOutcome::Unknown => PeerReply::Unknown,
+    }
+}
+
 fn note_for_leader<P: Platform>(node: &Rc<Node<P>>, event: Event) -> PeerReply {
     match node.leading() {
         Some(leading) => {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,7 +9,9 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::future::Future;
 use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
 
 /// The largest answer that is read.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -25,10 +27,12 @@
     headers: HeaderMap,
     body: Bytes,
     time_limit: Duration,
+    silence_limit: Option<Duration>,
 }
 
 impl Call {
-    /// Creates a call without a body.
+    /// Creates a call without a body, whose whole answer has to come within
+    /// `time_limit`.
     ///
     /// `addr` is `IP:port`; `path` starts with a slash and may have a query.
     pub fn new(method: Method, addr: &str, path: &str, time_limit: Duration) -> Self {
@@ -39,9 +43,20 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             time_limit,
+            silence_limit: None,
         }
     }
 
+    /// Lets the answer's body take as long as it keeps coming: the time limit is
+    /// that of its head, and each part then has to follow within `limit`.
+    ///
+    /// For answers of any size: one that is given up half way is paid for
+    /// again by the next call, which over the same link comes no further.
+    pub const fn with_silence_limit(mut self, limit: Duration) -> Self {
+        self.silence_limit = Some(limit);
+        self
+    }
+
     /// Adds a header; one whose value is not printable text is left out.
     pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
         if let Ok(value) = value.parse() {
@@ -126,25 +141,14 @@
     /// Returns an error where there is no whole answer; see
     /// [`HttpError::is_not_sent`].
     pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
-        let limit = call.time_limit;
-        let mut received = Received::default();
-        let exchange = self.exchange(call, &mut received);
-        let answer = tokio::time::timeout(limit, exchange).await;
-        answer.unwrap_or_else(|_| {
-            Err(HttpError::TimedOut {
-                limit_ms: limit.as_millis() as u64,
-                received_bytes: received.len_bytes,
-            })
-        })
-    }
-
-    async fn exchange(&self, call: Call, received: &mut Received) -> Result<Answer, HttpError> {
+        let limits = Limits::begin(&call);
         let request = request_of(call)?;
-        let response = self.client.request(request).await;
+        let response = limits.until_head(self.client.request(request)).await?;
         let response = response.map_err(|error| error_of(&error))?;
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
-        while let Some(frame) = body.frame().await {
+        let mut received = Received::default();
+        while let Some(frame) = limits.until_part(body.frame(), &received).await? {
             let frame = frame.map_err(|error| body_error_of(&*error))?;
             if let Ok(data) = frame.into_data() {
                 received.add(data);
@@ -153,11 +157,56 @@
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
-            body: received.take(),
+            body: received.into_bytes(),
         })
     }
 }
 
+/// The time limits of a call that has begun.
+struct Limits {
+    begun_at: Instant,
+    time_limit: Duration,
+    silence_limit: Option<Duration>,
+}
+
+impl Limits {
+    fn begin(call: &Call) -> Self {
+        Self {
+            begun_at: Instant::now(),
+            time_limit: call.time_limit,
+            silence_limit: call.silence_limit,
+        }
+    }
+
+    /// Waits for the answer's head.
+    async fn until_head<T>(&self, head: impl Future<Output = T>) -> Result<T, HttpError> {
+        let until = self.begun_at + self.time_limit;
+        let head = timeout_at(until, head).await;
+        head.map_err(|_| timed_out(self.time_limit, 0))
+    }
+
+    /// Waits for the next part of the answer's body.
+    async fn until_part<T>(
+        &self,
+        part: impl Future<Output = T>,
+        received: &Received,
+    ) -> Result<T, HttpError> {
+        let (until, limit) = match self.silence_limit {
+            Some(limit) => (Instant::now() + limit, limit),
+            None => (self.begun_at + self.time_limit, self.time_limit),
+        };
+        let part = timeout_at(until, part).await;
+        part.map_err(|_| timed_out(limit, received.len_bytes))
+    }
+}
+
+const fn timed_out(limit: Duration, received_bytes: usize) -> HttpError {
+    HttpError::TimedOut {
+        limit_ms: limit.as_millis() as u64,
+        received_bytes,
+    }
+}
+
 /// What has come of an answer's body.
 #[derive(Default)]
 struct Received {
@@ -172,15 +221,11 @@
     }
 
     /// Returns the parts as one, without a copy where there is one only.
-    fn take(&mut self) -> Bytes {
+    fn into_bytes(mut self) -> Bytes {
         if self.parts.len() == 1 {
             return self.parts.pop().unwrap_or_default();
         }
-        let mut whole = Vec::with_capacity(self.len_bytes);
-        for part in self.parts.drain(..) {
-            whole.extend_from_slice(&part);
-        }
-        Bytes::from(whole)
+        Bytes::from(self.parts.concat())
     }
 }
 
