Show that a job with an unreadable state would begin from the start

A new leader leaves out a state that it can't read (a later form during a change of versions, a damaged item), logs that, and takes the job for new: everything that is done would run again.

--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -6,7 +6,7 @@
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::store::{Revision, StoreError};
+use crate::store::{Item, Revision, StoreError};
 use ospreywing_scheduler::{JobState, Recovered, StoredJob};
 use ospreywing_types::Duration;
 use slog::{warn, Logger};
@@ -44,11 +44,17 @@
     let intake = read_all(&node.store, keys::INTAKE_PREFIX);
     let states = read_all(&node.store, keys::STATE_PREFIX);
     let (intake, states) = tokio::join!(intake, states);
-    let ((mut intake, at), (states, _)) = (intake?, states?);
+    let ((intake, at), (states, _)) = (intake?, states?);
+    let recovered = assemble(&node.log, intake, &states, clock::wall_ms());
+    Ok((recovered, at))
+}
+
+/// Puts together what the store keeps of all jobs; what can't be read is logged.
+pub fn assemble(log: &Logger, mut intake: Vec<Item>, states: &[Item], wall_ms: u64) -> Recovered {
     // The order in which jobs were accepted.
     intake.sort_by_key(|item| item.revision);
     let mut recovered = Recovered {
-        wall_ms: clock::wall_ms(),
+        wall_ms,
         ..Recovered::default()
     };
     for item in &intake {
@@ -56,21 +62,21 @@
             Some(IntakeKey::Job(id)) => match StoredJob::from_bytes(&item.value) {
                 Ok(StoredJob::Accepted(record)) => recovered.jobs.push((id, *record)),
                 Ok(StoredJob::Ended(phase)) => recovered.ended.push((id, phase)),
-                Err(error) => damaged(&node.log, &item.key, &error.to_string()),
+                Err(error) => damaged(log, &item.key, &error.to_string()),
             },
             Some(IntakeKey::Cancel(id)) => recovered.cancels.push(id),
-            None => damaged(&node.log, &item.key, "unknown key"),
+            None => damaged(log, &item.key, "unknown key"),
         }
     }
-    for item in &states {
+    for item in states {
         let state = JobState::from_bytes(&item.value);
         match (keys::parse_state(&item.key), state) {
             (Some(id), Ok(state)) => recovered.states.push((id, state)),
-            (_, Err(error)) => damaged(&node.log, &item.key, &error.to_string()),
-            (None, _) => damaged(&node.log, &item.key, "unknown key"),
+            (_, Err(error)) => damaged(log, &item.key, &error.to_string()),
+            (None, _) => damaged(log, &item.key, "unknown key"),
         }
     }
-    Ok((recovered, at))
+    recovered
 }
 
 /// Notes a stored item that can't be read.
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,5 +4,6 @@
 mod following;
 mod logging;
 mod measuring;
+mod recovering;
 mod store_writes;
 mod support;
--- /dev/null
+++ b/crates/control/tests/control/recovering.rs
@@ -0,0 +1,61 @@
+//! What a new leader makes of what the store keeps.
+
+use ospreywing_control::recovery::assemble;
+use ospreywing_control::{keys, Item};
+use ospreywing_scheduler::{JobId, JobRecord, JobState, Phase, StoredJob};
+use slog::{o, Discard, Logger};
+
+const WALL_MS: u64 = 1_000;
+/// The first byte of a form that this version does not know.
+const LATER_FORM: u8 = 99;
+
+fn id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("an id")
+}
+
+fn item(key: String, value: Vec<u8>, revision: u64) -> Item {
+    Item {
+        key,
+        value,
+        revision,
+    }
+}
+
+fn accepted(number: u64, revision: u64) -> Item {
+    let record = JobRecord::default();
+    item(keys::job(id(number)), record.to_bytes(), revision)
+}
+
+fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+#[test]
+fn assemble_in_order_of_acceptance() {
+    let outcome = StoredJob::outcome_bytes(Phase::Complete);
+    let intake = vec![
+        accepted(1, 9),
+        accepted(2, 4),
+        item(keys::job(id(3)), outcome, 2),
+        item(keys::cancel(id(1)), Vec::new(), 10),
+    ];
+    let state = JobState::default().to_bytes();
+    let states = [item(keys::state(id(1)), state, 11)];
+    let recovered = assemble(&log(), intake, &states, WALL_MS);
+    let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
+    assert_eq!(jobs, [id(2), id(1)]);
+    assert_eq!(recovered.ended, [(id(3), Phase::Complete)]);
+    assert_eq!(recovered.cancels, [id(1)]);
+    assert_eq!(recovered.states.len(), 1);
+}
+
+/// A state that can't be read, as one of a later version, may hold ends: a job
+/// without it would begin from the start.
+#[test]
+fn assemble_unreadable_state() {
+    let intake = vec![accepted(1, 3), accepted(2, 4)];
+    let states = [item(keys::state(id(2)), vec![LATER_FORM, 1], 5)];
+    let recovered = assemble(&log(), intake, &states, WALL_MS);
+    let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
+    assert_eq!(jobs, [id(1)]);
+}
