--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -12,11 +12,11 @@
 use crate::platform::Platform;
 use crate::store::WatchedChange;
 use crate::store::{CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction};
-use crate::{clock, keys, leader};
+use crate::{clock, keys, leader, recovery};
 use ospreywing_scheduler::LANES_COUNT;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
-use slog::{info, warn};
+use slog::{info, warn, Logger};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -79,15 +79,23 @@
 }
 
 impl CellView {
-    fn put(&mut self, item: &Item) {
+    /// Takes in an item.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with an item that can't be read; a leader that
+    /// can't be read is taken for none, so that one is elected once its lease
+    /// is over.
+    fn put(&mut self, item: &Item) -> Result<(), postcard::Error> {
         if item.key == keys::LEADER {
-            self.leader = postcard::from_bytes(&item.value).ok();
+            self.leader = None;
+            self.leader = Some(postcard::from_bytes(&item.value)?);
         } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
-            if let Ok(record) = postcard::from_bytes(&item.value) {
-                self.nodes.insert(name.to_owned(), record);
-                self.registered.insert(name.to_owned(), item.revision);
-            }
+            let record = postcard::from_bytes(&item.value)?;
+            self.nodes.insert(name.to_owned(), record);
+            self.registered.insert(name.to_owned(), item.revision);
         }
+        Ok(())
     }
 
     fn remove(&mut self, key: &str) {
@@ -115,18 +123,26 @@
     .await;
 }
 
+fn put(log: &Logger, view: &mut CellView, item: &Item) {
+    if let Err(error) = view.put(item) {
+        recovery::damaged(log, &item.key, &error.to_string());
+    }
+}
+
 fn learn_cell<P: Platform>(node: &Rc<Node<P>>, update: Update) {
     let mut view = node.cell.borrow_mut();
     let before = view.leader.clone();
     match update {
         Update::Snapshot(items) => {
             *view = CellView::default();
-            items.iter().for_each(|item| view.put(item));
+            items
+                .iter()
+                .for_each(|item| put(&node.log, &mut view, item));
         }
         Update::Changes(changes) => {
             for change in &changes {
                 match change {
-                    WatchedChange::Put(item) => view.put(item),
+                    WatchedChange::Put(item) => put(&node.log, &mut view, item),
                     WatchedChange::Gone { key } => view.remove(key),
                 }
             }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -6,7 +6,7 @@
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
 use crate::store::{LeaseId, Store};
-use crate::{clock, keys};
+use crate::{clock, keys, recovery};
 use ospreywing_scheduler::{
     AdviceReply, Event, JobId, JobRecord, JobState, JobView, Phase, StoredJob, TaskStatus,
 };
@@ -242,7 +242,7 @@
 }
 
 /// Returns what the store keeps of a job: `None` where the store does not
-/// answer, `Some(None)` where there is no such job.
+/// answer or that can't be read, `Some(None)` where there is no such job.
 async fn stored_view<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Option<Option<JobView>> {
     let Some(item) = node.store.get(&keys::job(job)).await.ok()? else {
         return Some(None);
@@ -253,9 +253,12 @@
             has_begun: true,
         }));
     }
-    let state = node.store.get(&keys::state(job)).await.ok()?;
-    let state = state.and_then(|item| JobState::from_bytes(&item.value).ok());
-    let state = state.unwrap_or_default();
+    let state = match node.store.get(&keys::state(job)).await.ok()? {
+        Some(item) => JobState::from_bytes(&item.value)
+            .inspect_err(|error| recovery::damaged(&node.log, &item.key, &error.to_string()))
+            .ok()?,
+        None => JobState::default(),
+    };
     let steps = state.rounds.iter().flat_map(|round| &round.steps);
     let mut tasks = steps.flat_map(|step| &step.tasks);
     Some(Some(JobView {
