Part the node's configuration from its life

What is in force, whether it is current, and how it is followed stand in configuration.rs now; no change of behaviour.

--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,214 @@
+//! The operators' configuration: which one is in force, and whether requests
+//! may be answered by it.
+
+use crate::clock;
+use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::node::Node;
+use crate::platform::{CallError, Platform};
+use crate::store::{Item, WatchedChange};
+use ospreywing_scheduler::Configuration;
+use ospreywing_types::{Duration, Instant};
+use slog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The watches that answer within the time in which a change must be in force:
+/// one may fail.
+const CONFIRMATIONS_COUNT: u64 = 2;
+/// How long a request waits for the configuration to be confirmed: a call
+/// that fails, and the next.
+const CONFIRMATION_WAIT: Duration = Duration::from_ms(700);
+
+/// A configuration that is in force.
+pub struct InForce<P: Platform> {
+    /// The product's part.
+    pub configuration: Configuration,
+    /// How requests find their queues.
+    pub routes: P::Routes,
+}
+
+/// What a node knows of the operators' configuration.
+pub struct ConfigurationView<P: Platform> {
+    in_force: RefCell<Option<Rc<InForce<P>>>>,
+    /// When the store last confirmed that there is no newer one.
+    confirmed_at: Cell<Instant>,
+    /// Told whenever it does.
+    confirmed: Notify,
+    /// Whether the lack of a confirmation was logged.
+    is_outdated: Cell<bool>,
+}
+
+impl<P: Platform> Default for ConfigurationView<P> {
+    fn default() -> Self {
+        Self {
+            in_force: RefCell::new(None),
+            confirmed_at: Cell::new(Instant::default()),
+            confirmed: Notify::new(),
+            is_outdated: Cell::new(false),
+        }
+    }
+}
+
+impl<P: Platform> ConfigurationView<P> {
+    /// Returns the configuration that is in force.
+    pub fn in_force(&self) -> Option<Rc<InForce<P>>> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Returns whether there is one at all.
+    pub fn is_known(&self) -> bool {
+        self.in_force.borrow().is_some()
+    }
+
+    /// Returns the version that is in force, 0 without one.
+    pub fn version(&self) -> u64 {
+        let in_force = self.in_force.borrow();
+        let in_force = in_force.as_ref();
+        in_force.map_or(0, |in_force| in_force.configuration.version)
+    }
+
+    /// Returns the time since the store confirmed it.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.since(self.confirmed_at.get())
+    }
+
+    /// Puts a configuration in force, unless it is no newer; returns whether
+    /// it is.
+    fn put_in_force(&self, configuration: Configuration, routes: P::Routes) -> bool {
+        if self.is_known() && self.version() >= configuration.version {
+            return false;
+        }
+        let in_force = InForce {
+            configuration,
+            routes,
+        };
+        *self.in_force.borrow_mut() = Some(Rc::new(in_force));
+        true
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// Returns whether requests may be answered by the configuration at hand.
+    ///
+    /// It may be outdated where the store has not confirmed it for as long as
+    /// a change may take to be in force. While the store answers this node
+    /// nothing at all, that decides nothing: what is accepted or cancelled
+    /// has to be written there.
+    pub fn is_current(&self) -> bool {
+        !self.has_contact() || self.is_confirmed()
+    }
+
+    fn is_confirmed(&self) -> bool {
+        self.configuration.age(clock::now()) <= self.settings.apply_limit
+    }
+
+    /// Returns the configuration by which requests may be answered; waits a
+    /// while for its confirmation where that is missing.
+    pub async fn current_configuration(&self) -> Option<Rc<InForce<P>>> {
+        let confirmed = self.configuration.confirmed.notified();
+        if !self.is_current() {
+            // Whether it came is looked at below.
+            let _ = tokio::time::timeout(CONFIRMATION_WAIT.into(), confirmed).await;
+        }
+        let in_force = self.configuration.in_force();
+        in_force.filter(|_| self.is_current())
+    }
+
+    /// Tells the metrics which configuration is in force, and how old it is.
+    pub(crate) fn note_configuration_age(&self) {
+        let view = &self.configuration;
+        if view.is_known() {
+            let age = view.age(clock::now());
+            self.metrics.note_configuration(view.version(), age);
+        }
+    }
+
+    /// Notes that the store knows of no newer configuration.
+    fn note_confirmed(&self) {
+        let view = &self.configuration;
+        view.confirmed_at.set(clock::now());
+        if view.is_outdated.replace(false) {
+            info!(self.log, "configuration confirmed again"; "version" => view.version());
+        }
+        view.confirmed.notify_waiters();
+    }
+
+    /// Notes that the store was asked for the configuration in vain.
+    fn note_unconfirmed(&self) {
+        let view = &self.configuration;
+        if self.is_confirmed() || view.is_outdated.replace(true) {
+            return;
+        }
+        let age = view.age(clock::now());
+        warn!(self.log, "configuration not confirmed";
+            "version" => view.version(), "age_ms" => age.as_ms());
+    }
+
+    /// Takes in what the store holds.
+    fn learn_configuration(&self, item: &Item) -> Result<(), CallError> {
+        let (configuration, routes) = self.platform.parse_configuration(&item.value)?;
+        let before = self.configuration.version();
+        let version = configuration.version;
+        if !self
+            .configuration
+            .put_in_force(configuration.clone(), routes)
+        {
+            return Ok(());
+        }
+        info!(self.log, "configuration in force"; "version" => version, "before" => before);
+        if let Some(leading) = self.term() {
+            leading.configure(configuration);
+        }
+        self.cell_changed.notify_waiters();
+        Ok(())
+    }
+
+    /// Takes in what the store answered.
+    fn learn_configuration_update(&self, update: Update) {
+        let key = self.platform.configuration_key();
+        let items = match update {
+            Update::Snapshot(items) => items,
+            Update::Changes(changes) => changes.into_iter().filter_map(written).collect(),
+            Update::Unchanged => Vec::new(),
+            Update::Failed(error) => {
+                warn!(self.log, "store call failed";
+                    "what" => "configuration", "error" => error.to_string());
+                return self.note_unconfirmed();
+            }
+        };
+        self.note_contact();
+        for item in items.iter().filter(|item| item.key == key) {
+            if let Err(error) = self.learn_configuration(item) {
+                // The last valid one stays in force: it is the newest there is.
+                warn!(self.log, "configuration refused"; "error" => error.to_string());
+            }
+        }
+        self.note_confirmed();
+    }
+}
+
+fn written(change: WatchedChange) -> Option<Item> {
+    match change {
+        WatchedChange::Put(item) => Some(item),
+        WatchedChange::Gone { .. } => None,
+    }
+}
+
+/// Keeps the configuration current for as long as the node lives.
+pub(crate) async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
+    let apply_limit_ms = node.settings.apply_limit.as_ms();
+    let policy = FollowPolicy {
+        wait: Duration::from_ms(apply_limit_ms / CONFIRMATIONS_COUNT),
+        // A watch that is answered has missed nothing.
+        refresh: None,
+        pace: Duration::ZERO,
+    };
+    let key = node.platform.configuration_key();
+    let store = node.store.clone();
+    follow(store, key, policy, None, |update| {
+        node.learn_configuration_update(update);
+        Flow::Continue
+    })
+    .await;
+}
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -239,7 +239,7 @@
 fn may_campaign<P: Platform>(node: &Rc<Node<P>>) -> bool {
     let view = node.cell.borrow();
     let is_fresh = clock::now().since(view.seen_at) <= VIEW_LIMIT;
-    let is_able = node.in_force.borrow().is_some() && !node.is_draining.get();
+    let is_able = node.configuration.is_known() && !node.is_draining.get();
     view.leader.is_none() && is_fresh && is_able
 }
 
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -176,7 +176,7 @@
 }
 
 fn limits<P: Platform>(node: &Rc<Node<P>>) -> FrontLimits {
-    let in_force = node.in_force();
+    let in_force = node.configuration.in_force();
     in_force.map_or(FIRST_LIMITS, |in_force| P::limits(&in_force.routes))
 }
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -96,7 +96,11 @@
     fence: u64,
     valid_until: Instant,
 ) -> bool {
-    let Some(in_force) = node.in_force().filter(|_| !node.is_draining.get()) else {
+    let Some(in_force) = node
+        .configuration
+        .in_force()
+        .filter(|_| !node.is_draining.get())
+    else {
         // The lease runs out by itself otherwise.
         let _ = node.store.end_lease(grant.id).await;
         return true;
@@ -140,7 +144,8 @@
     if let Some((recovered, at)) = recovered {
         info!(node.log, "recovered";
             "jobs" => recovered.jobs.len(), "ended" => recovered.ended.len(), "states" => recovered.states.len(), "at" => at);
-        let configuration = node.in_force().unwrap_or(in_force).configuration.clone();
+        let newest = node.configuration.in_force().unwrap_or(in_force);
+        let configuration = newest.configuration.clone();
         let scheduler = Scheduler::new(config, configuration, clock::now(), recovered);
         *leading.scheduler.borrow_mut() = scheduler;
         *node.leading.borrow_mut() = Some(leading.clone());
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod clock;
 pub mod commit;
+pub mod configuration;
 mod decision_log;
 mod decision_loop;
 pub mod election;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,8 +1,8 @@
 //! A node's life, from start to stop.
 
 use crate::clock;
+use crate::configuration::{self, ConfigurationView};
 use crate::election::{self, CellView};
-use crate::follow::{follow, Flow, FollowPolicy, Update};
 use crate::front::{self, Front, Listener};
 use crate::intake::Intake;
 use crate::leader::Leading;
@@ -10,9 +10,8 @@
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
-use crate::store::{Item, LeaseId, WatchedChange};
+use crate::store::LeaseId;
 use ospreywing_http::HttpClient;
-use ospreywing_scheduler::Configuration;
 use ospreywing_types::{Duration, Instant};
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -32,12 +31,6 @@
 const CONTACT_LIMIT: Duration = Duration::from_ms(1500);
 /// How long a watch of what every node follows waits.
 pub const WATCH_WAIT: Duration = Duration::from_ms(3000);
-/// The watches of the configuration that answer within the time in which a
-/// change must be in force: one may fail.
-const CONFIRMATIONS_COUNT: u64 = 2;
-/// How long a request waits for the configuration to be confirmed: a call
-/// that fails, and the next.
-const CONFIRMATION_WAIT: Duration = Duration::from_ms(700);
 /// How often the settings are looked at for a silent change.
 const RELOAD_PERIOD: Duration = Duration::from_s(2);
 /// How long a stopping node still takes connections, so that the balancer
@@ -87,14 +80,6 @@
     Signals(std::io::Error),
 }
 
-/// The configuration that is in force.
-pub struct InForce<P: Platform> {
-    /// The product's part.
-    pub configuration: Configuration,
-    /// How requests find their queues.
-    pub routes: P::Routes,
-}
-
 /// A node.
 pub struct Node<P: Platform> {
     /// The platform.
@@ -111,14 +96,8 @@
     pub peers: HttpClient,
     /// What clients have handed in.
     pub intake: Rc<Intake<MeteredStore<P::Store>>>,
-    /// The configuration, once there is one.
-    pub in_force: RefCell<Option<Rc<InForce<P>>>>,
-    /// When the store last confirmed that there is no newer one.
-    pub confirmed_at: Cell<Instant>,
-    /// Told whenever it does.
-    pub confirmed: Notify,
-    /// Whether it was found out that the confirmation is missing.
-    pub is_outdated: Cell<bool>,
+    /// The operators' configuration.
+    pub configuration: ConfigurationView<P>,
     /// Who leads, and who lives.
     pub cell: RefCell<CellView>,
     /// Told when the view of the cell has changed.
@@ -153,38 +132,10 @@
 
     /// Returns whether new connections should come here.
     pub fn is_ready(&self) -> bool {
-        let has_configuration = self.in_force.borrow().is_some();
-        has_configuration && self.has_contact() && self.is_current() && !self.is_draining.get()
-    }
-
-    /// Returns whether requests may be answered by the configuration at hand.
-    ///
-    /// It may be outdated where the store has not confirmed it for as long as
-    /// a change may take to be in force. While the store answers this node
-    /// nothing at all, that decides nothing: what is accepted or cancelled
-    /// has to be written there.
-    pub fn is_current(&self) -> bool {
-        !self.has_contact() || self.is_confirmed()
-    }
-
-    fn is_confirmed(&self) -> bool {
-        clock::now().since(self.confirmed_at.get()) <= self.settings.apply_limit
-    }
-
-    /// Returns the configuration by which requests may be answered; waits a
-    /// while for its confirmation where that is missing.
-    pub async fn current_configuration(&self) -> Option<Rc<InForce<P>>> {
-        let confirmed = self.confirmed.notified();
-        if !self.is_current() {
-            // Whether it came is looked at below.
-            let _ = tokio::time::timeout(CONFIRMATION_WAIT.into(), confirmed).await;
-        }
-        self.in_force().filter(|_| self.is_current())
-    }
-
-    /// Returns the configuration that is in force.
-    pub fn in_force(&self) -> Option<Rc<InForce<P>>> {
-        self.in_force.borrow().clone()
+        self.configuration.is_known()
+            && self.has_contact()
+            && self.is_current()
+            && !self.is_draining.get()
     }
 
     /// Returns the node's own term, while it certainly leads.
@@ -207,68 +158,6 @@
         }
         names
     }
-
-    /// Notes that the store knows of no newer configuration.
-    fn note_confirmed(&self) {
-        self.note_contact();
-        self.confirmed_at.set(clock::now());
-        if self.is_outdated.replace(false) {
-            info!(self.log, "configuration confirmed again"; "version" => self.version());
-        }
-        self.confirmed.notify_waiters();
-    }
-
-    /// Notes that the store was asked for the configuration in vain.
-    fn note_unconfirmed(&self) {
-        if self.is_confirmed() || self.is_outdated.replace(true) {
-            return;
-        }
-        let age = clock::now().since(self.confirmed_at.get());
-        warn!(self.log, "configuration not confirmed";
-            "version" => self.version(), "age_ms" => age.as_ms());
-    }
-
-    /// Returns the version of the configuration that is in force, 0 without one.
-    pub fn version(&self) -> u64 {
-        let in_force = self.in_force.borrow();
-        in_force
-            .as_ref()
-            .map_or(0, |in_force| in_force.configuration.version)
-    }
-
-    /// Tells the metrics which configuration is in force, and how old it is.
-    pub(crate) fn note_configuration_age(&self) {
-        if self.in_force.borrow().is_none() {
-            return;
-        }
-        let age = clock::now().since(self.confirmed_at.get());
-        self.metrics.note_configuration(self.version(), age);
-    }
-
-    fn learn_configuration(&self, item: &Item) {
-        let parsed = self.platform.parse_configuration(&item.value);
-        let (configuration, routes) = match parsed {
-            Ok(parsed) => parsed,
-            Err(error) => {
-                warn!(self.log, "configuration refused"; "error" => error.to_string());
-                return;
-            }
-        };
-        let known = self.in_force().map(|known| known.configuration.version);
-        if known.is_some_and(|known| known >= configuration.version) {
-            return;
-        }
-        info!(self.log, "configuration in force";
-            "version" => configuration.version, "before" => known.unwrap_or_default());
-        if let Some(leading) = self.term() {
-            leading.configure(configuration.clone());
-        }
-        *self.in_force.borrow_mut() = Some(Rc::new(InForce {
-            configuration,
-            routes,
-        }));
-        self.cell_changed.notify_waiters();
-    }
 }
 
 /// The sockets without which a node is of no use.
@@ -314,10 +203,7 @@
         metrics,
         log,
         peers: HttpClient::new(PEER_IDLE_COUNT),
-        in_force: RefCell::new(None),
-        confirmed_at: Cell::new(Instant::default()),
-        confirmed: Notify::new(),
-        is_outdated: Cell::new(false),
+        configuration: ConfigurationView::default(),
         cell: RefCell::new(CellView::default()),
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
@@ -365,54 +251,12 @@
         let intake = node.intake.clone();
         tokio::task::spawn_local(async move { intake.run().await });
     }
-    tokio::task::spawn_local(follow_configuration(node.clone()));
+    tokio::task::spawn_local(configuration::follow_configuration(node.clone()));
     tokio::task::spawn_local(election::follow_cell(node.clone()));
     tokio::task::spawn_local(election::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
 }
 
-async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
-    let apply_limit_ms = node.settings.apply_limit.as_ms();
-    let policy = FollowPolicy {
-        wait: Duration::from_ms(apply_limit_ms / CONFIRMATIONS_COUNT),
-        // A watch that is answered has missed nothing.
-        refresh: None,
-        pace: Duration::ZERO,
-    };
-    let key = node.platform.configuration_key();
-    let store = node.store.clone();
-    follow(store, key, policy, None, |update| {
-        match update {
-            Update::Snapshot(items) => {
-                items
-                    .iter()
-                    .filter(|item| item.key == key)
-                    .for_each(|item| node.learn_configuration(item));
-                node.note_confirmed();
-            }
-            Update::Changes(changes) => {
-                for change in &changes {
-                    match change {
-                        WatchedChange::Put(item) if item.key == key => {
-                            node.learn_configuration(item);
-                        }
-                        _ => {}
-                    }
-                }
-                node.note_confirmed();
-            }
-            Update::Unchanged => node.note_confirmed(),
-            Update::Failed(error) => {
-                warn!(node.log, "store call failed";
-                    "what" => "configuration", "error" => error.to_string());
-                node.note_unconfirmed();
-            }
-        }
-        Flow::Continue
-    })
-    .await;
-}
-
 async fn reload_on_signal<P: Platform>(node: Rc<Node<P>>, mut hup: tokio::signal::unix::Signal) {
     let mut period = tokio::time::interval(RELOAD_PERIOD.into());
     loop {
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -57,7 +57,7 @@
         IntakeOutcome::Stored => Reply::Accepted,
         IntakeOutcome::Unknown => Reply::Unknown,
         IntakeOutcome::NotStored => {
-            let version = node.version();
+            let version = node.configuration.version();
             let request = PeerRequest::Submit {
                 job,
                 record,
@@ -328,9 +328,9 @@
     record: &JobRecord,
     version: u64,
 ) -> PeerReply {
-    if version < node.version() || !node.is_current() {
+    if version < node.configuration.version() || !node.is_current() {
         info!(node.log, "job of another node refused";
-            "job" => %job, "version" => version, "known" => node.version());
+            "job" => %job, "version" => version, "known" => node.configuration.version());
         return PeerReply::Refused;
     }
     match write_job(node, job, record).await {
