Test: a run outlives its leader's lease on a worker that an earlier leader leased

Worker::new in add_worker sets `leased_until` to now for workers without recorded runs, though the leader before may have granted them up to the limit (6 s, `long_grant`, as it does in the store's trouble that often ends its term), and an evicted leader goes on for up to its own lease. Test: the earlier leader leases the worker for 6 s; the new one begins there the only run, with 4 s, and is cut off. FakeWorker's own lease tells whether the run is alive.

--- /dev/null
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -0,0 +1,149 @@
+//! Leases that hold longer than the leader granted them, and lists that tell less
+//! than they seem to: a task must not be started again while its run may be alive.
+
+use crate::support::bench::{Bench, FENCE, LEASE_LIMIT};
+use crate::support::step;
+use crate::support::worker::{FakeRun, FakeWorker};
+use ospreywing_scheduler::{
+    Action, EndKind, Event, HoldReply, Recovered, StartOrder, StartReply, TaskKey, WorkerKey,
+};
+use ospreywing_types::{Duration, Instant};
+use rstest::rstest;
+
+/// The time between two looks of these tests.
+const STEP: Duration = Duration::from_ms(20);
+/// When a renewal is taken for unanswered.
+const UNANSWERED_AFTER: Duration = Duration::from_ms(1050);
+/// The slowest clock of a worker that the platform allows, in thousandths.
+const SLOWEST_CLOCK_PER_MILLE: u64 = 980;
+/// A run longer than any lease.
+const LONG_RUN_MS: u64 = 60_000;
+
+/// A leader, and one worker that does what it is told while it is reached.
+struct Cell {
+    bench: Bench,
+    worker: FakeWorker,
+    key: WorkerKey,
+}
+
+impl Cell {
+    /// Has an earlier leader renew the worker's lease for as long as it may, and
+    /// a leader that knows of no run there begin its term and reach the worker
+    /// so much later.
+    fn after_grant_of_earlier_leader(reached_after: Duration) -> Self {
+        let mut worker = FakeWorker::new("w0", SLOWEST_CLOCK_PER_MILLE);
+        let mut bench = Bench::after_evicted_leader(Recovered::default());
+        bench.list_workers(&[
+            FakeWorker::new("w0", SLOWEST_CLOCK_PER_MILLE),
+            FakeWorker::new("w1", 1000),
+        ]);
+        let key = bench.scheduler.worker_key("w0").expect("a listed worker");
+        bench.now = bench.now + reached_after;
+        let now_ms = bench.now.as_ms();
+        let limit_ms = LEASE_LIMIT.as_ms();
+        let until_ms = worker.clock_ms(now_ms) + limit_ms;
+        worker.hold(now_ms, FENCE - 1, Some(until_ms), 0, limit_ms);
+        let mut cell = Self { bench, worker, key };
+        cell.renew(None);
+        cell
+    }
+
+    /// Carries a renewal to the worker and its answer back.
+    fn renew(&mut self, until_ms: Option<u64>) {
+        let sent_at = self.bench.now;
+        self.bench.now = sent_at + Duration::from_ms(2);
+        let now_ms = self.bench.now.as_ms();
+        let limit_ms = LEASE_LIMIT.as_ms();
+        let reply = self.worker.hold(now_ms, FENCE, until_ms, 0, limit_ms);
+        self.bench.tell(Event::HoldAnswered {
+            worker: self.key,
+            sent_at,
+            reply,
+        });
+    }
+
+    /// Has the worker begin a task's only run, which lasts.
+    fn begin_long_run(&mut self) -> TaskKey {
+        self.bench.submit(1, vec![step(1)]);
+        self.bench.commit_all();
+        let order = self.take_start();
+        let now_ms = self.bench.now.as_ms();
+        let run = FakeRun {
+            run: order.run,
+            ends_at_ms: now_ms + LONG_RUN_MS,
+            kind: EndKind::Done,
+            demand: step(1).demand,
+            saves: false,
+        };
+        self.worker.begin(now_ms, &order, run, LEASE_LIMIT.as_ms());
+        self.bench.tell(Event::StartAnswered {
+            worker: self.key,
+            task: order.task,
+            run: order.run,
+            reply: StartReply::Started,
+        });
+        order.task
+    }
+
+    fn take_start(&mut self) -> StartOrder {
+        let taken = core::mem::take(&mut self.bench.actions);
+        let mut starts = taken.into_iter().filter_map(|action| match action {
+            Action::Start { to, order } if to.worker == self.key => Some(order),
+            _ => None,
+        });
+        starts.next().expect("a start at the only worker heard of")
+    }
+
+    /// Lets time pass while the worker leaves everything unanswered; returns when
+    /// the task was started elsewhere.
+    fn cut_off_until_started_again(&mut self, limit: Duration) -> Option<Instant> {
+        let begun = self.bench.now;
+        let mut other = Some(self.bench.scheduler.worker_key("w1").expect("a worker"));
+        let mut unanswered_at = begun + UNANSWERED_AFTER;
+        while self.bench.now.since(begun) < limit {
+            self.bench.now = self.bench.now + STEP;
+            if let Some(other) = other.take() {
+                self.bench.list(other, Vec::new());
+            }
+            if self.bench.now >= unanswered_at {
+                unanswered_at = self.bench.now + UNANSWERED_AFTER;
+                self.bench.tell(Event::HoldAnswered {
+                    worker: self.key,
+                    sent_at: self.bench.now,
+                    reply: HoldReply::Unanswered,
+                });
+            }
+            self.bench.tell(Event::Tick);
+            self.bench.answer_commits();
+            if !self.bench.starts().is_empty() {
+                return Some(self.bench.now);
+            }
+        }
+        None
+    }
+
+    fn is_running(&mut self, task: TaskKey) -> bool {
+        self.worker.advance(self.bench.now.as_ms());
+        self.worker.runs.contains_key(&task)
+    }
+}
+
+/// A lease never shortens and holds for all that runs on a worker, so a run lives
+/// as long as an earlier leader has leased its worker, also a run that only the
+/// new leader has started. The earlier leader may have granted a long lease just
+/// before the new term, or, where it was evicted, until it learned of that.
+#[rstest]
+#[case::before_the_term(Duration::ZERO)]
+#[case::while_evicted(Duration::from_ms(1300))]
+fn give_up_lapsed_lease_of_earlier_leader(#[case] reached_after: Duration) {
+    let mut cell = Cell::after_grant_of_earlier_leader(reached_after);
+    let task = cell.begin_long_run();
+    let begun = cell.bench.now;
+    let again = cell.cut_off_until_started_again(Duration::from_s(12));
+    let again = again.expect("a run whose lease is over is given up");
+    assert!(
+        !cell.is_running(task),
+        "{task} was started again {} ms after the cut, and its run was alive",
+        again.since(begun).as_ms()
+    );
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -11,6 +11,10 @@
 
 /// The longest lease of a worker.
 pub const LEASE_LIMIT: Duration = Duration::from_ms(6000);
+/// The fence of the leader's term.
+pub const FENCE: u64 = 7;
+/// For how long an evicted leader may act on, where a test has one.
+const LEADER_LEASE: Duration = Duration::from_ms(1500);
 
 /// A scheduler with workers that answer by hand.
 pub struct Bench {
@@ -29,15 +33,9 @@
         workers: &[FakeWorker],
         advice: Option<AdvicePolicy>,
     ) -> Self {
-        let now = Instant::from_ms(50_000);
-        let config = SchedulerConfig::new(7, LEASE_LIMIT);
-        let mut bench = Self {
-            now,
-            scheduler: Scheduler::new(config, configuration(advice), now, recovered),
-            actions: Vec::new(),
-        };
-        let list = workers.iter().map(FakeWorker::facts).collect();
-        bench.tell(Event::WorkersListed(list));
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
+        let mut bench = Self::begin(config, recovered, advice);
+        bench.list_workers(workers);
         for worker in workers {
             let key = bench
                 .scheduler
@@ -48,6 +46,28 @@
         bench
     }
 
+    /// Begins a term after that of a leader which may act on for a while; no
+    /// worker has been listed or heard of.
+    pub fn after_evicted_leader(recovered: Recovered) -> Self {
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT).with_leader_lease(LEADER_LEASE);
+        Self::begin(config, recovered, None)
+    }
+
+    fn begin(config: SchedulerConfig, recovered: Recovered, advice: Option<AdvicePolicy>) -> Self {
+        let now = Instant::from_ms(50_000);
+        Self {
+            now,
+            scheduler: Scheduler::new(config, configuration(advice), now, recovered),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Lists these workers, in this order.
+    pub fn list_workers(&mut self, workers: &[FakeWorker]) {
+        let list = workers.iter().map(FakeWorker::facts).collect();
+        self.tell(Event::WorkersListed(list));
+    }
+
     /// Lists a worker that has joined.
     pub fn list_worker(&mut self, worker: &FakeWorker) {
         self.tell(Event::WorkersListed(vec![worker.facts()]));
@@ -141,20 +161,27 @@
         for _ in 0..20 {
             self.now = self.now + Duration::from_ms(30);
             self.tell(Event::Tick);
-            let taken = core::mem::take(&mut self.actions);
-            let mut lanes = Vec::new();
-            for action in taken {
-                if let Action::Commit { lane, changes } = action {
-                    lanes.push(lane);
-                    states.extend(changes.into_iter().filter_map(state_of));
-                } else {
-                    self.actions.push(action);
-                }
-            }
-            for lane in lanes {
-                self.tell(Event::Committed { lane });
+            states.extend(self.answer_commits());
+        }
+        states
+    }
+
+    /// Answers the open commits, at once; returns the states written.
+    pub fn answer_commits(&mut self) -> Vec<JobState> {
+        let mut states = Vec::new();
+        let taken = core::mem::take(&mut self.actions);
+        let mut lanes = Vec::new();
+        for action in taken {
+            if let Action::Commit { lane, changes } = action {
+                lanes.push(lane);
+                states.extend(changes.into_iter().filter_map(state_of));
+            } else {
+                self.actions.push(action);
             }
         }
+        for lane in lanes {
+            self.tell(Event::Committed { lane });
+        }
         states
     }
 
