Test: a new leader whose first list holds two lives of a machine keeps the live one

In a term's first list a crashed life stands beside the next one for up to three heartbeats (longer while the store is away), and the list is in the order of ids, which tells nothing. Where the live one comes first it is marked gone for the whole term, and its runs are started again at once while they go on. Test: both orders; the inherited run is on the live one. Output where the live one comes first: run 2 is sent to the third worker ("left: [(worker2, ...first task..., 2)], right: []"); the other order passes.

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -1,11 +1,11 @@
 //! Leases that hold longer than the leader granted them, and lists that tell less
 //! than they seem to: a task must not be started again while its run may be alive.
 
-use crate::support::bench::{Bench, FENCE, LEASE_LIMIT};
-use crate::support::step;
+use crate::support::bench::{end, Bench, FENCE, LEASE_LIMIT};
 use crate::support::worker::{FakeRun, FakeWorker};
+use crate::support::{first_task, job, placed_state, step};
 use ospreywing_scheduler::{
-    Action, EndKind, Event, HoldReply, Recovered, StartOrder, StartReply, TaskKey, WorkerKey,
+    Action, EndKind, Event, HoldReply, Phase, Recovered, StartOrder, StartReply, TaskKey, WorkerKey,
 };
 use ospreywing_types::{Duration, Instant};
 use rstest::rstest;
@@ -147,3 +147,57 @@
         again.since(begun).as_ms()
     );
 }
+
+/// Returns two lives of one machine: the id of the live one sorts before that of
+/// the dead one, or behind it.
+fn lives(is_live_first: bool) -> (FakeWorker, FakeWorker) {
+    let (live_id, dead_id) = if is_live_first {
+        ("w0", "w1")
+    } else {
+        ("w1", "w0")
+    };
+    let mut live = FakeWorker::new(live_id, 1000);
+    let mut dead = FakeWorker::new(dead_id, 1000);
+    live.address = "at m0".into();
+    dead.address = "at m0".into();
+    (live, dead)
+}
+
+/// A worker that crashed stays in the list for a while, beside the machine's next
+/// life. Where a new leader's first list holds both, their order in it tells
+/// nothing of which is the later one.
+#[rstest]
+fn add_worker_two_lives_in_first_list(#[values(true, false)] is_live_first: bool) {
+    let (live, dead) = lives(is_live_first);
+    let (id, record) = job(1, vec![step(1)]);
+    let kept = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, placed_state(&live.id, 1))],
+        ..Recovered::default()
+    };
+    let mut bench = Bench::after_evicted_leader(kept);
+    let mut listed = [live, dead, FakeWorker::new("w2", 1000)];
+    listed.sort_by(|one, other| one.id.cmp(&other.id));
+    bench.list_workers(&listed);
+    let key = |id: &str| bench.scheduler.worker_key(id).expect("a listed worker");
+    let (live, dead, other) = match is_live_first {
+        true => (key("w0"), key("w1"), key("w2")),
+        false => (key("w1"), key("w0"), key("w2")),
+    };
+    bench.list(other, Vec::new());
+    bench.tell(Event::HoldAnswered {
+        worker: dead,
+        sent_at: bench.now,
+        reply: HoldReply::OtherLife,
+    });
+    let task = first_task(id);
+    bench.commit_all();
+    bench.list_running(live, task);
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![], "{task} runs on the live one");
+    assert_eq!(bench.stops(), vec![], "{task} runs on the live one");
+    bench.list(live, vec![end(1, task, 1, EndKind::Done)]);
+    bench.commit_all();
+    let view = bench.scheduler.job(id).expect("a known job");
+    assert_eq!(view.phase, Phase::Complete);
+}
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -7,7 +7,8 @@
 pub mod world;
 
 use ospreywing_scheduler::{
-    AdvicePolicy, Configuration, JobId, JobRecord, JobSpec, Queue, ServicePolicy, StepSpec,
+    AdvicePolicy, Configuration, JobId, JobRecord, JobSpec, JobState, Queue, RoundState,
+    ServicePolicy, StepKey, StepSpec, TaskKey, TaskStatus,
 };
 use ospreywing_types::{Duration, Resources};
 
@@ -86,3 +87,31 @@
     record.queue = PATIENT_QUEUE.to_owned();
     (id, record)
 }
+
+/// Returns the first task of a job.
+pub const fn first_task(job: JobId) -> TaskKey {
+    TaskKey {
+        step: StepKey {
+            job,
+            round: 0,
+            step: 0,
+        },
+        index: 0,
+    }
+}
+
+/// Returns the state of a job whose only task was given to a worker.
+pub fn placed_state(worker: &str, run: u32) -> JobState {
+    let (_, record) = job(1, vec![step(1)]);
+    let mut round = RoundState::new(0, &record);
+    let task = &mut round.steps[0].tasks[0];
+    task.last_run = run;
+    task.status = TaskStatus::Placed {
+        worker: worker.to_owned(),
+    };
+    JobState {
+        next_round: 1,
+        rounds: vec![round],
+        ..JobState::default()
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -29,6 +29,7 @@
 /// A fake worker.
 pub struct FakeWorker {
     pub id: Arc<str>,
+    pub address: Arc<str>,
     pub capacity: Resources,
     pub is_alive: bool,
     pub is_cut: bool,
@@ -47,6 +48,7 @@
     pub fn new(id: &str, clock_per_mille: u64) -> Self {
         Self {
             id: Arc::from(id),
+            address: Arc::from(format!("at {id}")),
             capacity: Resources::new(4000, 4000, 0),
             is_alive: true,
             is_cut: false,
@@ -63,7 +65,7 @@
     pub fn facts(&self) -> WorkerFacts {
         WorkerFacts {
             id: self.id.clone(),
-            address: Arc::from(format!("at {}", self.id)),
+            address: self.address.clone(),
             service: Arc::from(super::SERVICE),
             machine: None,
             rack: None,
--- a/crates/scheduler/tests/scheduler/takeover.rs
+++ b/crates/scheduler/tests/scheduler/takeover.rs
@@ -1,10 +1,8 @@
 //! What a new leader does with the runs of jobs that have their outcome.
 
 use crate::support::bench::{workers, Bench};
-use crate::support::{job, step};
-use ospreywing_scheduler::{
-    Event, JobId, JobState, Phase, Recovered, RoundState, TaskKey, TaskStatus, WorkerKey,
-};
+use crate::support::{job, placed_state, step};
+use ospreywing_scheduler::{Event, JobId, JobState, Phase, Recovered, TaskKey, WorkerKey};
 
 /// Returns a leader of which a run has begun, and the run.
 fn after_start() -> (Bench, TaskKey, u32) {
@@ -54,11 +52,7 @@
 #[test]
 fn take_running_cancel_not_recorded_before() {
     let (_, task, run) = after_start();
-    let state = JobState {
-        next_round: 1,
-        rounds: vec![placed_round(run)],
-        ..JobState::default()
-    };
+    let state = placed_state("w0", run);
     let (mut next, worker) = next_leader(state);
     next.list_running(worker, task);
     assert_eq!(
@@ -67,15 +61,3 @@
         "with the first list"
     );
 }
-
-/// Returns the state of a round whose only task was given to the worker.
-fn placed_round(run: u32) -> RoundState {
-    let (_, record) = job(1, vec![step(1)]);
-    let mut round = RoundState::new(0, &record);
-    let task = &mut round.steps[0].tasks[0];
-    task.last_run = run;
-    task.status = TaskStatus::Placed {
-        worker: "w0".to_owned(),
-    };
-    round
-}
