Leave two lives of a machine that are first listed together to their answers

Cause: add_worker took every life that it already knew at a machine or address for an earlier one, also one that the same list had just brought. Of two lives in a term's first list the one whose id sorts first was marked gone, in half of the cases the live one; its runs were started again while they went on, and the worker was lost to the whole term. Change: only lives that were listed before a list came are ended by a new one in it. Where both are new, both are asked, and the call to the dead one is answered by the other life (421). Ruled out: telling them apart by the list (no field orders lives; ids are random). Tests: add_worker_two_lives_in_first_list passes.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -9,6 +9,7 @@
 use crate::worker::{ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// Renewals in a row without an answer after which a worker is taken for silent.
 /// A single answer may be lost while the worker is well.
@@ -41,6 +42,7 @@
         for worker in self.workers.values_mut() {
             worker.is_listed = ids.contains(&worker.facts.id);
         }
+        self.end_earlier_lives(now, &list, out);
         for facts in list {
             match self.workers_by_id.get(&facts.id) {
                 Some(&key) => self.workers[key].facts = facts,
@@ -50,16 +52,37 @@
         self.is_place_due = true;
     }
 
-    fn add_worker(&mut self, now: Instant, facts: WorkerFacts, out: &mut Vec<Action>) {
+    /// Marks lives as gone that were listed before a later one of their place.
+    ///
+    /// Of two lives that are listed together for the first time, nothing tells
+    /// which is the later one: the live one answers for the other.
+    fn end_earlier_lives(&mut self, now: Instant, list: &[WorkerFacts], out: &mut Vec<Action>) {
+        let new: Vec<&WorkerFacts> = list
+            .iter()
+            .filter(|facts| !self.is_met(&facts.id))
+            .collect();
+        let is_earlier = |worker: &Worker| {
+            let mut new = new.iter();
+            !worker.is_gone && new.any(|facts| is_earlier_life(&worker.facts, facts))
+        };
         let earlier: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.is_gone && is_earlier_life(&worker.facts, &facts))
+            .filter(|(_, worker)| is_earlier(worker))
             .map(|(key, _)| key)
             .collect();
         for key in earlier {
             self.mark_gone(now, key, "a newer life is listed", out);
         }
+    }
+
+    /// Returns whether a worker has been listed in this term.
+    fn is_met(&self, id: &Arc<str>) -> bool {
+        let key = self.workers_by_id.get(id);
+        key.is_some_and(|key| !self.workers[*key].facts.address.is_empty())
+    }
+
+    fn add_worker(&mut self, now: Instant, facts: WorkerFacts, out: &mut Vec<Action>) {
         let line = Decision::new(DecisionKind::WorkerListed, "listed");
         out.push(Action::Log(line.with_worker(&facts.id)));
         let id = facts.id.clone();
