Bound every worker's lease by what earlier leaders may have granted

Cause: only workers with recorded runs had the bound on an earlier leader's leases; any other began a term with none. A lease never shortens and holds for all that runs on a worker, so what the new leader began there lived on by the older lease after the leader had given it up. Change: the bound is one instant of the term, inherited_until, with which every worker begins; for one that is first listed later it is mostly past. Ruled out: that renewals shorten the lease (PROTOCOL: it never shortens); giving the new leader's own grants no more than the old ones (the old ones aren't known). What it costs: what a worker runs that falls silent in the first seconds of a term starts again up to 7.8 s after the term began instead of 4.2 s after its last renewal. Tests: give_up_lapsed_lease_of_earlier_leader passes.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -88,9 +88,9 @@
     pub long_grant: Duration,
     /// The longest that a worker's runs can outlive a grant by any leader.
     pub grant_limit: Duration,
-    /// The longest that runs which an earlier leader started can be leased,
-    /// from the start of this term. A leader whose lease was taken away may
-    /// grant leases until it learns of it.
+    /// The longest that an earlier leader can have leased a worker, from the
+    /// start of this term. A leader whose lease was taken away may grant leases
+    /// until it learns of it.
     pub inherited_limit: Duration,
     /// How long a renewal waits at the worker for an end.
     pub hold_wait: Duration,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -46,7 +46,7 @@
         for facts in list {
             match self.workers_by_id.get(&facts.id) {
                 Some(&key) => self.workers[key].facts = facts,
-                None => self.add_worker(now, facts, out),
+                None => self.add_worker(facts, out),
             }
         }
         self.is_place_due = true;
@@ -82,11 +82,11 @@
         key.is_some_and(|key| !self.workers[*key].facts.address.is_empty())
     }
 
-    fn add_worker(&mut self, now: Instant, facts: WorkerFacts, out: &mut Vec<Action>) {
+    fn add_worker(&mut self, facts: WorkerFacts, out: &mut Vec<Action>) {
         let line = Decision::new(DecisionKind::WorkerListed, "listed");
         out.push(Action::Log(line.with_worker(&facts.id)));
         let id = facts.id.clone();
-        let key = self.workers.push(Worker::new(facts, now));
+        let key = self.workers.push(Worker::new(facts, self.inherited_until));
         self.workers_by_id.insert(id, key);
     }
 
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -5,7 +5,7 @@
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, TaskStatus};
-use crate::worker::{Run, RunPhase, Worker, WorkerFacts, WorkerKey};
+use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Instant, Resources};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -45,6 +45,7 @@
         recovered: Recovered,
     ) -> Self {
         let mut scheduler = Self::empty(config, configuration);
+        scheduler.inherited_until = lease_bound(now, config.inherited_limit);
         scheduler.wall_ms = recovered.wall_ms;
         let mut states: HashMap<JobId, JobState> = recovered.states.into_iter().collect();
         let cancelled: HashSet<JobId> = recovered.cancels.into_iter().collect();
@@ -88,7 +89,7 @@
     }
 
     fn inherit_run(&mut self, now: Instant, inherited: InheritedRun) {
-        let key = self.placeholder(now, &inherited.worker);
+        let key = self.placeholder(&inherited.worker);
         let demand = self.demand_of(inherited.task).unwrap_or_default();
         let run = Run {
             run: inherited.run,
@@ -106,7 +107,7 @@
     }
 
     /// Returns the worker with this id, of which nothing else may be known.
-    fn placeholder(&mut self, now: Instant, id: &str) -> WorkerKey {
+    fn placeholder(&mut self, id: &str) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(id) {
             return key;
         }
@@ -121,9 +122,7 @@
             capacity: Resources::ZERO,
             is_draining: false,
         };
-        let mut worker = Worker::new(facts, now);
-        // What an earlier leader granted last can be no longer than the limit.
-        worker.grant_inherited(now, self.config.inherited_limit);
+        let mut worker = Worker::new(facts, self.inherited_until);
         worker.is_listed = false;
         let key = self.workers.push(worker);
         self.workers_by_id.insert(id, key);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -80,6 +80,10 @@
     pub(crate) last_cycle: CycleSummary,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
+    /// When every lease that an earlier leader granted is certainly over. A lease
+    /// never shortens and holds for all that runs on a worker, also for what only
+    /// this leader starts there.
+    pub(crate) inherited_until: Instant,
     /// When a worker last left a renewal unanswered that answered before.
     pub(crate) last_lost_hold_at: Option<Instant>,
     /// Whether something has changed that may let a task be placed.
@@ -110,6 +114,7 @@
             last_cycle: CycleSummary::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
+            inherited_until: Instant::default(),
             last_lost_hold_at: None,
             is_place_due: true,
             next_place_at: Instant::default(),
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -262,17 +262,22 @@
     pub(crate) fn grant(&mut self, now: Instant, length: Duration) -> Option<u64> {
         let clock = self.clock?;
         let age = now.since(clock.read_at);
-        let slack_ms = (length.as_ms() + age.as_ms()) * CLOCK_SLACK_PER_MILLE / 1000;
-        let bound = now + length + Duration::from_ms(slack_ms) + LEASE_MARGIN;
+        let slack = clock_slack(length + age);
+        let bound = now + length + slack + LEASE_MARGIN;
         self.leased_until = self.leased_until.max(bound);
         Some(clock.clock_ms + age.as_ms() + length.as_ms())
     }
+}
 
-    /// Notes that an earlier leader may have granted leases of `limit`.
-    pub(crate) fn grant_inherited(&mut self, now: Instant, limit: Duration) {
-        let slack_ms = limit.as_ms() * CLOCK_SLACK_PER_MILLE / 1000;
-        self.leased_until = now + limit + Duration::from_ms(slack_ms) + LEASE_MARGIN;
-    }
+/// Returns when a lease is certainly over that was granted by now, on a worker
+/// that keeps leases of `limit` at most.
+pub(crate) fn lease_bound(now: Instant, limit: Duration) -> Instant {
+    now + limit + clock_slack(limit) + LEASE_MARGIN
+}
+
+/// Returns how much longer a time on a worker's clock may be on this node's.
+const fn clock_slack(length: Duration) -> Duration {
+    Duration::from_ms(length.as_ms() * CLOCK_SLACK_PER_MILLE / 1000)
 }
 
 fn sum_of<'a>(claims: impl Iterator<Item = &'a Claim>) -> Resources {
