--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -201,3 +201,30 @@
     let view = bench.scheduler.job(id).expect("a known job");
     assert_eq!(view.phase, Phase::Complete);
 }
+
+/// Returns a leader that has begun a step's tasks on its only worker.
+fn after_starts(tasks_count: u32) -> (Bench, WorkerKey, Vec<TaskKey>) {
+    let mut bench = Bench::new(Recovered::default(), &[FakeWorker::new("w0", 1000)]);
+    bench.submit(1, vec![step(tasks_count)]);
+    bench.commit_all();
+    let starts = bench.starts();
+    for start in &starts {
+        bench.started(*start);
+    }
+    let worker = starts[0].0;
+    let tasks = starts.into_iter().map(|(_, task, _)| task).collect();
+    (bench, worker, tasks)
+}
+
+/// What a worker may forget is told by number, so no end below it may be passed
+/// over, in whichever order the ends are listed.
+#[test]
+fn take_lists_ends_in_any_order() {
+    let (mut bench, worker, tasks) = after_starts(2);
+    let later = end(2, tasks[1], 1, EndKind::Done);
+    let earlier = end(1, tasks[0], 1, EndKind::Done);
+    bench.list(worker, vec![later, earlier]);
+    bench.commit_all();
+    let view = bench.scheduler.job(tasks[0].step.job).expect("a known job");
+    assert_eq!(view.phase, Phase::Complete);
+}
