Test: a list that is cut at its limit does not tell that a run was never begun

Test: a new leader's first list holds 500 ends of other tasks, the next one the end of the inherited run. Output: run 2 is sent after the first list ("left: [(worker0, ...first task..., 2)], right: []").

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -5,7 +5,8 @@
 use crate::support::worker::{FakeRun, FakeWorker};
 use crate::support::{first_task, job, placed_state, step};
 use ospreywing_scheduler::{
-    Action, EndKind, Event, HoldReply, Phase, Recovered, StartOrder, StartReply, TaskKey, WorkerKey,
+    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, StartOrder, StartReply, TaskKey,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Instant};
 use rstest::rstest;
@@ -16,6 +17,8 @@
 const UNANSWERED_AFTER: Duration = Duration::from_ms(1050);
 /// The slowest clock of a worker that the platform allows, in thousandths.
 const SLOWEST_CLOCK_PER_MILLE: u64 = 980;
+/// The most ends that a worker lists at once.
+const ENDS_AT_ONCE_COUNT: u64 = 500;
 /// A run longer than any lease.
 const LONG_RUN_MS: u64 = 60_000;
 
@@ -228,3 +231,35 @@
     let view = bench.scheduler.job(tasks[0].step.job).expect("a known job");
     assert_eq!(view.phase, Phase::Complete);
 }
+
+/// A worker lists so many ends at once; a run whose end comes with the next list
+/// was begun.
+#[test]
+fn release_unlisted_more_ends_than_listed_at_once() {
+    let (id, record) = job(1, vec![step(1)]);
+    let kept = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, placed_state("w0", 1))],
+        ..Recovered::default()
+    };
+    let mut bench = Bench::after_evicted_leader(kept);
+    bench.list_workers(&[FakeWorker::new("w0", 1000)]);
+    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    let stranger = first_task(JobId::new(99));
+    let others = (1..=ENDS_AT_ONCE_COUNT).map(|number| {
+        let run = number as u32;
+        end(number, stranger, run, EndKind::Stopped)
+    });
+    bench.list(worker, others.collect());
+    bench.commit_all();
+    assert_eq!(
+        bench.starts(),
+        vec![],
+        "its end may come with the next list"
+    );
+    let last = end(ENDS_AT_ONCE_COUNT + 1, first_task(id), 1, EndKind::Done);
+    bench.list(worker, vec![last]);
+    bench.commit_all();
+    let view = bench.scheduler.job(id).expect("a known job");
+    assert_eq!(view.phase, Phase::Complete);
+}
