Take ends in the order of their numbers

Change: a list of ends is sorted by number before it is taken. Lists in order, the only ones seen, are taken as before.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -189,7 +189,7 @@
         key: WorkerKey,
         sent_at: Instant,
         running: Vec<RunningRun>,
-        ended: Vec<EndedRun>,
+        mut ended: Vec<EndedRun>,
         out: &mut Vec<Action>,
     ) {
         let is_first = !core::mem::replace(&mut self.workers[key].is_synced, true);
@@ -203,6 +203,8 @@
         let mut listed: BTreeSet<(TaskKey, u32)> = BTreeSet::new();
         listed.extend(ended.iter().map(|end| (end.task, end.run)));
         listed.extend(running.iter().map(|run| (run.task, run.run)));
+        // What a worker may forget is told by number.
+        ended.sort_by_key(|end| end.number);
         for end in ended {
             self.take_end(now, key, end, out);
         }
