Don't conclude from a list of ends that may not be whole

Cause and test: release_unlisted_more_ends_than_listed_at_once; it passes now. Change: where a list holds as many ends as a worker lists at once, runs that it does not name stay as they are; those ends are acknowledged, and the next list tells.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -92,6 +92,9 @@
     /// start of this term. A leader whose lease was taken away may grant leases
     /// until it learns of it.
     pub inherited_limit: Duration,
+    /// The most ends that a worker lists at once: a list with as many may not
+    /// hold them all.
+    pub listed_ends_limit_count: usize,
     /// How long a renewal waits at the worker for an end.
     pub hold_wait: Duration,
     /// The time between an answered renewal and the next.
@@ -116,6 +119,7 @@
             long_grant: grant_limit,
             grant_limit,
             inherited_limit: grant_limit,
+            listed_ends_limit_count: 500,
             hold_wait: Duration::from_ms(800),
             hold_pace: Duration::from_ms(80),
             stop_retry: Duration::from_ms(400),
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -200,6 +200,7 @@
             out.push(Action::Log(line));
             self.is_place_due = true;
         }
+        let is_whole = ended.len() < self.config.listed_ends_limit_count;
         let mut listed: BTreeSet<(TaskKey, u32)> = BTreeSet::new();
         listed.extend(ended.iter().map(|end| (end.task, end.run)));
         listed.extend(running.iter().map(|run| (run.task, run.run)));
@@ -212,7 +213,9 @@
         for run in running {
             self.take_running(now, key, run, out);
         }
-        self.release_unlisted(now, key, sent_at, &listed, out);
+        if is_whole {
+            self.release_unlisted(now, key, sent_at, &listed, out);
+        }
     }
 
     /// Takes in a run that a worker lists as alive.
