Test: leases are renewed while an end waits for a slow store

Cause (read): is_hold_due skips workers with ends that wait for their commit, so the other runs there lapse where a commit takes longer than a lease. No TWICE follows from it: the worker still counts as reachable, and the ends `lapsed` are listed before their tasks start again. Test: one of two runs ends, the commit stays open for 4 s.

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -19,6 +19,8 @@
 const SLOWEST_CLOCK_PER_MILLE: u64 = 980;
 /// The most ends that a worker lists at once.
 const ENDS_AT_ONCE_COUNT: u64 = 500;
+/// The lease that a leader grants where the store is well.
+const SHORTEST_LEASE: Duration = Duration::from_ms(4000);
 /// A run longer than any lease.
 const LONG_RUN_MS: u64 = 60_000;
 
@@ -263,3 +265,22 @@
     let view = bench.scheduler.job(id).expect("a known job");
     assert_eq!(view.phase, Phase::Complete);
 }
+
+/// A worker's other runs do not lapse while an end of it waits for a slow store.
+#[test]
+fn renew_leases_end_waits_for_slow_store() {
+    let (mut bench, worker, tasks) = after_starts(2);
+    bench.list(worker, vec![end(1, tasks[0], 1, EndKind::Done)]);
+    bench.actions.clear();
+    let begun = bench.now;
+    let is_renewed = |action: &Action| matches!(action, Action::Hold { to, until_ms: Some(_), last_seen: 0, .. } if to.worker == worker);
+    while bench.now.since(begun) < SHORTEST_LEASE {
+        bench.now = bench.now + STEP;
+        bench.tell(Event::Tick);
+    }
+    assert!(
+        bench.actions.iter().any(is_renewed),
+        "{} is leased anew while the end is not in the store",
+        tasks[1]
+    );
+}
