--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -7,18 +7,24 @@
 use crate::support::{advice, job, patient_job, step};
 use ospreywing_scheduler::{AdvicePolicy, StepSpec};
 use rstest::rstest;
+use std::ops::Range;
 
 /// Seeds per case in CI; `OSPREYWING_SEARCH_SEEDS` sets another number.
 const SEEDS_COUNT: u64 = 25;
 const SEEDS_VARIABLE: &str = "OSPREYWING_SEARCH_SEEDS";
+/// Sets the first seed; 0 otherwise.
+const FIRST_SEED_VARIABLE: &str = "OSPREYWING_SEARCH_FIRST_SEED";
 const STORM_MS: u64 = 12_000;
 const CALM_LIMIT_MS: u64 = 90_000;
 
-fn seeds_count() -> u64 {
-    let set = std::env::var(SEEDS_VARIABLE);
-    set.ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SEEDS_COUNT)
+/// Returns the seeds to be searched.
+fn seeds() -> Range<u64> {
+    let number = |variable| {
+        let set = std::env::var(variable);
+        set.ok().and_then(|text| text.parse().ok())
+    };
+    let first: u64 = number(FIRST_SEED_VARIABLE).unwrap_or(0);
+    first..first + number(SEEDS_VARIABLE).unwrap_or(SEEDS_COUNT)
 }
 
 fn gang(tasks_count: u32) -> StepSpec {
@@ -37,7 +43,7 @@
 }
 
 fn search(faults: Faults, policy: Option<AdvicePolicy>) {
-    for seed in 0..seeds_count() {
+    for seed in seeds() {
         // Shown where the test fails.
         println!("seed {seed}");
         let mut world = World::new(seed, 6, faults, policy);
@@ -93,7 +99,7 @@
     takeover: 20,
 })]
 fn scheduler_serves_gangs_on_few_good_workers(#[case] faults: Faults) {
-    for seed in 0..seeds_count() {
+    for seed in seeds() {
         // Shown where the test fails.
         println!("seed {seed}");
         let mut world = World::new(seed, 16, faults, Some(advice()));
@@ -127,7 +133,7 @@
 })]
 fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
     let mut resumed_count = 0;
-    for seed in 0..seeds_count() {
+    for seed in seeds() {
         // Shown where the test fails.
         println!("seed {seed}");
         let mut world = World::new(seed, 8, faults, Some(advice()));
