--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -75,6 +75,9 @@
 #[case::crashes(Faults { crash: 30, ..Faults::default() })]
 #[case::cuts(Faults { cut: 40, ..Faults::default() })]
 #[case::takeovers(Faults { takeover: 30, ..Faults::default() })]
+#[case::long_leases(Faults { takeover: 10, cut: 40, trouble: 20, ..Faults::default() })]
+#[case::two_lives(Faults { takeover: 20, crash: 30, ..Faults::default() })]
+#[case::draining(Faults { takeover: 10, drain: 30, ..Faults::default() })]
 #[case::everything(Faults {
     lost_answer: 40,
     late_order: 40,
@@ -82,11 +85,40 @@
     crash: 10,
     cut: 20,
     takeover: 20,
+    trouble: 10,
+    drain: 5,
 })]
 fn scheduler_keeps_its_rules(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
     search(faults, has_advice.then(advice));
 }
 
+/// Runs about as long as leases, and leaders that follow one another at the end of
+/// the store's trouble, in which leases are long.
+#[rstest]
+#[case::late_cuts(Faults { trouble: 60, takeover: 5, cut: 10, ..Faults::default() })]
+#[case::lost_answers(Faults {
+    trouble: 60,
+    takeover: 5,
+    cut: 10,
+    lost_answer: 40,
+    ..Faults::default()
+})]
+fn scheduler_outlives_long_leases(#[case] faults: Faults) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 8, faults, None);
+        world.run_lengths_ms = 200..7_000;
+        world.calm_from_ms = world.now_ms + 2 * STORM_MS;
+        for number in 1..=16 {
+            world.submit(job(number, vec![step(2)]));
+            world.run_for(900);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
+
 /// Gangs whose good workers are few, among work that could take their room.
 #[rstest]
 #[case::quiet(Faults::default())]
@@ -97,6 +129,8 @@
     crash: 10,
     cut: 20,
     takeover: 20,
+    trouble: 10,
+    drain: 5,
 })]
 fn scheduler_serves_gangs_on_few_good_workers(#[case] faults: Faults) {
     for seed in seeds() {
@@ -130,6 +164,8 @@
     crash: 10,
     cut: 20,
     takeover: 20,
+    trouble: 10,
+    drain: 5,
 })]
 fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
     let mut resumed_count = 0;
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -8,12 +8,17 @@
 /// What has been seen of all tasks.
 #[derive(Default)]
 pub struct Rules {
-    /// Tasks with an end `done` that a worker was told to forget.
+    /// Tasks with an end `done` that was taken note of: a worker was told to
+    /// forget it whose lease had not lapsed in between. Such a note stands for good.
     pub done_noted: BTreeSet<TaskKey>,
+    /// When each task was started last.
+    started_at_ms: BTreeMap<TaskKey, u64>,
     /// Tasks with any end `done`.
     pub done: BTreeSet<TaskKey>,
     /// Runs that failed and were noted, by task.
     pub failed_noted: BTreeMap<TaskKey, BTreeSet<u32>>,
+    /// Notes of ends `done` that don't count, since the lease lapsed in between.
+    pub lapsed_notes_count: usize,
     pub starts_count: usize,
     /// Starts that went on from a checkpoint.
     pub resumed_count: usize,
@@ -23,14 +28,38 @@
 
 impl Rules {
     /// Notes the ends that a worker is about to forget.
-    pub fn note_acks(&mut self, worker: &FakeWorker, last_seen: u64) {
+    ///
+    /// A start after an end `done` breaks the rule also where the end is taken
+    /// note of only later. Of the members of a gang one end stands for all, so
+    /// there only starts after the note count.
+    pub fn note_acks(
+        &mut self,
+        worker: &FakeWorker,
+        now_ms: u64,
+        last_seen: u64,
+        jobs: &BTreeMap<JobId, JobRecord>,
+    ) {
         for end in worker.ended.iter().filter(|end| end.number <= last_seen) {
+            let task = end.task;
             match end.kind {
                 EndKind::Done => {
-                    self.done_noted.insert(end.task);
+                    let (ended_at_ms, is_noted) = worker.end_told(end.number, now_ms);
+                    if !is_noted {
+                        self.lapsed_notes_count += 1;
+                        continue;
+                    }
+                    self.done_noted.insert(task);
+                    let started_at_ms = self.started_at_ms.get(&task).copied().unwrap_or(0);
+                    let spec = &jobs[&task.step.job].spec.steps[task.step.step as usize];
+                    assert!(
+                        spec.is_gang || started_at_ms <= ended_at_ms,
+                        "{task} started again at {started_at_ms} ms after its run {} had \
+                         ended as done at {ended_at_ms} ms, which was noted at {now_ms} ms",
+                        end.run
+                    );
                 }
                 EndKind::Failed => {
-                    let runs = self.failed_noted.entry(end.task).or_default();
+                    let runs = self.failed_noted.entry(task).or_default();
                     runs.insert(end.run);
                 }
                 _ => {}
@@ -41,6 +70,7 @@
     /// Checks a start that worker `index` is about to carry out.
     pub fn check_start(
         &mut self,
+        now_ms: u64,
         workers: &[FakeWorker],
         index: usize,
         order: &StartOrder,
@@ -48,6 +78,7 @@
     ) {
         self.starts_count += 1;
         let task = order.task;
+        self.started_at_ms.insert(task, now_ms);
         let record = jobs.get(&task.step.job).expect("a job that was accepted");
         let spec = &record.spec.steps[task.step.step as usize];
         assert!(
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -37,9 +37,16 @@
     pub clock_per_mille: u64,
     pub fence: u64,
     pub lease_until_ms: u64,
+    /// Since when it has been leased without a gap, on the world's clock.
+    leased_since_ms: u64,
     pub runs: BTreeMap<TaskKey, FakeRun>,
     pub ended: Vec<EndedRun>,
     pub next_end: u64,
+    /// When the listed ends were, on the world's clock.
+    ended_at_ms: BTreeMap<u64, u64>,
+    /// Until when the platform lists it though its life is over.
+    pub listed_until_ms: u64,
+    pub is_draining: bool,
     /// The highest run that stopped or ended here, by task.
     pub tombstones: BTreeMap<TaskKey, u32>,
 }
@@ -55,9 +62,13 @@
             clock_per_mille,
             fence: 0,
             lease_until_ms: 0,
+            leased_since_ms: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            ended_at_ms: BTreeMap::new(),
+            listed_until_ms: 0,
+            is_draining: false,
             tombstones: BTreeMap::new(),
         }
     }
@@ -71,10 +82,21 @@
             rack: None,
             labels: Vec::new(),
             capacity: self.capacity,
-            is_draining: false,
+            is_draining: self.is_draining,
         }
     }
 
+    /// Returns when an end was that is listed, and whether the lease has held
+    /// ever since.
+    pub fn end_told(&self, number: u64, now_ms: u64) -> (u64, bool) {
+        let ended_at_ms = self.ended_at_ms.get(&number).copied().unwrap_or(now_ms);
+        let is_leased = self.clock_ms(now_ms) < self.lease_until_ms;
+        (
+            ended_at_ms,
+            is_leased && self.leased_since_ms <= ended_at_ms,
+        )
+    }
+
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         7_000 + now_ms * self.clock_per_mille / 1000
     }
@@ -92,15 +114,17 @@
             .map(|(task, _)| *task)
             .collect();
         for task in due {
+            let ends_at_ms = self.runs[&task].ends_at_ms.min(now_ms);
             let kind = match has_lapsed {
                 true => EndKind::Lapsed,
                 false => self.runs[&task].kind,
             };
-            self.end(task, kind);
+            let at_ms = if has_lapsed { now_ms } else { ends_at_ms };
+            self.end(at_ms, task, kind);
         }
     }
 
-    pub fn end(&mut self, task: TaskKey, kind: EndKind) {
+    pub fn end(&mut self, now_ms: u64, task: TaskKey, kind: EndKind) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -113,6 +137,7 @@
             kind,
             checkpoint: run.checkpoint(task),
         });
+        self.ended_at_ms.insert(self.next_end, now_ms);
         self.next_end += 1;
     }
 
@@ -123,7 +148,11 @@
     }
 
     fn lease(&mut self, now_ms: u64, until_ms: u64, limit_ms: u64) {
-        let most_ms = self.clock_ms(now_ms) + limit_ms;
+        let clock_ms = self.clock_ms(now_ms);
+        if clock_ms >= self.lease_until_ms {
+            self.leased_since_ms = now_ms;
+        }
+        let most_ms = clock_ms + limit_ms;
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(most_ms));
     }
 
@@ -142,6 +171,7 @@
             self.lease(now_ms, until_ms, limit_ms);
         }
         self.ended.retain(|end| end.number > last_seen);
+        self.ended_at_ms.retain(|number, _| *number > last_seen);
         let running = self.runs.iter().map(|(task, run)| RunningRun {
             task: *task,
             run: run.run,
@@ -176,12 +206,12 @@
         StartReply::Started
     }
 
-    pub fn stop(&mut self, fence: u64, task: TaskKey, run: u32) -> StopReply {
+    pub fn stop(&mut self, now_ms: u64, fence: u64, task: TaskKey, run: u32) -> StopReply {
         if !self.raise_fence(fence) {
             return StopReply::Fenced;
         }
         if self.runs.get(&task).is_some_and(|known| known.run <= run) {
-            self.end(task, EndKind::Stopped);
+            self.end(now_ms, task, EndKind::Stopped);
         }
         let highest = self.tombstones.entry(task).or_default();
         *highest = (*highest).max(run);
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -18,6 +18,20 @@
 /// The leader's lease.
 const LEADER_LEASE_MS: u64 = 2000;
 const TICK_MS: u64 = 20;
+/// How long a dead worker is listed; its machine's next life is listed beside it.
+const LISTED_DEAD_MS: core::ops::Range<u64> = 500..9_000;
+/// How long a worker that drains stays.
+const DRAIN_MS: core::ops::Range<u64> = 2_000..5_000;
+/// How long the store's trouble lasts.
+const TROUBLE_MS: core::ops::Range<u64> = 1_000..6_000;
+/// How long a commit then takes.
+const SLOW_COMMIT_MS: core::ops::Range<u64> = 100..3_000;
+/// In how many of a thousand cases the store's trouble ends with a new leader,
+/// where leaders are replaced at all.
+const TROUBLE_ENDS_TERM: u32 = 500;
+/// How soon after such a term began a worker is cut off, and for how long.
+const EARLY_CUT_AFTER_MS: core::ops::Range<u64> = 20..800;
+const EARLY_CUT_MS: core::ops::Range<u64> = 3_000..9_000;
 /// When an order or a renewal is taken for unanswered.
 const ORDER_LIMIT_MS: u64 = 700;
 
@@ -36,6 +50,10 @@
     pub cut: u32,
     /// Ticks at which the leader is replaced, the old one acting on for a while.
     pub takeover: u32,
+    /// Ticks at which the store becomes slow for a while and leases long.
+    pub trouble: u32,
+    /// Ticks at which a worker begins to drain; it goes some seconds later.
+    pub drain: u32,
 }
 
 enum Message {
@@ -68,9 +86,18 @@
         term: u64,
         event: Event,
     },
+    Cut {
+        worker: usize,
+        length_ms: u64,
+    },
     Heal {
         worker: usize,
     },
+    Die {
+        worker: usize,
+    },
+    ListWorkers,
+    TroubleOver,
 }
 
 struct Leader {
@@ -99,6 +126,9 @@
     ended: BTreeMap<JobId, Phase>,
     pub rules: Rules,
     last_faults_at_ms: u64,
+    has_trouble: bool,
+    /// How long runs take.
+    pub run_lengths_ms: core::ops::Range<u64>,
     /// After this time no new fault strikes.
     pub calm_from_ms: u64,
     /// One of so many workers is good for a job; 0 for two of three.
@@ -136,6 +166,8 @@
             ended: BTreeMap::new(),
             rules: Rules::default(),
             last_faults_at_ms: 0,
+            has_trouble: false,
+            run_lengths_ms: 200..2_500,
             calm_from_ms: u64::MAX,
             good_one_in: 0,
             advice_calls_count: 0,
@@ -188,12 +220,17 @@
             acts_until_ms: u64::MAX,
         });
         self.tell_all(Event::NodesListed(vec![Arc::from("n1"), Arc::from("n2")]));
+        self.tell(fence, Event::StoreTrouble(self.has_trouble));
         self.list_workers();
     }
 
+    /// Lists the workers in the order of their ids, as the platform does.
     pub fn list_workers(&mut self) {
-        let alive = self.workers.iter().filter(|worker| worker.is_alive);
-        let list = alive.map(FakeWorker::facts).collect();
+        let now_ms = self.now_ms;
+        let is_listed = |worker: &&FakeWorker| worker.is_alive || now_ms < worker.listed_until_ms;
+        let listed = self.workers.iter().filter(is_listed);
+        let mut list: Vec<_> = listed.map(FakeWorker::facts).collect();
+        list.sort_by(|one, other| one.id.cmp(&other.id));
         self.tell_all(Event::WorkersListed(list));
     }
 
@@ -246,7 +283,10 @@
     fn carry_out(&mut self, term: u64, action: Action) {
         match action {
             Action::Commit { lane, changes } => {
-                let after_ms = self.rng.random_range(3..40);
+                let after_ms = match self.has_trouble {
+                    true => self.rng.random_range(SLOW_COMMIT_MS),
+                    false => self.rng.random_range(3..40),
+                };
                 self.post(
                     after_ms,
                     Message::Commit {
@@ -371,7 +411,11 @@
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Tell { term, event } => self.tell(term, event),
+            Message::Cut { worker, length_ms } => self.cut(worker, length_ms),
             Message::Heal { worker } => self.workers[worker].is_cut = false,
+            Message::Die { worker } => self.replace(worker),
+            Message::ListWorkers => self.list_workers(),
+            Message::TroubleOver => self.end_trouble(),
             Message::Commit {
                 term,
                 lane,
@@ -447,6 +491,14 @@
         !worker.is_alive || worker.is_cut
     }
 
+    /// Returns whether a later life of a dead worker's machine answers.
+    fn is_other_life(&self, index: usize) -> bool {
+        let dead = &self.workers[index];
+        let is_next =
+            |other: &FakeWorker| other.is_alive && !other.is_cut && other.address == dead.address;
+        !dead.is_alive && self.workers.iter().any(is_next)
+    }
+
     fn deliver_hold(
         &mut self,
         term: u64,
@@ -455,6 +507,9 @@
         last_seen: u64,
     ) -> HoldReply {
         let index = self.worker_index(to);
+        if self.is_other_life(index) {
+            return HoldReply::OtherLife;
+        }
         if self.is_lost(index) {
             return HoldReply::Unanswered;
         }
@@ -463,7 +518,7 @@
         self.note_done();
         let worker = &mut self.workers[index];
         if term >= worker.fence {
-            self.rules.note_acks(worker, last_seen);
+            self.rules.note_acks(worker, now_ms, last_seen, &self.jobs);
         }
         let reply = worker.hold(now_ms, term, until_ms, last_seen, LEASE_LIMIT_MS);
         if self.draw(self.faults.lost_answer) {
@@ -475,7 +530,9 @@
     fn deliver_start(&mut self, term: u64, to: &Endpoint, order: &StartOrder, is_answered: bool) {
         let index = self.worker_index(to);
         let mut reply = StartReply::Unanswered;
-        if !self.is_lost(index) {
+        if self.is_other_life(index) {
+            reply = StartReply::OtherLife;
+        } else if !self.is_lost(index) {
             reply = self.start_at(term, index, order);
         }
         if self.draw(self.faults.lost_answer) {
@@ -509,9 +566,9 @@
             return reply;
         }
         self.rules
-            .check_start(&self.workers, index, order, &self.jobs);
+            .check_start(now_ms, &self.workers, index, order, &self.jobs);
         let fails = self.draw(self.faults.failing_run);
-        let length_ms = self.rng.random_range(200..2_500);
+        let length_ms = self.rng.random_range(self.run_lengths_ms.clone());
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
         let run = FakeRun {
             run: order.run,
@@ -538,10 +595,12 @@
     ) {
         let index = self.worker_index(to);
         let mut reply = StopReply::Unanswered;
-        if !self.is_lost(index) {
+        if self.is_other_life(index) {
+            reply = StopReply::OtherLife;
+        } else if !self.is_lost(index) {
             let now_ms = self.now_ms;
             self.workers[index].advance(now_ms);
-            reply = self.workers[index].stop(term, task, run);
+            reply = self.workers[index].stop(now_ms, term, task, run);
         }
         if !is_answered || reply == StopReply::Unanswered || self.draw(self.faults.lost_answer) {
             return;
@@ -599,20 +658,69 @@
         self.last_faults_at_ms = self.now_ms;
         let index = self.rng.random_range(0..self.workers.len());
         if self.draw(self.faults.crash) {
-            self.workers[index].is_alive = false;
-            // A sign whose code is a multiple of 12 keeps a worker good for whom it was good.
-            let fresh = format!("{}<", self.workers[index].id);
-            self.workers.push(FakeWorker::new(&fresh, 990));
-            self.list_workers();
+            self.replace(index);
         }
         if self.draw(self.faults.cut) {
-            self.workers[index].is_cut = true;
             let length_ms = self.rng.random_range(500..9_000);
-            self.post(length_ms, Message::Heal { worker: index });
+            self.cut(index, length_ms);
         }
         if self.draw(self.faults.takeover) {
             self.elect();
         }
+        if self.draw(self.faults.trouble) && !self.has_trouble {
+            self.has_trouble = true;
+            self.tell_all(Event::StoreTrouble(true));
+            let length_ms = self.rng.random_range(TROUBLE_MS);
+            self.post(length_ms, Message::TroubleOver);
+        }
+        let index = self.rng.random_range(0..self.workers.len());
+        if self.draw(self.faults.drain) && self.workers[index].is_alive {
+            self.workers[index].is_draining = true;
+            self.list_workers();
+            let length_ms = self.rng.random_range(DRAIN_MS);
+            self.post(length_ms, Message::Die { worker: index });
+        }
+    }
+
+    fn end_trouble(&mut self) {
+        self.has_trouble = false;
+        if self.faults.takeover > 0 && self.draw(TROUBLE_ENDS_TERM) {
+            self.elect();
+            if self.faults.cut > 0 {
+                let worker = self.rng.random_range(0..self.workers.len());
+                let length_ms = self.rng.random_range(EARLY_CUT_MS);
+                let after_ms = self.rng.random_range(EARLY_CUT_AFTER_MS);
+                self.post(after_ms, Message::Cut { worker, length_ms });
+            }
+        }
+        self.tell_all(Event::StoreTrouble(false));
+    }
+
+    /// Cuts a worker off for a while.
+    fn cut(&mut self, index: usize, length_ms: u64) {
+        self.workers[index].is_cut = true;
+        self.post(length_ms, Message::Heal { worker: index });
+    }
+
+    /// Ends a worker's life and begins the next of its machine, whose id may sort
+    /// before the dead one's or behind it.
+    fn replace(&mut self, index: usize) {
+        if !core::mem::replace(&mut self.workers[index].is_alive, false) {
+            return;
+        }
+        let listed_ms = self.rng.random_range(LISTED_DEAD_MS);
+        self.workers[index].listed_until_ms = self.now_ms + listed_ms;
+        let (id, address) = (&self.workers[index].id, self.workers[index].address.clone());
+        // Signs whose codes are multiples of 12 keep a worker good for whom it was good.
+        let fresh = match self.rng.random() {
+            true => format!("${id}"),
+            false => format!("{id}<"),
+        };
+        let mut next = FakeWorker::new(&fresh, 990);
+        next.address = address;
+        self.workers.push(next);
+        self.list_workers();
+        self.post(listed_ms, Message::ListWorkers);
     }
 
     /// Runs until every job has its outcome, at most for the given time.
