Test: a worker that has answered is bound by the longest lease, not by an evicted leader's time

Cause: the bound on earlier leaders' leases counts an evicted leader's 1.5 s also where the worker has answered under the new fence, after which it takes nothing from that leader.

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -17,6 +17,8 @@
 const UNANSWERED_AFTER: Duration = Duration::from_ms(1050);
 /// The slowest clock of a worker that the platform allows, in thousandths.
 const SLOWEST_CLOCK_PER_MILLE: u64 = 980;
+/// How much longer a leader waits, for a slow clock and for placing anew.
+const LEASE_SLACK: Duration = Duration::from_ms(400);
 /// The most ends that a worker lists at once.
 const ENDS_AT_ONCE_COUNT: u64 = 500;
 /// The lease that a leader grants where the store is well.
@@ -153,6 +155,24 @@
     );
 }
 
+/// A worker that has answered under the new fence takes nothing from an earlier
+/// leader any more, so its lease is bound by the longest from then on, however
+/// long an evicted leader may act on.
+#[test]
+fn give_up_lapsed_worker_that_answered_early() {
+    let mut cell = Cell::after_grant_of_earlier_leader(Duration::ZERO);
+    let answered = cell.bench.now;
+    let task = cell.begin_long_run();
+    let again = cell.cut_off_until_started_again(Duration::from_s(12));
+    let again = again.expect("a run whose lease is over is given up");
+    let waited = again.since(answered);
+    assert!(
+        waited <= LEASE_LIMIT + LEASE_SLACK,
+        "{task} was started again only after {} ms",
+        waited.as_ms()
+    );
+}
+
 /// Returns two lives of one machine: the id of the live one sorts before that of
 /// the dead one, or behind it.
 fn lives(is_live_first: bool) -> (FakeWorker, FakeWorker) {
