Bound earlier leaders' leases anew when a worker first answers

Change: at a worker's first answer under the term's fence the bound becomes that of the longest lease from then on, where that is sooner. A worker does nothing for a lower fence (PROTOCOL).

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -6,7 +6,7 @@
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{Phase, TaskStatus};
-use crate::worker::{ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
+use crate::worker::{lease_bound, ClockReading, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -199,6 +199,7 @@
                 .with_figure(running.len() as u64);
             out.push(Action::Log(line));
             self.is_place_due = true;
+            self.bound_inherited_lease(now, key);
         }
         let is_whole = ended.len() < self.config.listed_ends_limit_count;
         let mut listed: BTreeSet<(TaskKey, u32)> = BTreeSet::new();
@@ -218,6 +219,14 @@
         }
     }
 
+    /// Bounds what earlier leaders granted to a worker that has answered under
+    /// this term's fence: it takes nothing from them any more.
+    fn bound_inherited_lease(&mut self, now: Instant, key: WorkerKey) {
+        let bound = lease_bound(now, self.config.grant_limit);
+        let worker = &mut self.workers[key];
+        worker.leased_until = worker.leased_until.min(bound);
+    }
+
     /// Takes in a run that a worker lists as alive.
     fn take_running(
         &mut self,
