Renew leases while an end waits for its commit

Change: a worker with an end that waits for its commit and with other runs is asked once a second (a quarter of a lease, more than a renewal's wait and pace, so that a quick store sees no call more), without waiting, since the worker lists the end until it is acknowledged. Ruled out: renewing at the usual pace (each would be answered at once, 12 calls a second for each worker in a slow store).

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -99,6 +99,10 @@
     pub hold_wait: Duration,
     /// The time between an answered renewal and the next.
     pub hold_pace: Duration,
+    /// The time between two renewals while an end waits for its commit: the
+    /// worker lists it until it is acknowledged, so renewals would not wait for
+    /// the next one, and must still come well before a lease is over.
+    pub hold_pace_beside_commit: Duration,
     /// The time until a stop that was not answered is sent again.
     pub stop_retry: Duration,
     /// How long a job's outcome is kept.
@@ -122,6 +126,7 @@
             listed_ends_limit_count: 500,
             hold_wait: Duration::from_ms(800),
             hold_pace: Duration::from_ms(80),
+            hold_pace_beside_commit: Duration::from_ms(limit_ms.min(4000) / 4),
             stop_retry: Duration::from_ms(400),
             retention: Duration::from_s(300),
         }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -94,15 +94,18 @@
     pub(crate) fn renew_leases(&mut self, now: Instant, out: &mut Vec<Action>) {
         let length = self.grant_length();
         let wait = self.hold_wait(now);
+        let pace_beside_commit = self.config.hold_pace_beside_commit;
         for (key, worker) in self.workers.iter_mut() {
-            if !is_hold_due(worker, now) {
+            if !is_hold_due(worker, now, pace_beside_commit) {
                 continue;
             }
             worker.is_hold_open = true;
             // A silent worker is only asked: a grant that it may have received
             // would keep its runs from ever being given up.
             let is_granted = worker.is_synced && worker.unanswered_holds_count == 0;
-            let is_quick = !is_granted || worker.runs.is_empty();
+            // A renewal would not wait while an end is listed.
+            let has_listed_end = !worker.uncommitted_ends.is_empty();
+            let is_quick = !is_granted || worker.runs.is_empty() || has_listed_end;
             let until_ms = if is_granted {
                 worker.grant(now, length)
             } else {
@@ -398,18 +401,23 @@
     }
 }
 
-fn is_hold_due(worker: &Worker, now: Instant) -> bool {
+/// Returns whether a worker is to be asked; `pace_beside_commit` is the time
+/// between two renewals while an end waits for its commit.
+fn is_hold_due(worker: &Worker, now: Instant, pace_beside_commit: Duration) -> bool {
     if worker.is_gone || worker.is_hold_open || worker.facts.address.is_empty() {
         return false;
     }
-    if now < worker.next_hold_at || !worker.uncommitted_ends.is_empty() {
+    if now < worker.next_hold_at {
         return false;
     }
-    let has_news = worker.seen_end > worker.acked_end;
     let has_runs = worker
         .runs
         .values()
         .any(|run| run.phase != RunPhase::Recording);
+    if !worker.uncommitted_ends.is_empty() {
+        return has_runs && now.since(worker.granted_at) >= pace_beside_commit;
+    }
+    let has_news = worker.seen_end > worker.acked_end;
     has_runs
         || has_news
         || worker.has_unknown_run
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -110,6 +110,8 @@
     pub(crate) clock: Option<ClockReading>,
     /// When every lease granted to its runs is certainly over.
     pub(crate) leased_until: Instant,
+    /// When this leader granted a lease last.
+    pub(crate) granted_at: Instant,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
     serving_count: usize,
@@ -145,6 +147,7 @@
             has_unknown_run: false,
             clock: None,
             leased_until,
+            granted_at: Instant::default(),
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             serving_count: 0,
@@ -265,6 +268,7 @@
         let slack = clock_slack(length + age);
         let bound = now + length + slack + LEASE_MARGIN;
         self.leased_until = self.leased_until.max(bound);
+        self.granted_at = now;
         Some(clock.clock_ms + age.as_ms() + length.as_ms())
     }
 }
