Test: a gang's further ends are kept until the store has that it is done

The other members' ends then change nothing, and are acknowledged at once, before the store has the outcome. The same holds for any end that changes nothing while its job's change is not in the store. Test: output "the commit is open: left: 1, right: 0": the second worker is told to forget its end.

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -5,10 +5,10 @@
 use crate::support::worker::{FakeRun, FakeWorker};
 use crate::support::{first_task, job, placed_state, step};
 use ospreywing_scheduler::{
-    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, StartOrder, StartReply, TaskKey,
-    WorkerKey,
+    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, StartOrder, StartReply, StepSpec,
+    TaskKey, WorkerKey,
 };
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use rstest::rstest;
 
 /// The time between two looks of these tests.
@@ -304,3 +304,48 @@
         tasks[1]
     );
 }
+
+/// One end of a gang stands for all, and completes the job; until that is in the
+/// store, a new leader needs the ends of the other members too.
+#[test]
+fn take_end_of_gang_that_is_not_recorded_as_done() {
+    let pair = [FakeWorker::new("w0", 1000), FakeWorker::new("w1", 1000)];
+    let mut bench = Bench::new(Recovered::default(), &pair);
+    let gang = StepSpec {
+        is_gang: true,
+        demand: Resources::new(3000, 3000, 0),
+        ..step(2)
+    };
+    let other = StepSpec {
+        demand: Resources::new(1000, 1000, 0),
+        ..step(2)
+    };
+    bench.submit(1, vec![gang]);
+    bench.commit_all();
+    let members = bench.starts();
+    // The workers are asked on, since they have other runs too.
+    bench.submit(2, vec![other]);
+    bench.commit_all();
+    let others = bench.starts();
+    for start in members.iter().chain(&others) {
+        bench.started(*start);
+    }
+    bench.actions.clear();
+    for (worker, task, run) in &members {
+        let stays = others.iter().find(|(at, ..)| at == worker);
+        let stays = stays.expect("a run beside the gang's").1;
+        let ended = vec![end(1, *task, *run, EndKind::Done)];
+        bench.list_both(*worker, stays, ended);
+    }
+    // Less than the time after which leases are renewed beside a commit.
+    for _ in 0..10 {
+        bench.now = bench.now + STEP;
+        bench.tell(Event::Tick);
+    }
+    let may_forget = |action: &Action| matches!(action, Action::Hold { last_seen: 1, .. });
+    let forgotten_count = bench.actions.iter().filter(|a| may_forget(a)).count();
+    assert_eq!(forgotten_count, 0, "the commit is open");
+    bench.commit_all();
+    let forgotten_count = bench.actions.iter().filter(|a| may_forget(a)).count();
+    assert_eq!(forgotten_count, 2, "the job is recorded as complete");
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -94,7 +94,12 @@
     }
 
     pub fn list_running(&mut self, worker: WorkerKey, task: TaskKey) {
-        let stray = RunningRun {
+        self.list_both(worker, task, Vec::new());
+    }
+
+    /// Has a worker list a task's first run as alive, and ends.
+    pub fn list_both(&mut self, worker: WorkerKey, task: TaskKey, ended: Vec<EndedRun>) {
+        let alive = RunningRun {
             task,
             run: 1,
             checkpoint: None,
@@ -108,8 +113,8 @@
             sent_at,
             reply: HoldReply::Listed {
                 clock_ms: self.now.as_ms(),
-                running: vec![stray],
-                ended: Vec::new(),
+                running: vec![alive],
+                ended,
             },
         });
     }
