Acknowledge an end only when the store has its job's newest state

Cause and test: take_end_of_gang_that_is_not_recorded_as_done; it passes now. Change: an end that changes nothing waits, as one that does, for the commit of its job where one is due or on its way. An end of a job whose state is in the store, or that is not known, is acknowledged at once as before. Ruled out: waiting only where the job is complete in memory (a failure that is not recorded yet, or a second run's end, have the same effect).

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -49,14 +49,27 @@
         self.is_place_due = true;
         let changed = self.record_end(&end, is_current);
         if changed {
-            let number = end.number;
-            self.workers[key].uncommitted_ends.push(number);
+            self.touch(end.task.step.job, None);
+        }
+        self.ack_once_recorded(key, &end);
+        if changed {
+            self.after_end(now, &end, out);
+        }
+    }
+
+    /// Has the worker forget an end once the store has what its job's state is
+    /// now. An end that changes nothing may be one that an unrecorded change has
+    /// made needless, and a new leader would not know of that change.
+    fn ack_once_recorded(&mut self, key: WorkerKey, end: &EndedRun) {
+        let number = end.number;
+        let job = self.jobs.get_mut(&end.task.step.job);
+        if let Some(job) = job.filter(|job| job.is_dirty || job.is_on_its_way) {
             let effect = Effect::AckEnd {
                 worker: key,
                 number,
             };
-            self.touch(end.task.step.job, Some(effect));
-            self.after_end(now, &end, out);
+            job.effects.push((job.version, effect));
+            self.workers[key].uncommitted_ends.push(number);
         } else if self.workers[key].uncommitted_ends.is_empty() {
             let worker = &mut self.workers[key];
             worker.acked_end = worker.seen_end;
