--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -103,6 +103,15 @@
     lost_answer: 40,
     ..Faults::default()
 })]
+#[case::one_leader(Faults {
+    trouble: 30,
+    cut: 20,
+    lost_answer: 40,
+    late_order: 40,
+    crash: 5,
+    drain: 5,
+    ..Faults::default()
+})]
 fn scheduler_outlives_long_leases(#[case] faults: Faults) {
     for seed in seeds() {
         // Shown where the test fails.
