Keep jobs apart whose stored state can't be read

Cause: a new leader took a job for new whose state it could not read, and would have run again all that was done.

Change: such jobs are named in what is recovered. Nothing of them is started or stopped, a worker that runs something of theirs takes nothing more (its room is not known), and their ends are not acknowledged: a leader that can read the state needs them.

Ruled out: giving up the lead on such an item (one damaged item would leave the cell without a leader).

Before: assemble_unreadable_state failed. After: it passes, with take_job_unreadable, take_running_unreadable_job and take_end_unreadable_job, which the state of the code before could not be asked (no such field).

--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -50,6 +50,9 @@
 }
 
 /// Puts together what the store keeps of all jobs; what can't be read is logged.
+///
+/// A job whose state can't be read is none that has not begun: its tasks may
+/// run, or may be done. It is kept apart.
 pub fn assemble(log: &Logger, mut intake: Vec<Item>, states: &[Item], wall_ms: u64) -> Recovered {
     // The order in which jobs were accepted.
     intake.sort_by_key(|item| item.revision);
@@ -62,7 +65,10 @@
             Some(IntakeKey::Job(id)) => match StoredJob::from_bytes(&item.value) {
                 Ok(StoredJob::Accepted(record)) => recovered.jobs.push((id, *record)),
                 Ok(StoredJob::Ended(phase)) => recovered.ended.push((id, phase)),
-                Err(error) => damaged(log, &item.key, &error.to_string()),
+                Err(error) => {
+                    damaged(log, &item.key, &error.to_string());
+                    recovered.unreadable.push(id);
+                }
             },
             Some(IntakeKey::Cancel(id)) => recovered.cancels.push(id),
             None => damaged(log, &item.key, "unknown key"),
@@ -72,10 +78,15 @@
         let state = JobState::from_bytes(&item.value);
         match (keys::parse_state(&item.key), state) {
             (Some(id), Ok(state)) => recovered.states.push((id, state)),
-            (_, Err(error)) => damaged(log, &item.key, &error.to_string()),
+            (Some(id), Err(error)) => {
+                damaged(log, &item.key, &error.to_string());
+                recovered.unreadable.push(id);
+            }
             (None, _) => damaged(log, &item.key, "unknown key"),
         }
     }
+    let unreadable = &recovered.unreadable;
+    recovered.jobs.retain(|(id, _)| !unreadable.contains(id));
     recovered
 }
 
--- a/crates/control/tests/control/recovering.rs
+++ b/crates/control/tests/control/recovering.rs
@@ -53,9 +53,11 @@
 /// without it would begin from the start.
 #[test]
 fn assemble_unreadable_state() {
-    let intake = vec![accepted(1, 3), accepted(2, 4)];
+    let unreadable = item(keys::job(id(3)), vec![LATER_FORM, 1], 5);
+    let intake = vec![accepted(1, 3), accepted(2, 4), unreadable];
     let states = [item(keys::state(id(2)), vec![LATER_FORM, 1], 5)];
     let recovered = assemble(&log(), intake, &states, WALL_MS);
     let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
     assert_eq!(jobs, [id(1)]);
+    assert_eq!(recovered.unreadable, [id(3), id(2)]);
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -62,7 +62,13 @@
     /// made needless, and a new leader would not know of that change.
     fn ack_once_recorded(&mut self, key: WorkerKey, end: &EndedRun) {
         let number = end.number;
-        let job = self.jobs.get_mut(&end.task.step.job);
+        let id = end.task.step.job;
+        if self.unreadable.contains(&id) {
+            // Never acknowledged in this term.
+            self.workers[key].uncommitted_ends.push(number);
+            return;
+        }
+        let job = self.jobs.get_mut(&id);
         if let Some(job) = job.filter(|job| job.is_dirty || job.is_on_its_way) {
             let effect = Effect::AckEnd {
                 worker: key,
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -129,7 +129,7 @@
         record: JobRecord,
         out: &mut Vec<Action>,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.unreadable.contains(&id) {
             return;
         }
         let line = Decision::new(DecisionKind::JobTaken, "accepted")
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -239,6 +239,11 @@
         out: &mut Vec<Action>,
     ) {
         let task = listed.task;
+        if self.unreadable.contains(&task.step.job) {
+            // How much room it takes is not known.
+            self.workers[key].has_unknown_run = true;
+            return;
+        }
         self.note_begun(task.step.job);
         let worker = &mut self.workers[key];
         let to = worker.endpoint(key);
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -21,6 +21,8 @@
     pub cancels: Vec<JobId>,
     /// The jobs' progress, for those that have any.
     pub states: Vec<(JobId, JobState)>,
+    /// The jobs of which something can't be read: of a later form, or damaged.
+    pub unreadable: Vec<JobId>,
     /// The wall clock, in milliseconds since 1970.
     pub wall_ms: u64,
 }
@@ -47,6 +49,7 @@
         let mut scheduler = Self::empty(config, configuration);
         scheduler.inherited_until = lease_bound(now, config.inherited_limit);
         scheduler.wall_ms = recovered.wall_ms;
+        scheduler.unreadable = recovered.unreadable.into_iter().collect();
         let mut states: HashMap<JobId, JobState> = recovered.states.into_iter().collect();
         let cancelled: HashSet<JobId> = recovered.cancels.into_iter().collect();
         for (id, record) in recovered.jobs {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -65,6 +65,9 @@
     pub(crate) scheduled: Vec<JobId>,
     /// Jobs that have their outcome while a run of theirs may be alive.
     pub(crate) unsettled: BTreeSet<JobId>,
+    /// Jobs whose stored state can't be read. Nothing of them is started or
+    /// stopped, and their ends stay with the workers for a leader that can.
+    pub(crate) unreadable: BTreeSet<JobId>,
     pub(crate) next_order: u64,
     /// Where each task's run is.
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
@@ -104,6 +107,7 @@
             active: BTreeMap::new(),
             scheduled: Vec::new(),
             unsettled: BTreeSet::new(),
+            unreadable: BTreeSet::new(),
             next_order: 0,
             placements: HashMap::new(),
             advice: HashMap::new(),
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -210,6 +210,7 @@
             cancels: self.cancels.clone(),
             states: states.collect(),
             wall_ms: self.now_ms,
+            ..Recovered::default()
         };
         let config = SchedulerConfig::new(fence, Duration::from_ms(LEASE_LIMIT_MS))
             .with_leader_lease(Duration::from_ms(LEADER_LEASE_MS));
--- a/crates/scheduler/tests/scheduler/takeover.rs
+++ b/crates/scheduler/tests/scheduler/takeover.rs
@@ -1,8 +1,11 @@
-//! What a new leader does with the runs of jobs that have their outcome.
+//! What a new leader does with the runs of jobs that have their outcome, or
+//! that it can't read.
 
-use crate::support::bench::{workers, Bench};
-use crate::support::{job, placed_state, step};
-use ospreywing_scheduler::{Event, JobId, JobState, Phase, Recovered, TaskKey, WorkerKey};
+use crate::support::bench::{end, workers, Bench};
+use crate::support::{first_task, job, placed_state, step};
+use ospreywing_scheduler::{
+    Action, EndKind, Event, JobId, JobState, Phase, Recovered, TaskKey, WorkerKey,
+};
 
 /// Returns a leader of which a run has begun, and the run.
 fn after_start() -> (Bench, TaskKey, u32) {
@@ -61,3 +64,49 @@
         "with the first list"
     );
 }
+
+/// Returns the next leader, which can't read the job, and the job's only run,
+/// which an earlier leader started.
+fn next_leader_without_state() -> (Bench, WorkerKey, TaskKey) {
+    let kept = Recovered {
+        unreadable: vec![JobId::new(1)],
+        ..Recovered::default()
+    };
+    let mut next = Bench::new(kept, &[]);
+    next.list_worker(&workers(1)[0]);
+    let worker = next.scheduler.worker_key("w0").expect("a listed worker");
+    (next, worker, first_task(JobId::new(1)))
+}
+
+#[test]
+fn take_job_unreadable() {
+    let (mut next, worker, _) = next_leader_without_state();
+    next.list(worker, Vec::new());
+    // Its client hands it in again.
+    next.submit(1, vec![step(1)]);
+    next.commit_all();
+    assert_eq!(next.starts(), vec![]);
+}
+
+#[test]
+fn take_running_unreadable_job() {
+    let (mut next, worker, task) = next_leader_without_state();
+    next.list_running(worker, task);
+    next.submit(2, vec![step(1)]);
+    next.commit_all();
+    assert_eq!(next.stops(), vec![]);
+    assert_eq!(next.starts(), vec![], "its room is not known");
+}
+
+/// A leader that can read the job needs the end.
+#[test]
+fn take_end_unreadable_job() {
+    let (mut next, worker, task) = next_leader_without_state();
+    let ended = vec![end(1, task, 1, EndKind::Done)];
+    next.list(worker, ended);
+    next.submit(2, vec![step(1)]);
+    next.commit_all();
+    let forgets =
+        |action: &Action| matches!(action, Action::Hold { last_seen, .. } if *last_seen > 0);
+    assert!(!next.actions.iter().any(forgets));
+}
