--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration and the scheduler's own constants.
 
 use ospreywing_types::Duration;
+use std::collections::HashMap;
 
 /// How a queue's advice is to be asked for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,8 +53,8 @@
 pub struct Configuration {
     /// The version; a higher one is newer.
     pub version: u64,
-    /// The queues.
-    pub queues: Vec<Queue>,
+    /// The queues by name: there may be thousands, and each job looks its own up.
+    pub queues: HashMap<String, Queue>,
     /// The services.
     pub services: Vec<ServicePolicy>,
 }
@@ -61,7 +62,7 @@
 impl Configuration {
     /// Returns a queue by its name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.name == name)
+        self.queues.get(name)
     }
 }
 
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -34,7 +34,9 @@
     };
     Configuration {
         version: 1,
-        queues: vec![queue(QUEUE, 1), queue(PATIENT_QUEUE, 2)],
+        queues: [queue(QUEUE, 1), queue(PATIENT_QUEUE, 2)]
+            .map(|queue| (queue.name.clone(), queue))
+            .into(),
         services: vec![ServicePolicy {
             name: SERVICE.to_owned(),
         }],
