--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,8 +1,10 @@
 //! The command line.
 
+use crate::soak::Seeds;
 use clap::{value_parser, Arg, ArgAction, Command};
 use clap_complete::Shell;
 use ospreywing_types::{Key, Name};
+use std::path::PathBuf;
 
 const DAEMONS_HELP: &str = "IP:port of daemons, any of which will do, with commas between them";
 
@@ -72,6 +74,7 @@
         .subcommand(replay())
         .subcommand(explain())
         .subcommand(check_settings())
+        .subcommand(soak())
         .subcommand(
             Command::new("completions")
                 .about("Prints completions for a shell")
@@ -221,3 +224,45 @@
         .about("Checks a daemon's settings, given as its flags or in the environment")
         .args(ospreywing_settings::arguments())
 }
+
+fn soak() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    let path = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name(value)
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    Command::new("soak")
+        .about("Starts nodes on this machine, injects faults, and checks the promises")
+        .arg(number("seed", "1", "The seed of the run"))
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("A..B")
+                .value_parser(Seeds::parse)
+                .conflicts_with("seed")
+                .help("Play one run after the other, A and B among them"),
+        )
+        .arg(number("seconds", "20", "How long faults go on in each run"))
+        .arg(number("boxes", "4", "Nodes, each a process"))
+        .arg(number("workers", "8", "Workers of the stand-in"))
+        .arg(
+            path("plan", "FILE", "Play this plan instead of drawing one")
+                .conflicts_with_all(["seed", "seeds"]),
+        )
+        .arg(path("report", "DIR", "Where logs, plans and stories go").default_value("target/soak"))
+        .arg(path(
+            "binary",
+            "FILE",
+            "The nodes' program [default: ospreywing-platformd beside this one]",
+        ))
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -51,6 +51,9 @@
     /// Another operator changed the row first.
     #[error("{0}")]
     Conflict(String),
+    /// A soak found a broken promise, or could not be played.
+    #[error("{0}")]
+    Broken(String),
     /// Nothing is known of what became of the request.
     #[error("unknown: {0}")]
     Unknown(String),
@@ -69,6 +72,7 @@
             Self::Usage(_) | Self::File { .. } => ExitKind::Usage,
             Self::Unreachable(_) => ExitKind::NotRun,
             Self::Lost(_) | Self::Unknown(_) => ExitKind::Unknown,
+            Self::Broken(_) => ExitKind::Failure,
             Self::Refused { retry_after_ms, .. } => match retry_after_ms {
                 Some(_) => ExitKind::NotRun,
                 None => ExitKind::Failure,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod report;
 mod run;
 mod settings_check;
+mod soak;
 mod table_commands;
 mod task_commands;
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,9 +3,13 @@
 use ospreywing_cli::{command, run, ExitKind};
 use std::process::ExitCode;
 
+/// A soak plays the platform for many nodes at once; the other commands need one.
+const THREADS_COUNT: usize = 4;
+
 fn main() -> ExitCode {
     let matches = command::command().get_matches();
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS_COUNT)
         .enable_all()
         .build();
     let runtime = match runtime {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,7 +3,7 @@
 use crate::client::Daemons;
 use crate::print::Format;
 use crate::{
-    delays, explain, replay, report, settings_check, table_commands, task_commands, CliError,
+    delays, explain, replay, report, settings_check, soak, table_commands, task_commands, CliError,
 };
 use clap::ArgMatches;
 use clap_complete::{generate, Shell};
@@ -35,6 +35,7 @@
         Some(("replay", matches)) => replay::run(format, matches),
         Some(("explain", matches)) => explain::run(format, matches),
         Some(("check-settings", matches)) => settings_check::run(matches),
+        Some(("soak", matches)) => soak::run(matches).await,
         Some(("completions", matches)) => {
             print_completions(matches);
             Ok(())
--- /dev/null
+++ b/crates/soak/src/adviser.rs
@@ -0,0 +1,54 @@
+//! The platform's adviser: it knows which workers may run a step.
+
+use crate::server::{serve, told};
+use crate::work::StepName;
+use http::StatusCode;
+use serde_json::{json, Value};
+use siphasher::sip::SipHasher13;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a ticket is said to hold. The stand-in's tickets hold for good: a
+/// late order is then carried out, which is the harder case.
+const VALIDITY_MS: u64 = 2500;
+/// The time that a decision takes, and that for each worker that is named.
+const DECISION: Duration = Duration::from_millis(5);
+const PER_WORKER: Duration = Duration::from_micros(200);
+
+/// Of a hundred workers, those that may run a step.
+pub const ALL_PERCENT: u64 = 100;
+
+fn hash_of(step: &StepName, worker: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    step.hash(&mut hasher);
+    worker.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the ticket of a step at a life of a worker.
+pub fn ticket_of(step: &StepName, worker: &str) -> String {
+    format!("{:016x}", hash_of(step, worker))
+}
+
+/// Starts an adviser that finds so many of a hundred workers good.
+pub async fn start(good_percent: u64) -> SocketAddr {
+    serve(move |asked| async move {
+        let step = StepName::parse(asked.body["step"].as_str().unwrap_or_default());
+        let Some(step) = step else {
+            return told(StatusCode::BAD_REQUEST, json!({}));
+        };
+        let named = asked.body["workers"].as_array().cloned();
+        let named = named.unwrap_or_default();
+        let time = DECISION + PER_WORKER * named.len() as u32;
+        tokio::time::sleep(time).await;
+        let good = named.iter().filter_map(Value::as_str);
+        let good: Vec<Value> = good
+            .filter(|id| hash_of(&step, id) % ALL_PERCENT < good_percent)
+            .map(|id| json!([id, ticket_of(&step, id)]))
+            .collect();
+        let body = json!({ "good": good, "validityMs": VALIDITY_MS });
+        told(StatusCode::OK, body)
+    })
+    .await
+}
--- /dev/null
+++ b/crates/soak/src/balancer.rs
@@ -0,0 +1,54 @@
+//! The platform's balancer: it asks each node whether it is ready.
+
+use crate::cell::Cell;
+use crate::event::NodeIndex;
+use http::Request;
+use http_body_util::Empty;
+use hyper::body::Bytes;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How often each node is asked.
+const PERIOD: Duration = Duration::from_millis(300);
+/// How long it waits for an answer.
+const LIMIT: Duration = Duration::from_millis(300);
+/// A node that misses so many is out.
+const MISSES_COUNT: u32 = 2;
+
+/// Asks whether a node is ready.
+pub async fn is_ready(address: SocketAddr) -> bool {
+    let asked = tokio::time::timeout(LIMIT, ask(address)).await;
+    asked.ok().flatten().unwrap_or(false)
+}
+
+async fn ask(address: SocketAddr) -> Option<bool> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::get("/v1/ready")
+        .header("host", "balancer")
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    Some(response.status() == 200)
+}
+
+/// Looks after one node for as long as the task lives.
+pub async fn watch(cell: Arc<Cell>, node: NodeIndex) {
+    let mut misses_count = 0;
+    loop {
+        let is_ready = match cell.ready_address(node).await {
+            Some(address) => is_ready(address).await,
+            None => false,
+        };
+        misses_count = if is_ready { 0 } else { misses_count + 1 };
+        if is_ready || misses_count >= MISSES_COUNT {
+            cell.set_in(node, is_ready);
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/cell.rs
@@ -0,0 +1,339 @@
+//! A cell: nodes as processes, and a link between each two that speak.
+
+use crate::adviser;
+use crate::checker::GRACE_MS;
+use crate::configuration::configuration;
+use crate::error::SoakError;
+use crate::event::{Event, NodeIndex, ProcessEvent};
+use crate::plan::{Peer, Plan, Who, NARROW_BYTES_PER_S};
+use crate::process::{ip_of, Listening, Process, ProcessSettings};
+use crate::proxy::{Link, LinkFault, Way};
+use crate::recorder::Recorder;
+use crate::store::Store;
+use crate::worker::Room;
+use crate::workers::Workers;
+use rustix::process::Signal;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::Mutex;
+
+/// What each worker holds: a few tasks.
+const ROOM: Room = Room {
+    cpu_milli: 4000,
+    memory_mb: 4000,
+};
+/// Of a hundred workers, those that may run a step.
+const GOOD_PERCENT: u64 = 75;
+/// The shares of a core that the nodes have, in hundredths, in turn.
+const SHARES_PERCENT: [u32; 3] = [100, 50, 25];
+const LEADER_KEY: &str = "ospreywing/cell/leader";
+/// How often the ends of processes are looked for.
+const WATCH_PERIOD: Duration = Duration::from_millis(20);
+/// What a stop may take beyond the grace before the platform kills.
+const KILL_SLACK_MS: u64 = 2000;
+
+/// One node with its links.
+pub struct Node {
+    settings: ProcessSettings,
+    process: Mutex<Option<Process>>,
+    /// How many processes it has had.
+    lives_count: AtomicU64,
+    /// The callers' way to it.
+    pub front: Link,
+    /// Its way to the store.
+    pub store: Link,
+    /// Its way to the adviser.
+    pub adviser: Link,
+    /// Its ways to the workers.
+    pub workers: Vec<Link>,
+    /// Its ways to the other nodes; none to itself.
+    pub peers: Vec<Option<Link>>,
+    /// Whether new connections come here.
+    is_in: AtomicBool,
+}
+
+/// One of the processes that a node has had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessLife(u64);
+
+/// A cell.
+pub struct Cell {
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// The store.
+    pub store: Store,
+    /// The workers.
+    pub workers: Workers,
+    /// What is seen.
+    pub recorder: Recorder,
+}
+
+impl Cell {
+    /// Starts stand-ins, links and nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SoakError`] where something does not start.
+    pub async fn start(
+        plan: &Plan,
+        binary: &Path,
+        dir: &Path,
+        recorder: &Recorder,
+    ) -> Result<Self, SoakError> {
+        let (store, _) = Store::start().await;
+        store.set_large_pages();
+        store.write("op/config", &configuration(&plan.versions, 0));
+        let workers = Workers::start(plan.size.workers_count, ROOM, &store, recorder).await;
+        let adviser = adviser::start(GOOD_PERCENT).await;
+        let mut nodes = Vec::new();
+        for index in 0..plan.size.boxes_count {
+            let store_address = store.serve_node(NodeIndex(index)).await;
+            let store_link = Link::start(Some(store_address)).await?;
+            if plan.narrow_nodes.contains(&index) {
+                store_link.set_usual(narrow());
+            }
+            let adviser_link = Link::start(Some(adviser)).await?;
+            let settings = ProcessSettings {
+                binary: binary.to_owned(),
+                dir: dir.to_owned(),
+                name: NodeIndex(index).to_string(),
+                ip: ip_of(index),
+                store: store_link.address,
+                adviser: adviser_link.address,
+                share_percent: SHARES_PERCENT[index % SHARES_PERCENT.len()],
+            };
+            nodes.push(Node {
+                settings,
+                process: Mutex::new(None),
+                lives_count: AtomicU64::new(0),
+                front: Link::start(None).await?,
+                store: store_link,
+                adviser: adviser_link,
+                workers: worker_links(plan, index, &workers, &store).await?,
+                peers: peer_links(plan, index).await?,
+                is_in: AtomicBool::new(false),
+            });
+        }
+        let cell = Self {
+            nodes,
+            store,
+            workers,
+            recorder: recorder.clone(),
+        };
+        for index in 0..cell.nodes.len() {
+            cell.start_node(NodeIndex(index), None).await?;
+        }
+        Ok(cell)
+    }
+
+    /// Starts a node's process, at the given addresses or others.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SoakError`] where it does not start.
+    pub async fn start_node(
+        &self,
+        index: NodeIndex,
+        at: Option<Listening>,
+    ) -> Result<(), SoakError> {
+        let node = &self.nodes[index.0];
+        let mut slot = node.process.lock().await;
+        if slot.is_some() {
+            return Ok(());
+        }
+        let process = Process::start(&node.settings, at).await?;
+        let listening = process.listening;
+        for (other, viewer) in self.nodes.iter().enumerate() {
+            if let Some(link) = &viewer.peers[index.0] {
+                link.set_target(Some(listening.peer));
+                let viewer = NodeIndex(other);
+                self.store.set_detour(viewer, listening.peer, link.address);
+            }
+        }
+        node.front.set_target(Some(listening.front));
+        *slot = Some(process);
+        node.lives_count.fetch_add(1, Ordering::Relaxed);
+        let started = Event::Process(index, ProcessEvent::Started);
+        self.recorder.see(started);
+        Ok(())
+    }
+
+    /// Sends a signal to a node's process, if it has one; returns which.
+    pub async fn signal(&self, index: NodeIndex, signal: Signal) -> ProcessLife {
+        let node = &self.nodes[index.0];
+        let mut slot = node.process.lock().await;
+        let life = ProcessLife(node.lives_count.load(Ordering::Relaxed));
+        let Some(process) = slot.as_mut() else {
+            return life;
+        };
+        let event = match signal {
+            Signal::TERM => Some(ProcessEvent::Terminated),
+            Signal::KILL => Some(ProcessEvent::Killed),
+            _ => None,
+        };
+        if let Some(event) = event {
+            self.recorder.see(Event::Process(index, event));
+        }
+        process.signal(signal);
+        life
+    }
+
+    /// Waits for one of a node's processes to end, and returns where it
+    /// listened; none where another fault has seen to its end.
+    pub async fn wait_for_end(&self, index: NodeIndex, life: ProcessLife) -> Option<Listening> {
+        loop {
+            let ended = self.take_end(index, life).await;
+            match ended {
+                Ended::NotThere => return None,
+                Ended::Here(listening) => return Some(listening),
+                Ended::NotYet => tokio::time::sleep(WATCH_PERIOD).await,
+            }
+        }
+    }
+
+    /// Waits for a stop, kills what does not stop, as the platform does.
+    pub async fn wait_for_stop(&self, index: NodeIndex, life: ProcessLife) -> Option<Listening> {
+        let limit = Duration::from_millis(GRACE_MS + KILL_SLACK_MS);
+        match tokio::time::timeout(limit, self.wait_for_end(index, life)).await {
+            Ok(listening) => listening,
+            Err(_) => {
+                let life = self.signal(index, Signal::KILL).await;
+                self.wait_for_end(index, life).await
+            }
+        }
+    }
+
+    async fn take_end(&self, index: NodeIndex, life: ProcessLife) -> Ended {
+        let node = &self.nodes[index.0];
+        let mut slot = node.process.lock().await;
+        if life != ProcessLife(node.lives_count.load(Ordering::Relaxed)) {
+            return Ended::NotThere;
+        }
+        let Some(process) = slot.as_mut() else {
+            return Ended::NotThere;
+        };
+        let Some(code) = process.exit_code() else {
+            return Ended::NotYet;
+        };
+        let listening = process.listening;
+        *slot = None;
+        self.recorder
+            .see(Event::Process(index, ProcessEvent::Ended(code)));
+        Ended::Here(listening)
+    }
+
+    /// Looks for processes that have ended by themselves.
+    pub async fn see_unasked_ends(&self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let mut slot = node.process.lock().await;
+            let code = slot.as_mut().and_then(Process::unasked_exit);
+            if let Some(code) = code {
+                let event = Event::Process(NodeIndex(index), ProcessEvent::Ended(code));
+                self.recorder.see(event);
+            }
+        }
+    }
+
+    /// Kills every process and waits until they are gone.
+    pub async fn end(&self) {
+        for node in &self.nodes {
+            node.process.lock().await.take();
+        }
+    }
+
+    /// Returns where a node tells whether it is ready.
+    pub async fn ready_address(&self, index: NodeIndex) -> Option<std::net::SocketAddr> {
+        let slot = self.nodes[index.0].process.lock().await;
+        slot.as_ref().map(|process| process.listening.ready)
+    }
+
+    /// Returns which node leads.
+    pub fn leader(&self) -> Option<NodeIndex> {
+        let record = self.store.read(LEADER_KEY)?;
+        // The record begins with the name, behind its length.
+        let length = usize::from(*record.first()?);
+        let name = record.get(1..=length)?;
+        let mut nodes = self.nodes.iter();
+        let found = nodes.position(|node| node.settings.name.as_bytes() == name);
+        found.map(NodeIndex)
+    }
+
+    /// Returns the node that is meant.
+    pub fn resolve(&self, who: Who) -> NodeIndex {
+        match who {
+            Who::Leader => self.leader().unwrap_or(NodeIndex(0)),
+            Who::Node(index) => NodeIndex(index % self.nodes.len()),
+        }
+    }
+
+    /// Returns the links that are meant.
+    pub fn links(&self, index: NodeIndex, to: Peer) -> Vec<Link> {
+        let node = &self.nodes[index.0];
+        match to {
+            Peer::Store => vec![node.store.clone()],
+            Peer::Adviser => vec![node.adviser.clone()],
+            Peer::Callers => vec![node.front.clone()],
+            Peer::Workers => node.workers.clone(),
+            Peer::Worker(worker) => node.workers.get(worker).cloned().into_iter().collect(),
+            Peer::Node(other) => {
+                let other = node.peers.get(other).cloned().flatten();
+                other.into_iter().collect()
+            }
+        }
+    }
+
+    /// Notes whether new connections come to a node.
+    pub fn set_in(&self, index: NodeIndex, is_in: bool) {
+        self.nodes[index.0].is_in.store(is_in, Ordering::Relaxed);
+    }
+
+    /// Returns whether new connections come to a node.
+    pub fn is_in(&self, index: NodeIndex) -> bool {
+        self.nodes[index.0].is_in.load(Ordering::Relaxed)
+    }
+}
+
+enum Ended {
+    NotThere,
+    NotYet,
+    Here(Listening),
+}
+
+fn narrow() -> LinkFault {
+    let way = Way {
+        rate_bytes_per_s: NARROW_BYTES_PER_S,
+        ..Way::default()
+    };
+    LinkFault { up: way, down: way }
+}
+
+async fn worker_links(
+    plan: &Plan,
+    index: usize,
+    workers: &Workers,
+    store: &Store,
+) -> Result<Vec<Link>, SoakError> {
+    let mut links = Vec::new();
+    for worker in 0..plan.size.workers_count {
+        let address = workers.serve_node(worker, NodeIndex(index)).await;
+        let link = Link::start(Some(address)).await?;
+        store.set_detour(NodeIndex(index), workers.address(worker), link.address);
+        links.push(link);
+    }
+    Ok(links)
+}
+
+async fn peer_links(plan: &Plan, index: usize) -> Result<Vec<Option<Link>>, SoakError> {
+    let mut links = Vec::new();
+    for other in 0..plan.size.boxes_count {
+        let link = if other == index {
+            None
+        } else {
+            // The text of its address is as long as the node's own.
+            Some(Link::start_at(ip_of(other), None).await?)
+        };
+        links.push(link);
+    }
+    Ok(links)
+}
--- /dev/null
+++ b/crates/soak/src/checker/calm.rs
@@ -0,0 +1,77 @@
+//! Which nodes were disturbed, and until when.
+
+use crate::event::{NodeIndex, Scope};
+use std::collections::BTreeMap;
+
+/// How long a node has to have been undisturbed to count as in touch, as
+/// `contactMs` in the settings.
+pub const CONTACT_MS: u64 = 3000;
+
+#[derive(Clone, Debug, Default)]
+struct Disturbance {
+    active: Vec<usize>,
+    ended_ms: Option<u64>,
+}
+
+impl Disturbance {
+    fn begin(&mut self, number: usize) {
+        self.active.push(number);
+    }
+
+    fn end(&mut self, number: usize, now_ms: u64) {
+        self.active.retain(|one| *one != number);
+        self.ended_ms = Some(now_ms);
+    }
+
+    fn is_calm_since(&self, since_ms: u64) -> bool {
+        self.active.is_empty() && self.ended_ms.is_none_or(|ended_ms| ended_ms < since_ms)
+    }
+}
+
+/// The disturbances of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Calm {
+    all: Disturbance,
+    workers: Disturbance,
+    nodes: BTreeMap<NodeIndex, Disturbance>,
+}
+
+impl Calm {
+    fn of(&mut self, scope: Scope) -> &mut Disturbance {
+        match scope {
+            Scope::All => &mut self.all,
+            Scope::Workers => &mut self.workers,
+            Scope::Node(node) => self.nodes.entry(node).or_default(),
+        }
+    }
+
+    /// Notes that a fault begins.
+    pub fn begin(&mut self, scope: Scope, number: usize) {
+        self.of(scope).begin(number);
+    }
+
+    /// Notes that a fault ends.
+    pub fn end(&mut self, scope: Scope, number: usize, now_ms: u64) {
+        self.of(scope).end(number, now_ms);
+    }
+
+    /// Notes that a node was disturbed for a moment.
+    pub fn touch(&mut self, node: NodeIndex, now_ms: u64) {
+        self.of(Scope::Node(node)).ended_ms = Some(now_ms);
+    }
+
+    /// Returns whether a node was in touch at an instant and has been since.
+    pub fn is_in_touch(&self, node: NodeIndex, at_ms: u64) -> bool {
+        let since_ms = at_ms.saturating_sub(CONTACT_MS);
+        let is_calm = |node: &Disturbance| node.is_calm_since(since_ms);
+        self.all.is_calm_since(since_ms) && self.nodes.get(&node).is_none_or(is_calm)
+    }
+
+    /// Returns whether nothing at all was disturbed since an instant.
+    pub fn is_all_calm(&self, since_ms: u64) -> bool {
+        let mut nodes = self.nodes.values();
+        self.all.is_calm_since(since_ms)
+            && self.workers.is_calm_since(since_ms)
+            && nodes.all(|node| node.is_calm_since(since_ms))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/checker/mod.rs
@@ -0,0 +1,521 @@
+//! Judges what callers and workers saw, one event after the other.
+//!
+//! It reads nothing of the product: no log, nothing in the store. Without I/O
+//! and clocks.
+
+mod calm;
+mod jobs;
+mod processes;
+mod tasks;
+mod versions;
+
+pub use calm::CONTACT_MS;
+pub use jobs::{JobFacts, StepFacts};
+pub use processes::GRACE_MS;
+pub use versions::APPLY_MS;
+
+use crate::event::{Asked, CallName, Event, How, NodeIndex, Outcome, RunName, WorkerEvent};
+use calm::Calm;
+use jobs::Job;
+use processes::Processes;
+use std::collections::BTreeMap;
+use std::fmt;
+use tasks::{Start, Tasks};
+use versions::{Shown, Versions};
+
+/// The time in which a job has to be known everywhere, as `visible_ms`.
+const VISIBLE_MS: u64 = 3000;
+/// The time in which a cancel has to stop starts, as `cancel_ms`.
+const CANCEL_MS: u64 = 3000;
+/// How long nothing may have been disturbed where a gang's member ends alone:
+/// its start, its wait, and the leases before it.
+const ALONE_CALM_MS: u64 = 15_000;
+
+/// A promise, by the name of its rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// A task runs in one place, and not again after it has ended well.
+    Twice,
+    /// No worker is given more than it holds.
+    Limit,
+    /// Steps in order, rounds in time.
+    Order,
+    /// Attempts.
+    Budget,
+    /// Nothing that nobody asked for.
+    Unasked,
+    /// What was refused never runs.
+    Refused,
+    /// States are true.
+    Mixed,
+    /// Nothing that was accepted is lost, and a planned stop cuts nothing off.
+    Lost,
+    /// Versions are in force in time and never go back.
+    Config,
+    /// One holder for each token.
+    One,
+    /// Gangs are whole.
+    Gang,
+    /// Processes end when they are told to, and well.
+    Process,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&format!("{self:?}").to_uppercase())
+    }
+}
+
+/// A broken promise.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// The promise.
+    pub rule: Rule,
+    /// The task, job or node.
+    pub subject: String,
+    /// What happened.
+    pub text: String,
+    /// When.
+    pub at_ms: u64,
+    /// What was seen of the subject, and what was done to the cell.
+    pub story: Vec<String>,
+}
+
+/// How many things were seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Counts {
+    /// Calls that ended.
+    pub calls_count: u64,
+    /// Jobs that were accepted.
+    pub accepted_count: u64,
+    /// Calls that were refused.
+    pub refused_count: u64,
+    /// Calls without a whole answer.
+    pub unanswered_count: u64,
+    /// Starts.
+    pub starts_count: u64,
+    /// Ends that were done.
+    pub done_count: u64,
+    /// Runs that were lost, lapsed or broken.
+    pub cut_short_count: u64,
+    /// Versions that were acknowledged.
+    pub versions_count: u64,
+    /// Answers that told a version.
+    pub versions_shown_count: u64,
+    /// Those of nodes in touch, which the bounds in time hold for.
+    pub versions_judged_count: u64,
+    /// Requests under way at a node that was told to stop.
+    pub stopping_calls_count: u64,
+}
+
+/// The checker.
+#[derive(Debug, Default)]
+pub struct Checker {
+    jobs: BTreeMap<String, Job>,
+    tasks: Tasks,
+    versions: Versions,
+    processes: Processes,
+    calm: Calm,
+    holders: BTreeMap<u64, NodeIndex>,
+    sent_ms: BTreeMap<u64, u64>,
+    history: Vec<(u64, Event)>,
+    counts: Counts,
+    violation: Option<Violation>,
+}
+
+type Broken = Option<(Rule, String)>;
+
+impl Checker {
+    /// Creates a checker for links over which a version takes so long.
+    pub fn new(version_link_ms: u64) -> Self {
+        Self {
+            versions: Versions::new(version_link_ms),
+            ..Self::default()
+        }
+    }
+
+    /// Learns of a job before it is handed in.
+    pub fn expect(&mut self, job: &str, facts: JobFacts) {
+        let job = self.jobs.entry(job.to_owned()).or_default();
+        job.facts = facts;
+    }
+
+    /// Returns the first broken promise.
+    pub fn violation(&self) -> Option<&Violation> {
+        self.violation.as_ref()
+    }
+
+    /// Returns how many things were seen.
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns the jobs that are owed an outcome.
+    pub fn owed(&self) -> Vec<String> {
+        let owed = self.jobs.iter().filter(|(_, job)| job.is_owed());
+        owed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the accepted jobs that last and were not cancelled for certain.
+    pub fn lasting(&self) -> Vec<String> {
+        let is_lasting =
+            |job: &Job| job.facts.is_lasting && job.is_possible() && job.cancel_acked_ms.is_none();
+        let lasting = self.jobs.iter().filter(|(_, job)| is_lasting(job));
+        lasting.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns what still runs of jobs that have an outcome.
+    pub fn strays(&self) -> Vec<RunName> {
+        let ended = self.jobs.iter().filter(|(_, job)| job.outcome.is_some());
+        ended.flat_map(|(id, _)| self.tasks.live(id)).collect()
+    }
+
+    /// Notes that a promise is broken which only the end of a run shows.
+    pub fn accuse(&mut self, at_ms: u64, rule: Rule, subject: &str, text: &str) {
+        self.note_broken(at_ms, subject.to_owned(), Some((rule, text.to_owned())));
+    }
+
+    /// Takes an event.
+    pub fn see(&mut self, at_ms: u64, event: Event) {
+        let (subject, broken) = self.judge(at_ms, &event);
+        let is_kept = !matches!(event, Event::Worker(WorkerEvent::Ordered { .. }));
+        if is_kept {
+            self.history.push((at_ms, event));
+        }
+        self.note_broken(at_ms, subject, broken);
+    }
+
+    fn note_broken(&mut self, at_ms: u64, subject: String, broken: Broken) {
+        let Some((rule, text)) = broken else { return };
+        if self.violation.is_some() {
+            return;
+        }
+        let story = self.story(&subject);
+        self.violation = Some(Violation {
+            rule,
+            subject,
+            text,
+            at_ms,
+            story,
+        });
+    }
+
+    fn judge(&mut self, at_ms: u64, event: &Event) -> (String, Broken) {
+        match event {
+            Event::Worker(event) => self.judge_worker(at_ms, event),
+            Event::CallBegan(call) => {
+                self.begin_call(at_ms, call);
+                (String::new(), None)
+            }
+            Event::CallEnded(call, outcome) => self.judge_call(at_ms, call, outcome),
+            Event::ConfigSent(_) => (String::new(), None),
+            Event::ConfigAcknowledged(version) => {
+                self.counts.versions_count += 1;
+                self.versions.acknowledge(*version, at_ms);
+                (String::new(), None)
+            }
+            Event::Fault {
+                number,
+                scope,
+                has_begun,
+                ..
+            } => {
+                if *has_begun {
+                    self.calm.begin(*scope, *number);
+                } else {
+                    self.calm.end(*scope, *number, at_ms);
+                }
+                (String::new(), None)
+            }
+            Event::Process(node, event) => {
+                let broken = self.processes.see(*node, *event, at_ms, &self.calm);
+                if *event != crate::event::ProcessEvent::Terminated {
+                    self.calm.touch(*node, at_ms);
+                }
+                if *event == crate::event::ProcessEvent::Started {
+                    self.versions.begin_life(*node);
+                }
+                (node.to_string(), broken)
+            }
+        }
+    }
+
+    fn judge_worker(&mut self, at_ms: u64, event: &WorkerEvent) -> (String, Broken) {
+        match event {
+            WorkerEvent::Ordered { fence, from, .. } => {
+                let holder = *self.holders.entry(*fence).or_insert(*from);
+                let text = format!("{holder} and {from} give orders under fence {fence}");
+                let broken = (holder != *from).then_some((Rule::One, text));
+                (from.to_string(), broken)
+            }
+            WorkerEvent::Began { run, .. } => {
+                self.counts.starts_count += 1;
+                let subject = run.task.to_string();
+                (subject, self.judge_start(at_ms, event))
+            }
+            WorkerEvent::Ended { run, how } => {
+                match how {
+                    How::Done => self.counts.done_count += 1,
+                    How::Failed | How::Stopped => {}
+                    _ => self.counts.cut_short_count += 1,
+                }
+                let broken = self.tasks.see(event);
+                let broken = broken.or_else(|| self.judge_alone(at_ms, run, *how));
+                (run.task.to_string(), broken)
+            }
+            WorkerEvent::Noted { run, .. } => (run.task.to_string(), self.tasks.see(event)),
+        }
+    }
+
+    /// Returns whether a node was in touch at an instant and has been since.
+    fn is_in_touch(&self, node: NodeIndex, at_ms: u64) -> bool {
+        self.calm.is_in_touch(node, at_ms) && !self.processes.is_stopping(node)
+    }
+
+    fn judge_alone(&self, at_ms: u64, run: &RunName, how: How) -> Broken {
+        let job = self.jobs.get(&run.task.step.job)?;
+        let is_calm = self.calm.is_all_calm(at_ms.saturating_sub(ALONE_CALM_MS));
+        let is_broken = how == How::Alone && is_calm && job.cancel_sent_ms.is_none();
+        is_broken.then(|| (Rule::Gang, "it waited in vain for the others".to_owned()))
+    }
+
+    fn judge_start(&mut self, at_ms: u64, event: &WorkerEvent) -> Broken {
+        let WorkerEvent::Began {
+            run,
+            from,
+            text,
+            checkpoint,
+            is_beyond_room,
+            is_late,
+            ..
+        } = event
+        else {
+            return None;
+        };
+        let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
+            return Some((Rule::Unasked, "nobody handed such a job in".to_owned()));
+        };
+        job.has_begun = true;
+        let start = Start {
+            run,
+            checkpoint: checkpoint.as_deref(),
+            is_beyond_room: *is_beyond_room,
+            is_late: *is_late,
+            job,
+            now_ms: at_ms,
+        };
+        let broken = self.tasks.begin(&start);
+        if broken.is_some() {
+            return broken;
+        }
+        if !job.is_possible() {
+            return Some((Rule::Refused, "every attempt was refused".to_owned()));
+        }
+        if job.facts.text != *text {
+            return Some((Rule::Unasked, "its text is another".to_owned()));
+        }
+        let acked_ms = job.cancel_acked_ms?;
+        let is_over = at_ms > acked_ms + CANCEL_MS && !is_late;
+        let is_broken = is_over && self.is_in_touch(*from, acked_ms);
+        let text = format!("{from} starts it; its cancel was acknowledged at {acked_ms} ms");
+        is_broken.then_some((Rule::Unasked, text))
+    }
+
+    fn begin_call(&mut self, at_ms: u64, call: &CallName) {
+        self.sent_ms.insert(call.number, at_ms);
+        match &call.asked {
+            Asked::Submit(job) => self.jobs.entry(job.clone()).or_default().open_count += 1,
+            Asked::Cancel(job) => {
+                let job = self.jobs.entry(job.clone()).or_default();
+                job.cancel_sent_ms.get_or_insert(at_ms);
+            }
+            Asked::State(_) | Asked::CountAdded { .. } | Asked::CountDropped { .. } => {}
+        }
+    }
+
+    fn judge_call(&mut self, at_ms: u64, call: &CallName, outcome: &Outcome) -> (String, Broken) {
+        let sent_ms = self.sent_ms.remove(&call.number).unwrap_or(at_ms);
+        self.counts.calls_count += 1;
+        match outcome {
+            Outcome::Refused => self.counts.refused_count += 1,
+            Outcome::Broken | Outcome::GivenUp => self.counts.unanswered_count += 1,
+            _ => {}
+        }
+        let is_stopping = self.processes.is_stopping(call.node);
+        self.counts.stopping_calls_count += u64::from(is_stopping);
+        let broken = self.judge_answer(at_ms, sent_ms, call, outcome);
+        let subject = match &call.asked {
+            Asked::Submit(job) | Asked::State(job) | Asked::Cancel(job) => job.clone(),
+            Asked::CountAdded { .. } | Asked::CountDropped { .. } => call.node.to_string(),
+        };
+        let broken = broken.or_else(|| match outcome {
+            Outcome::Wrong(text) => Some((Rule::Mixed, format!("not its answer: {text}"))),
+            Outcome::Broken => {
+                let (node, calm) = (call.node, &self.calm);
+                self.processes.judge_cut(node, sent_ms, at_ms, calm)
+            }
+            _ => None,
+        });
+        (subject, broken)
+    }
+
+    fn judge_answer(
+        &mut self,
+        at_ms: u64,
+        sent_ms: u64,
+        call: &CallName,
+        outcome: &Outcome,
+    ) -> Broken {
+        let is_in_touch = self.is_in_touch(call.node, sent_ms);
+        match &call.asked {
+            Asked::CountAdded { since } => {
+                let shown = match outcome {
+                    Outcome::Ok { .. } => (Some(*since), None),
+                    Outcome::NoQueue => (None, Some(*since)),
+                    _ => return None,
+                };
+                self.judge_version(at_ms, sent_ms, call.node, shown)
+            }
+            Asked::CountDropped { by } => {
+                let shown = match outcome {
+                    Outcome::Ok { .. } => (None, Some(*by)),
+                    Outcome::NoQueue => (Some(*by), None),
+                    _ => return None,
+                };
+                self.judge_version(at_ms, sent_ms, call.node, shown)
+            }
+            Asked::Submit(id) => {
+                let job = self.jobs.entry(id.clone()).or_default();
+                let was_accepted = job.accepted_ms.is_some();
+                let broken = job.submitted(outcome, at_ms);
+                if !was_accepted && job.accepted_ms.is_some() {
+                    self.counts.accepted_count += 1;
+                }
+                broken.or_else(|| no_queue(outcome))
+            }
+            Asked::Cancel(id) => {
+                let job = self.jobs.entry(id.clone()).or_default();
+                if let Outcome::Ok { .. } = outcome {
+                    job.cancel_acked_ms.get_or_insert(at_ms);
+                }
+                let broken = judge_gone(job, sent_ms, is_in_touch, outcome);
+                broken.or_else(|| no_queue(outcome))
+            }
+            Asked::State(id) => {
+                let broken = self.judge_state(at_ms, sent_ms, id, outcome);
+                let job = self.jobs.entry(id.clone()).or_default();
+                broken
+                    .or_else(|| judge_gone(job, sent_ms, is_in_touch, outcome))
+                    .or_else(|| no_queue(outcome))
+            }
+        }
+    }
+
+    fn judge_version(
+        &mut self,
+        now_ms: u64,
+        sent_ms: u64,
+        node: NodeIndex,
+        (at_least, below): (Option<u64>, Option<u64>),
+    ) -> Broken {
+        self.counts.versions_shown_count += 1;
+        let shown = Shown {
+            node,
+            at_least,
+            below,
+            sent_ms,
+            now_ms,
+            is_in_touch: self.is_in_touch(node, sent_ms),
+        };
+        self.counts.versions_judged_count += u64::from(shown.is_in_touch);
+        self.versions.see(&shown)
+    }
+
+    fn judge_state(&mut self, at_ms: u64, sent_ms: u64, id: &str, outcome: &Outcome) -> Broken {
+        let Outcome::Ok { state: Some(word) } = outcome else {
+            return None;
+        };
+        let job = self.jobs.get_mut(id)?;
+        if !job.is_possible() {
+            let text = format!("shown as {word}, and nobody handed it in");
+            return Some((Rule::Mixed, text));
+        }
+        let broken = job.shown(word, sent_ms, at_ms);
+        if broken.is_some() {
+            return broken;
+        }
+        let tasks = job.facts.all_tasks(id);
+        match word.as_str() {
+            "complete" => {
+                let left = tasks.iter().find(|task| !self.tasks.is_done(task))?;
+                Some((
+                    Rule::Mixed,
+                    format!("shown as complete; {left} is not done"),
+                ))
+            }
+            "failed" => {
+                let limit_count = job.facts.attempts_limit_count;
+                let is_spent = |task| self.tasks.failed_count(task) >= limit_count;
+                let text = "shown as failed, and no task failed so often";
+                (!tasks.iter().any(is_spent)).then(|| (Rule::Lost, text.to_owned()))
+            }
+            "canceled" if job.cancel_sent_ms.is_none() => {
+                let text = "shown as cancelled, and nobody cancelled it";
+                Some((Rule::Lost, text.to_owned()))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns what was seen of a subject, and all faults.
+    fn story(&self, subject: &str) -> Vec<String> {
+        let job = subject.split('.').next().unwrap_or_default();
+        let concerns = |event: &Event| {
+            let is_fault = matches!(
+                event,
+                Event::Fault { .. }
+                    | Event::Process(..)
+                    | Event::ConfigAcknowledged(_)
+                    | Event::ConfigSent(_)
+            );
+            is_fault || is_about(event, subject, job)
+        };
+        let events = self.history.iter().filter(|(_, event)| concerns(event));
+        events
+            .map(|(at_ms, event)| format!("{at_ms:>7} ms  {event:?}"))
+            .collect()
+    }
+}
+
+fn is_about(event: &Event, subject: &str, job: &str) -> bool {
+    match event {
+        Event::Worker(
+            WorkerEvent::Began { run, .. }
+            | WorkerEvent::Ended { run, .. }
+            | WorkerEvent::Noted { run, .. },
+        ) => run.task.step.job == job,
+        Event::CallBegan(call) | Event::CallEnded(call, _) => match &call.asked {
+            Asked::Submit(id) | Asked::State(id) | Asked::Cancel(id) => id == job,
+            Asked::CountAdded { .. } | Asked::CountDropped { .. } => {
+                call.node.to_string() == subject
+            }
+        },
+        _ => false,
+    }
+}
+
+/// A queue that every version has is there.
+fn no_queue(outcome: &Outcome) -> Broken {
+    let is_broken = *outcome == Outcome::NoQueue;
+    is_broken.then(|| (Rule::Config, "404 for a queue that is there".to_owned()))
+}
+
+fn judge_gone(job: &Job, sent_ms: u64, is_in_touch: bool, outcome: &Outcome) -> Broken {
+    if *outcome != Outcome::Gone || job.cancel_sent_ms.is_some() {
+        return None;
+    }
+    let accepted_ms = job.accepted_ms?;
+    let is_broken = is_in_touch && sent_ms > accepted_ms + VISIBLE_MS;
+    let text = format!("410, and it was accepted at {accepted_ms} ms");
+    is_broken.then_some((Rule::Lost, text))
+}
--- /dev/null
+++ b/crates/soak/src/configuration.rs
@@ -0,0 +1,66 @@
+//! The configurations that the operators write.
+//!
+//! Each version adds a queue that all later ones have, and drops one that all
+//! earlier ones had: an answer about either tells which versions may be in force.
+
+use crate::plan::Version;
+use crate::workers::SERVICE;
+use serde_json::{json, Value};
+
+/// The host of all queues.
+pub const HOST: &str = "studio.example";
+/// The queue without advice.
+pub const PLAIN_PREFIX: &str = "/p/";
+/// The queue with advice, which comes first.
+pub const ADVISED_PREFIX: &str = "/a/";
+/// How often a task may fail.
+pub const ATTEMPTS_LIMIT_COUNT: u64 = 3;
+
+/// Returns the path of the queue that a version added.
+pub fn added_path(version: u64) -> String {
+    format!("/added-{version}/")
+}
+
+/// Returns the path of the queue that a version dropped.
+pub fn dropped_path(version: u64) -> String {
+    format!("/dropped-{version}/")
+}
+
+fn route(name: &str, path_prefix: &str, priority: u32) -> Value {
+    json!({
+        "name": name, "host": HOST, "pathPrefix": path_prefix, "service": SERVICE,
+        "sloMs": 1000, "priority": priority, "maxAttempts": ATTEMPTS_LIMIT_COUNT,
+        "stretch": 2.0,
+    })
+}
+
+/// Returns the configuration of one of the versions.
+pub fn configuration(versions: &[Version], index: usize) -> Value {
+    let this = versions[index];
+    let mut advised = route("advised", ADVISED_PREFIX, 0);
+    advised["advice"] = json!({ "decisionMs": 5.0, "perItemMs": 0.2, "validityMs": 2500 });
+    let mut routes = vec![route("plain", PLAIN_PREFIX, 1), advised];
+    for (number, version) in versions.iter().enumerate() {
+        let version = version.version;
+        let (name, path) = if number <= index {
+            (format!("added-{version}"), added_path(version))
+        } else {
+            (format!("dropped-{version}"), dropped_path(version))
+        };
+        routes.push(route(&name, &path, 2));
+    }
+    for number in 0..this.bulk_routes_count {
+        let name = format!("bulk-{number}-of-a-queue-that-nobody-uses");
+        routes.push(route(&name, &format!("/{name}/"), 3));
+    }
+    json!({
+        "version": this.version, "routes": routes, "services": [{ "name": SERVICE }],
+    })
+}
+
+/// Returns the size of the largest version, as the store sends it.
+pub fn largest_bytes(versions: &[Version]) -> u64 {
+    let sizes = (0..versions.len()).map(|index| configuration(versions, index).to_string().len());
+    // Values travel in base64.
+    sizes.max().unwrap_or_default() as u64 * 4 / 3
+}
--- /dev/null
+++ b/crates/soak/src/jobs.rs
@@ -0,0 +1,160 @@
+//! The jobs that callers hand in.
+
+use crate::checker::{JobFacts, StepFacts};
+use crate::configuration::{ADVISED_PREFIX, ATTEMPTS_LIMIT_COUNT, PLAIN_PREFIX};
+use crate::work::{JobWork, StepWork};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+
+/// What a task asks for of memory.
+const MEMORY_MB: u64 = 100;
+
+/// A job as it is handed in.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: String,
+    /// Its path.
+    pub path: String,
+    /// The body.
+    pub body: String,
+    /// What the checker has to know.
+    pub facts: JobFacts,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Short,
+    Steps,
+    Gang,
+    Saving,
+    Failing,
+    Hopeless,
+    Scheduled,
+    Lasting,
+}
+
+const KINDS: [Kind; 12] = [
+    Kind::Short,
+    Kind::Short,
+    Kind::Short,
+    Kind::Steps,
+    Kind::Steps,
+    Kind::Gang,
+    Kind::Gang,
+    Kind::Saving,
+    Kind::Failing,
+    Kind::Hopeless,
+    Kind::Scheduled,
+    Kind::Lasting,
+];
+
+fn draw_step(rng: &mut Pcg64Mcg, kind: Kind) -> (u32, StepWork) {
+    let tasks_count = match kind {
+        Kind::Gang => rng.random_range(2..5),
+        Kind::Lasting | Kind::Scheduled => rng.random_range(1..3),
+        _ => rng.random_range(1..5),
+    };
+    let work_ms = match kind {
+        Kind::Saving => rng.random_range(1500..4000),
+        Kind::Gang => rng.random_range(100..2500),
+        _ => rng.random_range(20..700),
+    };
+    let failures_count = match kind {
+        Kind::Failing => 1,
+        Kind::Hopeless => ATTEMPTS_LIMIT_COUNT,
+        _ => 0,
+    };
+    let work = StepWork {
+        work_ms,
+        cpu_milli: rng.random_range(1..5) * 250,
+        memory_mb: MEMORY_MB,
+        members_count: if kind == Kind::Gang {
+            u64::from(tasks_count)
+        } else {
+            0
+        },
+        failures_count,
+        is_saving: matches!(kind, Kind::Saving | Kind::Gang),
+        is_lasting: kind == Kind::Lasting,
+    };
+    (tasks_count, work)
+}
+
+/// The soak's clock beside the time of day, for jobs with times.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// The soak's clock.
+    pub now_ms: u64,
+    /// The time of day at the soak's 0, since 1970.
+    pub epoch_ms: u64,
+}
+
+/// Draws a job.
+pub fn draw(rng: &mut Pcg64Mcg, times: Times) -> Job {
+    let kind = KINDS[rng.random_range(0..KINDS.len())];
+    let steps_count = if kind == Kind::Steps {
+        rng.random_range(2..4)
+    } else {
+        1
+    };
+    let is_advised = rng.random_ratio(1, 3);
+    let drawn: Vec<(u32, StepWork)> = (0..steps_count).map(|_| draw_step(rng, kind)).collect();
+    let work = JobWork {
+        steps: drawn.iter().map(|(_, work)| work.clone()).collect(),
+        is_advised,
+    };
+    let steps = drawn
+        .iter()
+        .enumerate()
+        .map(|(number, (count, work))| StepFacts {
+            tasks_count: *count,
+            depends_on: (0..number as u32).collect(),
+            is_gang: work.members_count > 0,
+        });
+    let is_scheduled = kind == Kind::Scheduled;
+    let facts = JobFacts {
+        text: work.to_text(),
+        steps: steps.collect(),
+        rounds_count: if is_scheduled { 3 } else { 0 },
+        first_due_ms: if is_scheduled { times.now_ms + 700 } else { 0 },
+        interval_ms: if is_scheduled { 800 } else { 0 },
+        attempts_limit_count: ATTEMPTS_LIMIT_COUNT,
+        is_hopeless: kind == Kind::Hopeless,
+        is_lasting: kind == Kind::Lasting,
+    };
+    let id = format!("{:016x}", rng.random::<u64>());
+    let prefix = if is_advised {
+        ADVISED_PREFIX
+    } else {
+        PLAIN_PREFIX
+    };
+    Job {
+        path: format!("{prefix}{id}"),
+        body: body_of(&facts, &work, times).to_string(),
+        id,
+        facts,
+    }
+}
+
+fn body_of(facts: &JobFacts, work: &JobWork, times: Times) -> Value {
+    let steps = facts.steps.iter().zip(&work.steps);
+    let steps: Vec<Value> = steps
+        .map(|(step, work)| {
+            json!({
+                "count": step.tasks_count, "cpu": work.cpu_milli, "memMb": work.memory_mb,
+                "estimateMs": work.work_ms, "dependsOn": step.depends_on,
+                "savesProgress": work.is_saving, "gang": step.is_gang,
+                "perpetual": work.is_lasting,
+            })
+        })
+        .collect();
+    let mut body = json!({ "spec": facts.text, "steps": steps });
+    if facts.rounds_count > 0 {
+        body["repeats"] = json!(facts.rounds_count);
+        body["firstRunMs"] = json!(times.epoch_ms + facts.first_due_ms);
+        body["intervalMs"] = json!(facts.interval_ms);
+    }
+    body
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,391 @@
+//! What is done to a cell in one run: all of it follows from one seed.
+
+use crate::proxy::{LinkFault, Way};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+/// Faults begin after this: the cell has a leader by then.
+const FIRST_FAULT_MS: u64 = 1500;
+/// The time between two faults of a dense run and of a sparse one, at most.
+const GAP_DENSE_MS: u64 = 700;
+const GAP_SPARSE_MS: u64 = 4000;
+/// How long a fault lasts: most are short, some outlast leases.
+const LASTS_SHORT_MS: std::ops::Range<u64> = 150..1500;
+const LASTS_LONG_MS: std::ops::Range<u64> = 1500..6500;
+/// The time between two versions.
+const VERSION_GAP_MS: std::ops::Range<u64> = 1500..6000;
+/// Of a hundred versions, those that add thousands of routes.
+const BULK_PERCENT: u32 = 25;
+const BULK_ROUTES_COUNT: std::ops::Range<u32> = 2000..5000;
+/// The rate of a narrow link: 10 Mbit/s.
+pub const NARROW_BYTES_PER_S: u64 = 1_250_000;
+
+/// The size of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Nodes, each a process.
+    pub boxes_count: usize,
+    /// Workers.
+    pub workers_count: usize,
+    /// How long faults go on.
+    pub faults_s: u64,
+}
+
+/// Which node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// Whichever leads as the fault begins.
+    Leader,
+    /// The one of this number.
+    Node(usize),
+}
+
+/// The other end of a node's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Peer {
+    /// The store.
+    Store,
+    /// A worker.
+    Worker(usize),
+    /// All workers.
+    Workers,
+    /// Another node.
+    Node(usize),
+    /// The callers.
+    Callers,
+    /// The adviser.
+    Adviser,
+}
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// SIGKILL, and a start once the fault is over.
+    Kill {
+        /// Which node.
+        node: Who,
+        /// Whether it comes back under the same ports.
+        is_same_address: bool,
+    },
+    /// SIGKILL of all nodes, and starts.
+    KillAll {
+        /// Whether they come back under the same ports.
+        is_same_address: bool,
+    },
+    /// SIGTERM; once the node has ended, a start.
+    Terminate {
+        /// Which node.
+        node: Who,
+        /// Whether it comes back under the same ports.
+        is_same_address: bool,
+    },
+    /// SIGSTOP, then SIGCONT.
+    Pause {
+        /// Which node.
+        node: Who,
+    },
+    /// SIGHUP.
+    Hangup {
+        /// Which node.
+        node: Who,
+    },
+    /// The store turns all calls away.
+    StoreDown,
+    /// The store answers nothing, to one node or all.
+    StoreSilent {
+        /// Which node; all without one.
+        node: Option<Who>,
+    },
+    /// The store is slow.
+    StoreSlow {
+        /// By how much.
+        delay_ms: u64,
+    },
+    /// The store does calls and loses the answers.
+    StoreLoses {
+        /// Of a hundred.
+        lost_percent: u32,
+    },
+    /// The store does writing calls late and doesn't answer them.
+    StoreLate {
+        /// Of a hundred.
+        late_percent: u32,
+        /// How late.
+        late_ms: u64,
+    },
+    /// The store refuses one node's calls.
+    StoreRefuses {
+        /// Which node.
+        node: Who,
+        /// With which status.
+        status: u16,
+    },
+    /// The store forgets its history.
+    StoreForgets,
+    /// The store is silent on the configuration only.
+    StoreSilentOnConfiguration,
+    /// A worker crashes; a new life comes at its address.
+    WorkerCrash {
+        /// Which worker.
+        worker: usize,
+    },
+    /// A worker drains, leaves, and a new life comes.
+    WorkerDrain {
+        /// Which worker.
+        worker: usize,
+    },
+    /// A worker's entry is gone for a while; it runs on.
+    WorkerUnlisted {
+        /// Which worker.
+        worker: usize,
+    },
+    /// A worker refuses starts.
+    WorkerUnhealthy {
+        /// Which worker.
+        worker: usize,
+    },
+    /// A worker carries orders out late, or loses its answers.
+    OrdersLate {
+        /// Which worker.
+        worker: usize,
+        /// Of a hundred, those that are late.
+        late_percent: u32,
+        /// How late.
+        late_ms: u64,
+        /// Of a hundred, those without an answer.
+        lost_percent: u32,
+    },
+    /// A link is slow, narrow, or cut one way or both.
+    Link {
+        /// Whose.
+        node: Who,
+        /// To whom.
+        to: Peer,
+        /// How.
+        fault: LinkFault,
+    },
+    /// The connections of a link are reset.
+    Reset {
+        /// Whose.
+        node: Who,
+        /// To whom.
+        to: Peer,
+    },
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When it begins.
+    pub at_ms: u64,
+    /// How long it lasts.
+    pub lasts_ms: u64,
+    /// What it is.
+    pub kind: Kind,
+}
+
+/// A version of the configuration and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Version {
+    /// When it is written.
+    pub at_ms: u64,
+    /// Its number.
+    pub version: u64,
+    /// How many routes it has besides those that are used.
+    pub bulk_routes_count: u32,
+}
+
+/// What is done in one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Why the plan is kept, if it is: one line.
+    #[serde(default)]
+    pub cause: String,
+    /// The seed.
+    pub seed: u64,
+    /// The size.
+    pub size: Size,
+    /// The nodes whose links to the store are narrow.
+    pub narrow_nodes: Vec<usize>,
+    /// The faults, by their beginning.
+    pub faults: Vec<Fault>,
+    /// The versions, rising.
+    pub versions: Vec<Version>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(seed: u64, size: Size) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let narrow = (0..size.boxes_count).filter(|_| rng.random_ratio(1, 4));
+        let narrow_nodes = narrow.collect();
+        Self {
+            cause: String::new(),
+            seed,
+            size,
+            narrow_nodes,
+            faults: draw_faults(&mut rng, size),
+            versions: draw_versions(&mut rng, size),
+        }
+    }
+}
+
+fn draw_faults(rng: &mut Pcg64Mcg, size: Size) -> Vec<Fault> {
+    let until_ms = size.faults_s * 1000;
+    // Some runs leave time between faults, so that bounds in time are judged.
+    let gap_ms = rng.random_range(GAP_DENSE_MS..GAP_SPARSE_MS);
+    let mut faults = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < until_ms {
+        let lasts_ms = if rng.random_ratio(3, 5) {
+            rng.random_range(LASTS_SHORT_MS)
+        } else {
+            rng.random_range(LASTS_LONG_MS)
+        };
+        faults.push(Fault {
+            at_ms,
+            lasts_ms: lasts_ms.min(until_ms - at_ms),
+            kind: draw_kind(rng, size),
+        });
+        at_ms += rng.random_range(50..gap_ms);
+    }
+    faults
+}
+
+fn draw_versions(rng: &mut Pcg64Mcg, size: Size) -> Vec<Version> {
+    let until_ms = size.faults_s * 1000;
+    let mut versions = vec![Version {
+        at_ms: 0,
+        version: rng.random_range(1..5),
+        bulk_routes_count: 0,
+    }];
+    let mut last = versions[0];
+    loop {
+        last.at_ms += rng.random_range(VERSION_GAP_MS);
+        last.version += rng.random_range(1..4);
+        if rng.random_range(0..100) < BULK_PERCENT {
+            last.bulk_routes_count = rng.random_range(BULK_ROUTES_COUNT);
+        }
+        if last.at_ms >= until_ms {
+            return versions;
+        }
+        versions.push(last);
+    }
+}
+
+fn draw_who(rng: &mut Pcg64Mcg, size: Size) -> Who {
+    if rng.random_ratio(2, 5) {
+        Who::Leader
+    } else {
+        Who::Node(rng.random_range(0..size.boxes_count))
+    }
+}
+
+fn draw_peer(rng: &mut Pcg64Mcg, size: Size) -> Peer {
+    match rng.random_range(0..10) {
+        0..=2 => Peer::Store,
+        3 | 4 => Peer::Worker(rng.random_range(0..size.workers_count)),
+        5 => Peer::Workers,
+        6 | 7 => Peer::Node(rng.random_range(0..size.boxes_count)),
+        8 => Peer::Callers,
+        _ => Peer::Adviser,
+    }
+}
+
+fn draw_link(rng: &mut Pcg64Mcg) -> LinkFault {
+    let cut = Way {
+        is_cut: true,
+        ..Way::default()
+    };
+    let slow = Way {
+        delay_ms: *[20, 100, 400, 1500].choose(rng).unwrap_or(&100),
+        jitter_ms: *[0, 50, 300].choose(rng).unwrap_or(&0),
+        ..Way::default()
+    };
+    let narrow = Way {
+        rate_bytes_per_s: *[20_000, 200_000, NARROW_BYTES_PER_S]
+            .choose(rng)
+            .unwrap_or(&NARROW_BYTES_PER_S),
+        ..Way::default()
+    };
+    let way = *[cut, cut, slow, slow, narrow].choose(rng).unwrap_or(&cut);
+    let (up, down) = (way, way);
+    match rng.random_range(0..3) {
+        0 => LinkFault {
+            up,
+            ..LinkFault::default()
+        },
+        1 => LinkFault {
+            down,
+            ..LinkFault::default()
+        },
+        _ => LinkFault { up, down },
+    }
+}
+
+fn draw_kind(rng: &mut Pcg64Mcg, size: Size) -> Kind {
+    let node = draw_who(rng, size);
+    let is_same_address = rng.random();
+    let worker = rng.random_range(0..size.workers_count);
+    let delay_ms = *[50, 200, 600].choose(rng).unwrap_or(&50);
+    let percent = *[10, 30, 70].choose(rng).unwrap_or(&10);
+    let late_ms = *[300, 1500, 3500].choose(rng).unwrap_or(&300);
+    match rng.random_range(0..100) {
+        0..=9 => Kind::Kill {
+            node,
+            is_same_address,
+        },
+        10..=12 => Kind::KillAll { is_same_address },
+        13..=19 => Kind::Terminate {
+            node,
+            is_same_address,
+        },
+        20..=29 => Kind::Pause { node },
+        30..=32 => Kind::Hangup { node },
+        33..=35 => Kind::StoreDown,
+        36..=37 => Kind::StoreSilent { node: None },
+        38..=40 => Kind::StoreSilent { node: Some(node) },
+        41..=44 => Kind::StoreSlow { delay_ms },
+        45..=48 => Kind::StoreLoses {
+            lost_percent: percent,
+        },
+        49..=52 => Kind::StoreLate {
+            late_percent: percent,
+            late_ms,
+        },
+        53..=55 => Kind::StoreRefuses {
+            node,
+            status: *[503, 429].choose(rng).unwrap_or(&503),
+        },
+        56..=57 => Kind::StoreForgets,
+        58..=59 => Kind::StoreSilentOnConfiguration,
+        60..=65 => Kind::WorkerCrash { worker },
+        66..=69 => Kind::WorkerDrain { worker },
+        70..=72 => Kind::WorkerUnlisted { worker },
+        73 => Kind::WorkerUnhealthy { worker },
+        74..=79 => Kind::OrdersLate {
+            worker,
+            late_percent: percent,
+            late_ms,
+            lost_percent: percent,
+        },
+        80..=95 => Kind::Link {
+            node,
+            to: draw_peer(rng, size),
+            fault: draw_link(rng),
+        },
+        _ => Kind::Reset {
+            node,
+            to: draw_peer(rng, size),
+        },
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,202 @@
+//! One node's process. It does not outlive the value that stands for it.
+
+use crate::error::SoakError;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::fs::{File, OpenOptions};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How long a process may take until it says where it listens. It takes some
+/// 0.2 s; the rest is for a machine that others use too.
+const START_LIMIT: Duration = Duration::from_secs(20);
+const POLL_PERIOD: Duration = Duration::from_millis(25);
+
+/// Where a process listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listening {
+    /// For clients.
+    pub front: SocketAddr,
+    /// For the balancer.
+    pub ready: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+}
+
+impl Listening {
+    /// Returns any ports of an address.
+    fn any_at(ip: Ipv4Addr) -> Self {
+        let any = SocketAddr::from((ip, 0));
+        Self {
+            front: any,
+            ready: any,
+            peer: any,
+        }
+    }
+}
+
+/// Returns the address of a node of this process's cells.
+///
+/// All of 127.0.0.0/8 is this machine. Soaks that run side by side differ by
+/// their process's number, and the length of the text is that of the links'.
+pub fn ip_of(index: usize) -> Ipv4Addr {
+    let pid = std::process::id();
+    let third = (pid % 200) as u8;
+    let second = 64 + (pid / 200 % 128) as u8;
+    Ipv4Addr::new(127, second, third, 1 + index as u8)
+}
+
+/// What a process is started with.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// The program.
+    pub binary: PathBuf,
+    /// Where its settings and its log lie.
+    pub dir: PathBuf,
+    /// The node's name.
+    pub name: String,
+    /// The node's own address. No other program is given ports there, so that a
+    /// node can come back under the same ones.
+    pub ip: Ipv4Addr,
+    /// The node's way to the store.
+    pub store: SocketAddr,
+    /// The node's way to the adviser.
+    pub adviser: SocketAddr,
+    /// Its share of a core, in hundredths.
+    pub share_percent: u32,
+}
+
+impl ProcessSettings {
+    /// Returns where the node's log lies.
+    pub fn log(&self) -> PathBuf {
+        self.dir.join(format!("{}.log", self.name))
+    }
+
+    fn text(&self, at: Option<Listening>) -> Value {
+        let at = at.unwrap_or(Listening::any_at(self.ip));
+        let peer_port = at.peer.port();
+        json!({
+            "node": self.name, "ip": self.ip.to_string(),
+            "listen": { "front": at.front.to_string(), "ready": at.ready.to_string() },
+            "internalPorts": [peer_port, peer_port],
+            "limits": { "cpuShare": f64::from(self.share_percent) / 100.0, "cores": 1 },
+            "bounds": {
+                "graceS": 6, "maxHoldMs": 6000, "configApplyMs": 2000, "status_s": 3600,
+            },
+            "advice": self.adviser.to_string(),
+            "platform": { "address": self.store.to_string() },
+        })
+    }
+}
+
+/// A process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Whether it was told to end.
+    is_ending: bool,
+    /// Where it listens.
+    pub listening: Listening,
+}
+
+fn file_error(path: &Path) -> impl FnOnce(std::io::Error) -> SoakError + '_ {
+    move |source| SoakError::File {
+        path: path.to_owned(),
+        source,
+    }
+}
+
+impl Process {
+    /// Starts a process and waits until it says where it listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SoakError`] where it does not start.
+    pub async fn start(
+        settings: &ProcessSettings,
+        at: Option<Listening>,
+    ) -> Result<Self, SoakError> {
+        let path = settings.dir.join(format!("{}.json", settings.name));
+        std::fs::write(&path, settings.text(at).to_string()).map_err(file_error(&path))?;
+        let log_path = settings.log();
+        let log = OpenOptions::new().create(true).append(true).open(&log_path);
+        let log = log.map_err(file_error(&log_path))?;
+        let begin_bytes = log.metadata().map_err(file_error(&log_path))?.len();
+        let errors: File = log.try_clone()?;
+        let child = Command::new(&settings.binary)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()?;
+        let mut process = Self {
+            child,
+            is_ending: false,
+            listening: Listening::any_at(settings.ip),
+        };
+        let until = Instant::now() + START_LIMIT;
+        while Instant::now() < until && process.exit_code().is_none() {
+            if let Some(listening) = read_listening(&log_path, begin_bytes) {
+                process.listening = listening;
+                return Ok(process);
+            }
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+        Err(SoakError::NotStarted {
+            node: settings.name.clone(),
+            log: log_path,
+        })
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub fn signal(&mut self, signal: Signal) {
+        self.is_ending |= matches!(signal, Signal::TERM | Signal::KILL);
+        if self.exit_code().is_none() {
+            // It may end at this moment; its end is seen all the same.
+            let _ = kill_process(Pid::from_child(&self.child), signal);
+        }
+    }
+
+    /// Returns the code with which it has ended by itself, if it has.
+    pub fn unasked_exit(&mut self) -> Option<Option<i32>> {
+        if self.is_ending {
+            return None;
+        }
+        self.exit_code()
+    }
+
+    /// Returns the code with which it has ended, `Some(None)` for a signal.
+    pub fn exit_code(&mut self) -> Option<Option<i32>> {
+        match self.child.try_wait() {
+            Ok(Some(status)) => Some(status.code()),
+            _ => None,
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended needs no end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads where a process listens from what it has logged since its start.
+fn read_listening(log: &Path, begin_bytes: u64) -> Option<Listening> {
+    let bytes = std::fs::read(log).ok()?;
+    let text = String::from_utf8_lossy(bytes.get(begin_bytes as usize..)?).into_owned();
+    let started = text.lines().find_map(|line| {
+        let line: Value = serde_json::from_str(line).ok()?;
+        (line["msg"] == "started").then_some(line)
+    })?;
+    let address = |field: &str| started[field].as_str()?.parse().ok();
+    Some(Listening {
+        front: address("front")?,
+        ready: address("ready")?,
+        peer: address("peer")?,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,258 @@
+//! A loopback proxy: one link between two processes, which can be disturbed.
+//!
+//! What a sender has handed over is delivered also where the sender has given
+//! up since: a request that is held back arrives late.
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// What is read at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Chunks that may be on their way; a sender waits beyond them.
+const CHUNKS_COUNT: usize = 64;
+/// How often a way that is cut is looked at again.
+const CUT_PERIOD: Duration = Duration::from_millis(10);
+/// The time between the last bytes and the end of a way, so that what they ask
+/// for is begun before the other side learns that its caller is gone.
+const END_PAUSE: Duration = Duration::from_millis(30);
+
+/// The state of one direction of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Way {
+    /// How long each chunk takes.
+    pub delay_ms: u64,
+    /// By how much more, at most.
+    pub jitter_ms: u64,
+    /// Bytes a second; 0 for as many as come.
+    pub rate_bytes_per_s: u64,
+    /// Whether nothing passes; what comes is held back.
+    pub is_cut: bool,
+}
+
+impl Way {
+    /// Returns both faults at once.
+    const fn with(self, other: Self) -> Self {
+        let rate_bytes_per_s = match (self.rate_bytes_per_s, other.rate_bytes_per_s) {
+            (0, rate) | (rate, 0) => rate,
+            (one, two) if one < two => one,
+            (_, two) => two,
+        };
+        Self {
+            delay_ms: self.delay_ms + other.delay_ms,
+            jitter_ms: self.jitter_ms + other.jitter_ms,
+            rate_bytes_per_s,
+            is_cut: self.is_cut || other.is_cut,
+        }
+    }
+}
+
+/// What is wrong with a link: the way of the requests and that of the answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkFault {
+    /// From whoever connects.
+    pub up: Way,
+    /// To whoever connects.
+    pub down: Way,
+}
+
+struct State {
+    target: Option<SocketAddr>,
+    usual: LinkFault,
+    faults: Vec<(usize, LinkFault)>,
+}
+
+/// A link.
+#[derive(Clone)]
+pub struct Link {
+    /// Where to connect.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    /// Rises with each reset.
+    resets: watch::Sender<u64>,
+}
+
+#[derive(Clone, Copy)]
+enum Direction {
+    Up,
+    Down,
+}
+
+impl Link {
+    /// Starts a link; without a target, connections are refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no port is free.
+    pub async fn start(target: Option<SocketAddr>) -> std::io::Result<Self> {
+        Self::start_at(Ipv4Addr::LOCALHOST, target).await
+    }
+
+    /// Starts a link at a loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no port is free.
+    pub async fn start_at(at: Ipv4Addr, target: Option<SocketAddr>) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((at, 0)).await?;
+        let (resets, _) = watch::channel(0);
+        let state = State {
+            target,
+            usual: LinkFault::default(),
+            faults: Vec::new(),
+        };
+        let link = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(state)),
+            resets,
+        };
+        let served = link.clone();
+        tokio::spawn(async move { served.accept(listener).await });
+        Ok(link)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets where the link leads.
+    pub fn set_target(&self, target: Option<SocketAddr>) {
+        self.lock().target = target;
+    }
+
+    /// Sets what the link is like without faults.
+    pub fn set_usual(&self, usual: LinkFault) {
+        self.lock().usual = usual;
+    }
+
+    /// Begins a fault.
+    pub fn begin_fault(&self, number: usize, fault: LinkFault) {
+        self.lock().faults.push((number, fault));
+    }
+
+    /// Ends a fault.
+    pub fn end_fault(&self, number: usize) {
+        self.lock().faults.retain(|(one, _)| *one != number);
+    }
+
+    /// Resets all connections.
+    pub fn reset(&self) {
+        self.resets.send_modify(|count| *count += 1);
+    }
+
+    fn way(&self, direction: Direction) -> Way {
+        let state = self.lock();
+        let pick = |fault: &LinkFault| match direction {
+            Direction::Up => fault.up,
+            Direction::Down => fault.down,
+        };
+        let faults = state.faults.iter().map(|(_, fault)| pick(fault));
+        faults.fold(pick(&state.usual), Way::with)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let link = self.clone();
+            tokio::spawn(async move { link.carry(stream).await });
+        }
+    }
+
+    async fn carry(self, mut near: TcpStream) {
+        let mut resets = self.resets.subscribe();
+        let target = self.lock().target;
+        let far = match target {
+            Some(target) => TcpStream::connect(target).await.ok(),
+            None => None,
+        };
+        let Some(mut far) = far else {
+            abort_on_close(&near);
+            return;
+        };
+        for stream in [&near, &far] {
+            // A stream without it is only slower.
+            let _ = stream.set_nodelay(true);
+        }
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let up = self.pass(near_read, far_write, Direction::Up);
+        let down = self.pass(far_read, near_write, Direction::Down);
+        let is_reset = tokio::select! {
+            _ = async { tokio::join!(up, down) } => false,
+            _ = resets.changed() => true,
+        };
+        if is_reset {
+            [&near, &far].into_iter().for_each(abort_on_close);
+        }
+    }
+
+    async fn pass(&self, from: ReadHalf<'_>, to: WriteHalf<'_>, direction: Direction) {
+        let (sender, receiver) = mpsc::channel(CHUNKS_COUNT);
+        let read = self.read(from, sender, direction);
+        let write = self.write(to, receiver, direction);
+        tokio::join!(read, write);
+    }
+
+    async fn read(
+        &self,
+        mut from: ReadHalf<'_>,
+        sender: mpsc::Sender<(Instant, Vec<u8>)>,
+        direction: Direction,
+    ) {
+        loop {
+            let mut chunk = vec![0; CHUNK_BYTES];
+            let Ok(size_bytes @ 1..) = from.read(&mut chunk).await else {
+                return;
+            };
+            chunk.truncate(size_bytes);
+            let way = self.way(direction);
+            let jitter_ms = rand::rng().random_range(0..=way.jitter_ms);
+            let delay = Duration::from_millis(way.delay_ms + jitter_ms);
+            if sender.send((Instant::now() + delay, chunk)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        mut to: WriteHalf<'_>,
+        mut receiver: mpsc::Receiver<(Instant, Vec<u8>)>,
+        direction: Direction,
+    ) {
+        while let Some((due_at, chunk)) = receiver.recv().await {
+            tokio::time::sleep_until(due_at).await;
+            while self.way(direction).is_cut {
+                tokio::time::sleep(CUT_PERIOD).await;
+            }
+            let rate_bytes_per_s = self.way(direction).rate_bytes_per_s;
+            if rate_bytes_per_s > 0 {
+                let seconds = chunk.len() as f64 / rate_bytes_per_s as f64;
+                tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+            }
+            if to.write_all(&chunk).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(END_PAUSE).await;
+        // The other side may be gone.
+        let _ = to.shutdown().await;
+    }
+}
+
+/// Lets a stream that is dropped with its connection open reset it.
+fn abort_on_close(stream: &TcpStream) {
+    // A stream without it ends in the usual way.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,83 @@
+//! What is told of runs.
+
+use crate::error::SoakError;
+use crate::plan::Plan;
+use crate::run::Verdict;
+use std::fmt::Write;
+use std::path::Path;
+
+/// Lines of a story that are printed; the file holds all.
+const STORY_LINES_COUNT: usize = 60;
+
+/// Returns one line for a run.
+pub fn line_of(verdict: &Verdict) -> String {
+    let counts = verdict.counts;
+    let result = match &verdict.violation {
+        None => "passed".to_owned(),
+        Some(violation) => format!("FAILED {}", violation.rule),
+    };
+    format!(
+        "seed {}: {result}; {} faults, {:.1} s, {} calls ({} refused, {} unanswered), \
+         {} jobs accepted, {} starts, {} done, {} cut short, {} versions shown {} times ({} in touch), {} calls at stopping nodes",
+        verdict.seed,
+        verdict.faults_count,
+        verdict.wall_ms as f64 / 1000.0,
+        counts.calls_count,
+        counts.refused_count,
+        counts.unanswered_count,
+        counts.accepted_count,
+        counts.starts_count,
+        counts.done_count,
+        counts.cut_short_count,
+        counts.versions_count,
+        counts.versions_shown_count,
+        counts.versions_judged_count,
+        counts.stopping_calls_count,
+    )
+}
+
+/// Returns the whole text of a run; empty where no promise was broken.
+pub fn story_of(verdict: &Verdict) -> String {
+    let Some(violation) = &verdict.violation else {
+        return String::new();
+    };
+    let mut text = format!(
+        "{} at {} ms: {}: {}\n",
+        violation.rule, violation.at_ms, violation.subject, violation.text
+    );
+    for line in &violation.story {
+        // Writing to a text does not fail.
+        let _ = writeln!(text, "{line}");
+    }
+    text
+}
+
+/// Returns the end of the story, short enough to be printed.
+pub fn short_story_of(verdict: &Verdict) -> String {
+    let story = story_of(verdict);
+    let lines: Vec<&str> = story.lines().collect();
+    let from = lines.len().saturating_sub(STORY_LINES_COUNT).max(1);
+    let head = lines.first().copied().unwrap_or_default();
+    let tail = lines.get(from..).unwrap_or_default().join("\n");
+    format!("{head}\n{tail}\n")
+}
+
+/// Writes the plan, the figures and the story of a run beside its logs.
+///
+/// # Errors
+///
+/// Returns a [`SoakError`] where a file can't be written.
+pub fn write(dir: &Path, plan: &Plan, verdict: &Verdict) -> Result<(), SoakError> {
+    let dir = dir.join(format!("seed-{}", plan.seed));
+    let plan = serde_json::to_string_pretty(plan).unwrap_or_default();
+    let files = [
+        ("plan.json", plan),
+        ("figures.txt", format!("{}\n", line_of(verdict))),
+        ("story.txt", story_of(verdict)),
+    ];
+    for (name, text) in files {
+        let path = dir.join(name);
+        std::fs::write(&path, text).map_err(|source| SoakError::File { path, source })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,253 @@
+//! One run: a cell, its load, its faults, and the verdict.
+
+use crate::balancer;
+use crate::callers::{Board, Caller};
+use crate::cell::Cell;
+use crate::checker::{Checker, Counts, Rule, Violation};
+use crate::configuration::{configuration, largest_bytes};
+use crate::error::SoakError;
+use crate::event::{Event, NodeIndex};
+use crate::faults::Injector;
+use crate::plan::{Plan, Version, NARROW_BYTES_PER_S};
+use crate::recorder::Recorder;
+use crate::settings::SoakSettings;
+use serde_json::Value;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinSet;
+
+/// Callers for each node.
+const CALLERS_COUNT: usize = 2;
+/// How long a cell may take until it has a leader: some 2 s.
+const LEADER_LIMIT: Duration = Duration::from_secs(30);
+/// The bound on outcomes after the faults have ended. Leases that earlier
+/// leaders granted are over after 10 s, and the backlog is a few seconds' work.
+const SETTLE_LIMIT: Duration = Duration::from_secs(60);
+const SETTLE_PERIOD: Duration = Duration::from_millis(150);
+const WATCH_PERIOD: Duration = Duration::from_millis(50);
+/// What a version may take on a narrow link beside its own bytes: others' that
+/// are on their way before it.
+const NARROW_SLACK_MS: u64 = 1000;
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    /// The seed.
+    pub seed: u64,
+    /// How many faults were played.
+    pub faults_count: usize,
+    /// What was seen.
+    pub counts: Counts,
+    /// How long it took, the end of the load included.
+    pub wall_ms: u64,
+    /// The first broken promise.
+    pub violation: Option<Violation>,
+}
+
+/// Plays one plan, and stops at the first broken promise.
+///
+/// No process outlives the call, also where it is interrupted.
+///
+/// # Errors
+///
+/// Returns a [`SoakError`] where the run could not be played.
+pub async fn play(settings: &SoakSettings) -> Result<Verdict, SoakError> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        verdict = play_uninterrupted(settings) => verdict,
+        _ = interrupt.recv() => Err(SoakError::Interrupted),
+        _ = terminate.recv() => Err(SoakError::Interrupted),
+    }
+}
+
+async fn play_uninterrupted(settings: &SoakSettings) -> Result<Verdict, SoakError> {
+    let plan = &settings.plan;
+    let recorder = Recorder::new(Checker::new(version_link_ms(plan)));
+    let dir = settings.report_dir.join(format!("seed-{}", plan.seed));
+    prepare(&dir)?;
+    let cell = Cell::start(plan, &settings.binary, &dir, &recorder).await?;
+    let cell = Arc::new(cell);
+    let played = play_in(&cell, plan).await;
+    let violation = recorder.violation();
+    cell.end().await;
+    played?;
+    let counts = recorder.checker().counts();
+    Ok(Verdict {
+        seed: plan.seed,
+        faults_count: plan.faults.len(),
+        counts,
+        wall_ms: recorder.now_ms(),
+        violation,
+    })
+}
+
+/// Empties the directory of a run: its logs are those of this run only.
+fn prepare(dir: &Path) -> Result<(), SoakError> {
+    let failed = |source| SoakError::File {
+        path: dir.to_owned(),
+        source,
+    };
+    if dir.exists() {
+        std::fs::remove_dir_all(dir).map_err(failed)?;
+    }
+    std::fs::create_dir_all(dir).map_err(failed)
+}
+
+/// Returns the time that the largest version takes over the narrowest link.
+fn version_link_ms(plan: &Plan) -> u64 {
+    if plan.narrow_nodes.is_empty() {
+        return 0;
+    }
+    largest_bytes(&plan.versions) * 1000 / NARROW_BYTES_PER_S + NARROW_SLACK_MS
+}
+
+fn epoch_ms(recorder: &Recorder) -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64 - recorder.now_ms()
+}
+
+async fn play_in(cell: &Arc<Cell>, plan: &Plan) -> Result<(), SoakError> {
+    let mut background = JoinSet::new();
+    for node in 0..cell.nodes.len() {
+        background.spawn(balancer::watch(cell.clone(), NodeIndex(node)));
+    }
+    if !wait_for_leader(cell).await {
+        let at_ms = cell.recorder.now_ms();
+        let mut checker = cell.recorder.checker();
+        checker.accuse(at_ms, Rule::Lost, "cell", "there is no leader");
+        return Ok(());
+    }
+    let epoch_ms = epoch_ms(&cell.recorder);
+    let board = Arc::new(Board::new(plan.versions.clone(), epoch_ms));
+    let mut callers = JoinSet::new();
+    for number in 0..cell.nodes.len() * CALLERS_COUNT {
+        let seed = plan.seed.wrapping_mul(1000).wrapping_add(number as u64);
+        callers.spawn(Caller::new(cell.clone(), board.clone(), seed).run());
+    }
+    let mut faults = JoinSet::new();
+    for (number, fault) in plan.faults.iter().copied().enumerate() {
+        let cell = cell.clone();
+        faults.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(fault.at_ms)).await;
+            let injector = Injector {
+                cell,
+                number,
+                fault,
+            };
+            injector.run().await
+        });
+    }
+    let versions = plan.versions.clone();
+    background.spawn(write_versions(cell.clone(), board.clone(), versions));
+    watch_faults(cell, &mut faults).await?;
+    board.is_closing.store(true, Ordering::Relaxed);
+    while cell.recorder.violation().is_none() && callers.join_next().await.is_some() {}
+    settle(cell, &board, plan.seed).await;
+    Ok(())
+}
+
+async fn wait_for_leader(cell: &Cell) -> bool {
+    let wait = async {
+        while cell.leader().is_none() {
+            tokio::time::sleep(WATCH_PERIOD).await;
+        }
+    };
+    tokio::time::timeout(LEADER_LIMIT, wait).await.is_ok()
+}
+
+/// Waits until all faults are over, or a promise is broken.
+async fn watch_faults(
+    cell: &Cell,
+    faults: &mut JoinSet<Result<(), SoakError>>,
+) -> Result<(), SoakError> {
+    loop {
+        cell.see_unasked_ends().await;
+        if cell.recorder.violation().is_some() {
+            return Ok(());
+        }
+        match tokio::time::timeout(WATCH_PERIOD, faults.join_next()).await {
+            Ok(None) => return Ok(()),
+            Ok(Some(Ok(result))) => result?,
+            // A fault that panicked was not played: the run tells nothing.
+            Ok(Some(Err(error))) => return Err(std::io::Error::other(error).into()),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Writes the versions as the operators do; the first is there already.
+async fn write_versions(cell: Arc<Cell>, board: Arc<Board>, versions: Vec<Version>) {
+    let begun_ms = cell.recorder.now_ms();
+    let first = versions[0].version;
+    cell.recorder.see(Event::ConfigAcknowledged(first));
+    for (index, version) in versions.iter().enumerate().skip(1) {
+        let due_ms = begun_ms + version.at_ms;
+        let left_ms = due_ms.saturating_sub(cell.recorder.now_ms());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
+        let value: Value = configuration(&versions, index);
+        cell.recorder.see(Event::ConfigSent(version.version));
+        cell.store.write("op/config", &value);
+        cell.recorder
+            .see(Event::ConfigAcknowledged(version.version));
+        board.note_sent();
+    }
+}
+
+/// Waits until everything that is owed has come; a bound that is passed is a
+/// broken promise.
+async fn settle(cell: &Arc<Cell>, board: &Arc<Board>, seed: u64) {
+    let mut caller = Caller::new(cell.clone(), board.clone(), seed);
+    let until = tokio::time::Instant::now() + SETTLE_LIMIT;
+    loop {
+        if cell.recorder.violation().is_some() {
+            return;
+        }
+        caller.settle().await;
+        let Some((rule, subject, text)) = what_is_left(cell, &mut caller).await else {
+            return;
+        };
+        if tokio::time::Instant::now() >= until {
+            let at_ms = cell.recorder.now_ms();
+            cell.recorder.checker().accuse(at_ms, rule, &subject, &text);
+            return;
+        }
+        tokio::time::sleep(SETTLE_PERIOD).await;
+    }
+}
+
+/// Returns what is still owed, if anything is.
+async fn what_is_left(cell: &Cell, caller: &mut Caller) -> Option<(Rule, String, String)> {
+    let (owed, strays) = {
+        let checker = cell.recorder.checker();
+        (checker.owed(), checker.strays())
+    };
+    if let Some(job) = owed.first() {
+        let text = format!("no outcome, as {} others", owed.len() - 1);
+        return Some((Rule::Lost, job.clone(), text));
+    }
+    if let Some(run) = strays.first() {
+        let subject = run.task.to_string();
+        let text = format!("it runs on {}, and its job has an outcome", run.worker);
+        return Some((Rule::Unasked, subject, text));
+    }
+    for node in (0..cell.nodes.len()).map(NodeIndex) {
+        let address = cell.ready_address(node).await;
+        let is_ready = match address {
+            Some(address) => balancer::is_ready(address).await,
+            None => false,
+        };
+        if !is_ready {
+            let text = "it is not ready, and nothing is wrong any more";
+            return Some((Rule::Process, node.to_string(), text.to_owned()));
+        }
+        if !caller.has_newest(node).await {
+            let text = "it does not have the newest version";
+            return Some((Rule::Config, node.to_string(), text.to_owned()));
+        }
+    }
+    None
+}
--- a/platform/tests/cell/server.rs
+++ b/crates/soak/src/server.rs
@@ -14,36 +14,57 @@
 use tokio::net::TcpListener;
 
 /// A request as the stand-ins read it.
+#[derive(Clone, Debug)]
 pub struct Asked {
+    /// The method.
     pub method: Method,
+    /// The path.
     pub path: String,
+    /// The query, by name.
     pub query: BTreeMap<String, String>,
+    /// The life of a worker that is meant.
     pub expected_instance: String,
+    /// The body.
     pub body: Value,
 }
 
 /// An answer of a stand-in.
+#[derive(Clone, Debug)]
 pub struct Told {
+    /// The status.
     pub status: StatusCode,
+    /// The body.
     pub body: Value,
 }
 
+/// Returns an answer.
 pub fn told(status: StatusCode, body: Value) -> Told {
     Told { status, body }
 }
 
+/// Gives no answer; the connection hangs until the caller gives up.
+pub async fn no_answer() -> Told {
+    std::future::pending().await
+}
+
 impl Asked {
+    /// Returns a number of the query, 0 if it is not there.
     pub fn number(&self, name: &str) -> u64 {
         let text = self.query.get(name);
         text.and_then(|text| text.parse().ok()).unwrap_or_default()
     }
 
+    /// Returns a text of the query, empty if it is not there.
     pub fn text(&self, name: &str) -> &str {
         self.query.get(name).map_or("", String::as_str)
     }
 }
 
 /// Serves on a port of its own for as long as the runtime lives.
+///
+/// # Panics
+///
+/// Panics where no port is free.
 pub async fn serve<F, A>(answer: F) -> SocketAddr
 where
     F: Fn(Asked) -> A + Clone + Send + Sync + 'static,
@@ -54,7 +75,12 @@
         .expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            // A stream without it is only slower.
+            let _ = stream.set_nodelay(true);
             let answer = answer.clone();
             let service = service_fn(move |request| respond(request, answer.clone()));
             tokio::spawn(async move {
--- a/platform/tests/cell/store.rs
+++ b/crates/soak/src/store.rs
@@ -1,19 +1,27 @@
-//! The platform's store: revisions, conditions, leases, watches.
+//! The platform's store: revisions, conditions, leases, watches, and faults.
 
-use crate::server::{serve, told, Asked, Told};
+use crate::event::NodeIndex;
+use crate::server::{no_answer, serve, told, Asked, Told};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use http::{Method, StatusCode};
+use rand::Rng;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// A page holds few items, so that reading goes on over several.
-const PAGE_COUNT: usize = 7;
+/// A page of the tests holds few items, so that reading goes on over several.
+const SMALL_PAGE_COUNT: usize = 7;
+/// A page holds about so many items.
+const PAGE_COUNT: usize = 500;
+/// Pages end once they hold so much.
+const PAGE_BYTES: usize = 1_000_000;
 const SWEEP_PERIOD: Duration = Duration::from_millis(20);
+/// Events beyond these are forgotten: some 20 s of a busy cell.
+const HISTORY_COUNT: usize = 4000;
 
 #[derive(Clone)]
 struct Item {
@@ -27,16 +35,46 @@
     until: Instant,
 }
 
+/// How the store treats the calls of a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreFault {
+    /// Turns every call away with this status.
+    pub refused_with: Option<u16>,
+    /// Answers nothing and does nothing.
+    pub is_silent: bool,
+    /// Answers later by so much.
+    pub delay_ms: u64,
+    /// Does so many calls of a hundred and doesn't answer them.
+    pub lost_percent: u32,
+    /// Does so many writing calls of a hundred late, and doesn't answer them.
+    pub late_percent: u32,
+    /// How late.
+    pub late_ms: u64,
+}
+
+/// Whom a fault of the store concerns; a later one adds to an earlier one.
+#[derive(Clone, Debug)]
+struct FaultEntry {
+    number: usize,
+    node: Option<NodeIndex>,
+    fault: StoreFault,
+}
+
 #[derive(Default)]
 struct Inner {
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<(u64, Value)>,
+    /// History up to here is forgotten.
+    forgotten: u64,
     leases: BTreeMap<u64, Lease>,
     is_down: bool,
     /// Calls below this prefix are not answered.
     silent_prefix: Option<&'static str>,
-    transactions_count: u64,
+    faults: Vec<FaultEntry>,
+    /// How a node meets an address that stands in an item.
+    detours: BTreeMap<(NodeIndex, String), String>,
+    has_large_pages: bool,
 }
 
 /// The store.
@@ -54,6 +92,14 @@
         }))
     }
 
+    fn note_event(&mut self, event: Value) {
+        self.events.push((self.revision, event));
+        if self.events.len() > 2 * HISTORY_COUNT {
+            self.events.drain(..HISTORY_COUNT);
+            self.forgotten = self.events.first().map_or(0, |(revision, _)| *revision);
+        }
+    }
+
     fn put(&mut self, key: &str, value: String, lease: u64) {
         let revision = self.revision;
         let item = Item {
@@ -63,14 +109,13 @@
         };
         self.items.insert(key.to_owned(), item);
         let event = self.item(key).unwrap_or_default();
-        self.events.push((revision, event));
+        self.note_event(event);
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            let revision = self.revision;
-            let event = json!({ "key": key, "revision": revision, "gone": true });
-            self.events.push((revision, event));
+            let event = json!({ "key": key, "revision": self.revision, "gone": true });
+            self.note_event(event);
         }
     }
 
@@ -104,7 +149,6 @@
             return told(StatusCode::NOT_FOUND, json!({}));
         }
         self.revision += 1;
-        self.transactions_count += 1;
         for row in puts {
             let key = row["key"].as_str().unwrap_or_default();
             let value = row["value"].as_str().unwrap_or_default().to_owned();
@@ -118,52 +162,128 @@
 
     fn range(&self, asked: &Asked) -> Told {
         let (prefix, after) = (asked.text("pathPrefix"), asked.text("dependsOn"));
-        let found = self.items.keys();
-        let mut keys: Vec<&String> = found
-            .filter(|key| key.starts_with(prefix) && key.as_str() > after)
-            .collect();
-        let has_more = keys.len() > PAGE_COUNT;
-        keys.truncate(PAGE_COUNT);
-        let items: Vec<Value> = keys.into_iter().filter_map(|key| self.item(key)).collect();
+        let limit_count = if self.has_large_pages {
+            PAGE_COUNT
+        } else {
+            SMALL_PAGE_COUNT
+        };
+        let begin = prefix.max(after).to_owned();
+        let keys = self.items.range(begin..).map(|(key, _)| key);
+        let keys = keys.take_while(|key| key.starts_with(prefix));
+        let mut items = Vec::new();
+        let (mut size_bytes, mut has_more) = (0, false);
+        for key in keys.filter(|key| key.as_str() > after) {
+            if items.len() == limit_count || size_bytes > PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            size_bytes += self.items[key].value.len();
+            items.extend(self.item(key));
+        }
         let body = json!({ "items": items, "more": has_more, "at": self.revision });
         told(StatusCode::OK, body)
     }
 
     fn events_since(&self, asked: &Asked) -> Vec<Value> {
         let (prefix, from) = (asked.text("pathPrefix"), asked.number("dependsOn"));
-        let later = self.events.iter().filter(|(revision, _)| *revision > from);
-        let is_ours = |event: &Value| {
+        let begin = self
+            .events
+            .partition_point(|(revision, _)| *revision <= from);
+        let later = self.events[begin..].iter().map(|(_, event)| event);
+        let is_ours = |event: &&Value| {
             let key = event["key"].as_str().unwrap_or_default();
             key.starts_with(prefix)
         };
-        later
-            .map(|(_, event)| event.clone())
-            .filter(is_ours)
-            .collect()
+        later.filter(is_ours).cloned().collect()
+    }
+
+    /// Returns everything that is wrong for a node at present.
+    fn fault(&self, viewer: Option<NodeIndex>) -> StoreFault {
+        let concerns = |entry: &&FaultEntry| entry.node.is_none() || entry.node == viewer;
+        let entries = self.faults.iter().filter(concerns);
+        entries.fold(StoreFault::default(), |sum, entry| {
+            let fault = &entry.fault;
+            StoreFault {
+                refused_with: fault.refused_with.or(sum.refused_with),
+                is_silent: fault.is_silent || sum.is_silent,
+                delay_ms: fault.delay_ms.max(sum.delay_ms),
+                lost_percent: fault.lost_percent.max(sum.lost_percent),
+                late_percent: fault.late_percent.max(sum.late_percent),
+                late_ms: fault.late_ms.max(sum.late_ms),
+            }
+        })
+    }
+
+    /// Lets a node see the addresses by which it meets others.
+    fn detour(&self, viewer: Option<NodeIndex>, item: &mut Value) {
+        let Some(viewer) = viewer else { return };
+        let key = item["key"].as_str().unwrap_or_default();
+        if !key.starts_with("servers/") && !key.starts_with("ospreywing/cell/") {
+            return;
+        }
+        let value = item["value"].as_str().unwrap_or_default();
+        let Ok(mut bytes) = STANDARD.decode(value) else {
+            return;
+        };
+        let ours = self.detours.iter().filter(|((node, _), _)| *node == viewer);
+        for ((_, from), to) in ours {
+            replace(&mut bytes, from.as_bytes(), to.as_bytes());
+        }
+        item["value"] = json!(STANDARD.encode(&bytes));
+    }
+}
+
+/// Replaces a text by one of the same length, once.
+fn replace(bytes: &mut [u8], from: &[u8], to: &[u8]) {
+    if from.len() != to.len() {
+        return;
+    }
+    let found = bytes.windows(from.len()).position(|window| window == from);
+    if let Some(at) = found {
+        bytes[at..at + to.len()].copy_from_slice(to);
     }
 }
 
 impl Store {
-    /// Starts a store; returns it with its address.
+    /// Starts a store with small pages; returns it with its address.
     pub async fn start() -> (Self, SocketAddr) {
         let store = Self::default();
         let sweeper = store.clone();
         tokio::spawn(async move { sweeper.sweep().await });
-        let served = store.clone();
-        let address = serve(move |asked| {
+        let address = store.serve_viewer(None).await;
+        (store, address)
+    }
+
+    /// Serves at a further address, which only this node calls.
+    pub async fn serve_node(&self, node: NodeIndex) -> SocketAddr {
+        self.serve_viewer(Some(node)).await
+    }
+
+    async fn serve_viewer(&self, viewer: Option<NodeIndex>) -> SocketAddr {
+        let served = self.clone();
+        serve(move |asked| {
             let store = served.clone();
-            async move { store.answer(asked).await }
-        });
-        (store, address.await)
+            async move { store.answer_viewer(viewer, asked).await }
+        })
+        .await
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets pages be as large as the platform's.
+    pub fn set_large_pages(&self) {
+        self.lock().has_large_pages = true;
+    }
+
+    /// Lets a node meet `from` at `to`, of the same length as text.
+    pub fn set_detour(&self, node: NodeIndex, from: SocketAddr, to: SocketAddr) {
+        let key = (node, from.to_string());
+        self.lock().detours.insert(key, to.to_string());
     }
 
-    /// Writes as the operators or a minion would.
+    /// Writes as the operators or a worker would.
     pub fn write(&self, key: &str, value: &Value) {
         let mut inner = self.lock();
         inner.revision += 1;
@@ -172,6 +292,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes as a worker's heartbeat that stays away would.
+    pub fn remove(&self, key: &str) {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        inner.remove(key);
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the bytes under a key.
     pub fn read(&self, key: &str) -> Option<Vec<u8>> {
         let inner = self.lock();
@@ -200,6 +329,32 @@
         self.changed.notify_waiters();
     }
 
+    /// Begins a fault, for one node or all.
+    pub fn begin_fault(&self, number: usize, node: Option<NodeIndex>, fault: StoreFault) {
+        let entry = FaultEntry {
+            number,
+            node,
+            fault,
+        };
+        self.lock().faults.push(entry);
+        self.changed.notify_waiters();
+    }
+
+    /// Ends a fault.
+    pub fn end_fault(&self, number: usize) {
+        self.lock().faults.retain(|entry| entry.number != number);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets what has happened so far.
+    pub fn forget_history(&self) {
+        let mut inner = self.lock();
+        inner.events.clear();
+        inner.forgotten = inner.revision;
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
     /// Waits for as long as the store is silent on what is asked for.
     async fn wait_while_silent(&self, asked: &Asked) {
         loop {
@@ -241,6 +396,53 @@
         }
     }
 
+    async fn answer_viewer(&self, viewer: Option<NodeIndex>, asked: Asked) -> Told {
+        let fault = self.lock().fault(viewer);
+        if let Some(status) = fault.refused_with {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+            return told(status, json!({}));
+        }
+        if fault.is_silent {
+            return no_answer().await;
+        }
+        let (is_late, is_lost) = {
+            let mut rng = rand::rng();
+            let is_writing = asked.path == "/v1/kv-txn";
+            let is_late = is_writing && rng.random_range(0..100) < fault.late_percent;
+            (is_late, rng.random_range(0..100) < fault.lost_percent)
+        };
+        if is_late {
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(fault.late_ms)).await;
+                store.answer(asked).await
+            });
+            return no_answer().await;
+        }
+        // The way there takes one half of the delay, the way back the other.
+        let half = Duration::from_millis(fault.delay_ms / 2);
+        tokio::time::sleep(half).await;
+        let mut answer = self.answer(asked).await;
+        if is_lost || self.lock().fault(viewer).is_silent {
+            return no_answer().await;
+        }
+        self.detour_all(viewer, &mut answer.body);
+        tokio::time::sleep(half).await;
+        answer
+    }
+
+    fn detour_all(&self, viewer: Option<NodeIndex>, body: &mut Value) {
+        let inner = self.lock();
+        for list in ["items", "events"] {
+            let items = body.get_mut(list).and_then(Value::as_array_mut);
+            let items = items.into_iter().flatten();
+            items.for_each(|item| inner.detour(viewer, item));
+        }
+        if body.get("key").is_some() {
+            inner.detour(viewer, body);
+        }
+    }
+
     async fn answer(&self, asked: Asked) -> Told {
         if self.lock().is_down {
             return told(StatusCode::SERVICE_UNAVAILABLE, json!({}));
@@ -277,13 +479,18 @@
             let changed = self.changed.notified();
             let mut changed = std::pin::pin!(changed);
             changed.as_mut().enable();
-            let (events, at, is_down) = {
+            let (events, at, is_down, is_forgotten) = {
                 let inner = self.lock();
-                (inner.events_since(asked), inner.revision, inner.is_down)
+                let is_forgotten = asked.number("dependsOn") < inner.forgotten;
+                let events = inner.events_since(asked);
+                (events, inner.revision, inner.is_down, is_forgotten)
             };
             if is_down {
                 return told(StatusCode::SERVICE_UNAVAILABLE, json!({}));
             }
+            if is_forgotten {
+                return told(StatusCode::GONE, json!({}));
+            }
             if !events.is_empty() || Instant::now() >= until {
                 self.wait_while_silent(asked).await;
                 return told(StatusCode::OK, json!({ "events": events, "at": at }));
--- /dev/null
+++ b/crates/soak/src/worker.rs
@@ -0,0 +1,426 @@
+//! One life of a worker: it runs tasks under leases, with fences and tombstones.
+//!
+//! Without I/O and clocks: calls and instants in, answers and events out.
+
+use crate::event::{How, NodeIndex, RunName, WorkerEvent};
+use crate::server::{told, Asked, Told};
+use crate::work::{JobWork, StepWork, TaskName};
+use http::StatusCode;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The longest lease that a worker grants, as `maxHoldMs` in the settings.
+pub const LEASE_LIMIT_MS: u64 = 6000;
+/// How long the members of a gang wait for one another, as `gangWaitMs`.
+pub const GANG_WAIT_MS: u64 = 3000;
+/// The longest time that a stop takes, as `stopGraceMs`.
+pub const STOP_LIMIT_MS: u64 = 200;
+/// The work between two checkpoints, as `checkpointS`.
+const CHECKPOINT_PERIOD_MS: u64 = 1000;
+/// The time that it takes to go on from one, as `restoreMs`.
+const RESTORE_MS: u64 = 600;
+/// Ends that are listed at once.
+const ENDS_LISTED_COUNT: usize = 500;
+
+/// A worker's room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory.
+    pub memory_mb: u64,
+}
+
+/// What the workers of a cell share: it outlasts their lives.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// How far the work was at each checkpoint.
+    pub checkpoints: BTreeMap<String, u64>,
+    /// How many runs of a task have failed by the task's own fault.
+    pub failures: BTreeMap<TaskName, u64>,
+    /// What was seen.
+    pub events: Vec<WorkerEvent>,
+    /// How long the next stops take.
+    pub stop_ms: u64,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The task.
+    pub task: TaskName,
+    /// The number of the start.
+    pub number: u64,
+    /// What it does.
+    pub work: StepWork,
+    /// How far it was when it began.
+    from_ms: u64,
+    restore_ms: u64,
+    saved: String,
+    arrived_ms: u64,
+    /// Since when it works; a member of a gang waits for the others.
+    pub working_since_ms: Option<u64>,
+    stopped_at_ms: Option<u64>,
+}
+
+impl Run {
+    fn progress_ms(&self, now_ms: u64) -> u64 {
+        let since = self
+            .working_since_ms
+            .map_or(0, |since| now_ms.saturating_sub(since));
+        self.from_ms + since.saturating_sub(self.restore_ms)
+    }
+
+    /// Returns whether the run was told to stop.
+    pub const fn is_stopping(&self) -> bool {
+        self.stopped_at_ms.is_some()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct End {
+    number: u64,
+    task: TaskName,
+    run: u64,
+    how: How,
+    saved: String,
+    /// Whether a lease lapsed since.
+    is_before_lapse: bool,
+}
+
+/// One life of a worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its room.
+    pub room: Room,
+    /// The worker's clock at the begin of the soak's.
+    clock_ahead_ms: u64,
+    /// How much of a thousand its clock goes.
+    clock_rate_milli: u64,
+    fence: u64,
+    leased_until_ms: u64,
+    /// What runs.
+    pub runs: BTreeMap<TaskName, Run>,
+    tombs: BTreeMap<TaskName, u64>,
+    ended: Vec<End>,
+    /// How many ends there were.
+    pub ends_count: u64,
+    /// Whether it refuses starts with 503.
+    pub is_unhealthy: bool,
+}
+
+/// An order and how it came.
+pub struct Order<'a> {
+    /// The call.
+    pub asked: &'a Asked,
+    /// The node that sent it.
+    pub from: NodeIndex,
+    /// The soak's clock.
+    pub now_ms: u64,
+    /// Whether it is carried out late.
+    pub is_late: bool,
+}
+
+impl Worker {
+    /// Creates a life that has run nothing.
+    pub fn new(id: Arc<str>, room: Room, clock_ahead_ms: u64, clock_rate_milli: u64) -> Self {
+        Self {
+            id,
+            room,
+            clock_ahead_ms,
+            clock_rate_milli,
+            fence: 0,
+            leased_until_ms: 0,
+            runs: BTreeMap::new(),
+            tombs: BTreeMap::new(),
+            ended: Vec::new(),
+            ends_count: 0,
+            is_unhealthy: false,
+        }
+    }
+
+    /// Returns the worker's own clock.
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        1 + self.clock_ahead_ms + now_ms * self.clock_rate_milli / 1000
+    }
+
+    fn name(&self, task: &TaskName, run: u64) -> RunName {
+        RunName {
+            worker: self.id.clone(),
+            task: task.clone(),
+            run,
+        }
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, task: &TaskName, how: How, now_ms: u64, shared: &mut Shared) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        let tomb = self.tombs.entry(task.clone()).or_default();
+        *tomb = run.number.max(*tomb);
+        let name = self.name(task, run.number);
+        shared.events.push(WorkerEvent::Ended { run: name, how });
+        if how == How::Failed {
+            *shared.failures.entry(task.clone()).or_default() += 1;
+        }
+        let saved = match how {
+            How::Stopped if run.work.is_saving => {
+                let saved = format!("{task}-{}-stop", run.number);
+                let progress_ms = run.progress_ms(now_ms);
+                shared.checkpoints.insert(saved.clone(), progress_ms);
+                saved
+            }
+            _ => run.saved,
+        };
+        self.ends_count += 1;
+        self.ended.push(End {
+            number: self.ends_count,
+            task: task.clone(),
+            run: run.number,
+            how,
+            saved,
+            is_before_lapse: false,
+        });
+    }
+
+    /// Ends everything, as a crash does.
+    pub fn crash(&mut self, shared: &mut Shared) {
+        for (task, run) in core::mem::take(&mut self.runs) {
+            let run = self.name(&task, run.number);
+            let how = How::Lost;
+            shared.events.push(WorkerEvent::Ended { run, how });
+        }
+    }
+
+    /// Lets time pass: what is over ends.
+    pub fn sweep(&mut self, now_ms: u64, shared: &mut Shared) {
+        let is_lapsed = self.clock_ms(now_ms) >= self.leased_until_ms;
+        if is_lapsed {
+            self.ended
+                .iter_mut()
+                .for_each(|end| end.is_before_lapse = true);
+        }
+        let tasks: Vec<TaskName> = self.runs.keys().cloned().collect();
+        for task in tasks {
+            self.save(&task, now_ms, shared);
+            let how = match self.runs.get(&task) {
+                Some(_) if is_lapsed => Some(How::Lapsed),
+                Some(run) => how_ends(run, now_ms, shared),
+                None => None,
+            };
+            if let Some(how) = how {
+                self.end(&task, how, now_ms, shared);
+            }
+        }
+        if is_lapsed {
+            self.ended
+                .iter_mut()
+                .for_each(|end| end.is_before_lapse = true);
+        }
+    }
+
+    fn save(&mut self, task: &TaskName, now_ms: u64, shared: &mut Shared) {
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.work.is_saving) else {
+            return;
+        };
+        let progress_ms = run.progress_ms(now_ms);
+        let count = progress_ms / CHECKPOINT_PERIOD_MS;
+        if count * CHECKPOINT_PERIOD_MS <= run.from_ms {
+            return;
+        }
+        let saved = format!("{task}-{}-{count}", run.number);
+        if saved != run.saved {
+            let at_ms = count * CHECKPOINT_PERIOD_MS;
+            shared.checkpoints.insert(saved.clone(), at_ms);
+            run.saved = saved;
+        }
+    }
+
+    /// Carries out an order.
+    pub fn answer(&mut self, order: &Order<'_>, shared: &mut Shared) -> Told {
+        let clock_ms = self.clock_ms(order.now_ms);
+        let body = &order.asked.body;
+        let fence = body["fence"].as_u64().unwrap_or_default();
+        if fence < self.fence {
+            return refuse(clock_ms, "fence");
+        }
+        self.fence = fence;
+        shared.events.push(WorkerEvent::Ordered {
+            worker: self.id.clone(),
+            fence,
+            from: order.from,
+        });
+        // A lease that is over has ended what ran before it is renewed.
+        self.sweep(order.now_ms, shared);
+        if let Some(until_ms) = body["untilMs"].as_u64() {
+            let until_ms = until_ms.min(clock_ms + LEASE_LIMIT_MS);
+            self.leased_until_ms = self.leased_until_ms.max(until_ms);
+        }
+        match order.asked.path.as_str() {
+            "/v1/run-start" => self.start(order, fence, shared),
+            "/v1/run-stop" => self.stop(order, shared),
+            "/v1/hold" => self.hold(order, shared),
+            _ => told(StatusCode::NOT_FOUND, json!({})),
+        }
+    }
+
+    fn start(&mut self, order: &Order<'_>, fence: u64, shared: &mut Shared) -> Told {
+        let clock_ms = self.clock_ms(order.now_ms);
+        let body = &order.asked.body;
+        let task = TaskName::parse(body["task"].as_str().unwrap_or_default());
+        let text = body["spec"].as_str().unwrap_or_default();
+        let (Some(task), Some(work)) = (task, JobWork::parse(text)) else {
+            return told(StatusCode::BAD_REQUEST, json!({ "clockMs": clock_ms }));
+        };
+        let Some(step_work) = work.step(task.step.step).cloned() else {
+            return told(StatusCode::BAD_REQUEST, json!({ "clockMs": clock_ms }));
+        };
+        if self.is_unhealthy {
+            return told(StatusCode::SERVICE_UNAVAILABLE, json!({}));
+        }
+        let number = body["run"].as_u64().unwrap_or_default();
+        if self.runs.get(&task).is_some_and(|run| run.number == number) {
+            return told(StatusCode::OK, json!({ "clockMs": clock_ms }));
+        }
+        let is_old = self.tombs.get(&task).is_some_and(|tomb| number <= *tomb)
+            || self.runs.contains_key(&task);
+        if is_old {
+            return refuse(clock_ms, "old");
+        }
+        if clock_ms >= self.leased_until_ms {
+            return refuse(clock_ms, "late");
+        }
+        let ticket = crate::adviser::ticket_of(&task.step, &self.id);
+        if work.is_advised && body["ticket"] != json!(ticket) {
+            return refuse(clock_ms, "ticket");
+        }
+        let checkpoint = body["lastCheckpoint"].as_str().map(str::to_owned);
+        self.begin(
+            &task,
+            number,
+            step_work,
+            checkpoint.as_deref(),
+            order,
+            shared,
+        );
+        shared.events.push(WorkerEvent::Began {
+            run: self.name(&task, number),
+            fence,
+            from: order.from,
+            text: text.to_owned(),
+            checkpoint,
+            is_beyond_room: self.is_beyond_room(),
+            is_late: order.is_late,
+        });
+        told(StatusCode::OK, json!({ "clockMs": clock_ms }))
+    }
+
+    fn begin(
+        &mut self,
+        task: &TaskName,
+        number: u64,
+        work: StepWork,
+        checkpoint: Option<&str>,
+        order: &Order<'_>,
+        shared: &Shared,
+    ) {
+        let from_ms = checkpoint.and_then(|text| shared.checkpoints.get(text));
+        let is_gang = work.members_count > 0;
+        let run = Run {
+            task: task.clone(),
+            number,
+            work,
+            from_ms: from_ms.copied().unwrap_or_default(),
+            restore_ms: if from_ms.is_some() { RESTORE_MS } else { 0 },
+            saved: checkpoint.unwrap_or_default().to_owned(),
+            arrived_ms: order.now_ms,
+            working_since_ms: (!is_gang).then_some(order.now_ms),
+            stopped_at_ms: None,
+        };
+        self.runs.insert(task.clone(), run);
+    }
+
+    fn is_beyond_room(&self) -> bool {
+        let sum = |field: fn(&StepWork) -> u64| -> u64 {
+            self.runs.values().map(|run| field(&run.work)).sum()
+        };
+        sum(|work| work.cpu_milli) > self.room.cpu_milli
+            || sum(|work| work.memory_mb) > self.room.memory_mb
+    }
+
+    fn stop(&mut self, order: &Order<'_>, shared: &Shared) -> Told {
+        let body = &order.asked.body;
+        let clock_ms = self.clock_ms(order.now_ms);
+        let Some(task) = TaskName::parse(body["task"].as_str().unwrap_or_default()) else {
+            return told(StatusCode::BAD_REQUEST, json!({ "clockMs": clock_ms }));
+        };
+        let number = body["run"].as_u64().unwrap_or_default();
+        let run = self.runs.get_mut(&task);
+        if let Some(run) = run.filter(|run| run.number <= number) {
+            let at_ms = order.now_ms + shared.stop_ms;
+            run.stopped_at_ms = Some(run.stopped_at_ms.unwrap_or(at_ms));
+        }
+        let tomb = self.tombs.entry(task).or_default();
+        *tomb = number.max(*tomb);
+        told(StatusCode::OK, json!({ "clockMs": clock_ms }))
+    }
+
+    fn hold(&mut self, order: &Order<'_>, shared: &mut Shared) -> Told {
+        let seen = order.asked.body["lastSeen"].as_u64().unwrap_or_default();
+        let (noted, kept): (Vec<End>, Vec<End>) = core::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|end| end.number <= seen);
+        self.ended = kept;
+        for end in noted.into_iter().filter(|end| !end.is_before_lapse) {
+            let run = self.name(&end.task, end.run);
+            let how = end.how;
+            shared.events.push(WorkerEvent::Noted { run, how });
+        }
+        told(StatusCode::OK, self.lists(order.now_ms))
+    }
+
+    fn lists(&self, now_ms: u64) -> Value {
+        let running = self.runs.values().map(|run| {
+            let done_ms = run.progress_ms(now_ms).min(run.work.work_ms);
+            let percent = done_ms * 100 / run.work.work_ms.max(1);
+            json!([run.task.to_string(), run.number, run.saved, percent])
+        });
+        let ended = self.ended.iter().take(ENDS_LISTED_COUNT).map(|end| {
+            let task = end.task.to_string();
+            json!([end.number, task, end.run, end.how.word(), end.saved])
+        });
+        json!({
+            "clockMs": self.clock_ms(now_ms),
+            "running": running.collect::<Vec<_>>(),
+            "ended": ended.collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// Returns how a run ends by now, if it does.
+fn how_ends(run: &Run, now_ms: u64, shared: &Shared) -> Option<How> {
+    if run.stopped_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+        return Some(How::Stopped);
+    }
+    let Some(since_ms) = run.working_since_ms else {
+        let waited_ms = now_ms.saturating_sub(run.arrived_ms);
+        return (waited_ms >= GANG_WAIT_MS).then_some(How::Alone);
+    };
+    let failed_count = shared.failures.get(&run.task).copied().unwrap_or_default();
+    let is_failing = run.task.index == 0 && failed_count < run.work.failures_count;
+    // A run that fails does so half way.
+    if is_failing && now_ms.saturating_sub(since_ms) >= run.work.work_ms / 2 {
+        return Some(How::Failed);
+    }
+    let is_done = !run.work.is_lasting && run.progress_ms(now_ms) >= run.work.work_ms;
+    is_done.then_some(How::Done)
+}
+
+fn refuse(clock_ms: u64, reason: &str) -> Told {
+    let body = json!({ "clockMs": clock_ms, "reason": reason });
+    told(StatusCode::CONFLICT, body)
+}
--- /dev/null
+++ b/crates/soak/src/workers.rs
@@ -0,0 +1,385 @@
+//! The workers of a cell: their lives, their entries in the store, and HTTP.
+
+use crate::event::{Event, How, NodeIndex};
+use crate::recorder::Recorder;
+use crate::server::{no_answer, serve, told, Asked, Told};
+use crate::store::Store;
+use crate::work::{StepName, TaskName};
+use crate::worker::{Order, Room, Shared, Worker, STOP_LIMIT_MS};
+use http::StatusCode;
+use rand::Rng;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+const SWEEP_PERIOD: Duration = Duration::from_millis(10);
+/// Workers that share a rack.
+const RACK_COUNT: usize = 2;
+/// The service that all workers belong to.
+pub const SERVICE: &str = "render";
+/// The slowest clock that a worker may have, in thousandths.
+const CLOCK_RATE_MILLI: std::ops::RangeInclusive<u64> = 980..=1000;
+
+/// How a worker carries out orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderFault {
+    /// So many orders of a hundred are carried out late and not answered.
+    pub late_percent: u32,
+    /// How late.
+    pub late_ms: u64,
+    /// So many of a hundred are carried out and not answered.
+    pub lost_percent: u32,
+    /// Whether starts are refused with 503.
+    pub is_unhealthy: bool,
+}
+
+/// A place at which one life of a worker follows another.
+struct Slot {
+    address: SocketAddr,
+    life: u64,
+    /// None while it is down.
+    worker: Option<Worker>,
+    faults: Vec<(usize, OrderFault)>,
+    is_draining: bool,
+}
+
+struct Inner {
+    slots: Vec<Slot>,
+    shared: Shared,
+}
+
+/// All workers of a cell.
+#[derive(Clone)]
+pub struct Workers {
+    inner: Arc<Mutex<Inner>>,
+    store: Store,
+    recorder: Recorder,
+    room: Room,
+}
+
+impl Inner {
+    /// Lets time pass for all workers and their gangs.
+    fn sweep(&mut self, now_ms: u64) {
+        let Self { slots, shared } = self;
+        for worker in slots.iter_mut().filter_map(|slot| slot.worker.as_mut()) {
+            worker.sweep(now_ms, shared);
+        }
+        self.sweep_gangs(now_ms);
+    }
+
+    fn sweep_gangs(&mut self, now_ms: u64) {
+        let mut gangs: BTreeMap<(StepName, u64), Vec<(usize, TaskName)>> = BTreeMap::new();
+        let mut members_counts = BTreeMap::new();
+        for (index, slot) in self.slots.iter().enumerate() {
+            let runs = slot.worker.iter().flat_map(|worker| worker.runs.values());
+            for run in runs.filter(|run| run.work.members_count > 0) {
+                let gang = (run.task.step.clone(), run.number);
+                members_counts.insert(gang.clone(), run.work.members_count);
+                let members = gangs.entry(gang).or_default();
+                members.push((index, run.task.clone()));
+            }
+        }
+        for (gang, members) in gangs {
+            let is_whole = members.len() as u64 == members_counts[&gang];
+            self.sweep_gang(&members, is_whole, now_ms);
+        }
+    }
+
+    /// Lets a gang begin once all are there, and end once one has ended.
+    fn sweep_gang(&mut self, members: &[(usize, TaskName)], is_whole: bool, now_ms: u64) {
+        let Self { slots, shared } = self;
+        let mut is_at_work = false;
+        for (index, task) in members {
+            let worker = slots[*index].worker.as_mut();
+            let Some(run) = worker.and_then(|worker| worker.runs.get_mut(task)) else {
+                continue;
+            };
+            if is_whole && run.working_since_ms.is_none() {
+                run.working_since_ms = Some(now_ms);
+            }
+            is_at_work |= run.working_since_ms.is_some();
+        }
+        if is_whole || !is_at_work {
+            return;
+        }
+        // Where one has ended well, so have all.
+        let step = &members[0].1.step;
+        let is_done = shared.events.iter().any(|event| {
+            matches!(event, crate::event::WorkerEvent::Ended { run, how: How::Done }
+                if run.task.step == *step)
+        });
+        let how = if is_done { How::Done } else { How::Broken };
+        for (index, task) in members {
+            if let Some(worker) = slots[*index].worker.as_mut() {
+                worker.end(task, how, now_ms, shared);
+            }
+        }
+    }
+}
+
+impl Workers {
+    /// Starts workers and lists them in the store.
+    pub async fn start(count: usize, room: Room, store: &Store, recorder: &Recorder) -> Self {
+        let inner = Inner {
+            slots: Vec::new(),
+            shared: Shared::default(),
+        };
+        let workers = Self {
+            inner: Arc::new(Mutex::new(inner)),
+            store: store.clone(),
+            recorder: recorder.clone(),
+            room,
+        };
+        for index in 0..count {
+            // Without a proxy, nobody knows which node gives an order.
+            let address = workers.serve_node(index, NodeIndex(usize::MAX)).await;
+            let slot = Slot {
+                address,
+                life: 0,
+                worker: None,
+                faults: Vec::new(),
+                is_draining: false,
+            };
+            workers.lock().slots.push(slot);
+            workers.begin_life(index);
+        }
+        let swept = workers.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(SWEEP_PERIOD).await;
+                swept.with_inner(|inner, now_ms| inner.sweep(now_ms));
+            }
+        });
+        workers
+    }
+
+    /// Serves a worker at a further address, which only this node calls.
+    pub async fn serve_node(&self, index: usize, node: NodeIndex) -> SocketAddr {
+        let served = self.clone();
+        serve(move |asked| {
+            let workers = served.clone();
+            async move { workers.answer(index, node, asked).await }
+        })
+        .await
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Does something and hands over what was seen, in order.
+    fn with_inner<T>(&self, act: impl FnOnce(&mut Inner, u64) -> T) -> T {
+        let mut inner = self.lock();
+        let result = act(&mut inner, self.recorder.now_ms());
+        for event in core::mem::take(&mut inner.shared.events) {
+            self.recorder.see(Event::Worker(event));
+        }
+        result
+    }
+
+    /// Returns the address that a worker is listed with.
+    pub fn address(&self, index: usize) -> SocketAddr {
+        self.lock().slots[index].address
+    }
+
+    fn key(id: &str) -> String {
+        format!("servers/{id}")
+    }
+
+    fn id_of(index: usize, life: u64) -> Arc<str> {
+        Arc::from(format!("i-{index}-{life}"))
+    }
+
+    fn list(&self, index: usize) {
+        let (address, life, is_draining) = {
+            let inner = self.lock();
+            let slot = &inner.slots[index];
+            (slot.address, slot.life, slot.is_draining)
+        };
+        let state = if is_draining { "draining" } else { "ready" };
+        let entry = json!({
+            "service": SERVICE, "address": address.to_string(), "state": state,
+            "capacity": { "cpu": self.room.cpu_milli, "memMb": self.room.memory_mb },
+            "labels": ["a", format!("rack-{}", index / RACK_COUNT)],
+        });
+        let id = Self::id_of(index, life);
+        self.store.write(&Self::key(&id), &entry);
+    }
+
+    /// Begins a new life, with a clock of its own.
+    pub fn begin_life(&self, index: usize) {
+        let mut rng = rand::rng();
+        let (ahead_ms, rate_milli) = (
+            rng.random_range(0..1_000_000),
+            rng.random_range(CLOCK_RATE_MILLI),
+        );
+        let room = self.room;
+        self.with_inner(|inner, _| {
+            let slot = &mut inner.slots[index];
+            if slot.worker.is_some() {
+                return;
+            }
+            slot.life += 1;
+            slot.is_draining = false;
+            let id = Self::id_of(index, slot.life);
+            slot.worker = Some(Worker::new(id, room, ahead_ms, rate_milli));
+        });
+        self.list(index);
+    }
+
+    /// Ends a life at once; its entry stays until [`Self::forget`].
+    ///
+    /// Returns the life's number.
+    pub fn crash(&self, index: usize) -> u64 {
+        self.with_inner(|inner, _| {
+            let Inner { slots, shared } = inner;
+            if let Some(mut worker) = slots[index].worker.take() {
+                worker.crash(shared);
+            }
+            slots[index].life
+        })
+    }
+
+    /// Removes the entry of a life, as missing heartbeats do.
+    pub fn forget(&self, index: usize, life: u64) {
+        self.store.remove(&Self::key(&Self::id_of(index, life)));
+    }
+
+    /// Removes the entry of the present life, which runs on.
+    pub fn unlist(&self, index: usize) {
+        let life = self.lock().slots[index].life;
+        self.forget(index, life);
+    }
+
+    /// Lists the present life again, if there is one.
+    pub fn relist(&self, index: usize) {
+        if self.lock().slots[index].worker.is_some() {
+            self.list(index);
+        }
+    }
+
+    /// Lets the present life say that it will leave.
+    pub fn drain(&self, index: usize) {
+        self.lock().slots[index].is_draining = true;
+        self.relist(index);
+    }
+
+    /// Begins a fault in how a worker carries out orders.
+    pub fn begin_fault(&self, index: usize, number: usize, fault: OrderFault) {
+        self.lock().slots[index].faults.push((number, fault));
+    }
+
+    /// Ends it.
+    pub fn end_fault(&self, index: usize, number: usize) {
+        let mut inner = self.lock();
+        inner.slots[index].faults.retain(|(one, _)| *one != number);
+    }
+
+    /// Returns how many runs there are.
+    pub fn runs_count(&self) -> usize {
+        let inner = self.lock();
+        let workers = inner.slots.iter().filter_map(|slot| slot.worker.as_ref());
+        workers.map(|worker| worker.runs.len()).sum()
+    }
+
+    fn fault(&self, index: usize) -> OrderFault {
+        let inner = self.lock();
+        let faults = inner.slots[index].faults.iter();
+        faults.fold(OrderFault::default(), |sum, (_, fault)| OrderFault {
+            late_percent: sum.late_percent.max(fault.late_percent),
+            late_ms: sum.late_ms.max(fault.late_ms),
+            lost_percent: sum.lost_percent.max(fault.lost_percent),
+            is_unhealthy: sum.is_unhealthy || fault.is_unhealthy,
+        })
+    }
+
+    /// Returns how many ends the life that is meant has listed.
+    fn ends_count(&self, index: usize, id: &str) -> Option<u64> {
+        let inner = self.lock();
+        let worker = inner.slots[index].worker.as_ref()?;
+        (*worker.id == *id).then_some(worker.ends_count)
+    }
+
+    /// Waits for news as long as the call asks for.
+    async fn wait_for_end(&self, index: usize, asked: &Asked) {
+        let wait_ms = asked.body["waitMs"].as_u64().unwrap_or_default();
+        let seen = asked.body["lastSeen"].as_u64().unwrap_or_default();
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        while tokio::time::Instant::now() < until {
+            let ends_count = self.ends_count(index, &asked.expected_instance);
+            if ends_count.is_none_or(|count| count > seen) {
+                return;
+            }
+            tokio::time::sleep(SWEEP_PERIOD).await;
+        }
+    }
+
+    async fn answer(&self, index: usize, from: NodeIndex, asked: Asked) -> Told {
+        if self.lock().slots[index].worker.is_none() {
+            return no_answer().await;
+        }
+        let fault = self.fault(index);
+        let (is_late, is_lost) = {
+            let mut rng = rand::rng();
+            let is_late = rng.random_range(0..100) < fault.late_percent;
+            (is_late, rng.random_range(0..100) < fault.lost_percent)
+        };
+        if is_late {
+            let workers = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(fault.late_ms)).await;
+                workers.carry_out(index, from, &asked, true)
+            });
+            return no_answer().await;
+        }
+        // The lease is granted and ends are noted as the call arrives.
+        let told = self.carry_out(index, from, &asked, false);
+        let is_waiting = told.status == StatusCode::OK && asked.path == "/v1/hold";
+        let told = if is_waiting {
+            self.wait_for_end(index, &asked).await;
+            self.carry_out(index, from, &without_lease(&asked), false)
+        } else {
+            told
+        };
+        if is_lost {
+            return no_answer().await;
+        }
+        told
+    }
+
+    fn carry_out(&self, index: usize, from: NodeIndex, asked: &Asked, is_late: bool) -> Told {
+        let stop_ms = rand::rng().random_range(0..=STOP_LIMIT_MS);
+        let is_unhealthy = self.fault(index).is_unhealthy;
+        self.with_inner(|inner, now_ms| {
+            // What is over by now ends first, with its gang.
+            inner.sweep(now_ms);
+            let Inner { slots, shared } = inner;
+            shared.stop_ms = stop_ms;
+            let Some(worker) = slots[index].worker.as_mut() else {
+                return told(StatusCode::MISDIRECTED_REQUEST, json!({}));
+            };
+            if asked.expected_instance != *worker.id {
+                return told(StatusCode::MISDIRECTED_REQUEST, json!({}));
+            }
+            worker.is_unhealthy = is_unhealthy;
+            let order = Order {
+                asked,
+                from,
+                now_ms,
+                is_late,
+            };
+            worker.answer(&order, shared)
+        })
+    }
+}
+
+/// The answer to a look that waited grants nothing anew.
+fn without_lease(asked: &Asked) -> Asked {
+    let mut asked = asked.clone();
+    if let Some(body) = asked.body.as_object_mut() {
+        body.remove("untilMs");
+    }
+    asked
+}
