Soak: judge drains and unconfirmed configurations, test the checker, keep plans

Cause: the first soak did not judge whether draining workers get work, nor whether a node that can't confirm its configuration turns requests away; and nothing showed that each rule of the checker finds what it is there for.

Narrow links have 10, 5 or 3 Mbit/s.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -20,3 +20,4 @@
 pub use error::{CliError, ExitKind};
 pub use explain::{ClockDoubt, Entry, Story};
 pub use run::run;
+pub use soak::Seeds;
--- a/crates/soak/src/cell.rs
+++ b/crates/soak/src/cell.rs
@@ -5,7 +5,7 @@
 use crate::configuration::configuration;
 use crate::error::SoakError;
 use crate::event::{Event, NodeIndex, ProcessEvent};
-use crate::plan::{Peer, Plan, Who, NARROW_BYTES_PER_S};
+use crate::plan::{Peer, Plan, Who};
 use crate::process::{ip_of, Listening, Process, ProcessSettings};
 use crate::proxy::{Link, LinkFault, Way};
 use crate::recorder::Recorder;
@@ -91,7 +91,7 @@
             let store_address = store.serve_node(NodeIndex(index)).await;
             let store_link = Link::start(Some(store_address)).await?;
             if plan.narrow_nodes.contains(&index) {
-                store_link.set_usual(narrow());
+                store_link.set_usual(narrow(plan.narrow_bytes_per_s));
             }
             let adviser_link = Link::start(Some(adviser)).await?;
             let settings = ProcessSettings {
@@ -300,9 +300,9 @@
     Here(Listening),
 }
 
-fn narrow() -> LinkFault {
+fn narrow(rate_bytes_per_s: u64) -> LinkFault {
     let way = Way {
-        rate_bytes_per_s: NARROW_BYTES_PER_S,
+        rate_bytes_per_s,
         ..Way::default()
     };
     LinkFault { up: way, down: way }
--- a/crates/soak/src/checker/calm.rs
+++ b/crates/soak/src/checker/calm.rs
@@ -10,17 +10,23 @@
 #[derive(Clone, Debug, Default)]
 struct Disturbance {
     active: Vec<usize>,
+    /// Since when there has been one without a gap.
+    begun_ms: Option<u64>,
     ended_ms: Option<u64>,
 }
 
 impl Disturbance {
-    fn begin(&mut self, number: usize) {
+    fn begin(&mut self, number: usize, now_ms: u64) {
         self.active.push(number);
+        self.begun_ms.get_or_insert(now_ms);
     }
 
     fn end(&mut self, number: usize, now_ms: u64) {
         self.active.retain(|one| *one != number);
         self.ended_ms = Some(now_ms);
+        if self.active.is_empty() {
+            self.begun_ms = None;
+        }
     }
 
     fn is_calm_since(&self, since_ms: u64) -> bool {
@@ -33,6 +39,7 @@
 pub struct Calm {
     all: Disturbance,
     workers: Disturbance,
+    configuration: Disturbance,
     nodes: BTreeMap<NodeIndex, Disturbance>,
 }
 
@@ -41,13 +48,14 @@
         match scope {
             Scope::All => &mut self.all,
             Scope::Workers => &mut self.workers,
+            Scope::Configuration => &mut self.configuration,
             Scope::Node(node) => self.nodes.entry(node).or_default(),
         }
     }
 
     /// Notes that a fault begins.
-    pub fn begin(&mut self, scope: Scope, number: usize) {
-        self.of(scope).begin(number);
+    pub fn begin(&mut self, scope: Scope, number: usize, now_ms: u64) {
+        self.of(scope).begin(number, now_ms);
     }
 
     /// Notes that a fault ends.
@@ -62,15 +70,28 @@
 
     /// Returns whether a node was in touch at an instant and has been since.
     pub fn is_in_touch(&self, node: NodeIndex, at_ms: u64) -> bool {
+        let since_ms = at_ms.saturating_sub(CONTACT_MS);
+        self.configuration.is_calm_since(since_ms) && self.is_only_configuration(node, at_ms)
+    }
+
+    /// Returns whether a node was in touch but for what it was told of the
+    /// configuration.
+    pub fn is_only_configuration(&self, node: NodeIndex, at_ms: u64) -> bool {
         let since_ms = at_ms.saturating_sub(CONTACT_MS);
         let is_calm = |node: &Disturbance| node.is_calm_since(since_ms);
         self.all.is_calm_since(since_ms) && self.nodes.get(&node).is_none_or(is_calm)
     }
 
+    /// Returns since when the store has been silent on the configuration.
+    pub const fn silent_since_ms(&self) -> Option<u64> {
+        self.configuration.begun_ms
+    }
+
     /// Returns whether nothing at all was disturbed since an instant.
     pub fn is_all_calm(&self, since_ms: u64) -> bool {
         let mut nodes = self.nodes.values();
         self.all.is_calm_since(since_ms)
+            && self.configuration.is_calm_since(since_ms)
             && self.workers.is_calm_since(since_ms)
             && nodes.all(|node| node.is_calm_since(since_ms))
     }
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -20,6 +20,7 @@
 use processes::Processes;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 use tasks::{Start, Tasks};
 use versions::{Shown, Versions};
 
@@ -27,6 +28,12 @@
 const VISIBLE_MS: u64 = 3000;
 /// The time in which a cancel has to stop starts, as `cancel_ms`.
 const CANCEL_MS: u64 = 3000;
+/// How long a worker that drains may still be given work, as `drainMs`.
+const DRAIN_MS: u64 = 2000;
+/// How long a node may answer without a confirmation beyond the time in which a
+/// change has to be in force: an answer that was on its way, and the wait for
+/// the next.
+const CONFIRM_SLACK_MS: u64 = 1000;
 /// How long nothing may have been disturbed where a gang's member ends alone:
 /// its start, its wait, and the leases before it.
 const ALONE_CALM_MS: u64 = 15_000;
@@ -56,6 +63,8 @@
     One,
     /// Gangs are whole.
     Gang,
+    /// A worker that leaves gets no new work.
+    Drain,
     /// Processes end when they are told to, and well.
     Process,
 }
@@ -96,6 +105,8 @@
     pub starts_count: u64,
     /// Ends that were done.
     pub done_count: u64,
+    /// Starts of tasks that had ended so before, whether or not that was noted.
+    pub restarts_count: u64,
     /// Runs that were lost, lapsed or broken.
     pub cut_short_count: u64,
     /// Versions that were acknowledged.
@@ -104,6 +115,8 @@
     pub versions_shown_count: u64,
     /// Those of nodes in touch, which the bounds in time hold for.
     pub versions_judged_count: u64,
+    /// Requests to nodes that could not confirm their configuration.
+    pub unconfirmed_calls_count: u64,
     /// Requests under way at a node that was told to stop.
     pub stopping_calls_count: u64,
 }
@@ -117,6 +130,8 @@
     processes: Processes,
     calm: Calm,
     holders: BTreeMap<u64, NodeIndex>,
+    /// When the store took that a life of a worker drains.
+    draining_ms: BTreeMap<Arc<str>, u64>,
     sent_ms: BTreeMap<u64, u64>,
     history: Vec<(u64, Event)>,
     counts: Counts,
@@ -221,7 +236,7 @@
                 ..
             } => {
                 if *has_begun {
-                    self.calm.begin(*scope, *number);
+                    self.calm.begin(*scope, *number, at_ms);
                 } else {
                     self.calm.end(*scope, *number, at_ms);
                 }
@@ -263,6 +278,10 @@
                 let broken = broken.or_else(|| self.judge_alone(at_ms, run, *how));
                 (run.task.to_string(), broken)
             }
+            WorkerEvent::Draining { worker } => {
+                self.draining_ms.entry(worker.clone()).or_insert(at_ms);
+                (worker.to_string(), None)
+            }
             WorkerEvent::Noted { run, .. } => (run.task.to_string(), self.tasks.see(event)),
         }
     }
@@ -296,6 +315,7 @@
             return Some((Rule::Unasked, "nobody handed such a job in".to_owned()));
         };
         job.has_begun = true;
+        self.counts.restarts_count += u64::from(self.tasks.is_done(&run.task));
         let start = Start {
             run,
             checkpoint: checkpoint.as_deref(),
@@ -314,13 +334,48 @@
         if job.facts.text != *text {
             return Some((Rule::Unasked, "its text is another".to_owned()));
         }
-        let acked_ms = job.cancel_acked_ms?;
-        let is_over = at_ms > acked_ms + CANCEL_MS && !is_late;
-        let is_broken = is_over && self.is_in_touch(*from, acked_ms);
+        if *is_late {
+            return None;
+        }
+        let acked_ms = job.cancel_acked_ms;
+        self.judge_cancelled(at_ms, *from, acked_ms)
+            .or_else(|| self.judge_draining(at_ms, *from, run))
+    }
+
+    fn judge_cancelled(&self, at_ms: u64, from: NodeIndex, acked_ms: Option<u64>) -> Broken {
+        let acked_ms = acked_ms?;
+        let is_over = at_ms > acked_ms + CANCEL_MS;
+        let is_broken = is_over && self.is_in_touch(from, acked_ms);
         let text = format!("{from} starts it; its cancel was acknowledged at {acked_ms} ms");
         is_broken.then_some((Rule::Unasked, text))
     }
 
+    fn judge_draining(&self, at_ms: u64, from: NodeIndex, run: &RunName) -> Broken {
+        let draining_ms = self.draining_ms.get(&run.worker)?;
+        let is_over = at_ms > draining_ms + DRAIN_MS;
+        let is_broken = is_over && self.is_in_touch(from, *draining_ms);
+        let text = format!(
+            "{from} starts it on {}, draining since {draining_ms} ms",
+            run.worker
+        );
+        is_broken.then_some((Rule::Drain, text))
+    }
+
+    /// A node that can't confirm its configuration while the store answers its
+    /// other calls turns requests away.
+    fn judge_unconfirmed(&mut self, sent_ms: u64, node: NodeIndex) -> Broken {
+        let since_ms = self.calm.silent_since_ms()?;
+        let is_over = sent_ms > since_ms + APPLY_MS + CONFIRM_SLACK_MS;
+        let is_otherwise_calm = self.calm.is_only_configuration(node, since_ms);
+        if !is_over || !is_otherwise_calm || self.processes.is_stopping(node) {
+            return None;
+        }
+        let text = format!(
+            "{node} answers a request of {sent_ms} ms by a configuration that the store has not confirmed since {since_ms} ms"
+        );
+        Some((Rule::Config, text))
+    }
+
     fn begin_call(&mut self, at_ms: u64, call: &CallName) {
         self.sent_ms.insert(call.number, at_ms);
         match &call.asked {
@@ -341,6 +396,12 @@
             Outcome::Broken | Outcome::GivenUp => self.counts.unanswered_count += 1,
             _ => {}
         }
+        let since_ms = self.calm.silent_since_ms();
+        let is_unconfirmed = since_ms.is_some_and(|since_ms| {
+            let is_over = sent_ms > since_ms + APPLY_MS + CONFIRM_SLACK_MS;
+            is_over && self.calm.is_only_configuration(call.node, since_ms)
+        });
+        self.counts.unconfirmed_calls_count += u64::from(is_unconfirmed);
         let is_stopping = self.processes.is_stopping(call.node);
         self.counts.stopping_calls_count += u64::from(is_stopping);
         let broken = self.judge_answer(at_ms, sent_ms, call, outcome);
@@ -427,8 +488,9 @@
             now_ms,
             is_in_touch: self.is_in_touch(node, sent_ms),
         };
+        let unconfirmed = self.judge_unconfirmed(sent_ms, node);
         self.counts.versions_judged_count += u64::from(shown.is_in_touch);
-        self.versions.see(&shown)
+        self.versions.see(&shown).or(unconfirmed)
     }
 
     fn judge_state(&mut self, at_ms: u64, sent_ms: u64, id: &str, outcome: &Outcome) -> Broken {
--- a/crates/soak/src/checker/tasks.rs
+++ b/crates/soak/src/checker/tasks.rs
@@ -175,7 +175,9 @@
                 None
             }
             WorkerEvent::Noted { run, how } => self.note(run, *how),
-            WorkerEvent::Began { .. } | WorkerEvent::Ordered { .. } => None,
+            WorkerEvent::Began { .. }
+            | WorkerEvent::Draining { .. }
+            | WorkerEvent::Ordered { .. } => None,
         }
     }
 
--- a/crates/soak/src/event.rs
+++ b/crates/soak/src/event.rs
@@ -94,6 +94,11 @@
         /// How it had ended.
         how: How,
     },
+    /// The store has taken that a worker drains.
+    Draining {
+        /// The worker.
+        worker: Arc<str>,
+    },
     /// An order came, of whatever kind, that the worker carried out.
     Ordered {
         /// The worker.
@@ -172,6 +177,8 @@
     Node(NodeIndex),
     /// Workers only.
     Workers,
+    /// What the store tells every node of the configuration.
+    Configuration,
 }
 
 /// What was done to a node's process.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -49,6 +49,7 @@
             | Kind::WorkerUnlisted { .. }
             | Kind::WorkerUnhealthy { .. }
             | Kind::OrdersLate { .. } => vec![Scope::Workers],
+            Kind::StoreSilentOnConfiguration => vec![Scope::Configuration],
             Kind::Hangup { .. } | Kind::Terminate { .. } => Vec::new(),
             Kind::Link {
                 to: Peer::Node(other),
@@ -195,10 +196,11 @@
                 return;
             }
             Kind::StoreSilentOnConfiguration => {
-                store.set_silent(Some("op/"));
-                self.wait().await;
-                store.set_silent(None);
-                return;
+                let fault = StoreFault {
+                    is_silent_on_configuration: true,
+                    ..StoreFault::default()
+                };
+                (None, fault)
             }
             Kind::StoreSilent { node: who } => {
                 let fault = StoreFault {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,8 +19,10 @@
 /// Of a hundred versions, those that add thousands of routes.
 const BULK_PERCENT: u32 = 25;
 const BULK_ROUTES_COUNT: std::ops::Range<u32> = 2000..5000;
-/// The rate of a narrow link: 10 Mbit/s.
-pub const NARROW_BYTES_PER_S: u64 = 1_250_000;
+/// The rate of a link that a fault narrows a little: 10 Mbit/s.
+const NARROW_BYTES_PER_S: u64 = 1_250_000;
+/// The rates of narrow links, from seed to seed: 10, 5 and 3 Mbit/s.
+const NARROW_RATES_BYTES_PER_S: [u64; 3] = [NARROW_BYTES_PER_S, 625_000, 400_000];
 
 /// The size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -216,6 +218,8 @@
     pub size: Size,
     /// The nodes whose links to the store are narrow.
     pub narrow_nodes: Vec<usize>,
+    /// How narrow they are.
+    pub narrow_bytes_per_s: u64,
     /// The faults, by their beginning.
     pub faults: Vec<Fault>,
     /// The versions, rising.
@@ -228,11 +232,13 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let narrow = (0..size.boxes_count).filter(|_| rng.random_ratio(1, 4));
         let narrow_nodes = narrow.collect();
+        let narrow_bytes_per_s = NARROW_RATES_BYTES_PER_S[seed as usize % 3];
         Self {
             cause: String::new(),
             seed,
             size,
             narrow_nodes,
+            narrow_bytes_per_s,
             faults: draw_faults(&mut rng, size),
             versions: draw_versions(&mut rng, size),
         }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -18,7 +18,7 @@
     };
     format!(
         "seed {}: {result}; {} faults, {:.1} s, {} calls ({} refused, {} unanswered), \
-         {} jobs accepted, {} starts, {} done, {} cut short, {} versions shown {} times ({} in touch), {} calls at stopping nodes",
+         {} jobs accepted, {} starts, {} done, {} cut short, {} versions shown {} times ({} in touch), {} calls at stopping nodes, {} at unconfirmed ones",
         verdict.seed,
         verdict.faults_count,
         verdict.wall_ms as f64 / 1000.0,
@@ -33,6 +33,7 @@
         counts.versions_shown_count,
         counts.versions_judged_count,
         counts.stopping_calls_count,
+        counts.unconfirmed_calls_count,
     )
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 use crate::error::SoakError;
 use crate::event::{Event, NodeIndex};
 use crate::faults::Injector;
-use crate::plan::{Plan, Version, NARROW_BYTES_PER_S};
+use crate::plan::{Plan, Version};
 use crate::recorder::Recorder;
 use crate::settings::SoakSettings;
 use serde_json::Value;
@@ -102,7 +102,7 @@
     if plan.narrow_nodes.is_empty() {
         return 0;
     }
-    largest_bytes(&plan.versions) * 1000 / NARROW_BYTES_PER_S + NARROW_SLACK_MS
+    largest_bytes(&plan.versions) * 1000 / plan.narrow_bytes_per_s.max(1) + NARROW_SLACK_MS
 }
 
 fn epoch_ms(recorder: &Recorder) -> u64 {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -87,6 +87,9 @@
     if !plan.faults.is_sorted_by_key(|fault| fault.at_ms) {
         return invalid("faults", "they are not in the order of their times");
     }
+    if plan.narrow_bytes_per_s == 0 {
+        return invalid("narrow_bytes_per_s", "it is 0");
+    }
     let boxes_count = plan.size.boxes_count;
     if plan.narrow_nodes.iter().any(|node| *node >= boxes_count) {
         return invalid("narrow_nodes", "there is no such node");
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -19,6 +19,8 @@
 const PAGE_COUNT: usize = 500;
 /// Pages end once they hold so much.
 const PAGE_BYTES: usize = 1_000_000;
+/// Where the operators' configuration stands.
+const CONFIGURATION_PREFIX: &str = "op/";
 const SWEEP_PERIOD: Duration = Duration::from_millis(20);
 /// Events beyond these are forgotten: some 20 s of a busy cell.
 const HISTORY_COUNT: usize = 4000;
@@ -42,6 +44,8 @@
     pub refused_with: Option<u16>,
     /// Answers nothing and does nothing.
     pub is_silent: bool,
+    /// Answers nothing about the configuration.
+    pub is_silent_on_configuration: bool,
     /// Answers later by so much.
     pub delay_ms: u64,
     /// Does so many calls of a hundred and doesn't answer them.
@@ -206,6 +210,8 @@
             StoreFault {
                 refused_with: fault.refused_with.or(sum.refused_with),
                 is_silent: fault.is_silent || sum.is_silent,
+                is_silent_on_configuration: fault.is_silent_on_configuration
+                    || sum.is_silent_on_configuration,
                 delay_ms: fault.delay_ms.max(sum.delay_ms),
                 lost_percent: fault.lost_percent.max(sum.lost_percent),
                 late_percent: fault.late_percent.max(sum.late_percent),
@@ -214,6 +220,14 @@
         })
     }
 
+    /// Returns below which prefix nothing is answered.
+    fn silent_prefix(&self) -> Option<&'static str> {
+        let mut faults = self.faults.iter();
+        let is_silent = faults.any(|entry| entry.fault.is_silent_on_configuration);
+        let prefix = is_silent.then_some(CONFIGURATION_PREFIX);
+        prefix.or(self.silent_prefix)
+    }
+
     /// Lets a node see the addresses by which it meets others.
     fn detour(&self, viewer: Option<NodeIndex>, item: &mut Value) {
         let Some(viewer) = viewer else { return };
@@ -361,7 +375,7 @@
             let changed = self.changed.notified();
             let mut changed = std::pin::pin!(changed);
             changed.as_mut().enable();
-            let prefix = self.lock().silent_prefix;
+            let prefix = self.lock().silent_prefix();
             let is_below = |prefix: &str| {
                 let names = [asked.text("key"), asked.text("pathPrefix")];
                 names.iter().any(|name| name.starts_with(prefix))
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -1,6 +1,6 @@
 //! The workers of a cell: their lives, their entries in the store, and HTTP.
 
-use crate::event::{Event, How, NodeIndex};
+use crate::event::{Event, How, NodeIndex, WorkerEvent};
 use crate::recorder::Recorder;
 use crate::server::{no_answer, serve, told, Asked, Told};
 use crate::store::Store;
@@ -107,7 +107,7 @@
         // Where one has ended well, so have all.
         let step = &members[0].1.step;
         let is_done = shared.events.iter().any(|event| {
-            matches!(event, crate::event::WorkerEvent::Ended { run, how: How::Done }
+            matches!(event, WorkerEvent::Ended { run, how: How::Done }
                 if run.task.step == *step)
         });
         let how = if is_done { How::Done } else { How::Broken };
@@ -264,6 +264,13 @@
     pub fn drain(&self, index: usize) {
         self.lock().slots[index].is_draining = true;
         self.relist(index);
+        self.with_inner(|inner, _| {
+            let Inner { slots, shared } = inner;
+            if let Some(worker) = &slots[index].worker {
+                let worker = worker.id.clone();
+                shared.events.push(WorkerEvent::Draining { worker });
+            }
+        });
     }
 
     /// Begins a fault in how a worker carries out orders.
--- /dev/null
+++ b/crates/soak/tests/soak/checker.rs
@@ -0,0 +1,448 @@
+//! Each history breaks one promise, or just keeps it.
+
+use ospreywing_soak::checker::{Checker, JobFacts, Rule, StepFacts};
+use ospreywing_soak::event::{
+    Asked, CallName, Event, How, NodeIndex, Outcome, ProcessEvent, RunName, Scope, WorkerEvent,
+};
+use ospreywing_soak::work::TaskName;
+use std::sync::Arc;
+
+const JOB: &str = "5c0e7a21d94b36f8";
+const NODE: NodeIndex = NodeIndex(0);
+
+/// A history that is being told.
+struct History {
+    checker: Checker,
+    now_ms: u64,
+    calls_count: u64,
+}
+
+impl History {
+    /// A cell in which one job of two steps with two tasks may be handed in.
+    fn new() -> Self {
+        let step = |depends_on: Vec<u32>| StepFacts {
+            tasks_count: 2,
+            depends_on,
+            is_gang: false,
+        };
+        let facts = JobFacts {
+            text: "10".to_owned(),
+            steps: vec![step(Vec::new()), step(vec![0])],
+            attempts_limit_count: 3,
+            ..JobFacts::default()
+        };
+        let mut checker = Checker::new(0);
+        checker.expect(JOB, facts);
+        Self {
+            checker,
+            now_ms: 10_000,
+            calls_count: 0,
+        }
+    }
+
+    /// The same, and the job was accepted.
+    fn accepted() -> Self {
+        let mut history = Self::new();
+        history.call(Asked::Submit(JOB.to_owned()), done(None));
+        history
+    }
+
+    fn see(&mut self, event: Event) {
+        self.now_ms += 10;
+        self.checker.see(self.now_ms, event);
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now_ms += ms;
+    }
+
+    fn begin_call(&mut self, asked: Asked) -> CallName {
+        self.calls_count += 1;
+        let call = CallName {
+            number: self.calls_count,
+            node: NODE,
+            asked,
+        };
+        self.see(Event::CallBegan(call.clone()));
+        call
+    }
+
+    fn call(&mut self, asked: Asked, outcome: Outcome) {
+        let call = self.begin_call(asked);
+        self.see(Event::CallEnded(call, outcome));
+    }
+
+    fn begin_as(&mut self, run: &RunName, change: impl FnOnce(&mut WorkerEvent)) {
+        let mut event = WorkerEvent::Began {
+            run: run.clone(),
+            fence: 1,
+            from: NODE,
+            text: "10".to_owned(),
+            checkpoint: None,
+            is_beyond_room: false,
+            is_late: false,
+        };
+        change(&mut event);
+        self.see(Event::Worker(event));
+    }
+
+    fn begin(&mut self, run: &RunName) {
+        self.begin_as(run, |_| {});
+    }
+
+    fn end(&mut self, run: &RunName, how: How) {
+        let run = run.clone();
+        self.see(Event::Worker(WorkerEvent::Ended { run, how }));
+    }
+
+    fn note(&mut self, run: &RunName, how: How) {
+        let run = run.clone();
+        self.see(Event::Worker(WorkerEvent::Noted { run, how }));
+    }
+
+    fn run_all(&mut self, tasks: &[&str]) {
+        for task in tasks {
+            let run = run(task, "i-1", 1);
+            self.begin(&run);
+            self.end(&run, How::Done);
+            self.note(&run, How::Done);
+        }
+    }
+
+    fn broken(&self) -> Option<Rule> {
+        self.checker.violation().map(|violation| violation.rule)
+    }
+}
+
+fn run(task: &str, worker: &str, number: u64) -> RunName {
+    RunName {
+        worker: Arc::from(worker),
+        task: TaskName::parse(&format!("{JOB}.0.{task}")).expect("it is a name"),
+        run: number,
+    }
+}
+
+fn done(state: Option<&str>) -> Outcome {
+    Outcome::Ok {
+        state: state.map(str::to_owned),
+    }
+}
+
+const ALL: [&str; 4] = ["0.0", "0.1", "1.0", "1.1"];
+
+#[test]
+fn see_whole_job() {
+    let mut history = History::accepted();
+    history.run_all(&ALL);
+    history.call(Asked::State(JOB.to_owned()), done(Some("complete")));
+    assert_eq!(history.broken(), None);
+    assert!(history.checker.owed().is_empty());
+}
+
+#[test]
+fn see_two_runs_at_once() {
+    let mut history = History::accepted();
+    history.begin(&run("0.0", "i-1", 1));
+    history.begin(&run("0.0", "i-2", 2));
+    assert_eq!(history.broken(), Some(Rule::Twice));
+}
+
+#[test]
+fn see_start_after_noted_end() {
+    let mut history = History::accepted();
+    history.run_all(&["0.0"]);
+    history.begin(&run("0.0", "i-2", 2));
+    assert_eq!(history.broken(), Some(Rule::Twice));
+}
+
+#[test]
+fn see_start_before_its_end_is_noted() {
+    let mut history = History::accepted();
+    let first = run("0.0", "i-1", 1);
+    history.begin(&first);
+    history.end(&first, How::Done);
+    history.begin(&run("0.0", "i-2", 2));
+    assert_eq!(history.broken(), None, "a lapse may have come between");
+    history.note(&first, How::Done);
+    assert_eq!(history.broken(), Some(Rule::Twice));
+}
+
+#[test]
+fn see_start_beyond_room() {
+    let mut history = History::accepted();
+    history.begin_as(&run("0.0", "i-1", 1), |event| {
+        if let WorkerEvent::Began { is_beyond_room, .. } = event {
+            *is_beyond_room = true;
+        }
+    });
+    assert_eq!(history.broken(), Some(Rule::Limit));
+}
+
+#[test]
+fn see_step_before_its_turn() {
+    let mut history = History::accepted();
+    history.run_all(&["0.0"]);
+    history.begin(&run("1.0", "i-1", 1));
+    assert_eq!(history.broken(), Some(Rule::Order));
+}
+
+#[test]
+fn see_attempts_used_up() {
+    let mut history = History::accepted();
+    for number in 1..=3 {
+        let run = run("0.0", "i-1", number);
+        history.begin(&run);
+        history.end(&run, How::Failed);
+        history.note(&run, How::Failed);
+        assert_eq!(history.broken(), None);
+    }
+    history.begin(&run("0.0", "i-1", 4));
+    assert_eq!(history.broken(), Some(Rule::Budget));
+}
+
+#[test]
+fn see_other_text() {
+    let mut history = History::accepted();
+    history.begin_as(&run("0.0", "i-1", 1), |event| {
+        if let WorkerEvent::Began { text, .. } = event {
+            "11".clone_into(text);
+        }
+    });
+    assert_eq!(history.broken(), Some(Rule::Unasked));
+}
+
+#[test]
+fn see_checkpoint_of_another_task() {
+    let mut history = History::accepted();
+    history.begin_as(&run("0.0", "i-1", 1), |event| {
+        if let WorkerEvent::Began { checkpoint, .. } = event {
+            *checkpoint = Some(format!("{JOB}.0.0.1-1-1"));
+        }
+    });
+    assert_eq!(history.broken(), Some(Rule::Unasked));
+}
+
+#[test]
+fn see_refused_job_begin() {
+    let mut history = History::new();
+    history.call(Asked::Submit(JOB.to_owned()), Outcome::Refused);
+    history.begin(&run("0.0", "i-1", 1));
+    assert_eq!(history.broken(), Some(Rule::Refused));
+}
+
+#[test]
+fn see_refusal_after_begin() {
+    let mut history = History::new();
+    let call = history.begin_call(Asked::Submit(JOB.to_owned()));
+    history.begin(&run("0.0", "i-1", 1));
+    assert_eq!(history.broken(), None);
+    history.see(Event::CallEnded(call, Outcome::Refused));
+    assert_eq!(history.broken(), Some(Rule::Refused));
+}
+
+#[test]
+fn see_unanswered_job_begin() {
+    let mut history = History::new();
+    history.call(Asked::Submit(JOB.to_owned()), Outcome::GivenUp);
+    history.call(Asked::Submit(JOB.to_owned()), Outcome::Refused);
+    history.begin(&run("0.0", "i-1", 1));
+    assert_eq!(history.broken(), None);
+}
+
+#[test]
+fn see_start_after_cancel() {
+    let mut history = History::accepted();
+    history.call(Asked::Cancel(JOB.to_owned()), done(None));
+    history.wait(2000);
+    history.begin(&run("0.0", "i-1", 1));
+    assert_eq!(history.broken(), None);
+    history.wait(2000);
+    history.begin(&run("0.1", "i-1", 1));
+    assert_eq!(history.broken(), Some(Rule::Unasked));
+}
+
+#[test]
+fn see_complete_before_the_end() {
+    let mut history = History::accepted();
+    history.run_all(&["0.0", "0.1", "1.0"]);
+    history.call(Asked::State(JOB.to_owned()), done(Some("complete")));
+    assert_eq!(history.broken(), Some(Rule::Mixed));
+}
+
+#[test]
+fn see_failed_without_cause() {
+    let mut history = History::accepted();
+    history.call(Asked::State(JOB.to_owned()), done(Some("failed")));
+    assert_eq!(history.broken(), Some(Rule::Lost));
+}
+
+#[test]
+fn see_older_answer_after_the_outcome() {
+    let mut history = History::accepted();
+    let call = history.begin_call(Asked::State(JOB.to_owned()));
+    history.run_all(&ALL);
+    history.call(Asked::State(JOB.to_owned()), done(Some("complete")));
+    history.see(Event::CallEnded(call, done(Some("running"))));
+    assert_eq!(history.broken(), None, "it was under way before");
+    history.call(Asked::State(JOB.to_owned()), done(Some("running")));
+    assert_eq!(history.broken(), Some(Rule::Mixed));
+}
+
+#[test]
+fn see_accepted_job_gone() {
+    let mut history = History::accepted();
+    history.call(Asked::State(JOB.to_owned()), Outcome::Gone);
+    assert_eq!(history.broken(), None, "it may take a while");
+    history.wait(3000);
+    history.call(Asked::State(JOB.to_owned()), Outcome::Gone);
+    assert_eq!(history.broken(), Some(Rule::Lost));
+}
+
+#[test]
+fn see_outdated_version() {
+    let mut history = History::new();
+    history.see(Event::ConfigAcknowledged(3));
+    history.wait(1500);
+    history.call(Asked::CountAdded { since: 3 }, Outcome::NoQueue);
+    assert_eq!(history.broken(), None);
+    history.wait(1000);
+    history.call(Asked::CountAdded { since: 3 }, Outcome::NoQueue);
+    assert_eq!(history.broken(), Some(Rule::Config));
+}
+
+#[test]
+fn see_outdated_version_disturbed() {
+    let mut history = History::new();
+    history.see(Event::ConfigAcknowledged(3));
+    let fault = |has_begun| Event::Fault {
+        number: 0,
+        scope: Scope::Node(NODE),
+        text: String::new(),
+        has_begun,
+    };
+    history.see(fault(true));
+    history.wait(4000);
+    history.see(fault(false));
+    history.wait(1000);
+    history.call(Asked::CountDropped { by: 3 }, done(None));
+    assert_eq!(history.broken(), None, "it is not in touch again");
+    history.wait(2500);
+    history.call(Asked::CountDropped { by: 3 }, done(None));
+    assert_eq!(history.broken(), Some(Rule::Config));
+}
+
+#[test]
+fn see_version_go_back() {
+    let mut history = History::new();
+    history.call(Asked::CountAdded { since: 3 }, done(None));
+    history.wait(300);
+    history.call(Asked::CountAdded { since: 3 }, Outcome::NoQueue);
+    assert_eq!(history.broken(), Some(Rule::Config));
+}
+
+#[test]
+fn see_two_holders_of_a_token() {
+    let mut history = History::new();
+    let order = |from| {
+        Event::Worker(WorkerEvent::Ordered {
+            worker: Arc::from("i-1"),
+            fence: 7,
+            from,
+        })
+    };
+    history.see(order(NODE));
+    assert_eq!(history.broken(), None);
+    history.see(order(NodeIndex(1)));
+    assert_eq!(history.broken(), Some(Rule::One));
+}
+
+#[test]
+fn see_answer_to_another_request() {
+    let mut history = History::accepted();
+    let wrong = Outcome::Wrong("{\"pending\":0}".to_owned());
+    history.call(Asked::State(JOB.to_owned()), wrong);
+    assert_eq!(history.broken(), Some(Rule::Mixed));
+}
+
+#[test]
+fn see_request_cut_off_by_a_stop() {
+    let mut history = History::accepted();
+    history.see(Event::Process(NODE, ProcessEvent::Terminated));
+    let call = history.begin_call(Asked::State(JOB.to_owned()));
+    history.wait(100);
+    history.see(Event::CallEnded(call, Outcome::Broken));
+    assert_eq!(history.broken(), None, "it may not have been read");
+    let call = history.begin_call(Asked::State(JOB.to_owned()));
+    history.wait(300);
+    history.see(Event::CallEnded(call, Outcome::Broken));
+    assert_eq!(history.broken(), Some(Rule::Lost));
+}
+
+#[test]
+fn see_stop_with_failure() {
+    let mut history = History::new();
+    history.see(Event::Process(NODE, ProcessEvent::Terminated));
+    history.see(Event::Process(NODE, ProcessEvent::Ended(Some(1))));
+    assert_eq!(history.broken(), Some(Rule::Process));
+}
+
+#[test]
+fn see_stop_take_too_long() {
+    let mut history = History::new();
+    history.see(Event::Process(NODE, ProcessEvent::Terminated));
+    history.wait(8000);
+    history.see(Event::Process(NODE, ProcessEvent::Ended(Some(0))));
+    assert_eq!(history.broken(), Some(Rule::Process));
+}
+
+#[test]
+fn see_end_by_itself() {
+    let mut history = History::new();
+    history.see(Event::Process(NODE, ProcessEvent::Ended(Some(0))));
+    assert_eq!(history.broken(), Some(Rule::Process));
+}
+
+#[test]
+fn see_member_alone() {
+    let mut history = History::accepted();
+    history.wait(10_000);
+    let run = run("0.0", "i-1", 1);
+    history.begin(&run);
+    history.end(&run, How::Alone);
+    assert_eq!(history.broken(), Some(Rule::Gang));
+}
+
+#[test]
+fn see_start_on_draining_worker() {
+    let mut history = History::accepted();
+    let worker = Arc::from("i-1");
+    history.see(Event::Worker(WorkerEvent::Draining { worker }));
+    history.wait(1900);
+    history.begin(&run("0.0", "i-1", 1));
+    assert_eq!(history.broken(), None);
+    history.wait(200);
+    history.begin(&run("0.1", "i-2", 1));
+    assert_eq!(history.broken(), None, "another life");
+    history.end(&run("0.1", "i-2", 1), How::Stopped);
+    history.begin(&run("0.1", "i-1", 2));
+    assert_eq!(history.broken(), Some(Rule::Drain));
+}
+
+#[test]
+fn see_answer_by_unconfirmed_configuration() {
+    let mut history = History::new();
+    history.see(Event::Fault {
+        number: 0,
+        scope: Scope::Configuration,
+        text: String::new(),
+        has_begun: true,
+    });
+    history.wait(2900);
+    history.call(Asked::CountAdded { since: 3 }, done(None));
+    assert_eq!(history.broken(), None);
+    history.wait(100);
+    history.call(Asked::CountAdded { since: 3 }, Outcome::Refused);
+    assert_eq!(history.broken(), None, "it is turned away");
+    history.call(Asked::CountAdded { since: 3 }, done(None));
+    assert_eq!(history.broken(), Some(Rule::Config));
+}
--- /dev/null
+++ b/crates/soak/tests/soak/plan.rs
@@ -0,0 +1,56 @@
+//! Plans follow from their seeds.
+
+use ospreywing_soak::settings::check_size;
+use ospreywing_soak::{Plan, Size, SoakSettings};
+use rstest::rstest;
+use std::path::PathBuf;
+
+const SIZE: Size = Size {
+    boxes_count: 4,
+    workers_count: 8,
+    faults_s: 20,
+};
+
+#[test]
+fn draw_same_seed_same_plan() {
+    assert_eq!(Plan::draw(7, SIZE), Plan::draw(7, SIZE));
+    assert_ne!(Plan::draw(7, SIZE), Plan::draw(8, SIZE));
+}
+
+#[test]
+fn plan_is_kept_as_text() {
+    let plan = Plan::draw(7, SIZE);
+    let text = serde_json::to_string(&plan).expect("it has a text");
+    let read: Plan = serde_json::from_str(&text).expect("it is read");
+    assert_eq!(read, plan);
+}
+
+#[test]
+fn draw_faults_end_in_time() {
+    for seed in 0..200 {
+        let plan = Plan::draw(seed, SIZE);
+        let until_ms = SIZE.faults_s * 1000;
+        let mut faults = plan.faults.iter();
+        assert!(faults.all(|fault| fault.at_ms + fault.lasts_ms <= until_ms));
+    }
+}
+
+#[rstest]
+#[case(Size { boxes_count: 0, ..SIZE }, "boxes: 0 is not from 1 to 36")]
+#[case(Size { workers_count: 65, ..SIZE }, "workers: 65 is not from 1 to 64")]
+#[case(Size { faults_s: 1, ..SIZE }, "seconds: 1 is not from 3 to 3600")]
+fn check_size_names_the_field(#[case] size: Size, #[case] text: &str) {
+    let error = check_size(size).expect_err("it is out of bounds");
+    assert_eq!(error.to_string(), text);
+}
+
+#[test]
+fn settings_binary_missing() {
+    let binary = PathBuf::from("/nowhere/ospreywing-platformd");
+    let settings = SoakSettings::new(binary, PathBuf::from("."), Plan::draw(1, SIZE));
+    let error = settings.expect_err("there is no such program");
+    assert_eq!(
+        error.to_string(),
+        "binary: /nowhere/ospreywing-platformd is no file"
+    );
+}
