Count a configuration as confirmed from when the store said so

Change: `follow` tells with each update an instant from which on the store said so: the call's begin for what it brings, the end of its wait (at most now) where nothing has changed. A watch of the configuration that brought changes is followed at once by one that does not wait, so that a quick change is confirmed a round trip later and not a whole watch. One more call for each version and node; the other followers are as they were.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -124,10 +124,13 @@
         }
     }
 
-    /// Notes that the store knows of no newer configuration.
-    fn note_confirmed(&self) {
+    /// Notes that the store knew of no newer configuration at an instant.
+    fn note_confirmed(&self, true_at: Instant) {
         let view = &self.configuration;
-        view.confirmed_at.set(clock::now());
+        view.confirmed_at.set(view.confirmed_at.get().max(true_at));
+        if !self.is_confirmed() {
+            return;
+        }
         if view.is_outdated.replace(false) {
             info!(self.log, "configuration confirmed again"; "version" => view.version());
         }
@@ -164,8 +167,8 @@
         Ok(())
     }
 
-    /// Takes in what the store answered.
-    fn learn_configuration_update(&self, update: Update) {
+    /// Takes in what the store answered, and an instant from which on it said so.
+    fn learn_configuration_update(&self, update: Update, true_at: Instant) {
         let key = self.platform.configuration_key();
         let items = match update {
             Update::Snapshot(items) => items,
@@ -184,7 +187,7 @@
                 warn!(self.log, "configuration refused"; "error" => error.to_string());
             }
         }
-        self.note_confirmed();
+        self.note_confirmed(true_at);
     }
 }
 
@@ -203,11 +206,12 @@
         // A watch that is answered has missed nothing.
         refresh: None,
         pace: Duration::ZERO,
+        is_confirming: true,
     };
     let key = node.platform.configuration_key();
     let store = node.store.clone();
-    follow(store, key, policy, None, |update| {
-        node.learn_configuration_update(update);
+    follow(store, key, policy, None, |update, true_at| {
+        node.learn_configuration_update(update, true_at);
         Flow::Continue
     })
     .await;
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -114,9 +114,10 @@
         wait: WATCH_WAIT,
         refresh: Some(CELL_REFRESH),
         pace: Duration::ZERO,
+        is_confirming: false,
     };
     let store = node.store.clone();
-    follow(store, keys::CELL_PREFIX, policy, None, |update| {
+    follow(store, keys::CELL_PREFIX, policy, None, |update, _| {
         learn_cell(&node, update);
         Flow::Continue
     })
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -16,6 +16,9 @@
     pub refresh: Option<Duration>,
     /// The time between a watch that brought changes and the next.
     pub pace: Duration,
+    /// Whether a watch that brought changes is followed by one that does not
+    /// wait, which tells whether they are the newest.
+    pub is_confirming: bool,
 }
 
 /// What a follower learned.
@@ -82,6 +85,10 @@
 
 /// Follows a prefix until told to stop.
 ///
+/// `learn` is told each update with an instant from which on the store said so.
+/// An answer was true at some moment after it was asked for; how long its last
+/// byte then took is a matter of its size and of the node's link.
+///
 /// `from` is the revision up to which the caller knows everything; without it
 /// everything is read first.
 pub async fn follow<S: Store>(
@@ -89,14 +96,16 @@
     prefix: &str,
     policy: FollowPolicy,
     from: Option<Revision>,
-    mut learn: impl FnMut(Update) -> Flow,
+    mut learn: impl FnMut(Update, Instant) -> Flow,
 ) {
     let mut at = from;
     let mut read_at = clock::now();
     let mut is_failing = false;
+    let mut is_unconfirmed = false;
     loop {
+        let asked_at = clock::now();
         // A call that waits may hang on after the store is back.
-        let wait = if is_failing {
+        let wait = if is_failing || is_unconfirmed {
             Duration::ZERO
         } else {
             policy.wait
@@ -127,6 +136,12 @@
             },
         };
         is_failing = matches!(update, Update::Failed(_));
+        is_unconfirmed = policy.is_confirming && matches!(update, Update::Changes(_));
+        let true_at = match &update {
+            // The store waited before it said so.
+            Update::Unchanged => clock::now().min(asked_at + wait),
+            Update::Snapshot(_) | Update::Changes(_) | Update::Failed(_) => asked_at,
+        };
         if is_stale(policy, read_at) {
             at = None;
         }
@@ -135,7 +150,7 @@
             Update::Changes(_) => policy.pace,
             Update::Snapshot(_) | Update::Unchanged => Duration::ZERO,
         };
-        if learn(update) == Flow::Stop {
+        if learn(update, true_at) == Flow::Stop {
             return;
         }
         if pause != Duration::ZERO {
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -19,6 +19,7 @@
     wait: Duration::from_ms(1500),
     refresh: None,
     pace: Duration::from_ms(400),
+    is_confirming: false,
 };
 
 /// How the list of workers is followed.
@@ -26,6 +27,7 @@
     wait: Duration::from_ms(2000),
     refresh: Some(Duration::from_ms(10_000)),
     pace: Duration::from_ms(400),
+    is_confirming: false,
 };
 
 /// Tells the scheduler of accepted jobs and cancels until the term is over.
@@ -36,7 +38,7 @@
         keys::INTAKE_PREFIX,
         INTAKE_POLICY,
         Some(at),
-        |update| {
+        |update, _| {
             match update {
                 Update::Snapshot(items) => {
                     node.note_contact();
@@ -87,7 +89,7 @@
     let mut known: BTreeMap<String, WorkerFacts> = BTreeMap::new();
     let store = node.store.clone();
     let prefix = node.platform.workers_prefix();
-    follow(store, prefix, WORKERS_POLICY, None, |update| {
+    follow(store, prefix, WORKERS_POLICY, None, |update, _| {
         let has_changed = match update {
             Update::Snapshot(items) => {
                 let read = items.iter().filter_map(|item| read_worker(&node, item));
--- a/crates/control/tests/control/following.rs
+++ b/crates/control/tests/control/following.rs
@@ -10,6 +10,7 @@
     wait: Duration::from_ms(50),
     refresh: None,
     pace: Duration::ZERO,
+    is_confirming: false,
 };
 
 async fn put(store: &MemoryStore, key: &str) {
@@ -50,7 +51,7 @@
         refresh: Some(Duration::from_s(60)),
         ..POLICY
     };
-    follow(store, "p/", refreshing, None, |update| {
+    follow(store, "p/", refreshing, None, |update, _| {
         match update {
             Update::Snapshot(items) => {
                 snapshots_count += 1;
