--- a/crates/control/tests/control/following.rs
+++ b/crates/control/tests/control/following.rs
@@ -134,3 +134,18 @@
         assert_eq!(reads[3], Read::Page);
     });
 }
+
+/// A watch whose answer can never be taken in (more than `ANSWER_LIMIT_BYTES` of
+/// changes since) must not be asked for again for ever: what stands is smaller.
+#[test]
+fn follow_watch_that_is_never_answered() {
+    run_local(async {
+        let store = MemoryStore::new();
+        put(&store, "p/0").await;
+        store.fail_watches(usize::MAX);
+        let following = follow_keys(store.clone(), &["p/1"], 99);
+        let limit = std::time::Duration::from_secs(4);
+        let followed = tokio::time::timeout(limit, following).await;
+        assert!(followed.is_ok(), "p/1 is there, and was never read");
+    });
+}
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -19,6 +19,8 @@
     pub failed_noted: BTreeMap<TaskKey, BTreeSet<u32>>,
     /// Notes of ends `done` that don't count, since the lease lapsed in between.
     pub lapsed_notes_count: usize,
+    /// Tasks with an end `done` that a worker was told to forget, its lease lapsed or not.
+    pub done_acked: BTreeSet<TaskKey>,
     pub starts_count: usize,
     /// Starts that went on from a checkpoint.
     pub resumed_count: usize,
@@ -43,6 +45,7 @@
             let task = end.task;
             match end.kind {
                 EndKind::Done => {
+                    self.done_acked.insert(task);
                     let (ended_at_ms, is_noted) = worker.end_told(end.number, now_ms);
                     if !is_noted {
                         self.lapsed_notes_count += 1;
@@ -52,7 +55,7 @@
                     let started_at_ms = self.started_at_ms.get(&task).copied().unwrap_or(0);
                     let spec = &jobs[&task.step.job].spec.steps[task.step.step as usize];
                     assert!(
-                        spec.is_gang || started_at_ms <= ended_at_ms,
+                        started_at_ms <= ended_at_ms,
                         "{task} started again at {started_at_ms} ms after its run {} had \
                          ended as done at {ended_at_ms} ms, which was noted at {now_ms} ms",
                         end.run
@@ -85,6 +88,10 @@
             !self.done_noted.contains(&task),
             "{task} starts after its end was noted"
         );
+        assert!(
+            !self.done_acked.contains(&task),
+            "{task} starts after its end was acknowledged, lapsed or not"
+        );
         let failed_count = self.failed_noted.get(&task).map_or(0, BTreeSet::len);
         assert!(
             failed_count < super::ATTEMPTS_COUNT as usize,
--- a/crates/scheduler/tests/scheduler/takeover.rs
+++ b/crates/scheduler/tests/scheduler/takeover.rs
@@ -110,3 +110,16 @@
         |action: &Action| matches!(action, Action::Hold { last_seen, .. } if *last_seen > 0);
     assert!(!next.actions.iter().any(forgets));
 }
+
+/// A worker that lists an end and a run of a job that can't be read is asked on:
+/// once the run is over, it has room again.
+#[test]
+fn hold_goes_on_beside_end_of_unreadable_job() {
+    let (mut next, worker, task) = next_leader_without_state();
+    let other = TaskKey { index: 1, ..task };
+    next.list_both(worker, other, vec![end(1, task, 1, EndKind::Done)]);
+    next.actions.clear();
+    next.commit_all();
+    let asks = |action: &Action| matches!(action, Action::Hold { to, .. } if to.worker == worker);
+    assert!(next.actions.iter().any(asks), "it is never asked again");
+}
