--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -92,11 +92,16 @@
     /// Returns whether requests may be answered by the configuration at hand.
     ///
     /// It may be outdated where the store has not confirmed it for as long as
-    /// a change may take to be in force. While the store answers this node
-    /// nothing at all, that decides nothing: what is accepted or cancelled
-    /// has to be written there.
+    /// a change may take to be in force. Where the store answers this node
+    /// nothing at all, it may be down for all, so that there are no changes; it
+    /// may also turn this node away alone, so that is borne for a while only.
     pub fn is_current(&self) -> bool {
-        !self.has_contact() || self.is_confirmed()
+        let limit = if self.has_contact() {
+            self.settings.apply_limit
+        } else {
+            self.settings.apply_limit + self.settings.stretch_limit
+        };
+        self.configuration.age(clock::now()) <= limit
     }
 
     fn is_confirmed(&self) -> bool {
@@ -207,6 +212,7 @@
         refresh: None,
         pace: Duration::ZERO,
         is_confirming: true,
+        reads_after_failure: true,
     };
     let key = node.platform.configuration_key();
     let store = node.store.clone();
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -115,6 +115,7 @@
         refresh: Some(CELL_REFRESH),
         pace: Duration::ZERO,
         is_confirming: false,
+        reads_after_failure: false,
     };
     let store = node.store.clone();
     follow(store, keys::CELL_PREFIX, policy, None, |update, _| {
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -1,12 +1,16 @@
 //! Following a part of the store: read it whole, then watch what changes.
 
-use crate::store::{Item, Revision, Store, StoreError, WatchedChange};
+use crate::store::{Item, Revision, Store, StoreError, Watched, WatchedChange};
 use crate::{clock, keys};
 use ospreywing_types::{Duration, Instant};
 
 /// The time until a call that failed is made again.
 const RETRY: Duration = Duration::from_ms(150);
 
+/// Failures in a row, beside answers to small calls, after which a watch is
+/// given up and everything is read.
+const UNANSWERABLE_LIMIT_COUNT: u32 = 2;
+
 /// How a part of the store is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowPolicy {
@@ -16,6 +20,9 @@
     pub refresh: Option<Duration>,
     /// The time between a watch that brought changes and the next.
     pub pace: Duration,
+    /// Whether a watch that failed is followed by reading what stands: a watch
+    /// brings every version since, of which only the newest counts.
+    pub reads_after_failure: bool,
     /// Whether a watch that brought changes is followed by one that does not
     /// wait, which tells whether they are the newest.
     pub is_confirming: bool,
@@ -70,17 +77,89 @@
     Ok((items, at))
 }
 
-/// Reads everything, where the store answers a call for a small item first
-/// after a failure: a page is given much time, which an outage would use up.
-async fn read_again<S: Store>(
+/// Where a follower stands.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    /// The revision from which the next watch goes on; without it everything
+    /// is read.
+    at: Option<Revision>,
+    /// Where the last answer without changes would have gone on.
+    empty_at: Option<Revision>,
+    /// Watches in a row that failed right after a small call was answered.
+    unanswerable_count: u32,
+}
+
+impl Position {
+    const fn new(at: Option<Revision>) -> Self {
+        Self {
+            at,
+            empty_at: None,
+            unanswerable_count: 0,
+        }
+    }
+
+    /// Goes on behind an answer.
+    ///
+    /// An answer without changes moves the position only as far as the one before
+    /// it: a watch that ended while the store was behind with its changes would
+    /// otherwise pass them over for good.
+    fn advance(&mut self, from: Revision, watched: &Watched) {
+        let at = watched.at.max(from);
+        self.unanswerable_count = 0;
+        if watched.changes.is_empty() {
+            self.at = Some(self.empty_at.unwrap_or(from));
+            self.empty_at = Some(at);
+        } else {
+            self.at = Some(at);
+            self.empty_at = None;
+        }
+    }
+
+    fn read_again(&mut self) {
+        *self = Self::new(None);
+    }
+}
+
+/// Asks once: for everything, or for the changes since.
+///
+/// After a failure a small call goes first, which tells whether the store
+/// answers at all: a page is given much time, which an outage would use up, and
+/// a watch that fails beside it has an answer that can't be taken in.
+async fn ask<S: Store>(
     store: &S,
     prefix: &str,
+    position: &mut Position,
+    wait: Duration,
     is_failing: bool,
-) -> Result<(Vec<Item>, Revision), StoreError> {
+) -> Result<Option<Update>, StoreError> {
     if is_failing {
         store.get(keys::LEADER).await?;
     }
-    read_all(store, prefix).await
+    let Some(from) = position.at else {
+        let (items, revision) = read_all(store, prefix).await?;
+        *position = Position::new(Some(revision));
+        return Ok(Some(Update::Snapshot(items)));
+    };
+    match store.watch(prefix, from, wait).await {
+        Ok(watched) => {
+            position.advance(from, &watched);
+            if watched.changes.is_empty() {
+                Ok(Some(Update::Unchanged))
+            } else {
+                Ok(Some(Update::Changes(watched.changes)))
+            }
+        }
+        Err(StoreError::Compacted) => {
+            position.read_again();
+            Ok(None)
+        }
+        Err(error) => {
+            if is_failing {
+                position.unanswerable_count += 1;
+            }
+            Err(error)
+        }
+    }
 }
 
 /// Follows a prefix until told to stop.
@@ -98,7 +177,7 @@
     from: Option<Revision>,
     mut learn: impl FnMut(Update, Instant) -> Flow,
 ) {
-    let mut at = from;
+    let mut position = Position::new(from);
     let mut read_at = clock::now();
     let mut is_failing = false;
     let mut is_unconfirmed = false;
@@ -110,30 +189,11 @@
         } else {
             policy.wait
         };
-        let update = match at {
-            None => match read_again(&store, prefix, is_failing).await {
-                Ok((items, revision)) => {
-                    at = Some(revision);
-                    read_at = clock::now();
-                    Update::Snapshot(items)
-                }
-                Err(error) => Update::Failed(error),
-            },
-            Some(revision) => match store.watch(prefix, revision, wait).await {
-                Ok(watched) => {
-                    at = Some(watched.at.max(revision));
-                    if watched.changes.is_empty() {
-                        Update::Unchanged
-                    } else {
-                        Update::Changes(watched.changes)
-                    }
-                }
-                Err(StoreError::Compacted) => {
-                    at = None;
-                    continue;
-                }
-                Err(error) => Update::Failed(error),
-            },
+        let asked = ask(&store, prefix, &mut position, wait, is_failing).await;
+        let update = match asked {
+            Ok(Some(update)) => update,
+            Ok(None) => continue,
+            Err(error) => Update::Failed(error),
         };
         is_failing = matches!(update, Update::Failed(_));
         is_unconfirmed = policy.is_confirming && matches!(update, Update::Changes(_));
@@ -142,8 +202,13 @@
             Update::Unchanged => clock::now().min(asked_at + wait),
             Update::Snapshot(_) | Update::Changes(_) | Update::Failed(_) => asked_at,
         };
-        if is_stale(policy, read_at) {
-            at = None;
+        if matches!(update, Update::Snapshot(_)) {
+            read_at = clock::now();
+        }
+        let is_unanswerable = position.unanswerable_count >= UNANSWERABLE_LIMIT_COUNT;
+        let reads_next = is_failing && policy.reads_after_failure;
+        if is_stale(policy, read_at) || is_unanswerable || reads_next {
+            position.read_again();
         }
         let pause = match &update {
             Update::Failed(_) => RETRY,
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -260,20 +260,25 @@
         }
         Err(_) => return Reply::TooSlow,
     };
-    let Some(in_force) = node.current_configuration().await else {
-        return Reply::Unavailable(COME_BACK);
-    };
+    let begun_at = clock::now();
     let incoming = Incoming {
         method: &parts.method,
         path: parts.uri.path(),
         headers: &parts.headers,
         body: &body,
     };
-    let begun_at = clock::now();
-    let reply = match node.platform.decode(&in_force.routes, incoming) {
-        Ok(call) => requests::execute(node, call).await,
-        Err(reply) => reply,
-    };
+    let reply = reply_to(node, incoming).await;
     node.metrics.note_reply(&reply, begun_at);
     reply
 }
+
+async fn reply_to<P: Platform>(node: &Rc<Node<P>>, incoming: Incoming<'_>) -> Reply {
+    let Some(in_force) = node.current_configuration().await else {
+        return Reply::Unavailable(COME_BACK);
+    };
+    let version = in_force.configuration.version;
+    match node.platform.decode(&in_force.routes, incoming) {
+        Ok(call) => requests::execute(node, call, version).await,
+        Err(reply) => reply,
+    }
+}
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -62,6 +62,8 @@
     pub retention: Duration,
     /// The time in which a change of the configuration must be in force.
     pub apply_limit: Duration,
+    /// What a store that turns nodes away may add to that.
+    pub stretch_limit: Duration,
 }
 
 /// Why a node could not run.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -28,8 +28,9 @@
 /// How many other nodes are asked to write.
 pub const FORWARDS_COUNT: usize = 2;
 
-/// Does what a client asks for.
-pub async fn execute<P: Platform>(node: &Rc<Node<P>>, call: Call) -> Reply {
+/// Does what a client asks for; `version` is that of the configuration by which
+/// the call was read.
+pub async fn execute<P: Platform>(node: &Rc<Node<P>>, call: Call, version: u64) -> Reply {
     match call {
         Call::Submit {
             job,
@@ -43,7 +44,7 @@
                 accepted_ms: clock::wall_ms(),
                 spec,
             };
-            submit(node, job, record).await
+            submit(node, job, record, version).await
         }
         Call::Status { job } => status(node, job).await,
         Call::Cancel { job } => cancel(node, job).await,
@@ -51,13 +52,17 @@
     }
 }
 
-async fn submit<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: JobRecord) -> Reply {
+async fn submit<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    record: JobRecord,
+    version: u64,
+) -> Reply {
     let local = write_job(node, job, &record).await;
     let reply = match local {
         IntakeOutcome::Stored => Reply::Accepted,
         IntakeOutcome::Unknown => Reply::Unknown,
         IntakeOutcome::NotStored => {
-            let version = node.configuration.version();
             let request = PeerRequest::Submit {
                 job,
                 record,
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -20,14 +20,17 @@
     refresh: None,
     pace: Duration::from_ms(400),
     is_confirming: false,
+    reads_after_failure: false,
 };
 
-/// How the list of workers is followed.
+/// How the list of workers is followed. A watch that hangs is noticed, and the
+/// list read, within the 2 s in which a draining worker must be left alone.
 const WORKERS_POLICY: FollowPolicy = FollowPolicy {
-    wait: Duration::from_ms(2000),
+    wait: Duration::from_ms(1000),
     refresh: Some(Duration::from_ms(10_000)),
     pace: Duration::from_ms(400),
     is_confirming: false,
+    reads_after_failure: false,
 };
 
 /// Tells the scheduler of accepted jobs and cancels until the term is over.
--- a/crates/control/tests/control/following.rs
+++ b/crates/control/tests/control/following.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{run_local, MemoryStore, Read};
 use ospreywing_control::follow::{follow, read_all, Flow, FollowPolicy, Update};
-use ospreywing_control::{Store, Transaction, WatchedChange};
+use ospreywing_control::{keys, Store, Transaction, WatchedChange};
 use ospreywing_types::Duration;
 use std::collections::BTreeSet;
 
@@ -11,6 +11,7 @@
     refresh: None,
     pace: Duration::ZERO,
     is_confirming: false,
+    reads_after_failure: false,
 };
 
 async fn put(store: &MemoryStore, key: &str) {
@@ -132,6 +133,23 @@
         let reads = store.reads();
         assert_eq!(reads[..3], [Read::Page, Read::Item, Read::Item]);
         assert_eq!(reads[3], Read::Page);
+        // What is followed may be large.
+        assert_eq!(store.item_keys(), [keys::LEADER, keys::LEADER]);
+    });
+}
+
+/// A watch can end while the store is behind with its changes, and still name
+/// the newest revision.
+#[test]
+fn follow_watch_that_passed_a_change_over() {
+    run_local(async {
+        let store = MemoryStore::new();
+        put(&store, "p/0").await;
+        store.deafen_watches(1);
+        let following = follow_keys(store.clone(), &["p/1"], 99);
+        let limit = std::time::Duration::from_secs(4);
+        let followed = tokio::time::timeout(limit, following).await;
+        assert!(followed.is_ok(), "p/1 was passed over");
     });
 }
 
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -31,9 +31,11 @@
     treatments: VecDeque<Treatment>,
     late: Vec<Transaction>,
     failing_watches_count: usize,
+    deaf_watches_count: usize,
     watch_waits: Vec<Duration>,
     silent_reads_count: usize,
     reads: Vec<Read>,
+    item_keys: Vec<String>,
 }
 
 /// A kind of reading call.
@@ -75,6 +77,12 @@
         self.0.borrow_mut().failing_watches_count = count;
     }
 
+    /// Lets the next watches that have changes to tell of end as if there were
+    /// none.
+    pub fn deafen_watches(&self, count: usize) {
+        self.0.borrow_mut().deaf_watches_count = count;
+    }
+
     /// Lets the next reads of items and pages go without an answer.
     pub fn fail_reads(&self, count: usize) {
         self.0.borrow_mut().silent_reads_count = count;
@@ -85,6 +93,11 @@
         self.0.borrow().reads.clone()
     }
 
+    /// Returns the keys of the items that were asked for.
+    pub fn item_keys(&self) -> Vec<String> {
+        self.0.borrow().item_keys.clone()
+    }
+
     /// Returns how long each watch so far was to wait.
     pub fn watch_waits(&self) -> Vec<Duration> {
         self.0.borrow().watch_waits.clone()
@@ -152,6 +165,7 @@
 
 impl Store for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        self.0.borrow_mut().item_keys.push(key.to_owned());
         self.0.borrow_mut().note_read(Read::Item)?;
         Ok(self.0.borrow().items.get(key).cloned())
     }
@@ -200,8 +214,13 @@
             WatchedChange::Gone { key } => key.starts_with(prefix),
         };
         let changes = later.map(|(_, change)| change.clone()).filter(is_ours);
+        let mut changes: Vec<WatchedChange> = changes.collect();
+        if inner.deaf_watches_count > 0 && !changes.is_empty() {
+            inner.deaf_watches_count -= 1;
+            changes.clear();
+        }
         Ok(Watched {
-            changes: changes.collect(),
+            changes,
             at: inner.revision,
         })
     }
--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -213,7 +213,7 @@
         let worker = &mut self.workers[key];
         worker.uncommitted_ends.retain(|end| *end != number);
         if worker.uncommitted_ends.is_empty() {
-            worker.acked_end = worker.seen_end;
+            worker.acked_end = worker.ackable_end();
         }
     }
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -64,8 +64,8 @@
         let number = end.number;
         let id = end.task.step.job;
         if self.unreadable.contains(&id) {
-            // Never acknowledged in this term.
-            self.workers[key].uncommitted_ends.push(number);
+            let kept = &mut self.workers[key].kept_end;
+            *kept = Some(kept.map_or(number, |first| first.min(number)));
             return;
         }
         let job = self.jobs.get_mut(&id);
@@ -78,7 +78,7 @@
             self.workers[key].uncommitted_ends.push(number);
         } else if self.workers[key].uncommitted_ends.is_empty() {
             let worker = &mut self.workers[key];
-            worker.acked_end = worker.seen_end;
+            worker.acked_end = worker.ackable_end();
         }
     }
 
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -422,7 +422,7 @@
     if !worker.uncommitted_ends.is_empty() {
         return has_runs && now.since(worker.granted_at) >= pace_beside_commit;
     }
-    let has_news = worker.seen_end > worker.acked_end;
+    let has_news = worker.ackable_end() > worker.acked_end;
     has_runs
         || has_news
         || worker.has_unknown_run
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -125,6 +125,9 @@
     pub(crate) acked_end: u64,
     /// The last end that was taken in.
     pub(crate) seen_end: u64,
+    /// The first end that this leader may not acknowledge, since it can't read
+    /// the job.
+    pub(crate) kept_end: Option<u64>,
     /// Ends that wait for their commit.
     pub(crate) uncommitted_ends: Vec<u64>,
     pub(crate) is_hold_open: bool,
@@ -156,6 +159,7 @@
             reservations: Vec::new(),
             acked_end: 0,
             seen_end: 0,
+            kept_end: None,
             uncommitted_ends: Vec::new(),
             is_hold_open: false,
             unanswered_holds_count: 0,
@@ -165,6 +169,13 @@
         }
     }
 
+    /// Returns up to which end the worker may forget, once all that wait for
+    /// their commit are in the store.
+    pub(crate) fn ackable_end(&self) -> u64 {
+        let kept = self.kept_end.map(|number| number.saturating_sub(1));
+        kept.map_or(self.seen_end, |last| last.min(self.seen_end))
+    }
+
     /// Returns what is not taken.
     pub(crate) fn free(&self) -> Resources {
         self.facts.capacity - self.used
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -32,15 +32,8 @@
     /// Notes the ends that a worker is about to forget.
     ///
     /// A start after an end `done` breaks the rule also where the end is taken
-    /// note of only later. Of the members of a gang one end stands for all, so
-    /// there only starts after the note count.
-    pub fn note_acks(
-        &mut self,
-        worker: &FakeWorker,
-        now_ms: u64,
-        last_seen: u64,
-        jobs: &BTreeMap<JobId, JobRecord>,
-    ) {
+    /// note of only later.
+    pub fn note_acks(&mut self, worker: &FakeWorker, now_ms: u64, last_seen: u64) {
         for end in worker.ended.iter().filter(|end| end.number <= last_seen) {
             let task = end.task;
             match end.kind {
@@ -53,7 +46,6 @@
                     }
                     self.done_noted.insert(task);
                     let started_at_ms = self.started_at_ms.get(&task).copied().unwrap_or(0);
-                    let spec = &jobs[&task.step.job].spec.steps[task.step.step as usize];
                     assert!(
                         started_at_ms <= ended_at_ms,
                         "{task} started again at {started_at_ms} ms after its run {} had \
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -519,7 +519,7 @@
         self.note_done();
         let worker = &mut self.workers[index];
         if term >= worker.fence {
-            self.rules.note_acks(worker, now_ms, last_seen, &self.jobs);
+            self.rules.note_acks(worker, now_ms, last_seen);
         }
         let reply = worker.hold(now_ms, term, until_ms, last_seen, LEASE_LIMIT_MS);
         if self.draw(self.faults.lost_answer) {
