Notice at once that a silent store answers again

Cause: what is sent while the store is silent hangs for its time limit of 0.5 s, also when the store is back meanwhile; then a pause follows.

Change: after a call without an answer, small reads go out every 100 ms without waiting for one another, until they have been answered for 0.5 s. Calls that have waited for more than three times as long as such a read, and 120 ms, and a millisecond for 125 bytes that they send, are given up as unanswered and made again; pauses before a repetition end too.

Ruled out: shorter time limits (a store a hundred times slower needs 0.4 s); other values of Retry-After: the callers' pauses after the first are shares of their remaining time (1.06, 0.8, 0.6 and 0.4 s in the log), so the last of five calls comes 2.4 to 2.9 s after the first, as late as it may.

Tests: write_sent_in_silence, commit_sent_in_silence (fail with the probes taken out: calls sent in the silence hang for ever there), commit_slower_than_probe.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -77,7 +77,7 @@
                     if is_over() {
                         return CommitOutcome::Lost;
                     }
-                    tokio::time::sleep(RETRY.into()).await;
+                    self.store.pause(RETRY).await;
                 }
             }
         }
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -218,7 +218,9 @@
         if learn(update, true_at) == Flow::Stop {
             return;
         }
-        if pause != Duration::ZERO {
+        if is_failing {
+            store.pause(pause).await;
+        } else if pause != Duration::ZERO {
             tokio::time::sleep(pause.into()).await;
         }
     }
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -161,7 +161,7 @@
             answer_all(vec![entry], outcome);
         }
         self.put_back(rest);
-        tokio::time::sleep(RETRY.into()).await;
+        self.store.pause(RETRY).await;
     }
 
     fn put_back(&self, rest: Vec<Entry>) {
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,8 +2,7 @@
 
 use crate::commit::CommitLane;
 use crate::election::LEADER_LEASE;
-use crate::metered::MeteredStore;
-use crate::node::Node;
+use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
 use crate::store::{LeaseGrant, LeaseId, Store};
 use crate::{clock, decision_loop, leader_lease, recovery, step_down, watches};
@@ -35,7 +34,7 @@
     pub(crate) ended: Notify,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) events: mpsc::UnboundedSender<Event>,
-    pub(crate) lanes: Vec<Rc<CommitLane<MeteredStore<P::Store>>>>,
+    pub(crate) lanes: Vec<Rc<CommitLane<NodeStore<P>>>>,
     pub(crate) open_commits_count: Cell<usize>,
 }
 
--- a/crates/control/src/leader_lease.rs
+++ b/crates/control/src/leader_lease.rs
@@ -27,8 +27,11 @@
 pub(crate) async fn keep_lease<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
     let mut failures_count = 0;
     while !leading.is_over() {
-        let pause = if failures_count == 0 { RENEWAL } else { RETRY };
-        tokio::time::sleep(pause.into()).await;
+        if failures_count == 0 {
+            tokio::time::sleep(RENEWAL.into()).await;
+        } else {
+            node.store.pause(RETRY).await;
+        }
         let sent_at = clock::now();
         match node.store.keep_lease(leading.lease).await {
             Ok(()) => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod orders;
 pub mod peer;
 pub mod platform;
+pub mod probed;
 pub mod recovery;
 pub mod requests;
 mod step_down;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -10,6 +10,7 @@
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
+use crate::probed::ProbedStore;
 use crate::store::LeaseId;
 use ospreywing_http::HttpClient;
 use ospreywing_types::{Duration, Instant};
@@ -82,12 +83,15 @@
     Signals(std::io::Error),
 }
 
+/// The platform's store, as a node calls it.
+pub type NodeStore<P> = ProbedStore<MeteredStore<<P as Platform>::Store>>;
+
 /// A node.
 pub struct Node<P: Platform> {
     /// The platform.
     pub platform: P,
     /// The platform's store.
-    pub store: MeteredStore<P::Store>,
+    pub store: NodeStore<P>,
     /// The settings.
     pub settings: NodeSettings,
     /// What is counted.
@@ -97,7 +101,7 @@
     /// Connections to other nodes.
     pub peers: HttpClient,
     /// What clients have handed in.
-    pub intake: Rc<Intake<MeteredStore<P::Store>>>,
+    pub intake: Rc<Intake<NodeStore<P>>>,
     /// The operators' configuration.
     pub configuration: ConfigurationView<P>,
     /// Who leads, and who lives.
@@ -197,7 +201,7 @@
 ) -> Result<(), NodeError> {
     let sockets = Sockets::bind(&mut settings).await?;
     let metrics = Rc::new(Metrics::new());
-    let store = MeteredStore::new(platform.store(), metrics.clone());
+    let store = ProbedStore::new(MeteredStore::new(platform.store(), metrics.clone()));
     let node = Rc::new(Node {
         intake: Intake::new(store.clone()),
         store,
@@ -253,12 +257,21 @@
         let intake = node.intake.clone();
         tokio::task::spawn_local(async move { intake.run().await });
     }
+    tokio::task::spawn_local(note_returns(node.clone()));
     tokio::task::spawn_local(configuration::follow_configuration(node.clone()));
     tokio::task::spawn_local(election::follow_cell(node.clone()));
     tokio::task::spawn_local(election::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
 }
 
+/// Notes contact whenever the store answers again.
+async fn note_returns<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        node.store.answered().await;
+        node.note_contact();
+    }
+}
+
 async fn reload_on_signal<P: Platform>(node: Rc<Node<P>>, mut hup: tokio::signal::unix::Signal) {
     let mut period = tokio::time::interval(RELOAD_PERIOD.into());
     loop {
--- /dev/null
+++ b/crates/control/src/probed.rs
@@ -0,0 +1,197 @@
+//! A store whose return from silence is noticed at once.
+//!
+//! A call that was sent while the store was silent may hang until its time
+//! limit, although the store answers again. So after a call without an answer
+//! small reads go out at a short pace, without waiting for one another; once
+//! they are answered, calls that have waited for much longer than they took
+//! are given up, and whoever made them tries again.
+
+use crate::store::{
+    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
+    Transaction, Watched,
+};
+use crate::{clock, keys};
+use ospreywing_types::{Duration, Instant};
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The time between two probes: a tenth of a second of an outage's end is lost
+/// at most, and a cell of forty nodes reads 400 times a second.
+const PROBE_PERIOD: Duration = Duration::from_ms(100);
+/// How long probes go on after the first answer: as long as the longest time
+/// limit of a call, so that each that was sent before is looked at.
+const PROBE_ON_TIME: Duration = Duration::from_ms(500);
+/// How many times as long as a probe a call may take. A transaction is larger
+/// than a probe, and a slow store's answers differ by half.
+const OUTRUN_FACTOR: u64 = 3;
+/// What a call may take beyond that.
+const OUTRUN_SLACK: Duration = Duration::from_ms(120);
+/// The bytes of a transaction for which it is given a millisecond more: 1 Mbit a
+/// second, a tenth of the narrowest link that is planned for.
+const SENT_PER_MS_BYTES: usize = 125;
+
+/// What is known of the store's silence.
+#[derive(Debug, Default)]
+struct Silence {
+    is_probing: Cell<bool>,
+    /// Calls that were sent before this are given up.
+    outrun_before: Cell<Instant>,
+    answered: Notify,
+}
+
+/// A store whose return from silence is noticed at once.
+#[derive(Clone, Debug)]
+pub struct ProbedStore<S> {
+    store: S,
+    silence: Rc<Silence>,
+}
+
+impl<S: Store> ProbedStore<S> {
+    /// Creates a store that probes `store` after a call without an answer.
+    pub fn new(store: S) -> Self {
+        Self {
+            store,
+            silence: Rc::default(),
+        }
+    }
+
+    /// Waits until the store answers a probe after a silence.
+    pub async fn answered(&self) {
+        self.silence.answered.notified().await;
+    }
+
+    /// Makes a call, and gives it up where probes have outrun it by more than
+    /// what it has to send takes.
+    async fn guard<T, E: From<StoreError>>(
+        &self,
+        call: impl Future<Output = Result<T, E>>,
+        sending_time: Duration,
+        is_unanswered: impl Fn(&E) -> bool,
+    ) -> Result<T, E> {
+        let sent_at = clock::now() + sending_time;
+        let mut call = std::pin::pin!(call);
+        loop {
+            let answered = self.silence.answered.notified();
+            tokio::select! {
+                result = &mut call => {
+                    if result.as_ref().is_err_and(&is_unanswered) {
+                        self.begin_probes();
+                    }
+                    return result;
+                }
+                () = answered => {
+                    if sent_at < self.silence.outrun_before.get() {
+                        let reason = "sent in a silence that is over".to_owned();
+                        return Err(StoreError::Unknown(reason).into());
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin_probes(&self) {
+        if !self.silence.is_probing.replace(true) {
+            tokio::task::spawn_local(self.clone().probe());
+        }
+    }
+
+    /// Sends probes until the store has answered them for a while.
+    async fn probe(self) {
+        let first_answer_at = Rc::new(Cell::new(None));
+        loop {
+            let (store, answer_at) = (self.clone(), first_answer_at.clone());
+            tokio::task::spawn_local(async move {
+                if let Some(now) = store.probe_once().await {
+                    answer_at.set(answer_at.get().or(Some(now)));
+                }
+            });
+            tokio::time::sleep(PROBE_PERIOD.into()).await;
+            let is_back = first_answer_at
+                .get()
+                .is_some_and(|at| clock::now().since(at) >= PROBE_ON_TIME);
+            if is_back {
+                self.silence.is_probing.set(false);
+                return;
+            }
+        }
+    }
+
+    /// Sends one probe; returns when it was answered.
+    async fn probe_once(&self) -> Option<Instant> {
+        let sent_at = clock::now();
+        // An error says what began the probes: there is no answer yet.
+        self.store.get(keys::LEADER).await.ok()?;
+        let now = clock::now();
+        let limit = now.since(sent_at).times(OUTRUN_FACTOR) + OUTRUN_SLACK;
+        let outrun_before = self.silence.outrun_before.get().max(now - limit);
+        self.silence.outrun_before.set(outrun_before);
+        self.silence.answered.notify_waiters();
+        Some(now)
+    }
+}
+
+fn sending_time(transaction: &Transaction) -> Duration {
+    let writes = transaction.put.iter();
+    let len_bytes: usize = writes
+        .map(|write| write.key.len() + write.value.len())
+        .sum();
+    Duration::from_ms((len_bytes / SENT_PER_MS_BYTES) as u64)
+}
+
+const fn is_unanswered(error: &StoreError) -> bool {
+    matches!(error, StoreError::Unknown(_))
+}
+
+const fn is_commit_unanswered(error: &CommitError) -> bool {
+    matches!(error, CommitError::Store(StoreError::Unknown(_)))
+}
+
+impl<S: Store> Store for ProbedStore<S> {
+    async fn pause(&self, length: Duration) {
+        // Which of the two ended it makes no difference.
+        let _ = tokio::time::timeout(length.into(), self.answered()).await;
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        self.guard(self.store.get(key), Duration::ZERO, is_unanswered)
+            .await
+    }
+
+    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        // How long a page takes is a matter of its size.
+        self.store.range(prefix, after).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        // The same holds for what a watch brings.
+        self.store.watch(prefix, from, wait).await
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
+        let commit = self.store.commit(transaction);
+        self.guard(commit, sending_time(transaction), is_commit_unanswered)
+            .await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
+        let grant = self.store.grant_lease(ttl);
+        self.guard(grant, Duration::ZERO, is_unanswered).await
+    }
+
+    async fn keep_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let keep = self.store.keep_lease(lease);
+        self.guard(keep, Duration::ZERO, is_unanswered).await
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let end = self.store.end_lease(lease);
+        self.guard(end, Duration::ZERO, is_unanswered).await
+    }
+}
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -161,6 +161,12 @@
 /// The store.
 #[allow(async_fn_in_trait, reason = "every node runs on one thread")]
 pub trait Store: Clone + 'static {
+    /// Waits before a call that failed is repeated; ends sooner where a silent
+    /// store is seen to answer again.
+    async fn pause(&self, length: Duration) {
+        tokio::time::sleep(length.into()).await;
+    }
+
     /// Reads an item.
     ///
     /// # Errors
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -5,5 +5,6 @@
 mod logging;
 mod measuring;
 mod recovering;
+mod silence;
 mod store_writes;
 mod support;
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -36,8 +36,14 @@
     silent_reads_count: usize,
     reads: Vec<Read>,
     item_keys: Vec<String>,
+    is_silent: bool,
+    commit_time: Duration,
 }
 
+/// How long the renewal of a lease hangs at a silent store. Other calls hang for
+/// ever, also once the store answers again.
+const SILENT_RENEWAL_LIMIT: Duration = Duration::from_ms(300);
+
 /// A kind of reading call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Read {
@@ -103,6 +109,23 @@
         self.0.borrow().watch_waits.clone()
     }
 
+    /// Lets calls that are sent from now on hang, or be answered again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.0.borrow_mut().is_silent = is_silent;
+    }
+
+    /// Lets each transaction take so long.
+    pub fn set_commit_time(&self, time: Duration) {
+        self.0.borrow_mut().commit_time = time;
+    }
+
+    /// Never returns where the store is silent.
+    async fn hang_while_silent(&self) {
+        if self.0.borrow().is_silent {
+            std::future::pending().await
+        }
+    }
+
     /// Forgets the history.
     pub fn compact(&self) {
         let mut inner = self.0.borrow_mut();
@@ -165,6 +188,7 @@
 
 impl Store for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
+        self.hang_while_silent().await;
         self.0.borrow_mut().item_keys.push(key.to_owned());
         self.0.borrow_mut().note_read(Read::Item)?;
         Ok(self.0.borrow().items.get(key).cloned())
@@ -227,6 +251,11 @@
 
     async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
         tokio::task::yield_now().await;
+        self.hang_while_silent().await;
+        let commit_time = self.0.borrow().commit_time;
+        if commit_time != Duration::ZERO {
+            tokio::time::sleep(commit_time.into()).await;
+        }
         let mut inner = self.0.borrow_mut();
         match inner.treatments.pop_front().unwrap_or(Treatment::Answer) {
             Treatment::Answer => inner.apply(transaction),
@@ -247,6 +276,10 @@
     }
 
     async fn keep_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        if self.0.borrow().is_silent {
+            tokio::time::sleep(SILENT_RENEWAL_LIMIT.into()).await;
+            return Err(no_answer());
+        }
         Ok(())
     }
 
