--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod requests;
 mod step_down;
 pub mod store;
+pub mod stored_view;
 pub mod watches;
 
 pub use node::{run, NodeError, NodeSettings};
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -6,10 +6,9 @@
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
 use crate::store::{LeaseId, Store};
-use crate::{clock, keys, recovery};
-use ospreywing_scheduler::{
-    AdviceReply, Event, JobId, JobRecord, JobState, JobView, Phase, StoredJob, TaskStatus,
-};
+use crate::stored_view::{read_view, StoredView};
+use crate::{clock, keys};
+use ospreywing_scheduler::{AdviceReply, Event, JobId, JobRecord, JobView};
 use ospreywing_types::Duration;
 use slog::info;
 use std::rc::Rc;
@@ -220,10 +219,14 @@
     if let Some(view) = leaders_view(node, job).await {
         return reply_of(view);
     }
-    match stored_view(node, job).await {
-        Some(Some(view)) => reply_of(view),
-        Some(None) => Reply::NoJob,
-        None => Reply::Unavailable(COME_BACK),
+    match read_view(&node.store, &node.log, job).await {
+        Ok(StoredView::Known(view)) => reply_of(view),
+        Ok(StoredView::NoJob) => Reply::NoJob,
+        Ok(StoredView::Unreadable) => Reply::Unavailable(COME_BACK),
+        Err(error) => {
+            info!(node.log, "status unknown"; "job" => %job, "error" => error.to_string());
+            Reply::Unavailable(COME_BACK)
+        }
     }
 }
 
@@ -246,33 +249,6 @@
     }
 }
 
-/// Returns what the store keeps of a job: `None` where the store does not
-/// answer or that can't be read, `Some(None)` where there is no such job.
-async fn stored_view<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Option<Option<JobView>> {
-    let Some(item) = node.store.get(&keys::job(job)).await.ok()? else {
-        return Some(None);
-    };
-    if let Ok(StoredJob::Ended(phase)) = StoredJob::from_bytes(&item.value) {
-        return Some(Some(JobView {
-            phase,
-            has_begun: true,
-        }));
-    }
-    let state = match node.store.get(&keys::state(job)).await.ok()? {
-        Some(item) => JobState::from_bytes(&item.value)
-            .inspect_err(|error| recovery::damaged(&node.log, &item.key, &error.to_string()))
-            .ok()?,
-        None => JobState::default(),
-    };
-    let steps = state.rounds.iter().flat_map(|round| &round.steps);
-    let mut tasks = steps.flat_map(|step| &step.tasks);
-    Some(Some(JobView {
-        phase: state.phase,
-        has_begun: state.phase != Phase::Active
-            || tasks.any(|task| task.status != TaskStatus::Waiting),
-    }))
-}
-
 async fn pending<P: Platform>(node: &Rc<Node<P>>, queue: String) -> Reply {
     if let Some(leading) = node.leading() {
         return Reply::Pending(leading.pending_count(&queue));
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -8,3 +8,4 @@
 mod silence;
 mod store_writes;
 mod support;
+mod viewing;
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -36,6 +36,7 @@
     silent_reads_count: usize,
     reads: Vec<Read>,
     item_keys: Vec<String>,
+    after_read: Option<Transaction>,
     is_silent: bool,
     commit_time: Duration,
 }
@@ -99,6 +100,11 @@
         self.0.borrow().reads.clone()
     }
 
+    /// Has a transaction done right after the next read of an item.
+    pub fn do_after_read(&self, transaction: Transaction) {
+        self.0.borrow_mut().after_read = Some(transaction);
+    }
+
     /// Returns the keys of the items that were asked for.
     pub fn item_keys(&self) -> Vec<String> {
         self.0.borrow().item_keys.clone()
@@ -191,7 +197,14 @@
         self.hang_while_silent().await;
         self.0.borrow_mut().item_keys.push(key.to_owned());
         self.0.borrow_mut().note_read(Read::Item)?;
-        Ok(self.0.borrow().items.get(key).cloned())
+        let found = self.0.borrow().items.get(key).cloned();
+        let after = self.0.borrow_mut().after_read.take();
+        if let Some(transaction) = after {
+            self.commit(&transaction)
+                .await
+                .expect("its condition holds");
+        }
+        Ok(found)
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
--- /dev/null
+++ b/crates/control/tests/control/viewing.rs
@@ -0,0 +1,70 @@
+//! What a node tells of a job from the store alone.
+
+use crate::support::{run_local, MemoryStore};
+use ospreywing_control::stored_view::{read_view, StoredView};
+use ospreywing_control::{keys, Store, Transaction};
+use ospreywing_scheduler::{JobId, JobRecord, JobState, Phase, StoredJob};
+use rstest::rstest;
+use slog::{o, Discard, Logger};
+
+/// The first byte of a form that this version does not know.
+const LATER_FORM: u8 = 99;
+
+async fn view(store: &MemoryStore) -> StoredView {
+    let log = Logger::root(Discard, o!());
+    let view = read_view(store, &log, JobId::new(1)).await;
+    view.expect("the store answers")
+}
+
+async fn accept(store: &MemoryStore, state: Vec<u8>) {
+    let job = JobId::new(1);
+    let transaction = Transaction::new()
+        .with_put(keys::job(job), JobRecord::default().to_bytes())
+        .with_put(keys::state(job), state);
+    store.commit(&transaction).await.expect("the store answers");
+}
+
+fn phase_of(view: StoredView) -> Option<Phase> {
+    match view {
+        StoredView::Known(view) => Some(view.phase),
+        StoredView::NoJob | StoredView::Unreadable => None,
+    }
+}
+
+#[test]
+fn read_view_no_job() {
+    run_local(async {
+        assert_eq!(view(&MemoryStore::new()).await, StoredView::NoJob);
+    });
+}
+
+#[test]
+fn read_view_unreadable_state() {
+    run_local(async {
+        let store = MemoryStore::new();
+        accept(&store, vec![LATER_FORM]).await;
+        assert_eq!(view(&store).await, StoredView::Unreadable);
+    });
+}
+
+/// Found by the soak, seed 5007: a job that had been shown as cancelled was shown
+/// as queued. Its outcome took the place of its state between the two reads.
+#[rstest]
+#[case::canceled(Phase::Canceled)]
+#[case::complete(Phase::Complete)]
+fn read_view_outcome_written_meanwhile(#[case] phase: Phase) {
+    run_local(async move {
+        let store = MemoryStore::new();
+        let job = JobId::new(1);
+        let state = JobState {
+            phase,
+            ..JobState::default()
+        };
+        accept(&store, state.to_bytes()).await;
+        let outcome = Transaction::new()
+            .with_put(keys::job(job), StoredJob::outcome_bytes(phase))
+            .with_remove(keys::state(job));
+        store.do_after_read(outcome);
+        assert_eq!(phase_of(view(&store).await), Some(phase));
+    });
+}
