Read a job's progress before its record, so that its outcome is not passed over

The outcome takes the place of the progress in one transaction; read in this order, a progress that is gone is either that of a job of which nothing has begun, or followed by the outcome.

Ruled out: a transaction that reads both (the store has none).

--- a/crates/control/src/stored_view.rs
+++ b/crates/control/src/stored_view.rs
@@ -1,8 +1,8 @@
 //! What the store tells of a job, where the leader can't be asked.
 
-use crate::store::{Store, StoreError};
+use crate::store::{Item, Store, StoreError};
 use crate::{keys, recovery};
-use ospreywing_scheduler::{JobId, JobState, JobView, Phase, StoredJob, TaskStatus};
+use ospreywing_scheduler::{JobId, JobState, JobView, Phase, StateError, StoredJob, TaskStatus};
 use slog::Logger;
 
 /// What the store tells of a job.
@@ -18,6 +18,10 @@
 
 /// Reads what the store keeps of a job.
 ///
+/// The progress is read first: a job's outcome takes its place in one
+/// transaction, so a progress that is gone by then is either that of a job of
+/// which nothing has begun, or followed by the outcome.
+///
 /// # Errors
 ///
 /// Returns a [`StoreError`] where the store does not answer.
@@ -26,29 +30,32 @@
     log: &Logger,
     job: JobId,
 ) -> Result<StoredView, StoreError> {
-    let Some(item) = store.get(&keys::job(job)).await? else {
+    let state = store.get(&keys::state(job)).await?;
+    let Some(record) = store.get(&keys::job(job)).await? else {
         return Ok(StoredView::NoJob);
     };
-    match StoredJob::from_bytes(&item.value) {
-        Ok(StoredJob::Ended(phase)) => return Ok(StoredView::Known(ended(phase))),
-        Ok(StoredJob::Accepted(_)) => {}
-        Err(error) => {
-            recovery::damaged(log, &item.key, &error.to_string());
-            return Ok(StoredView::Unreadable);
-        }
-    }
-    let Some(item) = store.get(&keys::state(job)).await? else {
-        return Ok(StoredView::Known(progress(&JobState::default())));
+    let view = match StoredJob::from_bytes(&record.value) {
+        Ok(StoredJob::Ended(phase)) => Ok(ended(phase)),
+        Ok(StoredJob::Accepted(_)) => read_progress(state.as_ref()),
+        Err(error) => Err((&record, error)),
     };
-    match JobState::from_bytes(&item.value) {
-        Ok(state) => Ok(StoredView::Known(progress(&state))),
-        Err(error) => {
+    match view {
+        Ok(view) => Ok(StoredView::Known(view)),
+        Err((item, error)) => {
             recovery::damaged(log, &item.key, &error.to_string());
             Ok(StoredView::Unreadable)
         }
     }
 }
 
+fn read_progress(state: Option<&Item>) -> Result<JobView, (&Item, StateError)> {
+    let Some(item) = state else {
+        return Ok(progress(&JobState::default()));
+    };
+    let state = JobState::from_bytes(&item.value).map_err(|error| (item, error))?;
+    Ok(progress(&state))
+}
+
 const fn ended(phase: Phase) -> JobView {
     JobView {
         phase,
