Give a worker that is not heard of longer to answer

A look at a worker had 250 ms for its answer whatever had become of the ones before it.

Change: the answer to the first look that is repeated, and those that renew a lease, have 250 ms as before, so that a silent worker is found out as soon; each further look has twice as long, up to a second. The limit is the scheduler's and goes with the look.

Ruled out: longer limits from the start (a worker that is cut off would be found out later); taking answers that come after their limit (the connection would have to be kept for each).

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -6,7 +6,7 @@
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::orders;
-use crate::platform::Platform;
+use crate::platform::{Look, Platform};
 use crate::step_down;
 use ospreywing_scheduler::{Action, Change, Event, Scheduler};
 use ospreywing_types::{Duration, Instant};
@@ -127,7 +127,16 @@
             until_ms,
             last_seen,
             wait,
-        } => orders::hold(node, leading, to, until_ms, last_seen, wait),
+            patience,
+        } => {
+            let look = Look {
+                until_ms,
+                last_seen,
+                wait,
+                patience,
+            };
+            orders::hold(node, leading, to, look);
+        }
         Action::Advise {
             step,
             workers,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,7 +35,7 @@
 pub mod watches;
 
 pub use node::{run, NodeError, NodeSettings};
-pub use platform::{Call, CallError, FrontLimits, Incoming, Platform, Reply, Retry};
+pub use platform::{Call, CallError, FrontLimits, Incoming, Look, Platform, Reply, Retry};
 pub use store::{
     CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
     Transaction, Watched, WatchedChange, Write,
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,7 +4,7 @@
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, PeerReply, PeerRequest};
-use crate::platform::Platform;
+use crate::platform::{Look, Platform};
 use ospreywing_scheduler::{
     AdviceReply, Endpoint, Event, HoldReply, RefusedStart, StartOrder, StartReply, StepKey,
     StopReply, TaskKey, Ticket,
@@ -77,20 +77,10 @@
 }
 
 /// Renews a worker's lease, unless the term may be over.
-pub fn hold<P: Platform>(
-    node: &Rc<Node<P>>,
-    leading: &Rc<Leading<P>>,
-    to: Endpoint,
-    until_ms: Option<u64>,
-    last_seen: u64,
-    wait: Duration,
-) {
+pub fn hold<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, to: Endpoint, look: Look) {
     let (node, fence) = (node.clone(), leading.fence);
     let (worker, sent_at) = (to.worker, clock::now());
-    let sent = async move {
-        let platform = &node.platform;
-        platform.hold(&to, fence, until_ms, last_seen, wait).await
-    };
+    let sent = async move { node.platform.hold(&to, fence, look).await };
     spawn_order(leading, sent, HoldReply::Unanswered, move |reply| {
         Event::HoldAnswered {
             worker,
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -117,6 +117,19 @@
     pub idle_time: Duration,
 }
 
+/// A look at a worker, which may renew its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// Until when the lease holds, on the worker's clock; `None` to ask only.
+    pub until_ms: Option<u64>,
+    /// The last end that the worker may forget.
+    pub last_seen: u64,
+    /// How long the worker may wait for an end.
+    pub wait: Duration,
+    /// How long the answer may take beyond that.
+    pub patience: Duration,
+}
+
 /// A call of an outside system brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum CallError {
@@ -179,14 +192,7 @@
     fn is_ready_question(&self, method: &http::Method, path: &str) -> bool;
 
     /// Renews a worker's lease and asks for its lists.
-    async fn hold(
-        &self,
-        to: &Endpoint,
-        fence: u64,
-        until_ms: Option<u64>,
-        last_seen: u64,
-        wait: Duration,
-    ) -> HoldReply;
+    async fn hold(&self, to: &Endpoint, fence: u64, look: Look) -> HoldReply;
 
     /// Starts a run.
     async fn start(&self, to: &Endpoint, fence: u64, order: &StartOrder) -> StartReply;
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -335,6 +335,8 @@
         last_seen: u64,
         /// How long the worker may wait for an end.
         wait: Duration,
+        /// How long the answer may take beyond that.
+        patience: Duration,
     },
     /// Ask for advice.
     Advise {
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -14,6 +14,13 @@
 /// Renewals in a row without an answer after which a worker is taken for silent.
 /// A single answer may be lost while the worker is well.
 const SILENT_AFTER_COUNT: u32 = 2;
+/// How long the answer to a look may take beyond the time that it waits: an
+/// answer takes some milliseconds, and a look that is sent twice does no harm.
+const LOOK_PATIENCE: Duration = Duration::from_ms(250);
+/// How often that is doubled, once for each further look at a silent worker:
+/// where this node or a link is slow, each answer would come too late for a
+/// limit that stays the same.
+const PATIENCE_DOUBLINGS_COUNT: u32 = 2;
 /// For how long after a lost answer renewals wait less: about as long as a few
 /// rounds of looks at all workers take.
 const LOSSY_PERIOD: Duration = Duration::from_ms(3000);
@@ -116,6 +123,7 @@
                 until_ms,
                 last_seen: worker.acked_end,
                 wait: if is_quick { Duration::ZERO } else { wait },
+                patience: look_patience(worker.unanswered_holds_count),
             });
         }
     }
@@ -406,6 +414,13 @@
     }
 }
 
+/// Returns how long the next answer may take, after so many looks in a row
+/// without one.
+pub fn look_patience(unanswered_holds_count: u32) -> Duration {
+    let doublings = unanswered_holds_count.saturating_sub(SILENT_AFTER_COUNT - 1);
+    LOOK_PATIENCE.times(1 << doublings.min(PATIENCE_DOUBLINGS_COUNT))
+}
+
 /// Returns whether a worker is to be asked; `pace_beside_commit` is the time
 /// between two renewals while an end waits for its commit.
 fn is_hold_due(worker: &Worker, now: Instant, pace_beside_commit: Duration) -> bool {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -47,6 +47,7 @@
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket,
 };
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
+pub use leases::look_patience;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
 pub use state::{
--- a/crates/scheduler/tests/scheduler/repeats.rs
+++ b/crates/scheduler/tests/scheduler/repeats.rs
@@ -124,3 +124,28 @@
         );
     }
 }
+
+/// A look that is repeated with the same limit is answered too late each time,
+/// where this node or a link is slow.
+#[test]
+fn on_hold_answered_silent_worker_is_given_longer() {
+    let (mut bench, start) = after_start();
+    bench.started(start);
+    let mut patience_ms = Vec::new();
+    for _ in 0..4 {
+        bench.actions.clear();
+        let sent_at = bench.now;
+        bench.tell(Event::HoldAnswered {
+            worker: start.0,
+            sent_at,
+            reply: HoldReply::Unanswered,
+        });
+        bench.commit_all();
+        let asked = bench.actions.iter().find_map(|action| match action {
+            Action::Hold { to, patience, .. } if to.worker == start.0 => Some(patience.as_ms()),
+            _ => None,
+        });
+        patience_ms.push(asked.expect("it is asked again"));
+    }
+    assert_eq!(patience_ms, [250, 500, 1000, 1000]);
+}
