Close what may be silent after a call that timed out

Cause: an open connection may go silent for good while new ones work. The client kept up to eight idle connections an address for 20 s; a call that timed out dropped its own, and the next call took the next idle one, equally silent: one silence cost a time limit for each idle connection, and two of them made a worker silent that was well.

Change: the crate keeps connections itself. After a time-out the idle connections to that address that are older than the call are closed, so a silence costs one time limit and the repeat goes over a new connection. Connections have TCP's user time-out (5 s) and keep-alive (10 s) as a second line. A request that a kept connection did not take is sent over another. Each connection given up as silent has a line in the log.

Ruled out: the pool of hyper-util, which can't close the connections of one address.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,23 +1,23 @@
 //! The client and its calls.
 
+use crate::connection::{Connection, Sent};
+use crate::pool::Pool;
 use crate::HttpError;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Bytes;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::{Client, Error as ClientError};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::body::{Bytes, Incoming};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use slog::{debug, Logger};
 use std::future::Future;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
 /// The largest answer that is read.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
-const CONNECT_LIMIT: Duration = Duration::from_secs(2);
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
 /// A timer that fires this much late tells of a process that is late itself:
 /// timers have steps of 1 ms, and a process with nothing else to do is at most a
 /// few milliseconds late.
@@ -117,26 +117,32 @@
     }
 }
 
-/// A client with a pool of connections for each address.
+/// A client that keeps connections to each address.
+///
+/// A connection may go silent for good without being closed. So after a call
+/// that timed out, the idle connections to its address that are older than the
+/// call are closed: the next call makes a new one, and a silence of all of them
+/// costs one time limit.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: Arc<Pool>,
+    log: Option<Logger>,
 }
 
 impl HttpClient {
     /// Creates a client that keeps up to `idle_count` idle connections for each
     /// address.
     pub fn new(idle_count: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_LIMIT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_LIMIT)
-            .pool_max_idle_per_host(idle_count)
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+        Self {
+            pool: Arc::new(Pool::new(idle_count)),
+            log: None,
+        }
+    }
+
+    /// Logs connections that are given up as silent.
+    pub fn with_log(mut self, log: Logger) -> Self {
+        self.log = Some(log);
+        self
     }
 
     /// Makes a call, once.
@@ -147,9 +153,18 @@
     /// [`HttpError::is_not_sent`].
     pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
         let limits = Limits::begin(&call);
+        let (addr, path) = (call.addr.clone(), call.path.clone());
+        let answer = self.make(call, &limits).await;
+        if let Err(HttpError::TimedOut { .. }) = &answer {
+            self.close_silent(&addr, &path, &limits);
+        }
+        answer
+    }
+
+    async fn make(&self, call: Call, limits: &Limits) -> Result<Answer, HttpError> {
+        let addr = call.addr.clone();
         let request = request_of(call)?;
-        let response = limits.until_head(self.client.request(request)).await?;
-        let response = response.map_err(|error| error_of(&error))?;
+        let (connection, response) = limits.until_head(self.send(&addr, request)).await??;
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
         let mut received = Received::default();
@@ -159,12 +174,48 @@
                 received.add(data);
             }
         }
+        self.pool.put(addr, connection);
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
             body: received.into_bytes(),
         })
     }
+
+    /// Sends a request over a kept connection, or over a new one where there is
+    /// none that the peer has not closed.
+    async fn send(
+        &self,
+        addr: &str,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>), HttpError> {
+        loop {
+            let kept = self.pool.take(addr);
+            let is_kept = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => Connection::open(addr).await?,
+            };
+            match connection.send(request).await {
+                Sent::Answered(response) => return Ok((connection, response)),
+                Sent::Unsent(unsent) if is_kept => request = unsent,
+                Sent::Unsent(_) => {
+                    return Err(HttpError::NotSent("the connection was closed".to_owned()))
+                }
+                Sent::Broken(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Closes idle connections that may be as silent as the one whose call has
+    /// timed out.
+    fn close_silent(&self, addr: &str, path: &str, limits: &Limits) {
+        let closed_count = self.pool.close_older(addr, limits.begun_at);
+        if let Some(log) = &self.log {
+            debug!(log, "connection silent"; "address" => addr, "path" => path,
+                "limit_ms" => limits.time_limit.as_millis() as u64, "closed" => closed_count);
+        }
+    }
 }
 
 /// The time limits of a call that has begun.
@@ -206,8 +257,8 @@
 }
 
 /// Waits for something until an instant, and longer where this process itself
-/// is late: what has come is then still unread. The wait grows by as much as the
-/// timer was late, and by no more than `limit` in all.
+/// is late: what has come is then still unread. The wait goes on for as long as
+/// the timer was late, for no more than `limit` in all.
 async fn wait_until<T>(
     until: Instant,
     limit: Duration,
@@ -215,17 +266,19 @@
 ) -> Option<T> {
     let mut awaited = pin!(awaited);
     let mut until = until;
-    let last = until + limit;
+    let mut left = limit;
     loop {
         if let Ok(value) = timeout_at(until, awaited.as_mut()).await {
             return Some(value);
         }
         let now = Instant::now();
         let lateness = now.saturating_duration_since(until);
-        if lateness < LATENESS_TOLERANCE || until >= last {
+        if lateness < LATENESS_TOLERANCE || left.is_zero() {
             return None;
         }
-        until = last.min(now + lateness);
+        let extension = lateness.min(left);
+        left -= extension;
+        until = now + extension;
     }
 }
 
@@ -268,22 +321,14 @@
 }
 
 fn request_of(call: Call) -> Result<Request<Full<Bytes>>, HttpError> {
-    let uri = format!("http://{}{}", call.addr, call.path);
-    let request = Request::builder().method(call.method).uri(uri);
+    let invalid = |error: &dyn std::error::Error| HttpError::Invalid(error.to_string());
+    let host = HeaderValue::from_str(&call.addr).map_err(|error| invalid(&error))?;
+    let request = Request::builder().method(call.method).uri(call.path);
     let mut request = request
         .body(Full::new(call.body))
-        .map_err(|error| HttpError::Invalid(error.to_string()))?;
-    request.headers_mut().extend(call.headers);
+        .map_err(|error| invalid(&error))?;
+    *request.headers_mut() = call.headers;
+    // A caller may name another host than the one it calls.
+    request.headers_mut().entry(HOST).or_insert(host);
     Ok(request)
 }
-
-fn error_of(error: &ClientError) -> HttpError {
-    use std::error::Error;
-    let cause = error.source().map_or(String::new(), |e| format!(": {e}"));
-    let text = format!("{error}{cause}");
-    if error.is_connect() {
-        HttpError::NotSent(text)
-    } else {
-        HttpError::Broken(text)
-    }
-}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,111 @@
+//! A connection to one address.
+
+use crate::HttpError;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, Instant};
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// How long sent bytes may stay without an acknowledgement, and how long a quiet
+/// connection is left alone before the system probes it. The time limits of calls
+/// come first; these end what no call looks at any more.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
+const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(10);
+
+/// What became of a request.
+pub(crate) enum Sent {
+    /// The answer's head.
+    Answered(Response<Incoming>),
+    /// The connection had been closed: nothing was sent.
+    Unsent(Request<Full<Bytes>>),
+    /// The connection broke.
+    Broken(HttpError),
+}
+
+/// A connection, closed where it is dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    made_at: Instant,
+}
+
+impl Connection {
+    /// Connects to `addr`, which is `IP:port`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::NotSent`] where nothing listens there, or the
+    /// connection takes too long.
+    pub(crate) async fn open(addr: &str) -> Result<Self, HttpError> {
+        let not_sent = |error: &dyn std::error::Error| HttpError::NotSent(error.to_string());
+        let connected = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await;
+        let connected = connected.map_err(|error| not_sent(&error))?;
+        let stream = connected.map_err(|error| not_sent(&error))?;
+        // A connection without these is only slower, or noticed as dead later.
+        let _ = set_options(&stream);
+        let made_at = Instant::now();
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|error| not_sent(&error))?;
+        let driver = tokio::spawn(async move {
+            // How it ends is told to the call that is under way.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            made_at,
+        })
+    }
+
+    /// Returns when the connection was made.
+    pub(crate) const fn made_at(&self) -> Instant {
+        self.made_at
+    }
+
+    /// Returns whether the peer has not closed the connection.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request, once.
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
+        if self.sender.ready().await.is_err() {
+            return Sent::Unsent(request);
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Sent::Answered(response),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Sent::Unsent(request),
+                None => Sent::Broken(HttpError::Broken(text_of(error.error()))),
+            },
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEP_ALIVE_AFTER))
+}
+
+fn text_of(error: &hyper::Error) -> String {
+    use std::error::Error;
+    let cause = error.source().map_or(String::new(), |e| format!(": {e}"));
+    format!("{error}{cause}")
+}
--- /dev/null
+++ b/crates/http/src/pool.rs
@@ -0,0 +1,98 @@
+//! Idle connections, kept for the next calls.
+
+use crate::connection::Connection;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// The time between two searches for connections that have been idle for too long.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// A connection that no call uses.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.connection.is_open() && now.duration_since(self.since) < IDLE_LIMIT
+    }
+}
+
+#[derive(Debug)]
+struct Kept {
+    by_address: HashMap<String, Vec<Idle>>,
+    next_sweep_at: Instant,
+}
+
+/// The idle connections of a client.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    /// The most that are kept to each address.
+    limit_count: usize,
+    kept: Mutex<Kept>,
+}
+
+impl Pool {
+    pub(crate) fn new(limit_count: usize) -> Self {
+        Self {
+            limit_count,
+            kept: Mutex::new(Kept {
+                by_address: HashMap::new(),
+                next_sweep_at: Instant::now() + SWEEP_PERIOD,
+            }),
+        }
+    }
+
+    /// Takes out the connection to `addr` that was used last.
+    pub(crate) fn take(&self, addr: &str) -> Option<Connection> {
+        let now = Instant::now();
+        let mut kept = self.lock();
+        let idle = kept.by_address.get_mut(addr)?;
+        while let Some(newest) = idle.pop() {
+            if newest.is_usable(now) {
+                return Some(newest.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    pub(crate) fn put(&self, addr: String, connection: Connection) {
+        let now = Instant::now();
+        let mut kept = self.lock();
+        if now >= kept.next_sweep_at {
+            kept.next_sweep_at = now + SWEEP_PERIOD;
+            kept.by_address.retain(|_, idle| {
+                idle.retain(|idle| idle.is_usable(now));
+                !idle.is_empty()
+            });
+        }
+        let idle = kept.by_address.entry(addr).or_default();
+        if idle.len() < self.limit_count {
+            let since = now;
+            idle.push(Idle { connection, since });
+        }
+    }
+
+    /// Closes the idle connections to `addr` that were made before `before`;
+    /// returns how many.
+    pub(crate) fn close_older(&self, addr: &str, before: Instant) -> usize {
+        let mut kept = self.lock();
+        let Some(idle) = kept.by_address.get_mut(addr) else {
+            return 0;
+        };
+        let count = idle.len();
+        idle.retain(|idle| idle.connection.made_at() >= before);
+        count - idle.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        // Nothing panics while it is held, and the list is whole at any time.
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -2,9 +2,10 @@
 
 use http::Method;
 use ospreywing_http::{Call, HttpClient, HttpError};
+use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::mpsc;
+use std::sync::{mpsc, Arc, Barrier};
 use std::thread;
 use std::time::Duration;
 use tokio::runtime::Builder;
@@ -20,14 +21,15 @@
     (listener, address)
 }
 
-/// Reads a request up to the end of its head.
-fn read_head(stream: &mut TcpStream) {
+/// Reads a request up to the end of its head, and returns that.
+fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
         stream.read_exact(&mut byte).expect("a whole head");
         head.push(byte[0]);
     }
+    String::from_utf8(head).expect("text")
 }
 
 #[test]
@@ -74,3 +76,101 @@
         "{answer:?}"
     );
 }
+
+/// Answers one call on each of the first connections, all at the same time, and
+/// nothing more on these; answers the next connection too.
+fn serve_then_fall_silent(listener: TcpListener, silent_count: usize) {
+    let all_open = Arc::new(Barrier::new(silent_count));
+    let serve_one = |mut stream: TcpStream, all_open: Option<Arc<Barrier>>| {
+        thread::spawn(move || {
+            read_head(&mut stream);
+            if let Some(all_open) = all_open {
+                all_open.wait();
+            }
+            stream.write_all(ANSWER).expect("an open connection");
+            // What comes after the answer is read and left unanswered.
+            let _ = stream.read_to_end(&mut Vec::new());
+        });
+    };
+    for _ in 0..silent_count {
+        let (stream, _) = listener.accept().expect("a connection");
+        serve_one(stream, Some(all_open.clone()));
+    }
+    let (stream, _) = listener.accept().expect("a connection");
+    serve_one(stream, None);
+}
+
+/// Each idle connection cost a time limit of its own before.
+#[test]
+fn call_after_all_connections_fell_silent() {
+    const SILENT_COUNT: usize = 4;
+    let (listener, address) = listen();
+    let server = thread::spawn(move || serve_then_fall_silent(listener, SILENT_COUNT));
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(SILENT_COUNT);
+        let call = || client.call(Call::new(Method::GET, &address, "/", LIMIT));
+        let (a, b, c, d) = tokio::join!(call(), call(), call(), call());
+        assert!([a, b, c, d].iter().all(Result::is_ok));
+        let silent = call().await;
+        assert!(
+            matches!(silent, Err(HttpError::TimedOut { .. })),
+            "{silent:?}"
+        );
+        assert_eq!(
+            call().await.expect("an answer on a new connection").body,
+            "ok"
+        );
+    });
+    server.join().expect("a server that ends");
+}
+
+/// A peer closes idle connections when it likes; nothing was sent on them.
+#[test]
+fn call_after_peer_closed_connection() {
+    let (listener, address) = listen();
+    let (closed, connection_closed) = oneshot::channel();
+    let server = thread::spawn(move || {
+        let mut closed = Some(closed);
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            read_head(&mut stream);
+            stream.write_all(ANSWER).expect("an open connection");
+            drop(stream);
+            closed.take().map(|closed| closed.send(()));
+        }
+    });
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(1);
+        let call = || client.call(Call::new(Method::GET, &address, "/", LIMIT));
+        assert_eq!(call().await.expect("an answer").body, "ok");
+        connection_closed.await.expect("a server that closes");
+        assert_eq!(call().await.expect("an answer").body, "ok");
+    });
+    server.join().expect("a server that ends");
+}
+
+#[rstest]
+#[case::of_the_call(Some("queue.example"), "queue.example")]
+#[case::of_the_address(None, "127.0.0.1")]
+fn call_names_host(#[case] host: Option<&'static str>, #[case] expected: &str) {
+    let (listener, address) = listen();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let head = read_head(&mut stream);
+        stream.write_all(ANSWER).expect("an open connection");
+        head
+    });
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async move {
+        let mut call = Call::new(Method::GET, &address, "/", LIMIT);
+        if let Some(host) = host {
+            call = call.with_header("host", host);
+        }
+        let answer = HttpClient::new(1).call(call).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    });
+    let head = server.join().expect("a server that ends");
+    assert!(head.contains(&format!("host: {expected}")), "{head}");
+}
