Have other nodes carry the orders of a leader of many workers

Cause: a leader of 1,100 workers made some 1,500 starts and as many looks a second itself, each a call of its own over one of thousands of connections; the 146 other nodes were idle.

Change: from 600 workers on (--relays-from-workers), the leader hands orders in batches to relays: the strongest nodes of the workers' own data centre, one for each 400 workers, by rendezvous hashing. A relay makes the calls under the leader's fence and keeps the replies until they are collected. Where it does not answer, what it holds is unanswered, what it was not sent was not given, and orders go out directly; a worker that did not answer through its relay is asked directly for 5 s, so that none is silent because of its relay alone. Leases are still granted by the leader, with the end that it reckons with. Sessions are ordered by fence: a later leader's ends those of earlier ones.

Tests: which nodes are relays; whole nodes whose relay is killed, frozen, stopped; the earlier form of a node's record.

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -8,6 +8,8 @@
 use crate::node::Node;
 use crate::orders;
 use crate::platform::{Look, Platform};
+use crate::relay::links;
+use crate::relay::message::Order;
 use crate::step_down;
 use ospreywing_scheduler::{Action, Change, Event, Scheduler};
 use ospreywing_types::{Duration, Instant};
@@ -82,9 +84,16 @@
     if matches!(first, Event::Tick) {
         tell_surroundings(node, leading, state, &mut scheduler);
     }
-    scheduler.handle(now, first, &mut state.actions);
-    while let Ok(event) = state.received.try_recv() {
+    let mut are_workers_listed = false;
+    let mut next = Some(first);
+    while let Some(event) = next {
+        are_workers_listed |= matches!(event, Event::WorkersListed(_));
         scheduler.handle(now, event, &mut state.actions);
+        next = state.received.try_recv().ok();
+    }
+    if are_workers_listed {
+        // The first looks at a new term's workers go through relays too.
+        links::choose(node, leading, &scheduler, now);
     }
     if leading.may_order() && !leading.is_resigned.get() {
         scheduler.settle(now, &mut state.actions);
@@ -114,10 +123,12 @@
         state.next_status_at = now + STATUS_PERIOD;
         let status = scheduler.status(now);
         node.metrics.note_status(&status);
+        node.metrics.note_lateness(state.lateness.current());
         log_status(&node.log, &status);
     }
     let wall_clock = Event::WallClock(clock::wall_ms());
     scheduler.handle(now, wall_clock, &mut state.actions);
+    links::choose_where_due(node, leading, scheduler, now);
     if !node.has_names(&state.nodes) {
         state.nodes = node.names();
         let listed = Event::NodesListed(state.nodes.clone());
@@ -136,8 +147,10 @@
 fn carry_out<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, action: Action) {
     match action {
         Action::Commit { lane, changes } => commit(node, leading, lane, changes),
-        Action::Start { to, order } => orders::start(node, leading, to, order),
-        Action::Stop { to, task, run } => orders::stop(node, leading, to, task, run),
+        Action::Start { to, order } => orders::give(node, leading, to, Order::Start(order)),
+        Action::Stop { to, task, run } => {
+            orders::give(node, leading, to, Order::Stop { task, run });
+        }
         Action::Hold {
             to,
             until_ms,
@@ -151,7 +164,7 @@
                 wait,
                 patience,
             };
-            orders::hold(node, leading, to, look);
+            orders::give(node, leading, to, Order::Hold(look));
         }
         Action::Advise {
             step,
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -52,6 +52,32 @@
     pub address: String,
     /// Its share of a core, in thousandths.
     pub cores_milli: u32,
+    /// Its data centre; empty where it is not known.
+    pub data_centre: String,
+}
+
+impl NodeRecord {
+    /// Reads the stored form, also that of nodes which tell no data centre.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with bytes that can't be read.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (address, cores_milli, rest): (String, u32, &[u8]) = {
+            let ((address, cores_milli), rest) = postcard::take_from_bytes(bytes)?;
+            (address, cores_milli, rest)
+        };
+        let data_centre = if rest.is_empty() {
+            String::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            address,
+            cores_milli,
+            data_centre,
+        })
+    }
 }
 
 /// The leader, as the others find it.
@@ -91,7 +117,7 @@
             self.leader = None;
             self.leader = Some(postcard::from_bytes(&item.value)?);
         } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
-            let record = postcard::from_bytes(&item.value)?;
+            let record = NodeRecord::from_bytes(&item.value)?;
             self.nodes.insert(name.to_owned(), record);
             self.registered.insert(name.to_owned(), item.revision);
         }
@@ -259,6 +285,7 @@
     NodeRecord {
         address: node.settings.peer_address.to_string(),
         cores_milli: node.settings.cores_milli,
+        data_centre: node.settings.data_centre.clone(),
     }
 }
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -4,6 +4,7 @@
 use crate::election::LEADER_LEASE;
 use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
+use crate::relay::RelayLinks;
 use crate::store::{LeaseGrant, LeaseId, Store};
 use crate::{clock, decision_loop, leader_lease, recovery, step_down, watches};
 use ospreywing_scheduler::{
@@ -35,6 +36,7 @@
     pub(crate) ended: Notify,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) events: mpsc::UnboundedSender<Event>,
+    pub(crate) relays: RelayLinks,
     pub(crate) lanes: Vec<Rc<CommitLane<NodeStore<P>>>>,
     pub(crate) open_commits_count: Cell<usize>,
 }
@@ -129,6 +131,7 @@
         ended: Notify::new(),
         scheduler: RefCell::new(empty),
         events,
+        relays: RelayLinks::default(),
         lanes,
         open_commits_count: Cell::new(0),
     });
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod platform;
 pub mod probed;
 pub mod recovery;
+pub mod relay;
 pub mod requests;
 mod step_down;
 pub mod store;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -50,6 +50,10 @@
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
+    relays: Amount,
+    relayed_orders: Counter,
+    relays_lost: Counter,
+    loop_lateness_ms: Amount,
     is_leader: Amount,
     active_jobs: Amount,
     runs: Amount,
@@ -81,6 +85,10 @@
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
+            relays: Amount::default(),
+            relayed_orders: Counter::default(),
+            relays_lost: Counter::default(),
+            loop_lateness_ms: Amount::default(),
             is_leader: Amount::default(),
             active_jobs: Amount::default(),
             runs: Amount::default(),
@@ -127,6 +135,16 @@
             self.store_call_s.clone(),
         );
         registry.register("terms", "Terms that this node has led", self.terms.clone());
+        registry.register(
+            "relayed_orders",
+            "Orders that were handed to relays",
+            self.relayed_orders.clone(),
+        );
+        registry.register(
+            "relays_lost",
+            "Relays that did not answer",
+            self.relays_lost.clone(),
+        );
     }
 
     fn register_amounts(&mut self) {
@@ -170,6 +188,16 @@
                 "Time since the store last confirmed it",
                 &self.configuration_age_ms,
             ),
+            (
+                "relays",
+                "Nodes that carry this leader's orders",
+                &self.relays,
+            ),
+            (
+                "loop_lateness_milliseconds",
+                "How late the leader's own loop was lately",
+                &self.loop_lateness_ms,
+            ),
             (
                 "resident_bytes",
                 "The process's resident memory",
@@ -205,6 +233,26 @@
         self.store_call_s.observe(seconds_since(begun_at));
     }
 
+    /// Notes how many relays the leader uses.
+    pub fn note_relays(&self, count: usize) {
+        self.relays.set(count as i64);
+    }
+
+    /// Counts orders that were handed to a relay.
+    pub fn note_relayed(&self, count: usize) {
+        self.relayed_orders.inc_by(count as u64);
+    }
+
+    /// Counts a relay that did not answer.
+    pub fn note_relay_lost(&self) {
+        self.relays_lost.inc();
+    }
+
+    /// Notes how late the leader's own loop was lately.
+    pub fn note_lateness(&self, lateness: Duration) {
+        self.loop_lateness_ms.set(lateness.as_ms() as i64);
+    }
+
     /// Notes that a term has begun or is over.
     pub fn note_term(&self, is_leader: bool) {
         self.is_leader.set(i64::from(is_leader));
@@ -212,6 +260,8 @@
             self.terms.inc();
         } else {
             self.note_status(&SchedulerStatus::default());
+            self.note_relays(0);
+            self.note_lateness(Duration::ZERO);
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::probed::ProbedStore;
+use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
 use ospreywing_http::HttpClient;
 use ospreywing_types::{Duration, Instant};
@@ -53,8 +54,12 @@
     pub peer_address: SocketAddr,
     /// Where metrics are told, if anywhere.
     pub metrics_address: Option<SocketAddr>,
+    /// The node's data centre; empty where the platform tells none.
+    pub data_centre: String,
     /// The node's share of a core, in thousandths.
     pub cores_milli: u32,
+    /// From how many workers on other nodes carry the leader's orders.
+    pub relayed_workers_count: usize,
     /// The longest lease that a worker grants.
     pub grant_limit: Duration,
     /// How long a stop may take.
@@ -110,6 +115,8 @@
     pub cell_changed: Notify,
     /// The node's own term, while it leads.
     pub leading: RefCell<Option<Rc<Leading<P>>>>,
+    /// The orders that this node carries for a leader.
+    pub(crate) relay_server: RelayServer,
     /// When the store last answered.
     pub contact_at: Cell<Instant>,
     /// The lease with which this process last stood for leader.
@@ -223,6 +230,7 @@
         cell: RefCell::new(CellView::default()),
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
+        relay_server: RelayServer::default(),
         contact_at: Cell::new(Instant::default()),
         own_lease: Cell::new(0),
         next_eviction_at: Cell::new(Instant::default()),
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,92 +1,47 @@
-//! Orders to workers and calls for advice, each in a task of its own.
+//! Orders to workers and calls for advice.
 
 use crate::clock;
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, PeerReply, PeerRequest};
-use crate::platform::{Look, Platform};
-use ospreywing_scheduler::{
-    AdviceReply, Endpoint, Event, HoldReply, RefusedStart, StartOrder, StartReply, StepKey,
-    StopReply, TaskKey, Ticket,
-};
-use ospreywing_types::Duration;
-use std::future::Future;
+use crate::platform::Platform;
+use crate::relay::message::Order;
+use crate::relay::OpenOrder;
+use ospreywing_scheduler::{AdviceReply, Endpoint, Event, StepKey, Ticket};
+use ospreywing_types::{Duration, Instant};
 use std::rc::Rc;
 use std::sync::Arc;
 
 /// What a call for advice may take beyond the adviser's own time.
 const ADVICE_SLACK: Duration = Duration::from_ms(700);
 
-/// Gives an order in a task of its own, unless the term may be over, and tells
-/// the scheduler what became of it.
-fn spawn_order<P: Platform, R: 'static>(
-    leading: &Rc<Leading<P>>,
-    order: impl Future<Output = R> + 'static,
-    not_sent: R,
-    event: impl FnOnce(R) -> Event + 'static,
-) {
-    let leading = leading.clone();
-    tokio::task::spawn_local(async move {
-        let reply = if leading.may_order() {
-            order.await
-        } else {
-            not_sent
-        };
-        leading.tell(event(reply));
-    });
-}
-
-/// Sends a start, unless the term may be over.
-pub fn start<P: Platform>(
-    node: &Rc<Node<P>>,
-    leading: &Rc<Leading<P>>,
-    to: Endpoint,
-    order: StartOrder,
-) {
-    let (node, fence) = (node.clone(), leading.fence);
-    let (worker, task, run) = (to.worker, order.task, order.run);
-    let sent = async move { node.platform.start(&to, fence, &order).await };
-    let not_sent = StartReply::Refused(RefusedStart::Late);
-    spawn_order(leading, sent, not_sent, move |reply| Event::StartAnswered {
-        worker,
-        task,
-        run,
-        reply,
-    });
+/// Gives an order to a worker, through its relay where it has one, and tells the
+/// scheduler what became of it.
+pub fn give<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, to: Endpoint, order: Order) {
+    let now = clock::now();
+    match leading.relays.link_of(now, to.worker) {
+        Some(link) => link.send(now, to, order),
+        None => give_directly(now, node, leading, to, order),
+    }
 }
 
-/// Sends a stop, unless the term may be over.
-pub fn stop<P: Platform>(
+/// Gives an order in a task of its own, unless the term may be over.
+fn give_directly<P: Platform>(
+    now: Instant,
     node: &Rc<Node<P>>,
     leading: &Rc<Leading<P>>,
     to: Endpoint,
-    task: TaskKey,
-    run: u32,
+    order: Order,
 ) {
-    let (node, fence) = (node.clone(), leading.fence);
-    let worker = to.worker;
-    let sent = async move { node.platform.stop(&to, fence, task, run).await };
-    spawn_order(leading, sent, StopReply::Unanswered, move |reply| {
-        Event::StopAnswered {
-            worker,
-            task,
-            run,
-            reply,
-        }
-    });
-}
-
-/// Renews a worker's lease, unless the term may be over.
-pub fn hold<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>, to: Endpoint, look: Look) {
-    let (node, fence) = (node.clone(), leading.fence);
-    let (worker, sent_at) = (to.worker, clock::now());
-    let sent = async move { node.platform.hold(&to, fence, look).await };
-    spawn_order(leading, sent, HoldReply::Unanswered, move |reply| {
-        Event::HoldAnswered {
-            worker,
-            sent_at,
-            reply,
+    let open = OpenOrder::new(now, &to, &order);
+    let (node, leading) = (node.clone(), leading.clone());
+    tokio::task::spawn_local(async move {
+        if !leading.may_order() {
+            leading.tell(open.not_given());
+            return;
         }
+        let reply = order.give(&node.platform, &to, leading.fence).await;
+        leading.tell(open.answered(reply));
     });
 }
 
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -4,6 +4,7 @@
 //! machines have a quarter of a core, so a general RPC library does not pay.
 
 use crate::election::LeaderRecord;
+use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
 use crate::store::LeaseId;
 use http::Method;
 use http_body_util::Full;
@@ -58,6 +59,18 @@
         /// How long the call may take, in milliseconds.
         limit_ms: u64,
     },
+    /// To give these orders, as a relay.
+    RelayOrders {
+        /// The session.
+        session: RelaySession,
+        /// The orders.
+        orders: Vec<RelayedOrder>,
+    },
+    /// To tell what became of orders.
+    RelayReplies {
+        /// The session.
+        session: RelaySession,
+    },
 }
 
 /// What it answers.
@@ -83,6 +96,8 @@
     Unknown,
     /// The workers that may run the step, with their tickets.
     Advice(Option<AdviceAnswer>),
+    /// What became of orders.
+    Relayed(Vec<RelayedReply>),
 }
 
 /// The adviser's answer.
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -8,6 +8,7 @@
     StepKey, StopReply, TaskKey, WorkerFacts,
 };
 use ospreywing_types::Duration;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -118,7 +119,7 @@
 }
 
 /// A look at a worker, which may renew its lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Look {
     /// Until when the lease holds, on the worker's clock; `None` to ask only.
     pub until_ms: Option<u64>,
--- /dev/null
+++ b/crates/control/src/relay/link.rs
@@ -0,0 +1,237 @@
+//! The leader's side of one relay: orders go out in batches, replies come in.
+
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::peer::{self, PeerReply, PeerRequest};
+use crate::platform::Platform;
+use crate::relay::message::{Order, RelaySession, RelayedOrder};
+use crate::relay::order::{is_unanswered, OpenOrder};
+use crate::relay::server::COLLECT_WAIT;
+use ospreywing_scheduler::Endpoint;
+use ospreywing_types::{Duration, Instant};
+use slog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// How long a relay may take to say that it has taken a batch, and to answer the
+/// question for replies beyond the time that it waits: an answer takes some
+/// milliseconds.
+const ANSWER_LIMIT: Duration = Duration::from_ms(400);
+/// The least time between two batches to one relay. Starts come with the commits,
+/// each 22 ms.
+const BATCH_PACE: Duration = Duration::from_ms(8);
+/// The most orders in a batch: a start has some 400 bytes, a body 4 MB.
+const BATCH_LIMIT_COUNT: usize = 2000;
+/// How long a loop without work sleeps before it looks whether the term is over.
+const IDLE_PERIOD: Duration = Duration::from_ms(500);
+/// How long an order may be open. The longest is a renewal that waits 2 s at its
+/// worker and may then take a second.
+const ORDER_LIMIT: Duration = Duration::from_ms(5000);
+
+/// An order that was handed to a relay.
+struct OpenEntry {
+    order: OpenOrder,
+    given_at: Instant,
+}
+
+/// A relay as its leader uses it.
+pub(crate) struct RelayLink {
+    pub(crate) name: Arc<str>,
+    address: Arc<str>,
+    session: RelaySession,
+    next_number: Cell<u64>,
+    queue: RefCell<Vec<RelayedOrder>>,
+    open: RefCell<BTreeMap<u64, OpenEntry>>,
+    queued: Notify,
+    opened: Notify,
+    is_lost: Cell<bool>,
+    /// Whether it gets no further orders.
+    is_retired: Cell<bool>,
+}
+
+impl RelayLink {
+    pub(crate) fn new(name: Arc<str>, address: Arc<str>, session: RelaySession) -> Rc<Self> {
+        Rc::new(Self {
+            name,
+            address,
+            session,
+            next_number: Cell::new(0),
+            queue: RefCell::default(),
+            open: RefCell::default(),
+            queued: Notify::new(),
+            opened: Notify::new(),
+            is_lost: Cell::new(false),
+            is_retired: Cell::new(false),
+        })
+    }
+
+    pub(crate) fn is_lost(&self) -> bool {
+        self.is_lost.get()
+    }
+
+    pub(crate) fn set_retired(&self, is_retired: bool) {
+        self.is_retired.set(is_retired);
+    }
+
+    /// Puts an order into the next batch.
+    pub(crate) fn send(&self, now: Instant, to: Endpoint, order: Order) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let entry = OpenEntry {
+            order: OpenOrder::new(now, &to, &order),
+            given_at: now,
+        };
+        self.open.borrow_mut().insert(number, entry);
+        let relayed = RelayedOrder { number, to, order };
+        self.queue.borrow_mut().push(relayed);
+        self.queued.notify_one();
+        self.opened.notify_one();
+    }
+
+    /// Returns whether the link is of no more use; a retired one is lost with its
+    /// last reply, so that nobody uses it again.
+    fn is_over<P: Platform>(&self, leading: &Leading<P>) -> bool {
+        if self.is_retired.get() && self.open.borrow().is_empty() {
+            self.is_lost.set(true);
+        }
+        self.is_lost.get() || leading.is_over()
+    }
+
+    fn take_batch(&self) -> Vec<RelayedOrder> {
+        let mut queue = self.queue.borrow_mut();
+        let count = queue.len().min(BATCH_LIMIT_COUNT);
+        queue.drain(..count).collect()
+    }
+
+    /// Tells the scheduler of orders that were certainly not given.
+    fn take_back<P: Platform>(&self, leading: &Leading<P>, numbers: &[u64]) {
+        for number in numbers {
+            if let Some(entry) = self.open.borrow_mut().remove(number) {
+                leading.tell(entry.order.not_given());
+            }
+        }
+    }
+
+    /// Takes in that the relay does not answer: nothing is known of what it holds,
+    /// and what it was not sent was not given.
+    fn lose<P: Platform>(&self, node: &Node<P>, leading: &Leading<P>, reason: &str) {
+        if self.is_lost.replace(true) {
+            return;
+        }
+        let unsent = core::mem::take(&mut *self.queue.borrow_mut());
+        let unsent: Vec<u64> = unsent.iter().map(|order| order.number).collect();
+        self.take_back(leading, &unsent);
+        let open = core::mem::take(&mut *self.open.borrow_mut());
+        warn!(node.log, "relay lost"; "relay" => self.name.as_ref(), "reason" => reason,
+            "session" => self.session.number, "unsent" => unsent.len(), "open" => open.len());
+        node.metrics.note_relay_lost();
+        leading.relays.note_lost(&self.name);
+        for entry in open.into_values() {
+            leading.tell(entry.order.unanswered());
+        }
+    }
+
+    /// Gives up orders of which nothing was heard for too long.
+    fn expire<P: Platform>(&self, leading: &Leading<P>, now: Instant) {
+        let is_old = |entry: &OpenEntry| now.since(entry.given_at) > ORDER_LIMIT;
+        loop {
+            let mut open = self.open.borrow_mut();
+            let oldest = open.first_entry().filter(|oldest| is_old(oldest.get()));
+            let Some(oldest) = oldest else {
+                return;
+            };
+            let entry = oldest.remove();
+            drop(open);
+            leading.tell(entry.order.unanswered());
+        }
+    }
+}
+
+/// Begins to use a relay.
+pub(crate) fn open<P: Platform>(
+    node: &Rc<Node<P>>,
+    leading: &Rc<Leading<P>>,
+    link: &Rc<RelayLink>,
+) {
+    info!(node.log, "relay used"; "relay" => link.name.as_ref(),
+        "session" => link.session.number, "fence" => link.session.fence);
+    tokio::task::spawn_local(hand_over_orders(
+        node.clone(),
+        leading.clone(),
+        link.clone(),
+    ));
+    tokio::task::spawn_local(collect_replies(node.clone(), leading.clone(), link.clone()));
+}
+
+/// Hands orders over until the relay is of no more use.
+async fn hand_over_orders<P: Platform>(
+    node: Rc<Node<P>>,
+    leading: Rc<Leading<P>>,
+    link: Rc<RelayLink>,
+) {
+    while !link.is_over(&leading) {
+        let orders = link.take_batch();
+        if orders.is_empty() {
+            // Both ends of the wait lead to the same look.
+            let _ = timeout(IDLE_PERIOD.into(), link.queued.notified()).await;
+            continue;
+        }
+        let numbers: Vec<u64> = orders.iter().map(|order| order.number).collect();
+        if !leading.may_order() {
+            link.take_back(&leading, &numbers);
+            continue;
+        }
+        node.metrics.note_relayed(orders.len());
+        let session = link.session;
+        let request = PeerRequest::RelayOrders { session, orders };
+        match peer::call(&node.peers, &link.address, &request, ANSWER_LIMIT).await {
+            Ok(PeerReply::Taken) => {}
+            Ok(_) => return link.lose(&node, &leading, "it refuses orders"),
+            Err(error) => {
+                if error.is_not_sent() {
+                    link.take_back(&leading, &numbers);
+                }
+                return link.lose(&node, &leading, &error.to_string());
+            }
+        }
+        tokio::time::sleep(BATCH_PACE.into()).await;
+    }
+}
+
+/// Collects replies until the relay is of no more use.
+async fn collect_replies<P: Platform>(
+    node: Rc<Node<P>>,
+    leading: Rc<Leading<P>>,
+    link: Rc<RelayLink>,
+) {
+    let request = PeerRequest::RelayReplies {
+        session: link.session,
+    };
+    while !link.is_over(&leading) {
+        if link.open.borrow().is_empty() {
+            let _ = timeout(IDLE_PERIOD.into(), link.opened.notified()).await;
+            continue;
+        }
+        let limit = COLLECT_WAIT + ANSWER_LIMIT;
+        let replies = match peer::call(&node.peers, &link.address, &request, limit).await {
+            Ok(PeerReply::Relayed(replies)) => replies,
+            Ok(_) => return link.lose(&node, &leading, "it refuses to tell replies"),
+            Err(error) => return link.lose(&node, &leading, &error.to_string()),
+        };
+        let now = crate::clock::now();
+        for relayed in replies {
+            let Some(entry) = link.open.borrow_mut().remove(&relayed.number) else {
+                continue;
+            };
+            if is_unanswered(&relayed.reply) {
+                leading.relays.note_unanswered(now, entry.order.worker());
+            }
+            leading.tell(entry.order.answered(relayed.reply));
+        }
+        link.expire(&leading, now);
+    }
+}
--- /dev/null
+++ b/crates/control/src/relay/server.rs
@@ -0,0 +1,95 @@
+//! A relay's side: the orders of one leader are given, and the replies kept until
+//! it collects them.
+
+use crate::node::Node;
+use crate::peer::PeerReply;
+use crate::platform::Platform;
+use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
+use ospreywing_types::Duration;
+use slog::info;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// How long the question for replies waits for one.
+pub(crate) const COLLECT_WAIT: Duration = Duration::from_ms(300);
+/// How long it then waits for more. Each question costs the leader some 0.1 ms;
+/// at a thousand workers some 20 replies come in this time.
+const GATHER_TIME: Duration = Duration::from_ms(15);
+/// The most replies that one answer brings: a list of a worker has some 500 bytes,
+/// and answers have a limit of 8 MB.
+const REPLIES_LIMIT_COUNT: usize = 2000;
+
+struct Session {
+    id: RelaySession,
+    replies: RefCell<Vec<RelayedReply>>,
+    replied: Notify,
+}
+
+/// The session in which this node is a relay, if any.
+#[derive(Default)]
+pub(crate) struct RelayServer {
+    current: RefCell<Option<Rc<Session>>>,
+}
+
+impl RelayServer {
+    /// Returns a session, which takes the place of earlier ones; `None` where it is
+    /// an earlier one itself.
+    fn session(&self, id: RelaySession) -> Option<Rc<Session>> {
+        let mut current = self.current.borrow_mut();
+        match &*current {
+            Some(session) if session.id == id => return Some(session.clone()),
+            Some(session) if session.id > id => return None,
+            _ => {}
+        }
+        let session = Rc::new(Session {
+            id,
+            replies: RefCell::default(),
+            replied: Notify::new(),
+        });
+        *current = Some(session.clone());
+        Some(session)
+    }
+}
+
+/// Takes orders and begins to give them.
+pub(crate) fn take_orders<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: RelaySession,
+    orders: Vec<RelayedOrder>,
+) -> PeerReply {
+    let Some(session) = node.relay_server.session(id) else {
+        info!(node.log, "orders refused"; "reason" => "a later session",
+            "fence" => id.fence, "orders" => orders.len());
+        return PeerReply::Refused;
+    };
+    for RelayedOrder { number, to, order } in orders {
+        let (node, session) = (node.clone(), session.clone());
+        tokio::task::spawn_local(async move {
+            let reply = order.give(&node.platform, &to, session.id.fence).await;
+            let reply = RelayedReply { number, reply };
+            session.replies.borrow_mut().push(reply);
+            session.replied.notify_one();
+        });
+    }
+    PeerReply::Taken
+}
+
+/// Returns the replies that have come, after a short wait for some.
+pub(crate) async fn collect_replies<P: Platform>(
+    node: &Rc<Node<P>>,
+    id: RelaySession,
+) -> PeerReply {
+    let Some(session) = node.relay_server.session(id) else {
+        return PeerReply::Refused;
+    };
+    if session.replies.borrow().is_empty() {
+        // Without a reply in time there is nothing to tell.
+        let _ = timeout(COLLECT_WAIT.into(), session.replied.notified()).await;
+    }
+    tokio::time::sleep(GATHER_TIME.into()).await;
+    let mut replies = session.replies.borrow_mut();
+    let count = replies.len().min(REPLIES_LIMIT_COUNT);
+    PeerReply::Relayed(replies.drain(..count).collect())
+}
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
+use crate::relay::server;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{read_view, StoredView};
 use crate::{clock, keys};
@@ -298,6 +299,8 @@
             let limit = Duration::from_ms(limit_ms);
             PeerReply::Advice(answer_of(node.platform.advise(step, &ids, limit).await))
         }
+        PeerRequest::RelayOrders { session, orders } => server::take_orders(node, session, orders),
+        PeerRequest::RelayReplies { session } => server::collect_replies(node, session).await,
     }
 }
 
--- a/crates/control/tests/control/campaign.rs
+++ b/crates/control/tests/control/campaign.rs
@@ -10,6 +10,7 @@
     NodeRecord {
         address: "10.0.0.1:1".to_owned(),
         cores_milli,
+        data_centre: String::new(),
     }
 }
 
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod logging;
 mod measuring;
 mod recovering;
+mod relays;
 mod silence;
 mod store_writes;
 mod support;
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -5,10 +5,11 @@
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::worker::{WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
     /// Well.
     Done,
@@ -39,7 +40,7 @@
 }
 
 /// A run that a worker lists as alive.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningRun {
     /// The task.
     pub task: TaskKey,
@@ -55,7 +56,7 @@
 }
 
 /// A run that a worker lists as ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// The end's number in the worker's life.
     pub number: u64,
@@ -70,7 +71,7 @@
 }
 
 /// What became of a renewal.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HoldReply {
     /// The worker's lists.
     Listed {
@@ -90,7 +91,7 @@
 }
 
 /// Why a worker certainly has not started a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusedStart {
     /// A newer leader has been there.
     Fence,
@@ -127,7 +128,7 @@
 }
 
 /// What became of a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartReply {
     /// The run is there.
     Started,
@@ -140,7 +141,7 @@
 }
 
 /// What became of a stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopReply {
     /// The run ends soon, or can't start any more.
     Stopping,
@@ -176,7 +177,7 @@
 }
 
 /// Where a worker's agent is met.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// The worker, in this scheduler.
     pub worker: WorkerKey,
@@ -282,7 +283,7 @@
 }
 
 /// An order to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The task.
     pub task: TaskKey,
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -120,6 +120,7 @@
             address: Arc::from(""),
             service: Arc::from(""),
             machine: None,
+            data_centre: Arc::from(""),
             rack: None,
             labels: Vec::new(),
             capacity: Resources::ZERO,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::state::Phase;
-use crate::worker::{Worker, WorkerKey};
+use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
@@ -208,6 +208,13 @@
         self.workers_by_id.get(id).copied()
     }
 
+    /// Returns the workers that the platform lists and that are not known to be gone.
+    pub fn listed_workers(&self) -> impl Iterator<Item = (WorkerKey, &WorkerFacts)> + '_ {
+        let workers = self.workers.iter();
+        let listed = workers.filter(|(_, worker)| worker.is_listed && !worker.is_gone);
+        listed.map(|(key, worker)| (key, &worker.facts))
+    }
+
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
         let placeable = || self.workers.values().filter(|w| w.is_placeable(now));
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -5,11 +5,12 @@
 use crate::sharing::RunRole;
 use cranelift_entity::entity_impl;
 use ospreywing_types::{Duration, Instant, Resources};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// A worker's life, as known to one scheduler.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerKey(u32);
 entity_impl!(WorkerKey, "worker");
 
@@ -30,6 +31,8 @@
     pub service: Arc<str>,
     /// The machine that it is a life of, where the platform tells.
     pub machine: Option<Arc<str>>,
+    /// Its data centre; empty where the platform tells none.
+    pub data_centre: Arc<str>,
     /// Its rack, where the platform tells.
     pub rack: Option<Arc<str>>,
     /// Its labels.
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -79,6 +79,7 @@
             address: self.address.clone(),
             service: Arc::from(super::SERVICE),
             machine: None,
+            data_centre: Arc::from(""),
             rack: None,
             labels: Vec::new(),
             capacity: self.capacity,
