Soak: connections that fall silent, and relays

Cause: nothing in tests or soak played that the open connections of a link fall silent for good while new ones work, nor a leader whose orders other nodes carry.

Change: a fault that silences all open connections of a link; two of three seeds have relays. Seeds draw other faults than before where a silence takes the place of a reset; the plans that once failed are kept as text and stay as they were.

--- a/crates/soak/src/cell.rs
+++ b/crates/soak/src/cell.rs
@@ -101,6 +101,7 @@
                 ip: ip_of(index),
                 store: store_link.address,
                 adviser: adviser_link.address,
+                has_relays: plan.has_relays,
                 share_percent: SHARES_PERCENT[index % SHARES_PERCENT.len()],
             };
             nodes.push(Node {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -58,6 +58,10 @@
             | Kind::Reset {
                 to: Peer::Node(other),
                 ..
+            }
+            | Kind::Silence {
+                to: Peer::Node(other),
+                ..
             } => {
                 let other = Scope::Node(NodeIndex(other));
                 node.map(Scope::Node).into_iter().chain([other]).collect()
@@ -74,7 +78,8 @@
             | Kind::Hangup { node }
             | Kind::StoreRefuses { node, .. }
             | Kind::Link { node, .. }
-            | Kind::Reset { node, .. } => Some(node),
+            | Kind::Reset { node, .. }
+            | Kind::Silence { node, .. } => Some(node),
             Kind::StoreSilent { node } => node,
             _ => None,
         };
@@ -146,6 +151,11 @@
                 links.iter().for_each(crate::proxy::Link::reset);
                 Ok(())
             }
+            Kind::Silence { to, .. } => {
+                let links = self.cell.links(node, to);
+                links.iter().for_each(crate::proxy::Link::silence);
+                Ok(())
+            }
             _ => {
                 self.disturb_store(node).await;
                 self.disturb_worker().await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -24,6 +24,9 @@
 /// The rates of narrow links, from seed to seed: 10, 5 and 3 Mbit/s.
 const NARROW_RATES_BYTES_PER_S: [u64; 3] = [NARROW_BYTES_PER_S, 625_000, 400_000];
 
+/// Every third seed plays without relays.
+const RELAYS_LESS_SEEDS: u64 = 3;
+
 /// The size of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -172,6 +175,13 @@
         /// How.
         fault: LinkFault,
     },
+    /// The open connections of a link fall silent for good; new ones work.
+    Silence {
+        /// Whose.
+        node: Who,
+        /// To whom.
+        to: Peer,
+    },
     /// The connections of a link are reset.
     Reset {
         /// Whose.
@@ -220,6 +230,9 @@
     pub narrow_nodes: Vec<usize>,
     /// How narrow they are.
     pub narrow_bytes_per_s: u64,
+    /// Whether other nodes carry the leader's orders.
+    #[serde(default)]
+    pub has_relays: bool,
     /// The faults, by their beginning.
     pub faults: Vec<Fault>,
     /// The versions, rising.
@@ -239,6 +252,7 @@
             size,
             narrow_nodes,
             narrow_bytes_per_s,
+            has_relays: !seed.is_multiple_of(RELAYS_LESS_SEEDS),
             faults: draw_faults(&mut rng, size),
             versions: draw_versions(&mut rng, size),
         }
@@ -389,6 +403,10 @@
             to: draw_peer(rng, size),
             fault: draw_link(rng),
         },
+        96..=97 => Kind::Silence {
+            node,
+            to: draw_peer(rng, size),
+        },
         _ => Kind::Reset {
             node,
             to: draw_peer(rng, size),
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -66,6 +66,8 @@
     pub adviser: SocketAddr,
     /// Its share of a core, in hundredths.
     pub share_percent: u32,
+    /// Whether other nodes carry its orders where it leads.
+    pub has_relays: bool,
 }
 
 impl ProcessSettings {
@@ -128,6 +130,7 @@
         let child = Command::new(&settings.binary)
             .arg("--settings")
             .arg(&path)
+            .args(settings.has_relays.then_some("--relays-from-workers=1"))
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -79,6 +79,16 @@
     state: Arc<Mutex<State>>,
     /// Rises with each reset.
     resets: watch::Sender<u64>,
+    /// Rises each time that all connections fall silent.
+    silences: watch::Sender<u64>,
+}
+
+/// What ends the carrying of a connection.
+enum Carried {
+    /// Both sides have ended it.
+    Whole,
+    Reset,
+    Silenced,
 }
 
 #[derive(Clone, Copy)]
@@ -105,6 +115,7 @@
     pub async fn start_at(at: Ipv4Addr, target: Option<SocketAddr>) -> std::io::Result<Self> {
         let listener = TcpListener::bind((at, 0)).await?;
         let (resets, _) = watch::channel(0);
+        let (silences, _) = watch::channel(0);
         let state = State {
             target,
             usual: LinkFault::default(),
@@ -114,6 +125,7 @@
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(state)),
             resets,
+            silences,
         };
         let served = link.clone();
         tokio::spawn(async move { served.accept(listener).await });
@@ -149,6 +161,12 @@
         self.resets.send_modify(|count| *count += 1);
     }
 
+    /// Lets all open connections fall silent for good, without a reset; new ones
+    /// work.
+    pub fn silence(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     fn way(&self, direction: Direction) -> Way {
         let state = self.lock();
         let pick = |fault: &LinkFault| match direction {
@@ -171,6 +189,7 @@
 
     async fn carry(self, mut near: TcpStream) {
         let mut resets = self.resets.subscribe();
+        let mut silences = self.silences.subscribe();
         let target = self.lock().target;
         let far = match target {
             Some(target) => TcpStream::connect(target).await.ok(),
@@ -188,12 +207,15 @@
         let (far_read, far_write) = far.split();
         let up = self.pass(near_read, far_write, Direction::Up);
         let down = self.pass(far_read, near_write, Direction::Down);
-        let is_reset = tokio::select! {
-            _ = async { tokio::join!(up, down) } => false,
-            _ = resets.changed() => true,
+        let carried = tokio::select! {
+            _ = async { tokio::join!(up, down) } => Carried::Whole,
+            _ = resets.changed() => Carried::Reset,
+            _ = silences.changed() => Carried::Silenced,
         };
-        if is_reset {
-            [&near, &far].into_iter().for_each(abort_on_close);
+        match carried {
+            Carried::Whole => {}
+            Carried::Reset => [&near, &far].into_iter().for_each(abort_on_close),
+            Carried::Silenced => discard(&mut near).await,
         }
     }
 
@@ -251,6 +273,12 @@
     }
 }
 
+/// Reads and drops what comes, until the sender gives the connection up.
+async fn discard(stream: &mut TcpStream) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(1..) = stream.read(&mut chunk).await {}
+}
+
 /// Lets a stream that is dropped with its connection open reset it.
 fn abort_on_close(stream: &TcpStream) {
     // A stream without it ends in the usual way.
--- a/crates/soak/tests/soak/proxy.rs
+++ b/crates/soak/tests/soak/proxy.rs
@@ -97,3 +97,30 @@
     assert!(read(&mut near).await.is_err());
     assert!(read(&mut far).await.is_err());
 }
+
+#[tokio::test]
+async fn silence_open_connections_only() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let target = listener.local_addr().expect("it is bound");
+    let link = Link::start(Some(target)).await.expect("a port");
+    let mut near = TcpStream::connect(link.address).await.expect("it is there");
+    let (mut far, _) = listener.accept().await.expect("it comes");
+    near.write_all(b"ask").await.expect("it is open");
+    assert_eq!(read(&mut far).await.expect("it comes"), b"ask");
+    link.silence();
+    near.write_all(b"again").await.expect("it looks open");
+    far.write_all(b"answer").await.expect("it looks open");
+    let (mut at_far, mut at_near) = ([0], [0]);
+    let heard = async {
+        tokio::select! {
+            _ = far.peek(&mut at_far) => {}
+            _ = near.peek(&mut at_near) => {}
+        }
+    };
+    let heard = tokio::time::timeout(HELD, heard).await;
+    assert!(heard.is_err(), "neither side hears, and neither is closed");
+    let mut near = TcpStream::connect(link.address).await.expect("it is there");
+    let (mut far, _) = listener.accept().await.expect("it comes");
+    near.write_all(b"new").await.expect("it is open");
+    assert_eq!(read(&mut far).await.expect("it comes"), b"new");
+}
