--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,6 @@
 pub use node::{run, NodeError, NodeSettings};
 pub use platform::{Call, CallError, FrontLimits, Incoming, Look, Platform, Reply, Retry};
 pub use store::{
-    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
-    Transaction, Watched, WatchedChange, Write,
+    sending_time, CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store,
+    StoreError, Transaction, Watched, WatchedChange, Write,
 };
--- a/crates/control/src/probed.rs
+++ b/crates/control/src/probed.rs
@@ -7,8 +7,8 @@
 //! are given up, and whoever made them tries again.
 
 use crate::store::{
-    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
-    Transaction, Watched,
+    sending_time, CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store,
+    StoreError, Transaction, Watched,
 };
 use crate::{clock, keys};
 use ospreywing_types::{Duration, Instant};
@@ -28,9 +28,6 @@
 const OUTRUN_FACTOR: u64 = 3;
 /// What a call may take beyond that.
 const OUTRUN_SLACK: Duration = Duration::from_ms(120);
-/// The bytes of a transaction for which it is given a millisecond more: 1 Mbit a
-/// second, a tenth of the narrowest link that is planned for.
-const SENT_PER_MS_BYTES: usize = 125;
 
 /// What is known of the store's silence.
 #[derive(Debug, Default)]
@@ -132,12 +129,12 @@
     }
 }
 
-fn sending_time(transaction: &Transaction) -> Duration {
+fn sending_time_of(transaction: &Transaction) -> Duration {
     let writes = transaction.put.iter();
     let len_bytes: usize = writes
         .map(|write| write.key.len() + write.value.len())
         .sum();
-    Duration::from_ms((len_bytes / SENT_PER_MS_BYTES) as u64)
+    sending_time(len_bytes)
 }
 
 const fn is_unanswered(error: &StoreError) -> bool {
@@ -176,7 +173,7 @@
 
     async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
         let commit = self.store.commit(transaction);
-        self.guard(commit, sending_time(transaction), is_commit_unanswered)
+        self.guard(commit, sending_time_of(transaction), is_commit_unanswered)
             .await
     }
 
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -4,6 +4,15 @@
 use ospreywing_types::Duration;
 use thiserror::Error;
 
+/// The bytes of a transaction for which its call is given a millisecond more: 1 Mbit
+/// a second, a tenth of the narrowest link that is planned for.
+const SENT_PER_MS_BYTES: usize = 125;
+
+/// Returns the time that a transaction of so many bytes may take on its way.
+pub const fn sending_time(len_bytes: usize) -> Duration {
+    Duration::from_ms((len_bytes / SENT_PER_MS_BYTES) as u64)
+}
+
 /// A revision of the store; it rises with every change.
 pub type Revision = u64;
 
