--- a/crates/control/src/relay/link.rs
+++ b/crates/control/src/relay/link.rs
@@ -24,8 +24,9 @@
 /// The least time between two batches to one relay. Starts come with the commits,
 /// each 22 ms.
 const BATCH_PACE: Duration = Duration::from_ms(8);
-/// The most orders in a batch: a start has some 400 bytes, a body 4 MB.
-const BATCH_LIMIT_COUNT: usize = 2000;
+/// The most orders in a batch: a start has up to 4.5 KB, with the text of its job,
+/// and nodes take bodies of 4 MB from one another.
+const BATCH_LIMIT_COUNT: usize = 500;
 /// How long a loop without work sleeps before it looks whether the term is over.
 const IDLE_PERIOD: Duration = Duration::from_ms(500);
 /// How long an order may be open. The longest is a renewal that waits 2 s at its
--- a/crates/control/src/relay/server.rs
+++ b/crates/control/src/relay/server.rs
@@ -17,9 +17,9 @@
 /// How long it then waits for more. Each question costs the leader some 0.1 ms;
 /// at a thousand workers some 20 replies come in this time.
 const GATHER_TIME: Duration = Duration::from_ms(15);
-/// The most replies that one answer brings: a list of a worker has some 500 bytes,
-/// and answers have a limit of 8 MB.
-const REPLIES_LIMIT_COUNT: usize = 2000;
+/// The most replies that one answer brings: a worker's lists have up to 30 KB, with
+/// 500 ends, and answers have a limit of 8 MB.
+const REPLIES_LIMIT_COUNT: usize = 200;
 
 struct Session {
     id: RelaySession,
