Show that a task which crashes its workers starts without end, which fails

Hypotheses: (1) nothing counts a crash against a task; (2) a takeover forgets the count; (3) ends as failed were lost on the way. The leader's log and counters tell them apart without more sight: runs end as 'run lost, another life answers' or 'a newer life is listed', within one leader's term (fence 9), and none of these tasks ever ends as failed. That leaves (1): what release_all takes back carries no trace of the crash.

Test first: 12 starts of 12 asked for, with and without advice.

--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod awaiting;
 mod cases;
+mod crashes;
 mod lapses;
 mod pending;
 mod repeats;
