Put workers' crashes on record against the tasks on them, and give up who causes them

Cause: mark_gone took back a lost worker's runs without a trace, so a task that crashes its workers started again for ever, each time beside other jobs' work.

Change: each run that is lost with its worker is recorded in its job's progress, so the next start is in the store together with all that speaks against it (a new leader gives the same verdict; progress without crashes keeps its stored form). A crash right after the start counts two, any other one (among others, silent until the lease lapsed, inherited); at five points the job is failed: three crashes, of any kind five. Records of silence are taken back where the same life answers, all of a task's where a run lives 30 s. A suspect is tried on a worker without other jobs' runs for up to a second, then anywhere; nothing joins it there until it has outlived its start by 500 ms. Half a rack lost at once counts one.

Ruled out: a refused connection as proof of a crash (a cut may reset connections too); giving up after two crashes (an innocent job that was started twice just before a crash would be failed).

--- /dev/null
+++ b/crates/scheduler/src/crashes.rs
@@ -0,0 +1,220 @@
+//! Workers that crash: which of their runs may have caused it, where suspects are tried,
+//! and when a task is given up.
+//!
+//! The signals: another life that answers or is listed at a worker's place says that the
+//! earlier one is over; silence until every lease has lapsed may be a cut as well, so its
+//! records stand only until the worker answers again; a worker that was draining ends by
+//! plan and says nothing of its runs.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::Action;
+use crate::evidence::{CrashRecord, Suspicion};
+use crate::job::{JobId, TaskKey};
+use crate::placing::PendingStep;
+use crate::scheduler::Scheduler;
+use crate::state::Phase;
+use crate::worker::{LostRun, Run, RunPhase, Worker, WorkerKey};
+use ospreywing_types::{Duration, Instant};
+
+/// A run that its worker has outlived by this much did not crash it by starting. A
+/// judgement: the crashes seen so far came 10 ms after the start.
+const SETTLE_TIME: Duration = Duration::from_ms(500);
+/// A run that lives this long clears its task of earlier crashes. A judgement: tasks
+/// that last for months must not gather the crashes of all that time.
+const CLEARED_AFTER: Duration = Duration::from_s(30);
+/// How long a suspect waits for a worker without other jobs' runs. A judgement: less
+/// than the 3 s in which a task must be started where there is room, and more than a
+/// small task takes to leave a worker.
+const TRIAL_WAIT: Duration = Duration::from_ms(1000);
+/// The workers of a rack that must be lost together, and the part of those that had
+/// runs, to be taken for the loss of the rack and not for one task's doing.
+const RACK_LOST_COUNT: usize = 3;
+const RACK_LOST_PART: usize = 2;
+/// Workers of a rack that were lost within this time were lost together: what says that
+/// a life is over comes within some seconds of the loss.
+const RACK_LOST_PERIOD: Duration = Duration::from_s(5);
+
+impl Worker {
+    /// Returns whether the worker has answered long after it said that it has the run.
+    fn has_outlived_start(&self, run: &Run) -> bool {
+        run.begun_at
+            .is_some_and(|begun_at| self.answered_at >= begun_at + SETTLE_TIME)
+    }
+
+    /// Returns whether a suspect's run there has not yet outlived its start, so that
+    /// nothing else may be placed beside it.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let is_open = |run: &Run| run.is_on_trial && !self.has_outlived_start(run);
+        self.trials_count > 0 && self.runs.values().any(is_open)
+    }
+
+    /// Returns whether a suspect of the job would hurt nobody else there.
+    fn is_free_for_trial(&self, job: JobId) -> bool {
+        let is_own = |task: &TaskKey| task.step.job == job;
+        let mut reservations = self.reservations.iter();
+        self.runs.keys().all(is_own) && reservations.all(|kept| kept.step.job == job)
+    }
+
+    /// Returns whether the worker was lost a short while ago, or seems to be lost now.
+    fn is_lately_lost(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.since(at) < RACK_LOST_PERIOD;
+        let is_silent = self.unanswered_holds_count > 0 && !self.runs.is_empty();
+        self.gone_at.is_some_and(is_recent) || is_silent
+    }
+}
+
+impl Scheduler {
+    /// Puts the crash of a worker's life on record for each of its runs, and gives up
+    /// the tasks that have crashed too many.
+    pub(crate) fn record_crash(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
+        if self.workers[key].facts.is_draining {
+            return;
+        }
+        let is_rack_lost = self.is_rack_lost(now, key);
+        let mut lost = core::mem::take(&mut self.workers[key].lost_runs);
+        lost.extend(self.runs_to_lose(key));
+        for run in lost {
+            let suspicion = match is_rack_lost {
+                true => Suspicion::Bystander,
+                false => run.suspicion,
+            };
+            let run = LostRun { suspicion, ..run };
+            self.record_lost_run(now, key, run, true, out);
+        }
+    }
+
+    /// Puts runs on record that are given up since their worker is silent. The records
+    /// are taken back where it answers again.
+    pub(crate) fn record_silence(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
+        if self.workers[key].facts.is_draining {
+            return;
+        }
+        let lost = self.runs_to_lose(key);
+        for run in &lost {
+            self.record_lost_run(now, key, *run, false, out);
+        }
+        self.workers[key].lost_runs = lost;
+    }
+
+    /// Takes back what was recorded of a worker that was silent and has answered.
+    pub(crate) fn retract_silence(&mut self, key: WorkerKey) {
+        for lost in core::mem::take(&mut self.workers[key].lost_runs) {
+            if let Some(job) = self.jobs.get_mut(&lost.task.step.job) {
+                job.state.retract_crash(lost.task, lost.run);
+            }
+        }
+    }
+
+    /// Returns the runs that are lost with a worker; of those whose start was never sent
+    /// nothing can be said.
+    fn runs_to_lose(&self, key: WorkerKey) -> Vec<LostRun> {
+        let worker = &self.workers[key];
+        let placed = worker.runs.iter().filter(|(task, run)| {
+            run.phase != RunPhase::Recording && self.placements.get(task) == Some(&key)
+        });
+        let lost = placed.map(|(task, run)| LostRun {
+            task: *task,
+            run: run.run,
+            suspicion: suspicion_of(worker, run),
+        });
+        lost.collect()
+    }
+
+    fn record_lost_run(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        lost: LostRun,
+        is_confirmed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let id = lost.task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.state.phase != Phase::Active {
+            return;
+        }
+        job.state.record_crash(CrashRecord {
+            task: lost.task,
+            run: lost.run,
+            suspicion: lost.suspicion,
+            is_confirmed,
+        });
+        job.trial_until = now + TRIAL_WAIT;
+        let is_condemned = job.state.is_condemned(lost.task);
+        let worker = &self.workers[key];
+        let line = Decision::new(DecisionKind::WorkerCrashed, reason_of(&lost, is_confirmed))
+            .with_run(lost.task, lost.run)
+            .with_worker(&worker.facts.id)
+            .with_figure(worker.runs.len().saturating_sub(1) as u64);
+        out.push(Action::Log(line));
+        self.touch(id, None);
+        if is_condemned {
+            self.end_job(now, id, Phase::Failed, "workers crashed under a task", out);
+        }
+    }
+
+    /// Returns whether much of a worker's rack was lost with it.
+    fn is_rack_lost(&self, now: Instant, key: WorkerKey) -> bool {
+        let rack = &self.workers[key].facts.rack;
+        if rack.is_none() {
+            return false;
+        }
+        let in_rack = self.workers.values().filter(|w| w.facts.rack == *rack);
+        let is_counted = |w: &&Worker| w.is_lately_lost(now) || !w.runs.is_empty();
+        let counted: Vec<&Worker> = in_rack.filter(is_counted).collect();
+        let lost_count = counted.iter().filter(|w| w.is_lately_lost(now)).count();
+        lost_count >= RACK_LOST_COUNT && lost_count * RACK_LOST_PART >= counted.len()
+    }
+
+    /// Clears a task whose run its worker has listed long after its start.
+    pub(crate) fn clear_suspect(&mut self, now: Instant, task: TaskKey, begun_at: Instant) {
+        if now.since(begun_at) < CLEARED_AFTER {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.state.clear_crashes(task);
+        }
+    }
+
+    /// Returns whether a task may have crashed a worker by starting there.
+    pub(crate) fn is_suspect(&self, task: TaskKey) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|job| job.state.is_suspect(task))
+    }
+
+    /// Returns whether a task may be started on a worker as far as earlier crashes go: a
+    /// suspect goes where nobody else's run would be lost with it, and where no such
+    /// worker comes free, anywhere after a while.
+    pub(crate) fn is_allowed_by_crashes(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        task: TaskKey,
+        key: WorkerKey,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&pending.key.job) else {
+            return false;
+        };
+        let is_trial = now < job.trial_until && job.state.is_suspect(task);
+        !is_trial || self.workers[key].is_free_for_trial(pending.key.job)
+    }
+}
+
+fn suspicion_of(worker: &Worker, run: &Run) -> Suspicion {
+    if run.phase == RunPhase::Inherited || worker.has_outlived_start(run) {
+        Suspicion::Bystander
+    } else {
+        Suspicion::Suspect
+    }
+}
+
+const fn reason_of(lost: &LostRun, is_confirmed: bool) -> &'static str {
+    match (lost.suspicion, is_confirmed) {
+        (Suspicion::Suspect, true) => "right after its start",
+        (Suspicion::Suspect, false) => "silent right after its start",
+        (Suspicion::Bystander, true) => "among others",
+        (Suspicion::Bystander, false) => "silent",
+    }
+}
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -34,6 +34,8 @@
     WorkerSilent,
     /// A worker's life is over.
     WorkerGone,
+    /// A worker was lost with a run on it.
+    WorkerCrashed,
     /// A worker is avoided for a while.
     WorkerAvoided,
     /// Advice was asked for.
@@ -62,6 +64,7 @@
             Self::WorkerSynced => "worker synced",
             Self::WorkerSilent => "worker silent",
             Self::WorkerGone => "worker gone",
+            Self::WorkerCrashed => "worker crashed under run",
             Self::WorkerAvoided => "worker avoided",
             Self::AdviceAsked => "advice asked",
             Self::AdviceAnswered => "advice answered",
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -287,7 +287,11 @@
             return;
         }
         let line = Decision::new(DecisionKind::WorkerGone, reason);
-        out.push(Action::Log(line.with_worker(&self.workers[key].facts.id)));
+        let figure = self.workers[key].runs.len() as u64;
+        let line = line.with_worker(&self.workers[key].facts.id);
+        out.push(Action::Log(line.with_figure(figure)));
+        self.record_crash(now, key, out);
+        self.workers[key].gone_at = Some(now);
         self.release_all(now, key, reason, out);
     }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -40,6 +40,8 @@
     pub(crate) left_ms: u64,
     /// When the job was accepted, on this node's clock.
     pub(crate) accepted_at: Instant,
+    /// Until when its tasks that may have crashed a worker wait for one of their own.
+    pub(crate) trial_until: Instant,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
 }
@@ -65,6 +67,7 @@
             accepted_at,
             objective: Duration::ZERO,
             left_ms: 0,
+            trial_until: Instant::default(),
             ready: None,
             state,
         }
@@ -79,6 +82,7 @@
         });
         self.payload = Arc::from("");
         self.state.rounds = Vec::new();
+        self.state.crashes = Vec::new();
         self.ready = None;
     }
 
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -174,9 +174,11 @@
                     read_at: now,
                 });
                 worker.unanswered_holds_count = 0;
+                worker.answered_at = now;
                 if !core::mem::replace(&mut worker.is_reachable, true) {
                     worker.next_hold_at = now;
                 }
+                self.retract_silence(key);
                 self.take_lists(now, key, sent_at, running, ended, out);
             }
             HoldReply::Fenced => out.push(Action::StepDown),
@@ -272,6 +274,9 @@
                 if matches!(run.phase, RunPhase::Inherited) {
                     run.phase = RunPhase::Running { since: now };
                 }
+                run.note_begun(now);
+                let begun_at = run.begun_at.unwrap_or(now);
+                self.clear_suspect(now, task, begun_at);
                 self.take_checkpoint(task, listed.checkpoint);
                 if self.is_unwanted(task) {
                     // An earlier leader may not have lived to send the stop.
@@ -286,18 +291,12 @@
         match demand {
             Some(demand) if !worker.runs.contains_key(&task) => {
                 let run = Run {
-                    run: listed.run,
                     phase: RunPhase::Stopping {
                         sent_at: now,
                         taken_at: None,
                     },
-                    demand,
-                    role: RunRole::Plain,
-                    ticket: None,
-                    checkpoint: None,
-                    sends_count: 0,
-                    placed_at: now,
                     progress_percent: listed.progress_percent,
+                    ..Run::new(listed.run, demand, now)
                 };
                 worker.insert_run(task, run);
             }
@@ -398,6 +397,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in lapsed {
+            self.record_silence(now, key, out);
             self.release_all(now, key, "lease over", out);
             self.workers[key].is_synced = false;
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,10 +20,12 @@
 mod candidate;
 mod commits;
 mod config;
+mod crashes;
 mod cycle;
 mod decision;
 mod ends;
 mod event;
+mod evidence;
 mod gang_search;
 mod gangs;
 mod job;
@@ -46,6 +48,7 @@
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket,
 };
+pub use evidence::{CrashRecord, Suspicion};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
 pub use recovery::Recovered;
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -147,6 +147,8 @@
         };
         match reply {
             StartReply::Started => {
+                run.note_begun(now);
+                worker.answered_at = now;
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running { since: now };
                 }
@@ -210,6 +212,7 @@
             StopReply::Unanswered => {}
             StopReply::Stopping => {
                 let worker = &mut self.workers[key];
+                worker.answered_at = now;
                 let Some(run) = worker.runs.get_mut(&task) else {
                     return;
                 };
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{StepState, TaskStatus};
-use crate::worker::{Run, RunPhase, WorkerKey};
+use crate::worker::{Run, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::sync::Arc;
 
@@ -247,16 +247,22 @@
         }
         let mut chosen = Vec::new();
         for &index in &pending.waiting {
-            let fitting = candidates
-                .iter_mut()
-                .find(|c| c.left_count > 0 && pending.demand.fits_in(&c.free));
+            let task = pending.key.task(index);
+            let fitting = candidates.iter_mut().find(|c| {
+                let has_room = c.left_count > 0 && pending.demand.fits_in(&c.free);
+                has_room && self.is_allowed_by_crashes(now, pending, task, c.worker)
+            });
+            // What another task of the step is kept from may do for the next one.
             let Some(candidate) = fitting else {
-                break;
+                continue;
             };
             candidate.take(&pending.demand);
-            chosen.push((pending.key.task(index), candidate.worker));
+            chosen.push((task, candidate.worker));
         }
         let count = chosen.len();
+        if spec.is_gang && count < pending.waiting.len() {
+            return 0;
+        }
         let run = self.next_run(pending);
         for (task, worker) in chosen {
             self.record_start(now, pending, task, worker, run, out);
@@ -291,6 +297,7 @@
         out: &mut Vec<Action>,
     ) {
         let id = self.workers[key].facts.id.clone();
+        let is_on_trial = self.is_suspect(task);
         let Some(state) = self.task_state_mut(task) else {
             return;
         };
@@ -300,20 +307,19 @@
             worker: id.to_string(),
         };
         let run = Run {
-            run: number,
-            phase: RunPhase::Recording,
-            demand: pending.demand,
             role: RunRole::of(pending.spec()),
-            ticket: None,
-            checkpoint: None,
-            sends_count: 0,
-            placed_at: now,
-            progress_percent: 0,
+            is_on_trial,
+            ..Run::new(number, pending.demand, now)
         };
         self.workers[key].insert_run(task, run);
         self.placements.insert(task, key);
         let free = self.workers[key].free().cores_milli;
-        let line = Decision::new(DecisionKind::Placed, "fullest that fits")
+        let reason = if is_on_trial {
+            "on trial after a crash"
+        } else {
+            "fullest that fits"
+        };
+        let line = Decision::new(DecisionKind::Placed, reason)
             .with_run(task, number)
             .with_worker(&id)
             .with_figure(u64::from(free));
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -95,15 +95,10 @@
         let key = self.placeholder(&inherited.worker);
         let demand = self.demand_of(inherited.task).unwrap_or_default();
         let run = Run {
-            run: inherited.run,
             phase: RunPhase::Inherited,
-            demand,
             role: self.role_of(inherited.task),
-            ticket: None,
-            checkpoint: None,
-            sends_count: 0,
-            placed_at: now,
-            progress_percent: 0,
+            is_on_trial: self.is_suspect(inherited.task),
+            ..Run::new(inherited.run, demand, now)
         };
         self.workers[key].insert_run(inherited.task, run);
         self.placements.insert(inherited.task, key);
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -1,5 +1,6 @@
 //! What the store keeps of a job's progress.
 
+use crate::evidence::CrashRecord;
 use crate::job::JobRecord;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -8,6 +9,9 @@
 const FORM_VERSION: u8 = 1;
 /// The first byte of what stands for a job that has its outcome.
 const OUTCOME_FORM: u8 = 2;
+/// The first byte of progress with crash records behind it. Progress without any is
+/// written as before, so that nodes of the version before read it.
+const CRASHES_FORM: u8 = 3;
 
 /// The phase of a job's life that clients are shown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +84,9 @@
     pub next_round: u32,
     /// The rounds that have begun and have work left.
     pub rounds: Vec<RoundState>,
+    /// The crashes of workers under the job's tasks; stored behind the rest.
+    #[serde(skip)]
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// The stored bytes are not a job's state.
@@ -153,7 +160,11 @@
 
     /// Returns the stored form.
     pub fn to_bytes(&self) -> Vec<u8> {
-        to_stored(self)
+        if self.crashes.is_empty() {
+            return to_stored(self);
+        }
+        let parts = (self, &self.crashes);
+        postcard::to_extend(&parts, vec![CRASHES_FORM]).unwrap_or_default()
     }
 
     /// Reads the stored form.
@@ -162,7 +173,13 @@
     ///
     /// Returns a [`StateError`] where the bytes are of another version or damaged.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, StateError> {
-        from_stored(bytes)
+        match bytes.split_first() {
+            Some((&CRASHES_FORM, rest)) => {
+                let (state, crashes): (Self, Vec<CrashRecord>) = read_postcard(rest)?;
+                Ok(Self { crashes, ..state })
+            }
+            _ => from_stored(bytes),
+        }
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,6 +1,7 @@
 //! Workers and the runs that occupy them.
 
 use crate::event::Endpoint;
+use crate::evidence::Suspicion;
 use crate::job::{StepKey, TaskKey};
 use crate::sharing::RunRole;
 use cranelift_entity::entity_impl;
@@ -79,9 +80,45 @@
     /// How often its start was sent.
     pub(crate) sends_count: u32,
     pub(crate) placed_at: Instant,
+    /// Since when the worker is known to have it.
+    pub(crate) begun_at: Option<Instant>,
+    /// Whether its task may have crashed a worker by starting there.
+    pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
 }
 
+impl Run {
+    /// Creates a run of which nothing was sent yet.
+    pub(crate) const fn new(run: u32, demand: Resources, placed_at: Instant) -> Self {
+        Self {
+            run,
+            phase: RunPhase::Recording,
+            demand,
+            role: RunRole::Plain,
+            ticket: None,
+            checkpoint: None,
+            sends_count: 0,
+            placed_at,
+            begun_at: None,
+            is_on_trial: false,
+            progress_percent: 0,
+        }
+    }
+
+    /// Notes that the worker has it.
+    pub(crate) fn note_begun(&mut self, now: Instant) {
+        self.begun_at.get_or_insert(now);
+    }
+}
+
+/// A run that was given up with its worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostRun {
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+    pub(crate) suspicion: Suspicion,
+}
+
 /// The worker's clock as it was last told.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ClockReading {
@@ -119,6 +156,14 @@
     pub(crate) used: Resources,
     serving_count: usize,
     fillers_count: usize,
+    /// Runs of tasks that may have crashed a worker before.
+    pub(crate) trials_count: usize,
+    /// Runs that were given up while it was silent; what became of it is not known.
+    pub(crate) lost_runs: Vec<LostRun>,
+    /// When this leader learned that its life is over.
+    pub(crate) gone_at: Option<Instant>,
+    /// When it last answered a call.
+    pub(crate) answered_at: Instant,
     /// Room that steps count on whose calls for advice name the worker. It
     /// keeps others from naming it too, not from taking the room.
     claims: Vec<Claim>,
@@ -158,6 +203,10 @@
             used: Resources::ZERO,
             serving_count: 0,
             fillers_count: 0,
+            trials_count: 0,
+            lost_runs: Vec::new(),
+            gone_at: None,
+            answered_at: Instant::default(),
             claims: Vec::new(),
             reservations: Vec::new(),
             acked_end: 0,
@@ -226,6 +275,7 @@
             && self.is_reachable
             && !self.has_unknown_run
             && !self.facts.is_draining
+            && !self.is_isolated()
             && now >= self.avoided_until
     }
 
@@ -242,6 +292,7 @@
         if let Some(count) = self.count_of(run.role) {
             *count += 1;
         }
+        self.trials_count += usize::from(run.is_on_trial);
         self.runs.insert(task, run);
     }
 
@@ -269,6 +320,7 @@
         if let Some(count) = self.count_of(run.role) {
             *count -= 1;
         }
+        self.trials_count -= usize::from(run.is_on_trial);
         Some(run)
     }
 
--- a/crates/scheduler/tests/scheduler/crashes.rs
+++ b/crates/scheduler/tests/scheduler/crashes.rs
@@ -42,7 +42,8 @@
 impl CrashingCell {
     fn new(advice: Option<AdvicePolicy>) -> Self {
         let workers = workers(4);
-        let bench = Bench::with_advice(Recovered::default(), &workers, advice);
+        let mut bench = Bench::with_advice(Recovered::default(), &workers, advice);
+        bench.tell(Event::NodesListed(vec!["n1".into()]));
         Self {
             bench,
             workers,
