Lay a crash on who was on trial, check room when a start is sent, and search both

A crash is now laid on the suspects that had not outlived their start and on nobody else there, and on an inherited run that was alone; two crashes of any kind make a suspect. - A worker's room may shrink between a start's placement and its sending: a recorded start is checked against the room at the moment it is sent, and is 'not run' where that is gone; an unanswered one is not repeated on a worker that is over its room. The verifier tells room that shrank from room that we overfilled: what an earlier leader's runs hold counts as theirs. - The list of workers takes an entry only if it was written after what is known of its key.

--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -89,7 +89,7 @@
 
 /// Tells the scheduler of the list of workers until the term is over.
 pub async fn follow_workers<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
-    let mut known: BTreeMap<String, WorkerFacts> = BTreeMap::new();
+    let mut known: BTreeMap<String, KnownWorker> = BTreeMap::new();
     let store = node.store.clone();
     let prefix = node.platform.workers_prefix();
     follow(store, prefix, WORKERS_POLICY, None, |update, _| {
@@ -97,7 +97,7 @@
             Update::Snapshot(items) => {
                 let read = items.iter().filter_map(|item| read_worker(&node, item));
                 let read: BTreeMap<_, _> = read.collect();
-                let has_changed = read != known;
+                let has_changed = !are_alike(&read, &known);
                 known = read;
                 has_changed
             }
@@ -105,13 +105,17 @@
                 let before = known.clone();
                 for change in changes {
                     match change {
-                        WatchedChange::Put(item) => known.extend(read_worker(&node, &item)),
+                        WatchedChange::Put(item) if is_newer(&known, &item) => {
+                            known.extend(read_worker(&node, &item));
+                        }
+                        // A later page of a list showed what came after this change.
+                        WatchedChange::Put(_) => {}
                         WatchedChange::Gone { key } => {
                             known.remove(&key);
                         }
                     }
                 }
-                before != known
+                !are_alike(&before, &known)
             }
             Update::Unchanged => false,
             Update::Failed(error) => {
@@ -122,16 +126,40 @@
         };
         node.note_contact();
         if has_changed {
-            leading.tell(Event::WorkersListed(known.values().cloned().collect()));
+            let facts = known.values().map(|worker| worker.facts.clone());
+            leading.tell(Event::WorkersListed(facts.collect()));
         }
         flow_of(&leading)
     })
     .await;
 }
 
-fn read_worker<P: Platform>(node: &Node<P>, item: &Item) -> Option<(String, WorkerFacts)> {
+/// A worker's entry as it was read last.
+#[derive(Clone, Debug)]
+struct KnownWorker {
+    facts: WorkerFacts,
+    revision: Revision,
+}
+
+/// Returns whether an item was written after what is known of its key: a worker's room
+/// may shrink, and an older word must not bring it back.
+fn is_newer(known: &BTreeMap<String, KnownWorker>, item: &Item) -> bool {
+    let known = known.get(&item.key);
+    known.is_none_or(|worker| worker.revision < item.revision)
+}
+
+/// Returns whether both lists say the same of the workers; entries are rewritten all the
+/// time.
+fn are_alike(one: &BTreeMap<String, KnownWorker>, other: &BTreeMap<String, KnownWorker>) -> bool {
+    let one = one.values().map(|worker| &worker.facts);
+    let other = other.values().map(|worker| &worker.facts);
+    one.eq(other)
+}
+
+fn read_worker<P: Platform>(node: &Node<P>, item: &Item) -> Option<(String, KnownWorker)> {
+    let revision = item.revision;
     match node.platform.parse_worker(&item.key, &item.value) {
-        Ok(facts) => Some((item.key.clone(), facts)),
+        Ok(facts) => Some((item.key.clone(), KnownWorker { facts, revision })),
         Err(error) => {
             damaged(&node.log, &item.key, &error.to_string());
             None
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -70,19 +70,34 @@
         if self.workers[key].facts.is_draining {
             return;
         }
-        let is_rack_lost = self.is_rack_lost(now, key);
         let mut lost = core::mem::take(&mut self.workers[key].lost_runs);
         lost.extend(self.runs_to_lose(key));
+        if self.is_rack_lost(now, key) {
+            lost.iter_mut()
+                .for_each(|run| run.suspicion = Suspicion::Bystander);
+        } else {
+            self.name_suspects(&mut lost);
+        }
         for run in lost {
-            let suspicion = match is_rack_lost {
-                true => Suspicion::Bystander,
-                false => run.suspicion,
-            };
-            let run = LostRun { suspicion, ..run };
             self.record_lost_run(now, key, run, true, out);
         }
     }
 
+    /// Lays a crash on the runs that were on trial there, where there are any, and on
+    /// nobody else. Of a run that was recorded by an earlier leader nothing tells how far
+    /// it was; where it was alone, the crash is laid on it too.
+    fn name_suspects(&self, lost: &mut Vec<LostRun>) {
+        let is_open = |run: &LostRun| run.is_open && self.is_suspect(run.task);
+        let is_alone = lost.len() == 1 && lost[0].is_open;
+        if lost.iter().any(is_open) {
+            lost.retain(is_open);
+        } else if !is_alone {
+            return;
+        }
+        lost.iter_mut()
+            .for_each(|run| run.suspicion = Suspicion::Suspect);
+    }
+
     /// Puts runs on record that are given up since their worker is silent. The records
     /// are taken back where it answers again.
     pub(crate) fn record_silence(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
@@ -116,6 +131,7 @@
             task: *task,
             run: run.run,
             suspicion: suspicion_of(worker, run),
+            is_open: !worker.has_outlived_start(run),
         });
         lost.collect()
     }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -36,6 +36,8 @@
     WorkerGone,
     /// A worker was lost with a run on it.
     WorkerCrashed,
+    /// A worker's room has changed while work is there.
+    WorkerResized,
     /// A worker is avoided for a while.
     WorkerAvoided,
     /// Advice was asked for.
@@ -65,6 +67,7 @@
             Self::WorkerSilent => "worker silent",
             Self::WorkerGone => "worker gone",
             Self::WorkerCrashed => "worker crashed under run",
+            Self::WorkerResized => "worker resized",
             Self::WorkerAvoided => "worker avoided",
             Self::AdviceAsked => "advice asked",
             Self::AdviceAnswered => "advice answered",
--- a/crates/scheduler/src/evidence.rs
+++ b/crates/scheduler/src/evidence.rs
@@ -21,7 +21,7 @@
 /// What ties a run to its worker's crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Suspicion {
-    /// The run had begun just before, or was about to.
+    /// The run had begun just before, or was about to, or was tried alone.
     Suspect,
     /// The run had outlived its start, or much of the rack was lost with the worker, or
     /// how far the run was is not known.
@@ -52,10 +52,12 @@
 }
 
 impl JobState {
-    /// Returns whether a task may have crashed a worker by starting there.
+    /// Returns whether a task may be one that crashes its workers: one crashed right
+    /// after its start, or several did under it.
     pub fn is_suspect(&self, task: TaskKey) -> bool {
-        let mut crashes = self.crashes_of(task);
-        crashes.any(|crash| crash.suspicion == Suspicion::Suspect)
+        let is_tied = |crash: &CrashRecord| crash.suspicion == Suspicion::Suspect;
+        let is_repeated = self.crashes_of(task).nth(1).is_some();
+        is_repeated || self.crashes_of(task).any(is_tied)
     }
 
     /// Returns whether so many workers have crashed under a task that it is given up.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -59,7 +59,7 @@
         self.end_earlier_lives(now, &list, out);
         for facts in list {
             match self.workers_by_id.get(&facts.id) {
-                Some(&key) => self.workers[key].facts = facts,
+                Some(&key) => self.update_facts(key, facts, out),
                 None => self.add_worker(facts, out),
             }
         }
@@ -96,6 +96,29 @@
         key.is_some_and(|key| !self.workers[*key].facts.address.is_empty())
     }
 
+    /// Takes in what is listed of a known worker now.
+    ///
+    /// What runs on a worker whose room has shrunk below it runs on: stopping it would
+    /// lose work, and nothing more is placed there until enough has ended.
+    fn update_facts(&mut self, key: WorkerKey, facts: WorkerFacts, out: &mut Vec<Action>) {
+        let worker = &mut self.workers[key];
+        let before = worker.facts.capacity;
+        worker.set_facts(facts);
+        let after = worker.facts.capacity;
+        if before == after || worker.runs.is_empty() {
+            return;
+        }
+        let reason = if worker.is_overfull() {
+            "smaller than what runs there"
+        } else {
+            "room changed"
+        };
+        let line = Decision::new(DecisionKind::WorkerResized, reason)
+            .with_worker(&worker.facts.id)
+            .with_figure(u64::from(after.cores_milli));
+        out.push(Action::Log(line));
+    }
+
     fn add_worker(&mut self, facts: WorkerFacts, out: &mut Vec<Action>) {
         let line = Decision::new(DecisionKind::WorkerListed, "listed");
         out.push(Action::Log(line.with_worker(&facts.id)));
@@ -298,7 +321,7 @@
                     progress_percent: listed.progress_percent,
                     ..Run::new(listed.run, demand, now)
                 };
-                worker.insert_run(task, run);
+                worker.insert_foreign_run(task, run);
             }
             _ => worker.has_unknown_run = true,
         }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -37,6 +37,14 @@
             self.release(now, task, DecisionKind::NotStarted, "ticket over", out);
             return;
         }
+        if !worker.has_room_to_send(task) {
+            // Its room has shrunk since the start was placed.
+            self.release(now, task, DecisionKind::NotStarted, "room shrank", out);
+            return;
+        }
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return;
+        };
         run.ticket = fresh;
         run.checkpoint = checkpoint;
         run.phase = RunPhase::Starting;
@@ -101,9 +109,14 @@
         task: TaskKey,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(run) = self.workers[key].runs.get(&task) else {
+        let worker = &self.workers[key];
+        let Some(run) = worker.runs.get(&task) else {
             return false;
         };
+        // The first one may not have arrived, and its room may be gone.
+        if worker.is_overfull() {
+            return false;
+        }
         let is_open = run.phase == RunPhase::Starting && run.sends_count < START_SENDS_LIMIT_COUNT;
         is_open && self.send_order(now, key, task, out)
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -117,6 +117,8 @@
     pub(crate) task: TaskKey,
     pub(crate) run: u32,
     pub(crate) suspicion: Suspicion,
+    /// Whether it is not known to have outlived its start.
+    pub(crate) is_open: bool,
 }
 
 /// The worker's clock as it was last told.
@@ -154,6 +156,8 @@
     pub(crate) granted_at: Instant,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     pub(crate) used: Resources,
+    /// What its runs held when its room shrank below them, less what has ended since.
+    pub(crate) overfull: Resources,
     serving_count: usize,
     fillers_count: usize,
     /// Runs of tasks that may have crashed a worker before.
@@ -201,6 +205,7 @@
             granted_at: Instant::default(),
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            overfull: Resources::ZERO,
             serving_count: 0,
             fillers_count: 0,
             trials_count: 0,
@@ -228,6 +233,39 @@
         kept.map_or(self.seen_end, |last| last.min(self.seen_end))
     }
 
+    /// Takes in what is listed of it now.
+    pub(crate) fn set_facts(&mut self, facts: WorkerFacts) {
+        self.facts = facts;
+        self.note_overfull();
+    }
+
+    /// Returns whether its runs need more than it holds since its room has shrunk.
+    pub(crate) fn is_overfull(&self) -> bool {
+        !self.used.fits_in(&self.facts.capacity)
+    }
+
+    fn note_overfull(&mut self) {
+        self.overfull = if self.is_overfull() {
+            self.used
+        } else {
+            Resources::ZERO
+        };
+    }
+
+    /// Returns whether a recorded start still fits beside all whose start was sent.
+    pub(crate) fn has_room_to_send(&self, task: TaskKey) -> bool {
+        if !self.is_overfull() {
+            return true;
+        }
+        let mut needed = Resources::ZERO;
+        for (other, run) in &self.runs {
+            if *other == task || run.phase != RunPhase::Recording {
+                needed += run.demand;
+            }
+        }
+        needed.fits_in(&self.facts.capacity)
+    }
+
     /// Returns what is not taken.
     pub(crate) fn free(&self) -> Resources {
         self.facts.capacity - self.used
@@ -296,6 +334,12 @@
         self.runs.insert(task, run);
     }
 
+    /// Adds a run that an earlier leader started, when the worker may have held more.
+    pub(crate) fn insert_foreign_run(&mut self, task: TaskKey, run: Run) {
+        self.insert_run(task, run);
+        self.note_overfull();
+    }
+
     const fn count_of(&mut self, role: RunRole) -> Option<&mut usize> {
         match role {
             RunRole::Plain => None,
@@ -317,6 +361,7 @@
     pub(crate) fn remove_run(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used -= run.demand;
+        self.note_overfull();
         if let Some(count) = self.count_of(run.role) {
             *count -= 1;
         }
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -5,7 +5,7 @@
 
 use crate::support::world::{Faults, World};
 use crate::support::{advice, job, patient_job, step};
-use ospreywing_scheduler::{AdvicePolicy, StepSpec};
+use ospreywing_scheduler::{AdvicePolicy, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
 
@@ -78,6 +78,14 @@
 #[case::long_leases(Faults { takeover: 10, cut: 40, trouble: 20, ..Faults::default() })]
 #[case::two_lives(Faults { takeover: 20, crash: 30, ..Faults::default() })]
 #[case::draining(Faults { takeover: 10, drain: 30, ..Faults::default() })]
+#[case::resized(Faults { resize: 80, ..Faults::default() })]
+#[case::resized_in_trouble(Faults {
+    resize: 80,
+    trouble: 30,
+    takeover: 10,
+    lost_answer: 40,
+    ..Faults::default()
+})]
 #[case::everything(Faults {
     lost_answer: 40,
     late_order: 40,
@@ -87,6 +95,7 @@
     takeover: 20,
     trouble: 10,
     drain: 5,
+    ..Faults::default()
 })]
 fn scheduler_keeps_its_rules(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
     search(faults, has_advice.then(advice));
@@ -140,6 +149,7 @@
     takeover: 20,
     trouble: 10,
     drain: 5,
+    ..Faults::default()
 })]
 fn scheduler_serves_gangs_on_few_good_workers(#[case] faults: Faults) {
     for seed in seeds() {
@@ -175,6 +185,7 @@
     takeover: 20,
     trouble: 10,
     drain: 5,
+    ..Faults::default()
 })]
 fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
     let mut resumed_count = 0;
@@ -200,3 +211,54 @@
     }
     assert!(resumed_count > 0, "nothing went on from a checkpoint");
 }
+
+/// Jobs of which one task crashes each worker that starts it, beside others: its starts
+/// are bounded, and no other job is failed for them.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::takeovers(Faults { takeover: 40, ..Faults::default() })]
+#[case::cuts(Faults { cut: 30, lost_answer: 40, ..Faults::default() })]
+#[case::crashes(Faults { crash: 20, takeover: 10, ..Faults::default() })]
+#[case::trouble(Faults { trouble: 40, takeover: 20, ..Faults::default() })]
+#[case::everything(Faults {
+    lost_answer: 40,
+    late_order: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+    trouble: 10,
+    drain: 5,
+    resize: 20,
+    ..Faults::default()
+})]
+fn scheduler_gives_up_what_crashes_workers(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 10, faults, has_advice.then(advice));
+        world.crashing = [3, 6, 7].map(JobId::new).into();
+        world.calm_from_ms = world.now_ms + 2 * STORM_MS;
+        for number in 1..=16 {
+            let steps = match number % 4 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                _ => vec![step(4)],
+            };
+            world.submit(job(number, steps));
+            world.run_for(500);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+        for number in 1..=16 {
+            let id = JobId::new(number);
+            let expected = match world.crashing.contains(&id) {
+                true => Phase::Failed,
+                false => Phase::Complete,
+            };
+            assert_eq!(world.phase(id), Some(expected), "seed {seed}: job {id}");
+        }
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// How long after it shrank a room counts: three seconds and a heartbeat.
+const SHRUNK_ROOM_COUNTS_AFTER_MS: u64 = 4_500;
+
 /// A run on a fake worker.
 #[derive(Clone, Debug)]
 pub struct FakeRun {
@@ -31,6 +34,10 @@
     pub id: Arc<str>,
     pub address: Arc<str>,
     pub capacity: Resources,
+    /// What it holds when its room is not changed.
+    full_capacity: Resources,
+    /// Its room before it shrank, and when that was.
+    room_before: (Resources, u64),
     pub is_alive: bool,
     pub is_cut: bool,
     /// How fast its clock runs, in thousandths.
@@ -57,6 +64,8 @@
             id: Arc::from(id),
             address: Arc::from(format!("at {id}")),
             capacity: Resources::new(4000, 4000, 0),
+            full_capacity: Resources::new(4000, 4000, 0),
+            room_before: (Resources::ZERO, 0),
             is_alive: true,
             is_cut: false,
             clock_per_mille,
@@ -98,6 +107,25 @@
         )
     }
 
+    /// Changes its room to a part of what it holds at most.
+    pub fn resize(&mut self, now_ms: u64, per_mille: u32) {
+        let part = |whole: u32| (u64::from(whole) * u64::from(per_mille) / 1000) as u32;
+        let full = self.full_capacity;
+        let room = Resources::new(part(full.cores_milli), part(full.memory_mib), 0);
+        self.room_before = (self.counted_room(now_ms), now_ms);
+        self.capacity = room;
+    }
+
+    /// Returns the room that starts are judged by: one that shrank counts a while later.
+    pub fn counted_room(&self, now_ms: u64) -> Resources {
+        let (before, shrank_at_ms) = self.room_before;
+        if now_ms < shrank_at_ms + SHRUNK_ROOM_COUNTS_AFTER_MS {
+            self.capacity.max(before)
+        } else {
+            self.capacity
+        }
+    }
+
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         7_000 + now_ms * self.clock_per_mille / 1000
     }
