Count every bound by a clock that runs while the machine is suspended

The daemon and the stand-ins had CLOCK_BOOTTIME already, in copies of their own.

Change: one crate for the clocks (boot time and time of day), in the place of three copies; also the age of idle connections counts by it. A feature that only tests ask for moves a test's clock on while its timers stand.

Timers that fire late need no change: what they lead to checks the clock where it acts. The relays' side is as for a relay that freezes: workers' fences and the ends of leases bound what it gives late.

--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,35 @@
+//! The clocks of a process.
+//!
+//! The kernel's monotonic clock stands still while the machine is suspended. A leader
+//! that counted its lease by it would wake up and still believe that it leads. So the
+//! clock of all bounds is the boot-time clock, which runs on.
+
+use ospreywing_types::Instant;
+use rustix::time::{clock_gettime, ClockId};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[cfg(feature = "simulation")]
+pub mod simulation;
+
+/// Returns the time since the machine's start, time in suspend included.
+pub fn now() -> Instant {
+    let time = clock_gettime(ClockId::Boottime);
+    let ms = time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000;
+    Instant::from_ms(ms) + suspended()
+}
+
+/// Returns the time of day in milliseconds since 1970; it may jump.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64) + suspended().as_ms()
+}
+
+#[cfg(feature = "simulation")]
+fn suspended() -> ospreywing_types::Duration {
+    simulation::suspended()
+}
+
+#[cfg(not(feature = "simulation"))]
+const fn suspended() -> ospreywing_types::Duration {
+    ospreywing_types::Duration::ZERO
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,7 +7,6 @@
 //! decisions: it owns sockets, clocks and the store's calls, and speaks to the
 //! outside through the [`Platform`] trait alone.
 
-pub mod clock;
 pub mod commit;
 pub mod configuration;
 mod decision_log;
@@ -36,6 +35,8 @@
 pub mod stored_view;
 pub mod watches;
 
+pub use ospreywing_clock as clock;
+
 pub use node::{run, NodeError, NodeSettings};
 pub use platform::{Call, CallError, FrontLimits, Incoming, Look, Platform, Reply, Retry};
 pub use store::{
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -10,4 +10,5 @@
 mod silence;
 mod store_writes;
 mod support;
+mod suspension;
 mod viewing;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub mod api;
 pub mod box_list;
-pub mod clock;
+pub use ospreywing_clock as clock;
 pub mod daemon;
 pub mod engine;
 pub mod error;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -210,7 +210,7 @@
     /// Closes idle connections that may be as silent as the one whose call has
     /// timed out.
     fn close_silent(&self, addr: &str, path: &str, limits: &Limits) {
-        let closed_count = self.pool.close_older(addr, limits.begun_at);
+        let closed_count = self.pool.close_older(addr, limits.called_at);
         if let Some(log) = &self.log {
             debug!(log, "connection silent"; "address" => addr, "path" => path,
                 "limit_ms" => limits.time_limit.as_millis() as u64, "closed" => closed_count);
@@ -221,6 +221,8 @@
 /// The time limits of a call that has begun.
 struct Limits {
     begun_at: Instant,
+    /// The same on the clock by which connections are as old as they are.
+    called_at: ospreywing_types::Instant,
     time_limit: Duration,
     silence_limit: Option<Duration>,
 }
@@ -229,6 +231,7 @@
     fn begin(call: &Call) -> Self {
         Self {
             begun_at: Instant::now(),
+            called_at: ospreywing_clock::now(),
             time_limit: call.time_limit,
             silence_limit: call.silence_limit,
         }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -6,12 +6,13 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ospreywing_types::Instant;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 /// How long sent bytes may stay without an acknowledgement, and how long a quiet
@@ -52,7 +53,7 @@
         let stream = connected.map_err(|error| not_sent(&error))?;
         // A connection without these is only slower, or noticed as dead later.
         let _ = set_options(&stream);
-        let made_at = Instant::now();
+        let made_at = ospreywing_clock::now();
         let shaken = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shaken.map_err(|error| not_sent(&error))?;
         let driver = tokio::spawn(async move {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,14 +1,16 @@
 //! Idle connections, kept for the next calls.
 
 use crate::connection::Connection;
+use ospreywing_clock as clock;
+use ospreywing_types::{Duration, Instant};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-use tokio::time::Instant;
 
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// How long a connection is kept that nobody uses, time in suspend included: a peer may
+/// close it meanwhile, and a request on it would be lost.
+const IDLE_LIMIT: Duration = Duration::from_s(20);
 /// The time between two searches for connections that have been idle for too long.
-const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+const SWEEP_PERIOD: Duration = Duration::from_s(5);
 
 /// A connection that no call uses.
 #[derive(Debug)]
@@ -19,7 +21,7 @@
 
 impl Idle {
     fn is_usable(&self, now: Instant) -> bool {
-        self.connection.is_open() && now.duration_since(self.since) < IDLE_LIMIT
+        self.connection.is_open() && now.since(self.since) < IDLE_LIMIT
     }
 }
 
@@ -43,14 +45,14 @@
             limit_count,
             kept: Mutex::new(Kept {
                 by_address: HashMap::new(),
-                next_sweep_at: Instant::now() + SWEEP_PERIOD,
+                next_sweep_at: clock::now() + SWEEP_PERIOD,
             }),
         }
     }
 
     /// Takes out the connection to `addr` that was used last.
     pub(crate) fn take(&self, addr: &str) -> Option<Connection> {
-        let now = Instant::now();
+        let now = clock::now();
         let mut kept = self.lock();
         let idle = kept.by_address.get_mut(addr)?;
         while let Some(newest) = idle.pop() {
@@ -63,7 +65,7 @@
 
     /// Keeps a connection whose last answer was read whole.
     pub(crate) fn put(&self, addr: String, connection: Connection) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut kept = self.lock();
         if now >= kept.next_sweep_at {
             kept.next_sweep_at = now + SWEEP_PERIOD;
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -21,6 +21,37 @@
     (listener, address)
 }
 
+/// Serves so many connections, one request each at a time, until the client closes them.
+fn serve_connections(listener: TcpListener, count: usize) {
+    let streams = (0..count).map(|_| {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_head(&mut stream);
+        stream.write_all(ANSWER).expect("an open connection");
+        stream
+    });
+    // Kept until the last request is answered.
+    drop(streams.collect::<Vec<TcpStream>>());
+}
+
+/// A machine that was suspended may find its idle connections closed by the peer long
+/// ago, though its timers have not moved: they are too old to be used. A server that
+/// answers each connection once would leave a second request on it unanswered.
+#[test]
+fn call_after_suspend() {
+    let (listener, address) = listen();
+    let server = thread::spawn(move || serve_connections(listener, 2));
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(1);
+        for _ in 0..2 {
+            let call = Call::new(Method::GET, &address, "/", LIMIT);
+            client.call(call).await.expect("an answer");
+            ospreywing_clock::simulation::suspend(ospreywing_types::Duration::from_s(30));
+        }
+    });
+    server.join().expect("a server that ends");
+}
+
 /// Reads a request up to the end of its head, and returns that.
 fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
--- a/crates/standin/src/judge.rs
+++ b/crates/standin/src/judge.rs
@@ -1,6 +1,5 @@
 //! Judges the records: what ran twice, what was given too much.
 
-use crate::clock::now_ms;
 use crate::record::{MinionRecord, Run, WorkerRecord};
 use http::Method;
 use ospreywing_http::{Call, HttpClient, HttpError};
@@ -79,7 +78,7 @@
 
 /// Returns whether two of the runs, in the order of their beginnings, overlap.
 fn overlap(runs: &[&Run]) -> bool {
-    let now = now_ms();
+    let now = ospreywing_clock::now().as_ms();
     let mut until = 0;
     for run in runs {
         if run.began_at_ms < until {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,7 +6,6 @@
 //! over HTTP while it runs. None of them is part of the product.
 
 pub mod boxes;
-pub mod clock;
 pub mod drive;
 pub mod faults;
 pub mod judge;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: the store and the box list.
 
 use crate::boxes::{Announcement, BoxList};
-use crate::clock::now_ms;
+
 use crate::faults::PlatformFaults;
 use crate::kv::{Kv, VALUE_LIMIT_BYTES};
 use crate::rate::RateLimit;
@@ -104,7 +104,7 @@
 impl State {
     /// Counts a call and returns whether its rate limit lets it pass.
     fn admit(&mut self, path: &str, is_write: bool) -> bool {
-        let now = now_ms();
+        let now = ospreywing_clock::now().as_ms();
         *self.counts.calls.entry(path.to_owned()).or_default() += 1;
         let limit = if is_write {
             &mut self.writes
@@ -231,7 +231,7 @@
         if !state.admit(path, is_write) {
             return limited();
         }
-        state.kv.lapse(now_ms());
+        state.kv.lapse(ospreywing_clock::now().as_ms());
         let reply = work(&mut state, &request);
         let permille = state.faults.lose_answers_permille;
         let is_lost = is_write && rand::rng().random_range(0..1000) < permille;
@@ -268,7 +268,11 @@
 
 async fn grant(ctx: &Context<'_>) -> WebResponse {
     let work = |state: &mut State, request: &LeaseGrantRequest| LeaseReply {
-        id: Int64(state.kv.grant(request.ttl.as_u64(), now_ms())),
+        id: Int64(
+            state
+                .kv
+                .grant(request.ttl.as_u64(), ospreywing_clock::now().as_ms()),
+        ),
         ttl: request.ttl,
     };
     run(ctx, wire::LEASE_GRANT, |_| true, work).await
@@ -278,7 +282,11 @@
     let work = |state: &mut State, request: &LeaseRequest| Streamed {
         result: LeaseReply {
             id: request.id,
-            ttl: Int64::from(state.kv.keep_alive(request.id.0, now_ms())),
+            ttl: Int64::from(
+                state
+                    .kv
+                    .keep_alive(request.id.0, ospreywing_clock::now().as_ms()),
+            ),
         },
     };
     run(ctx, wire::LEASE_KEEPALIVE, |_| true, work).await
@@ -293,7 +301,11 @@
 }
 
 async fn boxes(ctx: &Context<'_>) -> WebResponse {
-    let list = ctx.state().lock().boxes.list(now_ms());
+    let list = ctx
+        .state()
+        .lock()
+        .boxes
+        .list(ospreywing_clock::now().as_ms());
     let text = serde_json::to_string(&list).unwrap_or_default();
     let tag = format!("\"{:016x}\"", stable_hash(&text));
     let known = ctx.req().headers().get(IF_NONE_MATCH);
@@ -313,7 +325,9 @@
     match json_body::<_, Announcement>(ctx).await {
         Ok(announcement) => {
             let mut state = ctx.state().lock();
-            state.boxes.announce(announcement, now_ms());
+            state
+                .boxes
+                .announce(announcement, ospreywing_clock::now().as_ms());
             text(StatusCode::OK, "ok")
         }
         Err(error) => invalid(error),
@@ -334,7 +348,9 @@
     match json_body::<_, PlatformFaults>(ctx).await {
         Ok(faults) => {
             let mut state = ctx.state().lock();
-            state.boxes.freeze(faults.is_box_list_frozen, now_ms());
+            state
+                .boxes
+                .freeze(faults.is_box_list_frozen, ospreywing_clock::now().as_ms());
             state.faults = faults;
             text(StatusCode::OK, "ok")
         }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -4,7 +4,7 @@
 //! `fail MS TEXT` fails with it; `serve` runs until it is stopped.
 
 use crate::boxes::Announcement;
-use crate::clock::now_ms;
+
 use crate::faults::WorkerFaults;
 use crate::record::{Run, WorkerRecord};
 use crate::web::{json, json_body, text};
@@ -59,7 +59,7 @@
 
 impl State {
     fn start(&mut self, start: Start) {
-        let now = now_ms();
+        let now = ospreywing_clock::now().as_ms();
         let used = self.running.values().map(|running| running.resources);
         let after = used.fold(start.resources, |sum, need| sum + need);
         let mut record = lock(&self.record);
@@ -99,7 +99,7 @@
 
     /// Ends what has lapsed or is done, whichever came first.
     fn tick(&mut self) {
-        let now = now_ms();
+        let now = ospreywing_clock::now().as_ms();
         let due = |running: &Running| -> Option<(u64, TaskEnd)> {
             let lapse = (running.lease_until_ms, TaskEnd::LeaseLapsed);
             let done = running.done.clone().unwrap_or_else(|| lapse.clone());
@@ -119,7 +119,11 @@
     fn restart(&mut self) {
         let attempts: Vec<AttemptId> = self.running.keys().copied().collect();
         for attempt in attempts {
-            self.end(attempt, now_ms(), TaskEnd::WorkerLost);
+            self.end(
+                attempt,
+                ospreywing_clock::now().as_ms(),
+                TaskEnd::WorkerLost,
+            );
         }
         self.ended.clear();
         self.incarnation = rand::random::<u64>() >> 1;
@@ -181,7 +185,11 @@
             .register_async_method(worker::STOP, |params, shared, _| async move {
                 let stop: Stop = params.one()?;
                 pass(&shared).await;
-                lock(&shared).end(stop.attempt, now_ms(), TaskEnd::Stopped);
+                lock(&shared).end(
+                    stop.attempt,
+                    ospreywing_clock::now().as_ms(),
+                    TaskEnd::Stopped,
+                );
                 Ok::<_, ErrorObjectOwned>(())
             })
             .is_ok(),
@@ -234,7 +242,7 @@
     let mut state = lock(shared);
     // What has lapsed is over before the renewal is looked at.
     state.tick();
-    let until_ms = now_ms() + renew.lease_ms;
+    let until_ms = ospreywing_clock::now().as_ms() + renew.lease_ms;
     for attempt in &renew.attempts {
         if let Some(running) = state.running.get_mut(attempt) {
             running.lease_until_ms = until_ms;
