--- a/crates/scheduler/tests/scheduler/crashes.rs
+++ b/crates/scheduler/tests/scheduler/crashes.rs
@@ -13,12 +13,12 @@
 //! run after run of the task ends as `run lost, another life answers`, none as `failed`,
 //! and the count of failed runs that bounds its attempts stays at zero.
 
-use crate::support::bench::{workers, Bench};
+use crate::support::bench::{failed, workers, Bench};
 use crate::support::worker::FakeWorker;
-use crate::support::{advice, step};
+use crate::support::{advice, first_task, job, placed_state, step};
 use ospreywing_scheduler::{
-    AdvicePolicy, Event, HoldReply, JobId, Phase, Recovered, RefusedStart, StartReply, TaskKey,
-    WorkerKey,
+    AdvicePolicy, CrashRecord, Event, HoldReply, JobId, JobState, Phase, Recovered, RefusedStart,
+    StartReply, StepSpec, Suspicion, TaskKey, WorkerKey,
 };
 use ospreywing_types::Duration;
 use rstest::rstest;
@@ -53,13 +53,19 @@
 
     /// Lets time pass until a start is sent.
     fn next_start(&mut self) -> Option<(WorkerKey, TaskKey, u32)> {
+        self.next_starts()?.pop()
+    }
+
+    /// Lets time pass until starts are sent.
+    fn next_starts(&mut self) -> Option<Vec<(WorkerKey, TaskKey, u32)>> {
         for _ in 0..100 {
             self.bench.now = self.bench.now + Duration::from_ms(30);
             self.bench.tell(Event::Tick);
             self.bench.answer_commits();
             self.answer_advice();
-            if let Some(start) = self.bench.starts().pop() {
-                return Some(start);
+            let starts = self.bench.starts();
+            if !starts.is_empty() {
+                return Some(starts);
             }
         }
         None
@@ -133,3 +139,176 @@
     let job = cell.bench.scheduler.job(JobId::new(1));
     assert_eq!(job.map(|job| job.phase), Some(Phase::Failed));
 }
+
+/// Returns a leader with a job whose run has outlived its start, and another one whose
+/// run has just begun on the same worker.
+fn beside_a_new_run() -> (Bench, WorkerKey) {
+    let mut bench = Bench::new(Recovered::default(), &workers(3));
+    let mut runs = Vec::new();
+    for number in 1..=2 {
+        bench.submit(number, vec![step(1)]);
+        bench.commit_all();
+        let start = bench.starts()[0];
+        bench.started(start);
+        runs.push(start);
+        if number == 1 {
+            bench.now = bench.now + Duration::from_s(1);
+            bench.list_running(start.0, start.1);
+        }
+    }
+    assert_eq!(runs[0].0, runs[1].0, "both are on the fullest worker");
+    (bench, runs[0].0)
+}
+
+fn other_life(bench: &mut Bench, worker: WorkerKey) {
+    let sent_at = bench.now;
+    bench.tell(Event::HoldAnswered {
+        worker,
+        sent_at,
+        reply: HoldReply::OtherLife,
+    });
+}
+
+fn suspicions(states: &[JobState], number: u64) -> Vec<Suspicion> {
+    let task = first_task(JobId::new(number));
+    let newest = states.iter().rev().flat_map(|state| &state.crashes);
+    let of_task = newest.filter(|crash| crash.task == task);
+    of_task.map(|crash| crash.suspicion).take(1).collect()
+}
+
+/// A run that its worker has outlived by a while is a bystander of the crash; the one
+/// that had just begun is tried where nobody else's run would be lost with it, and
+/// nothing joins it there before it has outlived its start.
+#[test]
+fn record_crash_new_run_beside_old_one() {
+    let (mut bench, worker) = beside_a_new_run();
+    other_life(&mut bench, worker);
+    let states = bench.commit_all();
+    assert_eq!(suspicions(&states, 1), vec![Suspicion::Bystander]);
+    assert_eq!(suspicions(&states, 2), vec![Suspicion::Suspect]);
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 2);
+    assert_ne!(starts[0].0, starts[1].0, "the suspect is tried alone");
+    bench.submit(3, vec![step(1)]);
+    bench.commit_all();
+    let joined = bench.starts();
+    let suspect = starts
+        .iter()
+        .find(|start| start.1 == first_task(JobId::new(2)));
+    let suspect = suspect.expect("a start of the suspect").0;
+    assert!(joined.iter().all(|start| start.0 != suspect), "{joined:?}");
+}
+
+/// A worker that is silent until its leases are over may have crashed or been cut off:
+/// what was recorded of its runs goes again where the same life answers.
+#[test]
+fn retract_silence_worker_answers() {
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    bench.started(start);
+    for _ in 0..8 {
+        bench.be_silent(start.0);
+    }
+    let states = bench.commit_all();
+    assert_eq!(suspicions(&states, 1), vec![Suspicion::Suspect]);
+    let again = bench.starts()[0];
+    assert_ne!(again.0, start.0);
+    bench.started(again);
+    bench.list(start.0, Vec::new());
+    bench.list_after(
+        Duration::from_ms(60),
+        again.0,
+        vec![failed(1, again.1, again.2)],
+    );
+    let states = bench.commit_all();
+    assert_eq!(suspicions(&states, 1), Vec::new());
+}
+
+/// Returns what a leader kept of a job whose task runs on `w0` and under which two
+/// workers have crashed.
+fn state_of_suspect() -> JobState {
+    let task = first_task(JobId::new(1));
+    let mut state = placed_state("w0", 3);
+    for run in 1..=2 {
+        state.record_crash(CrashRecord {
+            task,
+            run,
+            suspicion: Suspicion::Suspect,
+            is_confirmed: true,
+        });
+    }
+    state
+}
+
+/// A new leader gives the verdict from what the store keeps: it does not know how far an
+/// inherited run was, but that it was alone on its worker.
+#[test]
+fn record_crash_inherited_run_alone() {
+    let (id, record) = job(1, vec![step(1)]);
+    let kept = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, state_of_suspect())],
+        ..Recovered::default()
+    };
+    let mut bench = Bench::new(kept, &[]);
+    bench.list_workers(&workers(2));
+    let worker = bench.scheduler.worker_key("w0").expect("a listed worker");
+    let other = bench.scheduler.worker_key("w1").expect("a listed worker");
+    bench.list(other, Vec::new());
+    other_life(&mut bench, worker);
+    bench.commit_all();
+    assert!(bench.starts().is_empty(), "started after three crashes");
+    let job = bench.scheduler.job(id);
+    assert_eq!(job.map(|job| job.phase), Some(Phase::Failed));
+}
+
+/// One member that crashes its worker each time is enough to give up its gang.
+#[test]
+fn record_crash_member_of_gang() {
+    let mut cell = CrashingCell::new(None);
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(3)
+    };
+    cell.bench.submit(1, vec![gang]);
+    let mut runs_count = 0;
+    for _ in 0..ROUNDS_COUNT {
+        let Some(starts) = cell.next_starts() else {
+            break;
+        };
+        runs_count += 1;
+        let bad = starts.iter().find(|start| start.1.index == 0);
+        let bad = *bad.expect("the whole gang starts");
+        cell.crash(bad);
+        cell.bench.now = cell.bench.now + Duration::from_ms(500);
+        cell.bench.tell(Event::Tick);
+        cell.bench.stops();
+        cell.bench.now = cell.bench.now + Duration::from_ms(10);
+        let others = starts.iter().filter(|start| start.0 != bad.0);
+        for (worker, _, _) in others {
+            cell.bench.list(*worker, Vec::new());
+        }
+    }
+    assert!(
+        runs_count < CRASHES_COUNT + STARTS_LIMIT_COUNT,
+        "{runs_count} runs"
+    );
+    let job = cell.bench.scheduler.job(JobId::new(1));
+    assert_eq!(job.map(|job| job.phase), Some(Phase::Failed));
+}
+
+/// Crashes are stored behind the rest of a job's progress, which is written as before
+/// where there are none.
+#[test]
+fn to_bytes_with_crashes() {
+    let with = state_of_suspect();
+    let without = placed_state("w0", 3);
+    assert_eq!(JobState::from_bytes(&with.to_bytes()), Ok(with.clone()));
+    assert_eq!(
+        JobState::from_bytes(&without.to_bytes()),
+        Ok(without.clone())
+    );
+    assert_ne!(with.to_bytes()[0], without.to_bytes()[0]);
+}
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -6,6 +6,7 @@
 mod lapses;
 mod pending;
 mod repeats;
+mod rooms;
 mod scale;
 mod search;
 mod support;
