Say that an outcome is not settled while its commit is open

A node that read the store showed 'canceled'; the leader, which shows an outcome only once it knows that it is stored, showed 'queued' 30 ms later. Change: the leader's view of a job says whether a commit is open that changes its phase; then the store is read, by whoever asks. What has begun stays what the leader says. Test: job_outcome_on_its_way (does not compile without the mend: the view had no such word).

--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -217,11 +217,16 @@
 }
 
 async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Reply {
-    if let Some(view) = leaders_view(node, job).await {
+    let leaders = leaders_view(node, job).await;
+    if let Some(view) = leaders.filter(|view| view.is_settled) {
         return reply_of(view);
     }
+    let has_begun = leaders.is_some_and(|view| view.has_begun);
     match read_view(&node.store, &node.log, job).await {
-        Ok(StoredView::Known(view)) => reply_of(view),
+        Ok(StoredView::Known(view)) => reply_of(JobView {
+            has_begun: has_begun || view.has_begun,
+            ..view
+        }),
         Ok(StoredView::NoJob) => Reply::NoJob,
         Ok(StoredView::Unreadable) => Reply::Unavailable(COME_BACK),
         Err(error) => {
--- a/crates/control/src/stored_view.rs
+++ b/crates/control/src/stored_view.rs
@@ -60,6 +60,7 @@
     JobView {
         phase,
         has_begun: true,
+        is_settled: true,
     }
 }
 
@@ -70,5 +71,6 @@
     JobView {
         phase: state.phase,
         has_begun: state.phase != Phase::Active || has_run,
+        is_settled: true,
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,6 +30,10 @@
     pub phase: Phase,
     /// Whether a task of it has begun.
     pub has_begun: bool,
+    /// Whether nothing is on its way to the store that changes the phase. Otherwise the
+    /// store may have more, and whoever reads it would be told more than the leader
+    /// tells: a client would see the job's outcome and then see it undone.
+    pub is_settled: bool,
 }
 
 /// Sizes for metrics and operators.
@@ -193,6 +197,7 @@
         Some(JobView {
             phase: job.shown,
             has_begun: job.has_begun,
+            is_settled: job.state.phase == job.shown || !job.is_on_its_way,
         })
     }
 
--- a/crates/scheduler/tests/scheduler/pending.rs
+++ b/crates/scheduler/tests/scheduler/pending.rs
@@ -2,7 +2,8 @@
 
 use crate::support::bench::{end, workers, Bench};
 use crate::support::{job, step, QUEUE};
-use ospreywing_scheduler::{EndKind, JobId, Recovered, StepKey, TaskKey};
+use ospreywing_scheduler::{EndKind, Event, JobId, Phase, Recovered, StepKey, TaskKey};
+use ospreywing_types::Duration;
 
 /// Returns a term that begins where an earlier leader recorded a start, and the
 /// task.
@@ -52,3 +53,24 @@
     let view = bench.scheduler.job(JobId::new(1)).expect("a known job");
     assert!(view.has_begun);
 }
+
+/// Found by the soak, seed 8019: the store had a job's outcome and its answer was lost.
+/// A node that read the store showed `canceled`, and the leader, which shows an outcome
+/// once it knows that it is stored, showed `queued` 30 ms later. While such a commit is
+/// open the leader does not know.
+#[test]
+fn job_outcome_on_its_way() {
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let id = JobId::new(1);
+    let is_settled = |bench: &Bench| bench.scheduler.job(id).map(|view| view.is_settled);
+    assert_eq!(is_settled(&bench), Some(true));
+    bench.tell(Event::CancelAccepted { job: id });
+    bench.now = bench.now + Duration::from_ms(30);
+    bench.tell(Event::Tick);
+    assert_eq!(is_settled(&bench), Some(false), "its commit is open");
+    bench.answer_commits();
+    let view = bench.scheduler.job(id).expect("a known job");
+    assert_eq!((view.phase, view.is_settled), (Phase::Canceled, true));
+}
