--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -255,6 +255,13 @@
         .arg(number("seconds", "20", "How long faults go on in each run"))
         .arg(number("boxes", "4", "Nodes, each a process"))
         .arg(number("workers", "8", "Workers of the stand-in"))
+        .arg(
+            Arg::new("crashes")
+                .long("crashes")
+                .action(ArgAction::SetTrue)
+                .help("Also play tasks that crash their workers, and rooms that change")
+                .conflicts_with("plan"),
+        )
         .arg(
             path("plan", "FILE", "Play this plan instead of drawing one")
                 .conflicts_with_all(["seed", "seeds"]),
--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -105,7 +105,16 @@
     };
     let seeds = matches.get_one::<Seeds>("seeds").copied().unwrap_or(only);
     let seeds = seeds.first..=seeds.last;
-    Ok(seeds.map(|seed| Plan::draw(seed, size)).collect())
+    let has_crashes = matches.get_flag("crashes");
+    let draw = |seed| {
+        let plan = Plan::draw(seed, size);
+        if has_crashes {
+            plan.with_crashes()
+        } else {
+            plan
+        }
+    };
+    Ok(seeds.map(draw).collect())
 }
 
 fn read_plan(path: &Path) -> Result<Plan, CliError> {
