--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -130,7 +130,7 @@
         };
         let percent = self.config.retry_budget_percent;
         let data = self.services.get_mut(service);
-        data.earn_retry(percent);
+        data.retry_budget.earn(percent);
         let deadline = data.deadline.unwrap_or(self.config.default_deadline);
         let needs_key = data.repeat == Repeat::AtMostOnce;
         let request = self.requests.insert(RequestData {
@@ -402,7 +402,7 @@
         data.token.is_some()
             && now < data.expires_at
             && data.retries_count < service.retry_limit_count
-            && service.spend_retry()
+            && service.retry_budget.spend()
     }
 
     fn retry(&mut self, request: Request) {
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -6,7 +6,7 @@
 use cranelift_entity::PrimaryMap;
 use ospreywing_membership::{SeatSet, SEATS_COUNT};
 use ospreywing_table::{part_of, Caps, Repeat, Row, RowKind, Table};
-use ospreywing_types::{Duration, Name};
+use ospreywing_types::{Duration, Name, RetryBudget};
 use std::collections::{HashMap, VecDeque};
 
 /// One service row.
@@ -27,8 +27,7 @@
     pub(crate) objective_permille: u32,
     pub(crate) inflight_count: u32,
     pub(crate) queue: VecDeque<Request>,
-    /// Retries left, in hundredths.
-    pub(crate) retry_budget_centi: u32,
+    pub(crate) retry_budget: RetryBudget,
     /// A moving mean of how long a minion takes, in milliseconds.
     pub(crate) service_time_ms: f64,
     pub(crate) burn: Burn,
@@ -37,8 +36,8 @@
 /// The moving mean starts here and moves by this part of each difference.
 const SERVICE_TIME_START_MS: f64 = 20.0;
 const SERVICE_TIME_GAIN: f64 = 0.1;
-/// A full retry budget: ten retries.
-const RETRY_BUDGET_FULL_CENTI: u32 = 1000;
+/// The retries of a full budget.
+const RETRY_BUDGET_COUNT: u32 = 10;
 
 impl ServiceData {
     fn new(name: &Name) -> Self {
@@ -56,7 +55,7 @@
             objective_permille: 0,
             inflight_count: 0,
             queue: VecDeque::new(),
-            retry_budget_centi: RETRY_BUDGET_FULL_CENTI,
+            retry_budget: RetryBudget::new(RETRY_BUDGET_COUNT),
             service_time_ms: SERVICE_TIME_START_MS,
             burn: Burn::default(),
         }
@@ -95,21 +94,6 @@
             .is_none_or(|limit| self.inflight_count < limit)
     }
 
-    /// Adds to the retry budget what one request is worth.
-    pub(crate) fn earn_retry(&mut self, percent: u32) {
-        let budget = self.retry_budget_centi + percent;
-        self.retry_budget_centi = budget.min(RETRY_BUDGET_FULL_CENTI);
-    }
-
-    /// Takes one retry from the budget, if it has one.
-    pub(crate) fn spend_retry(&mut self) -> bool {
-        let has_one = self.retry_budget_centi >= 100;
-        if has_one {
-            self.retry_budget_centi -= 100;
-        }
-        has_one
-    }
-
     /// Notes how long a minion took.
     pub(crate) fn note_service_time(&mut self, length: Duration) {
         let difference_ms = length.as_ms() as f64 - self.service_time_ms;
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -29,6 +29,8 @@
 const GOODNESS_FLOOR: f64 = 0.05;
 /// The time until advice is asked for again after a call that failed.
 const ADVICE_RETRY: Duration = Duration::from_ms(100);
+/// The same where the budget of such calls is used up.
+const ADVICE_REST: Duration = Duration::from_ms(500);
 /// The weight of what was learned before, so that the estimate can follow.
 const GOODNESS_DECAY: f64 = 0.98;
 
@@ -187,6 +189,7 @@
         let Some(advice) = self.advice.get_mut(&pending.key) else {
             return false;
         };
+        self.retries.advice.note_first();
         advice.open.push(OpenPart {
             asked_at: now,
             node: assignment.node.clone(),
@@ -233,7 +236,13 @@
         };
         let waited_ms = now.since(open.asked_at).as_ms();
         let AdviceReply::Good { tickets, validity } = reply else {
-            advice.retry_at = now + ADVICE_RETRY;
+            let is_retried = self.retries.advice.spend();
+            let wait = if is_retried {
+                ADVICE_RETRY
+            } else {
+                ADVICE_REST
+            };
+            advice.retry_at = now + wait;
             self.release_room(step);
             self.advisers.note_failure(now, &open.node);
             let line = Decision::new(DecisionKind::AdviceAnswered, "no answer");
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -138,6 +138,9 @@
                 continue;
             }
             worker.is_hold_open = true;
+            if worker.unanswered_holds_count == 0 {
+                self.retries.looks.note_first();
+            }
             // A silent worker is only asked: a grant that it may have received
             // would keep its runs from ever being given up.
             let is_granted = worker.is_synced && worker.unanswered_holds_count == 0;
@@ -210,13 +213,14 @@
         }
     }
 
-    /// Asks again at once after the first renewal without an answer; after a
-    /// further one the worker is silent.
+    /// Asks again at once after the first renewal without an answer, as far as the budget
+    /// allows; after a further one the worker is silent.
     fn note_unanswered_hold(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
         let worker = &mut self.workers[key];
         worker.unanswered_holds_count += 1;
         if worker.unanswered_holds_count < SILENT_AFTER_COUNT {
-            worker.next_hold_at = now;
+            let is_retried = self.retries.looks.spend();
+            worker.next_hold_at = if is_retried { now } else { now + SILENT_RETRY };
             self.next_renewal_at = now;
             self.last_lost_hold_at = Some(now);
             return;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod placing;
 mod preemption;
 mod recovery;
+mod retries;
 mod scheduler;
 mod sharing;
 mod state;
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -54,6 +54,7 @@
             .with_worker(&worker.facts.id)
             .with_figure(waited_ms);
         if self.send_order(now, key, task, out) {
+            self.retries.starts.note_first();
             out.push(Action::Log(line));
         } else {
             self.release(now, task, DecisionKind::NotStarted, "worker lost", out);
@@ -118,7 +119,7 @@
             return false;
         }
         let is_open = run.phase == RunPhase::Starting && run.sends_count < START_SENDS_LIMIT_COUNT;
-        is_open && self.send_order(now, key, task, out)
+        is_open && self.retries.starts.spend() && self.send_order(now, key, task, out)
     }
 
     /// Returns the checkpoint from which a task goes on.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::event::{Action, Event};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::retries::RetryBudgets;
 use crate::state::Phase;
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use cranelift_entity::PrimaryMap;
@@ -94,6 +95,8 @@
     /// never shortens and holds for all that runs on a worker, also for what only
     /// this leader starts there.
     pub(crate) inherited_until: Instant,
+    /// What may be sent again.
+    pub(crate) retries: RetryBudgets,
     /// When a worker last left a renewal unanswered that answered before.
     pub(crate) last_lost_hold_at: Option<Instant>,
     /// Whether something has changed that may let a task be placed.
@@ -129,6 +132,7 @@
             commits: CommitQueue::default(),
             has_store_trouble: false,
             inherited_until: Instant::default(),
+            retries: RetryBudgets::default(),
             last_lost_hold_at: None,
             is_place_due: true,
             next_place_at: Instant::default(),
--- a/crates/scheduler/tests/scheduler/repeats.rs
+++ b/crates/scheduler/tests/scheduler/repeats.rs
@@ -149,3 +149,32 @@
     }
     assert_eq!(patience_ms, [250, 500, 1000, 1000]);
 }
+
+/// When no start is answered, as where this node or its link is overloaded, repeats must
+/// not make that worse: a fifth of what is sent, and a hundred at once.
+#[test]
+fn repeat_start_budget_used_up() {
+    const STARTS_COUNT: usize = 160;
+    let mut bench = Bench::new(Recovered::default(), &workers(STARTS_COUNT / 2));
+    bench.submit(1, vec![step(STARTS_COUNT as u32)]);
+    bench.commit_all();
+    let mut open = bench.starts();
+    assert_eq!(open.len(), STARTS_COUNT);
+    let mut repeats_count = 0;
+    while !open.is_empty() {
+        for start in open {
+            answer(&mut bench, start, StartReply::Unanswered);
+        }
+        open = bench.starts();
+        repeats_count += open.len();
+    }
+    assert_eq!(
+        repeats_count, 100,
+        "the budget was full, and earned nothing more"
+    );
+    assert_eq!(
+        bench.stops().len(),
+        STARTS_COUNT,
+        "the others are stopped at once"
+    );
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 mod outcome;
 pub mod peer;
 mod resources;
+mod retry_budget;
 mod task;
 pub mod worker;
 
@@ -22,4 +23,5 @@
 pub use name::{Key, Name, NameError, KEY_LIMIT_BYTES, NAME_LIMIT_BYTES};
 pub use outcome::Outcome;
 pub use resources::Resources;
+pub use retry_budget::RetryBudget;
 pub use task::{AttemptId, TaskEnd, TaskId, TaskPhase, TaskSpec};
