Search: jobs that are cancelled while their starts are late, and leaders that go

What the platform's rule on runs of cancelled jobs now counts as well: a run that a worker began late, and one whose starter is gone.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -16,6 +16,8 @@
 const FIRST_SEED_VARIABLE: &str = "OSPREYWING_SEARCH_FIRST_SEED";
 const STORM_MS: u64 = 12_000;
 const CALM_LIMIT_MS: u64 = 90_000;
+/// Orders are carried out up to 12 s late; then their runs are found and stopped.
+const LATE_LIMIT_MS: u64 = 15_000;
 /// One innocent job in so many may be failed, at most, where three tasks crash ten
 /// workers and everything else goes wrong beside it: the bound on restarts goes first.
 const INNOCENTS_ONE_IN: usize = 1000;
@@ -272,3 +274,41 @@
         "{innocents_count} innocent jobs were failed"
     );
 }
+
+/// Jobs that are cancelled while their starts are on their way, late or answered in vain,
+/// and while leaders follow one another: nothing of them runs on.
+#[rstest]
+#[case::late_orders(Faults { late_order: 150, lost_answer: 80, ..Faults::default() })]
+#[case::takeovers(Faults { late_order: 80, takeover: 40, ..Faults::default() })]
+#[case::everything(Faults {
+    lost_answer: 40,
+    late_order: 80,
+    failing_run: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+    trouble: 10,
+    drain: 5,
+    resize: 20,
+})]
+fn scheduler_stops_what_is_cancelled(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 6, faults, has_advice.then(advice));
+        world.run_lengths_ms = 200..60_000;
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=10 {
+            world.submit(job(number, vec![step(2)]));
+            world.run_for(100 + seed % 7 * 100);
+            world.cancel(JobId::new(number));
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+        world.run_for(LATE_LIMIT_MS);
+        world.assert_no_strays();
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -859,6 +859,21 @@
         }
     }
 
+    /// Asserts that nothing of a job that has its outcome runs any more.
+    pub fn assert_no_strays(&self) {
+        for worker in self.workers.iter().filter(|worker| worker.is_alive) {
+            for (task, run) in &worker.runs {
+                let phase = self.phase(task.step.job);
+                assert!(
+                    phase == Some(Phase::Active),
+                    "run {} of {task} goes on at {}, and its job is {phase:?}",
+                    run.run,
+                    worker.id
+                );
+            }
+        }
+    }
+
     /// Runs until every job has its outcome, at most for the given time.
     pub fn run_until_done(&mut self, limit_ms: u64) {
         let until_ms = self.now_ms + limit_ms;
