--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,7 +11,6 @@
 use crate::event::Action;
 use crate::evidence::{CrashRecord, Suspicion};
 use crate::job::{JobId, TaskKey};
-use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::state::Phase;
 use crate::worker::{LostRun, Run, RunPhase, Worker, WorkerKey};
@@ -66,6 +65,9 @@
     pub(crate) fn record_crash(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
         let mut lost = core::mem::take(&mut self.workers[key].lost_runs);
         lost.extend(self.runs_to_lose(key));
+        if self.workers[key].facts.is_draining {
+            return;
+        }
         self.name_suspects(now, key, &mut lost);
         for run in lost {
             self.record_lost_run(now, key, run, true, out);
@@ -80,9 +82,7 @@
     fn name_suspects(&self, now: Instant, key: WorkerKey, lost: &mut [LostRun]) {
         let is_on_trial = |run: &LostRun| run.is_open && self.is_suspect(run.task);
         let has_trial = lost.iter().any(is_on_trial);
-        if self.workers[key].facts.is_draining {
-            lay_on_all(lost, Suspicion::Cleared);
-        } else if !has_trial && self.is_rack_lost(now, key) {
+        if !has_trial && self.is_rack_lost(now, key) {
             lay_on_all(lost, Suspicion::Bystander);
         } else if lost.len() == 1 && lost[0].is_open {
             lay_on_all(lost, Suspicion::Suspect);
@@ -99,6 +99,9 @@
     /// Puts runs on record that are given up since their worker is silent. The records
     /// are taken back where it answers again.
     pub(crate) fn record_silence(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
+        if self.workers[key].facts.is_draining {
+            return;
+        }
         let mut lost = self.runs_to_lose(key);
         self.name_suspects(now, key, &mut lost);
         for run in &lost {
@@ -197,27 +200,20 @@
         job.is_some_and(|job| job.state.is_suspect(task, &self.config.crash_policy))
     }
 
-    /// Returns whether a task may be started on a worker as far as earlier crashes go: a
-    /// suspect goes where nobody else's run would be lost with it, and where no such
-    /// worker comes free, anywhere after a while.
-    pub(crate) fn is_allowed_by_crashes(
-        &self,
-        now: Instant,
-        pending: &PendingStep,
-        task: TaskKey,
-        key: WorkerKey,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&pending.key.job) else {
-            return false;
-        };
-        let policy = &self.config.crash_policy;
-        if now >= job.trial_until || !job.state.is_suspect(task, policy) {
-            return true;
-        }
-        match policy.trial_rule {
-            TrialRule::Anywhere => true,
-            TrialRule::Alone => self.workers[key].is_free_for_trial(pending.key.job),
-        }
+    /// Returns whether tasks of a job are kept for workers without other jobs' runs. Where
+    /// no such worker comes free they go anywhere after a while.
+    pub(crate) fn is_kept_for_trial(&self, now: Instant, id: JobId) -> bool {
+        let job = self.jobs.get(&id);
+        let is_kept = job.is_some_and(|job| {
+            let mut tasks = job.state.crashes.iter().map(|crash| crash.task);
+            now < job.trial_until && tasks.any(|task| self.is_suspect(task))
+        });
+        is_kept && self.config.crash_policy.trial_rule == TrialRule::Alone
+    }
+
+    /// Returns whether a task of a job that is kept for trial may be started on a worker.
+    pub(crate) fn is_trial_site(&self, task: TaskKey, key: WorkerKey) -> bool {
+        !self.is_suspect(task) || self.workers[key].is_free_for_trial(task.step.job)
     }
 }
 
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -114,6 +114,11 @@
             } else {
                 step.tasks[index].status = TaskStatus::Done;
             }
+            let is_other = |task: TaskKey| match is_gang {
+                true => task.step != end.task.step,
+                false => task != end.task,
+            };
+            job.state.crashes.retain(|crash| is_other(crash.task));
             return true;
         }
         if end.kind == EndKind::Failed && !is_perpetual {
--- a/crates/scheduler/src/evidence.rs
+++ b/crates/scheduler/src/evidence.rs
@@ -17,7 +17,7 @@
     /// The run had outlived its start, or much of the rack was lost with the worker, or
     /// how far the run was is not known.
     Bystander,
-    /// Another run there was on trial, or the worker was leaving by plan.
+    /// Another run there was on trial.
     Cleared,
 }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -160,6 +160,7 @@
         let objective = self.objective(&record);
         let mut job = Job::new(record, state, rank, now - age);
         job.objective = objective;
+        job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
             self.active.insert(rank, id);
             if job.record.spec.schedule.is_some() {
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -126,6 +126,9 @@
         if placed_count > 0 || self.awaits_stops(now, pending, &ticketed) {
             return;
         }
+        if self.awaits_trial(now, pending, &ticketed) {
+            return;
+        }
         // The answer has come: what was kept has been used, or is given back.
         self.release_room(pending.key);
         if now >= self.advice[&pending.key].retry_at {
@@ -147,7 +150,7 @@
         let ticketed = advice.ticketed(now);
         let placed_count = self.place_ticketed(now, pending, &ticketed, cycle, out);
         let missing_count = pending.waiting.len() - placed_count;
-        if missing_count == 0 {
+        if missing_count == 0 || self.awaits_trial(now, pending, &ticketed) {
             return;
         }
         if self.advice[&pending.key].is_open() {
@@ -181,6 +184,12 @@
             && self.is_room_coming(now, pending, ticketed)
     }
 
+    /// Returns whether a step that holds tickets only waits for a worker on which a suspect
+    /// may be tried: further tickets would not bring one.
+    fn awaits_trial(&self, now: Instant, pending: &PendingStep, ticketed: &[WorkerKey]) -> bool {
+        !ticketed.is_empty() && self.is_kept_for_trial(now, pending.key.job)
+    }
+
     /// Returns whether a step leaves room to gangs that wait for it: a gang needs
     /// much room at once, which tasks that can wait would take away bit by bit.
     fn yields_to_gangs(
@@ -245,19 +254,23 @@
                 return 0;
             }
         }
+        let is_kept = self.is_kept_for_trial(now, pending.key.job);
         let mut chosen = Vec::new();
         for &index in &pending.waiting {
             let task = pending.key.task(index);
             let fitting = candidates.iter_mut().find(|c| {
                 let has_room = c.left_count > 0 && pending.demand.fits_in(&c.free);
-                has_room && self.is_allowed_by_crashes(now, pending, task, c.worker)
+                has_room && (!is_kept || self.is_trial_site(task, c.worker))
             });
-            // What another task of the step is kept from may do for the next one.
-            let Some(candidate) = fitting else {
-                continue;
-            };
-            candidate.take(&pending.demand);
-            chosen.push((task, candidate.worker));
+            match fitting {
+                Some(candidate) => {
+                    candidate.take(&pending.demand);
+                    chosen.push((task, candidate.worker));
+                }
+                // A worker that a suspect is kept from may do for the next task.
+                None if is_kept => {}
+                None => break,
+            }
         }
         let count = chosen.len();
         if spec.is_gang && count < pending.waiting.len() {
--- a/crates/scheduler/tests/scheduler/crashes.rs
+++ b/crates/scheduler/tests/scheduler/crashes.rs
@@ -17,8 +17,8 @@
 use crate::support::worker::FakeWorker;
 use crate::support::{advice, first_task, job, placed_state, step};
 use ospreywing_scheduler::{
-    AdvicePolicy, CrashRecord, Event, HoldReply, JobId, JobState, Phase, Recovered, RefusedStart,
-    StartReply, StepSpec, Suspicion, TaskKey, WorkerKey,
+    Action, AdvicePolicy, CrashRecord, Event, HoldReply, JobId, JobState, Phase, Recovered,
+    RefusedStart, StartReply, StepSpec, Suspicion, TaskKey, WorkerKey,
 };
 use ospreywing_types::Duration;
 use rstest::rstest;
@@ -71,6 +71,7 @@
         None
     }
 
+    /// Finds every worker good.
     fn answer_advice(&mut self) {
         let ids: Vec<String> = self.workers.iter().map(|w| w.id.to_string()).collect();
         let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
@@ -199,6 +200,52 @@
     assert!(joined.iter().all(|start| start.0 != suspect), "{joined:?}");
 }
 
+/// A worker that leaves by plan takes its runs with it and crashes under none.
+#[test]
+fn record_crash_worker_was_draining() {
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    bench.started(start);
+    let mut listed = workers(2);
+    listed[0].is_draining = true;
+    bench.list_workers(&listed);
+    other_life(&mut bench, start.0);
+    let states = bench.commit_all();
+    assert_eq!(suspicions(&states, 1), Vec::new());
+    assert_eq!(bench.starts().len(), 1, "it goes on elsewhere");
+}
+
+/// A suspect that holds tickets waits for a worker of its own; further advice would not
+/// bring one, and would keep the adviser from others.
+#[test]
+fn place_tasks_suspect_waits() {
+    let mut cell = CrashingCell::new(Some(advice()));
+    cell.bench.submit(1, vec![step(1)]);
+    let bad = cell.next_start().expect("a start");
+    // One run on each worker: there is room, and none is free for a trial.
+    let spread = StepSpec {
+        per_worker_limit_count: 1,
+        ..step(4)
+    };
+    cell.bench.submit(2, vec![spread]);
+    for start in cell.next_starts().expect("starts") {
+        cell.bench.started(start);
+    }
+    cell.crash(bad);
+    let mut calls_count = 0;
+    for _ in 0..25 {
+        cell.bench.now = cell.bench.now + Duration::from_ms(30);
+        cell.bench.tell(Event::Tick);
+        cell.bench.answer_commits();
+        let asks = |action: &&Action| matches!(action, Action::Advise { step, .. } if step.job == bad.1.step.job);
+        calls_count += cell.bench.actions.iter().filter(asks).count();
+        cell.answer_advice();
+    }
+    assert!(calls_count <= 1, "asked {calls_count} times");
+}
+
 /// A worker that is silent until its leases are over may have crashed or been cut off:
 /// what was recorded of its runs goes again where the same life answers.
 #[test]
