Skip a scheduling cycle in which nothing waits

Hypothesis: going over all workers and sorting them is what a cycle costs, and most cycles find nothing.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -106,6 +106,14 @@
         ready
     }
 
+    /// Returns whether a step's turn has come and it has a waiting task.
+    pub(crate) fn has_ready_step(&mut self, id: JobId) -> bool {
+        match &self.ready {
+            Some(ready) => !ready.is_empty(),
+            None => !self.ready_steps(id).is_empty(),
+        }
+    }
+
     fn push_ready(&self, id: JobId, round: &RoundState, ready: &mut Vec<StepKey>) {
         for (number, spec) in self.record.spec.steps.iter().enumerate() {
             let is_done = |step: &u32| round.steps.get(*step as usize).is_none_or(|s| s.is_done());
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -7,7 +7,7 @@
 use crate::cycle::{CycleSummary, SchedulingCycle};
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
-use crate::job::{JobRecord, StepKey, StepSpec, TaskKey};
+use crate::job::{JobId, JobRecord, StepKey, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{StepState, TaskStatus};
@@ -52,8 +52,15 @@
 impl Scheduler {
     /// Places what can be placed; returns how many steps were looked at.
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
+        let order = self.service_order(now);
+        // Most cycles find nothing that waits, and going over all workers is what a cycle
+        // costs.
+        if !self.has_ready_step(&order) {
+            self.last_cycle = CycleSummary::default();
+            return 0;
+        }
         let mut cycle = self.new_cycle(now);
-        self.place_all(now, &mut cycle, out);
+        self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
             waiting_gangs_count: cycle.waiting_gangs_count,
@@ -61,8 +68,23 @@
         cycle.examined_count
     }
 
-    fn place_all(&mut self, now: Instant, cycle: &mut SchedulingCycle, out: &mut Vec<Action>) {
-        for id in self.service_order(now) {
+    /// Returns whether a step of any of the jobs may be started.
+    fn has_ready_step(&mut self, order: &[JobId]) -> bool {
+        let mut jobs = order.iter();
+        jobs.any(|id| {
+            let job = self.jobs.get_mut(id);
+            job.is_some_and(|job| job.has_ready_step(*id))
+        })
+    }
+
+    fn place_all(
+        &mut self,
+        now: Instant,
+        order: Vec<JobId>,
+        cycle: &mut SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) {
+        for id in order {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
