Search: leaders that stand still and then take in at once what came

A suspended or frozen machine: what was sent to its leader is taken in when it wakes, by a clock that has run on; where the pause was longer than its lease another leads.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -83,6 +83,15 @@
 #[case::long_leases(Faults { takeover: 10, cut: 40, trouble: 20, ..Faults::default() })]
 #[case::two_lives(Faults { takeover: 20, crash: 30, ..Faults::default() })]
 #[case::draining(Faults { takeover: 10, drain: 30, ..Faults::default() })]
+#[case::paused(Faults { pause: 60, ..Faults::default() })]
+#[case::paused_beside_others(Faults {
+    pause: 60,
+    lost_answer: 40,
+    late_order: 40,
+    cut: 20,
+    crash: 10,
+    ..Faults::default()
+})]
 #[case::resized(Faults { resize: 80, ..Faults::default() })]
 #[case::resized_in_trouble(Faults {
     resize: 80,
@@ -234,6 +243,7 @@
     trouble: 10,
     drain: 5,
     resize: 20,
+    pause: 20,
     ..Faults::default()
 })]
 fn scheduler_gives_up_what_crashes_workers(
@@ -290,6 +300,7 @@
     trouble: 10,
     drain: 5,
     resize: 20,
+    pause: 20,
 })]
 fn scheduler_stops_what_is_cancelled(
     #[case] faults: Faults,
--- a/crates/scheduler/tests/scheduler/support/world.rs
+++ b/crates/scheduler/tests/scheduler/support/world.rs
@@ -39,6 +39,8 @@
 /// How long a worker's room is changed, and how soon its entry says so.
 const RESIZED_MS: core::ops::Range<u64> = 1_000..9_000;
 const ENTRY_DELAY_MS: core::ops::Range<u64> = 100..1_500;
+/// How long a leader stands still. Where that is longer than its lease, another leads.
+const PAUSE_MS: core::ops::Range<u64> = 200..4_000;
 /// When an order or a renewal is taken for unanswered.
 const ORDER_LIMIT_MS: u64 = 700;
 
@@ -63,6 +65,8 @@
     pub drain: u32,
     /// Ticks at which a worker's room shrinks for a while.
     pub resize: u32,
+    /// Ticks at which the leader stands still, as in a suspend or a freeze.
+    pub pause: u32,
 }
 
 enum Message {
@@ -116,6 +120,9 @@
         worker: usize,
         per_mille: u32,
     },
+    Wake {
+        term: u64,
+    },
     ListWorkers,
     TroubleOver,
 }
@@ -125,6 +132,9 @@
     scheduler: Scheduler,
     /// When it stops giving orders.
     acts_until_ms: u64,
+    /// Whether it stands still, and what has come for it meanwhile.
+    is_paused: bool,
+    backlog: Vec<Event>,
 }
 
 /// The world.
@@ -252,7 +262,9 @@
     pub fn elect(&mut self) {
         let fence = self.leaders.last().map_or(1, |leader| leader.fence + 1);
         if let Some(before) = self.leaders.last_mut() {
-            before.acts_until_ms = self.now_ms + self.rng.random_range(0..LEADER_LEASE_MS);
+            let until_ms = self.now_ms + self.rng.random_range(0..LEADER_LEASE_MS);
+            // One that stands still gives no order, and knows when it wakes.
+            before.acts_until_ms = if before.is_paused { 0 } else { until_ms };
         }
         let active = self.order.iter().filter(|id| !self.ended.contains_key(id));
         let jobs = active.map(|id| (*id, self.jobs[id].clone()));
@@ -276,6 +288,8 @@
             fence,
             scheduler,
             acts_until_ms: u64::MAX,
+            is_paused: false,
+            backlog: Vec::new(),
         });
         self.tell_all(Event::NodesListed(vec![Arc::from("n1"), Arc::from("n2")]));
         self.tell(fence, Event::StoreTrouble(self.has_trouble));
@@ -322,6 +336,10 @@
         let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == fence) else {
             return;
         };
+        if leader.is_paused {
+            leader.backlog.push(event);
+            return;
+        }
         let mut actions = Vec::new();
         leader.scheduler.handle(now, event, &mut actions);
         let acts = now_ms < leader.acts_until_ms;
@@ -475,6 +493,7 @@
             Message::Crash { worker, task } => self.crash(worker, task),
             Message::BringUp { worker } => self.bring_up(worker),
             Message::Resize { worker, per_mille } => self.resize(worker, per_mille),
+            Message::Wake { term } => self.wake(term),
             Message::ListWorkers => self.list_workers(),
             Message::TroubleOver => self.end_trouble(),
             Message::Commit {
@@ -750,6 +769,9 @@
             let length_ms = self.rng.random_range(TROUBLE_MS);
             self.post(length_ms, Message::TroubleOver);
         }
+        if self.faults.pause > 0 && self.draw(self.faults.pause) {
+            self.pause_leader();
+        }
         if self.faults.resize > 0 && self.draw(self.faults.resize) {
             self.shrink_at_random();
         }
@@ -762,6 +784,31 @@
         }
     }
 
+    /// Lets the leader stand still for a while; its clock runs on.
+    fn pause_leader(&mut self) {
+        let length_ms = self.rng.random_range(PAUSE_MS);
+        let Some(leader) = self.leaders.last_mut().filter(|l| !l.is_paused) else {
+            return;
+        };
+        leader.is_paused = true;
+        let term = leader.fence;
+        self.post(length_ms, Message::Wake { term });
+        if length_ms >= LEADER_LEASE_MS {
+            self.elect();
+        }
+    }
+
+    /// Lets a leader take in at once what has come while it stood still.
+    fn wake(&mut self, term: u64) {
+        let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == term) else {
+            return;
+        };
+        leader.is_paused = false;
+        for event in core::mem::take(&mut leader.backlog) {
+            self.tell(term, event);
+        }
+    }
+
     fn shrink_at_random(&mut self) {
         let worker = self.rng.random_range(0..self.workers.len());
         let length_ms = self.rng.random_range(RESIZED_MS);
