--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod intake;
 pub mod keys;
 pub mod lateness;
+pub mod layered;
 pub mod leader;
 mod leader_lease;
 pub mod log;
--- a/crates/control/src/probed.rs
+++ b/crates/control/src/probed.rs
@@ -6,10 +6,8 @@
 //! they are answered, calls that have waited for much longer than they took
 //! are given up, and whoever made them tries again.
 
-use crate::store::{
-    sending_time, CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store,
-    StoreError, Transaction, Watched,
-};
+use crate::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
+use crate::store::{sending_time, Store, StoreError};
 use crate::{clock, keys};
 use ospreywing_types::{Duration, Instant};
 use std::cell::Cell;
@@ -38,34 +36,43 @@
     answered: Notify,
 }
 
-/// A store whose return from silence is noticed at once.
+/// Probes a store after a call without an answer.
 #[derive(Clone, Debug)]
-pub struct ProbedStore<S> {
+pub struct Probing<S> {
     store: S,
     silence: Rc<Silence>,
 }
 
+/// A store whose return from silence is noticed at once.
+pub type ProbedStore<S> = LayeredStore<S, Probing<S>>;
+
 impl<S: Store> ProbedStore<S> {
     /// Creates a store that probes `store` after a call without an answer.
     pub fn new(store: S) -> Self {
-        Self {
-            store,
+        let layer = Probing {
+            store: store.clone(),
             silence: Rc::default(),
-        }
+        };
+        Self::with_layer(store, layer)
     }
 
     /// Waits until the store answers a probe after a silence.
     pub async fn answered(&self) {
+        self.layer().answered().await;
+    }
+}
+
+impl<S: Store> Probing<S> {
+    async fn answered(&self) {
         self.silence.answered.notified().await;
     }
 
     /// Makes a call, and gives it up where probes have outrun it by more than
     /// what it has to send takes.
-    async fn guard<T, E: From<StoreError>>(
+    async fn guard<T, E: CallFailure>(
         &self,
         call: impl Future<Output = Result<T, E>>,
         sending_time: Duration,
-        is_unanswered: impl Fn(&E) -> bool,
     ) -> Result<T, E> {
         let sent_at = clock::now() + sending_time;
         let mut call = std::pin::pin!(call);
@@ -73,7 +80,7 @@
             let answered = self.silence.answered.notified();
             tokio::select! {
                 result = &mut call => {
-                    if result.as_ref().is_err_and(&is_unanswered) {
+                    if result.as_ref().is_err_and(is_unanswered) {
                         self.begin_probes();
                     }
                     return result;
@@ -129,66 +136,28 @@
     }
 }
 
-fn sending_time_of(transaction: &Transaction) -> Duration {
-    let writes = transaction.put.iter();
-    let len_bytes: usize = writes
-        .map(|write| write.key.len() + write.value.len())
-        .sum();
-    sending_time(len_bytes)
+fn is_unanswered(error: &impl CallFailure) -> bool {
+    matches!(error.store_error(), Some(StoreError::Unknown(_)))
 }
 
-const fn is_unanswered(error: &StoreError) -> bool {
-    matches!(error, StoreError::Unknown(_))
-}
-
-const fn is_commit_unanswered(error: &CommitError) -> bool {
-    matches!(error, CommitError::Store(StoreError::Unknown(_)))
-}
+impl<S: Store> StoreLayer for Probing<S> {
+    async fn around<T, E: CallFailure>(
+        &self,
+        call: StoreCall,
+        made: impl Future<Output = Result<T, E>>,
+    ) -> Result<T, E> {
+        match call {
+            // How long these take is a matter of the size of what they bring.
+            StoreCall::Range | StoreCall::Watch => made.await,
+            StoreCall::Commit { len_bytes } => self.guard(made, sending_time(len_bytes)).await,
+            StoreCall::Get | StoreCall::GrantLease | StoreCall::KeepLease | StoreCall::EndLease => {
+                self.guard(made, Duration::ZERO).await
+            }
+        }
+    }
 
-impl<S: Store> Store for ProbedStore<S> {
     async fn pause(&self, length: Duration) {
         // Which of the two ended it makes no difference.
         let _ = tokio::time::timeout(length.into(), self.answered()).await;
     }
-
-    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
-        self.guard(self.store.get(key), Duration::ZERO, is_unanswered)
-            .await
-    }
-
-    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
-        // How long a page takes is a matter of its size.
-        self.store.range(prefix, after).await
-    }
-
-    async fn watch(
-        &self,
-        prefix: &str,
-        from: Revision,
-        wait: Duration,
-    ) -> Result<Watched, StoreError> {
-        // The same holds for what a watch brings.
-        self.store.watch(prefix, from, wait).await
-    }
-
-    async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
-        let commit = self.store.commit(transaction);
-        self.guard(commit, sending_time_of(transaction), is_commit_unanswered)
-            .await
-    }
-
-    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
-        let grant = self.store.grant_lease(ttl);
-        self.guard(grant, Duration::ZERO, is_unanswered).await
-    }
-
-    async fn keep_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let keep = self.store.keep_lease(lease);
-        self.guard(keep, Duration::ZERO, is_unanswered).await
-    }
-
-    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let end = self.store.end_lease(lease);
-        self.guard(end, Duration::ZERO, is_unanswered).await
-    }
 }
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -9,10 +9,10 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_control::election::LeaderRecord;
+use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
 use ospreywing_control::{
-    clock, keys, Call, CallError, CommitError, Committed, FrontLimits, Incoming, Item, LeaseGrant,
-    LeaseId, Look, NodeSettings, Page, Platform, Reply, Revision, Store, StoreError, Transaction,
-    Watched,
+    clock, keys, Call, CallError, FrontLimits, Incoming, Look, NodeSettings, Platform, Reply,
+    Store, StoreError, Transaction,
 };
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
@@ -22,12 +22,13 @@
 use rstest::rstest;
 use slog::{o, Discard, Logger};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 
 const SERVICE: &str = "gallery";
 const QUEUE: &str = "render";
-const WORKERS_PREFIX: &str = "servers/";
+const WORKERS_PREFIX: &str = "workers/";
 /// How long a node plays after it was suspended.
 const PLAY: std::time::Duration = std::time::Duration::from_millis(600);
 /// The longest that a node takes to make so many calls.
@@ -82,63 +83,42 @@
     }
 }
 
+/// Counts the calls of a store.
 #[derive(Clone)]
-struct CountingStore {
+struct Counting {
     store: MemoryStore,
     around: Rc<Surroundings>,
 }
 
-impl Store for CountingStore {
-    async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
-        self.around.note_call(&self.store).await;
-        self.store.get(key).await
-    }
-
-    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
-        self.around.note_call(&self.store).await;
-        self.store.range(prefix, after).await
-    }
+type CountingStore = LayeredStore<MemoryStore, Counting>;
 
-    async fn watch(
+impl StoreLayer for Counting {
+    async fn around<T, E: CallFailure>(
         &self,
-        prefix: &str,
-        from: Revision,
-        wait: Duration,
-    ) -> Result<Watched, StoreError> {
-        // The store in memory answers at once.
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-        self.store.watch(prefix, from, wait).await
-    }
-
-    async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
-        self.around.note_call(&self.store).await;
-        self.store.commit(transaction).await
-    }
-
-    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
-        self.around.note_call(&self.store).await;
-        self.store.grant_lease(ttl).await
-    }
-
-    async fn keep_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        call: StoreCall,
+        made: impl Future<Output = Result<T, E>>,
+    ) -> Result<T, E> {
+        if call == StoreCall::Watch {
+            // The store in memory answers at once.
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            return made.await;
+        }
         self.around.note_call(&self.store).await;
-        // An answer takes its time, in which a node that knows nothing acts on.
-        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-        if self.around.has_other_leader.get() {
-            return Err(StoreError::LeaseOver);
+        if call == StoreCall::KeepLease {
+            // An answer takes its time, in which a node that knows nothing acts on.
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            if self.around.has_other_leader.get() {
+                return Err(StoreError::LeaseOver.into());
+            }
         }
-        self.store.keep_lease(lease).await
-    }
-
-    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.store.end_lease(lease).await
+        made.await
     }
 }
 
 /// A platform with one worker, on which whatever is started runs on.
 #[derive(Clone)]
 struct OneWorker {
-    store: CountingStore,
+    memory: MemoryStore,
     around: Rc<Surroundings>,
 }
 
@@ -147,11 +127,15 @@
     type Routes = ();
 
     fn store(&self) -> CountingStore {
-        self.store.clone()
+        let layer = Counting {
+            store: self.memory.clone(),
+            around: self.around.clone(),
+        };
+        LayeredStore::with_layer(self.memory.clone(), layer)
     }
 
     fn configuration_key(&self) -> &'static str {
-        "op/config"
+        "configuration"
     }
 
     fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
@@ -213,7 +197,7 @@
 
     async fn hold(&self, _to: &Endpoint, _fence: u64, look: Look) -> HoldReply {
         self.around.note_order("hold");
-        self.around.note_call(&self.store.store).await;
+        self.around.note_call(&self.memory).await;
         let wait = look.wait.as_ms().min(20);
         tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
         HoldReply::Listed {
@@ -225,7 +209,7 @@
 
     async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
         self.around.note_order("start");
-        self.around.note_call(&self.store.store).await;
+        self.around.note_call(&self.memory).await;
         self.around.running.borrow_mut().push(RunningRun {
             task: order.task,
             run: order.run,
@@ -268,7 +252,7 @@
 /// Writes what the node finds: a configuration, a worker and jobs.
 async fn fill(store: &MemoryStore) {
     let mut filled = Transaction::new()
-        .with_put("op/config".to_owned(), vec![1])
+        .with_put("configuration".to_owned(), vec![1])
         .with_put(format!("{WORKERS_PREFIX}w0"), vec![1]);
     for number in 1..=8 {
         let step = StepSpec {
@@ -305,12 +289,8 @@
         around.length.set(Duration::from_ms(length_ms));
         let memory = MemoryStore::new();
         fill(&memory).await;
-        let store = CountingStore {
-            store: memory.clone(),
-            around: around.clone(),
-        };
         let platform = OneWorker {
-            store,
+            memory,
             around: around.clone(),
         };
         let log = Logger::root(Discard, o!());
