--- a/crates/scheduler/tests/scheduler/repeats.rs
+++ b/crates/scheduler/tests/scheduler/repeats.rs
@@ -3,8 +3,8 @@
 use crate::support::bench::{end, workers, Bench};
 use crate::support::step;
 use ospreywing_scheduler::{
-    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, RefusedStart, StartReply, TaskKey,
-    WorkerKey,
+    Action, EndKind, Event, HoldReply, JobId, Phase, Recovered, RefusedStart, StartReply, StepSpec,
+    TaskKey, WorkerKey,
 };
 use rstest::rstest;
 
@@ -178,3 +178,35 @@
         "the others are stopped at once"
     );
 }
+
+/// Found by the search, gangs on few good workers, everything, seed 502288: a gang was
+/// given up with its silent worker and started again elsewhere; then the worker answered
+/// and listed that the first run had ended well. The second run went on, and a start of
+/// it that had no answer was sent again after the end had been acknowledged.
+#[test]
+fn take_end_gang_done_in_earlier_run() {
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2)
+    };
+    let mut bench = Bench::new(Recovered::default(), &workers(2));
+    bench.submit(1, vec![gang]);
+    bench.commit_all();
+    let first = bench.starts();
+    for start in &first {
+        bench.started(*start);
+    }
+    for _ in 0..8 {
+        bench.be_silent(first[0].0);
+    }
+    bench.commit_all();
+    let second = bench.starts();
+    assert_eq!(second.len(), 2, "it is started again elsewhere");
+    bench.started(second[0]);
+    let done = |number: u64, start: &Start| end(number, start.1, start.2, EndKind::Done);
+    let ends = vec![done(1, &first[0]), done(2, &first[1])];
+    bench.list(first[0].0, ends);
+    answer(&mut bench, second[1], StartReply::Unanswered);
+    assert_eq!(bench.starts(), vec![], "its task is done");
+    assert_eq!(bench.stops(), second, "nothing is left to win");
+}
