Stop a gang's later run once an earlier one has ended well

Only single tasks had their later runs stopped then; a gang's went on, and an unanswered start of it was sent again after the end had been acknowledged.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -141,10 +141,7 @@
     fn after_end(&mut self, now: Instant, end: &EndedRun, out: &mut Vec<Action>) {
         let step = end.task.step;
         if end.kind == EndKind::Done {
-            // Another run of a task that is done has nothing to win.
-            if !self.is_gang(step) && self.placements.contains_key(&end.task) {
-                self.stop_task(now, end.task, "done elsewhere", out);
-            }
+            self.stop_later_runs(now, end, out);
             if self.is_step_done(step) {
                 self.note_step_done(step.job);
                 self.advice.remove(&step);
@@ -159,6 +156,23 @@
         self.break_gang(now, step);
     }
 
+    /// Stops other runs of a task that is done, or of its gang: they have nothing to win.
+    /// The members of the run itself end by themselves.
+    fn stop_later_runs(&mut self, now: Instant, end: &EndedRun, out: &mut Vec<Action>) {
+        let tasks = if self.is_gang(end.task.step) {
+            self.members(end.task.step)
+        } else {
+            vec![end.task]
+        };
+        for task in tasks {
+            let worker = self.placements.get(&task);
+            let run = worker.and_then(|worker| self.workers[*worker].runs.get(&task));
+            if run.is_some_and(|run| run.run != end.run) {
+                self.stop_task(now, task, "done elsewhere", out);
+            }
+        }
+    }
+
     fn has_failed_too_often(&self, task: TaskKey) -> bool {
         let limit = self.attempts_limit(task.step.job);
         let job = self.jobs.get(&task.step.job);
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns the tasks of a step that have a run.
-    fn members(&self, step: StepKey) -> Vec<TaskKey> {
+    pub(crate) fn members(&self, step: StepKey) -> Vec<TaskKey> {
         let mut members = self.placed_tasks(step.job);
         members.retain(|task| task.step == step);
         members
