--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -105,7 +105,9 @@
         let before = worker.facts.capacity;
         worker.set_facts(facts);
         let after = worker.facts.capacity;
-        if before == after || worker.runs.is_empty() {
+        // Of a worker that only the records of an earlier leader name nothing was known.
+        let is_news = before != after && !before.is_zero();
+        if !is_news || worker.runs.is_empty() {
             return;
         }
         let reason = if worker.is_overfull() {
