Show that a stale entry ends a live worker's runs, which fails

A write of a life that had crashed behind a cut came to the store after the next life was listed. The leader, whose term was younger than that earlier life, took its entry for the newer life.

--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -349,3 +349,62 @@
     let forgotten_count = bench.actions.iter().filter(|a| may_forget(a)).count();
     assert_eq!(forgotten_count, 2, "the job is recorded as complete");
 }
+
+/// Returns a leader with a run on the first of two workers, and these with another life of
+/// the first one's machine.
+fn with_run_on_live_worker() -> (Bench, [FakeWorker; 3], WorkerKey) {
+    let (live, other_life) = lives(true);
+    let idle = FakeWorker::new("w2", 1000);
+    let listed = [live, idle];
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    bench.started(start);
+    assert_eq!(Some(start.0), bench.scheduler.worker_key("w0"));
+    let [live, idle] = listed;
+    (bench, [live, other_life, idle], start.0)
+}
+
+/// Found on aigerim-galleries, in a mix of our own: workers crashed behind a cut and
+/// started again; a write of the earlier life came to the store after the next life had
+/// been listed. The leader, whose term was younger than the earlier life's first entry,
+/// took that one for the newer life, gave up the live one's runs and started them again
+/// elsewhere. An entry alone tells nothing of which life is later: the address does.
+#[test]
+fn list_workers_entry_of_earlier_life() {
+    let (mut bench, listed, worker) = with_run_on_live_worker();
+    bench.list_workers(&listed);
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![], "its run goes on");
+    let stale = bench.scheduler.worker_key("w1").expect("a listed worker");
+    bench.tell(Event::HoldAnswered {
+        worker: stale,
+        sent_at: bench.now,
+        reply: HoldReply::OtherLife,
+    });
+    bench.list_running(worker, first_task(JobId::new(1)));
+    bench.commit_all();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// Where the listed life is the later one, the worker is asked at once, and its address
+/// answers for it.
+#[test]
+fn list_workers_entry_of_later_life() {
+    let (mut bench, listed, worker) = with_run_on_live_worker();
+    bench.actions.clear();
+    bench.list_workers(&listed);
+    let is_asked =
+        |action: &Action| matches!(action, Action::Hold { to, .. } if to.worker == worker);
+    assert!(bench.actions.iter().any(is_asked), "asked at once");
+    bench.tell(Event::HoldAnswered {
+        worker,
+        sent_at: bench.now,
+        reply: HoldReply::OtherLife,
+    });
+    let later = bench.scheduler.worker_key("w1").expect("a listed worker");
+    bench.list(later, Vec::new());
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), 1, "its run starts again");
+}
