Have an address tell which of two lives is there, not the list

Cause: an entry that was not met before in a term was taken for the later life at its address. A late write of an earlier life made it the live worker's end: its runs were given up and started again elsewhere while they went on (TWICE). Change: such an entry has the workers at its place asked at once, and nothing more placed there until they answer; only a refusal by the address (another life answers) or lapsed leases end a life. Ruled out: taking a life for gone that is silent as well: it may be cut off while the entry is stale.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -56,7 +56,7 @@
         for worker in self.workers.values_mut() {
             worker.is_listed = ids.contains(&worker.facts.id);
         }
-        self.end_earlier_lives(now, &list, out);
+        self.doubt_shared_places(now, &list);
         for facts in list {
             match self.workers_by_id.get(&facts.id) {
                 Some(&key) => self.update_facts(key, facts, out),
@@ -66,27 +66,29 @@
         self.is_place_due = true;
     }
 
-    /// Marks lives as gone that were listed before a later one of their place.
+    /// Has workers asked at once at whose place another life is listed that was not met
+    /// before in this term.
     ///
-    /// Of two lives that are listed together for the first time, nothing tells
-    /// which is the later one: the live one answers for the other.
-    fn end_earlier_lives(&mut self, now: Instant, list: &[WorkerFacts], out: &mut Vec<Action>) {
+    /// The entry alone does not tell which life is the later one: a write of an earlier
+    /// life may come to the store late. The address answers for the one that is there, to
+    /// a call for any other with its refusal.
+    fn doubt_shared_places(&mut self, now: Instant, list: &[WorkerFacts]) {
         let new: Vec<&WorkerFacts> = list
             .iter()
             .filter(|facts| !self.is_met(&facts.id))
             .collect();
-        let is_earlier = |worker: &Worker| {
+        let is_shared = |worker: &Worker| {
             let mut new = new.iter();
-            !worker.is_gone && new.any(|facts| is_earlier_life(&worker.facts, facts))
+            !worker.is_gone && new.any(|facts| is_same_place(&worker.facts, facts))
         };
-        let earlier: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| is_earlier(worker))
-            .map(|(key, _)| key)
-            .collect();
-        for key in earlier {
-            self.mark_gone(now, key, "a newer life is listed", out);
+        let mut is_any = false;
+        for worker in self.workers.values_mut().filter(|w| is_shared(w)) {
+            worker.is_doubted = true;
+            worker.next_hold_at = now;
+            is_any = true;
+        }
+        if is_any {
+            self.next_renewal_at = now;
         }
     }
 
@@ -148,7 +150,8 @@
             let is_granted = worker.is_synced && worker.unanswered_holds_count == 0;
             // A renewal would not wait while an end is listed.
             let has_listed_end = !worker.uncommitted_ends.is_empty();
-            let is_quick = !is_granted || worker.runs.is_empty() || has_listed_end;
+            let is_quick =
+                !is_granted || worker.runs.is_empty() || has_listed_end || worker.is_doubted;
             let until_ms = if is_granted {
                 worker.grant(now, length)
             } else {
@@ -203,6 +206,7 @@
                 });
                 worker.unanswered_holds_count = 0;
                 worker.answered_at = now;
+                worker.is_doubted = false;
                 if !core::mem::replace(&mut worker.is_reachable, true) {
                     worker.next_hold_at = now;
                 }
@@ -446,8 +450,8 @@
     }
 }
 
-/// Returns whether `new` is a later life at the place of `known`.
-fn is_earlier_life(known: &WorkerFacts, new: &WorkerFacts) -> bool {
+/// Returns whether both are lives of one machine, or at one address.
+fn is_same_place(known: &WorkerFacts, new: &WorkerFacts) -> bool {
     match (&known.machine, &new.machine) {
         (Some(known), Some(new)) => known == new,
         _ => !known.address.is_empty() && known.address == new.address,
@@ -470,6 +474,9 @@
     if now < worker.next_hold_at {
         return false;
     }
+    if worker.is_doubted {
+        return true;
+    }
     let has_runs = worker
         .runs
         .values()
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -151,6 +151,8 @@
     pub(crate) is_synced: bool,
     /// Whether the last renewal was answered.
     pub(crate) is_reachable: bool,
+    /// Whether another life is listed at its place, and it has not answered since.
+    pub(crate) is_doubted: bool,
     /// Whether it runs something that nobody can account for.
     pub(crate) has_unknown_run: bool,
     pub(crate) clock: Option<ClockReading>,
@@ -203,6 +205,7 @@
             is_gone: false,
             is_synced: false,
             is_reachable: true,
+            is_doubted: false,
             has_unknown_run: false,
             clock: None,
             leased_until,
@@ -315,6 +318,7 @@
             && !self.is_gone
             && self.is_synced
             && self.is_reachable
+            && !self.is_doubted
             && !self.has_unknown_run
             && !self.facts.is_draining
             // Nothing joins a run that may crash the worker.
--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -362,6 +362,8 @@
     let start = bench.starts()[0];
     bench.started(start);
     assert_eq!(Some(start.0), bench.scheduler.worker_key("w0"));
+    // The look that is open is answered.
+    bench.list_running(start.0, start.1);
     let [live, idle] = listed;
     (bench, [live, other_life, idle], start.0)
 }
