--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -86,6 +86,12 @@
 #[case::takeovers(Faults { takeover: 30, ..Faults::default() })]
 #[case::long_leases(Faults { takeover: 10, cut: 40, trouble: 20, ..Faults::default() })]
 #[case::two_lives(Faults { takeover: 20, crash: 30, ..Faults::default() })]
+#[case::stale_entries(Faults {
+    takeover: 20,
+    crash: 30,
+    stale_entry: 200,
+    ..Faults::default()
+})]
 #[case::draining(Faults { takeover: 10, drain: 30, ..Faults::default() })]
 #[case::paused(Faults { pause: 60, ..Faults::default() })]
 #[case::paused_beside_others(Faults {
@@ -305,6 +311,7 @@
     drain: 5,
     resize: 20,
     pause: 20,
+    stale_entry: 50,
 })]
 fn scheduler_stops_what_is_cancelled(
     #[case] faults: Faults,
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -62,6 +62,9 @@
         if self.faults.pause > 0 && self.draw(self.faults.pause) {
             self.pause_leader();
         }
+        if self.faults.stale_entry > 0 && self.draw(self.faults.stale_entry) {
+            self.list_dead_again();
+        }
         if self.faults.resize > 0 && self.draw(self.faults.resize) {
             self.shrink_at_random();
         }
@@ -74,6 +77,18 @@
         }
     }
 
+    /// Lists a worker again whose life was over before.
+    fn list_dead_again(&mut self) {
+        let index = self.rng.random_range(0..self.workers.len());
+        if self.workers[index].is_alive {
+            return;
+        }
+        let listed_ms = self.rng.random_range(LISTED_DEAD_MS);
+        self.workers[index].listed_until_ms = self.now_ms + listed_ms;
+        self.list_workers();
+        self.post(listed_ms, Message::ListWorkers);
+    }
+
     /// Lets the leader stand still for a while; its clock runs on.
     fn pause_leader(&mut self) {
         let length_ms = self.rng.random_range(PAUSE_MS);
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -45,6 +45,8 @@
     pub resize: u32,
     /// Ticks at which the leader stands still, as in a suspend or a freeze.
     pub pause: u32,
+    /// Ticks at which a dead worker's last write comes to the store at last.
+    pub stale_entry: u32,
 }
 
 enum Message {
