Close idle connections made in the millisecond of a call that timed out

Cause: the clock has whole milliseconds. A connection whose making had the same one as the call that timed out counted as younger, though it was older, and was kept: the next call took it, and cost a second time limit where all were silent.

Change: connections made up to that millisecond are closed. One that was made just after the call may be closed too, which costs a handshake.

Ruled out: a sequence number beside the time, which would be exact and one more field for a handshake that is hardly ever saved.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -210,7 +210,7 @@
     /// Closes idle connections that may be as silent as the one whose call has
     /// timed out.
     fn close_silent(&self, addr: &str, path: &str, limits: &Limits) {
-        let closed_count = self.pool.close_older(addr, limits.called_at);
+        let closed_count = self.pool.close_made_until(addr, limits.called_at);
         if let Some(log) = &self.log {
             debug!(log, "connection silent"; "address" => addr, "path" => path,
                 "limit_ms" => limits.time_limit.as_millis() as u64, "closed" => closed_count);
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -81,15 +81,18 @@
         }
     }
 
-    /// Closes the idle connections to `addr` that were made before `before`;
-    /// returns how many.
-    pub(crate) fn close_older(&self, addr: &str, before: Instant) -> usize {
+    /// Closes the idle connections to `addr` that were made up to `until`; returns how
+    /// many.
+    ///
+    /// Those of the same millisecond are closed too: they may be the older ones, and a
+    /// silent one that is kept costs a time limit, where a new one costs a handshake.
+    pub(crate) fn close_made_until(&self, addr: &str, until: Instant) -> usize {
         let mut kept = self.lock();
         let Some(idle) = kept.by_address.get_mut(addr) else {
             return 0;
         };
         let count = idle.len();
-        idle.retain(|idle| idle.connection.made_at() >= before);
+        idle.retain(|idle| idle.connection.made_at() > until);
         count - idle.len()
     }
 
