Tidy: one list of faults, one way to clear crashes, fewer lookups

- crashes.rs said that an entry in the list of workers tells that a life is over, which the address alone does; and that a draining worker says nothing of its runs.
- mark_gone had one reason left, passed by three callers.
- The end of a run cleared crashes by a loop of its own: clear_crashes for a task and clear_gang_crashes for a step now.
- is_kept_for_trial looked up the job that it had; send_start looked up its run twice.
- The search's everything stood five times; one constant with the same figures now, its variants name what differs.
- The daemon's clock stands after its modules, as in crates/control.

Looked at and left: a worker's is_gone beside gone_at is not derivable as it stands, since the verdict on a rack is reached between the two. The fixtures of the scheduler's bench and of a test in crates/control are alike, in crates that share no test code. The soak's events have the shape of the scheduler's and stay apart: what judges must not share what it judges by.

Run: 142 tests of crates/scheduler, fmt and clippy.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod api;
 pub mod box_list;
-pub use ospreywing_clock as clock;
 pub mod daemon;
 pub mod engine;
 pub mod error;
@@ -19,3 +18,5 @@
 pub mod store_calls;
 pub mod store_poll;
 pub mod table_edit;
+
+pub use ospreywing_clock as clock;
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -1,10 +1,10 @@
 //! Workers that crash: which of their runs may have caused it, where suspects are tried,
 //! and when a task is given up.
 //!
-//! The signals: another life that answers or is listed at a worker's place says that the
-//! earlier one is over; silence until every lease has lapsed may be a cut as well, so its
-//! records stand only until the worker answers again; a worker that was draining ends by
-//! plan and says nothing of its runs.
+//! The signals: a call for a worker's life that another one refuses at its address says
+//! that the life is over; silence until every lease has lapsed may be a cut as well, so
+//! its records stand only until the worker answers again. A worker that was draining
+//! ends by plan: only a run that had just begun there is put on record, as cleared.
 
 use crate::config::TrialRule;
 use crate::decision::{Decision, DecisionKind};
@@ -205,12 +205,13 @@
     /// Returns whether tasks of a job are kept for workers without other jobs' runs. Where
     /// no such worker comes free they go anywhere after a while.
     pub(crate) fn is_kept_for_trial(&self, now: Instant, id: JobId) -> bool {
+        let policy = &self.config.crash_policy;
         let job = self.jobs.get(&id);
         let is_kept = job.is_some_and(|job| {
             let mut tasks = job.state.crashes.iter().map(|crash| crash.task);
-            now < job.trial_until && tasks.any(|task| self.is_suspect(task))
+            now < job.trial_until && tasks.any(|task| job.state.is_suspect(task, policy))
         });
-        is_kept && self.config.crash_policy.trial_rule == TrialRule::Alone
+        is_kept && policy.trial_rule == TrialRule::Alone
     }
 
     /// Returns whether a task of a job that is kept for trial may be started on a worker.
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -111,14 +111,11 @@
                 step.tasks
                     .iter_mut()
                     .for_each(|task| task.status = TaskStatus::Done);
+                job.state.clear_gang_crashes(end.task.step);
             } else {
                 step.tasks[index].status = TaskStatus::Done;
+                job.state.clear_crashes(end.task);
             }
-            let is_other = |task: TaskKey| match is_gang {
-                true => task.step != end.task.step,
-                false => task != end.task,
-            };
-            job.state.crashes.retain(|crash| is_other(crash.task));
             return true;
         }
         if end.kind == EndKind::Failed && !is_perpetual {
@@ -294,17 +291,12 @@
         }
     }
 
-    /// Takes in that a worker's life is over.
-    pub(crate) fn mark_gone(
-        &mut self,
-        now: Instant,
-        key: WorkerKey,
-        reason: &'static str,
-        out: &mut Vec<Action>,
-    ) {
+    /// Takes in that a worker's life is over: another one has answered at its address.
+    pub(crate) fn mark_gone(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
         if core::mem::replace(&mut self.workers[key].is_gone, true) {
             return;
         }
+        let reason = "another life answers";
         let line = Decision::new(DecisionKind::WorkerGone, reason);
         let figure = self.workers[key].runs.len() as u64;
         let line = line.with_worker(&self.workers[key].facts.id);
--- a/crates/scheduler/src/evidence.rs
+++ b/crates/scheduler/src/evidence.rs
@@ -5,7 +5,7 @@
 //! leader gives the same verdict.
 
 use crate::config::CrashPolicy;
-use crate::job::TaskKey;
+use crate::job::{StepKey, TaskKey};
 use crate::state::JobState;
 use serde::{Deserialize, Serialize};
 
@@ -88,8 +88,14 @@
         self.crashes.retain(is_other);
     }
 
-    /// Takes a task off the record: a run of it has lived on long after its start.
+    /// Takes a task off the record: a run of it is done, or has lived on long after its
+    /// start.
     pub fn clear_crashes(&mut self, task: TaskKey) {
         self.crashes.retain(|crash| crash.task != task);
     }
+
+    /// Takes all tasks of a step off the record: its gang is done.
+    pub fn clear_gang_crashes(&mut self, step: StepKey) {
+        self.crashes.retain(|crash| crash.task.step != step);
+    }
 }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -214,7 +214,7 @@
                 self.take_lists(now, key, sent_at, running, ended, out);
             }
             HoldReply::Fenced => out.push(Action::StepDown),
-            HoldReply::OtherLife => self.mark_gone(now, key, "another life answers", out),
+            HoldReply::OtherLife => self.mark_gone(now, key, out),
             HoldReply::Unanswered => self.note_unanswered_hold(now, key, out),
         }
     }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -27,6 +27,7 @@
         let fresh = self.advice.get(&task.step);
         let fresh = fresh.and_then(|advice| advice.ticket(now, key));
         let worker = &mut self.workers[key];
+        let has_room = worker.has_room_to_send(task);
         let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
@@ -37,14 +38,11 @@
             self.release(now, task, DecisionKind::NotStarted, "ticket over", out);
             return;
         }
-        if !worker.has_room_to_send(task) {
-            // Its room has shrunk since the start was placed.
+        if !has_room {
+            // It has shrunk since the start was placed.
             self.release(now, task, DecisionKind::NotStarted, "room shrank", out);
             return;
         }
-        let Some(run) = worker.runs.get_mut(&task) else {
-            return;
-        };
         run.ticket = fresh;
         run.checkpoint = checkpoint;
         run.phase = RunPhase::Starting;
@@ -143,7 +141,7 @@
         out: &mut Vec<Action>,
     ) {
         if reply == StartReply::OtherLife {
-            self.mark_gone(now, key, "another life answers", out);
+            self.mark_gone(now, key, out);
             return;
         }
         let worker = &mut self.workers[key];
@@ -223,7 +221,7 @@
         out: &mut Vec<Action>,
     ) {
         match reply {
-            StopReply::OtherLife => self.mark_gone(now, key, "another life answers", out),
+            StopReply::OtherLife => self.mark_gone(now, key, out),
             StopReply::Fenced => out.push(Action::StepDown),
             StopReply::Unanswered => {}
             StopReply::Stopping => {
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -22,6 +22,21 @@
 /// workers and everything else goes wrong beside it: the bound on restarts goes first.
 const INNOCENTS_ONE_IN: usize = 1000;
 
+/// Much of what may go wrong at once.
+const EVERYTHING: Faults = Faults {
+    lost_answer: 40,
+    late_order: 40,
+    failing_run: 40,
+    crash: 10,
+    cut: 20,
+    takeover: 20,
+    trouble: 10,
+    drain: 5,
+    resize: 0,
+    pause: 0,
+    stale_entry: 0,
+};
+
 /// Seeds that found something, in whichever case: they are searched always.
 const CRASH_SEEDS_FOUND: [u64; 8] = [71, 119, 123, 284, 311, 500_089, 500_370, 13];
 const GANG_SEEDS_FOUND: [u64; 1] = [502_288];
@@ -110,17 +125,7 @@
     lost_answer: 40,
     ..Faults::default()
 })]
-#[case::everything(Faults {
-    lost_answer: 40,
-    late_order: 40,
-    failing_run: 40,
-    crash: 10,
-    cut: 20,
-    takeover: 20,
-    trouble: 10,
-    drain: 5,
-    ..Faults::default()
-})]
+#[case::everything(EVERYTHING)]
 fn scheduler_keeps_its_rules(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
     search(faults, has_advice.then(advice));
 }
@@ -164,17 +169,7 @@
 /// Gangs whose good workers are few, among work that could take their room.
 #[rstest]
 #[case::quiet(Faults::default())]
-#[case::everything(Faults {
-    lost_answer: 40,
-    late_order: 40,
-    failing_run: 40,
-    crash: 10,
-    cut: 20,
-    takeover: 20,
-    trouble: 10,
-    drain: 5,
-    ..Faults::default()
-})]
+#[case::everything(EVERYTHING)]
 fn scheduler_serves_gangs_on_few_good_workers(#[case] faults: Faults) {
     for seed in seeds().chain(GANG_SEEDS_FOUND) {
         // Shown where the test fails.
@@ -200,17 +195,7 @@
 /// Gangs that take the room of patient work, which goes on later.
 #[rstest]
 #[case::quiet(Faults::default())]
-#[case::everything(Faults {
-    lost_answer: 40,
-    late_order: 40,
-    failing_run: 40,
-    crash: 10,
-    cut: 20,
-    takeover: 20,
-    trouble: 10,
-    drain: 5,
-    ..Faults::default()
-})]
+#[case::everything(EVERYTHING)]
 fn scheduler_preempts_for_gangs(#[case] faults: Faults) {
     let mut resumed_count = 0;
     for seed in seeds() {
@@ -244,18 +229,7 @@
 #[case::cuts(Faults { cut: 30, lost_answer: 40, ..Faults::default() })]
 #[case::crashes(Faults { crash: 20, takeover: 10, ..Faults::default() })]
 #[case::trouble(Faults { trouble: 40, takeover: 20, ..Faults::default() })]
-#[case::everything(Faults {
-    lost_answer: 40,
-    late_order: 40,
-    crash: 10,
-    cut: 20,
-    takeover: 20,
-    trouble: 10,
-    drain: 5,
-    resize: 20,
-    pause: 20,
-    ..Faults::default()
-})]
+#[case::everything(Faults { failing_run: 0, resize: 20, pause: 20, ..EVERYTHING })]
 fn scheduler_gives_up_what_crashes_workers(
     #[case] faults: Faults,
     #[values(false, true)] has_advice: bool,
@@ -301,17 +275,11 @@
 #[case::late_orders(Faults { late_order: 150, lost_answer: 80, ..Faults::default() })]
 #[case::takeovers(Faults { late_order: 80, takeover: 40, ..Faults::default() })]
 #[case::everything(Faults {
-    lost_answer: 40,
     late_order: 80,
-    failing_run: 40,
-    crash: 10,
-    cut: 20,
-    takeover: 20,
-    trouble: 10,
-    drain: 5,
     resize: 20,
     pause: 20,
     stale_entry: 50,
+    ..EVERYTHING
 })]
 fn scheduler_stops_what_is_cancelled(
     #[case] faults: Faults,
