--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -66,7 +66,7 @@
                 }
                 Err(CommitError::Conflict(items)) => {
                     let item = items.into_iter().find(|item| item.key == key);
-                    let Some(item) = item.filter(|item| item.value == value) else {
+                    let Some(item) = item.filter(|item| item.has_value(&value)) else {
                         return CommitOutcome::Lost;
                     };
                     // An earlier call of this transaction was done, unheard.
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -101,6 +101,10 @@
         } else {
             self.settings.apply_limit + self.settings.stretch_limit
         };
+        // Where the operators want it so, a key that may have been taken away is not
+        // taken even while the store is down.
+        let revoke_limit = self.settings.revoke_limit;
+        let limit = revoke_limit.map_or(limit, |revoke_limit| limit.min(revoke_limit));
         self.configuration.age(clock::now()) <= limit
     }
 
@@ -155,7 +159,11 @@
 
     /// Takes in what the store holds.
     fn learn_configuration(&self, item: &Item) -> Result<(), CallError> {
-        let (configuration, routes) = self.platform.parse_configuration(&item.value)?;
+        let value = item.bytes().map_err(|error| CallError::Malformed {
+            field: item.key.clone(),
+            reason: error.to_string(),
+        })?;
+        let (configuration, routes) = self.platform.parse_configuration(value)?;
         let before = self.configuration.version();
         let version = configuration.version;
         if !self
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -10,8 +10,11 @@
 use crate::follow::{follow, Flow, FollowPolicy, Update};
 use crate::node::{Node, WATCH_WAIT};
 use crate::platform::Platform;
-use crate::store::WatchedChange;
-use crate::store::{CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction};
+
+use crate::store::{
+    CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction, UnreadableValue,
+    WatchedChange,
+};
 use crate::{clock, keys, leader, recovery};
 use ospreywing_scheduler::LANES_COUNT;
 use ospreywing_types::{Duration, Instant};
@@ -20,6 +23,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use thiserror::Error;
 
 /// The leader's lease.
 pub const LEADER_LEASE: Duration = Duration::from_ms(1500);
@@ -104,6 +108,17 @@
     pub seen_at: Instant,
 }
 
+/// An item of the cell can't be read.
+#[derive(Debug, Error)]
+enum CellItemError {
+    /// Its value did not come whole.
+    #[error(transparent)]
+    Value(#[from] UnreadableValue),
+    /// The value is of another form.
+    #[error(transparent)]
+    Form(#[from] postcard::Error),
+}
+
 impl CellView {
     /// Takes in an item.
     ///
@@ -112,12 +127,12 @@
     /// Returns what is wrong with an item that can't be read; a leader that
     /// can't be read is taken for none, so that one is elected once its lease
     /// is over.
-    fn put(&mut self, item: &Item) -> Result<(), postcard::Error> {
+    fn put(&mut self, item: &Item) -> Result<(), CellItemError> {
         if item.key == keys::LEADER {
             self.leader = None;
-            self.leader = Some(postcard::from_bytes(&item.value)?);
+            self.leader = Some(postcard::from_bytes(item.bytes()?)?);
         } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
-            let record = NodeRecord::from_bytes(&item.value)?;
+            let record = NodeRecord::from_bytes(item.bytes()?)?;
             self.nodes.insert(name.to_owned(), record);
             self.registered.insert(name.to_owned(), item.revision);
         }
@@ -375,7 +390,7 @@
             Err(CommitError::Conflict(items)) => {
                 let own = items
                     .iter()
-                    .find(|item| item.key == keys::LEADER && item.value == value);
+                    .find(|item| item.key == keys::LEADER && item.has_value(&value));
                 // An earlier call of this transaction was done, unheard.
                 return own
                     .map(|item| item.revision)
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,7 +1,7 @@
 //! Listening: clients, the balancer's question, other nodes.
 
 use crate::node::{Node, NodeError};
-use crate::platform::{FrontLimits, Incoming, Platform, Reply, Retry};
+use crate::platform::{FrontLimits, Platform, Reply, RequestHead, Retry};
 use crate::{clock, metrics, peer, requests};
 use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use http::{Request, Response, StatusCode};
@@ -24,6 +24,11 @@
 const PEER_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+/// The longest body that is read past, and for how long: the bodies of the users' requests
+/// have up to 2.4 KB (their first site files), which come with the head or a few
+/// milliseconds later.
+const SKIPPED_BODY_LIMIT_BYTES: usize = 16 * 1024;
+const SKIPPED_BODY_TIME: Duration = Duration::from_ms(50);
 /// Limits before the operators have set any.
 const FIRST_LIMITS: FrontLimits = FrontLimits {
     head_bytes: 16 * 1024,
@@ -243,42 +248,62 @@
 }
 
 async fn respond_client<P: Platform>(node: &Rc<Node<P>>, request: Request<IncomingBody>) -> Reply {
-    let limits = limits(node);
-    let (parts, body) = request.into_parts();
-    let body = Limited::new(body, limits.body_bytes).collect();
-    let body = match tokio::time::timeout(limits.head_time.into(), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            let limit_bytes = limits.body_bytes;
-            return Reply::TooLarge { limit_bytes };
-        }
-        Ok(Err(error)) => {
-            return Reply::Invalid {
-                field: "body".to_owned(),
-                reason: error.to_string(),
-            }
-        }
-        Err(_) => return Reply::TooSlow,
-    };
     let begun_at = clock::now();
-    let incoming = Incoming {
-        method: &parts.method,
-        path: parts.uri.path(),
-        headers: &parts.headers,
-        body: &body,
-    };
-    let reply = reply_to(node, incoming).await;
+    let reply = reply_to(node, request).await;
     node.metrics.note_reply(&reply, begun_at);
     reply
 }
 
-async fn reply_to<P: Platform>(node: &Rc<Node<P>>, incoming: Incoming<'_>) -> Reply {
+/// Answers a request by the configuration that is in force when its head is read.
+async fn reply_to<P: Platform>(node: &Rc<Node<P>>, request: Request<IncomingBody>) -> Reply {
+    let (parts, body) = request.into_parts();
     let Some(in_force) = node.current_configuration().await else {
+        skip_body(body).await;
         return Reply::Unavailable(COME_BACK);
     };
-    let version = in_force.configuration.version;
-    match node.platform.decode(&in_force.routes, incoming) {
-        Ok(call) => requests::execute(node, call, version).await,
+    let head = RequestHead {
+        method: &parts.method,
+        path: parts.uri.path(),
+        headers: &parts.headers,
+    };
+    let admission = match node.platform.admit(&in_force.routes, head) {
+        Ok(admission) => admission,
+        Err(reply) => {
+            skip_body(body).await;
+            return reply;
+        }
+    };
+    let limits = P::limits(&in_force.routes);
+    let body = match read_body(body, limits).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    match node.platform.read_call(admission, &body) {
+        Ok(call) => requests::execute(node, call, &in_force.configuration).await,
         Err(reply) => reply,
     }
 }
+
+async fn read_body(body: IncomingBody, limits: FrontLimits) -> Result<Bytes, Reply> {
+    let body = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.head_time.into(), body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            let limit_bytes = limits.body_bytes;
+            Err(Reply::TooLarge { limit_bytes })
+        }
+        Ok(Err(error)) => Err(Reply::Invalid {
+            field: "body".to_owned(),
+            reason: error.to_string(),
+        }),
+        Err(_) => Err(Reply::TooSlow),
+    }
+}
+
+/// Reads past the body of a request that is answered by its head, where it is short and
+/// there already: the connection would be reset otherwise, and the answer lost with it.
+async fn skip_body(body: IncomingBody) {
+    let body = Limited::new(body, SKIPPED_BODY_LIMIT_BYTES).collect();
+    // What is longer or slower ends with its connection.
+    let _ = tokio::time::timeout(SKIPPED_BODY_TIME.into(), body).await;
+}
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -5,10 +5,10 @@
 //! late can do no harm.
 
 use crate::clock;
-use crate::store::{CommitError, Store, StoreError, Transaction};
+use crate::store::{CommitError, Item, Store, StoreError, Transaction};
 use ospreywing_types::Duration;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
@@ -26,10 +26,12 @@
 const FAILING_COUNT: u32 = 2;
 
 /// What became of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum IntakeOutcome {
     /// It is in the store.
     Stored,
+    /// The store has its key already, with this other value.
+    Exists(Vec<u8>),
     /// It certainly is not and will not be.
     NotStored,
     /// It may be, or may come to be.
@@ -45,6 +47,22 @@
     reply: oneshot::Sender<IntakeOutcome>,
 }
 
+impl Entry {
+    /// Returns what became of the entry where the store has its key.
+    fn found(&self, item: Item) -> IntakeOutcome {
+        if item.has_value(&self.value) {
+            return IntakeOutcome::Stored;
+        }
+        item.value
+            .map_or(IntakeOutcome::Unknown, IntakeOutcome::Exists)
+    }
+
+    fn answer(self, outcome: IntakeOutcome) {
+        // Who asked may have gone.
+        let _ = self.reply.send(outcome);
+    }
+}
+
 /// The queue before the store.
 pub struct Intake<S> {
     store: S,
@@ -115,20 +133,25 @@
         match self.store.commit(&transaction).await {
             Ok(_) => {
                 self.failures_count.set(0);
-                answer_all(group, IntakeOutcome::Stored);
+                answer_all(group, &IntakeOutcome::Stored);
             }
             Err(CommitError::Conflict(items)) => {
                 self.failures_count.set(0);
-                let exists = |entry: &Entry| {
-                    let mut found = items.iter();
-                    found.any(|item| item.key == entry.key && item.revision > 0)
-                };
-                let (there, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(exists);
-                if there.is_empty() {
+                let there = items.into_iter().filter(|item| item.revision > 0);
+                let mut there: HashMap<String, Item> =
+                    there.map(|item| (item.key.clone(), item)).collect();
+                let (found, rest): (Vec<Entry>, Vec<Entry>) = group
+                    .into_iter()
+                    .partition(|entry| there.contains_key(&entry.key));
+                if found.is_empty() {
                     // A conflict that names no entry can't be told apart from none.
-                    return answer_all(rest, IntakeOutcome::Unknown);
+                    return answer_all(rest, &IntakeOutcome::Unknown);
+                }
+                for entry in found {
+                    let item = there.remove(&entry.key);
+                    let outcome = item.map_or(IntakeOutcome::Unknown, |item| entry.found(item));
+                    entry.answer(outcome);
                 }
-                answer_all(there, IntakeOutcome::Stored);
                 self.put_back(rest);
             }
             Err(CommitError::Store(error)) => {
@@ -158,7 +181,7 @@
             } else {
                 IntakeOutcome::NotStored
             };
-            answer_all(vec![entry], outcome);
+            entry.answer(outcome);
         }
         self.put_back(rest);
         self.store.pause(RETRY).await;
@@ -172,9 +195,8 @@
     }
 }
 
-fn answer_all(group: Vec<Entry>, outcome: IntakeOutcome) {
+fn answer_all(group: Vec<Entry>, outcome: &IntakeOutcome) {
     for entry in group {
-        // Who asked may have gone.
-        let _ = entry.reply.send(outcome);
+        entry.answer(outcome.clone());
     }
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,5 +1,6 @@
 //! A leader's term, from its election to its end.
 
+use crate::caller::Caller;
 use crate::commit::CommitLane;
 use crate::election::LEADER_LEASE;
 use crate::node::{Node, NodeStore};
@@ -63,7 +64,12 @@
         self.is_over.get()
     }
 
-    /// Returns the state of a job that clients are shown.
+    /// Returns the state of a job that a client is shown, where it is open to the client.
+    pub fn job_for(&self, caller: &Caller, job: JobId) -> Option<JobView> {
+        self.scheduler.borrow().job_for(caller.customer(), job)
+    }
+
+    /// Returns the state of a job.
     pub fn job(&self, job: JobId) -> Option<JobView> {
         self.scheduler.borrow().job(job)
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,8 +7,10 @@
 //! decisions: it owns sockets, clocks and the store's calls, and speaks to the
 //! outside through the [`Platform`] trait alone.
 
+mod caller;
 pub mod commit;
 pub mod configuration;
+mod credentials;
 mod decision_log;
 mod decision_loop;
 pub mod election;
@@ -35,12 +37,17 @@
 pub mod store;
 pub mod stored_view;
 pub mod watches;
+pub mod worker_entries;
 
 pub use ospreywing_clock as clock;
 
+pub use caller::Caller;
+pub use credentials::{Credentials, KeyHasher};
 pub use node::{run, NodeError, NodeSettings};
-pub use platform::{Call, CallError, FrontLimits, Incoming, Look, Platform, Reply, Retry};
+pub use platform::{
+    Call, CallError, EntryError, EntryFault, FrontLimits, Look, Platform, Reply, RequestHead, Retry,
+};
 pub use store::{
     sending_time, CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store,
-    StoreError, Transaction, Watched, WatchedChange, Write,
+    StoreError, Transaction, UnreadableValue, Watched, WatchedChange, Write,
 };
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,7 +1,7 @@
 //! A node's counters, gauges and histograms, as text for whoever asks.
 
 use crate::clock;
-use crate::platform::Reply;
+use crate::platform::{EntryFault, Reply};
 use ospreywing_scheduler::{Decision, SchedulerStatus};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
@@ -32,6 +32,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EntryLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
@@ -47,6 +52,7 @@
     replies: Family<ReplyLabels, Counter>,
     reply_s: Histogram,
     decisions: Family<DecisionLabels, Counter>,
+    unreadable_entries: Family<EntryLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -82,6 +88,7 @@
             replies: Family::default(),
             reply_s: new_histogram(),
             decisions: Family::default(),
+            unreadable_entries: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -124,6 +131,11 @@
             "The scheduler's decisions, by kind and reason",
             self.decisions.clone(),
         );
+        registry.register(
+            "unreadable_entries",
+            "Workers' entries that name no worker to use, by reason",
+            self.unreadable_entries.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls of the platform's store",
@@ -225,6 +237,13 @@
         self.decisions.get_or_create(&labels).inc();
     }
 
+    /// Counts a worker's entry that names no worker to use.
+    pub fn note_unreadable_entry(&self, fault: EntryFault) {
+        let reason = fault.as_str();
+        let labels = EntryLabels { reason };
+        self.unreadable_entries.get_or_create(&labels).inc();
+    }
+
     /// Counts a call of the store that began at `begun_at`.
     pub fn note_store_call(&self, call: &'static str, outcome: &'static str, begun_at: Instant) {
         self.store_calls
@@ -316,6 +335,9 @@
         Reply::Pending(_) => "pending",
         Reply::NoQueue => "no_queue",
         Reply::NoJob => "no_job",
+        Reply::NoCustomer => "no_customer",
+        Reply::IdTaken => "id_taken",
+        Reply::BeyondLimit { .. } => "beyond_limit",
         Reply::Invalid { .. } => "invalid",
         Reply::TooLarge { .. } => "too_large",
         Reply::NoMethod => "no_method",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -70,6 +70,9 @@
     pub apply_limit: Duration,
     /// What a store that turns nodes away may add to that.
     pub stretch_limit: Duration,
+    /// The time after which keys are not used any more that the store does not confirm,
+    /// where that is set apart.
+    pub revoke_limit: Option<Duration>,
 }
 
 /// Why a node could not run.
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -3,6 +3,7 @@
 //! Bodies are in a compact binary form. The calls are few and small, and the
 //! machines have a quarter of a core, so a general RPC library does not pay.
 
+use crate::caller::Caller;
 use crate::election::LeaderRecord;
 use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
 use crate::store::LeaseId;
@@ -23,7 +24,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// To tell a job's state, as its leader.
-    Status(JobId),
+    Status {
+        /// The job.
+        job: JobId,
+        /// Who asks.
+        caller: Caller,
+    },
     /// To tell how many jobs of a queue have not begun, as its leader.
     Pending(String),
     /// To know of a job that is in the store.
@@ -45,7 +51,12 @@
         version: u64,
     },
     /// To write a cancel to the store, where the caller can't reach it.
-    Cancel(JobId),
+    Cancel {
+        /// The job.
+        job: JobId,
+        /// Who cancels it.
+        caller: Caller,
+    },
     /// To tell who leads.
     Leader,
     /// To end the lease of a leader that the store does not answer.
@@ -98,6 +109,8 @@
     Advice(Option<AdviceAnswer>),
     /// What became of orders.
     Relayed(Vec<RelayedReply>),
+    /// The id is that of another customer's job; nothing was done.
+    IdTaken,
 }
 
 /// The adviser's answer.
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -1,5 +1,6 @@
 //! What the product needs of the platform that it runs on.
 
+use crate::caller::Caller;
 use crate::store::Store;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -25,16 +26,22 @@
         service: String,
         /// What is to be done.
         spec: JobSpec,
+        /// Who hands it in.
+        caller: Caller,
     },
     /// To tell a job's state.
     Status {
         /// The job's id.
         job: JobId,
+        /// Who asks.
+        caller: Caller,
     },
     /// To cancel a job.
     Cancel {
         /// The job's id.
         job: JobId,
+        /// Who cancels it.
+        caller: Caller,
     },
     /// To tell how many jobs of a queue have not begun.
     Pending {
@@ -70,6 +77,15 @@
     NoQueue,
     /// There is no such job.
     NoJob,
+    /// The caller has shown no key, or one that is no customer's; nothing was done.
+    NoCustomer,
+    /// The id is that of another customer's job; nothing was done.
+    IdTaken,
+    /// The job can never run within its customer's limit; nothing was done.
+    BeyondLimit {
+        /// The first step that can't.
+        step: usize,
+    },
     /// The request is malformed; nothing was done.
     Invalid {
         /// The field.
@@ -92,17 +108,15 @@
     Unknown,
 }
 
-/// A request as it came in.
+/// The head of a request.
 #[derive(Clone, Copy, Debug)]
-pub struct Incoming<'a> {
+pub struct RequestHead<'a> {
     /// The method.
     pub method: &'a http::Method,
     /// The path.
     pub path: &'a str,
     /// The headers.
     pub headers: &'a http::HeaderMap,
-    /// The body.
-    pub body: &'a [u8],
 }
 
 /// Limits on what clients send.
@@ -144,13 +158,61 @@
     },
 }
 
+/// What makes a worker's entry one that names no worker to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+pub enum EntryFault {
+    /// A field is missing or of another type, or the bytes can't be read.
+    #[error("a field is missing or can't be read")]
+    Form,
+    /// The id is none.
+    #[error("the id can't be used")]
+    Id,
+    /// The address is none.
+    #[error("the address is not IP:port")]
+    Address,
+    /// The state is not one that is known.
+    #[error("the state is not known")]
+    State,
+    /// It names no service.
+    #[error("there is no service")]
+    Service,
+}
+
+impl EntryFault {
+    /// Returns the word for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Form => "form",
+            Self::Id => "id",
+            Self::Address => "address",
+            Self::State => "state",
+            Self::Service => "service",
+        }
+    }
+}
+
+/// A worker's entry names no worker to use.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{key}: {fault} ({detail})")]
+pub struct EntryError {
+    /// The entry's key.
+    pub key: String,
+    /// What is wrong.
+    pub fault: EntryFault,
+    /// Where.
+    pub detail: String,
+}
+
 /// The platform.
 #[allow(async_fn_in_trait, reason = "every node runs on one thread")]
 pub trait Platform: Clone + 'static {
     /// The store.
     type Store: Store;
-    /// How requests find their queues, from the operators' configuration.
+    /// How requests find their queues and callers are known, from the operators'
+    /// configuration.
     type Routes: 'static;
+    /// A request that was let in by its head.
+    type Admission;
 
     /// Returns the store.
     fn store(&self) -> Self::Store;
@@ -173,18 +235,26 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] that names the field.
-    fn parse_worker(&self, key: &str, value: &[u8]) -> Result<WorkerFacts, CallError>;
+    /// Returns an [`EntryError`] where the entry names no worker to use.
+    fn parse_worker(&self, key: &str, value: &[u8]) -> Result<WorkerFacts, EntryError>;
 
     /// Returns the limits on what clients send.
     fn limits(routes: &Self::Routes) -> FrontLimits;
 
-    /// Reads a client's request.
+    /// Finds out what a request is for and who calls, by its head alone.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply to a request that is not let in.
+    fn admit(&self, routes: &Self::Routes, head: RequestHead<'_>)
+        -> Result<Self::Admission, Reply>;
+
+    /// Reads the body of a request that was let in.
     ///
     /// # Errors
     ///
     /// Returns the reply to a request that can't be read.
-    fn decode(&self, routes: &Self::Routes, request: Incoming<'_>) -> Result<Call, Reply>;
+    fn read_call(&self, admission: Self::Admission, body: &[u8]) -> Result<Call, Reply>;
 
     /// Writes a reply.
     fn encode(&self, reply: &Reply) -> http::Response<Full<Bytes>>;
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -6,8 +6,8 @@
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::platform::Platform;
-use crate::store::{Item, Revision, StoreError};
-use ospreywing_scheduler::{JobState, Recovered, StoredJob};
+use crate::store::{Item, Revision, StoreError, UnreadableValue};
+use ospreywing_scheduler::{JobState, Recovered, StateError, StoredJob};
 use ospreywing_types::Duration;
 use slog::{warn, Logger};
 use std::rc::Rc;
@@ -62,9 +62,9 @@
     };
     for item in &intake {
         match keys::parse_intake(&item.key) {
-            Some(IntakeKey::Job(id)) => match StoredJob::from_bytes(&item.value) {
+            Some(IntakeKey::Job(id)) => match stored_job(item) {
                 Ok(StoredJob::Accepted(record)) => recovered.jobs.push((id, *record)),
-                Ok(StoredJob::Ended(phase)) => recovered.ended.push((id, phase)),
+                Ok(StoredJob::Ended(outcome)) => recovered.ended.push((id, outcome)),
                 Err(error) => {
                     damaged(log, &item.key, &error.to_string());
                     recovered.unreadable.push(id);
@@ -75,7 +75,7 @@
         }
     }
     for item in states {
-        let state = JobState::from_bytes(&item.value);
+        let state = stored_state(item);
         match (keys::parse_state(&item.key), state) {
             (Some(id), Ok(state)) => recovered.states.push((id, state)),
             (Some(id), Err(error)) => {
@@ -90,6 +90,28 @@
     recovered
 }
 
+/// Reads what the store keeps under a job's key.
+///
+/// # Errors
+///
+/// Returns a [`StateError`] where that can't be read.
+pub fn stored_job(item: &Item) -> Result<StoredJob, StateError> {
+    StoredJob::from_bytes(item.bytes().map_err(malformed)?)
+}
+
+/// Reads what the store keeps of a job's progress.
+///
+/// # Errors
+///
+/// Returns a [`StateError`] where that can't be read.
+pub fn stored_state(item: &Item) -> Result<JobState, StateError> {
+    JobState::from_bytes(item.bytes().map_err(malformed)?)
+}
+
+fn malformed(error: UnreadableValue) -> StateError {
+    StateError::Malformed(error.to_string())
+}
+
 /// Notes a stored item that can't be read.
 pub fn damaged(log: &Logger, key: &str, error: &str) {
     warn!(log, "stored item can't be read"; "key" => key, "error" => error);
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -1,15 +1,19 @@
 //! What becomes of a request, from a client or from another node.
 
+use crate::caller::Caller;
 use crate::election::{self, LeaderRecord};
 use crate::intake::IntakeOutcome;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
+use crate::recovery::stored_job;
 use crate::relay::server;
-use crate::store::{LeaseId, Store};
+use crate::store::{Item, LeaseId, Store};
 use crate::stored_view::{read_view, StoredView};
 use crate::{clock, keys};
-use ospreywing_scheduler::{AdviceReply, Event, JobId, JobRecord, JobView};
+use ospreywing_scheduler::{
+    AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
+};
 use ospreywing_types::Duration;
 use slog::info;
 use std::rc::Rc;
@@ -28,26 +32,31 @@
 /// How many other nodes are asked to write.
 pub const FORWARDS_COUNT: usize = 2;
 
-/// Does what a client asks for; `version` is that of the configuration by which
-/// the call was read.
-pub async fn execute<P: Platform>(node: &Rc<Node<P>>, call: Call, version: u64) -> Reply {
+/// Does what a client asks for; `configuration` is the one by which the call was read.
+pub async fn execute<P: Platform>(
+    node: &Rc<Node<P>>,
+    call: Call,
+    configuration: &Configuration,
+) -> Reply {
     match call {
         Call::Submit {
             job,
             queue,
             service,
             spec,
+            caller,
         } => {
             let record = JobRecord {
                 queue,
                 service,
                 accepted_ms: clock::wall_ms(),
                 spec,
+                customer: caller.customer().map(str::to_owned),
             };
-            submit(node, job, record, version).await
+            submit(node, job, record, configuration).await
         }
-        Call::Status { job } => status(node, job).await,
-        Call::Cancel { job } => cancel(node, job).await,
+        Call::Status { job, caller } => status(node, job, caller).await,
+        Call::Cancel { job, caller } => cancel(node, job, caller).await,
         Call::Pending { queue } => pending(node, queue).await,
     }
 }
@@ -56,45 +65,89 @@
     node: &Rc<Node<P>>,
     job: JobId,
     record: JobRecord,
-    version: u64,
+    configuration: &Configuration,
 ) -> Reply {
-    let local = write_job(node, job, &record).await;
-    let reply = match local {
-        IntakeOutcome::Stored => Reply::Accepted,
-        IntakeOutcome::Unknown => Reply::Unknown,
-        IntakeOutcome::NotStored => {
-            let request = PeerRequest::Submit {
-                job,
-                record,
-                version,
-            };
-            forward(node, request, Reply::Accepted).await
-        }
+    let customer = record.customer.clone();
+    let reply = match impossible_step(&record, configuration) {
+        Some(step) => Reply::BeyondLimit { step },
+        None => write_or_forward(node, job, record, configuration.version).await,
     };
     let word = match reply {
         Reply::Accepted => "accepted",
         Reply::Unknown => "unknown",
+        Reply::BeyondLimit { .. } => "beyond the customer's limit",
+        Reply::IdTaken => "id of another customer",
         _ => "refused",
     };
-    info!(node.log, "job answered"; "job" => %job, "outcome" => word);
+    info!(node.log, "job answered"; "job" => %job, "outcome" => word, "customer" => customer);
     reply
 }
 
-/// Writes a job to the store and tells the leader.
-async fn write_job<P: Platform>(
+/// Returns the first step of a job that its customer's limit never lets run.
+fn impossible_step(record: &JobRecord, configuration: &Configuration) -> Option<usize> {
+    let customer = configuration.customer(record.customer.as_deref()?)?;
+    customer.impossible_step(record)
+}
+
+async fn write_or_forward<P: Platform>(
     node: &Rc<Node<P>>,
     job: JobId,
-    record: &JobRecord,
-) -> IntakeOutcome {
+    record: JobRecord,
+    version: u64,
+) -> Reply {
+    match write_job(node, job, &record).await {
+        JobWritten::Stored => Reply::Accepted,
+        JobWritten::IdTaken => Reply::IdTaken,
+        JobWritten::Unknown => Reply::Unknown,
+        JobWritten::NotStored => {
+            let request = PeerRequest::Submit {
+                job,
+                record,
+                version,
+            };
+            forward(node, request, Reply::Accepted).await
+        }
+    }
+}
+
+/// What became of a job that was to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JobWritten {
+    /// It is in the store.
+    Stored,
+    /// Another customer's job has its id.
+    IdTaken,
+    /// It certainly is not in the store and will not be.
+    NotStored,
+    /// It may be, or may come to be.
+    Unknown,
+}
+
+/// Writes a job to the store and tells the leader.
+async fn write_job<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: &JobRecord) -> JobWritten {
     if is_cut_off(node) {
-        return IntakeOutcome::NotStored;
+        return JobWritten::NotStored;
     }
     let outcome = node.intake.write(keys::job(job), record.to_bytes()).await;
-    if outcome == IntakeOutcome::Stored {
+    let written = match outcome {
+        IntakeOutcome::Stored => JobWritten::Stored,
+        IntakeOutcome::Exists(value) if is_same_customer(&value, record) => JobWritten::Stored,
+        IntakeOutcome::Exists(_) => JobWritten::IdTaken,
+        IntakeOutcome::NotStored => JobWritten::NotStored,
+        IntakeOutcome::Unknown => JobWritten::Unknown,
+    };
+    if written == JobWritten::Stored {
         node.note_contact();
         tell_leader(node, job, record.clone());
     }
-    outcome
+    written
+}
+
+/// Returns whether the job that has an id is one of the record's customer. One that can't
+/// be read may be: a node of a later version may have written it.
+fn is_same_customer(stored: &[u8], record: &JobRecord) -> bool {
+    let stored = StoredJob::from_bytes(stored);
+    stored.map_or(true, |stored| stored.is_open_to(record.customer.as_deref()))
 }
 
 /// Returns whether the store is known not to answer this node.
@@ -156,6 +209,7 @@
         match peer::call(&node.peers, &address, &request, FORWARD_LIMIT).await {
             Ok(PeerReply::Accepted) => return success,
             Ok(PeerReply::NoJob) => return Reply::NoJob,
+            Ok(PeerReply::IdTaken) => return Reply::IdTaken,
             Ok(PeerReply::Unknown) => return Reply::Unknown,
             Ok(_) => {}
             Err(error) if error.is_not_sent() => {}
@@ -181,11 +235,14 @@
     addresses
 }
 
-async fn cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Reply {
-    let reply = match write_cancel(node, job).await {
+async fn cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: Caller) -> Reply {
+    let reply = match write_cancel(node, job, &caller).await {
         PeerReply::Accepted => Reply::Cancelled,
         PeerReply::NoJob => Reply::NoJob,
-        PeerReply::Refused => forward(node, PeerRequest::Cancel(job), Reply::Cancelled).await,
+        PeerReply::Refused => {
+            let request = PeerRequest::Cancel { job, caller };
+            forward(node, request, Reply::Cancelled).await
+        }
         _ => Reply::Unknown,
     };
     let is_done = reply == Reply::Cancelled;
@@ -194,17 +251,17 @@
 }
 
 /// Writes a cancel to the store and tells the leader.
-async fn write_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> PeerReply {
+async fn write_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: &Caller) -> PeerReply {
     if is_cut_off(node) {
         return PeerReply::Refused;
     }
     match node.store.get(&keys::job(job)).await {
-        Ok(Some(_)) => {}
-        Ok(None) => return PeerReply::NoJob,
+        Ok(Some(item)) if is_open_to(&item, caller) => {}
+        Ok(_) => return PeerReply::NoJob,
         Err(_) => return PeerReply::Refused,
     }
     match node.intake.write(keys::cancel(job), Vec::new()).await {
-        IntakeOutcome::Stored => {
+        IntakeOutcome::Stored | IntakeOutcome::Exists(_) => {
             match node.leading() {
                 Some(leading) => leading.tell(Event::CancelAccepted { job }),
                 None => send_to_leader(node, PeerRequest::CancelTaken(job)),
@@ -216,13 +273,20 @@
     }
 }
 
-async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Reply {
-    let leaders = leaders_view(node, job).await;
+/// Returns whether a caller may cancel the job that the store keeps. One that can't be read
+/// may be another customer's.
+fn is_open_to(item: &Item, caller: &Caller) -> bool {
+    let stored = stored_job(item);
+    stored.is_ok_and(|stored| stored.is_open_to(caller.customer()))
+}
+
+async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: Caller) -> Reply {
+    let leaders = leaders_view(node, job, &caller).await;
     if let Some(view) = leaders.filter(|view| view.is_settled) {
         return reply_of(view);
     }
     let has_begun = leaders.is_some_and(|view| view.has_begun);
-    match read_view(&node.store, &node.log, job).await {
+    match read_view(&node.store, &node.log, job, &caller).await {
         Ok(StoredView::Known(view)) => reply_of(JobView {
             has_begun: has_begun || view.has_begun,
             ..view
@@ -244,12 +308,18 @@
 }
 
 /// Returns what the leader knows of a job, where it can be asked.
-async fn leaders_view<P: Platform>(node: &Rc<Node<P>>, job: JobId) -> Option<JobView> {
+async fn leaders_view<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    caller: &Caller,
+) -> Option<JobView> {
     if let Some(leading) = node.leading() {
-        return leading.job(job);
+        return leading.job_for(caller, job);
     }
     let leader = find_leader(node).await?;
-    match call_leader(node, leader, &PeerRequest::Status(job)).await {
+    let caller = caller.clone();
+    let request = PeerRequest::Status { job, caller };
+    match call_leader(node, leader, &request).await {
         Ok(PeerReply::Status(view)) => view,
         _ => None,
     }
@@ -271,8 +341,8 @@
 /// Answers another node.
 pub async fn answer_peer<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) -> PeerReply {
     match request {
-        PeerRequest::Status(job) => match node.leading() {
-            Some(leading) => PeerReply::Status(leading.job(job)),
+        PeerRequest::Status { job, caller } => match node.leading() {
+            Some(leading) => PeerReply::Status(leading.job_for(&caller, job)),
             None => not_leader(node),
         },
         PeerRequest::Pending(queue) => match node.leading() {
@@ -289,7 +359,7 @@
             record,
             version,
         } => write_for_peer(node, job, &record, version).await,
-        PeerRequest::Cancel(job) => write_cancel(node, job).await,
+        PeerRequest::Cancel { job, caller } => write_cancel(node, job, &caller).await,
         PeerRequest::Leader => match node.leading() {
             Some(_) => PeerReply::NotLeader(Some(election::own_record(node))),
             None => not_leader(node),
@@ -323,9 +393,10 @@
         return PeerReply::Refused;
     }
     match write_job(node, job, record).await {
-        IntakeOutcome::Stored => PeerReply::Accepted,
-        IntakeOutcome::NotStored => PeerReply::Refused,
-        IntakeOutcome::Unknown => PeerReply::Unknown,
+        JobWritten::Stored => PeerReply::Accepted,
+        JobWritten::IdTaken => PeerReply::IdTaken,
+        JobWritten::NotStored => PeerReply::Refused,
+        JobWritten::Unknown => PeerReply::Unknown,
     }
 }
 
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -19,17 +19,40 @@
 /// A lease's number; 0 stands for none.
 pub type LeaseId = u64;
 
+/// A value that the store holds and that did not come whole.
+///
+/// It is neither an empty value nor a missing one, and the items beside it hold.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the value can't be read: {0}")]
+pub struct UnreadableValue(pub String);
+
 /// A stored item.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
     /// Its key.
     pub key: String,
-    /// Its value.
-    pub value: Vec<u8>,
+    /// Its value, where that can be read.
+    pub value: Result<Vec<u8>, UnreadableValue>,
     /// The revision of its last change.
     pub revision: Revision,
 }
 
+impl Item {
+    /// Returns the value's bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`UnreadableValue`] where they did not come whole.
+    pub fn bytes(&self) -> Result<&[u8], UnreadableValue> {
+        self.value.as_deref().map_err(Clone::clone)
+    }
+
+    /// Returns whether the value is this one.
+    pub fn has_value(&self, value: &[u8]) -> bool {
+        self.value.as_deref() == Ok(value)
+    }
+}
+
 /// A page of items.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
--- a/crates/control/src/stored_view.rs
+++ b/crates/control/src/stored_view.rs
@@ -1,7 +1,9 @@
 //! What the store tells of a job, where the leader can't be asked.
 
+use crate::caller::Caller;
+use crate::keys;
+use crate::recovery::{self, stored_job, stored_state};
 use crate::store::{Item, Store, StoreError};
-use crate::{keys, recovery};
 use ospreywing_scheduler::{JobId, JobState, JobView, Phase, StateError, StoredJob, TaskStatus};
 use slog::Logger;
 
@@ -10,7 +12,7 @@
 pub enum StoredView {
     /// The job's state.
     Known(JobView),
-    /// There is no such job.
+    /// There is no such job, or none that is open to the caller.
     NoJob,
     /// What is stored can't be read.
     Unreadable,
@@ -29,13 +31,15 @@
     store: &S,
     log: &Logger,
     job: JobId,
+    caller: &Caller,
 ) -> Result<StoredView, StoreError> {
     let state = store.get(&keys::state(job)).await?;
     let Some(record) = store.get(&keys::job(job)).await? else {
         return Ok(StoredView::NoJob);
     };
-    let view = match StoredJob::from_bytes(&record.value) {
-        Ok(StoredJob::Ended(phase)) => Ok(ended(phase)),
+    let view = match stored_job(&record) {
+        Ok(stored) if !stored.is_open_to(caller.customer()) => return Ok(StoredView::NoJob),
+        Ok(StoredJob::Ended(outcome)) => Ok(ended(outcome.phase)),
         Ok(StoredJob::Accepted(_)) => read_progress(state.as_ref()),
         Err(error) => Err((&record, error)),
     };
@@ -52,7 +56,7 @@
     let Some(item) = state else {
         return Ok(progress(&JobState::default()));
     };
-    let state = JobState::from_bytes(&item.value).map_err(|error| (item, error))?;
+    let state = stored_state(item).map_err(|error| (item, error))?;
     Ok(progress(&state))
 }
 
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -4,13 +4,13 @@
 use crate::keys::{self, IntakeKey};
 use crate::leader::Leading;
 use crate::node::Node;
-use crate::platform::Platform;
-use crate::recovery::damaged;
+use crate::platform::{EntryError, EntryFault, Platform};
+use crate::recovery::stored_job;
 use crate::store::{Item, Revision, WatchedChange};
-use ospreywing_scheduler::{Event, StoredJob, WorkerFacts};
+use crate::worker_entries::{EntryChange, WorkerEntries, WorkerEntry};
+use ospreywing_scheduler::{Event, StoredJob};
 use ospreywing_types::Duration;
 use slog::warn;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// How the intake is followed: nodes tell the leader of what they took, so
@@ -78,7 +78,7 @@
 fn learn_intake<P: Platform>(leading: &Leading<P>, item: &Item) {
     match keys::parse_intake(&item.key) {
         Some(IntakeKey::Job(job)) if leading.job(job).is_none() => {
-            if let Ok(StoredJob::Accepted(record)) = StoredJob::from_bytes(&item.value) {
+            if let Ok(StoredJob::Accepted(record)) = stored_job(item) {
                 leading.tell(Event::JobAccepted { job, record });
             }
         }
@@ -89,33 +89,18 @@
 
 /// Tells the scheduler of the list of workers until the term is over.
 pub async fn follow_workers<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
-    let mut known: BTreeMap<String, KnownWorker> = BTreeMap::new();
+    let mut known = WorkerEntries::default();
     let store = node.store.clone();
     let prefix = node.platform.workers_prefix();
     follow(store, prefix, WORKERS_POLICY, None, |update, _| {
         let has_changed = match update {
-            Update::Snapshot(items) => {
-                let read = items.iter().filter_map(|item| read_worker(&node, item));
-                let read: BTreeMap<_, _> = read.collect();
-                let has_changed = !are_alike(&read, &known);
-                known = read;
-                has_changed
-            }
+            Update::Snapshot(items) => known.replace(items.iter().map(|item| read(&node, item))),
             Update::Changes(changes) => {
-                let before = known.clone();
-                for change in changes {
-                    match change {
-                        WatchedChange::Put(item) if is_newer(&known, &item) => {
-                            known.extend(read_worker(&node, &item));
-                        }
-                        // A later page of a list showed what came after this change.
-                        WatchedChange::Put(_) => {}
-                        WatchedChange::Gone { key } => {
-                            known.remove(&key);
-                        }
-                    }
-                }
-                !are_alike(&before, &known)
+                let changes = changes.into_iter().map(|change| match change {
+                    WatchedChange::Put(item) => EntryChange::Written(read(&node, &item)),
+                    WatchedChange::Gone { key } => EntryChange::Gone(key),
+                });
+                known.apply(changes)
             }
             Update::Unchanged => false,
             Update::Failed(error) => {
@@ -124,45 +109,28 @@
                 return flow_of(&leading);
             }
         };
+        for error in known.take_new_faults() {
+            node.metrics.note_unreadable_entry(error.fault);
+            warn!(node.log, "worker's entry names no worker to use";
+                "key" => &error.key, "reason" => error.fault.as_str(), "detail" => &error.detail);
+        }
         node.note_contact();
         if has_changed {
-            let facts = known.values().map(|worker| worker.facts.clone());
-            leading.tell(Event::WorkersListed(facts.collect()));
+            leading.tell(Event::WorkersListed(known.workers().cloned().collect()));
         }
         flow_of(&leading)
     })
     .await;
 }
 
-/// A worker's entry as it was read last.
-#[derive(Clone, Debug)]
-struct KnownWorker {
-    facts: WorkerFacts,
-    revision: Revision,
-}
-
-/// Returns whether an item was written after what is known of its key: a worker's room
-/// may shrink, and an older word must not bring it back.
-fn is_newer(known: &BTreeMap<String, KnownWorker>, item: &Item) -> bool {
-    let known = known.get(&item.key);
-    known.is_none_or(|worker| worker.revision < item.revision)
-}
-
-/// Returns whether both lists say the same of the workers; entries are rewritten all the
-/// time.
-fn are_alike(one: &BTreeMap<String, KnownWorker>, other: &BTreeMap<String, KnownWorker>) -> bool {
-    let one = one.values().map(|worker| &worker.facts);
-    let other = other.values().map(|worker| &worker.facts);
-    one.eq(other)
-}
-
-fn read_worker<P: Platform>(node: &Node<P>, item: &Item) -> Option<(String, KnownWorker)> {
-    let revision = item.revision;
-    match node.platform.parse_worker(&item.key, &item.value) {
-        Ok(facts) => Some((item.key.clone(), KnownWorker { facts, revision })),
-        Err(error) => {
-            damaged(&node.log, &item.key, &error.to_string());
-            None
-        }
-    }
+fn read<P: Platform>(node: &Node<P>, item: &Item) -> WorkerEntry {
+    let read = match item.bytes() {
+        Ok(value) => node.platform.parse_worker(&item.key, value),
+        Err(error) => Err(EntryError {
+            key: item.key.clone(),
+            fault: EntryFault::Form,
+            detail: error.to_string(),
+        }),
+    };
+    WorkerEntry::new(item.key.clone(), item.revision, read)
 }
--- a/crates/control/tests/control/recovering.rs
+++ b/crates/control/tests/control/recovering.rs
@@ -2,7 +2,7 @@
 
 use ospreywing_control::recovery::assemble;
 use ospreywing_control::{keys, Item};
-use ospreywing_scheduler::{JobId, JobRecord, JobState, Phase, StoredJob};
+use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, JobState, Phase};
 use slog::{o, Discard, Logger};
 
 const WALL_MS: u64 = 1_000;
@@ -16,7 +16,7 @@
 fn item(key: String, value: Vec<u8>, revision: u64) -> Item {
     Item {
         key,
-        value,
+        value: Ok(value),
         revision,
     }
 }
@@ -32,7 +32,7 @@
 
 #[test]
 fn assemble_in_order_of_acceptance() {
-    let outcome = StoredJob::outcome_bytes(Phase::Complete);
+    let outcome = JobOutcome::new(Phase::Complete).to_bytes();
     let intake = vec![
         accepted(1, 9),
         accepted(2, 4),
@@ -44,7 +44,7 @@
     let recovered = assemble(&log(), intake, &states, WALL_MS);
     let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
     assert_eq!(jobs, [id(2), id(1)]);
-    assert_eq!(recovered.ended, [(id(3), Phase::Complete)]);
+    assert_eq!(recovered.ended, [(id(3), JobOutcome::new(Phase::Complete))]);
     assert_eq!(recovered.cancels, [id(1)]);
     assert_eq!(recovered.states.len(), 1);
 }
--- a/crates/control/tests/control/store_writes.rs
+++ b/crates/control/tests/control/store_writes.rs
@@ -4,7 +4,7 @@
 use ospreywing_control::commit::{lane_value, CommitLane, CommitOutcome};
 use ospreywing_control::intake::{Intake, IntakeOutcome};
 use ospreywing_control::{keys, Store, Transaction};
-use ospreywing_scheduler::{Change, ChangeKind, JobId, Phase, StoredJob};
+use ospreywing_scheduler::{Change, ChangeKind, JobId, JobOutcome, Phase, StoredJob};
 use rstest::rstest;
 
 const FENCE: u64 = 9;
@@ -33,7 +33,7 @@
         // Nothing that is done late takes the place of what is there.
         let again = intake.write("k".to_owned(), b"second".to_vec()).await;
         if expected == IntakeOutcome::Stored {
-            assert_eq!(again, IntakeOutcome::Stored);
+            assert_eq!(again, IntakeOutcome::Exists(b"first".to_vec()));
             assert_eq!(store.value("k"), Some(b"first".to_vec()));
         }
     });
@@ -52,8 +52,13 @@
         });
         let runner = intake.clone();
         tokio::task::spawn_local(async move { runner.run().await });
-        for write in writes {
-            assert_eq!(write.await.expect("a write"), IntakeOutcome::Stored);
+        let expected = [
+            IntakeOutcome::Stored,
+            IntakeOutcome::Exists(b"known".to_vec()),
+            IntakeOutcome::Stored,
+        ];
+        for (write, expected) in writes.into_iter().zip(expected) {
+            assert_eq!(write.await.expect("a write"), expected);
         }
         assert_eq!(store.value("a"), Some(b"a".to_vec()));
         assert_eq!(store.value("b"), Some(b"known".to_vec()));
@@ -151,13 +156,13 @@
         lane.commit(change("progress"), || false).await;
         let outcome = vec![Change {
             job: id,
-            kind: ChangeKind::Outcome(StoredJob::outcome_bytes(Phase::Complete)),
+            kind: ChangeKind::Outcome(JobOutcome::new(Phase::Complete).to_bytes()),
         }];
         assert_eq!(lane.commit(outcome, || false).await, CommitOutcome::Done);
         assert_eq!(store.value(&keys::state(id)), None);
         let kept = store.value(&keys::job(id)).expect("the key stays");
         assert!(kept.len() < 8, "{} bytes", kept.len());
         let kept = StoredJob::from_bytes(&kept);
-        assert_eq!(kept, Ok(StoredJob::Ended(Phase::Complete)));
+        assert_eq!(kept, Ok(StoredJob::Ended(JobOutcome::new(Phase::Complete))));
     });
 }
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -141,7 +141,10 @@
 
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let inner = self.0.borrow();
-        inner.items.get(key).map(|item| item.value.clone())
+        inner
+            .items
+            .get(key)
+            .map(|item| item.bytes().expect("a value").to_vec())
     }
 }
 
@@ -171,7 +174,7 @@
         for write in &transaction.put {
             let item = Item {
                 key: write.key.clone(),
-                value: write.value.clone(),
+                value: Ok(write.value.clone()),
                 revision,
             };
             self.history
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -11,12 +11,12 @@
 use ospreywing_control::election::LeaderRecord;
 use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
 use ospreywing_control::{
-    clock, keys, Call, CallError, FrontLimits, Incoming, Look, NodeSettings, Platform, Reply,
-    Store, StoreError, Transaction,
+    clock, keys, Call, CallError, EntryError, FrontLimits, Look, NodeSettings, Platform, Reply,
+    RequestHead, Store, StoreError, Transaction,
 };
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
-    StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -125,6 +125,7 @@
 impl Platform for OneWorker {
     type Store = CountingStore;
     type Routes = ();
+    type Admission = ();
 
     fn store(&self) -> CountingStore {
         let layer = Counting {
@@ -151,7 +152,10 @@
         let configuration = Configuration {
             version: 1,
             queues: [(QUEUE.to_owned(), queue)].into(),
-            services: Vec::new(),
+            services: vec![ServicePolicy {
+                name: SERVICE.to_owned(),
+            }],
+            ..Configuration::default()
         };
         Ok((configuration, ()))
     }
@@ -160,7 +164,7 @@
         WORKERS_PREFIX
     }
 
-    fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, CallError> {
+    fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, EntryError> {
         Ok(WorkerFacts {
             id: Arc::from("w0"),
             address: Arc::from("127.0.0.1:9"),
@@ -183,7 +187,11 @@
         }
     }
 
-    fn decode(&self, _routes: &(), _request: Incoming<'_>) -> Result<Call, Reply> {
+    fn admit(&self, _routes: &(), _head: RequestHead<'_>) -> Result<(), Reply> {
+        Err(Reply::NoMethod)
+    }
+
+    fn read_call(&self, _admission: (), _body: &[u8]) -> Result<Call, Reply> {
         Err(Reply::NoMethod)
     }
 
@@ -246,6 +254,7 @@
         retention: Duration::from_s(120),
         apply_limit: Duration::from_s(2),
         stretch_limit: Duration::from_s(5),
+        revoke_limit: None,
     }
 }
 
@@ -270,6 +279,7 @@
                 steps: vec![step],
                 schedule: None,
             },
+            customer: None,
         };
         filled = filled.with_put(keys::job(JobId::new(number)), record.to_bytes());
     }
--- a/crates/control/tests/control/viewing.rs
+++ b/crates/control/tests/control/viewing.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{run_local, MemoryStore};
 use ospreywing_control::stored_view::{read_view, StoredView};
-use ospreywing_control::{keys, Store, Transaction};
-use ospreywing_scheduler::{JobId, JobRecord, JobState, Phase, StoredJob};
+use ospreywing_control::{keys, Caller, Store, Transaction};
+use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, JobState, Phase};
 use rstest::rstest;
 use slog::{o, Discard, Logger};
 
@@ -12,7 +12,7 @@
 
 async fn view(store: &MemoryStore) -> StoredView {
     let log = Logger::root(Discard, o!());
-    let view = read_view(store, &log, JobId::new(1)).await;
+    let view = read_view(store, &log, JobId::new(1), &Caller::anonymous()).await;
     view.expect("the store answers")
 }
 
@@ -62,7 +62,7 @@
         };
         accept(&store, state.to_bytes()).await;
         let outcome = Transaction::new()
-            .with_put(keys::job(job), StoredJob::outcome_bytes(phase))
+            .with_put(keys::job(job), JobOutcome::new(phase).to_bytes())
             .with_remove(keys::state(job));
         store.do_after_read(outcome);
         assert_eq!(phase_of(view(&store).await), Some(phase));
--- a/crates/scheduler/benches/leader.rs
+++ b/crates/scheduler/benches/leader.rs
@@ -8,8 +8,8 @@
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, ChangeKind, Configuration, EndKind, EndedRun, Endpoint,
     Event, HoldReply, JobId, JobRecord, JobSpec, Queue, Recovered, RunningRun, Scheduler,
-    SchedulerConfig, StartOrder, StartReply, StepSpec, StopReply, TaskKey, Ticket, WorkerFacts,
-    WorkerKey,
+    SchedulerConfig, ServicePolicy, StartOrder, StartReply, StepSpec, StopReply, TaskKey, Ticket,
+    WorkerFacts, WorkerKey,
 };
 use ospreywing_types::{Duration, Instant, Resources};
 use rustix::time::{clock_gettime, ClockId};
@@ -304,7 +304,10 @@
     Configuration {
         version: 1,
         queues: [(QUEUE.to_owned(), queue)].into(),
-        services: Vec::new(),
+        services: vec![ServicePolicy {
+            name: SERVICE.to_owned(),
+        }],
+        ..Configuration::default()
     }
 }
 
@@ -338,6 +341,7 @@
             steps: vec![step],
             schedule: None,
         },
+        customer: None,
     })
 }
 
--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -12,7 +12,7 @@
 use crate::job::{JobId, TaskKey};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
-use crate::state::{Phase, StoredJob};
+use crate::state::{JobOutcome, Phase};
 use crate::worker::WorkerKey;
 use ospreywing_types::Instant;
 use std::collections::VecDeque;
@@ -236,7 +236,9 @@
     if job.is_forgotten() {
         ChangeKind::Forget
     } else if job.state.phase != Phase::Active && !has_runs {
-        ChangeKind::Outcome(StoredJob::outcome_bytes(job.state.phase))
+        let outcome = JobOutcome::new(job.state.phase);
+        let outcome = outcome.with_customer(job.record.customer.clone());
+        ChangeKind::Outcome(outcome.to_bytes())
     } else {
         ChangeKind::Progress(job.state.to_bytes())
     }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -1,7 +1,9 @@
 //! The operators' configuration and the scheduler's own constants.
 
+use crate::customers::Customer;
 use ospreywing_types::Duration;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// How a queue's advice is to be asked for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -57,6 +59,8 @@
     pub queues: HashMap<String, Queue>,
     /// The services.
     pub services: Vec<ServicePolicy>,
+    /// The customers by name; empty where the operators name none.
+    pub customers: HashMap<Arc<str>, Customer>,
 }
 
 impl Configuration {
@@ -64,6 +68,16 @@
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.get(name)
     }
+
+    /// Returns a customer by its name.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        self.customers.get(name)
+    }
+
+    /// Returns whether the operators have set a service of this name.
+    pub fn has_service(&self, name: &str) -> bool {
+        self.services.iter().any(|service| service.name == name)
+    }
 }
 
 /// The lanes in which commits go out side by side.
--- /dev/null
+++ b/crates/scheduler/src/customers.rs
@@ -0,0 +1,169 @@
+//! Customers: what each may have running, and what it has.
+//!
+//! A customer's account holds the demand of all its runs that may be alive: recorded and
+//! not yet sent, on their way, running, being stopped, and those of silent workers until
+//! their leases are certainly over. The same table of runs keeps workers from being given
+//! more than they hold, so both accounts are as sure as each other.
+
+use crate::job::{JobRecord, StepSpec};
+use crate::scheduler::Scheduler;
+use cranelift_entity::{entity_impl, PrimaryMap};
+use ospreywing_types::Resources;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A customer, as the operators have set it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Customer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The jobs a second that it may hand in and have served beside everybody else's.
+    pub jobs_per_s: f64,
+    /// What it may have running on all workers together; a part that is 0 has no limit.
+    pub limit: Resources,
+}
+
+impl Customer {
+    /// Returns the first step that can never run within the limit: a task that is larger
+    /// than it, or a gang whose members are.
+    pub fn impossible_step(&self, record: &JobRecord) -> Option<usize> {
+        let limit = part_limits(self.limit);
+        let is_impossible = |step: &StepSpec| !least_room(step).fits_in(&limit);
+        record.spec.steps.iter().position(is_impossible)
+    }
+}
+
+/// Returns what a step must have running at once to get anywhere.
+fn least_room(step: &StepSpec) -> Resources {
+    let together_count = if step.is_gang { step.tasks_count } else { 1 };
+    step.demand.times(together_count)
+}
+
+/// Returns a limit with the parts raised that have none.
+fn part_limits(limit: Resources) -> Resources {
+    let part = |limit: u32| if limit == 0 { u32::MAX } else { limit };
+    Resources::new(
+        part(limit.cores_milli),
+        part(limit.memory_mib),
+        part(limit.accelerators_count),
+    )
+}
+
+/// A customer's account in one scheduler.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct CustomerKey(u32);
+entity_impl!(CustomerKey, "customer");
+
+/// What a run takes of its customer's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Charge {
+    /// The customer; `None` where the job is nobody's.
+    pub(crate) customer: Option<CustomerKey>,
+    /// What it takes. Processors count for fillers too, which don't count against a
+    /// worker's room.
+    pub(crate) amount: Resources,
+}
+
+/// What a customer has running, and what it may have.
+#[derive(Debug)]
+pub(crate) struct Account {
+    pub(crate) name: Arc<str>,
+    /// The limit, where parts without one are as large as can be.
+    limit: Resources,
+    pub(crate) used: Resources,
+}
+
+impl Account {
+    fn new(name: Arc<str>) -> Self {
+        Self {
+            name,
+            limit: part_limits(Resources::ZERO),
+            used: Resources::ZERO,
+        }
+    }
+
+    /// Returns what may still be started. A limit that was lowered below what runs leaves
+    /// nothing.
+    pub(crate) fn left(&self) -> Resources {
+        self.limit - self.used
+    }
+
+    /// Returns whether what is in use is within the limit; it is not where the limit was
+    /// lowered.
+    pub(crate) fn is_within_limit(&self) -> bool {
+        self.used.fits_in(&self.limit)
+    }
+
+    /// Returns whether less than half of each part of the limit is in use.
+    pub(crate) fn is_under_half(&self) -> bool {
+        self.used.times(2).fits_in(&self.limit)
+    }
+}
+
+/// All customers' accounts. One that the operators have removed keeps its last limit:
+/// what was accepted of it is still run.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    accounts: PrimaryMap<CustomerKey, Account>,
+    by_name: HashMap<Arc<str>, CustomerKey>,
+}
+
+impl Accounts {
+    /// Returns a customer's key, with an account of its own from then on.
+    pub(crate) fn key_of(&mut self, name: &str) -> CustomerKey {
+        if let Some(&key) = self.by_name.get(name) {
+            return key;
+        }
+        let name: Arc<str> = Arc::from(name);
+        let key = self.accounts.push(Account::new(name.clone()));
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Takes in what the operators have set.
+    pub(crate) fn configure<'a>(&mut self, customers: impl Iterator<Item = &'a Customer>) {
+        for customer in customers {
+            let key = self.key_of(&customer.name);
+            let account = &mut self.accounts[key];
+            account.limit = part_limits(customer.limit);
+        }
+    }
+
+    /// Returns a customer's account.
+    pub(crate) fn get(&self, key: CustomerKey) -> &Account {
+        &self.accounts[key]
+    }
+
+    /// Returns all accounts.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (CustomerKey, &Account)> + '_ {
+        self.accounts.iter()
+    }
+
+    /// Adds a run.
+    pub(crate) fn charge(&mut self, charge: Charge) {
+        if let Some(key) = charge.customer {
+            self.accounts[key].used += charge.amount;
+        }
+    }
+
+    /// Takes a run off.
+    pub(crate) fn give_back(&mut self, charge: Charge) {
+        if let Some(key) = charge.customer {
+            self.accounts[key].used -= charge.amount;
+        }
+    }
+}
+
+impl Scheduler {
+    /// Returns what a run of a step takes of its customer's limit.
+    pub(crate) fn charge_of(&self, step: crate::job::StepKey) -> Charge {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return Charge::default();
+        };
+        let spec = job.record.spec.steps.get(step.step as usize);
+        Charge {
+            customer: job.customer,
+            amount: spec.map_or(Resources::ZERO, |spec| spec.demand),
+        }
+    }
+}
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -1,6 +1,7 @@
 //! One scheduling cycle: the free workers as it begins, and the room that steps
 //! served earlier in it have asked for or keep.
 
+use crate::customers::CustomerKey;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
@@ -39,6 +40,8 @@
     /// Room that is kept on workers for steps that wait for it: steps that come
     /// later in the cycle are less urgent and don't take it.
     kept: BTreeMap<WorkerKey, Resources>,
+    /// What of customers' limits steps wait to start that were looked at before.
+    claimed_limits: BTreeMap<CustomerKey, Resources>,
     /// The steps of single tasks that wait for workers so far.
     pub(crate) waiting_steps_count: usize,
     /// What all workers that may take a run hold, and what of it is free, in
@@ -67,6 +70,17 @@
         able.map(|free| free.worker)
     }
 
+    /// Takes a part of a customer's limit for a step that waits to start.
+    pub(crate) fn claim_limit(&mut self, customer: CustomerKey, amount: Resources) {
+        *self.claimed_limits.entry(customer).or_default() += amount;
+    }
+
+    /// Returns what of a customer's limit steps wait to start.
+    pub(crate) fn claimed_limit(&self, customer: CustomerKey) -> Resources {
+        let claimed = self.claimed_limits.get(&customer);
+        claimed.copied().unwrap_or_default()
+    }
+
     /// Keeps room on a worker for a step that waits for it.
     pub(crate) fn keep_room(&mut self, worker: WorkerKey, room: Resources) {
         *self.kept.entry(worker).or_default() += room;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -40,7 +40,7 @@
         out.push(Action::Log(line));
         let is_current = worker.runs.get(&end.task).map(|run| run.run) == Some(end.run);
         if is_current {
-            worker.remove_run(end.task);
+            self.remove_run(key, end.task);
             if self.placements.get(&end.task) == Some(&key) {
                 self.placements.remove(&end.task);
             }
@@ -211,7 +211,7 @@
         let Some(key) = self.placements.remove(&task) else {
             return;
         };
-        self.workers[key].remove_run(task);
+        self.remove_run(key, task);
         if let Some(state) = self.task_state_mut(task) {
             if state.status != TaskStatus::Done {
                 state.status = TaskStatus::Waiting;
@@ -286,7 +286,7 @@
             if self.placements.get(&task) == Some(&key) {
                 self.release(now, task, DecisionKind::RunLost, reason, out);
             } else {
-                self.workers[key].remove_run(task);
+                self.remove_run(key, task);
             }
         }
     }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -163,4 +163,21 @@
     pub accepted_ms: u64,
     /// What the client asks for.
     pub spec: JobSpec,
+    /// The customer that handed the job in; `None` where the queue is open to everybody.
+    pub customer: Option<String>,
+}
+
+impl JobRecord {
+    /// Returns whether whoever calls as `caller` may see and cancel the job.
+    pub fn is_open_to(&self, caller: Option<&str>) -> bool {
+        is_open_to(self.customer.as_deref(), caller)
+    }
+}
+
+/// Returns whether whoever calls as `caller` may see and cancel a job of `owner`.
+///
+/// A job that is nobody's was handed in on a queue that is open to everybody, or before
+/// customers were kept with jobs.
+pub(crate) fn is_open_to(owner: Option<&str>, caller: Option<&str>) -> bool {
+    owner.is_none_or(|owner| caller == Some(owner))
 }
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs: taken, cancelled, brought to their outcome, forgotten.
 
 use crate::commits::Effect;
+use crate::customers::CustomerKey;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
@@ -34,6 +35,8 @@
     pub(crate) shown: Phase,
     pub(crate) ended_at: Option<Instant>,
     pub(crate) rank: (u32, u64),
+    /// Whose job it is.
+    pub(crate) customer: Option<CustomerKey>,
     /// The time within which the job should be done, by its estimates.
     pub(crate) objective: Duration,
     /// The estimate of what is left of its longest chain, in milliseconds.
@@ -64,6 +67,7 @@
             shown: state.phase,
             ended_at: None,
             rank,
+            customer: None,
             accepted_at,
             objective: Duration::ZERO,
             left_ms: 0,
@@ -78,6 +82,7 @@
     pub(crate) fn keep_outcome_only(&mut self) {
         self.record = Arc::new(JobRecord {
             queue: self.record.queue.clone(),
+            customer: self.record.customer.clone(),
             ..JobRecord::default()
         });
         self.payload = Arc::from("");
@@ -168,6 +173,10 @@
         let objective = self.objective(&record);
         let mut job = Job::new(record, state, rank, now - age);
         job.objective = objective;
+        if let Some(name) = &job.record.customer {
+            let customer = self.accounts.key_of(name);
+            job.customer = Some(customer);
+        }
         job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
             self.active.insert(rank, id);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -63,9 +63,18 @@
                 None => self.add_worker(facts, out),
             }
         }
+        self.note_services();
         self.is_place_due = true;
     }
 
+    /// Notes which workers belong to a service that the operators have set: an entry that
+    /// names another one names no worker to use. What runs there runs on.
+    pub(crate) fn note_services(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.has_service = self.configuration.has_service(&worker.facts.service);
+        }
+    }
+
     /// Has workers asked at once at whose place another life is listed that was not met
     /// before in this term.
     ///
@@ -320,21 +329,22 @@
         }
         // The run is no run of ours: it is stopped, and its room counts until then.
         let demand = self.demand_of(task);
-        let worker = &mut self.workers[key];
         match demand {
-            Some(demand) if !worker.runs.contains_key(&task) => {
+            Some(demand) if !self.workers[key].runs.contains_key(&task) => {
                 let run = Run {
                     phase: RunPhase::Stopping {
                         sent_at: now,
                         taken_at: None,
                     },
                     progress_percent: listed.progress_percent,
+                    charge: self.charge_of(task.step),
                     ..Run::new(listed.run, demand, now)
                 };
-                worker.insert_foreign_run(task, run);
+                self.add_foreign_run(key, task, run);
             }
-            _ => worker.has_unknown_run = true,
+            _ => self.workers[key].has_unknown_run = true,
         }
+        let worker = &self.workers[key];
         let line = Decision::new(DecisionKind::StopSent, "not ours")
             .with_run(task, listed.run)
             .with_worker(&worker.facts.id);
@@ -407,7 +417,7 @@
             if self.placements.get(&task) == Some(&key) {
                 self.release(now, task, DecisionKind::NotStarted, reason, out);
             } else {
-                self.workers[key].remove_run(task);
+                self.remove_run(key, task);
             }
         }
         for task in vanished {
@@ -488,5 +498,5 @@
     has_runs
         || has_news
         || worker.has_unknown_run
-        || (worker.is_listed && (!worker.is_synced || !worker.is_reachable))
+        || (worker.is_listed && worker.has_service && (!worker.is_synced || !worker.is_reachable))
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod commits;
 mod config;
 mod crashes;
+mod customers;
 mod cycle;
 mod decision;
 mod ends;
@@ -31,12 +32,14 @@
 mod job;
 mod jobs;
 mod leases;
+mod limits;
 mod order;
 mod orders;
 mod placing;
 mod preemption;
 mod recovery;
 mod retries;
+mod runs;
 mod scheduler;
 mod sharing;
 mod state;
@@ -47,6 +50,7 @@
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
     LANES_COUNT,
 };
+pub use customers::Customer;
 pub use decision::{Decision, DecisionKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
@@ -58,7 +62,8 @@
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
 pub use state::{
-    JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState, TaskStatus,
+    JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
+    TaskStatus,
 };
 pub use verifier::Violation;
 pub use worker::{WorkerFacts, WorkerKey};
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -26,6 +26,7 @@
         let needs_ticket = self.needs_ticket(task.step);
         let fresh = self.advice.get(&task.step);
         let fresh = fresh.and_then(|advice| advice.ticket(now, key));
+        let is_within_limit = self.is_within_limit(task.step.job);
         let worker = &mut self.workers[key];
         let has_room = worker.has_room_to_send(task);
         let Some(run) = worker.runs.get_mut(&task) else {
@@ -43,6 +44,11 @@
             self.release(now, task, DecisionKind::NotStarted, "room shrank", out);
             return;
         }
+        if !is_within_limit {
+            // It was lowered since the start was placed.
+            self.release(now, task, DecisionKind::NotStarted, "limit lowered", out);
+            return;
+        }
         run.ticket = fresh;
         run.checkpoint = checkpoint;
         run.phase = RunPhase::Starting;
@@ -112,8 +118,9 @@
         let Some(run) = worker.runs.get(&task) else {
             return false;
         };
-        // The first one may not have arrived, and its room may be gone.
-        if worker.is_overfull() {
+        // The first one may not have arrived, and its room may be gone, or its customer's
+        // limit be lower.
+        if worker.is_overfull() || !self.is_within_limit(task.step.job) {
             return false;
         }
         let is_open = run.phase == RunPhase::Starting && run.sends_count < START_SENDS_LIMIT_COUNT;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -89,7 +89,6 @@
                 continue;
             };
             for step in job.ready_steps(id) {
-                cycle.examined_count += 1;
                 self.place_step(now, step, cycle, out);
             }
             if cycle.examined_count >= EXAMINED_LIMIT_COUNT {
@@ -105,24 +104,36 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending_step(key) else {
+        let Some(pending) = self.pending_step(key, cycle) else {
             return;
         };
         if self.yields_to_gangs(now, &pending, cycle) {
             return;
         }
+        self.serve_step(now, &pending, cycle, out);
+        self.claim_limit(&pending, cycle);
+    }
+
+    /// Places what of a step can be placed, and brings the rest nearer to its room.
+    fn serve_step(
+        &mut self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &mut SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) {
         let Some(policy) = pending.advice else {
-            if has_room(cycle, &pending) {
+            if has_room(cycle, pending) {
                 let workers = cycle.workers_for(&pending.demand);
-                let candidates = self.candidates(now, &pending, cycle, workers);
-                self.allocate(now, &pending, candidates, out);
+                let candidates = self.candidates(now, pending, cycle, workers);
+                self.allocate(now, pending, candidates, out);
             }
             return;
         };
         if pending.spec().is_gang {
-            self.place_gang(now, &pending, policy, cycle, out);
+            self.place_gang(now, pending, policy, cycle, out);
         } else {
-            self.place_tasks(now, &pending, policy, cycle, out);
+            self.place_tasks(now, pending, policy, cycle, out);
         }
     }
 
@@ -231,15 +242,25 @@
         needed_until < job.accepted_at + job.objective
     }
 
-    /// Returns what is to be placed of a step, where anything is.
-    fn pending_step(&self, key: StepKey) -> Option<PendingStep> {
+    /// Returns what is to be placed of a step, where anything is: as many tasks as its
+    /// customer's limit lets start, or a whole gang.
+    fn pending_step(&self, key: StepKey, cycle: &mut SchedulingCycle) -> Option<PendingStep> {
         let job = self.jobs.get(&key.job)?;
         let spec = job.record.spec.steps.get(key.step as usize)?;
+        let allowed_count = self.allowed_count(job.customer, spec, cycle);
+        // What a limit holds back costs a cycle no more than this.
+        let least_count = if spec.is_gang { spec.tasks_count } else { 1 };
+        if allowed_count < least_count {
+            self.hold_limit_for_gang(job.customer, spec, cycle);
+            return None;
+        }
+        cycle.examined_count += 1;
         let step = job.state.round(key.round)?.steps.get(key.step as usize)?;
-        let waiting = waiting_tasks(step);
+        let mut waiting = waiting_tasks(step);
         if waiting.is_empty() || (spec.is_gang && waiting.len() < step.tasks.len()) {
             return None;
         }
+        waiting.truncate(allowed_count as usize);
         let queue = self.configuration.queue(&job.record.queue);
         let service = queue.map_or(&job.record.service, |queue| &queue.service);
         Some(PendingStep {
@@ -344,9 +365,10 @@
         let run = Run {
             role: RunRole::of(pending.spec()),
             is_on_trial,
+            charge: self.charge_of(pending.key),
             ..Run::new(number, pending.demand, now)
         };
-        self.workers[key].insert_run(task, run);
+        self.add_run(key, task, run);
         self.placements.insert(task, key);
         let free = self.workers[key].free().cores_milli;
         let reason = if is_on_trial {
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -4,7 +4,7 @@
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
-use crate::state::{JobState, Phase, TaskStatus};
+use crate::state::{JobOutcome, JobState, Phase, TaskStatus};
 use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Instant, Resources};
 use std::collections::{HashMap, HashSet};
@@ -16,7 +16,7 @@
     /// The accepted jobs, in the order in which they were accepted.
     pub jobs: Vec<(JobId, JobRecord)>,
     /// The jobs of which only the outcome is kept.
-    pub ended: Vec<(JobId, Phase)>,
+    pub ended: Vec<(JobId, JobOutcome)>,
     /// The jobs that were cancelled.
     pub cancels: Vec<JobId>,
     /// The jobs' progress, for those that have any.
@@ -56,8 +56,8 @@
             let state = states.remove(&id).unwrap_or_default();
             scheduler.inherit_job(now, id, record, state);
         }
-        for (id, phase) in recovered.ended {
-            scheduler.inherit_outcome(now, id, phase);
+        for (id, outcome) in recovered.ended {
+            scheduler.inherit_outcome(now, id, outcome);
         }
         let mut ignored = Vec::new();
         for id in cancelled {
@@ -66,12 +66,16 @@
         scheduler
     }
 
-    fn inherit_outcome(&mut self, now: Instant, id: JobId, phase: Phase) {
+    fn inherit_outcome(&mut self, now: Instant, id: JobId, outcome: JobOutcome) {
         let state = JobState {
-            phase,
+            phase: outcome.phase,
             ..JobState::default()
         };
-        let mut job = Job::new(JobRecord::default(), state, (0, 0), now);
+        let record = JobRecord {
+            customer: outcome.customer,
+            ..JobRecord::default()
+        };
+        let mut job = Job::new(record, state, (0, 0), now);
         job.ended_at = Some(now);
         self.jobs.insert(id, job);
     }
@@ -98,9 +102,10 @@
             phase: RunPhase::Inherited,
             role: self.role_of(inherited.task),
             is_on_trial: self.is_suspect(inherited.task),
+            charge: self.charge_of(inherited.task.step),
             ..Run::new(inherited.run, demand, now)
         };
-        self.workers[key].insert_run(inherited.task, run);
+        self.add_run(key, inherited.task, run);
         self.placements.insert(inherited.task, key);
     }
 
--- /dev/null
+++ b/crates/scheduler/src/runs.rs
@@ -0,0 +1,26 @@
+//! The runs that occupy workers, and what they take of their customers' limits.
+
+use crate::job::TaskKey;
+use crate::scheduler::Scheduler;
+use crate::worker::{Run, WorkerKey};
+
+impl Scheduler {
+    /// Adds a run that this leader starts or has inherited.
+    pub(crate) fn add_run(&mut self, worker: WorkerKey, task: TaskKey, run: Run) {
+        self.accounts.charge(run.charge);
+        self.workers[worker].insert_run(task, run);
+    }
+
+    /// Adds a run that an earlier leader started, when the worker may have held more.
+    pub(crate) fn add_foreign_run(&mut self, worker: WorkerKey, task: TaskKey, run: Run) {
+        self.accounts.charge(run.charge);
+        self.workers[worker].insert_foreign_run(task, run);
+    }
+
+    /// Removes a run that can't be alive any more.
+    pub(crate) fn remove_run(&mut self, worker: WorkerKey, task: TaskKey) {
+        if let Some(run) = self.workers[worker].remove_run(task) {
+            self.accounts.give_back(run.charge);
+        }
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::advisers::Advisers;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
+use crate::customers::Accounts;
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
@@ -64,6 +65,7 @@
 pub struct Scheduler {
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
+    pub(crate) accounts: Accounts,
     pub(crate) workers: PrimaryMap<WorkerKey, Worker>,
     pub(crate) workers_by_id: HashMap<Arc<str>, WorkerKey>,
     pub(crate) jobs: HashMap<JobId, Job>,
@@ -111,9 +113,12 @@
 
 impl Scheduler {
     pub(crate) fn empty(config: SchedulerConfig, configuration: Configuration) -> Self {
+        let mut accounts = Accounts::default();
+        accounts.configure(configuration.customers.values());
         Self {
             config,
             configuration,
+            accounts,
             workers: PrimaryMap::new(),
             workers_by_id: HashMap::new(),
             jobs: HashMap::new(),
@@ -195,6 +200,13 @@
         self.flush_commits(now, out);
     }
 
+    /// Returns the state of a job that clients are shown, where the job is known and open
+    /// to the caller.
+    pub fn job_for(&self, caller: Option<&str>, job: JobId) -> Option<JobView> {
+        let record = &self.jobs.get(&job)?.record;
+        self.job(job).filter(|_| record.is_open_to(caller))
+    }
+
     /// Returns the state of a job that clients are shown, where the job is known.
     pub fn job(&self, job: JobId) -> Option<JobView> {
         let job = self.jobs.get(&job)?;
@@ -268,7 +280,9 @@
         }
         let line = Decision::new(DecisionKind::Configured, "newer version");
         out.push(Action::Log(line.with_figure(configuration.version)));
+        self.accounts.configure(configuration.customers.values());
         self.configuration = configuration;
+        self.note_services();
         self.is_place_due = true;
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -1,7 +1,7 @@
 //! What the store keeps of a job's progress.
 
 use crate::evidence::CrashRecord;
-use crate::job::JobRecord;
+use crate::job::{is_open_to, JobRecord, JobSpec};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -12,6 +12,11 @@
 /// The first byte of progress with crash records behind it. Progress without any is
 /// written as before, so that nodes of the version before read it.
 const CRASHES_FORM: u8 = 3;
+/// The first byte of an accepted job of a customer. One that is nobody's is written as
+/// before; nodes of the version before keep what they can't read apart and leave it alone.
+const CUSTOMERS_JOB_FORM: u8 = 4;
+/// The same of an outcome.
+const CUSTOMERS_OUTCOME_FORM: u8 = 5;
 
 /// The phase of a job's life that clients are shown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -161,10 +166,10 @@
     /// Returns the stored form.
     pub fn to_bytes(&self) -> Vec<u8> {
         if self.crashes.is_empty() {
-            return to_stored(self);
+            return to_form(FORM_VERSION, self);
         }
         let parts = (self, &self.crashes);
-        postcard::to_extend(&parts, vec![CRASHES_FORM]).unwrap_or_default()
+        to_form(CRASHES_FORM, &parts)
     }
 
     /// Reads the stored form.
@@ -186,7 +191,63 @@
 impl JobRecord {
     /// Returns the stored form.
     pub fn to_bytes(&self) -> Vec<u8> {
-        to_stored(self)
+        if self.customer.is_some() {
+            return to_form(CUSTOMERS_JOB_FORM, self);
+        }
+        let parts = (&self.queue, &self.service, self.accepted_ms, &self.spec);
+        to_form(FORM_VERSION, &parts)
+    }
+
+    fn from_parts((queue, service, accepted_ms, spec): RecordParts) -> Self {
+        Self {
+            queue,
+            service,
+            accepted_ms,
+            spec,
+            customer: None,
+        }
+    }
+}
+
+/// The fields of a record that is nobody's, in their order.
+type RecordParts = (String, String, u64, JobSpec);
+
+/// A job's outcome, and whose job it was.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobOutcome {
+    /// How the job ended.
+    pub phase: Phase,
+    /// The customer that handed the job in, where it was one.
+    pub customer: Option<String>,
+}
+
+impl JobOutcome {
+    /// Creates the outcome of a job that is nobody's.
+    pub const fn new(phase: Phase) -> Self {
+        Self {
+            phase,
+            customer: None,
+        }
+    }
+
+    /// Sets whose job it was.
+    pub fn with_customer(mut self, customer: Option<String>) -> Self {
+        self.customer = customer;
+        self
+    }
+
+    /// Returns whether whoever calls as `caller` may see the outcome.
+    pub fn is_open_to(&self, caller: Option<&str>) -> bool {
+        is_open_to(self.customer.as_deref(), caller)
+    }
+
+    /// Returns the stored form.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        if self.customer.is_some() {
+            to_form(CUSTOMERS_OUTCOME_FORM, self)
+        } else {
+            to_form(OUTCOME_FORM, &self.phase)
+        }
     }
 }
 
@@ -200,13 +261,16 @@
     /// What was accepted.
     Accepted(Box<JobRecord>),
     /// The job's outcome; nothing of it runs any more.
-    Ended(Phase),
+    Ended(JobOutcome),
 }
 
 impl StoredJob {
-    /// Returns the stored form of an outcome.
-    pub fn outcome_bytes(phase: Phase) -> Vec<u8> {
-        postcard::to_extend(&phase, vec![OUTCOME_FORM]).unwrap_or_default()
+    /// Returns whether whoever calls as `caller` may see the job.
+    pub fn is_open_to(&self, caller: Option<&str>) -> bool {
+        match self {
+            Self::Accepted(record) => record.is_open_to(caller),
+            Self::Ended(outcome) => outcome.is_open_to(caller),
+        }
     }
 
     /// Reads the stored form.
@@ -216,14 +280,22 @@
     /// Returns a [`StateError`] where the bytes are of another version or damaged.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, StateError> {
         match bytes.split_first() {
-            Some((&OUTCOME_FORM, rest)) => read_postcard(rest).map(Self::Ended),
-            _ => from_stored(bytes).map(|record| Self::Accepted(Box::new(record))),
+            Some((&OUTCOME_FORM, rest)) => {
+                let phase = read_postcard(rest)?;
+                Ok(Self::Ended(JobOutcome::new(phase)))
+            }
+            Some((&CUSTOMERS_OUTCOME_FORM, rest)) => read_postcard(rest).map(Self::Ended),
+            Some((&CUSTOMERS_JOB_FORM, rest)) => read_postcard(rest).map(Self::Accepted),
+            _ => {
+                let record = JobRecord::from_parts(from_stored(bytes)?);
+                Ok(Self::Accepted(Box::new(record)))
+            }
         }
     }
 }
 
-fn to_stored<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_extend(value, vec![FORM_VERSION]).unwrap_or_default()
+fn to_form<T: Serialize>(form: u8, value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![form]).unwrap_or_default()
 }
 
 fn from_stored<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, StateError> {
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -1,10 +1,12 @@
 //! A verifier of the scheduler's invariants, for tests and searches.
 
+use crate::customers::CustomerKey;
 use crate::job::{JobId, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::Resources;
+use std::collections::HashMap;
 use thiserror::Error;
 
 /// An invariant that does not hold.
@@ -16,6 +18,9 @@
     /// A worker has been given more than it holds.
     #[error("worker {0} has been given more than it holds")]
     Overcommitted(String),
+    /// A customer's account differs from its runs.
+    #[error("the account of customer {0} is miscounted")]
+    Account(String),
     /// A task's state and the table of runs disagree.
     #[error("task {0} is not where its state says")]
     Placement(TaskKey),
@@ -38,6 +43,7 @@
     /// Returns the first [`Violation`] found.
     pub fn verify(&self) -> Result<(), Violation> {
         self.verify_rooms()?;
+        self.verify_accounts()?;
         self.verify_placements()?;
         self.verify_reservations()?;
         self.verify_commits()?;
@@ -80,6 +86,22 @@
         Ok(())
     }
 
+    fn verify_accounts(&self) -> Result<(), Violation> {
+        let mut used: HashMap<CustomerKey, Resources> = HashMap::new();
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        for (_, run) in runs {
+            if let Some(customer) = run.charge.customer {
+                *used.entry(customer).or_default() += run.charge.amount;
+            }
+        }
+        for (key, account) in self.accounts.iter() {
+            if account.used != used.get(&key).copied().unwrap_or_default() {
+                return Err(Violation::Account(account.name.to_string()));
+            }
+        }
+        Ok(())
+    }
+
     fn verify_commits(&self) -> Result<(), Violation> {
         let open: Vec<JobId> = self.commits.open_jobs().collect();
         let noted_count = self.jobs.values().filter(|job| job.is_on_its_way).count();
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,5 +1,6 @@
 //! Workers and the runs that occupy them.
 
+use crate::customers::Charge;
 use crate::event::Endpoint;
 use crate::evidence::Suspicion;
 use crate::job::{StepKey, TaskKey};
@@ -73,6 +74,8 @@
     pub(crate) run: u32,
     pub(crate) phase: RunPhase,
     pub(crate) demand: Resources,
+    /// What it takes of its customer's limit.
+    pub(crate) charge: Charge,
     pub(crate) role: RunRole,
     pub(crate) ticket: Option<Arc<str>>,
     /// The checkpoint that its start brings.
@@ -97,6 +100,10 @@
             run,
             phase: RunPhase::Recording,
             demand,
+            charge: Charge {
+                customer: None,
+                amount: Resources::ZERO,
+            },
             role: RunRole::Plain,
             ticket: None,
             checkpoint: None,
@@ -145,6 +152,8 @@
     pub(crate) facts: WorkerFacts,
     /// Whether the platform's list has it.
     pub(crate) is_listed: bool,
+    /// Whether its service is one that the operators have set.
+    pub(crate) has_service: bool,
     /// Whether this life is certainly over.
     pub(crate) is_gone: bool,
     /// Whether its lists have been taken over under this fence.
@@ -202,6 +211,7 @@
         Self {
             facts,
             is_listed: true,
+            has_service: true,
             is_gone: false,
             is_synced: false,
             is_reachable: true,
@@ -315,6 +325,7 @@
     /// Returns whether a new run may be sent there.
     pub(crate) fn is_placeable(&self, now: Instant) -> bool {
         self.is_listed
+            && self.has_service
             && !self.is_gone
             && self.is_synced
             && self.is_reachable
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod crash_figures;
 mod crashes;
+mod customers;
 mod lapses;
 mod pending;
 mod repeats;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -4,7 +4,7 @@
 //! outcome once the faults are over.
 
 use crate::support::world::{Faults, World};
-use crate::support::{advice, job, patient_job, step};
+use crate::support::{advice, configuration_with, customer, job, job_of, patient_job, step};
 use ospreywing_scheduler::{AdvicePolicy, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
@@ -35,6 +35,7 @@
     resize: 0,
     pause: 0,
     stale_entry: 0,
+    limit: 0,
 };
 
 /// Seeds that found something, in whichever case: they are searched always.
@@ -302,3 +303,44 @@
         world.assert_no_strays();
     }
 }
+
+/// Customers whose limits are changed all the time, below what they have running and up
+/// again: none has more running than it may.
+#[rstest]
+#[case::quiet(Faults { limit: 100, ..Faults::default() })]
+#[case::takeovers(Faults { limit: 100, takeover: 40, ..Faults::default() })]
+#[case::trouble(Faults { limit: 100, trouble: 40, takeover: 10, ..Faults::default() })]
+#[case::cuts(Faults { limit: 60, cut: 40, lost_answer: 40, crash: 10, ..Faults::default() })]
+#[case::paused(Faults { limit: 60, pause: 60, ..Faults::default() })]
+#[case::everything(Faults { limit: 60, resize: 20, pause: 20, stale_entry: 50, ..EVERYTHING })]
+fn scheduler_keeps_customers_limits(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let policy = has_advice.then(advice);
+        let mut world = World::new(seed, 8, faults, policy);
+        let customers = vec![customer("one", 4, 2.0), customer("two", 6, 100.0)];
+        world.configure(configuration_with(2, policy, customers));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=16 {
+            let steps = match number % 4 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                2 => vec![step(1), after(0, gang(2))],
+                _ => vec![step(6)],
+            };
+            let of = match number % 3 {
+                0 => job(number, steps),
+                1 => job_of("one", number, steps),
+                _ => job_of("two", number, steps),
+            };
+            world.submit(of);
+            world.run_for(300);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -284,8 +284,8 @@
     match change.kind {
         ChangeKind::Progress(bytes) => JobState::from_bytes(&bytes).ok(),
         ChangeKind::Outcome(bytes) => match StoredJob::from_bytes(&bytes) {
-            Ok(StoredJob::Ended(phase)) => Some(JobState {
-                phase,
+            Ok(StoredJob::Ended(outcome)) => Some(JobState {
+                phase: outcome.phase,
                 ..JobState::default()
             }),
             other => panic!("not an outcome: {other:?}"),
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/support/limits.rs
@@ -0,0 +1,98 @@
+//! The rule on customers' limits, checked from the outside at each start.
+
+use super::worker::FakeWorker;
+use ospreywing_scheduler::{Customer, JobId, JobRecord, StartOrder, TaskKey};
+use ospreywing_types::Resources;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// For how long a limit counts that was lowered: a message on its way, and an order that
+/// is carried out late.
+const PROMPT_COUNTS_MS: u64 = 100;
+const LATE_COUNTS_MS: u64 = 12_100;
+
+/// The limits that customers have had.
+pub struct LimitRule {
+    /// Each customer's limits, and when each came into force.
+    limits: BTreeMap<String, Vec<(u64, Resources)>>,
+    /// Whether orders may be carried out late.
+    has_late_orders: bool,
+}
+
+impl LimitRule {
+    /// Creates the rule where orders may be carried out late, or may not.
+    pub fn new(has_late_orders: bool) -> Self {
+        Self {
+            limits: BTreeMap::new(),
+            has_late_orders,
+        }
+    }
+
+    /// Notes what the operators have set.
+    pub fn note<'a>(&mut self, now_ms: u64, customers: impl Iterator<Item = &'a Customer>) {
+        for customer in customers {
+            let limits = self.limits.entry(customer.name.to_string()).or_default();
+            limits.push((now_ms, customer.limit));
+        }
+    }
+
+    /// Returns the highest limit of a customer that counts now.
+    fn highest(&self, now_ms: u64, customer: &str) -> Option<Resources> {
+        let counts_ms = if self.has_late_orders {
+            LATE_COUNTS_MS
+        } else {
+            PROMPT_COUNTS_MS
+        };
+        let limits = self.limits.get(customer)?;
+        let from_ms = now_ms.saturating_sub(counts_ms);
+        let first = limits
+            .iter()
+            .rposition(|(since_ms, _)| *since_ms <= from_ms);
+        let counting = &limits[first.unwrap_or(0)..];
+        let highest = counting.iter().map(|(_, limit)| *limit);
+        highest.reduce(|one, other| one.max(other))
+    }
+
+    /// Checks a start that worker `index` is about to carry out; `done` are the tasks with
+    /// an end as done.
+    ///
+    /// The members of a gang end together on real workers, and one by one on these: once
+    /// one is done, none of them counts.
+    pub fn check_start(
+        &self,
+        now_ms: u64,
+        workers: &[FakeWorker],
+        index: usize,
+        order: &StartOrder,
+        jobs: &BTreeMap<JobId, JobRecord>,
+        done: &BTreeSet<TaskKey>,
+    ) {
+        let record = &jobs[&order.task.step.job];
+        let Some(customer) = &record.customer else {
+            return;
+        };
+        let Some(limit) = self.highest(now_ms, customer) else {
+            return;
+        };
+        let has_ended = |task: &TaskKey| {
+            let is_gang = jobs[&task.step.job].spec.steps[task.step.step as usize].is_gang;
+            let mut members = done.range(task.step.task(0)..=task.step.task(u32::MAX));
+            is_gang && members.next().is_some()
+        };
+        let mut used = record.spec.steps[order.task.step.step as usize].demand;
+        for (other, worker) in workers.iter().enumerate() {
+            for task in worker.runs.keys().filter(|_| worker.is_alive) {
+                let is_same = other == index && *task == order.task;
+                let record = &jobs[&task.step.job];
+                if !is_same && !has_ended(task) && record.customer.as_ref() == Some(customer) {
+                    used += record.spec.steps[task.step.step as usize].demand;
+                }
+            }
+        }
+        assert!(
+            used.fits_in(&limit),
+            "with {} customer {customer} has {used} running at {now_ms} ms, and may have {limit}: {:?}",
+            order.task,
+            self.limits[customer]
+        );
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -2,15 +2,18 @@
 //! through time by a seed, with every rule checked from the outside.
 
 pub mod bench;
+pub mod limits;
 pub mod rules;
 pub mod worker;
 pub mod world;
 
 use ospreywing_scheduler::{
-    AdvicePolicy, Configuration, JobId, JobRecord, JobSpec, JobState, Queue, RoundState,
+    AdvicePolicy, Configuration, Customer, JobId, JobRecord, JobSpec, JobState, Queue, RoundState,
     ServicePolicy, StepKey, StepSpec, TaskKey, TaskStatus,
 };
 use ospreywing_types::{Duration, Resources};
+use std::collections::HashMap;
+use std::sync::Arc;
 
 /// The queue of most jobs in these tests.
 pub const QUEUE: &str = "render";
@@ -40,6 +43,7 @@
         services: vec![ServicePolicy {
             name: SERVICE.to_owned(),
         }],
+        customers: HashMap::new(),
     }
 }
 
@@ -73,6 +77,7 @@
             steps,
             schedule: None,
         },
+        customer: None,
     };
     (JobId::new(number), record)
 }
@@ -117,3 +122,34 @@
         ..JobState::default()
     }
 }
+
+/// Returns a customer that may have so many tasks of [`step`] running, and hand in so many
+/// jobs a second.
+pub fn customer(name: &str, tasks_count: u32, jobs_per_s: f64) -> Customer {
+    Customer {
+        name: Arc::from(name),
+        jobs_per_s,
+        limit: step(1).demand.times(tasks_count),
+    }
+}
+
+/// Returns a configuration with these customers.
+pub fn configuration_with(
+    version: u64,
+    advice: Option<AdvicePolicy>,
+    customers: Vec<Customer>,
+) -> Configuration {
+    let customers = customers.into_iter();
+    Configuration {
+        version,
+        customers: customers.map(|it| (it.name.clone(), it)).collect(),
+        ..configuration(advice)
+    }
+}
+
+/// Returns a job of a customer.
+pub fn job_of(customer: &str, number: u64, steps: Vec<StepSpec>) -> (JobId, JobRecord) {
+    let (id, mut record) = job(number, steps);
+    record.customer = Some(customer.to_owned());
+    (id, record)
+}
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -144,11 +144,11 @@
                 }
                 ChangeKind::Outcome(bytes) => {
                     let ended = StoredJob::from_bytes(&bytes).expect("an outcome");
-                    let StoredJob::Ended(phase) = ended else {
+                    let StoredJob::Ended(outcome) = ended else {
                         panic!("an outcome is no record");
                     };
                     self.states.remove(&change.job);
-                    self.ended.insert(change.job, phase);
+                    self.ended.insert(change.job, outcome);
                 }
                 ChangeKind::Forget => {
                     self.states.remove(&change.job);
@@ -245,6 +245,14 @@
         }
         self.rules
             .check_start(now_ms, &self.workers, index, order, &self.jobs);
+        self.limit_rule.check_start(
+            now_ms,
+            &self.workers,
+            index,
+            order,
+            &self.jobs,
+            &self.rules.done,
+        );
         if !is_late {
             self.rules
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -1,6 +1,7 @@
 //! Faults: drawn at each tick, and how they strike.
 
 use super::{Message, World, LEADER_LEASE_MS};
+use crate::support::step;
 use crate::support::worker::FakeWorker;
 use ospreywing_scheduler::{Event, TaskKey};
 use rand::Rng;
@@ -25,6 +26,9 @@
 /// How long a leader stands still. Where that is longer than its lease, another leads.
 const PAUSE_MS: core::ops::Range<u64> = 200..4_000;
 
+/// The tasks of the usual size that a customer's limit holds: the largest gang at least.
+const LIMIT_TASKS_COUNT: core::ops::Range<u32> = 4..14;
+
 impl World {
     /// Takes workers down at once; they are back after a while.
     pub fn lose(&mut self, workers: &[usize]) {
@@ -68,6 +72,9 @@
         if self.faults.resize > 0 && self.draw(self.faults.resize) {
             self.shrink_at_random();
         }
+        if self.faults.limit > 0 && self.draw(self.faults.limit) {
+            self.change_limits();
+        }
         let index = self.rng.random_range(0..self.workers.len());
         if self.draw(self.faults.drain) && self.workers[index].is_alive {
             self.workers[index].is_draining = true;
@@ -77,6 +84,20 @@
         }
     }
 
+    /// Sets other limits for all customers, each between a few tasks and plenty.
+    fn change_limits(&mut self) {
+        let mut configuration = self.configuration.clone();
+        configuration.version += self.rng.random_range(1..5);
+        // In the order of their names, so that a seed is played alike each time.
+        let mut customers: Vec<_> = configuration.customers.values_mut().collect();
+        customers.sort_by(|one, other| one.name.cmp(&other.name));
+        for customer in customers {
+            let tasks_count = self.rng.random_range(LIMIT_TASKS_COUNT);
+            customer.limit = step(1).demand.times(tasks_count);
+        }
+        self.configure(configuration);
+    }
+
     /// Lists a worker again whose life was over before.
     fn list_dead_again(&mut self) {
         let index = self.rng.random_range(0..self.workers.len());
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -3,11 +3,13 @@
 mod delivery;
 mod faults;
 
+use super::limits::LimitRule;
 use super::rules::Rules;
 use super::worker::FakeWorker;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event, JobId,
-    JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder, TaskKey, Ticket,
+    JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
+    TaskKey, Ticket,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -47,6 +49,8 @@
     pub pause: u32,
     /// Ticks at which a dead worker's last write comes to the store at last.
     pub stale_entry: u32,
+    /// Ticks at which the operators set other limits for all customers.
+    pub limit: u32,
 }
 
 enum Message {
@@ -133,7 +137,7 @@
     cancels: Vec<JobId>,
     states: BTreeMap<JobId, Vec<u8>>,
     /// Jobs of which the store keeps the outcome only.
-    ended: BTreeMap<JobId, Phase>,
+    ended: BTreeMap<JobId, JobOutcome>,
     pub rules: Rules,
     last_faults_at_ms: u64,
     has_trouble: bool,
@@ -151,6 +155,7 @@
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
+    limit_rule: LimitRule,
 }
 
 impl World {
@@ -192,11 +197,20 @@
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
+            limit_rule: LimitRule::new(faults.late_order > 0),
         };
         world.elect();
         world
     }
 
+    /// Brings a configuration into force.
+    pub fn configure(&mut self, configuration: Configuration) {
+        let customers = configuration.customers.values();
+        self.limit_rule.note(self.now_ms, customers);
+        self.configuration = configuration.clone();
+        self.tell_all(Event::Configured(configuration));
+    }
+
     /// Begins a term with another rule on crashes.
     pub fn elect_with(&mut self, policy: CrashPolicy) {
         self.crash_policy = policy;
@@ -243,7 +257,7 @@
         });
         let recovered = Recovered {
             jobs: jobs.collect(),
-            ended: self.ended.iter().map(|(id, phase)| (*id, *phase)).collect(),
+            ended: self.ended.clone().into_iter().collect(),
             cancels: self.cancels.clone(),
             states: states.collect(),
             wall_ms: self.now_ms,
