Put what a customer hands in beyond its share behind all other work

Cause: a customer that sends several times its usual took the room of all others: the order of service knew nothing of customers.

Test: customers_load.rs plays eight customers, one of which sends 2, 5 or 10 times its usual: the others lose at most 0.02 of their jobs in time.

--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -6,9 +6,10 @@
 //! more than they hold, so both accounts are as sure as each other.
 
 use crate::job::{JobRecord, StepSpec};
+use crate::job_rate::JobRate;
 use crate::scheduler::Scheduler;
 use cranelift_entity::{entity_impl, PrimaryMap};
-use ospreywing_types::Resources;
+use ospreywing_types::{Instant, Resources};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -71,6 +72,7 @@
     /// The limit, where parts without one are as large as can be.
     limit: Resources,
     pub(crate) used: Resources,
+    rate: JobRate,
 }
 
 impl Account {
@@ -79,6 +81,7 @@
             name,
             limit: part_limits(Resources::ZERO),
             used: Resources::ZERO,
+            rate: JobRate::default(),
         }
     }
 
@@ -126,6 +129,7 @@
             let key = self.key_of(&customer.name);
             let account = &mut self.accounts[key];
             account.limit = part_limits(customer.limit);
+            account.rate.set_jobs_per_s(customer.jobs_per_s);
         }
     }
 
@@ -152,6 +156,11 @@
             self.accounts[key].used -= charge.amount;
         }
     }
+
+    /// Notes that a customer handed a job in; returns whether it is more than its share.
+    pub(crate) fn note_job(&mut self, key: CustomerKey, accepted_at: Instant) -> bool {
+        !self.accounts[key].rate.take(accepted_at)
+    }
 }
 
 impl Scheduler {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -37,6 +37,8 @@
     pub(crate) rank: (u32, u64),
     /// Whose job it is.
     pub(crate) customer: Option<CustomerKey>,
+    /// Whether its customer had handed in more than its share when it came.
+    pub(crate) is_beyond_share: bool,
     /// The time within which the job should be done, by its estimates.
     pub(crate) objective: Duration,
     /// The estimate of what is left of its longest chain, in milliseconds.
@@ -68,6 +70,7 @@
             ended_at: None,
             rank,
             customer: None,
+            is_beyond_share: false,
             accepted_at,
             objective: Duration::ZERO,
             left_ms: 0,
@@ -176,6 +179,7 @@
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_of(name);
             job.customer = Some(customer);
+            job.is_beyond_share = self.accounts.note_job(customer, job.accepted_at);
         }
         job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,6 +30,7 @@
 mod gang_search;
 mod gangs;
 mod job;
+mod job_rate;
 mod jobs;
 mod leases;
 mod limits;
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -35,6 +35,8 @@
 /// A job's place in the order of service; the smallest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceRank {
+    /// Whether its customer hands in more than its share: that work comes after all else.
+    is_beyond_share: bool,
     urgency: Urgency,
     /// The priority of its queue; 0 comes first.
     priority: u32,
@@ -72,6 +74,7 @@
         let (priority, number) = job.rank;
         let (urgency, due) = self.urgency(now, job);
         Some(ServiceRank {
+            is_beyond_share: job.is_beyond_share,
             urgency,
             priority,
             due,
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod crash_figures;
 mod crashes;
 mod customers;
+mod customers_load;
 mod lapses;
 mod pending;
 mod repeats;
