--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -25,6 +25,13 @@
         .worker
         .as_ref()
         .map_or("", |worker: &Arc<str>| worker);
+    if let Some(customer) = &decision.customer {
+        return info!(log, "{}", kind;
+            "job" => decision.job.map(|job| job.to_string()),
+            "customer" => &*customer.name,
+            "used" => customer.used.to_string(), "limit" => customer.limit.to_string(),
+            "reason" => decision.reason, "figure" => decision.figure);
+    }
     match (decision.task, decision.job) {
         (Some(task), _) => info!(log, "{}", kind;
             "task" => %task, "run" => decision.run, "worker" => worker,
--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -7,6 +7,7 @@
 
 use crate::job::{JobRecord, StepSpec};
 use crate::job_rate::JobRate;
+use crate::limits::least_count;
 use crate::scheduler::Scheduler;
 use cranelift_entity::{entity_impl, PrimaryMap};
 use ospreywing_types::{Instant, Resources};
@@ -36,8 +37,7 @@
 
 /// Returns what a step must have running at once to get anywhere.
 fn least_room(step: &StepSpec) -> Resources {
-    let together_count = if step.is_gang { step.tasks_count } else { 1 };
-    step.demand.times(together_count)
+    step.demand.times(least_count(step))
 }
 
 /// Returns a limit with the parts raised that have none.
@@ -50,6 +50,17 @@
     )
 }
 
+/// What a customer has running and what it may have, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CustomerUse {
+    /// Its name.
+    pub name: Arc<str>,
+    /// What it has running.
+    pub used: Resources,
+    /// What it may have; a part that is 0 has no limit.
+    pub limit: Resources,
+}
+
 /// A customer's account in one scheduler.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct CustomerKey(u32);
@@ -69,7 +80,7 @@
 #[derive(Debug)]
 pub(crate) struct Account {
     pub(crate) name: Arc<str>,
-    /// The limit, where parts without one are as large as can be.
+    /// The limit; a part that is 0 has none.
     limit: Resources,
     pub(crate) used: Resources,
     rate: JobRate,
@@ -79,27 +90,36 @@
     fn new(name: Arc<str>) -> Self {
         Self {
             name,
-            limit: part_limits(Resources::ZERO),
+            limit: Resources::ZERO,
             used: Resources::ZERO,
             rate: JobRate::default(),
         }
     }
 
+    /// Returns the customer's use for the log.
+    pub(crate) fn to_use(&self) -> CustomerUse {
+        CustomerUse {
+            name: self.name.clone(),
+            used: self.used,
+            limit: self.limit,
+        }
+    }
+
     /// Returns what may still be started. A limit that was lowered below what runs leaves
     /// nothing.
     pub(crate) fn left(&self) -> Resources {
-        self.limit - self.used
+        part_limits(self.limit) - self.used
     }
 
     /// Returns whether what is in use is within the limit; it is not where the limit was
     /// lowered.
     pub(crate) fn is_within_limit(&self) -> bool {
-        self.used.fits_in(&self.limit)
+        self.used.fits_in(&part_limits(self.limit))
     }
 
     /// Returns whether less than half of each part of the limit is in use.
     pub(crate) fn is_under_half(&self) -> bool {
-        self.used.times(2).fits_in(&self.limit)
+        self.used.times(2).fits_in(&part_limits(self.limit))
     }
 }
 
@@ -128,7 +148,7 @@
         for customer in customers {
             let key = self.key_of(&customer.name);
             let account = &mut self.accounts[key];
-            account.limit = part_limits(customer.limit);
+            account.limit = customer.limit;
             account.rate.set_jobs_per_s(customer.jobs_per_s);
         }
     }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -1,5 +1,6 @@
 //! What is logged: one entry per decision.
 
+use crate::customers::CustomerUse;
 use crate::job::{JobId, TaskKey};
 use std::sync::Arc;
 
@@ -8,6 +9,8 @@
 pub enum DecisionKind {
     /// A job came in.
     JobTaken,
+    /// A job's work is held back by its customer's limit.
+    JobHeld,
     /// A run was given to a worker.
     Placed,
     /// A start was sent.
@@ -53,6 +56,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::JobTaken => "job taken",
+            Self::JobHeld => "job held",
             Self::Placed => "placed",
             Self::StartSent => "start sent",
             Self::Started => "started",
@@ -91,6 +95,8 @@
     pub worker: Option<Arc<str>>,
     /// The job's queue, where the job is named for the first time in a term.
     pub queue: Option<Arc<str>>,
+    /// The customer, and what it has running and may have, where that decides.
+    pub customer: Option<CustomerUse>,
     /// Why, or how it came out.
     pub reason: &'static str,
     /// The age of the belief or the size that decided, by kind.
@@ -107,6 +113,7 @@
             run: 0,
             worker: None,
             queue: None,
+            customer: None,
             reason,
             figure: 0,
         }
@@ -137,6 +144,12 @@
         self
     }
 
+    /// Names the customer and its use.
+    pub fn with_customer(mut self, customer: CustomerUse) -> Self {
+        self.customer = Some(customer);
+        self
+    }
+
     /// Sets the figure.
     pub const fn with_figure(mut self, figure: u64) -> Self {
         self.figure = figure;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -39,6 +39,8 @@
     pub(crate) customer: Option<CustomerKey>,
     /// Whether its customer had handed in more than its share when it came.
     pub(crate) is_beyond_share: bool,
+    /// Whether it was told that work of it is held back by its customer's limit.
+    pub(crate) is_held: bool,
     /// The time within which the job should be done, by its estimates.
     pub(crate) objective: Duration,
     /// The estimate of what is left of its longest chain, in milliseconds.
@@ -71,6 +73,7 @@
             rank,
             customer: None,
             is_beyond_share: false,
+            is_held: false,
             accepted_at,
             objective: Duration::ZERO,
             left_ms: 0,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -51,7 +51,7 @@
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
     LANES_COUNT,
 };
-pub use customers::Customer;
+pub use customers::{Customer, CustomerUse};
 pub use decision::{Decision, DecisionKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -7,23 +7,58 @@
 use crate::asking::fit_in;
 use crate::customers::CustomerKey;
 use crate::cycle::SchedulingCycle;
-use crate::job::{JobId, StepSpec};
+use crate::decision::{Decision, DecisionKind};
+use crate::event::Action;
+use crate::job::{JobId, StepKey, StepSpec};
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
+use ospreywing_types::Resources;
 
 impl Scheduler {
     /// Returns how many tasks of a step its customer's limit lets start.
-    pub(crate) fn allowed_count(
-        &self,
-        customer: Option<CustomerKey>,
-        spec: &StepSpec,
-        cycle: &SchedulingCycle,
-    ) -> u32 {
-        let Some(customer) = customer else {
+    pub(crate) fn allowed_count(&self, step: StepKey, cycle: &SchedulingCycle) -> u32 {
+        let charge = self.charge_of(step);
+        let Some(customer) = charge.customer else {
             return u32::MAX;
         };
         let left = self.accounts.get(customer).left() - cycle.claimed_limit(customer);
-        fit_in(&left, &spec.demand)
+        fit_in(&left, &charge.amount)
+    }
+
+    /// Returns whether a step is held back by its customer's limit, which lets so many of its
+    /// tasks start. Going on would cost a cycle more, for nothing.
+    pub(crate) fn is_held(
+        &mut self,
+        step: StepKey,
+        allowed_count: u32,
+        cycle: &mut SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let charge = self.charge_of(step);
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return false;
+        };
+        let spec = job.record.spec.steps.get(step.step as usize);
+        let least_count = spec.map_or(0, least_count);
+        let is_held = allowed_count < least_count;
+        // Told again once something of the job was placed in between.
+        let is_news = is_held && !core::mem::replace(&mut job.is_held, true);
+        let Some(customer) = charge.customer.filter(|_| is_held) else {
+            return is_held;
+        };
+        if is_news {
+            let line = Decision::new(DecisionKind::JobHeld, "limit of its customer");
+            let line = line
+                .with_job(step.job)
+                .with_figure(u64::from(least_count))
+                .with_customer(self.accounts.get(customer).to_use());
+            out.push(Action::Log(line));
+        }
+        if least_count > 1 {
+            let amount = charge.amount.times(least_count);
+            self.hold_limit_for_gang(customer, amount, cycle);
+        }
+        true
     }
 
     /// Returns whether what a job's customer has running, recorded starts with it, is within
@@ -50,17 +85,23 @@
     ///
     /// Not while the customer has less than half of its limit in use: its tasks are to
     /// start then, whatever waits before them.
-    pub(crate) fn hold_limit_for_gang(
+    fn hold_limit_for_gang(
         &self,
-        customer: Option<CustomerKey>,
-        spec: &StepSpec,
+        customer: CustomerKey,
+        amount: Resources,
         cycle: &mut SchedulingCycle,
     ) {
-        let Some(customer) = customer.filter(|_| spec.is_gang) else {
-            return;
-        };
         if !self.accounts.get(customer).is_under_half() {
-            cycle.claim_limit(customer, spec.demand.times(spec.tasks_count));
+            cycle.claim_limit(customer, amount);
         }
     }
 }
+
+/// Returns how many tasks of a step must be let start for any to be placed.
+pub(crate) const fn least_count(spec: &StepSpec) -> u32 {
+    if spec.is_gang {
+        spec.tasks_count
+    } else {
+        1
+    }
+}
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -104,7 +104,12 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending_step(key, cycle) else {
+        let allowed_count = self.allowed_count(key, cycle);
+        if self.is_held(key, allowed_count, cycle, out) {
+            return;
+        }
+        cycle.examined_count += 1;
+        let Some(pending) = self.pending_step(key, allowed_count) else {
             return;
         };
         if self.yields_to_gangs(now, &pending, cycle) {
@@ -244,17 +249,9 @@
 
     /// Returns what is to be placed of a step, where anything is: as many tasks as its
     /// customer's limit lets start, or a whole gang.
-    fn pending_step(&self, key: StepKey, cycle: &mut SchedulingCycle) -> Option<PendingStep> {
+    fn pending_step(&self, key: StepKey, allowed_count: u32) -> Option<PendingStep> {
         let job = self.jobs.get(&key.job)?;
         let spec = job.record.spec.steps.get(key.step as usize)?;
-        let allowed_count = self.allowed_count(job.customer, spec, cycle);
-        // What a limit holds back costs a cycle no more than this.
-        let least_count = if spec.is_gang { spec.tasks_count } else { 1 };
-        if allowed_count < least_count {
-            self.hold_limit_for_gang(job.customer, spec, cycle);
-            return None;
-        }
-        cycle.examined_count += 1;
         let step = job.state.round(key.round)?.steps.get(key.step as usize)?;
         let mut waiting = waiting_tasks(step);
         if waiting.is_empty() || (spec.is_gang && waiting.len() < step.tasks.len()) {
@@ -370,6 +367,9 @@
         };
         self.add_run(key, task, run);
         self.placements.insert(task, key);
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.is_held = false;
+        }
         let free = self.workers[key].free().cores_milli;
         let reason = if is_on_trial {
             "on trial after a crash"
--- a/crates/scheduler/tests/scheduler/customers.rs
+++ b/crates/scheduler/tests/scheduler/customers.rs
@@ -3,8 +3,8 @@
 use crate::support::bench::{end, workers, Bench};
 use crate::support::{configuration_with, customer, job_of, step};
 use ospreywing_scheduler::{
-    Customer, EndKind, Event, JobOutcome, JobRecord, JobState, Phase, Recovered, RoundState,
-    StepSpec, StoredJob, TaskStatus,
+    Action, Customer, CustomerUse, DecisionKind, EndKind, Event, JobOutcome, JobRecord, JobState,
+    Phase, Recovered, RoundState, StepSpec, StoredJob, TaskStatus,
 };
 use ospreywing_types::Resources;
 use rstest::rstest;
@@ -61,6 +61,27 @@
     assert_eq!(start_all(&mut bench), 1);
 }
 
+/// What is held back is told once, with what the customer has and may have.
+#[test]
+fn place_beyond_limit_is_told() {
+    let mut bench = bench_with(2);
+    bench.submit_job(job_of("one", 1, vec![step(5)]));
+    bench.commit_all();
+    bench.commit_all();
+    let held = bench.actions.iter().filter_map(|action| match action {
+        Action::Log(line) if line.kind == DecisionKind::JobHeld => line.customer.clone(),
+        _ => None,
+    });
+    let held: Vec<CustomerUse> = held.collect();
+    let two = step(1).demand.times(2);
+    let expected = CustomerUse {
+        name: Arc::from("one"),
+        used: two,
+        limit: two,
+    };
+    assert_eq!(held, [expected]);
+}
+
 #[rstest]
 #[case::fits_beside(1, 3)]
 #[case::waits(2, 0)]
