--- a/crates/standin/src/judge.rs
+++ b/crates/standin/src/judge.rs
@@ -2,6 +2,7 @@
 
 use crate::record::{MinionRecord, Run, WorkerRecord};
 use http::Method;
+use ospreywing_clock as clock;
 use ospreywing_http::{Call, HttpClient, HttpError};
 use ospreywing_types::TaskId;
 use serde::{Deserialize, Serialize};
@@ -78,7 +79,7 @@
 
 /// Returns whether two of the runs, in the order of their beginnings, overlap.
 fn overlap(runs: &[&Run]) -> bool {
-    let now = ospreywing_clock::now().as_ms();
+    let now = clock::now().as_ms();
     let mut until = 0;
     for run in runs {
         if run.began_at_ms < until {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,7 @@
 use crate::kv::{Kv, VALUE_LIMIT_BYTES};
 use crate::rate::RateLimit;
 use crate::web::{json, json_body, path, text};
+use ospreywing_clock as clock;
 use ospreywing_store::wire::{
     self, ErrorReply, Header, Int64, LeaseGrantRequest, LeaseReply, LeaseRequest, RangeRequest,
     Streamed, TxnRequest,
@@ -104,7 +105,7 @@
 impl State {
     /// Counts a call and returns whether its rate limit lets it pass.
     fn admit(&mut self, path: &str, is_write: bool) -> bool {
-        let now = ospreywing_clock::now().as_ms();
+        let now = clock::now().as_ms();
         *self.counts.calls.entry(path.to_owned()).or_default() += 1;
         let limit = if is_write {
             &mut self.writes
@@ -231,7 +232,7 @@
         if !state.admit(path, is_write) {
             return limited();
         }
-        state.kv.lapse(ospreywing_clock::now().as_ms());
+        state.kv.lapse(clock::now().as_ms());
         let reply = work(&mut state, &request);
         let permille = state.faults.lose_answers_permille;
         let is_lost = is_write && rand::rng().random_range(0..1000) < permille;
@@ -268,11 +269,7 @@
 
 async fn grant(ctx: &Context<'_>) -> WebResponse {
     let work = |state: &mut State, request: &LeaseGrantRequest| LeaseReply {
-        id: Int64(
-            state
-                .kv
-                .grant(request.ttl.as_u64(), ospreywing_clock::now().as_ms()),
-        ),
+        id: Int64(state.kv.grant(request.ttl.as_u64(), clock::now().as_ms())),
         ttl: request.ttl,
     };
     run(ctx, wire::LEASE_GRANT, |_| true, work).await
@@ -282,11 +279,7 @@
     let work = |state: &mut State, request: &LeaseRequest| Streamed {
         result: LeaseReply {
             id: request.id,
-            ttl: Int64::from(
-                state
-                    .kv
-                    .keep_alive(request.id.0, ospreywing_clock::now().as_ms()),
-            ),
+            ttl: Int64::from(state.kv.keep_alive(request.id.0, clock::now().as_ms())),
         },
     };
     run(ctx, wire::LEASE_KEEPALIVE, |_| true, work).await
@@ -301,11 +294,7 @@
 }
 
 async fn boxes(ctx: &Context<'_>) -> WebResponse {
-    let list = ctx
-        .state()
-        .lock()
-        .boxes
-        .list(ospreywing_clock::now().as_ms());
+    let list = ctx.state().lock().boxes.list(clock::now().as_ms());
     let text = serde_json::to_string(&list).unwrap_or_default();
     let tag = format!("\"{:016x}\"", stable_hash(&text));
     let known = ctx.req().headers().get(IF_NONE_MATCH);
@@ -325,9 +314,7 @@
     match json_body::<_, Announcement>(ctx).await {
         Ok(announcement) => {
             let mut state = ctx.state().lock();
-            state
-                .boxes
-                .announce(announcement, ospreywing_clock::now().as_ms());
+            state.boxes.announce(announcement, clock::now().as_ms());
             text(StatusCode::OK, "ok")
         }
         Err(error) => invalid(error),
@@ -350,7 +337,7 @@
             let mut state = ctx.state().lock();
             state
                 .boxes
-                .freeze(faults.is_box_list_frozen, ospreywing_clock::now().as_ms());
+                .freeze(faults.is_box_list_frozen, clock::now().as_ms());
             state.faults = faults;
             text(StatusCode::OK, "ok")
         }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::server::{RpcModule, Server, ServerConfig};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::SubscriptionMessage;
+use ospreywing_clock as clock;
 use ospreywing_http::{Call, HttpClient};
 use ospreywing_types::worker::{self, Ended, Renew, Report, Start, Stop};
 use ospreywing_types::{AttemptId, BoxFacts, BoxKind, BoxState, Name, Resources, TaskEnd};
@@ -59,7 +60,7 @@
 
 impl State {
     fn start(&mut self, start: Start) {
-        let now = ospreywing_clock::now().as_ms();
+        let now = clock::now().as_ms();
         let used = self.running.values().map(|running| running.resources);
         let after = used.fold(start.resources, |sum, need| sum + need);
         let mut record = lock(&self.record);
@@ -99,7 +100,7 @@
 
     /// Ends what has lapsed or is done, whichever came first.
     fn tick(&mut self) {
-        let now = ospreywing_clock::now().as_ms();
+        let now = clock::now().as_ms();
         let due = |running: &Running| -> Option<(u64, TaskEnd)> {
             let lapse = (running.lease_until_ms, TaskEnd::LeaseLapsed);
             let done = running.done.clone().unwrap_or_else(|| lapse.clone());
@@ -119,11 +120,7 @@
     fn restart(&mut self) {
         let attempts: Vec<AttemptId> = self.running.keys().copied().collect();
         for attempt in attempts {
-            self.end(
-                attempt,
-                ospreywing_clock::now().as_ms(),
-                TaskEnd::WorkerLost,
-            );
+            self.end(attempt, clock::now().as_ms(), TaskEnd::WorkerLost);
         }
         self.ended.clear();
         self.incarnation = rand::random::<u64>() >> 1;
@@ -185,11 +182,7 @@
             .register_async_method(worker::STOP, |params, shared, _| async move {
                 let stop: Stop = params.one()?;
                 pass(&shared).await;
-                lock(&shared).end(
-                    stop.attempt,
-                    ospreywing_clock::now().as_ms(),
-                    TaskEnd::Stopped,
-                );
+                lock(&shared).end(stop.attempt, clock::now().as_ms(), TaskEnd::Stopped);
                 Ok::<_, ErrorObjectOwned>(())
             })
             .is_ok(),
@@ -242,7 +235,7 @@
     let mut state = lock(shared);
     // What has lapsed is over before the renewal is looked at.
     state.tick();
-    let until_ms = ospreywing_clock::now().as_ms() + renew.lease_ms;
+    let until_ms = clock::now().as_ms() + renew.lease_ms;
     for attempt in &renew.attempts {
         if let Some(running) = state.running.get_mut(attempt) {
             running.lease_until_ms = until_ms;
