--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -47,6 +47,7 @@
 mod state;
 mod verifier;
 mod worker;
+mod worker_list;
 
 pub use config::{
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
