Don't say that a gang waits for its limit while members of its last run are there

Cause, found on reading: a gang that had lost a member was looked at by its customer's limit while the others still counted, so it was told as held back and kept what was left of the limit from its customer's other work until they had ended.

Change: such a gang waits for its members alone.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::order::left_ms;
 use crate::scheduler::Scheduler;
-use crate::state::{JobState, Phase, RoundState, TaskStatus};
+use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
 use std::sync::Arc;
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Returns whether no run of a step's tasks can be alive and none is done, or the tasks
+    /// start one by one.
+    pub(crate) fn is_waiting_whole(&self, step: StepKey) -> bool {
+        let spec = self.record.spec.steps.get(step.step as usize);
+        if spec.is_none_or(|spec| !spec.is_gang) {
+            return true;
+        }
+        let round = self.state.round(step.round);
+        let state = round.and_then(|round| round.steps.get(step.step as usize));
+        let is_waiting = |task: &TaskState| task.status == TaskStatus::Waiting;
+        state.is_some_and(|state| state.tasks.iter().all(is_waiting))
+    }
+
     fn push_ready(&self, id: JobId, round: &RoundState, ready: &mut Vec<StepKey>) {
         for (number, spec) in self.record.spec.steps.iter().enumerate() {
             let is_done = |step: &u32| round.steps.get(*step as usize).is_none_or(|s| s.is_done());
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -41,6 +41,10 @@
         let spec = job.record.spec.steps.get(step.step as usize);
         let least_count = spec.map_or(0, least_count);
         let is_held = allowed_count < least_count;
+        if is_held && !job.is_waiting_whole(step) {
+            // Members of its last run are still there, and count.
+            return true;
+        }
         // Told again once something of the job was placed in between.
         let is_news = is_held && !core::mem::replace(&mut job.is_held, true);
         let Some(customer) = charge.customer.filter(|_| is_held) else {
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -138,7 +138,8 @@
     }
 }
 
-/// Returns how large a job's largest gang is, in powers of two of a thousandth of a core.
+/// Returns how large a job's largest gang is, in powers of two of a thousandth of a core; 0
+/// without any, since single tasks find room one by one.
 ///
 /// Of gangs that are equally urgent the smaller goes first, and of about as large ones the
 /// one that must start earlier: where not all can be in time, one that needs much room at
