Don't say that a job is none where its record can't be read

Cause, found on reading the change again: a cancel of a job whose record this version can't read was answered 410 since owners are looked at, and taken before.

Change: it is refused here and passed to other nodes, which may be able to read it; 503 where none is. One typed look at who may touch a stored job (stored_view.rs).

Test: access_to_stored_job.

--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -24,9 +24,8 @@
 const PEER_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-/// The longest body that is read past, and for how long: the bodies of the users' requests
-/// have up to 2.4 KB (their first site files), which come with the head or a few
-/// milliseconds later.
+/// The longest body that is read past, and for how long. A judgement: bodies of a few
+/// kilobytes come with the head or some milliseconds later.
 const SKIPPED_BODY_LIMIT_BYTES: usize = 16 * 1024;
 const SKIPPED_BODY_TIME: Duration = Duration::from_ms(50);
 /// Limits before the operators have set any.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -6,10 +6,9 @@
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
-use crate::recovery::stored_job;
 use crate::relay::server;
-use crate::store::{Item, LeaseId, Store};
-use crate::stored_view::{read_view, StoredView};
+use crate::store::{LeaseId, Store};
+use crate::stored_view::{access, read_view, Access, StoredView};
 use crate::{clock, keys};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
@@ -256,8 +255,13 @@
         return PeerReply::Refused;
     }
     match node.store.get(&keys::job(job)).await {
-        Ok(Some(item)) if is_open_to(&item, caller) => {}
-        Ok(_) => return PeerReply::NoJob,
+        Ok(Some(item)) => match access(&item, caller) {
+            Access::Open => {}
+            Access::Closed => return PeerReply::NoJob,
+            // Another node may be able to read it.
+            Access::Unreadable => return PeerReply::Refused,
+        },
+        Ok(None) => return PeerReply::NoJob,
         Err(_) => return PeerReply::Refused,
     }
     match node.intake.write(keys::cancel(job), Vec::new()).await {
@@ -273,13 +277,6 @@
     }
 }
 
-/// Returns whether a caller may cancel the job that the store keeps. One that can't be read
-/// may be another customer's.
-fn is_open_to(item: &Item, caller: &Caller) -> bool {
-    let stored = stored_job(item);
-    stored.is_ok_and(|stored| stored.is_open_to(caller.customer()))
-}
-
 async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: Caller) -> Reply {
     let leaders = leaders_view(node, job, &caller).await;
     if let Some(view) = leaders.filter(|view| view.is_settled) {
--- a/crates/control/src/stored_view.rs
+++ b/crates/control/src/stored_view.rs
@@ -18,6 +18,26 @@
     Unreadable,
 }
 
+/// Whether a caller may touch a job that the store keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// It may.
+    Open,
+    /// The job is another customer's.
+    Closed,
+    /// Whose job it is can't be read: a node of a later version may have written it.
+    Unreadable,
+}
+
+/// Returns whether a caller may touch the job of a stored item.
+pub fn access(item: &Item, caller: &Caller) -> Access {
+    match stored_job(item) {
+        Ok(stored) if stored.is_open_to(caller.customer()) => Access::Open,
+        Ok(_) => Access::Closed,
+        Err(_) => Access::Unreadable,
+    }
+}
+
 /// Reads what the store keeps of a job.
 ///
 /// The progress is read first: a job's outcome takes its place in one
--- a/crates/control/tests/control/viewing.rs
+++ b/crates/control/tests/control/viewing.rs
@@ -1,8 +1,8 @@
 //! What a node tells of a job from the store alone.
 
 use crate::support::{run_local, MemoryStore};
-use ospreywing_control::stored_view::{read_view, StoredView};
-use ospreywing_control::{keys, Caller, Store, Transaction};
+use ospreywing_control::stored_view::{access, read_view, Access, StoredView};
+use ospreywing_control::{keys, Caller, Item, Store, Transaction};
 use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, JobState, Phase};
 use rstest::rstest;
 use slog::{o, Discard, Logger};
@@ -68,3 +68,29 @@
         assert_eq!(phase_of(view(&store).await), Some(phase));
     });
 }
+
+/// A job that can't be read is not said to be none: a node of a later version may have
+/// written it.
+#[rstest]
+#[case::own(Some("one"), Some("one"), Access::Open)]
+#[case::others(Some("one"), Some("two"), Access::Closed)]
+#[case::nobodys(None, Some("two"), Access::Open)]
+fn access_to_stored_job(
+    #[case] owner: Option<&str>,
+    #[case] caller: Option<&str>,
+    #[case] expected: Access,
+) {
+    let record = JobRecord {
+        customer: owner.map(str::to_owned),
+        ..JobRecord::default()
+    };
+    let caller = caller.map_or_else(Caller::anonymous, |name| Caller::new(name.into()));
+    let mut item = Item {
+        key: keys::job(JobId::new(1)),
+        value: Ok(record.to_bytes()),
+        revision: 1,
+    };
+    assert_eq!(access(&item, &caller), expected);
+    item.value = Ok(vec![LATER_FORM]);
+    assert_eq!(access(&item, &caller), Access::Unreadable);
+}
