--- a/crates/scheduler/src/advisers.rs
+++ b/crates/scheduler/src/advisers.rs
@@ -92,6 +92,12 @@
             .count()
     }
 
+    /// Returns whether a call of this cost is made only where a node has nothing to do, if
+    /// it can wait, and none has.
+    pub(crate) fn must_wait(&self, now: Instant, cost: Duration) -> bool {
+        cost >= LONG_CALL && !self.is_idle(now, cost)
+    }
+
     /// Gives a call to the node that will have answered first; `None` where
     /// all have too much before it.
     ///
@@ -114,12 +120,7 @@
         };
         let index = self.group(now, cost).min_by_key(preference)?;
         let (begins, _) = preference(&index);
-        let backlog = match (is_long, can_wait) {
-            (true, true) => Duration::ZERO,
-            (true, false) => LONG_BACKLOG,
-            (false, _) => SHORT_BACKLOG,
-        };
-        if begins.since(now) > backlog {
+        if begins.since(now) > backlog_of(cost, can_wait) {
             return None;
         }
         if !is_long {
@@ -164,3 +165,14 @@
         }
     }
 }
+
+/// Returns how long a call may wait at a node.
+const fn backlog_of(cost: Duration, can_wait: bool) -> Duration {
+    if cost.as_ms() < LONG_CALL.as_ms() {
+        SHORT_BACKLOG
+    } else if can_wait {
+        Duration::ZERO
+    } else {
+        LONG_BACKLOG
+    }
+}
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -48,6 +48,12 @@
         if now < self.advice[&pending.key].retry_at {
             return;
         }
+        // Choosing workers takes far longer than to see that nobody can be asked about them;
+        // a call about more of them takes no less.
+        let can_wait = self.is_patient(now, pending.key.job);
+        if can_wait && self.advisers.must_wait(now, policy.cost(1)) {
+            return;
+        }
         let mut named = if has_room(cycle, pending) {
             self.choose_named(now, pending, cycle, needed)
         } else {
