Look a step's charge up once in a scheduling cycle

Cause, found on reading the whole change again: for each waiting step of each cycle the job and its step were looked up twice, once to count what its customer's limit lets start and once to see whether that holds it back.

Change: the charge is looked up in place_step and handed to both. Behaviour is as it was; the path of a type in customers.rs is an import.

--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -5,7 +5,7 @@
 //! their leases are certainly over. The same table of runs keeps workers from being given
 //! more than they hold, so both accounts are as sure as each other.
 
-use crate::job::{JobRecord, StepSpec};
+use crate::job::{JobRecord, StepKey, StepSpec};
 use crate::job_rate::JobRate;
 use crate::limits::least_count;
 use crate::scheduler::Scheduler;
@@ -185,7 +185,7 @@
 
 impl Scheduler {
     /// Returns what a run of a step takes of its customer's limit.
-    pub(crate) fn charge_of(&self, step: crate::job::StepKey) -> Charge {
+    pub(crate) fn charge_of(&self, step: StepKey) -> Charge {
         let Some(job) = self.jobs.get(&step.job) else {
             return Charge::default();
         };
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -5,7 +5,7 @@
 //! advisers nor keep room for what could not be started beside it.
 
 use crate::asking::fit_in;
-use crate::customers::CustomerKey;
+use crate::customers::{Charge, CustomerKey};
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
@@ -15,9 +15,8 @@
 use ospreywing_types::Resources;
 
 impl Scheduler {
-    /// Returns how many tasks of a step its customer's limit lets start.
-    pub(crate) fn allowed_count(&self, step: StepKey, cycle: &SchedulingCycle) -> u32 {
-        let charge = self.charge_of(step);
+    /// Returns how many runs of such a charge their customer's limit lets start.
+    pub(crate) fn allowed_count(&self, charge: Charge, cycle: &SchedulingCycle) -> u32 {
         let Some(customer) = charge.customer else {
             return u32::MAX;
         };
@@ -30,11 +29,11 @@
     pub(crate) fn is_held(
         &mut self,
         step: StepKey,
+        charge: Charge,
         allowed_count: u32,
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) -> bool {
-        let charge = self.charge_of(step);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return false;
         };
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -109,8 +109,9 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let allowed_count = self.allowed_count(key, cycle);
-        if self.is_held(key, allowed_count, cycle, out) {
+        let charge = self.charge_of(key);
+        let allowed_count = self.allowed_count(charge, cycle);
+        if self.is_held(key, charge, allowed_count, cycle, out) {
             return;
         }
         cycle.examined_count += 1;
