Tell which life of a worker answers, and how many workers advice found good

The platform's workers may now start again under the id that they had, and nothing in the logs says that one did.

Change: the start of a worker's life is decoded at the edge, from its entry and from its lists, and carried as LifeStart. A line 'worker restarted' says when the lists or the entry name another start than before; 'advice answered' says how many workers were good. No decision changes.

--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -33,6 +33,11 @@
             "reason" => decision.reason, "figure" => decision.figure);
     }
     match (decision.task, decision.job) {
+        (None, Some(job)) if decision.kind == DecisionKind::AdviceAnswered => {
+            info!(log, "{}", kind;
+            "job" => %job, "reason" => decision.reason, "good" => decision.good_count,
+            "figure" => decision.figure)
+        }
         (Some(task), _) => info!(log, "{}", kind;
             "task" => %task, "run" => decision.run, "worker" => worker,
             "reason" => decision.reason, "figure" => decision.figure, "fence" => fence),
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -167,6 +167,7 @@
     fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, EntryError> {
         Ok(WorkerFacts {
             id: Arc::from("w0"),
+            life_start: None,
             address: Arc::from("127.0.0.1:9"),
             service: Arc::from(SERVICE),
             machine: None,
@@ -209,6 +210,7 @@
         let wait = look.wait.as_ms().min(20);
         tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
         HoldReply::Listed {
+            life_start: None,
             clock_ms: clock::now().as_ms(),
             running: self.around.running.borrow().clone(),
             ended: Vec::new(),
--- a/crates/scheduler/benches/leader.rs
+++ b/crates/scheduler/benches/leader.rs
@@ -253,6 +253,7 @@
             usage_figure: 0,
         });
         let reply = HoldReply::Listed {
+            life_start: None,
             clock_ms: now_ms,
             running: running.collect(),
             ended: worker.ended.clone(),
@@ -314,6 +315,7 @@
 fn worker_facts(number: usize) -> WorkerFacts {
     WorkerFacts {
         id: Arc::from(format!("i-{number:06}")),
+        life_start: None,
         address: Arc::from(format!("10.0.{}.{}:80", number / 250, number % 250)),
         service: Arc::from(SERVICE),
         machine: None,
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -273,8 +273,11 @@
             .collect();
         let fresh_good = good.iter().filter(|(w, _)| fresh.contains(w)).count();
         advice.take_in(now, named, &good, validity);
-        let line = Decision::new(DecisionKind::AdviceAnswered, "answered");
-        out.push(Action::Log(line.with_job(step.job).with_figure(waited_ms)));
+        let line = Decision::new(DecisionKind::AdviceAnswered, "answered")
+            .with_job(step.job)
+            .with_figure(waited_ms)
+            .with_good_count(good.len());
+        out.push(Action::Log(line));
         self.learn_goodness(step, fresh_good, fresh.len());
     }
 
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -37,6 +37,8 @@
     WorkerSilent,
     /// A worker's life is over.
     WorkerGone,
+    /// A worker is heard of under its id with another start than before.
+    WorkerRestarted,
     /// A worker was lost with a run on it.
     WorkerCrashed,
     /// A worker's room has changed while work is there.
@@ -70,6 +72,7 @@
             Self::WorkerSynced => "worker synced",
             Self::WorkerSilent => "worker silent",
             Self::WorkerGone => "worker gone",
+            Self::WorkerRestarted => "worker restarted",
             Self::WorkerCrashed => "worker crashed under run",
             Self::WorkerResized => "worker resized",
             Self::WorkerAvoided => "worker avoided",
@@ -101,6 +104,8 @@
     pub reason: &'static str,
     /// The age of the belief or the size that decided, by kind.
     pub figure: u64,
+    /// How many workers were found good, where advice was answered.
+    pub good_count: usize,
 }
 
 impl Decision {
@@ -116,6 +121,7 @@
             customer: None,
             reason,
             figure: 0,
+            good_count: 0,
         }
     }
 
@@ -150,6 +156,12 @@
         self
     }
 
+    /// Sets how many workers were found good.
+    pub const fn with_good_count(mut self, good_count: usize) -> Self {
+        self.good_count = good_count;
+        self
+    }
+
     /// Sets the figure.
     pub const fn with_figure(mut self, figure: u64) -> Self {
         self.figure = figure;
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -3,6 +3,7 @@
 use crate::config::Configuration;
 use crate::decision::Decision;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::life::LifeStart;
 use crate::worker::{WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,8 @@
 pub enum HoldReply {
     /// The worker's lists.
     Listed {
+        /// When the life that answers started, where the platform tells.
+        life_start: Option<LifeStart>,
         /// The worker's clock, in milliseconds.
         clock_ms: u64,
         /// What is alive.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -110,10 +110,18 @@
         worker.next_hold_at = now + self.config.hold_pace;
         match reply {
             HoldReply::Listed {
+                life_start,
                 clock_ms,
                 running,
                 ended,
             } => {
+                let is_other = worker.note_life(life_start);
+                if is_other {
+                    let line = Decision::new(DecisionKind::WorkerRestarted, "its lists tell")
+                        .with_worker(&worker.facts.id)
+                        .with_figure(worker.runs.len() as u64);
+                    out.push(Action::Log(line));
+                }
                 worker.clock = Some(ClockReading {
                     clock_ms,
                     read_at: now,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -34,6 +34,7 @@
 mod job_rate;
 mod jobs;
 mod leases;
+mod life;
 mod limits;
 mod order;
 mod orders;
@@ -62,6 +63,7 @@
 pub use evidence::{CrashRecord, Suspicion};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
+pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
 pub use state::{
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -117,6 +117,7 @@
         let id: Arc<str> = Arc::from(id);
         let facts = WorkerFacts {
             id: id.clone(),
+            life_start: None,
             address: Arc::from(""),
             service: Arc::from(""),
             machine: None,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -4,6 +4,7 @@
 use crate::event::Endpoint;
 use crate::evidence::Suspicion;
 use crate::job::{StepKey, TaskKey};
+use crate::life::LifeStart;
 use crate::sharing::RunRole;
 use cranelift_entity::entity_impl;
 use ospreywing_types::{Duration, Instant, Resources};
@@ -25,8 +26,10 @@
 /// What the platform's list says of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerFacts {
-    /// The id of its life.
+    /// Its id, which it may have had in an earlier life too.
     pub id: Arc<str>,
+    /// When this life started, where the platform tells.
+    pub life_start: Option<LifeStart>,
     /// The address of its agent.
     pub address: Arc<str>,
     /// The service that it belongs to.
@@ -164,6 +167,8 @@
     pub(crate) is_doubted: bool,
     /// Whether it runs something that nobody can account for.
     pub(crate) has_unknown_run: bool,
+    /// The life that answered last.
+    pub(crate) life_start: Option<LifeStart>,
     pub(crate) clock: Option<ClockReading>,
     /// When every lease granted to its runs is certainly over.
     pub(crate) leased_until: Instant,
@@ -217,6 +222,7 @@
             is_reachable: true,
             is_doubted: false,
             has_unknown_run: false,
+            life_start: None,
             clock: None,
             leased_until,
             granted_at: Instant::default(),
@@ -243,6 +249,13 @@
         }
     }
 
+    /// Notes which life has answered; returns whether it is another one than before.
+    pub(crate) fn note_life(&mut self, life_start: Option<LifeStart>) -> bool {
+        let before = self.life_start;
+        self.life_start = life_start.or(before);
+        before.is_some() && self.life_start != before
+    }
+
     /// Returns up to which end the worker may forget, once all that wait for
     /// their commit are in the store.
     pub(crate) fn ackable_end(&self) -> u64 {
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -78,6 +78,11 @@
     fn update_facts(&mut self, key: WorkerKey, facts: WorkerFacts, out: &mut Vec<Action>) {
         let worker = &mut self.workers[key];
         let before = worker.facts.capacity;
+        if worker.facts.life_start.is_some() && facts.life_start != worker.facts.life_start {
+            let line = Decision::new(DecisionKind::WorkerRestarted, "its entry tells");
+            let line = line.with_worker(&facts.id);
+            out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
+        }
         worker.set_facts(facts);
         let after = worker.facts.capacity;
         // Of a worker that only the records of an earlier leader name nothing was known.
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -91,6 +91,7 @@
             worker,
             sent_at,
             reply: HoldReply::Listed {
+                life_start: None,
                 clock_ms: self.now.as_ms(),
                 running: Vec::new(),
                 ended,
@@ -117,6 +118,7 @@
             worker,
             sent_at,
             reply: HoldReply::Listed {
+                life_start: None,
                 clock_ms: self.now.as_ms(),
                 running: vec![alive],
                 ended,
@@ -140,6 +142,7 @@
             let sent_at = self.now;
             self.now = self.now + Duration::from_ms(60);
             let reply = HoldReply::Listed {
+                life_start: None,
                 clock_ms: self.now.as_ms(),
                 running: running.collect(),
                 ended: Vec::new(),
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -1,8 +1,8 @@
 //! A fake worker: fence, tombstones, leases on its own clock, a list of ends.
 
 use ospreywing_scheduler::{
-    EndKind, EndedRun, HoldReply, RefusedStart, RunningRun, StartOrder, StartReply, StopReply,
-    TaskKey, WorkerFacts,
+    EndKind, EndedRun, HoldReply, LifeStart, RefusedStart, RunningRun, StartOrder, StartReply,
+    StopReply, TaskKey, WorkerFacts,
 };
 use ospreywing_types::Resources;
 use std::collections::BTreeMap;
@@ -32,6 +32,7 @@
 /// A fake worker.
 pub struct FakeWorker {
     pub id: Arc<str>,
+    pub life_start: Option<LifeStart>,
     pub address: Arc<str>,
     pub rack: Option<Arc<str>>,
     pub capacity: Resources,
@@ -63,6 +64,7 @@
     pub fn new(id: &str, clock_per_mille: u64) -> Self {
         Self {
             id: Arc::from(id),
+            life_start: None,
             address: Arc::from(format!("at {id}")),
             rack: None,
             capacity: Resources::new(4000, 4000, 0),
@@ -87,6 +89,7 @@
     pub fn facts(&self) -> WorkerFacts {
         WorkerFacts {
             id: self.id.clone(),
+            life_start: self.life_start,
             address: self.address.clone(),
             service: Arc::from(super::SERVICE),
             machine: None,
@@ -211,6 +214,7 @@
             usage_figure: 0,
         });
         HoldReply::Listed {
+            life_start: self.life_start,
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
             ended: self.ended.clone(),
