--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -11,6 +11,7 @@
 mod lapses;
 mod pending;
 mod repeats;
+mod restarts;
 mod rooms;
 mod scale;
 mod search;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -36,6 +36,7 @@
     pause: 0,
     stale_entry: 0,
     limit: 0,
+    restart: 0,
 };
 
 /// Seeds that found something, in whichever case: they are searched always.
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -11,6 +11,9 @@
 /// How long after it shrank a room counts: three seconds and a heartbeat.
 const SHRUNK_ROOM_COUNTS_AFTER_MS: u64 = 4_500;
 
+/// What a worker's clock showed at the begin of the world's, at first.
+const CLOCK_BASE_MS: u64 = 7_000;
+
 /// A run on a fake worker.
 #[derive(Clone, Debug)]
 pub struct FakeRun {
@@ -32,7 +35,13 @@
 /// A fake worker.
 pub struct FakeWorker {
     pub id: Arc<str>,
+    /// When its life started, and what its entry in the store says of that.
     pub life_start: Option<LifeStart>,
+    entry_life_start: Option<LifeStart>,
+    /// What its clock showed at the begin of the world's.
+    clock_base_ms: u64,
+    /// Whether it takes no note of an acknowledgement beyond its newest end.
+    pub ignores_foreign_acks: bool,
     pub address: Arc<str>,
     pub rack: Option<Arc<str>>,
     pub capacity: Resources,
@@ -65,6 +74,9 @@
         Self {
             id: Arc::from(id),
             life_start: None,
+            entry_life_start: None,
+            clock_base_ms: CLOCK_BASE_MS,
+            ignores_foreign_acks: false,
             address: Arc::from(format!("at {id}")),
             rack: None,
             capacity: Resources::new(4000, 4000, 0),
@@ -89,7 +101,7 @@
     pub fn facts(&self) -> WorkerFacts {
         WorkerFacts {
             id: self.id.clone(),
-            life_start: self.life_start,
+            life_start: self.entry_life_start,
             address: self.address.clone(),
             service: Arc::from(super::SERVICE),
             machine: None,
@@ -101,6 +113,40 @@
         }
     }
 
+    /// Tells its start from now on, as workers do that may start again under their id.
+    pub fn tell_life_start(&mut self, wall_ms: u64) {
+        self.life_start = Some(LifeStart::from_ms(wall_ms));
+        self.write_entry();
+    }
+
+    /// Has its entry say what holds now.
+    pub const fn write_entry(&mut self) {
+        self.entry_life_start = self.life_start;
+    }
+
+    /// Starts it again under its id: it knows nothing of before, and its clock and the
+    /// numbers of its ends begin anew. Its entry is written later.
+    pub fn restart(&mut self, wall_ms: u64, clock_base_ms: u64) {
+        let fresh = Self::new(&self.id, self.clock_per_mille);
+        let before = core::mem::replace(self, fresh);
+        self.address = before.address;
+        self.rack = before.rack;
+        self.entry_life_start = before.entry_life_start;
+        self.ignores_foreign_acks = before.ignores_foreign_acks;
+        self.life_start = Some(LifeStart::from_ms(wall_ms));
+        self.clock_base_ms = clock_base_ms;
+    }
+
+    /// Returns up to which end it forgets what it has been told to forget.
+    pub fn forgotten_end(&self, last_seen: u64) -> u64 {
+        let is_foreign = last_seen >= self.next_end;
+        if is_foreign && self.ignores_foreign_acks {
+            0
+        } else {
+            last_seen
+        }
+    }
+
     /// Returns when an end was that is listed, and whether the lease has held
     /// ever since.
     pub fn end_told(&self, number: u64, now_ms: u64) -> (u64, bool) {
@@ -132,7 +178,7 @@
     }
 
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
-        7_000 + now_ms * self.clock_per_mille / 1000
+        self.clock_base_ms + now_ms * self.clock_per_mille / 1000
     }
 
     /// Ends what is due; returns the tasks whose runs ended by themselves.
@@ -204,6 +250,7 @@
         if let Some(until_ms) = until_ms {
             self.lease(now_ms, until_ms, limit_ms);
         }
+        let last_seen = self.forgotten_end(last_seen);
         self.ended.retain(|end| end.number > last_seen);
         self.ended_at_ms.retain(|number, _| *number > last_seen);
         let running = self.runs.iter().map(|(task, run)| RunningRun {
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -84,6 +84,8 @@
             Message::Die { worker } => self.replace(worker),
             Message::Crash { worker, task } => self.crash(worker, task),
             Message::BringUp { worker } => self.bring_up(worker),
+            Message::Restart { worker } => self.start_again(worker),
+            Message::WriteEntry { worker } => self.write_entry(worker),
             Message::Resize { worker, per_mille } => self.resize(worker, per_mille),
             Message::Wake { term } => self.wake(term),
             Message::ListWorkers => self.list_workers(),
@@ -190,6 +192,7 @@
         self.note_done();
         let worker = &mut self.workers[index];
         if term >= worker.fence {
+            let last_seen = worker.forgotten_end(last_seen);
             self.rules.note_acks(worker, now_ms, last_seen);
         }
         let reply = worker.hold(now_ms, term, until_ms, last_seen, LEASE_LIMIT_MS);
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -23,6 +23,11 @@
 /// How long a worker's room is changed, and how soon its entry says so.
 const RESIZED_MS: core::ops::Range<u64> = 1_000..9_000;
 const ENTRY_DELAY_MS: core::ops::Range<u64> = 100..1_500;
+/// How long a worker is away that starts again under its id, which start it then tells, and
+/// what its clock shows at the begin of the world's: less or more than before.
+const RESTART_MS: core::ops::Range<u64> = 20..3_000;
+const WALL_MS: core::ops::Range<u64> = 1_000_000..9_000_000;
+const CLOCK_BASE_MS: core::ops::Range<u64> = 0..60_000;
 /// How long a leader stands still. Where that is longer than its lease, another leads.
 const PAUSE_MS: core::ops::Range<u64> = 200..4_000;
 
@@ -72,6 +77,10 @@
         if self.faults.resize > 0 && self.draw(self.faults.resize) {
             self.shrink_at_random();
         }
+        if self.faults.restart > 0 && self.draw(self.faults.restart) {
+            let index = self.rng.random_range(0..self.workers.len());
+            self.restart(index);
+        }
         if self.faults.limit > 0 && self.draw(self.faults.limit) {
             self.change_limits();
         }
@@ -172,6 +181,30 @@
         }
     }
 
+    /// Has a worker crash and start again under its id.
+    pub fn restart(&mut self, index: usize) {
+        if let Some(listed_ms) = self.take_down(index) {
+            self.post(listed_ms, Message::ListWorkers);
+            let away_ms = self.rng.random_range(RESTART_MS);
+            self.post(away_ms, Message::Restart { worker: index });
+        }
+    }
+
+    /// Begins the next life of a worker that crashed, under its id. The time of day, by
+    /// which it tells its start, may have been set back or ahead meanwhile.
+    pub(super) fn start_again(&mut self, index: usize) {
+        let wall_ms = self.rng.random_range(WALL_MS);
+        let clock_base_ms = self.rng.random_range(CLOCK_BASE_MS);
+        self.workers[index].restart(wall_ms, clock_base_ms);
+        let after_ms = self.rng.random_range(ENTRY_DELAY_MS);
+        self.post(after_ms, Message::WriteEntry { worker: index });
+    }
+
+    pub(super) fn write_entry(&mut self, index: usize) {
+        self.workers[index].write_entry();
+        self.list_workers();
+    }
+
     /// Ends a worker's life by a task that started there; it is back after a while.
     pub(super) fn crash(&mut self, index: usize, task: TaskKey) {
         let runs = self.workers[index].runs.keys();
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -51,6 +51,8 @@
     pub stale_entry: u32,
     /// Ticks at which the operators set other limits for all customers.
     pub limit: u32,
+    /// Ticks at which a worker crashes and starts again under its id.
+    pub restart: u32,
 }
 
 enum Message {
@@ -100,6 +102,12 @@
     BringUp {
         worker: usize,
     },
+    Restart {
+        worker: usize,
+    },
+    WriteEntry {
+        worker: usize,
+    },
     Resize {
         worker: usize,
         per_mille: u32,
