Keep what is known of a worker's life apart from its next under the same id

Cause: a worker that starts again under its id was taken for the same life. Its ends, numbered anew, were passed over as heard of; the next look told it to forget them (the task ran twice), or it listed them on and on (the task counted as running until the worker's next crash). Class: state of one incarnation keyed by a name that outlives it. The same held for the clock (starts refused as late), for leases, and for what advice told of the worker.

Change: a WorkerKey stands for one life. Where a look is answered by another start, that life gets a key of its own; runs that it lists, or whose start is on its way, go over to it; what was lost is put on record as a crash; a start that was never answered is stopped there before the task may run elsewhere. An entry that names another life takes the worker out of use until the worker itself has answered. Ends are acknowledged only over a connection on which the life that is meant has answered, since a connection does not outlive a process.

Ruled out: comparing ids and addresses (neither changes); taking the larger start for the later life (the time of day is set back); acknowledging nothing after a lost answer (an idle worker restarts without one).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{Connection, Sent};
 use crate::pool::Pool;
-use crate::HttpError;
+use crate::{ConnectionId, HttpError, PeerMark};
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -31,6 +31,8 @@
     path: String,
     headers: HeaderMap,
     body: Bytes,
+    /// What is sent in the body's place over a connection whose peer has this mark.
+    marked_body: Option<(PeerMark, Bytes)>,
     time_limit: Duration,
     silence_limit: Option<Duration>,
 }
@@ -47,6 +49,7 @@
             path: path.to_owned(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            marked_body: None,
             time_limit,
             silence_limit: None,
         }
@@ -76,14 +79,28 @@
         self
     }
 
+    /// Sets what is sent, as JSON, in the body's place over a connection whose peer has
+    /// this mark; such a connection is taken where one is idle.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Invalid`] where `value` has no JSON form.
+    pub fn with_json_for(
+        mut self,
+        mark: PeerMark,
+        value: &impl Serialize,
+    ) -> Result<Self, HttpError> {
+        self.marked_body = Some((mark, json_of(value)?.into()));
+        Ok(self)
+    }
+
     /// Sets the body to `value` as JSON.
     ///
     /// # Errors
     ///
     /// Returns [`HttpError::Invalid`] where `value` has no JSON form.
     pub fn with_json(self, value: &impl Serialize) -> Result<Self, HttpError> {
-        let body =
-            serde_json::to_vec(value).map_err(|error| HttpError::Invalid(error.to_string()))?;
+        let body = json_of(value)?;
         Ok(self
             .with_header("content-type", "application/json")
             .with_body(body))
@@ -99,6 +116,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The connection over which it came.
+    pub connection: ConnectionId,
 }
 
 impl Answer {
@@ -161,10 +180,16 @@
         answer
     }
 
+    /// Notes what the process is known by that has answered over a connection.
+    ///
+    /// A connection that another call has taken meanwhile stays as it is.
+    pub fn mark(&self, addr: &str, connection: ConnectionId, mark: PeerMark) {
+        self.pool.mark(addr, connection, mark);
+    }
+
     async fn make(&self, call: Call, limits: &Limits) -> Result<Answer, HttpError> {
-        let addr = call.addr.clone();
-        let request = request_of(call)?;
-        let (connection, response) = limits.until_head(self.send(&addr, request)).await??;
+        let (connection, response) = limits.until_head(self.send(&call)).await??;
+        let id = connection.id();
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
         let mut received = Received::default();
@@ -174,8 +199,9 @@
                 received.add(data);
             }
         }
-        self.pool.put(addr, connection);
+        self.pool.put(call.addr, connection);
         Ok(Answer {
+            connection: id,
             status: parts.status,
             headers: parts.headers,
             body: received.into_bytes(),
@@ -184,22 +210,20 @@
 
     /// Sends a request over a kept connection, or over a new one where there is
     /// none that the peer has not closed.
-    async fn send(
-        &self,
-        addr: &str,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>), HttpError> {
+    async fn send(&self, call: &Call) -> Result<(Connection, Response<Incoming>), HttpError> {
+        let wanted = call.marked_body.as_ref().map(|(mark, _)| *mark);
         loop {
-            let kept = self.pool.take(addr);
+            let kept = self.pool.take(&call.addr, wanted);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => Connection::open(addr).await?,
+                None => Connection::open(&call.addr, self.pool.next_id()).await?,
             };
+            let request = request_of(call, connection.mark())?;
             match connection.send(request).await {
                 Sent::Answered(response) => return Ok((connection, response)),
-                Sent::Unsent(unsent) if is_kept => request = unsent,
-                Sent::Unsent(_) => {
+                Sent::Unsent if is_kept => {}
+                Sent::Unsent => {
                     return Err(HttpError::NotSent("the connection was closed".to_owned()))
                 }
                 Sent::Broken(error) => return Err(error),
@@ -323,14 +347,23 @@
     }
 }
 
-fn request_of(call: Call) -> Result<Request<Full<Bytes>>, HttpError> {
+fn json_of(value: &impl Serialize) -> Result<Vec<u8>, HttpError> {
+    serde_json::to_vec(value).map_err(|error| HttpError::Invalid(error.to_string()))
+}
+
+/// Returns the request of a call over a connection whose peer has this mark.
+fn request_of(call: &Call, mark: Option<PeerMark>) -> Result<Request<Full<Bytes>>, HttpError> {
     let invalid = |error: &dyn std::error::Error| HttpError::Invalid(error.to_string());
     let host = HeaderValue::from_str(&call.addr).map_err(|error| invalid(&error))?;
-    let request = Request::builder().method(call.method).uri(call.path);
+    let request = Request::builder().method(&call.method).uri(&call.path);
+    let body = match &call.marked_body {
+        Some((wanted, body)) if mark == Some(*wanted) => body,
+        _ => &call.body,
+    };
     let mut request = request
-        .body(Full::new(call.body))
+        .body(Full::new(body.clone()))
         .map_err(|error| invalid(&error))?;
-    *request.headers_mut() = call.headers;
+    *request.headers_mut() = call.headers.clone();
     // A caller may name another host than the one it calls.
     request.headers_mut().entry(HOST).or_insert(host);
     Ok(request)
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to one address.
 
-use crate::HttpError;
+use crate::{ConnectionId, HttpError, PeerMark};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -26,7 +26,7 @@
     /// The answer's head.
     Answered(Response<Incoming>),
     /// The connection had been closed: nothing was sent.
-    Unsent(Request<Full<Bytes>>),
+    Unsent,
     /// The connection broke.
     Broken(HttpError),
 }
@@ -37,6 +37,9 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     made_at: Instant,
+    id: ConnectionId,
+    /// What the peer's process is known by.
+    mark: Option<PeerMark>,
 }
 
 impl Connection {
@@ -46,7 +49,7 @@
     ///
     /// Returns [`HttpError::NotSent`] where nothing listens there, or the
     /// connection takes too long.
-    pub(crate) async fn open(addr: &str) -> Result<Self, HttpError> {
+    pub(crate) async fn open(addr: &str, id: ConnectionId) -> Result<Self, HttpError> {
         let not_sent = |error: &dyn std::error::Error| HttpError::NotSent(error.to_string());
         let connected = timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await;
         let connected = connected.map_err(|error| not_sent(&error))?;
@@ -64,9 +67,26 @@
             sender,
             driver: driver.abort_handle(),
             made_at,
+            id,
+            mark: None,
         })
     }
 
+    /// Returns what tells the connection from the client's others.
+    pub(crate) const fn id(&self) -> ConnectionId {
+        self.id
+    }
+
+    /// Returns what the peer's process is known by.
+    pub(crate) const fn mark(&self) -> Option<PeerMark> {
+        self.mark
+    }
+
+    /// Sets what the peer's process is known by.
+    pub(crate) const fn set_mark(&mut self, mark: PeerMark) {
+        self.mark = Some(mark);
+    }
+
     /// Returns when the connection was made.
     pub(crate) const fn made_at(&self) -> Instant {
         self.made_at
@@ -80,12 +100,12 @@
     /// Sends a request, once.
     pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
         if self.sender.ready().await.is_err() {
-            return Sent::Unsent(request);
+            return Sent::Unsent;
         }
         match self.sender.try_send_request(request).await {
             Ok(response) => Sent::Answered(response),
             Err(mut error) => match error.take_message() {
-                Some(request) => Sent::Unsent(request),
+                Some(_) => Sent::Unsent,
                 None => Sent::Broken(HttpError::Broken(text_of(error.error()))),
             },
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,7 +7,9 @@
 mod client;
 mod connection;
 mod error;
+mod peer;
 mod pool;
 
 pub use client::{Answer, Call, HttpClient};
 pub use error::HttpError;
+pub use peer::{ConnectionId, PeerMark};
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -1,9 +1,11 @@
 //! Idle connections, kept for the next calls.
 
 use crate::connection::Connection;
+use crate::{ConnectionId, PeerMark};
 use ospreywing_clock as clock;
 use ospreywing_types::{Duration, Instant};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// How long a connection is kept that nobody uses, time in suspend included: a peer may
@@ -37,6 +39,7 @@
     /// The most that are kept to each address.
     limit_count: usize,
     kept: Mutex<Kept>,
+    next_id: AtomicU64,
 }
 
 impl Pool {
@@ -47,14 +50,25 @@
                 by_address: HashMap::new(),
                 next_sweep_at: clock::now() + SWEEP_PERIOD,
             }),
+            next_id: AtomicU64::new(0),
         }
     }
 
-    /// Takes out the connection to `addr` that was used last.
-    pub(crate) fn take(&self, addr: &str) -> Option<Connection> {
+    /// Returns an id that no other connection has.
+    pub(crate) fn next_id(&self) -> ConnectionId {
+        ConnectionId(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Takes out the connection to `addr` that was used last, where there is one whose peer
+    /// has the wanted mark the last one of these.
+    pub(crate) fn take(&self, addr: &str, wanted: Option<PeerMark>) -> Option<Connection> {
         let now = clock::now();
         let mut kept = self.lock();
         let idle = kept.by_address.get_mut(addr)?;
+        let is_wanted = |idle: &Idle| idle.connection.mark() == wanted && idle.is_usable(now);
+        if let Some(index) = wanted.and_then(|_| idle.iter().rposition(is_wanted)) {
+            return Some(idle.remove(index).connection);
+        }
         while let Some(newest) = idle.pop() {
             if newest.is_usable(now) {
                 return Some(newest.connection);
@@ -81,6 +95,16 @@
         }
     }
 
+    /// Sets what the peer of an idle connection is known by.
+    pub(crate) fn mark(&self, addr: &str, id: ConnectionId, mark: PeerMark) {
+        let mut kept = self.lock();
+        let idle = kept.by_address.get_mut(addr);
+        let mut idle = idle.into_iter().flatten();
+        if let Some(found) = idle.find(|idle| idle.connection.id() == id) {
+            found.connection.set_mark(mark);
+        }
+    }
+
     /// Closes the idle connections to `addr` that were made up to `until`; returns how
     /// many.
     ///
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -261,8 +261,9 @@
         let good: Vec<(WorkerKey, Arc<str>)> = tickets
             .into_iter()
             .filter_map(|ticket| {
+                // A life that has begun since was not asked about.
                 let worker = self.workers_by_id.get(&ticket.worker)?;
-                Some((*worker, ticket.text))
+                named.contains(worker).then_some((*worker, ticket.text))
             })
             .collect();
         // What was known before tells nothing of workers that are not.
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -293,7 +293,7 @@
 
     /// Takes in that a worker's life is over: another one has answered at its address.
     pub(crate) fn mark_gone(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
-        if core::mem::replace(&mut self.workers[key].is_gone, true) {
+        if self.workers[key].is_gone {
             return;
         }
         let reason = "another life answers";
@@ -301,9 +301,15 @@
         let figure = self.workers[key].runs.len() as u64;
         let line = line.with_worker(&self.workers[key].facts.id);
         out.push(Action::Log(line.with_figure(figure)));
+        self.note_gone(now, key, out);
+        self.release_all(now, key, reason, out);
+    }
+
+    /// Notes that a life is over, and puts its crash on record for what ran there.
+    pub(crate) fn note_gone(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
+        self.workers[key].is_gone = true;
         self.record_crash(now, key, out);
         self.workers[key].gone_at = Some(now);
-        self.release_all(now, key, reason, out);
     }
 
     /// Sends stops again that were not answered.
@@ -333,6 +339,7 @@
                     to: Endpoint {
                         worker: key,
                         id: id.clone(),
+                        life_start: worker.life_start,
                         address: address.clone(),
                     },
                     task: *task,
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -186,6 +186,9 @@
     pub worker: WorkerKey,
     /// The worker's id; every order names the life that is meant.
     pub id: Arc<str>,
+    /// When the life started that is meant, where that is known: it alone may be told to
+    /// forget ends.
+    pub life_start: Option<LifeStart>,
     /// Its address.
     pub address: Arc<str>,
 }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -3,12 +3,13 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, EndedRun, HoldReply, RunningRun};
 use crate::job::TaskKey;
+use crate::life::LifeStart;
+use crate::lives::ListedRuns;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{Phase, TaskStatus};
 use crate::worker::{lease_bound, ClockReading, Run, RunPhase, Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
-use std::collections::BTreeSet;
 
 /// Renewals in a row without an answer after which a worker is taken for silent.
 /// A single answer may be lost while the worker is well.
@@ -64,8 +65,10 @@
             let is_granted = worker.is_synced && worker.unanswered_holds_count == 0;
             // A renewal would not wait while an end is listed.
             let has_listed_end = !worker.uncommitted_ends.is_empty();
-            let is_quick =
-                !is_granted || worker.runs.is_empty() || has_listed_end || worker.is_doubted;
+            let is_quick = !is_granted
+                || worker.runs.is_empty()
+                || has_listed_end
+                || worker.doubted_at.is_some();
             let until_ms = if is_granted {
                 worker.grant(now, length)
             } else {
@@ -115,24 +118,18 @@
                 running,
                 ended,
             } => {
-                let is_other = worker.note_life(life_start);
-                if is_other {
-                    let line = Decision::new(DecisionKind::WorkerRestarted, "its lists tell")
-                        .with_worker(&worker.facts.id)
-                        .with_figure(worker.runs.len() as u64);
-                    out.push(Action::Log(line));
+                let is_other = worker.is_other_life(life_start);
+                if is_other && worker.is_gone {
+                    return;
                 }
-                worker.clock = Some(ClockReading {
-                    clock_ms,
-                    read_at: now,
-                });
-                worker.unanswered_holds_count = 0;
-                worker.answered_at = now;
-                worker.is_doubted = false;
-                if !core::mem::replace(&mut worker.is_reachable, true) {
-                    worker.next_hold_at = now;
-                }
-                self.retract_silence(key);
+                let listed = listed_runs(&running, &ended);
+                let key = if is_other {
+                    self.begin_next_life(now, key, life_start, sent_at, &listed, out)
+                } else {
+                    self.retract_silence(key);
+                    key
+                };
+                self.note_answer(now, key, sent_at, life_start, clock_ms);
                 self.take_lists(now, key, sent_at, running, ended, out);
             }
             HoldReply::Fenced => out.push(Action::StepDown),
@@ -141,6 +138,29 @@
         }
     }
 
+    fn note_answer(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        sent_at: Instant,
+        life_start: Option<LifeStart>,
+        clock_ms: u64,
+    ) {
+        let worker = &mut self.workers[key];
+        worker.note_life(life_start);
+        worker.clock = Some(ClockReading {
+            clock_ms,
+            read_at: now,
+        });
+        worker.unanswered_holds_count = 0;
+        worker.answered_at = now;
+        // A look that was on its way before tells nothing of what came since.
+        worker.doubted_at = worker.doubted_at.filter(|since| sent_at < *since);
+        if !core::mem::replace(&mut worker.is_reachable, true) {
+            worker.next_hold_at = now;
+        }
+    }
+
     /// Asks again at once after the first renewal without an answer, as far as the budget
     /// allows; after a further one the worker is silent.
     fn note_unanswered_hold(&mut self, now: Instant, key: WorkerKey, out: &mut Vec<Action>) {
@@ -181,9 +201,7 @@
             self.bound_inherited_lease(now, key);
         }
         let is_whole = ended.len() < self.config.listed_ends_limit_count;
-        let mut listed: BTreeSet<(TaskKey, u32)> = BTreeSet::new();
-        listed.extend(ended.iter().map(|end| (end.task, end.run)));
-        listed.extend(running.iter().map(|run| (run.task, run.run)));
+        let listed = listed_runs(&running, &ended);
         // What a worker may forget is told by number.
         ended.sort_by_key(|end| end.number);
         for end in ended {
@@ -307,7 +325,7 @@
         now: Instant,
         key: WorkerKey,
         sent_at: Instant,
-        listed: &BTreeSet<(TaskKey, u32)>,
+        listed: &ListedRuns,
         out: &mut Vec<Action>,
     ) {
         let worker = &self.workers[key];
@@ -373,6 +391,13 @@
     }
 }
 
+fn listed_runs(running: &[RunningRun], ended: &[EndedRun]) -> ListedRuns {
+    let mut listed = ListedRuns::new();
+    listed.extend(ended.iter().map(|end| (end.task, end.run)));
+    listed.extend(running.iter().map(|run| (run.task, run.run)));
+    listed
+}
+
 /// Returns how long the next answer may take, after so many looks in a row
 /// without one.
 pub fn look_patience(unanswered_holds_count: u32) -> Duration {
@@ -389,7 +414,7 @@
     if now < worker.next_hold_at {
         return false;
     }
-    if worker.is_doubted {
+    if worker.doubted_at.is_some() {
         return true;
     }
     let has_runs = worker
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod leases;
 mod life;
 mod limits;
+mod lives;
 mod order;
 mod orders;
 mod placing;
--- /dev/null
+++ b/crates/scheduler/src/lives.rs
@@ -0,0 +1,195 @@
+//! Workers that start again under the id that they had.
+//!
+//! A [`WorkerKey`] stands for one life. What is known of a life (its clock, the numbers of
+//! its ends, its leases, what advice told) holds for no other, so a life that follows under
+//! the same id gets a key of its own. Which life is there, only the worker's own answers
+//! tell: its entry in the store may be written late, and the start is a time of day, which
+//! may be set back.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::Action;
+use crate::job::TaskKey;
+use crate::life::LifeStart;
+use crate::scheduler::Scheduler;
+use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
+use ospreywing_types::Instant;
+use std::collections::BTreeSet;
+
+/// The runs that an answer lists, alive or ended.
+pub(crate) type ListedRuns = BTreeSet<(TaskKey, u32)>;
+
+/// What becomes of a run when another life answers under its worker's id.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// It is there, or the answer to its start will tell.
+    Kept,
+    /// It was lost with the life before, but a start of it that was never answered may
+    /// still be carried out.
+    Open,
+    /// It was lost with the life before, or was never sent.
+    Lost,
+}
+
+impl Worker {
+    /// Returns whether an answer comes from another life than the one that answered before.
+    pub(crate) fn is_other_life(&self, life_start: Option<LifeStart>) -> bool {
+        matches!((self.life_start, life_start), (Some(known), Some(told)) if known != told)
+    }
+
+    /// Returns whether an entry may be that of the life that answers.
+    pub(crate) fn is_own_entry(&self, facts: &WorkerFacts) -> bool {
+        !self.is_other_life(facts.life_start)
+    }
+
+    /// Notes which life answers. An entry of another one is of no use from then on: its
+    /// room may be another.
+    pub(crate) fn note_life(&mut self, life_start: Option<LifeStart>) {
+        self.life_start = self.life_start.or(life_start);
+        self.is_listed &= !self.is_other_life(self.facts.life_start);
+    }
+}
+
+impl Scheduler {
+    /// Takes in an entry that names another life than the one that answers: nothing new
+    /// is started there, and the worker is asked at once.
+    pub(crate) fn doubt_life(&mut self, now: Instant, key: WorkerKey, facts: WorkerFacts) {
+        let worker = &mut self.workers[key];
+        worker.is_listed = false;
+        let is_news = worker
+            .other_entry
+            .as_ref()
+            .is_none_or(|known| known.life_start != facts.life_start);
+        worker.other_entry = Some(facts);
+        if is_news {
+            worker.doubted_at = Some(now);
+            worker.next_hold_at = now;
+            self.next_renewal_at = now;
+        }
+    }
+
+    /// Ends a life, since another one has answered under its id, and begins that one;
+    /// returns its key.
+    ///
+    /// Starts that were meant for the life before may have been carried out in the new
+    /// one, so runs that may be there go over to it.
+    pub(crate) fn begin_next_life(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        life_start: Option<LifeStart>,
+        sent_at: Instant,
+        listed: &ListedRuns,
+        out: &mut Vec<Action>,
+    ) -> WorkerKey {
+        let runs_count = self.workers[key].runs.len() as u64;
+        let line = Decision::new(DecisionKind::WorkerRestarted, "another start answers");
+        let line = line.with_worker(&self.workers[key].facts.id);
+        out.push(Action::Log(line.with_figure(runs_count)));
+        let next = self.add_next_life(now, key, life_start);
+        let kept = self.runs_of_fate(key, Fate::Kept, sent_at, listed);
+        self.move_runs(key, next, kept);
+        self.note_gone(now, key, out);
+        let open = self.runs_of_fate(key, Fate::Open, sent_at, listed);
+        self.move_runs(key, next, open.clone());
+        self.release_all(now, key, "another start answers", out);
+        self.stop_again(now, next, &open, out);
+        next
+    }
+
+    fn add_next_life(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        life_start: Option<LifeStart>,
+    ) -> WorkerKey {
+        let before = &mut self.workers[key];
+        let entry = before.other_entry.take();
+        let entry = entry.filter(|entry| entry.life_start == life_start);
+        let has_service = before.has_service;
+        let is_listed = entry.is_some() || before.facts.life_start.is_none() && before.is_listed;
+        before.is_listed = false;
+        let facts = entry.unwrap_or_else(|| before.facts.clone());
+        let id = facts.id.clone();
+        // What was granted by the clock of the life before is cut to the limit there.
+        let mut next = Worker::new(facts, lease_bound(now, self.config.grant_limit));
+        next.is_listed = is_listed;
+        next.has_service = has_service;
+        next.life_start = life_start;
+        let next = self.workers.push(next);
+        self.workers_by_id.insert(id, next);
+        next
+    }
+
+    fn runs_of_fate(
+        &self,
+        key: WorkerKey,
+        fate: Fate,
+        sent_at: Instant,
+        listed: &ListedRuns,
+    ) -> Vec<TaskKey> {
+        let runs = self.workers[key].runs.iter();
+        let placed = runs.filter(|(task, _)| self.placements.get(task) == Some(&key));
+        let found = placed.filter(|(task, run)| {
+            let is_listed = listed.contains(&(**task, run.run));
+            fate_of(run, is_listed, sent_at) == fate
+        });
+        found.map(|(task, _)| *task).collect()
+    }
+
+    fn move_runs(&mut self, from: WorkerKey, to: WorkerKey, tasks: Vec<TaskKey>) {
+        for task in tasks {
+            let Some(run) = self.workers[from].runs.get(&task).cloned() else {
+                continue;
+            };
+            self.remove_run(from, task);
+            self.add_foreign_run(to, task, run);
+            self.placements.insert(task, to);
+        }
+    }
+
+    /// Stops in a new life what was being stopped in the one before, and what may still
+    /// begin there: a run that was stopped before it came is refused.
+    fn stop_again(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        open: &[TaskKey],
+        out: &mut Vec<Action>,
+    ) {
+        let to = self.workers[key].endpoint(key);
+        for (task, run) in &mut self.workers[key].runs {
+            if matches!(run.phase, RunPhase::Stopping { .. }) || open.contains(task) {
+                run.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    taken_at: None,
+                };
+                out.push(Action::Stop {
+                    to: to.clone(),
+                    task: *task,
+                    run: run.run,
+                });
+            }
+        }
+    }
+
+    /// Returns which life of a worker has a task's run now, where it was begun for `key`.
+    pub(crate) fn life_with(&self, key: WorkerKey, task: TaskKey) -> WorkerKey {
+        let placed = self.placements.get(&task).copied();
+        let is_next =
+            |other: &WorkerKey| self.workers[*other].facts.id == self.workers[key].facts.id;
+        placed.filter(is_next).unwrap_or(key)
+    }
+}
+
+fn fate_of(run: &Run, is_listed: bool, sent_at: Instant) -> Fate {
+    if is_listed {
+        return Fate::Kept;
+    }
+    match run.phase {
+        RunPhase::Recording | RunPhase::Inherited => Fate::Lost,
+        RunPhase::Starting => Fate::Kept,
+        RunPhase::Running { since } if since >= sent_at => Fate::Kept,
+        RunPhase::Running { .. } | RunPhase::Stopping { .. } if run.has_open_start() => Fate::Open,
+        RunPhase::Running { .. } | RunPhase::Stopping { .. } => Fate::Lost,
+    }
+}
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -151,6 +151,8 @@
             self.mark_gone(now, key, out);
             return;
         }
+        // The run may have gone over to a life that has answered meanwhile.
+        let key = self.life_with(key, task);
         let worker = &mut self.workers[key];
         let Some(run) = worker.runs.get_mut(&task) else {
             return;
@@ -158,6 +160,7 @@
         if run.run != number {
             return;
         }
+        run.answers_count += u32::from(reply != StartReply::Unanswered);
         let is_refused = reply == StartReply::Refused(RefusedStart::NotSent);
         run.was_cut_off |= is_refused && run.sends_count > 1;
         let reply = told_by_repeat(reply, run.sends_count);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -83,8 +83,9 @@
     pub(crate) ticket: Option<Arc<str>>,
     /// The checkpoint that its start brings.
     pub(crate) checkpoint: Option<String>,
-    /// How often its start was sent.
+    /// How often its start was sent, and how many of these were answered.
     pub(crate) sends_count: u32,
+    pub(crate) answers_count: u32,
     pub(crate) placed_at: Instant,
     /// Since when the worker is known to have it.
     pub(crate) begun_at: Option<Instant>,
@@ -111,6 +112,7 @@
             ticket: None,
             checkpoint: None,
             sends_count: 0,
+            answers_count: 0,
             placed_at,
             begun_at: None,
             was_cut_off: false,
@@ -119,6 +121,11 @@
         }
     }
 
+    /// Returns whether a start that was sent may still be carried out.
+    pub(crate) const fn has_open_start(&self) -> bool {
+        self.sends_count > self.answers_count
+    }
+
     /// Notes that the worker has it.
     pub(crate) fn note_begun(&mut self, now: Instant) {
         self.begun_at.get_or_insert(now);
@@ -153,7 +160,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) facts: WorkerFacts,
-    /// Whether the platform's list has it.
+    /// Whether the platform's list has this life of it.
     pub(crate) is_listed: bool,
     /// Whether its service is one that the operators have set.
     pub(crate) has_service: bool,
@@ -163,11 +170,14 @@
     pub(crate) is_synced: bool,
     /// Whether the last renewal was answered.
     pub(crate) is_reachable: bool,
-    /// Whether another life is listed at its place, and it has not answered since.
-    pub(crate) is_doubted: bool,
+    /// Since when another life is listed at its place or under its id, where it has not
+    /// answered a look that was sent since.
+    pub(crate) doubted_at: Option<Instant>,
+    /// The entry under its id, where that names another life than the one that answers.
+    pub(crate) other_entry: Option<WorkerFacts>,
     /// Whether it runs something that nobody can account for.
     pub(crate) has_unknown_run: bool,
-    /// The life that answered last.
+    /// When the life started that answers, where it tells.
     pub(crate) life_start: Option<LifeStart>,
     pub(crate) clock: Option<ClockReading>,
     /// When every lease granted to its runs is certainly over.
@@ -220,7 +230,8 @@
             is_gone: false,
             is_synced: false,
             is_reachable: true,
-            is_doubted: false,
+            doubted_at: None,
+            other_entry: None,
             has_unknown_run: false,
             life_start: None,
             clock: None,
@@ -249,13 +260,6 @@
         }
     }
 
-    /// Notes which life has answered; returns whether it is another one than before.
-    pub(crate) fn note_life(&mut self, life_start: Option<LifeStart>) -> bool {
-        let before = self.life_start;
-        self.life_start = life_start.or(before);
-        before.is_some() && self.life_start != before
-    }
-
     /// Returns up to which end the worker may forget, once all that wait for
     /// their commit are in the store.
     pub(crate) fn ackable_end(&self) -> u64 {
@@ -342,7 +346,7 @@
             && !self.is_gone
             && self.is_synced
             && self.is_reachable
-            && !self.is_doubted
+            && self.doubted_at.is_none()
             && !self.has_unknown_run
             && !self.facts.is_draining
             // Nothing joins a run that may crash the worker.
@@ -354,6 +358,7 @@
         Endpoint {
             worker,
             id: self.facts.id.clone(),
+            life_start: self.life_start,
             address: self.facts.address.clone(),
         }
     }
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -18,12 +18,12 @@
     ) {
         let ids: BTreeSet<_> = list.iter().map(|facts| facts.id.clone()).collect();
         for worker in self.workers.values_mut() {
-            worker.is_listed = ids.contains(&worker.facts.id);
+            worker.is_listed = !worker.is_gone && ids.contains(&worker.facts.id);
         }
         self.doubt_shared_places(now, &list);
         for facts in list {
             match self.workers_by_id.get(&facts.id) {
-                Some(&key) => self.update_facts(key, facts, out),
+                Some(&key) => self.take_entry(now, key, facts, out),
                 None => self.add_worker(facts, out),
             }
         }
@@ -56,7 +56,7 @@
         };
         let mut is_any = false;
         for worker in self.workers.values_mut().filter(|w| is_shared(w)) {
-            worker.is_doubted = true;
+            worker.doubted_at = Some(now);
             worker.next_hold_at = now;
             is_any = true;
         }
@@ -71,6 +71,26 @@
         key.is_some_and(|key| !self.workers[*key].facts.address.is_empty())
     }
 
+    /// Takes in the entry of a known worker, which may be that of another life.
+    fn take_entry(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        facts: WorkerFacts,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        if worker.is_own_entry(&facts) {
+            worker.other_entry = None;
+            self.update_facts(key, facts, out);
+        } else if worker.is_gone {
+            // The id is in use again.
+            self.add_worker(facts, out);
+        } else {
+            self.doubt_life(now, key, facts);
+        }
+    }
+
     /// Takes in what is listed of a known worker now.
     ///
     /// What runs on a worker whose room has shrunk below it runs on: stopping it would
@@ -78,11 +98,6 @@
     fn update_facts(&mut self, key: WorkerKey, facts: WorkerFacts, out: &mut Vec<Action>) {
         let worker = &mut self.workers[key];
         let before = worker.facts.capacity;
-        if worker.facts.life_start.is_some() && facts.life_start != worker.facts.life_start {
-            let line = Decision::new(DecisionKind::WorkerRestarted, "its entry tells");
-            let line = line.with_worker(&facts.id);
-            out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
-        }
         worker.set_facts(facts);
         let after = worker.facts.capacity;
         // Of a worker that only the records of an earlier leader name nothing was known.
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -20,8 +20,6 @@
 use ospreywing_scheduler::{JobId, Phase, StepSpec};
 use rstest::rstest;
 
-/// The time of day at which the workers have started.
-const FIRST_START_MS: u64 = 5_000_000;
 /// Long enough for a job, and for a worker to be back.
 const WHILE_MS: u64 = 4_000;
 const OUTCOME_LIMIT_MS: u64 = 20_000;
@@ -29,10 +27,7 @@
 /// Returns a world of workers that tell their start, on which some work has been done.
 fn world_at_work(seed: u64, workers_count: usize) -> World {
     let mut world = World::new(seed, workers_count, Faults::default(), None);
-    for worker in &mut world.workers {
-        worker.tell_life_start(FIRST_START_MS);
-    }
-    world.list_workers();
+    world.tell_life_starts(false);
     for number in 1..=3 {
         world.submit(job(number, vec![step(2 * workers_count as u32)]));
         world.run_for(WHILE_MS);
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -133,6 +133,48 @@
     search(faults, has_advice.then(advice));
 }
 
+/// Workers that start again under the ids that they had, at once or while nobody hears of
+/// them, with their entries written late.
+#[rstest]
+#[case::alone(Faults { restart: 60, ..Faults::default() })]
+#[case::lost_answers(Faults { restart: 60, lost_answer: 80, ..Faults::default() })]
+#[case::takeovers(Faults { restart: 60, takeover: 40, ..Faults::default() })]
+#[case::cuts(Faults { restart: 40, cut: 40, crash: 10, ..Faults::default() })]
+#[case::trouble(Faults { restart: 40, trouble: 40, takeover: 10, ..Faults::default() })]
+#[case::paused(Faults { restart: 40, pause: 60, ..Faults::default() })]
+#[case::failing_runs(Faults { restart: 40, failing_run: 120, drain: 10, ..Faults::default() })]
+#[case::everything(Faults {
+    restart: 30,
+    late_order: 0,
+    pause: 20,
+    ..EVERYTHING
+})]
+fn scheduler_keeps_lives_apart(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+    #[values(false, true)] ignores_foreign_acks: bool,
+) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 6, faults, has_advice.then(advice));
+        world.tell_life_starts(ignores_foreign_acks);
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=16 {
+            let steps = match number % 4 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                2 => vec![step(1), after(0, gang(2))],
+                _ => vec![step(4)],
+            };
+            world.submit(job(number, steps));
+            world.run_for(400);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
+
 /// Runs about as long as leases, and leaders that follow one another at the end of
 /// the store's trouble, in which leases are long.
 #[rstest]
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -191,8 +191,14 @@
         self.workers[index].advance(now_ms);
         self.note_done();
         let worker = &mut self.workers[index];
+        // Only the life that is meant is told what to forget.
+        let is_meant = to.life_start.is_none() || to.life_start == worker.life_start;
+        let last_seen = if is_meant {
+            worker.forgotten_end(last_seen)
+        } else {
+            0
+        };
         if term >= worker.fence {
-            let last_seen = worker.forgotten_end(last_seen);
             self.rules.note_acks(worker, now_ms, last_seen);
         }
         let reply = worker.hold(now_ms, term, until_ms, last_seen, LEASE_LIMIT_MS);
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -250,6 +250,10 @@
         let mut next = FakeWorker::new(&fresh, 990);
         next.address = address;
         next.rack = rack;
+        next.ignores_foreign_acks = self.workers[index].ignores_foreign_acks;
+        if self.workers[index].life_start.is_some() {
+            next.tell_life_start(self.rng.random_range(WALL_MS));
+        }
         self.workers.push(next);
         self.list_workers();
     }
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -22,6 +22,8 @@
 /// The leader's lease.
 const LEADER_LEASE_MS: u64 = 2000;
 const TICK_MS: u64 = 20;
+/// The time of day at which the first lives start.
+const FIRST_START_MS: u64 = 5_000_000;
 /// How long a commit takes while the store is in trouble.
 const SLOW_COMMIT_MS: core::ops::Range<u64> = 100..3_000;
 /// How often faults strike, in thousandths.
@@ -233,6 +235,15 @@
         self.list_workers();
     }
 
+    /// Has the workers tell when they have started.
+    pub fn tell_life_starts(&mut self, ignores_foreign_acks: bool) {
+        for worker in &mut self.workers {
+            worker.tell_life_start(FIRST_START_MS);
+            worker.ignores_foreign_acks = ignores_foreign_acks;
+        }
+        self.list_workers();
+    }
+
     fn now(&self) -> Instant {
         Instant::from_ms(self.now_ms)
     }
