Name the life of the worker in the record of a start; restarts in the soak

A leader that takes over met the next life under the recorded id, which lists nothing, and took the start for never begun; the crash was on no record.

Change: a placed task's record names the life, behind the rest of the job's progress (a new first byte only where workers tell their starts). A new leader that meets another life puts the crash on record.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -262,6 +262,13 @@
                 .help("Also play tasks that crash their workers, and rooms that change")
                 .conflicts_with("plan"),
         )
+        .arg(
+            Arg::new("restarts")
+                .long("restarts")
+                .action(ArgAction::SetTrue)
+                .help("Also play workers that start again under their ids")
+                .conflicts_with("plan"),
+        )
         .arg(
             path("plan", "FILE", "Play this plan instead of drawing one")
                 .conflicts_with_all(["seed", "seeds"]),
--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -106,13 +106,16 @@
     let seeds = matches.get_one::<Seeds>("seeds").copied().unwrap_or(only);
     let seeds = seeds.first..=seeds.last;
     let has_crashes = matches.get_flag("crashes");
+    let has_restarts = matches.get_flag("restarts");
     let draw = |seed| {
-        let plan = Plan::draw(seed, size);
+        let mut plan = Plan::draw(seed, size);
         if has_crashes {
-            plan.with_crashes()
-        } else {
-            plan
+            plan = plan.with_crashes();
         }
+        if has_restarts {
+            plan = plan.with_restarts();
+        }
+        plan
     };
     Ok(seeds.map(draw).collect())
 }
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,6 +11,7 @@
 use crate::event::Action;
 use crate::evidence::{CrashRecord, Suspicion};
 use crate::job::{JobId, TaskKey};
+use crate::lives::ListedRuns;
 use crate::scheduler::Scheduler;
 use crate::state::Phase;
 use crate::worker::{LostRun, Run, RunPhase, Worker, WorkerKey};
@@ -71,6 +72,33 @@
         }
     }
 
+    /// Puts the crash of an earlier life on record for runs that an earlier leader recorded
+    /// for it, and gives these up.
+    pub(crate) fn record_lost_lives(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        listed: &ListedRuns,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &self.workers[key];
+        let is_lost = |task: &TaskKey, run: &Run| {
+            run.phase == RunPhase::Inherited
+                && worker.is_other_life(run.recorded_life)
+                && !listed.contains(&(*task, run.run))
+        };
+        let mut lost = self.runs_to_lose(key);
+        lost.retain(|lost| is_lost(&lost.task, &worker.runs[&lost.task]));
+        self.name_suspects(now, key, &mut lost);
+        for run in &lost {
+            self.record_lost_run(now, key, *run, true, out);
+        }
+        for run in lost {
+            let reason = "another start answers";
+            self.release(now, run.task, DecisionKind::RunLost, reason, out);
+        }
+    }
+
     /// Decides on which of a lost worker's runs its crash is laid.
     ///
     /// On those that were on trial, where there are any; on nobody in particular where
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -207,6 +207,7 @@
         for end in ended {
             self.take_end(now, key, end, out);
         }
+        self.record_lost_lives(now, key, &listed, out);
         self.workers[key].has_unknown_run = false;
         for run in running {
             self.take_running(now, key, run, out);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -40,6 +40,7 @@
 mod open_starts;
 mod order;
 mod orders;
+mod placed_lives;
 mod placing;
 mod preemption;
 mod recovery;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -356,6 +356,7 @@
         out: &mut Vec<Action>,
     ) {
         let id = self.workers[key].facts.id.clone();
+        let life_start = self.workers[key].life_start;
         let is_on_trial = self.is_suspect(task);
         let Some(state) = self.task_state_mut(task) else {
             return;
@@ -364,6 +365,7 @@
         state.last_run = number;
         state.status = TaskStatus::Placed {
             worker: id.to_string(),
+            life_start,
         };
         let run = Run {
             role: RunRole::of(pending.spec()),
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -3,6 +3,7 @@
 use crate::config::{Configuration, SchedulerConfig};
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::life::LifeStart;
 use crate::scheduler::Scheduler;
 use crate::state::{JobOutcome, JobState, Phase, TaskStatus};
 use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
@@ -32,6 +33,7 @@
     task: TaskKey,
     run: u32,
     worker: String,
+    life_start: Option<LifeStart>,
 }
 
 impl Scheduler {
@@ -100,6 +102,7 @@
         let demand = self.demand_of(inherited.task).unwrap_or_default();
         let run = Run {
             phase: RunPhase::Inherited,
+            recorded_life: inherited.life_start,
             role: self.role_of(inherited.task),
             is_on_trial: self.is_suspect(inherited.task),
             charge: self.charge_of(inherited.task.step),
@@ -145,11 +148,12 @@
                 step: number as u32,
             };
             for (index, task) in step.tasks.iter().enumerate() {
-                if let TaskStatus::Placed { worker } = &task.status {
+                if let TaskStatus::Placed { worker, life_start } = &task.status {
                     runs.push(InheritedRun {
                         task: key.task(index as u32),
                         run: task.last_run,
                         worker: worker.clone(),
+                        life_start: *life_start,
                     });
                 }
             }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -2,6 +2,8 @@
 
 use crate::evidence::CrashRecord;
 use crate::job::{is_open_to, JobRecord, JobSpec};
+use crate::life::LifeStart;
+use crate::placed_lives::PlacedLife;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -17,6 +19,10 @@
 const CUSTOMERS_JOB_FORM: u8 = 4;
 /// The same of an outcome.
 const CUSTOMERS_OUTCOME_FORM: u8 = 5;
+/// The first byte of progress with crash records and the lives of workers behind it. Where
+/// workers tell no starts it is written as before; nodes of the version before leave a job
+/// alone whose progress they can't read.
+const LIVES_FORM: u8 = 6;
 
 /// The phase of a job's life that clients are shown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +48,9 @@
     Placed {
         /// The worker's id.
         worker: String,
+        /// The start of the life that was meant, where it is known; stored behind the rest.
+        #[serde(skip)]
+        life_start: Option<LifeStart>,
     },
     /// A run has ended well.
     Done,
@@ -165,6 +174,11 @@
 
     /// Returns the stored form.
     pub fn to_bytes(&self) -> Vec<u8> {
+        let lives = self.placed_lives();
+        if !lives.is_empty() {
+            let parts = (self, &self.crashes, lives);
+            return to_form(LIVES_FORM, &parts);
+        }
         if self.crashes.is_empty() {
             return to_form(FORM_VERSION, self);
         }
@@ -183,6 +197,13 @@
                 let (state, crashes): (Self, Vec<CrashRecord>) = read_postcard(rest)?;
                 Ok(Self { crashes, ..state })
             }
+            Some((&LIVES_FORM, rest)) => {
+                let (state, crashes, lives): (Self, Vec<CrashRecord>, Vec<PlacedLife>) =
+                    read_postcard(rest)?;
+                let mut state = Self { crashes, ..state };
+                state.set_placed_lives(&lives);
+                Ok(state)
+            }
             _ => from_stored(bytes),
         }
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -84,6 +84,8 @@
     pub(crate) ticket: Option<Arc<str>>,
     /// The checkpoint that its start brings.
     pub(crate) checkpoint: Option<String>,
+    /// The life for which an earlier leader recorded it, where that is known.
+    pub(crate) recorded_life: Option<LifeStart>,
     /// How often its start was sent, and how many of these were answered.
     pub(crate) sends_count: u32,
     pub(crate) answers_count: u32,
@@ -114,6 +116,7 @@
             role: RunRole::Plain,
             ticket: None,
             checkpoint: None,
+            recorded_life: None,
             sends_count: 0,
             answers_count: 0,
             sent_at: placed_at,
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -17,10 +17,10 @@
 
 use crate::support::bench::{end, workers, Bench};
 use crate::support::world::{Faults, World};
-use crate::support::{first_task, job, step};
+use crate::support::{first_task, job, placed_at_life, placed_state, step};
 use ospreywing_scheduler::{
-    Action, EndKind, EndedRun, Event, HoldReply, JobId, LifeStart, Phase, Recovered, StartReply,
-    StepSpec, TaskKey, WorkerKey,
+    Action, EndKind, EndedRun, Event, HoldReply, JobId, JobState, LifeStart, Phase, Recovered,
+    StartReply, StepSpec, TaskKey, WorkerKey,
 };
 use ospreywing_types::Duration;
 use rstest::rstest;
@@ -188,3 +188,37 @@
 fn stray_task() -> TaskKey {
     first_task(JobId::new(99))
 }
+
+/// Whom a task was given to is on record with the life that was meant. The next leader, which
+/// has met another life only, still learns that the worker crashed under the task.
+#[rstest]
+#[case::same_life(1, 0)]
+#[case::next_life(2, 1)]
+fn record_lost_lives_after_takeover(#[case] answering: u64, #[case] crashes_count: usize) {
+    let (id, record) = job(1, vec![step(1)]);
+    let bytes = placed_at_life("w0", 1, 1).to_bytes();
+    let state = JobState::from_bytes(&bytes).expect("it was written here");
+    let recovered = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, state)],
+        ..Recovered::default()
+    };
+    let workers = workers(1);
+    let mut bench = Bench::after_evicted_leader(recovered);
+    bench.list_restarted(&workers[0], answering);
+    let key = bench.scheduler.worker_key("w0").expect("a worker");
+    answer_as(&mut bench, key, answering, Vec::new());
+    let states = bench.commit_all();
+    let state = states.last().expect("the task is placed anew");
+    assert_eq!(state.crashes.len(), crashes_count);
+}
+
+/// Where workers tell no starts, progress is written as nodes of the version before read it.
+#[rstest]
+#[case::no_start(placed_state("w0", 1), 1)]
+#[case::start(placed_at_life("w0", 7, 1), 6)]
+fn job_state_stored_form(#[case] state: JobState, #[case] form: u8) {
+    let bytes = state.to_bytes();
+    assert_eq!(bytes.first(), Some(&form));
+    assert_eq!(JobState::from_bytes(&bytes), Ok(state));
+}
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -326,39 +326,70 @@
 ) {
     let mut innocents_count = 0;
     for seed in seeds().chain(CRASH_SEEDS_FOUND) {
-        // Shown where the test fails.
-        println!("seed {seed}");
+        let world = World::new(seed, 10, faults, has_advice.then(advice));
+        innocents_count += play_crashing_jobs(seed, world);
+    }
+    check_innocents(innocents_count);
+}
+
+/// The same where workers that are crashed start again under their ids, beside others that do.
+#[rstest]
+#[case::alone(Faults::default())]
+#[case::takeovers(Faults { takeover: 40, ..Faults::default() })]
+#[case::restarts(Faults { restart: 10, takeover: 20, ..Faults::default() })]
+#[case::cuts(Faults { cut: 30, lost_answer: 40, restart: 10, ..Faults::default() })]
+fn scheduler_gives_up_what_restarts_workers(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    let mut innocents_count = 0;
+    for seed in seeds().chain(CRASH_SEEDS_FOUND) {
         let mut world = World::new(seed, 10, faults, has_advice.then(advice));
-        world.crashing = [3, 6, 7].map(JobId::new).into();
-        world.calm_from_ms = world.now_ms + 2 * STORM_MS;
-        for number in 1..=16 {
-            let steps = match number % 4 {
-                0 => vec![gang(3)],
-                1 => vec![step(2), after(0, step(3))],
-                _ => vec![step(4)],
-            };
-            world.submit(job(number, steps));
-            world.run_for(500);
-        }
-        world.run_for(STORM_MS);
-        world.run_until_done(CALM_LIMIT_MS);
-        for number in 1..=16 {
-            let id = JobId::new(number);
-            let phase = world.phase(id);
-            if world.crashing.contains(&id) {
-                assert_eq!(phase, Some(Phase::Failed), "seed {seed}: job {id}");
-            } else if phase != Some(Phase::Complete) {
-                innocents_count += 1;
-                assert!(world.rules.may_be_given_up(id), "seed {seed}: job {id}");
-            }
-        }
+        world.keeps_ids = true;
+        world.tell_life_starts(false);
+        innocents_count += play_crashing_jobs(seed, world);
     }
+    check_innocents(innocents_count);
+}
+
+fn check_innocents(innocents_count: usize) {
     assert!(
         innocents_count * INNOCENTS_ONE_IN <= seeds().count() * 13,
         "{innocents_count} innocent jobs were failed"
     );
 }
 
+/// Plays jobs of which three crash their workers; returns how many others were failed.
+fn play_crashing_jobs(seed: u64, mut world: World) -> usize {
+    let mut innocents_count = 0;
+    // Shown where the test fails.
+    println!("seed {seed}");
+    world.crashing = [3, 6, 7].map(JobId::new).into();
+    world.calm_from_ms = world.now_ms + 2 * STORM_MS;
+    for number in 1..=16 {
+        let steps = match number % 4 {
+            0 => vec![gang(3)],
+            1 => vec![step(2), after(0, step(3))],
+            _ => vec![step(4)],
+        };
+        world.submit(job(number, steps));
+        world.run_for(500);
+    }
+    world.run_for(STORM_MS);
+    world.run_until_done(CALM_LIMIT_MS);
+    for number in 1..=16 {
+        let id = JobId::new(number);
+        let phase = world.phase(id);
+        if world.crashing.contains(&id) {
+            assert_eq!(phase, Some(Phase::Failed), "seed {seed}: job {id}");
+        } else if phase != Some(Phase::Complete) {
+            innocents_count += 1;
+            assert!(world.rules.may_be_given_up(id), "seed {seed}: job {id}");
+        }
+    }
+    innocents_count
+}
+
 /// Jobs that are cancelled while their starts are on their way, late or answered in vain,
 /// and while leaders follow one another: nothing of them runs on.
 #[rstest]
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -8,8 +8,8 @@
 pub mod world;
 
 use ospreywing_scheduler::{
-    AdvicePolicy, Configuration, Customer, JobId, JobRecord, JobSpec, JobState, Queue, RoundState,
-    ServicePolicy, StepKey, StepSpec, TaskKey, TaskStatus,
+    AdvicePolicy, Configuration, Customer, JobId, JobRecord, JobSpec, JobState, LifeStart, Queue,
+    RoundState, ServicePolicy, StepKey, StepSpec, TaskKey, TaskStatus,
 };
 use ospreywing_types::{Duration, Resources};
 use std::collections::HashMap;
@@ -115,6 +115,7 @@
     task.last_run = run;
     task.status = TaskStatus::Placed {
         worker: worker.to_owned(),
+        life_start: None,
     };
     JobState {
         next_round: 1,
@@ -123,6 +124,17 @@
     }
 }
 
+/// Returns the same, given to the life of the worker with this start.
+pub fn placed_at_life(worker: &str, life_start_ms: u64, run: u32) -> JobState {
+    let mut state = placed_state(worker, run);
+    let status = &mut state.rounds[0].steps[0].tasks[0].status;
+    *status = TaskStatus::Placed {
+        worker: worker.to_owned(),
+        life_start: Some(LifeStart::from_ms(life_start_ms)),
+    };
+    state
+}
+
 /// Returns a customer that may have so many tasks of [`step`] running, and hand in so many
 /// jobs a second.
 pub fn customer(name: &str, tasks_count: u32, jobs_per_s: f64) -> Customer {
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -214,7 +214,11 @@
             self.rules.note_crash(task);
             self.post(listed_ms, Message::ListWorkers);
             let away_ms = self.rng.random_range(AWAY_MS);
-            self.post(away_ms, Message::BringUp { worker: index });
+            let back = match self.keeps_ids {
+                true => Message::Restart { worker: index },
+                false => Message::BringUp { worker: index },
+            };
+            self.post(away_ms, back);
         }
     }
 
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -165,6 +165,8 @@
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
+    /// Whether workers that a task has crashed start again under their ids.
+    pub keeps_ids: bool,
     limit_rule: LimitRule,
 }
 
@@ -207,6 +209,7 @@
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
+            keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0, faults.pause > 0),
         };
         world.elect();
