Look for starts recorded for an earlier life in a term's first looks alone

A profile of a leader of 3,000 workers showed more than half of its samples in comparisons of racks: each look named suspects for no run at all.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -82,6 +82,11 @@
         out: &mut Vec<Action>,
     ) {
         let worker = &self.workers[key];
+        let mut runs = worker.runs.values();
+        // Each look comes by here, and only a term's first ones find any.
+        if !runs.any(|run| run.phase == RunPhase::Inherited) {
+            return;
+        }
         let is_lost = |task: &TaskKey, run: &Run| {
             run.phase == RunPhase::Inherited
                 && worker.is_other_life(run.recorded_life)
@@ -89,6 +94,9 @@
         };
         let mut lost = self.runs_to_lose(key);
         lost.retain(|lost| is_lost(&lost.task, &worker.runs[&lost.task]));
+        if lost.is_empty() {
+            return;
+        }
         self.name_suspects(now, key, &mut lost);
         for run in &lost {
             self.record_lost_run(now, key, *run, true, out);
