Tell why a step waits, and refuse a wait that nothing ends

Each waiting step has one typed reason, noted by the code that decides in the cycle that looked at it. A step that has waited 3 s is told, then each 10 s, four steps a cycle at most; metrics give the steps and the oldest wait by reason.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::platform::{EntryFault, Reply};
-use ospreywing_scheduler::{Decision, SchedulerStatus};
+use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -37,6 +37,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
@@ -53,6 +58,8 @@
     reply_s: Histogram,
     decisions: Family<DecisionLabels, Counter>,
     unreadable_entries: Family<EntryLabels, Counter>,
+    waiting_steps: Family<WaitLabels, Amount>,
+    oldest_wait_ms: Family<WaitLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -89,6 +96,8 @@
             reply_s: new_histogram(),
             decisions: Family::default(),
             unreadable_entries: Family::default(),
+            waiting_steps: Family::default(),
+            oldest_wait_ms: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -136,6 +145,16 @@
             "Workers' entries that name no worker to use, by reason",
             self.unreadable_entries.clone(),
         );
+        registry.register(
+            "waiting_steps",
+            "Steps that wait to start, by reason",
+            self.waiting_steps.clone(),
+        );
+        registry.register(
+            "oldest_wait_milliseconds",
+            "How long the first of them has waited",
+            self.oldest_wait_ms.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls of the platform's store",
@@ -297,6 +316,15 @@
         set(&self.awaited_workers, status.awaited_workers_count);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
+        for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
+            let labels = WaitLabels {
+                reason: reason.as_str(),
+            };
+            let steps = self.waiting_steps.get_or_create(&labels);
+            steps.set(wait.steps_count as i64);
+            let oldest = self.oldest_wait_ms.get_or_create(&labels);
+            oldest.set(wait.oldest.as_ms() as i64);
+        }
     }
 
     /// Notes which configuration is in force, and how long ago the store
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -11,6 +11,8 @@
     JobTaken,
     /// A job's work is held back by its customer's limit.
     JobHeld,
+    /// A step has waited for long.
+    StepWaits,
     /// A run was given to a worker.
     Placed,
     /// A start was sent.
@@ -59,6 +61,7 @@
         match self {
             Self::JobTaken => "job taken",
             Self::JobHeld => "job held",
+            Self::StepWaits => "step waits",
             Self::Placed => "placed",
             Self::StartSent => "start sent",
             Self::Started => "started",
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -281,6 +281,7 @@
             self.stop_job(now, id, out);
         }
         self.advice.retain(|step, _| step.job != id);
+        self.waits.forget_job(id);
         self.release_room_of(id);
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -50,6 +50,7 @@
 mod sharing;
 mod state;
 mod verifier;
+mod waiting;
 mod worker;
 mod worker_list;
 
@@ -74,4 +75,5 @@
     TaskStatus,
 };
 pub use verifier::Violation;
+pub use waiting::{WaitReason, WaitSummary};
 pub use worker::{WorkerFacts, WorkerKey};
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -11,6 +11,7 @@
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{StepState, TaskStatus};
+use crate::waiting::WaitReason;
 use crate::worker::{Run, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 use std::sync::Arc;
@@ -57,6 +58,7 @@
 impl Scheduler {
     /// Places what can be placed; returns how many steps were looked at.
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
+        self.waits.begin_cycle();
         let order = self.service_order(now);
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
@@ -109,42 +111,86 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
+        let reason = self.look_at_step(now, key, cycle, out);
+        self.waits.note(now, key, reason);
+    }
+
+    /// Serves a step; returns why it waits, where anything of it still does.
+    fn look_at_step(
+        &mut self,
+        now: Instant,
+        key: StepKey,
+        cycle: &mut SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) -> Option<WaitReason> {
         let charge = self.charge_of(key);
         let allowed_count = self.allowed_count(charge, cycle);
         if self.is_held(key, charge, allowed_count, cycle, out) {
-            return;
+            return Some(self.reason_to_hold(key));
         }
         cycle.examined_count += 1;
         let Some(pending) = self.pending_step(key, allowed_count) else {
-            return;
+            // Its other members may be alive.
+            return Some(WaitReason::LastRun);
         };
         if self.yields_to_gangs(now, &pending, cycle) {
-            return;
+            return Some(WaitReason::Gangs);
         }
-        self.serve_step(now, &pending, cycle, out);
+        let reason = self.serve_step(now, &pending, cycle, out);
         self.claim_limit(&pending, cycle);
+        reason
+    }
+
+    /// Returns why a step waits that its customer's limit lets start too little of.
+    fn reason_to_hold(&self, key: StepKey) -> WaitReason {
+        let job = self.jobs.get(&key.job);
+        if job.is_some_and(|job| job.is_waiting_whole(key)) {
+            WaitReason::Limit
+        } else {
+            WaitReason::LastRun
+        }
     }
 
-    /// Places what of a step can be placed, and brings the rest nearer to its room.
+    /// Returns why a step waits whose tasks could not all be placed.
+    fn reason_to_seek(&self, now: Instant, pending: &PendingStep) -> WaitReason {
+        let Some((advice, policy)) = self.advice.get(&pending.key).zip(pending.advice) else {
+            return WaitReason::Room;
+        };
+        if advice.is_open() {
+            WaitReason::Advice
+        } else if now < advice.retry_at {
+            WaitReason::AdviceRetry
+        } else if self.is_patient(now, pending.key.job)
+            && self.advisers.must_wait(now, policy.cost(1))
+        {
+            WaitReason::AdviceNode
+        } else {
+            WaitReason::Room
+        }
+    }
+
+    /// Places what of a step can be placed, and brings the rest nearer to its room; returns
+    /// why that waits.
     fn serve_step(
         &mut self,
         now: Instant,
         pending: &PendingStep,
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
-    ) {
+    ) -> Option<WaitReason> {
         let Some(policy) = pending.advice else {
+            let mut placed_count = 0;
             if has_room(cycle, pending) {
                 let workers = cycle.workers_for(&pending.demand);
                 let candidates = self.candidates(now, pending, cycle, workers);
-                self.allocate(now, pending, candidates, out);
+                placed_count = self.allocate(now, pending, candidates, out);
             }
-            return;
+            return (placed_count < pending.waiting.len()).then_some(WaitReason::Room);
         };
         if pending.spec().is_gang {
-            self.place_gang(now, pending, policy, cycle, out);
+            self.place_gang(now, pending, policy, cycle, out)
         } else {
-            self.place_tasks(now, pending, policy, cycle, out);
+            self.place_tasks(now, pending, policy, cycle, out)
         }
     }
 
@@ -156,28 +202,32 @@
         policy: AdvicePolicy,
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
-    ) {
+    ) -> Option<WaitReason> {
         let advice = self.advice.entry(pending.key).or_default();
         if advice.is_open() {
             claim_room(cycle, pending, pending.waiting.len());
             if !self.reservations.contains_key(&pending.key) {
                 self.await_workers_for_gang(now, pending, policy, cycle, out);
             }
-            return;
+            return Some(WaitReason::Advice);
         }
         let ticketed = advice.ticketed(now);
         let placed_count = self.place_ticketed(now, pending, &ticketed, cycle, out);
-        if placed_count > 0 || self.awaits_stops(now, pending, &ticketed) {
-            return;
+        if placed_count > 0 {
+            return None;
+        }
+        if self.awaits_stops(now, pending, &ticketed) {
+            return Some(WaitReason::Stops);
         }
         if self.awaits_trial(now, pending, &ticketed) {
-            return;
+            return Some(WaitReason::Trial);
         }
         // The answer has come: what was kept has been used, or is given back.
         self.release_room(pending.key);
         if now >= self.advice[&pending.key].retry_at {
             self.seek_for_gang(now, pending, policy, cycle, out);
         }
+        Some(self.reason_to_seek(now, pending))
     }
 
     /// Places tasks whose queue needs advice where tickets hold, and asks for
@@ -189,13 +239,16 @@
         policy: AdvicePolicy,
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
-    ) {
+    ) -> Option<WaitReason> {
         let advice = self.advice.entry(pending.key).or_default();
         let ticketed = advice.ticketed(now);
         let placed_count = self.place_ticketed(now, pending, &ticketed, cycle, out);
         let missing_count = pending.waiting.len() - placed_count;
-        if missing_count == 0 || self.awaits_trial(now, pending, &ticketed) {
-            return;
+        if missing_count == 0 {
+            return None;
+        }
+        if self.awaits_trial(now, pending, &ticketed) {
+            return Some(WaitReason::Trial);
         }
         if self.advice[&pending.key].is_open() {
             claim_room(cycle, pending, missing_count);
@@ -203,6 +256,7 @@
             self.seek_for_tasks(now, pending, policy, missing_count, cycle, out);
         }
         self.await_workers(now, pending, policy, missing_count, cycle, out);
+        Some(self.reason_to_seek(now, pending))
     }
 
     fn place_ticketed(
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::jobs::Job;
 use crate::retries::RetryBudgets;
 use crate::state::Phase;
+use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
@@ -59,6 +60,8 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
+    pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
 
 /// The decisions of one leader's term.
@@ -89,6 +92,8 @@
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
+    /// The steps that wait, and why.
+    pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
     pub(crate) last_cycle: CycleSummary,
     pub(crate) commits: CommitQueue,
@@ -133,6 +138,7 @@
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
+            waits: Waits::default(),
             last_cycle: CycleSummary::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
@@ -189,6 +195,7 @@
         if self.is_place_due && now >= self.next_place_at {
             self.is_place_due = false;
             let examined_count = self.place(now, out);
+            self.tell_waits(now, out);
             let pace = self.config.place_pace;
             let rest_ms = examined_count as u64 / self.config.place_steps_per_ms;
             self.next_place_at = now + pace.max(Duration::from_ms(rest_ms));
@@ -246,6 +253,7 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
@@ -269,6 +277,7 @@
         }
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
+            self.waits.forget_old(now);
             self.forget_old_jobs(now);
         }
         self.is_place_due = true;
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -1,7 +1,7 @@
 //! A verifier of the scheduler's invariants, for tests and searches.
 
 use crate::customers::CustomerKey;
-use crate::job::{JobId, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
@@ -30,6 +30,9 @@
     /// A job is in more than one open transaction, or its note of that is wrong.
     #[error("a job's commit is miscounted")]
     Commit,
+    /// A step waits for what can't come.
+    #[error("step {0} waits for what can't come: {1}")]
+    Wait(StepKey, &'static str),
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -47,6 +50,7 @@
         self.verify_placements()?;
         self.verify_reservations()?;
         self.verify_commits()?;
+        self.verify_waits()?;
         let is_over = |id| {
             self.jobs
                 .get(id)
@@ -102,6 +106,18 @@
         Ok(())
     }
 
+    /// Checks the reasons that the last cycle gave, until something changes.
+    fn verify_waits(&self) -> Result<(), Violation> {
+        if self.is_place_due {
+            return Ok(());
+        }
+        let mut waits = self.waits.of_last_cycle();
+        let endless = waits.find(|(step, reason)| !self.can_end(*step, *reason));
+        endless.map_or(Ok(()), |(step, reason)| {
+            Err(Violation::Wait(step, reason.as_str()))
+        })
+    }
+
     fn verify_commits(&self) -> Result<(), Violation> {
         let open: Vec<JobId> = self.commits.open_jobs().collect();
         let noted_count = self.jobs.values().filter(|job| job.is_on_its_way).count();
@@ -144,7 +160,7 @@
             for round in &job.state.rounds {
                 for (number, step) in round.steps.iter().enumerate() {
                     for (index, state) in step.tasks.iter().enumerate() {
-                        let step = crate::job::StepKey {
+                        let step = StepKey {
                             job: *id,
                             round: round.number,
                             step: number as u32,
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -17,3 +17,4 @@
 mod search;
 mod support;
 mod takeover;
+mod waiting;
