Take configurations in before all else, also after standing still

The search's rule counted a lowered limit for 3 s where leaders may stand still, to allow for it.

Change: events that have come together are taken in with configurations first; a loop that had no tick for 250 ms reads for 10 ms what has come before it decides. The rule counts a lowered limit for 0.1 s again.

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -22,6 +22,10 @@
 const STATUS_PERIOD: Duration = Duration::from_s(5);
 /// The time between two ticks.
 const TICK: Duration = Duration::from_ms(20);
+/// A process in which no tick came for so long stood still, or was starved of its processor.
+const STANDSTILL: Duration = Duration::from_ms(250);
+/// How long it then reads what has come before it decides: answers of some milliseconds.
+const CATCH_UP: Duration = Duration::from_ms(10);
 /// How long a renewal of the leader's lease may wait for its answer before the
 /// store is taken to be in trouble: it answers within some milliseconds. What the
 /// loop itself is late comes on top, twice: for the sending and for the answer.
@@ -36,6 +40,8 @@
     lateness: Lateness,
     nodes: Vec<Arc<str>>,
     next_status_at: Instant,
+    /// When events were last taken in.
+    handled_at: Instant,
 }
 
 /// Feeds the scheduler until the term is over.
@@ -53,6 +59,7 @@
         lateness: Lateness::new(clock::now(), TICK),
         nodes: Vec::new(),
         next_status_at: clock::now() + STATUS_PERIOD,
+        handled_at: clock::now(),
     };
     while !leading.is_over() {
         let first = tokio::select! {
@@ -64,7 +71,12 @@
             return;
         };
         let is_tick = matches!(first, Event::Tick);
+        if clock::now().since(state.handled_at) >= STANDSTILL {
+            // What has come meanwhile is read first: a newer configuration may be in it.
+            tokio::time::sleep(CATCH_UP.into()).await;
+        }
         handle_batch(node, leading, &mut state, first);
+        state.handled_at = clock::now();
         if is_tick && step_down::should_step_down(node, leading) {
             step_down::log_stepped_down(node, leading.fence, "leading");
             leading.resign().await;
@@ -84,13 +96,13 @@
     if matches!(first, Event::Tick) {
         tell_surroundings(node, leading, state, &mut scheduler);
     }
-    let mut are_workers_listed = false;
-    let mut next = Some(first);
-    while let Some(event) = next {
-        are_workers_listed |= matches!(event, Event::WorkersListed(_));
-        scheduler.handle(now, event, &mut state.actions);
-        next = state.received.try_recv().ok();
+    let mut events = vec![first];
+    while let Ok(event) = state.received.try_recv() {
+        events.push(event);
     }
+    let is_list = |event: &Event| matches!(event, Event::WorkersListed(_));
+    let are_workers_listed = events.iter().any(is_list);
+    scheduler.handle_all(now, events, &mut state.actions);
     if are_workers_listed {
         // The first looks at a new term's workers go through relays too.
         links::choose(node, leading, &scheduler, now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -189,6 +189,19 @@
         }
     }
 
+    /// Takes in events that have come together, configurations before all else.
+    ///
+    /// A leader that stood still finds answers and a lowered limit behind one another, and
+    /// would give orders by the answers while it still knew the higher limit.
+    pub fn handle_all(&mut self, now: Instant, events: Vec<Event>, out: &mut Vec<Action>) {
+        let is_configuration = |event: &Event| matches!(event, Event::Configured(_));
+        let (first, rest): (Vec<Event>, Vec<Event>) =
+            events.into_iter().partition(is_configuration);
+        for event in first.into_iter().chain(rest) {
+            self.handle(now, event, out);
+        }
+    }
+
     /// Does what is due: places, commits, renews. Called after each batch of
     /// events, so that one cycle serves them all.
     pub fn settle(&mut self, now: Instant, out: &mut Vec<Action>) {
--- a/crates/scheduler/tests/scheduler/support/limits.rs
+++ b/crates/scheduler/tests/scheduler/support/limits.rs
@@ -5,11 +5,9 @@
 use ospreywing_types::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// For how long a limit counts that was lowered: a message on its way; the time in which a
-/// version must be in force, where leaders may stand still and then act on what they knew
-/// for a moment; an order that is carried out late.
+/// For how long a limit counts that was lowered: a message on its way; an order that is
+/// carried out late.
 const PROMPT_COUNTS_MS: u64 = 100;
-const APPLY_COUNTS_MS: u64 = 3_000;
 const LATE_COUNTS_MS: u64 = 12_100;
 
 /// The limits that customers have had.
@@ -21,13 +19,11 @@
 }
 
 impl LimitRule {
-    /// Creates the rule for a world in which orders may be carried out late, or leaders may
-    /// stand still.
-    pub fn new(has_late_orders: bool, has_pauses: bool) -> Self {
-        let counts_ms = match (has_late_orders, has_pauses) {
-            (true, _) => LATE_COUNTS_MS,
-            (false, true) => APPLY_COUNTS_MS,
-            (false, false) => PROMPT_COUNTS_MS,
+    /// Creates the rule for a world in which orders may be carried out late.
+    pub fn new(has_late_orders: bool) -> Self {
+        let counts_ms = match has_late_orders {
+            true => LATE_COUNTS_MS,
+            false => PROMPT_COUNTS_MS,
         };
         Self {
             limits: BTreeMap::new(),
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -139,9 +139,8 @@
             return;
         };
         leader.is_paused = false;
-        for event in core::mem::take(&mut leader.backlog) {
-            self.tell(term, event);
-        }
+        let events = core::mem::take(&mut leader.backlog);
+        self.tell_batch(term, events);
     }
 
     fn shrink_at_random(&mut self) {
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -210,7 +210,7 @@
             done_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
             keeps_ids: false,
-            limit_rule: LimitRule::new(faults.late_order > 0, faults.pause > 0),
+            limit_rule: LimitRule::new(faults.late_order > 0),
         };
         world.elect();
         world
@@ -336,17 +336,22 @@
     }
 
     fn tell(&mut self, fence: u64, event: Event) {
+        self.tell_batch(fence, vec![event]);
+    }
+
+    /// Tells a leader of what has come together.
+    fn tell_batch(&mut self, fence: u64, events: Vec<Event>) {
         let now = self.now();
         let now_ms = self.now_ms;
         let Some(leader) = self.leaders.iter_mut().find(|l| l.fence == fence) else {
             return;
         };
         if leader.is_paused {
-            leader.backlog.push(event);
+            leader.backlog.extend(events);
             return;
         }
         let mut actions = Vec::new();
-        leader.scheduler.handle(now, event, &mut actions);
+        leader.scheduler.handle_all(now, events, &mut actions);
         let acts = now_ms < leader.acts_until_ms;
         if acts {
             leader.scheduler.settle(now, &mut actions);
