--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -40,7 +40,7 @@
     /// Returns whether a worker may ever run tasks of the step.
     pub(crate) fn is_eligible(pending: &PendingStep, worker: &Worker) -> bool {
         let label = pending.spec().required_label.as_ref();
-        *worker.facts.service == *pending.service
+        worker.facts.service == pending.service
             && label.is_none_or(|label| worker.facts.labels.contains(label))
             && pending.demand.fits_in(&worker.facts.capacity)
     }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -102,27 +102,27 @@
     }
 
     /// Returns the most that any worker of a service holds.
-    pub(crate) fn largest_of(&self, service: &str) -> Resources {
+    pub(crate) fn largest_of(&self, service: &Arc<str>) -> Resources {
         let pool = self.pool(service);
         pool.map_or(Resources::ZERO, |pool| pool.largest)
     }
 
     /// Returns the processors of a service's workers that are free and not yet
     /// asked for, in thousandths of a core.
-    pub(crate) fn room_milli(&self, service: &str) -> i64 {
+    pub(crate) fn room_milli(&self, service: &Arc<str>) -> i64 {
         self.pool(service).map_or(0, |pool| pool.room_milli)
     }
 
     /// Takes processors off what is free and not yet asked for.
-    pub(crate) fn take_room(&mut self, service: &str, taken_milli: i64) {
+    pub(crate) fn take_room(&mut self, service: &Arc<str>, taken_milli: i64) {
         let mut pools = self.pools.iter_mut();
-        if let Some(pool) = pools.find(|pool| *pool.service == *service) {
+        if let Some(pool) = pools.find(|pool| pool.service == *service) {
             pool.room_milli -= taken_milli;
         }
     }
 
-    fn pool(&self, service: &str) -> Option<&Pool> {
-        self.pools.iter().find(|pool| *pool.service == *service)
+    fn pool(&self, service: &Arc<str>) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.service == *service)
     }
 
     fn pool_mut(&mut self, service: &Arc<str>) -> &mut Pool {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod life;
 mod limits;
 mod lives;
+mod names;
 mod open_starts;
 mod order;
 mod orders;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -46,7 +46,7 @@
     pub(crate) demand: Resources,
     pub(crate) advice: Option<AdvicePolicy>,
     /// The service whose workers run the step now.
-    pub(crate) service: String,
+    pub(crate) service: Arc<str>,
 }
 
 impl PendingStep {
@@ -309,7 +309,7 @@
 
     /// Returns what is to be placed of a step, where anything is: as many tasks as its
     /// customer's limit lets start, or a whole gang.
-    fn pending_step(&self, key: StepKey, allowed_count: u32) -> Option<PendingStep> {
+    fn pending_step(&mut self, key: StepKey, allowed_count: u32) -> Option<PendingStep> {
         let job = self.jobs.get(&key.job)?;
         let spec = job.record.spec.steps.get(key.step as usize)?;
         let step = job.state.round(key.round)?.steps.get(key.step as usize)?;
@@ -321,7 +321,7 @@
         let queue = self.configuration.queue(&job.record.queue);
         let service = queue.map_or(&job.record.service, |queue| &queue.service);
         Some(PendingStep {
-            service: service.clone(),
+            service: self.names.keep(service),
             key,
             waiting,
             demand: counted_demand(spec),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::event::{Action, Event};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::names::Names;
 use crate::retries::RetryBudgets;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
@@ -71,6 +72,7 @@
     pub(crate) accounts: Accounts,
     pub(crate) workers: PrimaryMap<WorkerKey, Worker>,
     pub(crate) workers_by_id: HashMap<Arc<str>, WorkerKey>,
+    pub(crate) names: Names,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Jobs with work left, in the order in which they are served.
     pub(crate) active: BTreeMap<(u32, u64), JobId>,
@@ -126,6 +128,7 @@
             accounts,
             workers: PrimaryMap::new(),
             workers_by_id: HashMap::new(),
+            names: Names::default(),
             jobs: HashMap::new(),
             active: BTreeMap::new(),
             scheduled: Vec::new(),
@@ -291,6 +294,7 @@
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
             self.waits.forget_old(now);
+            self.names.forget_unused();
             self.forget_old_jobs(now);
         }
         self.is_place_due = true;
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -21,7 +21,8 @@
             worker.is_listed = !worker.is_gone && ids.contains(&worker.facts.id);
         }
         self.doubt_shared_places(now, &list);
-        for facts in list {
+        for mut facts in list {
+            self.names.keep_all(&mut facts);
             match self.workers_by_id.get(&facts.id) {
                 Some(&key) => self.take_entry(now, key, facts, out),
                 None => self.add_worker(facts, out),
