Crashes of lives that a leader has not met: certain, and laid on no one run

Change: a lost run knows the life it was given to, and an answer of another one confirms its record. Runs recorded by an earlier leader for another life count as bystanders. Besides, waits are told from the tick, ten times a second, and a list of runs is built once a look.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,6 +11,7 @@
 use crate::event::Action;
 use crate::evidence::{CrashRecord, Suspicion};
 use crate::job::{JobId, TaskKey};
+use crate::life::LifeStart;
 use crate::lives::ListedRuns;
 use crate::scheduler::Scheduler;
 use crate::state::Phase;
@@ -94,10 +95,7 @@
         };
         let mut lost = self.runs_to_lose(key);
         lost.retain(|lost| is_lost(&lost.task, &worker.runs[&lost.task]));
-        if lost.is_empty() {
-            return;
-        }
-        self.name_suspects(now, key, &mut lost);
+        // Whether they had begun there is not known, so that the crash is laid on none.
         for run in &lost {
             self.record_lost_run(now, key, *run, true, out);
         }
@@ -148,10 +146,19 @@
         self.workers[key].lost_runs = lost;
     }
 
-    /// Takes back what was recorded of a worker that was silent and has answered.
-    pub(crate) fn retract_silence(&mut self, key: WorkerKey) {
+    /// Takes back what was recorded of a worker that was silent and has answered, as the life
+    /// with this start. What was given to another life is lost for certain.
+    pub(crate) fn retract_silence(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        life_start: Option<LifeStart>,
+        out: &mut Vec<Action>,
+    ) {
         for lost in core::mem::take(&mut self.workers[key].lost_runs) {
-            if let Some(job) = self.jobs.get_mut(&lost.task.step.job) {
+            if lost.life_start.is_some() && life_start.is_some() && lost.life_start != life_start {
+                self.record_lost_run(now, key, lost, true, out);
+            } else if let Some(job) = self.jobs.get_mut(&lost.task.step.job) {
                 job.state.retract_crash(lost.task, lost.run);
             }
         }
@@ -168,6 +175,7 @@
             task: *task,
             run: run.run,
             suspicion: suspicion_of(worker, run),
+            life_start: worker.life_start.or(run.recorded_life),
             is_open: is_open(worker, run),
         });
         lost.collect()
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -122,11 +122,11 @@
                 if is_other && worker.is_gone {
                     return;
                 }
-                let listed = listed_runs(&running, &ended);
                 let key = if is_other {
+                    let listed = listed_runs(&running, &ended);
                     self.begin_next_life(now, key, life_start, sent_at, &listed, out)
                 } else {
-                    self.retract_silence(key);
+                    self.retract_silence(now, key, life_start, out);
                     key
                 };
                 self.note_answer(now, key, sent_at, life_start, clock_ms);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -211,7 +211,6 @@
         if self.is_place_due && now >= self.next_place_at {
             self.is_place_due = false;
             let examined_count = self.place(now, out);
-            self.tell_waits(now, out);
             let pace = self.config.place_pace;
             let rest_ms = examined_count as u64 / self.config.place_steps_per_ms;
             self.next_place_at = now + pace.max(Duration::from_ms(rest_ms));
@@ -290,6 +289,7 @@
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
             self.settle_ended_jobs();
+            self.tell_waits(now, out);
         }
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
--- a/crates/scheduler/src/waiting.rs
+++ b/crates/scheduler/src/waiting.rs
@@ -17,8 +17,8 @@
 /// A step that waits is looked at within this time: a cycle looks at 400 steps, and ten
 /// thousand take 25 cycles of 20 ms or so.
 const SEEN_PERIOD: Duration = Duration::from_ms(5000);
-/// The steps that are told of in one cycle at most; a cell may have ten thousand that wait,
-/// and a cycle comes each 20 ms or so.
+/// The steps that are told of at a time, ten times a second, at most: a cell may have ten
+/// thousand that wait.
 const TOLD_LIMIT_COUNT: usize = 4;
 
 /// Why a step waits.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -145,6 +145,8 @@
     pub(crate) task: TaskKey,
     pub(crate) run: u32,
     pub(crate) suspicion: Suspicion,
+    /// The life that it was given to, where that is known.
+    pub(crate) life_start: Option<LifeStart>,
     /// Whether it is not known to have outlived its start, and may have begun.
     pub(crate) is_open: bool,
 }
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -213,6 +213,34 @@
     assert_eq!(state.crashes.len(), crashes_count);
 }
 
+/// What a silent worker had is on record until it answers. The same life has only been cut
+/// off; another one says that the crash is certain.
+#[rstest]
+#[case::same_life(1, &[])]
+#[case::next_life(2, &[true])]
+fn retract_silence_after_takeover(#[case] answering: u64, #[case] confirmed: &[bool]) {
+    let (id, record) = job(1, vec![step(1)]);
+    let recovered = Recovered {
+        jobs: vec![(id, record)],
+        states: vec![(id, placed_at_life("w0", 1, 1))],
+        ..Recovered::default()
+    };
+    let workers = workers(1);
+    let mut bench = Bench::after_evicted_leader(recovered);
+    bench.list_restarted(&workers[0], answering);
+    let key = bench.scheduler.worker_key("w0").expect("a worker");
+    // Until every lease of an earlier leader is over.
+    for _ in 0..10 {
+        bench.be_silent(key);
+    }
+    bench.commit_all();
+    answer_as(&mut bench, key, answering, Vec::new());
+    let states = bench.commit_all();
+    let state = states.last().expect("the task is placed anew");
+    let found = state.crashes.iter().map(|crash| crash.is_confirmed);
+    assert_eq!(found.collect::<Vec<bool>>(), confirmed);
+}
+
 /// Where workers tell no starts, progress is written as nodes of the version before read it.
 #[rstest]
 #[case::no_start(placed_state("w0", 1), 1)]
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -60,6 +60,7 @@
 
 /// Seeds that found something, in whichever case: they are searched always.
 const CRASH_SEEDS_FOUND: [u64; 8] = [71, 119, 123, 284, 311, 500_089, 500_370, 13];
+const RESTART_SEEDS_FOUND: [u64; 2] = [4_000_023, 4_000_458];
 const GANG_SEEDS_FOUND: [u64; 1] = [502_288];
 const LIMIT_SEEDS_FOUND: [u64; 3] = [73, 800_209, 800_536];
 
@@ -343,7 +344,7 @@
     #[values(false, true)] has_advice: bool,
 ) {
     let mut innocents_count = 0;
-    for seed in seeds().chain(CRASH_SEEDS_FOUND) {
+    for seed in seeds().chain(CRASH_SEEDS_FOUND).chain(RESTART_SEEDS_FOUND) {
         let mut world = World::new(seed, 10, faults, has_advice.then(advice));
         world.keeps_ids = true;
         world.tell_life_starts(false);
