--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -15,6 +15,7 @@
 mod rooms;
 mod scale;
 mod search;
+mod stored;
 mod support;
 mod takeover;
 mod waiting;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/stored.rs
@@ -0,0 +1,76 @@
+//! What the store keeps, where its bytes are damaged.
+
+use crate::support::{job, job_of, placed_at_life, placed_state, step};
+use ospreywing_scheduler::{
+    CrashRecord, JobOutcome, JobState, Phase, StoredJob, Suspicion, TaskKey,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+/// Inputs for each form in CI; `OSPREYWING_FUZZ_INPUTS` sets another number.
+const INPUTS_COUNT: u64 = 20_000;
+const INPUTS_VARIABLE: &str = "OSPREYWING_FUZZ_INPUTS";
+
+fn inputs_count() -> u64 {
+    let set = std::env::var(INPUTS_VARIABLE);
+    let set = set.ok().and_then(|text| text.parse().ok());
+    set.unwrap_or(INPUTS_COUNT)
+}
+
+/// Changes, adds or cuts off some bytes.
+fn mutate(rng: &mut Pcg64, bytes: &[u8]) -> Vec<u8> {
+    let mut bytes = bytes.to_vec();
+    for _ in 0..rng.random_range(1..4) {
+        let at = rng.random_range(0..=bytes.len());
+        match rng.random_range(0..3) {
+            0 if at < bytes.len() => bytes[at] = rng.random(),
+            1 => bytes.insert(at, rng.random()),
+            _ => bytes.truncate(at),
+        }
+    }
+    bytes
+}
+
+fn crashed(mut state: JobState) -> JobState {
+    let (id, _) = job(1, vec![step(1)]);
+    let task: TaskKey = crate::support::first_task(id);
+    state.record_crash(CrashRecord {
+        task,
+        run: 1,
+        suspicion: Suspicion::Suspect,
+        is_confirmed: true,
+    });
+    state
+}
+
+/// Whatever stands in the place of a job's progress, reading it ends.
+#[rstest]
+#[case::plain(placed_state("w0", 1))]
+#[case::crashes(crashed(placed_state("w0", 1)))]
+#[case::lives(placed_at_life("w0", 7, 1))]
+#[case::lives_and_crashes(crashed(placed_at_life("w0", 7, 1)))]
+fn job_state_any_bytes(#[case] state: JobState) {
+    let mut rng = Pcg64::seed_from_u64(4);
+    let good = state.to_bytes();
+    assert_eq!(JobState::from_bytes(&good), Ok(state));
+    for _ in 0..inputs_count() {
+        let _ = JobState::from_bytes(&mutate(&mut rng, &good));
+    }
+}
+
+/// The same for what was accepted, and for outcomes.
+#[rstest]
+#[case::job(job(1, vec![step(3)]).1.to_bytes())]
+#[case::job_of_customer(job_of("one", 1, vec![step(3)]).1.to_bytes())]
+#[case::outcome(JobOutcome::new(Phase::Complete).to_bytes())]
+#[case::outcome_of_customer(
+    JobOutcome::new(Phase::Failed).with_customer(Some("one".to_owned())).to_bytes()
+)]
+fn stored_job_any_bytes(#[case] good: Vec<u8>) {
+    let mut rng = Pcg64::seed_from_u64(5);
+    assert!(StoredJob::from_bytes(&good).is_ok());
+    for _ in 0..inputs_count() {
+        let _ = StoredJob::from_bytes(&mutate(&mut rng, &good));
+    }
+}
