--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -16,6 +16,7 @@
 //! 50 s later. No worker was ever taken for gone.
 
 use crate::support::bench::{end, workers, Bench};
+use crate::support::worker::FakeWorker;
 use crate::support::world::{Faults, World};
 use crate::support::{first_task, job, placed_at_life, placed_state, step};
 use ospreywing_scheduler::{
@@ -185,6 +186,64 @@
     assert!(is_used || !bench.starts().is_empty());
 }
 
+/// A leader that has met no worker yet, and one whose entry names the life with this start.
+fn bench_with_entry(worker: &FakeWorker, life_start_ms: u64) -> Bench {
+    let mut bench = Bench::after_evicted_leader(Recovered::default());
+    bench.list_restarted(worker, life_start_ms);
+    bench
+}
+
+/// Has a job wait for the worker; returns how many starts were sent.
+fn starts_of_waiting_job(bench: &mut Bench) -> usize {
+    bench.commit_all();
+    bench.starts().len()
+}
+
+/// The room of a life is what its own entry tells: that of another one may hold more.
+#[rstest]
+#[case::first_answer(&[2])]
+#[case::later_answer(&[1, 2])]
+fn begin_life_entry_not_written_yet(#[case] answering: &[u64]) {
+    let worker = &workers(1)[0];
+    let mut bench = bench_with_entry(worker, 1);
+    for life_start_ms in answering {
+        let key = bench.scheduler.worker_key("w0").expect("a worker");
+        answer_as(&mut bench, key, *life_start_ms, Vec::new());
+    }
+    bench.submit(1, vec![step(1)]);
+    assert_eq!(starts_of_waiting_job(&mut bench), 0);
+    bench.list_restarted(worker, 2);
+    assert_eq!(starts_of_waiting_job(&mut bench), 1);
+}
+
+/// A look that was sent before another life was listed at the worker's address tells nothing
+/// of what came since.
+#[test]
+fn doubt_outlasts_answer_of_earlier_look() {
+    let known = FakeWorker::new("w0", 1000);
+    let mut other = FakeWorker::new("w1", 1000);
+    other.address = known.address.clone();
+    let mut bench = Bench::new(Recovered::default(), &[known]);
+    let key = bench.scheduler.worker_key("w0").expect("a worker");
+    let sent_at = bench.now;
+    bench.now = bench.now + Duration::from_ms(20);
+    bench.list_workers(&[FakeWorker::new("w0", 1000), other]);
+    bench.submit(1, vec![step(1)]);
+    bench.tell(Event::HoldAnswered {
+        worker: key,
+        sent_at,
+        reply: HoldReply::Listed {
+            life_start: None,
+            clock_ms: bench.now.as_ms(),
+            running: Vec::new(),
+            ended: Vec::new(),
+        },
+    });
+    assert_eq!(starts_of_waiting_job(&mut bench), 0);
+    bench.list(key, Vec::new());
+    assert_eq!(starts_of_waiting_job(&mut bench), 1);
+}
+
 fn stray_task() -> TaskKey {
     first_task(JobId::new(99))
 }
