--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -21,7 +21,7 @@
 use crate::support::{first_task, job, placed_at_life, placed_state, step};
 use ospreywing_scheduler::{
     Action, EndKind, EndedRun, Event, HoldReply, JobId, JobState, LifeStart, Phase, Recovered,
-    StartReply, StepSpec, TaskKey, WorkerKey,
+    RunningRun, StartReply, StepSpec, TaskKey, WorkerKey,
 };
 use ospreywing_types::Duration;
 use rstest::rstest;
@@ -216,6 +216,50 @@
     assert_eq!(starts_of_waiting_job(&mut bench), 1);
 }
 
+/// A start that was reckoned on the clock of the life before may have leased the next one for
+/// as long as a worker leases at all, longer than the leader grants.
+#[test]
+fn give_up_lapsed_lease_by_clock_of_life_before() {
+    let mut bench = Bench::new(Recovered::default(), &workers(1));
+    let first = bench.scheduler.worker_key("w0").expect("a worker");
+    answer_as(&mut bench, first, 1, Vec::new());
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    bench.started(start);
+    let (_, task, run) = start;
+    let sent_at = bench.now;
+    bench.now = bench.now + Duration::from_ms(20);
+    bench.tell(Event::HoldAnswered {
+        worker: first,
+        sent_at,
+        reply: HoldReply::Listed {
+            life_start: Some(LifeStart::from_ms(2)),
+            clock_ms: 0,
+            running: vec![RunningRun {
+                task,
+                run,
+                checkpoint: None,
+                progress_percent: 0,
+                usage_figure: 0,
+            }],
+            ended: Vec::new(),
+        },
+    });
+    let next = bench.scheduler.worker_key("w0").expect("a worker");
+    bench.list_workers(&workers(2));
+    let other = bench.scheduler.worker_key("w1").expect("a worker");
+    bench.list(other, Vec::new());
+    let mut waited_s = 0;
+    while starts_of_waiting_job(&mut bench) == 0 {
+        bench.be_silent(next);
+        waited_s += 1;
+        assert!(waited_s < 12, "the run is given up some time");
+    }
+    // 1.6 s for each round of silence and commits.
+    assert!(waited_s >= 4, "given up after {waited_s} rounds");
+}
+
 /// A look that was sent before another life was listed at the worker's address tells nothing
 /// of what came since.
 #[test]
