--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -260,6 +260,92 @@
     assert!(waited_s >= 4, "given up after {waited_s} rounds");
 }
 
+/// What happens to a start until another life answers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Before {
+    /// It is on its way.
+    OnItsWay,
+    /// It was answered after the look was sent.
+    AnsweredSince,
+    /// It was answered before, and the worker has not listed it since.
+    Answered,
+    /// Its first sending was not answered, its second one was.
+    AnsweredInPart,
+    /// Neither of its sendings was answered, so it is being stopped.
+    Unanswered,
+}
+
+/// What a life does not list that answers for the first time may have begun there, may still
+/// begin, or is lost: it is waited for, stopped there, or started again at once.
+#[rstest]
+#[case::on_its_way(Before::OnItsWay, 0, 0)]
+#[case::answered_since(Before::AnsweredSince, 0, 0)]
+#[case::answered(Before::Answered, 0, 1)]
+#[case::answered_in_part(Before::AnsweredInPart, 1, 0)]
+#[case::unanswered(Before::Unanswered, 1, 0)]
+fn begin_next_life_unlisted_run(
+    #[case] before: Before,
+    #[case] stops_count: usize,
+    #[case] starts_count: usize,
+) {
+    let worker = &workers(1)[0];
+    let mut bench = bench_with_entry(worker, 1);
+    let first = bench.scheduler.worker_key("w0").expect("a worker");
+    answer_as(&mut bench, first, 1, Vec::new());
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    let unanswered = |bench: &mut Bench| {
+        bench.tell(Event::StartAnswered {
+            worker: start.0,
+            task: start.1,
+            run: start.2,
+            reply: StartReply::Unanswered,
+        });
+    };
+    let look_sent_at = bench.now;
+    bench.now = bench.now + Duration::from_ms(20);
+    match before {
+        Before::OnItsWay => {}
+        Before::AnsweredSince | Before::Answered => bench.started(start),
+        Before::AnsweredInPart => {
+            unanswered(&mut bench);
+            bench.started(start);
+        }
+        Before::Unanswered => (0..3).for_each(|_| unanswered(&mut bench)),
+    }
+    bench.now = bench.now + Duration::from_ms(20);
+    let sent_at = match before {
+        Before::AnsweredSince => look_sent_at,
+        _ => bench.now,
+    };
+    bench.list_restarted(worker, 2);
+    bench.actions.clear();
+    bench.tell(Event::HoldAnswered {
+        worker: first,
+        sent_at,
+        reply: HoldReply::Listed {
+            life_start: Some(LifeStart::from_ms(2)),
+            clock_ms: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+        },
+    });
+    let next = bench.scheduler.worker_key("w0").expect("a worker");
+    let stops = bench.stops();
+    assert_eq!(stops.len(), stops_count);
+    assert!(stops.iter().all(|stop| *stop == (next, start.1, start.2)));
+    bench.commit_all();
+    assert_eq!(bench.starts().len(), starts_count);
+    if before == Before::OnItsWay {
+        // Its answer counts for the life that may have it: unlisted from then on, it is gone.
+        bench.started(start);
+        bench.now = bench.now + Duration::from_ms(20);
+        answer_as(&mut bench, next, 2, Vec::new());
+        assert_eq!(bench.stops(), [(next, start.1, start.2)]);
+    }
+}
+
 /// A look that was sent before another life was listed at the worker's address tells nothing
 /// of what came since.
 #[test]
