Follow the leader and its candidates alone; the leader follows the nodes

Cause: every node followed the items of all nodes.

Change: nodes follow the prefix of the leader, below which the leader names eight candidates, the strongest live nodes; these stand first, the others after them at moments that differ. Without candidates (the first start) a node waits by its own strength. Forwarding goes to the leader, then to a candidate that differs from node to node, in place of the first node by name.

Ruled out: longer periods between readings, a larger constant; a list of all nodes in one item, which grows in the same way.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -1,15 +1,21 @@
 //! Membership and the leader's lease.
 //!
-//! Every node keeps an item with a lease of its own, so that the others find
-//! it. The leader's item is written on the condition that there is none, in
-//! one transaction with the keys of the commit lanes: whoever led before can
+//! The leader's item is written on the condition that there is none, in one
+//! transaction with the keys of the commit lanes: whoever led before can
 //! commit nothing from then on. The transaction's revision is the term's
 //! fencing token.
+//!
+//! Every node keeps an item with a lease of its own. The leader alone follows
+//! these: where each node did, what the store tells would grow with the square
+//! of the cell. The others follow the leader and the few nodes that it names as
+//! candidates, which stand first where it is gone.
 
 use crate::commit::lane_value;
 use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::leader::Leading;
 use crate::node::{Node, WATCH_WAIT};
 use crate::platform::Platform;
+use crate::spread::draw_below;
 
 use crate::store::{
     CommitError, Item, LeaseId, Revision, Store, StoreError, Transaction, UnreadableValue,
@@ -31,6 +37,8 @@
 const NODE_LEASE: Duration = Duration::from_ms(4000);
 /// The time between two renewals of a node's lease.
 const NODE_RENEWAL: Duration = Duration::from_ms(900);
+/// The time between two answers on nodes that come and go.
+const NODES_PACE: Duration = Duration::from_ms(100);
 /// The time after which the view of the cell is read again.
 const CELL_REFRESH: Duration = Duration::from_ms(10_000);
 /// The longest that a look at the cell may be old for a campaign; a campaign
@@ -40,10 +48,18 @@
 const CAMPAIGN_STAGGER: Duration = Duration::from_ms(25);
 /// The least time between two evictions by one node.
 const EVICTION_PERIOD: Duration = Duration::from_ms(5000);
-/// The most ranks that are told apart.
-const CAMPAIGN_RANKS_COUNT: usize = 8;
+/// The candidates that a leader names.
+pub const CANDIDATES_COUNT: usize = 8;
 /// How much longer a node waits that is much weaker than others.
 const WEAK_DELAY: Duration = Duration::from_ms(400);
+/// The strength of a node that does not wait as a weak one where no candidates are known:
+/// a whole core.
+const STRONG_CORES_MILLI: u32 = 1000;
+/// Within which time nodes that are no candidates stand, each at a moment of its own, so
+/// that a large cell does not stand as one.
+const CROWD_PERIOD: Duration = Duration::from_ms(200);
+/// The least time between two changes of the candidates: every node is told of each.
+const CANDIDATES_PERIOD: Duration = Duration::from_ms(500);
 /// How many times as strong a node must be to count as much stronger.
 const STRONGER_FACTOR: u32 = 2;
 /// The time until something that failed is tried again.
@@ -95,12 +111,23 @@
     pub lease: LeaseId,
 }
 
+/// A node that stands for leader before others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// Its name.
+    pub name: String,
+    /// What it tells of itself.
+    pub record: NodeRecord,
+}
+
 /// What a node knows of the cell.
 #[derive(Clone, Debug, Default)]
 pub struct CellView {
     /// The leader, where there is one.
     pub leader: Option<LeaderRecord>,
-    /// The live nodes by name.
+    /// The nodes that stand first where there is none, in their order.
+    pub candidates: Vec<Candidate>,
+    /// The live nodes by name; known to the leader alone.
     pub nodes: BTreeMap<String, NodeRecord>,
     /// The revision at which each of them registered.
     pub registered: BTreeMap<String, Revision>,
@@ -131,6 +158,8 @@
         if item.key == keys::LEADER {
             self.leader = None;
             self.leader = Some(postcard::from_bytes(item.bytes()?)?);
+        } else if item.key == keys::CANDIDATES {
+            self.candidates = postcard::from_bytes(item.bytes()?)?;
         } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
             let record = NodeRecord::from_bytes(item.bytes()?)?;
             self.nodes.insert(name.to_owned(), record);
@@ -142,6 +171,8 @@
     fn remove(&mut self, key: &str) {
         if key == keys::LEADER {
             self.leader = None;
+        } else if key == keys::CANDIDATES {
+            self.candidates.clear();
         } else if let Some(name) = key.strip_prefix(keys::NODES_PREFIX) {
             self.nodes.remove(name);
             self.registered.remove(name);
@@ -149,21 +180,46 @@
     }
 }
 
-/// Keeps the view of the cell.
-pub async fn follow_cell<P: Platform>(node: Rc<Node<P>>) {
+/// How the parts of the cell are followed.
+const CELL_POLICY: FollowPolicy = FollowPolicy {
+    wait: WATCH_WAIT,
+    refresh: Some(CELL_REFRESH),
+    pace: Duration::ZERO,
+    is_confirming: false,
+    reads_after_failure: false,
+};
+
+/// Keeps the view of the leader and the candidates.
+pub async fn follow_leader<P: Platform>(node: Rc<Node<P>>) {
+    let store = node.store.clone();
+    follow(
+        store,
+        keys::LEADER_PREFIX,
+        CELL_POLICY,
+        None,
+        |update, _| {
+            learn_leader(&node, update);
+            Flow::Continue
+        },
+    )
+    .await;
+}
+
+/// Keeps the view of the live nodes until the term is over.
+pub(crate) async fn follow_nodes<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
     let policy = FollowPolicy {
-        wait: WATCH_WAIT,
-        refresh: Some(CELL_REFRESH),
-        pace: Duration::ZERO,
-        is_confirming: false,
-        reads_after_failure: false,
+        pace: NODES_PACE,
+        ..CELL_POLICY
     };
     let store = node.store.clone();
-    follow(store, keys::CELL_PREFIX, policy, None, |update, _| {
-        learn_cell(&node, update);
-        Flow::Continue
+    follow(store, keys::NODES_PREFIX, policy, None, |update, _| {
+        learn_nodes(&node, update);
+        leading.flow()
     })
     .await;
+    let mut view = node.cell.borrow_mut();
+    view.nodes.clear();
+    view.registered.clear();
 }
 
 fn put(log: &Logger, view: &mut CellView, item: &Item) {
@@ -172,20 +228,22 @@
     }
 }
 
-fn learn_cell<P: Platform>(node: &Rc<Node<P>>, update: Update) {
-    let mut view = node.cell.borrow_mut();
-    let before = view.leader.clone();
+/// Takes in a part of the cell; returns whether the store answered.
+fn take_in<P: Platform>(
+    node: &Node<P>,
+    view: &mut CellView,
+    update: Update,
+    forget: fn(&mut CellView),
+) -> bool {
     match update {
         Update::Snapshot(items) => {
-            *view = CellView::default();
-            items
-                .iter()
-                .for_each(|item| put(&node.log, &mut view, item));
+            forget(view);
+            items.iter().for_each(|item| put(&node.log, view, item));
         }
         Update::Changes(changes) => {
             for change in &changes {
                 match change {
-                    WatchedChange::Put(item) => put(&node.log, &mut view, item),
+                    WatchedChange::Put(item) => put(&node.log, view, item),
                     WatchedChange::Gone { key } => view.remove(key),
                 }
             }
@@ -194,9 +252,22 @@
         Update::Failed(error) => {
             warn!(node.log, "store call failed";
                 "what" => "cell", "error" => error.to_string());
-            return;
+            return false;
         }
     }
+    true
+}
+
+fn learn_leader<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+    let mut view = node.cell.borrow_mut();
+    let before = view.leader.clone();
+    let forget = |view: &mut CellView| {
+        view.leader = None;
+        view.candidates.clear();
+    };
+    if !take_in(node, &mut view, update, forget) {
+        return;
+    }
     view.seen_at = clock::now();
     if view.leader != before {
         let name = view.leader.as_ref().map(|leader| leader.name.clone());
@@ -214,6 +285,58 @@
     node.cell_changed.notify_waiters();
 }
 
+fn learn_nodes<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+    let forget = |view: &mut CellView| {
+        view.nodes.clear();
+        view.registered.clear();
+    };
+    let is_answered = take_in(node, &mut node.cell.borrow_mut(), update, forget);
+    if is_answered {
+        node.note_contact();
+        node.cell_changed.notify_waiters();
+    }
+}
+
+/// Keeps the candidates written that the leader names, until its term is over.
+pub(crate) async fn publish_candidates<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    while !leading.is_over() {
+        let changed = node.cell_changed.notified();
+        let candidates = candidates_of(&node.cell.borrow().nodes);
+        if candidates.is_empty() || node.cell.borrow().candidates == candidates {
+            // The term may end without a change.
+            let _ = tokio::time::timeout(WATCH_WAIT.into(), changed).await;
+            continue;
+        }
+        let value = postcard::to_allocvec(&candidates).unwrap_or_default();
+        let transaction = Transaction::new()
+            .with_expect(keys::LEADER, leading.fence)
+            .with_put(keys::CANDIDATES, value);
+        match node.store.commit(&transaction).await {
+            Ok(_) => {
+                let names = candidates.iter().map(|candidate| candidate.name.as_str());
+                let names: Vec<&str> = names.collect();
+                info!(node.log, "candidates named"; "names" => names.join(" "));
+                node.cell.borrow_mut().candidates = candidates;
+            }
+            Err(error) => info!(node.log, "candidates not named"; "error" => error.to_string()),
+        }
+        tokio::time::sleep(CANDIDATES_PERIOD.into()).await;
+    }
+}
+
+/// Returns the nodes that should lead first: the strongest, and of equal ones those whose
+/// names come first.
+pub fn candidates_of(nodes: &BTreeMap<String, NodeRecord>) -> Vec<Candidate> {
+    let mut ranked: Vec<(&String, &NodeRecord)> = nodes.iter().collect();
+    ranked.sort_by_key(|(name, record)| (Reverse(record.cores_milli), *name));
+    let first = ranked.into_iter().take(CANDIDATES_COUNT);
+    let candidates = first.map(|(name, record)| Candidate {
+        name: name.clone(),
+        record: record.clone(),
+    });
+    candidates.collect()
+}
+
 /// Keeps the node's own item.
 pub async fn keep_membership<P: Platform>(node: Rc<Node<P>>) {
     let mut lease = None;
@@ -288,10 +411,12 @@
 
 /// Returns how long this node lets others go first.
 fn stagger<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+    let draw_ms = draw_below(&node.settings.name, CROWD_PERIOD.as_ms());
     campaign_delay(
         &node.settings.name,
         &membership_record(node),
-        &node.cell.borrow().nodes,
+        &node.cell.borrow().candidates,
+        Duration::from_ms(draw_ms),
     )
 }
 
@@ -304,27 +429,37 @@
     }
 }
 
-/// Returns how long a node lets others stand first: the stronger ones, and of
-/// equal ones those whose names come first. A node that is much weaker than
-/// others waits long enough for all of them, since the whole cell's speed is
-/// the leader's.
+/// Returns how long a node lets others stand first: the candidates, in their order. Whoever
+/// is none stands after them, at a moment that `draw` tells. A node that is much weaker than
+/// others waits long enough for all of them, since the whole cell's speed is the leader's.
 pub fn campaign_delay(
     name: &str,
     own: &NodeRecord,
-    nodes: &BTreeMap<String, NodeRecord>,
+    candidates: &[Candidate],
+    draw: Duration,
 ) -> Duration {
-    let rank = (Reverse(own.cores_milli), name);
-    let earlier = nodes
-        .iter()
-        .filter(|(other, record)| (Reverse(record.cores_milli), other.as_str()) < rank);
-    let delay = CAMPAIGN_STAGGER.times(earlier.count().min(CAMPAIGN_RANKS_COUNT) as u64);
-    if is_much_weaker(own, nodes) {
+    let rank = candidates.iter().position(|other| other.name == name);
+    let delay = match rank {
+        Some(rank) => CAMPAIGN_STAGGER.times(rank as u64),
+        None => CAMPAIGN_STAGGER.times(candidates.len() as u64) + draw,
+    };
+    let mut others = candidates.iter().filter(|other| other.name != name);
+    if candidates.is_empty() {
+        delay + weak_delay(own)
+    } else if others.any(|other| is_much_stronger(&other.record, own)) {
         delay + WEAK_DELAY
     } else {
         delay
     }
 }
 
+/// Returns how long a node lets others go first of which it knows nothing.
+fn weak_delay(own: &NodeRecord) -> Duration {
+    let missing_milli = STRONG_CORES_MILLI.saturating_sub(own.cores_milli);
+    let part_ms = WEAK_DELAY.as_ms() * u64::from(missing_milli) / u64::from(STRONG_CORES_MILLI);
+    Duration::from_ms(part_ms)
+}
+
 /// Returns whether a live node is much stronger than this one.
 pub fn is_much_weaker(own: &NodeRecord, nodes: &BTreeMap<String, NodeRecord>) -> bool {
     nodes.values().any(|record| is_much_stronger(record, own))
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -4,11 +4,13 @@
 
 /// Accepted jobs and cancels, written by any node.
 pub const INTAKE_PREFIX: &str = "ospreywing/intake/";
-/// The leader and the live nodes, each with its lease.
-pub const CELL_PREFIX: &str = "ospreywing/cell/";
+/// What every node follows: the leader, with its lease, and the candidates.
+pub const LEADER_PREFIX: &str = "ospreywing/cell/leader";
 /// The leader.
 pub const LEADER: &str = "ospreywing/cell/leader";
-/// The live nodes.
+/// The nodes that stand for leader first, written by the leader.
+pub const CANDIDATES: &str = "ospreywing/cell/leader-candidates";
+/// The live nodes, each with its lease; only the leader follows them.
 pub const NODES_PREFIX: &str = "ospreywing/cell/node/";
 /// Jobs' progress, written by the leader.
 pub const STATE_PREFIX: &str = "ospreywing/state/";
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,7 +2,8 @@
 
 use crate::caller::Caller;
 use crate::commit::CommitLane;
-use crate::election::LEADER_LEASE;
+use crate::election::{self, LEADER_LEASE};
+use crate::follow::Flow;
 use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
 use crate::relay::RelayLinks;
@@ -68,6 +69,15 @@
     pub fn job_for(&self, caller: &Caller, job: JobId) -> Option<JobView> {
         self.scheduler.borrow().job_for(caller.customer(), job)
     }
+    /// Returns whether to go on following what the store tells.
+    pub(crate) fn flow(&self) -> Flow {
+        if self.is_over() {
+            Flow::Stop
+        } else {
+            Flow::Continue
+        }
+    }
+
 
     /// Returns the state of a job.
     pub fn job(&self, job: JobId) -> Option<JobView> {
@@ -159,6 +169,8 @@
         *leading.scheduler.borrow_mut() = scheduler;
         *node.leading.borrow_mut() = Some(leading.clone());
         node.metrics.note_term(true);
+    tokio::task::spawn_local(election::follow_nodes(node.clone(), leading.clone()));
+    tokio::task::spawn_local(election::publish_candidates(node.clone(), leading.clone()));
         if node.is_draining.get() {
             leading.resign().await;
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod requests;
 mod step_down;
 pub mod store;
+pub mod spread;
 pub mod stored_view;
 pub mod watches;
 pub mod worker_entries;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -280,7 +280,7 @@
     }
     tokio::task::spawn_local(note_returns(node.clone()));
     tokio::task::spawn_local(configuration::follow_configuration(node.clone()));
-    tokio::task::spawn_local(election::follow_cell(node.clone()));
+    tokio::task::spawn_local(election::follow_leader(node.clone()));
     tokio::task::spawn_local(election::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
 }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -7,6 +7,7 @@
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
 use crate::platform::{Call, Platform, Reply, Retry};
 use crate::relay::server;
+use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
 use crate::{clock, keys};
@@ -218,14 +219,18 @@
     Reply::Unavailable(COME_BACK)
 }
 
-/// Returns a few other nodes, the leader first.
+/// Returns a few other nodes, the leader first, then candidates: not the same ones for each
+/// node, so that many that are cut off don't all burden one.
 pub fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
     let cell = node.cell.borrow();
     let leader = cell.leader.iter().map(|leader| leader.address.clone());
-    let nodes = cell.nodes.values().map(|node| node.address.clone());
+    let count = cell.candidates.len();
+    let first = draw_below(&node.settings.name, count as u64) as usize;
+    let ring = cell.candidates.iter().cycle().skip(first).take(count);
+    let candidates = ring.map(|candidate| candidate.record.address.clone());
     let own = node.settings.peer_address.to_string();
     let mut addresses: Vec<String> = Vec::new();
-    for address in leader.chain(nodes) {
+    for address in leader.chain(candidates) {
         if address != own && !addresses.contains(&address) {
             addresses.push(address);
         }
--- a/crates/control/tests/control/campaign.rs
+++ b/crates/control/tests/control/campaign.rs
@@ -1,8 +1,11 @@
 //! Who stands first.
 
 use ospreywing_control::election::{
-    campaign_delay, has_stronger_joined, is_much_weaker, CellView, NodeRecord,
+    campaign_delay, candidates_of, has_stronger_joined, is_much_weaker, CellView, NodeRecord,
+    CANDIDATES_COUNT,
 };
+use ospreywing_control::{keys, spread};
+use ospreywing_types::Duration;
 use rstest::rstest;
 use std::collections::BTreeMap;
 
@@ -20,6 +23,12 @@
     nodes.into()
 }
 
+/// Returns how long a node of the cell waits whose leader has named its candidates.
+fn delay(name: &str, cores_milli: u32) -> Duration {
+    let candidates = candidates_of(&nodes());
+    campaign_delay(name, &record(cores_milli), &candidates, Duration::ZERO)
+}
+
 /// Found on the grown swaramala-ow's scale-2: a node of 0.12 cores was elected
 /// beside nodes of 0.5, and could not read the store's pages in time.
 #[rstest]
@@ -32,15 +41,15 @@
     #[case] second: &str,
     #[case] second_cores: u32,
 ) {
-    let first = campaign_delay(first, &record(first_cores), &nodes());
-    let second = campaign_delay(second, &record(second_cores), &nodes());
+    let first = delay(first, first_cores);
+    let second = delay(second, second_cores);
     assert!(first < second);
 }
 
 #[test]
 fn campaign_delay_much_weaker_waits_for_all() {
-    let strong = campaign_delay("b", &record(500), &nodes());
-    let weak = campaign_delay("c", &record(120), &nodes());
+    let strong = delay("b", 500);
+    let weak = delay("c", 120);
     assert!(weak.as_ms() >= strong.as_ms() + 300);
 }
 
@@ -71,3 +80,59 @@
     };
     assert_eq!(has_stronger_joined(&record(120), &view, 40), expected);
 }
+
+/// A node that follows the leader is not told of each node that comes and goes: with as many
+/// nodes that are told, that would grow with the square of the cell.
+#[test]
+fn leader_prefix_without_nodes() {
+    let node = keys::node("front-a-1");
+    assert!(!node.starts_with(keys::LEADER_PREFIX));
+    assert!(keys::LEADER.starts_with(keys::LEADER_PREFIX));
+    assert!(keys::CANDIDATES.starts_with(keys::LEADER_PREFIX));
+}
+
+fn large_cell(count: usize) -> BTreeMap<String, NodeRecord> {
+    let node = |number: usize| {
+        let cores_milli = if number.is_multiple_of(10) { 1000 } else { 120 };
+        (format!("n{number:04}"), record(cores_milli))
+    };
+    (0..count).map(node).collect()
+}
+
+/// However large the cell is, few nodes are named, the strongest ones.
+#[rstest]
+#[case::small(6)]
+#[case::large(585)]
+#[case::larger(2_099)]
+fn candidates_of_cell(#[case] nodes_count: usize) {
+    let candidates = candidates_of(&large_cell(nodes_count));
+    assert_eq!(candidates.len(), nodes_count.min(CANDIDATES_COUNT));
+    if nodes_count > 100 {
+        assert!(candidates.iter().all(|it| it.record.cores_milli == 1000));
+    }
+}
+
+/// Nodes that are no candidates, a whole cell of them, don't stand at one moment.
+#[test]
+fn campaign_delay_crowd() {
+    let nodes = large_cell(2_099);
+    let candidates = candidates_of(&nodes);
+    let mut at_ms: BTreeMap<u64, usize> = BTreeMap::new();
+    for (name, record) in &nodes {
+        let draw = Duration::from_ms(spread::draw_below(name, 200));
+        let delay = campaign_delay(name, record, &candidates, draw);
+        *at_ms.entry(delay.as_ms()).or_default() += 1;
+    }
+    // The rest of two thousand, each in one of two hundred milliseconds.
+    assert!(at_ms.values().all(|count| *count <= 40), "{at_ms:?}");
+    assert_eq!(at_ms.first_key_value(), Some((&0, &1)));
+}
+
+/// At the first start nobody has named candidates: strong nodes go first.
+#[test]
+fn campaign_delay_without_candidates() {
+    let of = |cores_milli| campaign_delay("n", &record(cores_milli), &[], Duration::ZERO);
+    assert_eq!(of(1000), Duration::ZERO);
+    assert!(of(500) < of(120));
+    assert!(of(120).as_ms() >= 300);
+}
