Have another node write what the store does not answer at once

Cause: a node whose store falls silent finds that out by its own calls: each job that it took hung for 1.2 s and was answered as not known (504), though other nodes reached the store.

Change: after 120 ms without an answer the same write goes to another node too. An id stays one job, so whichever write comes first counts; "not run" is said only where both certainly were not done.

Ruled out: a shorter time limit of the own call, which a slow store needs.

--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -18,6 +18,7 @@
 use slog::info;
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::time::timeout;
 
 /// How long the leader may take for an answer.
 const LEADER_LIMIT: Duration = Duration::from_ms(400);
@@ -25,6 +26,9 @@
 const ASK_LIMIT: Duration = Duration::from_ms(150);
 /// How long another node may take to write to the store.
 const FORWARD_LIMIT: Duration = Duration::from_ms(1500);
+/// How long the store may take to answer a write before another node is asked to make it
+/// too: many times what it takes, and well under the time limit of a call.
+const FORWARD_AFTER: Duration = Duration::from_ms(120);
 /// When a client that was turned away may come back.
 const COME_BACK: Retry = Retry {
     after: Duration::from_ms(1000),
@@ -89,24 +93,60 @@
     customer.impossible_step(record)
 }
 
+/// Writes a job to the store, through another node where the store does not answer this one
+/// at once: whichever write comes first counts, since an id stays one job.
 async fn write_or_forward<P: Platform>(
     node: &Rc<Node<P>>,
     job: JobId,
     record: JobRecord,
     version: u64,
 ) -> Reply {
-    match write_job(node, job, &record).await {
-        JobWritten::Stored => Reply::Accepted,
-        JobWritten::IdTaken => Reply::IdTaken,
-        JobWritten::Unknown => Reply::Unknown,
-        JobWritten::NotStored => {
-            let request = PeerRequest::Submit {
-                job,
-                record,
-                version,
-            };
-            forward(node, request, Reply::Accepted).await
+    let mut own = std::pin::pin!(write_job(node, job, &record));
+    if let Ok(written) = timeout(FORWARD_AFTER.into(), &mut own).await {
+        if let Some(reply) = written.reply() {
+            return reply;
         }
+        let forwarded = forward_job(node, job, &record, version).await;
+        return both_written(written, forwarded);
+    }
+    info!(node.log, "job forwarded"; "job" => %job, "reason" => "no answer of the store yet");
+    let mut forwarded = std::pin::pin!(forward_job(node, job, &record, version));
+    tokio::select! {
+        written = &mut own => match written.reply() {
+            Some(reply) => reply,
+            None => both_written(written, forwarded.await),
+        },
+        reply = &mut forwarded => match reply {
+            Reply::Unavailable(_) | Reply::Unknown => both_written(own.await, reply),
+            reply => reply,
+        },
+    }
+}
+
+async fn forward_job<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    record: &JobRecord,
+    version: u64,
+) -> Reply {
+    let record = record.clone();
+    let request = PeerRequest::Submit {
+        job,
+        record,
+        version,
+    };
+    forward(node, request, Reply::Accepted).await
+}
+
+/// Returns what a client is told of a job that this node and another one tried to write.
+fn both_written(own: JobWritten, forwarded: Reply) -> Reply {
+    if let Some(reply) = own.reply() {
+        return reply;
+    }
+    match (own, forwarded) {
+        // This node's write may be done yet.
+        (JobWritten::Unknown, Reply::Unavailable(_)) => Reply::Unknown,
+        (_, forwarded) => forwarded,
     }
 }
 
@@ -123,6 +163,17 @@
     Unknown,
 }
 
+impl JobWritten {
+    /// Returns what a client is told, where another node's write changes nothing about it.
+    const fn reply(self) -> Option<Reply> {
+        match self {
+            Self::Stored => Some(Reply::Accepted),
+            Self::IdTaken => Some(Reply::IdTaken),
+            Self::NotStored | Self::Unknown => None,
+        }
+    }
+}
+
 /// Writes a job to the store and tells the leader.
 async fn write_job<P: Platform>(node: &Rc<Node<P>>, job: JobId, record: &JobRecord) -> JobWritten {
     if is_cut_off(node) {
