--- /dev/null
+++ b/crates/control/src/cordons.rs
@@ -0,0 +1,165 @@
+//! Cordons, as the operators set them in the store: the leader follows them for as long as
+//! its term lasts, and starts nothing while it may have missed one.
+
+use crate::follow::{follow, FollowPolicy, Update};
+use crate::leader::Leading;
+use crate::node::Node;
+use crate::platform::{CordonError, CordonFault, Platform};
+use crate::store::{Item, WatchedChange};
+use ospreywing_scheduler::Event;
+use ospreywing_types::Duration;
+use slog::warn;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The watches that answer within the time for which an answer holds: two may fail.
+const CONFIRMATIONS_COUNT: u64 = 3;
+
+/// The cordons of all data centres, as they were read last.
+#[derive(Debug, Default)]
+pub struct CordonList {
+    by_key: BTreeMap<String, Arc<str>>,
+}
+
+impl CordonList {
+    /// Takes in a whole list; returns what of it can't be used.
+    pub fn replace(
+        &mut self,
+        items: impl Iterator<Item = (String, Result<Arc<str>, CordonError>)>,
+    ) -> Vec<CordonError> {
+        let before = core::mem::take(&mut self.by_key);
+        let mut errors = Vec::new();
+        for (key, read) in items {
+            match read {
+                Ok(data_centre) => {
+                    self.by_key.insert(key, data_centre);
+                }
+                Err(error) => {
+                    // What can't be read changes nothing.
+                    if let Some(data_centre) = before.get(&key) {
+                        self.by_key.insert(key, data_centre.clone());
+                    }
+                    errors.push(error);
+                }
+            }
+        }
+        errors
+    }
+
+    /// Takes in a cordon that was written.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`CordonError`] of one that can't be used; what was known stands.
+    pub fn write(
+        &mut self,
+        key: String,
+        read: Result<Arc<str>, CordonError>,
+    ) -> Result<(), CordonError> {
+        self.by_key.insert(key, read?);
+        Ok(())
+    }
+
+    /// Takes in that a cordon was lifted.
+    pub fn lift(&mut self, key: &str) {
+        self.by_key.remove(key);
+    }
+
+    /// Returns the data centres.
+    pub fn data_centres(&self) -> BTreeSet<Arc<str>> {
+        self.by_key.values().cloned().collect()
+    }
+}
+
+/// Reads a stored cordon.
+pub(crate) fn read<P: Platform>(node: &Node<P>, item: &Item) -> Result<Arc<str>, CordonError> {
+    let value = item.bytes().map_err(|error| CordonError {
+        key: item.key.clone(),
+        fault: CordonFault::Form,
+        detail: error.to_string(),
+    })?;
+    node.platform.parse_cordon(&item.key, value)
+}
+
+/// Reads the cordons that stand at the start of a term.
+pub(crate) fn read_all<P: Platform>(node: &Node<P>, items: &[Item]) -> BTreeSet<Arc<str>> {
+    let mut list = CordonList::default();
+    let read = items
+        .iter()
+        .map(|item| (item.key.clone(), read(node, item)));
+    for error in list.replace(read) {
+        note_error(node, &error);
+    }
+    list.data_centres()
+}
+
+fn note_error<P: Platform>(node: &Node<P>, error: &CordonError) {
+    node.metrics.note_unusable_cordon(error.fault);
+    warn!(node.log, "cordon not followed";
+        "key" => &error.key, "reason" => error.fault.as_str(), "detail" => &error.detail);
+}
+
+/// Returns how the cordons are followed.
+fn policy(limit: Duration) -> FollowPolicy {
+    FollowPolicy {
+        wait: Duration::from_ms(limit.as_ms() / CONFIRMATIONS_COUNT),
+        refresh: None,
+        pace: Duration::ZERO,
+        is_confirming: true,
+        reads_after_failure: true,
+    }
+}
+
+/// Tells the scheduler of cordons until the term is over.
+pub(crate) async fn follow_cordons<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    let mut list = CordonList::default();
+    let mut told = None;
+    let store = node.store.clone();
+    let prefix = node.platform.cordons_prefix();
+    let policy = policy(leading.beliefs.cordons.limit());
+    follow(store, prefix, policy, None, |update, true_at| {
+        let errors = match update {
+            Update::Snapshot(items) => {
+                let read = items
+                    .iter()
+                    .map(|item| (item.key.clone(), read(&node, item)));
+                list.replace(read)
+            }
+            Update::Changes(changes) => take_changes(&node, &mut list, changes),
+            Update::Unchanged => Vec::new(),
+            Update::Failed(error) => {
+                warn!(node.log, "store call failed";
+                    "what" => "cordons", "error" => error.to_string());
+                return leading.flow();
+            }
+        };
+        errors.iter().for_each(|error| note_error(&node, error));
+        let data_centres = list.data_centres();
+        if told.as_ref() != Some(&data_centres) {
+            leading.tell(Event::CordonsListed(data_centres.clone()));
+            told = Some(data_centres);
+        }
+        leading.beliefs.cordons.confirm(true_at);
+        leading.flow()
+    })
+    .await;
+}
+
+fn take_changes<P: Platform>(
+    node: &Node<P>,
+    list: &mut CordonList,
+    changes: Vec<WatchedChange>,
+) -> Vec<CordonError> {
+    let mut errors = Vec::new();
+    for change in changes {
+        match change {
+            WatchedChange::Put(item) => {
+                let read = read(node, &item);
+                errors.extend(list.write(item.key, read).err());
+            }
+            WatchedChange::Gone { key } => list.lift(&key),
+        }
+    }
+    errors
+}
--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -47,6 +47,10 @@
         (None, None) if decision.kind == DecisionKind::WorkerListed => {
             debug!(log, "{}", kind; "worker" => worker, "reason" => decision.reason);
         }
+        (None, None) if decision.kind == DecisionKind::Cordon => {
+            let data_centre = decision.data_centre.as_deref().unwrap_or_default();
+            info!(log, "{}", kind; "data_centre" => data_centre, "reason" => decision.reason);
+        }
         (None, None) => info!(log, "{}", kind;
             "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
     }
--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -102,6 +102,9 @@
     }
     let is_list = |event: &Event| matches!(event, Event::WorkersListed(_));
     let are_workers_listed = events.iter().any(is_list);
+    if let Some(is_outdated) = leading.beliefs.take_change(now, &node.log) {
+        events.push(Event::StartsHeld(is_outdated));
+    }
     scheduler.handle_all(now, events, &mut state.actions);
     if are_workers_listed {
         // The first looks at a new term's workers go through relays too.
@@ -135,6 +138,8 @@
         state.next_status_at = now + STATUS_PERIOD;
         let status = scheduler.status(now);
         node.metrics.note_status(&status);
+        node.metrics
+            .note_worker_list_age(leading.beliefs.workers.age(now));
         node.metrics.note_lateness(state.lateness.current());
         log_status(&node.log, &status);
     }
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -7,6 +7,10 @@
 /// The time until a call that failed is made again.
 const RETRY: Duration = Duration::from_ms(150);
 
+/// The changes of an answer after which the next watch follows at once. An answer with fewer
+/// holds all there were: a page of the store holds more.
+pub const FULL_ANSWER_COUNT: usize = 200;
+
 /// Failures in a row, beside answers to small calls, after which a watch is
 /// given up and everything is read.
 const UNANSWERABLE_LIMIT_COUNT: u32 = 2;
@@ -18,7 +22,9 @@
     pub wait: Duration,
     /// The time after which everything is read again, where it is.
     pub refresh: Option<Duration>,
-    /// The time between a watch that brought changes and the next.
+    /// The time between a watch that brought one change and the next. The more it brings,
+    /// the shorter the time: a part of the store that changes often is followed as closely as
+    /// one that changes rarely.
     pub pace: Duration,
     /// Whether a watch that failed is followed by reading what stands: a watch
     /// brings every version since, of which only the newest counts.
@@ -28,6 +34,18 @@
     pub is_confirming: bool,
 }
 
+impl FollowPolicy {
+    /// Returns the time between a watch that brought so many changes and the next.
+    ///
+    /// Where changes come at a steady rate, an answer brings less than a full one however
+    /// high the rate is, and the time shrinks with it.
+    pub fn pause_after(&self, changes_count: usize) -> Duration {
+        let left_count = FULL_ANSWER_COUNT.saturating_sub(changes_count) as u64;
+        let pause_ms = self.pace.as_ms() * left_count / FULL_ANSWER_COUNT as u64;
+        Duration::from_ms(pause_ms)
+    }
+}
+
 /// What a follower learned.
 #[derive(Clone, Debug)]
 pub enum Update {
@@ -212,7 +230,7 @@
         }
         let pause = match &update {
             Update::Failed(_) => RETRY,
-            Update::Changes(_) => policy.pace,
+            Update::Changes(changes) => policy.pause_after(changes.len()),
             Update::Snapshot(_) | Update::Unchanged => Duration::ZERO,
         };
         if learn(update, true_at) == Flow::Stop {
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -2,8 +2,10 @@
 
 use crate::caller::Caller;
 use crate::commit::CommitLane;
+use crate::cordons;
 use crate::election::{self, LEADER_LEASE};
 use crate::follow::Flow;
+use crate::freshness::{belief_limit, Beliefs, Freshness};
 use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
 use crate::relay::RelayLinks;
@@ -39,6 +41,7 @@
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) relays: RelayLinks,
+    pub(crate) beliefs: Beliefs,
     pub(crate) lanes: Vec<Rc<CommitLane<NodeStore<P>>>>,
     pub(crate) open_commits_count: Cell<usize>,
 }
@@ -65,10 +68,6 @@
         self.is_over.get()
     }
 
-    /// Returns the state of a job that a client is shown, where it is open to the client.
-    pub fn job_for(&self, caller: &Caller, job: JobId) -> Option<JobView> {
-        self.scheduler.borrow().job_for(caller.customer(), job)
-    }
     /// Returns whether to go on following what the store tells.
     pub(crate) fn flow(&self) -> Flow {
         if self.is_over() {
@@ -78,6 +77,10 @@
         }
     }
 
+    /// Returns the state of a job that a client is shown, where it is open to the client.
+    pub fn job_for(&self, caller: &Caller, job: JobId) -> Option<JobView> {
+        self.scheduler.borrow().job_for(caller.customer(), job)
+    }
 
     /// Returns the state of a job.
     pub fn job(&self, job: JobId) -> Option<JobView> {
@@ -107,6 +110,17 @@
     }
 }
 
+/// Returns the ages of a new leader's beliefs, none of which is confirmed.
+fn new_beliefs<P: Platform>(node: &Node<P>) -> Beliefs {
+    let cordons_limit = belief_limit(node.settings.cordon_limit);
+    // A slow store's answers must not hold back what is started.
+    let workers_limit = belief_limit(node.settings.drain_limit).max(LEADER_LEASE);
+    Beliefs::new(
+        Freshness::new("cordons", cordons_limit),
+        Freshness::new("workers", workers_limit),
+    )
+}
+
 /// Leads until the term is over; returns whether the node gave it up itself.
 pub async fn lead<P: Platform>(
     node: &Rc<Node<P>>,
@@ -148,10 +162,13 @@
         scheduler: RefCell::new(empty),
         events,
         relays: RelayLinks::default(),
+        beliefs: new_beliefs(node),
         lanes,
         open_commits_count: Cell::new(0),
     });
     tokio::task::spawn_local(leader_lease::keep_lease(node.clone(), leading.clone()));
+    tokio::task::spawn_local(election::follow_nodes(node.clone(), leading.clone()));
+    tokio::task::spawn_local(election::publish_candidates(node.clone(), leading.clone()));
     let recovered = tokio::select! {
         recovered = recovery::recover(node, &leading) => recovered,
         () = step_down::wait_to_step_down(node, &leading) => {
@@ -169,13 +186,12 @@
         *leading.scheduler.borrow_mut() = scheduler;
         *node.leading.borrow_mut() = Some(leading.clone());
         node.metrics.note_term(true);
-    tokio::task::spawn_local(election::follow_nodes(node.clone(), leading.clone()));
-    tokio::task::spawn_local(election::publish_candidates(node.clone(), leading.clone()));
         if node.is_draining.get() {
             leading.resign().await;
         }
         tokio::task::spawn_local(watches::follow_intake(node.clone(), leading.clone(), at));
         tokio::task::spawn_local(watches::follow_workers(node.clone(), leading.clone()));
+        tokio::task::spawn_local(cordons::follow_cordons(node.clone(), leading.clone()));
         decision_loop::run(node, &leading, received).await;
         *node.leading.borrow_mut() = None;
         node.metrics.note_term(false);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,11 +10,13 @@
 mod caller;
 pub mod commit;
 pub mod configuration;
+pub mod cordons;
 mod credentials;
 mod decision_log;
 mod decision_loop;
 pub mod election;
 pub mod follow;
+pub mod freshness;
 pub mod front;
 pub mod intake;
 pub mod keys;
@@ -33,9 +35,9 @@
 pub mod recovery;
 pub mod relay;
 pub mod requests;
+pub mod spread;
 mod step_down;
 pub mod store;
-pub mod spread;
 pub mod stored_view;
 pub mod watches;
 pub mod worker_entries;
@@ -46,7 +48,8 @@
 pub use credentials::{Credentials, KeyHasher};
 pub use node::{run, NodeError, NodeSettings};
 pub use platform::{
-    Call, CallError, EntryError, EntryFault, FrontLimits, Look, Platform, Reply, RequestHead, Retry,
+    Call, CallError, CordonError, CordonFault, EntryError, EntryFault, FrontLimits, Look, Platform,
+    Reply, RequestHead, Retry,
 };
 pub use store::{
     sending_time, CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store,
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,7 +1,7 @@
 //! A node's counters, gauges and histograms, as text for whoever asks.
 
 use crate::clock;
-use crate::platform::{EntryFault, Reply};
+use crate::platform::{CordonFault, EntryFault, Reply};
 use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
@@ -58,6 +58,10 @@
     reply_s: Histogram,
     decisions: Family<DecisionLabels, Counter>,
     unreadable_entries: Family<EntryLabels, Counter>,
+    unusable_cordons: Family<EntryLabels, Counter>,
+    cordons: Amount,
+    worker_entries: Counter,
+    worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
     oldest_wait_ms: Family<WaitLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
@@ -96,6 +100,10 @@
             reply_s: new_histogram(),
             decisions: Family::default(),
             unreadable_entries: Family::default(),
+            unusable_cordons: Family::default(),
+            cordons: Amount::default(),
+            worker_entries: Counter::default(),
+            worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
             oldest_wait_ms: Family::default(),
             store_calls: Family::default(),
@@ -145,6 +153,16 @@
             "Workers' entries that name no worker to use, by reason",
             self.unreadable_entries.clone(),
         );
+        registry.register(
+            "worker_entries",
+            "Entries of workers that the store told as written or gone",
+            self.worker_entries.clone(),
+        );
+        registry.register(
+            "unusable_cordons",
+            "Cordons that are not followed, by reason",
+            self.unusable_cordons.clone(),
+        );
         registry.register(
             "waiting_steps",
             "Steps that wait to start, by reason",
@@ -184,6 +202,12 @@
             ("active_jobs", "Jobs with work left", &self.active_jobs),
             ("runs", "Runs that occupy workers", &self.runs),
             ("workers", "Workers that are listed", &self.workers),
+            ("cordons", "Data centres that are cordoned", &self.cordons),
+            (
+                "worker_list_age_milliseconds",
+                "Time since the list of workers was known to be the newest",
+                &self.worker_list_age_ms,
+            ),
             (
                 "placeable_workers",
                 "Workers that may take a run",
@@ -263,6 +287,23 @@
         self.unreadable_entries.get_or_create(&labels).inc();
     }
 
+    /// Counts entries of workers that the store told as written or gone.
+    pub fn note_worker_entries(&self, count: usize) {
+        self.worker_entries.inc_by(count as u64);
+    }
+
+    /// Notes how old the list of workers is.
+    pub fn note_worker_list_age(&self, age: Duration) {
+        self.worker_list_age_ms.set(age.as_ms() as i64);
+    }
+
+    /// Counts a cordon that is not followed.
+    pub fn note_unusable_cordon(&self, fault: CordonFault) {
+        let reason = fault.as_str();
+        let labels = EntryLabels { reason };
+        self.unusable_cordons.get_or_create(&labels).inc();
+    }
+
     /// Counts a call of the store that began at `begun_at`.
     pub fn note_store_call(&self, call: &'static str, outcome: &'static str, begun_at: Instant) {
         self.store_calls
@@ -311,6 +352,7 @@
         set(&self.active_jobs, status.active_jobs_count);
         set(&self.runs, status.runs_count);
         set(&self.workers, status.listed_workers_count);
+        set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
         set(&self.awaited_workers, status.awaited_workers_count);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -70,6 +70,10 @@
     pub apply_limit: Duration,
     /// What a store that turns nodes away may add to that.
     pub stretch_limit: Duration,
+    /// The time in which a cordon must be in force.
+    pub cordon_limit: Duration,
+    /// The time after which a worker that is leaving must be given nothing new.
+    pub drain_limit: Duration,
     /// The time after which keys are not used any more that the store does not confirm,
     /// where that is set apart.
     pub revoke_limit: Option<Duration>,
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -203,6 +203,39 @@
     pub detail: String,
 }
 
+/// What makes a cordon one that is not followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+pub enum CordonFault {
+    /// The bytes can't be read.
+    #[error("it can't be read")]
+    Form,
+    /// It names no data centre that there is.
+    #[error("there is no such data centre")]
+    DataCentre,
+}
+
+impl CordonFault {
+    /// Returns the word for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Form => "form",
+            Self::DataCentre => "data centre",
+        }
+    }
+}
+
+/// A cordon is not followed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{key}: {fault} ({detail})")]
+pub struct CordonError {
+    /// The cordon's key.
+    pub key: String,
+    /// What is wrong.
+    pub fault: CordonFault,
+    /// Where.
+    pub detail: String,
+}
+
 /// The platform.
 #[allow(async_fn_in_trait, reason = "every node runs on one thread")]
 pub trait Platform: Clone + 'static {
@@ -238,6 +271,16 @@
     /// Returns an [`EntryError`] where the entry names no worker to use.
     fn parse_worker(&self, key: &str, value: &[u8]) -> Result<WorkerFacts, EntryError>;
 
+    /// Returns the prefix below which the operators' cordons stand.
+    fn cordons_prefix(&self) -> &'static str;
+
+    /// Reads a cordon; returns the data centre that it names.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CordonError`] where it is not to be followed.
+    fn parse_cordon(&self, key: &str, value: &[u8]) -> Result<Arc<str>, CordonError>;
+
     /// Returns the limits on what clients send.
     fn limits(routes: &Self::Routes) -> FrontLimits;
 
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -1,12 +1,12 @@
 //! Reading what the store keeps, at the start of a term.
 
-use crate::clock;
 use crate::follow::read_all;
 use crate::keys::{self, IntakeKey};
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::store::{Item, Revision, StoreError, UnreadableValue};
+use crate::{clock, cordons};
 use ospreywing_scheduler::{JobState, Recovered, StateError, StoredJob};
 use ospreywing_types::Duration;
 use slog::{warn, Logger};
@@ -26,7 +26,7 @@
         if leading.is_over() {
             return None;
         }
-        match read_recovered(node).await {
+        match read_recovered(node, leading).await {
             Ok(found) => return Some(found),
             Err(error) => {
                 warn!(node.log, "recovery failed"; "error" => error.to_string());
@@ -39,13 +39,18 @@
 
 async fn read_recovered<P: Platform>(
     node: &Rc<Node<P>>,
+    leading: &Leading<P>,
 ) -> Result<(Recovered, Revision), StoreError> {
-    // Both at once: a slow store makes each page long.
+    let begun_at = clock::now();
+    // All at once: a slow store makes each page long.
     let intake = read_all(&node.store, keys::INTAKE_PREFIX);
     let states = read_all(&node.store, keys::STATE_PREFIX);
-    let (intake, states) = tokio::join!(intake, states);
-    let ((intake, at), (states, _)) = (intake?, states?);
-    let recovered = assemble(&node.log, intake, &states, clock::wall_ms());
+    let cordons = read_all(&node.store, node.platform.cordons_prefix());
+    let (intake, states, cordons) = tokio::join!(intake, states, cordons);
+    let ((intake, at), (states, _), (cordons, _)) = (intake?, states?, cordons?);
+    let mut recovered = assemble(&node.log, intake, &states, clock::wall_ms());
+    recovered.cordons = cordons::read_all(node, &cordons);
+    leading.beliefs.cordons.confirm(begun_at);
     Ok((recovered, at))
 }
 
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -1,6 +1,6 @@
 //! What a leader follows in the store: the intake and the list of workers.
 
-use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::follow::{follow, FollowPolicy, Update, FULL_ANSWER_COUNT};
 use crate::keys::{self, IntakeKey};
 use crate::leader::Leading;
 use crate::node::Node;
@@ -25,7 +25,7 @@
 
 /// How the list of workers is followed. A watch that hangs is noticed, and the
 /// list read, within the 2 s in which a draining worker must be left alone.
-const WORKERS_POLICY: FollowPolicy = FollowPolicy {
+pub const WORKERS_POLICY: FollowPolicy = FollowPolicy {
     wait: Duration::from_ms(1000),
     refresh: Some(Duration::from_ms(10_000)),
     pace: Duration::from_ms(400),
@@ -61,20 +61,12 @@
                     "what" => "intake", "error" => error.to_string());
                 }
             }
-            flow_of(&leading)
+            leading.flow()
         },
     )
     .await;
 }
 
-fn flow_of<P: Platform>(leading: &Leading<P>) -> Flow {
-    if leading.is_over() {
-        Flow::Stop
-    } else {
-        Flow::Continue
-    }
-}
-
 fn learn_intake<P: Platform>(leading: &Leading<P>, item: &Item) {
     match keys::parse_intake(&item.key) {
         Some(IntakeKey::Job(job)) if leading.job(job).is_none() => {
@@ -92,37 +84,51 @@
     let mut known = WorkerEntries::default();
     let store = node.store.clone();
     let prefix = node.platform.workers_prefix();
-    follow(store, prefix, WORKERS_POLICY, None, |update, _| {
-        let has_changed = match update {
-            Update::Snapshot(items) => known.replace(items.iter().map(|item| read(&node, item))),
+    follow(store, prefix, WORKERS_POLICY, None, |update, true_at| {
+        let mut is_newest = true;
+        match update {
+            Update::Snapshot(items) => {
+                if known.replace(items.iter().map(|item| read(&node, item))) {
+                    let workers = known.workers().cloned().collect();
+                    leading.tell(Event::WorkersListed(workers));
+                }
+            }
             Update::Changes(changes) => {
-                let changes = changes.into_iter().map(|change| match change {
-                    WatchedChange::Put(item) => EntryChange::Written(read(&node, &item)),
-                    WatchedChange::Gone { key } => EntryChange::Gone(key),
-                });
-                known.apply(changes)
+                is_newest = changes.len() < FULL_ANSWER_COUNT;
+                node.metrics.note_worker_entries(changes.len());
+                let changed = known.apply(changes.into_iter().map(|it| entry_change(&node, it)));
+                if !changed.is_empty() {
+                    leading.tell(Event::WorkersChanged(changed));
+                }
             }
-            Update::Unchanged => false,
+            Update::Unchanged => {}
             Update::Failed(error) => {
                 warn!(node.log, "store call failed";
                     "what" => "workers", "error" => error.to_string());
-                return flow_of(&leading);
+                return leading.flow();
             }
-        };
+        }
         for error in known.take_new_faults() {
             node.metrics.note_unreadable_entry(error.fault);
             warn!(node.log, "worker's entry names no worker to use";
                 "key" => &error.key, "reason" => error.fault.as_str(), "detail" => &error.detail);
         }
         node.note_contact();
-        if has_changed {
-            leading.tell(Event::WorkersListed(known.workers().cloned().collect()));
+        if is_newest {
+            leading.beliefs.workers.confirm(true_at);
         }
-        flow_of(&leading)
+        leading.flow()
     })
     .await;
 }
 
+fn entry_change<P: Platform>(node: &Node<P>, change: WatchedChange) -> EntryChange {
+    match change {
+        WatchedChange::Put(item) => EntryChange::Written(read(node, &item)),
+        WatchedChange::Gone { key } => EntryChange::Gone(key),
+    }
+}
+
 fn read<P: Platform>(node: &Node<P>, item: &Item) -> WorkerEntry {
     let read = match item.bytes() {
         Ok(value) => node.platform.parse_worker(&item.key, value),
--- a/crates/control/src/worker_entries.rs
+++ b/crates/control/src/worker_entries.rs
@@ -7,7 +7,7 @@
 
 use crate::platform::EntryError;
 use crate::store::Revision;
-use ospreywing_scheduler::WorkerFacts;
+use ospreywing_scheduler::{WorkerChange, WorkerFacts};
 use std::collections::BTreeMap;
 
 /// The faults that are told of one update at most, so that a writer that changes many
@@ -71,37 +71,40 @@
         !old.eq(self.workers())
     }
 
-    /// Takes in changes; returns whether the workers have changed.
-    pub fn apply(&mut self, changes: impl Iterator<Item = EntryChange>) -> bool {
-        let mut has_changed = false;
-        for change in changes {
-            has_changed |= match change {
-                EntryChange::Written(entry) => self.write(entry),
-                EntryChange::Gone(key) => self.remove(&key),
-            };
-        }
-        has_changed
+    /// Takes in changes; returns what has changed of the workers, in its order. Entries are
+    /// rewritten all the time, so that is next to nothing of what comes in.
+    pub fn apply(&mut self, changes: impl Iterator<Item = EntryChange>) -> Vec<WorkerChange> {
+        let changed = changes.filter_map(|change| match change {
+            EntryChange::Written(entry) => self.write(entry),
+            EntryChange::Gone(key) => self.remove(&key),
+        });
+        changed.collect()
     }
 
     /// Takes in an entry, unless a later page of a list showed what came after it: a
     /// worker's room may shrink, and an older word must not bring it back.
-    fn write(&mut self, entry: WorkerEntry) -> bool {
+    fn write(&mut self, entry: WorkerEntry) -> Option<WorkerChange> {
         let known = self.entries.get(&entry.key);
         if known.is_some_and(|known| known.revision >= entry.revision) {
-            return false;
+            return None;
         }
-        // Entries are rewritten all the time.
-        let facts_before = known.and_then(|known| known.read.as_ref().ok());
-        let has_changed = facts_before != entry.read.as_ref().ok();
+        let facts = entry.read.as_ref().ok().cloned();
         let known = self.entries.remove(&entry.key);
         self.note_fault(known.as_ref(), &entry);
         self.entries.insert(entry.key.clone(), entry);
-        has_changed
+        let facts_before = known.and_then(|known| known.read.ok());
+        if facts == facts_before {
+            return None;
+        }
+        match facts {
+            Some(facts) => Some(WorkerChange::Listed(facts)),
+            None => facts_before.map(|before| WorkerChange::Unlisted(before.id)),
+        }
     }
 
-    fn remove(&mut self, key: &str) -> bool {
-        let removed = self.entries.remove(key);
-        removed.is_some_and(|entry| entry.read.is_ok())
+    fn remove(&mut self, key: &str) -> Option<WorkerChange> {
+        let facts = self.entries.remove(key)?.read.ok()?;
+        Some(WorkerChange::Unlisted(facts.id))
     }
 
     /// Notes an entry that has become unreadable, or is it for another reason.
--- /dev/null
+++ b/crates/control/tests/control/freshness.rs
@@ -0,0 +1,27 @@
+//! How old a belief may be on which starts rest.
+
+use ospreywing_control::freshness::{belief_limit, Freshness};
+use ospreywing_types::{Duration, Instant};
+use rstest::rstest;
+
+#[rstest]
+#[case::long(5000, 3500)]
+#[case::medium(3000, 1500)]
+#[case::short(2000, 1000)]
+fn belief_limit_of(#[case] bound_ms: u64, #[case] expected_ms: u64) {
+    let limit = belief_limit(Duration::from_ms(bound_ms));
+    assert_eq!(limit.as_ms(), expected_ms);
+}
+
+#[test]
+fn is_outdated_until_confirmed() {
+    let belief = Freshness::new("workers", Duration::from_ms(1500));
+    let at = Instant::from_ms;
+    assert!(belief.is_outdated(at(10_000)));
+    belief.confirm(at(10_000));
+    assert!(!belief.is_outdated(at(11_500)));
+    assert!(belief.is_outdated(at(11_501)));
+    // An answer that was long on its way tells nothing newer.
+    belief.confirm(at(9_000));
+    assert!(belief.is_outdated(at(11_501)));
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,7 +1,9 @@
 //! Tests of a node's parts against a store in memory.
 
 mod campaign;
+mod cordons;
 mod following;
+mod freshness;
 mod lateness;
 mod logging;
 mod measuring;
@@ -12,3 +14,4 @@
 mod support;
 mod suspension;
 mod viewing;
+mod worker_list;
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -11,8 +11,8 @@
 use ospreywing_control::election::LeaderRecord;
 use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
 use ospreywing_control::{
-    clock, keys, Call, CallError, EntryError, FrontLimits, Look, NodeSettings, Platform, Reply,
-    RequestHead, Store, StoreError, Transaction,
+    clock, keys, Call, CallError, CordonError, EntryError, FrontLimits, Look, NodeSettings,
+    Platform, Reply, RequestHead, Store, StoreError, Transaction,
 };
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
@@ -164,6 +164,14 @@
         WORKERS_PREFIX
     }
 
+    fn cordons_prefix(&self) -> &'static str {
+        "cordons/"
+    }
+
+    fn parse_cordon(&self, key: &str, _value: &[u8]) -> Result<Arc<str>, CordonError> {
+        Ok(Arc::from(key))
+    }
+
     fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, EntryError> {
         Ok(WorkerFacts {
             id: Arc::from("w0"),
@@ -256,6 +264,8 @@
         retention: Duration::from_s(120),
         apply_limit: Duration::from_s(2),
         stretch_limit: Duration::from_s(5),
+        cordon_limit: Duration::from_s(5),
+        drain_limit: Duration::from_s(2),
         revoke_limit: None,
     }
 }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -33,6 +33,10 @@
     JobEnded,
     /// A worker became known.
     WorkerListed,
+    /// A worker is leaving.
+    WorkerDraining,
+    /// A worker is not listed any more.
+    WorkerUnlisted,
     /// A worker's list of runs was taken over.
     WorkerSynced,
     /// A worker did not answer.
@@ -53,6 +57,8 @@
     AdviceAnswered,
     /// A configuration came into force.
     Configured,
+    /// A data centre was cordoned, or is not any more.
+    Cordon,
 }
 
 impl DecisionKind {
@@ -72,6 +78,8 @@
             Self::RunLost => "run lost",
             Self::JobEnded => "job ended",
             Self::WorkerListed => "worker listed",
+            Self::WorkerDraining => "worker draining",
+            Self::WorkerUnlisted => "worker unlisted",
             Self::WorkerSynced => "worker synced",
             Self::WorkerSilent => "worker silent",
             Self::WorkerGone => "worker gone",
@@ -82,6 +90,7 @@
             Self::AdviceAsked => "advice asked",
             Self::AdviceAnswered => "advice answered",
             Self::Configured => "configured",
+            Self::Cordon => "cordon",
         }
     }
 }
@@ -99,6 +108,8 @@
     pub run: u32,
     /// The worker's id, where one is concerned.
     pub worker: Option<Arc<str>>,
+    /// The data centre, where one is concerned.
+    pub data_centre: Option<Arc<str>>,
     /// The job's queue, where the job is named for the first time in a term.
     pub queue: Option<Arc<str>>,
     /// The customer, and what it has running and may have, where that decides.
@@ -120,6 +131,7 @@
             task: None,
             run: 0,
             worker: None,
+            data_centre: None,
             queue: None,
             customer: None,
             reason,
@@ -147,6 +159,12 @@
         self
     }
 
+    /// Names the data centre.
+    pub fn with_data_centre(mut self, data_centre: &Arc<str>) -> Self {
+        self.data_centre = Some(data_centre.clone());
+        self
+    }
+
     /// Names the job's queue.
     pub fn with_queue(mut self, queue: &str) -> Self {
         self.queue = Some(Arc::from(queue));
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -7,6 +7,7 @@
 use crate::worker::{WorkerFacts, WorkerKey};
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// How a run ended.
@@ -193,6 +194,15 @@
     pub address: Arc<str>,
 }
 
+/// A change of the list of live workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerChange {
+    /// A worker is listed, or something else is listed of it.
+    Listed(WorkerFacts),
+    /// The worker with this id is not listed any more.
+    Unlisted(Arc<str>),
+}
+
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -210,8 +220,15 @@
     },
     /// A configuration came into force.
     Configured(Configuration),
+    /// The data centres in which the operators want nothing new started, whole.
+    CordonsListed(BTreeSet<Arc<str>>),
+    /// Whether nothing new may be started: what was told last of cordons or workers may be
+    /// outdated.
+    StartsHeld(bool),
     /// The list of live workers, whole.
     WorkersListed(Vec<WorkerFacts>),
+    /// What has changed of the list of live workers, in its order.
+    WorkersChanged(Vec<WorkerChange>),
     /// A renewal was answered, or not.
     HoldAnswered {
         /// The worker.
@@ -267,6 +284,16 @@
     Tick,
 }
 
+impl Event {
+    /// Returns whether the event tells what the operators have set.
+    pub(crate) const fn is_set_by_operators(&self) -> bool {
+        matches!(
+            self,
+            Self::Configured(_) | Self::CordonsListed(_) | Self::StartsHeld(_)
+        )
+    }
+}
+
 /// A change of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod candidate;
 mod commits;
 mod config;
+mod cordons;
 mod crashes;
 mod customers;
 mod cycle;
@@ -63,7 +64,7 @@
 pub use decision::{Decision, DecisionKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
-    RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket,
+    RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
 };
 pub use evidence::{CrashRecord, Suspicion};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -106,15 +106,13 @@
         let before = &mut self.workers[key];
         let entry = before.other_entry.take();
         let entry = entry.filter(|entry| entry.life_start == life_start);
-        let has_service = before.has_service;
         let is_listed = entry.is_some() || before.facts.life_start.is_none() && before.is_listed;
         before.is_listed = false;
         let facts = entry.unwrap_or_else(|| before.facts.clone());
         let id = facts.id.clone();
         // What was granted by the clock of the life before is cut to the limit there.
-        let mut next = Worker::new(facts, lease_bound(now, self.config.grant_limit));
+        let mut next = self.new_worker(facts, lease_bound(now, self.config.grant_limit));
         next.is_listed = is_listed;
-        next.has_service = has_service;
         next.life_start = life_start;
         let next = self.workers.push(next);
         self.workers_by_id.insert(id, next);
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -27,6 +27,7 @@
         let fresh = self.advice.get(&task.step);
         let fresh = fresh.and_then(|advice| advice.ticket(now, key));
         let is_within_limit = self.is_within_limit(task.step.job);
+        let is_closed = self.is_closed(&self.workers[key]);
         let worker = &mut self.workers[key];
         let has_room = worker.has_room_to_send(task);
         let Some(run) = worker.runs.get_mut(&task) else {
@@ -44,6 +45,11 @@
             self.release(now, task, DecisionKind::NotStarted, "room shrank", out);
             return;
         }
+        if is_closed {
+            // It was open when the start was placed.
+            self.release(now, task, DecisionKind::NotStarted, "worker closed", out);
+            return;
+        }
         if !is_within_limit {
             // It was lowered since the start was placed.
             self.release(now, task, DecisionKind::NotStarted, "limit lowered", out);
@@ -119,9 +125,10 @@
         let Some(run) = worker.runs.get(&task) else {
             return false;
         };
-        // The first one may not have arrived, and its room may be gone, or its customer's
-        // limit be lower.
-        if worker.is_overfull() || !self.is_within_limit(task.step.job) {
+        // The first one may not have arrived, and its room may be gone, its customer's limit
+        // be lower, or its data centre be cordoned.
+        let is_closed = self.is_closed(worker);
+        if is_closed || worker.is_overfull() || !self.is_within_limit(task.step.job) {
             return false;
         }
         let is_open = run.phase == RunPhase::Starting && run.sends_count < START_SENDS_LIMIT_COUNT;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -59,6 +59,10 @@
     /// Places what can be placed; returns how many steps were looked at.
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
         self.waits.begin_cycle();
+        if self.are_starts_held {
+            self.last_cycle = CycleSummary::default();
+            return 0;
+        }
         let order = self.service_order(now);
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
@@ -153,6 +157,9 @@
 
     /// Returns why a step waits whose tasks could not all be placed.
     fn reason_to_seek(&self, now: Instant, pending: &PendingStep) -> WaitReason {
+        if self.is_confined_to_cordons(pending) {
+            return WaitReason::Cordon;
+        }
         let Some((advice, policy)) = self.advice.get(&pending.key).zip(pending.advice) else {
             return WaitReason::Room;
         };
@@ -185,7 +192,8 @@
                 let candidates = self.candidates(now, pending, cycle, workers);
                 placed_count = self.allocate(now, pending, candidates, out);
             }
-            return (placed_count < pending.waiting.len()).then_some(WaitReason::Room);
+            let has_left = placed_count < pending.waiting.len();
+            return has_left.then(|| self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
             self.place_gang(now, pending, policy, cycle, out)
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -1,6 +1,7 @@
 //! The start of a leader's term, from what the store keeps.
 
 use crate::config::{Configuration, SchedulerConfig};
+use crate::cordons::Cordons;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::life::LifeStart;
@@ -8,7 +9,7 @@
 use crate::state::{JobOutcome, JobState, Phase, TaskStatus};
 use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::{Instant, Resources};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// What the store keeps at the start of a term.
@@ -24,6 +25,8 @@
     pub states: Vec<(JobId, JobState)>,
     /// The jobs of which something can't be read: of a later form, or damaged.
     pub unreadable: Vec<JobId>,
+    /// The data centres that are cordoned.
+    pub cordons: BTreeSet<Arc<str>>,
     /// The wall clock, in milliseconds since 1970.
     pub wall_ms: u64,
 }
@@ -51,6 +54,7 @@
         let mut scheduler = Self::empty(config, configuration);
         scheduler.inherited_until = lease_bound(now, config.inherited_limit);
         scheduler.wall_ms = recovered.wall_ms;
+        scheduler.cordons = Cordons::new(recovered.cordons);
         scheduler.unreadable = recovered.unreadable.into_iter().collect();
         let mut states: HashMap<JobId, JobState> = recovered.states.into_iter().collect();
         let cancelled: HashSet<JobId> = recovered.cancels.into_iter().collect();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::advisers::Advisers;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
+use crate::cordons::Cordons;
 use crate::customers::Accounts;
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
@@ -53,6 +54,8 @@
     pub placeable_workers_count: usize,
     /// Workers that are listed.
     pub listed_workers_count: usize,
+    /// Data centres that are cordoned.
+    pub cordons_count: usize,
     /// The processors of the workers that may take a run, in thousandths of a core.
     pub capacity_milli: u64,
     /// What of them runs occupy.
@@ -70,6 +73,9 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
+    pub(crate) cordons: Cordons,
+    /// Whether nothing new may be started anywhere.
+    pub(crate) are_starts_held: bool,
     pub(crate) workers: PrimaryMap<WorkerKey, Worker>,
     pub(crate) workers_by_id: HashMap<Arc<str>, WorkerKey>,
     pub(crate) names: Names,
@@ -126,6 +132,8 @@
             config,
             configuration,
             accounts,
+            cordons: Cordons::default(),
+            are_starts_held: false,
             workers: PrimaryMap::new(),
             workers_by_id: HashMap::new(),
             names: Names::default(),
@@ -163,7 +171,10 @@
             Event::JobAccepted { job, record } => self.take_job(now, job, *record, out),
             Event::CancelAccepted { job } => self.cancel_job(now, job, out),
             Event::Configured(configuration) => self.configure(configuration, out),
+            Event::CordonsListed(data_centres) => self.set_cordons(data_centres, out),
+            Event::StartsHeld(are_held) => self.hold_starts(are_held),
             Event::WorkersListed(list) => self.list_workers(now, list, out),
+            Event::WorkersChanged(changes) => self.change_workers(now, changes, out),
             Event::HoldAnswered {
                 worker,
                 sent_at,
@@ -192,14 +203,13 @@
         }
     }
 
-    /// Takes in events that have come together, configurations before all else.
+    /// Takes in events that have come together, what the operators have set before all else.
     ///
     /// A leader that stood still finds answers and a lowered limit behind one another, and
     /// would give orders by the answers while it still knew the higher limit.
     pub fn handle_all(&mut self, now: Instant, events: Vec<Event>, out: &mut Vec<Action>) {
-        let is_configuration = |event: &Event| matches!(event, Event::Configured(_));
         let (first, rest): (Vec<Event>, Vec<Event>) =
-            events.into_iter().partition(is_configuration);
+            events.into_iter().partition(Event::is_set_by_operators);
         for event in first.into_iter().chain(rest) {
             self.handle(now, event, out);
         }
@@ -272,6 +282,7 @@
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
+            cordons_count: self.cordons.len(),
             placeable_workers_count: placeable().count(),
             listed_workers_count: self
                 .workers
--- a/crates/scheduler/src/waiting.rs
+++ b/crates/scheduler/src/waiting.rs
@@ -43,11 +43,14 @@
     Trial,
     /// Gangs that need much room at once are served first, as long as it has time to spare.
     Gangs,
+    /// All workers that may run it are in cordoned data centres; the operators lift cordons,
+    /// and other workers may join.
+    Cordon,
 }
 
 impl WaitReason {
     /// All reasons, in the order of their indices.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Room,
         Self::Limit,
         Self::Advice,
@@ -57,6 +60,7 @@
         Self::Stops,
         Self::Trial,
         Self::Gangs,
+        Self::Cordon,
     ];
 
     /// Returns the words for logs and metrics.
@@ -71,6 +75,7 @@
             Self::Stops => "runs being stopped for it",
             Self::Trial => "worker of its own after a crash",
             Self::Gangs => "gangs first",
+            Self::Cordon => "cordon on every data centre that may run it",
         }
     }
 }
@@ -205,6 +210,7 @@
             WaitReason::Room
             | WaitReason::Limit
             | WaitReason::Gangs
+            | WaitReason::Cordon
             | WaitReason::AdviceRetry
             | WaitReason::AdviceNode
             | WaitReason::Trial => true,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -173,6 +173,8 @@
     pub(crate) is_listed: bool,
     /// Whether its service is one that the operators have set.
     pub(crate) has_service: bool,
+    /// Whether its data centre is cordoned.
+    pub(crate) is_cordoned: bool,
     /// Whether this life is certainly over.
     pub(crate) is_gone: bool,
     /// Whether its lists have been taken over under this fence.
@@ -238,6 +240,7 @@
             facts,
             is_listed: true,
             has_service: true,
+            is_cordoned: false,
             is_gone: false,
             is_synced: false,
             is_reachable: true,
@@ -355,6 +358,7 @@
     pub(crate) fn is_placeable(&self, now: Instant) -> bool {
         self.is_listed
             && self.has_service
+            && !self.is_cordoned
             && !self.is_gone
             && self.is_synced
             && self.is_reachable
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -1,11 +1,11 @@
 //! The platform's list of workers, and what it tells of those that are known.
 
 use crate::decision::{Decision, DecisionKind};
-use crate::event::Action;
+use crate::event::{Action, WorkerChange};
 use crate::scheduler::Scheduler;
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use ospreywing_types::Instant;
-use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 impl Scheduler {
@@ -16,22 +16,55 @@
         list: Vec<WorkerFacts>,
         out: &mut Vec<Action>,
     ) {
-        let ids: BTreeSet<_> = list.iter().map(|facts| facts.id.clone()).collect();
+        let ids: HashSet<Arc<str>> = list.iter().map(|facts| facts.id.clone()).collect();
         for worker in self.workers.values_mut() {
-            worker.is_listed = !worker.is_gone && ids.contains(&worker.facts.id);
+            if worker.is_listed && !ids.contains(&worker.facts.id) {
+                unlist(worker, out);
+            }
         }
-        self.doubt_shared_places(now, &list);
-        for mut facts in list {
-            self.names.keep_all(&mut facts);
-            match self.workers_by_id.get(&facts.id) {
-                Some(&key) => self.take_entry(now, key, facts, out),
-                None => self.add_worker(facts, out),
+        let changes = list.into_iter().map(WorkerChange::Listed).collect();
+        self.change_workers(now, changes, out);
+    }
+
+    /// Takes in what has changed of the list of workers.
+    pub(crate) fn change_workers(
+        &mut self,
+        now: Instant,
+        changes: Vec<WorkerChange>,
+        out: &mut Vec<Action>,
+    ) {
+        self.doubt_shared_places(now, &changes);
+        for change in changes {
+            match change {
+                WorkerChange::Listed(facts) => self.list_worker(now, facts, out),
+                WorkerChange::Unlisted(id) => {
+                    if let Some(&key) = self.workers_by_id.get(&id) {
+                        unlist(&mut self.workers[key], out);
+                    }
+                }
             }
         }
-        self.note_services();
         self.is_place_due = true;
     }
 
+    fn list_worker(&mut self, now: Instant, mut facts: WorkerFacts, out: &mut Vec<Action>) {
+        self.names.keep_all(&mut facts);
+        let Some(&key) = self.workers_by_id.get(&facts.id) else {
+            return self.add_worker(facts, out);
+        };
+        let worker = &mut self.workers[key];
+        worker.is_listed = !worker.is_gone;
+        self.take_entry(now, key, facts, out);
+    }
+
+    /// Creates a worker as the operators' settings stand.
+    pub(crate) fn new_worker(&self, facts: WorkerFacts, leased_until: Instant) -> Worker {
+        let mut worker = Worker::new(facts, leased_until);
+        worker.has_service = self.configuration.has_service(&worker.facts.service);
+        worker.is_cordoned = self.cordons.contains(&worker.facts.data_centre);
+        worker
+    }
+
     /// Notes which workers belong to a service that the operators have set: an entry that
     /// names another one names no worker to use. What runs there runs on.
     pub(crate) fn note_services(&mut self) {
@@ -46,17 +79,20 @@
     /// The entry alone does not tell which life is the later one: a write of an earlier
     /// life may come to the store late. The address answers for the one that is there, to
     /// a call for any other with its refusal.
-    fn doubt_shared_places(&mut self, now: Instant, list: &[WorkerFacts]) {
-        let new: Vec<&WorkerFacts> = list
-            .iter()
-            .filter(|facts| !self.is_met(&facts.id))
-            .collect();
-        let is_shared = |worker: &Worker| {
-            let mut new = new.iter();
-            !worker.is_gone && new.any(|facts| is_same_place(&worker.facts, facts))
-        };
+    fn doubt_shared_places(&mut self, now: Instant, changes: &[WorkerChange]) {
+        let mut places = Places::default();
+        for change in changes {
+            match change {
+                WorkerChange::Listed(facts) if !self.is_met(&facts.id) => places.add(facts),
+                _ => {}
+            }
+        }
+        if places.is_empty() {
+            return;
+        }
+        let is_shared = |worker: &&mut Worker| !worker.is_gone && places.has(&worker.facts);
         let mut is_any = false;
-        for worker in self.workers.values_mut().filter(|w| is_shared(w)) {
+        for worker in self.workers.values_mut().filter(is_shared) {
             worker.doubted_at = Some(now);
             worker.next_hold_at = now;
             is_any = true;
@@ -97,9 +133,18 @@
     /// What runs on a worker whose room has shrunk below it runs on: stopping it would
     /// lose work, and nothing more is placed there until enough has ended.
     fn update_facts(&mut self, key: WorkerKey, facts: WorkerFacts, out: &mut Vec<Action>) {
+        let has_service = self.configuration.has_service(&facts.service);
+        let is_cordoned = self.cordons.contains(&facts.data_centre);
         let worker = &mut self.workers[key];
         let before = worker.facts.capacity;
+        if facts.is_draining && !worker.facts.is_draining {
+            let line = Decision::new(DecisionKind::WorkerDraining, "listed as leaving");
+            let line = line.with_worker(&facts.id);
+            out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
+        }
         worker.set_facts(facts);
+        worker.has_service = has_service;
+        worker.is_cordoned = is_cordoned;
         let after = worker.facts.capacity;
         // Of a worker that only the records of an earlier leader name nothing was known.
         let is_news = before != after && !before.is_zero();
@@ -121,15 +166,53 @@
         let line = Decision::new(DecisionKind::WorkerListed, "listed");
         out.push(Action::Log(line.with_worker(&facts.id)));
         let id = facts.id.clone();
-        let key = self.workers.push(Worker::new(facts, self.inherited_until));
+        let key = self
+            .workers
+            .push(self.new_worker(facts, self.inherited_until));
         self.workers_by_id.insert(id, key);
     }
 }
 
-/// Returns whether both are lives of one machine, or at one address.
-fn is_same_place(known: &WorkerFacts, new: &WorkerFacts) -> bool {
-    match (&known.machine, &new.machine) {
-        (Some(known), Some(new)) => known == new,
-        _ => !known.address.is_empty() && known.address == new.address,
+/// Takes in that a worker is not listed any more: it has left, or its entry has lapsed.
+fn unlist(worker: &mut Worker, out: &mut Vec<Action>) {
+    worker.is_listed = false;
+    let line = Decision::new(DecisionKind::WorkerUnlisted, "entry gone");
+    let line = line.with_worker(&worker.facts.id);
+    out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
+}
+
+/// The machines and addresses of workers that were not listed before.
+#[derive(Debug, Default)]
+struct Places<'a> {
+    machines: HashSet<&'a str>,
+    addresses: HashSet<&'a str>,
+    /// The addresses of those whose machine the platform does not tell.
+    addresses_alone: HashSet<&'a str>,
+}
+
+impl<'a> Places<'a> {
+    fn add(&mut self, facts: &'a WorkerFacts) {
+        self.addresses.insert(&facts.address);
+        match &facts.machine {
+            Some(machine) => self.machines.insert(machine),
+            None => self.addresses_alone.insert(&facts.address),
+        };
+    }
+
+    fn is_empty(&self) -> bool {
+        self.addresses.is_empty()
+    }
+
+    /// Returns whether one of them is a life of the same machine, or at the same address
+    /// where the machine of one is not told.
+    fn has(&self, known: &WorkerFacts) -> bool {
+        let is_addressed = !known.address.is_empty();
+        match &known.machine {
+            Some(machine) => {
+                self.machines.contains(&**machine)
+                    || is_addressed && self.addresses_alone.contains(&*known.address)
+            }
+            None => is_addressed && self.addresses.contains(&*known.address),
+        }
     }
 }
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -3,6 +3,7 @@
 mod advice_calls;
 mod awaiting;
 mod cases;
+mod cordons;
 mod crash_figures;
 mod crashes;
 mod customers;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -36,6 +36,8 @@
     stale_entry: 0,
     limit: 0,
     restart: 0,
+    cordon: 0,
+    held_order: 0,
 };
 
 /// Much of what may go wrong at once.
@@ -221,6 +223,46 @@
     world.run_until_done(CALM_LIMIT_MS);
 }
 
+/// Data centres that the operators cordon and open again.
+#[rstest]
+#[case::alone(Faults { cordon: 60, ..Faults::default() })]
+#[case::takeovers(Faults { cordon: 60, takeover: 40, ..Faults::default() })]
+#[case::late_orders(Faults { cordon: 60, late_order: 80, lost_answer: 40, ..Faults::default() })]
+#[case::trouble(Faults { cordon: 60, trouble: 40, takeover: 10, ..Faults::default() })]
+#[case::held_orders(Faults { cordon: 60, held_order: 300, cut: 20, ..Faults::default() })]
+#[case::paused(Faults { cordon: 60, pause: 60, ..Faults::default() })]
+#[case::restarts(Faults { cordon: 60, restart: 40, crash: 20, ..Faults::default() })]
+#[case::everything(Faults { cordon: 60, held_order: 100, pause: 20, ..EVERYTHING })]
+fn scheduler_keeps_out_of_cordons(#[case] faults: Faults, #[values(false, true)] has_advice: bool) {
+    for seed in seeds() {
+        let mut world = World::new(seed, 9, faults, has_advice.then(advice));
+        world.lay_out_data_centres(3);
+        if faults.restart > 0 {
+            world.tell_life_starts(false);
+        }
+        // Shown where the test fails.
+        println!("seed {seed}");
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=16 {
+            let steps = match number % 4 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                2 => vec![step(1), after(0, gang(2))],
+                _ => vec![step(4)],
+            };
+            world.submit(job(number, steps));
+            world.run_for(400);
+        }
+        world.run_for(STORM_MS);
+        world.lift_cordons();
+        world.run_until_done(CALM_LIMIT_MS);
+        assert!(
+            world.rules.starts_count >= 16,
+            "seed {seed} started next to nothing"
+        );
+    }
+}
+
 /// Runs about as long as leases, and leaders that follow one another at the end of
 /// the store's trouble, in which leases are long.
 #[rstest]
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/support/cordons.rs
@@ -0,0 +1,56 @@
+//! The rule on cordons, checked from the outside at each start.
+
+use super::worker::FakeWorker;
+use ospreywing_scheduler::StartOrder;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// How long after a cordon a start may come that was on its way.
+const ON_ITS_WAY_MS: u64 = 100;
+
+/// The cordons that stand, and since when.
+pub struct CordonRule {
+    since_ms: BTreeMap<Arc<str>, u64>,
+    /// How long an order may be on its way.
+    on_its_way_ms: u64,
+}
+
+impl CordonRule {
+    /// Creates the rule for a world in which relays hold orders up to `held_ms`.
+    pub const fn new(held_ms: u64) -> Self {
+        Self {
+            since_ms: BTreeMap::new(),
+            on_its_way_ms: ON_ITS_WAY_MS + held_ms,
+        }
+    }
+
+    /// Sets or lifts a cordon.
+    pub fn turn(&mut self, now_ms: u64, data_centre: Arc<str>) {
+        if self.since_ms.remove(&data_centre).is_none() {
+            self.since_ms.insert(data_centre, now_ms);
+        }
+    }
+
+    /// Lifts all cordons.
+    pub fn lift_all(&mut self) {
+        self.since_ms.clear();
+    }
+
+    /// Returns the data centres that are cordoned.
+    pub fn data_centres(&self) -> BTreeSet<Arc<str>> {
+        self.since_ms.keys().cloned().collect()
+    }
+
+    /// Checks a start that a worker is about to carry out on time.
+    pub fn check_start(&self, now_ms: u64, worker: &FakeWorker, order: &StartOrder) {
+        let Some(since_ms) = self.since_ms.get(&worker.data_centre) else {
+            return;
+        };
+        assert!(
+            now_ms <= since_ms + self.on_its_way_ms,
+            "{} starts on {} at {now_ms} ms, whose data centre was cordoned at {since_ms} ms",
+            order.task,
+            worker.id
+        );
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -2,6 +2,7 @@
 //! through time by a seed, with every rule checked from the outside.
 
 pub mod bench;
+pub mod cordons;
 pub mod limits;
 pub mod rules;
 pub mod worker;
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -43,6 +43,7 @@
     /// Whether it takes no note of an acknowledgement beyond its newest end.
     pub ignores_foreign_acks: bool,
     pub address: Arc<str>,
+    pub data_centre: Arc<str>,
     pub rack: Option<Arc<str>>,
     pub capacity: Resources,
     /// What it holds when its room is not changed.
@@ -78,6 +79,7 @@
             clock_base_ms: CLOCK_BASE_MS,
             ignores_foreign_acks: false,
             address: Arc::from(format!("at {id}")),
+            data_centre: Arc::from(""),
             rack: None,
             capacity: Resources::new(4000, 4000, 0),
             full_capacity: Resources::new(4000, 4000, 0),
@@ -105,7 +107,7 @@
             address: self.address.clone(),
             service: Arc::from(super::SERVICE),
             machine: None,
-            data_centre: Arc::from(""),
+            data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
             labels: Vec::new(),
             capacity: self.capacity,
@@ -130,6 +132,7 @@
         let fresh = Self::new(&self.id, self.clock_per_mille);
         let before = core::mem::replace(self, fresh);
         self.address = before.address;
+        self.data_centre = before.data_centre;
         self.rack = before.rack;
         self.entry_life_start = before.entry_life_start;
         self.ignores_foreign_acks = before.ignores_foreign_acks;
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -1,6 +1,6 @@
 //! Messages on their way, and what becomes of them where they arrive.
 
-use super::{Message, World, LEASE_LIMIT_MS};
+use super::{Message, World, HELD_LIMIT_MS, LEASE_LIMIT_MS};
 use crate::support::worker::{FakeRun, FakeWorker};
 use ospreywing_scheduler::{
     Change, ChangeKind, EndKind, Endpoint, Event, HoldReply, RefusedStart, StartOrder, StartReply,
@@ -21,7 +21,7 @@
             "a ticket where one is needed"
         );
         let is_late = self.draw(self.faults.late_order);
-        let after_ms = self.delay(is_late);
+        let after_ms = self.delay(is_late) + self.held_ms();
         if is_late {
             self.post_unanswered_start(term, &to, &order);
         }
@@ -63,6 +63,15 @@
         );
     }
 
+    /// Returns how long a relay holds a start.
+    fn held_ms(&mut self) -> u64 {
+        if self.faults.held_order > 0 && self.draw(self.faults.held_order) {
+            self.rng.random_range(0..HELD_LIMIT_MS)
+        } else {
+            0
+        }
+    }
+
     pub(super) fn delay(&mut self, is_late: bool) -> u64 {
         if is_late {
             self.rng.random_range(2_000..12_000)
@@ -267,6 +276,8 @@
             &self.rules.done,
         );
         if !is_late {
+            self.cordon_rule
+                .check_start(now_ms, &self.workers[index], order);
             self.rules
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -84,6 +84,9 @@
         if self.faults.limit > 0 && self.draw(self.faults.limit) {
             self.change_limits();
         }
+        if self.faults.cordon > 0 && self.draw(self.faults.cordon) {
+            self.turn_cordon();
+        }
         let index = self.rng.random_range(0..self.workers.len());
         if self.draw(self.faults.drain) && self.workers[index].is_alive {
             self.workers[index].is_draining = true;
@@ -107,6 +110,14 @@
         self.configure(configuration);
     }
 
+    /// Cordons the data centre of some worker, or lifts its cordon.
+    fn turn_cordon(&mut self) {
+        let index = self.rng.random_range(0..self.workers.len());
+        let data_centre = self.workers[index].data_centre.clone();
+        self.cordon_rule.turn(self.now_ms, data_centre);
+        self.tell_all(Event::CordonsListed(self.cordon_rule.data_centres()));
+    }
+
     /// Lists a worker again whose life was over before.
     fn list_dead_again(&mut self) {
         let index = self.rng.random_range(0..self.workers.len());
@@ -245,6 +256,7 @@
     pub(super) fn bring_up(&mut self, index: usize) {
         let (id, address) = (&self.workers[index].id, self.workers[index].address.clone());
         let rack = self.workers[index].rack.clone();
+        let data_centre = self.workers[index].data_centre.clone();
         // Signs whose codes are multiples of 12 keep a worker good for whom it was good.
         let fresh = match self.rng.random() {
             true => format!("${id}"),
@@ -252,6 +264,7 @@
         };
         let mut next = FakeWorker::new(&fresh, 990);
         next.address = address;
+        next.data_centre = data_centre;
         next.rack = rack;
         next.ignores_foreign_acks = self.workers[index].ignores_foreign_acks;
         if self.workers[index].life_start.is_some() {
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -3,13 +3,14 @@
 mod delivery;
 mod faults;
 
+use super::cordons::CordonRule;
 use super::limits::LimitRule;
 use super::rules::Rules;
 use super::worker::FakeWorker;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event, JobId,
     JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
-    TaskKey, Ticket,
+    TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -24,6 +25,8 @@
 const TICK_MS: u64 = 20;
 /// The time of day at which the first lives start.
 const FIRST_START_MS: u64 = 5_000_000;
+/// How long a relay holds an order at most.
+const HELD_LIMIT_MS: u64 = 600;
 /// How long a commit takes while the store is in trouble.
 const SLOW_COMMIT_MS: core::ops::Range<u64> = 100..3_000;
 /// How often faults strike, in thousandths.
@@ -55,6 +58,10 @@
     pub limit: u32,
     /// Ticks at which a worker crashes and starts again under its id.
     pub restart: u32,
+    /// Ticks at which the operators cordon a data centre, or lift its cordon.
+    pub cordon: u32,
+    /// Starts that a relay holds for a while.
+    pub held_order: u32,
 }
 
 enum Message {
@@ -140,6 +147,8 @@
     has_advice: bool,
     leaders: Vec<Leader>,
     pub workers: Vec<FakeWorker>,
+    /// The workers as leaders were told of them.
+    told_workers: BTreeMap<Arc<str>, WorkerFacts>,
     messages: BTreeMap<(u64, u64), Message>,
     next_message: u64,
     jobs: BTreeMap<JobId, JobRecord>,
@@ -168,6 +177,7 @@
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
+    cordon_rule: CordonRule,
 }
 
 impl World {
@@ -191,6 +201,7 @@
             has_advice: advice.is_some(),
             leaders: Vec::new(),
             workers,
+            told_workers: BTreeMap::new(),
             messages: BTreeMap::new(),
             next_message: 0,
             jobs: BTreeMap::new(),
@@ -211,6 +222,11 @@
             crash_policy: CrashPolicy::default(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
+            cordon_rule: CordonRule::new(if faults.held_order > 0 {
+                HELD_LIMIT_MS
+            } else {
+                0
+            }),
         };
         world.elect();
         world
@@ -238,6 +254,20 @@
         self.list_workers();
     }
 
+    /// Spreads the workers over so many data centres.
+    pub fn lay_out_data_centres(&mut self, count: usize) {
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            worker.data_centre = Arc::from(format!("d{}", number % count));
+        }
+        self.list_workers();
+    }
+
+    /// Lifts all cordons.
+    pub fn lift_cordons(&mut self) {
+        self.cordon_rule.lift_all();
+        self.tell_all(Event::CordonsListed(self.cordon_rule.data_centres()));
+    }
+
     /// Has the workers tell when they have started.
     pub fn tell_life_starts(&mut self, ignores_foreign_acks: bool) {
         for worker in &mut self.workers {
@@ -282,6 +312,7 @@
             ended: self.ended.clone().into_iter().collect(),
             cancels: self.cancels.clone(),
             states: states.collect(),
+            cordons: self.cordon_rule.data_centres(),
             wall_ms: self.now_ms,
             ..Recovered::default()
         };
@@ -298,17 +329,38 @@
         });
         self.tell_all(Event::NodesListed(vec![Arc::from("n1"), Arc::from("n2")]));
         self.tell(fence, Event::StoreTrouble(self.has_trouble));
-        self.list_workers();
+        self.list_all_workers(fence);
     }
 
-    /// Lists the workers in the order of their ids, as the platform does.
-    pub fn list_workers(&mut self) {
+    /// Returns the workers that are listed, by their ids.
+    fn listed(&self) -> BTreeMap<Arc<str>, WorkerFacts> {
         let now_ms = self.now_ms;
         let is_listed = |worker: &&FakeWorker| worker.is_alive || now_ms < worker.listed_until_ms;
         let listed = self.workers.iter().filter(is_listed);
-        let mut list: Vec<_> = listed.map(FakeWorker::facts).collect();
-        list.sort_by(|one, other| one.id.cmp(&other.id));
-        self.tell_all(Event::WorkersListed(list));
+        let facts = listed.map(FakeWorker::facts);
+        facts.map(|facts| (facts.id.clone(), facts)).collect()
+    }
+
+    /// Tells what has changed of the list of workers, as the platform does.
+    pub fn list_workers(&mut self) {
+        let listed = self.listed();
+        let before = core::mem::replace(&mut self.told_workers, listed);
+        let after = &self.told_workers;
+        let gone = before.keys().filter(|id| !after.contains_key(*id));
+        let gone = gone.map(|id| WorkerChange::Unlisted(id.clone()));
+        let written = after.values().filter(|it| before.get(&it.id) != Some(it));
+        let written = written.map(|facts| WorkerChange::Listed(facts.clone()));
+        let changes: Vec<WorkerChange> = gone.chain(written).collect();
+        if !changes.is_empty() {
+            self.tell_all(Event::WorkersChanged(changes));
+        }
+    }
+
+    /// Tells a new leader the whole list, in the order of the workers' ids.
+    fn list_all_workers(&mut self, fence: u64) {
+        self.list_workers();
+        let list = self.told_workers.values().cloned().collect();
+        self.tell(fence, Event::WorkersListed(list));
     }
 
     pub fn submit(&mut self, (id, record): (JobId, JobRecord)) {
