Stop runs before their workers leave, gangs as one

Cause: a run on a worker that was leaving was left alone until the worker went. A gang lost all its work with one member, other runs were known to be lost only once their leases were over, some 4 s later.

Change: a run that can't end before its worker goes, by its pace or its estimate, is stopped: just before where it saves checkpoints, at once where it saves none. All members of a gang are stopped together; the checkpoint of a stop is not replaced by an older one of a member that was broken off.

Tests: `departures.rs`.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -64,6 +64,8 @@
     pub grant_limit: Duration,
     /// How long a stop may take.
     pub grace: Duration,
+    /// How long a stop may take at a worker.
+    pub stop_grace: Duration,
     /// How long a job's outcome is kept.
     pub retention: Duration,
     /// The time in which a change of the configuration must be in force.
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -184,6 +184,7 @@
             labels: Vec::new(),
             capacity: Resources::new(64_000, 64_000, 0),
             is_draining: false,
+            remaining: None,
         })
     }
 
@@ -266,6 +267,7 @@
         stretch_limit: Duration::from_s(5),
         cordon_limit: Duration::from_s(5),
         drain_limit: Duration::from_s(2),
+        stop_grace: Duration::from_ms(200),
         revoke_limit: None,
     }
 }
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -178,6 +178,10 @@
     pub hold_pace_beside_commit: Duration,
     /// The time until a stop that was not answered is sent again.
     pub stop_retry: Duration,
+    /// How long a stop may take at a worker.
+    pub stop_grace: Duration,
+    /// How long a worker stays that is leaving and does not tell.
+    pub drain_time: Duration,
     /// How long a job's outcome is kept.
     pub retention: Duration,
     /// When a task is given up under which workers crash.
@@ -206,6 +210,8 @@
             hold_pace: Duration::from_ms(80),
             hold_pace_beside_commit: Duration::from_ms(limit_ms.min(4000) / 4),
             stop_retry: Duration::from_ms(400),
+            stop_grace: Duration::from_ms(200),
+            drain_time: Duration::from_ms(2000),
             retention: Duration::from_s(300),
             crash_policy: CrashPolicy::default(),
         }
@@ -224,6 +230,13 @@
         self
     }
 
+    /// Sets how long a stop may take at a worker, and how long one stays that is leaving.
+    pub fn with_departures(mut self, stop_grace: Duration, drain_time: Duration) -> Self {
+        self.stop_grace = stop_grace;
+        self.drain_time = drain_time;
+        self
+    }
+
     /// Sets how long outcomes are kept.
     pub fn with_retention(mut self, retention: Duration) -> Self {
         self.retention = retention;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -102,7 +102,9 @@
         if index >= step.tasks.len() {
             return false;
         }
-        if end.checkpoint.is_some() {
+        let is_stopped_for_one = job.gang_stops.get(&end.task.step) == Some(&end.run);
+        let is_older = is_stopped_for_one && end.kind != EndKind::Stopped;
+        if end.checkpoint.is_some() && !is_older {
             let keeper = if is_gang { 0 } else { index };
             step.tasks[keeper].checkpoint.clone_from(&end.checkpoint);
         }
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -10,6 +10,7 @@
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// How often a task may fail where the queue is no longer configured.
@@ -49,6 +50,9 @@
     pub(crate) accepted_at: Instant,
     /// Until when its tasks that may have crashed a worker wait for one of their own.
     pub(crate) trial_until: Instant,
+    /// The runs of gangs that were stopped for a checkpoint, which is newer than what their
+    /// members tell that ended otherwise.
+    pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
 }
@@ -78,6 +82,7 @@
             objective: Duration::ZERO,
             left_ms: 0,
             trial_until: Instant::default(),
+            gang_stops: BTreeMap::new(),
             ready: None,
             state,
         }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -244,7 +244,7 @@
         let to = worker.endpoint(key);
         if let Some(run) = worker.runs.get_mut(&task) {
             if run.run == listed.run {
-                run.progress_percent = listed.progress_percent;
+                run.note_progress(now, listed.progress_percent);
                 if matches!(run.phase, RunPhase::Inherited) {
                     run.phase = RunPhase::Running { since: now };
                 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -26,6 +26,7 @@
 mod customers;
 mod cycle;
 mod decision;
+mod departures;
 mod ends;
 mod event;
 mod evidence;
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -133,6 +133,7 @@
             labels: Vec::new(),
             capacity: Resources::ZERO,
             is_draining: false,
+            remaining: None,
         };
         let mut worker = Worker::new(facts, self.inherited_until);
         worker.is_listed = false;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -300,6 +300,7 @@
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
             self.settle_ended_jobs();
+            self.stop_before_departures(now, out);
             self.tell_waits(now, out);
         }
         if now >= self.next_forget_at {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -47,6 +47,8 @@
     pub capacity: Resources,
     /// Whether it is leaving.
     pub is_draining: bool,
+    /// How long it stays at least, where it is leaving and tells.
+    pub remaining: Option<Duration>,
 }
 
 /// Where a run stands.
@@ -100,6 +102,9 @@
     /// Whether its task may have crashed a worker by starting there.
     pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
+    /// How much of its work was done when it was listed first, and when it was last.
+    pub(crate) first_percent: u32,
+    pub(crate) listed_at: Instant,
 }
 
 impl Run {
@@ -125,6 +130,8 @@
             was_cut_off: false,
             is_on_trial: false,
             progress_percent: 0,
+            first_percent: 0,
+            listed_at: placed_at,
         }
     }
 
@@ -133,6 +140,15 @@
         self.sends_count > self.answers_count
     }
 
+    /// Notes how much of its work is done.
+    pub(crate) fn note_progress(&mut self, now: Instant, percent: u32) {
+        if self.begun_at.is_none() {
+            self.first_percent = percent;
+        }
+        self.progress_percent = percent;
+        self.listed_at = now;
+    }
+
     /// Notes that the worker has it.
     pub(crate) fn note_begun(&mut self, now: Instant) {
         self.begun_at.get_or_insert(now);
@@ -175,6 +191,8 @@
     pub(crate) has_service: bool,
     /// Whether its data centre is cordoned.
     pub(crate) is_cordoned: bool,
+    /// When it goes at the earliest, where it is leaving.
+    pub(crate) leaves_at: Option<Instant>,
     /// Whether this life is certainly over.
     pub(crate) is_gone: bool,
     /// Whether its lists have been taken over under this fence.
@@ -241,6 +259,7 @@
             is_listed: true,
             has_service: true,
             is_cordoned: false,
+            leaves_at: None,
             is_gone: false,
             is_synced: false,
             is_reachable: true,
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -119,7 +119,7 @@
         let worker = &mut self.workers[key];
         if worker.is_own_entry(&facts) {
             worker.other_entry = None;
-            self.update_facts(key, facts, out);
+            self.update_facts(now, key, facts, out);
         } else if worker.is_gone {
             // The id is in use again.
             self.add_worker(facts, out);
@@ -132,9 +132,16 @@
     ///
     /// What runs on a worker whose room has shrunk below it runs on: stopping it would
     /// lose work, and nothing more is placed there until enough has ended.
-    fn update_facts(&mut self, key: WorkerKey, facts: WorkerFacts, out: &mut Vec<Action>) {
+    fn update_facts(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        facts: WorkerFacts,
+        out: &mut Vec<Action>,
+    ) {
         let has_service = self.configuration.has_service(&facts.service);
         let is_cordoned = self.cordons.contains(&facts.data_centre);
+        let drain_time = self.config.drain_time;
         let worker = &mut self.workers[key];
         let before = worker.facts.capacity;
         if facts.is_draining && !worker.facts.is_draining {
@@ -143,6 +150,7 @@
             out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
         }
         worker.set_facts(facts);
+        worker.note_departure(now, drain_time);
         worker.has_service = has_service;
         worker.is_cordoned = is_cordoned;
         let after = worker.facts.capacity;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/departures.rs
@@ -0,0 +1,175 @@
+//! Workers that leave by plan: what would be lost with them is stopped before, and goes on
+//! elsewhere.
+
+use crate::support::bench::{end, workers, Bench};
+use crate::support::step;
+use crate::support::worker::FakeWorker;
+use ospreywing_scheduler::{
+    Action, EndKind, EndedRun, Event, Recovered, StepSpec, TaskKey, WorkerChange, WorkerKey,
+};
+use ospreywing_types::Duration;
+use rstest::rstest;
+
+type Start = (WorkerKey, TaskKey, u32);
+
+fn saving(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        saves_progress: true,
+        ..lengthy(tasks_count)
+    }
+}
+
+/// Returns a step whose tasks take ten seconds by their estimate.
+fn lengthy(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        estimate_ms: 10_000,
+        ..step(tasks_count)
+    }
+}
+
+fn gang(spec: StepSpec) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..spec
+    }
+}
+
+fn begin(bench: &mut Bench, spec: StepSpec) -> Vec<Start> {
+    bench.submit(1, vec![spec]);
+    bench.commit_all();
+    let starts = bench.starts();
+    for start in &starts {
+        bench.started(*start);
+    }
+    starts
+}
+
+/// Has a worker's entry say that it leaves after a time.
+fn leave(bench: &mut Bench, worker: &FakeWorker, after_ms: u64) {
+    let mut leaving = FakeWorker::new(&worker.id, 1000);
+    leaving.is_draining = true;
+    leaving.remaining = Some(Duration::from_ms(after_ms));
+    let change = WorkerChange::Listed(leaving.facts());
+    bench.tell(Event::WorkersChanged(vec![change]));
+}
+
+fn wait(bench: &mut Bench, length_ms: u64) {
+    for _ in 0..length_ms / 100 {
+        bench.now = bench.now + Duration::from_ms(100);
+        bench.tell(Event::Tick);
+    }
+}
+
+fn stops_after(bench: &mut Bench, length_ms: u64) -> usize {
+    wait(bench, length_ms);
+    bench.stops().len()
+}
+
+/// A run that saves loses nothing by a stop just before its worker goes.
+#[test]
+fn stop_before_departures_saving_run() {
+    let listed = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    begin(&mut bench, saving(1));
+    leave(&mut bench, &listed[0], 5000);
+    assert_eq!(stops_after(&mut bench, 3000), 0, "it works on");
+    assert_eq!(stops_after(&mut bench, 1000), 1, "in time for its end");
+}
+
+/// What a run that saves nothing still does is lost, so it is stopped at once.
+#[test]
+fn stop_before_departures_run_without_checkpoints() {
+    let listed = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    begin(&mut bench, lengthy(1));
+    leave(&mut bench, &listed[0], 5000);
+    assert_eq!(stops_after(&mut bench, 200), 1);
+}
+
+/// By its pace a run ends in time, whatever its estimate says.
+#[rstest]
+#[case::ends_in_time(60, 0)]
+#[case::too_slow(20, 1)]
+fn stop_before_departures_by_pace(#[case] percent: u32, #[case] stops_count: usize) {
+    let listed = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    let starts = begin(&mut bench, lengthy(1));
+    wait(&mut bench, 3000);
+    bench.list_progress(&starts, percent);
+    leave(&mut bench, &listed[0], 4000);
+    assert_eq!(stops_after(&mut bench, 200), stops_count);
+}
+
+#[test]
+fn stop_before_departures_short_run() {
+    let listed = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    begin(&mut bench, step(2));
+    leave(&mut bench, &listed[0], 5000);
+    assert_eq!(stops_after(&mut bench, 500), 0, "it ends in time");
+}
+
+/// All members of a gang are stopped together: one that ends alone breaks the others.
+#[test]
+fn stop_before_departures_gang() {
+    let listed = workers(3);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    let starts = begin(&mut bench, gang(saving(5)));
+    assert_eq!(starts.len(), 5);
+    leave(&mut bench, &listed[0], 5000);
+    assert_eq!(stops_after(&mut bench, 3000), 0);
+    assert_eq!(stops_after(&mut bench, 1000), 5);
+}
+
+/// A member that is broken off tells an older checkpoint than one that was stopped.
+#[test]
+fn record_end_gang_stopped_then_broken() {
+    let listed = workers(3);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    let starts = begin(&mut bench, gang(saving(5)));
+    leave(&mut bench, &listed[0], 1000);
+    assert_eq!(stops_after(&mut bench, 200), 5);
+    for (number, (worker, task, run)) in starts.iter().enumerate() {
+        let kind = if number == 0 {
+            EndKind::Stopped
+        } else {
+            EndKind::Broken
+        };
+        let ended = EndedRun {
+            checkpoint: Some(format!("{kind:?}")),
+            ..end(number as u64 + 1, *task, *run, kind)
+        };
+        bench.list(*worker, vec![ended]);
+    }
+    bench.commit_all();
+    let again = bench.actions.iter().filter_map(|action| match action {
+        Action::Start { order, .. } => Some(order.checkpoint.clone()),
+        _ => None,
+    });
+    let brought: Vec<Option<String>> = again.collect();
+    // Two of three workers hold four: it waits until another one joins.
+    assert!(brought.is_empty());
+    let joined = FakeWorker::new("w9", 1000);
+    let change = WorkerChange::Listed(joined.facts());
+    bench.tell(Event::WorkersChanged(vec![change]));
+    let key = bench.scheduler.worker_key("w9").expect("it has joined");
+    bench.list(key, Vec::new());
+    bench.commit_all();
+    let again = bench.actions.iter().filter_map(|action| match action {
+        Action::Start { order, .. } => order.checkpoint.clone(),
+        _ => None,
+    });
+    let brought: Vec<String> = again.collect();
+    assert_eq!(brought, vec!["Stopped".to_owned(); 5]);
+}
+
+/// A run that was placed on a worker before it began to leave is not sent there any more.
+#[test]
+fn send_start_worker_leaving() {
+    let listed = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &listed);
+    bench.submit(1, vec![step(1)]);
+    leave(&mut bench, &listed[0], 5000);
+    bench.commit_all();
+    assert_eq!(bench.starts(), Vec::new());
+}
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod customers;
 mod customers_load;
+mod departures;
 mod gang_load;
 mod lapses;
 mod pending;
