--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -184,7 +184,7 @@
             labels: Vec::new(),
             capacity: Resources::new(64_000, 64_000, 0),
             is_draining: false,
-            remaining: None,
+            leaves_clock_ms: None,
         })
     }
 
--- a/crates/scheduler/benches/leader.rs
+++ b/crates/scheduler/benches/leader.rs
@@ -324,7 +324,7 @@
         labels: Vec::new(),
         capacity: Resources::new(64_000, 256_000, 0),
         is_draining: false,
-        remaining: None,
+        leaves_clock_ms: None,
     }
 }
 
--- a/crates/scheduler/src/departures.rs
+++ b/crates/scheduler/src/departures.rs
@@ -14,13 +14,15 @@
 use std::collections::BTreeSet;
 
 /// How long before a worker goes its runs are stopped, beside the time that a stop takes: the
-/// end must be listed and asked for, and the entry that tells of the leaving may be old.
+/// order is on its way, and the end must be listed and asked for.
 const STOP_MARGIN: Duration = Duration::from_ms(1000);
-/// The part of what a run is expected to need that it surely does, in percent: estimates are
-/// rough, and a run that would have ended in time is stopped for nothing.
+/// How long before a worker goes a run must end: its end must be listed and asked for.
+const END_MARGIN: Duration = Duration::from_ms(300);
+/// The part of an estimate that is surely needed, in percent: estimates are rough, and a run
+/// that would have ended in time is stopped for nothing.
 const SURE_PERCENT: u64 = 70;
 /// A run must have come so far since it began for its pace to tell when it ends.
-const PACE_PERCENT: u32 = 10;
+const PACE_PERCENT: u32 = 5;
 
 /// Why a run is stopped.
 const REASON: &str = "worker leaving";
@@ -32,10 +34,17 @@
             self.leaves_at = None;
             return;
         }
-        let left = self.facts.remaining.unwrap_or(drain_time);
-        let told = now + left;
-        // Without a word on the time left, it counts from when the leaving was told first.
-        self.leaves_at = Some(self.leaves_at.map_or(told, |known| known.min(told)));
+        let told = self.told_departure();
+        // Without a word on it, the time counts from when the leaving was told first.
+        let known = self.leaves_at.unwrap_or(now + drain_time);
+        self.leaves_at = Some(told.unwrap_or(known));
+    }
+
+    /// Returns when the worker goes at the earliest, where it tells and its clock is known.
+    fn told_departure(&self) -> Option<Instant> {
+        let clock = self.clock?;
+        let left_ms = self.facts.leaves_clock_ms?.checked_sub(clock.clock_ms);
+        Some(clock.read_at + Duration::from_ms(left_ms.unwrap_or(0)))
     }
 }
 
@@ -72,7 +81,7 @@
         let Some(spec) = spec else {
             return false;
         };
-        let ends_in_time = !spec.is_perpetual && now + surely_left(now, spec, run) <= leaves_at;
+        let ends_in_time = !spec.is_perpetual && expected_end(spec, run) + END_MARGIN <= leaves_at;
         let is_last_moment = now + STOP_MARGIN + self.config.stop_grace >= leaves_at;
         let loses_all = !spec.saves_progress && !spec.is_perpetual;
         !ends_in_time && (loses_all || is_last_moment)
@@ -91,19 +100,21 @@
     }
 }
 
-/// Returns for how long a run surely goes on: by its pace where that is known, otherwise by
-/// its estimate.
-fn surely_left(now: Instant, spec: &StepSpec, run: &Run) -> Duration {
+/// Returns when a run ends: by its pace where that is known, otherwise by the least that its
+/// estimate tells.
+fn expected_end(spec: &StepSpec, run: &Run) -> Instant {
     let left_percent = u64::from(100_u32.saturating_sub(run.progress_percent));
-    let came_percent = run.progress_percent.saturating_sub(run.first_percent);
-    let left_ms = match run.begun_at {
-        Some(begun_at) if came_percent >= PACE_PERCENT => {
-            let spent_ms = run.listed_at.since(begun_at).as_ms();
-            spent_ms * left_percent / u64::from(came_percent)
-        }
-        _ => spec.estimate_ms * left_percent / 100,
+    let left_ms = match pace_ms(run) {
+        Some(percent_ms) => percent_ms * left_percent,
+        None => spec.estimate_ms * left_percent * SURE_PERCENT / (100 * 100),
     };
-    // What was listed is some time ago.
-    let age_ms = now.since(run.listed_at).as_ms();
-    Duration::from_ms((left_ms * SURE_PERCENT / 100).saturating_sub(age_ms))
+    run.listed_at + Duration::from_ms(left_ms)
+}
+
+/// Returns how long a run takes for a hundredth of its work, where it has come far enough.
+fn pace_ms(run: &Run) -> Option<u64> {
+    let from = run.pace_from?;
+    let came_percent = run.progress_percent.saturating_sub(from.percent);
+    let spent_ms = run.listed_at.since(from.at).as_ms();
+    (came_percent >= PACE_PERCENT).then(|| spent_ms / u64::from(came_percent))
 }
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -133,7 +133,7 @@
             labels: Vec::new(),
             capacity: Resources::ZERO,
             is_draining: false,
-            remaining: None,
+            leaves_clock_ms: None,
         };
         let mut worker = Worker::new(facts, self.inherited_until);
         worker.is_listed = false;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -47,8 +47,9 @@
     pub capacity: Resources,
     /// Whether it is leaving.
     pub is_draining: bool,
-    /// How long it stays at least, where it is leaving and tells.
-    pub remaining: Option<Duration>,
+    /// When it goes at the earliest, on its clock in milliseconds, where it is leaving and
+    /// tells.
+    pub leaves_clock_ms: Option<u64>,
 }
 
 /// Where a run stands.
@@ -74,6 +75,13 @@
     },
 }
 
+/// How much of a run's work was done at an instant.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    pub(crate) percent: u32,
+    pub(crate) at: Instant,
+}
+
 /// A run that occupies a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -102,8 +110,9 @@
     /// Whether its task may have crashed a worker by starting there.
     pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
-    /// How much of its work was done when it was listed first, and when it was last.
-    pub(crate) first_percent: u32,
+    /// How much of its work was done when that was known first: its pace counts from there.
+    pub(crate) pace_from: Option<Progress>,
+    /// When it was listed last.
     pub(crate) listed_at: Instant,
 }
 
@@ -130,7 +139,7 @@
             was_cut_off: false,
             is_on_trial: false,
             progress_percent: 0,
-            first_percent: 0,
+            pace_from: None,
             listed_at: placed_at,
         }
     }
@@ -142,15 +151,17 @@
 
     /// Notes how much of its work is done.
     pub(crate) fn note_progress(&mut self, now: Instant, percent: u32) {
-        if self.begun_at.is_none() {
-            self.first_percent = percent;
-        }
+        self.pace_from.get_or_insert(Progress { percent, at: now });
         self.progress_percent = percent;
         self.listed_at = now;
     }
 
     /// Notes that the worker has it.
     pub(crate) fn note_begun(&mut self, now: Instant) {
+        if self.begun_at.is_none() && self.checkpoint.is_none() {
+            let percent = 0;
+            self.pace_from.get_or_insert(Progress { percent, at: now });
+        }
         self.begun_at.get_or_insert(now);
     }
 }
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -144,13 +144,14 @@
         let drain_time = self.config.drain_time;
         let worker = &mut self.workers[key];
         let before = worker.facts.capacity;
-        if facts.is_draining && !worker.facts.is_draining {
-            let line = Decision::new(DecisionKind::WorkerDraining, "listed as leaving");
-            let line = line.with_worker(&facts.id);
-            out.push(Action::Log(line.with_figure(worker.runs.len() as u64)));
-        }
+        let was_draining = worker.facts.is_draining;
         worker.set_facts(facts);
         worker.note_departure(now, drain_time);
+        if let Some(leaves_at) = worker.leaves_at.filter(|_| !was_draining) {
+            let line = Decision::new(DecisionKind::WorkerDraining, "listed as leaving");
+            let line = line.with_worker(&worker.facts.id);
+            out.push(Action::Log(line.with_figure(leaves_at.since(now).as_ms())));
+        }
         worker.has_service = has_service;
         worker.is_cordoned = is_cordoned;
         let after = worker.facts.capacity;
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -4,7 +4,7 @@
     EndKind, EndedRun, HoldReply, LifeStart, RefusedStart, RunningRun, StartOrder, StartReply,
     StopReply, TaskKey, WorkerFacts,
 };
-use ospreywing_types::{Duration, Resources};
+use ospreywing_types::Resources;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -66,7 +66,7 @@
     /// Until when the platform lists it though its life is over.
     pub listed_until_ms: u64,
     pub is_draining: bool,
-    pub remaining: Option<Duration>,
+    pub leaves_clock_ms: Option<u64>,
     /// The highest run that stopped or ended here, by task.
     pub tombstones: BTreeMap<TaskKey, u32>,
 }
@@ -97,7 +97,7 @@
             ended_at_ms: BTreeMap::new(),
             listed_until_ms: 0,
             is_draining: false,
-            remaining: None,
+            leaves_clock_ms: None,
             tombstones: BTreeMap::new(),
         }
     }
@@ -114,7 +114,7 @@
             labels: Vec::new(),
             capacity: self.capacity,
             is_draining: self.is_draining,
-            remaining: self.remaining,
+            leaves_clock_ms: self.leaves_clock_ms,
         }
     }
 
