Hand configurations on from the candidates in large cells

Cause: every node followed the operators' configuration in the store.

An answer says how long ago the store confirmed what it tells; the bound on a node's own configuration counts from there, so the proof is the one that holds for direct watches. A node whose candidate does not answer or is out of date asks the store. Candidates are taken from the data centres by turns. A node that hands a job on for another one does not refuse it for an older version that left its queue as it is (jobs of no customer).

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -2,15 +2,17 @@
 //! may be answered by it.
 
 use crate::clock;
+use crate::configuration_sharing::{self, AvoidedNodes};
 use crate::follow::{follow, Flow, FollowPolicy, Update};
 use crate::node::Node;
 use crate::platform::{CallError, Platform};
-use crate::store::{Item, WatchedChange};
+use crate::store::{Item, Revision, WatchedChange};
 use ospreywing_scheduler::Configuration;
 use ospreywing_types::{Duration, Instant};
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
 
 /// The watches that answer within the time in which a change must be in force:
@@ -28,9 +30,23 @@
     pub routes: P::Routes,
 }
 
+/// A configuration as it stands in the store.
+pub(crate) struct StoredConfiguration {
+    /// The revision of its last change.
+    pub(crate) revision: Revision,
+    /// Its value.
+    pub(crate) value: Vec<u8>,
+}
+
 /// What a node knows of the operators' configuration.
 pub struct ConfigurationView<P: Platform> {
     in_force: RefCell<Option<Rc<InForce<P>>>>,
+    /// The one that is in force, as other nodes are told of it.
+    stored: RefCell<Option<Rc<StoredConfiguration>>>,
+    /// Told whenever another one is in force.
+    replaced: Notify,
+    /// The nodes that are not asked for it for a while.
+    pub(crate) avoided_sources: RefCell<AvoidedNodes>,
     /// When the store last confirmed that there is no newer one.
     confirmed_at: Cell<Instant>,
     /// Told whenever it does.
@@ -43,6 +59,9 @@
     fn default() -> Self {
         Self {
             in_force: RefCell::new(None),
+            stored: RefCell::new(None),
+            replaced: Notify::new(),
+            avoided_sources: RefCell::default(),
             confirmed_at: Cell::new(Instant::default()),
             confirmed: Notify::new(),
             is_outdated: Cell::new(false),
@@ -68,6 +87,27 @@
         in_force.map_or(0, |in_force| in_force.configuration.version)
     }
 
+    /// Returns the one that is in force as it stands in the store.
+    pub(crate) fn stored(&self) -> Option<Rc<StoredConfiguration>> {
+        self.stored.borrow().clone()
+    }
+
+    /// Returns the revision of the one that is in force, 0 without one.
+    pub(crate) fn revision(&self) -> Revision {
+        let stored = self.stored.borrow();
+        stored.as_ref().map_or(0, |stored| stored.revision)
+    }
+
+    /// Returns once another one is in force.
+    pub(crate) fn changed(&self) -> Notified<'_> {
+        self.replaced.notified()
+    }
+
+    fn store(&self, stored: StoredConfiguration) {
+        *self.stored.borrow_mut() = Some(Rc::new(stored));
+        self.replaced.notify_waiters();
+    }
+
     /// Returns the time since the store confirmed it.
     pub fn age(&self, now: Instant) -> Duration {
         now.since(self.confirmed_at.get())
@@ -172,6 +212,10 @@
         {
             return Ok(());
         }
+        self.configuration.store(StoredConfiguration {
+            revision: item.revision,
+            value: value.to_vec(),
+        });
         info!(self.log, "configuration in force"; "version" => version, "before" => before);
         if let Some(leading) = self.term() {
             leading.configure(configuration);
@@ -182,7 +226,6 @@
 
     /// Takes in what the store answered, and an instant from which on it said so.
     fn learn_configuration_update(&self, update: Update, true_at: Instant) {
-        let key = self.platform.configuration_key();
         let items = match update {
             Update::Snapshot(items) => items,
             Update::Changes(changes) => changes.into_iter().filter_map(written).collect(),
@@ -194,6 +237,12 @@
             }
         };
         self.note_contact();
+        self.take_configuration(&items, true_at);
+    }
+
+    /// Takes in what was told, and an instant at which the store knew of nothing newer.
+    pub(crate) fn take_configuration(&self, items: &[Item], true_at: Instant) {
+        let key = self.platform.configuration_key();
         for item in items.iter().filter(|item| item.key == key) {
             if let Err(error) = self.learn_configuration(item) {
                 // The last valid one stays in force: it is the newest there is.
@@ -211,8 +260,19 @@
     }
 }
 
-/// Keeps the configuration current for as long as the node lives.
+/// Keeps the configuration current for as long as the node lives: by what another node hands
+/// on, where there is one to ask, and by the store otherwise.
 pub(crate) async fn follow_configuration<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        match configuration_sharing::source_of(&node) {
+            Some(source) if configuration_sharing::ask(&node, &source).await => {}
+            _ => follow_stored(&node).await,
+        }
+    }
+}
+
+/// Follows the store until another node may be asked.
+async fn follow_stored<P: Platform>(node: &Rc<Node<P>>) {
     let apply_limit_ms = node.settings.apply_limit.as_ms();
     let policy = FollowPolicy {
         wait: Duration::from_ms(apply_limit_ms / CONFIRMATIONS_COUNT),
@@ -224,9 +284,17 @@
     };
     let key = node.platform.configuration_key();
     let store = node.store.clone();
-    follow(store, key, policy, None, |update, true_at| {
+    let from = node.configuration.revision();
+    let from = (from > 0).then_some(from);
+    follow(store, key, policy, from, |update, true_at| {
+        // Whether changes are the newest is asked right after them.
+        let is_answered = !matches!(update, Update::Changes(_));
         node.learn_configuration_update(update, true_at);
-        Flow::Continue
+        if is_answered && configuration_sharing::source_of(node).is_some() {
+            Flow::Stop
+        } else {
+            Flow::Continue
+        }
     })
     .await;
 }
--- /dev/null
+++ b/crates/control/src/configuration_sharing.rs
@@ -0,0 +1,176 @@
+//! Configurations handed on from node to node.
+//!
+//! A configuration may have hundreds of kilobytes. In a large cell the store would send each
+//! change to every node, and its link, which carries all other answers too, would be taken for
+//! longer the larger the cell is. So the candidates for the lead follow the store, and the
+//! others ask a candidate, in their own data centre where there is one. What a candidate tells
+//! comes with its age, so that each node knows for itself how old its configuration may be;
+//! one whose candidate does not answer, or is out of date itself, asks the store.
+
+use crate::clock;
+use crate::election::Candidate;
+use crate::node::Node;
+use crate::peer::{self, PeerReply, PeerRequest, SharedConfiguration, SharedItem};
+use crate::platform::Platform;
+use crate::spread::draw_below;
+use crate::store::{Item, Revision};
+use ospreywing_types::{Duration, Instant};
+use slog::info;
+use std::collections::HashMap;
+use std::rc::Rc;
+use thiserror::Error;
+
+/// From how many nodes on configurations are handed on, unless set.
+pub const SHARING_NODES_COUNT: usize = 100;
+/// The questions within the time in which a change must be in force.
+const QUESTIONS_COUNT: u64 = 4;
+/// How long an answer may take beyond the time that it waits for a change.
+const ANSWER_LIMIT: Duration = Duration::from_ms(300);
+/// For how long a node is not asked again that did not answer.
+const AVOID_TIME: Duration = Duration::from_ms(3000);
+/// The longest wait that a node grants another one.
+const WAIT_LIMIT: Duration = Duration::from_ms(5000);
+
+/// Why a node's configuration was not had from another.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+enum SharingError {
+    /// There was no usable answer.
+    #[error(transparent)]
+    Peer(#[from] peer::PeerError),
+    /// The other node has none that it may hand on.
+    #[error("it has none")]
+    Refused,
+    /// The other node's may be outdated.
+    #[error("it is {} ms old", .0.as_ms())]
+    Outdated(Duration),
+}
+
+/// The nodes that are not asked for a while.
+#[derive(Debug, Default)]
+pub(crate) struct AvoidedNodes(HashMap<String, Instant>);
+
+impl AvoidedNodes {
+    fn avoid(&mut self, now: Instant, name: &str) {
+        self.0.retain(|_, until| now < *until);
+        self.0.insert(name.to_owned(), now + AVOID_TIME);
+    }
+
+    fn has(&self, now: Instant, name: &str) -> bool {
+        self.0.get(name).is_some_and(|until| now < *until)
+    }
+}
+
+/// Returns the candidate that a node asks: one of its own data centre where there is one, not
+/// the same for each node.
+pub fn source_among<'c>(
+    name: &str,
+    data_centre: &str,
+    candidates: &'c [Candidate],
+    is_avoided: impl Fn(&str) -> bool,
+) -> Option<&'c Candidate> {
+    if candidates.iter().any(|candidate| candidate.name == name) {
+        return None;
+    }
+    let usable: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|candidate| !is_avoided(&candidate.name))
+        .collect();
+    let is_near = |candidate: &&&Candidate| candidate.record.data_centre == data_centre;
+    let near: Vec<&Candidate> = usable.iter().filter(is_near).copied().collect();
+    let choice = if near.is_empty() { usable } else { near };
+    let index = draw_below(name, choice.len() as u64) as usize;
+    choice.get(index).copied()
+}
+
+/// Returns the node to ask, where the cell is one in which configurations are handed on.
+pub(crate) fn source_of<P: Platform>(node: &Node<P>) -> Option<Candidate> {
+    let now = clock::now();
+    let cell = node.cell.borrow();
+    if !cell.shares_configuration || node.term().is_some() {
+        return None;
+    }
+    let avoided = node.configuration.avoided_sources.borrow();
+    let settings = &node.settings;
+    let is_avoided = |name: &str| avoided.has(now, name);
+    source_among(
+        &settings.name,
+        &settings.data_centre,
+        &cell.candidates,
+        is_avoided,
+    )
+    .cloned()
+}
+
+/// Asks a candidate for what is newer, and takes it in; returns whether it answered.
+pub(crate) async fn ask<P: Platform>(node: &Rc<Node<P>>, source: &Candidate) -> bool {
+    let Err(error) = try_ask(node, source).await else {
+        return true;
+    };
+    info!(node.log, "configuration not handed on";
+        "by" => &source.name, "error" => error.to_string());
+    let mut avoided = node.configuration.avoided_sources.borrow_mut();
+    avoided.avoid(clock::now(), &source.name);
+    false
+}
+
+async fn try_ask<P: Platform>(node: &Rc<Node<P>>, source: &Candidate) -> Result<(), SharingError> {
+    let wait = Duration::from_ms(node.settings.apply_limit.as_ms() / QUESTIONS_COUNT);
+    let request = PeerRequest::Configuration {
+        known: node.configuration.revision(),
+        wait_ms: wait.as_ms(),
+    };
+    let asked_at = clock::now();
+    let address = &source.record.address;
+    let reply = peer::call(&node.peers, address, &request, wait + ANSWER_LIMIT).await?;
+    let PeerReply::Configuration(shared) = reply else {
+        return Err(SharingError::Refused);
+    };
+    let age = Duration::from_ms(shared.age_ms);
+    if age.times(2) > node.settings.apply_limit + wait {
+        return Err(SharingError::Outdated(age));
+    }
+    // Its clock is another one; what it held the question for has passed on this one too.
+    let answered_at = asked_at + Duration::from_ms(shared.held_ms);
+    let item = shared.item.map(|item| Item {
+        key: node.platform.configuration_key().to_owned(),
+        value: Ok(item.value),
+        revision: item.revision,
+    });
+    node.take_configuration(item.as_slice(), answered_at - age);
+    Ok(())
+}
+
+/// Answers a node that asks for what is newer than `known`, as soon as there is something.
+pub(crate) async fn answer<P: Platform>(
+    node: &Rc<Node<P>>,
+    known: Revision,
+    wait: Duration,
+) -> PeerReply {
+    let begun_at = clock::now();
+    let wait = wait.min(WAIT_LIMIT);
+    let view = &node.configuration;
+    loop {
+        let changed = view.changed();
+        let held = clock::now().since(begun_at);
+        let is_newer = view.revision() > known;
+        if is_newer || held >= wait {
+            break;
+        }
+        let left = Duration::from_ms(wait.as_ms() - held.as_ms());
+        // Both ends of the wait lead to the same look.
+        let _ = tokio::time::timeout(left.into(), changed).await;
+    }
+    let Some(stored) = view.stored() else {
+        return PeerReply::Refused;
+    };
+    let now = clock::now();
+    let item = (stored.revision > known).then(|| SharedItem {
+        revision: stored.revision,
+        value: stored.value.clone(),
+    });
+    PeerReply::Configuration(SharedConfiguration {
+        item,
+        age_ms: view.age(now).as_ms(),
+        held_ms: now.since(begun_at).as_ms(),
+    })
+}
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -27,7 +27,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn, Logger};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use thiserror::Error;
 
@@ -120,6 +120,15 @@
     pub record: NodeRecord,
 }
 
+/// What a leader tells all nodes of the cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CandidateList {
+    /// The nodes that stand first where there is no leader, in their order.
+    pub candidates: Vec<Candidate>,
+    /// Whether the others have configurations from these rather than from the store.
+    pub shares_configuration: bool,
+}
+
 /// What a node knows of the cell.
 #[derive(Clone, Debug, Default)]
 pub struct CellView {
@@ -127,6 +136,8 @@
     pub leader: Option<LeaderRecord>,
     /// The nodes that stand first where there is none, in their order.
     pub candidates: Vec<Candidate>,
+    /// Whether configurations are handed on by the candidates.
+    pub shares_configuration: bool,
     /// The live nodes by name; known to the leader alone.
     pub nodes: BTreeMap<String, NodeRecord>,
     /// The revision at which each of them registered.
@@ -159,7 +170,8 @@
             self.leader = None;
             self.leader = Some(postcard::from_bytes(item.bytes()?)?);
         } else if item.key == keys::CANDIDATES {
-            self.candidates = postcard::from_bytes(item.bytes()?)?;
+            let list: CandidateList = postcard::from_bytes(item.bytes()?)?;
+            self.take_candidates(list);
         } else if let Some(name) = item.key.strip_prefix(keys::NODES_PREFIX) {
             let record = NodeRecord::from_bytes(item.bytes()?)?;
             self.nodes.insert(name.to_owned(), record);
@@ -168,11 +180,20 @@
         Ok(())
     }
 
+    fn has_list(&self, list: &CandidateList) -> bool {
+        self.candidates == list.candidates && self.shares_configuration == list.shares_configuration
+    }
+
+    fn take_candidates(&mut self, list: CandidateList) {
+        self.candidates = list.candidates;
+        self.shares_configuration = list.shares_configuration;
+    }
+
     fn remove(&mut self, key: &str) {
         if key == keys::LEADER {
             self.leader = None;
         } else if key == keys::CANDIDATES {
-            self.candidates.clear();
+            self.take_candidates(CandidateList::default());
         } else if let Some(name) = key.strip_prefix(keys::NODES_PREFIX) {
             self.nodes.remove(name);
             self.registered.remove(name);
@@ -263,7 +284,7 @@
     let before = view.leader.clone();
     let forget = |view: &mut CellView| {
         view.leader = None;
-        view.candidates.clear();
+        view.take_candidates(CandidateList::default());
     };
     if !take_in(node, &mut view, update, forget) {
         return;
@@ -301,22 +322,23 @@
 pub(crate) async fn publish_candidates<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
     while !leading.is_over() {
         let changed = node.cell_changed.notified();
-        let candidates = candidates_of(&node.cell.borrow().nodes);
-        if candidates.is_empty() || node.cell.borrow().candidates == candidates {
+        let list = candidate_list(&node.cell.borrow(), node.settings.sharing_nodes_count);
+        if list.candidates.is_empty() || node.cell.borrow().has_list(&list) {
             // The term may end without a change.
             let _ = tokio::time::timeout(WATCH_WAIT.into(), changed).await;
             continue;
         }
-        let value = postcard::to_allocvec(&candidates).unwrap_or_default();
+        let value = postcard::to_allocvec(&list).unwrap_or_default();
         let transaction = Transaction::new()
             .with_expect(keys::LEADER, leading.fence)
             .with_put(keys::CANDIDATES, value);
         match node.store.commit(&transaction).await {
             Ok(_) => {
-                let names = candidates.iter().map(|candidate| candidate.name.as_str());
+                let names = list.candidates.iter().map(|it| it.name.as_str());
                 let names: Vec<&str> = names.collect();
-                info!(node.log, "candidates named"; "names" => names.join(" "));
-                node.cell.borrow_mut().candidates = candidates;
+                info!(node.log, "candidates named"; "names" => names.join(" "),
+                    "shares_configuration" => list.shares_configuration);
+                node.cell.borrow_mut().take_candidates(list);
             }
             Err(error) => info!(node.log, "candidates not named"; "error" => error.to_string()),
         }
@@ -324,13 +346,38 @@
     }
 }
 
-/// Returns the nodes that should lead first: the strongest, and of equal ones those whose
-/// names come first.
+/// Returns what the leader tells of a cell, where configurations are handed on from
+/// `sharing_count` nodes on.
+fn candidate_list(view: &CellView, sharing_count: usize) -> CandidateList {
+    let nodes_count = view.nodes.len();
+    let is_large = nodes_count >= sharing_count;
+    // Nodes that come and go at the bound don't change the way each time.
+    let is_still_large = view.shares_configuration && nodes_count * 2 >= sharing_count;
+    CandidateList {
+        candidates: candidates_of(&view.nodes),
+        shares_configuration: is_large || is_still_large,
+    }
+}
+
+/// Returns the nodes that should lead first: the strongest, and of equal ones one of each data
+/// centre before a second one of any.
 pub fn candidates_of(nodes: &BTreeMap<String, NodeRecord>) -> Vec<Candidate> {
     let mut ranked: Vec<(&String, &NodeRecord)> = nodes.iter().collect();
     ranked.sort_by_key(|(name, record)| (Reverse(record.cores_milli), *name));
-    let first = ranked.into_iter().take(CANDIDATES_COUNT);
-    let candidates = first.map(|(name, record)| Candidate {
+    let mut counts: HashMap<(u32, &str), usize> = HashMap::new();
+    let mut by_turns: Vec<_> = ranked
+        .into_iter()
+        .map(|(name, record)| {
+            let count = counts
+                .entry((record.cores_milli, &record.data_centre))
+                .or_default();
+            *count += 1;
+            ((Reverse(record.cores_milli), *count, name), record)
+        })
+        .collect();
+    by_turns.sort_by_key(|(turn, _)| *turn);
+    let first = by_turns.into_iter().take(CANDIDATES_COUNT);
+    let candidates = first.map(|((_, _, name), record)| Candidate {
         name: name.clone(),
         record: record.clone(),
     });
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -198,7 +198,8 @@
     let mut position = Position::new(from);
     let mut read_at = clock::now();
     let mut is_failing = false;
-    let mut is_unconfirmed = false;
+    // What the caller knows may be old.
+    let mut is_unconfirmed = policy.is_confirming && from.is_some();
     loop {
         let asked_at = clock::now();
         // A call that waits may hang on after the store is back.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller;
 pub mod commit;
 pub mod configuration;
+pub mod configuration_sharing;
 pub mod cordons;
 mod credentials;
 mod decision_log;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -60,6 +60,8 @@
     pub cores_milli: u32,
     /// From how many workers on other nodes carry the leader's orders.
     pub relayed_workers_count: usize,
+    /// From how many nodes on configurations are handed on from node to node.
+    pub sharing_nodes_count: usize,
     /// The longest lease that a worker grants.
     pub grant_limit: Duration,
     /// How long a stop may take.
@@ -81,6 +83,14 @@
     pub revoke_limit: Option<Duration>,
 }
 
+impl NodeSettings {
+    /// Sets from how many nodes on configurations are handed on from node to node.
+    pub const fn with_sharing_nodes_count(mut self, count: usize) -> Self {
+        self.sharing_nodes_count = count;
+        self
+    }
+}
+
 /// Why a node could not run.
 #[derive(Debug, Error)]
 pub enum NodeError {
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -6,7 +6,8 @@
 use crate::caller::Caller;
 use crate::election::LeaderRecord;
 use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
-use crate::store::LeaseId;
+use crate::store::{LeaseId, Revision};
+use core::fmt;
 use http::Method;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -82,6 +83,13 @@
         /// The session.
         session: RelaySession,
     },
+    /// To hand on the configuration, as soon as there is a newer one than the one known.
+    Configuration {
+        /// The revision of the known one; 0 for none.
+        known: Revision,
+        /// How long the answer may wait for a newer one, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// What it answers.
@@ -111,6 +119,36 @@
     Relayed(Vec<RelayedReply>),
     /// The id is that of another customer's job; nothing was done.
     IdTaken,
+    /// The configuration.
+    Configuration(SharedConfiguration),
+}
+
+/// What a node tells another one of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedConfiguration {
+    /// A newer one than the one known, where there is one.
+    pub item: Option<SharedItem>,
+    /// How long ago the store confirmed to the node that there is no newer one.
+    pub age_ms: u64,
+    /// For how long the node held the question back.
+    pub held_ms: u64,
+}
+
+/// A stored configuration, as it stands in the store.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedItem {
+    /// The revision of its last change.
+    pub revision: Revision,
+    /// Its value, which holds customers' keys.
+    pub value: Vec<u8>,
+}
+
+impl fmt::Debug for SharedItem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = f.debug_struct("SharedItem");
+        shown.field("revision", &self.revision);
+        shown.finish_non_exhaustive()
+    }
 }
 
 /// The adviser's answer.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -10,7 +10,7 @@
 use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
-use crate::{clock, keys};
+use crate::{clock, configuration_sharing, keys};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
 };
@@ -417,6 +417,9 @@
             Some(_) => PeerReply::NotLeader(Some(election::own_record(node))),
             None => not_leader(node),
         },
+        PeerRequest::Configuration { known, wait_ms } => {
+            configuration_sharing::answer(node, known, Duration::from_ms(wait_ms)).await
+        }
         PeerRequest::EndLease(lease) => end_lease(node, lease).await,
         PeerRequest::Advise {
             step,
@@ -432,15 +435,15 @@
     }
 }
 
-/// Writes a job that another node has read, unless that node's configuration
-/// is known to be outdated or this node's may be.
+/// Writes a job that another node has read, unless this node's configuration may be outdated
+/// or does not let the job in.
 async fn write_for_peer<P: Platform>(
     node: &Rc<Node<P>>,
     job: JobId,
     record: &JobRecord,
     version: u64,
 ) -> PeerReply {
-    if version < node.configuration.version() || !node.is_current() {
+    if !node.is_current() || !lets_in(node, record, version) {
         info!(node.log, "job of another node refused";
             "job" => %job, "version" => version, "known" => node.configuration.version());
         return PeerReply::Refused;
@@ -453,6 +456,24 @@
     }
 }
 
+/// Returns whether a job that was read by a configuration of this version may be let in by
+/// the one that is in force here.
+///
+/// Versions may follow one another faster than a node that is cut off hears of them, and few
+/// change its queue. Whose key it came with is not told, so that a customer's job needs the
+/// version.
+fn lets_in<P: Platform>(node: &Node<P>, record: &JobRecord, version: u64) -> bool {
+    let Some(in_force) = node.configuration.in_force() else {
+        return false;
+    };
+    let configuration = &in_force.configuration;
+    if version >= configuration.version {
+        return true;
+    }
+    let queue = configuration.queue(&record.queue);
+    record.customer.is_none() && queue.is_some_and(|queue| queue.service == record.service)
+}
+
 fn note_for_leader<P: Platform>(node: &Rc<Node<P>>, event: Event) -> PeerReply {
     match node.leading() {
         Some(leading) => {
--- a/crates/control/tests/control/campaign.rs
+++ b/crates/control/tests/control/campaign.rs
@@ -1,8 +1,9 @@
 //! Who stands first.
 
+use ospreywing_control::configuration_sharing::source_among;
 use ospreywing_control::election::{
-    campaign_delay, candidates_of, has_stronger_joined, is_much_weaker, CellView, NodeRecord,
-    CANDIDATES_COUNT,
+    campaign_delay, candidates_of, has_stronger_joined, is_much_weaker, Candidate, CellView,
+    NodeRecord, CANDIDATES_COUNT,
 };
 use ospreywing_control::{keys, spread};
 use ospreywing_types::Duration;
@@ -112,6 +113,57 @@
     }
 }
 
+/// Of equally strong nodes those of different data centres go first, so that one that is lost
+/// takes few of them.
+#[test]
+fn candidates_of_several_data_centres() {
+    let node = |number: usize| {
+        let data_centre = ["a", "b", "c"][number / 100].to_owned();
+        let record = NodeRecord {
+            data_centre,
+            ..record(500)
+        };
+        (format!("n{number:03}"), record)
+    };
+    let candidates = candidates_of(&(0..300).map(node).collect());
+    let count_in = |name: &str| {
+        let here = candidates.iter().filter(|it| it.record.data_centre == name);
+        here.count()
+    };
+    assert_eq!([count_in("a"), count_in("b"), count_in("c")], [3, 3, 2]);
+}
+
+/// A node asks a candidate of its own data centre, and never itself.
+#[test]
+fn source_among_candidates() {
+    let candidate = |name: &str, data_centre: &str| Candidate {
+        name: name.to_owned(),
+        record: NodeRecord {
+            data_centre: data_centre.to_owned(),
+            ..record(1000)
+        },
+    };
+    let candidates = [
+        candidate("x", "a"),
+        candidate("y", "a"),
+        candidate("z", "b"),
+    ];
+    let chosen = |name: &str, data_centre: &str, avoided: &[&str]| {
+        let is_avoided = |name: &str| avoided.contains(&name);
+        let source = source_among(name, data_centre, &candidates, is_avoided);
+        source.map(|source| source.name.clone())
+    };
+    assert_eq!(chosen("n", "b", &[]).as_deref(), Some("z"));
+    assert_eq!(chosen("n", "a", &["x"]).as_deref(), Some("y"));
+    assert!(
+        chosen("n", "b", &["z"]).is_some(),
+        "one of another data centre"
+    );
+    assert!(chosen("n", "c", &[]).is_some());
+    assert_eq!(chosen("n", "a", &["x", "y", "z"]), None);
+    assert_eq!(chosen("x", "a", &[]), None, "a candidate asks the store");
+}
+
 /// Nodes that are no candidates, a whole cell of them, don't stand at one moment.
 #[test]
 fn campaign_delay_crowd() {
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -260,6 +260,7 @@
         data_centre: String::new(),
         cores_milli: 1000,
         relayed_workers_count: 600,
+        sharing_nodes_count: 100,
         grant_limit: Duration::from_s(6),
         grace: Duration::from_s(6),
         retention: Duration::from_s(120),
