--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -39,6 +39,8 @@
 const NODE_RENEWAL: Duration = Duration::from_ms(900);
 /// The time between two answers on nodes that come and go.
 const NODES_PACE: Duration = Duration::from_ms(100);
+/// How long a watch of the leader waits in a large cell.
+const WATCH_WAIT_IN_LARGE_CELL: Duration = Duration::from_ms(6000);
 /// The time after which the view of the cell is read again.
 const CELL_REFRESH: Duration = Duration::from_ms(10_000);
 /// The longest that a look at the cell may be old for a campaign; a campaign
@@ -212,18 +214,33 @@
 
 /// Keeps the view of the leader and the candidates.
 pub async fn follow_leader<P: Platform>(node: Rc<Node<P>>) {
-    let store = node.store.clone();
-    follow(
-        store,
-        keys::LEADER_PREFIX,
-        CELL_POLICY,
-        None,
-        |update, _| {
+    loop {
+        let wait = leader_wait(&node);
+        let policy = FollowPolicy {
+            wait,
+            ..CELL_POLICY
+        };
+        let store = node.store.clone();
+        follow(store, keys::LEADER_PREFIX, policy, None, |update, _| {
             learn_leader(&node, update);
-            Flow::Continue
-        },
-    )
-    .await;
+            if leader_wait(&node) == wait {
+                Flow::Continue
+            } else {
+                Flow::Stop
+            }
+        })
+        .await;
+    }
+}
+
+/// Returns how long a watch of the leader waits. In a large cell few nodes matter for the
+/// next election, and each answer without a change costs as much as one with.
+fn leader_wait<P: Platform>(node: &Node<P>) -> Duration {
+    if node.cell.borrow().shares_configuration {
+        WATCH_WAIT_IN_LARGE_CELL
+    } else {
+        WATCH_WAIT
+    }
 }
 
 /// Keeps the view of the live nodes until the term is over.
