Ask for advice in smaller parts where many nodes are idle

Change: a call is parted among idle nodes, eight for each part as for gangs so far, down to parts whose workers take a quarter of the adviser's own time. Small cells ask as before.

--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -21,6 +21,12 @@
 /// The most workers that one part of a call for advice names, by the platform's own
 /// limit.
 pub(crate) const NAMED_LIMIT_COUNT: usize = 100;
+/// The idle nodes that there must be for each part of a call: the others stay free for other
+/// steps.
+pub(crate) const IDLE_NODES_PER_PART: usize = 8;
+/// The part of a call's own time that the workers named in a part of it take at least: more
+/// parts would bring next to nothing.
+const PART_COST_SHARE: f64 = 0.25;
 /// How many times the room that is needed the named workers should have.
 const NAMED_ROOM_FACTOR: f64 = 1.5;
 /// The share of good workers that is assumed before anything is known.
@@ -175,11 +181,22 @@
         named: Vec<WorkerKey>,
         out: &mut Vec<Action>,
     ) -> bool {
-        let parts = named.chunks(NAMED_LIMIT_COUNT);
+        let parts = named.chunks(self.part_size(now, policy, named.len()));
         let asked = parts.take_while(|part| self.ask_part(now, pending, policy, part, out));
         asked.count() > 0
     }
 
+    /// Returns how many workers each part of a call names. Where many nodes have nothing to
+    /// do, several ask about fewer workers each, and the answers are there sooner.
+    fn part_size(&self, now: Instant, policy: AdvicePolicy, named_count: usize) -> usize {
+        let idle_count = self.advisers.idle_count(now, policy.cost(1));
+        let parts_count = (idle_count / IDLE_NODES_PER_PART).max(1);
+        let cheap_count = policy.decision_ms * PART_COST_SHARE / policy.per_worker_ms.max(0.01);
+        let least_count = (cheap_count as usize).clamp(1, NAMED_LIMIT_COUNT);
+        let even_count = named_count.div_ceil(parts_count);
+        even_count.clamp(least_count, NAMED_LIMIT_COUNT)
+    }
+
     fn ask_part(
         &mut self,
         now: Instant,
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -3,7 +3,7 @@
 //!
 //! Whoever is not served keeps later work off enough of its good workers.
 
-use crate::asking::{claim_room, fit_in, NAMED_LIMIT_COUNT};
+use crate::asking::{claim_room, fit_in, IDLE_NODES_PER_PART, NAMED_LIMIT_COUNT};
 use crate::awaiting::WAITING_GANGS_LIMIT_COUNT;
 use crate::candidate::{fit_sum, Candidate};
 use crate::config::AdvicePolicy;
@@ -25,7 +25,6 @@
 /// The parts that a gang's call may have at most, and the idle nodes that there must
 /// be for each further one: the others stay free for other gangs.
 const PARTS_LIMIT_COUNT: usize = 4;
-const IDLE_NODES_PER_PART: usize = 8;
 /// How long a gang waits for its good workers before it asks about others
 /// that have room: a long call holds up those of other gangs.
 const LOOK_FURTHER_AFTER: Duration = Duration::from_ms(2500);
--- a/crates/scheduler/tests/scheduler/advice_calls.rs
+++ b/crates/scheduler/tests/scheduler/advice_calls.rs
@@ -122,3 +122,35 @@
     let by: Vec<u64> = made.iter().map(|(job, _)| job.number()).collect();
     assert_eq!(by, [1, 3], "one node takes long calls, and has one to make");
 }
+
+/// Returns how many workers each call names that a wide step makes in a cell of so many nodes.
+fn named_in_cell(nodes_count: usize) -> Vec<usize> {
+    let mut configuration = queues(SHORT, LONG);
+    let queue = configuration.queues.get_mut(QUEUE).expect("the queue");
+    queue.advice = Some(AdvicePolicy {
+        decision_ms: 200.0,
+        per_worker_ms: 5.0,
+        validity: Duration::from_ms(1500),
+    });
+    let mut bench = bench_with(nodes_count, configuration);
+    bench.submit_job(job(1, vec![step(60)]));
+    bench.commit_all();
+    let made = bench.actions.iter().filter_map(|action| match action {
+        Action::Advise { workers, .. } => Some(workers.len()),
+        _ => None,
+    });
+    made.collect()
+}
+
+/// Where many nodes have nothing to do, several ask about fewer workers each: the answer to
+/// the longest part is there in less than half of the time. In a small cell the others stay
+/// free.
+#[rstest]
+#[case::small(7, 1)]
+#[case::large(64, 4)]
+#[case::larger(640, 4)]
+fn ask_in_parts_where_nodes_are_idle(#[case] nodes_count: usize, #[case] parts_count: usize) {
+    let named = named_in_cell(nodes_count);
+    assert_eq!(named.iter().sum::<usize>(), WORKERS_COUNT);
+    assert_eq!(named.len(), parts_count, "{named:?}");
+}
