Know the nodes before the first looks at a term's workers

Change: the nodes are read with the jobs, before the term's first listing. A term tells the cordons that it begins with: a leader that was elected after they were set told none (a test waited for that line in vain beside load).

`first_looks_through_relays` guards the order on whole nodes; it passes without the change too, since three nodes are read as soon as four workers.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -323,7 +323,8 @@
     node.cell_changed.notify_waiters();
 }
 
-fn learn_nodes<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+/// Takes in which nodes live.
+pub(crate) fn learn_nodes<P: Platform>(node: &Rc<Node<P>>, update: Update) {
     let forget = |view: &mut CellView| {
         view.nodes.clear();
         view.registered.clear();
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -181,6 +181,9 @@
     if let Some((recovered, at)) = recovered {
         info!(node.log, "recovered";
             "jobs" => recovered.jobs.len(), "ended" => recovered.ended.len(), "states" => recovered.states.len(), "at" => at);
+        for data_centre in &recovered.cordons {
+            info!(node.log, "cordon"; "data_centre" => data_centre.as_ref(), "reason" => "stands");
+        }
         let newest = node.configuration.in_force().unwrap_or(in_force);
         let configuration = newest.configuration.clone();
         let scheduler = Scheduler::new(config, configuration, clock::now(), recovered);
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -1,12 +1,12 @@
 //! Reading what the store keeps, at the start of a term.
 
-use crate::follow::read_all;
+use crate::follow::{read_all, Update};
 use crate::keys::{self, IntakeKey};
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::store::{Item, Revision, StoreError, UnreadableValue};
-use crate::{clock, cordons};
+use crate::{clock, cordons, election};
 use ospreywing_scheduler::{JobState, Recovered, StateError, StoredJob};
 use ospreywing_types::Duration;
 use slog::{warn, Logger};
@@ -46,8 +46,11 @@
     let intake = read_all(&node.store, keys::INTAKE_PREFIX);
     let states = read_all(&node.store, keys::STATE_PREFIX);
     let cordons = read_all(&node.store, node.platform.cordons_prefix());
-    let (intake, states, cordons) = tokio::join!(intake, states, cordons);
+    let nodes = read_all(&node.store, keys::NODES_PREFIX);
+    let (intake, states, cordons, nodes) = tokio::join!(intake, states, cordons, nodes);
     let ((intake, at), (states, _), (cordons, _)) = (intake?, states?, cordons?);
+    // The first looks at the workers go through relays.
+    election::learn_nodes(node, Update::Snapshot(nodes?.0));
     let mut recovered = assemble(&node.log, intake, &states, clock::wall_ms());
     recovered.cordons = cordons::read_all(node, &cordons);
     leading.beliefs.cordons.confirm(begun_at);
