Choose relays as soon as workers join

Cause: changes of the list of workers come as such now, and relays were chosen anew only with a whole list or each 0.5 s.

Change: relays are chosen with each change that may tell a new worker, as they were with each list.

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -11,7 +11,7 @@
 use crate::relay::links;
 use crate::relay::message::Order;
 use crate::step_down;
-use ospreywing_scheduler::{Action, Change, Event, Scheduler};
+use ospreywing_scheduler::{Action, Change, Event, Scheduler, WorkerChange};
 use ospreywing_types::{Duration, Instant};
 use slog::{info, warn};
 use std::rc::Rc;
@@ -100,14 +100,13 @@
     while let Ok(event) = state.received.try_recv() {
         events.push(event);
     }
-    let is_list = |event: &Event| matches!(event, Event::WorkersListed(_));
-    let are_workers_listed = events.iter().any(is_list);
+    let have_workers_joined = events.iter().any(may_tell_new_workers);
     if let Some(is_outdated) = leading.beliefs.take_change(now, &node.log) {
         events.push(Event::StartsHeld(is_outdated));
     }
     scheduler.handle_all(now, events, &mut state.actions);
-    if are_workers_listed {
-        // The first looks at a new term's workers go through relays too.
+    if have_workers_joined {
+        // The first look at a worker goes through its relay too.
         links::choose(node, leading, &scheduler, now);
     }
     if leading.may_order() && !leading.is_resigned.get() {
@@ -119,6 +118,19 @@
     }
 }
 
+/// Returns whether workers may be among what an event tells that were not listed before.
+fn may_tell_new_workers(event: &Event) -> bool {
+    let may_be_new = |change: &WorkerChange| match change {
+        WorkerChange::Listed(facts) => !facts.is_draining,
+        WorkerChange::Unlisted(_) => false,
+    };
+    match event {
+        Event::WorkersListed(_) => true,
+        Event::WorkersChanged(changes) => changes.iter().any(may_be_new),
+        _ => false,
+    }
+}
+
 /// Tells the scheduler of the store, the clock and the nodes, where they changed.
 fn tell_surroundings<P: Platform>(
     node: &Rc<Node<P>>,
