--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -205,10 +205,8 @@
     play_restarts(seed, world);
 }
 
-fn play_restarts(seed: u64, mut world: World) {
-    // Shown where the test fails.
-    println!("seed {seed}");
-    world.calm_from_ms = world.now_ms + STORM_MS;
+/// Hands jobs of all kinds in while faults strike.
+fn submit_through_storm(world: &mut World) {
     for number in 1..=16 {
         let steps = match number % 4 {
             0 => vec![gang(3)],
@@ -220,6 +218,13 @@
         world.run_for(400);
     }
     world.run_for(STORM_MS);
+}
+
+fn play_restarts(seed: u64, mut world: World) {
+    // Shown where the test fails.
+    println!("seed {seed}");
+    world.calm_from_ms = world.now_ms + STORM_MS;
+    submit_through_storm(&mut world);
     world.run_until_done(CALM_LIMIT_MS);
 }
 
@@ -243,17 +248,7 @@
         // Shown where the test fails.
         println!("seed {seed}");
         world.calm_from_ms = world.now_ms + STORM_MS;
-        for number in 1..=16 {
-            let steps = match number % 4 {
-                0 => vec![gang(3)],
-                1 => vec![step(2), after(0, step(3))],
-                2 => vec![step(1), after(0, gang(2))],
-                _ => vec![step(4)],
-            };
-            world.submit(job(number, steps));
-            world.run_for(400);
-        }
-        world.run_for(STORM_MS);
+        submit_through_storm(&mut world);
         world.lift_cordons();
         world.run_until_done(CALM_LIMIT_MS);
         assert!(
