--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -141,7 +141,8 @@
     let config = SchedulerConfig::new(fence, node.settings.grant_limit)
         .with_leader_lease(LEADER_LEASE)
         .with_departures(node.settings.stop_grace, node.settings.drain_limit)
-        .with_retention(node.settings.retention);
+        .with_retention(node.settings.retention)
+        .with_features(node.settings.features);
     let lanes = (0..LANES_COUNT)
         .map(|lane| CommitLane::new(node.store.clone(), lane, fence, fence))
         .collect();
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -14,6 +14,7 @@
 use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
 use ospreywing_http::HttpClient;
+use ospreywing_scheduler::Features;
 use ospreywing_types::{Duration, Instant};
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -81,9 +82,17 @@
     /// The time after which keys are not used any more that the store does not confirm,
     /// where that is set apart.
     pub revoke_limit: Option<Duration>,
+    /// The decisions under load that are on.
+    pub features: Features,
 }
 
 impl NodeSettings {
+    /// Sets which decisions under load are on.
+    pub const fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     /// Sets from how many nodes on configurations are handed on from node to node.
     pub const fn with_sharing_nodes_count(mut self, count: usize) -> Self {
         self.sharing_nodes_count = count;
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -15,8 +15,9 @@
     Platform, Reply, RequestHead, Store, StoreError, Transaction,
 };
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
-    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    AdviceReply, Configuration, Endpoint, Features, HoldReply, JobId, JobRecord, JobSpec, Queue,
+    RunningRun, ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey,
+    WorkerFacts,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -270,6 +271,7 @@
         drain_limit: Duration::from_s(2),
         stop_grace: Duration::from_ms(200),
         revoke_limit: None,
+        features: Features::default(),
     }
 }
 
--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -11,10 +11,9 @@
 use crate::config::AdvicePolicy;
 use crate::cycle::SchedulingCycle;
 use crate::event::Action;
-use crate::job::TaskKey;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
-use crate::worker::{Run, RunPhase, Worker, WorkerKey};
+use crate::worker::{Worker, WorkerKey};
 use ospreywing_types::{Duration, Instant, Resources};
 
 /// A step waits for workers only where so few of its tasks fill one: room for
@@ -188,21 +187,6 @@
         delays
     }
 
-    /// Returns how long a run should still take, by its estimate; `None` where it
-    /// does not end by itself.
-    fn time_left(&self, task: TaskKey, run: &Run) -> Option<Duration> {
-        let job = self.jobs.get(&task.step.job)?;
-        let spec = job.record.spec.steps.get(task.step.step as usize)?;
-        if matches!(run.phase, RunPhase::Stopping { .. }) {
-            return Some(Duration::ZERO);
-        }
-        if spec.is_perpetual {
-            return None;
-        }
-        let left_percent = u64::from(100 - run.progress_percent.min(100));
-        Some(Duration::from_ms(spec.estimate_ms * left_percent / 100))
-    }
-
     /// Asks for tickets for workers that will soon have room, where none holds
     /// until then.
     fn renew_tickets(
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration and the scheduler's own constants.
 
 use crate::customers::Customer;
+use crate::features::Features;
 use ospreywing_types::Duration;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -186,6 +187,8 @@
     pub retention: Duration,
     /// When a task is given up under which workers crash.
     pub crash_policy: CrashPolicy,
+    /// The decisions under load that are on.
+    pub features: Features,
 }
 
 impl SchedulerConfig {
@@ -214,6 +217,7 @@
             drain_time: Duration::from_ms(2000),
             retention: Duration::from_s(300),
             crash_policy: CrashPolicy::default(),
+            features: Features::default(),
         }
     }
 
@@ -230,6 +234,12 @@
         self
     }
 
+    /// Sets which decisions under load are on.
+    pub fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     /// Sets how long a stop may take at a worker, and how long one stays that is leaving.
     pub fn with_departures(mut self, stop_grace: Duration, drain_time: Duration) -> Self {
         self.stop_grace = stop_grace;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,8 +28,10 @@
 mod decision;
 mod departures;
 mod ends;
+mod estimates;
 mod event;
 mod evidence;
+mod features;
 mod gang_search;
 mod gangs;
 mod job;
@@ -68,6 +70,7 @@
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
 };
 pub use evidence::{CrashRecord, Suspicion};
+pub use features::{Feature, Features, UnknownFeature};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
 pub use life::LifeStart;
