Part the view of the cell, following it and membership from elections

Change: cell_view.rs (what a node knows), cell_follow.rs (following it in the store), membership.rs (a node's own item), election.rs (who stands, and who is evicted); the view holds one CandidateList in place of a copy of its fields. No behaviour changes.

--- /dev/null
+++ b/crates/control/src/cell_follow.rs
@@ -0,0 +1,187 @@
+//! Following the cell in the store.
+//!
+//! Every node keeps an item with a lease of its own. The leader alone follows these: where
+//! each node did, what the store tells would grow with the square of the cell. The others
+//! follow the leader and the few nodes that it names as candidates.
+
+use crate::cell_view::{CandidateList, CellView};
+use crate::follow::{follow, Flow, FollowPolicy, Update};
+use crate::leader::Leading;
+use crate::node::{Node, WATCH_WAIT};
+use crate::platform::Platform;
+use crate::store::{Item, Store, Transaction, WatchedChange};
+use crate::{cell_view, clock, election, keys, recovery};
+use ospreywing_types::Duration;
+use slog::{info, warn, Logger};
+use std::rc::Rc;
+
+/// The time between two answers on nodes that come and go.
+const NODES_PACE: Duration = Duration::from_ms(100);
+/// How long a watch of the leader waits in a large cell.
+const WATCH_WAIT_IN_LARGE_CELL: Duration = Duration::from_ms(6000);
+/// The time after which the view of the cell is read again.
+const CELL_REFRESH: Duration = Duration::from_ms(10_000);
+/// The least time between two changes of the candidates: every node is told of each.
+const CANDIDATES_PERIOD: Duration = Duration::from_ms(500);
+
+/// How the parts of the cell are followed.
+const CELL_POLICY: FollowPolicy = FollowPolicy {
+    wait: WATCH_WAIT,
+    refresh: Some(CELL_REFRESH),
+    pace: Duration::ZERO,
+    is_confirming: false,
+    reads_after_failure: false,
+};
+
+/// Keeps the view of the leader and the candidates.
+pub async fn follow_leader<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        let wait = leader_wait(&node);
+        let policy = FollowPolicy {
+            wait,
+            ..CELL_POLICY
+        };
+        let store = node.store.clone();
+        follow(store, keys::LEADER_PREFIX, policy, None, |update, _| {
+            learn_leader(&node, update);
+            if leader_wait(&node) == wait {
+                Flow::Continue
+            } else {
+                Flow::Stop
+            }
+        })
+        .await;
+    }
+}
+
+/// Returns how long a watch of the leader waits. In a large cell few nodes matter for the
+/// next election, and each answer without a change costs as much as one with.
+fn leader_wait<P: Platform>(node: &Node<P>) -> Duration {
+    if node.cell.borrow().list.shares_configuration {
+        WATCH_WAIT_IN_LARGE_CELL
+    } else {
+        WATCH_WAIT
+    }
+}
+
+/// Keeps the view of the live nodes until the term is over.
+pub(crate) async fn follow_nodes<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    let policy = FollowPolicy {
+        pace: NODES_PACE,
+        ..CELL_POLICY
+    };
+    let store = node.store.clone();
+    follow(store, keys::NODES_PREFIX, policy, None, |update, _| {
+        learn_nodes(&node, update);
+        leading.flow()
+    })
+    .await;
+    let mut view = node.cell.borrow_mut();
+    view.nodes.clear();
+    view.registered.clear();
+}
+
+fn put(log: &Logger, view: &mut CellView, item: &Item) {
+    if let Err(error) = view.put(item) {
+        recovery::damaged(log, &item.key, &error.to_string());
+    }
+}
+
+/// Takes in a part of the cell; returns whether the store answered.
+fn take_in<P: Platform>(
+    node: &Node<P>,
+    view: &mut CellView,
+    update: Update,
+    forget: fn(&mut CellView),
+) -> bool {
+    match update {
+        Update::Snapshot(items) => {
+            forget(view);
+            items.iter().for_each(|item| put(&node.log, view, item));
+        }
+        Update::Changes(changes) => {
+            for change in &changes {
+                match change {
+                    WatchedChange::Put(item) => put(&node.log, view, item),
+                    WatchedChange::Gone { key } => view.remove(key),
+                }
+            }
+        }
+        Update::Unchanged => {}
+        Update::Failed(error) => {
+            warn!(node.log, "store call failed";
+                "what" => "cell", "error" => error.to_string());
+            return false;
+        }
+    }
+    true
+}
+
+fn learn_leader<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+    let mut view = node.cell.borrow_mut();
+    let before = view.leader.clone();
+    let forget = |view: &mut CellView| {
+        view.leader = None;
+        view.list = CandidateList::default();
+    };
+    if !take_in(node, &mut view, update, forget) {
+        return;
+    }
+    view.seen_at = clock::now();
+    if view.leader != before {
+        let name = view.leader.as_ref().map(|leader| leader.name.clone());
+        info!(node.log, "leader known"; "leader" => name.unwrap_or_default());
+    }
+    let stale = view
+        .leader
+        .clone()
+        .filter(|leader| election::is_own_earlier_life(node, leader));
+    drop(view);
+    if let Some(leader) = stale {
+        tokio::task::spawn_local(election::evict(node.clone(), leader, "own earlier life"));
+    }
+    node.note_contact();
+    node.cell_changed.notify_waiters();
+}
+
+/// Takes in which nodes live.
+pub(crate) fn learn_nodes<P: Platform>(node: &Rc<Node<P>>, update: Update) {
+    let forget = |view: &mut CellView| {
+        view.nodes.clear();
+        view.registered.clear();
+    };
+    let is_answered = take_in(node, &mut node.cell.borrow_mut(), update, forget);
+    if is_answered {
+        node.note_contact();
+        node.cell_changed.notify_waiters();
+    }
+}
+
+/// Keeps the candidates written that the leader names, until its term is over.
+pub(crate) async fn publish_candidates<P: Platform>(node: Rc<Node<P>>, leading: Rc<Leading<P>>) {
+    while !leading.is_over() {
+        let changed = node.cell_changed.notified();
+        let list =
+            cell_view::candidate_list(&node.cell.borrow(), node.settings.sharing_nodes_count);
+        if list.candidates.is_empty() || node.cell.borrow().list == list {
+            // The term may end without a change.
+            let _ = tokio::time::timeout(WATCH_WAIT.into(), changed).await;
+            continue;
+        }
+        let value = postcard::to_allocvec(&list).unwrap_or_default();
+        let transaction = Transaction::new()
+            .with_expect(keys::LEADER, leading.fence)
+            .with_put(keys::CANDIDATES, value);
+        match node.store.commit(&transaction).await {
+            Ok(_) => {
+                let names = list.candidates.iter().map(|it| it.name.as_str());
+                let names: Vec<&str> = names.collect();
+                info!(node.log, "candidates named"; "names" => names.join(" "),
+                    "shares_configuration" => list.shares_configuration);
+                node.cell.borrow_mut().list = list;
+            }
+            Err(error) => info!(node.log, "candidates not named"; "error" => error.to_string()),
+        }
+        tokio::time::sleep(CANDIDATES_PERIOD.into()).await;
+    }
+}
--- a/crates/control/src/configuration_sharing.rs
+++ b/crates/control/src/configuration_sharing.rs
@@ -7,8 +7,8 @@
 //! comes with its age, so that each node knows for itself how old its configuration may be;
 //! one whose candidate does not answer, or is out of date itself, asks the store.
 
+use crate::cell_view::Candidate;
 use crate::clock;
-use crate::election::Candidate;
 use crate::node::Node;
 use crate::peer::{self, PeerReply, PeerRequest, SharedConfiguration, SharedItem};
 use crate::platform::Platform;
@@ -86,7 +86,7 @@
 pub(crate) fn source_of<P: Platform>(node: &Node<P>) -> Option<Candidate> {
     let now = clock::now();
     let cell = node.cell.borrow();
-    if !cell.shares_configuration || node.term().is_some() {
+    if !cell.list.shares_configuration || node.term().is_some() {
         return None;
     }
     let avoided = node.configuration.avoided_sources.borrow();
@@ -95,7 +95,7 @@
     source_among(
         &settings.name,
         &settings.data_centre,
-        &cell.candidates,
+        &cell.list.candidates,
         is_avoided,
     )
     .cloned()
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -3,14 +3,14 @@
 use crate::caller::Caller;
 use crate::commit::CommitLane;
 use crate::cordons;
-use crate::election::{self, LEADER_LEASE};
+use crate::election::LEADER_LEASE;
 use crate::follow::Flow;
 use crate::freshness::{belief_limit, Beliefs, Freshness};
 use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
 use crate::relay::RelayLinks;
 use crate::store::{LeaseGrant, LeaseId, Store};
-use crate::{clock, decision_loop, leader_lease, recovery, step_down, watches};
+use crate::{cell_follow, clock, decision_loop, leader_lease, recovery, step_down, watches};
 use ospreywing_scheduler::{
     Configuration, Event, JobId, JobView, Recovered, Scheduler, SchedulerConfig, LANES_COUNT,
 };
@@ -169,8 +169,11 @@
         open_commits_count: Cell::new(0),
     });
     tokio::task::spawn_local(leader_lease::keep_lease(node.clone(), leading.clone()));
-    tokio::task::spawn_local(election::follow_nodes(node.clone(), leading.clone()));
-    tokio::task::spawn_local(election::publish_candidates(node.clone(), leading.clone()));
+    tokio::task::spawn_local(cell_follow::follow_nodes(node.clone(), leading.clone()));
+    tokio::task::spawn_local(cell_follow::publish_candidates(
+        node.clone(),
+        leading.clone(),
+    ));
     let recovered = tokio::select! {
         recovered = recovery::recover(node, &leading) => recovered,
         () = step_down::wait_to_step_down(node, &leading) => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,8 @@
 //! outside through the [`Platform`] trait alone.
 
 mod caller;
+mod cell_follow;
+pub mod cell_view;
 pub mod commit;
 pub mod configuration;
 pub mod configuration_sharing;
@@ -26,6 +28,7 @@
 pub mod leader;
 mod leader_lease;
 pub mod log;
+mod membership;
 pub mod metered;
 pub mod metrics;
 pub mod node;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,8 +1,7 @@
 //! A node's life, from start to stop.
 
-use crate::clock;
+use crate::cell_view::CellView;
 use crate::configuration::{self, ConfigurationView};
-use crate::election::{self, CellView};
 use crate::front::{self, Front, Listener};
 use crate::intake::Intake;
 use crate::leader::Leading;
@@ -13,6 +12,7 @@
 use crate::probed::ProbedStore;
 use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
+use crate::{cell_follow, clock, election, membership};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::Features;
 use ospreywing_types::{Duration, Instant};
@@ -305,8 +305,8 @@
     }
     tokio::task::spawn_local(note_returns(node.clone()));
     tokio::task::spawn_local(configuration::follow_configuration(node.clone()));
-    tokio::task::spawn_local(election::follow_leader(node.clone()));
-    tokio::task::spawn_local(election::keep_membership(node.clone()));
+    tokio::task::spawn_local(cell_follow::follow_leader(node.clone()));
+    tokio::task::spawn_local(membership::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
 }
 
@@ -352,7 +352,7 @@
     if let Some(leading) = node.term() {
         leading.resign().await;
     }
-    election::leave(node).await;
+    membership::leave(node).await;
     let grace_ms = node.settings.grace.as_ms();
     let grace = Duration::from_ms(grace_ms.saturating_sub(DRAIN_MARGIN.as_ms()));
     tokio::time::sleep(DRAIN_ACCEPT_TIME.into()).await;
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -4,7 +4,7 @@
 //! machines have a quarter of a core, so a general RPC library does not pay.
 
 use crate::caller::Caller;
-use crate::election::LeaderRecord;
+use crate::cell_view::LeaderRecord;
 use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
 use crate::store::{LeaseId, Revision};
 use core::fmt;
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::store::{Item, Revision, StoreError, UnreadableValue};
-use crate::{clock, cordons, election};
+use crate::{cell_follow, clock, cordons};
 use ospreywing_scheduler::{JobState, Recovered, StateError, StoredJob};
 use ospreywing_types::Duration;
 use slog::{warn, Logger};
@@ -50,7 +50,7 @@
     let (intake, states, cordons, nodes) = tokio::join!(intake, states, cordons, nodes);
     let ((intake, at), (states, _), (cordons, _)) = (intake?, states?, cordons?);
     // The first looks at the workers go through relays.
-    election::learn_nodes(node, Update::Snapshot(nodes?.0));
+    cell_follow::learn_nodes(node, Update::Snapshot(nodes?.0));
     let mut recovered = assemble(&node.log, intake, &states, clock::wall_ms());
     recovered.cordons = cordons::read_all(node, &cordons);
     leading.beliefs.cordons.confirm(begun_at);
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -1,7 +1,8 @@
 //! What becomes of a request, from a client or from another node.
 
 use crate::caller::Caller;
-use crate::election::{self, LeaderRecord};
+use crate::cell_view::LeaderRecord;
+use crate::election;
 use crate::intake::IntakeOutcome;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
@@ -275,9 +276,9 @@
 pub fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
     let cell = node.cell.borrow();
     let leader = cell.leader.iter().map(|leader| leader.address.clone());
-    let count = cell.candidates.len();
+    let count = cell.list.candidates.len();
     let first = draw_below(&node.settings.name, count as u64) as usize;
-    let ring = cell.candidates.iter().cycle().skip(first).take(count);
+    let ring = cell.list.candidates.iter().cycle().skip(first).take(count);
     let candidates = ring.map(|candidate| candidate.record.address.clone());
     let own = node.settings.peer_address.to_string();
     let mut addresses: Vec<String> = Vec::new();
--- a/crates/control/src/step_down.rs
+++ b/crates/control/src/step_down.rs
@@ -1,10 +1,10 @@
 //! When a leader on a weak node steps down.
 
 use crate::clock;
-use crate::election;
 use crate::leader::Leading;
 use crate::node::Node;
 use crate::platform::Platform;
+use crate::{election, membership};
 use ospreywing_types::Duration;
 use slog::info;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 /// Returns whether a much stronger node should lead instead: one that has come
 /// since the election, or after a while one that is still there.
 pub(crate) fn should_step_down<P: Platform>(node: &Rc<Node<P>>, leading: &Rc<Leading<P>>) -> bool {
-    let own = election::membership_record(node);
+    let own = membership::record(node);
     let view = node.cell.borrow();
     let is_settled = clock::now().since(leading.begun_at) >= STEP_DOWN_AFTER;
     let is_weaker = election::has_stronger_joined(&own, &view, leading.fence)
--- a/crates/control/tests/control/campaign.rs
+++ b/crates/control/tests/control/campaign.rs
@@ -1,10 +1,10 @@
 //! Who stands first.
 
-use ospreywing_control::configuration_sharing::source_among;
-use ospreywing_control::election::{
-    campaign_delay, candidates_of, has_stronger_joined, is_much_weaker, Candidate, CellView,
-    NodeRecord, CANDIDATES_COUNT,
+use ospreywing_control::cell_view::{
+    candidates_of, Candidate, CellView, NodeRecord, CANDIDATES_COUNT,
 };
+use ospreywing_control::configuration_sharing::source_among;
+use ospreywing_control::election::{campaign_delay, has_stronger_joined, is_much_weaker};
 use ospreywing_control::{keys, spread};
 use ospreywing_types::Duration;
 use rstest::rstest;
--- a/crates/control/tests/control/relays.rs
+++ b/crates/control/tests/control/relays.rs
@@ -1,6 +1,6 @@
 //! Which nodes are relays, and for which workers.
 
-use ospreywing_control::election::NodeRecord;
+use ospreywing_control::cell_view::NodeRecord;
 use ospreywing_control::relay::assignment::{Assignment, RelayCandidate};
 use rstest::rstest;
 use std::collections::BTreeMap;
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -8,7 +8,7 @@
 use crate::support::{run_local, MemoryStore};
 use http_body_util::Full;
 use hyper::body::Bytes;
-use ospreywing_control::election::LeaderRecord;
+use ospreywing_control::cell_view::LeaderRecord;
 use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
 use ospreywing_control::{
     clock, keys, Call, CallError, CordonError, EntryError, FrontLimits, Look, NodeSettings,
