Evict a silent leader before its lease is over

Cause: a leader that loses its power or its links is replaced once its lease has run out, 1.15 to 1.5 s after its last renewal, and the cell starts nothing meanwhile. Change: the first two candidates call the leader each 150 ms (any answered call counts); where one has missed three in a row over 500 ms and the other two, the lease is ended. Not in cells that hand configurations on: a leader there may be busy for as long. A new leader is not judged for 3 s. A mistake costs an election and no promise, since terms are fenced. Ruled out: a shorter lease, which a slow store's answers would break; eviction by one node alone, which a single cut link would cause.

--- /dev/null
+++ b/crates/control/src/leader_probe.rs
@@ -0,0 +1,128 @@
+//! Probing the leader: the first candidates call it, and evict it once two of them agree
+//! that it is silent while the store answers.
+
+use crate::cell_view::{CellView, LeaderRecord};
+use crate::failure_detector::{FailureDetector, PROBE_LIMIT, PROBE_PERIOD};
+use crate::node::Node;
+use crate::peer::{self, PeerReply, PeerRequest};
+use crate::platform::Platform;
+use crate::store::LeaseId;
+use crate::{clock, election};
+use ospreywing_scheduler::Feature;
+use ospreywing_types::{Duration, Instant};
+use slog::info;
+use std::rc::Rc;
+
+/// How many candidates probe the leader: the second one confirms what the first suspects.
+const OBSERVERS_COUNT: usize = 2;
+
+/// Probes the leader for as long as the node runs.
+pub(crate) async fn probe_leader<P: Platform>(node: Rc<Node<P>>) {
+    if !node.settings.features.has(Feature::LeaderProbes) {
+        return;
+    }
+    loop {
+        if !node.detector.get().is_probe_due(clock::now()) || observed_leader(&node).is_none() {
+            tokio::time::sleep(PROBE_PERIOD.into()).await;
+        }
+        let Some(leader) = observed_leader(&node) else {
+            continue;
+        };
+        follow_leader(&node, leader.lease);
+        if !node.detector.get().is_probe_due(clock::now()) {
+            continue;
+        }
+        probe(&node, &leader).await;
+        if node.detector.get().is_suspect(clock::now()) && is_confirmed(&node, &leader).await {
+            election::evict_silent(&node, leader);
+        }
+    }
+}
+
+/// Returns the leader, where this node is one of those that probe it.
+///
+/// In a large cell a leader may be busy for longer than a detector waits; there its lease
+/// alone tells.
+fn observed_leader<P: Platform>(node: &Node<P>) -> Option<LeaderRecord> {
+    let cell = node.cell.borrow();
+    let leader = cell.leader.clone()?;
+    let is_observer = observers(&cell).any(|name| name == node.settings.name);
+    let is_able = !cell.list.shares_configuration && node.has_contact();
+    (is_observer && is_able && !node.is_draining.get()).then_some(leader)
+}
+
+/// Returns the names of the nodes that probe the leader.
+fn observers(cell: &CellView) -> impl Iterator<Item = &str> {
+    let leader = cell.leader.as_ref().map(|leader| leader.name.as_str());
+    let names = cell.list.candidates.iter().map(|it| it.name.as_str());
+    names
+        .filter(move |name| Some(*name) != leader)
+        .take(OBSERVERS_COUNT)
+}
+
+/// Begins anew where another leader is known than before.
+fn follow_leader<P: Platform>(node: &Node<P>, lease: LeaseId) {
+    if node.detector.get().leader() != lease {
+        node.detector.set(FailureDetector::new(lease, clock::now()));
+    }
+}
+
+/// Notes that the leader with this lease has answered a call.
+pub(crate) fn note_answer<P: Platform>(node: &Node<P>, lease: LeaseId, sent_at: Instant) {
+    let mut detector = node.detector.get();
+    if detector.leader() == lease {
+        detector.note_answer(sent_at);
+        node.detector.set(detector);
+    }
+}
+
+async fn probe<P: Platform>(node: &Rc<Node<P>>, leader: &LeaderRecord) {
+    let sent_at = clock::now();
+    let reply = peer::call(
+        &node.peers,
+        &leader.address,
+        &PeerRequest::Leader,
+        PROBE_LIMIT,
+    )
+    .await;
+    if reply.is_ok() {
+        note_answer(node, leader.lease, sent_at);
+        return;
+    }
+    let mut detector = node.detector.get();
+    detector.note_miss();
+    node.detector.set(detector);
+    if reply.is_err_and(|error| error.is_not_sent()) {
+        election::suspect_leader(node, leader.clone());
+    }
+}
+
+/// Returns whether another observer finds the leader silent too.
+async fn is_confirmed<P: Platform>(node: &Rc<Node<P>>, leader: &LeaderRecord) -> bool {
+    for address in other_observers(node) {
+        let request = PeerRequest::IsLeaderSilent(leader.lease);
+        let reply = peer::call(&node.peers, &address, &request, PROBE_LIMIT).await;
+        if matches!(reply, Ok(PeerReply::LeaderSilent(true))) {
+            let silence: Duration = node.detector.get().silence(clock::now());
+            info!(node.log, "leader silent";
+                "leader" => &leader.name, "silence_ms" => silence.as_ms(), "confirmed_by" => address);
+            return true;
+        }
+    }
+    false
+}
+
+fn other_observers<P: Platform>(node: &Node<P>) -> Vec<String> {
+    let cell = node.cell.borrow();
+    let names: Vec<&str> = observers(&cell).collect();
+    let own = node.settings.name.as_str();
+    let others = cell.list.candidates.iter();
+    let others = others.filter(|it| it.name != own && names.contains(&it.name.as_str()));
+    others.map(|it| it.record.address.clone()).collect()
+}
+
+/// Returns whether this node, as an observer, finds the leader with this lease silent.
+pub(crate) fn is_silent<P: Platform>(node: &Node<P>, lease: LeaseId) -> bool {
+    let detector = node.detector.get();
+    detector.leader() == lease && detector.is_missed()
+}
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::cell_view::CellView;
 use crate::configuration::{self, ConfigurationView};
+use crate::failure_detector::FailureDetector;
 use crate::front::{self, Front, Listener};
 use crate::intake::Intake;
 use crate::leader::Leading;
@@ -12,7 +13,7 @@
 use crate::probed::ProbedStore;
 use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
-use crate::{cell_follow, clock, election, membership};
+use crate::{cell_follow, clock, election, leader_probe, membership};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::Features;
 use ospreywing_types::{Duration, Instant};
@@ -149,6 +150,8 @@
     pub contact_at: Cell<Instant>,
     /// The lease with which this process last stood for leader.
     pub own_lease: Cell<LeaseId>,
+    /// What the node has heard of the leader, where it probes it.
+    pub(crate) detector: Cell<FailureDetector>,
     /// When the node may next take a leader for gone.
     pub next_eviction_at: Cell<Instant>,
     /// Whether the node is stopping.
@@ -261,6 +264,7 @@
         relay_server: RelayServer::default(),
         contact_at: Cell::new(Instant::default()),
         own_lease: Cell::new(0),
+        detector: Cell::new(FailureDetector::default()),
         next_eviction_at: Cell::new(Instant::default()),
         is_draining: Cell::new(false),
         settings,
@@ -308,6 +312,7 @@
     tokio::task::spawn_local(cell_follow::follow_leader(node.clone()));
     tokio::task::spawn_local(membership::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
+    tokio::task::spawn_local(leader_probe::probe_leader(node.clone()));
 }
 
 /// Notes contact whenever the store answers again.
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -90,6 +90,8 @@
         /// How long the answer may wait for a newer one, in milliseconds.
         wait_ms: u64,
     },
+    /// To tell whether the leader with this lease leaves calls unanswered.
+    IsLeaderSilent(LeaseId),
 }
 
 /// What it answers.
@@ -121,6 +123,8 @@
     IdTaken,
     /// The configuration.
     Configuration(SharedConfiguration),
+    /// Whether the leader leaves calls unanswered.
+    LeaderSilent(bool),
 }
 
 /// What a node tells another one of the configuration.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -11,7 +11,7 @@
 use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
-use crate::{clock, configuration_sharing, keys};
+use crate::{clock, configuration_sharing, keys, leader_probe};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
 };
@@ -248,7 +248,11 @@
     leader: LeaderRecord,
     request: &PeerRequest,
 ) -> Result<PeerReply, PeerError> {
+    let sent_at = clock::now();
     let reply = peer::call(&node.peers, &leader.address, request, LEADER_LIMIT).await;
+    if reply.is_ok() {
+        leader_probe::note_answer(node, leader.lease, sent_at);
+    }
     if reply.as_ref().is_err_and(PeerError::is_not_sent) {
         election::suspect_leader(node, leader);
     }
@@ -422,6 +426,9 @@
             configuration_sharing::answer(node, known, Duration::from_ms(wait_ms)).await
         }
         PeerRequest::EndLease(lease) => end_lease(node, lease).await,
+        PeerRequest::IsLeaderSilent(lease) => {
+            PeerReply::LeaderSilent(leader_probe::is_silent(node, lease))
+        }
         PeerRequest::Advise {
             step,
             workers,
--- /dev/null
+++ b/crates/control/tests/control/failure_detector.rs
@@ -0,0 +1,59 @@
+//! When a silent leader is suspected.
+
+use ospreywing_control::failure_detector::{
+    FailureDetector, GRACE_TIME, PROBE_LIMIT, SUSPECT_AFTER, SUSPECT_MISSES_COUNT,
+};
+use ospreywing_types::{Duration, Instant};
+use rstest::rstest;
+
+const LEADER: u64 = 7;
+const ELECTED_AT: Instant = Instant::from_ms(1000);
+
+/// Returns a detector whose leader answered last at the returned instant, after its first
+/// seconds.
+fn settled() -> (FailureDetector, Instant) {
+    let mut detector = FailureDetector::new(LEADER, ELECTED_AT);
+    let answered_at = ELECTED_AT + GRACE_TIME;
+    detector.note_answer(answered_at);
+    (detector, answered_at)
+}
+
+/// What callers need: a leader that is gone is replaced in half of its lease.
+#[test]
+fn is_suspect_silent_leader() {
+    let (mut detector, answered_at) = settled();
+    let mut now = answered_at;
+    while !detector.is_suspect(now) {
+        now = now + PROBE_LIMIT;
+        detector.note_miss();
+        assert!(now.since(answered_at) <= Duration::from_ms(750), "too late");
+    }
+    assert!(now.since(answered_at) >= SUSPECT_AFTER);
+}
+
+#[rstest]
+#[case::few_misses(SUSPECT_AFTER, SUSPECT_MISSES_COUNT - 1)]
+#[case::short_silence(Duration::from_ms(300), SUSPECT_MISSES_COUNT)]
+#[case::own_standstill(Duration::from_ms(9000), 1)]
+fn is_suspect_too_little(#[case] silence: Duration, #[case] misses_count: u32) {
+    let (mut detector, answered_at) = settled();
+    (0..misses_count).for_each(|_| detector.note_miss());
+    assert!(!detector.is_suspect(answered_at + silence));
+}
+
+#[test]
+fn is_suspect_new_leader() {
+    let mut detector = FailureDetector::new(LEADER, ELECTED_AT);
+    (0..9).for_each(|_| detector.note_miss());
+    assert!(!detector.is_suspect(ELECTED_AT + Duration::from_ms(2900)));
+}
+
+#[test]
+fn is_suspect_after_answer() {
+    let (mut detector, answered_at) = settled();
+    (0..2).for_each(|_| detector.note_miss());
+    detector.note_answer(answered_at + Duration::from_ms(400));
+    detector.note_miss();
+    assert!(!detector.is_suspect(answered_at + Duration::from_ms(1000)));
+    assert!(!detector.is_missed());
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod campaign;
 mod cordons;
+mod failure_detector;
 mod following;
 mod freshness;
 mod lateness;
--- a/crates/scheduler/src/features.rs
+++ b/crates/scheduler/src/features.rs
@@ -21,6 +21,8 @@
     Admission,
     /// Tasks are packed by the resource that is scarcest.
     Packing,
+    /// Candidates probe the leader, and evict one that is silent before its lease is over.
+    LeaderProbes,
 }
 
 /// No feature has this name.
@@ -30,13 +32,14 @@
 
 impl Feature {
     /// All features.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Backfill,
         Self::Learning,
         Self::OverloadOrder,
         Self::FairShares,
         Self::Admission,
         Self::Packing,
+        Self::LeaderProbes,
     ];
 
     /// Returns the name for settings.
@@ -48,6 +51,7 @@
             Self::FairShares => "fair-shares",
             Self::Admission => "admission",
             Self::Packing => "packing",
+            Self::LeaderProbes => "leader-probes",
         }
     }
 }
