--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,8 @@
 //! outside through the [`Platform`] trait alone.
 
 mod caller;
+mod cell_follow;
+pub mod cell_view;
 pub mod commit;
 pub mod configuration;
 pub mod configuration_sharing;
@@ -16,6 +18,7 @@
 mod decision_log;
 mod decision_loop;
 pub mod election;
+pub mod failure_detector;
 pub mod follow;
 pub mod freshness;
 pub mod front;
@@ -25,7 +28,9 @@
 pub mod layered;
 pub mod leader;
 mod leader_lease;
+mod leader_probe;
 pub mod log;
+mod membership;
 pub mod metered;
 pub mod metrics;
 pub mod node;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,8 +1,8 @@
 //! A node's life, from start to stop.
 
-use crate::clock;
+use crate::cell_view::CellView;
 use crate::configuration::{self, ConfigurationView};
-use crate::election::{self, CellView};
+use crate::failure_detector::FailureDetector;
 use crate::front::{self, Front, Listener};
 use crate::intake::Intake;
 use crate::leader::Leading;
@@ -13,6 +13,7 @@
 use crate::probed::ProbedStore;
 use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
+use crate::{cell_follow, clock, election, leader_probe, membership};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::Features;
 use ospreywing_types::{Duration, Instant};
@@ -149,6 +150,8 @@
     pub contact_at: Cell<Instant>,
     /// The lease with which this process last stood for leader.
     pub own_lease: Cell<LeaseId>,
+    /// What the node has heard of the leader, where it probes it.
+    pub(crate) detector: Cell<FailureDetector>,
     /// When the node may next take a leader for gone.
     pub next_eviction_at: Cell<Instant>,
     /// Whether the node is stopping.
@@ -261,6 +264,7 @@
         relay_server: RelayServer::default(),
         contact_at: Cell::new(Instant::default()),
         own_lease: Cell::new(0),
+        detector: Cell::new(FailureDetector::default()),
         next_eviction_at: Cell::new(Instant::default()),
         is_draining: Cell::new(false),
         settings,
@@ -305,9 +309,10 @@
     }
     tokio::task::spawn_local(note_returns(node.clone()));
     tokio::task::spawn_local(configuration::follow_configuration(node.clone()));
-    tokio::task::spawn_local(election::follow_leader(node.clone()));
-    tokio::task::spawn_local(election::keep_membership(node.clone()));
+    tokio::task::spawn_local(cell_follow::follow_leader(node.clone()));
+    tokio::task::spawn_local(membership::keep_membership(node.clone()));
     tokio::task::spawn_local(election::campaign(node.clone()));
+    tokio::task::spawn_local(leader_probe::probe_leader(node.clone()));
 }
 
 /// Notes contact whenever the store answers again.
@@ -352,7 +357,7 @@
     if let Some(leading) = node.term() {
         leading.resign().await;
     }
-    election::leave(node).await;
+    membership::leave(node).await;
     let grace_ms = node.settings.grace.as_ms();
     let grace = Duration::from_ms(grace_ms.saturating_sub(DRAIN_MARGIN.as_ms()));
     tokio::time::sleep(DRAIN_ACCEPT_TIME.into()).await;
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -4,7 +4,7 @@
 //! machines have a quarter of a core, so a general RPC library does not pay.
 
 use crate::caller::Caller;
-use crate::election::LeaderRecord;
+use crate::cell_view::LeaderRecord;
 use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
 use crate::store::{LeaseId, Revision};
 use core::fmt;
@@ -90,6 +90,8 @@
         /// How long the answer may wait for a newer one, in milliseconds.
         wait_ms: u64,
     },
+    /// To tell whether the leader with this lease leaves calls unanswered.
+    IsLeaderSilent(LeaseId),
 }
 
 /// What it answers.
@@ -121,6 +123,8 @@
     IdTaken,
     /// The configuration.
     Configuration(SharedConfiguration),
+    /// Whether the leader leaves calls unanswered.
+    LeaderSilent(bool),
 }
 
 /// What a node tells another one of the configuration.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -1,7 +1,8 @@
 //! What becomes of a request, from a client or from another node.
 
 use crate::caller::Caller;
-use crate::election::{self, LeaderRecord};
+use crate::cell_view::LeaderRecord;
+use crate::election;
 use crate::intake::IntakeOutcome;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
@@ -10,7 +11,7 @@
 use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
-use crate::{clock, configuration_sharing, keys};
+use crate::{clock, configuration_sharing, keys, leader_probe};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
 };
@@ -247,7 +248,11 @@
     leader: LeaderRecord,
     request: &PeerRequest,
 ) -> Result<PeerReply, PeerError> {
+    let sent_at = clock::now();
     let reply = peer::call(&node.peers, &leader.address, request, LEADER_LIMIT).await;
+    if reply.is_ok() {
+        leader_probe::note_answer(node, leader.lease, sent_at);
+    }
     if reply.as_ref().is_err_and(PeerError::is_not_sent) {
         election::suspect_leader(node, leader);
     }
@@ -275,9 +280,9 @@
 pub fn other_nodes<P: Platform>(node: &Rc<Node<P>>) -> Vec<String> {
     let cell = node.cell.borrow();
     let leader = cell.leader.iter().map(|leader| leader.address.clone());
-    let count = cell.candidates.len();
+    let count = cell.list.candidates.len();
     let first = draw_below(&node.settings.name, count as u64) as usize;
-    let ring = cell.candidates.iter().cycle().skip(first).take(count);
+    let ring = cell.list.candidates.iter().cycle().skip(first).take(count);
     let candidates = ring.map(|candidate| candidate.record.address.clone());
     let own = node.settings.peer_address.to_string();
     let mut addresses: Vec<String> = Vec::new();
@@ -421,6 +426,9 @@
             configuration_sharing::answer(node, known, Duration::from_ms(wait_ms)).await
         }
         PeerRequest::EndLease(lease) => end_lease(node, lease).await,
+        PeerRequest::IsLeaderSilent(lease) => {
+            PeerReply::LeaderSilent(leader_probe::is_silent(node, lease))
+        }
         PeerRequest::Advise {
             step,
             workers,
