--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -3,9 +3,11 @@
 use crate::asking::fit_in;
 use crate::cycle::SchedulingCycle;
 use crate::job::{StepKey, StepSpec};
+use crate::learning::SpeedClass;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
+use crate::speed_wish::SpeedWish;
 use crate::worker::{Worker, WorkerKey};
 use ospreywing_types::{Instant, Resources};
 use std::collections::BTreeSet;
@@ -72,10 +74,45 @@
             RunRole::Filler => u32::MAX - free_milli,
             RunRole::Plain | RunRole::Serving => free_milli,
         };
-        found.sort_by_key(|c| (!c.is_near, by_room(c.free.cores_milli), c.worker));
+        let wish = self.speed_wish(now, pending);
+        found.sort_by_key(|c| {
+            let speed_rank = wish.rank(&self.workers[c.worker].speed);
+            (
+                !c.is_near,
+                speed_rank,
+                by_room(c.free.cores_milli),
+                c.worker,
+            )
+        });
+        if pending.spec().is_gang && wish == SpeedWish::Slow {
+            found = self.one_class_first(found, pending);
+        }
         found
     }
 
+    /// Puts the workers of one speed first that hold a whole gang, slow ones rather than fast
+    /// ones; where none of the speeds has as much room, the fast ones come first. A gang is
+    /// as slow as its slowest member, and would waste the time of faster ones.
+    fn one_class_first(
+        &self,
+        mut candidates: Vec<Candidate>,
+        pending: &PendingStep,
+    ) -> Vec<Candidate> {
+        let needed = pending.waiting.len() as u64;
+        let speed_of = |c: &Candidate| self.workers[c.worker].speed;
+        for class in [SpeedClass::Slow, SpeedClass::Usual, SpeedClass::Fast] {
+            let is_other = |c: &Candidate| speed_of(c).class != class || speed_of(c).is_ejected;
+            let alike = candidates.iter().filter(|c| !is_other(c));
+            let alike: Vec<Candidate> = alike.cloned().collect();
+            if fit_sum(&alike, &pending.demand) >= needed {
+                candidates.sort_by_key(is_other);
+                return candidates;
+            }
+        }
+        candidates.sort_by_key(|c| SpeedWish::Fast.rank(&speed_of(c)));
+        candidates
+    }
+
     /// Returns what a worker has for a step, where it may run the step at all.
     pub(crate) fn candidate(
         &self,
--- a/crates/scheduler/src/departures.rs
+++ b/crates/scheduler/src/departures.rs
@@ -7,7 +7,7 @@
 //! members of a gang are stopped together.
 
 use crate::event::Action;
-use crate::job::{StepSpec, TaskKey};
+use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
 use crate::worker::{Run, RunPhase, Worker};
 use ospreywing_types::{Duration, Instant};
@@ -18,11 +18,6 @@
 const STOP_MARGIN: Duration = Duration::from_ms(1000);
 /// How long before a worker goes a run must end: its end must be listed and asked for.
 const END_MARGIN: Duration = Duration::from_ms(300);
-/// The part of an estimate that is surely needed, in percent: estimates are rough, and a run
-/// that would have ended in time is stopped for nothing.
-const SURE_PERCENT: u64 = 70;
-/// A run must have come so far since it began for its pace to tell when it ends.
-const PACE_PERCENT: u32 = 5;
 
 /// Why a run is stopped.
 const REASON: &str = "worker leaving";
@@ -81,7 +76,8 @@
         let Some(spec) = spec else {
             return false;
         };
-        let ends_in_time = !spec.is_perpetual && expected_end(spec, run) + END_MARGIN <= leaves_at;
+        let ends_in_time =
+            !spec.is_perpetual && self.expected_end(task, spec, run) + END_MARGIN <= leaves_at;
         let is_last_moment = now + STOP_MARGIN + self.config.stop_grace >= leaves_at;
         let loses_all = !spec.saves_progress && !spec.is_perpetual;
         !ends_in_time && (loses_all || is_last_moment)
@@ -99,22 +95,3 @@
         }
     }
 }
-
-/// Returns when a run ends: by its pace where that is known, otherwise by the least that its
-/// estimate tells.
-fn expected_end(spec: &StepSpec, run: &Run) -> Instant {
-    let left_percent = u64::from(100_u32.saturating_sub(run.progress_percent));
-    let left_ms = match pace_ms(run) {
-        Some(percent_ms) => percent_ms * left_percent,
-        None => spec.estimate_ms * left_percent * SURE_PERCENT / (100 * 100),
-    };
-    run.listed_at + Duration::from_ms(left_ms)
-}
-
-/// Returns how long a run takes for a hundredth of its work, where it has come far enough.
-fn pace_ms(run: &Run) -> Option<u64> {
-    let from = run.pace_from?;
-    let came_percent = run.progress_percent.saturating_sub(from.percent);
-    let spent_ms = run.listed_at.since(from.at).as_ms();
-    (came_percent >= PACE_PERCENT).then(|| spent_ms / u64::from(came_percent))
-}
--- /dev/null
+++ b/crates/scheduler/src/durations.rs
@@ -0,0 +1,350 @@
+//! What tasks really take, learned by queue and size of the estimate.
+//!
+//! A client's estimate is rough, and how rough it is differs between queues. For each queue,
+//! and for each power of two of the estimate, two sketches are kept: of the ratio of the
+//! length to the estimate, and of the length alone. A forecast weighs both by how little
+//! they scatter. It is given only where it has been nearer than the estimates themselves.
+
+use hdrhistogram::Histogram;
+use ospreywing_types::{Duration, Instant};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// The least steps of a size that tell what the next one takes.
+const CLASS_LEAST_COUNT: u64 = 8;
+/// The same of a whole queue, where those of the size are too few.
+const QUEUE_LEAST_COUNT: u64 = 16;
+/// How long a sketch takes in steps before the next one begins; a forecast reads the last
+/// two. Long enough for some dozens of steps of a queue that gets one every few seconds.
+const WINDOW: Duration = Duration::from_s(120);
+/// What is older than this tells nothing: the queue's work may be of another kind by now.
+const AGE_LIMIT: Duration = Duration::from_s(600);
+/// The sizes of all queues together: each takes some 5 KB.
+const CLASSES_LIMIT_COUNT: usize = 1024;
+/// The longest that a task is told apart by its length.
+const LENGTH_LIMIT_MS: u64 = 1 << 27;
+/// The largest ratio of length to estimate that is told apart, in thousandths.
+const RATIO_LIMIT_MILLI: u64 = 64_000;
+/// One significant digit: values are told apart by 6%, estimates are off by far more.
+const DIGITS_COUNT: u8 = 1;
+/// The parts of all steps that are shorter than `sure`, `likely` and `late`.
+const SURE_QUANTILE: f64 = 0.1;
+const LIKELY_QUANTILE: f64 = 0.5;
+const LATE_QUANTILE: f64 = 0.9;
+/// The quantiles that lie a standard deviation to either side of the median.
+const SPREAD_QUANTILES: [f64; 2] = [0.16, 0.84];
+/// The least spread that is told apart, as a logarithm: that of the sketches themselves.
+const SPREAD_LEAST: f64 = 0.05;
+/// What a new error weighs in the mean error of a queue.
+const ERROR_GAIN: f64 = 0.05;
+/// The steps after which the mean errors of a queue are compared.
+const ERROR_LEAST_COUNT: u64 = 8;
+
+/// What a step's tasks should take on a worker of usual speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forecast {
+    /// The time that is surely needed: one step in ten takes less.
+    pub sure: Duration,
+    /// The median.
+    pub likely: Duration,
+    /// The time in which nine steps in ten are done.
+    pub late: Duration,
+    /// The steps from which this was learned.
+    pub count: u64,
+    /// The age of the newest of them.
+    pub age: Duration,
+}
+
+/// How far off forecasts and estimates were, each as a mean factor less 1 in percent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ForecastError {
+    /// That of the forecasts.
+    pub forecast_percent: u64,
+    /// That of the clients' estimates.
+    pub estimate_percent: u64,
+}
+
+/// Steps whose lengths are alike enough to be told together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LengthKind {
+    /// Whether they are gangs: the slowest member tells how long one takes.
+    pub is_gang: bool,
+    /// The client's estimate; zero without.
+    pub estimate: Duration,
+}
+
+impl LengthKind {
+    /// Returns the power of two that the estimate lies above.
+    const fn size(self) -> u32 {
+        match self.estimate.as_ms().checked_ilog2() {
+            Some(size) => size,
+            None => 0,
+        }
+    }
+}
+
+/// Quantiles of a sketch, as logarithms.
+#[derive(Clone, Copy, Debug, Default)]
+struct Quantiles {
+    sure: f64,
+    likely: f64,
+    late: f64,
+    spread: f64,
+}
+
+/// The sketch that takes in what comes, and the one before it.
+#[derive(Clone, Debug)]
+struct Rotating {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+}
+
+impl Rotating {
+    fn new(limit: u64) -> Option<Self> {
+        let current = Histogram::new_with_bounds(1, limit, DIGITS_COUNT).ok()?;
+        let previous = current.clone();
+        Some(Self { current, previous })
+    }
+
+    fn rotate(&mut self) {
+        core::mem::swap(&mut self.current, &mut self.previous);
+        self.current.reset();
+    }
+
+    fn count(&self) -> u64 {
+        self.current.len() + self.previous.len()
+    }
+
+    fn quantiles(&self) -> Quantiles {
+        let mut both = self.current.clone();
+        // Both have the same bounds.
+        let _ = both.add(&self.previous);
+        let ln_at = |quantile: f64| (both.value_at_quantile(quantile).max(1) as f64).ln();
+        let [low, high] = SPREAD_QUANTILES.map(ln_at);
+        Quantiles {
+            sure: ln_at(SURE_QUANTILE),
+            likely: ln_at(LIKELY_QUANTILE),
+            late: ln_at(LATE_QUANTILE),
+            spread: ((high - low) / 2.0).max(SPREAD_LEAST),
+        }
+    }
+}
+
+/// What is known of the steps of a queue, or of those of one size.
+#[derive(Clone, Debug)]
+struct LengthClass {
+    ratios: Rotating,
+    lengths: Rotating,
+    began_at: Instant,
+    last_at: Instant,
+    ratio_quantiles: Quantiles,
+    length_quantiles: Quantiles,
+}
+
+impl LengthClass {
+    fn new(now: Instant) -> Option<Self> {
+        Some(Self {
+            ratios: Rotating::new(RATIO_LIMIT_MILLI)?,
+            lengths: Rotating::new(LENGTH_LIMIT_MS)?,
+            began_at: now,
+            last_at: now,
+            ratio_quantiles: Quantiles::default(),
+            length_quantiles: Quantiles::default(),
+        })
+    }
+
+    fn record(&mut self, now: Instant, estimate: Duration, actual: Duration) {
+        if now.since(self.began_at) >= WINDOW {
+            self.ratios.rotate();
+            self.lengths.rotate();
+            self.began_at = now;
+        }
+        self.last_at = now;
+        let actual_ms = actual.as_ms().max(1);
+        self.lengths.current.saturating_record(actual_ms);
+        self.length_quantiles = self.lengths.quantiles();
+        if let Some(ratio_milli) = (actual_ms * 1000).checked_div(estimate.as_ms()) {
+            self.ratios.current.saturating_record(ratio_milli.max(1));
+            self.ratio_quantiles = self.ratios.quantiles();
+        }
+    }
+
+    fn forecast(&self, now: Instant, estimate: Duration, least_count: u64) -> Option<Forecast> {
+        let count = self.lengths.count();
+        let age = now.since(self.last_at);
+        if count < least_count || age > AGE_LIMIT {
+            return None;
+        }
+        let (ratio, length) = (&self.ratio_quantiles, &self.length_quantiles);
+        let has_ratios = estimate > Duration::ZERO && self.ratios.count() >= least_count;
+        let ratio_weight = if has_ratios {
+            ratio.spread.powi(-2)
+        } else {
+            0.0
+        };
+        let length_weight = length.spread.powi(-2);
+        // Ratios are in thousandths.
+        let estimate_ln = (estimate.as_ms().max(1) as f64 / 1000.0).ln();
+        let blend = |ratio_ln: f64, length_ln: f64| {
+            let by_ratio = ratio_weight * (estimate_ln + ratio_ln);
+            let blended = (by_ratio + length_weight * length_ln) / (ratio_weight + length_weight);
+            Duration::from_ms(blended.exp().round() as u64)
+        };
+        Some(Forecast {
+            sure: blend(ratio.sure, length.sure),
+            likely: blend(ratio.likely, length.likely),
+            late: blend(ratio.late, length.late),
+            count,
+            age,
+        })
+    }
+}
+
+/// The mean errors of a queue's forecasts and estimates, as logarithms.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanErrors {
+    forecast: f64,
+    estimate: f64,
+    count: u64,
+}
+
+impl MeanErrors {
+    fn note(&mut self, forecast: Duration, estimate: Duration, actual: Duration) {
+        let gain = ERROR_GAIN.max(1.0 / (self.count + 1) as f64);
+        self.count += 1;
+        self.forecast += gain * (error_of(forecast, actual) - self.forecast);
+        self.estimate += gain * (error_of(estimate, actual) - self.estimate);
+    }
+
+    /// Returns whether forecasts have been farther off than estimates.
+    fn is_worse(&self) -> bool {
+        self.count >= ERROR_LEAST_COUNT && self.forecast > self.estimate
+    }
+}
+
+fn error_of(told: Duration, actual: Duration) -> f64 {
+    let ratio = told.as_ms().max(1) as f64 / actual.as_ms().max(1) as f64;
+    ratio.ln().abs()
+}
+
+/// What is known of a queue's steps.
+#[derive(Clone, Debug, Default)]
+struct QueueLengths {
+    /// All steps, by whether they are gangs.
+    whole: BTreeMap<bool, LengthClass>,
+    /// The same by size.
+    sizes: BTreeMap<(bool, u32), LengthClass>,
+    errors: MeanErrors,
+    last_at: Instant,
+}
+
+impl QueueLengths {
+    fn classes_count(&self) -> usize {
+        self.whole.len() + self.sizes.len()
+    }
+
+    /// Returns a forecast whether or not those before were any good.
+    fn raw_forecast(&self, now: Instant, kind: LengthKind) -> Option<Forecast> {
+        let of_size = self.sizes.get(&(kind.is_gang, kind.size()));
+        let of_size = of_size.and_then(|it| it.forecast(now, kind.estimate, CLASS_LEAST_COUNT));
+        of_size.or_else(|| {
+            let whole = self.whole.get(&kind.is_gang)?;
+            whole.forecast(now, kind.estimate, QUEUE_LEAST_COUNT)
+        })
+    }
+
+    fn record(&mut self, now: Instant, kind: LengthKind, actual: Duration) {
+        self.last_at = now;
+        let forecast = self.raw_forecast(now, kind);
+        if let Some(forecast) = forecast.filter(|_| kind.estimate > Duration::ZERO) {
+            self.errors.note(forecast.likely, kind.estimate, actual);
+        }
+        let Some(new) = LengthClass::new(now) else {
+            return;
+        };
+        let whole = self.whole.entry(kind.is_gang).or_insert(new.clone());
+        whole.record(now, kind.estimate, actual);
+        let of_size = self.sizes.entry((kind.is_gang, kind.size()));
+        of_size.or_insert(new).record(now, kind.estimate, actual);
+    }
+}
+
+/// What tasks take, by queue.
+#[derive(Clone, Debug, Default)]
+pub struct Durations {
+    queues: HashMap<Arc<str>, QueueLengths>,
+    classes_count: usize,
+}
+
+impl Durations {
+    /// Takes in what a step's tasks took on a worker of usual speed. A step counts once,
+    /// however many tasks it has: they share its estimate.
+    pub fn record(&mut self, now: Instant, queue: &str, kind: LengthKind, actual: Duration) {
+        if !self.queues.contains_key(queue) {
+            self.queues
+                .insert(Arc::from(queue), QueueLengths::default());
+        }
+        let Some(lengths) = self.queues.get_mut(queue) else {
+            return;
+        };
+        let before_count = lengths.classes_count();
+        lengths.record(now, kind, actual);
+        self.classes_count += lengths.classes_count() - before_count;
+        while self.classes_count > CLASSES_LIMIT_COUNT && self.queues.len() > 1 {
+            self.forget_oldest();
+        }
+    }
+
+    /// Returns what a step's tasks should take; `None` where too little is known, or where
+    /// what was told before was farther off than the estimates.
+    pub fn forecast(&self, now: Instant, queue: &str, kind: LengthKind) -> Option<Forecast> {
+        let lengths = self.queues.get(queue)?;
+        if lengths.errors.is_worse() {
+            return None;
+        }
+        lengths.raw_forecast(now, kind)
+    }
+
+    /// Returns how many sizes of steps are kept.
+    pub fn classes_count(&self) -> usize {
+        self.classes_count
+    }
+
+    /// Returns the bytes that the sketches take.
+    pub fn sketches_bytes(&self) -> usize {
+        let cells_count = |sketch: &Rotating| {
+            sketch.current.distinct_values() + sketch.previous.distinct_values()
+        };
+        let queues = self.queues.values();
+        let classes = queues.flat_map(|it| it.whole.values().chain(it.sizes.values()));
+        let cells = classes.map(|it| cells_count(&it.ratios) + cells_count(&it.lengths));
+        cells.sum::<usize>() * size_of::<u32>()
+    }
+
+    /// Returns the mean errors over the queues that have forecasts.
+    pub fn error(&self) -> ForecastError {
+        let told = self.queues.values().map(|it| it.errors);
+        let told: Vec<MeanErrors> = told.filter(|errors| errors.count > 0).collect();
+        let percent = |error: fn(&MeanErrors) -> f64| {
+            let sum: f64 = told.iter().map(error).sum();
+            let mean = sum / told.len().max(1) as f64;
+            (mean.exp_m1() * 100.0).round() as u64
+        };
+        ForecastError {
+            forecast_percent: percent(|errors| errors.forecast),
+            estimate_percent: percent(|errors| errors.estimate),
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .queues
+            .iter()
+            .min_by_key(|(name, it)| (it.last_at, *name));
+        let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+            return;
+        };
+        let forgotten = self.queues.remove(&name);
+        self.classes_count -= forgotten.map_or(0, |it| it.classes_count());
+    }
+}
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -3,8 +3,7 @@
 use crate::commits::Effect;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, EndKind, EndedRun, Endpoint};
-use crate::job::{JobId, StepKey, TaskKey};
-use crate::order::left_ms;
+use crate::job::{StepKey, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
@@ -39,6 +38,7 @@
             .with_figure(end.number);
         out.push(Action::Log(line));
         let is_current = worker.runs.get(&end.task).map(|run| run.run) == Some(end.run);
+        let finished = self.finished_run(now, key, &end);
         if is_current {
             self.remove_run(key, end.task);
             if self.placements.get(&end.task) == Some(&key) {
@@ -48,6 +48,9 @@
         self.note_health(now, key, end.kind, out);
         self.is_place_due = true;
         let changed = self.record_end(&end, is_current);
+        if let Some(finished) = finished {
+            self.learn(now, finished);
+        }
         if changed {
             self.touch(end.task.step.job, None);
         }
@@ -142,7 +145,8 @@
         if end.kind == EndKind::Done {
             self.stop_later_runs(now, end, out);
             if self.is_step_done(step) {
-                self.note_step_done(step.job);
+                self.learn_step(now, step);
+                self.note_left(step.job);
                 self.advice.remove(&step);
             }
             self.check_complete(now, step.job, out);
@@ -188,13 +192,6 @@
         })
     }
 
-    /// Works out anew what is left of a job.
-    fn note_step_done(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.left_ms = left_ms(&job.record, &job.state);
-        }
-    }
-
     fn is_step_done(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
         let round = job.and_then(|job| job.state.round(step.round));
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -5,7 +5,6 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
-use crate::order::left_ms;
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
@@ -44,8 +43,10 @@
     pub(crate) is_held: bool,
     /// The time within which the job should be done, by its estimates.
     pub(crate) objective: Duration,
-    /// The estimate of what is left of its longest chain, in milliseconds.
+    /// How long what is left of its longest chain should take, in milliseconds.
     pub(crate) left_ms: u64,
+    /// What of that is surely needed, in milliseconds.
+    pub(crate) sure_ms: u64,
     /// When the job was accepted, on this node's clock.
     pub(crate) accepted_at: Instant,
     /// Until when its tasks that may have crashed a worker wait for one of their own.
@@ -81,6 +82,7 @@
             accepted_at,
             objective: Duration::ZERO,
             left_ms: 0,
+            sure_ms: 0,
             trial_until: Instant::default(),
             gang_stops: BTreeMap::new(),
             ready: None,
@@ -212,8 +214,8 @@
                 job.state.next_round = 1;
             }
         }
-        job.left_ms = left_ms(&job.record, &job.state);
         self.jobs.insert(id, job);
+        self.note_left(id);
         self.is_place_due = true;
         let wall_ms = self.wall_ms;
         self.begin_due_rounds(wall_ms);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -154,6 +154,8 @@
         });
         worker.unanswered_holds_count = 0;
         worker.answered_at = now;
+        worker.end_lag = sent_at.since(worker.lists_at);
+        worker.lists_at = now;
         // A look that was on its way before tells nothing of what came since.
         worker.doubted_at = worker.doubted_at.filter(|since| sent_at < *since);
         if !core::mem::replace(&mut worker.is_reachable, true) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod cycle;
 mod decision;
 mod departures;
+mod durations;
 mod ends;
 mod estimates;
 mod event;
@@ -37,6 +38,7 @@
 mod job;
 mod job_rate;
 mod jobs;
+mod learning;
 mod leases;
 mod life;
 mod limits;
@@ -53,7 +55,10 @@
 mod runs;
 mod scheduler;
 mod sharing;
+mod speed_wish;
+mod speeds;
 mod state;
+mod step_pace;
 mod verifier;
 mod waiting;
 mod worker;
@@ -65,6 +70,7 @@
 };
 pub use customers::{Customer, CustomerUse};
 pub use decision::{Decision, DecisionKind};
+pub use durations::{Durations, Forecast, ForecastError, LengthKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
@@ -76,6 +82,7 @@
 pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use speeds::{Ejection, Speeds, USUAL_SPEED};
 pub use state::{
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
     TaskStatus,
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -3,14 +3,14 @@
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
-use crate::state::{JobState, RoundState, StepState};
+use crate::state::{RoundState, StepState};
 use ospreywing_types::{Duration, Instant};
 
 /// How many times its objective a job may take and still be worth something.
 const LATE_FACTOR: u64 = 3;
 /// The part of an estimate that is surely needed, in percent: estimates are
 /// rough, and a job must not be given up that could still make it.
-const SURE_PERCENT: u64 = 60;
+pub(crate) const SURE_PERCENT: u64 = 60;
 /// The objective's factor where the queue is no longer configured.
 const DEFAULT_STRETCH: f64 = 3.0;
 /// The objective's rest where the queue is no longer configured.
@@ -30,7 +30,7 @@
 /// A job that can be in time is patient while it has more time to spare than this:
 /// the time at which work begins to leave room to gangs, and a few times what a
 /// step usually waits for room.
-const PATIENT_SLACK: Duration = Duration::from_ms(4000);
+pub(crate) const PATIENT_SLACK: Duration = Duration::from_ms(4000);
 
 /// A job's place in the order of service; the smallest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -116,7 +116,7 @@
         if is_perpetual || job.record.spec.schedule.is_some() {
             return Prospect::InTime;
         }
-        let sure = Duration::from_ms(job.left_ms * SURE_PERCENT / 100);
+        let sure = Duration::from_ms(job.sure_ms);
         let objective = job.objective;
         let ends_at = now + sure;
         if ends_at <= job.accepted_at + objective {
@@ -133,7 +133,8 @@
         let queue = self.configuration.queue(&record.queue);
         let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
         let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
-        let chain = chain_ms(record, None) as f64;
+        let estimate_ms = |number: usize| record.spec.steps[number].estimate_ms;
+        let chain = chain(record, None, estimate_ms) as f64;
         Duration::from_ms((chain * stretch) as u64 + rest_ms)
     }
 }
@@ -153,29 +154,27 @@
     largest.checked_ilog2().unwrap_or(0)
 }
 
-/// Returns the estimate of what is left of a job's longest chain.
-pub(crate) fn left_ms(record: &JobRecord, state: &JobState) -> u64 {
-    let rounds = state.rounds.iter();
-    let left_ms = rounds.map(|round| chain_ms(record, Some(round)));
-    left_ms.max().unwrap_or(0)
-}
-
-/// Returns the estimate of a job's longest chain of steps that are not done.
-fn chain_ms(record: &JobRecord, round: Option<&RoundState>) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
+/// Returns the length of a job's longest chain of steps that are not done, by the length of
+/// each step.
+pub(crate) fn chain(
+    record: &JobRecord,
+    round: Option<&RoundState>,
+    length_of: impl Fn(usize) -> u64,
+) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
     for (number, step) in record.spec.steps.iter().enumerate() {
-        let begins_ms = step
+        let begin = step
             .depends_on
             .iter()
-            .filter_map(|earlier| ends_ms.get(*earlier as usize))
+            .filter_map(|earlier| ends.get(*earlier as usize))
             .max()
             .copied()
             .unwrap_or(0);
         let is_done = round
             .and_then(|round| round.steps.get(number))
             .is_some_and(StepState::is_done);
-        let length_ms = if is_done { 0 } else { step.estimate_ms };
-        ends_ms.push(begins_ms + length_ms);
+        let length = if is_done { 0 } else { length_of(number) };
+        ends.push(begin + length);
     }
-    ends_ms.into_iter().max().unwrap_or(0)
+    ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -223,7 +223,11 @@
             && !spec.is_perpetual;
         let is_less_urgent = job.rank.0 > for_job.rank.0;
         let needed_until = now + Duration::from_ms(job.left_ms) + VICTIM_SLACK;
-        is_cheap && is_less_urgent && needed_until < job.accepted_at + job.objective
+        let is_nearly_done = self.is_nearly_done(run);
+        is_cheap
+            && !is_nearly_done
+            && is_less_urgent
+            && needed_until < job.accepted_at + job.objective
     }
 
     /// Stops the runs that a gang's room is taken from.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,9 +8,11 @@
 use crate::customers::Accounts;
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
+use crate::durations::ForecastError;
 use crate::event::{Action, Event};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::learning::{Learning, SpeedClass};
 use crate::names::Names;
 use crate::retries::RetryBudgets;
 use crate::state::Phase;
@@ -64,6 +66,14 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// Workers that are known to be slower than their service's others.
+    pub slow_workers_count: usize,
+    /// Workers that come last, since they are slow of late.
+    pub ejected_workers_count: usize,
+    /// Sizes of steps whose lengths are learned.
+    pub learned_sizes_count: usize,
+    /// How far off forecasts of lengths and clients' estimates were.
+    pub forecast_error: ForecastError,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -94,6 +104,8 @@
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
     pub(crate) advisers: Advisers,
+    /// What this leader has learned of lengths and speeds.
+    pub(crate) learning: Learning,
     /// The workers that keep room for gangs whose advice is being asked for.
     pub(crate) reservations: BTreeMap<StepKey, Vec<WorkerKey>>,
     /// Gangs that have lost a member, and when.
@@ -146,6 +158,7 @@
             placements: HashMap::new(),
             advice: HashMap::new(),
             advisers: Advisers::default(),
+            learning: Learning::default(),
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
@@ -278,6 +291,12 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            slow_workers_count: placeable()
+                .filter(|w| w.speed.class == SpeedClass::Slow)
+                .count(),
+            ejected_workers_count: placeable().filter(|w| w.speed.is_ejected).count(),
+            learned_sizes_count: self.learning.durations.classes_count(),
+            forecast_error: self.learning.durations.error(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
@@ -297,6 +316,7 @@
         self.stop_broken_gangs(now, out);
         self.evict_fillers(now, out);
         self.repeat_stops(now, out);
+        self.refresh_speeds(now, out);
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
             self.settle_ended_jobs();
--- /dev/null
+++ b/crates/scheduler/src/speeds.rs
@@ -0,0 +1,221 @@
+//! How fast machines work, learned from runs of one step on different machines.
+//!
+//! A machine's nature is followed slowly, and what it does of late beside it. Each run moves
+//! the belief by a bounded amount, so that a few wrong reports don't move it far. Speeds are
+//! factors on the usual one and are compared as logarithms: twice as fast and half as fast
+//! are equally far off.
+
+use ospreywing_types::{Duration, Instant};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// The speed of a machine of which nothing else is known; one of 0.5 takes twice as long.
+pub const USUAL_SPEED: f64 = 1.0;
+/// The runs after which a machine's nature counts.
+const NATURE_LEAST_COUNT: u32 = 4;
+/// The least that a further run weighs in a machine's nature.
+const NATURE_GAIN: f64 = 0.1;
+/// The most by which a run may differ from the belief, as a logarithm: a machine of half the
+/// speed is still told in full, more is taken for an outlier.
+const STEP_LIMIT: f64 = core::f64::consts::LN_2;
+/// The runs that tell what a machine does of late: the median of these, so that two wrong
+/// ones of five do nothing.
+const LATE_RUNS_COUNT: usize = 5;
+/// The least of them.
+const LATE_LEAST_COUNT: usize = 3;
+/// How old these may be.
+const LATE_AGE_LIMIT: Duration = Duration::from_s(30);
+/// How far what a machine does of late must be from its nature to take its place, as a
+/// logarithm: tasks of one step differ by up to 30%.
+const LATE_DIFFERENCE: f64 = 0.35;
+/// A machine that works below this part of its nature is slow of late.
+const SLOW_PART: f64 = 0.6;
+/// How long a machine that is slow of late comes last, at first; doubled with each time.
+const EJECTION_BASE: Duration = Duration::from_s(5);
+/// The most doublings.
+const EJECTION_DOUBLINGS_COUNT: u32 = 4;
+/// How long an ejection counts for the length of the next.
+const EJECTION_MEMORY: Duration = Duration::from_s(120);
+/// The part of a service's machines that may come last at a time, in percent; one at least.
+/// Where more are slow it is not them.
+const EJECTED_LIMIT_PERCENT: usize = 10;
+/// The most machines that are kept, twice as many as the largest fleet has. Those that were
+/// heard of longest ago are forgotten first.
+const MACHINES_LIMIT_COUNT: usize = 20_000;
+
+/// What is known of one machine.
+#[derive(Clone, Debug, Default)]
+struct MachineSpeed {
+    /// Its nature, as a logarithm.
+    nature_ln: f64,
+    runs_count: u32,
+    /// The last runs, as logarithms.
+    late: VecDeque<(Instant, f64)>,
+    last_at: Instant,
+    /// Until when it comes last, and how often it did in a row.
+    ejected_until: Instant,
+    ejections_count: u32,
+}
+
+impl MachineSpeed {
+    fn record(&mut self, now: Instant, speed_ln: f64) {
+        let gain = NATURE_GAIN.max(1.0 / f64::from(self.runs_count + 2));
+        let step = (speed_ln - self.nature_ln).clamp(-STEP_LIMIT, STEP_LIMIT);
+        self.nature_ln += gain * step;
+        self.runs_count += 1;
+        self.last_at = now;
+        if self.late.len() == LATE_RUNS_COUNT {
+            self.late.pop_front();
+        }
+        self.late.push_back((now, speed_ln));
+    }
+
+    fn nature(&self) -> Option<f64> {
+        (self.runs_count >= NATURE_LEAST_COUNT).then_some(self.nature_ln)
+    }
+
+    /// Returns the median of what it did of late.
+    fn late(&self, now: Instant) -> Option<f64> {
+        let fresh = self.late.iter();
+        let fresh = fresh.filter(|(at, _)| now.since(*at) <= LATE_AGE_LIMIT);
+        let speeds: Vec<f64> = fresh.map(|(_, speed)| *speed).collect();
+        (speeds.len() >= LATE_LEAST_COUNT).then(|| median(speeds))
+    }
+
+    fn belief(&self, now: Instant) -> Option<f64> {
+        let nature = self.nature()?;
+        let late = self.late(now);
+        Some(
+            late.filter(|it| (it - nature).abs() > LATE_DIFFERENCE)
+                .unwrap_or(nature),
+        )
+    }
+
+    fn eject(&mut self, now: Instant) -> Duration {
+        if now.since(self.ejected_until) > EJECTION_MEMORY {
+            self.ejections_count = 0;
+        }
+        let doublings = self.ejections_count.min(EJECTION_DOUBLINGS_COUNT);
+        let length = EJECTION_BASE.times(1 << doublings);
+        self.ejections_count += 1;
+        self.ejected_until = now + length;
+        // It is tried again on what it does then.
+        self.late.clear();
+        length
+    }
+}
+
+/// A machine that comes last for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ejection {
+    /// The machine.
+    pub machine: Arc<str>,
+    /// For how long it does.
+    pub length: Duration,
+}
+
+/// How fast machines work.
+#[derive(Clone, Debug, Default)]
+pub struct Speeds {
+    machines: HashMap<Arc<str>, MachineSpeed>,
+}
+
+impl Speeds {
+    /// Takes in how fast a machine did a run beside the other runs of its step.
+    pub fn record(&mut self, now: Instant, machine: &Arc<str>, speed: f64) {
+        if !speed.is_finite() || speed <= 0.0 {
+            return;
+        }
+        let entry = self.machines.entry(machine.clone()).or_default();
+        entry.record(now, speed.ln());
+    }
+
+    /// Returns a machine's speed as a factor on the usual one; `None` where too little is
+    /// known.
+    pub fn speed(&self, now: Instant, machine: &str) -> Option<f64> {
+        let machine = self.machines.get(machine)?;
+        machine.belief(now).map(f64::exp)
+    }
+
+    /// Returns how many runs told a machine's speed, and the age of the last.
+    pub fn evidence(&self, now: Instant, machine: &str) -> Option<(u32, Duration)> {
+        let machine = self.machines.get(machine)?;
+        Some((machine.runs_count, now.since(machine.last_at)))
+    }
+
+    /// Returns whether a machine comes last since it is slow of late.
+    pub fn is_ejected(&self, now: Instant, machine: &str) -> bool {
+        let machine = self.machines.get(machine);
+        machine.is_some_and(|machine| now < machine.ejected_until)
+    }
+
+    /// Has those of a service's machines come last for a while that are slow of late, beside
+    /// their nature and beside the others: the slowest first, up to a part of all.
+    pub fn eject_slow(&mut self, now: Instant, service: &[Arc<str>]) -> Vec<Ejection> {
+        let mut changes: Vec<(f64, &Arc<str>)> = Vec::new();
+        let mut ejected_count = 0;
+        for id in service {
+            let Some(machine) = self.machines.get(id) else {
+                continue;
+            };
+            ejected_count += usize::from(now < machine.ejected_until);
+            if let Some((late, nature)) = machine.late(now).zip(machine.nature()) {
+                changes.push((late - nature, id));
+            }
+        }
+        if changes.is_empty() {
+            return Vec::new();
+        }
+        // Where all have become slower, none is slow.
+        let usual = median(changes.iter().map(|(change, _)| *change).collect());
+        changes.retain(|(change, _)| change - usual < SLOW_PART.ln() && *change < SLOW_PART.ln());
+        changes.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let limit_count = (service.len() * EJECTED_LIMIT_PERCENT / 100).max(1);
+        changes.truncate(limit_count.saturating_sub(ejected_count));
+        let slow = changes.into_iter().map(|(_, id)| id.clone());
+        let slow: Vec<Arc<str>> = slow.collect();
+        let mut ejections = Vec::with_capacity(slow.len());
+        for id in slow {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                let length = machine.eject(now);
+                ejections.push(Ejection {
+                    machine: id,
+                    length,
+                });
+            }
+        }
+        ejections
+    }
+
+    /// Forgets the machines that were heard of longest ago, where there are too many.
+    pub fn forget_old(&mut self) {
+        let excess_count = self.machines.len().saturating_sub(MACHINES_LIMIT_COUNT);
+        if excess_count == 0 {
+            return;
+        }
+        let ages = self
+            .machines
+            .iter()
+            .map(|(id, it)| (it.last_at, id.clone()));
+        let mut ages: Vec<(Instant, Arc<str>)> = ages.collect();
+        ages.sort();
+        for (_, id) in ages.into_iter().take(excess_count) {
+            self.machines.remove(&id);
+        }
+    }
+
+    /// Returns how many machines are kept.
+    pub fn machines_count(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+/// Returns the middle one; the upper of the two middle ones of an even number.
+///
+/// # Panics
+///
+/// Panics without any value.
+fn median(mut values: Vec<f64>) -> f64 {
+    let middle = values.len() / 2;
+    *values.select_nth_unstable_by(middle, f64::total_cmp).1
+}
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -3,6 +3,7 @@
 use crate::customers::CustomerKey;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
+use crate::speeds::USUAL_SPEED;
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::Resources;
@@ -33,6 +34,12 @@
     /// A step waits for what can't come.
     #[error("step {0} waits for what can't come: {1}")]
     Wait(StepKey, &'static str),
+    /// What is believed of a worker's speed can't be.
+    #[error("the speed of worker {0} can't be")]
+    Speed(String),
+    /// More is surely left of a job than likely.
+    #[error("more is surely left of job {0} than likely")]
+    Left(JobId),
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -51,6 +58,7 @@
         self.verify_reservations()?;
         self.verify_commits()?;
         self.verify_waits()?;
+        self.verify_learned()?;
         let is_over = |id| {
             self.jobs
                 .get(id)
@@ -62,6 +70,19 @@
         Ok(())
     }
 
+    fn verify_learned(&self) -> Result<(), Violation> {
+        for worker in self.workers.values() {
+            let factor = worker.speed.factor;
+            let is_told = self.is_learning() || factor == USUAL_SPEED;
+            if !factor.is_finite() || factor <= 0.0 || !is_told {
+                return Err(Violation::Speed(worker.facts.id.to_string()));
+            }
+        }
+        let mut jobs = self.jobs.iter();
+        let wrong = jobs.find(|(_, job)| job.sure_ms > job.left_ms);
+        wrong.map_or(Ok(()), |(id, _)| Err(Violation::Left(*id)))
+    }
+
     fn verify_rooms(&self) -> Result<(), Violation> {
         for worker in self.workers.values() {
             let mut used = Resources::ZERO;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -4,6 +4,7 @@
 use crate::event::Endpoint;
 use crate::evidence::Suspicion;
 use crate::job::{StepKey, TaskKey};
+use crate::learning::WorkerSpeed;
 use crate::life::LifeStart;
 use crate::open_starts::OpenStarts;
 use crate::sharing::RunRole;
@@ -110,6 +111,8 @@
     /// Whether its task may have crashed a worker by starting there.
     pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
+    /// Whether it has told that its machine is slow, by taking longer than its step's others.
+    pub(crate) is_overdue: bool,
     /// How much of its work was done when that was known first: its pace counts from there.
     pub(crate) pace_from: Option<Progress>,
     /// When it was listed last.
@@ -139,6 +142,7 @@
             was_cut_off: false,
             is_on_trial: false,
             progress_percent: 0,
+            is_overdue: false,
             pace_from: None,
             listed_at: placed_at,
         }
@@ -261,6 +265,13 @@
     /// Starts that were refused or runs that failed, in a row.
     pub(crate) failures_count: u32,
     pub(crate) avoided_until: Instant,
+    /// What is believed of its speed.
+    pub(crate) speed: WorkerSpeed,
+    /// When its lists came last.
+    pub(crate) lists_at: Instant,
+    /// For how long an end that it listed last may have been unknown: nobody waited for its
+    /// lists then.
+    pub(crate) end_lag: Duration,
 }
 
 impl Worker {
@@ -302,6 +313,9 @@
             next_hold_at: Instant::default(),
             failures_count: 0,
             avoided_until: Instant::default(),
+            speed: WorkerSpeed::default(),
+            lists_at: Instant::default(),
+            end_lag: Duration::ZERO,
         }
     }
 
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -54,6 +54,8 @@
     pub is_cut: bool,
     /// How fast its clock runs, in thousandths.
     pub clock_per_mille: u64,
+    /// How fast it works, in thousandths of the usual speed.
+    pub speed_per_mille: u64,
     pub fence: u64,
     pub lease_until_ms: u64,
     /// Since when it has been leased without a gap, on the world's clock.
@@ -88,6 +90,7 @@
             is_alive: true,
             is_cut: false,
             clock_per_mille,
+            speed_per_mille: 1000,
             fence: 0,
             lease_until_ms: 0,
             leased_since_ms: 0,
@@ -137,6 +140,7 @@
         self.address = before.address;
         self.data_centre = before.data_centre;
         self.rack = before.rack;
+        self.speed_per_mille = before.speed_per_mille;
         self.entry_life_start = before.entry_life_start;
         self.ignores_foreign_acks = before.ignores_foreign_acks;
         self.life_start = Some(LifeStart::from_ms(wall_ms));
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -282,7 +282,10 @@
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
         let fails = self.draw(self.faults.failing_run);
-        let length_ms = self.rng.random_range(self.run_lengths_ms.clone());
+        let own = self.lengths_of.get(&order.task.step.job);
+        let lengths_ms = own.unwrap_or(&self.run_lengths_ms).clone();
+        let usual_ms = self.rng.random_range(lengths_ms);
+        let length_ms = usual_ms * 1000 / self.workers[index].speed_per_mille;
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
         let run = FakeRun {
             run: order.run,
