--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -31,6 +31,9 @@
 const SURE_QUANTILE: f64 = 0.1;
 const LIKELY_QUANTILE: f64 = 0.5;
 const LATE_QUANTILE: f64 = 0.9;
+/// How many standard deviations `sure` and `late` are apart, for a logarithm that is spread
+/// like the normal distribution.
+const DEVIATIONS_BETWEEN_BOUNDS: f64 = 2.56;
 /// The quantiles that lie a standard deviation to either side of the median.
 const SPREAD_QUANTILES: [f64; 2] = [0.16, 0.84];
 /// The least spread that is told apart, as a logarithm: that of the sketches themselves.
@@ -55,6 +58,14 @@
     pub age: Duration,
 }
 
+impl Forecast {
+    /// Returns the standard deviation of the logarithm of what steps really take.
+    pub fn spread(&self) -> f64 {
+        let ratio = self.late.as_ms().max(1) as f64 / self.sure.as_ms().max(1) as f64;
+        ratio.ln() / DEVIATIONS_BETWEEN_BOUNDS
+    }
+}
+
 /// How far off forecasts and estimates were, each as a mean factor less 1 in percent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ForecastError {
--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -31,7 +31,6 @@
     pub(crate) sure: Duration,
     pub(crate) likely: Duration,
     /// The time in which nine of ten are done.
-    #[allow(dead_code)]
     pub(crate) late: Duration,
 }
 
--- a/crates/scheduler/src/learning.rs
+++ b/crates/scheduler/src/learning.rs
@@ -8,7 +8,7 @@
 use crate::durations::{Durations, LengthKind};
 use crate::event::{Action, EndKind, EndedRun};
 use crate::features::Feature;
-use crate::job::{StepKey, StepSpec};
+use crate::job::{StepKey, StepSpec, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::speeds::{Speeds, USUAL_SPEED};
@@ -24,9 +24,12 @@
 const LAG_PARTS: u64 = 3;
 /// The time between two looks at all workers' speeds.
 const REFRESH_PERIOD: Duration = Duration::from_ms(1000);
-/// A run that takes this many times what its step's tasks take tells of its machine before
-/// it ends: on one that stands still it may never.
-const OVERDUE_FACTOR: f64 = 2.0;
+/// A run that takes twice what its step's tasks take, or what nearly all of its queue's do,
+/// tells of its machine before it ends, since on one that stands still it may never. It
+/// tells again each time that this has doubled, so that two such runs are enough.
+const OVERDUE_FACTOR: u64 = 2;
+/// The most doublings.
+const OVERDUE_LIMIT_COUNT: u32 = 6;
 /// How old the last word of such a run may be: a few renewals.
 const OVERDUE_AGE_LIMIT: Duration = Duration::from_ms(5000);
 /// Speeds of a service's workers are told apart only where the fastest and the slowest, but
@@ -145,15 +148,20 @@
         self.facts.machine.as_ref().unwrap_or(&self.facts.id)
     }
 
-    /// Returns whether a run's time is known and was spent on the whole work alone.
+    /// Returns whether a run tells what its step's tasks take: it has told nothing else.
     fn tells_length(&self, run: &Run, spec: &StepSpec) -> bool {
+        run.overdue_count == 0 && self.tells_speed(run, spec)
+    }
+
+    /// Returns whether a run's time is known and was spent on the whole work alone.
+    fn tells_speed(&self, run: &Run, spec: &StepSpec) -> bool {
         let is_whole = run.checkpoint.is_none() && !spec.is_perpetual;
         let is_begin_known = run.sends_count == 1 && run.answers_count == 1;
         let near = spec.data_rack.as_deref();
         let is_near = near.is_none() || near == self.facts.rack.as_deref();
         let is_alone = RunRole::of(spec) == RunRole::Plain;
         let is_running = matches!(run.phase, RunPhase::Running { .. });
-        is_whole && is_begin_known && is_near && is_alone && is_running && !run.is_overdue
+        is_whole && is_begin_known && is_near && is_alone && is_running
     }
 }
 
@@ -196,6 +204,7 @@
         };
         let done = DoneTask {
             machine: worker.machine().clone(),
+            service: worker.facts.service.clone(),
             length,
             usual_length: scaled(length, factor),
         };
@@ -229,10 +238,23 @@
             return;
         };
         let spec = job.record.spec.steps.get(step.step as usize);
-        if let Some((spec, actual)) = spec.zip(pace.median()) {
-            let durations = &mut self.learning.durations;
-            durations.record(now, &job.record.queue, LengthKind::of(spec), actual);
+        let Some((spec, actual)) = spec.zip(pace.median()) else {
+            return;
+        };
+        let Learning {
+            durations, speeds, ..
+        } = &mut self.learning;
+        let (queue, kind) = (&job.record.queue, LengthKind::of(spec));
+        // Too few tasks to tell of one another are told by those of other jobs.
+        let forecast = durations.forecast(now, queue, kind);
+        if let Some(forecast) = forecast.filter(|_| !spec.is_gang) {
+            for task in pace.untold() {
+                let speed = ratio(forecast.likely, task.length);
+                let service = &task.service;
+                speeds.record_alone(now, service, &task.machine, speed, forecast.spread());
+            }
         }
+        durations.record(now, queue, kind, actual);
     }
 
     fn learn_speeds(&mut self, now: Instant, samples: Vec<SpeedSample>) {
@@ -294,38 +316,51 @@
         };
     }
 
-    /// Learns from runs that take far longer than the others of their steps.
+    /// Learns from runs that take far longer than others.
     fn learn_from_overdue(&mut self, now: Instant) {
-        let (learning, jobs) = (&mut self.learning, &self.jobs);
-        for worker in self.workers.values_mut().filter(|it| it.is_reachable) {
-            let mut overdue = Vec::new();
+        let mut overdue = Vec::new();
+        for (key, worker) in self.workers.iter().filter(|(_, it)| it.is_reachable) {
             for (task, run) in &worker.runs {
-                let pace = learning.paces.get(&task.step);
-                let Some(likely) = pace.and_then(StepPace::likely) else {
-                    continue;
-                };
-                let job = jobs.get(&task.step.job);
-                let spec = job.and_then(|it| it.record.spec.steps.get(task.step.step as usize));
-                let is_told = spec.is_some_and(|spec| worker.tells_length(run, spec));
-                let Some(begun_at) = run.begun_at.filter(|_| is_told) else {
-                    continue;
-                };
-                let spent = run.listed_at.since(begun_at);
-                let is_fresh = now.since(run.listed_at) <= OVERDUE_AGE_LIMIT;
-                if is_fresh && spent > scaled(likely, OVERDUE_FACTOR / worker.speed.factor) {
-                    overdue.push((*task, likely.as_ms() as f64 / spent.as_ms() as f64));
+                if let Some(speed) = self.overdue_speed(now, worker, *task, run) {
+                    overdue.push((key, *task, speed));
                 }
             }
-            let machine = worker.machine().clone();
-            for (task, speed) in overdue {
-                if let Some(run) = worker.runs.get_mut(&task) {
-                    run.is_overdue = true;
-                }
-                learning.speeds.record(now, &machine, speed);
+        }
+        for (key, task, speed) in overdue {
+            let worker = &mut self.workers[key];
+            if let Some(run) = worker.runs.get_mut(&task) {
+                run.overdue_count += 1;
             }
+            self.learning.speeds.record(now, worker.machine(), speed);
         }
     }
 
+    /// Returns the speed that a run tells of its machine, where it takes far too long.
+    fn overdue_speed(
+        &self,
+        now: Instant,
+        worker: &Worker,
+        task: TaskKey,
+        run: &Run,
+    ) -> Option<f64> {
+        let is_fresh = now.since(run.listed_at) <= OVERDUE_AGE_LIMIT;
+        let spent = run.listed_at.since(run.begun_at?);
+        if !is_fresh || run.overdue_count >= OVERDUE_LIMIT_COUNT {
+            return None;
+        }
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        if spec.is_gang || !worker.tells_speed(run, spec) {
+            return None;
+        }
+        let pace = self.learning.paces.get(&task.step);
+        let by_step = pace.and_then(StepPace::likely);
+        let by_queue = || Some(self.step_length(&job.record.queue, task.step, spec)?.late);
+        let expected = scaled(by_step.or_else(by_queue)?, 1.0 / worker.speed.factor);
+        let factor = OVERDUE_FACTOR << run.overdue_count;
+        (spent >= expected.times(factor)).then(|| ratio(expected, spent) * worker.speed.factor)
+    }
+
     fn forget_learned(&mut self) {
         let jobs = &self.jobs;
         let is_active = |step: &StepKey| {
@@ -337,6 +372,11 @@
     }
 }
 
+/// Returns how many times a length is another.
+pub(crate) fn ratio(length: Duration, other: Duration) -> f64 {
+    length.as_ms() as f64 / other.as_ms().max(1) as f64
+}
+
 /// Returns a length by a factor.
 pub(crate) fn scaled(length: Duration, factor: f64) -> Duration {
     Duration::from_ms((length.as_ms() as f64 * factor).round() as u64)
--- a/crates/scheduler/src/speeds.rs
+++ b/crates/scheduler/src/speeds.rs
@@ -11,10 +11,15 @@
 
 /// The speed of a machine of which nothing else is known; one of 0.5 takes twice as long.
 pub const USUAL_SPEED: f64 = 1.0;
-/// The runs after which a machine's nature counts.
-const NATURE_LEAST_COUNT: u32 = 4;
+/// The runs after which a machine's nature counts, by their weights.
+const NATURE_LEAST_WEIGHT: f64 = 4.0;
 /// The least that a further run weighs in a machine's nature.
 const NATURE_GAIN: f64 = 0.1;
+/// The runs beside which one counts that has no others of its step: as few as follow a
+/// change of all machines within a second or two, and enough for a median.
+const ALONE_COUNT: usize = 15;
+/// How far tasks of one step are spread, as a logarithm.
+const STEP_SPREAD: f64 = 0.25;
 /// The most by which a run may differ from the belief, as a logarithm: a machine of half the
 /// speed is still told in full, more is taken for an outlier.
 const STEP_LIMIT: f64 = core::f64::consts::LN_2;
@@ -49,6 +54,8 @@
     /// Its nature, as a logarithm.
     nature_ln: f64,
     runs_count: u32,
+    /// The sum of their weights.
+    weight: f64,
     /// The last runs, as logarithms.
     late: VecDeque<(Instant, f64)>,
     last_at: Instant,
@@ -58,12 +65,17 @@
 }
 
 impl MachineSpeed {
-    fn record(&mut self, now: Instant, speed_ln: f64) {
-        let gain = NATURE_GAIN.max(1.0 / f64::from(self.runs_count + 2));
+    /// Takes in a run; `weight` is 1 for one that is told as well as beside its step's others.
+    fn record_nature(&mut self, now: Instant, speed_ln: f64, weight: f64) {
+        self.weight += weight;
+        let gain = weight * NATURE_GAIN.max(1.0 / (self.weight + 1.0));
         let step = (speed_ln - self.nature_ln).clamp(-STEP_LIMIT, STEP_LIMIT);
         self.nature_ln += gain * step;
         self.runs_count += 1;
         self.last_at = now;
+    }
+
+    fn record_late(&mut self, now: Instant, speed_ln: f64) {
         if self.late.len() == LATE_RUNS_COUNT {
             self.late.pop_front();
         }
@@ -71,7 +83,7 @@
     }
 
     fn nature(&self) -> Option<f64> {
-        (self.runs_count >= NATURE_LEAST_COUNT).then_some(self.nature_ln)
+        (self.weight >= NATURE_LEAST_WEIGHT).then_some(self.nature_ln)
     }
 
     /// Returns the median of what it did of late.
@@ -118,6 +130,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
     machines: HashMap<Arc<str>, MachineSpeed>,
+    /// The last speeds of runs that have no others of their step beside them, by service, as
+    /// logarithms: what all machines do now is no machine's own.
+    alone: HashMap<Arc<str>, VecDeque<f64>>,
 }
 
 impl Speeds {
@@ -127,7 +142,38 @@
             return;
         }
         let entry = self.machines.entry(machine.clone()).or_default();
-        entry.record(now, speed.ln());
+        entry.record_nature(now, speed.ln(), 1.0);
+        entry.record_late(now, speed.ln());
+    }
+
+    /// Takes in how fast a machine did a run beside what its queue's steps take, which are
+    /// spread by `spread` as a logarithm, and beside what such runs of its service were like
+    /// just before. That tells its nature, the less the wider the spread, and nothing of what
+    /// it does of late.
+    pub fn record_alone(
+        &mut self,
+        now: Instant,
+        service: &Arc<str>,
+        machine: &Arc<str>,
+        speed: f64,
+        spread: f64,
+    ) {
+        if !speed.is_finite() || speed <= 0.0 {
+            return;
+        }
+        let others = self.alone.entry(service.clone()).or_default();
+        let is_known = others.len() == ALONE_COUNT;
+        let usual_ln = is_known.then(|| median(others.iter().copied().collect()));
+        if is_known {
+            others.pop_front();
+        }
+        others.push_back(speed.ln());
+        let Some(usual_ln) = usual_ln else {
+            return;
+        };
+        let weight = (STEP_SPREAD / spread.max(STEP_SPREAD)).powi(2);
+        let entry = self.machines.entry(machine.clone()).or_default();
+        entry.record_nature(now, speed.ln() - usual_ln, weight);
     }
 
     /// Returns a machine's speed as a factor on the usual one; `None` where too little is
--- a/crates/scheduler/src/step_pace.rs
+++ b/crates/scheduler/src/step_pace.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct DoneTask {
     pub(crate) machine: Arc<str>,
+    /// The service that the machine belongs to.
+    pub(crate) service: Arc<str>,
     pub(crate) length: Duration,
     /// The same on a worker of usual speed.
     pub(crate) usual_length: Duration,
@@ -90,6 +92,11 @@
         }
     }
 
+    /// Returns the tasks that have not told of their machines.
+    pub(crate) fn untold(&self) -> &[DoneTask] {
+        &self.kept[self.told_count..]
+    }
+
     /// Returns the median of those that are done, of however few.
     pub(crate) fn median(&self) -> Option<Duration> {
         (!self.kept.is_empty()).then_some(Duration::from_ms(self.median_ms))
@@ -121,8 +128,7 @@
     }
 
     fn tell(&mut self) -> Vec<SpeedSample> {
-        let untold = &self.kept[self.told_count..];
-        let samples = untold.iter().map(|task| SpeedSample {
+        let samples = self.untold().iter().map(|task| SpeedSample {
             machine: task.machine.clone(),
             speed: self.median_ms as f64 / task.length.as_ms().max(1) as f64,
         });
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -111,8 +111,8 @@
     /// Whether its task may have crashed a worker by starting there.
     pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
-    /// Whether it has told that its machine is slow, by taking longer than its step's others.
-    pub(crate) is_overdue: bool,
+    /// How often it has told that its machine is slow, by taking far longer than others.
+    pub(crate) overdue_count: u32,
     /// How much of its work was done when that was known first: its pace counts from there.
     pub(crate) pace_from: Option<Progress>,
     /// When it was listed last.
@@ -142,7 +142,7 @@
             was_cut_off: false,
             is_on_trial: false,
             progress_percent: 0,
-            is_overdue: false,
+            overdue_count: 0,
             pace_from: None,
             listed_at: placed_at,
         }
--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -205,7 +205,7 @@
     let fleet = fleet_of(&machines, |number| [0.77, 1.0, 2.0][number % 3]);
     let mut speeds = Speeds::default();
     run(&mut speeds, &mut rng, at(0), &fleet, 10);
-    let kind = |speed: f64| (speed > 0.87) as u8 + (speed > 1.41) as u8;
+    let kind = |speed: f64| usize::from(speed > 0.87) + usize::from(speed > 1.41);
     let told = fleet.iter().filter(|(id, speed)| {
         let told = speeds.speed(at(1), id).expect("a speed after ten runs");
         kind(told) == kind(*speed)
