Learn lengths of tasks and speeds of workers

Cause: estimates are off by up to 2.5 times, and workers differ in speed; the order of service and placing knew neither.

Change: sketches of lengths by queue and size, medians of steps' tasks, and speeds by machine (nature and of late), learned from runs whose whole time is known. They give what is left of jobs and runs, and where a service's speeds differ, pressing work gets fast workers first and patient work slow ones. A machine that is slow of late comes last for a while, a tenth of a service at most.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -80,6 +80,11 @@
     used_millicores: Amount,
     waiting_gangs: Amount,
     awaited_workers: Amount,
+    slow_workers: Amount,
+    ejected_workers: Amount,
+    learned_sizes: Amount,
+    forecast_error_percent: Amount,
+    estimate_error_percent: Amount,
     configuration_version: Amount,
     configuration_age_ms: Amount,
     resident_bytes: Amount,
@@ -122,6 +127,11 @@
             used_millicores: Amount::default(),
             waiting_gangs: Amount::default(),
             awaited_workers: Amount::default(),
+            slow_workers: Amount::default(),
+            ejected_workers: Amount::default(),
+            learned_sizes: Amount::default(),
+            forecast_error_percent: Amount::default(),
+            estimate_error_percent: Amount::default(),
             configuration_version: Amount::default(),
             configuration_age_ms: Amount::default(),
             resident_bytes: Amount::default(),
@@ -233,6 +243,31 @@
                 "Workers that are kept free",
                 &self.awaited_workers,
             ),
+            (
+                "slow_workers",
+                "Workers that are known to be slower than others of their service",
+                &self.slow_workers,
+            ),
+            (
+                "ejected_workers",
+                "Workers that come last since they are slow of late",
+                &self.ejected_workers,
+            ),
+            (
+                "learned_sizes",
+                "Sizes of steps whose lengths are learned",
+                &self.learned_sizes,
+            ),
+            (
+                "forecast_error_percent",
+                "How far off learned lengths were, as a mean factor less 1",
+                &self.forecast_error_percent,
+            ),
+            (
+                "estimate_error_percent",
+                "How far off clients' estimates of the same tasks were",
+                &self.estimate_error_percent,
+            ),
             (
                 "configuration_version",
                 "The version of the operators' configuration that is in force",
@@ -356,6 +391,14 @@
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
         set(&self.awaited_workers, status.awaited_workers_count);
+        set(&self.slow_workers, status.slow_workers_count);
+        set(&self.ejected_workers, status.ejected_workers_count);
+        set(&self.learned_sizes, status.learned_sizes_count);
+        let error = status.forecast_error;
+        self.forecast_error_percent
+            .set(error.forecast_percent as i64);
+        self.estimate_error_percent
+            .set(error.estimate_percent as i64);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
         for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
--- a/crates/control/tests/control/measuring.rs
+++ b/crates/control/tests/control/measuring.rs
@@ -36,12 +36,15 @@
     metrics.note_term(true);
     metrics.note_status(&SchedulerStatus {
         runs_count: 7,
+        slow_workers_count: 2,
         ..SchedulerStatus::default()
     });
     assert!(metrics.to_text().contains("ospreywing_runs 7"));
+    assert!(metrics.to_text().contains("ospreywing_slow_workers 2"));
     metrics.note_term(false);
     let text = metrics.to_text();
     assert!(text.contains("ospreywing_runs 0"));
+    assert!(text.contains("ospreywing_slow_workers 0"));
     assert!(text.contains("ospreywing_is_leader 0"));
     assert!(text.contains("ospreywing_terms_total 1"));
 }
--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -1,9 +1,15 @@
 //! Learned lengths and speeds as plain values: how near they are, and what misleads them.
 
-use ospreywing_scheduler::{Durations, Ejection, Forecast, LengthKind, Speeds};
+use crate::support::bench::{end, workers, Bench};
+use crate::support::{job, placed_state, step};
+use ospreywing_scheduler::{
+    Durations, Ejection, EndKind, Event, Forecast, JobId, LengthKind, Recovered, Speeds,
+    StartReply, TaskStatus,
+};
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 use std::sync::Arc;
 
 const QUEUE: &str = "render";
@@ -330,3 +336,69 @@
     );
     assert_eq!(others.eject_slow(at(2), &machines), vec![], "all are slow");
 }
+
+/// How a run is done that may tell what its queue's tasks take.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    is_failed: bool,
+    is_heard_late: bool,
+    has_checkpoint: bool,
+    is_repeated: bool,
+    is_away_from_data: bool,
+    is_filler: bool,
+}
+
+/// Returns how many sizes of steps are learned after a run.
+fn learned_count(told: Told) -> usize {
+    let mut state = placed_state("w0", 1);
+    let task = &mut state.rounds[0].steps[0].tasks[0];
+    task.status = TaskStatus::Waiting;
+    task.checkpoint = told.has_checkpoint.then(|| "half".to_owned());
+    let mut spec = step(1);
+    spec.data_rack = told.is_away_from_data.then(|| "r9".to_owned());
+    spec.is_filler = told.is_filler;
+    let recovered = Recovered {
+        jobs: vec![job(1, vec![spec])],
+        states: vec![(JobId::new(1), state)],
+        ..Recovered::default()
+    };
+    let mut bench = Bench::new(recovered, &workers(1));
+    bench.commit_all();
+    let start = bench.starts()[0];
+    let (worker, task, run) = start;
+    if told.is_repeated {
+        let reply = StartReply::Unanswered;
+        bench.tell(Event::StartAnswered {
+            worker,
+            task,
+            run,
+            reply,
+        });
+        bench.commit_all();
+    }
+    bench.started(start);
+    bench.now = bench.now + Duration::from_ms(900);
+    if !told.is_heard_late {
+        bench.list_progress(&[start], 90);
+    }
+    let kind = if told.is_failed {
+        EndKind::Failed
+    } else {
+        EndKind::Done
+    };
+    bench.list(worker, vec![end(1, task, run, kind)]);
+    bench.scheduler.status(bench.now).learned_sizes_count
+}
+
+/// Only a run whose whole time is known and was spent on the work tells anything.
+#[rstest]
+#[case::whole(Told::default(), 2)]
+#[case::failed(Told { is_failed: true, ..Told::default() }, 0)]
+#[case::heard_late(Told { is_heard_late: true, ..Told::default() }, 0)]
+#[case::from_checkpoint(Told { has_checkpoint: true, ..Told::default() }, 0)]
+#[case::start_repeated(Told { is_repeated: true, ..Told::default() }, 0)]
+#[case::away_from_data(Told { is_away_from_data: true, ..Told::default() }, 0)]
+#[case::filler(Told { is_filler: true, ..Told::default() }, 0)]
+fn learn_from_whole_runs_only(#[case] told: Told, #[case] sizes_count: usize) {
+    assert_eq!(learned_count(told), sizes_count);
+}
