--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -7,6 +7,7 @@
 
 use hdrhistogram::Histogram;
 use ospreywing_types::{Duration, Instant};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -14,6 +15,10 @@
 const CLASS_LEAST_COUNT: u64 = 8;
 /// The same of a whole queue, where those of the size are too few.
 const QUEUE_LEAST_COUNT: u64 = 16;
+/// From so many steps of a window on, the quantiles are worked out for each eighth alone: one
+/// more hardly moves them.
+const STEADY_COUNT: u64 = 64;
+const STEADY_PERIOD_COUNT: u64 = 8;
 /// How long a sketch takes in steps before the next one begins; a forecast reads the last
 /// two. Long enough for some dozens of steps of a queue that gets one every few seconds.
 const WINDOW: Duration = Duration::from_s(120);
@@ -173,9 +178,12 @@
         self.last_at = now;
         let actual_ms = actual.as_ms().max(1);
         self.lengths.current.saturating_record(actual_ms);
-        self.length_quantiles = self.lengths.quantiles();
         if let Some(ratio_milli) = (actual_ms * 1000).checked_div(estimate.as_ms()) {
             self.ratios.current.saturating_record(ratio_milli.max(1));
+        }
+        let count = self.lengths.current.len();
+        if count < STEADY_COUNT || count.is_multiple_of(STEADY_PERIOD_COUNT) {
+            self.length_quantiles = self.lengths.quantiles();
             self.ratio_quantiles = self.ratios.quantiles();
         }
     }
@@ -238,6 +246,18 @@
     ratio.ln().abs()
 }
 
+/// Returns the class under a key; a new one where there is none.
+fn class_of<K: Ord>(
+    classes: &mut BTreeMap<K, LengthClass>,
+    key: K,
+    now: Instant,
+) -> Option<&mut LengthClass> {
+    match classes.entry(key) {
+        Entry::Occupied(entry) => Some(entry.into_mut()),
+        Entry::Vacant(entry) => Some(entry.insert(LengthClass::new(now)?)),
+    }
+}
+
 /// What is known of a queue's steps.
 #[derive(Clone, Debug, Default)]
 struct QueueLengths {
@@ -270,13 +290,11 @@
         if let Some(forecast) = forecast.filter(|_| kind.estimate > Duration::ZERO) {
             self.errors.note(forecast.likely, kind.estimate, actual);
         }
-        let Some(new) = LengthClass::new(now) else {
-            return;
-        };
-        let whole = self.whole.entry(kind.is_gang).or_insert(new.clone());
-        whole.record(now, kind.estimate, actual);
-        let of_size = self.sizes.entry((kind.is_gang, kind.size()));
-        of_size.or_insert(new).record(now, kind.estimate, actual);
+        let whole = class_of(&mut self.whole, kind.is_gang, now);
+        let of_size = class_of(&mut self.sizes, (kind.is_gang, kind.size()), now);
+        for class in whole.into_iter().chain(of_size) {
+            class.record(now, kind.estimate, actual);
+        }
     }
 }
 
--- a/crates/scheduler/src/learning.rs
+++ b/crates/scheduler/src/learning.rs
@@ -286,11 +286,18 @@
     }
 
     fn eject_slow(&mut self, now: Instant, workers: &[WorkerKey], out: &mut Vec<Action>) {
-        let machines = workers.iter().map(|key| self.workers[*key].machine());
-        let machines: Vec<Arc<str>> = machines.cloned().collect();
+        // A machine may be listed with two of its lives.
+        let by_machine = workers
+            .iter()
+            .map(|key| (self.workers[*key].machine(), *key));
+        let by_machine: BTreeMap<Arc<str>, WorkerKey> = by_machine
+            .map(|(machine, key)| (machine.clone(), key))
+            .collect();
+        let machines: Vec<Arc<str>> = by_machine.keys().cloned().collect();
         for ejection in self.learning.speeds.eject_slow(now, &machines) {
+            let key = by_machine[&ejection.machine];
             let line = Decision::new(DecisionKind::WorkerAvoided, "slow of late")
-                .with_worker(&ejection.machine)
+                .with_worker(&self.workers[key].facts.id)
                 .with_figure(ejection.length.as_ms());
             out.push(Action::Log(line));
         }
--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -3,8 +3,8 @@
 use crate::support::bench::{end, workers, Bench};
 use crate::support::{job, placed_state, step};
 use ospreywing_scheduler::{
-    Durations, Ejection, EndKind, Event, Forecast, JobId, LengthKind, Recovered, Speeds,
-    StartReply, TaskStatus,
+    Durations, Ejection, EndKind, Event, Feature, Features, Forecast, JobId, LengthKind, Recovered,
+    Speeds, StartReply, StepSpec, TaskStatus, WorkerChange,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -402,3 +402,51 @@
 fn learn_from_whole_runs_only(#[case] told: Told, #[case] sizes_count: usize) {
     assert_eq!(learned_count(told), sizes_count);
 }
+
+/// Returns how many runs are stopped on workers that leave in 4 s, where a step's tasks take
+/// ten seconds by the estimate and four of them were done in one.
+fn stopped_count(features: Features) -> usize {
+    let leaving = workers(2);
+    let mut bench = Bench::with_features(features, Recovered::default(), &leaving);
+    let short = StepSpec {
+        estimate_ms: 10_000,
+        ..step(8)
+    };
+    bench.submit(1, vec![short]);
+    bench.commit_all();
+    let first = bench.starts();
+    assert_eq!(first.len(), 4);
+    for start in &first {
+        bench.started(*start);
+    }
+    bench.now = bench.now + Duration::from_ms(900);
+    bench.list_progress(&first, 0);
+    for pair in first.chunks(2) {
+        let ends = (1..).zip(pair);
+        let ends = ends.map(|(number, (_, task, run))| end(number, *task, *run, EndKind::Done));
+        bench.list(pair[0].0, ends.collect());
+    }
+    bench.commit_all();
+    let second = bench.starts();
+    assert_eq!(second.len(), 4);
+    for start in &second {
+        bench.started(*start);
+    }
+    for mut worker in leaving {
+        worker.is_draining = true;
+        worker.leaves_clock_ms = Some(bench.now.as_ms() + 4_000);
+        let change = WorkerChange::Listed(worker.facts());
+        bench.tell(Event::WorkersChanged(vec![change]));
+    }
+    bench.now = bench.now + Duration::from_ms(200);
+    bench.tell(Event::Tick);
+    bench.stops().len()
+}
+
+/// What is done in time by the tasks of its step is not stopped for its estimate.
+#[test]
+fn stop_before_departures_by_tasks_of_step() {
+    assert_eq!(stopped_count(Features::default()), 0);
+    let without = Features::default().without(Feature::Learning);
+    assert_eq!(stopped_count(without), 4);
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -3,9 +3,10 @@
 use super::worker::FakeWorker;
 use super::{configuration, job};
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, HoldReply,
-    JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler, SchedulerConfig,
-    StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts, WorkerKey,
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Features,
+    HoldReply, JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler,
+    SchedulerConfig, StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Instant};
 
@@ -34,6 +35,21 @@
         advice: Option<AdvicePolicy>,
     ) -> Self {
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
+        Self::with_config(config, recovered, workers, advice)
+    }
+
+    /// The same with some decisions switched off.
+    pub fn with_features(features: Features, recovered: Recovered, workers: &[FakeWorker]) -> Self {
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT).with_features(features);
+        Self::with_config(config, recovered, workers, None)
+    }
+
+    fn with_config(
+        config: SchedulerConfig,
+        recovered: Recovered,
+        workers: &[FakeWorker],
+        advice: Option<AdvicePolicy>,
+    ) -> Self {
         let mut bench = Self::begin(config, recovered, advice);
         bench.list_workers(workers);
         for worker in workers {
