--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -22,19 +22,19 @@
 
 /// What an earlier leader has learned, as a node keeps it.
 #[derive(Debug, Default)]
-pub(crate) struct KeptLearned {
+pub struct KeptLearned {
     learned: Learned,
     at: Instant,
 }
 
 impl KeptLearned {
     /// Keeps what has come from the leader.
-    pub(crate) fn new(now: Instant, learned: Learned) -> Self {
+    pub const fn new(now: Instant, learned: Learned) -> Self {
         Self { learned, at: now }
     }
 
     /// Returns what was learned as it is now, where it is not too old.
-    pub(crate) fn into_learned(mut self, now: Instant) -> Option<Learned> {
+    pub fn into_learned(mut self, now: Instant) -> Option<Learned> {
         let kept = now.since(self.at);
         if kept > AGE_LIMIT || self.learned.is_empty() {
             return None;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod front;
-mod handover;
+pub mod handover;
 pub mod intake;
 pub mod keys;
 pub mod lateness;
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod cordons;
 mod following;
 mod freshness;
+mod handing_on;
 mod lateness;
 mod logging;
 mod measuring;
