--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -1,9 +1,9 @@
 //! Learned lengths and speeds as plain values: how near they are, and what misleads them.
 
 use crate::support::bench::{end, workers, Bench};
-use crate::support::{job, placed_state, step};
+use crate::support::{job, patient_job, placed_state, step};
 use ospreywing_scheduler::{
-    Durations, Ejection, EndKind, Event, Feature, Features, Forecast, JobId, Learned,
+    Durations, Ejection, EndKind, Event, Feature, Features, Forecast, JobId, JobRecord, Learned,
     LearnedQuantiles, LearnedSize, LearnedSpeed, LengthKind, Recovered, Speeds, StartReply,
     StepSpec, TaskStatus, WorkerChange,
 };
@@ -516,3 +516,56 @@
     let bench = scheduler_with(&learned);
     assert!(bench.scheduler.learned(bench.now).is_empty());
 }
+
+/// Returns the workers, by their numbers, that the tasks of a job are given to, where of six
+/// the first two or the last two take a third longer.
+fn placed_on(features: Features, slow: [usize; 2], job: (JobId, JobRecord)) -> Vec<String> {
+    let all = workers(6);
+    let mut bench = Bench::with_features(features, Recovered::default(), &all);
+    let speeds = all.iter().enumerate().map(|(number, worker)| LearnedSpeed {
+        machine: worker.id.clone(),
+        ..learned_speed(if slow.contains(&number) { 750 } else { 1000 })
+    });
+    let learned = Learned {
+        sizes: Vec::new(),
+        speeds: speeds.collect(),
+    };
+    bench.scheduler.take_learned(bench.now, &learned);
+    bench.now = bench.now + Duration::from_ms(20);
+    bench.tell(Event::Tick);
+    bench.submit_job(job);
+    bench.commit_all();
+    let mut placed: Vec<String> = Vec::new();
+    for (key, ..) in bench.starts() {
+        let mut ids = all.iter().map(|worker| worker.id.to_string());
+        let id = ids.find(|id| bench.scheduler.worker_key(id) == Some(key));
+        placed.extend(id);
+    }
+    placed.sort();
+    placed
+}
+
+fn patient_gang(tasks_count: u32) -> (JobId, JobRecord) {
+    let (id, mut record) = patient_job(1, tasks_count);
+    record.spec.steps[0].is_gang = true;
+    (id, record)
+}
+
+/// Pressing work keeps off slow workers, patient work takes them, and a patient gang takes
+/// workers of one speed where they hold it whole. Without learning the first ones are taken.
+#[rstest]
+#[case::pressing([0, 1], job(1, vec![step(1)]), &["w2"], &["w0"])]
+#[case::patient([4, 5], patient_job(1, 1), &["w4"], &["w0"])]
+#[case::patient_gang([4, 5], patient_gang(4), &["w4", "w4", "w5", "w5"], &["w0", "w0", "w1", "w1"])]
+#[case::wide_gang([0, 1], patient_gang(6),
+    &["w2", "w2", "w3", "w3", "w4", "w4"], &["w0", "w0", "w1", "w1", "w2", "w2"])]
+fn candidates_by_speed(
+    #[case] slow: [usize; 2],
+    #[case] job: (JobId, JobRecord),
+    #[case] with: &[&str],
+    #[case] without: &[&str],
+) {
+    assert_eq!(placed_on(Features::default(), slow, job.clone()), with);
+    let off = Features::default().without(Feature::Learning);
+    assert_eq!(placed_on(off, slow, job), without);
+}
