--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod front;
+pub mod handover;
 pub mod intake;
 pub mod keys;
 pub mod lateness;
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -5,6 +5,7 @@
 mod failure_detector;
 mod following;
 mod freshness;
+mod handing_on;
 mod lateness;
 mod logging;
 mod measuring;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod cycle;
 mod decision;
 mod departures;
+mod durations;
 mod ends;
 mod estimates;
 mod event;
@@ -34,9 +35,11 @@
 mod features;
 mod gang_search;
 mod gangs;
+mod handover;
 mod job;
 mod job_rate;
 mod jobs;
+mod learning;
 mod leases;
 mod life;
 mod limits;
@@ -53,7 +56,10 @@
 mod runs;
 mod scheduler;
 mod sharing;
+mod speed_wish;
+mod speeds;
 mod state;
+mod step_pace;
 mod verifier;
 mod waiting;
 mod worker;
@@ -65,17 +71,20 @@
 };
 pub use customers::{Customer, CustomerUse};
 pub use decision::{Decision, DecisionKind};
+pub use durations::{Durations, Forecast, ForecastError, LengthKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
 };
 pub use evidence::{CrashRecord, Suspicion};
 pub use features::{Feature, Features, UnknownFeature};
+pub use handover::{Learned, LearnedQuantiles, LearnedSize, LearnedSpeed};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
 pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use speeds::{Ejection, Speeds, USUAL_SPEED};
 pub use state::{
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
     TaskStatus,
