Reckon objectives by what steps take, not by what clients estimate

Cause: a job's objective is a factor on its work, and clients' estimates of that are off by half and more. A job whose estimate is twice its work was taken for in time, and for patient, until it was late. Change: objectives follow the learned lengths, and the lengths of steps that are done. Without the feature, and where nothing is learned: by estimates, as before.

--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -156,12 +156,33 @@
             left_ms = left_ms.max(round.left_ms);
             sure_ms = sure_ms.max(round.sure_ms);
         }
+        let objective = self.learned_objective(id, job);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.left_ms = left_ms;
             job.sure_ms = sure_ms;
+            job.objective = objective;
         }
     }
 
+    /// Returns the time within which a job should be done: by what its steps that are done
+    /// took, by what the others should take.
+    fn learned_objective(&self, id: JobId, job: &Job) -> Duration {
+        let record = &job.record;
+        let length_ms = |number: usize| {
+            let spec = &record.spec.steps[number];
+            let step = StepKey {
+                job: id,
+                round: 0,
+                step: number as u32,
+            };
+            let done = job.done_lengths.get(&step).copied();
+            let likely = || Some(self.step_length(&record.queue, step, spec)?.likely);
+            let known = done.filter(|_| self.is_learning()).or_else(likely);
+            known.map_or(spec.estimate_ms, Duration::as_ms)
+        };
+        self.objective(record, length_ms)
+    }
+
     fn left_of_round(&self, id: JobId, job: &Job, round: &RoundState) -> RoundLeft {
         let learned = |number: usize| {
             let step = StepKey {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -41,7 +41,9 @@
     pub(crate) is_beyond_share: bool,
     /// Whether it was told that work of it is held back by its customer's limit.
     pub(crate) is_held: bool,
-    /// The time within which the job should be done, by its estimates.
+    /// What the tasks of steps took that are done, where that was learned.
+    pub(crate) done_lengths: BTreeMap<StepKey, Duration>,
+    /// The time within which the job should be done, by what its steps take.
     pub(crate) objective: Duration,
     /// How long what is left of its longest chain should take, in milliseconds.
     pub(crate) left_ms: u64,
@@ -80,6 +82,7 @@
             is_beyond_share: false,
             is_held: false,
             accepted_at,
+            done_lengths: BTreeMap::new(),
             objective: Duration::ZERO,
             left_ms: 0,
             sure_ms: 0,
@@ -101,6 +104,7 @@
         self.payload = Arc::from("");
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
+        self.done_lengths.clear();
         self.ready = None;
     }
 
@@ -178,7 +182,7 @@
         let line = Decision::new(DecisionKind::JobTaken, "accepted")
             .with_job(id)
             .with_queue(&record.queue)
-            .with_figure(self.objective(&record).as_ms());
+            .with_figure(self.estimated_objective(&record).as_ms());
         out.push(Action::Log(line));
         self.insert_job(now, id, record, JobState::default());
     }
@@ -196,9 +200,7 @@
         let rank = (priority, self.next_order);
         self.next_order += 1;
         let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
-        let objective = self.objective(&record);
         let mut job = Job::new(record, state, rank, now - age);
-        job.objective = objective;
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_of(name);
             job.customer = Some(customer);
--- a/crates/scheduler/src/learning.rs
+++ b/crates/scheduler/src/learning.rs
@@ -255,6 +255,9 @@
             }
         }
         durations.record(now, queue, kind, actual);
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.done_lengths.insert(step, actual);
+        }
     }
 
     fn learn_speeds(&mut self, now: Instant, samples: Vec<SpeedSample>) {
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -129,12 +129,21 @@
     }
 
     /// Returns the time within which a job should be done, by its estimates.
-    pub(crate) fn objective(&self, record: &JobRecord) -> Duration {
+    pub(crate) fn estimated_objective(&self, record: &JobRecord) -> Duration {
+        self.objective(record, |number| record.spec.steps[number].estimate_ms)
+    }
+
+    /// Returns the time within which a job should be done, by the length of each step in
+    /// milliseconds.
+    pub(crate) fn objective(
+        &self,
+        record: &JobRecord,
+        length_ms: impl Fn(usize) -> u64,
+    ) -> Duration {
         let queue = self.configuration.queue(&record.queue);
         let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
         let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
-        let estimate_ms = |number: usize| record.spec.steps[number].estimate_ms;
-        let chain = chain(record, None, estimate_ms) as f64;
+        let chain = chain(record, None, length_ms) as f64;
         Duration::from_ms((chain * stretch) as u64 + rest_ms)
     }
 }
