--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -30,6 +30,9 @@
             "job" => decision.job.map(|job| job.to_string()),
             "customer" => &*customer.name,
             "used" => customer.used.to_string(), "limit" => customer.limit.to_string(),
+            "reserved_for" => decision.reserved.map(|reserved| reserved.step.to_string()),
+            "due_in_ms" => decision.reserved.and_then(|reserved| reserved.due_in)
+                .map(|due_in| due_in.as_ms()),
             "reason" => decision.reason, "figure" => decision.figure);
     }
     match (decision.task, decision.job) {
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -79,6 +79,7 @@
     capacity_millicores: Amount,
     used_millicores: Amount,
     waiting_gangs: Amount,
+    limit_reservations: Amount,
     awaited_workers: Amount,
     configuration_version: Amount,
     configuration_age_ms: Amount,
@@ -121,6 +122,7 @@
             capacity_millicores: Amount::default(),
             used_millicores: Amount::default(),
             waiting_gangs: Amount::default(),
+            limit_reservations: Amount::default(),
             awaited_workers: Amount::default(),
             configuration_version: Amount::default(),
             configuration_age_ms: Amount::default(),
@@ -228,6 +230,11 @@
                 "Gangs that workers are kept free for",
                 &self.waiting_gangs,
             ),
+            (
+                "limit_reservations",
+                "Steps for which a part of their customer's limit is reserved",
+                &self.limit_reservations,
+            ),
             (
                 "awaited_workers",
                 "Workers that are kept free",
@@ -355,6 +362,7 @@
         set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
+        set(&self.limit_reservations, status.limit_reservations_count);
         set(&self.awaited_workers, status.awaited_workers_count);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
--- /dev/null
+++ b/crates/scheduler/src/backfill.rs
@@ -0,0 +1,408 @@
+//! Backfill under a customer's limit: a reservation for the first step that waits for the
+//! limit, and which of the customer's other work may pass it.
+//!
+//! The limit is used up by what runs alone. Of the steps that don't fit what is left of it,
+//! one has a reservation: by the expected ends of the customer's runs it is known when the
+//! limit will hold the step, and what will be left beside it then. Other work passes that
+//! surely ends before, or fits into what is left.
+
+use crate::asking::fit_in;
+use crate::customers::{Account, Charge, CustomerKey};
+use crate::cycle::SchedulingCycle;
+use crate::job::{StepKey, StepSpec};
+use crate::placing::PendingStep;
+use crate::scheduler::Scheduler;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::collections::BTreeMap;
+
+/// The time between two forecasts: each goes over all runs.
+const FORECAST_PERIOD: Duration = Duration::from_ms(100);
+/// How much of its estimate a task may take, in percent, that passes because it surely ends
+/// in time: estimates are off by half.
+const SAFE_LENGTH_PERCENT: u64 = 150;
+/// How long a task takes from being placed to its start, and from its end to being noted,
+/// besides.
+const HANDLING_TIME: Duration = Duration::from_ms(300);
+/// For how long a reservation holds other work back after the time that was forecast first,
+/// or after the limit held its step: a call for advice and its room take as long. A step
+/// that waits for room reserves nothing for longer.
+const OVERDUE_TIME: Duration = Duration::from_ms(2000);
+/// A step that has waited for so long holds back more urgent work too, so that a stream of
+/// it does not keep the step out for ever.
+const OVERTAKEN_TIME: Duration = Duration::from_ms(5000);
+/// A step that has waited for so long holds other work back also where less than half of the
+/// limit is in use, for [`FIRM_TIME`]. Together they are the 3 s within which work is to
+/// start whose customer uses so little.
+const FIRM_AFTER: Duration = Duration::from_ms(1000);
+/// For how long at a time: less than the 3 s within which the work that is held back is to
+/// start, by the time that its own start takes.
+const FIRM_TIME: Duration = Duration::from_ms(2000);
+/// For how long nothing is reserved after a reservation that lapsed, or that held work back
+/// below half of the limit: what was held back is placed meanwhile.
+const REST_TIME: Duration = Duration::from_ms(4000);
+
+/// When the limit will hold a step, by the ends that are expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Forecast {
+    due: Instant,
+    /// What is left of the limit beside the step then.
+    surplus: Resources,
+}
+
+/// A part of a customer's limit that is kept for a step.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitReservation {
+    pub(crate) step: StepKey,
+    /// What the step needs at once.
+    amount: Resources,
+    /// Since when the step has waited.
+    since: Instant,
+    /// `None` until it is worked out, and where the limit will never hold the step: then
+    /// nothing is held back for it.
+    forecast: Option<Forecast>,
+    /// When it stops holding other work back.
+    lapses_at: Option<Instant>,
+    /// Whether the limit has held the step since.
+    has_arrived: bool,
+    /// Whether it holds work back also below half of the limit.
+    is_firm: bool,
+}
+
+impl LimitReservation {
+    const fn new(step: StepKey, amount: Resources, since: Instant) -> Self {
+        Self {
+            step,
+            amount,
+            since,
+            forecast: None,
+            lapses_at: None,
+            has_arrived: false,
+            is_firm: false,
+        }
+    }
+
+    /// Returns when the limit should hold the step, where that is known.
+    pub(crate) fn due(&self) -> Option<Instant> {
+        self.forecast.map(|forecast| forecast.due)
+    }
+
+    /// Returns whether it comes before more urgent work.
+    fn is_overtaken(&self, now: Instant) -> bool {
+        self.is_firm || now.since(self.since) >= OVERTAKEN_TIME
+    }
+
+    fn has_lapsed(&self, now: Instant) -> bool {
+        self.lapses_at.is_some_and(|at| now >= at)
+    }
+
+    /// Takes in a forecast; the first one says how long other work is held back.
+    fn set_forecast(&mut self, forecast: Option<Forecast>) {
+        self.forecast = forecast;
+        if let Some(forecast) = forecast {
+            self.lapses_at.get_or_insert(forecast.due + OVERDUE_TIME);
+        }
+    }
+
+    /// Makes it hold where it is due within the time for which it may, and the customer has
+    /// little in use.
+    fn firm_up(&mut self, now: Instant, account: &Account) {
+        let is_near = self.due().is_some_and(|due| due <= now + FIRM_TIME);
+        let is_long = now.since(self.since) >= FIRM_AFTER;
+        if self.is_firm || !is_near || !is_long || !account.is_under_half() {
+            return;
+        }
+        self.is_firm = true;
+        let firm_until = now + FIRM_TIME;
+        self.lapses_at = Some(self.lapses_at.map_or(firm_until, |at| at.min(firm_until)));
+    }
+}
+
+/// What is kept of one customer's limit.
+#[derive(Debug, Default)]
+struct CustomerReservation {
+    reservation: Option<LimitReservation>,
+    /// Until when nothing is reserved.
+    rests_until: Instant,
+}
+
+/// The reservations of all customers, one for each at most.
+#[derive(Debug, Default)]
+pub(crate) struct LimitReservations {
+    by_customer: BTreeMap<CustomerKey, CustomerReservation>,
+    next_forecast_at: Instant,
+}
+
+impl LimitReservations {
+    /// Returns a customer's reservation.
+    pub(crate) fn get(&self, customer: CustomerKey) -> Option<&LimitReservation> {
+        self.by_customer.get(&customer)?.reservation.as_ref()
+    }
+
+    fn get_mut(&mut self, customer: CustomerKey) -> Option<&mut LimitReservation> {
+        self.by_customer.get_mut(&customer)?.reservation.as_mut()
+    }
+
+    /// Returns how many there are.
+    pub(crate) fn count(&self) -> usize {
+        let all = self.by_customer.values();
+        all.filter(|state| state.reservation.is_some()).count()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (CustomerKey, &LimitReservation)> + '_ {
+        let all = self.by_customer.iter();
+        all.filter_map(|(customer, state)| Some((*customer, state.reservation.as_ref()?)))
+    }
+
+    fn is_resting(&self, now: Instant, customer: CustomerKey) -> bool {
+        let state = self.by_customer.get(&customer);
+        state.is_some_and(|state| now < state.rests_until)
+    }
+
+    fn set(&mut self, customer: CustomerKey, reservation: LimitReservation) {
+        let state = self.by_customer.entry(customer).or_default();
+        state.reservation = Some(reservation);
+    }
+
+    /// Ends a customer's reservation; it rests where the reservation lapsed or was firm.
+    fn end(&mut self, now: Instant, customer: CustomerKey) {
+        let Some(state) = self.by_customer.get_mut(&customer) else {
+            return;
+        };
+        let Some(ended) = state.reservation.take() else {
+            return;
+        };
+        if ended.is_firm || ended.has_lapsed(now) {
+            state.rests_until = now + REST_TIME;
+        }
+    }
+}
+
+impl Scheduler {
+    /// Looks at all reservations as a cycle begins: those that are over end, forecasts are
+    /// made where they are due, and those come into force that more urgent work overtakes.
+    pub(crate) fn begin_reservations(&mut self, now: Instant, cycle: &mut SchedulingCycle) {
+        let reserved: Vec<(CustomerKey, StepKey)> = self
+            .limit_reservations
+            .iter()
+            .map(|(customer, reservation)| (customer, reservation.step))
+            .collect();
+        for (customer, step) in reserved {
+            let job = self.jobs.get_mut(&step.job);
+            let is_ready = job.is_some_and(|job| job.ready_steps(step.job).contains(&step));
+            let reservation = self.limit_reservations.get(customer);
+            if !is_ready || reservation.is_some_and(|it| it.has_lapsed(now)) {
+                self.limit_reservations.end(now, customer);
+            }
+        }
+        if now >= self.limit_reservations.next_forecast_at && self.limit_reservations.count() > 0 {
+            self.limit_reservations.next_forecast_at = now + FORECAST_PERIOD;
+            self.make_forecasts(now);
+        }
+        for (customer, reservation) in self.limit_reservations.iter() {
+            if reservation.is_overtaken(now) {
+                cycle.keep_limit(customer);
+            }
+        }
+    }
+
+    /// Works out for all reservations when they are due, in one pass over all runs.
+    fn make_forecasts(&mut self, now: Instant) {
+        let mut ends: BTreeMap<CustomerKey, Vec<(Duration, Resources)>> = BTreeMap::new();
+        let reserved = self.limit_reservations.iter();
+        ends.extend(reserved.map(|(customer, _)| (customer, Vec::new())));
+        for (task, run) in self.workers.values().flat_map(|worker| &worker.runs) {
+            let customer = run.charge.customer;
+            let Some(ends) = customer.and_then(|customer| ends.get_mut(&customer)) else {
+                continue;
+            };
+            if let Some(left) = self.time_left(*task, run) {
+                ends.push((left, run.charge.amount));
+            }
+        }
+        for (customer, mut ends) in ends {
+            ends.sort_unstable_by_key(|(left, _)| *left);
+            let account = self.accounts.get(customer);
+            if let Some(reservation) = self.limit_reservations.get_mut(customer) {
+                reservation.set_forecast(forecast(now, account, reservation.amount, &ends));
+                reservation.firm_up(now, account);
+            }
+        }
+    }
+
+    /// Reserves a customer's limit for a step that does not fit what is left of it, where it
+    /// is the first such step of the cycle, or has been overtaken for longest.
+    pub(crate) fn reserve_limit(
+        &mut self,
+        now: Instant,
+        step: StepKey,
+        customer: CustomerKey,
+        amount: Resources,
+        cycle: &mut SchedulingCycle,
+    ) {
+        if self.limit_reservations.is_resting(now, customer)
+            || !self.accounts.get(customer).may_ever_hold(&amount)
+        {
+            return;
+        }
+        let since = self.waits.since(step).unwrap_or(now);
+        let wanted = LimitReservation::new(step, amount, since);
+        let is_kept = match self.limit_reservations.get_mut(customer) {
+            Some(known) if known.step == step => {
+                known.amount = amount;
+                true
+            }
+            Some(known) if known.is_firm => true,
+            Some(known) if known.is_overtaken(now) => {
+                !wanted.is_overtaken(now) || known.since <= since
+            }
+            Some(_) => cycle.is_limit_kept(customer) && !wanted.is_overtaken(now),
+            None => false,
+        };
+        if !is_kept {
+            self.limit_reservations.set(customer, wanted);
+        }
+        cycle.keep_limit(customer);
+    }
+
+    /// Returns how many tasks of a step may start beside the reservation of its customer
+    /// that is in force.
+    pub(crate) fn count_beside_reservation(
+        &self,
+        now: Instant,
+        step: StepKey,
+        charge: Charge,
+        cycle: &SchedulingCycle,
+    ) -> u32 {
+        match self.surplus_for(now, step, charge, cycle) {
+            Some(surplus) => fit_in(&surplus, &charge.amount),
+            None => u32::MAX,
+        }
+    }
+
+    /// Returns what a reservation leaves of its customer's limit to a step; `None` where it
+    /// does not hold the step back.
+    fn surplus_for(
+        &self,
+        now: Instant,
+        step: StepKey,
+        charge: Charge,
+        cycle: &SchedulingCycle,
+    ) -> Option<Resources> {
+        let customer = charge.customer.filter(|key| cycle.is_limit_kept(*key))?;
+        let reservation = self.limit_reservations.get(customer)?;
+        let forecast = reservation.forecast?;
+        let is_free = !reservation.is_firm && self.accounts.get(customer).is_under_half();
+        if reservation.step == step || is_free || self.surely_ends(now, step, forecast.due) {
+            return None;
+        }
+        Some(forecast.surplus)
+    }
+
+    /// Returns whether a task of the step that is placed now has surely ended by then.
+    fn surely_ends(&self, now: Instant, step: StepKey, until: Instant) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return false;
+        };
+        let spec = job.record.spec.steps.get(step.step as usize);
+        spec.is_some_and(|spec: &StepSpec| {
+            let length_ms = self.task_length(&job.record.queue, spec).as_ms();
+            let safe = Duration::from_ms(length_ms * SAFE_LENGTH_PERCENT / 100);
+            let is_known = length_ms > 0 && !spec.is_perpetual;
+            is_known && now + safe + HANDLING_TIME <= until
+        })
+    }
+
+    /// Takes in that the limit holds a step: its reservation stays for a while, since the
+    /// step may need advice and room.
+    pub(crate) fn note_limit_holds(
+        &mut self,
+        now: Instant,
+        step: StepKey,
+        charge: Charge,
+        cycle: &mut SchedulingCycle,
+    ) {
+        let Some(customer) = charge.customer else {
+            return;
+        };
+        let left = self.accounts.get(customer).left();
+        let reservation = self.limit_reservations.get_mut(customer);
+        let Some(reservation) = reservation.filter(|it| it.step == step) else {
+            return;
+        };
+        cycle.keep_limit(customer);
+        reservation.forecast = Some(Forecast {
+            due: now,
+            surplus: left - reservation.amount,
+        });
+        if !reservation.has_arrived {
+            reservation.has_arrived = true;
+            let until = now + OVERDUE_TIME;
+            let firm_until = reservation.lapses_at.filter(|_| reservation.is_firm);
+            reservation.lapses_at = Some(firm_until.map_or(until, |at| at.min(until)));
+        }
+    }
+
+    /// Takes the tasks of a step that were just placed off the surplus of the reservation
+    /// that they passed, or ends the step's own reservation.
+    pub(crate) fn note_limit_taken(
+        &mut self,
+        now: Instant,
+        pending: &PendingStep,
+        charge: Charge,
+        cycle: &SchedulingCycle,
+    ) {
+        let Some(customer) = charge.customer else {
+            return;
+        };
+        let Some(reservation) = self.limit_reservations.get(customer) else {
+            return;
+        };
+        let placed_count = self.placed_count(pending);
+        if placed_count == 0 {
+            return;
+        }
+        if reservation.step == pending.key {
+            self.limit_reservations.end(now, customer);
+            // What it held back may go on.
+            self.is_place_due = true;
+            return;
+        }
+        if self.surplus_for(now, pending.key, charge, cycle).is_none() {
+            return;
+        }
+        let reservation = self.limit_reservations.get_mut(customer);
+        if let Some(forecast) = reservation.and_then(|it| it.forecast.as_mut()) {
+            forecast.surplus -= charge.amount.times(placed_count);
+        }
+    }
+
+    /// Returns how many of the tasks that a cycle found waiting have been placed.
+    pub(crate) fn placed_count(&self, pending: &PendingStep) -> u32 {
+        let waiting = pending.waiting.iter();
+        let is_placed = |index: &&u32| self.placements.contains_key(&pending.key.task(**index));
+        waiting.filter(is_placed).count() as u32
+    }
+}
+
+/// Returns when a customer's limit will hold an amount, by the expected ends of its runs,
+/// the soonest first; `None` where these don't make enough of it free.
+fn forecast(
+    now: Instant,
+    account: &Account,
+    amount: Resources,
+    ends: &[(Duration, Resources)],
+) -> Option<Forecast> {
+    let mut used = account.used;
+    let mut due = now;
+    let mut ends = ends.iter();
+    loop {
+        let left = account.left_beside(used);
+        if amount.fits_in(&left) {
+            let surplus = left - amount;
+            return Some(Forecast { due, surplus });
+        }
+        let (left, freed) = ends.next()?;
+        due = now + *left;
+        used -= *freed;
+    }
+}
--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -108,7 +108,17 @@
     /// Returns what may still be started. A limit that was lowered below what runs leaves
     /// nothing.
     pub(crate) fn left(&self) -> Resources {
-        part_limits(self.limit) - self.used
+        self.left_beside(self.used)
+    }
+
+    /// Returns what may still be started beside so much.
+    pub(crate) fn left_beside(&self, used: Resources) -> Resources {
+        part_limits(self.limit) - used
+    }
+
+    /// Returns whether the limit holds an amount where nothing else is running.
+    pub(crate) fn may_ever_hold(&self, amount: &Resources) -> bool {
+        amount.fits_in(&part_limits(self.limit))
     }
 
     /// Returns whether what is in use is within the limit; it is not where the limit was
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -1,7 +1,8 @@
 //! What is logged: one entry per decision.
 
 use crate::customers::CustomerUse;
-use crate::job::{JobId, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
+use ospreywing_types::Duration;
 use std::sync::Arc;
 
 /// What was decided or came to be believed.
@@ -95,6 +96,15 @@
     }
 }
 
+/// A reservation of a customer's limit, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReservedLimit {
+    /// The step that it is for.
+    pub step: StepKey,
+    /// How long until the limit should hold that, where it is known.
+    pub due_in: Option<Duration>,
+}
+
 /// One entry for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -114,6 +124,8 @@
     pub queue: Option<Arc<str>>,
     /// The customer, and what it has running and may have, where that decides.
     pub customer: Option<CustomerUse>,
+    /// The reservation of the customer's limit, where there is one.
+    pub reserved: Option<ReservedLimit>,
     /// Why, or how it came out.
     pub reason: &'static str,
     /// The age of the belief or the size that decided, by kind.
@@ -134,6 +146,7 @@
             data_centre: None,
             queue: None,
             customer: None,
+            reserved: None,
             reason,
             figure: 0,
             good_count: 0,
@@ -177,6 +190,12 @@
         self
     }
 
+    /// Names the reservation of the customer's limit.
+    pub const fn with_reserved(mut self, reserved: Option<ReservedLimit>) -> Self {
+        self.reserved = reserved;
+        self
+    }
+
     /// Sets how many workers were found good.
     pub const fn with_good_count(mut self, good_count: usize) -> Self {
         self.good_count = good_count;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod advisers;
 mod asking;
 mod awaiting;
+mod backfill;
 mod candidate;
 mod commits;
 mod config;
@@ -64,7 +65,7 @@
     LANES_COUNT,
 };
 pub use customers::{Customer, CustomerUse};
-pub use decision::{Decision, DecisionKind};
+pub use decision::{Decision, DecisionKind, ReservedLimit};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -71,6 +71,7 @@
             return 0;
         }
         let mut cycle = self.new_cycle(now);
+        self.begin_reservations(now, &mut cycle);
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
@@ -128,33 +129,26 @@
         out: &mut Vec<Action>,
     ) -> Option<WaitReason> {
         let charge = self.charge_of(key);
-        let allowed_count = self.allowed_count(charge, cycle);
-        if self.is_held(key, charge, allowed_count, cycle, out) {
-            return Some(self.reason_to_hold(key));
+        let allowance = self.allowance(now, key, charge, cycle);
+        if let Some(reason) = self.reason_to_hold(now, key, charge, allowance, cycle, out) {
+            return Some(reason);
         }
         cycle.examined_count += 1;
-        let Some(pending) = self.pending_step(key, allowed_count) else {
+        let Some(pending) = self.pending_step(key, allowance.allowed_count) else {
             // Its other members may be alive.
             return Some(WaitReason::LastRun);
         };
         if self.yields_to_gangs(now, &pending, cycle) {
             return Some(WaitReason::Gangs);
         }
+        if self.asks_in_vain(now, &pending, charge, cycle) {
+            return Some(WaitReason::AdviceBeside);
+        }
         let reason = self.serve_step(now, &pending, cycle, out);
-        self.claim_limit(&pending, cycle);
+        self.note_served(now, &pending, charge, cycle);
         reason
     }
 
-    /// Returns why a step waits that its customer's limit lets start too little of.
-    fn reason_to_hold(&self, key: StepKey) -> WaitReason {
-        let job = self.jobs.get(&key.job);
-        if job.is_some_and(|job| job.is_waiting_whole(key)) {
-            WaitReason::Limit
-        } else {
-            WaitReason::LastRun
-        }
-    }
-
     /// Returns why a step waits whose tasks could not all be placed.
     fn reason_to_seek(&self, now: Instant, pending: &PendingStep) -> WaitReason {
         if self.is_confined_to_cordons(pending) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use crate::advice::StepAdvice;
 use crate::advisers::Advisers;
+use crate::backfill::LimitReservations;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
 use crate::cordons::Cordons;
@@ -64,6 +65,8 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// Steps for which a part of their customer's limit is reserved.
+    pub limit_reservations_count: usize,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -73,6 +76,8 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
+    /// What is kept of customers' limits for steps that wait for them.
+    pub(crate) limit_reservations: LimitReservations,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -132,6 +137,7 @@
             config,
             configuration,
             accounts,
+            limit_reservations: LimitReservations::default(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
@@ -278,6 +284,7 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            limit_reservations_count: self.limit_reservations.count(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/src/waiting.rs
+++ b/crates/scheduler/src/waiting.rs
@@ -34,6 +34,12 @@
     AdviceRetry,
     /// All nodes that may ask the adviser are busy; one is free after its call.
     AdviceNode,
+    /// What is left of its customer's limit is reserved for another step; that one starts, or
+    /// its reservation lapses.
+    Reserved,
+    /// Advice is asked for other steps that use up what is left of its customer's limit;
+    /// these calls are answered, and the step waits for them up to a time.
+    AdviceBeside,
     /// Members of its gang's last run may be alive; they end, are stopped, or their leases
     /// lapse.
     LastRun,
@@ -50,12 +56,14 @@
 
 impl WaitReason {
     /// All reasons, in the order of their indices.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::Room,
         Self::Limit,
         Self::Advice,
         Self::AdviceRetry,
         Self::AdviceNode,
+        Self::Reserved,
+        Self::AdviceBeside,
         Self::LastRun,
         Self::Stops,
         Self::Trial,
@@ -71,6 +79,8 @@
             Self::Advice => "advice asked",
             Self::AdviceRetry => "advice failed",
             Self::AdviceNode => "no node free to ask for advice",
+            Self::Reserved => "limit reserved for another step of its customer",
+            Self::AdviceBeside => "advice asked for others of its customer",
             Self::LastRun => "members of its last run",
             Self::Stops => "runs being stopped for it",
             Self::Trial => "worker of its own after a crash",
@@ -132,6 +142,11 @@
         wait.seen_at = now;
     }
 
+    /// Returns since when a step has waited, for whichever reasons.
+    pub(crate) fn since(&self, step: StepKey) -> Option<Instant> {
+        self.by_step.get(&step).map(|wait| wait.since)
+    }
+
     /// Forgets steps that no cycle has looked at lately: nothing of them waits any more.
     pub(crate) fn forget_old(&mut self, now: Instant) {
         self.by_step
@@ -208,12 +223,14 @@
         match reason {
             // Ends of other runs, workers that join, operators, and times that pass.
             WaitReason::Room
-            | WaitReason::Limit
+            | WaitReason::AdviceBeside
             | WaitReason::Gangs
             | WaitReason::Cordon
             | WaitReason::AdviceRetry
             | WaitReason::AdviceNode
             | WaitReason::Trial => true,
+            WaitReason::Limit => self.is_limit_reached(step),
+            WaitReason::Reserved => self.is_limit_reserved(step),
             WaitReason::Advice => {
                 let advice = self.advice.get(&step);
                 advice.is_some_and(StepAdvice::is_open)
