--- a/crates/scheduler/src/backfill.rs
+++ b/crates/scheduler/src/backfill.rs
@@ -12,6 +12,7 @@
 use crate::job::{StepKey, StepSpec};
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
+use crate::worker::Run;
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeMap;
 
@@ -29,7 +30,7 @@
 const OVERDUE_TIME: Duration = Duration::from_ms(2000);
 /// A step that has waited for so long holds back more urgent work too, so that a stream of
 /// it does not keep the step out for ever.
-const OVERTAKEN_TIME: Duration = Duration::from_ms(5000);
+const OVERTAKEN_TIME: Duration = Duration::from_ms(2000);
 /// A step that has waited for so long holds other work back also where less than half of the
 /// limit is in use, for [`FIRM_TIME`]. Together they are the 3 s within which work is to
 /// start whose customer uses so little.
@@ -95,10 +96,15 @@
         self.lapses_at.is_some_and(|at| now >= at)
     }
 
-    /// Takes in a forecast; the first one says how long other work is held back.
-    fn set_forecast(&mut self, forecast: Option<Forecast>) {
-        self.forecast = forecast;
-        if let Some(forecast) = forecast {
+    /// Takes in a forecast; the first one says how long other work is held back. A later
+    /// one does not put the step off: work that passed it ended before its turn, by then.
+    fn set_forecast(&mut self, now: Instant, forecast: Option<Forecast>) {
+        let promised = self.due();
+        self.forecast = forecast.map(|new| Forecast {
+            due: promised.map_or(new.due, |due| due.min(new.due).max(now)),
+            ..new
+        });
+        if let Some(forecast) = self.forecast {
             self.lapses_at.get_or_insert(forecast.due + OVERDUE_TIME);
         }
     }
@@ -121,6 +127,8 @@
 #[derive(Debug, Default)]
 struct CustomerReservation {
     reservation: Option<LimitReservation>,
+    /// What takes its place as the next cycle begins.
+    next: Option<LimitReservation>,
     /// Until when nothing is reserved.
     rests_until: Instant,
 }
@@ -163,6 +171,22 @@
         state.reservation = Some(reservation);
     }
 
+    /// Has a reservation take the place of a customer's as the next cycle begins, where no
+    /// other is to whose step has waited for longer: until then it holds work back.
+    fn set_next(&mut self, customer: CustomerKey, wanted: LimitReservation) {
+        let state = self.by_customer.entry(customer).or_default();
+        if state.next.is_none_or(|next| wanted.since < next.since) {
+            state.next = Some(wanted);
+        }
+    }
+
+    /// Brings in what takes the place of others.
+    fn take_next(&mut self) {
+        for state in self.by_customer.values_mut() {
+            state.reservation = state.next.take().or(state.reservation);
+        }
+    }
+
     /// Ends a customer's reservation; it rests where the reservation lapsed or was firm.
     fn end(&mut self, now: Instant, customer: CustomerKey) {
         let Some(state) = self.by_customer.get_mut(&customer) else {
@@ -181,6 +205,7 @@
     /// Looks at all reservations as a cycle begins: those that are over end, forecasts are
     /// made where they are due, and those come into force that more urgent work overtakes.
     pub(crate) fn begin_reservations(&mut self, now: Instant, cycle: &mut SchedulingCycle) {
+        self.limit_reservations.take_next();
         let reserved: Vec<(CustomerKey, StepKey)> = self
             .limit_reservations
             .iter()
@@ -216,14 +241,14 @@
                 continue;
             };
             if let Some(left) = self.time_left(*task, run) {
-                ends.push((left, run.charge.amount));
+                ends.push((left_by_age(now, run, left), run.charge.amount));
             }
         }
         for (customer, mut ends) in ends {
             ends.sort_unstable_by_key(|(left, _)| *left);
             let account = self.accounts.get(customer);
             if let Some(reservation) = self.limit_reservations.get_mut(customer) {
-                reservation.set_forecast(forecast(now, account, reservation.amount, &ends));
+                reservation.set_forecast(now, forecast(now, account, reservation.amount, &ends));
                 reservation.firm_up(now, account);
             }
         }
@@ -246,22 +271,18 @@
         }
         let since = self.waits.since(step).unwrap_or(now);
         let wanted = LimitReservation::new(step, amount, since);
-        let is_kept = match self.limit_reservations.get_mut(customer) {
-            Some(known) if known.step == step => {
-                known.amount = amount;
-                true
-            }
-            Some(known) if known.is_firm => true,
-            Some(known) if known.is_overtaken(now) => {
-                !wanted.is_overtaken(now) || known.since <= since
+        let is_overtaken = wanted.is_overtaken(now);
+        let is_in_force = cycle.is_limit_kept(customer);
+        cycle.keep_limit(customer);
+        match self.limit_reservations.get_mut(customer) {
+            Some(known) if known.step == step => known.amount = amount,
+            Some(known) if known.is_firm => {}
+            Some(known) if is_overtaken && !(known.is_overtaken(now) && known.since <= since) => {
+                self.limit_reservations.set_next(customer, wanted);
             }
-            Some(_) => cycle.is_limit_kept(customer) && !wanted.is_overtaken(now),
-            None => false,
-        };
-        if !is_kept {
-            self.limit_reservations.set(customer, wanted);
+            Some(known) if known.is_overtaken(now) || is_in_force => {}
+            Some(_) | None => self.limit_reservations.set(customer, wanted),
         }
-        cycle.keep_limit(customer);
     }
 
     /// Returns how many tasks of a step may start beside the reservation of its customer
@@ -384,6 +405,18 @@
     }
 }
 
+/// Returns how long a run should still take where its worker does not tell how far on it
+/// is.
+fn left_by_age(now: Instant, run: &Run, left: Duration) -> Duration {
+    match run.begun_at {
+        Some(begun_at) if run.progress_percent == 0 => {
+            let age_ms = now.since(begun_at).as_ms();
+            Duration::from_ms(left.as_ms().saturating_sub(age_ms))
+        }
+        _ => left,
+    }
+}
+
 /// Returns when a customer's limit will hold an amount, by the expected ends of its runs,
 /// the soonest first; `None` where these don't make enough of it free.
 fn forecast(
@@ -393,16 +426,19 @@
     ends: &[(Duration, Resources)],
 ) -> Option<Forecast> {
     let mut used = account.used;
-    let mut due = now;
-    let mut ends = ends.iter();
-    loop {
-        let left = account.left_beside(used);
-        if amount.fits_in(&left) {
-            let surplus = left - amount;
-            return Some(Forecast { due, surplus });
+    let mut due = None;
+    let already = (Duration::ZERO, Resources::ZERO);
+    for (left, freed) in core::iter::once(&already).chain(ends) {
+        let ends_at = now + *left;
+        // Runs that end together count together.
+        if due.is_some_and(|due| ends_at > due) {
+            break;
         }
-        let (left, freed) = ends.next()?;
-        due = now + *left;
         used -= *freed;
+        if due.is_none() && amount.fits_in(&account.left_beside(used)) {
+            due = Some(ends_at);
+        }
     }
+    let surplus = account.left_beside(used) - amount;
+    due.map(|due| Forecast { due, surplus })
 }
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/backfill.rs
@@ -0,0 +1,217 @@
+//! Limits of customers that only what runs uses up, and the reservation for what waits for
+//! one.
+
+use crate::support::bench::{end, workers, Bench};
+use crate::support::{
+    configuration_with, customer, job_of, step, with_other_service, OTHER_QUEUE, PATIENT_QUEUE,
+};
+use ospreywing_scheduler::{
+    Action, Decision, DecisionKind, EndKind, EndedRun, Event, Feature, StepSpec, TaskKey, WorkerKey,
+};
+use ospreywing_types::{Duration, Resources};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// The workers in these cases hold two tasks each.
+const WORKERS_COUNT: usize = 8;
+/// A length that surely ends before a second has passed.
+const BRIEF_MS: u64 = 200;
+
+type Start = (WorkerKey, TaskKey, u32);
+
+fn bench_with(tasks_count: u32, is_on: bool) -> Bench {
+    let mut bench = Bench::with_feature(&workers(WORKERS_COUNT), Feature::Backfill, is_on);
+    limit(&mut bench, 2, tasks_count);
+    bench
+}
+
+fn limit(bench: &mut Bench, version: u64, tasks_count: u32) {
+    let customers = vec![customer("one", tasks_count, 100.0)];
+    let configuration = configuration_with(version, None, customers);
+    bench.tell(Event::Configured(with_other_service(configuration)));
+}
+
+/// Takes the starts that were sent and answers them.
+fn start_all(bench: &mut Bench) -> Vec<Start> {
+    for _ in 0..6 {
+        bench.now = bench.now + Duration::from_ms(10);
+        bench.tell(Event::Tick);
+        bench.answer_commits();
+    }
+    let starts = bench.starts();
+    for start in &starts {
+        bench.started(*start);
+    }
+    starts
+}
+
+/// Has all workers list the ends of these runs.
+fn end_all(bench: &mut Bench, starts: &[Start]) {
+    let mut by_worker: BTreeMap<WorkerKey, Vec<EndedRun>> = BTreeMap::new();
+    for (worker, task, run) in starts {
+        let ended = by_worker.entry(*worker).or_default();
+        let number = task.step.job.number() * 100 + u64::from(task.index);
+        ended.push(end(number, *task, *run, EndKind::Done));
+    }
+    for (worker, ended) in by_worker {
+        bench.list_after(Duration::from_ms(1), worker, ended);
+    }
+}
+
+fn gang(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..step(tasks_count)
+    }
+}
+
+fn brief(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        estimate_ms: BRIEF_MS,
+        ..step(tasks_count)
+    }
+}
+
+/// Hands in a job of the patient queue, which comes after all of the other.
+fn submit_patient(bench: &mut Bench, number: u64, spec: StepSpec) {
+    let (id, mut record) = job_of("one", number, vec![spec]);
+    record.queue = PATIENT_QUEUE.to_owned();
+    bench.submit_job((id, record));
+}
+
+fn held_lines(bench: &Bench) -> Vec<Decision> {
+    let lines = bench.actions.iter().filter_map(|action| match action {
+        Action::Log(line) if line.kind == DecisionKind::JobHeld => Some(line.clone()),
+        _ => None,
+    });
+    lines.collect()
+}
+
+/// What waits for workers of one service takes nothing of its customer's limit from what
+/// has room at another.
+#[rstest]
+#[case::off(false, 0)]
+#[case::on(true, 3)]
+fn place_gang_beside_other_service_without_room(#[case] is_on: bool, #[case] started_count: usize) {
+    let mut bench = bench_with(10, is_on);
+    let (id, mut record) = job_of("one", 1, vec![step(10)]);
+    record.queue = OTHER_QUEUE.to_owned();
+    bench.submit_job((id, record));
+    submit_patient(&mut bench, 2, gang(3));
+    assert_eq!(start_all(&mut bench).len(), started_count);
+}
+
+/// A gang without room, which fits the limit, holds nothing of it for less urgent work.
+#[rstest]
+#[case::off(false, 0)]
+#[case::on(true, 3)]
+fn place_behind_gang_without_room(#[case] is_on: bool, #[case] started_count: usize) {
+    let mut bench = bench_with(7, is_on);
+    bench.submit(1, vec![step(12)]);
+    assert_eq!(start_all(&mut bench).len(), 12);
+    bench.submit_job(job_of("one", 2, vec![gang(6)]));
+    submit_patient(&mut bench, 3, gang(3));
+    assert_eq!(start_all(&mut bench).len(), started_count);
+}
+
+/// Behind a gang that waits for the limit starts what surely ends before its turn, or what
+/// fits beside it then.
+#[rstest]
+#[case::too_long(5, step(1), 0)]
+#[case::brief(5, brief(1), 1)]
+#[case::of_unknown_length(5, StepSpec { estimate_ms: 0, ..step(1) }, 0)]
+#[case::perpetual(5, StepSpec { is_perpetual: true, ..brief(1) }, 0)]
+#[case::fits_beside(4, step(1), 1)]
+#[case::fits_beside_in_part(4, step(2), 1)]
+fn place_behind_reservation(
+    #[case] members_count: u32,
+    #[case] behind: StepSpec,
+    #[case] started_count: usize,
+) {
+    let mut bench = bench_with(5, true);
+    bench.submit_job(job_of("one", 1, vec![step(3)]));
+    start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(members_count)]));
+    submit_patient(&mut bench, 3, behind);
+    assert_eq!(start_all(&mut bench).len(), started_count);
+}
+
+/// The customers' other tasks don't take what a gang has waited for, once that is there.
+#[test]
+fn place_gang_at_end_of_reservation() {
+    let mut bench = bench_with(5, true);
+    bench.submit_job(job_of("one", 1, vec![step(3)]));
+    let first = start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(5)]));
+    submit_patient(&mut bench, 3, step(4));
+    assert_eq!(start_all(&mut bench).len(), 0);
+    end_all(&mut bench, &first);
+    let started = start_all(&mut bench);
+    assert_eq!(started.len(), 5);
+    assert!(started
+        .iter()
+        .all(|(_, task, _)| task.step.job.number() == 2));
+    assert_eq!(
+        bench.scheduler.status(bench.now).limit_reservations_count,
+        1
+    );
+    end_all(&mut bench, &started);
+    assert_eq!(start_all(&mut bench).len(), 4);
+}
+
+/// Runs that take far longer than estimated don't keep up the customer's other work for
+/// ever.
+#[test]
+fn place_behind_reservation_estimates_wrong() {
+    let mut bench = bench_with(5, true);
+    bench.submit_job(job_of("one", 1, vec![step(3)]));
+    start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(5)]));
+    submit_patient(&mut bench, 3, step(1));
+    assert_eq!(start_all(&mut bench).len(), 0);
+    // A second until it is due, and two beyond.
+    let mut started_count = 0;
+    for _ in 0..32 {
+        bench.now = bench.now + Duration::from_ms(40);
+        started_count += start_all(&mut bench).len();
+    }
+    assert_eq!(started_count, 1);
+}
+
+/// A gang that can never fit the limit, since it was lowered, holds nothing back.
+#[test]
+fn place_behind_gang_beyond_lowered_limit() {
+    let mut bench = bench_with(6, true);
+    bench.submit_job(job_of("one", 1, vec![step(3)]));
+    start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(6)]));
+    start_all(&mut bench);
+    limit(&mut bench, 3, 5);
+    submit_patient(&mut bench, 3, step(1));
+    assert_eq!(start_all(&mut bench).len(), 1);
+}
+
+/// What is held back is told with the reservation that holds it back.
+#[test]
+fn place_behind_reservation_is_told() {
+    let mut bench = bench_with(5, true);
+    bench.submit_job(job_of("one", 1, vec![step(3)]));
+    start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(5)]));
+    submit_patient(&mut bench, 3, step(1));
+    start_all(&mut bench);
+    let lines = held_lines(&bench);
+    let told: Vec<(u64, &str)> = lines
+        .iter()
+        .map(|line| (line.job.map_or(0, |job| job.number()), line.reason))
+        .collect();
+    let behind = "limit reserved for another step of its customer";
+    assert_eq!(told, [(2, "limit of its customer"), (3, behind)]);
+    let reserved = lines[1].reserved.expect("a reservation");
+    assert_eq!(reserved.step.job.number(), 2);
+    assert!(reserved
+        .due_in
+        .is_some_and(|due_in| due_in > Duration::ZERO));
+    let used = lines[1].customer.as_ref().map(|customer| customer.used);
+    assert_eq!(used, Some(Resources::new(6000, 3000, 0)));
+}
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/backfill_load.rs
@@ -0,0 +1,214 @@
+//! Loads of one customer that its limit binds: short jobs beside gangs.
+
+use crate::support::world::{Faults, World};
+use crate::support::{
+    advice, configuration_with, customer, first_task, job_of, step, with_other_service,
+    OTHER_QUEUE, PATIENT_QUEUE,
+};
+use ospreywing_scheduler::{AdvicePolicy, Feature, JobId, JobRecord, StepSpec};
+use ospreywing_types::Resources;
+use rstest::rstest;
+
+const SEEDS_COUNT: u64 = 4;
+const ESTIMATE_MS: u64 = 900;
+
+/// A job that was handed in, and when.
+struct Sent {
+    id: JobId,
+    at_ms: u64,
+}
+
+/// A world with one customer, and what was handed in of it.
+struct Play {
+    world: World,
+    shorts: Vec<Sent>,
+    gangs: Vec<Sent>,
+}
+
+impl Play {
+    fn new(seed: u64, workers_count: usize, limit_tasks_count: u32, is_on: bool) -> Self {
+        Self::with_advice(seed, workers_count, limit_tasks_count, is_on, None)
+    }
+
+    fn with_advice(
+        seed: u64,
+        workers_count: usize,
+        limit_tasks_count: u32,
+        is_on: bool,
+        policy: Option<AdvicePolicy>,
+    ) -> Self {
+        let mut world = World::new(seed, workers_count, Faults::default(), policy);
+        world.run_lengths_ms = 600..1_200;
+        if !is_on {
+            world.elect_without(Feature::Backfill);
+        }
+        let customers = vec![customer("one", limit_tasks_count, 1000.0)];
+        let configuration = configuration_with(2, policy, customers);
+        world.configure(with_other_service(configuration));
+        Self {
+            world,
+            shorts: Vec::new(),
+            gangs: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, queue: Option<&str>, spec: StepSpec) {
+        let number = (self.shorts.len() + self.gangs.len()) as u64 + 1;
+        let is_gang = spec.is_gang;
+        let (id, mut record): (JobId, JobRecord) = job_of("one", number, vec![spec]);
+        if let Some(queue) = queue {
+            record.queue = queue.to_owned();
+        }
+        record.accepted_ms = self.world.now_ms;
+        let list = if is_gang {
+            &mut self.gangs
+        } else {
+            &mut self.shorts
+        };
+        list.push(Sent {
+            id,
+            at_ms: self.world.now_ms,
+        });
+        self.world.submit((id, record));
+    }
+
+    /// Returns how long each of the jobs waited for its first start, in order.
+    fn waits_ms(&self, sent: &[Sent]) -> Vec<u64> {
+        let started = &self.world.rules.first_started_ms;
+        let mut waits_ms: Vec<u64> = sent
+            .iter()
+            .map(|sent| {
+                let at_ms = started.get(&first_task(sent.id));
+                at_ms.map_or(u64::MAX, |at_ms| at_ms - sent.at_ms)
+            })
+            .collect();
+        waits_ms.sort_unstable();
+        waits_ms
+    }
+}
+
+/// Returns the 95th percentile of waits in order.
+fn percentile_95(waits_ms: &[u64]) -> u64 {
+    waits_ms[waits_ms.len() * 95 / 100]
+}
+
+fn gang(tasks_count: u32) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        estimate_ms: ESTIMATE_MS,
+        ..step(tasks_count)
+    }
+}
+
+fn short(cores_milli: u32) -> StepSpec {
+    StepSpec {
+        demand: Resources::new(cores_milli, 500, 0),
+        estimate_ms: ESTIMATE_MS,
+        ..step(1)
+    }
+}
+
+/// The tasks that the customer of the stream may have running.
+const STREAM_LIMIT_COUNT: u32 = 12;
+const STREAM_MS: u64 = 12_000;
+/// A gang of nearly all of it comes in after this time.
+const STREAM_GANG_COUNT: u32 = 11;
+const STREAM_GANG_AT_MS: u64 = 3_000;
+/// How soon it is to start: a second until it holds others back, two for which it may, and
+/// a start's own time.
+const STREAM_GANG_BOUND_MS: u64 = 3_200;
+/// How long a short job may wait meanwhile: the platform's bound.
+const STREAM_SHORT_BOUND_MS: u64 = 3_000;
+
+/// A steady stream of short jobs, which keeps about half of the limit in use, and a gang that
+/// needs more than half of it.
+fn play_stream(seed: u64, is_on: bool) -> Play {
+    let mut play = Play::new(seed, 16, STREAM_LIMIT_COUNT, is_on);
+    for at_ms in (0..STREAM_MS).step_by(50) {
+        if at_ms % 150 == 0 {
+            play.send(None, short(2000));
+        }
+        if at_ms == STREAM_GANG_AT_MS {
+            play.send(Some(PATIENT_QUEUE), gang(STREAM_GANG_COUNT));
+        }
+        play.world.run_for(50);
+    }
+    play.world.run_for(STREAM_SHORT_BOUND_MS);
+    play
+}
+
+#[test]
+fn place_large_gang_in_stream() {
+    for seed in 0..SEEDS_COUNT {
+        let before = play_stream(seed, false);
+        let play = play_stream(seed, true);
+        let gangs_ms = play.waits_ms(&play.gangs);
+        let shorts_ms = play.waits_ms(&play.shorts);
+        println!(
+            "seed {seed}: gang {:?} before, {gangs_ms:?} ms; shorts {:?} before, {:?} ms",
+            before.waits_ms(&before.gangs),
+            before.waits_ms(&before.shorts).last(),
+            shorts_ms.last()
+        );
+        assert!(gangs_ms[0] <= STREAM_GANG_BOUND_MS, "the gang waits");
+        assert!(
+            shorts_ms.last() <= Some(&STREAM_SHORT_BOUND_MS),
+            "a short job waits"
+        );
+    }
+}
+
+/// The usual of the flood's customer: a short job each so often, and a gang at another
+/// service, of up to half of the limit.
+const FLOOD_SHORT_PERIOD_MS: u64 = 1_000;
+const FLOOD_GANG_PERIOD_MS: u64 = 5_000;
+const FLOOD_WORKERS_COUNT: usize = 48;
+const FLOOD_LIMIT_COUNT: u32 = 32;
+const FLOOD_GANG_COUNTS: [u32; 4] = [16, 4, 8, 4];
+const FLOOD_MS: u64 = 16_000;
+/// What a short job may wait for its first start: what its objective leaves beside its own
+/// length, which is twice that and a second.
+const FLOOD_SHORT_BOUND_MS: u64 = 1_000 + ESTIMATE_MS;
+/// The same for a gang: two seconds until it comes before more urgent work, the longest run
+/// in its way, and two for advice and room.
+const FLOOD_GANG_BOUND_MS: u64 = 2_000 + 1_200 + 2_000;
+
+fn play_flood(seed: u64, factor: u64, is_on: bool, policy: Option<AdvicePolicy>) -> Play {
+    let mut play = Play::with_advice(seed, FLOOD_WORKERS_COUNT, FLOOD_LIMIT_COUNT, is_on, policy);
+    play.world.good_one_in = 1;
+    play.world.lay_out_services();
+    for at_ms in (0..FLOOD_MS).step_by(50) {
+        if at_ms % FLOOD_SHORT_PERIOD_MS == 0 {
+            for _ in 0..factor {
+                play.send(None, short(1000));
+            }
+        }
+        if at_ms % FLOOD_GANG_PERIOD_MS == 0 {
+            for number in 0..factor as usize {
+                let members_count = FLOOD_GANG_COUNTS[number % FLOOD_GANG_COUNTS.len()];
+                play.send(Some(OTHER_QUEUE), gang(members_count));
+            }
+        }
+        play.world.run_for(50);
+    }
+    play.world.run_for(FLOOD_GANG_BOUND_MS);
+    play
+}
+
+/// Neither the short jobs of one service nor the gangs of another keep the others from the
+/// customer's limit, which holds what comes on average but not all that comes at once.
+#[rstest]
+fn place_shorts_beside_flood_of_gangs(
+    #[values(2, 5, 10)] factor: u64,
+    #[values(false, true)] has_advice: bool,
+) {
+    let policy = has_advice.then(advice);
+    for seed in 0..SEEDS_COUNT {
+        let play = play_flood(seed, factor, true, policy);
+        let shorts_ms = percentile_95(&play.waits_ms(&play.shorts));
+        let gangs_ms = percentile_95(&play.waits_ms(&play.gangs));
+        println!("seed {seed}: shorts {shorts_ms} ms, gangs {gangs_ms} ms");
+        assert!(shorts_ms <= FLOOD_SHORT_BOUND_MS, "short jobs wait");
+        assert!(gangs_ms <= FLOOD_GANG_BOUND_MS, "gangs wait");
+    }
+}
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -2,6 +2,8 @@
 
 mod advice_calls;
 mod awaiting;
+mod backfill;
+mod backfill_load;
 mod cases;
 mod cordons;
 mod crash_figures;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -4,7 +4,10 @@
 //! outcome once the faults are over.
 
 use crate::support::world::{Faults, World};
-use crate::support::{advice, configuration_with, customer, job, job_of, patient_job, step};
+use crate::support::{
+    advice, configuration_with, customer, job, job_of, patient_job, step, with_other_service,
+    OTHER_QUEUE,
+};
 use ospreywing_scheduler::{AdvicePolicy, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
@@ -502,3 +505,45 @@
         world.run_until_done(CALM_LIMIT_MS);
     }
 }
+
+/// Customers whose gangs need up to all of their limit, which is lowered meanwhile, beside
+/// short jobs, at two services: none has more running than it may, and every gang gets in.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::limits(Faults { limit: 60, ..Faults::default() })]
+#[case::late_orders(Faults { limit: 60, late_order: 80, lost_answer: 40, ..Faults::default() })]
+#[case::takeovers(Faults { limit: 60, takeover: 60, ..Faults::default() })]
+#[case::failing_runs(Faults { limit: 20, failing_run: 120, crash: 20, ..Faults::default() })]
+#[case::everything(Faults { limit: 60, pause: 20, ..EVERYTHING })]
+fn scheduler_reserves_customers_limits(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let policy = has_advice.then(advice);
+        let mut world = World::new(seed, 12, faults, policy);
+        world.good_one_in = 1;
+        world.lay_out_services();
+        let customers = vec![customer("one", 4, 2.0), customer("two", 6, 100.0)];
+        world.configure(with_other_service(configuration_with(2, policy, customers)));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=32 {
+            let spec = match number % 8 {
+                0 => gang(4),
+                1 => gang(3),
+                _ => step(1 + number as u32 % 2),
+            };
+            let name = if number % 16 < 8 { "one" } else { "two" };
+            let (id, mut record) = job_of(name, number, vec![spec]);
+            if number % 3 == 0 {
+                record.queue = OTHER_QUEUE.to_owned();
+            }
+            world.submit((id, record));
+            world.run_for(200);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -3,9 +3,10 @@
 use super::worker::FakeWorker;
 use super::{configuration, job};
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, HoldReply,
-    JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler, SchedulerConfig,
-    StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts, WorkerKey,
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Feature,
+    Features, HoldReply, JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler,
+    SchedulerConfig, StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Instant};
 
@@ -36,13 +37,27 @@
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
         let mut bench = Self::begin(config, recovered, advice);
         bench.list_workers(workers);
+        bench.list_all_empty(workers);
+        bench
+    }
+
+    /// Has the workers list nothing.
+    fn list_all_empty(&mut self, workers: &[FakeWorker]) {
         for worker in workers {
-            let key = bench
-                .scheduler
-                .worker_key(&worker.id)
-                .expect("a listed worker");
-            bench.list(key, Vec::new());
+            let key = self.scheduler.worker_key(&worker.id);
+            self.list(key.expect("a listed worker"), Vec::new());
         }
+    }
+
+    /// Creates the same with a feature on or off.
+    pub fn with_feature(workers: &[FakeWorker], feature: Feature, is_on: bool) -> Self {
+        let mut config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
+        if !is_on {
+            config = config.with_features(Features::default().without(feature));
+        }
+        let mut bench = Self::begin(config, Recovered::default(), None);
+        bench.list_workers(workers);
+        bench.list_all_empty(workers);
         bench
     }
 
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -22,6 +22,9 @@
 pub const PATIENT_QUEUE: &str = "bundle";
 /// The service of all workers in these tests.
 pub const SERVICE: &str = "gallery";
+/// A queue of another service, and that service.
+pub const OTHER_QUEUE: &str = "restore";
+pub const OTHER_SERVICE: &str = "attic";
 /// How often a task may fail.
 pub const ATTEMPTS_COUNT: u32 = 3;
 
@@ -166,3 +169,18 @@
     record.customer = Some(customer.to_owned());
     (id, record)
 }
+
+/// Adds a queue of another service, which comes before the others.
+pub fn with_other_service(mut configuration: Configuration) -> Configuration {
+    let queue = Queue {
+        name: OTHER_QUEUE.to_owned(),
+        service: OTHER_SERVICE.to_owned(),
+        priority: 0,
+        ..configuration.queues[PATIENT_QUEUE].clone()
+    };
+    configuration.queues.insert(queue.name.clone(), queue);
+    configuration.services.push(ServicePolicy {
+        name: OTHER_SERVICE.to_owned(),
+    });
+    configuration
+}
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -12,6 +12,8 @@
     pub done_noted: BTreeSet<TaskKey>,
     /// When each task was started last.
     started_at_ms: BTreeMap<TaskKey, u64>,
+    /// When each task was started first.
+    pub first_started_ms: BTreeMap<TaskKey, u64>,
     /// Tasks with any end `done`.
     pub done: BTreeSet<TaskKey>,
     /// Runs that failed and were noted, by task.
@@ -92,6 +94,7 @@
         self.starts_count += 1;
         let task = order.task;
         self.started_at_ms.insert(task, now_ms);
+        self.first_started_ms.entry(task).or_insert(now_ms);
         let record = jobs.get(&task.step.job).expect("a job that was accepted");
         let spec = &record.spec.steps[task.step.step as usize];
         assert!(
