--- a/crates/scheduler/src/backfill.rs
+++ b/crates/scheduler/src/backfill.rs
@@ -16,7 +16,8 @@
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeMap;
 
-/// The time between two forecasts: each goes over all runs.
+/// The time between two forecasts for a customer: each goes over all runs. A reservation that
+/// has none yet holds nothing back.
 const FORECAST_PERIOD: Duration = Duration::from_ms(100);
 /// How much of its estimate a task may take, in percent, that passes because it surely ends
 /// in time: estimates are off by half.
@@ -50,6 +51,13 @@
     surplus: Resources,
 }
 
+/// The end of a run that is expected, and what it frees.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedEnd {
+    at: Instant,
+    freed: Resources,
+}
+
 /// A part of a customer's limit that is kept for a step.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LimitReservation {
@@ -58,8 +66,7 @@
     amount: Resources,
     /// Since when the step has waited.
     since: Instant,
-    /// `None` until it is worked out, and where the limit will never hold the step: then
-    /// nothing is held back for it.
+    /// `None` until it is worked out: nothing is held back for the step until then.
     forecast: Option<Forecast>,
     /// When it stops holding other work back.
     lapses_at: Option<Instant>,
@@ -82,7 +89,7 @@
         }
     }
 
-    /// Returns when the limit should hold the step, where that is known.
+    /// Returns when the limit should hold the step, once that is worked out.
     pub(crate) fn due(&self) -> Option<Instant> {
         self.forecast.map(|forecast| forecast.due)
     }
@@ -98,15 +105,10 @@
 
     /// Takes in a forecast; the first one says how long other work is held back. A later
     /// one does not put the step off: work that passed it ended before its turn, by then.
-    fn set_forecast(&mut self, now: Instant, forecast: Option<Forecast>) {
-        let promised = self.due();
-        self.forecast = forecast.map(|new| Forecast {
-            due: promised.map_or(new.due, |due| due.min(new.due).max(now)),
-            ..new
-        });
-        if let Some(forecast) = self.forecast {
-            self.lapses_at.get_or_insert(forecast.due + OVERDUE_TIME);
-        }
+    fn set_forecast(&mut self, now: Instant, new: Forecast) {
+        let due = self.due().map_or(new.due, |due| due.min(new.due).max(now));
+        self.forecast = Some(Forecast { due, ..new });
+        self.lapses_at.get_or_insert(due + OVERDUE_TIME);
     }
 
     /// Makes it hold where it is due within the time for which it may, and the customer has
@@ -131,13 +133,23 @@
     next: Option<LimitReservation>,
     /// Until when nothing is reserved.
     rests_until: Instant,
+    /// What runs have of the limit that don't end by themselves.
+    endless: Resources,
+    /// When the customer's runs were last gone over.
+    forecast_at: Instant,
+}
+
+impl CustomerReservation {
+    /// Returns whether the customer's runs are to be gone over from time to time.
+    fn is_watched(&self) -> bool {
+        self.reservation.is_some() || self.endless != Resources::ZERO
+    }
 }
 
 /// The reservations of all customers, one for each at most.
 #[derive(Debug, Default)]
 pub(crate) struct LimitReservations {
     by_customer: BTreeMap<CustomerKey, CustomerReservation>,
-    next_forecast_at: Instant,
 }
 
 impl LimitReservations {
@@ -161,9 +173,29 @@
         all.filter_map(|(customer, state)| Some((*customer, state.reservation.as_ref()?)))
     }
 
-    fn is_resting(&self, now: Instant, customer: CustomerKey) -> bool {
-        let state = self.by_customer.get(&customer);
-        state.is_some_and(|state| now < state.rests_until)
+    /// Returns the customers whose runs are to be gone over: all that ever are where it is
+    /// time for one of them, since all take one pass.
+    fn due_customers(&self, now: Instant) -> Vec<CustomerKey> {
+        let is_due = |state: &CustomerReservation| now >= state.forecast_at + FORECAST_PERIOD;
+        let watched = || {
+            self.by_customer
+                .iter()
+                .filter(|(_, state)| state.is_watched())
+        };
+        if watched().map(|(_, state)| state).any(is_due) {
+            watched().map(|(customer, _)| *customer).collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns how much of a customer's limit may be reserved.
+    fn most_reserved(&self, now: Instant, customer: CustomerKey, account: &Account) -> Resources {
+        match self.by_customer.get(&customer) {
+            Some(state) if now < state.rests_until => Resources::ZERO,
+            Some(state) => account.left_beside(state.endless),
+            None => account.left_beside(Resources::ZERO),
+        }
     }
 
     fn set(&mut self, customer: CustomerKey, reservation: LimitReservation) {
@@ -187,6 +219,31 @@
         }
     }
 
+    /// Works out when a customer's reservation is due; one that never is ends, so that others
+    /// have theirs.
+    fn forecast(
+        &mut self,
+        now: Instant,
+        customer: CustomerKey,
+        account: &Account,
+        ends: &[ExpectedEnd],
+    ) {
+        let Some(state) = self.by_customer.get_mut(&customer) else {
+            return;
+        };
+        state.forecast_at = now;
+        state.endless = ends.iter().fold(account.used, |used, end| used - end.freed);
+        if let Some(reservation) = &mut state.reservation {
+            match forecast(now, account, reservation.amount, ends) {
+                Some(forecast) => reservation.set_forecast(now, forecast),
+                None => state.reservation = None,
+            }
+        }
+        if let Some(reservation) = &mut state.reservation {
+            reservation.firm_up(now, account);
+        }
+    }
+
     /// Ends a customer's reservation; it rests where the reservation lapsed or was firm.
     fn end(&mut self, now: Instant, customer: CustomerKey) {
         let Some(state) = self.by_customer.get_mut(&customer) else {
@@ -219,10 +276,7 @@
                 self.limit_reservations.end(now, customer);
             }
         }
-        if now >= self.limit_reservations.next_forecast_at && self.limit_reservations.count() > 0 {
-            self.limit_reservations.next_forecast_at = now + FORECAST_PERIOD;
-            self.make_forecasts(now);
-        }
+        self.make_forecasts(now);
         for (customer, reservation) in self.limit_reservations.iter() {
             if reservation.is_overtaken(now) {
                 cycle.keep_limit(customer);
@@ -230,27 +284,32 @@
         }
     }
 
-    /// Works out for all reservations when they are due, in one pass over all runs.
+    /// Works out for all reservations when they are due, in one pass over all runs, where it
+    /// is time.
     fn make_forecasts(&mut self, now: Instant) {
-        let mut ends: BTreeMap<CustomerKey, Vec<(Duration, Resources)>> = BTreeMap::new();
-        let reserved = self.limit_reservations.iter();
-        ends.extend(reserved.map(|(customer, _)| (customer, Vec::new())));
+        let due = self.limit_reservations.due_customers(now).into_iter();
+        let mut ends: BTreeMap<CustomerKey, Vec<ExpectedEnd>> =
+            due.map(|customer| (customer, Vec::new())).collect();
+        if ends.is_empty() {
+            return;
+        }
         for (task, run) in self.workers.values().flat_map(|worker| &worker.runs) {
             let customer = run.charge.customer;
             let Some(ends) = customer.and_then(|customer| ends.get_mut(&customer)) else {
                 continue;
             };
             if let Some(left) = self.time_left(*task, run) {
-                ends.push((left_by_age(now, run, left), run.charge.amount));
+                ends.push(ExpectedEnd {
+                    at: now + left_by_age(now, run, left),
+                    freed: run.charge.amount,
+                });
             }
         }
         for (customer, mut ends) in ends {
-            ends.sort_unstable_by_key(|(left, _)| *left);
+            ends.sort_unstable_by_key(|end| end.at);
             let account = self.accounts.get(customer);
-            if let Some(reservation) = self.limit_reservations.get_mut(customer) {
-                reservation.set_forecast(now, forecast(now, account, reservation.amount, &ends));
-                reservation.firm_up(now, account);
-            }
+            self.limit_reservations
+                .forecast(now, customer, account, &ends);
         }
     }
 
@@ -264,9 +323,11 @@
         amount: Resources,
         cycle: &mut SchedulingCycle,
     ) {
-        if self.limit_reservations.is_resting(now, customer)
-            || !self.accounts.get(customer).may_ever_hold(&amount)
-        {
+        let account = self.accounts.get(customer);
+        let most = self
+            .limit_reservations
+            .most_reserved(now, customer, account);
+        if !amount.fits_in(&most) {
             return;
         }
         let since = self.waits.since(step).unwrap_or(now);
@@ -423,20 +484,18 @@
     now: Instant,
     account: &Account,
     amount: Resources,
-    ends: &[(Duration, Resources)],
+    ends: &[ExpectedEnd],
 ) -> Option<Forecast> {
     let mut used = account.used;
-    let mut due = None;
-    let already = (Duration::ZERO, Resources::ZERO);
-    for (left, freed) in core::iter::once(&already).chain(ends) {
-        let ends_at = now + *left;
+    let mut due = amount.fits_in(&account.left_beside(used)).then_some(now);
+    for end in ends {
         // Runs that end together count together.
-        if due.is_some_and(|due| ends_at > due) {
+        if due.is_some_and(|due| end.at > due) {
             break;
         }
-        used -= *freed;
+        used -= end.freed;
         if due.is_none() && amount.fits_in(&account.left_beside(used)) {
-            due = Some(ends_at);
+            due = Some(end.at);
         }
     }
     let surplus = account.left_beside(used) - amount;
--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -116,11 +116,6 @@
         part_limits(self.limit) - used
     }
 
-    /// Returns whether the limit holds an amount where nothing else is running.
-    pub(crate) fn may_ever_hold(&self, amount: &Resources) -> bool {
-        amount.fits_in(&part_limits(self.limit))
-    }
-
     /// Returns whether what is in use is within the limit; it is not where the limit was
     /// lowered.
     pub(crate) fn is_within_limit(&self) -> bool {
--- a/crates/scheduler/tests/scheduler/backfill.rs
+++ b/crates/scheduler/tests/scheduler/backfill.rs
@@ -191,6 +191,35 @@
     assert_eq!(start_all(&mut bench).len(), 1);
 }
 
+/// A gang that runs without an end keep out leaves the reservation to one that comes later.
+#[test]
+fn place_behind_gang_beside_endless_runs() {
+    let mut bench = bench_with(5, true);
+    let endless = StepSpec {
+        is_perpetual: true,
+        ..step(2)
+    };
+    bench.submit_job(job_of("one", 1, vec![endless]));
+    bench.submit_job(job_of("one", 2, vec![step(1)]));
+    let running = start_all(&mut bench);
+    bench.submit_job(job_of("one", 3, vec![gang(4)]));
+    bench.submit_job(job_of("one", 4, vec![gang(3)]));
+    // Until both have been worked out.
+    for _ in 0..4 {
+        assert_eq!(start_all(&mut bench).len(), 0);
+    }
+    submit_patient(&mut bench, 5, step(1));
+    assert_eq!(start_all(&mut bench).len(), 0);
+    let of_two: Vec<Start> = running
+        .into_iter()
+        .filter(|(_, task, _)| task.step.job.number() == 2)
+        .collect();
+    end_all(&mut bench, &of_two);
+    let started = start_all(&mut bench);
+    let is_gangs = |start: &Start| start.1.step.job.number() == 4;
+    assert!(started.len() == 3 && started.iter().all(is_gangs));
+}
+
 /// What is held back is told with the reservation that holds it back.
 #[test]
 fn place_behind_reservation_is_told() {
--- a/crates/scheduler/tests/scheduler/backfill_load.rs
+++ b/crates/scheduler/tests/scheduler/backfill_load.rs
@@ -5,7 +5,7 @@
     advice, configuration_with, customer, first_task, job_of, step, with_other_service,
     OTHER_QUEUE, PATIENT_QUEUE,
 };
-use ospreywing_scheduler::{AdvicePolicy, Feature, JobId, JobRecord, StepSpec};
+use ospreywing_scheduler::{AdvicePolicy, JobId, JobRecord, StepSpec};
 use ospreywing_types::Resources;
 use rstest::rstest;
 
@@ -26,22 +26,14 @@
 }
 
 impl Play {
-    fn new(seed: u64, workers_count: usize, limit_tasks_count: u32, is_on: bool) -> Self {
-        Self::with_advice(seed, workers_count, limit_tasks_count, is_on, None)
-    }
-
-    fn with_advice(
+    fn new(
         seed: u64,
         workers_count: usize,
         limit_tasks_count: u32,
-        is_on: bool,
         policy: Option<AdvicePolicy>,
     ) -> Self {
         let mut world = World::new(seed, workers_count, Faults::default(), policy);
         world.run_lengths_ms = 600..1_200;
-        if !is_on {
-            world.elect_without(Feature::Backfill);
-        }
         let customers = vec![customer("one", limit_tasks_count, 1000.0)];
         let configuration = configuration_with(2, policy, customers);
         world.configure(with_other_service(configuration));
@@ -121,9 +113,9 @@
 const STREAM_SHORT_BOUND_MS: u64 = 3_000;
 
 /// A steady stream of short jobs, which keeps about half of the limit in use, and a gang that
-/// needs more than half of it.
-fn play_stream(seed: u64, is_on: bool) -> Play {
-    let mut play = Play::new(seed, 16, STREAM_LIMIT_COUNT, is_on);
+/// needs nearly all of it; where there is a new leader, so long after it came.
+fn play_stream(seed: u64, takeover_after_ms: Option<u64>) -> Play {
+    let mut play = Play::new(seed, 16, STREAM_LIMIT_COUNT, None);
     for at_ms in (0..STREAM_MS).step_by(50) {
         if at_ms % 150 == 0 {
             play.send(None, short(2000));
@@ -131,28 +123,31 @@
         if at_ms == STREAM_GANG_AT_MS {
             play.send(Some(PATIENT_QUEUE), gang(STREAM_GANG_COUNT));
         }
+        if takeover_after_ms.is_some_and(|after_ms| at_ms == STREAM_GANG_AT_MS + after_ms) {
+            play.world.elect();
+        }
         play.world.run_for(50);
     }
     play.world.run_for(STREAM_SHORT_BOUND_MS);
     play
 }
 
-#[test]
-fn place_large_gang_in_stream() {
+/// A gang that needs more than half of the limit gets in, and no short job waits for longer
+/// than it may. A new leader counts from its first moment.
+#[rstest]
+#[case::one_leader(None)]
+#[case::takeover_before_it_holds(Some(600))]
+#[case::takeover_while_it_holds(Some(1_300))]
+fn place_large_gang_in_stream(#[case] takeover_after_ms: Option<u64>) {
     for seed in 0..SEEDS_COUNT {
-        let before = play_stream(seed, false);
-        let play = play_stream(seed, true);
-        let gangs_ms = play.waits_ms(&play.gangs);
-        let shorts_ms = play.waits_ms(&play.shorts);
-        println!(
-            "seed {seed}: gang {:?} before, {gangs_ms:?} ms; shorts {:?} before, {:?} ms",
-            before.waits_ms(&before.gangs),
-            before.waits_ms(&before.shorts).last(),
-            shorts_ms.last()
-        );
-        assert!(gangs_ms[0] <= STREAM_GANG_BOUND_MS, "the gang waits");
+        let play = play_stream(seed, takeover_after_ms);
+        let gang_ms = play.waits_ms(&play.gangs)[0];
+        let shorts_ms = play.waits_ms(&play.shorts).last().copied();
+        println!("seed {seed}: the gang {gang_ms} ms, shorts up to {shorts_ms:?} ms");
+        let bound_ms = STREAM_GANG_BOUND_MS + takeover_after_ms.unwrap_or(0);
+        assert!(gang_ms <= bound_ms, "the gang waits");
         assert!(
-            shorts_ms.last() <= Some(&STREAM_SHORT_BOUND_MS),
+            shorts_ms <= Some(STREAM_SHORT_BOUND_MS),
             "a short job waits"
         );
     }
@@ -173,8 +168,8 @@
 /// in its way, and two for advice and room.
 const FLOOD_GANG_BOUND_MS: u64 = 2_000 + 1_200 + 2_000;
 
-fn play_flood(seed: u64, factor: u64, is_on: bool, policy: Option<AdvicePolicy>) -> Play {
-    let mut play = Play::with_advice(seed, FLOOD_WORKERS_COUNT, FLOOD_LIMIT_COUNT, is_on, policy);
+fn play_flood(seed: u64, factor: u64, policy: Option<AdvicePolicy>) -> Play {
+    let mut play = Play::new(seed, FLOOD_WORKERS_COUNT, FLOOD_LIMIT_COUNT, policy);
     play.world.good_one_in = 1;
     play.world.lay_out_services();
     for at_ms in (0..FLOOD_MS).step_by(50) {
@@ -204,7 +199,7 @@
 ) {
     let policy = has_advice.then(advice);
     for seed in 0..SEEDS_COUNT {
-        let play = play_flood(seed, factor, true, policy);
+        let play = play_flood(seed, factor, policy);
         let shorts_ms = percentile_95(&play.waits_ms(&play.shorts));
         let gangs_ms = percentile_95(&play.waits_ms(&play.gangs));
         println!("seed {seed}: shorts {shorts_ms} ms, gangs {gangs_ms} ms");
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -8,7 +8,7 @@
     advice, configuration_with, customer, job, job_of, patient_job, step, with_other_service,
     OTHER_QUEUE,
 };
-use ospreywing_scheduler::{AdvicePolicy, JobId, Phase, StepSpec};
+use ospreywing_scheduler::{AdvicePolicy, Feature, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
 
@@ -520,30 +520,48 @@
     #[values(false, true)] has_advice: bool,
 ) {
     for seed in seeds() {
-        // Shown where the test fails.
-        println!("seed {seed}");
-        let policy = has_advice.then(advice);
-        let mut world = World::new(seed, 12, faults, policy);
-        world.good_one_in = 1;
-        world.lay_out_services();
-        let customers = vec![customer("one", 4, 2.0), customer("two", 6, 100.0)];
-        world.configure(with_other_service(configuration_with(2, policy, customers)));
-        world.calm_from_ms = world.now_ms + STORM_MS;
-        for number in 1..=32 {
-            let spec = match number % 8 {
-                0 => gang(4),
-                1 => gang(3),
-                _ => step(1 + number as u32 % 2),
-            };
-            let name = if number % 16 < 8 { "one" } else { "two" };
-            let (id, mut record) = job_of(name, number, vec![spec]);
-            if number % 3 == 0 {
-                record.queue = OTHER_QUEUE.to_owned();
-            }
-            world.submit((id, record));
-            world.run_for(200);
+        let world = World::new(seed, 12, faults, has_advice.then(advice));
+        play_reservations(seed, world, has_advice.then(advice));
+    }
+}
+
+/// The same where what a step waits for is taken off its customer's limit.
+#[rstest]
+fn scheduler_keeps_customers_limits_without_backfill(#[values(false, true)] has_advice: bool) {
+    let faults = Faults {
+        limit: 60,
+        pause: 20,
+        ..EVERYTHING
+    };
+    for seed in seeds() {
+        let mut world = World::new(seed, 12, faults, has_advice.then(advice));
+        world.elect_without(Feature::Backfill);
+        play_reservations(seed, world, has_advice.then(advice));
+    }
+}
+
+fn play_reservations(seed: u64, mut world: World, policy: Option<AdvicePolicy>) {
+    // Shown where the test fails.
+    println!("seed {seed}");
+    world.good_one_in = 1;
+    world.lay_out_services();
+    let customers = vec![customer("one", 4, 2.0), customer("two", 6, 100.0)];
+    world.configure(with_other_service(configuration_with(2, policy, customers)));
+    world.calm_from_ms = world.now_ms + STORM_MS;
+    for number in 1..=32 {
+        let spec = match number % 8 {
+            0 => gang(4),
+            1 => gang(3),
+            _ => step(1 + number as u32 % 2),
+        };
+        let name = if number % 16 < 8 { "one" } else { "two" };
+        let (id, mut record) = job_of(name, number, vec![spec]);
+        if number % 3 == 0 {
+            record.queue = OTHER_QUEUE.to_owned();
         }
-        world.run_for(STORM_MS);
-        world.run_until_done(CALM_LIMIT_MS);
+        world.submit((id, record));
+        world.run_for(200);
     }
+    world.run_for(STORM_MS);
+    world.run_until_done(CALM_LIMIT_MS);
 }
