--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -79,6 +79,7 @@
     capacity_millicores: Amount,
     used_millicores: Amount,
     waiting_gangs: Amount,
+    limit_reservations: Amount,
     awaited_workers: Amount,
     slow_workers: Amount,
     ejected_workers: Amount,
@@ -126,6 +127,7 @@
             capacity_millicores: Amount::default(),
             used_millicores: Amount::default(),
             waiting_gangs: Amount::default(),
+            limit_reservations: Amount::default(),
             awaited_workers: Amount::default(),
             slow_workers: Amount::default(),
             ejected_workers: Amount::default(),
@@ -238,6 +240,11 @@
                 "Gangs that workers are kept free for",
                 &self.waiting_gangs,
             ),
+            (
+                "limit_reservations",
+                "Steps for which a part of their customer's limit is reserved",
+                &self.limit_reservations,
+            ),
             (
                 "awaited_workers",
                 "Workers that are kept free",
@@ -390,6 +397,7 @@
         set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
+        set(&self.limit_reservations, status.limit_reservations_count);
         set(&self.awaited_workers, status.awaited_workers_count);
         set(&self.slow_workers, status.slow_workers_count);
         set(&self.ejected_workers, status.ejected_workers_count);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use crate::advice::StepAdvice;
 use crate::advisers::Advisers;
+use crate::backfill::LimitReservations;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
 use crate::cordons::Cordons;
@@ -74,6 +75,8 @@
     pub learned_sizes_count: usize,
     /// How far off forecasts of lengths and clients' estimates were.
     pub forecast_error: ForecastError,
+    /// Steps for which a part of their customer's limit is reserved.
+    pub limit_reservations_count: usize,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -83,6 +86,8 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
+    /// What is kept of customers' limits for steps that wait for them.
+    pub(crate) limit_reservations: LimitReservations,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -144,6 +149,7 @@
             config,
             configuration,
             accounts,
+            limit_reservations: LimitReservations::default(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
@@ -297,6 +303,7 @@
             ejected_workers_count: placeable().filter(|w| w.speed.is_ejected).count(),
             learned_sizes_count: self.learning.durations.classes_count(),
             forecast_error: self.learning.durations.error(),
+            limit_reservations_count: self.limit_reservations.count(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -7,10 +7,11 @@
 use super::limits::LimitRule;
 use super::rules::Rules;
 use super::worker::FakeWorker;
+use super::OTHER_SERVICE;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
-    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
-    SchedulerStatus, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Feature, Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
+    SchedulerConfig, SchedulerStatus, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -266,6 +267,20 @@
         leader.scheduler.status(self.now())
     }
 
+    /// Begins a term without a feature.
+    pub fn elect_without(&mut self, feature: Feature) {
+        self.features = self.features.without(feature);
+        self.elect();
+    }
+
+    /// Makes every second worker one of another service.
+    pub fn lay_out_services(&mut self) {
+        for worker in self.workers.iter_mut().skip(1).step_by(2) {
+            worker.service = Arc::from(OTHER_SERVICE);
+        }
+        self.list_workers();
+    }
+
     /// Puts so many workers in a row into each rack.
     pub fn lay_out_racks(&mut self, size: usize) {
         for (number, worker) in self.workers.iter_mut().enumerate() {
