Room that is short is shared by dominant resource

Each service has a virtual clock and its customers tags on it, which go ahead with what they have running beyond their share while room is short. Work beyond shares comes last, as work beyond the rate of jobs does.

--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -9,6 +9,7 @@
 use crate::job_rate::JobRate;
 use crate::limits::least_count;
 use crate::scheduler::Scheduler;
+use crate::shares::ServiceKey;
 use cranelift_entity::{entity_impl, PrimaryMap};
 use ospreywing_types::{Instant, Resources};
 use std::collections::HashMap;
@@ -71,6 +72,8 @@
 pub(crate) struct Charge {
     /// The customer; `None` where the job is nobody's.
     pub(crate) customer: Option<CustomerKey>,
+    /// The service of whose room it takes a share; `None` where the job is not known.
+    pub(crate) service: Option<ServiceKey>,
     /// What it takes. Processors count for fillers too, which don't count against a
     /// worker's room.
     pub(crate) amount: Resources,
@@ -84,6 +87,8 @@
     limit: Resources,
     pub(crate) used: Resources,
     rate: JobRate,
+    /// Its weight in shares of room, where it has one.
+    weight: Option<f64>,
 }
 
 impl Account {
@@ -93,6 +98,7 @@
             limit: Resources::ZERO,
             used: Resources::ZERO,
             rate: JobRate::default(),
+            weight: None,
         }
     }
 
@@ -105,6 +111,11 @@
         }
     }
 
+    /// Returns its weight in shares of room, where it has one.
+    pub(crate) const fn weight(&self) -> Option<f64> {
+        self.weight
+    }
+
     /// Returns what may still be started. A limit that was lowered below what runs leaves
     /// nothing.
     pub(crate) fn left(&self) -> Resources {
@@ -150,6 +161,8 @@
             let account = &mut self.accounts[key];
             account.limit = customer.limit;
             account.rate.set_jobs_per_s(customer.jobs_per_s);
+            let is_weight = customer.jobs_per_s.is_finite() && customer.jobs_per_s > 0.0;
+            account.weight = is_weight.then_some(customer.jobs_per_s);
         }
     }
 
@@ -158,6 +171,18 @@
         &self.accounts[key]
     }
 
+    /// Returns the key of a customer that is known.
+    pub(crate) fn key_by_name(&self, name: &str) -> Option<CustomerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the mean of the customers' weights, where any has one.
+    pub(crate) fn mean_weight(&self) -> Option<f64> {
+        let weights = self.accounts.values().filter_map(Account::weight);
+        let (sum, count) = weights.fold((0.0, 0_u32), |(sum, count), it| (sum + it, count + 1));
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
     /// Returns all accounts.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (CustomerKey, &Account)> + '_ {
         self.accounts.iter()
@@ -192,6 +217,7 @@
         let spec = job.record.spec.steps.get(step.step as usize);
         Charge {
             customer: job.customer,
+            service: job.service,
             amount: spec.map_or(Resources::ZERO, |spec| spec.demand),
         }
     }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,6 +2,7 @@
 //! served earlier in it have asked for or keep.
 
 use crate::customers::CustomerKey;
+use crate::dominant::Room;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
@@ -26,6 +27,9 @@
     room_milli: i64,
     /// The most that any of them holds.
     largest: Resources,
+    /// What they hold together, and what of it was free when the cycle began.
+    capacity: Room,
+    free: Room,
 }
 
 /// The state of one scheduling cycle, in which every waiting step is looked at.
@@ -113,6 +117,17 @@
         self.pool(service).map_or(0, |pool| pool.room_milli)
     }
 
+    /// Returns what a service's workers hold together.
+    pub(crate) fn capacity_of(&self, service: &Arc<str>) -> Room {
+        self.pool(service)
+            .map_or(Room::default(), |pool| pool.capacity)
+    }
+
+    /// Returns what of it was free when the cycle began.
+    pub(crate) fn free_of(&self, service: &Arc<str>) -> Room {
+        self.pool(service).map_or(Room::default(), |pool| pool.free)
+    }
+
     /// Takes processors off what is free and not yet asked for.
     pub(crate) fn take_room(&mut self, service: &Arc<str>, taken_milli: i64) {
         let mut pools = self.pools.iter_mut();
@@ -132,6 +147,8 @@
                 service: service.clone(),
                 room_milli: 0,
                 largest: Resources::ZERO,
+                capacity: Room::default(),
+                free: Room::default(),
             });
             self.pools.len() - 1
         });
@@ -165,6 +182,8 @@
                 cycle.free_milli += u64::from(worker.free().cores_milli);
                 let pool = cycle.pool_mut(&worker.facts.service);
                 pool.room_milli += i64::from(worker.free().cores_milli);
+                pool.capacity.add(&worker.facts.capacity, 1);
+                pool.free.add(&worker.free(), 1);
                 pool.largest = pool.largest.max(worker.facts.capacity);
             }
         }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -57,6 +57,8 @@
     AdviceAnswered,
     /// A configuration came into force.
     Configured,
+    /// A customer went over its share of a service's room, or came back.
+    Share,
     /// A data centre was cordoned, or is not any more.
     Cordon,
 }
@@ -90,6 +92,7 @@
             Self::AdviceAsked => "advice asked",
             Self::AdviceAnswered => "advice answered",
             Self::Configured => "configured",
+            Self::Share => "share",
             Self::Cordon => "cordon",
         }
     }
--- /dev/null
+++ b/crates/scheduler/src/dominant.rs
@@ -0,0 +1,62 @@
+//! Dominant shares: how much of a service's room work takes, by the resource of which it
+//! takes the largest part.
+
+use ospreywing_types::Resources;
+
+/// A whole, in millionths.
+pub(crate) const WHOLE_PPM: u64 = 1_000_000;
+
+/// The room of many workers, or the demand of many runs, which a worker's amounts would not
+/// hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    cores_milli: u64,
+    memory_mib: u64,
+    accelerators_count: u64,
+}
+
+impl Room {
+    /// Adds so many times an amount.
+    pub(crate) fn add(&mut self, amount: &Resources, count: usize) {
+        let count = count as u64;
+        self.cores_milli += u64::from(amount.cores_milli) * count;
+        self.memory_mib += u64::from(amount.memory_mib) * count;
+        self.accelerators_count += u64::from(amount.accelerators_count) * count;
+    }
+
+    /// Adds other room.
+    pub(crate) fn add_room(&mut self, other: &Self) {
+        self.cores_milli += other.cores_milli;
+        self.memory_mib += other.memory_mib;
+        self.accelerators_count += other.accelerators_count;
+    }
+
+    /// Takes an amount off that was added before.
+    pub(crate) fn remove(&mut self, amount: &Resources) {
+        self.cores_milli -= u64::from(amount.cores_milli);
+        self.memory_mib -= u64::from(amount.memory_mib);
+        self.accelerators_count -= u64::from(amount.accelerators_count);
+    }
+
+    /// Returns whether there is none of any part.
+    pub(crate) fn is_zero(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Returns whether every part is at most as large as that of `room`.
+    pub(crate) const fn fits_in(&self, room: &Self) -> bool {
+        self.cores_milli <= room.cores_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators_count <= room.accelerators_count
+    }
+
+    /// Returns the part of `capacity` that this takes, of the resource of which it takes the
+    /// largest, in millionths. A resource that nobody has counts nothing: what needs it runs
+    /// nowhere.
+    pub(crate) fn dominant_ppm(&self, capacity: &Self) -> u64 {
+        let part = |need: u64, whole: u64| (need * WHOLE_PPM).checked_div(whole).unwrap_or(0);
+        part(self.cores_milli, capacity.cores_milli)
+            .max(part(self.memory_mib, capacity.memory_mib))
+            .max(part(self.accelerators_count, capacity.accelerators_count))
+    }
+}
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -3,10 +3,13 @@
 use crate::commits::Effect;
 use crate::customers::CustomerKey;
 use crate::decision::{Decision, DecisionKind};
+use crate::dominant::Room;
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::order::left_ms;
+use crate::placing::counted_demand;
 use crate::scheduler::Scheduler;
+use crate::shares::ServiceKey;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
@@ -38,6 +41,8 @@
     pub(crate) rank: (u32, u64),
     /// Whose job it is.
     pub(crate) customer: Option<CustomerKey>,
+    /// The service in whose accounts of shares it is open, or was.
+    pub(crate) service: Option<ServiceKey>,
     /// Whether its customer had handed in more than its share when it came.
     pub(crate) is_beyond_share: bool,
     /// Whether it was told that work of it is held back by its customer's limit.
@@ -55,6 +60,8 @@
     pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
+    /// What the waiting tasks of these take together.
+    pub(crate) asked: Room,
 }
 
 impl Job {
@@ -76,6 +83,7 @@
             ended_at: None,
             rank,
             customer: None,
+            service: None,
             is_beyond_share: false,
             is_held: false,
             accepted_at,
@@ -84,6 +92,7 @@
             trial_until: Instant::default(),
             gang_stops: BTreeMap::new(),
             ready: None,
+            asked: Room::default(),
             state,
         }
     }
@@ -119,9 +128,33 @@
             }
         }
         self.ready = Some(ready.clone());
+        self.asked = self.room_of(&ready);
         ready
     }
 
+    /// Returns what the waiting tasks take whose turn has come.
+    pub(crate) fn ready_room(&mut self, id: JobId) -> Room {
+        if self.ready.is_none() {
+            self.ready_steps(id);
+        }
+        self.asked
+    }
+
+    fn room_of(&self, steps: &[StepKey]) -> Room {
+        let mut room = Room::default();
+        for key in steps {
+            let spec = self.record.spec.steps.get(key.step as usize);
+            let round = self.state.round(key.round);
+            let step = round.and_then(|round| round.steps.get(key.step as usize));
+            if let Some((spec, step)) = spec.zip(step) {
+                let is_waiting = |task: &&TaskState| task.status == TaskStatus::Waiting;
+                let waiting_count = step.tasks.iter().filter(is_waiting).count();
+                room.add(&counted_demand(spec), waiting_count);
+            }
+        }
+        room
+    }
+
     /// Returns whether a step's turn has come and it has a waiting task.
     pub(crate) fn has_ready_step(&mut self, id: JobId) -> bool {
         match &self.ready {
@@ -213,7 +246,11 @@
             }
         }
         job.left_ms = left_ms(&job.record, &job.state);
+        let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
+        if is_active {
+            self.open_share(id);
+        }
         self.is_place_due = true;
         let wall_ms = self.wall_ms;
         self.begin_due_rounds(wall_ms);
@@ -277,6 +314,7 @@
         job.ready = None;
         let rank = job.rank;
         self.active.remove(&rank);
+        self.close_share(id);
         let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
         out.push(Action::Log(line));
         self.unsettled.insert(id);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod cycle;
 mod decision;
 mod departures;
+mod dominant;
 mod ends;
 mod estimates;
 mod event;
@@ -52,6 +53,7 @@
 mod retries;
 mod runs;
 mod scheduler;
+mod shares;
 mod sharing;
 mod state;
 mod verifier;
@@ -76,6 +78,7 @@
 pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use shares::ShareView;
 pub use state::{
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
     TaskStatus,
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -3,6 +3,7 @@
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
+use crate::shares::ShareRank;
 use crate::state::{JobState, RoundState, StepState};
 use ospreywing_types::{Duration, Instant};
 
@@ -35,8 +36,8 @@
 /// A job's place in the order of service; the smallest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceRank {
-    /// Whether its customer hands in more than its share: that work comes after all else.
-    is_beyond_share: bool,
+    /// Work beyond its customer's share comes after all else.
+    share: ShareRank,
     urgency: Urgency,
     /// The priority of its queue; 0 comes first.
     priority: u32,
@@ -68,15 +69,29 @@
         let mut order: Vec<ServiceRank> =
             ids.filter_map(|id| self.service_rank(now, *id)).collect();
         order.sort_unstable();
+        self.rank_by_shares(&mut order);
         order.into_iter().map(|rank| rank.job).collect()
     }
 
+    /// Has work beyond its customer's share of room that is short come last.
+    fn rank_by_shares(&self, order: &mut [ServiceRank]) {
+        if !self.is_room_short() {
+            return;
+        }
+        let ids: Vec<JobId> = order.iter().map(|rank| rank.job).collect();
+        for (rank, share) in order.iter_mut().zip(self.share_ranks(&ids)) {
+            rank.share = rank.share.max(share);
+        }
+        // Each customer's own work stays in its order.
+        order.sort_by_key(|rank| rank.share);
+    }
+
     fn service_rank(&self, now: Instant, id: JobId) -> Option<ServiceRank> {
         let job = self.jobs.get(&id)?;
         let (priority, number) = job.rank;
         let (urgency, due) = self.urgency(now, job);
         Some(ServiceRank {
-            is_beyond_share: job.is_beyond_share,
+            share: ShareRank::of_job(job),
             urgency,
             priority,
             gang_size: if urgency == Urgency::Pressing {
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -63,14 +63,15 @@
             self.last_cycle = CycleSummary::default();
             return 0;
         }
-        let order = self.service_order(now);
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
-        if !self.has_ready_step(&order) {
+        if !self.has_ready_step() {
             self.last_cycle = CycleSummary::default();
             return 0;
         }
         let mut cycle = self.new_cycle(now);
+        self.refresh_shares(now, &cycle, out);
+        let order = self.service_order(now);
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
@@ -79,9 +80,9 @@
         cycle.examined_count
     }
 
-    /// Returns whether a step of any of the jobs may be started.
-    fn has_ready_step(&mut self, order: &[JobId]) -> bool {
-        let mut jobs = order.iter();
+    /// Returns whether a step of any job may be started.
+    fn has_ready_step(&mut self) -> bool {
+        let mut jobs = self.active.values();
         jobs.any(|id| {
             let job = self.jobs.get_mut(id);
             job.is_some_and(|job| job.has_ready_step(*id))
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::jobs::Job;
 use crate::names::Names;
 use crate::retries::RetryBudgets;
+use crate::shares::Shares;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
@@ -64,6 +65,10 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// Customers whose work beyond their shares of a service that is short comes last.
+    pub beyond_share_count: usize,
+    /// How far a customer is ahead of its share at most.
+    pub largest_share_lag: Duration,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -73,6 +78,7 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
+    pub(crate) shares: Shares,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -132,6 +138,7 @@
             config,
             configuration,
             accounts,
+            shares: Shares::default(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
@@ -270,6 +277,7 @@
 
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
+        let shares = self.shares.summary();
         let placeable = || self.workers.values().filter(|w| w.is_placeable(now));
         SchedulerStatus {
             capacity_milli: placeable()
@@ -278,6 +286,8 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            beyond_share_count: shares.beyond_count,
+            largest_share_lag: shares.largest_lag,
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
@@ -320,6 +330,7 @@
         out.push(Action::Log(line.with_figure(configuration.version)));
         self.accounts.configure(configuration.customers.values());
         self.configuration = configuration;
+        self.move_shares();
         self.note_services();
         self.is_place_due = true;
     }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -3,10 +3,11 @@
 use crate::customers::CustomerKey;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
+use crate::shares::{CountedShare, Holder, ServiceKey};
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::Resources;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use thiserror::Error;
 
 /// An invariant that does not hold.
@@ -21,6 +22,10 @@
     /// A customer's account differs from its runs.
     #[error("the account of customer {0} is miscounted")]
     Account(String),
+    /// A service's account of shares differs from its jobs and runs, or a tag from its
+    /// clock.
+    #[error("the shares of service {0} are miscounted")]
+    Share(String),
     /// A task's state and the table of runs disagree.
     #[error("task {0} is not where its state says")]
     Placement(TaskKey),
@@ -47,6 +52,7 @@
     pub fn verify(&self) -> Result<(), Violation> {
         self.verify_rooms()?;
         self.verify_accounts()?;
+        self.verify_shares()?;
         self.verify_placements()?;
         self.verify_reservations()?;
         self.verify_commits()?;
@@ -106,6 +112,28 @@
         Ok(())
     }
 
+    fn verify_shares(&self) -> Result<(), Violation> {
+        let mut counted: BTreeMap<(ServiceKey, Holder), CountedShare> = BTreeMap::new();
+        for job in self.active.values().filter_map(|id| self.jobs.get(id)) {
+            if let Some(service) = job.service {
+                let share = counted.entry((service, job.customer)).or_default();
+                share.open_jobs_count += 1;
+            }
+        }
+        for run in self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values())
+        {
+            if let Some(service) = run.charge.service {
+                let share = counted.entry((service, run.charge.customer)).or_default();
+                share.running.add(&run.demand, 1);
+            }
+        }
+        let wrong = self.shares.miscounted(&counted);
+        wrong.map_or(Ok(()), |service| Err(Violation::Share(service.to_string())))
+    }
+
     /// Checks the reasons that the last cycle gave, until something changes.
     fn verify_waits(&self) -> Result<(), Violation> {
         if self.is_place_due {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -125,6 +125,7 @@
             demand,
             charge: Charge {
                 customer: None,
+                service: None,
                 amount: Resources::ZERO,
             },
             role: RunRole::Plain,
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -281,6 +281,8 @@
             self.rules
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
+        let started = self.started_ms.entry(order.task.step.job);
+        started.or_insert(now_ms);
         let fails = self.draw(self.faults.failing_run);
         let length_ms = self.rng.random_range(self.run_lengths_ms.clone());
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
