Runs of a customer over its share give way to what others would miss

Work beyond a share only comes last in the order: where the runs of one customer fill a service for long, others' jobs wait for them. A job that would miss its objective, whose customer has under half of its share running, now has runs stopped that save checkpoints, of the customer that is furthest over its share, as few as make room.

--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -193,7 +193,11 @@
                 let candidates = self.candidates(now, pending, cycle, workers);
                 placed_count = self.allocate(now, pending, candidates, out);
             }
-            let has_left = placed_count < pending.waiting.len();
+            let missing_count = pending.waiting.len() - placed_count;
+            let has_left = missing_count > 0;
+            if has_left {
+                self.preempt_for_share(now, pending, cycle, missing_count, out);
+            }
             return has_left.then(|| self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -4,12 +4,16 @@
 //! Tasks of less urgent queues lose little when they are stopped where they save
 //! checkpoints, since one is written at the stop, or have barely begun. So a gang that can still be in time takes their room, while its call for
 //! advice is on the way.
+//!
+//! Where room that is short is shared, runs that save checkpoints give way whose customer is
+//! furthest over its share, to what a customer well under its own would miss.
 
 use crate::candidate::Candidate;
 use crate::cycle::SchedulingCycle;
 use crate::event::Action;
 use crate::gangs::Reservation;
 use crate::job::TaskKey;
+use crate::jobs::Job;
 use crate::order::Prospect;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
@@ -223,7 +227,59 @@
             && !spec.is_perpetual;
         let is_less_urgent = job.rank.0 > for_job.rank.0;
         let needed_until = now + Duration::from_ms(job.left_ms) + VICTIM_SLACK;
-        is_cheap && is_less_urgent && needed_until < job.accepted_at + job.objective
+        let can_wait = is_less_urgent && needed_until < job.accepted_at + job.objective;
+        is_cheap && (can_wait || spec.saves_progress && self.gives_way(now, job, for_job))
+    }
+
+    /// Returns whether a job's customer is over its share at the expense of another's job.
+    fn gives_way(&self, now: Instant, job: &Job, for_job: &Job) -> bool {
+        let giver = self.giver_for(now, for_job);
+        job.service == for_job.service && giver == Some(job.customer)
+    }
+
+    /// Stops runs of the customer that is furthest over its share, as few as make room for
+    /// so many tasks of a step that would otherwise miss its objective.
+    pub(crate) fn preempt_for_share(
+        &mut self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+        missing_count: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let id = pending.key.job;
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(giver) = self.giver_for(now, job) else {
+            return;
+        };
+        if self.prospect(now, job) != Prospect::InTime || !self.begin_search_for_share(now, id) {
+            return;
+        }
+        let workers: Vec<WorkerKey> = cycle.workers().collect();
+        let holds_any = |key: &&WorkerKey| {
+            let mut runs = self.workers[**key].runs.values();
+            runs.any(|run| run.charge.customer == giver)
+        };
+        let givers: Vec<WorkerKey> = workers.iter().filter(holds_any).copied().collect();
+        let mut sites = self.sites(now, pending, cycle, &givers);
+        for site in &mut sites {
+            // What is being stopped already is as good as free.
+            let worker = &self.workers[site.candidate.worker];
+            site.candidate.free = worker.room_without_stopping() - worker.reserved(pending.key);
+            site.members_count = site.candidate.fit_count(&pending.demand);
+        }
+        let possible_count = sites.iter().map(|site| site.most_members(&pending.demand));
+        let possible_count: u32 = possible_count.sum();
+        let needed_count = match pending.spec().is_gang {
+            true => missing_count as u32,
+            false => possible_count.min(missing_count as u32),
+        };
+        if choose_stops(&mut sites, &pending.demand, needed_count) {
+            let plan = plan_of(sites, &pending.demand, needed_count);
+            self.preempt(now, plan.victims, out);
+        }
     }
 
     /// Stops the runs that a gang's room is taken from.
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -46,6 +46,17 @@
 const LAG_TOLD_BACK: Duration = Duration::from_ms(500);
 /// The least time between two log lines on one customer in one service.
 const TOLD_PERIOD: Duration = Duration::from_ms(10_000);
+/// A customer that has less than this part of its share running is well under it: others'
+/// work may be stopped for what it would miss.
+const WELL_UNDER_PPM: u64 = WHOLE_PPM / 2;
+/// A customer that has more than so much of its share running, and whose tag is ahead by the
+/// slack, gives way.
+const WELL_OVER_PPM: u64 = WHOLE_PPM * 3 / 2;
+/// A job that must start within this time would miss its objective: a stop, its end in the
+/// store and the start that follows take about as long.
+const MISS_SLACK: Duration = Duration::from_ms(1000);
+/// The time between two searches for runs that give way in a service.
+const SEARCH_PERIOD: Duration = Duration::from_ms(100);
 /// The weight of open queues' jobs where no customer has one.
 const DEFAULT_WEIGHT: f64 = 1.0;
 /// Microseconds of virtual time in a millisecond.
@@ -157,6 +168,10 @@
     /// Whether what was ready did not fit the free room when work was last placed.
     is_short: bool,
     accounts: BTreeMap<Holder, ShareAccount>,
+    /// The customer that is furthest over its share, where one is well over it.
+    most_over: Option<Holder>,
+    /// When room was last sought among its runs.
+    sought_at: Option<Instant>,
 }
 
 impl ServiceShares {
@@ -168,6 +183,8 @@
             capacity: Room::default(),
             is_short: false,
             accounts: BTreeMap::new(),
+            most_over: None,
+            sought_at: None,
         }
     }
 
@@ -213,6 +230,21 @@
             account.scale = sum / weight_of(*holder);
             account.share_ppm = account.share_of(&account.running, &self.capacity);
         }
+        self.most_over = self.find_most_over();
+    }
+}
+
+impl ServiceShares {
+    fn find_most_over(&self) -> Option<Holder> {
+        if !self.is_short {
+            return None;
+        }
+        let over = self.accounts.iter().filter(|(_, account)| {
+            let lag_us = account.tag.us_since(self.clock);
+            account.share_ppm > WELL_OVER_PPM && lag_us >= LAG_SLACK.as_ms() * US_PER_MS
+        });
+        let most = over.max_by_key(|(_, account)| account.share_ppm);
+        most.map(|(holder, _)| *holder)
     }
 }
 
@@ -479,6 +511,32 @@
         rank
     }
 
+    /// Returns whose runs give way to a job: the customer that is most over its share, where
+    /// the job would miss its objective and its own customer is well under its share.
+    pub(crate) fn giver_for(&self, now: Instant, job: &Job) -> Option<Holder> {
+        let service = &self.shares.services[job.service?];
+        let giver = service.most_over.filter(|_| self.has_fair_shares())?;
+        let account = service.accounts.get(&job.customer)?;
+        let latest_start = (job.accepted_at + job.objective) - Duration::from_ms(job.left_ms);
+        let would_miss = latest_start < now + MISS_SLACK;
+        (would_miss && account.share_ppm < WELL_UNDER_PPM).then_some(giver)
+    }
+
+    /// Returns whether room may be sought now among runs in the service of a job, and notes
+    /// that it is: that goes over the service's workers.
+    pub(crate) fn begin_search_for_share(&mut self, now: Instant, id: JobId) -> bool {
+        let key = self.jobs.get(&id).and_then(|job| job.service);
+        let Some(key) = key else {
+            return false;
+        };
+        let sought_at = &mut self.shares.services[key].sought_at;
+        let is_due = sought_at.is_none_or(|at| now.since(at) >= SEARCH_PERIOD);
+        if is_due {
+            *sought_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns how a customer stands in a service; `None` where it has nothing there.
     pub fn share_of(&self, service: &str, customer: Option<&str>) -> Option<ShareView> {
         let key = self.shares.by_name.get(service)?;
