--- a/crates/scheduler/src/features.rs
+++ b/crates/scheduler/src/features.rs
@@ -71,11 +71,16 @@
 impl Default for Features {
     /// Returns all of them.
     fn default() -> Self {
-        Self { bits: u8::MAX }
+        Self::all()
     }
 }
 
 impl Features {
+    /// Returns all of them.
+    pub const fn all() -> Self {
+        Self { bits: u8::MAX }
+    }
+
     /// Returns the same without one.
     pub const fn without(self, feature: Feature) -> Self {
         Self {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -43,8 +43,8 @@
     pub(crate) customer: Option<CustomerKey>,
     /// The service in whose accounts of shares it is open, or was.
     pub(crate) service: Option<ServiceKey>,
-    /// Whether its customer had handed in more than its share when it came.
-    pub(crate) is_beyond_share: bool,
+    /// Whether its customer had handed in more than its rate when it came.
+    pub(crate) is_beyond_rate: bool,
     /// Whether it was told that work of it is held back by its customer's limit.
     pub(crate) is_held: bool,
     /// The time within which the job should be done, by its estimates.
@@ -84,7 +84,7 @@
             rank,
             customer: None,
             service: None,
-            is_beyond_share: false,
+            is_beyond_rate: false,
             is_held: false,
             accepted_at,
             objective: Duration::ZERO,
@@ -233,7 +233,7 @@
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_of(name);
             job.customer = Some(customer);
-            job.is_beyond_share = self.accounts.note_job(customer, job.accepted_at);
+            job.is_beyond_rate = self.accounts.note_job(customer, job.accepted_at);
         }
         job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -36,7 +36,7 @@
 /// A job's place in the order of service; the smallest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceRank {
-    /// Work beyond its customer's share comes after all else.
+    /// Work beyond its customer's rate or share comes after all else.
     share: ShareRank,
     urgency: Urgency,
     /// The priority of its queue; 0 comes first.
@@ -73,14 +73,14 @@
         order.into_iter().map(|rank| rank.job).collect()
     }
 
-    /// Has work beyond its customer's share of room that is short come last.
+    /// Has work beyond its customer's share of room that is short come later.
     fn rank_by_shares(&self, order: &mut [ServiceRank]) {
         if !self.is_room_short() {
             return;
         }
         let ids: Vec<JobId> = order.iter().map(|rank| rank.job).collect();
         for (rank, share) in order.iter_mut().zip(self.share_ranks(&ids)) {
-            rank.share = rank.share.max(share);
+            rank.share = share;
         }
         // Each customer's own work stays in its order.
         order.sort_by_key(|rank| rank.share);
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -60,12 +60,14 @@
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
         self.waits.begin_cycle();
         if self.are_starts_held {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
             return 0;
         }
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
         if !self.has_ready_step() {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
             return 0;
         }
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -71,32 +71,32 @@
 pub(crate) type Holder = Option<CustomerKey>;
 
 /// A job's place by its customer's share; the smallest is served first.
+///
+/// Nothing is owed for jobs beyond their customer's rate, so that they come last; and among
+/// the others, those beyond its share of room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct ShareRank(u64);
+pub(crate) struct ShareRank {
+    is_beyond_rate: bool,
+    /// By how many steps it is beyond its customer's share of room that is short; 0 where it
+    /// is within it.
+    excess_steps_count: u64,
+}
 
 impl ShareRank {
-    /// Within its customer's share, or share does not matter.
-    pub(crate) const WITHIN: Self = Self(0);
-    /// Beyond it, by no more than a step.
-    pub(crate) const BEYOND: Self = Self(1);
-
-    /// Returns the rank of a job by the jobs that its customer had handed in before.
+    /// Returns the rank of a job where no room is short.
     pub(crate) const fn of_job(job: &Job) -> Self {
-        if job.is_beyond_share {
-            Self::BEYOND
-        } else {
-            Self::WITHIN
+        Self {
+            is_beyond_rate: job.is_beyond_rate,
+            excess_steps_count: 0,
         }
     }
 
-    /// Returns the rank of work before which its customer has so much running or asked for,
+    /// Returns the same for a job before which its customer has so much running or asked for,
     /// in millionths of its share, where so much is allowed.
-    const fn of(ahead_ppm: u64, allowed_ppm: u64) -> Self {
+    const fn with_ahead(mut self, ahead_ppm: u64, allowed_ppm: u64) -> Self {
         let excess_ppm = ahead_ppm.saturating_sub(allowed_ppm);
-        if excess_ppm == 0 {
-            return Self::WITHIN;
-        }
-        Self(Self::BEYOND.0 + excess_ppm / EXCESS_STEP_PPM)
+        self.excess_steps_count = excess_ppm.div_ceil(EXCESS_STEP_PPM);
+        self
     }
 }
 
@@ -298,6 +298,15 @@
         service.drop_if_unused(holder);
     }
 
+    /// Notes that nothing asks for room.
+    pub(crate) fn rest(&mut self, now: Instant) {
+        for service in self.services.values_mut().filter(|it| it.is_short) {
+            service.advance(now);
+            service.is_short = false;
+            service.most_over = None;
+        }
+    }
+
     /// Adds a run.
     pub(crate) fn charge(&mut self, run: &Run) {
         if let Some(service) = run.charge.service {
@@ -484,30 +493,26 @@
     /// that in which each customer's own work is served.
     pub(crate) fn share_ranks(&self, order: &[JobId]) -> Vec<ShareRank> {
         let mut ahead: HashMap<(ServiceKey, Holder), u64> = HashMap::new();
-        let ranks = order.iter().map(|id| {
-            let Some(job) = self.jobs.get(id) else {
-                return ShareRank::WITHIN;
-            };
-            self.share_rank(job, &mut ahead)
-        });
-        ranks.collect()
+        let jobs = order.iter().map(|id| self.jobs.get(id));
+        let ranks = jobs.map(|job| job.map(|job| self.share_rank(job, &mut ahead)));
+        ranks.map(Option::unwrap_or_default).collect()
     }
 
+    /// Returns a job's rank, and adds what it asks for to what is ahead of later jobs.
     fn share_rank(&self, job: &Job, ahead: &mut HashMap<(ServiceKey, Holder), u64>) -> ShareRank {
+        let rank = ShareRank::of_job(job);
         let Some(key) = job.service else {
-            return ShareRank::WITHIN;
+            return rank;
         };
         let service = &self.shares.services[key];
-        let Some(account) = service.accounts.get(&job.customer) else {
-            return ShareRank::WITHIN;
+        let account = service.accounts.get(&job.customer);
+        let Some(account) = account.filter(|_| service.is_short) else {
+            return rank;
         };
-        if !service.is_short {
-            return ShareRank::WITHIN;
-        }
         let before = ahead.entry((key, job.customer));
-        let before = before.or_insert(account.share_ppm);
-        let rank = ShareRank::of(*before, account.allowed_ppm(service.clock));
-        *before += account.share_of(&job.asked, &service.capacity);
+        let before_ppm = before.or_insert(account.share_ppm);
+        let rank = rank.with_ahead(*before_ppm, account.allowed_ppm(service.clock));
+        *before_ppm += account.share_of(&job.asked, &service.capacity);
         rank
     }
 
--- a/crates/scheduler/tests/scheduler/customers_load.rs
+++ b/crates/scheduler/tests/scheduler/customers_load.rs
@@ -2,7 +2,7 @@
 
 use crate::support::world::{Faults, World};
 use crate::support::{advice, configuration_with, customer, job_of, step};
-use ospreywing_scheduler::{AdvicePolicy, Feature, Features, JobId, StepSpec};
+use ospreywing_scheduler::{AdvicePolicy, Customer, Feature, Features, JobId, StepSpec};
 use ospreywing_types::Resources;
 use rstest::rstest;
 
@@ -19,6 +19,15 @@
 /// What the others' share of jobs in time may fall by.
 const SHARE_LOST_LIMIT: f64 = 0.02;
 const SEEDS_COUNT: u64 = 6;
+const TROUBLE_SEEDS_COUNT: u64 = 3;
+/// The longest that a job of a customer under its share waits while a customer beyond its own
+/// is given room: until a run of the longest length ends, and is replaced.
+const WAIT_LIMIT_MS: u64 = 2_000;
+/// How far a customer within its rate and share may be ahead of the clock: less than makes
+/// its work come later.
+const LAG_LIMIT_MS: u64 = 1_000;
+/// The part of the jobs done without shares that must be done with them.
+const DONE_PERCENT: usize = 97;
 /// A job's objective: twice its task's second, and one more.
 const OBJECTIVE_MS: u64 = 3_000;
 
@@ -58,6 +67,56 @@
     }
 }
 
+/// What goes wrong in a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    Nothing,
+    /// The leader is lost in the middle of the flood, and the next one soon after.
+    LeadersLost,
+    /// The flooding customer's weight is raised in the middle.
+    WeightRaised,
+    /// The flooding customer is removed in the middle.
+    CustomerRemoved,
+    /// The flooding customer is idle before.
+    IdleBefore,
+    /// Tasks take 2.5 times as long as they are said to, or that part.
+    EstimatesLow,
+    EstimatesHigh,
+}
+
+impl Trouble {
+    const fn estimate_ms(self) -> u64 {
+        match self {
+            Self::EstimatesLow => 400,
+            Self::EstimatesHigh => 2_500,
+            _ => 1_000,
+        }
+    }
+
+    /// Returns whether the flooding customer sends anything so long after the begin.
+    const fn floods_at(self, at_ms: u64) -> bool {
+        !matches!(self, Self::IdleBefore) || at_ms >= LOAD_MS / 2
+    }
+
+    /// Strikes, where its time has come.
+    fn strike(self, at_ms: u64, world: &mut World, load: &Load) {
+        let is_middle = at_ms == LOAD_MS / 2;
+        match self {
+            Self::LeadersLost if is_middle || at_ms == LOAD_MS * 2 / 3 => world.elect(),
+            Self::WeightRaised if is_middle => {
+                let mut customers = customers();
+                customers[0].jobs_per_s *= 2.0;
+                world.configure(configuration_with(3, load.policy, customers));
+            }
+            Self::CustomerRemoved if is_middle => {
+                let customers = customers().split_off(1);
+                world.configure(configuration_with(3, load.policy, customers));
+            }
+            _ => {}
+        }
+    }
+}
+
 /// A load to be played.
 #[derive(Clone, Copy, Debug)]
 struct Load {
@@ -65,48 +124,69 @@
     factor: u64,
     policy: Option<AdvicePolicy>,
     features: Features,
+    trouble: Trouble,
 }
 
+/// Few jobs, within their customer's rate, that ask for far more than there is.
+const HUGE_LOAD: Load = Load {
+    flood: Flood::Huge,
+    factor: 10,
+    policy: None,
+    features: Features::all(),
+    trouble: Trouble::Nothing,
+};
+
 /// What came of a load.
 struct Outcome {
     /// The share of the others' jobs that had their outcome within their objective.
     others_share: f64,
-    /// The flooding customer's jobs that were done by the end of the load.
-    flood_done_count: usize,
+    /// All jobs that were done by the end of the load.
+    done_count: usize,
     /// The longest that a job of the others waited for its first start.
     longest_wait_ms: u64,
+    /// The furthest that one of the others was ahead of its share.
+    largest_lag_ms: u64,
 }
 
 fn name_of(customer: u64) -> String {
     format!("c{customer}")
 }
 
-fn world_of(seed: u64, load: Load) -> World {
-    let mut world = World::new(seed, WORKERS_COUNT, Faults::default(), load.policy);
-    world.elect_with_features(load.features);
-    world.run_lengths_ms = 600..1_200;
+fn customers() -> Vec<Customer> {
     let customers = (0..CUSTOMERS_COUNT).map(|number| {
-        let tasks_count = if number == 0 {
-            FLOOD_LIMIT_TASKS_COUNT
-        } else {
-            LIMIT_TASKS_COUNT
+        let tasks_count = match number {
+            0 => FLOOD_LIMIT_TASKS_COUNT,
+            _ => LIMIT_TASKS_COUNT,
         };
         customer(&name_of(number), tasks_count, JOBS_PER_S)
     });
-    world.configure(configuration_with(2, load.policy, customers.collect()));
+    customers.collect()
+}
+
+fn world_of(seed: u64, load: &Load) -> World {
+    let mut world = World::new(seed, WORKERS_COUNT, Faults::default(), load.policy);
+    world.elect_with_features(load.features);
+    world.run_lengths_ms = 600..1_200;
+    world.configure(configuration_with(2, load.policy, customers()));
     world
 }
 
 /// Plays a load.
-fn play(seed: u64, load: Load) -> Outcome {
+fn play(seed: u64, load: &Load) -> Outcome {
     let mut world = world_of(seed, load);
     let begun_ms = world.now_ms;
     let mut handed_in: Vec<(JobId, u64, u64)> = Vec::new();
+    let mut largest_lag_ms = 0;
     for at_ms in (0..LOAD_MS).step_by(50) {
+        load.trouble.strike(at_ms, &mut world, load);
         for number in 0..CUSTOMERS_COUNT {
             let is_due = (at_ms + 50 * number).is_multiple_of(PERIOD_MS);
-            let flood = if number == 0 { load.flood } else { Flood::Many };
-            let (count, spec) = flood.jobs(if number == 0 { load.factor } else { 1 });
+            let (count, mut spec) = match number {
+                0 if !load.trouble.floods_at(at_ms) => continue,
+                0 => load.flood.jobs(load.factor),
+                _ => Flood::Many.jobs(1),
+            };
+            spec.estimate_ms = load.trouble.estimate_ms();
             for _ in 0..count * u64::from(is_due) {
                 let id = handed_in.len() as u64 + 1;
                 let (id, mut record) = job_of(&name_of(number), id, vec![spec.clone()]);
@@ -117,11 +197,11 @@
         }
         world.run_for(begun_ms + at_ms + 50 - world.now_ms.min(begun_ms + at_ms + 50));
         world.note_outcomes();
+        let lags = (1..CUSTOMERS_COUNT).filter_map(|number| world.share_of(&name_of(number)));
+        let lag_ms = lags.map(|view| view.lag.as_ms()).max();
+        largest_lag_ms = largest_lag_ms.max(lag_ms.unwrap_or(0));
     }
-    let flood = handed_in.iter().filter(|(_, by, _)| *by == 0);
-    let flood_done_count = flood
-        .filter(|(id, ..)| world.done_ms.contains_key(id))
-        .count();
+    let done_count = world.done_ms.len();
     for _ in 0..100 {
         world.run_for(50);
         world.note_outcomes();
@@ -138,27 +218,33 @@
     });
     Outcome {
         others_share: in_time.count() as f64 / others.len() as f64,
-        flood_done_count,
+        done_count,
         longest_wait_ms: waits_ms.max().unwrap_or(0),
+        largest_lag_ms,
     }
 }
 
-/// Returns what the others lose of their share beside a flood, the mean of all seeds.
-fn share_lost(load: Load) -> f64 {
+/// Plays a load with and without its flood; returns what the others lose of their share, the
+/// mean of so many seeds.
+fn share_lost(load: &Load, seeds_count: u64) -> f64 {
+    let usual = Load {
+        flood: Flood::Many,
+        factor: 1,
+        ..*load
+    };
     let mut lost = 0.0;
-    for seed in 0..SEEDS_COUNT {
-        let usual = Load {
-            flood: Flood::Many,
-            factor: 1,
-            ..load
-        };
-        let before = play(seed, usual);
+    for seed in 0..seeds_count {
+        let before = play(seed, &usual);
         let beside = play(seed, load);
         println!(
-            "seed {seed}: {:.3} alone, {:.3} beside a flood, of which {} jobs were done; waits {} ms",
-            before.others_share, beside.others_share, beside.flood_done_count, beside.longest_wait_ms
+            "seed {seed}: {:.3} alone, {:.3} beside a flood; waits of {} ms, {} ms ahead",
+            before.others_share, beside.others_share, beside.longest_wait_ms, beside.largest_lag_ms
         );
-        lost += (before.others_share - beside.others_share) / SEEDS_COUNT as f64;
+        lost += (before.others_share - beside.others_share) / seeds_count as f64;
+        if load.features.has(Feature::FairShares) {
+            assert!(beside.longest_wait_ms <= WAIT_LIMIT_MS, "others wait");
+            assert!(beside.largest_lag_ms < LAG_LIMIT_MS, "others come later");
+        }
     }
     println!("lost {lost:.3}");
     lost
@@ -171,14 +257,66 @@
     #[values(2, 5, 10)] factor: u64,
     #[values(false, true)] has_advice: bool,
 ) {
-    let lost = share_lost(Load {
+    let load = Load {
         flood,
         factor,
         policy: has_advice.then(advice),
-        features: Features::default(),
-    });
+        ..HUGE_LOAD
+    };
+    let lost = share_lost(&load, SEEDS_COUNT);
     assert!(
         lost <= SHARE_LOST_LIMIT,
         "the others lose {lost:.3} of their share"
     );
 }
+
+/// The same where something goes wrong besides.
+#[rstest]
+fn place_beside_flood_in_trouble(
+    #[values(
+        Trouble::LeadersLost,
+        Trouble::WeightRaised,
+        Trouble::CustomerRemoved,
+        Trouble::IdleBefore,
+        Trouble::EstimatesLow,
+        Trouble::EstimatesHigh
+    )]
+    trouble: Trouble,
+) {
+    let load = Load {
+        trouble,
+        ..HUGE_LOAD
+    };
+    let lost = share_lost(&load, TROUBLE_SEEDS_COUNT);
+    assert!(
+        lost <= SHARE_LOST_LIMIT,
+        "the others lose {lost:.3} of their share"
+    );
+}
+
+/// Without shares a few huge jobs take what others need: this is the load that shares answer.
+#[test]
+fn place_beside_flood_without_shares() {
+    let load = Load {
+        features: Features::all().without(Feature::FairShares),
+        ..HUGE_LOAD
+    };
+    let lost = share_lost(&load, TROUBLE_SEEDS_COUNT);
+    assert!(lost > 0.1, "the others lose {lost:.3} only");
+}
+
+/// The flooding customer still gets what nobody else asks for.
+#[rstest]
+fn place_flood_in_free_room(#[values(Flood::Many, Flood::Wide)] flood: Flood) {
+    let shared = Load { flood, ..HUGE_LOAD };
+    let unshared = Load {
+        features: Features::all().without(Feature::FairShares),
+        ..shared
+    };
+    for seed in 0..TROUBLE_SEEDS_COUNT {
+        let with = play(seed, &shared).done_count;
+        let without = play(seed, &unshared).done_count;
+        println!("seed {seed}: {with} jobs done with shares, {without} without");
+        assert!(with * 100 >= without * DONE_PERCENT);
+    }
+}
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -17,6 +17,7 @@
 mod rooms;
 mod scale;
 mod search;
+mod shares;
 mod stored;
 mod support;
 mod takeover;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/shares.rs
@@ -0,0 +1,225 @@
+//! Shares of room: whose work comes first, whose runs give way, and what a new leader knows.
+
+use crate::support::bench::{workers, Bench};
+use crate::support::{configuration_with, customer, job_of, step, SERVICE};
+use ospreywing_scheduler::{
+    Event, Feature, Features, JobId, JobRecord, JobState, Recovered, RoundState, ShareView,
+    StepSpec, TaskKey, TaskStatus, WorkerKey,
+};
+use ospreywing_types::Duration;
+use rstest::rstest;
+use std::sync::Arc;
+
+/// The workers hold two tasks of [`step`] each.
+const WORKERS_COUNT: usize = 4;
+const ROOM_TASKS_COUNT: u32 = 8;
+/// How far a tag may be ahead of its service's clock.
+const LAG_LIMIT: Duration = Duration::from_ms(2_000);
+/// The objective of [`step`]: twice its second, and one more.
+const OBJECTIVE_MS: u64 = 3_000;
+const WITHOUT_SHARES: Features = Features::all().without(Feature::FairShares);
+const EQUAL: [(&str, f64); 2] = [("over", 1.0), ("under", 1.0)];
+
+fn configure(bench: &mut Bench, version: u64, weights: &[(&str, f64)]) {
+    let customers = weights.iter();
+    let customers = customers.map(|(name, weight)| customer(name, ROOM_TASKS_COUNT, *weight));
+    let configuration = configuration_with(version, None, customers.collect());
+    bench.tell(Event::Configured(configuration));
+}
+
+fn bench_with(features: Features, weights: &[(&str, f64)]) -> Bench {
+    let mut bench = Bench::with_features(features, &workers(WORKERS_COUNT));
+    configure(&mut bench, 2, weights);
+    bench
+}
+
+/// Has a customer hand in a job of tasks that save checkpoints.
+fn submit(bench: &mut Bench, of: &str, number: u64, tasks_count: u32) -> (JobId, JobRecord) {
+    let spec = StepSpec {
+        saves_progress: true,
+        ..step(tasks_count)
+    };
+    let (id, mut record) = job_of(of, number, vec![spec]);
+    record.accepted_ms = bench.now.as_ms();
+    bench.tell(Event::WallClock(record.accepted_ms));
+    bench.submit_job((id, record.clone()));
+    (id, record)
+}
+
+/// Starts what has room; returns the runs.
+fn start_all(bench: &mut Bench) -> Vec<(WorkerKey, TaskKey, u32)> {
+    bench.commit_all();
+    let starts = bench.starts();
+    starts.iter().for_each(|start| bench.started(*start));
+    starts
+}
+
+fn view(bench: &Bench, of: &str) -> ShareView {
+    let view = bench.scheduler.share_of(SERVICE, Some(of));
+    view.expect("a customer with open jobs")
+}
+
+/// Has one customer fill the cell and ask for more, and another ask for a task.
+fn flooded(features: Features) -> Bench {
+    let mut bench = bench_with(features, &EQUAL);
+    submit(&mut bench, "over", 1, ROOM_TASKS_COUNT);
+    assert_eq!(start_all(&mut bench).len(), ROOM_TASKS_COUNT as usize);
+    submit(&mut bench, "over", 2, ROOM_TASKS_COUNT);
+    submit(&mut bench, "under", 3, 1);
+    bench
+}
+
+/// Lets time pass; returns whose runs are being stopped.
+fn stopped_within(bench: &mut Bench, length_ms: u64) -> Vec<u64> {
+    let until_ms = bench.now.as_ms() + length_ms;
+    let mut stopped = Vec::new();
+    while bench.now.as_ms() < until_ms {
+        bench.commit_all();
+        let stops = bench.stops();
+        stopped.extend(stops.iter().map(|(_, task, _)| task.step.job.number()));
+    }
+    stopped
+}
+
+/// One run is stopped, which makes room for the one task that would come too late.
+#[rstest]
+#[case::shares(Features::default(), vec![1])]
+#[case::without(WITHOUT_SHARES, vec![])]
+fn preempt_for_customer_under_its_share(#[case] features: Features, #[case] expected: Vec<u64>) {
+    let mut bench = flooded(features);
+    let mut stopped = stopped_within(&mut bench, OBJECTIVE_MS);
+    // A stop that is not answered is sent again.
+    stopped.dedup();
+    assert_eq!(stopped, expected);
+}
+
+/// Nothing is stopped while there is time, nor for a customer that has half of its share.
+#[rstest]
+#[case::has_time(0, 600)]
+#[case::has_half(2, OBJECTIVE_MS)]
+fn preempt_not_needed(#[case] running_count: u32, #[case] length_ms: u64) {
+    let mut bench = bench_with(Features::default(), &EQUAL);
+    if running_count > 0 {
+        submit(&mut bench, "under", 9, running_count);
+        start_all(&mut bench);
+    }
+    submit(&mut bench, "over", 1, ROOM_TASKS_COUNT);
+    start_all(&mut bench);
+    submit(&mut bench, "under", 3, 1);
+    assert_eq!(stopped_within(&mut bench, length_ms), []);
+}
+
+fn id_of(bench: &Bench, worker: WorkerKey) -> Arc<str> {
+    let mut listed = bench.scheduler.listed_workers();
+    let (_, facts) = listed.find(|(key, _)| *key == worker).expect("a worker");
+    facts.id.clone()
+}
+
+/// Returns the state of a job of which these runs are alive.
+fn running_state(
+    runs: &[(WorkerKey, TaskKey, u32)],
+    bench: &Bench,
+    record: &JobRecord,
+) -> JobState {
+    let mut round = RoundState::new(0, record);
+    for (worker, task, run) in runs {
+        let task = &mut round.steps[0].tasks[task.index as usize];
+        task.last_run = *run;
+        task.status = TaskStatus::Placed {
+            worker: id_of(bench, *worker).to_string(),
+            life_start: None,
+        };
+    }
+    JobState {
+        next_round: 1,
+        rounds: vec![round],
+        ..JobState::default()
+    }
+}
+
+/// A new leader has the same accounts from the records alone; only the tags begin at the
+/// clock, and none was ahead of it by more than the limit.
+#[test]
+fn rebuild_shares_after_takeover() {
+    let weights = [("over", 1.0), ("under", 3.0)];
+    let mut bench = bench_with(Features::default(), &weights);
+    let first = submit(&mut bench, "over", 1, ROOM_TASKS_COUNT);
+    let runs = start_all(&mut bench);
+    let second = submit(&mut bench, "over", 2, 2);
+    let third = submit(&mut bench, "under", 3, 2);
+    bench.commit_all();
+    let state = running_state(&runs, &bench, &first.1);
+    let recovered = Recovered {
+        states: vec![(first.0, state)],
+        jobs: vec![first, second, third],
+        wall_ms: bench.now.as_ms(),
+        ..Recovered::default()
+    };
+    let mut next = Bench::new(recovered, &[]);
+    configure(&mut next, 2, &weights);
+    next.list_workers(&workers(WORKERS_COUNT));
+    let key_of = |worker| next.scheduler.worker_key(&id_of(&bench, worker));
+    let alive = runs.into_iter().map(|(worker, task, run)| {
+        let key = key_of(worker).expect("a worker that is listed again");
+        (key, task, run)
+    });
+    let alive: Vec<_> = alive.collect();
+    next.list_progress(&alive, 0);
+    next.commit_all();
+    let (kept, rebuilt) = (view(&bench, "over"), view(&next, "over"));
+    assert_eq!(kept.share_per_mille, 4_000);
+    assert!(kept.lag > Duration::ZERO && kept.lag <= LAG_LIMIT);
+    assert!(rebuilt.lag <= LAG_LIMIT);
+    let without_tag = |view: ShareView| (view.share_per_mille, view.open_jobs_count, view.is_short);
+    assert_eq!(without_tag(kept), without_tag(rebuilt));
+    assert_eq!(
+        view(&bench, "under").open_jobs_count,
+        view(&next, "under").open_jobs_count
+    );
+}
+
+/// The shares follow new weights; a customer that was removed keeps its last.
+#[rstest]
+#[case::raised(&[("over", 3.0), ("under", 1.0)], 1_333)]
+#[case::lowered(&[("over", 1.0), ("under", 3.0)], 4_000)]
+#[case::removed(&[("under", 1.0)], 2_000)]
+fn share_of_weights_changed(#[case] weights: &[(&str, f64)], #[case] share_per_mille: u64) {
+    let mut bench = flooded(Features::default());
+    bench.commit_all();
+    assert_eq!(view(&bench, "over").share_per_mille, 2_000);
+    configure(&mut bench, 5, weights);
+    bench.commit_all();
+    assert_eq!(view(&bench, "over").share_per_mille, share_per_mille);
+}
+
+/// What a customer runs while nobody else asks for the room is not owed later, and one that
+/// was idle has saved nothing up.
+#[test]
+fn borrow_free_room_is_not_owed() {
+    let mut bench = bench_with(Features::default(), &EQUAL);
+    submit(&mut bench, "over", 1, ROOM_TASKS_COUNT);
+    start_all(&mut bench);
+    for _ in 0..10 {
+        bench.commit_all();
+    }
+    submit(&mut bench, "under", 2, ROOM_TASKS_COUNT);
+    assert_eq!(view(&bench, "over").lag, Duration::ZERO);
+    assert_eq!(view(&bench, "under").lag, Duration::ZERO);
+}
+
+/// The clock of a service never goes back, whatever comes.
+#[test]
+fn virtual_time_goes_on() {
+    let mut bench = flooded(Features::default());
+    let mut last = Duration::ZERO;
+    for number in 0..20_u32 {
+        if number % 5 == 0 {
+            let weights = [("over", f64::from(number + 1)), ("under", 2.0)];
+            configure(&mut bench, 10 + u64::from(number), &weights);
+        }
+        bench.commit_all();
+        let view = view(&bench, "over");
+        assert!(view.virtual_time >= last && view.lag <= LAG_LIMIT);
+        last = view.virtual_time;
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -10,7 +10,7 @@
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
     Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
-    StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
+    ShareView, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -353,6 +353,12 @@
         facts.map(|facts| (facts.id.clone(), facts)).collect()
     }
 
+    /// Returns how a customer stands with the newest leader.
+    pub fn share_of(&self, customer: &str) -> Option<ShareView> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.share_of(super::SERVICE, Some(customer))
+    }
+
     /// Tells what has changed of the list of workers, as the platform does.
     pub fn list_workers(&mut self) {
         let listed = self.listed();
