Shares: accounts in a module of their own; metrics

A job that a new configuration leaves in its service keeps its customer's tag: it was closed and opened again, which dropped the account of a customer with nothing running.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -80,6 +80,8 @@
     used_millicores: Amount,
     waiting_gangs: Amount,
     awaited_workers: Amount,
+    beyond_share_customers: Amount,
+    largest_share_lag_ms: Amount,
     configuration_version: Amount,
     configuration_age_ms: Amount,
     resident_bytes: Amount,
@@ -122,6 +124,8 @@
             used_millicores: Amount::default(),
             waiting_gangs: Amount::default(),
             awaited_workers: Amount::default(),
+            beyond_share_customers: Amount::default(),
+            largest_share_lag_ms: Amount::default(),
             configuration_version: Amount::default(),
             configuration_age_ms: Amount::default(),
             resident_bytes: Amount::default(),
@@ -233,6 +237,16 @@
                 "Workers that are kept free",
                 &self.awaited_workers,
             ),
+            (
+                "beyond_share_customers",
+                "Customers whose further work comes later, by service",
+                &self.beyond_share_customers,
+            ),
+            (
+                "largest_share_lag_milliseconds",
+                "How far a customer is ahead of its share at most",
+                &self.largest_share_lag_ms,
+            ),
             (
                 "configuration_version",
                 "The version of the operators' configuration that is in force",
@@ -356,6 +370,9 @@
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
         set(&self.awaited_workers, status.awaited_workers_count);
+        set(&self.beyond_share_customers, status.beyond_share_count);
+        let lag_ms = status.largest_share_lag.as_ms();
+        self.largest_share_lag_ms.set(lag_ms as i64);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
         for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
--- a/crates/control/tests/control/measuring.rs
+++ b/crates/control/tests/control/measuring.rs
@@ -36,9 +36,14 @@
     metrics.note_term(true);
     metrics.note_status(&SchedulerStatus {
         runs_count: 7,
+        beyond_share_count: 2,
+        largest_share_lag: Duration::from_ms(1500),
         ..SchedulerStatus::default()
     });
-    assert!(metrics.to_text().contains("ospreywing_runs 7"));
+    let text = metrics.to_text();
+    assert!(text.contains("ospreywing_runs 7"));
+    assert!(text.contains("ospreywing_beyond_share_customers 2"));
+    assert!(text.contains("ospreywing_largest_share_lag_milliseconds 1500"));
     metrics.note_term(false);
     let text = metrics.to_text();
     assert!(text.contains("ospreywing_runs 0"));
--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -9,7 +9,7 @@
 use crate::job_rate::JobRate;
 use crate::limits::least_count;
 use crate::scheduler::Scheduler;
-use crate::shares::ServiceKey;
+use crate::share_accounts::ServiceKey;
 use cranelift_entity::{entity_impl, PrimaryMap};
 use ospreywing_types::{Instant, Resources};
 use std::collections::HashMap;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -9,7 +9,7 @@
 use crate::order::left_ms;
 use crate::placing::counted_demand;
 use crate::scheduler::Scheduler;
-use crate::shares::ServiceKey;
+use crate::share_accounts::ServiceKey;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -53,6 +53,7 @@
 mod retries;
 mod runs;
 mod scheduler;
+mod share_accounts;
 mod shares;
 mod sharing;
 mod state;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,7 +13,7 @@
 use crate::jobs::Job;
 use crate::names::Names;
 use crate::retries::RetryBudgets;
-use crate::shares::Shares;
+use crate::share_accounts::Shares;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -5,15 +5,14 @@
 //! its weight's part of the service's room, by dominant resource, among the customers that
 //! have open jobs there. A customer that has twice its share running is a second further on
 //! after each second. The tag of one that has less running goes with the clock, so that
-//! nobody saves credit up, and nobody's tag is ahead by more than [`LAG_LIMIT`].
+//! nobody saves credit up, and nobody's tag is ahead by more than its limit.
 //!
 //! Tags only go ahead while the service is short of room: what nobody else asked for is not
 //! owed. Neither do the order of service and preemption look at shares otherwise.
 //!
 //! What is running, what waits and whose it is follow from the store's records. A new leader
-//! only does not know the tags, which begin at the clock: it is off by [`LAG_LIMIT`] at most.
+//! only does not know the tags, which begin at the clock: it is off by that limit at most.
 
-use crate::customers::CustomerKey;
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::dominant::{Room, WHOLE_PPM};
@@ -22,22 +21,10 @@
 use crate::job::JobId;
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
-use crate::worker::Run;
-use cranelift_entity::{entity_impl, PrimaryMap};
+use crate::share_accounts::{Holder, ServiceKey, VirtualTime, LAG_SLACK};
 use ospreywing_types::{Duration, Instant};
-use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+use std::collections::HashMap;
 
-/// How far a tag may be ahead of the clock before its customer's work beyond its share comes
-/// after that of others. A judgement: callers come in waves of about a second.
-const LAG_SLACK: Duration = Duration::from_ms(1000);
-/// The time ahead for which starting work is weighed: work is beyond its customer's share
-/// where the customer's tag would be ahead by more than the slack after so long. With the
-/// slack, a customer that was within its share may have twice its share running.
-const HORIZON: Duration = Duration::from_ms(1000);
-/// How far a tag is ahead at most: a customer that has nothing running is within its share
-/// again at once, whatever it had before.
-const LAG_LIMIT: Duration = Duration::from_ms(LAG_SLACK.as_ms() + HORIZON.as_ms());
 /// The steps, in parts of a customer's share, by which work beyond shares is ordered: finer
 /// steps would order it by chance in place of urgency.
 const EXCESS_STEP_PPM: u64 = WHOLE_PPM / 4;
@@ -49,9 +36,6 @@
 /// A customer that has less than this part of its share running is well under it: others'
 /// work may be stopped for what it would miss.
 const WELL_UNDER_PPM: u64 = WHOLE_PPM / 2;
-/// A customer that has more than so much of its share running, and whose tag is ahead by the
-/// slack, gives way.
-const WELL_OVER_PPM: u64 = WHOLE_PPM * 3 / 2;
 /// A job that must start within this time would miss its objective: a stop, its end in the
 /// store and the start that follows take about as long.
 const MISS_SLACK: Duration = Duration::from_ms(1000);
@@ -59,16 +43,6 @@
 const SEARCH_PERIOD: Duration = Duration::from_ms(100);
 /// The weight of open queues' jobs where no customer has one.
 const DEFAULT_WEIGHT: f64 = 1.0;
-/// Microseconds of virtual time in a millisecond.
-const US_PER_MS: u64 = 1000;
-
-/// A service in the accounts of shares.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct ServiceKey(u32);
-entity_impl!(ServiceKey, "service");
-
-/// Whose work it is: a customer's, or open queues', which have one account.
-pub(crate) type Holder = Option<CustomerKey>;
 
 /// A job's place by its customer's share; the smallest is served first.
 ///
@@ -100,154 +74,6 @@
     }
 }
 
-/// A time that only goes on, in microseconds of a customer's exact share.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct VirtualTime {
-    us: u64,
-}
-
-impl VirtualTime {
-    /// Goes on by the work of so many millionths of a share over a time.
-    fn advance(&mut self, share_ppm: u64, passed: Duration) {
-        let us = passed.as_ms().saturating_mul(US_PER_MS) as f64;
-        self.us += (us * share_ppm as f64 / WHOLE_PPM as f64) as u64;
-    }
-
-    /// Returns the same, so much later.
-    const fn after(self, length: Duration) -> Self {
-        Self {
-            us: self.us + length.as_ms() * US_PER_MS,
-        }
-    }
-
-    const fn us_since(self, earlier: Self) -> u64 {
-        self.us.saturating_sub(earlier.us)
-    }
-}
-
-/// What a customer has in one service.
-#[derive(Debug, Default)]
-struct ShareAccount {
-    open_jobs_count: usize,
-    running: Room,
-    tag: VirtualTime,
-    /// What it had running when work was last placed, in millionths of its share.
-    share_ppm: u64,
-    /// What one millionth of the service's room is of its share, in millionths.
-    scale: f64,
-    /// Whether it was told to be over its share, and when that was told or taken back.
-    is_told_over: bool,
-    told_at: Option<Instant>,
-}
-
-impl ShareAccount {
-    fn is_unused(&self) -> bool {
-        self.open_jobs_count == 0 && self.running.is_zero()
-    }
-
-    /// Returns how much it may have running or asked for before its further work is beyond
-    /// its share, in millionths of that.
-    fn allowed_ppm(&self, clock: VirtualTime) -> u64 {
-        let left_us = clock.after(LAG_LIMIT).us_since(self.tag);
-        left_us * WHOLE_PPM / (HORIZON.as_ms() * US_PER_MS)
-    }
-
-    /// Returns what an amount is of its share, in millionths.
-    fn share_of(&self, amount: &Room, capacity: &Room) -> u64 {
-        (amount.dominant_ppm(capacity) as f64 * self.scale) as u64
-    }
-}
-
-/// The accounts of one service.
-#[derive(Debug)]
-struct ServiceShares {
-    name: Arc<str>,
-    clock: VirtualTime,
-    advanced_at: Instant,
-    capacity: Room,
-    /// Whether what was ready did not fit the free room when work was last placed.
-    is_short: bool,
-    accounts: BTreeMap<Holder, ShareAccount>,
-    /// The customer that is furthest over its share, where one is well over it.
-    most_over: Option<Holder>,
-    /// When room was last sought among its runs.
-    sought_at: Option<Instant>,
-}
-
-impl ServiceShares {
-    fn new(name: Arc<str>) -> Self {
-        Self {
-            name,
-            clock: VirtualTime::default(),
-            advanced_at: Instant::default(),
-            capacity: Room::default(),
-            is_short: false,
-            accounts: BTreeMap::new(),
-            most_over: None,
-            sought_at: None,
-        }
-    }
-
-    /// Returns a customer's account, which begins at the clock.
-    fn account(&mut self, holder: Holder) -> &mut ShareAccount {
-        let tag = self.clock;
-        let account = self.accounts.entry(holder);
-        account.or_insert_with(|| ShareAccount {
-            tag,
-            ..ShareAccount::default()
-        })
-    }
-
-    fn drop_if_unused(&mut self, holder: Holder) {
-        if self
-            .accounts
-            .get(&holder)
-            .is_some_and(ShareAccount::is_unused)
-        {
-            self.accounts.remove(&holder);
-        }
-    }
-
-    /// Lets the clock and the tags go on.
-    fn advance(&mut self, now: Instant) {
-        let passed = now.since(self.advanced_at);
-        self.advanced_at = self.advanced_at.max(now);
-        self.clock.advance(WHOLE_PPM, passed);
-        let last = self.clock.after(LAG_LIMIT);
-        for account in self.accounts.values_mut() {
-            if self.is_short {
-                account.tag.advance(account.share_ppm, passed);
-            }
-            account.tag = account.tag.clamp(self.clock, last);
-        }
-    }
-
-    /// Works out what each customer has running of its share.
-    fn weigh(&mut self, weight_of: impl Fn(Holder) -> f64) {
-        let weights = self.accounts.keys().map(|holder| weight_of(*holder));
-        let sum: f64 = weights.sum();
-        for (holder, account) in &mut self.accounts {
-            account.scale = sum / weight_of(*holder);
-            account.share_ppm = account.share_of(&account.running, &self.capacity);
-        }
-        self.most_over = self.find_most_over();
-    }
-}
-
-impl ServiceShares {
-    fn find_most_over(&self) -> Option<Holder> {
-        if !self.is_short {
-            return None;
-        }
-        let over = self.accounts.iter().filter(|(_, account)| {
-            let lag_us = account.tag.us_since(self.clock);
-            account.share_ppm > WELL_OVER_PPM && lag_us >= LAG_SLACK.as_ms() * US_PER_MS
-        });
-        let most = over.max_by_key(|(_, account)| account.share_ppm);
-        most.map(|(holder, _)| *holder)
-    }
-}
-
 /// What a customer has of a service's room, for operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShareView {
@@ -263,113 +89,6 @@
     pub is_short: bool,
 }
 
-/// How customers stand to their shares, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ShareSummary {
-    pub(crate) beyond_count: usize,
-    pub(crate) largest_lag: Duration,
-}
-
-/// The accounts of shares in all services.
-#[derive(Debug, Default)]
-pub(crate) struct Shares {
-    services: PrimaryMap<ServiceKey, ServiceShares>,
-    by_name: HashMap<Arc<str>, ServiceKey>,
-}
-
-impl Shares {
-    fn key_of(&mut self, name: &str) -> ServiceKey {
-        if let Some(&key) = self.by_name.get(name) {
-            return key;
-        }
-        let name: Arc<str> = Arc::from(name);
-        let key = self.services.push(ServiceShares::new(name.clone()));
-        self.by_name.insert(name, key);
-        key
-    }
-
-    fn open_job(&mut self, service: ServiceKey, holder: Holder) {
-        self.services[service].account(holder).open_jobs_count += 1;
-    }
-
-    fn close_job(&mut self, service: ServiceKey, holder: Holder) {
-        let service = &mut self.services[service];
-        service.account(holder).open_jobs_count -= 1;
-        service.drop_if_unused(holder);
-    }
-
-    /// Notes that nothing asks for room.
-    pub(crate) fn rest(&mut self, now: Instant) {
-        for service in self.services.values_mut().filter(|it| it.is_short) {
-            service.advance(now);
-            service.is_short = false;
-            service.most_over = None;
-        }
-    }
-
-    /// Adds a run.
-    pub(crate) fn charge(&mut self, run: &Run) {
-        if let Some(service) = run.charge.service {
-            let account = self.services[service].account(run.charge.customer);
-            account.running.add(&run.demand, 1);
-        }
-    }
-
-    /// Takes a run off.
-    pub(crate) fn give_back(&mut self, run: &Run) {
-        if let Some(service) = run.charge.service {
-            let holder = run.charge.customer;
-            let service = &mut self.services[service];
-            service.account(holder).running.remove(&run.demand);
-            service.drop_if_unused(holder);
-        }
-    }
-
-    /// Returns how customers stand.
-    pub(crate) fn summary(&self) -> ShareSummary {
-        let mut summary = ShareSummary::default();
-        for service in self.services.values() {
-            for account in service.accounts.values() {
-                let lag_us = account.tag.us_since(service.clock);
-                let lag = Duration::from_ms(lag_us / US_PER_MS);
-                summary.largest_lag = summary.largest_lag.max(lag);
-                summary.beyond_count += usize::from(lag >= LAG_SLACK);
-            }
-        }
-        summary
-    }
-
-    /// Returns the accounts that hold something else than `counted` does, and those whose
-    /// tags are behind the clock, or further ahead than any may be.
-    pub(crate) fn miscounted(
-        &self,
-        counted: &BTreeMap<(ServiceKey, Holder), CountedShare>,
-    ) -> Option<Arc<str>> {
-        let known_count: usize = self.services.values().map(|it| it.accounts.len()).sum();
-        let is_wrong = |key: ServiceKey, service: &ServiceShares| {
-            service.accounts.iter().any(|(holder, account)| {
-                let held = CountedShare {
-                    open_jobs_count: account.open_jobs_count,
-                    running: account.running,
-                };
-                let last = service.clock.after(LAG_LIMIT);
-                counted.get(&(key, *holder)) != Some(&held) || account.tag > last
-            })
-        };
-        let mut services = self.services.iter();
-        let wrong = services.find(|(key, service)| is_wrong(*key, service));
-        let missing = (known_count != counted.len()).then(|| Arc::from("of all"));
-        wrong.map(|(_, service)| service.name.clone()).or(missing)
-    }
-}
-
-/// What a customer has in one service, counted anew.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct CountedShare {
-    pub(crate) open_jobs_count: usize,
-    pub(crate) running: Room,
-}
-
 impl Scheduler {
     /// Returns whether room that is short is shared by customers' weights.
     pub(crate) fn has_fair_shares(&self) -> bool {
@@ -377,7 +96,8 @@
         has_customers && self.config.features.has(Feature::FairShares)
     }
 
-    /// Opens a job in the account of its customer in the service that runs it now.
+    /// Opens a job in the account of its customer in the service that runs it now, and closes
+    /// it in the one that did before.
     pub(crate) fn open_share(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -385,8 +105,10 @@
         let queue = self.configuration.queue(&job.record.queue);
         let service = queue.map_or(&job.record.service, |queue| &queue.service);
         let service = self.shares.key_of(service);
-        job.service = Some(service);
         self.shares.open_job(service, job.customer);
+        if let Some(before) = job.service.replace(service) {
+            self.shares.close_job(before, job.customer);
+        }
     }
 
     /// Closes a job's share; what of it still runs stays charged.
@@ -403,7 +125,6 @@
     pub(crate) fn move_shares(&mut self) {
         let ids: Vec<JobId> = self.active.values().copied().collect();
         for id in ids {
-            self.close_share(id);
             self.open_share(id);
         }
     }
@@ -455,10 +176,10 @@
         let accounts = &self.accounts;
         for service in self.shares.services.values_mut() {
             for (holder, account) in &mut service.accounts {
-                let lag_ms = account.tag.us_since(service.clock) / US_PER_MS;
+                let lag = account.lag(service.clock);
                 let is_over = match account.is_told_over {
-                    true => lag_ms >= LAG_TOLD_BACK.as_ms(),
-                    false => lag_ms >= LAG_SLACK.as_ms(),
+                    true => lag >= LAG_TOLD_BACK,
+                    false => lag >= LAG_SLACK,
                 };
                 let is_due = account
                     .told_at
@@ -512,7 +233,8 @@
         let before = ahead.entry((key, job.customer));
         let before_ppm = before.or_insert(account.share_ppm);
         let rank = rank.with_ahead(*before_ppm, account.allowed_ppm(service.clock));
-        *before_ppm += account.share_of(&job.asked, &service.capacity);
+        let asked_ppm = account.share_of(&job.asked, &service.capacity);
+        *before_ppm = before_ppm.saturating_add(asked_ppm);
         rank
     }
 
@@ -552,10 +274,10 @@
         let service = &self.shares.services[*key];
         let account = service.accounts.get(&holder)?;
         Some(ShareView {
-            lag: Duration::from_ms(account.tag.us_since(service.clock) / US_PER_MS),
+            lag: account.lag(service.clock),
             share_per_mille: account.share_ppm / 1000,
             open_jobs_count: account.open_jobs_count,
-            virtual_time: Duration::from_ms(service.clock.us / US_PER_MS),
+            virtual_time: service.clock.since(VirtualTime::default()),
             is_short: service.is_short,
         })
     }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -3,7 +3,7 @@
 use crate::customers::CustomerKey;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
-use crate::shares::{CountedShare, Holder, ServiceKey};
+use crate::share_accounts::{CountedShare, Holder, ServiceKey};
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::Resources;
--- a/crates/scheduler/tests/scheduler/shares.rs
+++ b/crates/scheduler/tests/scheduler/shares.rs
@@ -192,6 +192,19 @@
     assert_eq!(view(&bench, "over").share_per_mille, share_per_mille);
 }
 
+/// Jobs from open queues have one account, of the customers' mean weight.
+#[test]
+fn share_of_open_queues() {
+    let mut bench = bench_with(Features::default(), &[("over", 1.0), ("under", 3.0)]);
+    bench.submit(1, vec![step(ROOM_TASKS_COUNT)]);
+    start_all(&mut bench);
+    submit(&mut bench, "under", 2, 1);
+    bench.commit_all();
+    let view = bench.scheduler.share_of(SERVICE, None);
+    // Two parts of five are its share, and it has all.
+    assert_eq!(view.expect("open jobs").share_per_mille, 2_500);
+}
+
 /// What a customer runs while nobody else asks for the room is not owed later, and one that
 /// was idle has saved nothing up.
 #[test]
