--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -86,6 +86,8 @@
     learned_sizes: Amount,
     forecast_error_percent: Amount,
     estimate_error_percent: Amount,
+    beyond_share_customers: Amount,
+    largest_share_lag_ms: Amount,
     configuration_version: Amount,
     configuration_age_ms: Amount,
     resident_bytes: Amount,
@@ -134,6 +136,8 @@
             learned_sizes: Amount::default(),
             forecast_error_percent: Amount::default(),
             estimate_error_percent: Amount::default(),
+            beyond_share_customers: Amount::default(),
+            largest_share_lag_ms: Amount::default(),
             configuration_version: Amount::default(),
             configuration_age_ms: Amount::default(),
             resident_bytes: Amount::default(),
@@ -275,6 +279,16 @@
                 "How far off clients' estimates of the same tasks were",
                 &self.estimate_error_percent,
             ),
+            (
+                "beyond_share_customers",
+                "Customers whose further work comes later, by service",
+                &self.beyond_share_customers,
+            ),
+            (
+                "largest_share_lag_milliseconds",
+                "How far a customer is ahead of its share at most",
+                &self.largest_share_lag_ms,
+            ),
             (
                 "configuration_version",
                 "The version of the operators' configuration that is in force",
@@ -407,6 +421,9 @@
             .set(error.forecast_percent as i64);
         self.estimate_error_percent
             .set(error.estimate_percent as i64);
+        set(&self.beyond_share_customers, status.beyond_share_count);
+        let lag_ms = status.largest_share_lag.as_ms();
+        self.largest_share_lag_ms.set(lag_ms as i64);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
         for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -3,9 +3,12 @@
 use crate::commits::Effect;
 use crate::customers::CustomerKey;
 use crate::decision::{Decision, DecisionKind};
+use crate::dominant::Room;
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::placing::counted_demand;
 use crate::scheduler::Scheduler;
+use crate::share_accounts::ServiceKey;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
@@ -37,8 +40,10 @@
     pub(crate) rank: (u32, u64),
     /// Whose job it is.
     pub(crate) customer: Option<CustomerKey>,
-    /// Whether its customer had handed in more than its share when it came.
-    pub(crate) is_beyond_share: bool,
+    /// The service in whose accounts of shares it is open, or was.
+    pub(crate) service: Option<ServiceKey>,
+    /// Whether its customer had handed in more than its rate when it came.
+    pub(crate) is_beyond_rate: bool,
     /// Whether it was told that work of it is held back by its customer's limit.
     pub(crate) is_held: bool,
     /// What the tasks of steps took that are done, where that was learned.
@@ -58,6 +63,8 @@
     pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
+    /// What the waiting tasks of these take together.
+    pub(crate) asked: Room,
 }
 
 impl Job {
@@ -79,7 +86,8 @@
             ended_at: None,
             rank,
             customer: None,
-            is_beyond_share: false,
+            service: None,
+            is_beyond_rate: false,
             is_held: false,
             accepted_at,
             done_lengths: BTreeMap::new(),
@@ -89,6 +97,7 @@
             trial_until: Instant::default(),
             gang_stops: BTreeMap::new(),
             ready: None,
+            asked: Room::default(),
             state,
         }
     }
@@ -125,9 +134,33 @@
             }
         }
         self.ready = Some(ready.clone());
+        self.asked = self.room_of(&ready);
         ready
     }
 
+    /// Returns what the waiting tasks take whose turn has come.
+    pub(crate) fn ready_room(&mut self, id: JobId) -> Room {
+        if self.ready.is_none() {
+            self.ready_steps(id);
+        }
+        self.asked
+    }
+
+    fn room_of(&self, steps: &[StepKey]) -> Room {
+        let mut room = Room::default();
+        for key in steps {
+            let spec = self.record.spec.steps.get(key.step as usize);
+            let round = self.state.round(key.round);
+            let step = round.and_then(|round| round.steps.get(key.step as usize));
+            if let Some((spec, step)) = spec.zip(step) {
+                let is_waiting = |task: &&TaskState| task.status == TaskStatus::Waiting;
+                let waiting_count = step.tasks.iter().filter(is_waiting).count();
+                room.add(&counted_demand(spec), waiting_count);
+            }
+        }
+        room
+    }
+
     /// Returns whether a step's turn has come and it has a waiting task.
     pub(crate) fn has_ready_step(&mut self, id: JobId) -> bool {
         match &self.ready {
@@ -204,7 +237,7 @@
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_of(name);
             job.customer = Some(customer);
-            job.is_beyond_share = self.accounts.note_job(customer, job.accepted_at);
+            job.is_beyond_rate = self.accounts.note_job(customer, job.accepted_at);
         }
         job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
@@ -216,8 +249,12 @@
                 job.state.next_round = 1;
             }
         }
+        let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
         self.note_left(id);
+        if is_active {
+            self.open_share(id);
+        }
         self.is_place_due = true;
         let wall_ms = self.wall_ms;
         self.begin_due_rounds(wall_ms);
@@ -281,6 +318,7 @@
         job.ready = None;
         let rank = job.rank;
         self.active.remove(&rank);
+        self.close_share(id);
         let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
         out.push(Action::Log(line));
         self.unsettled.insert(id);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod cycle;
 mod decision;
 mod departures;
+mod dominant;
 mod durations;
 mod ends;
 mod estimates;
@@ -56,6 +57,8 @@
 mod retries;
 mod runs;
 mod scheduler;
+mod share_accounts;
+mod shares;
 mod sharing;
 mod speed_wish;
 mod speeds;
@@ -85,6 +88,7 @@
 pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use shares::ShareView;
 pub use speeds::{Ejection, Speeds, USUAL_SPEED};
 pub use state::{
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -60,18 +60,21 @@
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
         self.waits.begin_cycle();
         if self.are_starts_held {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
             return 0;
         }
-        let order = self.service_order(now);
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
-        if !self.has_ready_step(&order) {
+        if !self.has_ready_step() {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
             return 0;
         }
         let mut cycle = self.new_cycle(now);
         self.begin_reservations(now, &mut cycle);
+        self.refresh_shares(now, &cycle, out);
+        let order = self.service_order(now);
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
@@ -80,9 +83,9 @@
         cycle.examined_count
     }
 
-    /// Returns whether a step of any of the jobs may be started.
-    fn has_ready_step(&mut self, order: &[JobId]) -> bool {
-        let mut jobs = order.iter();
+    /// Returns whether a step of any job may be started.
+    fn has_ready_step(&mut self) -> bool {
+        let mut jobs = self.active.values();
         jobs.any(|id| {
             let job = self.jobs.get_mut(id);
             job.is_some_and(|job| job.has_ready_step(*id))
@@ -186,7 +189,11 @@
                 let candidates = self.candidates(now, pending, cycle, workers);
                 placed_count = self.allocate(now, pending, candidates, out);
             }
-            let has_left = placed_count < pending.waiting.len();
+            let missing_count = pending.waiting.len() - placed_count;
+            let has_left = missing_count > 0;
+            if has_left {
+                self.preempt_for_share(now, pending, cycle, missing_count, out);
+            }
             return has_left.then(|| self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::learning::{Learning, SpeedClass};
 use crate::names::Names;
 use crate::retries::RetryBudgets;
+use crate::share_accounts::Shares;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
@@ -77,6 +78,10 @@
     pub forecast_error: ForecastError,
     /// Steps for which a part of their customer's limit is reserved.
     pub limit_reservations_count: usize,
+    /// Customers whose work beyond their shares of a service that is short comes last.
+    pub beyond_share_count: usize,
+    /// How far a customer is ahead of its share at most.
+    pub largest_share_lag: Duration,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -88,6 +93,7 @@
     pub(crate) accounts: Accounts,
     /// What is kept of customers' limits for steps that wait for them.
     pub(crate) limit_reservations: LimitReservations,
+    pub(crate) shares: Shares,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -150,6 +156,7 @@
             configuration,
             accounts,
             limit_reservations: LimitReservations::default(),
+            shares: Shares::default(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
@@ -289,6 +296,7 @@
 
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
+        let shares = self.shares.summary();
         let placeable = || self.workers.values().filter(|w| w.is_placeable(now));
         SchedulerStatus {
             capacity_milli: placeable()
@@ -304,6 +312,8 @@
             learned_sizes_count: self.learning.durations.classes_count(),
             forecast_error: self.learning.durations.error(),
             limit_reservations_count: self.limit_reservations.count(),
+            beyond_share_count: shares.beyond_count,
+            largest_share_lag: shares.largest_lag,
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
@@ -347,6 +357,7 @@
         out.push(Action::Log(line.with_figure(configuration.version)));
         self.accounts.configure(configuration.customers.values());
         self.configuration = configuration;
+        self.move_shares();
         self.note_services();
         self.is_place_due = true;
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -128,6 +128,7 @@
             demand,
             charge: Charge {
                 customer: None,
+                service: None,
                 amount: Resources::ZERO,
             },
             role: RunRole::Plain,
--- a/crates/scheduler/tests/scheduler/backfill.rs
+++ b/crates/scheduler/tests/scheduler/backfill.rs
@@ -6,7 +6,8 @@
     configuration_with, customer, job_of, step, with_other_service, OTHER_QUEUE, PATIENT_QUEUE,
 };
 use ospreywing_scheduler::{
-    Action, Decision, DecisionKind, EndKind, EndedRun, Event, Feature, StepSpec, TaskKey, WorkerKey,
+    Action, Decision, DecisionKind, EndKind, EndedRun, Event, Feature, Features, StepSpec, TaskKey,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -20,7 +21,11 @@
 type Start = (WorkerKey, TaskKey, u32);
 
 fn bench_with(tasks_count: u32, is_on: bool) -> Bench {
-    let mut bench = Bench::with_feature(&workers(WORKERS_COUNT), Feature::Backfill, is_on);
+    let features = match is_on {
+        true => Features::all(),
+        false => Features::all().without(Feature::Backfill),
+    };
+    let mut bench = Bench::with_features(features, &workers(WORKERS_COUNT));
     limit(&mut bench, 2, tasks_count);
     bench
 }
--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -408,7 +408,7 @@
 /// ten seconds by the estimate and four of them were done in one.
 fn stopped_count(features: Features) -> usize {
     let leaving = workers(2);
-    let mut bench = Bench::with_features(features, Recovered::default(), &leaving);
+    let mut bench = Bench::with_features(features, &leaving);
     let short = StepSpec {
         estimate_ms: 10_000,
         ..step(8)
@@ -521,7 +521,7 @@
 /// the first two or the last two take a third longer.
 fn placed_on(features: Features, slow: [usize; 2], job: (JobId, JobRecord)) -> Vec<String> {
     let all = workers(6);
-    let mut bench = Bench::with_features(features, Recovered::default(), &all);
+    let mut bench = Bench::with_features(features, &all);
     let speeds = all.iter().enumerate().map(|(number, worker)| LearnedSpeed {
         machine: worker.id.clone(),
         ..learned_speed(if slow.contains(&number) { 750 } else { 1000 })
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -8,7 +8,7 @@
     advice, configuration_with, customer, job, job_of, patient_job, step, with_other_service,
     OTHER_QUEUE,
 };
-use ospreywing_scheduler::{AdvicePolicy, Feature, JobId, Phase, StepSpec};
+use ospreywing_scheduler::{AdvicePolicy, Feature, Features, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
 
@@ -535,7 +535,7 @@
     };
     for seed in seeds() {
         let mut world = World::new(seed, 12, faults, has_advice.then(advice));
-        world.elect_without(Feature::Backfill);
+        world.elect_with_features(Features::all().without(Feature::Backfill));
         play_reservations(seed, world, has_advice.then(advice));
     }
 }
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -3,8 +3,8 @@
 use super::worker::FakeWorker;
 use super::{configuration, job};
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Feature,
-    Features, HoldReply, JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler,
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Features,
+    HoldReply, JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler,
     SchedulerConfig, StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts,
     WorkerKey,
 };
@@ -29,51 +29,29 @@
         Self::with_advice(recovered, workers, None)
     }
 
-    pub fn with_advice(
-        recovered: Recovered,
-        workers: &[FakeWorker],
-        advice: Option<AdvicePolicy>,
-    ) -> Self {
-        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
-        Self::with_config(config, recovered, workers, advice)
-    }
-
-    /// The same with some decisions switched off.
-    pub fn with_features(features: Features, recovered: Recovered, workers: &[FakeWorker]) -> Self {
+    /// Begins a term with these features.
+    pub fn with_features(features: Features, workers: &[FakeWorker]) -> Self {
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT).with_features(features);
-        Self::with_config(config, recovered, workers, None)
+        Self::begin(config, Recovered::default(), None).beside(workers)
     }
 
-    fn with_config(
-        config: SchedulerConfig,
+    pub fn with_advice(
         recovered: Recovered,
         workers: &[FakeWorker],
         advice: Option<AdvicePolicy>,
     ) -> Self {
-        let mut bench = Self::begin(config, recovered, advice);
-        bench.list_workers(workers);
-        bench.list_all_empty(workers);
-        bench
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
+        Self::begin(config, recovered, advice).beside(workers)
     }
 
-    /// Has the workers list nothing.
-    fn list_all_empty(&mut self, workers: &[FakeWorker]) {
+    /// Lists workers that have nothing.
+    fn beside(mut self, workers: &[FakeWorker]) -> Self {
+        self.list_workers(workers);
         for worker in workers {
             let key = self.scheduler.worker_key(&worker.id);
             self.list(key.expect("a listed worker"), Vec::new());
         }
-    }
-
-    /// Creates the same with a feature on or off.
-    pub fn with_feature(workers: &[FakeWorker], feature: Feature, is_on: bool) -> Self {
-        let mut config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
-        if !is_on {
-            config = config.with_features(Features::default().without(feature));
-        }
-        let mut bench = Self::begin(config, Recovered::default(), None);
-        bench.list_workers(workers);
-        bench.list_all_empty(workers);
-        bench
+        self
     }
 
     /// Begins a term after that of a leader which may act on for a while; no
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -281,6 +281,8 @@
             self.rules
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
+        let started = self.started_ms.entry(order.task.step.job);
+        started.or_insert(now_ms);
         let fails = self.draw(self.faults.failing_run);
         let own = self.lengths_of.get(&order.task.step.job);
         let lengths_ms = own.unwrap_or(&self.run_lengths_ms).clone();
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -10,8 +10,8 @@
 use super::OTHER_SERVICE;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
-    Feature, Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
-    SchedulerConfig, SchedulerStatus, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
+    SchedulerStatus, ShareView, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -180,6 +180,8 @@
     pub hands_on_learned: bool,
     /// How long the runs of a job take on a worker of usual speed, where they differ from others.
     pub lengths_of: BTreeMap<JobId, core::ops::Range<u64>>,
+    /// When a task of each job was first started.
+    pub started_ms: BTreeMap<JobId, u64>,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
@@ -229,6 +231,7 @@
             features: Features::default(),
             hands_on_learned: false,
             lengths_of: BTreeMap::new(),
+            started_ms: BTreeMap::new(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
@@ -267,12 +270,6 @@
         leader.scheduler.status(self.now())
     }
 
-    /// Begins a term without a feature.
-    pub fn elect_without(&mut self, feature: Feature) {
-        self.features = self.features.without(feature);
-        self.elect();
-    }
-
     /// Makes every second worker one of another service.
     pub fn lay_out_services(&mut self) {
         for worker in self.workers.iter_mut().skip(1).step_by(2) {
@@ -382,6 +379,12 @@
         facts.map(|facts| (facts.id.clone(), facts)).collect()
     }
 
+    /// Returns how a customer stands with the newest leader.
+    pub fn share_of(&self, customer: &str) -> Option<ShareView> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.share_of(super::SERVICE, Some(customer))
+    }
+
     /// Tells what has changed of the list of workers, as the platform does.
     pub fn list_workers(&mut self) {
         let listed = self.listed();
