--- a/crates/scheduler/tests/scheduler/backfill.rs
+++ b/crates/scheduler/tests/scheduler/backfill.rs
@@ -45,6 +45,16 @@
     starts
 }
 
+/// Lets time pass; returns how many starts were sent meanwhile.
+fn wait(bench: &mut Bench, length_ms: u64) -> usize {
+    let until = bench.now + Duration::from_ms(length_ms);
+    let mut started_count = 0;
+    while bench.now < until {
+        started_count += start_all(bench).len();
+    }
+    started_count
+}
+
 /// Has all workers list the ends of these runs.
 fn end_all(bench: &mut Bench, starts: &[Start]) {
     let mut by_worker: BTreeMap<WorkerKey, Vec<EndedRun>> = BTreeMap::new();
@@ -170,12 +180,45 @@
     submit_patient(&mut bench, 3, step(1));
     assert_eq!(start_all(&mut bench).len(), 0);
     // A second until it is due, and two beyond.
-    let mut started_count = 0;
-    for _ in 0..32 {
-        bench.now = bench.now + Duration::from_ms(40);
-        started_count += start_all(&mut bench).len();
-    }
-    assert_eq!(started_count, 1);
+    assert_eq!(wait(&mut bench, 3_200), 1);
+}
+
+/// More urgent work goes first, until a gang has waited for long.
+#[rstest]
+#[case::soon(400, 1)]
+#[case::late(2_400, 0)]
+fn place_before_reservation(#[case] after_ms: u64, #[case] started_count: usize) {
+    let mut bench = bench_with(4, true);
+    let long = StepSpec {
+        estimate_ms: 4_000,
+        ..step(3)
+    };
+    bench.submit_job(job_of("one", 1, vec![long]));
+    start_all(&mut bench);
+    submit_patient(&mut bench, 2, gang(4));
+    wait(&mut bench, after_ms);
+    let urgent = StepSpec {
+        estimate_ms: 2_900,
+        ..step(1)
+    };
+    bench.submit_job(job_of("one", 3, vec![urgent]));
+    assert_eq!(start_all(&mut bench).len(), started_count);
+}
+
+/// Below half of the limit a gang holds other work back for two seconds, and then for a while
+/// not at all.
+#[test]
+fn place_behind_large_gang_below_half() {
+    let mut bench = bench_with(6, true);
+    bench.submit_job(job_of("one", 1, vec![step(2)]));
+    start_all(&mut bench);
+    bench.submit_job(job_of("one", 2, vec![gang(6)]));
+    assert_eq!(wait(&mut bench, 1_200), 0);
+    submit_patient(&mut bench, 3, step(1));
+    assert_eq!(wait(&mut bench, 1_500), 0);
+    assert_eq!(wait(&mut bench, 500), 1);
+    submit_patient(&mut bench, 4, step(1));
+    assert_eq!(wait(&mut bench, 300), 1);
 }
 
 /// A gang that can never fit the limit, since it was lowered, holds nothing back.
