--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -45,8 +45,6 @@
     /// The customers whose reservation of their limit holds back what is looked at from
     /// here on.
     kept_limits: BTreeSet<CustomerKey>,
-    /// The demand of steps whose calls for advice are open, by customer and service.
-    called: BTreeMap<CustomerKey, Vec<(Arc<str>, Resources)>>,
     /// The steps of single tasks that wait for workers so far.
     pub(crate) waiting_steps_count: usize,
     /// What all workers that may take a run hold, and what of it is free, in
@@ -96,28 +94,6 @@
         self.kept_limits.contains(&customer)
     }
 
-    /// Notes that advice is asked for a customer's tasks.
-    pub(crate) fn note_called(
-        &mut self,
-        customer: CustomerKey,
-        service: &Arc<str>,
-        amount: Resources,
-    ) {
-        let called = self.called.entry(customer).or_default();
-        match called.iter_mut().find(|(name, _)| name == service) {
-            Some((_, sum)) => *sum += amount,
-            None => called.push((service.clone(), amount)),
-        }
-    }
-
-    /// Returns for how much of a customer's demand at a service advice is asked.
-    pub(crate) fn called(&self, customer: CustomerKey, service: &Arc<str>) -> Resources {
-        let called = self.called.get(&customer);
-        let mut called = called.into_iter().flatten();
-        let found = called.find(|(name, _)| name == service);
-        found.map_or(Resources::ZERO, |(_, sum)| *sum)
-    }
-
     /// Keeps room on a worker for a step that waits for it.
     pub(crate) fn keep_room(&mut self, worker: WorkerKey, room: Resources) {
         *self.kept.entry(worker).or_default() += room;
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -7,7 +7,6 @@
 //! With [`Feature::Backfill`] off, what each step waits for is taken off the limit for the
 //! steps behind it.
 
-use crate::advice::StepAdvice;
 use crate::asking::fit_in;
 use crate::customers::{Charge, CustomerKey};
 use crate::cycle::SchedulingCycle;
@@ -18,11 +17,7 @@
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::waiting::WaitReason;
-use ospreywing_types::{Duration, Instant};
-
-/// A step that has waited for so long asks for advice whatever others of its customer have
-/// asked for: by the time of the LOST rule it must have had its chance.
-const BESIDE_TIME: Duration = Duration::from_ms(2000);
+use ospreywing_types::Instant;
 
 /// How many runs of a step its customer's limit lets start.
 #[derive(Clone, Copy, Debug)]
@@ -138,42 +133,6 @@
             return;
         }
         self.note_limit_taken(now, pending, charge, cycle);
-        let is_open = self
-            .advice
-            .get(&pending.key)
-            .is_some_and(StepAdvice::is_open);
-        if is_open {
-            let missing = charge.amount.times(self.missing_count(pending));
-            cycle.note_called(customer, &pending.service, missing);
-        }
-    }
-
-    /// Returns whether a step would ask for advice for what its customer's limit would not
-    /// let start: more urgent steps of the customer at the same service have calls open for
-    /// all that is left of it. Each of them may be placed, or not, so a step waits for them
-    /// for a while only, and not while the customer has little in use.
-    pub(crate) fn asks_in_vain(
-        &self,
-        now: Instant,
-        pending: &PendingStep,
-        charge: Charge,
-        cycle: &SchedulingCycle,
-    ) -> bool {
-        let Some(customer) = charge.customer.filter(|_| pending.advice.is_some()) else {
-            return false;
-        };
-        let account = self.accounts.get(customer);
-        let called = cycle.called(customer, &pending.service);
-        let fit_count = fit_in(&(account.left() - called), &charge.amount);
-        if fit_count >= least_count(pending.spec()) || account.is_under_half() {
-            return false;
-        }
-        let advice = self.advice.get(&pending.key);
-        let has_asked =
-            advice.is_some_and(|advice| advice.is_open() || !advice.ticketed(now).is_empty());
-        let since = self.waits.since(pending.key);
-        let has_waited = since.is_some_and(|since| now.since(since) >= BESIDE_TIME);
-        !has_asked && !has_waited
     }
 
     /// Returns whether what a job's customer has running, recorded starts with it, is within
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -141,9 +141,6 @@
         if self.yields_to_gangs(now, &pending, cycle) {
             return Some(WaitReason::Gangs);
         }
-        if self.asks_in_vain(now, &pending, charge, cycle) {
-            return Some(WaitReason::AdviceBeside);
-        }
         let reason = self.serve_step(now, &pending, cycle, out);
         self.note_served(now, &pending, charge, cycle);
         reason
--- a/crates/scheduler/src/waiting.rs
+++ b/crates/scheduler/src/waiting.rs
@@ -37,9 +37,6 @@
     /// What is left of its customer's limit is reserved for another step; that one starts, or
     /// its reservation lapses.
     Reserved,
-    /// Advice is asked for other steps that use up what is left of its customer's limit;
-    /// these calls are answered, and the step waits for them up to a time.
-    AdviceBeside,
     /// Members of its gang's last run may be alive; they end, are stopped, or their leases
     /// lapse.
     LastRun,
@@ -56,14 +53,13 @@
 
 impl WaitReason {
     /// All reasons, in the order of their indices.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::Room,
         Self::Limit,
         Self::Advice,
         Self::AdviceRetry,
         Self::AdviceNode,
         Self::Reserved,
-        Self::AdviceBeside,
         Self::LastRun,
         Self::Stops,
         Self::Trial,
@@ -80,7 +76,6 @@
             Self::AdviceRetry => "advice failed",
             Self::AdviceNode => "no node free to ask for advice",
             Self::Reserved => "limit reserved for another step of its customer",
-            Self::AdviceBeside => "advice asked for others of its customer",
             Self::LastRun => "members of its last run",
             Self::Stops => "runs being stopped for it",
             Self::Trial => "worker of its own after a crash",
@@ -223,7 +218,6 @@
         match reason {
             // Ends of other runs, workers that join, operators, and times that pass.
             WaitReason::Room
-            | WaitReason::AdviceBeside
             | WaitReason::Gangs
             | WaitReason::Cordon
             | WaitReason::AdviceRetry
