--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -76,6 +76,7 @@
         };
         job.version += 1;
         job.ready = None;
+        self.stale_asks.insert(id);
         if let Some(effect) = effect {
             job.effects.push((job.version, effect));
         }
--- a/crates/scheduler/src/dominant.rs
+++ b/crates/scheduler/src/dominant.rs
@@ -38,6 +38,13 @@
         self.accelerators_count -= u64::from(amount.accelerators_count);
     }
 
+    /// Takes other room off that was added before.
+    pub(crate) fn remove_room(&mut self, other: &Self) {
+        self.cores_milli -= other.cores_milli;
+        self.memory_mib -= other.memory_mib;
+        self.accelerators_count -= other.accelerators_count;
+    }
+
     /// Returns whether there is none of any part.
     pub(crate) fn is_zero(&self) -> bool {
         *self == Self::default()
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -60,7 +60,7 @@
     pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
-    /// What the waiting tasks of these take together.
+    /// What the waiting tasks of these took together when its service counted them last.
     pub(crate) asked: Room,
 }
 
@@ -128,19 +128,17 @@
             }
         }
         self.ready = Some(ready.clone());
-        self.asked = self.room_of(&ready);
         ready
     }
 
     /// Returns what the waiting tasks take whose turn has come.
     pub(crate) fn ready_room(&mut self, id: JobId) -> Room {
-        if self.ready.is_none() {
-            self.ready_steps(id);
-        }
-        self.asked
+        let ready = self.ready_steps(id);
+        self.room_of(&ready)
     }
 
-    fn room_of(&self, steps: &[StepKey]) -> Room {
+    /// Returns what the waiting tasks of steps take together.
+    pub(crate) fn room_of(&self, steps: &[StepKey]) -> Room {
         let mut room = Room::default();
         for key in steps {
             let spec = self.record.spec.steps.get(key.step as usize);
@@ -285,6 +283,7 @@
             job.state.rounds.push(round);
             job.state.next_round += 1;
             job.ready = None;
+            self.stale_asks.insert(id);
             self.is_place_due = true;
         }
         job.state.next_round < schedule.rounds_count
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,7 +20,7 @@
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The time between two looks at jobs that have their outcome.
@@ -79,6 +79,8 @@
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
     pub(crate) shares: Shares,
+    /// Jobs whose services have to count anew what they ask for.
+    pub(crate) stale_asks: HashSet<JobId>,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -139,6 +141,7 @@
             configuration,
             accounts,
             shares: Shares::default(),
+            stale_asks: HashSet::new(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
--- a/crates/scheduler/src/share_accounts.rs
+++ b/crates/scheduler/src/share_accounts.rs
@@ -111,6 +111,8 @@
     pub(crate) clock: VirtualTime,
     advanced_at: Instant,
     pub(crate) capacity: Room,
+    /// What is ready to start.
+    asked: Room,
     /// Whether what was ready did not fit the free room when work was last placed.
     pub(crate) is_short: bool,
     pub(crate) accounts: BTreeMap<Holder, ShareAccount>,
@@ -127,6 +129,7 @@
             clock: VirtualTime::default(),
             advanced_at: Instant::default(),
             capacity: Room::default(),
+            asked: Room::default(),
             is_short: false,
             accounts: BTreeMap::new(),
             most_over: None,
@@ -134,6 +137,11 @@
         }
     }
 
+    /// Returns whether what is ready does not fit a room.
+    pub(crate) fn asks_beyond(&self, free: &Room) -> bool {
+        !self.asked.fits_in(free)
+    }
+
     /// Returns a customer's account, which begins at the clock.
     fn account(&mut self, holder: Holder) -> &mut ShareAccount {
         let tag = self.clock;
@@ -223,6 +231,13 @@
         service.drop_if_unused(holder);
     }
 
+    /// Counts anew what a job asks for in a service.
+    pub(crate) fn replace_asked(&mut self, service: ServiceKey, before: &Room, after: &Room) {
+        let asked = &mut self.services[service].asked;
+        asked.remove_room(before);
+        asked.add_room(after);
+    }
+
     /// Notes that nothing asks for room.
     pub(crate) fn rest(&mut self, now: Instant) {
         for service in self.services.values_mut().filter(|it| it.is_short) {
@@ -268,17 +283,21 @@
     pub(crate) fn miscounted(
         &self,
         counted: &BTreeMap<(ServiceKey, Holder), CountedShare>,
+        asked: &BTreeMap<ServiceKey, Room>,
     ) -> Option<Arc<str>> {
         let known_count: usize = self.services.values().map(|it| it.accounts.len()).sum();
         let is_wrong = |key: ServiceKey, service: &ServiceShares| {
-            service.accounts.iter().any(|(holder, account)| {
+            let asked = asked.get(&key).copied().unwrap_or_default();
+            let mut accounts = service.accounts.iter();
+            let is_wrong = accounts.any(|(holder, account)| {
                 let held = CountedShare {
                     open_jobs_count: account.open_jobs_count,
                     running: account.running,
                 };
                 let last = service.clock.after(LAG_LIMIT);
                 counted.get(&(key, *holder)) != Some(&held) || account.tag > last
-            })
+            });
+            is_wrong || asked != service.asked
         };
         let mut services = self.services.iter();
         let wrong = services.find(|(key, service)| is_wrong(*key, service));
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -22,6 +22,7 @@
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
 use crate::share_accounts::{Holder, ServiceKey, VirtualTime, LAG_SLACK};
+use crate::state::Phase;
 use ospreywing_types::{Duration, Instant};
 use std::collections::HashMap;
 
@@ -107,16 +108,21 @@
         let service = self.shares.key_of(service);
         self.shares.open_job(service, job.customer);
         if let Some(before) = job.service.replace(service) {
+            let asked = core::mem::take(&mut job.asked);
+            self.shares.replace_asked(before, &asked, &Room::default());
             self.shares.close_job(before, job.customer);
         }
+        self.stale_asks.insert(id);
     }
 
     /// Closes a job's share; what of it still runs stays charged.
     pub(crate) fn close_share(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         if let Some(service) = job.service {
+            let asked = core::mem::take(&mut job.asked);
+            self.shares.replace_asked(service, &asked, &Room::default());
             self.shares.close_job(service, job.customer);
         }
     }
@@ -137,38 +143,38 @@
         out: &mut Vec<Action>,
     ) {
         if !self.has_fair_shares() {
+            // All are counted once shares come into force.
+            self.stale_asks.clear();
             return;
         }
-        let asked = self.asked_rooms();
+        self.count_asked();
         let mean_weight = self.accounts.mean_weight().unwrap_or(DEFAULT_WEIGHT);
         let accounts = &self.accounts;
         let weight_of = |holder: Holder| {
             let weight = holder.and_then(|key| accounts.get(key).weight());
             weight.unwrap_or(mean_weight)
         };
-        for (key, service) in self.shares.services.iter_mut() {
+        for service in self.shares.services.values_mut() {
             service.advance(now);
             service.capacity = cycle.capacity_of(&service.name);
-            let asked = asked.get(&key).copied().unwrap_or_default();
-            service.is_short = !asked.fits_in(&cycle.free_of(&service.name));
+            service.is_short = service.asks_beyond(&cycle.free_of(&service.name));
             service.weigh(weight_of);
         }
         self.tell_shares(now, out);
     }
 
-    /// Returns what is ready to start, by service.
-    fn asked_rooms(&mut self) -> HashMap<ServiceKey, Room> {
-        let mut asked: HashMap<ServiceKey, Room> = HashMap::new();
-        for id in self.active.values() {
-            let Some(job) = self.jobs.get_mut(id) else {
+    /// Counts anew what jobs ask for that have changed.
+    fn count_asked(&mut self) {
+        for id in self.stale_asks.drain() {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let room = job.ready_room(*id);
-            if let Some(service) = job.service.filter(|_| !room.is_zero()) {
-                asked.entry(service).or_default().add_room(&room);
+            if let Some(service) = job.service.filter(|_| job.state.phase == Phase::Active) {
+                let asked = job.ready_room(id);
+                let before = core::mem::replace(&mut job.asked, asked);
+                self.shares.replace_asked(service, &before, &asked);
             }
         }
-        asked
     }
 
     /// Tells of customers that went over their share, or came back.
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -1,6 +1,7 @@
 //! A verifier of the scheduler's invariants, for tests and searches.
 
 use crate::customers::CustomerKey;
+use crate::dominant::Room;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::share_accounts::{CountedShare, Holder, ServiceKey};
@@ -114,10 +115,12 @@
 
     fn verify_shares(&self) -> Result<(), Violation> {
         let mut counted: BTreeMap<(ServiceKey, Holder), CountedShare> = BTreeMap::new();
+        let mut asked: BTreeMap<ServiceKey, Room> = BTreeMap::new();
         for job in self.active.values().filter_map(|id| self.jobs.get(id)) {
             if let Some(service) = job.service {
                 let share = counted.entry((service, job.customer)).or_default();
                 share.open_jobs_count += 1;
+                asked.entry(service).or_default().add_room(&job.asked);
             }
         }
         for run in self
@@ -130,10 +133,27 @@
                 share.running.add(&run.demand, 1);
             }
         }
-        let wrong = self.shares.miscounted(&counted);
+        self.verify_asked()?;
+        let wrong = self.shares.miscounted(&counted, &asked);
         wrong.map_or(Ok(()), |service| Err(Violation::Share(service.to_string())))
     }
 
+    /// Checks what jobs ask for that are not to be counted anew.
+    fn verify_asked(&self) -> Result<(), Violation> {
+        if !self.has_fair_shares() {
+            return Ok(());
+        }
+        let is_wrong = |id: &&JobId| {
+            let job = self.jobs.get(id).filter(|_| !self.stale_asks.contains(id));
+            job.is_some_and(|job| {
+                let ready = job.ready.as_deref();
+                ready.is_none_or(|ready| job.room_of(ready) != job.asked)
+            })
+        };
+        let wrong = self.active.values().find(is_wrong);
+        wrong.map_or(Ok(()), |id| Err(Violation::Share(format!("of job {id}"))))
+    }
+
     /// Checks the reasons that the last cycle gave, until something changes.
     fn verify_waits(&self) -> Result<(), Violation> {
         if self.is_place_due {
