--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -349,6 +349,39 @@
     assert!(resumed_count > 0, "nothing went on from a checkpoint");
 }
 
+/// Long runs of a customer that fills the cell give way to others' short jobs, and go on later.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::takeovers(Faults { takeover: 40, lost_answer: 40, ..Faults::default() })]
+#[case::everything(Faults { resize: 20, pause: 20, ..EVERYTHING })]
+fn scheduler_preempts_by_shares(#[case] faults: Faults) {
+    let mut resumed_count = 0;
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 8, faults, None);
+        world.run_lengths_ms = 3_000..9_000;
+        let customers = vec![customer("one", 16, 2.0), customer("two", 16, 2.0)];
+        world.configure(configuration_with(2, None, customers));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=16 {
+            let (id, mut record) = match number % 4 {
+                1 => patient_job(number, 20),
+                _ => job(number, vec![step(1)]),
+            };
+            let customer = if number % 4 == 1 { "one" } else { "two" };
+            record.customer = Some(customer.to_owned());
+            record.accepted_ms = world.now_ms;
+            world.submit((id, record));
+            world.run_for(600);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+        resumed_count += world.rules.resumed_count;
+    }
+    assert!(resumed_count > 0, "nothing went on from a checkpoint");
+}
+
 /// Jobs of which one task crashes each worker that starts it, beside others: its starts
 /// are bounded, and no other job is failed for them.
 #[rstest]
