Shares: what a customer's own limit holds back makes no service short

A service in which one customer asked for more than its limit let it start counted as short of room: tags went ahead of customers that only used what was free.

--- a/crates/scheduler/src/dominant.rs
+++ b/crates/scheduler/src/dominant.rs
@@ -45,6 +45,17 @@
         self.accelerators_count -= other.accelerators_count;
     }
 
+    /// Returns as much of this as `limit` has of each part.
+    pub(crate) fn capped(&self, limit: &Resources) -> Self {
+        Self {
+            cores_milli: self.cores_milli.min(u64::from(limit.cores_milli)),
+            memory_mib: self.memory_mib.min(u64::from(limit.memory_mib)),
+            accelerators_count: self
+                .accelerators_count
+                .min(u64::from(limit.accelerators_count)),
+        }
+    }
+
     /// Returns whether there is none of any part.
     pub(crate) fn is_zero(&self) -> bool {
         *self == Self::default()
--- a/crates/scheduler/src/share_accounts.rs
+++ b/crates/scheduler/src/share_accounts.rs
@@ -7,7 +7,7 @@
 use crate::dominant::{Room, WHOLE_PPM};
 use crate::worker::Run;
 use cranelift_entity::{entity_impl, PrimaryMap};
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -71,6 +71,8 @@
 pub(crate) struct ShareAccount {
     pub(crate) open_jobs_count: usize,
     running: Room,
+    /// What is ready to start.
+    pub(crate) asked: Room,
     tag: VirtualTime,
     /// What it had running when work was last placed, in millionths of its share.
     pub(crate) share_ppm: u64,
@@ -111,8 +113,6 @@
     pub(crate) clock: VirtualTime,
     advanced_at: Instant,
     pub(crate) capacity: Room,
-    /// What is ready to start.
-    asked: Room,
     /// Whether what was ready did not fit the free room when work was last placed.
     pub(crate) is_short: bool,
     pub(crate) accounts: BTreeMap<Holder, ShareAccount>,
@@ -129,7 +129,6 @@
             clock: VirtualTime::default(),
             advanced_at: Instant::default(),
             capacity: Room::default(),
-            asked: Room::default(),
             is_short: false,
             accounts: BTreeMap::new(),
             most_over: None,
@@ -137,9 +136,14 @@
         }
     }
 
-    /// Returns whether what is ready does not fit a room.
-    pub(crate) fn asks_beyond(&self, free: &Room) -> bool {
-        !self.asked.fits_in(free)
+    /// Returns whether what is ready does not fit a room, of each customer as much as may
+    /// still start of it.
+    pub(crate) fn asks_beyond(&self, free: &Room, left_of: impl Fn(Holder) -> Resources) -> bool {
+        let mut asked = Room::default();
+        for (holder, account) in &self.accounts {
+            asked.add_room(&account.asked.capped(&left_of(*holder)));
+        }
+        !asked.fits_in(free)
     }
 
     /// Returns a customer's account, which begins at the clock.
@@ -232,10 +236,16 @@
     }
 
     /// Counts anew what a job asks for in a service.
-    pub(crate) fn replace_asked(&mut self, service: ServiceKey, before: &Room, after: &Room) {
-        let asked = &mut self.services[service].asked;
-        asked.remove_room(before);
-        asked.add_room(after);
+    pub(crate) fn replace_asked(
+        &mut self,
+        service: ServiceKey,
+        holder: Holder,
+        before: &Room,
+        after: &Room,
+    ) {
+        let account = self.services[service].account(holder);
+        account.asked.remove_room(before);
+        account.asked.add_room(after);
     }
 
     /// Notes that nothing asks for room.
@@ -283,21 +293,19 @@
     pub(crate) fn miscounted(
         &self,
         counted: &BTreeMap<(ServiceKey, Holder), CountedShare>,
-        asked: &BTreeMap<ServiceKey, Room>,
     ) -> Option<Arc<str>> {
         let known_count: usize = self.services.values().map(|it| it.accounts.len()).sum();
         let is_wrong = |key: ServiceKey, service: &ServiceShares| {
-            let asked = asked.get(&key).copied().unwrap_or_default();
             let mut accounts = service.accounts.iter();
-            let is_wrong = accounts.any(|(holder, account)| {
+            accounts.any(|(holder, account)| {
                 let held = CountedShare {
                     open_jobs_count: account.open_jobs_count,
                     running: account.running,
+                    asked: account.asked,
                 };
                 let last = service.clock.after(LAG_LIMIT);
                 counted.get(&(key, *holder)) != Some(&held) || account.tag > last
-            });
-            is_wrong || asked != service.asked
+            })
         };
         let mut services = self.services.iter();
         let wrong = services.find(|(key, service)| is_wrong(*key, service));
@@ -311,4 +319,5 @@
 pub(crate) struct CountedShare {
     pub(crate) open_jobs_count: usize,
     pub(crate) running: Room,
+    pub(crate) asked: Room,
 }
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -23,7 +23,7 @@
 use crate::scheduler::Scheduler;
 use crate::share_accounts::{Holder, ServiceKey, VirtualTime, LAG_SLACK};
 use crate::state::Phase;
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::HashMap;
 
 /// The steps, in parts of a customer's share, by which work beyond shares is ordered: finer
@@ -42,6 +42,8 @@
 const MISS_SLACK: Duration = Duration::from_ms(1000);
 /// The time between two searches for runs that give way in a service.
 const SEARCH_PERIOD: Duration = Duration::from_ms(100);
+/// What open queues' jobs may have running.
+const NO_LIMIT: Resources = Resources::new(u32::MAX, u32::MAX, u32::MAX);
 /// The weight of open queues' jobs where no customer has one.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
@@ -109,7 +111,9 @@
         self.shares.open_job(service, job.customer);
         if let Some(before) = job.service.replace(service) {
             let asked = core::mem::take(&mut job.asked);
-            self.shares.replace_asked(before, &asked, &Room::default());
+            let holder = job.customer;
+            self.shares
+                .replace_asked(before, holder, &asked, &Room::default());
             self.shares.close_job(before, job.customer);
         }
         self.stale_asks.insert(id);
@@ -122,7 +126,9 @@
         };
         if let Some(service) = job.service {
             let asked = core::mem::take(&mut job.asked);
-            self.shares.replace_asked(service, &asked, &Room::default());
+            let holder = job.customer;
+            self.shares
+                .replace_asked(service, holder, &asked, &Room::default());
             self.shares.close_job(service, job.customer);
         }
     }
@@ -154,10 +160,12 @@
             let weight = holder.and_then(|key| accounts.get(key).weight());
             weight.unwrap_or(mean_weight)
         };
+        let left_of = |holder: Holder| holder.map_or(NO_LIMIT, |key| accounts.get(key).left());
         for service in self.shares.services.values_mut() {
             service.advance(now);
             service.capacity = cycle.capacity_of(&service.name);
-            service.is_short = service.asks_beyond(&cycle.free_of(&service.name));
+            let free = cycle.free_of(&service.name);
+            service.is_short = service.asks_beyond(&free, left_of);
             service.weigh(weight_of);
         }
         self.tell_shares(now, out);
@@ -172,7 +180,8 @@
             if let Some(service) = job.service.filter(|_| job.state.phase == Phase::Active) {
                 let asked = job.ready_room(id);
                 let before = core::mem::replace(&mut job.asked, asked);
-                self.shares.replace_asked(service, &before, &asked);
+                let holder = job.customer;
+                self.shares.replace_asked(service, holder, &before, &asked);
             }
         }
     }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -1,7 +1,6 @@
 //! A verifier of the scheduler's invariants, for tests and searches.
 
 use crate::customers::CustomerKey;
-use crate::dominant::Room;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
 use crate::share_accounts::{CountedShare, Holder, ServiceKey};
@@ -115,12 +114,11 @@
 
     fn verify_shares(&self) -> Result<(), Violation> {
         let mut counted: BTreeMap<(ServiceKey, Holder), CountedShare> = BTreeMap::new();
-        let mut asked: BTreeMap<ServiceKey, Room> = BTreeMap::new();
         for job in self.active.values().filter_map(|id| self.jobs.get(id)) {
             if let Some(service) = job.service {
                 let share = counted.entry((service, job.customer)).or_default();
                 share.open_jobs_count += 1;
-                asked.entry(service).or_default().add_room(&job.asked);
+                share.asked.add_room(&job.asked);
             }
         }
         for run in self
@@ -134,7 +132,7 @@
             }
         }
         self.verify_asked()?;
-        let wrong = self.shares.miscounted(&counted, &asked);
+        let wrong = self.shares.miscounted(&counted);
         wrong.map_or(Ok(()), |service| Err(Violation::Share(service.to_string())))
     }
 
--- a/crates/scheduler/tests/scheduler/shares.rs
+++ b/crates/scheduler/tests/scheduler/shares.rs
@@ -220,6 +220,24 @@
     assert_eq!(view(&bench, "under").lag, Duration::ZERO);
 }
 
+/// What a customer's own limit holds back makes no service short: there is room for all that
+/// may start.
+#[test]
+fn ask_beyond_limit_is_not_short() {
+    let mut bench = bench_with(Features::default(), &[]);
+    let customers = vec![customer("over", 2, 1.0), customer("under", 8, 1.0)];
+    let configuration = configuration_with(5, None, customers);
+    bench.tell(Event::Configured(configuration));
+    submit(&mut bench, "over", 1, 20);
+    assert_eq!(start_all(&mut bench).len(), 2);
+    submit(&mut bench, "under", 2, 4);
+    start_all(&mut bench);
+    bench.commit_all();
+    let view = view(&bench, "under");
+    assert!(!view.is_short);
+    assert_eq!(view.lag, Duration::ZERO);
+}
+
 /// The clock of a service never goes back, whatever comes.
 #[test]
 fn virtual_time_goes_on() {
