--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,7 +23,7 @@
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The time between two looks at jobs that have their outcome.
@@ -94,6 +94,8 @@
     /// What is kept of customers' limits for steps that wait for them.
     pub(crate) limit_reservations: LimitReservations,
     pub(crate) shares: Shares,
+    /// Jobs whose services have to count anew what they ask for.
+    pub(crate) stale_asks: HashSet<JobId>,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -157,6 +159,7 @@
             accounts,
             limit_reservations: LimitReservations::default(),
             shares: Shares::default(),
+            stale_asks: HashSet::new(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
--- a/crates/scheduler/src/share_accounts.rs
+++ b/crates/scheduler/src/share_accounts.rs
@@ -7,7 +7,7 @@
 use crate::dominant::{Room, WHOLE_PPM};
 use crate::worker::Run;
 use cranelift_entity::{entity_impl, PrimaryMap};
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -71,6 +71,8 @@
 pub(crate) struct ShareAccount {
     pub(crate) open_jobs_count: usize,
     running: Room,
+    /// What is ready to start.
+    pub(crate) asked: Room,
     tag: VirtualTime,
     /// What it had running when work was last placed, in millionths of its share.
     pub(crate) share_ppm: u64,
@@ -134,6 +136,16 @@
         }
     }
 
+    /// Returns whether what is ready does not fit a room, of each customer as much as may
+    /// still start of it.
+    pub(crate) fn asks_beyond(&self, free: &Room, left_of: impl Fn(Holder) -> Resources) -> bool {
+        let mut asked = Room::default();
+        for (holder, account) in &self.accounts {
+            asked.add_room(&account.asked.capped(&left_of(*holder)));
+        }
+        !asked.fits_in(free)
+    }
+
     /// Returns a customer's account, which begins at the clock.
     fn account(&mut self, holder: Holder) -> &mut ShareAccount {
         let tag = self.clock;
@@ -223,6 +235,19 @@
         service.drop_if_unused(holder);
     }
 
+    /// Counts anew what a job asks for in a service.
+    pub(crate) fn replace_asked(
+        &mut self,
+        service: ServiceKey,
+        holder: Holder,
+        before: &Room,
+        after: &Room,
+    ) {
+        let account = self.services[service].account(holder);
+        account.asked.remove_room(before);
+        account.asked.add_room(after);
+    }
+
     /// Notes that nothing asks for room.
     pub(crate) fn rest(&mut self, now: Instant) {
         for service in self.services.values_mut().filter(|it| it.is_short) {
@@ -271,10 +296,12 @@
     ) -> Option<Arc<str>> {
         let known_count: usize = self.services.values().map(|it| it.accounts.len()).sum();
         let is_wrong = |key: ServiceKey, service: &ServiceShares| {
-            service.accounts.iter().any(|(holder, account)| {
+            let mut accounts = service.accounts.iter();
+            accounts.any(|(holder, account)| {
                 let held = CountedShare {
                     open_jobs_count: account.open_jobs_count,
                     running: account.running,
+                    asked: account.asked,
                 };
                 let last = service.clock.after(LAG_LIMIT);
                 counted.get(&(key, *holder)) != Some(&held) || account.tag > last
@@ -292,4 +319,5 @@
 pub(crate) struct CountedShare {
     pub(crate) open_jobs_count: usize,
     pub(crate) running: Room,
+    pub(crate) asked: Room,
 }
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -22,7 +22,8 @@
 use crate::jobs::Job;
 use crate::scheduler::Scheduler;
 use crate::share_accounts::{Holder, ServiceKey, VirtualTime, LAG_SLACK};
-use ospreywing_types::{Duration, Instant};
+use crate::state::Phase;
+use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::HashMap;
 
 /// The steps, in parts of a customer's share, by which work beyond shares is ordered: finer
@@ -41,6 +42,8 @@
 const MISS_SLACK: Duration = Duration::from_ms(1000);
 /// The time between two searches for runs that give way in a service.
 const SEARCH_PERIOD: Duration = Duration::from_ms(100);
+/// What open queues' jobs may have running.
+const NO_LIMIT: Resources = Resources::new(u32::MAX, u32::MAX, u32::MAX);
 /// The weight of open queues' jobs where no customer has one.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
@@ -107,16 +110,25 @@
         let service = self.shares.key_of(service);
         self.shares.open_job(service, job.customer);
         if let Some(before) = job.service.replace(service) {
+            let asked = core::mem::take(&mut job.asked);
+            let holder = job.customer;
+            self.shares
+                .replace_asked(before, holder, &asked, &Room::default());
             self.shares.close_job(before, job.customer);
         }
+        self.stale_asks.insert(id);
     }
 
     /// Closes a job's share; what of it still runs stays charged.
     pub(crate) fn close_share(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         if let Some(service) = job.service {
+            let asked = core::mem::take(&mut job.asked);
+            let holder = job.customer;
+            self.shares
+                .replace_asked(service, holder, &asked, &Room::default());
             self.shares.close_job(service, job.customer);
         }
     }
@@ -137,38 +149,41 @@
         out: &mut Vec<Action>,
     ) {
         if !self.has_fair_shares() {
+            // All are counted once shares come into force.
+            self.stale_asks.clear();
             return;
         }
-        let asked = self.asked_rooms();
+        self.count_asked();
         let mean_weight = self.accounts.mean_weight().unwrap_or(DEFAULT_WEIGHT);
         let accounts = &self.accounts;
         let weight_of = |holder: Holder| {
             let weight = holder.and_then(|key| accounts.get(key).weight());
             weight.unwrap_or(mean_weight)
         };
-        for (key, service) in self.shares.services.iter_mut() {
+        let left_of = |holder: Holder| holder.map_or(NO_LIMIT, |key| accounts.get(key).left());
+        for service in self.shares.services.values_mut() {
             service.advance(now);
             service.capacity = cycle.capacity_of(&service.name);
-            let asked = asked.get(&key).copied().unwrap_or_default();
-            service.is_short = !asked.fits_in(&cycle.free_of(&service.name));
+            let free = cycle.free_of(&service.name);
+            service.is_short = service.asks_beyond(&free, left_of);
             service.weigh(weight_of);
         }
         self.tell_shares(now, out);
     }
 
-    /// Returns what is ready to start, by service.
-    fn asked_rooms(&mut self) -> HashMap<ServiceKey, Room> {
-        let mut asked: HashMap<ServiceKey, Room> = HashMap::new();
-        for id in self.active.values() {
-            let Some(job) = self.jobs.get_mut(id) else {
+    /// Counts anew what jobs ask for that have changed.
+    fn count_asked(&mut self) {
+        for id in self.stale_asks.drain() {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let room = job.ready_room(*id);
-            if let Some(service) = job.service.filter(|_| !room.is_zero()) {
-                asked.entry(service).or_default().add_room(&room);
+            if let Some(service) = job.service.filter(|_| job.state.phase == Phase::Active) {
+                let asked = job.ready_room(id);
+                let before = core::mem::replace(&mut job.asked, asked);
+                let holder = job.customer;
+                self.shares.replace_asked(service, holder, &before, &asked);
             }
         }
-        asked
     }
 
     /// Tells of customers that went over their share, or came back.
