--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -75,7 +75,7 @@
             return;
         };
         job.version += 1;
-        job.ready = None;
+        job.forget_derived();
         if let Some(effect) = effect {
             job.effects.push((job.version, effect));
         }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,6 +2,7 @@
 //! served earlier in it have asked for or keep.
 
 use crate::customers::CustomerKey;
+use crate::overload::Amounts;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
@@ -26,6 +27,24 @@
     room_milli: i64,
     /// The most that any of them holds.
     largest: Resources,
+    /// What all of them hold, and what of that is taken.
+    capacity: Amounts,
+    used: Amounts,
+}
+
+/// The room of one service, as it was when a cycle began.
+pub(crate) struct ServiceRoom<'a> {
+    pub(crate) service: &'a Arc<str>,
+    /// What its workers hold.
+    pub(crate) capacity: Amounts,
+    used: Amounts,
+}
+
+impl ServiceRoom<'_> {
+    /// Returns the part of the room that is taken, by the scarcest resource.
+    pub(crate) fn used_share(&self) -> f64 {
+        self.used.share_of(self.capacity)
+    }
 }
 
 /// The state of one scheduling cycle, in which every waiting step is looked at.
@@ -121,6 +140,15 @@
         }
     }
 
+    /// Returns the rooms of all services, as they were when the cycle began.
+    pub(crate) fn rooms(&self) -> impl Iterator<Item = ServiceRoom<'_>> {
+        self.pools.iter().map(|pool| ServiceRoom {
+            service: &pool.service,
+            capacity: pool.capacity,
+            used: pool.used,
+        })
+    }
+
     fn pool(&self, service: &Arc<str>) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.service == *service)
     }
@@ -132,6 +160,8 @@
                 service: service.clone(),
                 room_milli: 0,
                 largest: Resources::ZERO,
+                capacity: Amounts::default(),
+                used: Amounts::default(),
             });
             self.pools.len() - 1
         });
@@ -166,6 +196,8 @@
                 let pool = cycle.pool_mut(&worker.facts.service);
                 pool.room_milli += i64::from(worker.free().cores_milli);
                 pool.largest = pool.largest.max(worker.facts.capacity);
+                pool.capacity.add(Amounts::of(&worker.facts.capacity));
+                pool.used.add(Amounts::of(&worker.used));
             }
         }
         cycle
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -59,6 +59,8 @@
     Configured,
     /// A data centre was cordoned, or is not any more.
     Cordon,
+    /// A service is short of room, or is not any more.
+    Overload,
 }
 
 impl DecisionKind {
@@ -91,6 +93,7 @@
             Self::AdviceAnswered => "advice answered",
             Self::Configured => "configured",
             Self::Cordon => "cordon",
+            Self::Overload => "overload",
         }
     }
 }
@@ -112,6 +115,8 @@
     pub data_centre: Option<Arc<str>>,
     /// The job's queue, where the job is named for the first time in a term.
     pub queue: Option<Arc<str>>,
+    /// The service, where a whole one is concerned.
+    pub service: Option<Arc<str>>,
     /// The customer, and what it has running and may have, where that decides.
     pub customer: Option<CustomerUse>,
     /// Why, or how it came out.
@@ -133,6 +138,7 @@
             worker: None,
             data_centre: None,
             queue: None,
+            service: None,
             customer: None,
             reason,
             figure: 0,
@@ -171,6 +177,12 @@
         self
     }
 
+    /// Names the service.
+    pub fn with_service(mut self, service: &Arc<str>) -> Self {
+        self.service = Some(service.clone());
+        self
+    }
+
     /// Names the customer and its use.
     pub fn with_customer(mut self, customer: CustomerUse) -> Self {
         self.customer = Some(customer);
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -6,6 +6,7 @@
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::order::left_ms;
+use crate::overloads::JobNeed;
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
@@ -55,6 +56,8 @@
     pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
+    /// What it needs, where that has been worked out.
+    pub(crate) need: Option<JobNeed>,
 }
 
 impl Job {
@@ -84,6 +87,7 @@
             trial_until: Instant::default(),
             gang_stops: BTreeMap::new(),
             ready: None,
+            need: None,
             state,
         }
     }
@@ -99,7 +103,20 @@
         self.payload = Arc::from("");
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
+        self.forget_derived();
+    }
+
+    /// Forgets what was worked out from a state that has changed.
+    pub(crate) fn forget_derived(&mut self) {
         self.ready = None;
+        self.need = None;
+    }
+
+    /// Returns whether the job has an objective that can be missed: no perpetual work, and no
+    /// rounds at set times.
+    pub(crate) fn may_be_late(&self) -> bool {
+        let spec = &self.record.spec;
+        spec.schedule.is_none() && !spec.steps.iter().any(|step| step.is_perpetual)
     }
 
     /// Returns whether the job's next commit removes it.
@@ -247,7 +264,7 @@
             let round = RoundState::new(job.state.next_round, &job.record);
             job.state.rounds.push(round);
             job.state.next_round += 1;
-            job.ready = None;
+            job.forget_derived();
             self.is_place_due = true;
         }
         job.state.next_round < schedule.rounds_count
@@ -274,7 +291,7 @@
         }
         job.state.phase = phase;
         job.ended_at = Some(now);
-        job.ready = None;
+        job.forget_derived();
         let rank = job.rank;
         self.active.remove(&rank);
         let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -45,6 +45,8 @@
 mod open_starts;
 mod order;
 mod orders;
+pub mod overload;
+mod overloads;
 mod placed_lives;
 mod placing;
 mod preemption;
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -2,12 +2,14 @@
 
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
+use crate::overload::Selection;
+use crate::overloads::{OverloadRank, OverloadRanks};
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, RoundState, StepState};
 use ospreywing_types::{Duration, Instant};
 
 /// How many times its objective a job may take and still be worth something.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
 /// The part of an estimate that is surely needed, in percent: estimates are
 /// rough, and a job must not be given up that could still make it.
 const SURE_PERCENT: u64 = 60;
@@ -42,6 +44,8 @@
     priority: u32,
     /// How large its largest gang is, where it is pressing; 0 otherwise.
     gang_size: u32,
+    /// How much it needs, where its service is overloaded and it is not to be in time.
+    size_us: u64,
     /// When it must start at the latest.
     due: Instant,
     /// Its number in the order of acceptance.
@@ -52,30 +56,66 @@
 /// How soon a job must be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
+    /// It has waited for longer than any job of an overloaded service should.
+    Aged,
     /// It will soon be too late to be in time.
     Pressing,
     /// It has time to spare, or can only be late.
     Patient,
+    /// Its service is overloaded, and it is to be late.
+    Late,
+    /// Its service is overloaded, and it is in time also where it comes after late work.
+    CanWait,
+    /// Its service is overloaded, and it is to be later than it is worth anything.
+    Last,
     /// It is worth little whenever it is done.
     Overdue,
 }
 
+impl ServiceRank {
+    /// Changes the place to that of a job whose service is overloaded.
+    fn lower(&mut self, overloaded: &OverloadRank, late_due: Instant) {
+        let urgency = match overloaded.selection {
+            _ if overloaded.is_aged => Urgency::Aged,
+            _ if self.urgency == Urgency::Overdue => return,
+            Selection::InTime => return,
+            Selection::CanWait if self.urgency == Urgency::Pressing => return,
+            Selection::CanWait => Urgency::CanWait,
+            Selection::Late => Urgency::Late,
+            Selection::Last => Urgency::Last,
+        };
+        self.urgency = urgency;
+        self.gang_size = 0;
+        match urgency {
+            Urgency::Late => self.due = late_due,
+            Urgency::Last => self.size_us = overloaded.size_us,
+            _ => {}
+        }
+    }
+}
+
 impl Scheduler {
     /// Returns the jobs with work left in the order in which they are served: by
     /// urgency, then by priority, then by the latest start at which each is in time.
-    pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
+    pub(crate) fn service_order(&self, now: Instant, overloaded: &OverloadRanks) -> Vec<JobId> {
         let ids = self.active.values();
-        let mut order: Vec<ServiceRank> =
-            ids.filter_map(|id| self.service_rank(now, *id)).collect();
+        let mut order: Vec<ServiceRank> = ids
+            .filter_map(|id| self.service_rank(now, *id, overloaded.get(id)))
+            .collect();
         order.sort_unstable();
         order.into_iter().map(|rank| rank.job).collect()
     }
 
-    fn service_rank(&self, now: Instant, id: JobId) -> Option<ServiceRank> {
+    fn service_rank(
+        &self,
+        now: Instant,
+        id: JobId,
+        overloaded: Option<&OverloadRank>,
+    ) -> Option<ServiceRank> {
         let job = self.jobs.get(&id)?;
         let (priority, number) = job.rank;
         let (urgency, due) = self.urgency(now, job);
-        Some(ServiceRank {
+        let mut rank = ServiceRank {
             is_beyond_share: job.is_beyond_share,
             urgency,
             priority,
@@ -84,10 +124,15 @@
             } else {
                 0
             },
+            size_us: 0,
             due,
             number,
             job: id,
-        })
+        };
+        if let Some(overloaded) = overloaded {
+            rank.lower(overloaded, late_due(job));
+        }
+        Some(rank)
     }
 
     /// Returns whether a job has time to spare, or can only be late.
@@ -103,17 +148,13 @@
         match self.prospect(now, job) {
             Prospect::InTime if due < now + PATIENT_SLACK => (Urgency::Pressing, due),
             Prospect::InTime => (Urgency::Patient, due),
-            Prospect::Late => {
-                let late_due = (job.accepted_at + job.objective.times(LATE_FACTOR)) - left;
-                (Urgency::Patient, late_due)
-            }
+            Prospect::Late => (Urgency::Patient, late_due(job)),
             Prospect::Overdue => (Urgency::Overdue, due),
         }
     }
 
     pub(crate) fn prospect(&self, now: Instant, job: &Job) -> Prospect {
-        let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
-        if is_perpetual || job.record.spec.schedule.is_some() {
+        if !job.may_be_late() {
             return Prospect::InTime;
         }
         let sure = Duration::from_ms(job.left_ms * SURE_PERCENT / 100);
@@ -138,6 +179,12 @@
     }
 }
 
+/// Returns when a job must start at the latest to be worth something.
+fn late_due(job: &Job) -> Instant {
+    let worth_until = job.accepted_at + job.objective.times(LATE_FACTOR);
+    worth_until - Duration::from_ms(job.left_ms)
+}
+
 /// Returns how large a job's largest gang is, in powers of two of a thousandth of a core; 0
 /// without any, since single tasks find room one by one.
 ///
--- /dev/null
+++ b/crates/scheduler/src/overload.rs
@@ -0,0 +1,372 @@
+//! Which of a service's jobs can be in time together, where its room is short.
+//!
+//! Work that is served by its due times alone is all a little late once there is too much
+//! of it. So the jobs are gone through by their objectives, and as soon as those up to one
+//! of them don't fit the room until then, the largest among the least important of them is
+//! left out (Moore and Hodgson's rule for the fewest late jobs). The same is done once more
+//! with what is left out, by the times until which late jobs are worth something.
+
+use ospreywing_types::{Duration, Resources};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// The kinds of resources: processors, memory, accelerators.
+const KINDS_COUNT: usize = 3;
+/// The part of a service's room that work can use, in percent: room lies in pieces that
+/// not every task fits.
+const USABLE_PERCENT: f64 = 90.0;
+/// A service is overloaded from this load on, in percent of the usable room.
+pub const ENTER_LOAD_PERCENT: u64 = 100;
+/// It is so until its load is below this, so that the order does not change to and fro.
+pub const LEAVE_LOAD_PERCENT: u64 = 70;
+/// Loads are told up to this.
+const MOST_LOAD_PERCENT: f64 = 1000.0;
+/// What is late already should be done within this time, for a service not to be overloaded.
+const LATE_DUE: Duration = Duration::from_ms(1000);
+/// The lengths of runs are kept by powers of two of milliseconds, up to some days.
+const LENGTHS_COUNT: usize = 30;
+
+/// Amounts of resources, each times milliseconds, or as rates.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amounts([f64; KINDS_COUNT]);
+
+impl Amounts {
+    /// Creates amounts from resources.
+    pub fn of(resources: &Resources) -> Self {
+        Self([
+            f64::from(resources.cores_milli),
+            f64::from(resources.memory_mib),
+            f64::from(resources.accelerators_count),
+        ])
+    }
+
+    /// Returns so many times the amounts.
+    pub fn times(self, factor: f64) -> Self {
+        Self(self.0.map(|part| part * factor))
+    }
+
+    /// Adds others to them.
+    pub fn add(&mut self, other: Self) {
+        for (part, more) in self.0.iter_mut().zip(other.0) {
+            *part += more;
+        }
+    }
+
+    fn min(self, other: Self) -> Self {
+        let mut smaller = self;
+        for (part, limit) in smaller.0.iter_mut().zip(other.0) {
+            *part = part.min(limit);
+        }
+        smaller
+    }
+
+    fn subtract(&mut self, other: Self) {
+        for (part, less) in self.0.iter_mut().zip(other.0) {
+            *part -= less;
+        }
+    }
+
+    /// Returns the largest part that they are of a capacity.
+    pub fn share_of(self, capacity: Self) -> f64 {
+        self.dominant(capacity).0
+    }
+
+    /// Returns the largest part that they are of a capacity, and its kind.
+    fn dominant(self, capacity: Self) -> (f64, usize) {
+        let shares = self.0.into_iter().zip(capacity.0);
+        let shares = shares.map(|(part, whole)| if part > 0.0 { part / whole } else { 0.0 });
+        let shares = shares.enumerate().map(|(kind, share)| (share, kind));
+        shares
+            .max_by(|(one, _), (other, _)| one.total_cmp(other))
+            .unwrap_or((0.0, 0))
+    }
+}
+
+/// What of a service's room is taken by what runs there, for how long.
+#[derive(Clone, Debug, Default)]
+pub struct Occupancy {
+    /// What takes room, by the power of two of for how long.
+    rates: [Amounts; LENGTHS_COUNT],
+    /// The same, times the lengths.
+    work: [Amounts; LENGTHS_COUNT],
+}
+
+impl Occupancy {
+    /// Adds what takes room for so long; `None` for what does not end by itself.
+    pub fn add(&mut self, rate: Amounts, left: Option<Duration>) {
+        let left = left.unwrap_or(Duration::from_ms(u64::MAX));
+        let index = length_index(left);
+        self.rates[index].add(rate);
+        self.work[index].add(rate.times(left.as_ms() as f64));
+    }
+
+    fn into_sums(self) -> OccupancySums {
+        let mut sums = OccupancySums::default();
+        for index in 1..LENGTHS_COUNT {
+            sums.ended_work[index] = sums.ended_work[index - 1];
+            sums.ended_work[index].add(self.work[index - 1]);
+        }
+        for index in (1..LENGTHS_COUNT).rev() {
+            sums.longer_rates[index - 1] = sums.longer_rates[index];
+            sums.longer_rates[index - 1].add(self.rates[index]);
+        }
+        sums.occupancy = self;
+        sums
+    }
+}
+
+/// An occupancy, summed up by lengths.
+#[derive(Clone, Debug, Default)]
+struct OccupancySums {
+    occupancy: Occupancy,
+    /// What is over before each length, times the time that it takes.
+    ended_work: [Amounts; LENGTHS_COUNT],
+    /// What takes longer than each length.
+    longer_rates: [Amounts; LENGTHS_COUNT],
+}
+
+impl OccupancySums {
+    /// Returns what is taken within a time from now, in amounts times milliseconds.
+    fn within(&self, time: Duration) -> Amounts {
+        let index = length_index(time);
+        let time_ms = time.as_ms() as f64;
+        let about_as_long = self.occupancy.rates[index].times(time_ms);
+        let mut taken = about_as_long.min(self.occupancy.work[index]);
+        taken.add(self.ended_work[index]);
+        taken.add(self.longer_rates[index].times(time_ms));
+        taken
+    }
+}
+
+fn length_index(length: Duration) -> usize {
+    let power = length.as_ms().checked_ilog2();
+    let index = power.map_or(0, |power| power as usize + 1);
+    index.min(LENGTHS_COUNT - 1)
+}
+
+/// A job that waits for room of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Contender<K> {
+    /// Whose it is for the caller.
+    pub key: K,
+    /// How unimportant it is; what is largest is left out first.
+    pub priority: u32,
+    /// What all of it that waits needs, times milliseconds.
+    pub work: Amounts,
+    /// How long its longest chain still takes.
+    pub chain: Duration,
+    /// The time until its objective is over; `None` where it is over.
+    pub time_left: Option<Duration>,
+    /// The time until it is worth nothing; `None` where that is over.
+    pub worth_left: Option<Duration>,
+}
+
+/// What is to become of a job while its service is overloaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Selection {
+    /// It is to be in time.
+    InTime,
+    /// The same, also where all work that is late comes before it.
+    CanWait,
+    /// It is to be late.
+    Late,
+    /// It is to be later than it is worth anything.
+    Last,
+}
+
+/// A contender, what is to become of it, and how much it needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Selected<K> {
+    /// Whose it is for the caller.
+    pub key: K,
+    /// What is to become of it.
+    pub selection: Selection,
+    /// For how long it would take the whole service by the resource of which it needs the
+    /// largest part, in microseconds.
+    pub size_us: u64,
+}
+
+/// The room of one service, and what wants it.
+#[derive(Clone, Debug)]
+pub struct Demand<K> {
+    capacity: Amounts,
+    occupancy: OccupancySums,
+    contenders: Vec<Contender<K>>,
+}
+
+/// A contender that is in time so far, by what is left out first.
+type Candidate = (u32, u64, Reverse<Duration>, usize);
+
+impl<K: Copy> Demand<K> {
+    /// Creates the demand on a service that holds so much.
+    pub fn new(capacity: Amounts, occupancy: Occupancy) -> Self {
+        Self {
+            capacity,
+            occupancy: occupancy.into_sums(),
+            contenders: Vec::new(),
+        }
+    }
+
+    /// Adds a job that waits.
+    pub fn push(&mut self, contender: Contender<K>) {
+        self.contenders.push(contender);
+    }
+
+    /// Returns how much of the usable room is needed for all jobs, in percent, at the worst of
+    /// the objectives. What is late already is due within a second.
+    pub fn load_percent(&mut self) -> u64 {
+        self.sort();
+        let mut needed = Amounts::default();
+        let late = self.contenders.iter().filter(|it| !it.can_be_in_time());
+        late.for_each(|contender| needed.add(contender.work));
+        let (mut worst, _) = needed.dominant(self.usable(LATE_DUE));
+        for contender in self.contenders.iter().filter(|it| it.can_be_in_time()) {
+            needed.add(contender.work);
+            let usable = self.usable(contender.time_left.unwrap_or_default());
+            let (load, _) = needed.dominant(usable);
+            worst = worst.max(load);
+        }
+        (worst * 100.0).min(MOST_LOAD_PERCENT) as u64
+    }
+
+    /// Chooses which jobs are to be in time, and which to be late.
+    pub fn select(&mut self) -> Vec<Selected<K>> {
+        self.sort();
+        let in_time = self.keep_most(&vec![false; self.contenders.len()], |it| {
+            it.time_for_chain()
+        });
+        let of_worth = self.keep_most(&in_time, |it| it.worth_for_chain());
+        let mut needed = self.work_of_others(&in_time);
+        let mut selected = Vec::with_capacity(self.contenders.len());
+        for (index, contender) in self.contenders.iter().enumerate() {
+            if in_time[index] {
+                needed.add(contender.work);
+            }
+            let selection = match (in_time[index], of_worth[index]) {
+                (true, _) if self.fits(needed, contender) => Selection::CanWait,
+                (true, _) => Selection::InTime,
+                (false, true) => Selection::Late,
+                (false, false) => Selection::Last,
+            };
+            selected.push(Selected {
+                key: contender.key,
+                selection,
+                size_us: self.size_us(contender),
+            });
+        }
+        selected
+    }
+
+    /// Returns for each contender whether it is among those that can be done together within
+    /// their times beside those that are chosen already.
+    fn keep_most(
+        &self,
+        chosen: &[bool],
+        time_of: impl Fn(&Contender<K>) -> Option<Duration>,
+    ) -> Vec<bool> {
+        let mut is_kept = chosen.to_vec();
+        let mut needed = Amounts::default();
+        let mut candidates: [BinaryHeap<Candidate>; KINDS_COUNT] = Default::default();
+        for (time, index) in self.by_time(chosen, time_of) {
+            let contender = &self.contenders[index];
+            needed.add(contender.work);
+            if !chosen[index] {
+                is_kept[index] = true;
+                let (_, kind) = contender.work.dominant(self.capacity);
+                candidates[kind].push(self.candidate(index, contender));
+            }
+            let usable = self.usable(time);
+            loop {
+                let (load, scarce) = needed.dominant(usable);
+                if load <= 1.0 {
+                    break;
+                }
+                let Some((.., left_out)) = candidates[scarce].pop() else {
+                    break;
+                };
+                is_kept[left_out] = false;
+                needed.subtract(self.contenders[left_out].work);
+            }
+        }
+        is_kept
+    }
+
+    /// Returns the contenders that can be done within their times, those that are chosen
+    /// already by their objectives, the soonest first.
+    fn by_time(
+        &self,
+        chosen: &[bool],
+        time_of: impl Fn(&Contender<K>) -> Option<Duration>,
+    ) -> Vec<(Duration, usize)> {
+        let contenders = self.contenders.iter().enumerate();
+        let mut times: Vec<(Duration, usize)> = contenders
+            .filter_map(|(index, contender)| {
+                let time = if chosen[index] {
+                    contender.time_left
+                } else {
+                    time_of(contender)
+                };
+                Some((time?, index))
+            })
+            .collect();
+        times.sort_unstable();
+        times
+    }
+
+    fn candidate(&self, index: usize, contender: &Contender<K>) -> Candidate {
+        let time_left = contender.time_left.unwrap_or_default();
+        let size_us = self.size_us(contender);
+        (contender.priority, size_us, Reverse(time_left), index)
+    }
+
+    fn work_of_others(&self, is_kept: &[bool]) -> Amounts {
+        let mut work = Amounts::default();
+        let others = self
+            .contenders
+            .iter()
+            .zip(is_kept)
+            .filter(|(_, kept)| !**kept);
+        others.for_each(|(contender, _)| work.add(contender.work));
+        work
+    }
+
+    fn fits(&self, needed: Amounts, contender: &Contender<K>) -> bool {
+        let usable = self.usable(contender.time_left.unwrap_or_default());
+        needed.dominant(usable).0 <= 1.0
+    }
+
+    /// Returns what of the room is left for what waits until then.
+    fn usable(&self, time: Duration) -> Amounts {
+        let mut usable = self.capacity.times(time.as_ms() as f64);
+        usable.subtract(self.occupancy.within(time));
+        let usable = usable.times(USABLE_PERCENT / 100.0);
+        Amounts(usable.0.map(|part| part.max(f64::MIN_POSITIVE)))
+    }
+
+    fn size_us(&self, contender: &Contender<K>) -> u64 {
+        let (share_ms, _) = contender.work.dominant(self.capacity);
+        (share_ms * 1000.0) as u64
+    }
+
+    fn sort(&mut self) {
+        let by_time = |contender: &Contender<K>| contender.time_left;
+        self.contenders.sort_by_key(by_time);
+    }
+}
+
+impl<K> Contender<K> {
+    /// Returns whether its chain ends within its objective where it begins now.
+    fn can_be_in_time(&self) -> bool {
+        self.time_for_chain().is_some()
+    }
+
+    /// Returns its time until the objective, where that is enough for its chain.
+    fn time_for_chain(&self) -> Option<Duration> {
+        self.time_left.filter(|left| self.chain <= *left)
+    }
+
+    /// Returns its time until it is worth nothing, where that is enough for its chain.
+    fn worth_for_chain(&self) -> Option<Duration> {
+        self.worth_left.filter(|left| self.chain <= *left)
+    }
+}
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -7,7 +7,9 @@
 use crate::cycle::{CycleSummary, SchedulingCycle};
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
+use crate::features::Feature;
 use crate::job::{JobId, JobRecord, StepKey, StepSpec, TaskKey};
+use crate::overloads::OverloadRanks;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
 use crate::state::{StepState, TaskStatus};
@@ -63,14 +65,21 @@
             self.last_cycle = CycleSummary::default();
             return 0;
         }
-        let order = self.service_order(now);
+        let mut order = self.service_order(now, &OverloadRanks::new());
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
         if !self.has_ready_step(&order) {
             self.last_cycle = CycleSummary::default();
+            self.end_overloads();
             return 0;
         }
         let mut cycle = self.new_cycle(now);
+        if self.config.features.has(Feature::OverloadOrder) {
+            let ranks = self.rank_overloaded(now, &cycle, out);
+            if !ranks.is_empty() {
+                order = self.service_order(now, &ranks);
+            }
+        }
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::names::Names;
+use crate::overloads::Overloads;
 use crate::retries::RetryBudgets;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
@@ -64,6 +65,8 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// Services that are short of room.
+    pub overloaded_services_count: usize,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -104,6 +107,8 @@
     pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
     pub(crate) last_cycle: CycleSummary,
+    /// The services that were short of room then.
+    pub(crate) overloads: Overloads,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
     /// When every lease that an earlier leader granted is certainly over. A lease
@@ -151,6 +156,7 @@
             goodness: HashMap::new(),
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
+            overloads: Overloads::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
             inherited_until: Instant::default(),
@@ -278,6 +284,7 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            overloaded_services_count: self.overloads.len(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -11,6 +11,8 @@
 mod departures;
 mod gang_load;
 mod lapses;
+mod overload;
+mod overload_load;
 mod pending;
 mod repeats;
 mod restarts;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/overload_load.rs
@@ -0,0 +1,204 @@
+//! A load that is more than the room for some seconds: how many jobs are in time, and that
+//! all of them are done.
+
+use crate::support::world::{Faults, World};
+use crate::support::{job, step, PATIENT_QUEUE, QUEUE, SERVICE};
+use ospreywing_scheduler::{
+    Configuration, Feature, Features, JobId, JobRecord, Queue, ServicePolicy, StepSpec,
+};
+use ospreywing_types::Resources;
+use rstest::rstest;
+
+const WORKERS_COUNT: usize = 24;
+const SEEDS_COUNT: u64 = 4;
+/// Before the burst, for as long as it lasts, and after it, in milliseconds.
+const CALM_MS: u64 = 3_000;
+const BURST_MS: u64 = 5_000;
+const AFTER_MS: u64 = 6_000;
+/// All jobs are done within this time after the load.
+const DONE_WITHIN_MS: u64 = 60_000;
+const TURN_MS: u64 = 50;
+/// A queue of gangs.
+const GANG_QUEUE: &str = "mosaic";
+
+/// A kind of job.
+struct Kind {
+    queue: &'static str,
+    period_ms: u64,
+    spec: StepSpec,
+    stretch: f64,
+    objective_ms: u64,
+    priority: u32,
+}
+
+/// Returns kinds of jobs that together take nine tenths of the room.
+fn kinds() -> [Kind; 3] {
+    let spec = |tasks_count, cores_milli, estimate_ms| StepSpec {
+        demand: Resources::new(cores_milli, 500, 0),
+        estimate_ms,
+        ..step(tasks_count)
+    };
+    let gang = StepSpec {
+        is_gang: true,
+        ..spec(4, 1500, 1000)
+    };
+    [
+        Kind {
+            queue: QUEUE,
+            period_ms: 66,
+            spec: spec(4, 2000, 560),
+            stretch: 1.5,
+            objective_ms: 250,
+            priority: 1,
+        },
+        Kind {
+            queue: GANG_QUEUE,
+            period_ms: 1200,
+            spec: gang,
+            stretch: 2.0,
+            objective_ms: 1000,
+            priority: 2,
+        },
+        Kind {
+            queue: PATIENT_QUEUE,
+            period_ms: 2400,
+            spec: spec(12, 1000, 3000),
+            stretch: 4.0,
+            objective_ms: 3000,
+            priority: 3,
+        },
+    ]
+}
+
+fn configuration() -> Configuration {
+    let queue = |kind: &Kind| Queue {
+        name: kind.queue.to_owned(),
+        service: SERVICE.to_owned(),
+        priority: kind.priority,
+        attempts_limit_count: 3,
+        stretch: kind.stretch,
+        objective_ms: kind.objective_ms,
+        advice: None,
+    };
+    let queues = kinds().map(|kind| (kind.queue.to_owned(), queue(&kind)));
+    Configuration {
+        version: 2,
+        queues: queues.into(),
+        services: vec![ServicePolicy {
+            name: SERVICE.to_owned(),
+        }],
+        ..Configuration::default()
+    }
+}
+
+impl Kind {
+    fn job(&self, number: u64, now_ms: u64) -> (JobId, JobRecord) {
+        let (id, mut record) = job(number, vec![self.spec.clone()]);
+        record.queue = self.queue.to_owned();
+        record.accepted_ms = now_ms;
+        (id, record)
+    }
+
+    fn limit_ms(&self) -> u64 {
+        (self.spec.estimate_ms as f64 * self.stretch) as u64 + self.objective_ms
+    }
+}
+
+/// How the jobs of a play came out.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    jobs_count: usize,
+    in_time_count: usize,
+    /// In time, or late by less than twice their objective.
+    of_worth_count: usize,
+    longest_ms: u64,
+}
+
+struct Play {
+    features: Features,
+    burst_percent: u64,
+    lengths_percent: core::ops::Range<u64>,
+}
+
+impl Play {
+    fn new(features: Features, burst_percent: u64) -> Self {
+        Self {
+            features,
+            burst_percent,
+            lengths_percent: 60..140,
+        }
+    }
+
+    fn run(&self, seed: u64) -> Outcome {
+        let mut world = World::new(seed, WORKERS_COUNT, Faults::default(), None);
+        world.run_lengths_percent = Some(self.lengths_percent.clone());
+        world.configure(configuration());
+        world.elect_with_features(self.features);
+        // What the leader before may have started is over by then.
+        world.run_for(8_000);
+        let handed_in = self.hand_in(&mut world);
+        let until_ms = world.now_ms + DONE_WITHIN_MS;
+        while world.done_ms.len() < handed_in.len() {
+            assert!(world.now_ms < until_ms, "a job was not done");
+            world.run_for(TURN_MS);
+            world.note_outcomes();
+        }
+        let mut outcome = Outcome::default();
+        for (id, since_ms, limit_ms) in handed_in {
+            let took_ms = world.done_ms[&id] - since_ms;
+            outcome.jobs_count += 1;
+            outcome.in_time_count += usize::from(took_ms <= limit_ms);
+            outcome.of_worth_count += usize::from(took_ms <= 3 * limit_ms);
+            outcome.longest_ms = outcome.longest_ms.max(took_ms);
+        }
+        outcome
+    }
+
+    /// Plays the load; returns the jobs, when they were handed in, and their objectives.
+    fn hand_in(&self, world: &mut World) -> Vec<(JobId, u64, u64)> {
+        let kinds = kinds();
+        let mut due_percent = [0; 3];
+        let mut handed_in = Vec::new();
+        for at_ms in (0..CALM_MS + BURST_MS + AFTER_MS).step_by(TURN_MS as usize) {
+            let is_burst = (CALM_MS..CALM_MS + BURST_MS).contains(&at_ms);
+            let rate_percent = if is_burst { self.burst_percent } else { 50 };
+            for (kind, due) in kinds.iter().zip(&mut due_percent) {
+                *due += rate_percent * TURN_MS;
+                while *due >= kind.period_ms * 100 {
+                    *due -= kind.period_ms * 100;
+                    let (id, record) = kind.job(handed_in.len() as u64 + 1, world.now_ms);
+                    handed_in.push((id, world.now_ms, kind.limit_ms()));
+                    world.submit((id, record));
+                }
+            }
+            world.run_for(TURN_MS);
+            world.note_outcomes();
+        }
+        handed_in
+    }
+
+    /// Returns the sum of some seeds.
+    fn run_all(&self) -> Outcome {
+        let mut sum = Outcome::default();
+        for seed in 0..SEEDS_COUNT {
+            let outcome = self.run(seed);
+            sum.jobs_count += outcome.jobs_count;
+            sum.in_time_count += outcome.in_time_count;
+            sum.of_worth_count += outcome.of_worth_count;
+            sum.longest_ms = sum.longest_ms.max(outcome.longest_ms);
+        }
+        sum
+    }
+}
+
+/// Under a burst more jobs are in time, no fewer are done while they are worth something,
+/// and all are done.
+#[rstest]
+fn place_in_burst_more_in_time(#[values(150, 200, 300)] burst_percent: u64) {
+    let off = Features::default().without(Feature::OverloadOrder);
+    let before = Play::new(off, burst_percent).run_all();
+    let after = Play::new(Features::default(), burst_percent).run_all();
+    println!("{burst_percent}%: {before:?} without, {after:?} with");
+    assert!(after.in_time_count > before.in_time_count);
+    assert!(after.of_worth_count >= before.of_worth_count);
+}
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -8,9 +8,9 @@
 use super::rules::Rules;
 use super::worker::FakeWorker;
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event, JobId,
-    JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
-    TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
+    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
+    StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -162,6 +162,8 @@
     has_trouble: bool,
     /// How long runs take.
     pub run_lengths_ms: core::ops::Range<u64>,
+    /// The same as a part of their steps' estimates, where that is set, in percent.
+    pub run_lengths_percent: Option<core::ops::Range<u64>>,
     /// After this time no new fault strikes.
     pub calm_from_ms: u64,
     /// One of so many workers is good for a job; 0 for two of three.
@@ -174,6 +176,7 @@
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
+    features: Features,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
@@ -213,6 +216,7 @@
             last_faults_at_ms: 0,
             has_trouble: false,
             run_lengths_ms: 200..2_500,
+            run_lengths_percent: None,
             calm_from_ms: u64::MAX,
             good_one_in: 0,
             advice_calls_count: 0,
@@ -220,6 +224,7 @@
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
+            features: Features::default(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
@@ -246,6 +251,12 @@
         self.elect();
     }
 
+    /// Begins a term with other features on.
+    pub fn elect_with_features(&mut self, features: Features) {
+        self.features = features;
+        self.elect();
+    }
+
     /// Puts so many workers in a row into each rack.
     pub fn lay_out_racks(&mut self, size: usize) {
         for (number, worker) in self.workers.iter_mut().enumerate() {
@@ -318,7 +329,8 @@
         };
         let config = SchedulerConfig::new(fence, Duration::from_ms(LEASE_LIMIT_MS))
             .with_leader_lease(Duration::from_ms(LEADER_LEASE_MS))
-            .with_crash_policy(self.crash_policy);
+            .with_crash_policy(self.crash_policy)
+            .with_features(self.features);
         let scheduler = Scheduler::new(config, self.configuration.clone(), self.now(), recovered);
         self.leaders.push(Leader {
             fence,
