--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -51,6 +51,11 @@
             let data_centre = decision.data_centre.as_deref().unwrap_or_default();
             info!(log, "{}", kind; "data_centre" => data_centre, "reason" => decision.reason);
         }
+        (None, None) if decision.kind == DecisionKind::Overload => {
+            let service = decision.service.as_deref().unwrap_or_default();
+            info!(log, "{}", kind; "service" => service, "reason" => decision.reason,
+                "load_percent" => decision.figure);
+        }
         (None, None) => info!(log, "{}", kind;
             "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
     }
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -22,8 +22,8 @@
     pub(crate) asked_at: Instant,
     /// The node that makes it.
     pub(crate) node: Arc<str>,
-    /// The first worker that it names; no two parts name the same.
-    pub(crate) first: WorkerKey,
+    /// The workers that it names; no two parts name the same.
+    pub(crate) named: Box<[WorkerKey]>,
 }
 
 /// The advice for one step. Who may run a step never changes, tickets expire.
@@ -65,10 +65,18 @@
         !self.open.is_empty()
     }
 
+    /// Returns whether the open call names a worker.
+    pub(crate) fn is_asked_about(&self, worker: WorkerKey) -> bool {
+        self.open.iter().any(|part| part.named.contains(&worker))
+    }
+
     /// Takes out the part of the open call that names these workers.
     pub(crate) fn take_part(&mut self, named: &[WorkerKey]) -> Option<OpenPart> {
         let first = named.first()?;
-        let index = self.open.iter().position(|part| part.first == *first)?;
+        let index = self
+            .open
+            .iter()
+            .position(|part| part.named.first() == Some(first))?;
         Some(self.open.swap_remove(index))
     }
 
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -217,7 +217,7 @@
         advice.open.push(OpenPart {
             asked_at: now,
             node: assignment.node.clone(),
-            first: named[0],
+            named: Box::from(named),
         });
         let line = Decision::new(DecisionKind::AdviceAsked, "workers with room");
         let line = line
@@ -234,6 +234,18 @@
         true
     }
 
+    /// Forgets what is known of workers for a step of which nothing is to be started any more,
+    /// and what it counted on.
+    pub(crate) fn forget_advice(&mut self, step: StepKey) {
+        let Some(advice) = self.advice.remove(&step) else {
+            return;
+        };
+        let named = advice.open.iter().flat_map(|part| part.named.iter());
+        for worker in named {
+            self.workers[*worker].drop_claim(step);
+        }
+    }
+
     pub(crate) fn goodness_of(&self, queue: &str) -> f64 {
         let known = self.goodness.get(queue);
         let (good, named) = known.copied().unwrap_or((FIRST_GOODNESS, 1.0));
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -143,7 +143,7 @@
             self.stop_later_runs(now, end, out);
             if self.is_step_done(step) {
                 self.note_step_done(step.job);
-                self.advice.remove(&step);
+                self.forget_advice(step);
             }
             self.check_complete(now, step.job, out);
             return;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -302,9 +302,28 @@
             // The other members of a gang that is done end by themselves.
             self.stop_job(now, id, out);
         }
-        self.advice.retain(|step, _| step.job != id);
+        for step in self.steps_of(id) {
+            self.forget_advice(step);
+        }
         self.waits.forget_job(id);
         self.release_room_of(id);
+        // What it took or kept may be room for others now.
+        self.is_place_due = true;
+    }
+
+    /// Returns the steps of a job's rounds that have begun.
+    fn steps_of(&self, id: JobId) -> Vec<StepKey> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let key = |round: &RoundState, step: usize| StepKey {
+            job: id,
+            round: round.number,
+            step: step as u32,
+        };
+        let rounds = job.state.rounds.iter();
+        let steps = rounds.flat_map(|round| (0..round.steps.len()).map(move |it| key(round, it)));
+        steps.collect()
     }
 
     /// Stops every run of a job.
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -27,6 +27,9 @@
     /// A worker keeps room for a gang that has none kept, or the reverse.
     #[error("the room that is kept on worker {0} is miscounted")]
     Reservation(String),
+    /// A step counts on room of a worker that no open call of it names.
+    #[error("step {0} counts on room of worker {1} without a call")]
+    Claim(StepKey, String),
     /// A job is in more than one open transaction, or its note of that is wrong.
     #[error("a job's commit is miscounted")]
     Commit,
@@ -49,6 +52,7 @@
         self.verify_accounts()?;
         self.verify_placements()?;
         self.verify_reservations()?;
+        self.verify_claims()?;
         self.verify_commits()?;
         self.verify_waits()?;
         let is_over = |id| {
@@ -147,6 +151,18 @@
         Ok(())
     }
 
+    fn verify_claims(&self) -> Result<(), Violation> {
+        for (key, worker) in self.workers.iter() {
+            for step in worker.claiming_steps() {
+                let advice = self.advice.get(&step);
+                if !advice.is_some_and(|advice| advice.is_asked_about(key)) {
+                    return Err(Violation::Claim(step, worker.facts.id.to_string()));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn verify_placements(&self) -> Result<(), Violation> {
         for (task, worker) in &self.placements {
             if !self.workers[*worker].runs.contains_key(task) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -361,6 +361,11 @@
         self.claims.retain(|claim| claim.step != step);
     }
 
+    /// Returns the steps that count on room here.
+    pub(crate) fn claiming_steps(&self) -> impl Iterator<Item = StepKey> + '_ {
+        self.claims.iter().map(|claim| claim.step)
+    }
+
     /// Returns what steps count on whose calls for advice are open.
     pub(crate) fn claimed(&self) -> Resources {
         sum_of(self.claims.iter())
--- a/crates/scheduler/tests/scheduler/advice_calls.rs
+++ b/crates/scheduler/tests/scheduler/advice_calls.rs
@@ -5,7 +5,7 @@
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Configuration, Event, JobId, Recovered, StepSpec,
 };
-use ospreywing_types::Duration;
+use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -154,3 +154,24 @@
     assert_eq!(named.iter().sum::<usize>(), WORKERS_COUNT);
     assert_eq!(named.len(), parts_count, "{named:?}");
 }
+
+/// The room on which a job counts whose call for advice is open is others' as soon as the job
+/// is cancelled, also where the call is answered much later.
+#[test]
+fn cancel_frees_room_counted_on_at_once() {
+    let mut bench = bench_with(NODES_COUNT, queues(LONG, LONG));
+    // Eight of them fill a worker, so that nothing is learned ahead.
+    let small = |tasks_count| StepSpec {
+        demand: Resources::new(500, 100, 0),
+        ..step(tasks_count)
+    };
+    // It counts on all workers.
+    bench.submit(1, vec![small(8 * WORKERS_COUNT as u32)]);
+    assert!(!calls(&mut bench).is_empty());
+    bench.submit(2, vec![small(4)]);
+    assert!(calls(&mut bench).is_empty(), "no room is left to ask about");
+    bench.now = bench.now + Duration::from_ms(20);
+    bench.cancel(1);
+    let calls = calls(&mut bench);
+    assert!(calls.iter().any(|(job, _)| *job == JobId::new(2)));
+}
--- a/crates/scheduler/tests/scheduler/overload.rs
+++ b/crates/scheduler/tests/scheduler/overload.rs
@@ -1,1 +1,202 @@
 //! Which jobs are chosen to be in time where not all can be.
+
+use crate::support::bench::{end, workers, Bench};
+use crate::support::{job, step};
+use ospreywing_scheduler::overload::{
+    Amounts, Contender, Demand, Occupancy, Selection, ENTER_LOAD_PERCENT, LEAVE_LOAD_PERCENT,
+};
+use ospreywing_scheduler::{EndKind, EndedRun, Event, Feature, Features};
+use ospreywing_types::{Duration, Resources};
+
+const CAPACITY: Resources = Resources::new(10_000, 10_000, 10);
+
+/// Returns a job that needs all of the room for so long.
+fn contender(key: u64, whole_ms: u64, time_left_ms: u64) -> Contender<u64> {
+    Contender {
+        key,
+        priority: 1,
+        work: Amounts::of(&CAPACITY).times(whole_ms as f64),
+        chain: Duration::from_ms(100),
+        time_left: Some(Duration::from_ms(time_left_ms)),
+        worth_left: Some(Duration::from_ms(3 * time_left_ms)),
+    }
+}
+
+fn demand(occupancy: Occupancy, contenders: &[Contender<u64>]) -> Demand<u64> {
+    let mut demand = Demand::new(Amounts::of(&CAPACITY), occupancy);
+    contenders.iter().for_each(|it| demand.push(*it));
+    demand
+}
+
+/// Returns the keys of the jobs that are to be in time.
+fn in_time(demand: &mut Demand<u64>) -> Vec<u64> {
+    let selected = demand.select().into_iter();
+    let is_in_time = |it: &Selection| matches!(it, Selection::InTime | Selection::CanWait);
+    let in_time = selected.filter(|it| is_in_time(&it.selection));
+    let mut keys: Vec<u64> = in_time.map(|it| it.key).collect();
+    keys.sort_unstable();
+    keys
+}
+
+#[test]
+fn select_keeps_all_that_fit() {
+    let jobs = [contender(1, 400, 1000), contender(2, 400, 1000)];
+    let mut demand = demand(Occupancy::default(), &jobs);
+    assert!(demand.load_percent() < ENTER_LOAD_PERCENT);
+    assert_eq!(in_time(&mut demand), [1, 2]);
+}
+
+#[test]
+fn select_leaves_out_largest() {
+    let jobs = [
+        contender(1, 800, 1000),
+        contender(2, 300, 1100),
+        contender(3, 300, 1200),
+    ];
+    let mut demand = demand(Occupancy::default(), &jobs);
+    assert!(demand.load_percent() > ENTER_LOAD_PERCENT);
+    assert_eq!(in_time(&mut demand), [2, 3]);
+}
+
+/// Of jobs that are as large, the one is left out that is most likely to be late.
+#[test]
+fn select_leaves_out_soonest_of_equals() {
+    let jobs = [1000, 1100, 1200].map(|left_ms| contender(left_ms, 500, left_ms));
+    assert_eq!(
+        in_time(&mut demand(Occupancy::default(), &jobs)),
+        [1100, 1200]
+    );
+}
+
+#[test]
+fn select_leaves_out_less_important_first() {
+    let mut important = contender(1, 800, 1000);
+    important.priority = 0;
+    let jobs = [important, contender(2, 300, 1000)];
+    assert_eq!(in_time(&mut demand(Occupancy::default(), &jobs)), [1]);
+}
+
+/// Jobs that need different resources don't keep each other out.
+#[test]
+fn select_tells_resources_apart() {
+    let with = |key, resources: Resources| Contender {
+        work: Amounts::of(&resources).times(800.0),
+        ..contender(key, 0, 1000)
+    };
+    let jobs = [
+        with(1, Resources::new(10_000, 0, 0)),
+        with(2, Resources::new(0, 0, 10)),
+    ];
+    assert_eq!(in_time(&mut demand(Occupancy::default(), &jobs)), [1, 2]);
+}
+
+/// Room that runs take for longer than a job's objective is not there for it.
+#[test]
+fn select_counts_what_runs() {
+    let mut occupancy = Occupancy::default();
+    occupancy.add(Amounts::of(&CAPACITY).times(0.5), None);
+    occupancy.add(
+        Amounts::of(&CAPACITY).times(0.4),
+        Some(Duration::from_ms(100)),
+    );
+    let jobs = [contender(1, 400, 1000), contender(2, 200, 1000)];
+    assert_eq!(in_time(&mut demand(occupancy, &jobs)), [2]);
+}
+
+#[test]
+fn select_late_within_worth() {
+    let late = |key, whole_ms| Contender {
+        time_left: None,
+        worth_left: Some(Duration::from_ms(1000)),
+        ..contender(key, whole_ms, 1000)
+    };
+    let mut demand = demand(Occupancy::default(), &[late(1, 800), late(2, 300)]);
+    let selections: Vec<(u64, Selection)> = demand
+        .select()
+        .iter()
+        .map(|it| (it.key, it.selection))
+        .collect();
+    assert!(selections.contains(&(1, Selection::Last)));
+    assert!(selections.contains(&(2, Selection::Late)));
+}
+
+#[test]
+fn select_without_capacity() {
+    let mut demand = Demand::new(Amounts::default(), Occupancy::default());
+    demand.push(contender(1, 100, 1000));
+    assert!(demand.load_percent() > LEAVE_LOAD_PERCENT);
+    assert_eq!(demand.select().len(), 1);
+}
+
+/// What the wall clock shows.
+const WALL_MS: u64 = 100_000;
+/// The age of a job of a second whose objective, 3 s, has been over for longer than any job of
+/// an overloaded service should wait; its worth was over after 9.
+const AGED_MS: u64 = 34_000;
+
+/// Returns two workers, both taken by four tasks of the first job, of which two end once the
+/// jobs are there that are older by so much.
+fn started_in_overload(features: Features, ages_ms: &[u64]) -> Vec<u64> {
+    let joining = workers(2);
+    let mut bench = Bench::with_features(features, &joining);
+    bench.tell(Event::WallClock(WALL_MS));
+    let mut jobs = vec![0];
+    jobs.extend(ages_ms);
+    for (number, age_ms) in jobs.into_iter().enumerate() {
+        let (id, mut record) = job(number as u64, vec![step(4)]);
+        record.accepted_ms = WALL_MS - age_ms;
+        bench.submit_job((id, record));
+    }
+    bench.commit_all();
+    let first = bench.starts();
+    for start in first.iter().copied() {
+        bench.started(start);
+    }
+    let worker = first[0].0;
+    let here = first.iter().filter(|(at, ..)| *at == worker);
+    let ended = here
+        .enumerate()
+        .map(|(index, (_, task, run))| end(index as u64 + 1, *task, *run, EndKind::Done));
+    let ended: Vec<EndedRun> = ended.collect();
+    assert_eq!(ended.len(), 2);
+    bench.list(worker, ended);
+    bench.commit_all();
+    let starts = bench.starts();
+    let numbers = starts.iter().map(|(_, task, _)| task.step.job.number());
+    numbers.collect()
+}
+
+/// A job of an overloaded service that is long late comes before those that could be in time,
+/// the one that was accepted first at a time. Without the feature it comes last.
+#[test]
+fn service_order_aged_first() {
+    let ages_ms = [0, 0, AGED_MS, AGED_MS + 1000, 0];
+    let with = started_in_overload(Features::default(), &ages_ms);
+    assert_eq!(with, [4, 4]);
+    let off = Features::default().without(Feature::OverloadOrder);
+    assert_eq!(started_in_overload(off, &ages_ms), [1, 1]);
+}
+
+/// What is past all worth comes after what is late, and that after what can be in time.
+#[test]
+fn service_order_overdue_last() {
+    let overdue_ms = 20_000;
+    assert_eq!(
+        started_in_overload(Features::default(), &[overdue_ms, 4_000, 0]),
+        [3, 3]
+    );
+    assert_eq!(
+        started_in_overload(Features::default(), &[overdue_ms, 4_000, 4_000]),
+        [2, 2]
+    );
+}
+
+/// A service in which what waits has room is not overloaded, however late that is.
+#[test]
+fn service_order_as_usual_with_room() {
+    let overdue_ms = 20_000;
+    assert_eq!(
+        started_in_overload(Features::default(), &[overdue_ms]),
+        [1, 1]
+    );
+}
--- a/crates/scheduler/tests/scheduler/overload_load.rs
+++ b/crates/scheduler/tests/scheduler/overload_load.rs
@@ -105,12 +105,15 @@
 }
 
 /// How the jobs of a play came out.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Outcome {
     jobs_count: usize,
     in_time_count: usize,
     /// In time, or late by less than twice their objective.
     of_worth_count: usize,
+    /// The sum of their worth: 1 in time, and less from there to nothing at three times the
+    /// objective.
+    worth: f64,
     longest_ms: u64,
 }
 
@@ -118,6 +121,8 @@
     features: Features,
     burst_percent: u64,
     lengths_percent: core::ops::Range<u64>,
+    /// Whether the leader is replaced in the midst of the burst.
+    has_takeover: bool,
 }
 
 impl Play {
@@ -126,6 +131,21 @@
             features,
             burst_percent,
             lengths_percent: 60..140,
+            has_takeover: false,
+        }
+    }
+
+    fn with_lengths(self, lengths_percent: core::ops::Range<u64>) -> Self {
+        Self {
+            lengths_percent,
+            ..self
+        }
+    }
+
+    fn with_takeover(self) -> Self {
+        Self {
+            has_takeover: true,
+            ..self
         }
     }
 
@@ -149,6 +169,8 @@
             outcome.jobs_count += 1;
             outcome.in_time_count += usize::from(took_ms <= limit_ms);
             outcome.of_worth_count += usize::from(took_ms <= 3 * limit_ms);
+            let late = took_ms as f64 / limit_ms as f64 - 1.0;
+            outcome.worth += (1.0 - late / 2.0).clamp(0.0, 1.0);
             outcome.longest_ms = outcome.longest_ms.max(took_ms);
         }
         outcome
@@ -160,6 +182,9 @@
         let mut due_percent = [0; 3];
         let mut handed_in = Vec::new();
         for at_ms in (0..CALM_MS + BURST_MS + AFTER_MS).step_by(TURN_MS as usize) {
+            if self.has_takeover && at_ms == CALM_MS + BURST_MS / 2 {
+                world.elect();
+            }
             let is_burst = (CALM_MS..CALM_MS + BURST_MS).contains(&at_ms);
             let rate_percent = if is_burst { self.burst_percent } else { 50 };
             for (kind, due) in kinds.iter().zip(&mut due_percent) {
@@ -185,20 +210,76 @@
             sum.jobs_count += outcome.jobs_count;
             sum.in_time_count += outcome.in_time_count;
             sum.of_worth_count += outcome.of_worth_count;
+            sum.worth += outcome.worth;
             sum.longest_ms = sum.longest_ms.max(outcome.longest_ms);
         }
         sum
     }
 }
 
-/// Under a burst more jobs are in time, no fewer are done while they are worth something,
-/// and all are done.
+/// Returns how a load comes out without the feature, and with it.
+fn compare(play: impl Fn(Features) -> Play) -> (Outcome, Outcome) {
+    let off = Features::default().without(Feature::OverloadOrder);
+    let before = play(off).run_all();
+    let after = play(Features::default()).run_all();
+    println!("{before:?} without\n{after:?} with");
+    (before, after)
+}
+
+/// In a burst more jobs are in time, and what all are worth is more; all are done.
 #[rstest]
 fn place_in_burst_more_in_time(#[values(150, 200, 300)] burst_percent: u64) {
-    let off = Features::default().without(Feature::OverloadOrder);
-    let before = Play::new(off, burst_percent).run_all();
-    let after = Play::new(Features::default(), burst_percent).run_all();
-    println!("{burst_percent}%: {before:?} without, {after:?} with");
+    let (before, after) = compare(|features| Play::new(features, burst_percent));
     assert!(after.in_time_count > before.in_time_count);
-    assert!(after.of_worth_count >= before.of_worth_count);
+    assert!(after.worth > before.worth);
+}
+
+/// Estimates that are wrong by two and a half times don't make it worse than without.
+#[rstest]
+fn place_in_burst_wrong_estimates(#[values(24..56, 150..350)] lengths: core::ops::Range<u64>) {
+    let play = |features| Play::new(features, 200).with_lengths(lengths.clone());
+    let (before, after) = compare(play);
+    assert!(after.in_time_count >= before.in_time_count);
+    assert!(after.worth >= before.worth);
+}
+
+/// A leader that comes in the midst of a burst orders the work as the one before.
+#[test]
+fn place_in_burst_takeover() {
+    let (before, after) = compare(|features| Play::new(features, 200).with_takeover());
+    assert!(after.in_time_count >= before.in_time_count);
+    assert!(after.worth >= before.worth);
+}
+
+/// Without a burst the feature changes nothing.
+#[test]
+fn place_in_calm_as_without() {
+    let (before, after) = compare(|features| Play::new(features, 50));
+    assert_eq!(before, after);
+}
+
+/// What a flood took is free as soon as its callers have gone.
+#[test]
+fn cancel_flood_frees_room() {
+    let mut world = World::new(1, WORKERS_COUNT, Faults::default(), None);
+    world.run_lengths_percent = Some(60..140);
+    world.configure(configuration());
+    let short = &kinds()[0];
+    let flood: Vec<JobId> = (1..400)
+        .map(|number| {
+            let (id, record) = short.job(number, world.now_ms);
+            world.submit((id, record));
+            id
+        })
+        .collect();
+    world.run_for(200);
+    flood.into_iter().for_each(|id| world.cancel(id));
+    let begun_ms = world.now_ms;
+    let (id, record) = short.job(400, begun_ms);
+    world.submit((id, record));
+    while !world.done_ms.contains_key(&id) {
+        world.run_for(TURN_MS);
+        world.note_outcomes();
+        assert!(world.now_ms < begun_ms + short.limit_ms() + TURN_MS);
+    }
 }
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -3,9 +3,10 @@
 use super::worker::FakeWorker;
 use super::{configuration, job};
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, HoldReply,
-    JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler, SchedulerConfig,
-    StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts, WorkerKey,
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Features,
+    HoldReply, JobId, JobRecord, JobState, LifeStart, Recovered, RunningRun, Scheduler,
+    SchedulerConfig, StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Instant};
 
@@ -34,16 +35,24 @@
         advice: Option<AdvicePolicy>,
     ) -> Self {
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
-        let mut bench = Self::begin(config, recovered, advice);
-        bench.list_workers(workers);
+        Self::begin(config, recovered, advice).with_workers(workers)
+    }
+
+    pub fn with_features(features: Features, workers: &[FakeWorker]) -> Self {
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT).with_features(features);
+        Self::begin(config, Recovered::default(), None).with_workers(workers)
+    }
+
+    fn with_workers(mut self, workers: &[FakeWorker]) -> Self {
+        self.list_workers(workers);
         for worker in workers {
-            let key = bench
+            let key = self
                 .scheduler
                 .worker_key(&worker.id)
                 .expect("a listed worker");
-            bench.list(key, Vec::new());
+            self.list(key, Vec::new());
         }
-        bench
+        self
     }
 
     /// Begins a term after that of a leader which may act on for a while; no
