--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -78,6 +78,7 @@
     placeable_workers: Amount,
     capacity_millicores: Amount,
     used_millicores: Amount,
+    overloaded_services: Amount,
     waiting_gangs: Amount,
     awaited_workers: Amount,
     configuration_version: Amount,
@@ -120,6 +121,7 @@
             placeable_workers: Amount::default(),
             capacity_millicores: Amount::default(),
             used_millicores: Amount::default(),
+            overloaded_services: Amount::default(),
             waiting_gangs: Amount::default(),
             awaited_workers: Amount::default(),
             configuration_version: Amount::default(),
@@ -223,6 +225,11 @@
                 "What of it runs occupy",
                 &self.used_millicores,
             ),
+            (
+                "overloaded_services",
+                "Services that are short of room",
+                &self.overloaded_services,
+            ),
             (
                 "waiting_gangs",
                 "Gangs that workers are kept free for",
@@ -354,6 +361,7 @@
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
+        set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
         set(&self.awaited_workers, status.awaited_workers_count);
         self.capacity_millicores.set(status.capacity_milli as i64);
