Control: a job that surely would be worth nothing when it is done is refused at once

Cause: what can't be done before it is worth nothing was accepted all the same, and its caller learned of it minutes later or not at all.

Change: the leader forecasts four times a second, for each queue with jobs waiting in a service that is short of room, when another job would be done at the best. Nodes hear of it in the answers on jobs that were taken, and refuse a job (not taken, come back later) by a forecast that is at most a second old, of the leader of now, after the store has said that the job is not there. Callers are asked back once there is room, each at a moment of its own.

Ruled out: see docs/design/overload.md.

--- a/crates/control/src/decision_loop.rs
+++ b/crates/control/src/decision_loop.rs
@@ -150,6 +150,7 @@
         state.next_status_at = now + STATUS_PERIOD;
         let status = scheduler.status(now);
         node.metrics.note_status(&status);
+        node.metrics.note_forecast(scheduler.forecast(now).as_ref());
         node.metrics
             .note_worker_list_age(leading.beliefs.workers.age(now));
         node.metrics.note_lateness(state.lateness.current());
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -12,7 +12,8 @@
 use crate::store::{LeaseGrant, LeaseId, Store};
 use crate::{clock, decision_loop, leader_lease, recovery, step_down, watches};
 use ospreywing_scheduler::{
-    Configuration, Event, JobId, JobView, Recovered, Scheduler, SchedulerConfig, LANES_COUNT,
+    Configuration, Event, Forecast, JobId, JobView, Recovered, Scheduler, SchedulerConfig,
+    LANES_COUNT,
 };
 use ospreywing_types::{Duration, Instant};
 use slog::info;
@@ -92,6 +93,11 @@
         self.scheduler.borrow().pending_count(queue) as u64
     }
 
+    /// Returns what is forecast for jobs that are handed in now.
+    pub fn forecast(&self, now: Instant) -> Option<Forecast> {
+        self.scheduler.borrow().forecast(now)
+    }
+
     /// Gives up the lead after the commits that are open.
     pub async fn resign(&self) {
         self.is_resigned.set(true);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 //! decisions: it owns sockets, clocks and the store's calls, and speaks to the
 //! outside through the [`Platform`] trait alone.
 
+pub mod admission;
 mod caller;
 pub mod commit;
 pub mod configuration;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::platform::{CordonFault, EntryFault, Reply};
-use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
+use ospreywing_scheduler::{Decision, Forecast, SchedulerStatus, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,6 +42,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabels {
+    queue: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
@@ -64,6 +69,8 @@
     worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
     oldest_wait_ms: Family<WaitLabels, Amount>,
+    refused_by_forecast: Counter,
+    forecast_ms: Family<QueueLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -107,6 +114,8 @@
             worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
             oldest_wait_ms: Family::default(),
+            refused_by_forecast: Counter::default(),
+            forecast_ms: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -165,6 +174,16 @@
             "Cordons that are not followed, by reason",
             self.unusable_cordons.clone(),
         );
+        registry.register(
+            "refused_by_forecast",
+            "Jobs that were refused since they would be worth nothing when they are done",
+            self.refused_by_forecast.clone(),
+        );
+        registry.register(
+            "forecast_milliseconds",
+            "When a job would be done at the best that is handed in now, by queue",
+            self.forecast_ms.clone(),
+        );
         registry.register(
             "waiting_steps",
             "Steps that wait to start, by reason",
@@ -319,6 +338,23 @@
         self.store_call_s.observe(seconds_since(begun_at));
     }
 
+    /// Counts a job that was refused by a forecast.
+    pub fn note_refused_by_forecast(&self) {
+        self.refused_by_forecast.inc();
+    }
+
+    /// Notes the forecasts, which name few queues.
+    pub fn note_forecast(&self, forecast: Option<&Forecast>) {
+        self.forecast_ms.clear();
+        for queue in forecast.iter().flat_map(|forecast| &forecast.queues) {
+            let labels = QueueLabels {
+                queue: queue.queue.clone(),
+            };
+            let amount = self.forecast_ms.get_or_create(&labels);
+            amount.set(queue.done_ms as i64);
+        }
+    }
+
     /// Notes how many relays the leader uses.
     pub fn note_relays(&self, count: usize) {
         self.relays.set(count as i64);
@@ -346,6 +382,7 @@
             self.terms.inc();
         } else {
             self.note_status(&SchedulerStatus::default());
+            self.note_forecast(None);
             self.note_relays(0);
             self.note_lateness(Duration::ZERO);
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! A node's life, from start to stop.
 
+use crate::admission::ForecastView;
 use crate::clock;
 use crate::configuration::{self, ConfigurationView};
 use crate::election::{self, CellView};
@@ -139,6 +140,8 @@
     pub configuration: ConfigurationView<P>,
     /// Who leads, and who lives.
     pub cell: RefCell<CellView>,
+    /// What the leader forecasts for jobs that are handed in now.
+    pub forecasts: ForecastView,
     /// Told when the view of the cell has changed.
     pub cell_changed: Notify,
     /// The node's own term, while it leads.
@@ -256,6 +259,7 @@
         log,
         configuration: ConfigurationView::default(),
         cell: RefCell::new(CellView::default()),
+        forecasts: ForecastView::default(),
         cell_changed: Notify::new(),
         leading: RefCell::new(None),
         relay_server: RelayServer::default(),
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_http::{Call, HttpClient, HttpError};
-use ospreywing_scheduler::{JobId, JobRecord, JobView, StepKey};
+use ospreywing_scheduler::{Forecast, JobId, JobRecord, JobView, StepKey};
 use ospreywing_types::Duration;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -93,7 +93,7 @@
 }
 
 /// What it answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// The job's state, where the leader knows the job.
     Status(Option<JobView>),
@@ -121,6 +121,8 @@
     IdTaken,
     /// The configuration.
     Configuration(SharedConfiguration),
+    /// Noted, by a leader whose services are overloaded.
+    TakenInOverload(Forecast),
 }
 
 /// What a node tells another one of the configuration.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -10,7 +10,7 @@
 use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
-use crate::{clock, configuration_sharing, keys};
+use crate::{admission, clock, configuration_sharing, keys};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
 };
@@ -74,7 +74,10 @@
     let customer = record.customer.clone();
     let reply = match impossible_step(&record, configuration) {
         Some(step) => Reply::BeyondLimit { step },
-        None => write_or_forward(node, job, record, configuration.version).await,
+        None => match admission::refuse(node, job, &record, configuration).await {
+            Some(retry) => Reply::Unavailable(retry),
+            None => write_or_forward(node, job, record, configuration.version).await,
+        },
     };
     let word = match reply {
         Reply::Accepted => "accepted",
@@ -187,6 +190,9 @@
         IntakeOutcome::NotStored => JobWritten::NotStored,
         IntakeOutcome::Unknown => JobWritten::Unknown,
     };
+    if written == JobWritten::Unknown {
+        node.forecasts.note_doubt(clock::now());
+    }
     if written == JobWritten::Stored {
         node.note_contact();
         tell_leader(node, job, record.clone());
@@ -222,7 +228,15 @@
         let Some(leader) = find_leader(&node).await else {
             return;
         };
-        let _ = call_leader(&node, leader, &request).await;
+        let lease = leader.lease;
+        let asked_at = clock::now();
+        match call_leader(&node, leader, &request).await {
+            Ok(PeerReply::Taken) => node.forecasts.learn(lease, asked_at, None),
+            Ok(PeerReply::TakenInOverload(forecast)) => {
+                node.forecasts.learn(lease, asked_at, Some(forecast));
+            }
+            _ => {}
+        }
     });
 }
 
@@ -478,7 +492,8 @@
     match node.leading() {
         Some(leading) => {
             leading.tell(event);
-            PeerReply::Taken
+            let forecast = leading.forecast(clock::now());
+            forecast.map_or(PeerReply::Taken, PeerReply::TakenInOverload)
         }
         None => not_leader(node),
     }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a node's parts against a store in memory.
 
+mod admission;
 mod campaign;
 mod cordons;
 mod following;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 //! - a task is started again only after its last run has ended, can't start
 //!   any more, or has outlived every lease that was granted to its worker.
 
+mod admission;
 mod advice;
 mod adviser_load;
 mod advisers;
@@ -32,6 +33,7 @@
 mod event;
 mod evidence;
 mod features;
+mod forecast;
 mod gang_search;
 mod gangs;
 mod job;
@@ -61,6 +63,7 @@
 mod worker;
 mod worker_list;
 
+pub use admission::{Forecast, QueueForecast, Refusal, FORECAST_AGE_LIMIT};
 pub use config::{
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
     LANES_COUNT,
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -1,5 +1,6 @@
 //! The order in which waiting jobs are served.
 
+use crate::config::Queue;
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
 use crate::overload::Selection;
@@ -171,14 +172,18 @@
 
     /// Returns the time within which a job should be done, by its estimates.
     pub(crate) fn objective(&self, record: &JobRecord) -> Duration {
-        let queue = self.configuration.queue(&record.queue);
-        let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
-        let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
-        let chain = chain_ms(record, None) as f64;
-        Duration::from_ms((chain * stretch) as u64 + rest_ms)
+        objective_of(record, self.configuration.queue(&record.queue))
     }
 }
 
+/// Returns the time within which a job of a queue should be done, by its estimates.
+pub(crate) fn objective_of(record: &JobRecord, queue: Option<&Queue>) -> Duration {
+    let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
+    let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
+    let chain = chain_ms(record, None) as f64;
+    Duration::from_ms((chain * stretch) as u64 + rest_ms)
+}
+
 /// Returns when a job must start at the latest to be worth something.
 fn late_due(job: &Job) -> Instant {
     let worth_until = job.accepted_at + job.objective.times(LATE_FACTOR);
--- a/crates/scheduler/src/overload.rs
+++ b/crates/scheduler/src/overload.rs
@@ -7,6 +7,7 @@
 //! with what is left out, by the times until which late jobs are worth something.
 
 use ospreywing_types::{Duration, Resources};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -27,7 +28,7 @@
 const LENGTHS_COUNT: usize = 30;
 
 /// Amounts of resources, each times milliseconds, or as rates.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Amounts([f64; KINDS_COUNT]);
 
 impl Amounts {
@@ -52,7 +53,14 @@
         }
     }
 
-    fn min(self, other: Self) -> Self {
+    /// Returns whether each part is as much as another's or more, and any is more than nothing.
+    pub fn covers(self, other: Self) -> bool {
+        let mut parts = self.0.into_iter().zip(other.0);
+        self != Self::default() && parts.all(|(part, least)| part >= least)
+    }
+
+    /// Returns the smaller of both in each part.
+    pub fn min(self, other: Self) -> Self {
         let mut smaller = self;
         for (part, limit) in smaller.0.iter_mut().zip(other.0) {
             *part = part.min(limit);
@@ -60,6 +68,30 @@
         smaller
     }
 
+    fn plus(mut self, other: Self) -> Self {
+        self.add(other);
+        self
+    }
+
+    fn at_least_zero(self) -> Self {
+        Self(self.0.map(|part| part.max(0.0)))
+    }
+
+    fn is_within(self, room: Self) -> bool {
+        let mut parts = self.0.into_iter().zip(room.0);
+        parts.all(|(part, whole)| part <= whole)
+    }
+
+    /// Returns the time until each part is there, where some is and more comes at a rate.
+    fn time_for(self, there: Self, rate: Self) -> f64 {
+        let parts = self.0.into_iter().zip(there.0).zip(rate.0);
+        let times = parts.map(|((part, there), rate)| match part - there {
+            missing if missing > 0.0 => missing / rate,
+            _ => 0.0,
+        });
+        times.fold(0.0, f64::max)
+    }
+
     fn subtract(&mut self, other: Self) {
         for (part, less) in self.0.iter_mut().zip(other.0) {
             *part -= less;
@@ -82,6 +114,17 @@
     }
 }
 
+/// A run that takes room for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct LastingRun {
+    /// How important it is; 0 is most.
+    pub priority: u32,
+    /// What it takes.
+    pub rate: Amounts,
+    /// For how long it surely does.
+    pub left: Duration,
+}
+
 /// What of a service's room is taken by what runs there, for how long.
 #[derive(Clone, Debug, Default)]
 pub struct Occupancy {
@@ -212,6 +255,39 @@
         self.contenders.push(contender);
     }
 
+    /// Returns the jobs that wait, in the order in which they were selected.
+    pub fn contenders(&self) -> &[Contender<K>] {
+        &self.contenders
+    }
+
+    /// Returns when so much could be done at the best beside runs that end one after the
+    /// other, with all of the room; at most `latest`.
+    pub fn done_after<'a>(
+        &self,
+        runs: impl Iterator<Item = &'a LastingRun>,
+        needed: Amounts,
+        latest: Duration,
+    ) -> Duration {
+        let runs: Vec<&LastingRun> = runs.collect();
+        let mut free = self.capacity;
+        runs.iter().for_each(|run| free.subtract(run.rate));
+        let mut room = Amounts::default();
+        let mut from_ms = 0;
+        for run in runs {
+            let until_ms = run.left.as_ms();
+            let more = free.at_least_zero().times((until_ms - from_ms) as f64);
+            if needed.is_within(room.plus(more)) {
+                break;
+            }
+            room = room.plus(more);
+            free.add(run.rate);
+            from_ms = until_ms;
+        }
+        let rest_ms = needed.time_for(room, free.at_least_zero());
+        let done_ms = from_ms as f64 + rest_ms;
+        Duration::from_ms(done_ms.min(latest.as_ms() as f64) as u64)
+    }
+
     /// Returns how much of the usable room is needed for all jobs, in percent, at the worst of
     /// the objectives. What is late already is due within a second.
     pub fn load_percent(&mut self) -> u64 {
--- a/crates/scheduler/src/overloads.rs
+++ b/crates/scheduler/src/overloads.rs
@@ -3,6 +3,7 @@
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
+use crate::features::Feature;
 use crate::job::{JobId, StepSpec};
 use crate::jobs::Job;
 use crate::order::LATE_FACTOR;
@@ -101,21 +102,33 @@
         out: &mut Vec<Action>,
     ) -> OverloadRanks {
         let mut ranks = OverloadRanks::new();
+        let has_admission = self.config.features.has(Feature::Admission);
+        let is_sure = !self.has_store_trouble;
+        let is_forecast_due = has_admission && is_sure && self.forecasts.are_due(now);
+        let mut forecasts = Vec::new();
         for jobs in self.jobs_of_full_services(now, cycle) {
             let mut demand = Demand::new(jobs.capacity, jobs.occupancy);
             jobs.contenders.into_iter().for_each(|it| demand.push(it));
             let load_percent = demand.load_percent();
-            if self.note_load(now, &jobs.service, load_percent, out) {
-                let aged = jobs.aged.map(|(_, id)| id);
-                ranks.extend(demand.select().into_iter().map(|selected| {
-                    let rank = OverloadRank {
-                        selection: selected.selection,
-                        size_us: selected.size_us,
-                        is_aged: aged == Some(selected.key),
-                    };
-                    (selected.key, rank)
-                }));
+            if !self.note_load(now, &jobs.service, load_percent, out) {
+                continue;
             }
+            let selected = demand.select();
+            if is_forecast_due {
+                forecasts.extend(self.forecasts_of(now, &jobs.service, &demand, &selected));
+            }
+            let aged = jobs.aged.map(|(_, id)| id);
+            ranks.extend(selected.into_iter().map(|selected| {
+                let rank = OverloadRank {
+                    selection: selected.selection,
+                    size_us: selected.size_us,
+                    is_aged: aged == Some(selected.key),
+                };
+                (selected.key, rank)
+            }));
+        }
+        if is_forecast_due {
+            self.forecasts.replace(now, forecasts);
         }
         ranks
     }
@@ -123,6 +136,7 @@
     /// Notes that no service is short of room: nothing waits.
     pub(crate) fn end_overloads(&mut self) {
         self.overloads.overloads.clear();
+        self.forecasts.clear();
     }
 
     /// Takes in a service's load; returns whether it is overloaded.
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -63,6 +63,7 @@
         self.waits.begin_cycle();
         if self.are_starts_held {
             self.last_cycle = CycleSummary::default();
+            self.end_overloads();
             return 0;
         }
         let mut order = self.service_order(now, &OverloadRanks::new());
@@ -74,9 +75,11 @@
             return 0;
         }
         let mut cycle = self.new_cycle(now);
-        if self.config.features.has(Feature::OverloadOrder) {
+        let features = self.config.features;
+        let has_order = features.has(Feature::OverloadOrder);
+        if has_order || features.has(Feature::Admission) {
             let ranks = self.rank_overloaded(now, &cycle, out);
-            if !ranks.is_empty() {
+            if has_order && !ranks.is_empty() {
                 order = self.service_order(now, &ranks);
             }
         }
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Configuration, SchedulerConfig};
 use crate::cordons::Cordons;
+use crate::forecast::Forecasts;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::life::LifeStart;
@@ -53,6 +54,7 @@
     ) -> Self {
         let mut scheduler = Self::empty(config, configuration);
         scheduler.inherited_until = lease_bound(now, config.inherited_limit);
+        scheduler.forecasts = Forecasts::new(now);
         scheduler.wall_ms = recovered.wall_ms;
         scheduler.cordons = Cordons::new(recovered.cordons);
         scheduler.unreadable = recovered.unreadable.into_iter().collect();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
+use crate::forecast::Forecasts;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::names::Names;
@@ -67,6 +68,8 @@
     pub waiting_gangs_count: usize,
     /// Services that are short of room.
     pub overloaded_services_count: usize,
+    /// Queues of which a forecast is told.
+    pub forecast_queues_count: usize,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -109,6 +112,8 @@
     pub(crate) last_cycle: CycleSummary,
     /// The services that were short of room then.
     pub(crate) overloads: Overloads,
+    /// When the queues of these could do another job.
+    pub(crate) forecasts: Forecasts,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
     /// When every lease that an earlier leader granted is certainly over. A lease
@@ -157,6 +162,7 @@
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
             overloads: Overloads::default(),
+            forecasts: Forecasts::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
             inherited_until: Instant::default(),
@@ -203,7 +209,10 @@
                 self.on_advice_answered(now, step, &named, reply, out);
             }
             Event::Committed { lane } => self.on_committed(now, lane as usize, out),
-            Event::StoreTrouble(has_trouble) => self.has_store_trouble = has_trouble,
+            Event::StoreTrouble(has_trouble) => {
+                self.has_store_trouble = has_trouble;
+                self.forecasts.note_unsure(now);
+            }
             Event::WallClock(wall_ms) => self.begin_due_rounds(wall_ms),
             Event::Tick => self.on_tick(now, out),
         }
@@ -285,6 +294,7 @@
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
             overloaded_services_count: self.overloads.len(),
+            forecast_queues_count: self.forecasts.len(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler: single cases, and searches over interleavings.
 
+mod admission;
 mod advice_calls;
 mod awaiting;
 mod cases;
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -9,8 +9,8 @@
 use super::worker::FakeWorker;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
-    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
-    StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Features, Forecast, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
+    SchedulerConfig, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -387,6 +387,12 @@
         self.tell_all(Event::CancelAccepted { job: id });
     }
 
+    /// Returns what the leader forecasts.
+    pub fn forecast(&self) -> Option<Forecast> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.forecast(self.now())
+    }
+
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let leader = self.leaders.last()?;
         leader.scheduler.job(id).map(|view| view.phase)
