--- a/crates/scheduler/src/overloads.rs
+++ b/crates/scheduler/src/overloads.rs
@@ -20,6 +20,11 @@
 /// A service with less of its room in use than this part is not overloaded, whatever waits:
 /// what has room there is to start.
 const LEAST_USED_SHARE: f64 = 0.5;
+/// The jobs for which the look for services that are short of room may take a millisecond of
+/// the time until the next, so that looks take a part of the leader's time that is bounded
+/// however many jobs wait. A job that comes in between has the place that it would have
+/// without.
+const RANKED_JOBS_PER_MS: u64 = 25;
 /// How long a service counts as overloaded at least.
 const LEAST_TIME: Duration = Duration::from_ms(1000);
 /// A job whose objective has been over for so long is served before all others of its
@@ -35,6 +40,10 @@
 /// How long a job's records and orders take besides its work.
 const WAYS: Duration = Duration::from_ms(100);
 
+/// What is added to the priority of work beyond its customer's share, so that it is left out
+/// first: more than any queue's.
+const BEYOND_SHARE_PRIORITY: u32 = 1 << 16;
+
 /// What a job needs besides what it has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct JobNeed {
@@ -57,9 +66,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct Overloads {
     overloads: Vec<Overload>,
+    /// The places of their jobs, as they were last worked out.
+    ranks: OverloadRanks,
+    /// When they are worked out again.
+    next_at: Instant,
 }
 
 impl Overloads {
+    /// Returns the places of the jobs of services that are short of room, where there are any.
+    pub(crate) const fn ranks(&self) -> &OverloadRanks {
+        &self.ranks
+    }
+
     /// Returns how many services are short of room.
     pub(crate) const fn len(&self) -> usize {
         self.overloads.len()
@@ -94,12 +112,27 @@
 }
 
 impl Scheduler {
-    /// Finds the services that are short of room; returns the places of their jobs.
+    /// Finds the services that are short of room and works out the places of their jobs, where
+    /// that is due.
     pub(crate) fn rank_overloaded(
         &mut self,
         now: Instant,
         cycle: &SchedulingCycle,
         out: &mut Vec<Action>,
+    ) {
+        if now < self.overloads.next_at {
+            return;
+        }
+        let rest_ms = self.active.len() as u64 / RANKED_JOBS_PER_MS;
+        self.overloads.next_at = now + Duration::from_ms(rest_ms);
+        self.overloads.ranks = self.new_ranks(now, cycle, out);
+    }
+
+    fn new_ranks(
+        &mut self,
+        now: Instant,
+        cycle: &SchedulingCycle,
+        out: &mut Vec<Action>,
     ) -> OverloadRanks {
         let mut ranks = OverloadRanks::new();
         let has_admission = self.config.features.has(Feature::Admission);
@@ -136,6 +169,7 @@
     /// Notes that no service is short of room: nothing waits.
     pub(crate) fn end_overloads(&mut self) {
         self.overloads.overloads.clear();
+        self.overloads.ranks.clear();
         self.forecasts.clear();
     }
 
@@ -279,7 +313,7 @@
     let left_until = |end: Instant| (now <= end).then(|| end.since(now));
     Contender {
         key: id,
-        priority: job.rank.0,
+        priority: job.rank.0 + u32::from(job.is_beyond_share) * BEYOND_SHARE_PRIORITY,
         work: need.waiting,
         chain: Duration::from_ms(job.left_ms * LIKELY_PERCENT / 100) + WAYS,
         time_left: left_until(job.accepted_at + job.objective),
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -78,10 +78,11 @@
         let features = self.config.features;
         let has_order = features.has(Feature::OverloadOrder);
         if has_order || features.has(Feature::Admission) {
-            let ranks = self.rank_overloaded(now, &cycle, out);
-            if has_order && !ranks.is_empty() {
-                order = self.service_order(now, &ranks);
-            }
+            self.rank_overloaded(now, &cycle, out);
+        }
+        let ranks = self.overloads.ranks();
+        if has_order && !ranks.is_empty() {
+            order = self.service_order(now, ranks);
         }
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
--- a/crates/scheduler/tests/scheduler/overload.rs
+++ b/crates/scheduler/tests/scheduler/overload.rs
@@ -7,6 +7,8 @@
 };
 use ospreywing_scheduler::{EndKind, EndedRun, Event, Feature, Features};
 use ospreywing_types::{Duration, Resources};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 
 const CAPACITY: Resources = Resources::new(10_000, 10_000, 10);
 
@@ -128,6 +130,105 @@
     assert_eq!(demand.select().len(), 1);
 }
 
+/// A way to choose the next job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// The one that is due first.
+    SoonestDue,
+    /// The one that needs least.
+    Smallest,
+    /// As the module chooses, the one of these first that is due first.
+    Selected,
+}
+
+/// A job of a load: when it comes, how long it takes all of the room, and when it is due.
+#[derive(Clone, Copy, Debug)]
+struct LoadJob {
+    at_ms: u64,
+    whole_ms: u64,
+    due_ms: u64,
+}
+
+/// Returns a load of twice the room for ten seconds.
+fn load(seed: u64) -> Vec<LoadJob> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    let mut at_ms = 0;
+    while at_ms < 10_000 {
+        let whole_ms = [20, 20, 20, 60, 200][rng.random_range(0..5)];
+        let due_ms = at_ms + 100 + whole_ms * 3;
+        jobs.push(LoadJob {
+            at_ms,
+            whole_ms,
+            due_ms,
+        });
+        at_ms += rng.random_range(0..64);
+    }
+    jobs
+}
+
+/// Serves a load job by job; returns how many are in time.
+fn serve(jobs: &[LoadJob], way: Way) -> usize {
+    let mut waiting: Vec<LoadJob> = Vec::new();
+    let mut coming = jobs.iter().copied().peekable();
+    let (mut now_ms, mut in_time_count) = (0, 0);
+    loop {
+        while let Some(job) = coming.next_if(|job| job.at_ms <= now_ms) {
+            waiting.push(job);
+        }
+        let Some(index) = choose(&waiting, now_ms, way) else {
+            let Some(next) = coming.peek() else {
+                return in_time_count;
+            };
+            now_ms = next.at_ms;
+            continue;
+        };
+        let job = waiting.swap_remove(index);
+        now_ms += job.whole_ms;
+        in_time_count += usize::from(now_ms <= job.due_ms);
+    }
+}
+
+fn choose(waiting: &[LoadJob], now_ms: u64, way: Way) -> Option<usize> {
+    let indices = 0..waiting.len();
+    match way {
+        Way::SoonestDue => indices.min_by_key(|index| waiting[*index].due_ms),
+        Way::Smallest => indices.min_by_key(|index| waiting[*index].whole_ms),
+        Way::Selected => {
+            let mut demand = Demand::new(Amounts::of(&CAPACITY), Occupancy::default());
+            for (index, job) in waiting.iter().enumerate() {
+                let left_ms = job.due_ms.checked_sub(now_ms);
+                demand.push(Contender {
+                    key: index,
+                    priority: 1,
+                    work: Amounts::of(&CAPACITY).times(job.whole_ms as f64),
+                    chain: Duration::from_ms(job.whole_ms),
+                    time_left: left_ms.map(Duration::from_ms),
+                    worth_left: None,
+                });
+            }
+            let is_in_time = |it: &Selection| matches!(it, Selection::InTime | Selection::CanWait);
+            let selected = demand.select();
+            let first = selected
+                .iter()
+                .min_by_key(|it| (!is_in_time(&it.selection), waiting[it.key].due_ms));
+            first.map(|it| it.key)
+        }
+    }
+}
+
+/// Under twice the room, what the module chooses has more jobs in time than the one that is
+/// due first, and than the smallest first.
+#[test]
+fn select_beats_other_ways() {
+    let served = |way| (0..20).map(|seed| serve(&load(seed), way)).sum::<usize>();
+    let [due, smallest, selected] = [Way::SoonestDue, Way::Smallest, Way::Selected].map(served);
+    let all: usize = (0..20).map(|seed| load(seed).len()).sum();
+    println!("of {all}: {due} soonest due, {smallest} smallest, {selected} selected");
+    assert!(selected > due);
+    assert!(selected > smallest);
+}
+
 /// What the wall clock shows.
 const WALL_MS: u64 = 100_000;
 /// The age of a job of a second whose objective, 3 s, has been over for longer than any job of
