--- a/crates/scheduler/src/overloads.rs
+++ b/crates/scheduler/src/overloads.rs
@@ -27,10 +27,12 @@
 const RANKED_JOBS_PER_MS: u64 = 25;
 /// How long a service counts as overloaded at least.
 const LEAST_TIME: Duration = Duration::from_ms(1000);
-/// A job whose objective has been over for so long is served before all others of its
-/// service, the one that was accepted first at a time. Most callers have gone by then, but
-/// the job was accepted.
+/// A job whose objective has been over for so long has a turn before all others of its
+/// service, and again after as long; of several the one that was accepted first. Most callers
+/// have gone by then, but the job was accepted.
 const AGED_AFTER: Duration = Duration::from_s(30);
+/// How long a turn is: a gang that never fits must not keep room from others for ever.
+const AGED_TURN: Duration = Duration::from_s(5);
 /// The part of a run's length that is left of it, taken over all that run.
 const LEFT_PART: f64 = 0.5;
 
@@ -301,9 +303,11 @@
 impl ServiceJobs {
     fn note_aged(&mut self, now: Instant, id: JobId, job: &Job) {
         let has_ready = job.ready.as_ref().is_some_and(|steps| !steps.is_empty());
-        let is_aged = now >= job.accepted_at + job.objective + AGED_AFTER;
+        let late_ms = now.since(job.accepted_at + job.objective).as_ms();
+        let has_turn =
+            late_ms >= AGED_AFTER.as_ms() && late_ms % AGED_AFTER.as_ms() < AGED_TURN.as_ms();
         let is_first = self.aged.is_none_or(|first| (job.accepted_at, id) < first);
-        if has_ready && is_aged && is_first {
+        if has_ready && has_turn && is_first {
             self.aged = Some((job.accepted_at, id));
         }
     }
--- a/crates/scheduler/tests/scheduler/overload.rs
+++ b/crates/scheduler/tests/scheduler/overload.rs
@@ -6,7 +6,7 @@
     Amounts, Contender, Demand, Occupancy, Selection, ENTER_LOAD_PERCENT, LEAVE_LOAD_PERCENT,
 };
 use ospreywing_scheduler::{EndKind, EndedRun, Event, Feature, Features};
-use ospreywing_types::{Duration, Resources};
+use ospreywing_types::{Duration, Instant, Resources};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -239,8 +239,11 @@
 /// jobs are there that are older by so much.
 fn started_in_overload(features: Features, ages_ms: &[u64]) -> Vec<u64> {
     let joining = workers(2);
-    let mut bench = Bench::with_features(features, &joining);
+    let mut bench = Bench::with_features(features, &[]);
+    // Jobs may be as old as the clock tells.
+    bench.now = Instant::from_ms(WALL_MS);
     bench.tell(Event::WallClock(WALL_MS));
+    let mut bench = bench.with_workers(&joining);
     let mut jobs = vec![0];
     jobs.extend(ages_ms);
     for (number, age_ms) in jobs.into_iter().enumerate() {
@@ -278,6 +281,17 @@
     assert_eq!(started_in_overload(off, &ages_ms), [1, 1]);
 }
 
+/// A turn ends, so that a gang that never fits does not keep room from others for ever, and
+/// comes again.
+#[test]
+fn service_order_aged_in_turns() {
+    let turn_over_ms = 3_000 + 36_000;
+    let next_turn_ms = 3_000 + 61_000;
+    let first_started = |aged_ms| started_in_overload(Features::default(), &[0, 0, aged_ms, 0])[0];
+    assert_ne!(first_started(turn_over_ms), 3);
+    assert_eq!(first_started(next_turn_ms), 3);
+}
+
 /// What is past all worth comes after what is late, and that after what can be in time.
 #[test]
 fn service_order_overdue_last() {
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -43,7 +43,7 @@
         Self::begin(config, Recovered::default(), None).with_workers(workers)
     }
 
-    fn with_workers(mut self, workers: &[FakeWorker]) -> Self {
+    pub fn with_workers(mut self, workers: &[FakeWorker]) -> Self {
         self.list_workers(workers);
         for worker in workers {
             let key = self
