--- a/crates/scheduler/src/overloads.rs
+++ b/crates/scheduler/src/overloads.rs
@@ -84,10 +84,6 @@
     pub(crate) const fn len(&self) -> usize {
         self.overloads.len()
     }
-
-    fn position(&self, service: &str) -> Option<usize> {
-        self.overloads.iter().position(|it| *it.service == *service)
-    }
 }
 
 /// The place of a job of an overloaded service.
@@ -141,7 +137,7 @@
         let is_sure = !self.has_store_trouble;
         let is_forecast_due = has_admission && is_sure && self.forecasts.are_due(now);
         let mut forecasts = Vec::new();
-        for jobs in self.jobs_of_full_services(now, cycle) {
+        for jobs in self.jobs_of_full_services(now, cycle, out) {
             let mut demand = Demand::new(jobs.capacity, jobs.occupancy);
             jobs.contenders.into_iter().for_each(|it| demand.push(it));
             let load_percent = demand.load_percent();
@@ -169,12 +165,25 @@
     }
 
     /// Notes that no service is short of room: nothing waits.
-    pub(crate) fn end_overloads(&mut self) {
-        self.overloads.overloads.clear();
+    pub(crate) fn end_overloads(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.end_overloads_but(now, &[], out);
         self.overloads.ranks.clear();
         self.forecasts.clear();
     }
 
+    /// Notes that none but these services are short of room, unless one was found to be a
+    /// short while ago: it would be told to and fro otherwise.
+    fn end_overloads_but(&mut self, now: Instant, full: &[ServiceJobs], out: &mut Vec<Action>) {
+        self.overloads.overloads.retain(|overload| {
+            let is_full = full.iter().any(|it| it.service == overload.service);
+            let is_kept = is_full || now.since(overload.since) < LEAST_TIME;
+            if !is_kept {
+                out.push(Action::Log(ended_line(&overload.service)));
+            }
+            is_kept
+        });
+    }
+
     /// Takes in a service's load; returns whether it is overloaded.
     fn note_load(
         &mut self,
@@ -183,34 +192,38 @@
         load_percent: u64,
         out: &mut Vec<Action>,
     ) -> bool {
-        let overloads = &mut self.overloads;
-        let position = overloads.position(service);
-        let reason = match position {
-            None if load_percent > ENTER_LOAD_PERCENT => {
-                overloads.overloads.push(Overload {
-                    service: service.clone(),
+        let overloads = &mut self.overloads.overloads;
+        let position = overloads.iter().position(|it| it.service == *service);
+        let Some(index) = position else {
+            let is_overloaded = load_percent > ENTER_LOAD_PERCENT;
+            if is_overloaded {
+                let service = service.clone();
+                let line = Decision::new(DecisionKind::Overload, "overloaded");
+                let line = line.with_service(&service).with_figure(load_percent);
+                out.push(Action::Log(line));
+                overloads.push(Overload {
+                    service,
                     since: now,
                 });
-                "overloaded"
             }
-            Some(index)
-                if load_percent < LEAVE_LOAD_PERCENT
-                    && now.since(overloads.overloads[index].since) >= LEAST_TIME =>
-            {
-                overloads.overloads.swap_remove(index);
-                "room suffices again"
-            }
-            _ => return position.is_some(),
+            return is_overloaded;
         };
-        let line = Decision::new(DecisionKind::Overload, reason);
-        out.push(Action::Log(
-            line.with_service(service).with_figure(load_percent),
-        ));
-        position.is_none()
+        let is_young = now.since(overloads[index].since) < LEAST_TIME;
+        let is_overloaded = is_young || load_percent >= LEAVE_LOAD_PERCENT;
+        if !is_overloaded {
+            overloads.swap_remove(index);
+            out.push(Action::Log(ended_line(service)));
+        }
+        is_overloaded
     }
 
     /// Returns what waits and runs in each service whose room is mostly in use.
-    fn jobs_of_full_services(&mut self, now: Instant, cycle: &SchedulingCycle) -> Vec<ServiceJobs> {
+    fn jobs_of_full_services(
+        &mut self,
+        now: Instant,
+        cycle: &SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) -> Vec<ServiceJobs> {
         let mut services: Vec<ServiceJobs> = cycle
             .rooms()
             .filter(|room| room.used_share() >= LEAST_USED_SHARE)
@@ -222,10 +235,7 @@
                 aged: None,
             })
             .collect();
-        self.overloads.overloads.retain(|overload| {
-            let mut full = services.iter();
-            full.any(|it| it.service == overload.service)
-        });
+        self.end_overloads_but(now, &services, out);
         if services.is_empty() {
             return services;
         }
@@ -313,6 +323,11 @@
     }
 }
 
+fn ended_line(service: &Arc<str>) -> Decision {
+    let line = Decision::new(DecisionKind::Overload, "room suffices again");
+    line.with_service(service)
+}
+
 fn contender(now: Instant, id: JobId, job: &Job, need: JobNeed) -> Contender<JobId> {
     let left_until = |end: Instant| (now <= end).then(|| end.since(now));
     Contender {
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -63,7 +63,7 @@
         self.waits.begin_cycle();
         if self.are_starts_held {
             self.last_cycle = CycleSummary::default();
-            self.end_overloads();
+            self.end_overloads(now, out);
             return 0;
         }
         let mut order = self.service_order(now, &OverloadRanks::new());
@@ -71,7 +71,7 @@
         // costs.
         if !self.has_ready_step(&order) {
             self.last_cycle = CycleSummary::default();
-            self.end_overloads();
+            self.end_overloads(now, out);
             return 0;
         }
         let mut cycle = self.new_cycle(now);
