--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::platform::{CordonFault, EntryFault, Reply};
-use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
+use ospreywing_scheduler::{Decision, Forecast, SchedulerStatus, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,6 +42,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabels {
+    queue: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
@@ -64,6 +69,8 @@
     worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
     oldest_wait_ms: Family<WaitLabels, Amount>,
+    refused_by_forecast: Counter,
+    forecast_ms: Family<QueueLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -78,6 +85,7 @@
     placeable_workers: Amount,
     capacity_millicores: Amount,
     used_millicores: Amount,
+    overloaded_services: Amount,
     waiting_gangs: Amount,
     limit_reservations: Amount,
     awaited_workers: Amount,
@@ -114,6 +122,8 @@
             worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
             oldest_wait_ms: Family::default(),
+            refused_by_forecast: Counter::default(),
+            forecast_ms: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -128,6 +138,7 @@
             placeable_workers: Amount::default(),
             capacity_millicores: Amount::default(),
             used_millicores: Amount::default(),
+            overloaded_services: Amount::default(),
             waiting_gangs: Amount::default(),
             limit_reservations: Amount::default(),
             awaited_workers: Amount::default(),
@@ -179,6 +190,16 @@
             "Cordons that are not followed, by reason",
             self.unusable_cordons.clone(),
         );
+        registry.register(
+            "refused_by_forecast",
+            "Jobs that were refused since they would be worth nothing when they are done",
+            self.refused_by_forecast.clone(),
+        );
+        registry.register(
+            "forecast_milliseconds",
+            "When a job would be done at the best that is handed in now, by queue",
+            self.forecast_ms.clone(),
+        );
         registry.register(
             "waiting_steps",
             "Steps that wait to start, by reason",
@@ -239,6 +260,11 @@
                 "What of it runs occupy",
                 &self.used_millicores,
             ),
+            (
+                "overloaded_services",
+                "Services that are short of room",
+                &self.overloaded_services,
+            ),
             (
                 "waiting_gangs",
                 "Gangs that workers are kept free for",
@@ -368,6 +394,23 @@
         self.store_call_s.observe(seconds_since(begun_at));
     }
 
+    /// Counts a job that was refused by a forecast.
+    pub fn note_refused_by_forecast(&self) {
+        self.refused_by_forecast.inc();
+    }
+
+    /// Notes the forecasts, which name few queues.
+    pub fn note_forecast(&self, forecast: Option<&Forecast>) {
+        self.forecast_ms.clear();
+        for queue in forecast.iter().flat_map(|forecast| &forecast.queues) {
+            let labels = QueueLabels {
+                queue: queue.queue.clone(),
+            };
+            let amount = self.forecast_ms.get_or_create(&labels);
+            amount.set(queue.done_ms as i64);
+        }
+    }
+
     /// Notes how many relays the leader uses.
     pub fn note_relays(&self, count: usize) {
         self.relays.set(count as i64);
@@ -395,6 +438,7 @@
             self.terms.inc();
         } else {
             self.note_status(&SchedulerStatus::default());
+            self.note_forecast(None);
             self.note_relays(0);
             self.note_lateness(Duration::ZERO);
         }
@@ -410,6 +454,7 @@
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
+        set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
         set(&self.limit_reservations, status.limit_reservations_count);
         set(&self.awaited_workers, status.awaited_workers_count);
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_http::{Call, HttpClient, HttpError};
-use ospreywing_scheduler::{JobId, JobRecord, JobView, Learned, StepKey};
+use ospreywing_scheduler::{Forecast, JobId, JobRecord, JobView, Learned, StepKey};
 use ospreywing_types::Duration;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -97,7 +97,7 @@
 }
 
 /// What it answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// The job's state, where the leader knows the job.
     Status(Option<JobView>),
@@ -127,6 +127,8 @@
     Configuration(SharedConfiguration),
     /// Whether the leader leaves calls unanswered.
     LeaderSilent(bool),
+    /// Noted, by a leader whose services are overloaded.
+    TakenInOverload(Forecast),
 }
 
 /// What a node tells another one of the configuration.
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -3,6 +3,7 @@
 
 use crate::customers::CustomerKey;
 use crate::dominant::Room;
+use crate::overload::Amounts;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
@@ -30,6 +31,23 @@
     /// What they hold together, and what of it was free when the cycle began.
     capacity: Room,
     free: Room,
+    /// What of it is taken.
+    used: Room,
+}
+
+/// The room of one service, as it was when a cycle began.
+pub(crate) struct ServiceRoom<'a> {
+    pub(crate) service: &'a Arc<str>,
+    /// What its workers hold.
+    pub(crate) capacity: Amounts,
+    used: Amounts,
+}
+
+impl ServiceRoom<'_> {
+    /// Returns the part of the room that is taken, by the scarcest resource.
+    pub(crate) fn used_share(&self) -> f64 {
+        self.used.share_of(self.capacity)
+    }
 }
 
 /// The state of one scheduling cycle, in which every waiting step is looked at.
@@ -149,6 +167,15 @@
         }
     }
 
+    /// Returns the rooms of all services, as they were when the cycle began.
+    pub(crate) fn rooms(&self) -> impl Iterator<Item = ServiceRoom<'_>> {
+        self.pools.iter().map(|pool| ServiceRoom {
+            service: &pool.service,
+            capacity: Amounts::of_room(&pool.capacity),
+            used: Amounts::of_room(&pool.used),
+        })
+    }
+
     fn pool(&self, service: &Arc<str>) -> Option<&Pool> {
         self.pools.iter().find(|pool| pool.service == *service)
     }
@@ -162,6 +189,7 @@
                 largest: Resources::ZERO,
                 capacity: Room::default(),
                 free: Room::default(),
+                used: Room::default(),
             });
             self.pools.len() - 1
         });
@@ -198,6 +226,7 @@
                 pool.capacity.add(&worker.facts.capacity, 1);
                 pool.free.add(&worker.free(), 1);
                 pool.largest = pool.largest.max(worker.facts.capacity);
+                pool.used.add(&worker.used, 1);
             }
         }
         cycle
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -62,6 +62,8 @@
     Share,
     /// A data centre was cordoned, or is not any more.
     Cordon,
+    /// A service is short of room, or is not any more.
+    Overload,
 }
 
 impl DecisionKind {
@@ -95,6 +97,7 @@
             Self::Configured => "configured",
             Self::Share => "share",
             Self::Cordon => "cordon",
+            Self::Overload => "overload",
         }
     }
 }
@@ -125,6 +128,8 @@
     pub data_centre: Option<Arc<str>>,
     /// The job's queue, where the job is named for the first time in a term.
     pub queue: Option<Arc<str>>,
+    /// The service, where a whole one is concerned.
+    pub service: Option<Arc<str>>,
     /// The customer, and what it has running and may have, where that decides.
     pub customer: Option<CustomerUse>,
     /// The reservation of the customer's limit, where there is one.
@@ -148,6 +153,7 @@
             worker: None,
             data_centre: None,
             queue: None,
+            service: None,
             customer: None,
             reserved: None,
             reason,
@@ -187,6 +193,12 @@
         self
     }
 
+    /// Names the service.
+    pub fn with_service(mut self, service: &Arc<str>) -> Self {
+        self.service = Some(service.clone());
+        self
+    }
+
     /// Names the customer and its use.
     pub fn with_customer(mut self, customer: CustomerUse) -> Self {
         self.customer = Some(customer);
--- a/crates/scheduler/src/dominant.rs
+++ b/crates/scheduler/src/dominant.rs
@@ -16,6 +16,11 @@
 }
 
 impl Room {
+    /// Returns the processors, the memory and the accelerators.
+    pub(crate) const fn parts(&self) -> [u64; 3] {
+        [self.cores_milli, self.memory_mib, self.accelerators_count]
+    }
+
     /// Adds so many times an amount.
     pub(crate) fn add(&mut self, amount: &Resources, count: usize) {
         let count = count as u64;
--- a/crates/scheduler/src/durations.rs
+++ b/crates/scheduler/src/durations.rs
@@ -54,7 +54,7 @@
 
 /// What a step's tasks should take on a worker of usual speed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Forecast {
+pub struct LengthForecast {
     /// The time that is surely needed: one step in ten takes less.
     pub sure: Duration,
     /// The median.
@@ -67,7 +67,7 @@
     pub age: Duration,
 }
 
-impl Forecast {
+impl LengthForecast {
     /// Returns the standard deviation of the logarithm of what steps really take.
     pub fn spread(&self) -> f64 {
         let ratio = self.late.as_ms().max(1) as f64 / self.sure.as_ms().max(1) as f64;
@@ -273,7 +273,12 @@
         self.has_inherited_ratios || self.ratios.count() >= least_count
     }
 
-    fn forecast(&self, now: Instant, estimate: Duration, least_count: u64) -> Option<Forecast> {
+    fn forecast(
+        &self,
+        now: Instant,
+        estimate: Duration,
+        least_count: u64,
+    ) -> Option<LengthForecast> {
         let count = self.count();
         let age = now.since(self.last_at);
         if count < least_count || age > AGE_LIMIT {
@@ -294,7 +299,7 @@
             let blended = (by_ratio + length_weight * length_ln) / (ratio_weight + length_weight);
             Duration::from_ms(blended.exp().round() as u64)
         };
-        Some(Forecast {
+        Some(LengthForecast {
             sure: blend(ratio.sure, length.sure),
             likely: blend(ratio.likely, length.likely),
             late: blend(ratio.late, length.late),
@@ -360,7 +365,7 @@
     }
 
     /// Returns a forecast whether or not those before were any good.
-    fn raw_forecast(&self, now: Instant, kind: LengthKind) -> Option<Forecast> {
+    fn raw_forecast(&self, now: Instant, kind: LengthKind) -> Option<LengthForecast> {
         let of_size = self.sizes.get(&(kind.is_gang, kind.size()));
         let of_size = of_size.and_then(|it| it.forecast(now, kind.estimate, CLASS_LEAST_COUNT));
         of_size.or_else(|| {
@@ -411,7 +416,7 @@
 
     /// Returns what a step's tasks should take; `None` where too little is known, or where
     /// what was told before was farther off than the estimates.
-    pub fn forecast(&self, now: Instant, queue: &str, kind: LengthKind) -> Option<Forecast> {
+    pub fn forecast(&self, now: Instant, queue: &str, kind: LengthKind) -> Option<LengthForecast> {
         let lengths = self.queues.get(queue)?;
         if lengths.errors.is_worse() {
             return None;
--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -3,7 +3,7 @@
 //! The nearest evidence counts: a run's own pace, then the tasks of its step that are done,
 //! then what steps of its queue took, then the client's estimate.
 
-use crate::durations::{Forecast, LengthKind};
+use crate::durations::{LengthForecast, LengthKind};
 use crate::job::{JobId, StepKey, StepSpec, TaskKey};
 use crate::jobs::Job;
 use crate::learning::scaled;
@@ -34,8 +34,8 @@
     pub(crate) late: Duration,
 }
 
-impl From<Forecast> for LearnedLength {
-    fn from(forecast: Forecast) -> Self {
+impl From<LengthForecast> for LearnedLength {
+    fn from(forecast: LengthForecast) -> Self {
         Self {
             sure: forecast.sure,
             likely: forecast.likely,
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -6,6 +6,7 @@
 use crate::dominant::Room;
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::overloads::JobNeed;
 use crate::placing::counted_demand;
 use crate::scheduler::Scheduler;
 use crate::share_accounts::ServiceKey;
@@ -65,6 +66,8 @@
     pub(crate) ready: Option<Vec<StepKey>>,
     /// What the waiting tasks of these took together when its service counted them last.
     pub(crate) asked: Room,
+    /// What it needs, where that has been worked out.
+    pub(crate) need: Option<JobNeed>,
 }
 
 impl Job {
@@ -98,6 +101,7 @@
             gang_stops: BTreeMap::new(),
             ready: None,
             asked: Room::default(),
+            need: None,
             state,
         }
     }
@@ -114,7 +118,20 @@
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
         self.done_lengths.clear();
+        self.forget_derived();
+    }
+
+    /// Forgets what was worked out from a state that has changed.
+    pub(crate) fn forget_derived(&mut self) {
         self.ready = None;
+        self.need = None;
+    }
+
+    /// Returns whether the job has an objective that can be missed: no perpetual work, and no
+    /// rounds at set times.
+    pub(crate) fn may_be_late(&self) -> bool {
+        let spec = &self.record.spec;
+        spec.schedule.is_none() && !spec.steps.iter().any(|step| step.is_perpetual)
     }
 
     /// Returns whether the job's next commit removes it.
@@ -286,7 +303,7 @@
             let round = RoundState::new(job.state.next_round, &job.record);
             job.state.rounds.push(round);
             job.state.next_round += 1;
-            job.ready = None;
+            job.forget_derived();
             self.stale_asks.insert(id);
             self.is_place_due = true;
         }
@@ -314,7 +331,7 @@
         }
         job.state.phase = phase;
         job.ended_at = Some(now);
-        job.ready = None;
+        job.forget_derived();
         let rank = job.rank;
         self.active.remove(&rank);
         self.close_share(id);
@@ -326,9 +343,28 @@
             // The other members of a gang that is done end by themselves.
             self.stop_job(now, id, out);
         }
-        self.advice.retain(|step, _| step.job != id);
+        for step in self.steps_of(id) {
+            self.forget_advice(step);
+        }
         self.waits.forget_job(id);
         self.release_room_of(id);
+        // What it took or kept may be room for others now.
+        self.is_place_due = true;
+    }
+
+    /// Returns the steps of a job's rounds that have begun.
+    fn steps_of(&self, id: JobId) -> Vec<StepKey> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let key = |round: &RoundState, step: usize| StepKey {
+            job: id,
+            round: round.number,
+            step: step as u32,
+        };
+        let rounds = job.state.rounds.iter();
+        let steps = rounds.flat_map(|round| (0..round.steps.len()).map(move |it| key(round, it)));
+        steps.collect()
     }
 
     /// Stops every run of a job.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 //! - a task is started again only after its last run has ended, can't start
 //!   any more, or has outlived every lease that was granted to its worker.
 
+mod admission;
 mod advice;
 mod adviser_load;
 mod advisers;
@@ -35,6 +36,7 @@
 mod event;
 mod evidence;
 mod features;
+mod forecast;
 mod gang_search;
 mod gangs;
 mod handover;
@@ -50,6 +52,8 @@
 mod open_starts;
 mod order;
 mod orders;
+pub mod overload;
+mod overloads;
 mod placed_lives;
 mod placing;
 mod preemption;
@@ -69,13 +73,14 @@
 mod worker;
 mod worker_list;
 
+pub use admission::{Forecast, QueueForecast, Refusal, FORECAST_AGE_LIMIT};
 pub use config::{
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
     LANES_COUNT,
 };
 pub use customers::{Customer, CustomerUse};
 pub use decision::{Decision, DecisionKind, ReservedLimit};
-pub use durations::{Durations, Forecast, ForecastError, LengthKind};
+pub use durations::{Durations, ForecastError, LengthForecast, LengthKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -62,6 +62,7 @@
         if self.are_starts_held {
             self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
+            self.end_overloads(now, out);
             return 0;
         }
         // Most cycles find nothing that waits, and going over all workers is what a cycle
@@ -69,11 +70,13 @@
         if !self.has_ready_step() {
             self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
+            self.end_overloads(now, out);
             return 0;
         }
         let mut cycle = self.new_cycle(now);
         self.begin_reservations(now, &mut cycle);
         self.refresh_shares(now, &cycle, out);
+        self.rank_overloaded(now, &cycle, out);
         let order = self.service_order(now);
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,10 +11,12 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::durations::ForecastError;
 use crate::event::{Action, Event};
+use crate::forecast::Forecasts;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::learning::{Learning, SpeedClass};
 use crate::names::Names;
+use crate::overloads::Overloads;
 use crate::retries::RetryBudgets;
 use crate::share_accounts::Shares;
 use crate::state::Phase;
@@ -82,6 +84,10 @@
     pub beyond_share_count: usize,
     /// How far a customer is ahead of its share at most.
     pub largest_share_lag: Duration,
+    /// Services that are short of room.
+    pub overloaded_services_count: usize,
+    /// Queues of which a forecast is told.
+    pub forecast_queues_count: usize,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -129,6 +135,10 @@
     pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
     pub(crate) last_cycle: CycleSummary,
+    /// The services that were short of room then.
+    pub(crate) overloads: Overloads,
+    /// When the queues of these could do another job.
+    pub(crate) forecasts: Forecasts,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
     /// When every lease that an earlier leader granted is certainly over. A lease
@@ -180,6 +190,8 @@
             goodness: HashMap::new(),
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
+            overloads: Overloads::default(),
+            forecasts: Forecasts::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
             inherited_until: Instant::default(),
@@ -226,7 +238,10 @@
                 self.on_advice_answered(now, step, &named, reply, out);
             }
             Event::Committed { lane } => self.on_committed(now, lane as usize, out),
-            Event::StoreTrouble(has_trouble) => self.has_store_trouble = has_trouble,
+            Event::StoreTrouble(has_trouble) => {
+                self.has_store_trouble = has_trouble;
+                self.forecasts.note_unsure(now);
+            }
             Event::WallClock(wall_ms) => self.begin_due_rounds(wall_ms),
             Event::Tick => self.on_tick(now, out),
         }
@@ -317,6 +332,8 @@
             limit_reservations_count: self.limit_reservations.count(),
             beyond_share_count: shares.beyond_count,
             largest_share_lag: shares.largest_lag,
+            overloaded_services_count: self.overloads.len(),
+            forecast_queues_count: self.forecasts.len(),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -3,9 +3,9 @@
 use crate::support::bench::{end, workers, Bench};
 use crate::support::{job, patient_job, placed_state, step};
 use ospreywing_scheduler::{
-    Durations, Ejection, EndKind, Event, Feature, Features, Forecast, JobId, JobRecord, Learned,
-    LearnedQuantiles, LearnedSize, LearnedSpeed, LengthKind, Recovered, Speeds, StartReply,
-    StepSpec, TaskStatus, WorkerChange,
+    Durations, Ejection, EndKind, Event, Feature, Features, JobId, JobRecord, Learned,
+    LearnedQuantiles, LearnedSize, LearnedSpeed, LengthForecast, LengthKind, Recovered, Speeds,
+    StartReply, StepSpec, TaskStatus, WorkerChange,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -51,7 +51,7 @@
 }
 
 /// Returns the durations after so many steps, and what was told of the last half.
-fn learn(count: u64, estimate_factor: f64) -> (Durations, Vec<(Drawn, Option<Forecast>)>) {
+fn learn(count: u64, estimate_factor: f64) -> (Durations, Vec<(Drawn, Option<LengthForecast>)>) {
     let mut rng = Pcg64::seed_from_u64(SEED);
     let mut durations = Durations::default();
     let mut told = Vec::new();
@@ -74,13 +74,13 @@
 #[test]
 fn durations_forecast_nearer_than_estimate() {
     let (durations, told) = learn(800, ESTIMATE_FACTOR);
-    let with_forecast: Vec<(Drawn, Forecast)> = told
+    let with_forecast: Vec<(Drawn, LengthForecast)> = told
         .into_iter()
         .filter_map(|(drawn, told)| Some((drawn, told?)))
         .collect();
     assert!(with_forecast.len() >= 380, "forecasts after 400 steps");
     let count = with_forecast.len() as f64;
-    let mean = |told: fn(&(Drawn, Forecast)) -> Duration| {
+    let mean = |told: fn(&(Drawn, LengthForecast)) -> Duration| {
         let errors = with_forecast.iter().map(|it| error(told(it), it.0.actual));
         errors.sum::<f64>() / count
     };
@@ -90,7 +90,7 @@
         by_forecast <= 0.8 * by_estimate,
         "{by_forecast} {by_estimate}"
     );
-    let part = |is_so: fn(&(Drawn, Forecast)) -> bool| {
+    let part = |is_so: fn(&(Drawn, LengthForecast)) -> bool| {
         with_forecast.iter().filter(|it| is_so(it)).count() as f64 / count
     };
     let (below, above) = (
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler: single cases, and searches over interleavings.
 
+mod admission;
 mod advice_calls;
 mod awaiting;
 mod backfill;
@@ -15,6 +16,8 @@
 mod lapses;
 mod learning;
 mod learning_load;
+mod overload;
+mod overload_load;
 mod pending;
 mod repeats;
 mod restarts;
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -32,7 +32,7 @@
     /// Begins a term with these features.
     pub fn with_features(features: Features, workers: &[FakeWorker]) -> Self {
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT).with_features(features);
-        Self::begin(config, Recovered::default(), None).beside(workers)
+        Self::begin(config, Recovered::default(), None).with_workers(workers)
     }
 
     pub fn with_advice(
@@ -41,11 +41,11 @@
         advice: Option<AdvicePolicy>,
     ) -> Self {
         let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
-        Self::begin(config, recovered, advice).beside(workers)
+        Self::begin(config, recovered, advice).with_workers(workers)
     }
 
     /// Lists workers that have nothing.
-    fn beside(mut self, workers: &[FakeWorker]) -> Self {
+    pub fn with_workers(mut self, workers: &[FakeWorker]) -> Self {
         self.list_workers(workers);
         for worker in workers {
             let key = self.scheduler.worker_key(&worker.id);
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -286,9 +286,12 @@
         let fails = self.draw(self.faults.failing_run);
         let own = self.lengths_of.get(&order.task.step.job);
         let lengths_ms = own.unwrap_or(&self.run_lengths_ms).clone();
-        let usual_ms = self.rng.random_range(lengths_ms);
-        let length_ms = usual_ms * 1000 / self.workers[index].speed_per_mille;
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
+        let usual_ms = match &self.run_lengths_percent {
+            Some(percent) => spec.estimate_ms * self.rng.random_range(percent.clone()) / 100,
+            None => self.rng.random_range(lengths_ms),
+        };
+        let length_ms = usual_ms * 1000 / self.workers[index].speed_per_mille;
         let run = FakeRun {
             run: order.run,
             ends_at_ms: now_ms + length_ms,
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -10,8 +10,9 @@
 use super::OTHER_SERVICE;
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
-    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
-    SchedulerStatus, ShareView, StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Features, Forecast, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
+    SchedulerConfig, SchedulerStatus, ShareView, StartOrder, TaskKey, Ticket, WorkerChange,
+    WorkerFacts,
 };
 use ospreywing_types::{Duration, Instant};
 use rand::{Rng, SeedableRng};
@@ -163,6 +164,8 @@
     has_trouble: bool,
     /// How long runs take.
     pub run_lengths_ms: core::ops::Range<u64>,
+    /// The same as a part of their steps' estimates, where that is set, in percent.
+    pub run_lengths_percent: Option<core::ops::Range<u64>>,
     /// After this time no new fault strikes.
     pub calm_from_ms: u64,
     /// One of so many workers is good for a job; 0 for two of three.
@@ -221,6 +224,7 @@
             last_faults_at_ms: 0,
             has_trouble: false,
             run_lengths_ms: 200..2_500,
+            run_lengths_percent: None,
             calm_from_ms: u64::MAX,
             good_one_in: 0,
             advice_calls_count: 0,
@@ -419,6 +423,12 @@
         self.tell_all(Event::CancelAccepted { job: id });
     }
 
+    /// Returns what the leader forecasts.
+    pub fn forecast(&self) -> Option<Forecast> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.forecast(self.now())
+    }
+
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let leader = self.leaders.last()?;
         leader.scheduler.job(id).map(|view| view.phase)
