--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -12,10 +12,11 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, AdviceReply};
 use crate::job::StepKey;
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
-use ospreywing_types::{Duration, Instant, Resources};
+use ospreywing_types::{Duration, Instant};
 use std::sync::Arc;
 
 /// The most workers that one part of a call for advice names, by the platform's own
@@ -310,14 +311,6 @@
     }
 }
 
-/// Returns how many tasks of a demand fit into a room.
-pub(crate) fn fit_in(room: &Resources, demand: &Resources) -> u32 {
-    let by = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
-    by(room.cores_milli, demand.cores_milli)
-        .min(by(room.memory_mib, demand.memory_mib))
-        .min(by(room.accelerators_count, demand.accelerators_count))
-}
-
 /// Returns whether the cycle has room left for at least one task.
 pub(crate) fn has_room(cycle: &SchedulingCycle, pending: &PendingStep) -> bool {
     cycle.room_milli(&pending.service) >= i64::from(pending.demand.cores_milli)
--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -6,11 +6,12 @@
 //! renews its tickets shortly before, so that tasks start as soon as their room is
 //! there.
 
-use crate::asking::{fit_in, NAMED_LIMIT_COUNT};
+use crate::asking::NAMED_LIMIT_COUNT;
 use crate::candidate::left_count;
 use crate::config::AdvicePolicy;
 use crate::cycle::SchedulingCycle;
 use crate::event::Action;
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::{Worker, WorkerKey};
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -1,8 +1,8 @@
 //! Candidates: the workers that could take tasks of a step, with their room.
 
-use crate::asking::fit_in;
 use crate::cycle::SchedulingCycle;
 use crate::job::{StepKey, StepSpec};
+use crate::packing::{fit_in, Packing, PackingCost};
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
@@ -67,12 +67,8 @@
                 }
             }
         }
-        // A filler works on what is left unused, others leave large rooms whole.
-        let by_room = |free_milli: u32| match RunRole::of(pending.spec()) {
-            RunRole::Filler => u32::MAX - free_milli,
-            RunRole::Plain | RunRole::Serving => free_milli,
-        };
-        found.sort_by_key(|c| (!c.is_near, by_room(c.free.cores_milli), c.worker));
+        let packing = cycle.packing(&pending.service);
+        found.sort_by_cached_key(|c| (!c.is_near, packing_cost(pending, packing, c), c.worker));
         found
     }
 
@@ -98,6 +94,23 @@
     }
 }
 
+/// Returns what placing a task of the step on a worker costs: where no packing is known, how
+/// many processors are free there.
+fn packing_cost(
+    pending: &PendingStep,
+    packing: Option<&Packing>,
+    candidate: &Candidate,
+) -> PackingCost {
+    let free_milli = candidate.free.cores_milli;
+    // A filler works on what is left unused, others leave large rooms whole.
+    if RunRole::of(pending.spec()) == RunRole::Filler {
+        return PackingCost::of_leftover(u32::MAX - free_milli);
+    }
+    packing.map_or(PackingCost::of_leftover(free_milli), |packing| {
+        packing.cost(&candidate.free, &pending.demand)
+    })
+}
+
 /// Returns how many tasks of a demand fit on all candidates together.
 pub(crate) fn fit_sum(candidates: &[Candidate], demand: &Resources) -> u64 {
     candidates
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,7 +2,10 @@
 //! served earlier in it have asked for or keep.
 
 use crate::customers::CustomerKey;
+use crate::features::Feature;
+use crate::packing::{Packing, ResourceSum, Scarcity};
 use crate::scheduler::Scheduler;
+use crate::shapes::Shape;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
 use std::cmp::Reverse;
@@ -26,6 +29,34 @@
     room_milli: i64,
     /// The most that any of them holds.
     largest: Resources,
+    /// Whether they hold accelerators, or not all of them the same.
+    is_uneven: bool,
+    capacity: ResourceSum,
+    free: ResourceSum,
+    /// How tasks are packed, where that is more than by processors.
+    packing: Option<Packing>,
+}
+
+impl Pool {
+    /// Adds a worker that may take a run.
+    fn note(&mut self, capacity: &Resources, free: &Resources) {
+        let is_first = self.largest.is_zero();
+        self.is_uneven |= capacity.accelerators_count > 0 || !is_first && *capacity != self.largest;
+        self.largest = self.largest.max(*capacity);
+        self.room_milli += i64::from(free.cores_milli);
+        self.capacity.add(capacity);
+        self.free.add(free);
+    }
+
+    /// Returns how tasks are packed; `None` where all workers are alike and hold no
+    /// accelerators, or nothing is known of what comes.
+    fn new_packing(&self, shapes: &[Shape]) -> Option<Packing> {
+        if !self.is_uneven || shapes.is_empty() {
+            return None;
+        }
+        let scarcity = Scarcity::new(&self.capacity, &self.free, shapes);
+        Some(Packing::new(scarcity, shapes))
+    }
 }
 
 /// The state of one scheduling cycle, in which every waiting step is looked at.
@@ -107,6 +138,11 @@
         pool.map_or(Resources::ZERO, |pool| pool.largest)
     }
 
+    /// Returns how tasks of a service are packed, where that is more than by processors.
+    pub(crate) fn packing(&self, service: &Arc<str>) -> Option<&Packing> {
+        self.pool(service).and_then(|pool| pool.packing.as_ref())
+    }
+
     /// Returns the processors of a service's workers that are free and not yet
     /// asked for, in thousandths of a core.
     pub(crate) fn room_milli(&self, service: &Arc<str>) -> i64 {
@@ -132,6 +168,10 @@
                 service: service.clone(),
                 room_milli: 0,
                 largest: Resources::ZERO,
+                is_uneven: false,
+                capacity: ResourceSum::default(),
+                free: ResourceSum::default(),
+                packing: None,
             });
             self.pools.len() - 1
         });
@@ -164,8 +204,12 @@
                 cycle.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
                 cycle.free_milli += u64::from(worker.free().cores_milli);
                 let pool = cycle.pool_mut(&worker.facts.service);
-                pool.room_milli += i64::from(worker.free().cores_milli);
-                pool.largest = pool.largest.max(worker.facts.capacity);
+                pool.note(&worker.facts.capacity, &worker.free());
+            }
+        }
+        if self.config.features.has(Feature::Packing) {
+            for pool in &mut cycle.pools {
+                pool.packing = pool.new_packing(self.shapes.of(&pool.service));
             }
         }
         cycle
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -3,13 +3,14 @@
 //!
 //! Whoever is not served keeps later work off enough of its good workers.
 
-use crate::asking::{claim_room, fit_in, IDLE_NODES_PER_PART, NAMED_LIMIT_COUNT};
+use crate::asking::{claim_room, IDLE_NODES_PER_PART, NAMED_LIMIT_COUNT};
 use crate::awaiting::WAITING_GANGS_LIMIT_COUNT;
 use crate::candidate::{fit_sum, Candidate};
 use crate::config::AdvicePolicy;
 use crate::cycle::SchedulingCycle;
 use crate::event::Action;
 use crate::gangs::Reservation;
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -178,6 +178,7 @@
             .with_queue(&record.queue)
             .with_figure(self.objective(&record).as_ms());
         out.push(Action::Log(line));
+        self.note_shapes(now, &record);
         self.insert_job(now, id, record, JobState::default());
     }
 
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -4,12 +4,12 @@
 //! is taken off what its customer may still start, so that those behind it neither ask
 //! advisers nor keep room for what could not be started beside it.
 
-use crate::asking::fit_in;
 use crate::customers::{Charge, CustomerKey};
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
 use crate::job::{JobId, StepKey, StepSpec};
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use ospreywing_types::Resources;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::jobs::Job;
 use crate::names::Names;
 use crate::retries::RetryBudgets;
+use crate::shapes::Shapes;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
@@ -100,6 +101,8 @@
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
+    /// The shapes of the tasks that came lately.
+    pub(crate) shapes: Shapes,
     /// The steps that wait, and why.
     pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
@@ -149,6 +152,7 @@
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
+            shapes: Shapes::default(),
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
             commits: CommitQueue::default(),
@@ -306,6 +310,7 @@
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
             self.waits.forget_old(now);
+            self.shapes.forget_old(now);
             self.names.forget_unused();
             self.forget_old_jobs(now);
         }
--- /dev/null
+++ b/crates/scheduler/src/shapes.rs
@@ -0,0 +1,156 @@
+//! The shapes of the tasks that come to a service, and how often each has come lately.
+
+use crate::job::JobRecord;
+use crate::scheduler::Scheduler;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The time in which what has come counts half: several times the length of a task, and
+/// short enough to follow a load that changes within minutes.
+const HALF_LIFE: Duration = Duration::from_ms(30_000);
+/// The shapes that are kept of a service, so that looking at them costs next to nothing.
+const SHAPES_LIMIT_COUNT: usize = 12;
+/// What came less often than this is forgotten.
+const FORGOTTEN_COUNT: f64 = 0.1;
+/// The services that are kept, as many as operators set.
+const SERVICES_LIMIT_COUNT: usize = 256;
+
+/// A shape, and how many tasks of it have come lately, older ones counting less.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    /// The most that any of them needed.
+    pub(crate) demand: Resources,
+    pub(crate) count: f64,
+}
+
+impl Shape {
+    /// Returns how many of it come in a time.
+    pub(crate) fn expected_count(&self, time: Duration) -> f64 {
+        let lifetime_ms = HALF_LIFE.as_ms() as f64 / core::f64::consts::LN_2;
+        self.count * time.as_ms() as f64 / lifetime_ms
+    }
+}
+
+/// What tasks of one shape have in common: powers of two of their needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ShapeClass {
+    cores_log2: u32,
+    accelerators_log2: u32,
+}
+
+impl ShapeClass {
+    const fn of(demand: &Resources) -> Self {
+        Self {
+            cores_log2: ceil_log2(demand.cores_milli),
+            accelerators_log2: ceil_log2(demand.accelerators_count),
+        }
+    }
+}
+
+/// Returns the bits of a number less one, so that a power of two is in the class below it;
+/// nothing at all has a class of its own.
+const fn ceil_log2(number: u32) -> u32 {
+    match number.checked_sub(1) {
+        None => 0,
+        Some(less) => 1 + (u32::BITS - less.leading_zeros()),
+    }
+}
+
+/// The shapes of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServiceShapes {
+    shapes: Vec<Shape>,
+    counted_at: Instant,
+}
+
+impl ServiceShapes {
+    /// Counts tasks of a demand.
+    pub(crate) fn note(&mut self, now: Instant, demand: Resources, tasks_count: u32) {
+        self.age(now);
+        let class = ShapeClass::of(&demand);
+        let mut shapes = self.shapes.iter_mut();
+        if let Some(shape) = shapes.find(|it| ShapeClass::of(&it.demand) == class) {
+            shape.count += f64::from(tasks_count);
+            shape.demand = shape.demand.max(demand);
+            return;
+        }
+        if self.shapes.len() >= SHAPES_LIMIT_COUNT {
+            self.drop_rarest();
+        }
+        let count = f64::from(tasks_count);
+        self.shapes.push(Shape { demand, count });
+    }
+
+    /// Lets what has come before count less.
+    fn age(&mut self, now: Instant) {
+        let passed_ms = now.since(self.counted_at).as_ms() as f64;
+        let factor = (-passed_ms / HALF_LIFE.as_ms() as f64).exp2();
+        for shape in &mut self.shapes {
+            shape.count *= factor;
+        }
+        self.shapes.retain(|shape| shape.count >= FORGOTTEN_COUNT);
+        self.counted_at = self.counted_at.max(now);
+    }
+
+    fn drop_rarest(&mut self) {
+        let shapes = self.shapes.iter().enumerate();
+        let rarest = shapes.min_by(|(_, one), (_, other)| one.count.total_cmp(&other.count));
+        if let Some((index, _)) = rarest {
+            self.shapes.swap_remove(index);
+        }
+    }
+}
+
+/// The shapes of all services.
+#[derive(Debug, Default)]
+pub(crate) struct Shapes {
+    by_service: BTreeMap<Arc<str>, ServiceShapes>,
+}
+
+impl Shapes {
+    /// Counts tasks of a demand that came to a service.
+    pub(crate) fn note(
+        &mut self,
+        now: Instant,
+        service: Arc<str>,
+        demand: Resources,
+        tasks_count: u32,
+    ) {
+        let is_full = self.by_service.len() >= SERVICES_LIMIT_COUNT;
+        if demand.is_zero() || is_full && !self.by_service.contains_key(&service) {
+            return;
+        }
+        let shapes = self.by_service.entry(service).or_default();
+        shapes.note(now, demand, tasks_count);
+    }
+
+    /// Returns the shapes of a service.
+    pub(crate) fn of(&self, service: &str) -> &[Shape] {
+        let shapes = self.by_service.get(service);
+        shapes.map_or(&[], |shapes| &shapes.shapes)
+    }
+
+    /// Forgets shapes that have not come for long, and services without any.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        for shapes in self.by_service.values_mut() {
+            shapes.age(now);
+        }
+        self.by_service
+            .retain(|_, shapes| !shapes.shapes.is_empty());
+    }
+}
+
+impl Scheduler {
+    /// Counts the tasks of a job that has come, by their shapes.
+    pub(crate) fn note_shapes(&mut self, now: Instant, record: &JobRecord) {
+        let queue = self.configuration.queue(&record.queue);
+        let service = queue.map_or(&record.service, |queue| &queue.service);
+        let service = self.names.keep(service);
+        for step in record.spec.steps.iter().filter(|step| !step.is_filler) {
+            let service = service.clone();
+            self.shapes
+                .note(now, service, step.demand, step.tasks_count);
+        }
+    }
+}
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -47,7 +47,7 @@
     pub rack: Option<Arc<str>>,
     pub capacity: Resources,
     /// What it holds when its room is not changed.
-    full_capacity: Resources,
+    pub full_capacity: Resources,
     /// Its room before it shrank, and when that was.
     room_before: (Resources, u64),
     pub is_alive: bool,
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Has it hold another amount at most.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.full_capacity = capacity;
+        self.capacity = capacity;
+    }
+
     /// Tells its start from now on, as workers do that may start again under their id.
     pub fn tell_life_start(&mut self, wall_ms: u64) {
         self.life_start = Some(LifeStart::from_ms(wall_ms));
@@ -137,6 +143,7 @@
         self.address = before.address;
         self.data_centre = before.data_centre;
         self.rack = before.rack;
+        self.set_capacity(before.full_capacity);
         self.entry_life_start = before.entry_life_start;
         self.ignores_foreign_acks = before.ignores_foreign_acks;
         self.life_start = Some(LifeStart::from_ms(wall_ms));
@@ -173,7 +180,11 @@
     pub fn resize(&mut self, now_ms: u64, per_mille: u32) {
         let part = |whole: u32| (u64::from(whole) * u64::from(per_mille) / 1000) as u32;
         let full = self.full_capacity;
-        let room = Resources::new(part(full.cores_milli), part(full.memory_mib), 0);
+        let room = Resources::new(
+            part(full.cores_milli),
+            part(full.memory_mib),
+            part(full.accelerators_count),
+        );
         self.room_before = (self.counted_room(now_ms), now_ms);
         self.capacity = room;
     }
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -297,6 +297,7 @@
         };
         self.workers[index].begin(now_ms, order, run, LEASE_LIMIT_MS);
         let task = order.task;
+        self.started_ms.entry(task.step.job).or_insert(now_ms);
         if task.index == 0 && self.crashing.contains(&task.step.job) {
             let after_ms = self.rng.random_range(CRASH_AFTER_MS);
             let worker = index;
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -266,6 +266,7 @@
         next.address = address;
         next.data_centre = data_centre;
         next.rack = rack;
+        next.set_capacity(self.workers[index].full_capacity);
         next.ignores_foreign_acks = self.workers[index].ignores_foreign_acks;
         if self.workers[index].life_start.is_some() {
             next.tell_life_start(self.rng.random_range(WALL_MS));
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -8,11 +8,11 @@
 use super::rules::Rules;
 use super::worker::FakeWorker;
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event, JobId,
-    JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
-    TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
+    Features, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig,
+    StartOrder, TaskKey, Ticket, WorkerChange, WorkerFacts,
 };
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,7 +173,10 @@
     pub runs_lost_beside_count: usize,
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
+    /// When a run of each job was first started.
+    pub started_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
+    features: Features,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
@@ -219,7 +222,9 @@
             crashing: BTreeSet::new(),
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
+            started_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
+            features: Features::default(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
@@ -246,6 +251,20 @@
         self.elect();
     }
 
+    /// Begins a term with other decisions under load.
+    pub fn elect_with_features(&mut self, features: Features) {
+        self.features = features;
+        self.elect();
+    }
+
+    /// Has the workers hold these amounts, in turn.
+    pub fn set_capacities(&mut self, capacities: &[Resources]) {
+        for (worker, capacity) in self.workers.iter_mut().zip(capacities.iter().cycle()) {
+            worker.set_capacity(*capacity);
+        }
+        self.list_workers();
+    }
+
     /// Puts so many workers in a row into each rack.
     pub fn lay_out_racks(&mut self, size: usize) {
         for (number, worker) in self.workers.iter_mut().enumerate() {
@@ -318,7 +337,8 @@
         };
         let config = SchedulerConfig::new(fence, Duration::from_ms(LEASE_LIMIT_MS))
             .with_leader_lease(Duration::from_ms(LEADER_LEASE_MS))
-            .with_crash_policy(self.crash_policy);
+            .with_crash_policy(self.crash_policy)
+            .with_features(self.features);
         let scheduler = Scheduler::new(config, self.configuration.clone(), self.now(), recovered);
         self.leaders.push(Leader {
             fence,
