Packing: whole rooms kept, advice in the same order, room kept without advice, fragmentation

Cause: small tasks were sent, and asked about, whole workers, which large ones of eight accelerators need.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::platform::{CordonFault, EntryFault, Reply};
-use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
+use ospreywing_scheduler::{Decision, SchedulerStatus, ServiceRoom, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -48,6 +48,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 type Amount = Gauge<i64, AtomicI64>;
 
 /// What a node counts.
@@ -64,6 +69,10 @@
     worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
     oldest_wait_ms: Family<WaitLabels, Amount>,
+    fitting_cores: Family<ServiceLabels, Amount>,
+    fitting_accelerators: Family<ServiceLabels, Amount>,
+    fitting_tasks: Family<ServiceLabels, Amount>,
+    whole_room_percent: Family<ServiceLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -106,6 +115,10 @@
             worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
             oldest_wait_ms: Family::default(),
+            fitting_cores: Family::default(),
+            fitting_accelerators: Family::default(),
+            fitting_tasks: Family::default(),
+            whole_room_percent: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -128,6 +141,7 @@
         };
         metrics.register_counters();
         metrics.register_amounts();
+        metrics.register_rooms();
         metrics
     }
 
@@ -264,6 +278,56 @@
         }
     }
 
+    fn register_rooms(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "fitting_millicores",
+            "Thousandths of a core of the largest recent task that fits now, by service",
+            self.fitting_cores.clone(),
+        );
+        registry.register(
+            "fitting_accelerators",
+            "Accelerators of the largest recent task that fits now, by service",
+            self.fitting_accelerators.clone(),
+        );
+        registry.register(
+            "fitting_tasks",
+            "How many such tasks fit now, by service",
+            self.fitting_tasks.clone(),
+        );
+        registry.register(
+            "whole_room_percent",
+            "The part of the free room in which the largest recent task fits, by service",
+            self.whole_room_percent.clone(),
+        );
+    }
+
+    /// Notes how broken up the free room of each service is; forgets services without room.
+    fn note_rooms(&self, rooms: &[ServiceRoom]) {
+        self.fitting_cores.clear();
+        self.fitting_accelerators.clear();
+        self.fitting_tasks.clear();
+        self.whole_room_percent.clear();
+        for room in rooms {
+            let service = room.service.to_string();
+            let labels = ServiceLabels { service };
+            let set = |family: &Family<ServiceLabels, Amount>, value: i64| {
+                family.get_or_create(&labels).set(value);
+            };
+            let fit = &room.largest_fit;
+            set(&self.fitting_cores, i64::from(fit.cores_milli));
+            set(
+                &self.fitting_accelerators,
+                i64::from(fit.accelerators_count),
+            );
+            set(
+                &self.fitting_tasks,
+                room.fit_count.min(i64::MAX as u64) as i64,
+            );
+            set(&self.whole_room_percent, i64::from(room.whole_percent));
+        }
+    }
+
     /// Counts a reply to a request that was read whole at `begun_at`.
     pub fn note_reply(&self, reply: &Reply, begun_at: Instant) {
         let outcome = outcome_of(reply);
@@ -358,6 +422,7 @@
         set(&self.awaited_workers, status.awaited_workers_count);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
+        self.note_rooms(&status.service_rooms);
         for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
             let labels = WaitLabels {
                 reason: reason.as_str(),
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -6,6 +6,7 @@
 //! are good, keeps that room, and asks again about these alone.
 
 use crate::advice::OpenPart;
+use crate::awaiting::fills_workers;
 use crate::candidate::Candidate;
 use crate::config::AdvicePolicy;
 use crate::cycle::SchedulingCycle;
@@ -30,6 +31,9 @@
 const PART_COST_SHARE: f64 = 0.25;
 /// How many times the room that is needed the named workers should have.
 const NAMED_ROOM_FACTOR: f64 = 1.5;
+/// The workers that a small task weighs before it asks, the fullest ones: more would take
+/// longer than they are worth where thousands have room.
+const PACKED_LIMIT_COUNT: usize = 200;
 /// The share of good workers that is assumed before anything is known.
 const FIRST_GOODNESS: f64 = 0.5;
 /// The least share of good workers that is assumed.
@@ -102,7 +106,12 @@
                 named.push(candidate.worker);
             }
         }
-        for key in cycle.workers_for(&pending.demand) {
+        let packed = self.packed_order(now, pending, cycle);
+        let in_order: Box<dyn Iterator<Item = WorkerKey> + '_> = match packed {
+            Some(packed) => Box::new(packed.into_iter()),
+            None => Box::new(cycle.workers_for(&pending.demand)),
+        };
+        for key in in_order {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
@@ -125,6 +134,36 @@
         named
     }
 
+    /// Returns unknown workers with room for a small task in the order in which it should
+    /// take them; `None` where it should ask about those with most room.
+    fn packed_order(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+    ) -> Option<Vec<WorkerKey>> {
+        let packing = cycle.packing(&pending.service)?;
+        if pending.spec().is_gang || fills_workers(pending, cycle) {
+            return None;
+        }
+        let advice = &self.advice[&pending.key];
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
+        let unknown = cycle
+            .fullest_for(&pending.demand)
+            .filter(|key| !advice.is_known(*key));
+        let able = unknown.filter_map(|key| {
+            let mut candidate = self.candidate(pending, key, &self.workers[key])?;
+            candidate.free -= cycle.kept_room(key) + self.workers[key].claimed();
+            if leaves_whole {
+                candidate.free -= cycle.whole_room(key);
+            }
+            (candidate.fit_count(&pending.demand) > 0).then_some(candidate)
+        });
+        let mut able: Vec<Candidate> = able.take(PACKED_LIMIT_COUNT).collect();
+        able.sort_by_cached_key(|it| (packing.cost(&it.free, &pending.demand), it.worker));
+        Some(able.into_iter().map(|it| it.worker).collect())
+    }
+
     /// Returns how many tasks fit beside what other steps count on.
     fn unclaimed_fit(&self, candidate: &Candidate, pending: &PendingStep) -> u32 {
         let mut candidate = candidate.clone();
--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -38,6 +38,9 @@
 /// How many times the room that is needed the known good workers should hold, as
 /// for gangs.
 const KNOWN_ROOM_FACTOR: u32 = 2;
+/// The workers beyond one for each task that a step without advice weighs, those with most
+/// room: estimates of all runs of thousands of workers would take longer than a cycle.
+const SPARE_WORKERS_COUNT: usize = 64;
 
 /// A worker that will have room for tasks of a step.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +65,8 @@
         {
             return;
         }
-        let expected = self.expected_rooms(now, pending, missing_count, cycle);
+        let good = self.advice[&pending.key].good();
+        let expected = self.expected_rooms(now, pending, good, missing_count, cycle);
         let Some(soonest) = expected.first().map(|room| room.delay) else {
             return;
         };
@@ -91,19 +95,51 @@
         }
         cycle.waiting_gangs_count += 1;
         let needed_count = pending.waiting.len();
-        let expected = self.expected_rooms(now, pending, needed_count, cycle);
-        let limit_count = cycle.workers_count() * AWAITED_PERCENT / 100;
-        for room in &expected {
-            if cycle.kept_workers_count() < limit_count || cycle.is_kept(room.worker) {
-                cycle.keep_room(room.worker, pending.demand);
-            }
-        }
+        let good = self.advice[&pending.key].good();
+        let expected = self.expected_rooms(now, pending, good, needed_count, cycle);
+        keep_for_gang(pending, &expected, cycle);
         if expected.len() == needed_count {
             let last = expected.last().map_or(Duration::ZERO, |room| room.delay);
             self.renew_tickets(now, pending, policy, &expected, last, out);
         }
     }
 
+    /// Keeps later work off the workers on which a step that needs no advice will have room
+    /// first, where its tasks fill workers of a service that is packed.
+    pub(crate) fn await_room(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        missing_count: usize,
+        cycle: &mut SchedulingCycle,
+    ) {
+        if cycle.packing(&pending.service).is_none() || !fills_workers(pending, cycle) {
+            return;
+        }
+        let is_gang = pending.spec().is_gang;
+        let (waiting_count, limit_count) = if is_gang {
+            (&mut cycle.waiting_gangs_count, WAITING_GANGS_LIMIT_COUNT)
+        } else {
+            (&mut cycle.waiting_steps_count, WAITING_STEPS_LIMIT_COUNT)
+        };
+        if *waiting_count >= limit_count {
+            return;
+        }
+        *waiting_count += 1;
+        let able = cycle.workers().filter(|key| {
+            let worker = &self.workers[*key];
+            Self::is_eligible(pending, worker)
+        });
+        let able = able.take(missing_count + SPARE_WORKERS_COUNT).collect();
+        let expected = self.expected_rooms(now, pending, able, missing_count, cycle);
+        if is_gang {
+            return keep_for_gang(pending, &expected, cycle);
+        }
+        for room in &expected {
+            cycle.keep_room(room.worker, pending.demand);
+        }
+    }
+
     /// Returns unknown workers to ask about, with or without room, where those
     /// known to be good hold too few of the step's tasks.
     pub(crate) fn workers_to_learn_of(
@@ -133,17 +169,18 @@
         self.choose_unknown(now, pending, policy, unknown, missing, NAMED_LIMIT_COUNT)
     }
 
-    /// Returns where and when so many tasks will have room on good workers, the
+    /// Returns where and when so many tasks will have room on these workers, the
     /// soonest first; a worker is there once for each task.
     fn expected_rooms(
         &self,
         now: Instant,
         pending: &PendingStep,
+        workers: Vec<WorkerKey>,
         tasks_count: usize,
         cycle: &SchedulingCycle,
     ) -> Vec<ExpectedRoom> {
         let mut found = Vec::new();
-        for key in self.advice[&pending.key].good() {
+        for key in workers {
             let worker = &self.workers[key];
             if !worker.is_placeable(now) || !Self::is_eligible(pending, worker) {
                 continue;
@@ -216,8 +253,18 @@
     }
 }
 
+/// Keeps room for a gang where it will be free first, on a part of the workers at most.
+fn keep_for_gang(pending: &PendingStep, expected: &[ExpectedRoom], cycle: &mut SchedulingCycle) {
+    let limit_count = cycle.workers_count() * AWAITED_PERCENT / 100;
+    for room in expected {
+        if cycle.kept_workers_count() < limit_count || cycle.is_kept(room.worker) {
+            cycle.keep_room(room.worker, pending.demand);
+        }
+    }
+}
+
 /// Returns whether few of the step's tasks fill a worker of its service.
-fn fills_workers(pending: &PendingStep, cycle: &SchedulingCycle) -> bool {
+pub(crate) fn fills_workers(pending: &PendingStep, cycle: &SchedulingCycle) -> bool {
     let largest = cycle.largest_of(&pending.service);
     fit_in(&largest, &pending.demand) <= FILLING_TASKS_COUNT
 }
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -55,6 +55,7 @@
         workers: impl Iterator<Item = WorkerKey>,
     ) -> Vec<Candidate> {
         let mut found = Vec::new();
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
         for key in workers {
             let worker = &self.workers[key];
             if !worker.is_placeable(now) || !pending.demand.fits_in(&worker.free()) {
@@ -62,6 +63,9 @@
             }
             if let Some(mut candidate) = self.candidate(pending, key, worker) {
                 candidate.free -= cycle.kept_room(key);
+                if leaves_whole {
+                    candidate.free -= cycle.whole_room(key);
+                }
                 if pending.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
                     found.push(candidate);
                 }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -6,6 +6,7 @@
 use crate::packing::{Packing, ResourceSum, Scarcity};
 use crate::scheduler::Scheduler;
 use crate::shapes::Shape;
+use crate::whole_rooms::WholeRooms;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Instant, Resources};
 use std::cmp::Reverse;
@@ -48,6 +49,17 @@
         self.free.add(free);
     }
 
+    /// Returns whether half of the processors and half of the accelerators are used: below
+    /// that, whatever has room is started at once.
+    fn is_half_used(&self) -> bool {
+        let is_used = |free: u64, capacity: u64| free * 2 <= capacity;
+        is_used(self.free.cores_milli, self.capacity.cores_milli)
+            && is_used(
+                self.free.accelerators_count,
+                self.capacity.accelerators_count,
+            )
+    }
+
     /// Returns how tasks are packed; `None` where all workers are alike and hold no
     /// accelerators, or nothing is known of what comes.
     fn new_packing(&self, shapes: &[Shape]) -> Option<Packing> {
@@ -71,6 +83,8 @@
     /// Room that is kept on workers for steps that wait for it: steps that come
     /// later in the cycle are less urgent and don't take it.
     kept: BTreeMap<WorkerKey, Resources>,
+    /// Room that is kept for the largest tasks that come to a service.
+    whole_rooms: BTreeMap<WorkerKey, Resources>,
     /// What of customers' limits steps wait to start that were looked at before.
     claimed_limits: BTreeMap<CustomerKey, Resources>,
     /// The steps of single tasks that wait for workers so far.
@@ -101,6 +115,16 @@
         able.map(|free| free.worker)
     }
 
+    /// Returns the workers that had room for a demand, the fullest first.
+    pub(crate) fn fullest_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        let needed_milli = demand.cores_milli;
+        let able_count = self
+            .by_room
+            .partition_point(|free| free.free_milli >= needed_milli);
+        let able = self.by_room[..able_count].iter().rev();
+        able.map(|free| free.worker)
+    }
+
     /// Takes a part of a customer's limit for a step that waits to start.
     pub(crate) fn claim_limit(&mut self, customer: CustomerKey, amount: Resources) {
         *self.claimed_limits.entry(customer).or_default() += amount;
@@ -122,6 +146,12 @@
         self.kept.get(&worker).copied().unwrap_or_default()
     }
 
+    /// Returns the room that is kept on a worker for the largest tasks of its service, which
+    /// smaller ones leave that can wait.
+    pub(crate) fn whole_room(&self, worker: WorkerKey) -> Resources {
+        self.whole_rooms.get(&worker).copied().unwrap_or_default()
+    }
+
     /// Returns whether room is kept on a worker.
     pub(crate) fn is_kept(&self, worker: WorkerKey) -> bool {
         self.kept.contains_key(&worker)
@@ -178,6 +208,22 @@
         &mut self.pools[index]
     }
 
+    /// Keeps room on a worker for the largest tasks that come.
+    pub(crate) fn keep_whole_room(&mut self, worker: WorkerKey, room: Resources) {
+        self.whole_rooms.insert(worker, room);
+    }
+
+    /// Returns what each service that is half used should keep for its largest tasks.
+    pub(crate) fn wanted_whole_rooms(&self) -> Vec<(Arc<str>, WholeRooms)> {
+        let wanted = self.pools.iter().filter_map(|pool| {
+            let largest = pool.packing.as_ref()?.largest()?;
+            let held_count = pool.capacity.fit_in(&largest.demand);
+            let rooms = WholeRooms::new(largest.demand, largest.per_s, held_count)?;
+            pool.is_half_used().then(|| (pool.service.clone(), rooms))
+        });
+        wanted.collect()
+    }
+
     /// Returns how many workers may take a run.
     pub(crate) const fn workers_count(&self) -> usize {
         self.by_room.len()
@@ -215,6 +261,7 @@
         cycle
             .by_room
             .sort_unstable_by_key(|free| (Reverse(free.free_milli), free.worker));
+        self.keep_whole_rooms(&mut cycle);
         cycle
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -32,6 +32,7 @@
 mod event;
 mod evidence;
 mod features;
+mod fragmentation;
 mod gang_search;
 mod gangs;
 mod job;
@@ -58,6 +59,7 @@
 mod state;
 mod verifier;
 mod waiting;
+mod whole_rooms;
 mod worker;
 mod worker_list;
 
@@ -73,6 +75,7 @@
 };
 pub use evidence::{CrashRecord, Suspicion};
 pub use features::{Feature, Features, UnknownFeature};
+pub use fragmentation::ServiceRoom;
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
 pub use life::LifeStart;
--- a/crates/scheduler/src/packing.rs
+++ b/crates/scheduler/src/packing.rs
@@ -28,6 +28,14 @@
         self.memory_mib += u64::from(amount.memory_mib);
         self.accelerators_count += u64::from(amount.accelerators_count);
     }
+
+    /// Returns how many tasks of a demand it would hold in one piece.
+    pub(crate) fn fit_in(&self, demand: &Resources) -> u64 {
+        let by = |free: u64, need: u32| free.checked_div(u64::from(need)).unwrap_or(u64::MAX);
+        by(self.cores_milli, demand.cores_milli)
+            .min(by(self.memory_mib, demand.memory_mib))
+            .min(by(self.accelerators_count, demand.accelerators_count))
+    }
 }
 
 /// How much one unit of each resource is worth where a worker is left with it.
@@ -109,6 +117,15 @@
     /// What all of it counts that came lately, in whole units of a cost.
     weight: u64,
     worth: f64,
+    per_s: f64,
+}
+
+/// The shape that takes most of what is scarce.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LargestShape {
+    pub(crate) demand: Resources,
+    /// How many tasks of it come in a second.
+    pub(crate) per_s: f64,
 }
 
 /// What one service's tasks and workers look like, as a cycle begins.
@@ -132,6 +149,7 @@
                 demand: shape.demand,
                 weight: (share * SHARE_UNIT) as u64,
                 worth,
+                per_s: shape.per_s(),
             }
         });
         Self {
@@ -141,10 +159,20 @@
     }
 
     /// Returns the shape that takes most of what is scarce.
-    pub(crate) fn largest(&self) -> Option<Resources> {
+    pub(crate) fn largest(&self) -> Option<LargestShape> {
         let shapes = self.shapes.iter();
         let largest = shapes.max_by(|one, other| one.worth.total_cmp(&other.worth));
-        largest.map(|shape| shape.demand)
+        largest.map(|shape| LargestShape {
+            demand: shape.demand,
+            per_s: shape.per_s,
+        })
+    }
+
+    /// Returns all shapes, those first that take most of what is scarce.
+    pub(crate) fn largest_first(&self) -> Vec<Resources> {
+        let mut shapes = self.shapes.clone();
+        shapes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
+        shapes.into_iter().map(|shape| shape.demand).collect()
     }
 
     /// Returns whether a demand is smaller than another by what is scarce.
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -192,8 +192,12 @@
                 let candidates = self.candidates(now, pending, cycle, workers);
                 placed_count = self.allocate(now, pending, candidates, out);
             }
-            let has_left = placed_count < pending.waiting.len();
-            return has_left.then(|| self.reason_to_seek(now, pending));
+            let missing_count = pending.waiting.len() - placed_count;
+            if missing_count == 0 {
+                return None;
+            }
+            self.await_room(now, pending, missing_count, cycle);
+            return Some(self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
             self.place_gang(now, pending, policy, cycle, out)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, Event};
+use crate::fragmentation::ServiceRoom;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::names::Names;
@@ -43,7 +44,7 @@
 }
 
 /// Sizes for metrics and operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SchedulerStatus {
     /// Jobs with work left.
     pub active_jobs_count: usize,
@@ -65,6 +66,8 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// How broken up the free room of each service is.
+    pub service_rooms: Vec<ServiceRoom>,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -282,6 +285,7 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            service_rooms: self.service_rooms(now),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
--- a/crates/scheduler/src/shapes.rs
+++ b/crates/scheduler/src/shapes.rs
@@ -25,10 +25,10 @@
 }
 
 impl Shape {
-    /// Returns how many of it come in a time.
-    pub(crate) fn expected_count(&self, time: Duration) -> f64 {
+    /// Returns how many of it come in a second.
+    pub(crate) fn per_s(&self) -> f64 {
         let lifetime_ms = HALF_LIFE.as_ms() as f64 / core::f64::consts::LN_2;
-        self.count * time.as_ms() as f64 / lifetime_ms
+        self.count * 1000.0 / lifetime_ms
     }
 }
 
@@ -131,6 +131,18 @@
         shapes.map_or(&[], |shapes| &shapes.shapes)
     }
 
+    /// Returns whether what is kept is within its bounds.
+    pub(crate) fn are_bounded(&self) -> bool {
+        let is_sound = |shape: &Shape| {
+            shape.count.is_finite() && shape.count >= 0.0 && !shape.demand.is_zero()
+        };
+        let is_bounded = |of_service: &ServiceShapes| {
+            let shapes = &of_service.shapes;
+            shapes.len() <= SHAPES_LIMIT_COUNT && shapes.iter().all(is_sound)
+        };
+        self.by_service.len() <= SERVICES_LIMIT_COUNT && self.by_service.values().all(is_bounded)
+    }
+
     /// Forgets shapes that have not come for long, and services without any.
     pub(crate) fn forget_old(&mut self, now: Instant) {
         for shapes in self.by_service.values_mut() {
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -33,6 +33,9 @@
     /// A step waits for what can't come.
     #[error("step {0} waits for what can't come: {1}")]
     Wait(StepKey, &'static str),
+    /// More shapes of tasks are kept than may be, or some that are none.
+    #[error("the shapes of tasks are miscounted")]
+    Shapes,
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -51,6 +54,9 @@
         self.verify_reservations()?;
         self.verify_commits()?;
         self.verify_waits()?;
+        if !self.shapes.are_bounded() {
+            return Err(Violation::Shapes);
+        }
         let is_over = |id| {
             self.jobs
                 .get(id)
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -11,6 +11,7 @@
 mod departures;
 mod gang_load;
 mod lapses;
+mod packing;
 mod packing_load;
 mod pending;
 mod repeats;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/packing.rs
@@ -0,0 +1,110 @@
+//! On which workers tasks are placed that need more than processors.
+
+use crate::support::bench::Bench;
+use crate::support::step;
+use crate::support::worker::FakeWorker;
+use ospreywing_scheduler::{Recovered, StepSpec};
+use ospreywing_types::Resources;
+
+const WITH_ACCELERATORS: Resources = Resources::new(128_000, 524_288, 8);
+const WITHOUT: Resources = Resources::new(128_000, 524_288, 0);
+const LARGE: Resources = Resources::new(62_000, 133_120, 8);
+const SMALL: Resources = Resources::new(11_000, 32_768, 1);
+
+fn bench(capacities: &[Resources]) -> Bench {
+    let workers = capacities.iter().enumerate().map(|(number, capacity)| {
+        let mut worker = FakeWorker::new(&format!("w{number}"), 1000);
+        worker.set_capacity(*capacity);
+        worker
+    });
+    let workers: Vec<FakeWorker> = workers.collect();
+    Bench::new(Recovered::default(), &workers)
+}
+
+fn tasks(tasks_count: u32, demand: Resources) -> Vec<StepSpec> {
+    vec![StepSpec {
+        demand,
+        ..step(tasks_count)
+    }]
+}
+
+/// Hands a job in and returns the workers that start its tasks.
+fn start(bench: &mut Bench, number: u64, tasks_count: u32, demand: Resources) -> Vec<String> {
+    bench.submit(number, tasks(tasks_count, demand));
+    bench.commit_all();
+    let starts = bench.starts();
+    for start in &starts {
+        bench.started(*start);
+    }
+    let listed: Vec<_> = bench.scheduler.listed_workers().collect();
+    let id_of = |key| listed.iter().find(|(other, _)| *other == key);
+    let ids = starts.iter().map(|(key, ..)| id_of(*key));
+    ids.map(|found| found.expect("a listed worker").1.id.to_string())
+        .collect()
+}
+
+/// A task that needs no accelerator goes to a worker without, though one with accelerators
+/// is fuller.
+#[test]
+fn candidates_no_accelerator_needed() {
+    let with_accelerators = Resources::new(64_000, 524_288, 8);
+    let mut bench = bench(&[with_accelerators, WITHOUT]);
+    let plain = Resources::new(30_000, 32_768, 0);
+    assert_eq!(start(&mut bench, 1, 1, plain), ["w1"]);
+}
+
+/// A small task goes where no larger one fits, though another worker has fewer processors.
+#[test]
+fn candidates_room_of_larger_left() {
+    let whole = Resources::new(64_000, 524_288, 8);
+    let broken_into = Resources::new(117_000, 524_288, 7);
+    let mut bench = bench(&[whole, broken_into]);
+    // One of the larger has come, and is gone.
+    bench.submit(1, tasks(1, LARGE));
+    bench.cancel(1);
+    assert_eq!(start(&mut bench, 2, 1, SMALL), ["w1"]);
+}
+
+/// Below half of a service's use whatever has room starts, in whole workers too.
+#[test]
+fn place_small_little_used() {
+    let mut bench = bench(&[WITH_ACCELERATORS; 8]);
+    bench.submit(1, tasks(8, LARGE));
+    bench.cancel(1);
+    assert_eq!(start(&mut bench, 2, 64, SMALL).len(), 64);
+}
+
+/// A task that needs nothing starts, and is no shape to keep room for.
+#[test]
+fn place_nothing_needed() {
+    let mut bench = bench(&[WITH_ACCELERATORS, WITHOUT]);
+    assert_eq!(start(&mut bench, 1, 1, LARGE), ["w0"]);
+    assert_eq!(start(&mut bench, 2, 1, Resources::ZERO).len(), 1);
+    assert_eq!(start(&mut bench, 3, 1, SMALL), Vec::<String>::new());
+}
+
+/// However many shapes come, few are kept; the verifier counts them.
+#[test]
+fn take_job_many_shapes() {
+    let mut bench = bench(&[WITH_ACCELERATORS]);
+    for number in 1..=60 {
+        let cores_milli = 1 << (number % 15);
+        let accelerators_count = 1 << (number / 15);
+        let demand = Resources::new(cores_milli, 1, accelerators_count);
+        bench.submit(number, tasks(1, demand));
+    }
+    let status = bench.scheduler.status(bench.now);
+    assert_eq!(status.service_rooms.len(), 1);
+}
+
+/// Operators see which of the tasks that come still fits, and in how much of what is free.
+#[test]
+fn status_room_broken_up() {
+    let mut bench = bench(&[WITH_ACCELERATORS; 2]);
+    assert_eq!(start(&mut bench, 1, 1, LARGE).len(), 1);
+    assert_eq!(start(&mut bench, 2, 4, SMALL).len(), 4);
+    let status = bench.scheduler.status(bench.now);
+    let room = &status.service_rooms[0];
+    assert_eq!(room.largest_fit, SMALL);
+    assert_eq!((room.fit_count, room.whole_percent), (4, 0));
+}
--- a/crates/scheduler/tests/scheduler/packing_load.rs
+++ b/crates/scheduler/tests/scheduler/packing_load.rs
@@ -7,17 +7,25 @@
 use ospreywing_types::Resources;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
+use rstest::rstest;
 
-const SEEDS_COUNT: u64 = 4;
-const LOAD_MS: u64 = 60_000;
-/// How long runs take, on average as long as their estimate.
-const RUN_LENGTHS_MS: core::ops::Range<u64> = 2_000..6_000;
-const MEAN_RUN_S: f64 = 4.0;
-const ESTIMATE_MS: u64 = 4_000;
-/// A job's objective: twice its estimate, and one more second.
-const OBJECTIVE_MS: u64 = 9_000;
-/// How long after the load jobs may still be done in time.
-const REST_MS: u64 = OBJECTIVE_MS;
+const SEEDS_COUNT: u64 = 3;
+const WORKERS_COUNT: usize = 16;
+/// Time passes in such steps between arrivals.
+const STEP_MS: u64 = 50;
+/// How long 95 of 100 large tasks wait at most: the time in which a task must be started
+/// that has room. Without packing 5 s to 6 s.
+const LARGE_WAIT_LIMIT_MS: u64 = 3_000;
+const LARGE_IN_TIME_LEAST: f64 = 0.98;
+/// What the small tasks' share in time may fall by.
+const SMALL_LOST_LIMIT: f64 = 0.02;
+const STORM_MS: u64 = 12_000;
+const CALM_LIMIT_MS: u64 = 90_000;
+const LOAD_MS: u64 = 40_000;
+/// How long runs take, in percent of their estimates.
+const RUN_LENGTHS_PERCENT: core::ops::Range<u64> = 50..150;
+/// How long after the load jobs may still be done.
+const REST_MS: u64 = 10_000;
 
 /// A kind of task, and which part of the load it makes up.
 #[derive(Clone, Copy)]
@@ -26,19 +34,29 @@
     share: f64,
 }
 
-/// A load of two kinds, the large one first, of which each has tasks of several shapes.
+/// Tasks that come at a rate, of several shapes.
+struct Stream {
+    kinds: Vec<Kind>,
+    per_s: f64,
+    estimate_ms: u64,
+}
+
+impl Stream {
+    /// Returns a job's objective: twice its estimate, and one more second.
+    const fn objective_ms(&self) -> u64 {
+        2 * self.estimate_ms + 1_000
+    }
+}
+
+/// A load of large tasks and small ones.
 struct Load {
     capacities: Vec<Resources>,
     workers_count: usize,
-    large: Vec<Kind>,
-    small: Vec<Kind>,
-    /// The jobs that come each second.
-    large_per_s: f64,
-    small_per_s: f64,
+    streams: [Stream; 2],
 }
 
 /// What became of one kind.
-#[derive(Default)]
+#[derive(Debug, Default, PartialEq, Eq)]
 struct Outcome {
     waits_ms: Vec<u64>,
     in_time_count: usize,
@@ -61,18 +79,56 @@
         demand: Resources::new(62_000, 133_120, accelerators_count),
         share: 1.0 / 3.0,
     };
-    let accelerators = load * 8.0 * workers_count as f64;
+    // Half of the accelerators' time each.
+    let accelerators = load * 8.0 * workers_count as f64 / 2.0;
+    let (large_ms, small_ms) = (4_000, 12_000);
     Load {
         capacities: vec![capacity],
         workers_count,
-        large: vec![large(2), large(4), large(8)],
-        small: vec![Kind {
-            demand: Resources::new(11_000, 32_768, 1),
-            share: 1.0,
-        }],
-        // Half of the accelerators' time each.
-        large_per_s: accelerators / 2.0 / (14.0 / 3.0) / MEAN_RUN_S,
-        small_per_s: accelerators / 2.0 / MEAN_RUN_S,
+        streams: [
+            Stream {
+                kinds: vec![large(2), large(4), large(8)],
+                per_s: accelerators / (14.0 / 3.0) / large_ms as f64 * 1000.0,
+                estimate_ms: large_ms,
+            },
+            Stream {
+                kinds: vec![Kind {
+                    demand: Resources::new(11_000, 32_768, 1),
+                    share: 1.0,
+                }],
+                per_s: accelerators / small_ms as f64 * 1000.0,
+                estimate_ms: small_ms,
+            },
+        ],
+    }
+}
+
+/// Returns a load of tasks that fill workers and of small ones, on workers of three sizes.
+fn uneven(load: f64) -> Load {
+    let cores = |milli| Kind {
+        demand: Resources::new(milli, 2 * milli, 0),
+        share: 0.5,
+    };
+    // Workers of 18.7 cores on average, half of the time of each for either kind.
+    let milli = load * 18_700.0 * WORKERS_COUNT as f64 / 2.0;
+    let sizes = [8_000, 16_000, 32_000];
+    Load {
+        capacities: sizes
+            .map(|milli| Resources::new(milli, 4 * milli, 0))
+            .into(),
+        workers_count: WORKERS_COUNT,
+        streams: [
+            Stream {
+                kinds: vec![cores(12_000), cores(30_000)],
+                per_s: milli / 21_000.0 / 4.0,
+                estimate_ms: 4_000,
+            },
+            Stream {
+                kinds: vec![cores(1_000), cores(3_000)],
+                per_s: milli / 2_000.0 / 12.0,
+                estimate_ms: 12_000,
+            },
+        ],
     }
 }
 
@@ -87,10 +143,10 @@
     kinds[kinds.len() - 1].demand
 }
 
-fn one_task(number: u64, demand: Resources, now_ms: u64) -> (JobId, JobRecord) {
+fn one_task(number: u64, demand: Resources, estimate_ms: u64, now_ms: u64) -> (JobId, JobRecord) {
     let spec = StepSpec {
         demand,
-        estimate_ms: ESTIMATE_MS,
+        estimate_ms,
         saves_progress: true,
         ..step(1)
     };
@@ -99,44 +155,80 @@
     (id, record)
 }
 
-/// Plays a load; returns what became of the large and of the small tasks.
-fn play(seed: u64, load: &Load, features: Features, policy: Option<AdvicePolicy>) -> [Outcome; 2] {
-    let mut world = World::new(seed, load.workers_count, Faults::default(), policy);
+fn without_packing() -> Features {
+    Features::default().without(Feature::Packing)
+}
+
+fn new_world(seed: u64, load: &Load, faults: Faults, policy: Option<AdvicePolicy>) -> World {
+    let mut world = World::new(seed, load.workers_count, faults, policy);
     world.set_capacities(&load.capacities);
-    world.elect_with_features(features);
-    world.run_lengths_ms = RUN_LENGTHS_MS;
-    world.run_for(500);
-    let mut rng = Pcg64::seed_from_u64(seed);
-    let mut jobs: Vec<(usize, JobId, u64)> = Vec::new();
-    for _ in (0..LOAD_MS).step_by(50) {
-        for (kind, kinds, per_s) in [
-            (0, &load.large, load.large_per_s),
-            (1, &load.small, load.small_per_s),
-        ] {
-            // Several may come in one step of 50 ms.
-            let mut left = per_s * 0.05;
-            while rng.random::<f64>() < left {
-                let number = jobs.len() as u64 + 1;
-                let demand = draw_kind(&mut rng, kinds);
-                let (id, record) = one_task(number, demand, world.now_ms);
-                jobs.push((kind, id, world.now_ms));
-                world.submit((id, record));
-                left -= 1.0;
+    world.run_lengths_percent = Some(RUN_LENGTHS_PERCENT);
+    world
+}
+
+/// A task's job: its kind, the job, and when it was handed in.
+type Arrival = (usize, JobId, u64);
+
+/// Jobs that come by a seed.
+struct Arrivals {
+    rng: Pcg64,
+    jobs: Vec<Arrival>,
+}
+
+impl Arrivals {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: Pcg64::seed_from_u64(seed),
+            jobs: Vec::new(),
+        }
+    }
+
+    fn submit_for(&mut self, world: &mut World, load: &Load, length_ms: u64) {
+        for _ in (0..length_ms).step_by(STEP_MS as usize) {
+            for (kind, stream) in load.streams.iter().enumerate() {
+                self.submit_due(world, kind, stream);
             }
+            world.run_for(STEP_MS);
+            world.note_outcomes();
+        }
+    }
+
+    /// Hands in what comes of a stream in one step of time.
+    fn submit_due(&mut self, world: &mut World, kind: usize, stream: &Stream) {
+        let mut left = stream.per_s * STEP_MS as f64 / 1000.0;
+        while self.rng.random::<f64>() < left {
+            let number = self.jobs.len() as u64 + 1;
+            let demand = draw_kind(&mut self.rng, &stream.kinds);
+            let (id, record) = one_task(number, demand, stream.estimate_ms, world.now_ms);
+            self.jobs.push((kind, id, world.now_ms));
+            world.submit((id, record));
+            left -= 1.0;
         }
-        world.run_for(50);
-        world.note_outcomes();
     }
-    for _ in 0..REST_MS / 50 {
-        world.run_for(50);
+}
+
+/// Plays a load; returns what became of the large and of the small tasks.
+fn play(seed: u64, load: &Load, features: Features, policy: Option<AdvicePolicy>) -> [Outcome; 2] {
+    let mut world = new_world(seed, load, Faults::default(), policy);
+    world.elect_with_features(features);
+    world.run_for(500);
+    let mut arrivals = Arrivals::new(seed);
+    arrivals.submit_for(&mut world, load, LOAD_MS);
+    for _ in 0..REST_MS / STEP_MS {
+        world.run_for(STEP_MS);
         world.note_outcomes();
     }
+    let end_ms = world.now_ms;
     let mut outcomes = [Outcome::default(), Outcome::default()];
-    for (kind, id, since_ms) in jobs {
-        let started_ms = world.started_ms.get(&id).copied().unwrap_or(world.now_ms);
+    for (kind, id, since_ms) in arrivals.jobs {
+        let limit_ms = since_ms + load.streams[kind].objective_ms();
+        if limit_ms > end_ms {
+            continue;
+        }
+        let started_ms = world.started_ms.get(&id).copied().unwrap_or(end_ms);
         outcomes[kind].waits_ms.push(started_ms - since_ms);
         let done_ms = world.done_ms.get(&id);
-        let is_in_time = done_ms.is_some_and(|done_ms| done_ms - since_ms <= OBJECTIVE_MS);
+        let is_in_time = done_ms.is_some_and(|done_ms| *done_ms <= limit_ms);
         outcomes[kind].in_time_count += usize::from(is_in_time);
     }
     outcomes
@@ -153,9 +245,14 @@
     }
     let [large, small] = &mut all;
     println!(
-        "large: p50 {} ms, p95 {} ms, {:.3} in time; small: p50 {} ms, p95 {} ms, {:.3} in time",
+        "{} {} small {} per_s {:.1}: large: p50 {} p95 {} p99 {}, {:.3} in time; small: p50 {} ms, p95 {} ms, {:.3} in time",
+        policy.is_some(),
+        features.has(Feature::Packing),
+        load.streams[1].estimate_ms,
+        load.streams[0].per_s,
         large.wait_ms(50),
         large.wait_ms(95),
+        large.wait_ms(99),
         large.in_time(),
         small.wait_ms(50),
         small.wait_ms(95),
@@ -164,21 +261,60 @@
     all
 }
 
-#[test]
-fn trial_accelerated() {
-    for load in [0.7, 0.8, 0.9] {
-        for policy in [None, Some(advice())] {
-            for features in [
-                Features::default().without(Feature::Packing),
-                Features::default(),
-            ] {
-                print!(
-                    "{load} {} {}: ",
-                    policy.is_some(),
-                    features.has(Feature::Packing)
-                );
-                play_all(&accelerated(load, 16), features, policy);
-            }
-        }
+/// Large tasks that need advice start soon beside small ones that run for three times as
+/// long, and the small ones lose next to nothing.
+#[rstest]
+fn place_large_beside_small(#[values(0.8, 0.9)] load: f64) {
+    let load = accelerated(load, WORKERS_COUNT);
+    let policy = Some(advice());
+    let [_, small_before] = play_all(&load, without_packing(), policy);
+    let [mut large, small] = play_all(&load, Features::default(), policy);
+    let wait_ms = large.wait_ms(95);
+    assert!(wait_ms <= LARGE_WAIT_LIMIT_MS, "large: {wait_ms} ms");
+    assert!(
+        large.in_time() >= LARGE_IN_TIME_LEAST,
+        "large tasks are late"
+    );
+    let lost = small_before.in_time() - small.in_time();
+    assert!(lost <= SMALL_LOST_LIMIT, "small: {lost:.3} of their share");
+}
+
+/// Where all workers are alike and hold no accelerators, nothing is decided otherwise.
+#[rstest]
+fn place_workers_alike(#[values(false, true)] has_advice: bool) {
+    let load = Load {
+        capacities: vec![Resources::new(16_000, 65_536, 0)],
+        ..uneven(0.9)
+    };
+    let policy = has_advice.then(advice);
+    let [large_before, small_before] = play(0, &load, without_packing(), policy);
+    let [large, small] = play(0, &load, Features::default(), policy);
+    assert_eq!(large, large_before);
+    assert_eq!(small, small_before);
+}
+
+/// Rooms shrink, workers drain and die, leaders follow one another and half of the workers
+/// are lost at once; all the same every task is done.
+#[rstest]
+fn place_while_workers_change(#[values(false, true)] has_advice: bool) {
+    let faults = Faults {
+        resize: 60,
+        drain: 10,
+        crash: 10,
+        takeover: 20,
+        ..Faults::default()
+    };
+    let load = accelerated(0.5, WORKERS_COUNT);
+    for seed in 0..SEEDS_COUNT {
+        println!("seed {seed}");
+        let mut world = new_world(seed, &load, faults, has_advice.then(advice));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        let mut arrivals = Arrivals::new(seed);
+        arrivals.submit_for(&mut world, &load, STORM_MS / 2);
+        let half: Vec<usize> = (0..WORKERS_COUNT / 2).collect();
+        world.lose(&half);
+        world.elect();
+        arrivals.submit_for(&mut world, &load, STORM_MS / 2);
+        world.run_until_done(CALM_LIMIT_MS);
     }
 }
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -282,8 +282,11 @@
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
         let fails = self.draw(self.faults.failing_run);
-        let length_ms = self.rng.random_range(self.run_lengths_ms.clone());
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
+        let length_ms = match self.run_lengths_percent.clone() {
+            Some(percent) => spec.estimate_ms * self.rng.random_range(percent) / 100,
+            None => self.rng.random_range(self.run_lengths_ms.clone()),
+        };
         let run = FakeRun {
             run: order.run,
             ends_at_ms: now_ms + length_ms,
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -162,6 +162,8 @@
     has_trouble: bool,
     /// How long runs take.
     pub run_lengths_ms: core::ops::Range<u64>,
+    /// The same in percent of their estimates, where that is set.
+    pub run_lengths_percent: Option<core::ops::Range<u64>>,
     /// After this time no new fault strikes.
     pub calm_from_ms: u64,
     /// One of so many workers is good for a job; 0 for two of three.
@@ -216,6 +218,7 @@
             last_faults_at_ms: 0,
             has_trouble: false,
             run_lengths_ms: 200..2_500,
+            run_lengths_percent: None,
             calm_from_ms: u64::MAX,
             good_one_in: 0,
             advice_calls_count: 0,
