--- a/crates/scheduler/src/packing.rs
+++ b/crates/scheduler/src/packing.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns whether the service holds accelerators.
+    const fn has_accelerators(&self) -> bool {
+        self.per_accelerator > 0.0
+    }
+
     /// Returns the worth of the part of a room that is worth most.
     pub(crate) fn dominant_worth(&self, room: &Resources) -> f64 {
         let cores = self.per_milli * f64::from(room.cores_milli);
@@ -180,8 +185,12 @@
         self.scarcity.dominant_worth(demand) < self.scarcity.dominant_worth(than)
     }
 
-    /// Returns what a task costs on a worker with this room, into which it fits.
+    /// Returns what a task costs on a worker with this room, into which it fits. Without
+    /// accelerators, processors decide alone.
     pub(crate) fn cost(&self, free: &Resources, demand: &Resources) -> PackingCost {
+        if !self.scarcity.has_accelerators() {
+            return PackingCost::of_leftover(free.cores_milli);
+        }
         let left = *free - *demand;
         let worth = self.scarcity.dominant_worth(demand);
         let larger = self.shapes.iter().filter(|shape| shape.worth > worth);
--- a/crates/scheduler/src/whole_rooms.rs
+++ b/crates/scheduler/src/whole_rooms.rs
@@ -8,10 +8,11 @@
 use ospreywing_types::{Duration, Instant, Resources};
 
 /// Room is kept for the largest tasks that come within so long: about the time in which
-/// ends of runs bring new room.
-const KEPT_TIME: Duration = Duration::from_ms(2000);
-/// The part of the largest tasks that a service holds for which room is kept, at most.
-const KEPT_SHARE: f64 = 0.125;
+/// ends of runs bring as much new room.
+const KEPT_TIME: Duration = Duration::from_ms(6000);
+/// The part of the largest tasks that a service holds for which room is kept, at most: the
+/// rest is for whoever comes first.
+const KEPT_SHARE: f64 = 0.25;
 
 /// The room to be kept whole in one service.
 #[derive(Clone, Copy, Debug)]
--- a/crates/scheduler/tests/scheduler/packing.rs
+++ b/crates/scheduler/tests/scheduler/packing.rs
@@ -108,3 +108,23 @@
     assert_eq!(room.largest_fit, SMALL);
     assert_eq!((room.fit_count, room.whole_percent), (4, 0));
 }
+
+/// In a service that is half used, small tasks that can wait leave room for the largest that
+/// come; those that can't wait use it.
+#[test]
+fn place_small_half_used() {
+    let mut bench = bench(&[WITH_ACCELERATORS; 4]);
+    let whole = Resources::new(100_000, 133_120, 8);
+    bench.submit(1, tasks(8, whole));
+    bench.cancel(1);
+    assert_eq!(start(&mut bench, 2, 3, whole).len(), 3);
+    let patient = StepSpec {
+        demand: SMALL,
+        estimate_ms: 60_000,
+        ..step(1)
+    };
+    bench.submit(3, vec![patient]);
+    bench.commit_all();
+    assert_eq!(bench.starts(), Vec::new(), "the last whole worker is kept");
+    assert_eq!(start(&mut bench, 4, 1, SMALL), ["w3"]);
+}
