Packing: small tasks weigh 200 workers before they ask; no room kept below half of use

Cause: a look over all workers for each step that asks; and large tasks that wait without advice could keep all room of a small service that is little used.

--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -31,9 +31,10 @@
 const PART_COST_SHARE: f64 = 0.25;
 /// How many times the room that is needed the named workers should have.
 const NAMED_ROOM_FACTOR: f64 = 1.5;
-/// The workers that a small task weighs before it asks, the fullest ones: more would take
-/// longer than they are worth where thousands have room.
-const PACKED_LIMIT_COUNT: usize = 200;
+/// The workers that a small task weighs before it asks, the fullest ones with enough
+/// processors: more would take too long where there are thousands. The others follow, those
+/// with most room first.
+const PACKED_WEIGHED_COUNT: usize = 200;
 /// The share of good workers that is assumed before anything is known.
 const FIRST_GOODNESS: f64 = 0.5;
 /// The least share of good workers that is assumed.
@@ -106,12 +107,11 @@
                 named.push(candidate.worker);
             }
         }
-        let packed = self.packed_order(now, pending, cycle);
-        let in_order: Box<dyn Iterator<Item = WorkerKey> + '_> = match packed {
-            Some(packed) => Box::new(packed.into_iter()),
-            None => Box::new(cycle.workers_for(&pending.demand)),
-        };
-        for key in in_order {
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
+        let packed = self.packed_order(pending, leaves_whole, cycle);
+        let weighed_count = packed.as_ref().map_or(0, |_| PACKED_WEIGHED_COUNT);
+        let rest = cycle.freest_for(&pending.demand, weighed_count);
+        for key in packed.unwrap_or_default().into_iter().chain(rest) {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
@@ -122,6 +122,9 @@
                 continue;
             };
             candidate.free -= cycle.kept_room(key);
+            if leaves_whole {
+                candidate.free -= cycle.whole_room(key);
+            }
             let fit_count = self.unclaimed_fit(&candidate, pending).min(needed as u32);
             if fit_count > 0 {
                 wanted -= goodness * f64::from(fit_count);
@@ -134,12 +137,12 @@
         named
     }
 
-    /// Returns unknown workers with room for a small task in the order in which it should
-    /// take them; `None` where it should ask about those with most room.
+    /// Returns those of the fullest workers that are unknown and have room for a small task,
+    /// in the order in which it should take them; `None` where it should ask about those with most room.
     fn packed_order(
         &self,
-        now: Instant,
         pending: &PendingStep,
+        leaves_whole: bool,
         cycle: &SchedulingCycle,
     ) -> Option<Vec<WorkerKey>> {
         let packing = cycle.packing(&pending.service)?;
@@ -147,9 +150,9 @@
             return None;
         }
         let advice = &self.advice[&pending.key];
-        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
         let unknown = cycle
             .fullest_for(&pending.demand)
+            .take(PACKED_WEIGHED_COUNT)
             .filter(|key| !advice.is_known(*key));
         let able = unknown.filter_map(|key| {
             let mut candidate = self.candidate(pending, key, &self.workers[key])?;
@@ -159,7 +162,7 @@
             }
             (candidate.fit_count(&pending.demand) > 0).then_some(candidate)
         });
-        let mut able: Vec<Candidate> = able.take(PACKED_LIMIT_COUNT).collect();
+        let mut able: Vec<Candidate> = able.collect();
         able.sort_by_cached_key(|it| (packing.cost(&it.free, &pending.demand), it.worker));
         Some(able.into_iter().map(|it| it.worker).collect())
     }
--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -105,7 +105,7 @@
     }
 
     /// Keeps later work off the workers on which a step that needs no advice will have room
-    /// first, where its tasks fill workers of a service that is packed.
+    /// first, where its tasks fill workers of a service that is packed and half used.
     pub(crate) fn await_room(
         &self,
         now: Instant,
@@ -113,7 +113,7 @@
         missing_count: usize,
         cycle: &mut SchedulingCycle,
     ) {
-        if cycle.packing(&pending.service).is_none() || !fills_workers(pending, cycle) {
+        if !cycle.keeps_room(&pending.service) || !fills_workers(pending, cycle) {
             return;
         }
         let is_gang = pending.spec().is_gang;
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -107,22 +107,32 @@
 
     /// Returns those of them that had room for a demand: a cycle only takes room.
     pub(crate) fn workers_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
-        let needed_milli = demand.cores_milli;
-        let able = self
-            .by_room
-            .iter()
-            .take_while(move |free| free.free_milli >= needed_milli);
-        able.map(|free| free.worker)
+        self.freest_for(demand, 0)
+    }
+
+    /// Returns the same without so many of the fullest.
+    pub(crate) fn freest_for(
+        &self,
+        demand: &Resources,
+        skipped_count: usize,
+    ) -> impl Iterator<Item = WorkerKey> + '_ {
+        let able = self.able_for(demand);
+        let left_count = able.len().saturating_sub(skipped_count);
+        able[..left_count].iter().map(|free| free.worker)
     }
 
     /// Returns the workers that had room for a demand, the fullest first.
     pub(crate) fn fullest_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        let able = self.able_for(demand).iter().rev();
+        able.map(|free| free.worker)
+    }
+
+    fn able_for(&self, demand: &Resources) -> &[FreeWorker] {
         let needed_milli = demand.cores_milli;
         let able_count = self
             .by_room
             .partition_point(|free| free.free_milli >= needed_milli);
-        let able = self.by_room[..able_count].iter().rev();
-        able.map(|free| free.worker)
+        &self.by_room[..able_count]
     }
 
     /// Takes a part of a customer's limit for a step that waits to start.
@@ -173,6 +183,13 @@
         self.pool(service).and_then(|pool| pool.packing.as_ref())
     }
 
+    /// Returns whether room may be kept for the largest tasks of a service: it is packed, and
+    /// half used.
+    pub(crate) fn keeps_room(&self, service: &Arc<str>) -> bool {
+        let pool = self.pool(service);
+        pool.is_some_and(|pool| pool.packing.is_some() && pool.is_half_used())
+    }
+
     /// Returns the processors of a service's workers that are free and not yet
     /// asked for, in thousandths of a core.
     pub(crate) fn room_milli(&self, service: &Arc<str>) -> i64 {
