--- a/crates/scheduler/src/backfill.rs
+++ b/crates/scheduler/src/backfill.rs
@@ -6,10 +6,10 @@
 //! limit will hold the step, and what will be left beside it then. Other work passes that
 //! surely ends before, or fits into what is left.
 
-use crate::asking::fit_in;
 use crate::customers::{Account, Charge, CustomerKey};
 use crate::cycle::SchedulingCycle;
 use crate::job::{StepKey, StepSpec};
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::Run;
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -1,9 +1,9 @@
 //! Candidates: the workers that could take tasks of a step, with their room.
 
-use crate::asking::fit_in;
 use crate::cycle::SchedulingCycle;
 use crate::job::{StepKey, StepSpec};
 use crate::learning::SpeedClass;
+use crate::packing::{fit_in, Packing, PackingCost};
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
@@ -57,6 +57,7 @@
         workers: impl Iterator<Item = WorkerKey>,
     ) -> Vec<Candidate> {
         let mut found = Vec::new();
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
         for key in workers {
             let worker = &self.workers[key];
             if !worker.is_placeable(now) || !pending.demand.fits_in(&worker.free()) {
@@ -64,25 +65,20 @@
             }
             if let Some(mut candidate) = self.candidate(pending, key, worker) {
                 candidate.free -= cycle.kept_room(key);
+                if leaves_whole {
+                    candidate.free -= cycle.whole_room(key);
+                }
                 if pending.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
                     found.push(candidate);
                 }
             }
         }
-        // A filler works on what is left unused, others leave large rooms whole.
-        let by_room = |free_milli: u32| match RunRole::of(pending.spec()) {
-            RunRole::Filler => u32::MAX - free_milli,
-            RunRole::Plain | RunRole::Serving => free_milli,
-        };
+        let packing = cycle.packing(&pending.service);
         let wish = self.speed_wish(now, pending);
-        found.sort_by_key(|c| {
+        found.sort_by_cached_key(|c| {
             let speed_rank = wish.rank(&self.workers[c.worker].speed);
-            (
-                !c.is_near,
-                speed_rank,
-                by_room(c.free.cores_milli),
-                c.worker,
-            )
+            let cost = packing_cost(pending, packing, c);
+            (!c.is_near, speed_rank, cost, c.worker)
         });
         if pending.spec().is_gang && wish == SpeedWish::Slow {
             found = self.one_class_first(found, pending);
@@ -135,6 +131,23 @@
     }
 }
 
+/// Returns what placing a task of the step on a worker costs: where no packing is known, how
+/// many processors are free there.
+fn packing_cost(
+    pending: &PendingStep,
+    packing: Option<&Packing>,
+    candidate: &Candidate,
+) -> PackingCost {
+    let free_milli = candidate.free.cores_milli;
+    // A filler works on what is left unused, others leave large rooms whole.
+    if RunRole::of(pending.spec()) == RunRole::Filler {
+        return PackingCost::of_leftover(u32::MAX - free_milli);
+    }
+    packing.map_or(PackingCost::of_leftover(free_milli), |packing| {
+        packing.cost(&candidate.free, &pending.demand)
+    })
+}
+
 /// Returns how many tasks of a demand fit on all candidates together.
 pub(crate) fn fit_sum(candidates: &[Candidate], demand: &Resources) -> u64 {
     candidates
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -3,9 +3,13 @@
 
 use crate::customers::CustomerKey;
 use crate::dominant::Room;
+use crate::features::Feature;
 use crate::overload::Amounts;
+use crate::packing::{Packing, Scarcity};
 use crate::scheduler::Scheduler;
-use crate::worker::WorkerKey;
+use crate::shapes::Shape;
+use crate::whole_rooms::WholeRooms;
+use crate::worker::{Worker, WorkerKey};
 use ospreywing_types::{Instant, Resources};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,11 +32,45 @@
     room_milli: i64,
     /// The most that any of them holds.
     largest: Resources,
-    /// What they hold together, and what of it was free when the cycle began.
+    /// Whether they hold accelerators, or not all of them the same.
+    is_uneven: bool,
     capacity: Room,
     free: Room,
-    /// What of it is taken.
     used: Room,
+    /// How tasks are packed, where that is more than by processors.
+    packing: Option<Packing>,
+}
+
+impl Pool {
+    /// Adds a worker that may take a run.
+    fn note(&mut self, worker: &Worker) {
+        let (capacity, free) = (&worker.facts.capacity, &worker.free());
+        let is_first = self.largest.is_zero();
+        self.is_uneven |= capacity.accelerators_count > 0 || !is_first && *capacity != self.largest;
+        self.largest = self.largest.max(*capacity);
+        self.room_milli += i64::from(free.cores_milli);
+        self.capacity.add(capacity, 1);
+        self.free.add(free, 1);
+        self.used.add(&worker.used, 1);
+    }
+
+    /// Returns whether half of the processors and half of the accelerators are used: below
+    /// that, whatever has room is started at once.
+    fn is_half_used(&self) -> bool {
+        let [free_milli, _, free_accelerators] = self.free.parts();
+        let [milli, _, accelerators] = self.capacity.parts();
+        free_milli * 2 <= milli && free_accelerators * 2 <= accelerators
+    }
+
+    /// Returns how tasks are packed; `None` where all workers are alike and hold no
+    /// accelerators, or nothing is known of what comes.
+    fn new_packing(&self, shapes: &[Shape]) -> Option<Packing> {
+        if !self.is_uneven || shapes.is_empty() {
+            return None;
+        }
+        let scarcity = Scarcity::new(&self.capacity, &self.free, shapes);
+        Some(Packing::new(scarcity, shapes))
+    }
 }
 
 /// The room of one service, as it was when a cycle began.
@@ -62,6 +100,8 @@
     /// Room that is kept on workers for steps that wait for it: steps that come
     /// later in the cycle are less urgent and don't take it.
     kept: BTreeMap<WorkerKey, Resources>,
+    /// Room that is kept for the largest tasks that come to a service.
+    whole_rooms: BTreeMap<WorkerKey, Resources>,
     /// What of customers' limits steps wait to start that were looked at before.
     claimed_limits: BTreeMap<CustomerKey, Resources>,
     /// The customers whose reservation of their limit holds back what is looked at from
@@ -87,12 +127,32 @@
 
     /// Returns those of them that had room for a demand: a cycle only takes room.
     pub(crate) fn workers_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        self.freest_for(demand, 0)
+    }
+
+    /// Returns the same without so many of the fullest.
+    pub(crate) fn freest_for(
+        &self,
+        demand: &Resources,
+        skipped_count: usize,
+    ) -> impl Iterator<Item = WorkerKey> + '_ {
+        let able = self.able_for(demand);
+        let left_count = able.len().saturating_sub(skipped_count);
+        able[..left_count].iter().map(|free| free.worker)
+    }
+
+    /// Returns the workers that had room for a demand, the fullest first.
+    pub(crate) fn fullest_for(&self, demand: &Resources) -> impl Iterator<Item = WorkerKey> + '_ {
+        let able = self.able_for(demand).iter().rev();
+        able.map(|free| free.worker)
+    }
+
+    fn able_for(&self, demand: &Resources) -> &[FreeWorker] {
         let needed_milli = demand.cores_milli;
-        let able = self
+        let able_count = self
             .by_room
-            .iter()
-            .take_while(move |free| free.free_milli >= needed_milli);
-        able.map(|free| free.worker)
+            .partition_point(|free| free.free_milli >= needed_milli);
+        &self.by_room[..able_count]
     }
 
     /// Takes a part of a customer's limit for a step that waits to start.
@@ -126,6 +186,12 @@
         self.kept.get(&worker).copied().unwrap_or_default()
     }
 
+    /// Returns the room that is kept on a worker for the largest tasks of its service, which
+    /// smaller ones leave that can wait.
+    pub(crate) fn whole_room(&self, worker: WorkerKey) -> Resources {
+        self.whole_rooms.get(&worker).copied().unwrap_or_default()
+    }
+
     /// Returns whether room is kept on a worker.
     pub(crate) fn is_kept(&self, worker: WorkerKey) -> bool {
         self.kept.contains_key(&worker)
@@ -142,6 +208,18 @@
         pool.map_or(Resources::ZERO, |pool| pool.largest)
     }
 
+    /// Returns how tasks of a service are packed, where that is more than by processors.
+    pub(crate) fn packing(&self, service: &Arc<str>) -> Option<&Packing> {
+        self.pool(service).and_then(|pool| pool.packing.as_ref())
+    }
+
+    /// Returns whether room may be kept for the largest tasks of a service: it is packed, and
+    /// half used.
+    pub(crate) fn keeps_room(&self, service: &Arc<str>) -> bool {
+        let pool = self.pool(service);
+        pool.is_some_and(|pool| pool.packing.is_some() && pool.is_half_used())
+    }
+
     /// Returns the processors of a service's workers that are free and not yet
     /// asked for, in thousandths of a core.
     pub(crate) fn room_milli(&self, service: &Arc<str>) -> i64 {
@@ -187,15 +265,33 @@
                 service: service.clone(),
                 room_milli: 0,
                 largest: Resources::ZERO,
+                is_uneven: false,
                 capacity: Room::default(),
                 free: Room::default(),
                 used: Room::default(),
+                packing: None,
             });
             self.pools.len() - 1
         });
         &mut self.pools[index]
     }
 
+    /// Keeps room on a worker for the largest tasks that come.
+    pub(crate) fn keep_whole_room(&mut self, worker: WorkerKey, room: Resources) {
+        self.whole_rooms.insert(worker, room);
+    }
+
+    /// Returns what each service that is half used should keep for its largest tasks.
+    pub(crate) fn wanted_whole_rooms(&self) -> Vec<(Arc<str>, WholeRooms)> {
+        let wanted = self.pools.iter().filter_map(|pool| {
+            let largest = pool.packing.as_ref()?.largest()?;
+            let held_count = pool.capacity.fit_count(&largest.demand);
+            let rooms = WholeRooms::new(largest.demand, largest.per_s, held_count)?;
+            pool.is_half_used().then(|| (pool.service.clone(), rooms))
+        });
+        wanted.collect()
+    }
+
     /// Returns how many workers may take a run.
     pub(crate) const fn workers_count(&self) -> usize {
         self.by_room.len()
@@ -222,16 +318,18 @@
                 cycle.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
                 cycle.free_milli += u64::from(worker.free().cores_milli);
                 let pool = cycle.pool_mut(&worker.facts.service);
-                pool.room_milli += i64::from(worker.free().cores_milli);
-                pool.capacity.add(&worker.facts.capacity, 1);
-                pool.free.add(&worker.free(), 1);
-                pool.largest = pool.largest.max(worker.facts.capacity);
-                pool.used.add(&worker.used, 1);
+                pool.note(worker);
+            }
+        }
+        if self.config.features.has(Feature::Packing) {
+            for pool in &mut cycle.pools {
+                pool.packing = pool.new_packing(self.shapes.of(&pool.service));
             }
         }
         cycle
             .by_room
             .sort_unstable_by_key(|free| (Reverse(free.free_milli), free.worker));
+        self.keep_whole_rooms(&mut cycle);
         cycle
     }
 }
--- a/crates/scheduler/src/dominant.rs
+++ b/crates/scheduler/src/dominant.rs
@@ -10,9 +10,9 @@
 /// hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Room {
-    cores_milli: u64,
-    memory_mib: u64,
-    accelerators_count: u64,
+    pub(crate) cores_milli: u64,
+    pub(crate) memory_mib: u64,
+    pub(crate) accelerators_count: u64,
 }
 
 impl Room {
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Returns how many tasks of a demand it would hold in one piece.
+    pub(crate) fn fit_count(&self, demand: &Resources) -> u64 {
+        let by = |free: u64, need: u32| free.checked_div(u64::from(need)).unwrap_or(u64::MAX);
+        by(self.cores_milli, demand.cores_milli)
+            .min(by(self.memory_mib, demand.memory_mib))
+            .min(by(self.accelerators_count, demand.accelerators_count))
+    }
+
     /// Returns whether there is none of any part.
     pub(crate) fn is_zero(&self) -> bool {
         *self == Self::default()
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -232,6 +232,7 @@
             .with_queue(&record.queue)
             .with_figure(self.estimated_objective(&record).as_ms());
         out.push(Action::Log(line));
+        self.note_shapes(now, &record);
         self.insert_job(now, id, record, JobState::default());
     }
 
--- a/crates/scheduler/src/limits.rs
+++ b/crates/scheduler/src/limits.rs
@@ -7,13 +7,13 @@
 //! With [`Feature::Backfill`] off, what each step waits for is taken off the limit for the
 //! steps behind it.
 
-use crate::asking::fit_in;
 use crate::customers::{Charge, CustomerKey};
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind, ReservedLimit};
 use crate::event::Action;
 use crate::features::Feature;
 use crate::job::{JobId, StepKey, StepSpec};
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::waiting::WaitReason;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -190,11 +190,12 @@
                 placed_count = self.allocate(now, pending, candidates, out);
             }
             let missing_count = pending.waiting.len() - placed_count;
-            let has_left = missing_count > 0;
-            if has_left {
-                self.preempt_for_share(now, pending, cycle, missing_count, out);
+            if missing_count == 0 {
+                return None;
             }
-            return has_left.then(|| self.reason_to_seek(now, pending));
+            self.preempt_for_share(now, pending, cycle, missing_count, out);
+            self.await_room(now, pending, missing_count, cycle);
+            return Some(self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
             self.place_gang(now, pending, policy, cycle, out)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,12 +12,14 @@
 use crate::durations::ForecastError;
 use crate::event::{Action, Event};
 use crate::forecast::Forecasts;
+use crate::fragmentation::ServiceFragmentation;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
 use crate::learning::{Learning, SpeedClass};
 use crate::names::Names;
 use crate::overloads::Overloads;
 use crate::retries::RetryBudgets;
+use crate::shapes::Shapes;
 use crate::share_accounts::Shares;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
@@ -48,7 +50,7 @@
 }
 
 /// Sizes for metrics and operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SchedulerStatus {
     /// Jobs with work left.
     pub active_jobs_count: usize,
@@ -88,6 +90,8 @@
     pub overloaded_services_count: usize,
     /// Queues of which a forecast is told.
     pub forecast_queues_count: usize,
+    /// How broken up the free room of each service is.
+    pub service_rooms: Vec<ServiceFragmentation>,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -131,6 +135,8 @@
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
+    /// The shapes of the tasks that came lately.
+    pub(crate) shapes: Shapes,
     /// The steps that wait, and why.
     pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
@@ -188,6 +194,7 @@
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
+            shapes: Shapes::default(),
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
             overloads: Overloads::default(),
@@ -334,6 +341,7 @@
             largest_share_lag: shares.largest_lag,
             overloaded_services_count: self.overloads.len(),
             forecast_queues_count: self.forecasts.len(),
+            service_rooms: self.service_rooms(now),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
@@ -363,6 +371,7 @@
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
             self.waits.forget_old(now);
+            self.shapes.forget_old(now);
             self.names.forget_unused();
             self.forget_old_jobs(now);
         }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -48,6 +48,9 @@
     /// More is surely left of a job than likely.
     #[error("more is surely left of job {0} than likely")]
     Left(JobId),
+    /// More shapes of tasks are kept than may be, or some that are none.
+    #[error("the shapes of tasks are miscounted")]
+    Shapes,
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -69,6 +72,9 @@
         self.verify_commits()?;
         self.verify_waits()?;
         self.verify_learned()?;
+        if !self.shapes.are_bounded() {
+            return Err(Violation::Shapes);
+        }
         let is_over = |id| {
             self.jobs
                 .get(id)
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -18,6 +18,8 @@
 mod learning_load;
 mod overload;
 mod overload_load;
+mod packing;
+mod packing_load;
 mod pending;
 mod repeats;
 mod restarts;
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -14,7 +14,7 @@
     SchedulerConfig, SchedulerStatus, ShareView, StartOrder, TaskKey, Ticket, WorkerChange,
     WorkerFacts,
 };
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -177,14 +177,14 @@
     pub runs_lost_beside_count: usize,
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
+    /// When a run of each job was first started.
+    pub started_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
     features: Features,
     /// Whether what a leader has learned comes to the next one.
     pub hands_on_learned: bool,
     /// How long the runs of a job take on a worker of usual speed, where they differ from others.
     pub lengths_of: BTreeMap<JobId, core::ops::Range<u64>>,
-    /// When a task of each job was first started.
-    pub started_ms: BTreeMap<JobId, u64>,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
@@ -231,11 +231,11 @@
             crashing: BTreeSet::new(),
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
+            started_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
             features: Features::default(),
             hands_on_learned: false,
             lengths_of: BTreeMap::new(),
-            started_ms: BTreeMap::new(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
@@ -282,6 +282,14 @@
         self.list_workers();
     }
 
+    /// Has the workers hold these amounts, in turn.
+    pub fn set_capacities(&mut self, capacities: &[Resources]) {
+        for (worker, capacity) in self.workers.iter_mut().zip(capacities.iter().cycle()) {
+            worker.set_capacity(*capacity);
+        }
+        self.list_workers();
+    }
+
     /// Puts so many workers in a row into each rack.
     pub fn lay_out_racks(&mut self, size: usize) {
         for (number, worker) in self.workers.iter_mut().enumerate() {
