Let perpetual work, and work with long calls for advice, pass firm reservations

Cause: a firm reservation holds a customer's other work back for up to 2 s also below half of its limit. Perpetual tasks are to go on within 3 s, and a call for advice of some hundred milliseconds comes on top. Test: place_beside_firm_reservation; the perpetual case is held without the change as the plain one is. Test of the order under overload: worth is what the customers' sheets say, a late job a fifth of one in time, in place of a slope of the test's own; no hundredth is allowed any more.

--- a/crates/scheduler/src/backfill.rs
+++ b/crates/scheduler/src/backfill.rs
@@ -39,6 +39,9 @@
 /// For how long at a time: less than the 3 s within which the work that is held back is to
 /// start, by the time that its own start takes.
 const FIRM_TIME: Duration = Duration::from_ms(2000);
+/// A step whose call for advice takes longer is not held back below half of the limit: the
+/// wait and the call together would be over the 3 s.
+const FIRM_ADVICE_LIMIT: Duration = Duration::from_ms(300);
 /// For how long nothing is reserved after a reservation that lapsed, or that held work back
 /// below half of the limit: what was held back is placed meanwhile.
 const REST_TIME: Duration = Duration::from_ms(4000);
@@ -373,13 +376,27 @@
         let customer = charge.customer.filter(|key| cycle.is_limit_kept(*key))?;
         let reservation = self.limit_reservations.get(customer)?;
         let forecast = reservation.forecast?;
-        let is_free = !reservation.is_firm && self.accounts.get(customer).is_under_half();
+        let is_held_below_half = reservation.is_firm && !self.must_start_at_once(step);
+        let is_free = !is_held_below_half && self.accounts.get(customer).is_under_half();
         if reservation.step == step || is_free || self.surely_ends(now, step, forecast.due) {
             return None;
         }
         Some(forecast.surplus)
     }
 
+    /// Returns whether a step would start too late after a firm reservation: perpetual work is
+    /// to go on whatever else waits, and a long call for advice comes on top of the wait.
+    fn must_start_at_once(&self, step: StepKey) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return false;
+        };
+        let queue = self.configuration.queue(&job.record.queue);
+        let advice = queue.and_then(|queue| queue.advice);
+        let has_long_advice = advice.is_some_and(|policy| policy.cost(1) > FIRM_ADVICE_LIMIT);
+        let spec = job.record.spec.steps.get(step.step as usize);
+        has_long_advice || spec.is_some_and(|spec| spec.is_perpetual)
+    }
+
     /// Returns whether a task of the step that is placed now has surely ended by then.
     fn surely_ends(&self, now: Instant, step: StepKey, until: Instant) -> bool {
         let Some(job) = self.jobs.get(&step.job) else {
--- a/crates/scheduler/tests/scheduler/backfill.rs
+++ b/crates/scheduler/tests/scheduler/backfill.rs
@@ -292,3 +292,26 @@
     let used = lines[1].customer.as_ref().map(|customer| customer.used);
     assert_eq!(used, Some(Resources::new(6000, 3000, 0)));
 }
+
+/// Below half of the limit a reservation holds work back for a while, but no perpetual work.
+#[rstest]
+#[case::plain(false, 0)]
+#[case::perpetual(true, 1)]
+fn place_beside_firm_reservation(#[case] is_perpetual: bool, #[case] started_count: usize) {
+    let mut bench = bench_with(8, true);
+    let running = StepSpec {
+        estimate_ms: 2_500,
+        ..step(3)
+    };
+    bench.submit_job(job_of("one", 1, vec![running]));
+    assert_eq!(start_all(&mut bench).len(), 3);
+    bench.submit_job(job_of("one", 2, vec![gang(8)]));
+    wait(&mut bench, 1_300);
+    let late = StepSpec {
+        estimate_ms: 5_000,
+        is_perpetual,
+        ..step(1)
+    };
+    bench.submit_job(job_of("one", 3, vec![late]));
+    assert_eq!(wait(&mut bench, 300), started_count);
+}
--- a/crates/scheduler/tests/scheduler/overload_load.rs
+++ b/crates/scheduler/tests/scheduler/overload_load.rs
@@ -18,9 +18,6 @@
 /// All jobs are done within this time after the load.
 const DONE_WITHIN_MS: u64 = 60_000;
 const TURN_MS: u64 = 50;
-/// The part of the worth that is kept at least: what is in time must not be paid for by what
-/// is late, but a play differs from another by as much.
-const WORTH_KEPT_LEAST: f64 = 0.99;
 /// A queue of gangs.
 const GANG_QUEUE: &str = "mosaic";
 
@@ -107,6 +104,16 @@
     }
 }
 
+/// Returns what a job is worth to its caller: a late one a fifth of one in time, and nothing
+/// once it took three times its objective.
+fn worth_of(took_ms: u64, limit_ms: u64) -> f64 {
+    match took_ms {
+        took_ms if took_ms <= limit_ms => 1.0,
+        took_ms if took_ms <= 3 * limit_ms => 0.2,
+        _ => 0.0,
+    }
+}
+
 /// How the jobs of a play came out.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Outcome {
@@ -114,8 +121,7 @@
     in_time_count: usize,
     /// In time, or late by less than twice their objective.
     of_worth_count: usize,
-    /// The sum of their worth: 1 in time, and less from there to nothing at three times the
-    /// objective.
+    /// The sum of their worth.
     worth: f64,
     longest_ms: u64,
 }
@@ -172,8 +178,7 @@
             outcome.jobs_count += 1;
             outcome.in_time_count += usize::from(took_ms <= limit_ms);
             outcome.of_worth_count += usize::from(took_ms <= 3 * limit_ms);
-            let late = took_ms as f64 / limit_ms as f64 - 1.0;
-            outcome.worth += (1.0 - late / 2.0).clamp(0.0, 1.0);
+            outcome.worth += worth_of(took_ms, limit_ms);
             outcome.longest_ms = outcome.longest_ms.max(took_ms);
         }
         outcome
@@ -234,7 +239,7 @@
 fn place_in_burst_more_in_time(#[values(150, 200, 300)] burst_percent: u64) {
     let (before, after) = compare(|features| Play::new(features, burst_percent));
     assert!(after.in_time_count > before.in_time_count);
-    assert!(after.worth >= WORTH_KEPT_LEAST * before.worth);
+    assert!(after.worth >= before.worth);
 }
 
 /// Estimates that are wrong by two and a half times don't make what all are worth less than
