--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -56,7 +56,6 @@
 
 impl Scheduler {
     /// Returns how long a task of a queue's step should take on a worker of usual speed.
-    #[allow(dead_code)]
     pub(crate) fn task_length(&self, queue: &str, spec: &StepSpec) -> Duration {
         let estimate = Duration::from_ms(spec.estimate_ms);
         let learned = self.queue_length(queue, spec);
