Hold neither open queues nor perpetual work that has begun to shares of room

Change: jobs of open queues come in their order, as without shares, and so does perpetual work that has begun; runs of open queues are not stopped for others' shares. Test: place_again_beyond_share, two cases, fail without the change.

--- a/crates/scheduler/src/share_accounts.rs
+++ b/crates/scheduler/src/share_accounts.rs
@@ -192,8 +192,9 @@
         if !self.is_short {
             return None;
         }
-        let over = self.accounts.iter().filter(|(_, account)| {
-            account.share_ppm > WELL_OVER_PPM && account.lag(self.clock) >= LAG_SLACK
+        let over = self.accounts.iter().filter(|(holder, account)| {
+            let is_well_over = account.share_ppm > WELL_OVER_PPM;
+            holder.is_some() && is_well_over && account.lag(self.clock) >= LAG_SLACK
         });
         let most = over.max_by_key(|(_, account)| account.share_ppm);
         most.map(|(holder, _)| *holder)
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -191,6 +191,9 @@
         let accounts = &self.accounts;
         for service in self.shares.services.values_mut() {
             for (holder, account) in &mut service.accounts {
+                let Some(holder) = holder else {
+                    continue;
+                };
                 let lag = account.lag(service.clock);
                 let is_over = match account.is_told_over {
                     true => lag >= LAG_TOLD_BACK,
@@ -210,11 +213,10 @@
                 };
                 // Thousandths of its share.
                 let figure = account.share_ppm / 1000;
-                let mut line = Decision::new(DecisionKind::Share, reason).with_figure(figure);
-                if let Some(key) = holder {
-                    line = line.with_customer(accounts.get(*key).to_use());
-                }
-                out.push(Action::Log(line));
+                let line = Decision::new(DecisionKind::Share, reason).with_figure(figure);
+                out.push(Action::Log(
+                    line.with_customer(accounts.get(*holder).to_use()),
+                ));
             }
         }
     }
@@ -237,7 +239,7 @@
     /// Returns a job's rank, and adds what it asks for to what is ahead of later jobs.
     fn share_rank(&self, job: &Job, ahead: &mut HashMap<(ServiceKey, Holder), u64>) -> ShareRank {
         let rank = ShareRank::of_job(job);
-        let Some(key) = job.service else {
+        let Some(key) = job.service.filter(|_| is_held_to_share(job)) else {
             return rank;
         };
         let service = &self.shares.services[key];
@@ -297,3 +299,11 @@
         })
     }
 }
+
+/// Returns whether a job comes later where its customer is over its share. Jobs of open
+/// queues are nobody's to be held to one, and perpetual work that has begun keeps its room: a
+/// task of it that ends must go on at once.
+fn is_held_to_share(job: &Job) -> bool {
+    let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
+    job.customer.is_some() && !(is_perpetual && job.has_begun)
+}
--- a/crates/scheduler/tests/scheduler/shares.rs
+++ b/crates/scheduler/tests/scheduler/shares.rs
@@ -1,10 +1,10 @@
 //! Shares of room: whose work comes first, whose runs give way, and what a new leader knows.
 
-use crate::support::bench::{workers, Bench};
+use crate::support::bench::{end, workers, Bench};
 use crate::support::{configuration_with, customer, job_of, step, SERVICE};
 use ospreywing_scheduler::{
-    Event, Feature, Features, JobId, JobRecord, JobState, Recovered, RoundState, ShareView,
-    StepSpec, TaskKey, TaskStatus, WorkerKey,
+    EndKind, Event, Feature, Features, JobId, JobRecord, JobState, Recovered, RoundState,
+    ShareView, StepSpec, TaskKey, TaskStatus, WorkerKey,
 };
 use ospreywing_types::Duration;
 use rstest::rstest;
@@ -254,3 +254,30 @@
         last = view.virtual_time;
     }
 }
+
+/// A task of perpetual work that has begun, and one of an open queue, has its room again before
+/// work of customers within their shares.
+#[rstest]
+#[case::perpetual("over", true)]
+#[case::open_queue("", false)]
+fn place_again_beyond_share(#[case] of: &str, #[case] is_perpetual: bool) {
+    let others = ["under", "third", "fourth", "fifth"];
+    let mut weights = others.map(|name| (name, 1.0)).to_vec();
+    weights.push(("over", 1.0));
+    let mut bench = bench_with(Features::default(), &weights);
+    let spec = StepSpec {
+        is_perpetual,
+        ..step(ROOM_TASKS_COUNT)
+    };
+    let (id, mut record) = job_of(of, 1, vec![spec]);
+    record.customer = record.customer.filter(|name| !name.is_empty());
+    bench.submit_job((id, record));
+    let starts = start_all(&mut bench);
+    for (name, number) in others.into_iter().zip(3..) {
+        submit(&mut bench, name, number, 1);
+    }
+    let (worker, task, run) = starts[0];
+    bench.list(worker, vec![end(1, task, run, EndKind::Failed)]);
+    let again: Vec<TaskKey> = start_all(&mut bench).iter().map(|it| it.1).collect();
+    assert_eq!(again, [task]);
+}
