Leave room to gangs of the same service alone

Cause: a cycle counted the gangs that wait, the room that is free and the workers on which room is kept over all services together. Change: these counts are kept by service. Test: place_patient_work_beside_gang_of_other_service fails without the change.

--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -61,8 +61,9 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if cycle.waiting_steps_count >= WAITING_STEPS_LIMIT_COUNT || !fills_workers(pending, cycle)
-        {
+        let service = &pending.service;
+        let is_full = cycle.waiting(service).steps_count >= WAITING_STEPS_LIMIT_COUNT;
+        if is_full || !fills_workers(pending, cycle) {
             return;
         }
         let good = self.advice[&pending.key].good();
@@ -70,12 +71,12 @@
         let Some(soonest) = expected.first().map(|room| room.delay) else {
             return;
         };
-        cycle.waiting_steps_count += 1;
+        cycle.waiting_mut(service).steps_count += 1;
         if expected.iter().any(|room| room.delay > PREEMPT_DELAY) {
             self.preempt_for_tasks(now, pending, cycle, missing_count, out);
         }
         for room in &expected {
-            cycle.keep_room(room.worker, pending.demand);
+            cycle.keep_room(service, room.worker, pending.demand);
         }
         self.renew_tickets(now, pending, policy, &expected, soonest, out);
     }
@@ -90,10 +91,11 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+        let waiting = cycle.waiting_mut(&pending.service);
+        if waiting.gangs_count >= WAITING_GANGS_LIMIT_COUNT {
             return;
         }
-        cycle.waiting_gangs_count += 1;
+        waiting.gangs_count += 1;
         let needed_count = pending.waiting.len();
         let good = self.advice[&pending.key].good();
         let expected = self.expected_rooms(now, pending, good, needed_count, cycle);
@@ -117,10 +119,11 @@
             return;
         }
         let is_gang = pending.spec().is_gang;
+        let waiting = cycle.waiting_mut(&pending.service);
         let (waiting_count, limit_count) = if is_gang {
-            (&mut cycle.waiting_gangs_count, WAITING_GANGS_LIMIT_COUNT)
+            (&mut waiting.gangs_count, WAITING_GANGS_LIMIT_COUNT)
         } else {
-            (&mut cycle.waiting_steps_count, WAITING_STEPS_LIMIT_COUNT)
+            (&mut waiting.steps_count, WAITING_STEPS_LIMIT_COUNT)
         };
         if *waiting_count >= limit_count {
             return;
@@ -136,7 +139,7 @@
             return keep_for_gang(pending, &expected, cycle);
         }
         for room in &expected {
-            cycle.keep_room(room.worker, pending.demand);
+            cycle.keep_room(&pending.service, room.worker, pending.demand);
         }
     }
 
@@ -255,10 +258,12 @@
 
 /// Keeps room for a gang where it will be free first, on a part of the workers at most.
 fn keep_for_gang(pending: &PendingStep, expected: &[ExpectedRoom], cycle: &mut SchedulingCycle) {
-    let limit_count = cycle.workers_count() * AWAITED_PERCENT / 100;
+    let service = &pending.service;
+    let limit_count = cycle.workers_count(service) * AWAITED_PERCENT / 100;
     for room in expected {
-        if cycle.kept_workers_count() < limit_count || cycle.is_kept(room.worker) {
-            cycle.keep_room(room.worker, pending.demand);
+        let kept_count = cycle.waiting(service).kept_workers_count;
+        if kept_count < limit_count || cycle.is_kept(room.worker) {
+            cycle.keep_room(service, room.worker, pending.demand);
         }
     }
 }
