--- a/crates/scheduler/src/awaiting.rs
+++ b/crates/scheduler/src/awaiting.rs
@@ -61,9 +61,8 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let service = &pending.service;
-        let is_full = cycle.waiting(service).steps_count >= WAITING_STEPS_LIMIT_COUNT;
-        if is_full || !fills_workers(pending, cycle) {
+        if cycle.waiting_steps_count >= WAITING_STEPS_LIMIT_COUNT || !fills_workers(pending, cycle)
+        {
             return;
         }
         let good = self.advice[&pending.key].good();
@@ -71,12 +70,12 @@
         let Some(soonest) = expected.first().map(|room| room.delay) else {
             return;
         };
-        cycle.waiting_mut(service).steps_count += 1;
+        cycle.waiting_steps_count += 1;
         if expected.iter().any(|room| room.delay > PREEMPT_DELAY) {
             self.preempt_for_tasks(now, pending, cycle, missing_count, out);
         }
         for room in &expected {
-            cycle.keep_room(service, room.worker, pending.demand);
+            cycle.keep_room(room.worker, pending.demand);
         }
         self.renew_tickets(now, pending, policy, &expected, soonest, out);
     }
@@ -91,11 +90,10 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        let waiting = cycle.waiting_mut(&pending.service);
-        if waiting.gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
             return;
         }
-        waiting.gangs_count += 1;
+        cycle.waiting_gangs_count += 1;
         let needed_count = pending.waiting.len();
         let good = self.advice[&pending.key].good();
         let expected = self.expected_rooms(now, pending, good, needed_count, cycle);
@@ -119,11 +117,10 @@
             return;
         }
         let is_gang = pending.spec().is_gang;
-        let waiting = cycle.waiting_mut(&pending.service);
         let (waiting_count, limit_count) = if is_gang {
-            (&mut waiting.gangs_count, WAITING_GANGS_LIMIT_COUNT)
+            (&mut cycle.waiting_gangs_count, WAITING_GANGS_LIMIT_COUNT)
         } else {
-            (&mut waiting.steps_count, WAITING_STEPS_LIMIT_COUNT)
+            (&mut cycle.waiting_steps_count, WAITING_STEPS_LIMIT_COUNT)
         };
         if *waiting_count >= limit_count {
             return;
@@ -139,7 +136,7 @@
             return keep_for_gang(pending, &expected, cycle);
         }
         for room in &expected {
-            cycle.keep_room(&pending.service, room.worker, pending.demand);
+            cycle.keep_room(room.worker, pending.demand);
         }
     }
 
@@ -258,12 +255,10 @@
 
 /// Keeps room for a gang where it will be free first, on a part of the workers at most.
 fn keep_for_gang(pending: &PendingStep, expected: &[ExpectedRoom], cycle: &mut SchedulingCycle) {
-    let service = &pending.service;
-    let limit_count = cycle.workers_count(service) * AWAITED_PERCENT / 100;
+    let limit_count = cycle.workers_count() * AWAITED_PERCENT / 100;
     for room in expected {
-        let kept_count = cycle.waiting(service).kept_workers_count;
-        if kept_count < limit_count || cycle.is_kept(room.worker) {
-            cycle.keep_room(service, room.worker, pending.demand);
+        if cycle.kept_workers_count() < limit_count || cycle.is_kept(room.worker) {
+            cycle.keep_room(room.worker, pending.demand);
         }
     }
 }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -39,18 +39,6 @@
     used: Room,
     /// How tasks are packed, where that is more than by processors.
     packing: Option<Packing>,
-    workers_count: usize,
-    waiting: WaitingCounts,
-}
-
-/// What waits for room in one service, as far as a cycle has come.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct WaitingCounts {
-    pub(crate) gangs_count: usize,
-    /// Steps of single tasks that fill workers.
-    pub(crate) steps_count: usize,
-    /// The workers on which room is kept for these.
-    pub(crate) kept_workers_count: usize,
 }
 
 impl Pool {
@@ -61,7 +49,6 @@
         self.is_uneven |= capacity.accelerators_count > 0 || !is_first && *capacity != self.largest;
         self.largest = self.largest.max(*capacity);
         self.room_milli += i64::from(free.cores_milli);
-        self.workers_count += 1;
         self.capacity.add(capacity, 1);
         self.free.add(free, 1);
         self.used.add(&worker.used, 1);
@@ -120,6 +107,14 @@
     /// The customers whose reservation of their limit holds back what is looked at from
     /// here on.
     kept_limits: BTreeSet<CustomerKey>,
+    /// The steps of single tasks that wait for workers so far.
+    pub(crate) waiting_steps_count: usize,
+    /// What all workers that may take a run hold, and what of it is free, in
+    /// thousandths of a core.
+    pub(crate) capacity_milli: u64,
+    pub(crate) free_milli: u64,
+    /// The gangs that wait for room so far.
+    pub(crate) waiting_gangs_count: usize,
     /// The steps that were looked at so far.
     pub(crate) examined_count: usize,
 }
@@ -181,38 +176,9 @@
         self.kept_limits.contains(&customer)
     }
 
-    /// Keeps room on a worker of a service for a step that waits for it.
-    pub(crate) fn keep_room(&mut self, service: &Arc<str>, worker: WorkerKey, room: Resources) {
-        if self
-            .kept
-            .insert(worker, room + self.kept_room(worker))
-            .is_none()
-        {
-            self.waiting_mut(service).kept_workers_count += 1;
-        }
-    }
-
-    /// Returns what waits for room in a service so far.
-    pub(crate) fn waiting(&self, service: &Arc<str>) -> WaitingCounts {
-        self.pool(service)
-            .map_or_else(WaitingCounts::default, |pool| pool.waiting)
-    }
-
-    /// Returns the same, to be added to.
-    pub(crate) fn waiting_mut(&mut self, service: &Arc<str>) -> &mut WaitingCounts {
-        &mut self.pool_mut(service).waiting
-    }
-
-    /// Returns how many gangs wait for room in all services.
-    pub(crate) fn waiting_gangs_count(&self) -> usize {
-        self.pools.iter().map(|pool| pool.waiting.gangs_count).sum()
-    }
-
-    /// Returns whether less than one of so many parts of a service's processors was free as
-    /// the cycle began.
-    pub(crate) fn is_crowded(&self, service: &Arc<str>, free_share: u64) -> bool {
-        let pool = self.pool(service);
-        pool.is_some_and(|pool| pool.free.cores_milli * free_share < pool.capacity.cores_milli)
+    /// Keeps room on a worker for a step that waits for it.
+    pub(crate) fn keep_room(&mut self, worker: WorkerKey, room: Resources) {
+        *self.kept.entry(worker).or_default() += room;
     }
 
     /// Returns the room that is kept on a worker.
@@ -304,8 +270,6 @@
                 free: Room::default(),
                 used: Room::default(),
                 packing: None,
-                workers_count: 0,
-                waiting: WaitingCounts::default(),
             });
             self.pools.len() - 1
         });
@@ -328,9 +292,9 @@
         wanted.collect()
     }
 
-    /// Returns how many workers of a service may take a run.
-    pub(crate) fn workers_count(&self, service: &Arc<str>) -> usize {
-        self.pool(service).map_or(0, |pool| pool.workers_count)
+    /// Returns how many workers may take a run.
+    pub(crate) const fn workers_count(&self) -> usize {
+        self.by_room.len()
     }
 }
 
@@ -351,6 +315,8 @@
                     worker: key,
                     free_milli: worker.free().cores_milli,
                 });
+                cycle.capacity_milli += u64::from(worker.facts.capacity.cores_milli);
+                cycle.free_milli += u64::from(worker.free().cores_milli);
                 let pool = cycle.pool_mut(&worker.facts.service);
                 pool.note(worker);
             }
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -89,7 +89,7 @@
     ) -> bool {
         let needed = pending.waiting.len();
         let needed_milli = u64::from(pending.demand.cores_milli) * needed as u64;
-        if needed_milli > cycle.free_of(&pending.service).cores_milli {
+        if needed_milli > cycle.free_milli {
             return false;
         }
         let fitting = self.candidates(now, pending, cycle, good.iter().copied());
@@ -114,7 +114,7 @@
         pending: &PendingStep,
         cycle: &SchedulingCycle,
     ) -> bool {
-        let is_urgent = cycle.waiting(&pending.service).gangs_count < WAITING_GANGS_LIMIT_COUNT;
+        let is_urgent = cycle.waiting_gangs_count < WAITING_GANGS_LIMIT_COUNT;
         let cost = pending
             .advice
             .map_or(Duration::ZERO, |policy| policy.cost(1));
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -81,7 +81,7 @@
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
-            waiting_gangs_count: cycle.waiting_gangs_count(),
+            waiting_gangs_count: cycle.waiting_gangs_count,
         };
         cycle.examined_count
     }
@@ -306,9 +306,8 @@
         pending: &PendingStep,
         cycle: &SchedulingCycle,
     ) -> bool {
-        let has_gangs = cycle.waiting(&pending.service).gangs_count > 0;
-        let is_crowded = cycle.is_crowded(&pending.service, YIELD_FREE_SHARE);
-        if !has_gangs || !is_crowded || pending.spec().is_gang {
+        let is_crowded = cycle.free_milli * YIELD_FREE_SHARE < cycle.capacity_milli;
+        if cycle.waiting_gangs_count == 0 || !is_crowded || pending.spec().is_gang {
             return false;
         }
         let Some(job) = self.jobs.get(&pending.key.job) else {
