--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -15,7 +15,9 @@
         "capacity_milli" => status.capacity_milli,
         "used_milli" => status.used_milli,
         "waiting_gangs" => status.waiting_gangs_count,
-        "awaited_workers" => status.awaited_workers_count);
+        "awaited_workers" => status.awaited_workers_count,
+        "beyond_share" => status.beyond_share_count,
+        "largest_share_lag_ms" => status.largest_share_lag.as_ms());
 }
 
 /// Logs a decision.
@@ -30,6 +32,9 @@
             "job" => decision.job.map(|job| job.to_string()),
             "customer" => &*customer.name,
             "used" => customer.used.to_string(), "limit" => customer.limit.to_string(),
+            "reserved_for" => decision.reserved.map(|reserved| reserved.step.to_string()),
+            "due_in_ms" => decision.reserved.and_then(|reserved| reserved.due_in)
+                .map(|due_in| due_in.as_ms()),
             "reason" => decision.reason, "figure" => decision.figure);
     }
     match (decision.task, decision.job) {
@@ -51,6 +56,11 @@
             let data_centre = decision.data_centre.as_deref().unwrap_or_default();
             info!(log, "{}", kind; "data_centre" => data_centre, "reason" => decision.reason);
         }
+        (None, None) if decision.kind == DecisionKind::Overload => {
+            let service = decision.service.as_deref().unwrap_or_default();
+            info!(log, "{}", kind; "service" => service, "reason" => decision.reason,
+                "load_percent" => decision.figure);
+        }
         (None, None) => info!(log, "{}", kind;
             "worker" => worker, "reason" => decision.reason, "figure" => decision.figure),
     }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::platform::{CordonFault, EntryFault, Reply};
-use ospreywing_scheduler::{Decision, SchedulerStatus, WaitReason};
+use ospreywing_scheduler::{Decision, Forecast, SchedulerStatus, ServiceFragmentation, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,12 +42,22 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabels {
+    queue: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 type Amount = Gauge<i64, AtomicI64>;
 
 /// What a node counts.
@@ -64,6 +74,12 @@
     worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
     oldest_wait_ms: Family<WaitLabels, Amount>,
+    refused_by_forecast: Counter,
+    forecast_ms: Family<QueueLabels, Amount>,
+    fitting_cores: Family<ServiceLabels, Amount>,
+    fitting_accelerators: Family<ServiceLabels, Amount>,
+    fitting_tasks: Family<ServiceLabels, Amount>,
+    whole_room_percent: Family<ServiceLabels, Amount>,
     store_calls: Family<StoreLabels, Counter>,
     store_call_s: Histogram,
     terms: Counter,
@@ -78,8 +94,17 @@
     placeable_workers: Amount,
     capacity_millicores: Amount,
     used_millicores: Amount,
+    overloaded_services: Amount,
     waiting_gangs: Amount,
+    limit_reservations: Amount,
     awaited_workers: Amount,
+    slow_workers: Amount,
+    ejected_workers: Amount,
+    learned_sizes: Amount,
+    forecast_error_percent: Amount,
+    estimate_error_percent: Amount,
+    beyond_share_customers: Amount,
+    largest_share_lag_ms: Amount,
     configuration_version: Amount,
     configuration_age_ms: Amount,
     resident_bytes: Amount,
@@ -106,6 +131,12 @@
             worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
             oldest_wait_ms: Family::default(),
+            refused_by_forecast: Counter::default(),
+            forecast_ms: Family::default(),
+            fitting_cores: Family::default(),
+            fitting_accelerators: Family::default(),
+            fitting_tasks: Family::default(),
+            whole_room_percent: Family::default(),
             store_calls: Family::default(),
             store_call_s: new_histogram(),
             terms: Counter::default(),
@@ -120,14 +151,24 @@
             placeable_workers: Amount::default(),
             capacity_millicores: Amount::default(),
             used_millicores: Amount::default(),
+            overloaded_services: Amount::default(),
             waiting_gangs: Amount::default(),
+            limit_reservations: Amount::default(),
             awaited_workers: Amount::default(),
+            slow_workers: Amount::default(),
+            ejected_workers: Amount::default(),
+            learned_sizes: Amount::default(),
+            forecast_error_percent: Amount::default(),
+            estimate_error_percent: Amount::default(),
+            beyond_share_customers: Amount::default(),
+            largest_share_lag_ms: Amount::default(),
             configuration_version: Amount::default(),
             configuration_age_ms: Amount::default(),
             resident_bytes: Amount::default(),
         };
         metrics.register_counters();
         metrics.register_amounts();
+        metrics.register_rooms();
         metrics
     }
 
@@ -163,6 +204,16 @@
             "Cordons that are not followed, by reason",
             self.unusable_cordons.clone(),
         );
+        registry.register(
+            "refused_by_forecast",
+            "Jobs that were refused since they would be worth nothing when they are done",
+            self.refused_by_forecast.clone(),
+        );
+        registry.register(
+            "forecast_milliseconds",
+            "When a job would be done at the best that is handed in now, by queue",
+            self.forecast_ms.clone(),
+        );
         registry.register(
             "waiting_steps",
             "Steps that wait to start, by reason",
@@ -223,16 +274,61 @@
                 "What of it runs occupy",
                 &self.used_millicores,
             ),
+            (
+                "overloaded_services",
+                "Services that are short of room",
+                &self.overloaded_services,
+            ),
             (
                 "waiting_gangs",
                 "Gangs that workers are kept free for",
                 &self.waiting_gangs,
             ),
+            (
+                "limit_reservations",
+                "Steps for which a part of their customer's limit is reserved",
+                &self.limit_reservations,
+            ),
             (
                 "awaited_workers",
                 "Workers that are kept free",
                 &self.awaited_workers,
             ),
+            (
+                "slow_workers",
+                "Workers that are known to be slower than others of their service",
+                &self.slow_workers,
+            ),
+            (
+                "ejected_workers",
+                "Workers that come last since they are slow of late",
+                &self.ejected_workers,
+            ),
+            (
+                "learned_sizes",
+                "Sizes of steps whose lengths are learned",
+                &self.learned_sizes,
+            ),
+            (
+                "forecast_error_percent",
+                "How far off learned lengths were, as a mean factor less 1",
+                &self.forecast_error_percent,
+            ),
+            (
+                "estimate_error_percent",
+                "How far off clients' estimates of the same tasks were",
+                &self.estimate_error_percent,
+            ),
+            (
+                "beyond_share_customers",
+                "Customers whose further work comes later, by service",
+                &self.beyond_share_customers,
+            ),
+            (
+                "largest_share_lag_milliseconds",
+                "How far a customer is ahead of its share at most",
+                &self.largest_share_lag_ms,
+            ),
             (
                 "configuration_version",
                 "The version of the operators' configuration that is in force",
@@ -264,6 +360,56 @@
         }
     }
 
+    fn register_rooms(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "fitting_millicores",
+            "Thousandths of a core of the largest recent task that fits now, by service",
+            self.fitting_cores.clone(),
+        );
+        registry.register(
+            "fitting_accelerators",
+            "Accelerators of the largest recent task that fits now, by service",
+            self.fitting_accelerators.clone(),
+        );
+        registry.register(
+            "fitting_tasks",
+            "How many such tasks fit now, by service",
+            self.fitting_tasks.clone(),
+        );
+        registry.register(
+            "whole_room_percent",
+            "The part of the free room in which the largest recent task fits, by service",
+            self.whole_room_percent.clone(),
+        );
+    }
+
+    /// Notes how broken up the free room of each service is; forgets services without room.
+    fn note_rooms(&self, rooms: &[ServiceFragmentation]) {
+        self.fitting_cores.clear();
+        self.fitting_accelerators.clear();
+        self.fitting_tasks.clear();
+        self.whole_room_percent.clear();
+        for room in rooms {
+            let service = room.service.to_string();
+            let labels = ServiceLabels { service };
+            let set = |family: &Family<ServiceLabels, Amount>, value: i64| {
+                family.get_or_create(&labels).set(value);
+            };
+            let fit = &room.largest_fit;
+            set(&self.fitting_cores, i64::from(fit.cores_milli));
+            set(
+                &self.fitting_accelerators,
+                i64::from(fit.accelerators_count),
+            );
+            set(
+                &self.fitting_tasks,
+                room.fit_count.min(i64::MAX as u64) as i64,
+            );
+            set(&self.whole_room_percent, i64::from(room.whole_percent));
+        }
+    }
+
     /// Counts a reply to a request that was read whole at `begun_at`.
     pub fn note_reply(&self, reply: &Reply, begun_at: Instant) {
         let outcome = outcome_of(reply);
@@ -312,6 +458,23 @@
         self.store_call_s.observe(seconds_since(begun_at));
     }
 
+    /// Counts a job that was refused by a forecast.
+    pub fn note_refused_by_forecast(&self) {
+        self.refused_by_forecast.inc();
+    }
+
+    /// Notes the forecasts, which name few queues.
+    pub fn note_forecast(&self, forecast: Option<&Forecast>) {
+        self.forecast_ms.clear();
+        for queue in forecast.iter().flat_map(|forecast| &forecast.queues) {
+            let labels = QueueLabels {
+                queue: queue.queue.clone(),
+            };
+            let amount = self.forecast_ms.get_or_create(&labels);
+            amount.set(queue.done_ms as i64);
+        }
+    }
+
     /// Notes how many relays the leader uses.
     pub fn note_relays(&self, count: usize) {
         self.relays.set(count as i64);
@@ -339,6 +502,7 @@
             self.terms.inc();
         } else {
             self.note_status(&SchedulerStatus::default());
+            self.note_forecast(None);
             self.note_relays(0);
             self.note_lateness(Duration::ZERO);
         }
@@ -354,10 +518,24 @@
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
         set(&self.placeable_workers, status.placeable_workers_count);
+        set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
+        set(&self.limit_reservations, status.limit_reservations_count);
         set(&self.awaited_workers, status.awaited_workers_count);
+        set(&self.slow_workers, status.slow_workers_count);
+        set(&self.ejected_workers, status.ejected_workers_count);
+        set(&self.learned_sizes, status.learned_sizes_count);
+        let error = status.forecast_error;
+        self.forecast_error_percent
+            .set(error.forecast_percent as i64);
+        self.estimate_error_percent
+            .set(error.estimate_percent as i64);
+        set(&self.beyond_share_customers, status.beyond_share_count);
+        let lag_ms = status.largest_share_lag.as_ms();
+        self.largest_share_lag_ms.set(lag_ms as i64);
         self.capacity_millicores.set(status.capacity_milli as i64);
         self.used_millicores.set(status.used_milli as i64);
+        self.note_rooms(&status.service_rooms);
         for (reason, wait) in WaitReason::ALL.iter().zip(&status.waits) {
             let labels = WaitLabels {
                 reason: reason.as_str(),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,9 +1,11 @@
 //! A node's life, from start to stop.
 
+use crate::admission::ForecastView;
 use crate::cell_view::CellView;
 use crate::configuration::{self, ConfigurationView};
 use crate::failure_detector::FailureDetector;
 use crate::front::{self, Front, Listener};
+use crate::handover::KeptLearned;
 use crate::intake::Intake;
 use crate::leader::Leading;
 use crate::log::LogBuffer;
@@ -140,6 +142,8 @@
     pub configuration: ConfigurationView<P>,
     /// Who leads, and who lives.
     pub cell: RefCell<CellView>,
+    /// What the leader forecasts for jobs that are handed in now.
+    pub forecasts: ForecastView,
     /// Told when the view of the cell has changed.
     pub cell_changed: Notify,
     /// The node's own term, while it leads.
@@ -154,6 +158,8 @@
     pub(crate) detector: Cell<FailureDetector>,
     /// When the node may next take a leader for gone.
     pub next_eviction_at: Cell<Instant>,
+    /// What an earlier leader has learned.
+    pub(crate) learned: RefCell<KeptLearned>,
     /// Whether the node is stopping.
     pub is_draining: Cell<bool>,
 }
@@ -259,7 +265,9 @@
         log,
         configuration: ConfigurationView::default(),
         cell: RefCell::new(CellView::default()),
+        forecasts: ForecastView::default(),
         cell_changed: Notify::new(),
+        learned: RefCell::default(),
         leading: RefCell::new(None),
         relay_server: RelayServer::default(),
         contact_at: Cell::new(Instant::default()),
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -3,6 +3,7 @@
 use crate::caller::Caller;
 use crate::cell_view::LeaderRecord;
 use crate::election;
+use crate::handover::KeptLearned;
 use crate::intake::IntakeOutcome;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, GoodWorker, PeerError, PeerReply, PeerRequest};
@@ -11,7 +12,7 @@
 use crate::spread::draw_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{access, read_view, Access, StoredView};
-use crate::{clock, configuration_sharing, keys, leader_probe};
+use crate::{admission, clock, configuration_sharing, keys, leader_probe};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
 };
@@ -75,7 +76,10 @@
     let customer = record.customer.clone();
     let reply = match impossible_step(&record, configuration) {
         Some(step) => Reply::BeyondLimit { step },
-        None => write_or_forward(node, job, record, configuration.version).await,
+        None => match admission::refuse(node, job, &record, configuration).await {
+            Some(retry) => Reply::Unavailable(retry),
+            None => write_or_forward(node, job, record, configuration.version).await,
+        },
     };
     let word = match reply {
         Reply::Accepted => "accepted",
@@ -188,6 +192,9 @@
         IntakeOutcome::NotStored => JobWritten::NotStored,
         IntakeOutcome::Unknown => JobWritten::Unknown,
     };
+    if written == JobWritten::Unknown {
+        node.forecasts.note_doubt(clock::now());
+    }
     if written == JobWritten::Stored {
         node.note_contact();
         tell_leader(node, job, record.clone());
@@ -223,7 +230,15 @@
         let Some(leader) = find_leader(&node).await else {
             return;
         };
-        let _ = call_leader(&node, leader, &request).await;
+        let lease = leader.lease;
+        let asked_at = clock::now();
+        match call_leader(&node, leader, &request).await {
+            Ok(PeerReply::Taken) => node.forecasts.learn(lease, asked_at, None),
+            Ok(PeerReply::TakenInOverload(forecast)) => {
+                node.forecasts.learn(lease, asked_at, Some(forecast));
+            }
+            _ => {}
+        }
     });
 }
 
@@ -440,6 +455,10 @@
         }
         PeerRequest::RelayOrders { session, orders } => server::take_orders(node, session, orders),
         PeerRequest::RelayReplies { session } => server::collect_replies(node, session).await,
+        PeerRequest::Learned(learned) => {
+            *node.learned.borrow_mut() = KeptLearned::new(clock::now(), learned);
+            PeerReply::Taken
+        }
     }
 }
 
@@ -486,7 +505,8 @@
     match node.leading() {
         Some(leading) => {
             leading.tell(event);
-            PeerReply::Taken
+            let forecast = leading.forecast(clock::now());
+            forecast.map_or(PeerReply::Taken, PeerReply::TakenInOverload)
         }
         None => not_leader(node),
     }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,10 +1,12 @@
 //! Tests of a node's parts against a store in memory.
 
+mod admission;
 mod campaign;
 mod cordons;
 mod failure_detector;
 mod following;
 mod freshness;
+mod handing_on;
 mod lateness;
 mod logging;
 mod measuring;
--- a/crates/control/tests/control/measuring.rs
+++ b/crates/control/tests/control/measuring.rs
@@ -36,12 +36,20 @@
     metrics.note_term(true);
     metrics.note_status(&SchedulerStatus {
         runs_count: 7,
+        slow_workers_count: 2,
+        beyond_share_count: 3,
+        largest_share_lag: Duration::from_ms(1500),
         ..SchedulerStatus::default()
     });
-    assert!(metrics.to_text().contains("ospreywing_runs 7"));
+    let text = metrics.to_text();
+    assert!(text.contains("ospreywing_runs 7"));
+    assert!(text.contains("ospreywing_slow_workers 2"));
+    assert!(text.contains("ospreywing_beyond_share_customers 3"));
+    assert!(text.contains("ospreywing_largest_share_lag_milliseconds 1500"));
     metrics.note_term(false);
     let text = metrics.to_text();
     assert!(text.contains("ospreywing_runs 0"));
+    assert!(text.contains("ospreywing_slow_workers 0"));
     assert!(text.contains("ospreywing_is_leader 0"));
     assert!(text.contains("ospreywing_terms_total 1"));
 }
--- a/crates/scheduler/src/asking.rs
+++ b/crates/scheduler/src/asking.rs
@@ -6,16 +6,18 @@
 //! are good, keeps that room, and asks again about these alone.
 
 use crate::advice::OpenPart;
+use crate::awaiting::fills_workers;
 use crate::candidate::Candidate;
 use crate::config::AdvicePolicy;
 use crate::cycle::SchedulingCycle;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, AdviceReply};
 use crate::job::StepKey;
+use crate::packing::fit_in;
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::worker::WorkerKey;
-use ospreywing_types::{Duration, Instant, Resources};
+use ospreywing_types::{Duration, Instant};
 use std::sync::Arc;
 
 /// The most workers that one part of a call for advice names, by the platform's own
@@ -29,6 +31,10 @@
 const PART_COST_SHARE: f64 = 0.25;
 /// How many times the room that is needed the named workers should have.
 const NAMED_ROOM_FACTOR: f64 = 1.5;
+/// The workers that a small task weighs before it asks, the fullest ones with enough
+/// processors: more would take too long where there are thousands. The others follow, those
+/// with most room first.
+const PACKED_WEIGHED_COUNT: usize = 200;
 /// The share of good workers that is assumed before anything is known.
 const FIRST_GOODNESS: f64 = 0.5;
 /// The least share of good workers that is assumed.
@@ -101,7 +107,11 @@
                 named.push(candidate.worker);
             }
         }
-        for key in cycle.workers_for(&pending.demand) {
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
+        let packed = self.packed_order(pending, leaves_whole, cycle);
+        let weighed_count = packed.as_ref().map_or(0, |_| PACKED_WEIGHED_COUNT);
+        let rest = cycle.freest_for(&pending.demand, weighed_count);
+        for key in packed.unwrap_or_default().into_iter().chain(rest) {
             if wanted <= 0.0 || named.len() >= NAMED_LIMIT_COUNT {
                 break;
             }
@@ -112,6 +122,9 @@
                 continue;
             };
             candidate.free -= cycle.kept_room(key);
+            if leaves_whole {
+                candidate.free -= cycle.whole_room(key);
+            }
             let fit_count = self.unclaimed_fit(&candidate, pending).min(needed as u32);
             if fit_count > 0 {
                 wanted -= goodness * f64::from(fit_count);
@@ -124,6 +137,36 @@
         named
     }
 
+    /// Returns those of the fullest workers that are unknown and have room for a small task,
+    /// in the order in which it should take them; `None` where it should ask about those with most room.
+    fn packed_order(
+        &self,
+        pending: &PendingStep,
+        leaves_whole: bool,
+        cycle: &SchedulingCycle,
+    ) -> Option<Vec<WorkerKey>> {
+        let packing = cycle.packing(&pending.service)?;
+        if pending.spec().is_gang || fills_workers(pending, cycle) {
+            return None;
+        }
+        let advice = &self.advice[&pending.key];
+        let unknown = cycle
+            .fullest_for(&pending.demand)
+            .take(PACKED_WEIGHED_COUNT)
+            .filter(|key| !advice.is_known(*key));
+        let able = unknown.filter_map(|key| {
+            let mut candidate = self.candidate(pending, key, &self.workers[key])?;
+            candidate.free -= cycle.kept_room(key) + self.workers[key].claimed();
+            if leaves_whole {
+                candidate.free -= cycle.whole_room(key);
+            }
+            (candidate.fit_count(&pending.demand) > 0).then_some(candidate)
+        });
+        let mut able: Vec<Candidate> = able.collect();
+        able.sort_by_cached_key(|it| (packing.cost(&it.free, &pending.demand), it.worker));
+        Some(able.into_iter().map(|it| it.worker).collect())
+    }
+
     /// Returns how many tasks fit beside what other steps count on.
     fn unclaimed_fit(&self, candidate: &Candidate, pending: &PendingStep) -> u32 {
         let mut candidate = candidate.clone();
@@ -217,7 +260,7 @@
         advice.open.push(OpenPart {
             asked_at: now,
             node: assignment.node.clone(),
-            first: named[0],
+            named: Box::from(named),
         });
         let line = Decision::new(DecisionKind::AdviceAsked, "workers with room");
         let line = line
@@ -234,6 +277,18 @@
         true
     }
 
+    /// Forgets what is known of workers for a step of which nothing is to be started any more,
+    /// and what it counted on.
+    pub(crate) fn forget_advice(&mut self, step: StepKey) {
+        let Some(advice) = self.advice.remove(&step) else {
+            return;
+        };
+        let named = advice.open.iter().flat_map(|part| part.named.iter());
+        for worker in named {
+            self.workers[*worker].drop_claim(step);
+        }
+    }
+
     pub(crate) fn goodness_of(&self, queue: &str) -> f64 {
         let known = self.goodness.get(queue);
         let (good, named) = known.copied().unwrap_or((FIRST_GOODNESS, 1.0));
@@ -310,14 +365,6 @@
     }
 }
 
-/// Returns how many tasks of a demand fit into a room.
-pub(crate) fn fit_in(room: &Resources, demand: &Resources) -> u32 {
-    let by = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
-    by(room.cores_milli, demand.cores_milli)
-        .min(by(room.memory_mib, demand.memory_mib))
-        .min(by(room.accelerators_count, demand.accelerators_count))
-}
-
 /// Returns whether the cycle has room left for at least one task.
 pub(crate) fn has_room(cycle: &SchedulingCycle, pending: &PendingStep) -> bool {
     cycle.room_milli(&pending.service) >= i64::from(pending.demand.cores_milli)
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -1,11 +1,13 @@
 //! Candidates: the workers that could take tasks of a step, with their room.
 
-use crate::asking::fit_in;
 use crate::cycle::SchedulingCycle;
 use crate::job::{StepKey, StepSpec};
+use crate::learning::SpeedClass;
+use crate::packing::{fit_in, Packing, PackingCost};
 use crate::placing::PendingStep;
 use crate::scheduler::Scheduler;
 use crate::sharing::RunRole;
+use crate::speed_wish::SpeedWish;
 use crate::worker::{Worker, WorkerKey};
 use ospreywing_types::{Instant, Resources};
 use std::collections::BTreeSet;
@@ -55,6 +57,7 @@
         workers: impl Iterator<Item = WorkerKey>,
     ) -> Vec<Candidate> {
         let mut found = Vec::new();
+        let leaves_whole = self.leaves_whole_room(now, pending, cycle);
         for key in workers {
             let worker = &self.workers[key];
             if !worker.is_placeable(now) || !pending.demand.fits_in(&worker.free()) {
@@ -62,20 +65,50 @@
             }
             if let Some(mut candidate) = self.candidate(pending, key, worker) {
                 candidate.free -= cycle.kept_room(key);
+                if leaves_whole {
+                    candidate.free -= cycle.whole_room(key);
+                }
                 if pending.demand.fits_in(&candidate.free) && candidate.left_count > 0 {
                     found.push(candidate);
                 }
             }
         }
-        // A filler works on what is left unused, others leave large rooms whole.
-        let by_room = |free_milli: u32| match RunRole::of(pending.spec()) {
-            RunRole::Filler => u32::MAX - free_milli,
-            RunRole::Plain | RunRole::Serving => free_milli,
-        };
-        found.sort_by_key(|c| (!c.is_near, by_room(c.free.cores_milli), c.worker));
+        let packing = cycle.packing(&pending.service);
+        let wish = self.speed_wish(now, pending);
+        found.sort_by_cached_key(|c| {
+            let speed_rank = wish.rank(&self.workers[c.worker].speed);
+            let cost = packing_cost(pending, packing, c);
+            (!c.is_near, speed_rank, cost, c.worker)
+        });
+        if pending.spec().is_gang && wish == SpeedWish::Slow {
+            found = self.one_class_first(found, pending);
+        }
         found
     }
 
+    /// Puts the workers of one speed first that hold a whole gang, slow ones rather than fast
+    /// ones; where none of the speeds has as much room, the fast ones come first. A gang is
+    /// as slow as its slowest member, and would waste the time of faster ones.
+    fn one_class_first(
+        &self,
+        mut candidates: Vec<Candidate>,
+        pending: &PendingStep,
+    ) -> Vec<Candidate> {
+        let needed = pending.waiting.len() as u64;
+        let speed_of = |c: &Candidate| self.workers[c.worker].speed;
+        for class in [SpeedClass::Slow, SpeedClass::Usual, SpeedClass::Fast] {
+            let is_other = |c: &Candidate| speed_of(c).class != class || speed_of(c).is_ejected;
+            let alike = candidates.iter().filter(|c| !is_other(c));
+            let alike: Vec<Candidate> = alike.cloned().collect();
+            if fit_sum(&alike, &pending.demand) >= needed {
+                candidates.sort_by_key(is_other);
+                return candidates;
+            }
+        }
+        candidates.sort_by_key(|c| SpeedWish::Fast.rank(&speed_of(c)));
+        candidates
+    }
+
     /// Returns what a worker has for a step, where it may run the step at all.
     pub(crate) fn candidate(
         &self,
@@ -98,6 +131,23 @@
     }
 }
 
+/// Returns what placing a task of the step on a worker costs: where no packing is known, how
+/// many processors are free there.
+fn packing_cost(
+    pending: &PendingStep,
+    packing: Option<&Packing>,
+    candidate: &Candidate,
+) -> PackingCost {
+    let free_milli = candidate.free.cores_milli;
+    // A filler works on what is left unused, others leave large rooms whole.
+    if RunRole::of(pending.spec()) == RunRole::Filler {
+        return PackingCost::of_leftover(u32::MAX - free_milli);
+    }
+    packing.map_or(PackingCost::of_leftover(free_milli), |packing| {
+        packing.cost(&candidate.free, &pending.demand)
+    })
+}
+
 /// Returns how many tasks of a demand fit on all candidates together.
 pub(crate) fn fit_sum(candidates: &[Candidate], demand: &Resources) -> u64 {
     candidates
--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -75,7 +75,8 @@
             return;
         };
         job.version += 1;
-        job.ready = None;
+        job.forget_derived();
+        self.stale_asks.insert(id);
         if let Some(effect) = effect {
             job.effects.push((job.version, effect));
         }
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -1,7 +1,8 @@
 //! What is logged: one entry per decision.
 
 use crate::customers::CustomerUse;
-use crate::job::{JobId, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
+use ospreywing_types::Duration;
 use std::sync::Arc;
 
 /// What was decided or came to be believed.
@@ -57,8 +58,12 @@
     AdviceAnswered,
     /// A configuration came into force.
     Configured,
+    /// A customer went over its share of a service's room, or came back.
+    Share,
     /// A data centre was cordoned, or is not any more.
     Cordon,
+    /// A service is short of room, or is not any more.
+    Overload,
 }
 
 impl DecisionKind {
@@ -90,11 +95,22 @@
             Self::AdviceAsked => "advice asked",
             Self::AdviceAnswered => "advice answered",
             Self::Configured => "configured",
+            Self::Share => "share",
             Self::Cordon => "cordon",
+            Self::Overload => "overload",
         }
     }
 }
 
+/// A reservation of a customer's limit, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReservedLimit {
+    /// The step that it is for.
+    pub step: StepKey,
+    /// How long until the limit should hold that, where it is known.
+    pub due_in: Option<Duration>,
+}
+
 /// One entry for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -112,8 +128,12 @@
     pub data_centre: Option<Arc<str>>,
     /// The job's queue, where the job is named for the first time in a term.
     pub queue: Option<Arc<str>>,
+    /// The service, where a whole one is concerned.
+    pub service: Option<Arc<str>>,
     /// The customer, and what it has running and may have, where that decides.
     pub customer: Option<CustomerUse>,
+    /// The reservation of the customer's limit, where there is one.
+    pub reserved: Option<ReservedLimit>,
     /// Why, or how it came out.
     pub reason: &'static str,
     /// The age of the belief or the size that decided, by kind.
@@ -133,7 +153,9 @@
             worker: None,
             data_centre: None,
             queue: None,
+            service: None,
             customer: None,
+            reserved: None,
             reason,
             figure: 0,
             good_count: 0,
@@ -171,12 +193,24 @@
         self
     }
 
+    /// Names the service.
+    pub fn with_service(mut self, service: &Arc<str>) -> Self {
+        self.service = Some(service.clone());
+        self
+    }
+
     /// Names the customer and its use.
     pub fn with_customer(mut self, customer: CustomerUse) -> Self {
         self.customer = Some(customer);
         self
     }
 
+    /// Names the reservation of the customer's limit.
+    pub const fn with_reserved(mut self, reserved: Option<ReservedLimit>) -> Self {
+        self.reserved = reserved;
+        self
+    }
+
     /// Sets how many workers were found good.
     pub const fn with_good_count(mut self, good_count: usize) -> Self {
         self.good_count = good_count;
--- /dev/null
+++ b/crates/scheduler/src/dominant.rs
@@ -0,0 +1,93 @@
+//! Dominant shares: how much of a service's room work takes, by the resource of which it
+//! takes the largest part.
+
+use ospreywing_types::Resources;
+
+/// A whole, in millionths.
+pub(crate) const WHOLE_PPM: u64 = 1_000_000;
+
+/// The room of many workers, or the demand of many runs, which a worker's amounts would not
+/// hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    pub(crate) cores_milli: u64,
+    pub(crate) memory_mib: u64,
+    pub(crate) accelerators_count: u64,
+}
+
+impl Room {
+    /// Returns the processors, the memory and the accelerators.
+    pub(crate) const fn parts(&self) -> [u64; 3] {
+        [self.cores_milli, self.memory_mib, self.accelerators_count]
+    }
+
+    /// Adds so many times an amount.
+    pub(crate) fn add(&mut self, amount: &Resources, count: usize) {
+        let count = count as u64;
+        self.cores_milli += u64::from(amount.cores_milli) * count;
+        self.memory_mib += u64::from(amount.memory_mib) * count;
+        self.accelerators_count += u64::from(amount.accelerators_count) * count;
+    }
+
+    /// Adds other room.
+    pub(crate) fn add_room(&mut self, other: &Self) {
+        self.cores_milli += other.cores_milli;
+        self.memory_mib += other.memory_mib;
+        self.accelerators_count += other.accelerators_count;
+    }
+
+    /// Takes an amount off that was added before.
+    pub(crate) fn remove(&mut self, amount: &Resources) {
+        self.cores_milli -= u64::from(amount.cores_milli);
+        self.memory_mib -= u64::from(amount.memory_mib);
+        self.accelerators_count -= u64::from(amount.accelerators_count);
+    }
+
+    /// Takes other room off that was added before.
+    pub(crate) fn remove_room(&mut self, other: &Self) {
+        self.cores_milli -= other.cores_milli;
+        self.memory_mib -= other.memory_mib;
+        self.accelerators_count -= other.accelerators_count;
+    }
+
+    /// Returns as much of this as `limit` has of each part.
+    pub(crate) fn capped(&self, limit: &Resources) -> Self {
+        Self {
+            cores_milli: self.cores_milli.min(u64::from(limit.cores_milli)),
+            memory_mib: self.memory_mib.min(u64::from(limit.memory_mib)),
+            accelerators_count: self
+                .accelerators_count
+                .min(u64::from(limit.accelerators_count)),
+        }
+    }
+
+    /// Returns how many tasks of a demand it would hold in one piece.
+    pub(crate) fn fit_count(&self, demand: &Resources) -> u64 {
+        let by = |free: u64, need: u32| free.checked_div(u64::from(need)).unwrap_or(u64::MAX);
+        by(self.cores_milli, demand.cores_milli)
+            .min(by(self.memory_mib, demand.memory_mib))
+            .min(by(self.accelerators_count, demand.accelerators_count))
+    }
+
+    /// Returns whether there is none of any part.
+    pub(crate) fn is_zero(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Returns whether every part is at most as large as that of `room`.
+    pub(crate) const fn fits_in(&self, room: &Self) -> bool {
+        self.cores_milli <= room.cores_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators_count <= room.accelerators_count
+    }
+
+    /// Returns the part of `capacity` that this takes, of the resource of which it takes the
+    /// largest, in millionths. A resource that nobody has counts nothing: what needs it runs
+    /// nowhere.
+    pub(crate) fn dominant_ppm(&self, capacity: &Self) -> u64 {
+        let part = |need: u64, whole: u64| (need * WHOLE_PPM).checked_div(whole).unwrap_or(0);
+        part(self.cores_milli, capacity.cores_milli)
+            .max(part(self.memory_mib, capacity.memory_mib))
+            .max(part(self.accelerators_count, capacity.accelerators_count))
+    }
+}
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -3,10 +3,13 @@
 use crate::commits::Effect;
 use crate::customers::CustomerKey;
 use crate::decision::{Decision, DecisionKind};
+use crate::dominant::Room;
 use crate::event::Action;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
-use crate::order::left_ms;
+use crate::overloads::JobNeed;
+use crate::placing::counted_demand;
 use crate::scheduler::Scheduler;
+use crate::share_accounts::ServiceKey;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::{Duration, Instant};
@@ -38,14 +41,20 @@
     pub(crate) rank: (u32, u64),
     /// Whose job it is.
     pub(crate) customer: Option<CustomerKey>,
-    /// Whether its customer had handed in more than its share when it came.
-    pub(crate) is_beyond_share: bool,
+    /// The service in whose accounts of shares it is open, or was.
+    pub(crate) service: Option<ServiceKey>,
+    /// Whether its customer had handed in more than its rate when it came.
+    pub(crate) is_beyond_rate: bool,
     /// Whether it was told that work of it is held back by its customer's limit.
     pub(crate) is_held: bool,
-    /// The time within which the job should be done, by its estimates.
+    /// What the tasks of steps took that are done, where that was learned.
+    pub(crate) done_lengths: BTreeMap<StepKey, Duration>,
+    /// The time within which the job should be done, by what its steps take.
     pub(crate) objective: Duration,
-    /// The estimate of what is left of its longest chain, in milliseconds.
+    /// How long what is left of its longest chain should take, in milliseconds.
     pub(crate) left_ms: u64,
+    /// What of that is surely needed, in milliseconds.
+    pub(crate) sure_ms: u64,
     /// When the job was accepted, on this node's clock.
     pub(crate) accepted_at: Instant,
     /// Until when its tasks that may have crashed a worker wait for one of their own.
@@ -55,6 +64,10 @@
     pub(crate) gang_stops: BTreeMap<StepKey, u32>,
     /// The steps that may be started, where they have been worked out.
     pub(crate) ready: Option<Vec<StepKey>>,
+    /// What the waiting tasks of these took together when its service counted them last.
+    pub(crate) asked: Room,
+    /// What it needs, where that has been worked out.
+    pub(crate) need: Option<JobNeed>,
 }
 
 impl Job {
@@ -76,14 +89,19 @@
             ended_at: None,
             rank,
             customer: None,
-            is_beyond_share: false,
+            service: None,
+            is_beyond_rate: false,
             is_held: false,
             accepted_at,
+            done_lengths: BTreeMap::new(),
             objective: Duration::ZERO,
             left_ms: 0,
+            sure_ms: 0,
             trial_until: Instant::default(),
             gang_stops: BTreeMap::new(),
             ready: None,
+            asked: Room::default(),
+            need: None,
             state,
         }
     }
@@ -99,7 +117,21 @@
         self.payload = Arc::from("");
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
+        self.done_lengths.clear();
+        self.forget_derived();
+    }
+
+    /// Forgets what was worked out from a state that has changed.
+    pub(crate) fn forget_derived(&mut self) {
         self.ready = None;
+        self.need = None;
+    }
+
+    /// Returns whether the job has an objective that can be missed: no perpetual work, and no
+    /// rounds at set times.
+    pub(crate) fn may_be_late(&self) -> bool {
+        let spec = &self.record.spec;
+        spec.schedule.is_none() && !spec.steps.iter().any(|step| step.is_perpetual)
     }
 
     /// Returns whether the job's next commit removes it.
@@ -122,6 +154,28 @@
         ready
     }
 
+    /// Returns what the waiting tasks take whose turn has come.
+    pub(crate) fn ready_room(&mut self, id: JobId) -> Room {
+        let ready = self.ready_steps(id);
+        self.room_of(&ready)
+    }
+
+    /// Returns what the waiting tasks of steps take together.
+    pub(crate) fn room_of(&self, steps: &[StepKey]) -> Room {
+        let mut room = Room::default();
+        for key in steps {
+            let spec = self.record.spec.steps.get(key.step as usize);
+            let round = self.state.round(key.round);
+            let step = round.and_then(|round| round.steps.get(key.step as usize));
+            if let Some((spec, step)) = spec.zip(step) {
+                let is_waiting = |task: &&TaskState| task.status == TaskStatus::Waiting;
+                let waiting_count = step.tasks.iter().filter(is_waiting).count();
+                room.add(&counted_demand(spec), waiting_count);
+            }
+        }
+        room
+    }
+
     /// Returns whether a step's turn has come and it has a waiting task.
     pub(crate) fn has_ready_step(&mut self, id: JobId) -> bool {
         match &self.ready {
@@ -176,8 +230,9 @@
         let line = Decision::new(DecisionKind::JobTaken, "accepted")
             .with_job(id)
             .with_queue(&record.queue)
-            .with_figure(self.objective(&record).as_ms());
+            .with_figure(self.estimated_objective(&record).as_ms());
         out.push(Action::Log(line));
+        self.note_shapes(now, &record);
         self.insert_job(now, id, record, JobState::default());
     }
 
@@ -194,13 +249,11 @@
         let rank = (priority, self.next_order);
         self.next_order += 1;
         let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
-        let objective = self.objective(&record);
         let mut job = Job::new(record, state, rank, now - age);
-        job.objective = objective;
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_of(name);
             job.customer = Some(customer);
-            job.is_beyond_share = self.accounts.note_job(customer, job.accepted_at);
+            job.is_beyond_rate = self.accounts.note_job(customer, job.accepted_at);
         }
         job.trial_until = now + self.config.crash_policy.trial_wait;
         if job.state.phase == Phase::Active {
@@ -212,8 +265,12 @@
                 job.state.next_round = 1;
             }
         }
-        job.left_ms = left_ms(&job.record, &job.state);
+        let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
+        self.note_left(id);
+        if is_active {
+            self.open_share(id);
+        }
         self.is_place_due = true;
         let wall_ms = self.wall_ms;
         self.begin_due_rounds(wall_ms);
@@ -247,7 +304,8 @@
             let round = RoundState::new(job.state.next_round, &job.record);
             job.state.rounds.push(round);
             job.state.next_round += 1;
-            job.ready = None;
+            job.forget_derived();
+            self.stale_asks.insert(id);
             self.is_place_due = true;
         }
         job.state.next_round < schedule.rounds_count
@@ -274,9 +332,10 @@
         }
         job.state.phase = phase;
         job.ended_at = Some(now);
-        job.ready = None;
+        job.forget_derived();
         let rank = job.rank;
         self.active.remove(&rank);
+        self.close_share(id);
         let line = Decision::new(DecisionKind::JobEnded, reason).with_job(id);
         out.push(Action::Log(line));
         self.unsettled.insert(id);
@@ -285,9 +344,28 @@
             // The other members of a gang that is done end by themselves.
             self.stop_job(now, id, out);
         }
-        self.advice.retain(|step, _| step.job != id);
+        for step in self.steps_of(id) {
+            self.forget_advice(step);
+        }
         self.waits.forget_job(id);
         self.release_room_of(id);
+        // What it took or kept may be room for others now.
+        self.is_place_due = true;
+    }
+
+    /// Returns the steps of a job's rounds that have begun.
+    fn steps_of(&self, id: JobId) -> Vec<StepKey> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let key = |round: &RoundState, step: usize| StepKey {
+            job: id,
+            round: round.number,
+            step: step as u32,
+        };
+        let rounds = job.state.rounds.iter();
+        let steps = rounds.flat_map(|round| (0..round.steps.len()).map(move |it| key(round, it)));
+        steps.collect()
     }
 
     /// Stops every run of a job.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,11 +13,13 @@
 //! - a task is started again only after its last run has ended, can't start
 //!   any more, or has outlived every lease that was granted to its worker.
 
+mod admission;
 mod advice;
 mod adviser_load;
 mod advisers;
 mod asking;
 mod awaiting;
+mod backfill;
 mod candidate;
 mod commits;
 mod config;
@@ -27,16 +29,22 @@
 mod cycle;
 mod decision;
 mod departures;
+mod dominant;
+mod durations;
 mod ends;
 mod estimates;
 mod event;
 mod evidence;
 mod features;
+mod forecast;
+mod fragmentation;
 mod gang_search;
 mod gangs;
+mod handover;
 mod job;
 mod job_rate;
 mod jobs;
+mod learning;
 mod leases;
 mod life;
 mod limits;
@@ -45,6 +53,9 @@
 mod open_starts;
 mod order;
 mod orders;
+pub mod overload;
+mod overloads;
+mod packing;
 mod placed_lives;
 mod placing;
 mod preemption;
@@ -52,30 +63,43 @@
 mod retries;
 mod runs;
 mod scheduler;
+mod shapes;
+mod share_accounts;
+mod shares;
 mod sharing;
+mod speed_wish;
+mod speeds;
 mod state;
+mod step_pace;
 mod verifier;
 mod waiting;
+mod whole_rooms;
 mod worker;
 mod worker_list;
 
+pub use admission::{Forecast, QueueForecast, Refusal, FORECAST_AGE_LIMIT};
 pub use config::{
     AdvicePolicy, Configuration, CrashPolicy, Queue, SchedulerConfig, ServicePolicy, TrialRule,
     LANES_COUNT,
 };
 pub use customers::{Customer, CustomerUse};
-pub use decision::{Decision, DecisionKind};
+pub use decision::{Decision, DecisionKind, ReservedLimit};
+pub use durations::{Durations, ForecastError, LengthForecast, LengthKind};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
     RefusedStart, RunningRun, StartOrder, StartReply, StopReply, Ticket, WorkerChange,
 };
 pub use evidence::{CrashRecord, Suspicion};
 pub use features::{Feature, Features, UnknownFeature};
+pub use fragmentation::ServiceFragmentation;
+pub use handover::{Learned, LearnedQuantiles, LearnedSize, LearnedSpeed};
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::look_patience;
 pub use life::LifeStart;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
+pub use shares::ShareView;
+pub use speeds::{Ejection, Speeds, USUAL_SPEED};
 pub use state::{
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
     TaskStatus,
--- a/crates/scheduler/src/order.rs
+++ b/crates/scheduler/src/order.rs
@@ -1,16 +1,21 @@
 //! The order in which waiting jobs are served.
 
+use crate::config::Queue;
+use crate::features::Feature;
 use crate::job::{JobId, JobRecord};
 use crate::jobs::Job;
+use crate::overload::Selection;
+use crate::overloads::OverloadRank;
 use crate::scheduler::Scheduler;
-use crate::state::{JobState, RoundState, StepState};
+use crate::shares::ShareRank;
+use crate::state::{RoundState, StepState};
 use ospreywing_types::{Duration, Instant};
 
 /// How many times its objective a job may take and still be worth something.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
 /// The part of an estimate that is surely needed, in percent: estimates are
 /// rough, and a job must not be given up that could still make it.
-const SURE_PERCENT: u64 = 60;
+pub(crate) const SURE_PERCENT: u64 = 60;
 /// The objective's factor where the queue is no longer configured.
 const DEFAULT_STRETCH: f64 = 3.0;
 /// The objective's rest where the queue is no longer configured.
@@ -30,18 +35,20 @@
 /// A job that can be in time is patient while it has more time to spare than this:
 /// the time at which work begins to leave room to gangs, and a few times what a
 /// step usually waits for room.
-const PATIENT_SLACK: Duration = Duration::from_ms(4000);
+pub(crate) const PATIENT_SLACK: Duration = Duration::from_ms(4000);
 
 /// A job's place in the order of service; the smallest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceRank {
-    /// Whether its customer hands in more than its share: that work comes after all else.
-    is_beyond_share: bool,
+    /// Work beyond its customer's rate or share comes after all else.
+    share: ShareRank,
     urgency: Urgency,
     /// The priority of its queue; 0 comes first.
     priority: u32,
     /// How large its largest gang is, where it is pressing; 0 otherwise.
     gang_size: u32,
+    /// How much it needs, where its service is overloaded and it is not to be in time.
+    size_us: u64,
     /// When it must start at the latest.
     due: Instant,
     /// Its number in the order of acceptance.
@@ -52,31 +59,83 @@
 /// How soon a job must be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
+    /// It has waited for longer than any job of an overloaded service should.
+    Aged,
     /// It will soon be too late to be in time.
     Pressing,
     /// It has time to spare, or can only be late.
     Patient,
+    /// Its service is overloaded, and it is to be late.
+    Late,
+    /// Its service is overloaded, and it is in time also where it comes after late work.
+    CanWait,
+    /// Its service is overloaded, and it is to be later than it is worth anything.
+    Last,
     /// It is worth little whenever it is done.
     Overdue,
 }
 
+impl ServiceRank {
+    /// Changes the place to that of a job whose service is overloaded.
+    fn lower(&mut self, overloaded: &OverloadRank, late_due: Instant) {
+        let urgency = match overloaded.selection {
+            _ if overloaded.is_aged => Urgency::Aged,
+            _ if self.urgency == Urgency::Overdue => return,
+            Selection::InTime => return,
+            Selection::CanWait if self.urgency == Urgency::Pressing => return,
+            Selection::CanWait => Urgency::CanWait,
+            Selection::Late => Urgency::Late,
+            Selection::Last => Urgency::Last,
+        };
+        self.urgency = urgency;
+        self.gang_size = 0;
+        match urgency {
+            Urgency::Late => self.due = late_due,
+            Urgency::Last => self.size_us = overloaded.size_us,
+            _ => {}
+        }
+    }
+}
+
 impl Scheduler {
     /// Returns the jobs with work left in the order in which they are served: by
     /// urgency, then by priority, then by the latest start at which each is in time.
     pub(crate) fn service_order(&self, now: Instant) -> Vec<JobId> {
+        let has_order = self.config.features.has(Feature::OverloadOrder);
+        let overloaded = has_order.then(|| self.overloads.ranks());
         let ids = self.active.values();
-        let mut order: Vec<ServiceRank> =
-            ids.filter_map(|id| self.service_rank(now, *id)).collect();
+        let mut order: Vec<ServiceRank> = ids
+            .filter_map(|id| self.service_rank(now, *id, overloaded.and_then(|it| it.get(id))))
+            .collect();
         order.sort_unstable();
+        self.rank_by_shares(&mut order);
         order.into_iter().map(|rank| rank.job).collect()
     }
 
-    fn service_rank(&self, now: Instant, id: JobId) -> Option<ServiceRank> {
+    /// Has work beyond its customer's share of room that is short come later.
+    fn rank_by_shares(&self, order: &mut [ServiceRank]) {
+        if !self.is_room_short() {
+            return;
+        }
+        let ids: Vec<JobId> = order.iter().map(|rank| rank.job).collect();
+        for (rank, share) in order.iter_mut().zip(self.share_ranks(&ids)) {
+            rank.share = share;
+        }
+        // Each customer's own work stays in its order.
+        order.sort_by_key(|rank| rank.share);
+    }
+
+    fn service_rank(
+        &self,
+        now: Instant,
+        id: JobId,
+        overloaded: Option<&OverloadRank>,
+    ) -> Option<ServiceRank> {
         let job = self.jobs.get(&id)?;
         let (priority, number) = job.rank;
         let (urgency, due) = self.urgency(now, job);
-        Some(ServiceRank {
-            is_beyond_share: job.is_beyond_share,
+        let mut rank = ServiceRank {
+            share: ShareRank::of_job(job),
             urgency,
             priority,
             gang_size: if urgency == Urgency::Pressing {
@@ -84,10 +143,15 @@
             } else {
                 0
             },
+            size_us: 0,
             due,
             number,
             job: id,
-        })
+        };
+        if let Some(overloaded) = overloaded {
+            rank.lower(overloaded, late_due(job));
+        }
+        Some(rank)
     }
 
     /// Returns whether a job has time to spare, or can only be late.
@@ -103,20 +167,16 @@
         match self.prospect(now, job) {
             Prospect::InTime if due < now + PATIENT_SLACK => (Urgency::Pressing, due),
             Prospect::InTime => (Urgency::Patient, due),
-            Prospect::Late => {
-                let late_due = (job.accepted_at + job.objective.times(LATE_FACTOR)) - left;
-                (Urgency::Patient, late_due)
-            }
+            Prospect::Late => (Urgency::Patient, late_due(job)),
             Prospect::Overdue => (Urgency::Overdue, due),
         }
     }
 
     pub(crate) fn prospect(&self, now: Instant, job: &Job) -> Prospect {
-        let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
-        if is_perpetual || job.record.spec.schedule.is_some() {
+        if !job.may_be_late() {
             return Prospect::InTime;
         }
-        let sure = Duration::from_ms(job.left_ms * SURE_PERCENT / 100);
+        let sure = Duration::from_ms(job.sure_ms);
         let objective = job.objective;
         let ends_at = now + sure;
         if ends_at <= job.accepted_at + objective {
@@ -129,13 +189,43 @@
     }
 
     /// Returns the time within which a job should be done, by its estimates.
-    pub(crate) fn objective(&self, record: &JobRecord) -> Duration {
-        let queue = self.configuration.queue(&record.queue);
-        let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
-        let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
-        let chain = chain_ms(record, None) as f64;
-        Duration::from_ms((chain * stretch) as u64 + rest_ms)
+    pub(crate) fn estimated_objective(&self, record: &JobRecord) -> Duration {
+        objective_of(record, self.configuration.queue(&record.queue))
     }
+
+    /// Returns the time within which a job should be done, by the length of each step in
+    /// milliseconds.
+    pub(crate) fn objective(
+        &self,
+        record: &JobRecord,
+        length_ms: impl Fn(usize) -> u64,
+    ) -> Duration {
+        objective_by(record, self.configuration.queue(&record.queue), length_ms)
+    }
+}
+
+/// Returns the time within which a job of a queue should be done, by its estimates.
+pub(crate) fn objective_of(record: &JobRecord, queue: Option<&Queue>) -> Duration {
+    objective_by(record, queue, |number| {
+        record.spec.steps[number].estimate_ms
+    })
+}
+
+fn objective_by(
+    record: &JobRecord,
+    queue: Option<&Queue>,
+    length_ms: impl Fn(usize) -> u64,
+) -> Duration {
+    let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
+    let rest_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
+    let chain = chain(record, None, length_ms) as f64;
+    Duration::from_ms((chain * stretch) as u64 + rest_ms)
+}
+
+/// Returns when a job must start at the latest to be worth something.
+fn late_due(job: &Job) -> Instant {
+    let worth_until = job.accepted_at + job.objective.times(LATE_FACTOR);
+    worth_until - Duration::from_ms(job.left_ms)
 }
 
 /// Returns how large a job's largest gang is, in powers of two of a thousandth of a core; 0
@@ -153,29 +243,27 @@
     largest.checked_ilog2().unwrap_or(0)
 }
 
-/// Returns the estimate of what is left of a job's longest chain.
-pub(crate) fn left_ms(record: &JobRecord, state: &JobState) -> u64 {
-    let rounds = state.rounds.iter();
-    let left_ms = rounds.map(|round| chain_ms(record, Some(round)));
-    left_ms.max().unwrap_or(0)
-}
-
-/// Returns the estimate of a job's longest chain of steps that are not done.
-fn chain_ms(record: &JobRecord, round: Option<&RoundState>) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
+/// Returns the length of a job's longest chain of steps that are not done, by the length of
+/// each step.
+pub(crate) fn chain(
+    record: &JobRecord,
+    round: Option<&RoundState>,
+    length_of: impl Fn(usize) -> u64,
+) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
     for (number, step) in record.spec.steps.iter().enumerate() {
-        let begins_ms = step
+        let begin = step
             .depends_on
             .iter()
-            .filter_map(|earlier| ends_ms.get(*earlier as usize))
+            .filter_map(|earlier| ends.get(*earlier as usize))
             .max()
             .copied()
             .unwrap_or(0);
         let is_done = round
             .and_then(|round| round.steps.get(number))
             .is_some_and(StepState::is_done);
-        let length_ms = if is_done { 0 } else { step.estimate_ms };
-        ends_ms.push(begins_ms + length_ms);
+        let length = if is_done { 0 } else { length_of(number) };
+        ends.push(begin + length);
     }
-    ends_ms.into_iter().max().unwrap_or(0)
+    ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -60,17 +60,24 @@
     pub(crate) fn place(&mut self, now: Instant, out: &mut Vec<Action>) -> usize {
         self.waits.begin_cycle();
         if self.are_starts_held {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
+            self.end_overloads(now, out);
             return 0;
         }
-        let order = self.service_order(now);
         // Most cycles find nothing that waits, and going over all workers is what a cycle
         // costs.
-        if !self.has_ready_step(&order) {
+        if !self.has_ready_step() {
+            self.shares.rest(now);
             self.last_cycle = CycleSummary::default();
+            self.end_overloads(now, out);
             return 0;
         }
         let mut cycle = self.new_cycle(now);
+        self.begin_reservations(now, &mut cycle);
+        self.refresh_shares(now, &cycle, out);
+        self.rank_overloaded(now, &cycle, out);
+        let order = self.service_order(now);
         self.place_all(now, order, &mut cycle, out);
         self.last_cycle = CycleSummary {
             awaited_workers_count: cycle.kept_workers_count(),
@@ -79,9 +86,9 @@
         cycle.examined_count
     }
 
-    /// Returns whether a step of any of the jobs may be started.
-    fn has_ready_step(&mut self, order: &[JobId]) -> bool {
-        let mut jobs = order.iter();
+    /// Returns whether a step of any job may be started.
+    fn has_ready_step(&mut self) -> bool {
+        let mut jobs = self.active.values();
         jobs.any(|id| {
             let job = self.jobs.get_mut(id);
             job.is_some_and(|job| job.has_ready_step(*id))
@@ -128,12 +135,12 @@
         out: &mut Vec<Action>,
     ) -> Option<WaitReason> {
         let charge = self.charge_of(key);
-        let allowed_count = self.allowed_count(charge, cycle);
-        if self.is_held(key, charge, allowed_count, cycle, out) {
-            return Some(self.reason_to_hold(key));
+        let allowance = self.allowance(now, key, charge, cycle);
+        if let Some(reason) = self.reason_to_hold(now, key, charge, allowance, cycle, out) {
+            return Some(reason);
         }
         cycle.examined_count += 1;
-        let Some(pending) = self.pending_step(key, allowed_count) else {
+        let Some(pending) = self.pending_step(key, allowance.allowed_count) else {
             // Its other members may be alive.
             return Some(WaitReason::LastRun);
         };
@@ -141,20 +148,10 @@
             return Some(WaitReason::Gangs);
         }
         let reason = self.serve_step(now, &pending, cycle, out);
-        self.claim_limit(&pending, cycle);
+        self.note_served(now, &pending, charge, cycle);
         reason
     }
 
-    /// Returns why a step waits that its customer's limit lets start too little of.
-    fn reason_to_hold(&self, key: StepKey) -> WaitReason {
-        let job = self.jobs.get(&key.job);
-        if job.is_some_and(|job| job.is_waiting_whole(key)) {
-            WaitReason::Limit
-        } else {
-            WaitReason::LastRun
-        }
-    }
-
     /// Returns why a step waits whose tasks could not all be placed.
     fn reason_to_seek(&self, now: Instant, pending: &PendingStep) -> WaitReason {
         if self.is_confined_to_cordons(pending) {
@@ -192,8 +189,13 @@
                 let candidates = self.candidates(now, pending, cycle, workers);
                 placed_count = self.allocate(now, pending, candidates, out);
             }
-            let has_left = placed_count < pending.waiting.len();
-            return has_left.then(|| self.reason_to_seek(now, pending));
+            let missing_count = pending.waiting.len() - placed_count;
+            if missing_count == 0 {
+                return None;
+            }
+            self.preempt_for_share(now, pending, cycle, missing_count, out);
+            self.await_room(now, pending, missing_count, cycle);
+            return Some(self.reason_to_seek(now, pending));
         };
         if pending.spec().is_gang {
             self.place_gang(now, pending, policy, cycle, out)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,24 +2,32 @@
 
 use crate::advice::StepAdvice;
 use crate::advisers::Advisers;
+use crate::backfill::LimitReservations;
 use crate::commits::CommitQueue;
 use crate::config::{Configuration, SchedulerConfig};
 use crate::cordons::Cordons;
 use crate::customers::Accounts;
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
+use crate::durations::ForecastError;
 use crate::event::{Action, Event};
+use crate::forecast::Forecasts;
+use crate::fragmentation::ServiceFragmentation;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::jobs::Job;
+use crate::learning::{Learning, SpeedClass};
 use crate::names::Names;
+use crate::overloads::Overloads;
 use crate::retries::RetryBudgets;
+use crate::shapes::Shapes;
+use crate::share_accounts::Shares;
 use crate::state::Phase;
 use crate::waiting::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// The time between two looks at jobs that have their outcome.
@@ -42,7 +50,7 @@
 }
 
 /// Sizes for metrics and operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SchedulerStatus {
     /// Jobs with work left.
     pub active_jobs_count: usize,
@@ -64,6 +72,26 @@
     pub awaited_workers_count: usize,
     /// Gangs that waited then.
     pub waiting_gangs_count: usize,
+    /// Workers that are known to be slower than their service's others.
+    pub slow_workers_count: usize,
+    /// Workers that come last, since they are slow of late.
+    pub ejected_workers_count: usize,
+    /// Sizes of steps whose lengths are learned.
+    pub learned_sizes_count: usize,
+    /// How far off forecasts of lengths and clients' estimates were.
+    pub forecast_error: ForecastError,
+    /// Steps for which a part of their customer's limit is reserved.
+    pub limit_reservations_count: usize,
+    /// Customers whose work beyond their shares of a service that is short comes last.
+    pub beyond_share_count: usize,
+    /// How far a customer is ahead of its share at most.
+    pub largest_share_lag: Duration,
+    /// Services that are short of room.
+    pub overloaded_services_count: usize,
+    /// Queues of which a forecast is told.
+    pub forecast_queues_count: usize,
+    /// How broken up the free room of each service is.
+    pub service_rooms: Vec<ServiceFragmentation>,
     /// The steps that wait, by reason in the order of [`WaitReason::ALL`].
     pub waits: [WaitSummary; WaitReason::ALL.len()],
 }
@@ -73,6 +101,11 @@
     pub(crate) config: SchedulerConfig,
     pub(crate) configuration: Configuration,
     pub(crate) accounts: Accounts,
+    /// What is kept of customers' limits for steps that wait for them.
+    pub(crate) limit_reservations: LimitReservations,
+    pub(crate) shares: Shares,
+    /// Jobs whose services have to count anew what they ask for.
+    pub(crate) stale_asks: HashSet<JobId>,
     pub(crate) cordons: Cordons,
     /// Whether nothing new may be started anywhere.
     pub(crate) are_starts_held: bool,
@@ -94,16 +127,24 @@
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
     pub(crate) advisers: Advisers,
+    /// What this leader has learned of lengths and speeds.
+    pub(crate) learning: Learning,
     /// The workers that keep room for gangs whose advice is being asked for.
     pub(crate) reservations: BTreeMap<StepKey, Vec<WorkerKey>>,
     /// Gangs that have lost a member, and when.
     pub(crate) broken_gangs: BTreeMap<StepKey, Instant>,
     /// Workers found good and workers named, by queue.
     pub(crate) goodness: HashMap<String, (f64, f64)>,
+    /// The shapes of the tasks that came lately.
+    pub(crate) shapes: Shapes,
     /// The steps that wait, and why.
     pub(crate) waits: Waits,
     /// What the last cycle over waiting steps left.
     pub(crate) last_cycle: CycleSummary,
+    /// The services that were short of room then.
+    pub(crate) overloads: Overloads,
+    /// When the queues of these could do another job.
+    pub(crate) forecasts: Forecasts,
     pub(crate) commits: CommitQueue,
     pub(crate) has_store_trouble: bool,
     /// When every lease that an earlier leader granted is certainly over. A lease
@@ -132,6 +173,9 @@
             config,
             configuration,
             accounts,
+            limit_reservations: LimitReservations::default(),
+            shares: Shares::default(),
+            stale_asks: HashSet::new(),
             cordons: Cordons::default(),
             are_starts_held: false,
             workers: PrimaryMap::new(),
@@ -146,11 +190,15 @@
             placements: HashMap::new(),
             advice: HashMap::new(),
             advisers: Advisers::default(),
+            learning: Learning::default(),
             reservations: BTreeMap::new(),
             broken_gangs: BTreeMap::new(),
             goodness: HashMap::new(),
+            shapes: Shapes::default(),
             waits: Waits::default(),
             last_cycle: CycleSummary::default(),
+            overloads: Overloads::default(),
+            forecasts: Forecasts::default(),
             commits: CommitQueue::default(),
             has_store_trouble: false,
             inherited_until: Instant::default(),
@@ -197,7 +245,10 @@
                 self.on_advice_answered(now, step, &named, reply, out);
             }
             Event::Committed { lane } => self.on_committed(now, lane as usize, out),
-            Event::StoreTrouble(has_trouble) => self.has_store_trouble = has_trouble,
+            Event::StoreTrouble(has_trouble) => {
+                self.has_store_trouble = has_trouble;
+                self.forecasts.note_unsure(now);
+            }
             Event::WallClock(wall_ms) => self.begin_due_rounds(wall_ms),
             Event::Tick => self.on_tick(now, out),
         }
@@ -270,6 +321,7 @@
 
     /// Returns sizes for metrics.
     pub fn status(&self, now: Instant) -> SchedulerStatus {
+        let shares = self.shares.summary();
         let placeable = || self.workers.values().filter(|w| w.is_placeable(now));
         SchedulerStatus {
             capacity_milli: placeable()
@@ -278,6 +330,18 @@
             used_milli: placeable().map(|w| u64::from(w.used.cores_milli)).sum(),
             awaited_workers_count: self.last_cycle.awaited_workers_count,
             waiting_gangs_count: self.last_cycle.waiting_gangs_count,
+            slow_workers_count: placeable()
+                .filter(|w| w.speed.class == SpeedClass::Slow)
+                .count(),
+            ejected_workers_count: placeable().filter(|w| w.speed.is_ejected).count(),
+            learned_sizes_count: self.learning.durations.classes_count(),
+            forecast_error: self.learning.durations.error(),
+            limit_reservations_count: self.limit_reservations.count(),
+            beyond_share_count: shares.beyond_count,
+            largest_share_lag: shares.largest_lag,
+            overloaded_services_count: self.overloads.len(),
+            forecast_queues_count: self.forecasts.len(),
+            service_rooms: self.service_rooms(now),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
             jobs_count: self.jobs.len(),
@@ -297,6 +361,7 @@
         self.stop_broken_gangs(now, out);
         self.evict_fillers(now, out);
         self.repeat_stops(now, out);
+        self.refresh_speeds(now, out);
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
             self.settle_ended_jobs();
@@ -306,6 +371,7 @@
         if now >= self.next_forget_at {
             self.next_forget_at = now + FORGET_PERIOD;
             self.waits.forget_old(now);
+            self.shapes.forget_old(now);
             self.names.forget_unused();
             self.forget_old_jobs(now);
         }
@@ -320,6 +386,7 @@
         out.push(Action::Log(line.with_figure(configuration.version)));
         self.accounts.configure(configuration.customers.values());
         self.configuration = configuration;
+        self.move_shares();
         self.note_services();
         self.is_place_due = true;
     }
--- /dev/null
+++ b/crates/scheduler/src/shares.rs
@@ -0,0 +1,309 @@
+//! Fair shares of a service's room among customers.
+//!
+//! Each service has a virtual clock, and each customer with work there a tag on it. The
+//! clock runs at the pace at which a customer's tag does that has exactly its share running:
+//! its weight's part of the service's room, by dominant resource, among the customers that
+//! have open jobs there. A customer that has twice its share running is a second further on
+//! after each second. The tag of one that has less running goes with the clock, so that
+//! nobody saves credit up, and nobody's tag is ahead by more than its limit.
+//!
+//! Tags only go ahead while the service is short of room: what nobody else asked for is not
+//! owed. Neither do the order of service and preemption look at shares otherwise.
+//!
+//! What is running, what waits and whose it is follow from the store's records. A new leader
+//! only does not know the tags, which begin at the clock: it is off by that limit at most.
+
+use crate::cycle::SchedulingCycle;
+use crate::decision::{Decision, DecisionKind};
+use crate::dominant::{Room, WHOLE_PPM};
+use crate::event::Action;
+use crate::features::Feature;
+use crate::job::JobId;
+use crate::jobs::Job;
+use crate::scheduler::Scheduler;
+use crate::share_accounts::{Holder, ServiceKey, VirtualTime, LAG_SLACK};
+use crate::state::Phase;
+use ospreywing_types::{Duration, Instant, Resources};
+use std::collections::HashMap;
+
+/// The steps, in parts of a customer's share, by which work beyond shares is ordered: finer
+/// steps would order it by chance in place of urgency.
+const EXCESS_STEP_PPM: u64 = WHOLE_PPM / 4;
+/// A customer's tag is told as back within its share once it is ahead by less than this, so
+/// that one at the threshold is not told of all the time.
+const LAG_TOLD_BACK: Duration = Duration::from_ms(500);
+/// The least time between two log lines on one customer in one service.
+const TOLD_PERIOD: Duration = Duration::from_ms(10_000);
+/// A customer that has less than this part of its share running is well under it: others'
+/// work may be stopped for what it would miss.
+const WELL_UNDER_PPM: u64 = WHOLE_PPM / 2;
+/// A job that must start within this time would miss its objective: a stop, its end in the
+/// store and the start that follows take about as long.
+const MISS_SLACK: Duration = Duration::from_ms(1000);
+/// The time between two searches for runs that give way in a service.
+const SEARCH_PERIOD: Duration = Duration::from_ms(100);
+/// What open queues' jobs may have running.
+const NO_LIMIT: Resources = Resources::new(u32::MAX, u32::MAX, u32::MAX);
+/// The weight of open queues' jobs where no customer has one.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
+/// A job's place by its customer's share; the smallest is served first.
+///
+/// Nothing is owed for jobs beyond their customer's rate, so that they come last; and among
+/// the others, those beyond its share of room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ShareRank {
+    is_beyond_rate: bool,
+    /// By how many steps it is beyond its customer's share of room that is short; 0 where it
+    /// is within it.
+    excess_steps_count: u64,
+}
+
+impl ShareRank {
+    /// Returns the rank of a job where no room is short.
+    pub(crate) const fn of_job(job: &Job) -> Self {
+        Self {
+            is_beyond_rate: job.is_beyond_rate,
+            excess_steps_count: 0,
+        }
+    }
+
+    /// Returns the same for a job before which its customer has so much running or asked for,
+    /// in millionths of its share, where so much is allowed.
+    const fn with_ahead(mut self, ahead_ppm: u64, allowed_ppm: u64) -> Self {
+        let excess_ppm = ahead_ppm.saturating_sub(allowed_ppm);
+        self.excess_steps_count = excess_ppm.div_ceil(EXCESS_STEP_PPM);
+        self
+    }
+}
+
+/// What a customer has of a service's room, for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareView {
+    /// How far the customer's tag is ahead of the service's clock.
+    pub lag: Duration,
+    /// What it had running when work was last placed, in thousandths of its share.
+    pub share_per_mille: u64,
+    /// Its open jobs.
+    pub open_jobs_count: usize,
+    /// The service's virtual time.
+    pub virtual_time: Duration,
+    /// Whether the service was short of room.
+    pub is_short: bool,
+}
+
+impl Scheduler {
+    /// Returns whether room that is short is shared by customers' weights.
+    pub(crate) fn has_fair_shares(&self) -> bool {
+        let has_customers = !self.configuration.customers.is_empty();
+        has_customers && self.config.features.has(Feature::FairShares)
+    }
+
+    /// Opens a job in the account of its customer in the service that runs it now, and closes
+    /// it in the one that did before.
+    pub(crate) fn open_share(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let queue = self.configuration.queue(&job.record.queue);
+        let service = queue.map_or(&job.record.service, |queue| &queue.service);
+        let service = self.shares.key_of(service);
+        self.shares.open_job(service, job.customer);
+        if let Some(before) = job.service.replace(service) {
+            let asked = core::mem::take(&mut job.asked);
+            let holder = job.customer;
+            self.shares
+                .replace_asked(before, holder, &asked, &Room::default());
+            self.shares.close_job(before, job.customer);
+        }
+        self.stale_asks.insert(id);
+    }
+
+    /// Closes a job's share; what of it still runs stays charged.
+    pub(crate) fn close_share(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(service) = job.service {
+            let asked = core::mem::take(&mut job.asked);
+            let holder = job.customer;
+            self.shares
+                .replace_asked(service, holder, &asked, &Room::default());
+            self.shares.close_job(service, job.customer);
+        }
+    }
+
+    /// Has open jobs follow their queues to other services.
+    pub(crate) fn move_shares(&mut self) {
+        let ids: Vec<JobId> = self.active.values().copied().collect();
+        for id in ids {
+            self.open_share(id);
+        }
+    }
+
+    /// Takes in, at the begin of a cycle, what room there is and how much is asked for.
+    pub(crate) fn refresh_shares(
+        &mut self,
+        now: Instant,
+        cycle: &SchedulingCycle,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.has_fair_shares() {
+            // All are counted once shares come into force.
+            self.stale_asks.clear();
+            return;
+        }
+        self.count_asked();
+        let mean_weight = self.accounts.mean_weight().unwrap_or(DEFAULT_WEIGHT);
+        let accounts = &self.accounts;
+        let weight_of = |holder: Holder| {
+            let weight = holder.and_then(|key| accounts.get(key).weight());
+            weight.unwrap_or(mean_weight)
+        };
+        let left_of = |holder: Holder| holder.map_or(NO_LIMIT, |key| accounts.get(key).left());
+        for service in self.shares.services.values_mut() {
+            service.advance(now);
+            service.capacity = cycle.capacity_of(&service.name);
+            let free = cycle.free_of(&service.name);
+            service.is_short = service.asks_beyond(&free, left_of);
+            service.weigh(weight_of);
+        }
+        self.tell_shares(now, out);
+    }
+
+    /// Counts anew what jobs ask for that have changed.
+    fn count_asked(&mut self) {
+        for id in self.stale_asks.drain() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if let Some(service) = job.service.filter(|_| job.state.phase == Phase::Active) {
+                let asked = job.ready_room(id);
+                let before = core::mem::replace(&mut job.asked, asked);
+                let holder = job.customer;
+                self.shares.replace_asked(service, holder, &before, &asked);
+            }
+        }
+    }
+
+    /// Tells of customers that went over their share, or came back.
+    fn tell_shares(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let accounts = &self.accounts;
+        for service in self.shares.services.values_mut() {
+            for (holder, account) in &mut service.accounts {
+                let Some(holder) = holder else {
+                    continue;
+                };
+                let lag = account.lag(service.clock);
+                let is_over = match account.is_told_over {
+                    true => lag >= LAG_TOLD_BACK,
+                    false => lag >= LAG_SLACK,
+                };
+                let is_due = account
+                    .told_at
+                    .is_none_or(|at| now.since(at) >= TOLD_PERIOD);
+                if is_over == account.is_told_over || !is_due {
+                    continue;
+                }
+                account.is_told_over = is_over;
+                account.told_at = Some(now);
+                let reason = match is_over {
+                    true => "over its share",
+                    false => "within its share",
+                };
+                // Thousandths of its share.
+                let figure = account.share_ppm / 1000;
+                let line = Decision::new(DecisionKind::Share, reason).with_figure(figure);
+                out.push(Action::Log(
+                    line.with_customer(accounts.get(*holder).to_use()),
+                ));
+            }
+        }
+    }
+
+    /// Returns whether a service is short of room that is shared.
+    pub(crate) fn is_room_short(&self) -> bool {
+        let mut services = self.shares.services.values();
+        self.has_fair_shares() && services.any(|service| service.is_short)
+    }
+
+    /// Returns the ranks of jobs by their customers' shares, in the order of the jobs, which is
+    /// that in which each customer's own work is served.
+    pub(crate) fn share_ranks(&self, order: &[JobId]) -> Vec<ShareRank> {
+        let mut ahead: HashMap<(ServiceKey, Holder), u64> = HashMap::new();
+        let jobs = order.iter().map(|id| self.jobs.get(id));
+        let ranks = jobs.map(|job| job.map(|job| self.share_rank(job, &mut ahead)));
+        ranks.map(Option::unwrap_or_default).collect()
+    }
+
+    /// Returns a job's rank, and adds what it asks for to what is ahead of later jobs.
+    fn share_rank(&self, job: &Job, ahead: &mut HashMap<(ServiceKey, Holder), u64>) -> ShareRank {
+        let rank = ShareRank::of_job(job);
+        let Some(key) = job.service.filter(|_| is_held_to_share(job)) else {
+            return rank;
+        };
+        let service = &self.shares.services[key];
+        let account = service.accounts.get(&job.customer);
+        let Some(account) = account.filter(|_| service.is_short) else {
+            return rank;
+        };
+        let before = ahead.entry((key, job.customer));
+        let before_ppm = before.or_insert(account.share_ppm);
+        let rank = rank.with_ahead(*before_ppm, account.allowed_ppm(service.clock));
+        let asked_ppm = account.share_of(&job.asked, &service.capacity);
+        *before_ppm = before_ppm.saturating_add(asked_ppm);
+        rank
+    }
+
+    /// Returns whose runs give way to a job: the customer that is most over its share, where
+    /// the job would miss its objective and its own customer is well under its share.
+    pub(crate) fn giver_for(&self, now: Instant, job: &Job) -> Option<Holder> {
+        let service = &self.shares.services[job.service?];
+        let giver = service.most_over.filter(|_| self.has_fair_shares())?;
+        let account = service.accounts.get(&job.customer)?;
+        let latest_start = (job.accepted_at + job.objective) - Duration::from_ms(job.left_ms);
+        let would_miss = latest_start < now + MISS_SLACK;
+        (would_miss && account.share_ppm < WELL_UNDER_PPM).then_some(giver)
+    }
+
+    /// Returns whether room may be sought now among runs in the service of a job, and notes
+    /// that it is: that goes over the service's workers.
+    pub(crate) fn begin_search_for_share(&mut self, now: Instant, id: JobId) -> bool {
+        let key = self.jobs.get(&id).and_then(|job| job.service);
+        let Some(key) = key else {
+            return false;
+        };
+        let sought_at = &mut self.shares.services[key].sought_at;
+        let is_due = sought_at.is_none_or(|at| now.since(at) >= SEARCH_PERIOD);
+        if is_due {
+            *sought_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns how a customer stands in a service; `None` where it has nothing there.
+    pub fn share_of(&self, service: &str, customer: Option<&str>) -> Option<ShareView> {
+        let key = self.shares.by_name.get(service)?;
+        let holder = match customer {
+            Some(name) => Some(self.accounts.key_by_name(name)?),
+            None => None,
+        };
+        let service = &self.shares.services[*key];
+        let account = service.accounts.get(&holder)?;
+        Some(ShareView {
+            lag: account.lag(service.clock),
+            share_per_mille: account.share_ppm / 1000,
+            open_jobs_count: account.open_jobs_count,
+            virtual_time: service.clock.since(VirtualTime::default()),
+            is_short: service.is_short,
+        })
+    }
+}
+
+/// Returns whether a job comes later where its customer is over its share. Jobs of open
+/// queues are nobody's to be held to one, and perpetual work that has begun keeps its room: a
+/// task of it that ends must go on at once.
+fn is_held_to_share(job: &Job) -> bool {
+    let is_perpetual = job.record.spec.steps.iter().any(|step| step.is_perpetual);
+    job.customer.is_some() && !(is_perpetual && job.has_begun)
+}
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -3,10 +3,12 @@
 use crate::customers::CustomerKey;
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
+use crate::share_accounts::{CountedShare, Holder, ServiceKey};
+use crate::speeds::USUAL_SPEED;
 use crate::state::{Phase, TaskStatus};
 use crate::worker::RunPhase;
 use ospreywing_types::Resources;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use thiserror::Error;
 
 /// An invariant that does not hold.
@@ -21,18 +23,34 @@
     /// A customer's account differs from its runs.
     #[error("the account of customer {0} is miscounted")]
     Account(String),
+    /// A service's account of shares differs from its jobs and runs, or a tag from its
+    /// clock.
+    #[error("the shares of service {0} are miscounted")]
+    Share(String),
     /// A task's state and the table of runs disagree.
     #[error("task {0} is not where its state says")]
     Placement(TaskKey),
     /// A worker keeps room for a gang that has none kept, or the reverse.
     #[error("the room that is kept on worker {0} is miscounted")]
     Reservation(String),
+    /// A step counts on room of a worker that no open call of it names.
+    #[error("step {0} counts on room of worker {1} without a call")]
+    Claim(StepKey, String),
     /// A job is in more than one open transaction, or its note of that is wrong.
     #[error("a job's commit is miscounted")]
     Commit,
     /// A step waits for what can't come.
     #[error("step {0} waits for what can't come: {1}")]
     Wait(StepKey, &'static str),
+    /// What is believed of a worker's speed can't be.
+    #[error("the speed of worker {0} can't be")]
+    Speed(String),
+    /// More is surely left of a job than likely.
+    #[error("more is surely left of job {0} than likely")]
+    Left(JobId),
+    /// More shapes of tasks are kept than may be, or some that are none.
+    #[error("the shapes of tasks are miscounted")]
+    Shapes,
     /// A job with an outcome is still served.
     #[error("a job that has its outcome is still served")]
     Outcome,
@@ -47,10 +65,16 @@
     pub fn verify(&self) -> Result<(), Violation> {
         self.verify_rooms()?;
         self.verify_accounts()?;
+        self.verify_shares()?;
         self.verify_placements()?;
         self.verify_reservations()?;
+        self.verify_claims()?;
         self.verify_commits()?;
         self.verify_waits()?;
+        self.verify_learned()?;
+        if !self.shapes.are_bounded() {
+            return Err(Violation::Shapes);
+        }
         let is_over = |id| {
             self.jobs
                 .get(id)
@@ -62,6 +86,19 @@
         Ok(())
     }
 
+    fn verify_learned(&self) -> Result<(), Violation> {
+        for worker in self.workers.values() {
+            let factor = worker.speed.factor;
+            let is_told = self.is_learning() || factor == USUAL_SPEED;
+            if !factor.is_finite() || factor <= 0.0 || !is_told {
+                return Err(Violation::Speed(worker.facts.id.to_string()));
+            }
+        }
+        let mut jobs = self.jobs.iter();
+        let wrong = jobs.find(|(_, job)| job.sure_ms > job.left_ms);
+        wrong.map_or(Ok(()), |(id, _)| Err(Violation::Left(*id)))
+    }
+
     fn verify_rooms(&self) -> Result<(), Violation> {
         for worker in self.workers.values() {
             let mut used = Resources::ZERO;
@@ -106,6 +143,46 @@
         Ok(())
     }
 
+    fn verify_shares(&self) -> Result<(), Violation> {
+        let mut counted: BTreeMap<(ServiceKey, Holder), CountedShare> = BTreeMap::new();
+        for job in self.active.values().filter_map(|id| self.jobs.get(id)) {
+            if let Some(service) = job.service {
+                let share = counted.entry((service, job.customer)).or_default();
+                share.open_jobs_count += 1;
+                share.asked.add_room(&job.asked);
+            }
+        }
+        for run in self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values())
+        {
+            if let Some(service) = run.charge.service {
+                let share = counted.entry((service, run.charge.customer)).or_default();
+                share.running.add(&run.demand, 1);
+            }
+        }
+        self.verify_asked()?;
+        let wrong = self.shares.miscounted(&counted);
+        wrong.map_or(Ok(()), |service| Err(Violation::Share(service.to_string())))
+    }
+
+    /// Checks what jobs ask for that are not to be counted anew.
+    fn verify_asked(&self) -> Result<(), Violation> {
+        if !self.has_fair_shares() {
+            return Ok(());
+        }
+        let is_wrong = |id: &&JobId| {
+            let job = self.jobs.get(id).filter(|_| !self.stale_asks.contains(id));
+            job.is_some_and(|job| {
+                let ready = job.ready.as_deref();
+                ready.is_none_or(|ready| job.room_of(ready) != job.asked)
+            })
+        };
+        let wrong = self.active.values().find(is_wrong);
+        wrong.map_or(Ok(()), |id| Err(Violation::Share(format!("of job {id}"))))
+    }
+
     /// Checks the reasons that the last cycle gave, until something changes.
     fn verify_waits(&self) -> Result<(), Violation> {
         if self.is_place_due {
@@ -147,6 +224,18 @@
         Ok(())
     }
 
+    fn verify_claims(&self) -> Result<(), Violation> {
+        for (key, worker) in self.workers.iter() {
+            for step in worker.claiming_steps() {
+                let advice = self.advice.get(&step);
+                if !advice.is_some_and(|advice| advice.is_asked_about(key)) {
+                    return Err(Violation::Claim(step, worker.facts.id.to_string()));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn verify_placements(&self) -> Result<(), Violation> {
         for (task, worker) in &self.placements {
             if !self.workers[*worker].runs.contains_key(task) {
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the scheduler: single cases, and searches over interleavings.
 
+mod admission;
 mod advice_calls;
 mod awaiting;
+mod backfill;
+mod backfill_load;
 mod cases;
 mod cordons;
 mod crash_figures;
@@ -11,12 +14,19 @@
 mod departures;
 mod gang_load;
 mod lapses;
+mod learning;
+mod learning_load;
+mod overload;
+mod overload_load;
+mod packing;
+mod packing_load;
 mod pending;
 mod repeats;
 mod restarts;
 mod rooms;
 mod scale;
 mod search;
+mod shares;
 mod stored;
 mod support;
 mod takeover;
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/packing_load.rs
@@ -0,0 +1,320 @@
+//! A load of tasks that need many accelerators beside many that need one: how long the large
+//! ones wait, and what the small ones lose by that.
+
+use crate::support::world::{Faults, World};
+use crate::support::{advice, job, step};
+use ospreywing_scheduler::{AdvicePolicy, Feature, Features, JobId, JobRecord, StepSpec};
+use ospreywing_types::Resources;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+const SEEDS_COUNT: u64 = 4;
+const WORKERS_COUNT: usize = 16;
+/// Time passes in such steps between arrivals.
+const STEP_MS: u64 = 50;
+/// How long 95 of 100 large tasks wait at most: the time in which a task must be started
+/// that has room. Without packing 5 s to 21 s.
+const LARGE_WAIT_LIMIT_MS: u64 = 3_000;
+const LARGE_IN_TIME_LEAST: f64 = 0.95;
+/// What the small tasks' share in time may fall by.
+const SMALL_LOST_LIMIT: f64 = 0.02;
+const STORM_MS: u64 = 12_000;
+const CALM_LIMIT_MS: u64 = 90_000;
+const LOAD_MS: u64 = 40_000;
+/// How long runs take, in percent of their estimates.
+const RUN_LENGTHS_PERCENT: core::ops::Range<u64> = 50..150;
+/// How long after the load jobs may still be done.
+const REST_MS: u64 = 10_000;
+
+/// A kind of task, and which part of the load it makes up.
+#[derive(Clone, Copy)]
+struct Kind {
+    demand: Resources,
+    share: f64,
+}
+
+/// Tasks that come at a rate, of several shapes.
+struct Stream {
+    kinds: Vec<Kind>,
+    per_s: f64,
+    estimate_ms: u64,
+}
+
+impl Stream {
+    /// Returns a job's objective: twice its estimate, and one more second.
+    const fn objective_ms(&self) -> u64 {
+        2 * self.estimate_ms + 1_000
+    }
+}
+
+/// A load of large tasks and small ones.
+struct Load {
+    capacities: Vec<Resources>,
+    streams: [Stream; 2],
+}
+
+/// What became of one kind.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Outcome {
+    waits_ms: Vec<u64>,
+    in_time_count: usize,
+}
+
+impl Outcome {
+    fn in_time(&self) -> f64 {
+        self.in_time_count as f64 / self.waits_ms.len() as f64
+    }
+
+    fn wait_ms(&mut self, percent: usize) -> u64 {
+        self.waits_ms.sort_unstable();
+        self.waits_ms[(self.waits_ms.len() - 1) * percent / 100]
+    }
+}
+
+/// Returns a load of large tasks of these accelerators, which take so much of the load, and
+/// of small ones that run for three times as long.
+fn accelerated(load: f64, large_share: f64, large_counts: &[u32]) -> Load {
+    let kinds = large_counts.iter().map(|&accelerators_count| Kind {
+        demand: Resources::new(62_000, 133_120, accelerators_count),
+        share: 1.0 / large_counts.len() as f64,
+    });
+    let mean_count = f64::from(large_counts.iter().sum::<u32>()) / large_counts.len() as f64;
+    let accelerators = load * 8.0 * WORKERS_COUNT as f64;
+    let (large_s, small_s) = (4.0, 12.0);
+    Load {
+        capacities: vec![Resources::new(128_000, 524_288, 8)],
+        streams: [
+            Stream {
+                kinds: kinds.collect(),
+                per_s: accelerators * large_share / mean_count / large_s,
+                estimate_ms: 4_000,
+            },
+            Stream {
+                kinds: vec![Kind {
+                    demand: Resources::new(11_000, 32_768, 1),
+                    share: 1.0,
+                }],
+                per_s: accelerators * (1.0 - large_share) / small_s,
+                estimate_ms: 12_000,
+            },
+        ],
+    }
+}
+
+/// Returns a load of tasks that fill workers and of small ones, on workers of three sizes.
+fn uneven(load: f64) -> Load {
+    let cores = |milli| Kind {
+        demand: Resources::new(milli, 2 * milli, 0),
+        share: 0.5,
+    };
+    // Workers of 18 cores on average, half of the time of each for either kind.
+    let milli = load * 18_000.0 * WORKERS_COUNT as f64 / 2.0;
+    let sizes = [8_000, 16_000, 32_000, 16_000];
+    Load {
+        capacities: sizes
+            .map(|milli| Resources::new(milli, 4 * milli, 0))
+            .into(),
+        streams: [
+            Stream {
+                kinds: vec![cores(12_000), cores(30_000)],
+                per_s: milli / 21_000.0 / 4.0,
+                estimate_ms: 4_000,
+            },
+            Stream {
+                kinds: vec![cores(1_000), cores(3_000)],
+                per_s: milli / 2_000.0 / 12.0,
+                estimate_ms: 12_000,
+            },
+        ],
+    }
+}
+
+fn draw_kind(rng: &mut Pcg64, kinds: &[Kind]) -> Resources {
+    let mut drawn: f64 = rng.random();
+    for kind in kinds {
+        drawn -= kind.share;
+        if drawn < 0.0 {
+            return kind.demand;
+        }
+    }
+    kinds[kinds.len() - 1].demand
+}
+
+fn one_task(number: u64, demand: Resources, estimate_ms: u64, now_ms: u64) -> (JobId, JobRecord) {
+    let spec = StepSpec {
+        demand,
+        estimate_ms,
+        saves_progress: true,
+        ..step(1)
+    };
+    let (id, mut record) = job(number, vec![spec]);
+    record.accepted_ms = now_ms;
+    (id, record)
+}
+
+fn without_packing() -> Features {
+    Features::default().without(Feature::Packing)
+}
+
+fn new_world(seed: u64, load: &Load, faults: Faults, policy: Option<AdvicePolicy>) -> World {
+    let mut world = World::new(seed, WORKERS_COUNT, faults, policy);
+    world.set_capacities(&load.capacities);
+    world.run_lengths_percent = Some(RUN_LENGTHS_PERCENT);
+    world
+}
+
+/// A task's job: its kind, the job, and when it was handed in.
+type Arrival = (usize, JobId, u64);
+
+/// Jobs that come by a seed.
+struct Arrivals {
+    rng: Pcg64,
+    jobs: Vec<Arrival>,
+}
+
+impl Arrivals {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: Pcg64::seed_from_u64(seed),
+            jobs: Vec::new(),
+        }
+    }
+
+    fn submit_for(&mut self, world: &mut World, load: &Load, length_ms: u64) {
+        for _ in (0..length_ms).step_by(STEP_MS as usize) {
+            for (kind, stream) in load.streams.iter().enumerate() {
+                self.submit_due(world, kind, stream);
+            }
+            world.run_for(STEP_MS);
+            world.note_outcomes();
+        }
+    }
+
+    /// Hands in what comes of a stream in one step of time.
+    fn submit_due(&mut self, world: &mut World, kind: usize, stream: &Stream) {
+        let mut left = stream.per_s * STEP_MS as f64 / 1000.0;
+        while self.rng.random::<f64>() < left {
+            let number = self.jobs.len() as u64 + 1;
+            let demand = draw_kind(&mut self.rng, &stream.kinds);
+            let (id, record) = one_task(number, demand, stream.estimate_ms, world.now_ms);
+            self.jobs.push((kind, id, world.now_ms));
+            world.submit((id, record));
+            left -= 1.0;
+        }
+    }
+}
+
+/// Plays a load; returns what became of the large and of the small tasks.
+fn play(seed: u64, load: &Load, features: Features, policy: Option<AdvicePolicy>) -> [Outcome; 2] {
+    let mut world = new_world(seed, load, Faults::default(), policy);
+    world.elect_with_features(features);
+    world.run_for(500);
+    let mut arrivals = Arrivals::new(seed);
+    arrivals.submit_for(&mut world, load, LOAD_MS);
+    for _ in 0..REST_MS / STEP_MS {
+        world.run_for(STEP_MS);
+        world.note_outcomes();
+    }
+    let end_ms = world.now_ms;
+    let mut outcomes = [Outcome::default(), Outcome::default()];
+    for (kind, id, since_ms) in arrivals.jobs {
+        let limit_ms = since_ms + load.streams[kind].objective_ms();
+        if limit_ms > end_ms {
+            continue;
+        }
+        let started_ms = world.started_ms.get(&id).copied().unwrap_or(end_ms);
+        outcomes[kind].waits_ms.push(started_ms - since_ms);
+        let done_ms = world.done_ms.get(&id);
+        let is_in_time = done_ms.is_some_and(|done_ms| *done_ms <= limit_ms);
+        outcomes[kind].in_time_count += usize::from(is_in_time);
+    }
+    outcomes
+}
+
+/// Plays a load with several seeds; returns what became of both kinds together.
+fn play_all(load: &Load, features: Features, policy: Option<AdvicePolicy>) -> [Outcome; 2] {
+    let mut all = [Outcome::default(), Outcome::default()];
+    for seed in 0..SEEDS_COUNT {
+        for (sum, one) in all.iter_mut().zip(play(seed, load, features, policy)) {
+            sum.waits_ms.extend(one.waits_ms);
+            sum.in_time_count += one.in_time_count;
+        }
+    }
+    let [large, small] = &mut all;
+    println!(
+        "{}: large: p50 {} ms, p95 {} ms, {:.3} in time; small: p95 {} ms, {:.3} in time",
+        if features.has(Feature::Packing) {
+            "on"
+        } else {
+            "off"
+        },
+        large.wait_ms(50),
+        large.wait_ms(95),
+        large.in_time(),
+        small.wait_ms(95),
+        small.in_time()
+    );
+    all
+}
+
+/// Large tasks that need advice start soon beside small ones, and the small ones lose next
+/// to nothing.
+#[rstest]
+#[case::whole_workers(accelerated(0.8, 0.25, &[8]))]
+#[case::parts_of_workers(accelerated(0.8, 0.5, &[2, 4, 8]))]
+#[case::much_load(accelerated(0.9, 0.5, &[2, 4, 8]))]
+#[case::workers_of_three_sizes(uneven(0.8))]
+fn place_large_beside_small(#[case] load: Load) {
+    let policy = Some(advice());
+    let [_, small_before] = play_all(&load, without_packing(), policy);
+    let [mut large, small] = play_all(&load, Features::default(), policy);
+    let wait_ms = large.wait_ms(95);
+    assert!(wait_ms <= LARGE_WAIT_LIMIT_MS, "large: {wait_ms} ms");
+    assert!(
+        large.in_time() >= LARGE_IN_TIME_LEAST,
+        "large tasks are late"
+    );
+    let lost = small_before.in_time() - small.in_time();
+    assert!(lost <= SMALL_LOST_LIMIT, "small: {lost:.3} of their share");
+}
+
+/// Where all workers are alike and hold no accelerators, nothing is decided otherwise.
+#[rstest]
+fn place_workers_alike(#[values(false, true)] has_advice: bool) {
+    let load = Load {
+        capacities: vec![Resources::new(16_000, 65_536, 0)],
+        ..uneven(0.9)
+    };
+    let policy = has_advice.then(advice);
+    let [large_before, small_before] = play(0, &load, without_packing(), policy);
+    let [large, small] = play(0, &load, Features::default(), policy);
+    assert_eq!(large, large_before);
+    assert_eq!(small, small_before);
+}
+
+/// Rooms shrink, workers drain and die, leaders follow one another and half of the workers
+/// are lost at once; all the same every task is done.
+#[rstest]
+fn place_while_workers_change(#[values(false, true)] has_advice: bool) {
+    let faults = Faults {
+        resize: 60,
+        drain: 10,
+        crash: 10,
+        takeover: 20,
+        ..Faults::default()
+    };
+    let load = accelerated(0.5, 0.5, &[2, 4, 8]);
+    for seed in 0..SEEDS_COUNT {
+        println!("seed {seed}");
+        let mut world = new_world(seed, &load, faults, has_advice.then(advice));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        let mut arrivals = Arrivals::new(seed);
+        arrivals.submit_for(&mut world, &load, STORM_MS / 2);
+        let half: Vec<usize> = (0..WORKERS_COUNT / 2).collect();
+        world.lose(&half);
+        world.elect();
+        arrivals.submit_for(&mut world, &load, STORM_MS / 2);
+        world.run_until_done(CALM_LIMIT_MS);
+    }
+}
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -4,8 +4,11 @@
 //! outcome once the faults are over.
 
 use crate::support::world::{Faults, World};
-use crate::support::{advice, configuration_with, customer, job, job_of, patient_job, step};
-use ospreywing_scheduler::{AdvicePolicy, JobId, Phase, StepSpec};
+use crate::support::{
+    advice, configuration_with, customer, job, job_of, patient_job, step, with_other_service,
+    OTHER_QUEUE,
+};
+use ospreywing_scheduler::{AdvicePolicy, Feature, Features, JobId, Phase, StepSpec};
 use rstest::rstest;
 use std::ops::Range;
 
@@ -349,6 +352,39 @@
     assert!(resumed_count > 0, "nothing went on from a checkpoint");
 }
 
+/// Long runs of a customer that fills the cell give way to others' short jobs, and go on later.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::takeovers(Faults { takeover: 40, lost_answer: 40, ..Faults::default() })]
+#[case::everything(Faults { resize: 20, pause: 20, ..EVERYTHING })]
+fn scheduler_preempts_by_shares(#[case] faults: Faults) {
+    let mut resumed_count = 0;
+    for seed in seeds() {
+        // Shown where the test fails.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 8, faults, None);
+        world.run_lengths_ms = 3_000..9_000;
+        let customers = vec![customer("one", 16, 2.0), customer("two", 16, 2.0)];
+        world.configure(configuration_with(2, None, customers));
+        world.calm_from_ms = world.now_ms + STORM_MS;
+        for number in 1..=16 {
+            let (id, mut record) = match number % 4 {
+                1 => patient_job(number, 20),
+                _ => job(number, vec![step(1)]),
+            };
+            let customer = if number % 4 == 1 { "one" } else { "two" };
+            record.customer = Some(customer.to_owned());
+            record.accepted_ms = world.now_ms;
+            world.submit((id, record));
+            world.run_for(600);
+        }
+        world.run_for(STORM_MS);
+        world.run_until_done(CALM_LIMIT_MS);
+        resumed_count += world.rules.resumed_count;
+    }
+    assert!(resumed_count > 0, "nothing went on from a checkpoint");
+}
+
 /// Jobs of which one task crashes each worker that starts it, beside others: its starts
 /// are bounded, and no other job is failed for them.
 #[rstest]
@@ -502,3 +538,63 @@
         world.run_until_done(CALM_LIMIT_MS);
     }
 }
+
+/// Customers whose gangs need up to all of their limit, which is lowered meanwhile, beside
+/// short jobs, at two services: none has more running than it may, and every gang gets in.
+#[rstest]
+#[case::quiet(Faults::default())]
+#[case::limits(Faults { limit: 60, ..Faults::default() })]
+#[case::late_orders(Faults { limit: 60, late_order: 80, lost_answer: 40, ..Faults::default() })]
+#[case::takeovers(Faults { limit: 60, takeover: 60, ..Faults::default() })]
+#[case::failing_runs(Faults { limit: 20, failing_run: 120, crash: 20, ..Faults::default() })]
+#[case::everything(Faults { limit: 60, pause: 20, ..EVERYTHING })]
+fn scheduler_reserves_customers_limits(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        let world = World::new(seed, 12, faults, has_advice.then(advice));
+        play_reservations(seed, world, has_advice.then(advice));
+    }
+}
+
+/// The same where what a step waits for is taken off its customer's limit.
+#[rstest]
+fn scheduler_keeps_customers_limits_without_backfill(#[values(false, true)] has_advice: bool) {
+    let faults = Faults {
+        limit: 60,
+        pause: 20,
+        ..EVERYTHING
+    };
+    for seed in seeds() {
+        let mut world = World::new(seed, 12, faults, has_advice.then(advice));
+        world.elect_with_features(Features::all().without(Feature::Backfill));
+        play_reservations(seed, world, has_advice.then(advice));
+    }
+}
+
+fn play_reservations(seed: u64, mut world: World, policy: Option<AdvicePolicy>) {
+    // Shown where the test fails.
+    println!("seed {seed}");
+    world.good_one_in = 1;
+    world.lay_out_services();
+    let customers = vec![customer("one", 4, 2.0), customer("two", 6, 100.0)];
+    world.configure(with_other_service(configuration_with(2, policy, customers)));
+    world.calm_from_ms = world.now_ms + STORM_MS;
+    for number in 1..=32 {
+        let spec = match number % 8 {
+            0 => gang(4),
+            1 => gang(3),
+            _ => step(1 + number as u32 % 2),
+        };
+        let name = if number % 16 < 8 { "one" } else { "two" };
+        let (id, mut record) = job_of(name, number, vec![spec]);
+        if number % 3 == 0 {
+            record.queue = OTHER_QUEUE.to_owned();
+        }
+        world.submit((id, record));
+        world.run_for(200);
+    }
+    world.run_for(STORM_MS);
+    world.run_until_done(CALM_LIMIT_MS);
+}
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -43,17 +43,20 @@
     /// Whether it takes no note of an acknowledgement beyond its newest end.
     pub ignores_foreign_acks: bool,
     pub address: Arc<str>,
+    pub service: Arc<str>,
     pub data_centre: Arc<str>,
     pub rack: Option<Arc<str>>,
     pub capacity: Resources,
     /// What it holds when its room is not changed.
-    full_capacity: Resources,
+    pub full_capacity: Resources,
     /// Its room before it shrank, and when that was.
     room_before: (Resources, u64),
     pub is_alive: bool,
     pub is_cut: bool,
     /// How fast its clock runs, in thousandths.
     pub clock_per_mille: u64,
+    /// How fast it works, in thousandths of the usual speed.
+    pub speed_per_mille: u64,
     pub fence: u64,
     pub lease_until_ms: u64,
     /// Since when it has been leased without a gap, on the world's clock.
@@ -80,6 +83,7 @@
             clock_base_ms: CLOCK_BASE_MS,
             ignores_foreign_acks: false,
             address: Arc::from(format!("at {id}")),
+            service: Arc::from(super::SERVICE),
             data_centre: Arc::from(""),
             rack: None,
             capacity: Resources::new(4000, 4000, 0),
@@ -88,6 +92,7 @@
             is_alive: true,
             is_cut: false,
             clock_per_mille,
+            speed_per_mille: 1000,
             fence: 0,
             lease_until_ms: 0,
             leased_since_ms: 0,
@@ -107,7 +112,7 @@
             id: self.id.clone(),
             life_start: self.entry_life_start,
             address: self.address.clone(),
-            service: Arc::from(super::SERVICE),
+            service: self.service.clone(),
             machine: None,
             data_centre: self.data_centre.clone(),
             rack: self.rack.clone(),
@@ -118,6 +123,12 @@
         }
     }
 
+    /// Has it hold another amount at most.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.full_capacity = capacity;
+        self.capacity = capacity;
+    }
+
     /// Tells its start from now on, as workers do that may start again under their id.
     pub fn tell_life_start(&mut self, wall_ms: u64) {
         self.life_start = Some(LifeStart::from_ms(wall_ms));
@@ -137,6 +148,8 @@
         self.address = before.address;
         self.data_centre = before.data_centre;
         self.rack = before.rack;
+        self.speed_per_mille = before.speed_per_mille;
+        self.set_capacity(before.full_capacity);
         self.entry_life_start = before.entry_life_start;
         self.ignores_foreign_acks = before.ignores_foreign_acks;
         self.life_start = Some(LifeStart::from_ms(wall_ms));
@@ -173,7 +186,11 @@
     pub fn resize(&mut self, now_ms: u64, per_mille: u32) {
         let part = |whole: u32| (u64::from(whole) * u64::from(per_mille) / 1000) as u32;
         let full = self.full_capacity;
-        let room = Resources::new(part(full.cores_milli), part(full.memory_mib), 0);
+        let room = Resources::new(
+            part(full.cores_milli),
+            part(full.memory_mib),
+            part(full.accelerators_count),
+        );
         self.room_before = (self.counted_room(now_ms), now_ms);
         self.capacity = room;
     }
--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -281,9 +281,17 @@
             self.rules
                 .check_room(now_ms, &self.workers[index], order, &self.jobs);
         }
+        let started = self.started_ms.entry(order.task.step.job);
+        started.or_insert(now_ms);
         let fails = self.draw(self.faults.failing_run);
-        let length_ms = self.rng.random_range(self.run_lengths_ms.clone());
+        let own = self.lengths_of.get(&order.task.step.job);
+        let lengths_ms = own.unwrap_or(&self.run_lengths_ms).clone();
         let spec = &self.jobs[&order.task.step.job].spec.steps[order.task.step.step as usize];
+        let usual_ms = match &self.run_lengths_percent {
+            Some(percent) => spec.estimate_ms * self.rng.random_range(percent.clone()) / 100,
+            None => self.rng.random_range(lengths_ms),
+        };
+        let length_ms = usual_ms * 1000 / self.workers[index].speed_per_mille;
         let run = FakeRun {
             run: order.run,
             ends_at_ms: now_ms + length_ms,
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -7,12 +7,14 @@
 use super::limits::LimitRule;
 use super::rules::Rules;
 use super::worker::FakeWorker;
+use super::OTHER_SERVICE;
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event, JobId,
-    JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler, SchedulerConfig, StartOrder,
-    TaskKey, Ticket, WorkerChange, WorkerFacts,
+    Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
+    Features, Forecast, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
+    SchedulerConfig, SchedulerStatus, ShareView, StartOrder, TaskKey, Ticket, WorkerChange,
+    WorkerFacts,
 };
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::{Duration, Instant, Resources};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -162,6 +164,8 @@
     has_trouble: bool,
     /// How long runs take.
     pub run_lengths_ms: core::ops::Range<u64>,
+    /// The same as a part of their steps' estimates, where that is set, in percent.
+    pub run_lengths_percent: Option<core::ops::Range<u64>>,
     /// After this time no new fault strikes.
     pub calm_from_ms: u64,
     /// One of so many workers is good for a job; 0 for two of three.
@@ -173,7 +177,14 @@
     pub runs_lost_beside_count: usize,
     /// When each job was first seen to have its outcome.
     pub done_ms: BTreeMap<JobId, u64>,
+    /// When a run of each job was first started.
+    pub started_ms: BTreeMap<JobId, u64>,
     crash_policy: CrashPolicy,
+    features: Features,
+    /// Whether what a leader has learned comes to the next one.
+    pub hands_on_learned: bool,
+    /// How long the runs of a job take on a worker of usual speed, where they differ from others.
+    pub lengths_of: BTreeMap<JobId, core::ops::Range<u64>>,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
     limit_rule: LimitRule,
@@ -213,13 +224,18 @@
             last_faults_at_ms: 0,
             has_trouble: false,
             run_lengths_ms: 200..2_500,
+            run_lengths_percent: None,
             calm_from_ms: u64::MAX,
             good_one_in: 0,
             advice_calls_count: 0,
             crashing: BTreeSet::new(),
             runs_lost_beside_count: 0,
             done_ms: BTreeMap::new(),
+            started_ms: BTreeMap::new(),
             crash_policy: CrashPolicy::default(),
+            features: Features::default(),
+            hands_on_learned: false,
+            lengths_of: BTreeMap::new(),
             keeps_ids: false,
             limit_rule: LimitRule::new(faults.late_order > 0),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
@@ -246,6 +262,34 @@
         self.elect();
     }
 
+    /// Begins a term with these features.
+    pub fn elect_with_features(&mut self, features: Features) {
+        self.features = features;
+        self.elect();
+    }
+
+    /// Returns what the leader tells of itself.
+    pub fn status(&self) -> SchedulerStatus {
+        let leader = self.leaders.last().expect("a leader");
+        leader.scheduler.status(self.now())
+    }
+
+    /// Makes every second worker one of another service.
+    pub fn lay_out_services(&mut self) {
+        for worker in self.workers.iter_mut().skip(1).step_by(2) {
+            worker.service = Arc::from(OTHER_SERVICE);
+        }
+        self.list_workers();
+    }
+
+    /// Has the workers hold these amounts, in turn.
+    pub fn set_capacities(&mut self, capacities: &[Resources]) {
+        for (worker, capacity) in self.workers.iter_mut().zip(capacities.iter().cycle()) {
+            worker.set_capacity(*capacity);
+        }
+        self.list_workers();
+    }
+
     /// Puts so many workers in a row into each rack.
     pub fn lay_out_racks(&mut self, size: usize) {
         for (number, worker) in self.workers.iter_mut().enumerate() {
@@ -318,8 +362,14 @@
         };
         let config = SchedulerConfig::new(fence, Duration::from_ms(LEASE_LIMIT_MS))
             .with_leader_lease(Duration::from_ms(LEADER_LEASE_MS))
-            .with_crash_policy(self.crash_policy);
-        let scheduler = Scheduler::new(config, self.configuration.clone(), self.now(), recovered);
+            .with_crash_policy(self.crash_policy)
+            .with_features(self.features);
+        let now = self.now();
+        let mut scheduler = Scheduler::new(config, self.configuration.clone(), now, recovered);
+        let before = self.leaders.last().filter(|_| self.hands_on_learned);
+        if let Some(before) = before {
+            scheduler.take_learned(now, &before.scheduler.learned(now));
+        }
         self.leaders.push(Leader {
             fence,
             scheduler,
@@ -341,6 +391,12 @@
         facts.map(|facts| (facts.id.clone(), facts)).collect()
     }
 
+    /// Returns how a customer stands with the newest leader.
+    pub fn share_of(&self, customer: &str) -> Option<ShareView> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.share_of(super::SERVICE, Some(customer))
+    }
+
     /// Tells what has changed of the list of workers, as the platform does.
     pub fn list_workers(&mut self) {
         let listed = self.listed();
@@ -375,6 +431,12 @@
         self.tell_all(Event::CancelAccepted { job: id });
     }
 
+    /// Returns what the leader forecasts.
+    pub fn forecast(&self) -> Option<Forecast> {
+        let leader = self.leaders.last()?;
+        leader.scheduler.forecast(self.now())
+    }
+
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let leader = self.leaders.last()?;
         leader.scheduler.job(id).map(|view| view.phase)
