--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -212,22 +212,24 @@
     evict_once(node, leader, "connection refused");
 }
 
-/// Takes in that the leader leaves calls of several nodes unanswered.
-pub(crate) fn evict_silent<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord) {
-    evict_once(node, leader, "calls unanswered");
+/// Takes in that the leader leaves calls of several nodes unanswered; returns whether it is
+/// evicted.
+pub(crate) fn evict_silent<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord) -> bool {
+    evict_once(node, leader, "calls unanswered")
 }
 
-/// Evicts a leader.
+/// Evicts a leader; returns whether it does so now.
 ///
 /// A node that is itself cut off would be mistaken, so each node does this once in a while
 /// at most. A leader that is evicted by mistake loses its lease, not its promises: its
 /// commits and its orders are fenced like those of any former leader.
-fn evict_once<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord, reason: &'static str) {
+fn evict_once<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord, reason: &'static str) -> bool {
     let now = clock::now();
     let is_current = node.cell.borrow().leader.as_ref() == Some(&leader);
     if !is_current || now < node.next_eviction_at.get() {
-        return;
+        return false;
     }
     node.next_eviction_at.set(now + EVICTION_PERIOD);
     tokio::task::spawn_local(evict(node.clone(), leader, reason));
+    true
 }
--- a/crates/control/src/leader_probe.rs
+++ b/crates/control/src/leader_probe.rs
@@ -9,7 +9,7 @@
 use crate::store::LeaseId;
 use crate::{clock, election};
 use ospreywing_scheduler::Feature;
-use ospreywing_types::{Duration, Instant};
+use ospreywing_types::Instant;
 use slog::info;
 use std::rc::Rc;
 
@@ -33,8 +33,8 @@
             continue;
         }
         probe(&node, &leader).await;
-        if node.detector.get().is_suspect(clock::now()) && is_confirmed(&node, &leader).await {
-            election::evict_silent(&node, leader);
+        if node.detector.get().is_suspect(clock::now()) {
+            evict_if_confirmed(&node, leader).await;
         }
     }
 }
@@ -97,19 +97,32 @@
     }
 }
 
-/// Returns whether another observer finds the leader silent too.
-async fn is_confirmed<P: Platform>(node: &Rc<Node<P>>, leader: &LeaderRecord) -> bool {
+/// Evicts the leader where another observer finds it silent too.
+async fn evict_if_confirmed<P: Platform>(node: &Rc<Node<P>>, leader: LeaderRecord) {
+    let Some(address) = confirming_observer(node, &leader).await else {
+        return;
+    };
+    let silence = node.detector.get().silence(clock::now());
+    let name = leader.name.clone();
+    if election::evict_silent(node, leader) {
+        info!(node.log, "leader silent";
+            "leader" => name, "silence_ms" => silence.as_ms(), "confirmed_by" => address);
+    }
+}
+
+/// Returns where another observer is called that finds the leader silent too.
+async fn confirming_observer<P: Platform>(
+    node: &Rc<Node<P>>,
+    leader: &LeaderRecord,
+) -> Option<String> {
     for address in other_observers(node) {
         let request = PeerRequest::IsLeaderSilent(leader.lease);
         let reply = peer::call(&node.peers, &address, &request, PROBE_LIMIT).await;
         if matches!(reply, Ok(PeerReply::LeaderSilent(true))) {
-            let silence: Duration = node.detector.get().silence(clock::now());
-            info!(node.log, "leader silent";
-                "leader" => &leader.name, "silence_ms" => silence.as_ms(), "confirmed_by" => address);
-            return true;
+            return Some(address);
         }
     }
-    false
+    None
 }
 
 fn other_observers<P: Platform>(node: &Node<P>) -> Vec<String> {
