--- a/crates/scheduler/tests/scheduler/learning.rs
+++ b/crates/scheduler/tests/scheduler/learning.rs
@@ -244,19 +244,20 @@
     assert_eq!(speeds.eject_slow(at(10), &machines), vec![]);
 }
 
+/// Returns speeds that were learned from machines which are all as fast as usual.
+fn usual_speeds(rng: &mut Pcg64, machines: &[Arc<str>], runs_count: u32) -> Speeds {
+    let mut speeds = Speeds::default();
+    let usual = fleet_of(machines, |_| 1.0);
+    run(&mut speeds, rng, at(0), &usual, runs_count);
+    speeds
+}
+
 /// A speed that flips is told within five runs, though it was learned from a hundred.
 #[test]
 fn speeds_follow_flip() {
     let mut rng = Pcg64::seed_from_u64(SEED);
     let machines = machines(1);
-    let mut speeds = Speeds::default();
-    run(
-        &mut speeds,
-        &mut rng,
-        at(0),
-        &fleet_of(&machines, |_| 1.0),
-        100,
-    );
+    let mut speeds = usual_speeds(&mut rng, &machines, 100);
     run(
         &mut speeds,
         &mut rng,
@@ -310,14 +311,7 @@
 fn speeds_eject_few() {
     let mut rng = Pcg64::seed_from_u64(SEED);
     let machines = machines(40);
-    let mut speeds = Speeds::default();
-    run(
-        &mut speeds,
-        &mut rng,
-        at(0),
-        &fleet_of(&machines, |_| 1.0),
-        20,
-    );
+    let mut speeds = usual_speeds(&mut rng, &machines, 20);
     let mut others = speeds.clone();
     let third = |number| if number % 3 == 0 { 0.3 } else { 1.0 };
     run(&mut speeds, &mut rng, at(1), &fleet_of(&machines, third), 5);
