Search: plays print decisions, orders and lives where they are asked to

The list of known failures named a cause for the late start that no trace had shown. With OSPREYWING_SEARCH_TRACE set a play prints what its leaders decide, each order as it arrives, and lives that begin and end.

--- a/crates/scheduler/tests/scheduler/support/world/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/world/delivery.rs
@@ -225,6 +225,9 @@
         } else if !self.is_lost(index) {
             reply = self.start_at(term, index, order, !is_answered);
         }
+        let worker = &self.workers[index];
+        self.trace
+            .note_start(self.now_ms, worker, order, !is_answered, reply);
         if self.draw(self.faults.lost_answer) {
             reply = StartReply::Unanswered;
         }
@@ -330,6 +333,8 @@
             self.workers[index].advance(now_ms);
             reply = self.workers[index].stop(now_ms, term, task, run);
         }
+        let worker = &self.workers[index];
+        self.trace.note_stop(self.now_ms, worker, task, run, reply);
         if !is_answered || reply == StopReply::Unanswered || self.draw(self.faults.lost_answer) {
             return;
         }
--- a/crates/scheduler/tests/scheduler/support/world/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/world/faults.rs
@@ -206,6 +206,8 @@
         let wall_ms = self.rng.random_range(WALL_MS);
         let clock_base_ms = self.rng.random_range(CLOCK_BASE_MS);
         self.workers[index].restart(wall_ms, clock_base_ms);
+        let worker = &self.workers[index];
+        self.trace.note_life(self.now_ms, worker, "starts again");
         let after_ms = self.rng.random_range(ENTRY_DELAY_MS);
         self.post(after_ms, Message::WriteEntry { worker: index });
     }
@@ -238,6 +240,8 @@
             return None;
         }
         self.rules.note_loss(&self.workers[index]);
+        let worker = &self.workers[index];
+        self.trace.note_life(self.now_ms, worker, "is lost");
         let listed_ms = self.rng.random_range(LISTED_DEAD_MS);
         self.workers[index].listed_until_ms = self.now_ms + listed_ms;
         Some(listed_ms)
--- a/crates/scheduler/tests/scheduler/support/world/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod delivery;
 mod faults;
+mod trace;
 
 use super::cordons::CordonRule;
 use super::limits::LimitRule;
@@ -19,6 +20,7 @@
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use trace::Trace;
 
 /// The longest lease of a fake worker.
 pub const LEASE_LIMIT_MS: u64 = 6000;
@@ -189,6 +191,7 @@
     pub keeps_ids: bool,
     limit_rule: LimitRule,
     cordon_rule: CordonRule,
+    trace: Trace,
 }
 
 impl World {
@@ -243,6 +246,7 @@
             } else {
                 0
             }),
+            trace: Trace::from_env(),
         };
         world.elect();
         world
@@ -544,7 +548,7 @@
                     leader.acts_until_ms = 0;
                 }
             }
-            Action::Log(_) => {}
+            Action::Log(decision) => self.trace.note_decision(self.now_ms, term, &decision),
         }
     }
 
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/support/world/trace.rs
@@ -0,0 +1,74 @@
+//! What a play prints where it is asked to: decisions, orders as they arrive, lives that
+//! begin and end.
+
+use crate::support::worker::FakeWorker;
+use ospreywing_scheduler::{Decision, StartOrder, StartReply, StopReply, TaskKey};
+
+/// Set to anything, it has each play print its trace.
+const TRACE_VARIABLE: &str = "OSPREYWING_SEARCH_TRACE";
+
+/// Prints what happens in a world, or nothing.
+pub(super) struct Trace {
+    is_on: bool,
+}
+
+impl Trace {
+    pub(super) fn from_env() -> Self {
+        Self {
+            is_on: std::env::var_os(TRACE_VARIABLE).is_some(),
+        }
+    }
+
+    pub(super) fn note_decision(&self, now_ms: u64, term: u64, decision: &Decision) {
+        if !self.is_on {
+            return;
+        }
+        let worker = decision.worker.as_deref().unwrap_or("");
+        let task = decision.task.map(|task| task.to_string());
+        println!(
+            "{now_ms:>6} term {term}: {}, {}: {} run {} {worker}",
+            decision.kind.as_str(),
+            decision.reason,
+            task.unwrap_or_default(),
+            decision.run
+        );
+    }
+
+    pub(super) fn note_start(
+        &self,
+        now_ms: u64,
+        worker: &FakeWorker,
+        order: &StartOrder,
+        is_late: bool,
+        reply: StartReply,
+    ) {
+        if self.is_on {
+            println!(
+                "{now_ms:>6} {} has a start of {} run {}, late {is_late}: {reply:?}",
+                worker.id, order.task, order.run
+            );
+        }
+    }
+
+    pub(super) fn note_stop(
+        &self,
+        now_ms: u64,
+        worker: &FakeWorker,
+        task: TaskKey,
+        run: u32,
+        reply: StopReply,
+    ) {
+        if self.is_on {
+            println!(
+                "{now_ms:>6} {} has a stop of {task} run {run}: {reply:?}",
+                worker.id
+            );
+        }
+    }
+
+    pub(super) fn note_life(&self, now_ms: u64, worker: &FakeWorker, what: &str) {
+        if self.is_on {
+            println!("{now_ms:>6} {} {what}", worker.id);
+        }
+    }
+}
