Stop an earlier life's start until the worker answers

What callers saw: nothing yet; in the search a task that had ended well ran again on the worker's next life.

Cause: a life that follows under a worker's id is told to refuse starts that were never answered. That stop was sent once, when the life was first heard of, and where it got no answer the start could still be carried out. Every other stop is repeated until it is answered.

At most 64 starts a worker, as before. Logged with each stop; gauge unanswered_refusals. Cost: nothing where no life has changed.

Ruled out: waiting 12 s before a task starts elsewhere (the task starts nowhere else).

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -70,6 +70,7 @@
     unreadable_entries: Family<EntryLabels, Counter>,
     unusable_cordons: Family<EntryLabels, Counter>,
     cordons: Amount,
+    unanswered_refusals: Amount,
     worker_entries: Counter,
     worker_list_age_ms: Amount,
     waiting_steps: Family<WaitLabels, Amount>,
@@ -127,6 +128,7 @@
             unreadable_entries: Family::default(),
             unusable_cordons: Family::default(),
             cordons: Amount::default(),
+            unanswered_refusals: Amount::default(),
             worker_entries: Counter::default(),
             worker_list_age_ms: Amount::default(),
             waiting_steps: Family::default(),
@@ -254,6 +256,11 @@
             ("runs", "Runs that occupy workers", &self.runs),
             ("workers", "Workers that are listed", &self.workers),
             ("cordons", "Data centres that are cordoned", &self.cordons),
+            (
+                "unanswered_refusals",
+                "Stops of starts meant for an earlier life of a worker, not answered yet",
+                &self.unanswered_refusals,
+            ),
             (
                 "worker_list_age_milliseconds",
                 "Time since the list of workers was known to be the newest",
@@ -517,6 +524,7 @@
         set(&self.runs, status.runs_count);
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
+        set(&self.unanswered_refusals, status.unanswered_refusals_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -7,7 +7,7 @@
 //! may be set back.
 
 use crate::decision::{Decision, DecisionKind};
-use crate::event::Action;
+use crate::event::{Action, Endpoint};
 use crate::job::TaskKey;
 use crate::life::LifeStart;
 use crate::scheduler::Scheduler;
@@ -145,7 +145,7 @@
     }
 
     /// Has a new life refuse the starts that were meant for the one before and may still
-    /// come, though their runs were given up.
+    /// come, though their runs have ended or were given up.
     fn refuse_open_starts(
         &mut self,
         now: Instant,
@@ -154,13 +154,20 @@
         out: &mut Vec<Action>,
     ) {
         let mut open_starts = core::mem::take(&mut self.workers[from].open_starts);
-        open_starts.forget_old(now);
-        let endpoint = self.workers[to].endpoint(to);
-        for (task, run) in open_starts.iter() {
-            let to = endpoint.clone();
-            out.push(Action::Stop { to, task, run });
-        }
+        let refused = open_starts.begin_life(now);
         self.workers[to].open_starts = open_starts;
+        send_refusals(self.workers[to].endpoint(to), refused, out);
+    }
+
+    /// Repeats the stops of such starts that were not answered.
+    pub(crate) fn repeat_refusals(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let retry = self.config.stop_retry;
+        for (key, worker) in self.workers.iter_mut().filter(|(_, it)| !it.is_gone) {
+            let refused = worker.open_starts.refusals_to_repeat(now, retry);
+            if !refused.is_empty() {
+                send_refusals(worker.endpoint(key), refused, out);
+            }
+        }
     }
 
     /// Stops in a new life what was being stopped in the one before, and what may still
@@ -197,6 +204,19 @@
     }
 }
 
+fn send_refusals(to: Endpoint, refused: Vec<(TaskKey, u32)>, out: &mut Vec<Action>) {
+    for (task, run) in refused {
+        let line = Decision::new(
+            DecisionKind::StopSent,
+            "start of an earlier life unanswered",
+        );
+        let line = line.with_run(task, run).with_worker(&to.id);
+        out.push(Action::Log(line));
+        let to = to.clone();
+        out.push(Action::Stop { to, task, run });
+    }
+}
+
 fn fate_of(run: &Run, is_listed: bool, sent_at: Instant) -> Fate {
     if is_listed {
         return Fate::Kept;
--- a/crates/scheduler/src/open_starts.rs
+++ b/crates/scheduler/src/open_starts.rs
@@ -2,6 +2,7 @@
 //!
 //! A call without an answer may be done some seconds later, and by a life that follows under
 //! the same id: that one has neither seen the leader's fence nor been told to stop the run.
+//! So each life that follows is told to refuse these starts, until it answers.
 
 use crate::job::TaskKey;
 use ospreywing_types::{Duration, Instant};
@@ -13,16 +14,26 @@
 /// tens of runs, and a start is sent three times at most.
 const REMEMBERED_LIMIT_COUNT: usize = 64;
 
-/// A start whose run was given up.
+/// Whether the worker's current life refuses a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// It does: its run ended there, or the stop was answered.
+    Sure,
+    /// A stop was sent at this instant and is not answered.
+    Asked(Instant),
+}
+
+/// An unanswered start whose run has ended or was given up.
 #[derive(Clone, Copy, Debug)]
 struct OpenStart {
     task: TaskKey,
     run: u32,
     sent_at: Instant,
+    refusal: Refusal,
 }
 
-/// The starts sent to one worker that may still be carried out, though their runs were
-/// given up.
+/// The starts sent to one worker that may still be carried out, though their runs have
+/// ended or were given up.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OpenStarts {
     starts: VecDeque<OpenStart>,
@@ -34,17 +45,63 @@
         if self.starts.len() == REMEMBERED_LIMIT_COUNT {
             self.starts.pop_front();
         }
-        self.starts.push_back(OpenStart { task, run, sent_at });
+        self.starts.push_back(OpenStart {
+            task,
+            run,
+            sent_at,
+            refusal: Refusal::Sure,
+        });
     }
 
-    /// Forgets what can't be carried out any more.
-    pub(crate) fn forget_old(&mut self, now: Instant) {
+    /// Notes that another life has begun, which refuses none of the starts yet; returns
+    /// those that it is to be told to refuse.
+    pub(crate) fn begin_life(&mut self, now: Instant) -> Vec<(TaskKey, u32)> {
         self.starts
             .retain(|start| now.since(start.sent_at) < LATE_LIMIT);
+        for start in &mut self.starts {
+            start.refusal = Refusal::Asked(now);
+        }
+        self.starts.iter().map(OpenStart::run).collect()
+    }
+
+    /// Returns the starts whose stops were not answered within `retry`, and notes that these
+    /// are sent again.
+    pub(crate) fn refusals_to_repeat(
+        &mut self,
+        now: Instant,
+        retry: Duration,
+    ) -> Vec<(TaskKey, u32)> {
+        let is_due = |start: &OpenStart| match start.refusal {
+            Refusal::Sure => false,
+            Refusal::Asked(at) => now.since(at) >= retry && now.since(start.sent_at) < LATE_LIMIT,
+        };
+        let mut due = Vec::new();
+        for start in self.starts.iter_mut().filter(|start| is_due(start)) {
+            start.refusal = Refusal::Asked(now);
+            due.push(start.run());
+        }
+        due
     }
 
-    /// Returns the tasks and their runs.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (TaskKey, u32)> + '_ {
-        self.starts.iter().map(|start| (start.task, start.run))
+    /// Notes that the current life has answered the stop of a run.
+    pub(crate) fn note_refused(&mut self, task: TaskKey, run: u32) {
+        for start in &mut self.starts {
+            if start.run() == (task, run) {
+                start.refusal = Refusal::Sure;
+            }
+        }
+    }
+
+    /// Returns how many stops are not answered.
+    pub(crate) fn unanswered_count(&self) -> usize {
+        let asked = self.starts.iter();
+        let asked = asked.filter(|start| start.refusal != Refusal::Sure);
+        asked.count()
+    }
+}
+
+impl OpenStart {
+    const fn run(&self) -> (TaskKey, u32) {
+        (self.task, self.run)
     }
 }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -245,6 +245,7 @@
             StopReply::Stopping => {
                 let worker = &mut self.workers[key];
                 worker.answered_at = now;
+                worker.open_starts.note_refused(task, number);
                 let Some(run) = worker.runs.get_mut(&task) else {
                     return;
                 };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -64,6 +64,8 @@
     pub listed_workers_count: usize,
     /// Data centres that are cordoned.
     pub cordons_count: usize,
+    /// Stops of starts meant for an earlier life that were not answered yet.
+    pub unanswered_refusals_count: usize,
     /// The processors of the workers that may take a run, in thousandths of a core.
     pub capacity_milli: u64,
     /// What of them runs occupy.
@@ -347,6 +349,12 @@
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
             cordons_count: self.cordons.len(),
+            unanswered_refusals_count: self
+                .workers
+                .values()
+                .filter(|worker| !worker.is_gone)
+                .map(|worker| worker.open_starts.unanswered_count())
+                .sum(),
             placeable_workers_count: placeable().count(),
             listed_workers_count: self
                 .workers
@@ -361,6 +369,7 @@
         self.stop_broken_gangs(now, out);
         self.evict_fillers(now, out);
         self.repeat_stops(now, out);
+        self.repeat_refusals(now, out);
         self.refresh_speeds(now, out);
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -29,6 +29,8 @@
 /// Long enough for a job, and for a worker to be back.
 const WHILE_MS: u64 = 4_000;
 const OUTCOME_LIMIT_MS: u64 = 20_000;
+/// Longer than a leader waits for the answer to a stop.
+const STOP_RETRY: Duration = Duration::from_ms(1_000);
 
 /// Returns a world of workers that tell their start, on which some work has been done.
 fn world_at_work(seed: u64, workers_count: usize) -> World {
@@ -122,6 +124,54 @@
     assert_eq!(bench.stops(), [(next, task, run)]);
 }
 
+/// A life that follows is told once more to refuse an unanswered start where the first such
+/// stop got no answer: the start is carried out there otherwise, after its run has ended.
+#[test]
+fn begin_next_life_refuses_open_start_until_answered() {
+    let workers = workers(1);
+    let mut bench = Bench::new(Recovered::default(), &workers);
+    let first = bench.scheduler.worker_key("w0").expect("a worker");
+    answer_as(&mut bench, first, 1, Vec::new());
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    let (_, task, run) = start;
+    bench.tell(Event::StartAnswered {
+        worker: first,
+        task,
+        run,
+        reply: StartReply::Unanswered,
+    });
+    // The repeat is carried out, and the run ends well.
+    bench.started(start);
+    answer_as(&mut bench, first, 1, vec![end(1, task, run, EndKind::Done)]);
+    bench.commit_all();
+    bench.actions.clear();
+    answer_as(&mut bench, first, 2, Vec::new());
+    let next = bench.scheduler.worker_key("w0").expect("a worker");
+    assert_eq!(sent_stops(&mut bench), [(next, task, run)]);
+    bench.now = bench.now + STOP_RETRY;
+    bench.tell(Event::Tick);
+    assert_eq!(
+        bench.stops(),
+        [(next, task, run)],
+        "repeated, and answered now"
+    );
+    bench.now = bench.now + STOP_RETRY;
+    bench.tell(Event::Tick);
+    assert!(bench.stops().is_empty(), "repeated after its answer");
+}
+
+/// Takes out the stops that were sent, and answers none.
+fn sent_stops(bench: &mut Bench) -> Vec<(WorkerKey, TaskKey, u32)> {
+    let taken = core::mem::take(&mut bench.actions);
+    let stops = taken.into_iter().filter_map(|action| match action {
+        Action::Stop { to, task, run } => Some((to.worker, task, run)),
+        _ => None,
+    });
+    stops.collect()
+}
+
 /// Ends of one life don't count as heard of because an earlier one has listed as many, and
 /// are not acknowledged to the wrong one.
 #[test]
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -202,7 +202,22 @@
 /// The same without advice: a start that was never answered is carried out in the next life
 /// before the leader has heard of that one. Its task has ended well elsewhere meanwhile.
 #[rstest]
-fn late_start_in_life_not_heard_of(#[values(3125, 3202, 3260)] seed: u64) {
+fn late_start_in_life_not_heard_of(#[values(3125, 3202, 3260, 912_641)] seed: u64) {
+    let mut world = World::new(seed, 6, RESTARTS_BESIDE_LATE_ORDERS, None);
+    world.tell_life_starts(false);
+    play_restarts(seed, world);
+}
+
+/// The same, but the leader has heard of the next life, and its stop of the start got no
+/// answer.
+#[rstest]
+fn late_start_refused_by_next_life(
+    #[values(
+        3125, 3202, 3260, 910_127, 910_399, 910_825, 911_339, 911_388, 911_914, 911_919, 912_256,
+        912_780
+    )]
+    seed: u64,
+) {
     let mut world = World::new(seed, 6, RESTARTS_BESIDE_LATE_ORDERS, None);
     world.tell_life_starts(false);
     play_restarts(seed, world);
