Let an edit wait for daemons that were just met

What operators saw: 'no edit can be taken now: this daemon does not reach the store and most daemons', twice in scripts/local-cell, right after the daemons had said that they were ready.

Cause: an edit needs more than half of the daemons heard from in the last 4 s, and one met a moment ago counted as silent. From meeting two others until one answers its first ping every edit was refused.

Evidence: the refusal now tells what is missing. Cells started three at once beside two busy processes: 4 of 54 refused, each with '1 of 3 daemons were heard from lately', some 0.1 s after the start.

Change: where only first answers of daemons met in the last 4 s are missing, or the store's first answer, the edit waits for 4 s at most. What must hold for an edit to be accepted is unchanged, and all else is refused at once.

Ruled out: a poll that hangs (the runs took 0.2 s); readiness that waits for the others (a lone daemon must serve).

edit_waits_for_daemons_just_met: refused with 503 before, accepted after.

--- a/crates/daemon/src/table_edit.rs
+++ b/crates/daemon/src/table_edit.rs
@@ -5,7 +5,7 @@
 use crate::layout::{Layout, StoredRow};
 use crate::metrics::StoreCounts;
 use crate::store_calls::Backoff;
-use ospreywing_membership::Versioned;
+use ospreywing_membership::{EditBlocked, Versioned};
 use ospreywing_node::Event;
 use ospreywing_store::{Compare, KeyValue, Op, Page, StoreClient, StoreError, Txn, TxnReply};
 use ospreywing_table::{differences, CellChange, Row, Table};
@@ -21,6 +21,10 @@
 /// How long an edit waits to be in force everywhere.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(7);
 const IN_FORCE_CHECK_EVERY: Duration = Duration::from_millis(50);
+/// How long an edit waits for daemons that were just met to answer: a ping is sent each half
+/// second, and its connection may be refused while the other still starts.
+const SETTLE_LIMIT: Duration = Duration::from_secs(4);
+const SETTLE_CHECK_EVERY: Duration = Duration::from_millis(20);
 /// Edits of a row that are remembered.
 const HISTORY_COUNT: usize = 20;
 
@@ -189,13 +193,14 @@
         Ok(self.accepted(revision, waits).await)
     }
 
+    /// Checks an edit, and waits where this daemon or others have only just started.
     async fn check(&self, name: &Name, row: Option<&Row>) -> Result<(), EditError> {
+        let settling = self.settle();
+        // Where that takes too long, the check tells what is missing.
+        let _ = tokio::time::timeout(SETTLE_LIMIT, settling).await;
         let (name, row) = (name.clone(), row.cloned());
         let checked = self.engine.ask(move |node, now| {
-            if !node.may_edit(now) {
-                let reason = "this daemon does not reach the store and most daemons";
-                return Err(EditError::Unavailable(reason.to_owned()));
-            }
+            node.check_edit(now).map_err(blocked)?;
             let mut table = (*node.table()).clone();
             match row {
                 Some(row) => table.put(row),
@@ -212,6 +217,18 @@
             .unwrap_or_else(|gone| Err(EditError::Unavailable(gone.to_string())))
     }
 
+    /// Waits until nothing keeps edits out that passes by itself.
+    async fn settle(&self) {
+        loop {
+            let checked = self.engine.ask(|node, now| node.check_edit(now)).await;
+            match checked {
+                Ok(Err(blocked)) if blocked.may_pass() => {}
+                _ => return,
+            }
+            tokio::time::sleep(SETTLE_CHECK_EVERY).await;
+        }
+    }
+
     fn txn(&self, name: &Name, stored: &StoredRow, before: &Stored, revision: u64) -> Txn {
         let key = self.layout.row(name);
         let mut history = before.history.clone();
@@ -309,6 +326,12 @@
     }
 }
 
+fn blocked(reason: EditBlocked) -> EditError {
+    EditError::Unavailable(format!(
+        "this daemon does not reach the store and most daemons: {reason}"
+    ))
+}
+
 fn unavailable(error: StoreError) -> EditError {
     EditError::Unavailable(error.to_string())
 }
--- a/crates/daemon/tests/processes/table.rs
+++ b/crates/daemon/tests/processes/table.rs
@@ -6,9 +6,11 @@
 use ospreywing_standin::faults::PlatformFaults;
 use ospreywing_table::{Row, RowKind};
 use ospreywing_types::Name;
+use rustix::process::Signal;
 use std::time::Duration;
 
 const LIMIT: Duration = Duration::from_secs(20);
+const REFUSED_WITHIN: Duration = Duration::from_millis(200);
 
 fn row(share: u32) -> Row {
     let mut row = Row::new(Name::new("edited").expect("a name"), RowKind::Batch);
@@ -80,3 +82,32 @@
     // Each edit is there once.
     assert_eq!(history.as_array().map(Vec::len), Some(8), "{history}");
 }
+
+/// An edit is not refused for daemons that were met a moment ago and have not answered yet.
+#[test]
+fn edit_waits_for_daemons_just_met() {
+    let mut cell = Cell::new(3);
+    cell.wait_until_ready(3);
+    cell.daemons[0].kill();
+    for other in [1, 2] {
+        cell.daemons[other].signal(Signal::STOP);
+    }
+    cell.daemons[0] = cell.start_daemon(0, false);
+    cell.wait_for("it meets the others", |cell| {
+        let report = cell.report(0);
+        report.is_some_and(|report| report.freshness == "store" && report.members.len() >= 3)
+    });
+    let (http, call) = (
+        cell.http.clone(),
+        put(&cell.daemons[0].http_addr, &row(11), 0),
+    );
+    let edit = cell.runtime.spawn(async move { http.call(call).await });
+    // Where it is refused at all, that takes some milliseconds.
+    std::thread::sleep(REFUSED_WITHIN);
+    for other in [1, 2] {
+        cell.daemons[other].signal(Signal::CONT);
+    }
+    let answer = cell.runtime.block_on(edit).expect("the call ends");
+    let answer = answer.expect("an answer comes");
+    assert_eq!(answer.status.as_u16(), 200, "{:?}", answer.body);
+}
--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -2,6 +2,7 @@
 
 use crate::peer::Peers;
 use ospreywing_types::{Duration, Instant};
+use thiserror::Error;
 
 /// For how long word from the store proves the table current.
 ///
@@ -61,16 +62,98 @@
     }
 }
 
-/// Returns whether more than half of the daemons, this one included, were
-/// heard from lately. Those proved gone don't count.
-pub(crate) fn has_majority(now: Instant, peers: &Peers) -> bool {
-    let there = peers.iter().filter(|peer| peer.gone_at.is_none());
-    let mut all_count = 1;
-    let mut heard_count = 1;
-    for peer in there {
-        all_count += 1;
-        let is_heard = peer.answered_at.is_some_and(|at| now.since(at) < FRESH_FOR);
-        heard_count += usize::from(is_heard);
+/// Why a daemon may not accept an edit of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum EditBlocked {
+    /// The store was not heard from lately.
+    #[error("the store last answered a call begun {age_ms} ms ago")]
+    StoreSilent {
+        /// How long ago that call was begun.
+        age_ms: u64,
+    },
+    /// The store was never heard from.
+    #[error("the store has not answered yet")]
+    StoreUnheard,
+    /// Too few of the daemons were heard from lately.
+    #[error("{heard_count} of {all_count} daemons were heard from lately")]
+    NoMajority {
+        /// The daemons heard from, this one included.
+        heard_count: usize,
+        /// The daemons met a short while ago that have not answered yet.
+        new_count: usize,
+        /// All daemons that may be there.
+        all_count: usize,
+    },
+}
+
+impl EditBlocked {
+    /// Returns what keeps a daemon from accepting an edit at `now`, if anything does.
+    ///
+    /// `heard_at` is when the last call that the store answered was begun.
+    pub fn find(now: Instant, heard_at: Option<Instant>, peers: &Peers) -> Option<Self> {
+        let Some(heard_at) = heard_at else {
+            return Some(Self::StoreUnheard);
+        };
+        let age = now.since(heard_at);
+        if age >= FRESH_FOR {
+            let age_ms = age.as_ms();
+            return Some(Self::StoreSilent { age_ms });
+        }
+        let count = HeardCount::new(now, peers);
+        (!count.is_majority()).then_some(Self::NoMajority {
+            heard_count: count.heard,
+            new_count: count.new,
+            all_count: count.all,
+        })
     }
-    heard_count * 2 > all_count
+
+    /// Returns whether it passes once what was just asked is answered: the daemon has just
+    /// started, or others have.
+    pub const fn may_pass(self) -> bool {
+        match self {
+            Self::StoreSilent { .. } => false,
+            Self::StoreUnheard => true,
+            Self::NoMajority {
+                heard_count,
+                new_count,
+                all_count,
+            } => (heard_count + new_count) * 2 > all_count,
+        }
+    }
+}
+
+/// How many of the daemons were heard from lately, this one included. Those proved gone
+/// don't count.
+struct HeardCount {
+    heard: usize,
+    new: usize,
+    all: usize,
+}
+
+impl HeardCount {
+    fn new(now: Instant, peers: &Peers) -> Self {
+        let mut count = Self {
+            heard: 1,
+            new: 0,
+            all: 1,
+        };
+        for peer in peers.iter().filter(|peer| peer.gone_at.is_none()) {
+            count.all += 1;
+            let is_recent = |at: Instant| now.since(at) < FRESH_FOR;
+            match peer.answered_at {
+                Some(at) => count.heard += usize::from(is_recent(at)),
+                None => count.new += usize::from(is_recent(peer.met_at)),
+            }
+        }
+        count
+    }
+
+    const fn is_majority(&self) -> bool {
+        self.heard * 2 > self.all
+    }
+}
+
+/// Returns whether more than half of the daemons were heard from lately.
+fn has_majority(now: Instant, peers: &Peers) -> bool {
+    HeardCount::new(now, peers).is_majority()
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use assignment::assign;
 pub use control::{Control, ControlChange, ControlKey, Member, Versioned, SEATS_COUNT};
-pub use freshness::{Freshness, FRESH_FOR};
+pub use freshness::{EditBlocked, Freshness, FRESH_FOR};
 pub use membership::{Membership, MembershipAction, MembershipConfig};
 pub use pace::Pace;
 pub use peer::{Peer, PeerState, Peers};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -2,7 +2,7 @@
 
 use crate::assignment::assign;
 use crate::control::{Control, ControlChange, Member, Versioned, SEATS_COUNT};
-use crate::freshness::{has_majority, Freshness};
+use crate::freshness::{EditBlocked, Freshness};
 use crate::peer::{PeerState, Peers};
 use crate::seat::{seat_target_count, SeatSet};
 use ospreywing_types::peer::Pong;
@@ -243,9 +243,13 @@
         Freshness::new(now, self.heard_at, &self.peers)
     }
 
-    /// Returns whether an edit of the table may be accepted: see [`Freshness::StoreDown`].
-    pub fn may_edit(&self, now: Instant) -> bool {
-        has_majority(now, &self.peers) && self.freshness(now) == Freshness::Store
+    /// Checks that an edit of the table may be accepted: see [`Freshness::StoreDown`].
+    ///
+    /// # Errors
+    ///
+    /// Returns what keeps this daemon from accepting it.
+    pub fn check_edit(&self, now: Instant) -> Result<(), EditBlocked> {
+        EditBlocked::find(now, self.heard_at, &self.peers).map_or(Ok(()), Err)
     }
 
     /// Returns since when nothing newer is known to be in the store, by this
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -1,8 +1,8 @@
 //! Assignment of shards, parts of rates, seats, and who claims when.
 
 use ospreywing_membership::{
-    assign, seat_target_count, Control, ControlChange, Member, Membership, MembershipAction,
-    MembershipConfig, Pace, SeatSet, Versioned, SEATS_COUNT,
+    assign, seat_target_count, Control, ControlChange, EditBlocked, Member, Membership,
+    MembershipAction, MembershipConfig, Pace, SeatSet, Versioned, FRESH_FOR, SEATS_COUNT,
 };
 use ospreywing_types::{DaemonIdentity, Duration, Instant, Name};
 use rstest::rstest;
@@ -164,3 +164,36 @@
     let over = hour + Duration::from_s(10);
     assert_eq!(seat_claims(&mut membership, over), 1);
 }
+
+/// An edit may wait for daemons that were just met, and for those only.
+#[test]
+fn check_edit_others_just_met() {
+    let mut membership = view(0);
+    let met_at = Instant::from_ms(1_000);
+    membership.on_store_answer(met_at);
+    let settling = membership.check_edit(met_at);
+    assert_eq!(
+        settling,
+        Err(EditBlocked::NoMajority {
+            heard_count: 1,
+            new_count: 2,
+            all_count: 3,
+        })
+    );
+    assert!(settling.is_err_and(EditBlocked::may_pass));
+    let later = met_at + FRESH_FOR;
+    membership.on_store_answer(later);
+    let silent = membership.check_edit(later);
+    assert!(silent.is_err_and(|blocked| !blocked.may_pass()));
+}
+
+#[test]
+fn check_edit_store_silent() {
+    let mut membership = Membership::new(MembershipConfig::new(member(0, 0), 4));
+    let unheard = membership.check_edit(Instant::from_ms(1_000));
+    assert_eq!(unheard, Err(EditBlocked::StoreUnheard));
+    membership.on_store_answer(Instant::from_ms(1_000));
+    assert_eq!(membership.check_edit(Instant::from_ms(1_000)), Ok(()));
+    let silent = membership.check_edit(Instant::from_ms(1_000) + FRESH_FOR);
+    assert!(silent.is_err_and(|blocked| !blocked.may_pass()));
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::shard_slot::ShardSlot;
 use crate::table_view::TableView;
 use ospreywing_membership::{
-    Freshness, Membership, MembershipAction, MembershipConfig, Pace, SeatSet,
+    EditBlocked, Freshness, Membership, MembershipAction, MembershipConfig, Pace, SeatSet,
 };
 use ospreywing_routing as routing;
 use ospreywing_shard as shard;
@@ -378,9 +378,13 @@
         self.table.table()
     }
 
-    /// Returns whether an edit of the table may be accepted now.
-    pub fn may_edit(&self, now: Instant) -> bool {
-        self.membership.may_edit(now)
+    /// Checks that an edit of the table may be accepted now.
+    ///
+    /// # Errors
+    ///
+    /// Returns what keeps this daemon from accepting it.
+    pub fn check_edit(&self, now: Instant) -> Result<(), EditBlocked> {
+        self.membership.check_edit(now)
     }
 
     /// Returns whether the daemon may decide by its table at `now`.
--- a/crates/node/tests/cell/world.rs
+++ b/crates/node/tests/cell/world.rs
@@ -451,7 +451,10 @@
     /// An operator edits a row through a daemon.
     fn edit(&mut self, daemon: usize) {
         let state = &self.daemons[daemon];
-        if state.is_paused || !self.reaches_store(daemon) || !state.node.may_edit(self.now) {
+        if state.is_paused
+            || !self.reaches_store(daemon)
+            || state.node.check_edit(self.now).is_err()
+        {
             return;
         }
         let mut edited = row("safe", Repeat::Repeatable);
