Don't count a crash under a run that was not there

Cause: a worker's crash was put on record for each run whose start was sent, also where the start had gone unanswered and a later look had come back without the run. Five records fail a job.

Change: a run that a look did not find, sent after its start had gone unanswered, is not recorded. Runs whose connection broke, and those of which nothing is known, count as before.

Ruled out: raising the bound of five, which is the platform's for tasks that crash their workers.

Cost: one comparison for each run that a look doesn't list.

--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -165,11 +165,14 @@
     }
 
     /// Returns the runs that are lost with a worker; of those whose start was never sent
-    /// nothing can be said.
+    /// nothing can be said. Those that the worker had answered not to have can't have crashed
+    /// it by then, and their starts were being stopped.
     fn runs_to_lose(&self, key: WorkerKey) -> Vec<LostRun> {
         let worker = &self.workers[key];
         let placed = worker.runs.iter().filter(|(task, run)| {
-            run.phase != RunPhase::Recording && self.placements.get(task) == Some(&key)
+            run.phase != RunPhase::Recording
+                && !run.was_absent
+                && self.placements.get(task) == Some(&key)
         });
         let lost = placed.map(|(task, run)| LostRun {
             task: *task,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -36,6 +36,18 @@
 /// The time until a worker that did not answer is asked again.
 const SILENT_RETRY: Duration = Duration::from_ms(250);
 
+impl Worker {
+    /// Notes which runs a look did not find that was sent after their starts had gone
+    /// unanswered.
+    fn note_absent_runs(&mut self, sent_at: Instant, listed: &ListedRuns) {
+        for (task, run) in &mut self.runs {
+            if run.was_unknown_at(sent_at) && !listed.contains(&(*task, run.run)) {
+                run.was_absent = true;
+            }
+        }
+    }
+}
+
 impl Scheduler {
     /// Returns how long leases are granted now.
     pub(crate) fn grant_length(&self) -> Duration {
@@ -215,6 +227,7 @@
             self.take_running(now, key, run, out);
         }
         if is_whole {
+            self.workers[key].note_absent_runs(sent_at, &listed);
             self.release_unlisted(now, key, sent_at, &listed, out);
         }
     }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -108,6 +108,9 @@
     /// Whether the connection of its start broke and nothing listened there any more: the
     /// worker was lost while it had the start.
     pub(crate) was_cut_off: bool,
+    /// Whether the worker did not list it in answer to a look that was sent after its start
+    /// had gone unanswered.
+    pub(crate) was_absent: bool,
     /// Whether its task may have crashed a worker by starting there.
     pub(crate) is_on_trial: bool,
     pub(crate) progress_percent: u32,
@@ -141,6 +144,7 @@
             placed_at,
             begun_at: None,
             was_cut_off: false,
+            was_absent: false,
             is_on_trial: false,
             progress_percent: 0,
             overdue_count: 0,
@@ -154,6 +158,14 @@
         self.sends_count > self.answers_count
     }
 
+    /// Returns whether it was being stopped, and is not known to have begun, when a look was
+    /// sent.
+    pub(crate) fn was_unknown_at(&self, sent_at: Instant) -> bool {
+        let is_before =
+            matches!(self.phase, RunPhase::Stopping { sent_at: at, .. } if at < sent_at);
+        is_before && self.begun_at.is_none()
+    }
+
     /// Notes how much of its work is done.
     pub(crate) fn note_progress(&mut self, now: Instant, percent: u32) {
         self.pace_from.get_or_insert(Progress { percent, at: now });
--- a/crates/scheduler/tests/scheduler/crashes.rs
+++ b/crates/scheduler/tests/scheduler/crashes.rs
@@ -90,6 +90,29 @@
             });
             self.bench.starts();
         }
+        self.be_replaced(worker);
+    }
+
+    /// Has the worker crash for a reason of its own, with a start that it has not answered
+    /// and not carried out: a later look lists no run.
+    fn crash_without_run(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
+        for _ in 0..3 {
+            self.bench.tell(Event::StartAnswered {
+                worker,
+                task,
+                run,
+                reply: StartReply::Unanswered,
+            });
+        }
+        // The stop gets no answer either.
+        self.bench.actions.clear();
+        self.bench.now = self.bench.now + Duration::from_ms(100);
+        self.bench.list(worker, Vec::new());
+        self.be_replaced(worker);
+    }
+
+    /// Has another life answer at a worker's address.
+    fn be_replaced(&mut self, worker: WorkerKey) {
         self.bench.be_silent(worker);
         self.bench.now = self.bench.now + AWAY;
         let sent_at = self.bench.now;
@@ -117,6 +140,20 @@
     }
 }
 
+/// A job is not failed for workers that crash before they carry out its task's start.
+#[test]
+fn record_crash_run_was_not_there() {
+    let mut cell = CrashingCell::new(None);
+    cell.bench.submit(1, vec![step(1)]);
+    for round in 1..=ROUNDS_COUNT {
+        let start = cell.next_start();
+        let start = start.unwrap_or_else(|| panic!("no start after {round} crashes"));
+        cell.crash_without_run(start);
+    }
+    let phase = cell.bench.scheduler.job(JobId::new(1)).map(|job| job.phase);
+    assert_eq!(phase, Some(Phase::Active));
+}
+
 /// The starts of a task that crashes its workers are bounded: three more after three
 /// crashes are too many, whether or not its queue needs advice.
 #[rstest]
