Grant no lease longer than 7.5 s

Cause, as suspected: while the store is in trouble leases are as long as workers keep them, 10 s in that cell; with a slow clock and the margin its runs are given up 10.4 s after the last grant, and a lasting task must run again after 9 s.

Change: leases are 7.5 s at most. With the margins that is 7.8 s; placing may take a second. Cells whose workers keep 6 s are unchanged. Cost: work outlives an outage of 8.7 s in place of 11 s in cells that keep 10 s.

renew_leases_lost_worker_after_store_trouble: no start within 9 s before, one after.

--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -191,6 +191,11 @@
     pub features: Features,
 }
 
+/// The longest lease that is granted, however long workers would keep one. A lasting task must
+/// run again within 9 s of the loss of its worker; 0.3 s of that are for a slow clock, and
+/// placing it may take a second.
+const LONG_GRANT_LIMIT: Duration = Duration::from_ms(7500);
+
 impl SchedulerConfig {
     /// Creates the constants for a term, where workers keep leases of
     /// `grant_limit` at most.
@@ -204,7 +209,7 @@
             place_steps_per_ms: 10,
             renewal_pace: Duration::from_ms(5),
             grant: Duration::from_ms(limit_ms.min(4000)),
-            long_grant: grant_limit,
+            long_grant: Duration::from_ms(limit_ms.min(LONG_GRANT_LIMIT.as_ms())),
             grant_limit,
             inherited_limit: grant_limit,
             listed_ends_limit_count: 500,
--- a/crates/scheduler/tests/scheduler/lapses.rs
+++ b/crates/scheduler/tests/scheduler/lapses.rs
@@ -1,7 +1,7 @@
 //! Leases that hold longer than the leader granted them, and lists that tell less
 //! than they seem to: a task must not be started again while its run may be alive.
 
-use crate::support::bench::{end, Bench, FENCE, LEASE_LIMIT};
+use crate::support::bench::{end, workers, Bench, FENCE, LEASE_LIMIT};
 use crate::support::worker::{FakeRun, FakeWorker};
 use crate::support::{first_task, job, placed_state, step};
 use ospreywing_scheduler::{
@@ -23,6 +23,10 @@
 const ENDS_AT_ONCE_COUNT: u64 = 500;
 /// The lease that a leader grants where the store is well.
 const SHORTEST_LEASE: Duration = Duration::from_ms(4000);
+/// Leases that workers would keep in some cells.
+const LONG_LEASE_LIMIT: Duration = Duration::from_ms(10_000);
+/// How long a lasting task may be away when its worker is lost.
+const LASTING_TASK_AWAY_LIMIT: Duration = Duration::from_ms(9_000);
 /// A run longer than any lease.
 const LONG_RUN_MS: u64 = 60_000;
 
@@ -410,3 +414,32 @@
     bench.commit_all();
     assert_eq!(bench.starts().len(), 1, "its run starts again");
 }
+
+/// A lasting task is not kept from running again by the long leases of the store's trouble,
+/// also where workers would keep longer ones.
+#[test]
+fn renew_leases_lost_worker_after_store_trouble() {
+    let workers = workers(2);
+    let mut bench = Bench::with_lease_limit(LONG_LEASE_LIMIT, &workers);
+    bench.submit(1, vec![step(1)]);
+    bench.commit_all();
+    let start = bench.starts()[0];
+    let (lost, task, _) = start;
+    bench.started(start);
+    bench.tell(Event::StoreTrouble(true));
+    bench.list_running(lost, task);
+    bench.now = bench.now + UNANSWERED_AFTER;
+    bench.tell(Event::Tick);
+    bench.list_running(lost, task);
+    bench.tell(Event::StoreTrouble(false));
+    // The worker has received every renewal, and is lost after the last one.
+    let lost_at = bench.now;
+    while bench.now.since(lost_at) < LASTING_TASK_AWAY_LIMIT {
+        bench.be_silent(lost);
+        bench.commit_all();
+        if !bench.starts().is_empty() {
+            return;
+        }
+    }
+    panic!("the task does not run again");
+}
--- a/crates/scheduler/tests/scheduler/support/bench.rs
+++ b/crates/scheduler/tests/scheduler/support/bench.rs
@@ -44,6 +44,12 @@
         Self::begin(config, recovered, advice).with_workers(workers)
     }
 
+    /// Begins a term in a cell whose workers keep leases of `limit` at most.
+    pub fn with_lease_limit(limit: Duration, workers: &[FakeWorker]) -> Self {
+        let config = SchedulerConfig::new(FENCE, limit);
+        Self::begin(config, Recovered::default(), None).with_workers(workers)
+    }
+
     /// Lists workers that have nothing.
     pub fn with_workers(mut self, workers: &[FakeWorker]) -> Self {
         self.list_workers(workers);
