Count a crash under a run that came late

A run that a look had not found, and that the worker listed later, had begun there after all, and a crash then is one under it.

record_crash_run_came_late: nothing on record before, the crash after.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -175,6 +175,7 @@
 
     /// Notes that the worker has it.
     pub(crate) fn note_begun(&mut self, now: Instant) {
+        self.was_absent = false;
         if self.begun_at.is_none() && self.checkpoint.is_none() {
             let percent = 0;
             self.pace_from.get_or_insert(Progress { percent, at: now });
--- a/crates/scheduler/tests/scheduler/crashes.rs
+++ b/crates/scheduler/tests/scheduler/crashes.rs
@@ -94,8 +94,14 @@
     }
 
     /// Has the worker crash for a reason of its own, with a start that it has not answered
-    /// and not carried out: a later look lists no run.
-    fn crash_without_run(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
+    /// and not carried out.
+    fn crash_without_run(&mut self, start: (WorkerKey, TaskKey, u32)) {
+        self.leave_unanswered(start);
+        self.be_replaced(start.0);
+    }
+
+    /// Leaves a start and its stop unanswered; a later look lists no run.
+    fn leave_unanswered(&mut self, (worker, task, run): (WorkerKey, TaskKey, u32)) {
         for _ in 0..3 {
             self.bench.tell(Event::StartAnswered {
                 worker,
@@ -108,7 +114,6 @@
         self.bench.actions.clear();
         self.bench.now = self.bench.now + Duration::from_ms(100);
         self.bench.list(worker, Vec::new());
-        self.be_replaced(worker);
     }
 
     /// Has another life answer at a worker's address.
@@ -154,6 +159,22 @@
     assert_eq!(phase, Some(Phase::Active));
 }
 
+/// A start that a worker carries out late, after a look that did not find its run, counts
+/// where the worker then crashes.
+#[test]
+fn record_crash_run_came_late() {
+    let mut cell = CrashingCell::new(None);
+    cell.bench.submit(1, vec![step(1)]);
+    let (worker, task, run) = cell.next_start().expect("a start");
+    cell.leave_unanswered((worker, task, run));
+    cell.bench.list_running(worker, task);
+    cell.be_replaced(worker);
+    let states = cell.bench.commit_all();
+    let crashes = states.iter().flat_map(|state| &state.crashes);
+    let recorded: Vec<TaskKey> = crashes.map(|crash| crash.task).collect();
+    assert_eq!(recorded, [task]);
+}
+
 /// The starts of a task that crashes its workers are bounded: three more after three
 /// crashes are too many, whether or not its queue needs advice.
 #[rstest]
