--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -94,17 +94,23 @@
     });
 }
 
-/// A start that nobody answered may be carried out after its run was given up. The life that
-/// knew of the stop refuses it; the next one has to be told too.
-#[test]
-fn begin_next_life_refuses_open_start() {
+/// Returns a bench whose only worker, in its first life, has been sent a task's start.
+fn bench_with_start() -> (Bench, (WorkerKey, TaskKey, u32)) {
     let workers = workers(1);
     let mut bench = Bench::new(Recovered::default(), &workers);
     let first = bench.scheduler.worker_key("w0").expect("a worker");
     answer_as(&mut bench, first, 1, Vec::new());
     bench.submit(1, vec![step(1)]);
     bench.commit_all();
-    let (_, task, run) = bench.starts()[0];
+    let start = bench.starts()[0];
+    (bench, start)
+}
+
+/// A start that nobody answered may be carried out after its run was given up. The life that
+/// knew of the stop refuses it; the next one has to be told too.
+#[test]
+fn begin_next_life_refuses_open_start() {
+    let (mut bench, (first, task, run)) = bench_with_start();
     // Each repeat of it is lost too.
     for _ in 0..3 {
         bench.tell(Event::StartAnswered {
@@ -128,14 +134,8 @@
 /// stop got no answer: the start is carried out there otherwise, after its run has ended.
 #[test]
 fn begin_next_life_refuses_open_start_until_answered() {
-    let workers = workers(1);
-    let mut bench = Bench::new(Recovered::default(), &workers);
-    let first = bench.scheduler.worker_key("w0").expect("a worker");
-    answer_as(&mut bench, first, 1, Vec::new());
-    bench.submit(1, vec![step(1)]);
-    bench.commit_all();
-    let start = bench.starts()[0];
-    let (_, task, run) = start;
+    let (mut bench, start) = bench_with_start();
+    let (first, task, run) = start;
     bench.tell(Event::StartAnswered {
         worker: first,
         task,
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -203,9 +203,7 @@
 /// before the leader has heard of that one. Its task has ended well elsewhere meanwhile.
 #[rstest]
 fn late_start_in_life_not_heard_of(#[values(3125, 3202, 3260, 912_641)] seed: u64) {
-    let mut world = World::new(seed, 6, RESTARTS_BESIDE_LATE_ORDERS, None);
-    world.tell_life_starts(false);
-    play_restarts(seed, world);
+    play_late_orders_without_advice(seed);
 }
 
 /// The same, but the leader has heard of the next life, and its stop of the start got no
@@ -218,6 +216,10 @@
     )]
     seed: u64,
 ) {
+    play_late_orders_without_advice(seed);
+}
+
+fn play_late_orders_without_advice(seed: u64) {
     let mut world = World::new(seed, 6, RESTARTS_BESIDE_LATE_ORDERS, None);
     world.tell_life_starts(false);
     play_restarts(seed, world);
