--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -135,6 +135,15 @@
     }
 }
 
+/// The outcome of a call that was meant for one process.
+#[derive(Clone, Debug)]
+pub enum PeerAnswer {
+    /// The process answered the call.
+    Answered(Answer),
+    /// The call was not sent: this answer to the probe doesn't come from the process.
+    NotSent(Answer),
+}
+
 /// A client that keeps idle connections to each address.
 ///
 /// A connection may stop responding without being closed. So when a call times out,
@@ -170,14 +179,50 @@
     /// whether it is certain that the peer did not receive the request.
     pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
         let timeouts = Timeouts::start(&call);
-        let (addr, path) = (call.addr.clone(), call.path.clone());
-        let answer = self.exchange(call, &timeouts).await;
-        if let Err(HttpError::TimedOut { .. }) = &answer {
-            self.close_unresponsive(&addr, &path, &timeouts);
-        }
+        let answer = self.exchange(&call, &timeouts).await;
+        self.close_if_timed_out(&call, &answer, &timeouts);
         answer
     }
 
+    /// Sends a call once, but only to the process `peer`, and reads the complete response.
+    ///
+    /// The call goes over an idle connection to `peer`. If there is none, `probe` is sent over
+    /// a new connection, and the call follows on it if `identify` returns `peer` for the answer
+    /// to `probe`. All must be complete within the call's timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::ProbeFailed`] if the probe was sent but has no complete response,
+    /// and another error if the call has none. [`HttpError::is_not_sent`] returns whether it is
+    /// certain that no process received the call.
+    pub async fn call_peer(
+        &self,
+        call: Call,
+        peer: PeerId,
+        probe: Call,
+        identify: impl Fn(&Answer) -> Option<PeerId>,
+    ) -> Result<PeerAnswer, HttpError> {
+        let timeouts = Timeouts::start(&call);
+        while let Some(connection) = self.pool.take_with_peer(&call.addr, peer) {
+            if let Some(answered) = self.exchange_on(connection, &call, &timeouts).await? {
+                return Ok(PeerAnswer::Answered(self.keep(&call, answered)));
+            }
+        }
+        let probed = self.probe(&probe, &timeouts).await;
+        let (mut connection, answer) = probed.map_err(as_probe_error)?;
+        let Some(answered_by) = identify(&answer) else {
+            return Ok(PeerAnswer::NotSent(answer));
+        };
+        connection.set_peer(answered_by);
+        if answered_by != peer {
+            let answer = self.keep(&probe, (connection, answer));
+            return Ok(PeerAnswer::NotSent(answer));
+        }
+        let answered = self.exchange_on(connection, &call, &timeouts).await?;
+        let answered = answered.ok_or_else(closed)?;
+        Ok(PeerAnswer::Answered(self.keep(&call, answered)))
+    }
+
     /// Sets the ID of the process that responded on a connection.
     ///
     /// Does nothing if another call is using the connection.
@@ -185,25 +230,42 @@
         self.pool.set_peer(addr, connection, peer);
     }
 
-    async fn exchange(&self, call: Call, timeouts: &Timeouts) -> Result<Answer, HttpError> {
-        let (connection, response) = timeouts.await_head(self.send(&call)).await??;
-        let id = connection.id();
-        let (parts, body) = response.into_parts();
-        let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
-        let mut received = ReceivedBody::default();
-        while let Some(frame) = timeouts.await_body_part(body.frame(), &received).await? {
-            let frame = frame.map_err(|error| error_from_body(&*error))?;
-            if let Ok(data) = frame.into_data() {
-                received.add(data);
-            }
-        }
-        self.pool.put(call.addr, connection);
-        Ok(Answer {
-            connection: id,
-            status: parts.status,
-            headers: parts.headers,
-            body: received.into_bytes(),
-        })
+    async fn exchange(&self, call: &Call, timeouts: &Timeouts) -> Result<Answer, HttpError> {
+        let (connection, response) = timeouts.await_head(self.send(call)).await??;
+        let answer = read_answer(connection.id(), response, timeouts).await?;
+        Ok(self.keep(call, (connection, answer)))
+    }
+
+    /// Sends a call over a connection and reads the complete response; returns `None` if the
+    /// connection was already closed.
+    async fn exchange_on(
+        &self,
+        mut connection: Connection,
+        call: &Call,
+        timeouts: &Timeouts,
+    ) -> Result<Option<(Connection, Answer)>, HttpError> {
+        let answer = send_on(&mut connection, call, timeouts).await;
+        self.close_if_timed_out(call, &answer, timeouts);
+        Ok(answer?.map(|answer| (connection, answer)))
+    }
+
+    /// Sends a probe over a new connection and reads the complete response.
+    async fn probe(
+        &self,
+        probe: &Call,
+        timeouts: &Timeouts,
+    ) -> Result<(Connection, Answer), HttpError> {
+        let connection = Connection::open(&probe.addr, self.pool.next_id());
+        let connection = timeouts.await_head(connection).await;
+        self.close_if_timed_out(probe, &connection, timeouts);
+        let answered = self.exchange_on(connection??, probe, timeouts).await?;
+        answered.ok_or_else(closed)
+    }
+
+    /// Returns a connection to the pool, and the answer that arrived on it.
+    fn keep(&self, call: &Call, (connection, answer): (Connection, Answer)) -> Answer {
+        self.pool.put(call.addr.clone(), connection);
+        answer
     }
 
     /// Sends a request on an idle connection, or on a new one if no idle connection is
@@ -221,20 +283,25 @@
             match connection.send(request).await {
                 SendOutcome::Answered(response) => return Ok((connection, response)),
                 SendOutcome::NotSent if is_pooled => {}
-                SendOutcome::NotSent => {
-                    return Err(HttpError::NotSent("the connection was closed".to_owned()))
-                }
+                SendOutcome::NotSent => return Err(closed()),
                 SendOutcome::Broken(error) => return Err(error),
             }
         }
     }
 
-    /// Closes the idle connections that may be unresponsive too, after a call to `addr`
-    /// timed out.
-    fn close_unresponsive(&self, addr: &str, path: &str, timeouts: &Timeouts) {
-        let closed_count = self.pool.close_opened_until(addr, timeouts.called_at);
+    /// Closes the idle connections that may be unresponsive too, if a call has timed out.
+    fn close_if_timed_out<T>(
+        &self,
+        call: &Call,
+        outcome: &Result<T, HttpError>,
+        timeouts: &Timeouts,
+    ) {
+        if !matches!(outcome, Err(HttpError::TimedOut { .. })) {
+            return;
+        }
+        let closed_count = self.pool.close_opened_until(&call.addr, timeouts.called_at);
         if let Some(log) = &self.log {
-            debug!(log, "connection silent"; "address" => addr, "path" => path,
+            debug!(log, "connection silent"; "address" => &call.addr, "path" => &call.path,
                 "limit_ms" => timeouts.timeout.as_millis() as u64, "closed" => closed_count);
         }
     }
@@ -346,6 +413,58 @@
     }
 }
 
+fn closed() -> HttpError {
+    HttpError::NotSent("the connection was closed".to_owned())
+}
+
+/// Returns the error of a call that was not sent because its probe has failed.
+fn as_probe_error(error: HttpError) -> HttpError {
+    if error.is_not_sent() {
+        return error;
+    }
+    HttpError::ProbeFailed(error.to_string())
+}
+
+/// Sends a call over a connection and reads the complete response; returns `None` if the
+/// connection was already closed.
+async fn send_on(
+    connection: &mut Connection,
+    call: &Call,
+    timeouts: &Timeouts,
+) -> Result<Option<Answer>, HttpError> {
+    let request = build_request(call, connection.peer())?;
+    let response = match timeouts.await_head(connection.send(request)).await? {
+        SendOutcome::Answered(response) => response,
+        SendOutcome::NotSent => return Ok(None),
+        SendOutcome::Broken(error) => return Err(error),
+    };
+    let answer = read_answer(connection.id(), response, timeouts).await?;
+    Ok(Some(answer))
+}
+
+/// Reads the rest of a response.
+async fn read_answer(
+    connection: ConnectionId,
+    response: Response<Incoming>,
+    timeouts: &Timeouts,
+) -> Result<Answer, HttpError> {
+    let (parts, body) = response.into_parts();
+    let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
+    let mut received = ReceivedBody::default();
+    while let Some(frame) = timeouts.await_body_part(body.frame(), &received).await? {
+        let frame = frame.map_err(|error| error_from_body(&*error))?;
+        if let Ok(data) = frame.into_data() {
+            received.add(data);
+        }
+    }
+    Ok(Answer {
+        connection,
+        status: parts.status,
+        headers: parts.headers,
+        body: received.into_bytes(),
+    })
+}
+
 fn to_json(value: &impl Serialize) -> Result<Vec<u8>, HttpError> {
     serde_json::to_vec(value).map_err(|error| HttpError::Invalid(error.to_string()))
 }
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -11,6 +11,9 @@
     /// The request was not sent, mostly because no connection was established.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The request was not sent, since the probe before it has no complete response.
+    #[error("not sent after a probe: {0}")]
+    ProbeFailed(String),
     /// The connection failed; the peer may have received the request.
     #[error("broken off: {0}")]
     Broken(String),
@@ -36,6 +39,9 @@
 impl HttpError {
     /// Returns whether it is certain that the peer did not receive the request.
     pub const fn is_not_sent(&self) -> bool {
-        matches!(self, Self::Invalid(_) | Self::NotSent(_))
+        matches!(
+            self,
+            Self::Invalid(_) | Self::NotSent(_) | Self::ProbeFailed(_)
+        )
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,6 @@
 mod peer;
 mod pool;
 
-pub use client::{Answer, Call, HttpClient};
+pub use client::{Answer, Call, HttpClient, PeerAnswer};
 pub use error::HttpError;
 pub use peer::{ConnectionId, PeerId};
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -66,10 +66,8 @@
         let now = clock::now();
         let mut state = self.lock();
         let idle = state.by_address.get_mut(addr)?;
-        let has_peer =
-            |idle: &IdleConnection| idle.connection.peer() == peer && idle.is_usable(now);
-        if let Some(index) = peer.and_then(|_| idle.iter().rposition(has_peer)) {
-            return Some(idle.remove(index).connection);
+        if let Some(connection) = peer.and_then(|peer| remove_with_peer(idle, peer, now)) {
+            return Some(connection);
         }
         while let Some(newest) = idle.pop() {
             if newest.is_usable(now) {
@@ -79,6 +77,13 @@
         None
     }
 
+    /// Removes and returns the most recently used connection to `addr` among those to `peer`.
+    pub(crate) fn take_with_peer(&self, addr: &str, peer: PeerId) -> Option<Connection> {
+        let mut state = self.lock();
+        let idle = state.by_address.get_mut(addr)?;
+        remove_with_peer(idle, peer, clock::now())
+    }
+
     /// Returns a connection to the pool; its last response must have been read completely.
     pub(crate) fn put(&self, addr: String, connection: Connection) {
         let now = clock::now();
@@ -91,13 +96,13 @@
             });
         }
         let idle = state.by_address.entry(addr).or_default();
-        if idle.len() < self.max_idle_count {
-            let idle_since = now;
-            idle.push(IdleConnection {
-                connection,
-                idle_since,
-            });
-        }
+        idle.push(IdleConnection {
+            connection,
+            idle_since: now,
+        });
+        // The least recently used ones may be closed, or lead to a process that has ended.
+        let excess_count = idle.len().saturating_sub(self.max_idle_count);
+        idle.drain(..excess_count);
     }
 
     /// Sets the peer ID of an idle connection; does nothing if the connection is in use.
@@ -131,3 +136,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Removes and returns the most recently used connection to `peer`.
+fn remove_with_peer(
+    idle: &mut Vec<IdleConnection>,
+    peer: PeerId,
+    now: Instant,
+) -> Option<Connection> {
+    let has_peer = |idle: &IdleConnection| idle.connection.peer() == Some(peer);
+    let index = idle
+        .iter()
+        .rposition(|it| has_peer(it) && it.is_usable(now))?;
+    Some(idle.remove(index).connection)
+}
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -1,7 +1,7 @@
 //! Tests the client against minimal servers.
 
 use http::Method;
-use ospreywing_http::{Call, HttpClient, HttpError};
+use ospreywing_http::{Answer, Call, HttpClient, HttpError, PeerAnswer, PeerId};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -213,3 +213,80 @@
     let head = server.join().expect("a server that ends");
     assert!(head.contains(&format!("host: {expected}")), "{head}");
 }
+
+/// Responds to requests on each connection in turn with these bodies, and keeps the connections
+/// open; then returns the first line of each request.
+fn serve_bodies(listener: &TcpListener, connections: &[&[&str]]) -> Vec<String> {
+    let mut open = Vec::new();
+    let mut lines = Vec::new();
+    for bodies in connections {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        for body in *bodies {
+            let head = read_head(&mut stream);
+            lines.extend(head.lines().next().map(str::to_owned));
+            let len = body.len();
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {len}\r\n\r\n{body}");
+            stream
+                .write_all(answer.as_bytes())
+                .expect("an open connection");
+        }
+        open.push(stream);
+    }
+    lines
+}
+
+/// A call that is meant for one process must not be sent to another one, whether the client knows
+/// of the other one from a connection or from a probe, and must not be probed for needlessly.
+#[test]
+fn call_peer_other_process() {
+    const PROBE: &str = "GET /probe HTTP/1.1";
+    const CALL: &str = "GET /call HTTP/1.1";
+    let (listener, address) = listen();
+    let server = thread::spawn(move || {
+        let connections: [&[&str]; 2] = [&["2", "done"], &["1", "done", "done"]];
+        serve_bodies(&listener, &connections)
+    });
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let outcomes = runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(2);
+        let call = |path| Call::new(Method::GET, &address, path, LIMIT);
+        let identify = |answer: &Answer| answer.json().ok().map(PeerId::new);
+        let mut outcomes = Vec::new();
+        for number in [1, 2, 1, 1] {
+            let peer = PeerId::new(number);
+            let outcome = client.call_peer(call("/call"), peer, call("/probe"), identify);
+            outcomes.push(match outcome.await.expect("an answer") {
+                PeerAnswer::Answered(answer) => ("answered", answer.body),
+                PeerAnswer::NotSent(answer) => ("not sent", answer.body),
+            });
+        }
+        outcomes
+    });
+    let lines = server.join().expect("a server that ends");
+    assert_eq!(lines, [PROBE, CALL, PROBE, CALL, CALL]);
+    let expected = ["not sent", "answered", "answered", "answered"];
+    assert!(outcomes.iter().map(|it| it.0).eq(expected), "{outcomes:?}");
+}
+
+/// If the probe is not answered, the call was certainly not sent.
+#[test]
+fn call_peer_probe_not_answered() {
+    let (listener, address) = listen();
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let outcome = runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(1);
+        let call = |path| Call::new(Method::GET, &address, path, LIMIT);
+        let peer = PeerId::new(1);
+        let identify = |_: &Answer| Some(peer);
+        let outcome = client.call_peer(call("/call"), peer, call("/probe"), identify);
+        outcome.await
+    });
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let mut received = String::new();
+    stream.read_to_string(&mut received).expect("text");
+    assert!(received.starts_with("GET /probe "), "{received}");
+    assert!(!received.contains("/call"), "{received}");
+    let error = outcome.expect_err("nothing answers");
+    assert!(matches!(error, HttpError::ProbeFailed(_)), "{error:?}");
+    assert!(error.is_not_sent());
+}
