Control tests: a start that a relay held too long

Callers see a task that ended well run again: a relay that stood still (SIGSTOP, suspended machine) sends a start long after the leader has given it up, to whichever incarnation then listens at the worker's address.

The test forces the order of events. A leader and a relay run as two nodes with stores of their own, and their calls pass through a link of the test.

The worker is polled through the relay, and a job is submitted. 2. The link holds the batch with its start, as the socket of a relay that stands still does. 3. Only then does the link deliver the batch. The relay still knows the session as the newest one.

Each step waits for the condition before it; no wall time is asserted.

The job is submitted only once the worker is polled through the relay, since its start might be sent directly before.

`settings` moves from suspension.rs to support.rs unchanged.

--- /dev/null
+++ b/crates/control/tests/control/held_starts.rs
@@ -0,0 +1,379 @@
+//! A start that was held on its way through a relay until its sender had given it up.
+//!
+//! The leader and the relay are two nodes with stores of their own. Between them is a link
+//! that holds a batch as the socket of a relay that stands still does: the leader's calls are
+//! accepted by the system, and the relay reads them when it wakes.
+
+use crate::support::{run_local, settings, MemoryStore};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use ospreywing_control::cell_view::NodeRecord;
+use ospreywing_control::{
+    clock, keys, Call, CallError, CordonError, NodeSettings, Platform, Reply, RequestHead,
+    RequestLimits, Store, Transaction, WorkerEntryError, WorkerPoll,
+};
+use ospreywing_scheduler::{
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
+    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+};
+use ospreywing_types::{Duration, Resources};
+use slog::{o, Drain, Logger, Never, OwnedKVList, Record};
+use std::cell::{Cell, RefCell};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use tokio::time::timeout;
+
+const SERVICE: &str = "gallery";
+const QUEUE: &str = "render";
+const WORKERS_PREFIX: &str = "workers/";
+/// The job's payload, by which the link recognises the batch with its start.
+const PAYLOAD: &str = "the work that is held";
+/// The message with which a relay logs that it gave up starts.
+const GIVEN_UP: &str = "relayed starts given up";
+const CONDITION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
+const CONDITION_CHECK_PERIOD: std::time::Duration = std::time::Duration::from_millis(2);
+
+/// The messages that a node logged.
+#[derive(Clone, Default)]
+struct Messages(Arc<Mutex<Vec<String>>>);
+
+impl Messages {
+    fn logger(&self) -> Logger {
+        Logger::root(self.clone(), o!())
+    }
+
+    fn contain(&self, message: &str) -> bool {
+        let messages = self.0.lock().expect("no panic while locked");
+        messages.iter().any(|logged| logged == message)
+    }
+}
+
+impl Drain for Messages {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), Never> {
+        let mut messages = self.0.lock().expect("no panic while locked");
+        messages.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+/// A worker whose runs never end.
+#[derive(Clone, Default)]
+struct Worker {
+    running: Rc<RefCell<Vec<RunningRun>>>,
+}
+
+/// One node's access to the worker, with the starts that this node sent.
+#[derive(Clone)]
+struct WorkerPlatform {
+    memory: MemoryStore,
+    worker: Worker,
+    sent_starts: Rc<RefCell<Vec<TaskKey>>>,
+    has_polled: Rc<Cell<bool>>,
+}
+
+impl WorkerPlatform {
+    fn new(worker: &Worker) -> Self {
+        Self {
+            memory: MemoryStore::new(),
+            worker: worker.clone(),
+            sent_starts: Rc::default(),
+            has_polled: Rc::default(),
+        }
+    }
+
+    fn has_sent_start(&self) -> bool {
+        !self.sent_starts.borrow().is_empty()
+    }
+}
+
+impl Platform for WorkerPlatform {
+    type Store = MemoryStore;
+    type Routes = ();
+    type Admission = ();
+
+    fn store(&self) -> MemoryStore {
+        self.memory.clone()
+    }
+
+    fn configuration_key(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
+        let queue = Queue {
+            name: QUEUE.to_owned(),
+            service: SERVICE.to_owned(),
+            priority: 0,
+            attempts_limit_count: 3,
+            stretch: 2.0,
+            objective_ms: 1000,
+            advice: None,
+        };
+        let configuration = Configuration {
+            version: 1,
+            queues: [(QUEUE.to_owned(), queue)].into(),
+            services: vec![ServicePolicy {
+                name: SERVICE.to_owned(),
+            }],
+            ..Configuration::default()
+        };
+        Ok((configuration, ()))
+    }
+
+    fn workers_prefix(&self) -> &'static str {
+        WORKERS_PREFIX
+    }
+
+    fn cordons_prefix(&self) -> &'static str {
+        "cordons/"
+    }
+
+    fn parse_cordon(&self, key: &str, _value: &[u8]) -> Result<Arc<str>, CordonError> {
+        Ok(Arc::from(key))
+    }
+
+    fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, WorkerEntryError> {
+        Ok(WorkerFacts {
+            id: Arc::from("w0"),
+            incarnation: None,
+            address: Arc::from("127.0.0.1:9"),
+            service: Arc::from(SERVICE),
+            machine: None,
+            data_centre: Arc::from(""),
+            rack: None,
+            labels: Vec::new(),
+            capacity: Resources::new(64_000, 64_000, 0),
+            is_draining: false,
+            departs_at_clock_ms: None,
+        })
+    }
+
+    fn limits(_routes: &()) -> RequestLimits {
+        RequestLimits {
+            head_limit_bytes: 4096,
+            body_limit_bytes: 4096,
+            read_timeout: Duration::from_s(1),
+            idle_timeout: Duration::from_s(60),
+        }
+    }
+
+    fn admit(&self, _routes: &(), _head: RequestHead<'_>) -> Result<(), Reply> {
+        Err(Reply::NoMethod)
+    }
+
+    fn parse_call(&self, _admission: (), _body: &[u8]) -> Result<Call, Reply> {
+        Err(Reply::NoMethod)
+    }
+
+    fn encode(&self, _reply: &Reply) -> http::Response<Full<Bytes>> {
+        http::Response::new(Full::default())
+    }
+
+    fn is_readiness_probe(&self, _method: &http::Method, _path: &str) -> bool {
+        false
+    }
+
+    async fn hold(&self, _to: &Endpoint, _fence: u64, poll: WorkerPoll) -> HoldReply {
+        self.has_polled.set(true);
+        let wait = poll.wait.as_ms().min(20);
+        tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
+        HoldReply::Listed {
+            incarnation: None,
+            clock_ms: clock::now().as_ms(),
+            running: self.worker.running.borrow().clone(),
+            ended: Vec::new(),
+        }
+    }
+
+    async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
+        self.sent_starts.borrow_mut().push(order.task);
+        self.worker.running.borrow_mut().push(RunningRun {
+            task: order.task,
+            run: order.run,
+            checkpoint: None,
+            progress_percent: 0,
+            usage_figure: 0,
+        });
+        StartReply::Started
+    }
+
+    async fn stop(&self, _to: &Endpoint, _fence: u64, _task: TaskKey, _run: u32) -> StopReply {
+        StopReply::Stopping
+    }
+
+    async fn advise(&self, _step: StepKey, _workers: &[Arc<str>], _limit: Duration) -> AdviceReply {
+        AdviceReply::Unanswered
+    }
+}
+
+/// A link to a relay. It holds the first batch with [`PAYLOAD`] until its sender has closed the
+/// connection, and then delivers it.
+struct HoldingLink {
+    address: SocketAddr,
+    has_held: Arc<AtomicBool>,
+}
+
+impl HoldingLink {
+    fn open(relay: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let has_held = Arc::new(AtomicBool::new(false));
+        let link = Self {
+            address,
+            has_held: has_held.clone(),
+        };
+        thread::spawn(move || {
+            for from_leader in listener.incoming() {
+                let from_leader = from_leader.expect("a connection");
+                let to_relay = TcpStream::connect(relay).expect("a relay that listens");
+                let from_relay = to_relay.try_clone().expect("a socket");
+                let to_leader = from_leader.try_clone().expect("a socket");
+                let has_held = has_held.clone();
+                thread::spawn(move || forward_orders(from_leader, to_relay, &has_held));
+                thread::spawn(move || forward_replies(from_relay, to_leader));
+            }
+        });
+        link
+    }
+
+    fn has_held(&self) -> bool {
+        self.has_held.load(Ordering::SeqCst)
+    }
+}
+
+fn forward_orders(mut leader: TcpStream, mut relay: TcpStream, has_held: &AtomicBool) {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let Ok(count @ 1..) = leader.read(&mut buffer) else {
+            return;
+        };
+        let received = &buffer[..count];
+        let has_payload = received
+            .windows(PAYLOAD.len())
+            .any(|window| window == PAYLOAD.as_bytes());
+        if has_payload && !has_held.swap(true, Ordering::SeqCst) {
+            // The sender closes the connection once it has waited for long enough.
+            let mut later = Vec::new();
+            let _ = leader.read_to_end(&mut later);
+        }
+        if relay.write_all(received).is_err() {
+            return;
+        }
+    }
+}
+
+/// Forwards replies, or discards them if the leader no longer reads.
+fn forward_replies(mut relay: TcpStream, mut leader: TcpStream) {
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(count @ 1..) = relay.read(&mut buffer) {
+        let _ = leader.write_all(&buffer[..count]);
+    }
+}
+
+async fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(CONDITION_CHECK_PERIOD).await;
+        }
+    };
+    let waited = timeout(CONDITION_TIMEOUT, wait).await;
+    assert!(waited.is_ok(), "not seen in time: {what}");
+}
+
+/// Runs a node until the test ends.
+fn spawn_node(platform: &WorkerPlatform, settings: NodeSettings, messages: &Messages) {
+    let buffer = ospreywing_control::log::LogBuffer::new();
+    let node = ospreywing_control::run(platform.clone(), settings, messages.logger(), buffer);
+    tokio::task::spawn_local(async move {
+        let _ = node.await;
+    });
+}
+
+/// Starts the node that is the relay and returns its address for calls of other nodes.
+async fn spawn_relay(platform: &WorkerPlatform, messages: &Messages) -> SocketAddr {
+    spawn_node(platform, settings(), messages);
+    let record = || platform.memory.value(&keys::node(&settings().name));
+    wait_for("the relay is registered", || record().is_some()).await;
+    let record = NodeRecord::from_bytes(&record().expect("a record")).expect("a record");
+    record.address.parse().expect("an address")
+}
+
+/// Writes a configuration, the worker and the relay to the leader's store.
+async fn write_initial_items(store: &MemoryStore, relay: SocketAddr) {
+    let record = NodeRecord {
+        address: relay.to_string(),
+        cores_milli: 1000,
+        data_centre: String::new(),
+    };
+    let record = postcard::to_allocvec(&record).expect("a record");
+    let initial_items = Transaction::new()
+        .with_put("configuration".to_owned(), vec![1])
+        .with_put(format!("{WORKERS_PREFIX}w0"), vec![1])
+        .with_put(keys::node("relay"), record);
+    store.commit(&initial_items).await.expect("no condition");
+}
+
+/// Writes a job with one task to the leader's store.
+async fn submit(store: &MemoryStore, number: u64) {
+    let step = StepSpec {
+        tasks_count: 1,
+        demand: Resources::new(1000, 1000, 0),
+        estimate_ms: 1000,
+        ..StepSpec::default()
+    };
+    let job = JobRecord {
+        queue: QUEUE.to_owned(),
+        service: SERVICE.to_owned(),
+        accepted_ms: 0,
+        spec: JobSpec {
+            payload: PAYLOAD.to_owned(),
+            steps: vec![step],
+            schedule: None,
+        },
+        customer: None,
+    };
+    let write = Transaction::new().with_put(keys::job(JobId::new(number)), job.to_bytes());
+    store.commit(&write).await.expect("no condition");
+}
+
+/// The worker may be another incarnation by the time a held start arrives, and would run an
+/// ended task again. A relay that wakes must not send what its sender has given up.
+#[test]
+fn relay_start_held_beyond_senders_timeout() {
+    run_local(async {
+        let worker = Worker::default();
+        let (leader, relay) = (WorkerPlatform::new(&worker), WorkerPlatform::new(&worker));
+        let (leader_messages, relay_messages) = (Messages::default(), Messages::default());
+        let relay_address = spawn_relay(&relay, &relay_messages).await;
+        let link = HoldingLink::open(relay_address);
+        write_initial_items(&leader.memory, link.address).await;
+        let leader_settings = NodeSettings {
+            relays_min_workers_count: 1,
+            ..settings()
+        };
+        spawn_node(&leader, leader_settings, &leader_messages);
+        wait_for("the worker is polled through the relay", || {
+            relay.has_polled.get()
+        })
+        .await;
+        submit(&leader.memory, 1).await;
+        wait_for("the start is held", || link.has_held()).await;
+        wait_for("the leader has given the relay up", || {
+            leader_messages.contain("relay lost")
+        })
+        .await;
+        wait_for("the relay has handled the held batch", || {
+            relay.has_sent_start() || relay_messages.contain(GIVEN_UP)
+        })
+        .await;
+        let sent = relay.sent_starts.borrow();
+        assert!(sent.is_empty(), "the relay sent held starts: {sent:?}");
+    });
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod freshness;
 mod handover;
+mod held_starts;
 mod lateness;
 mod logging;
 mod metrics;
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -1,9 +1,10 @@
 //! An in-memory store that loses, refuses or delays calls as a test requests.
 
 use ospreywing_control::{
-    CommitError, Committed, Item, LeaseGrant, LeaseId, Page, Revision, Store, StoreError,
-    Transaction, Watched, WatchedChange,
+    CommitError, Committed, Item, LeaseGrant, LeaseId, NodeSettings, Page, Revision, Store,
+    StoreError, Transaction, Watched, WatchedChange,
 };
+use ospreywing_scheduler::Features;
 use ospreywing_types::Duration;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -312,3 +313,29 @@
         .expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
+
+/// Returns the settings of a node that listens on free ports and uses no relays.
+pub fn settings() -> NodeSettings {
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    NodeSettings {
+        name: "n0".to_owned(),
+        front_address: any_port,
+        ready_address: any_port,
+        peer_address: any_port,
+        metrics_address: None,
+        data_centre: String::new(),
+        cores_milli: 1000,
+        relays_min_workers_count: 600,
+        sharing_min_nodes_count: 100,
+        lease_limit: Duration::from_s(6),
+        grace: Duration::from_s(6),
+        retention: Duration::from_s(120),
+        apply_limit: Duration::from_s(2),
+        stretch_limit: Duration::from_s(5),
+        cordon_limit: Duration::from_s(5),
+        drain_limit: Duration::from_s(2),
+        stop_grace: Duration::from_ms(200),
+        revoke_limit: None,
+        features: Features::default(),
+    }
+}
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -4,19 +4,18 @@
 //! send orders until its next renewal fails. The test suspends the box at each of
 //! several calls that the node makes.
 
-use crate::support::{run_local, MemoryStore};
+use crate::support::{run_local, settings, MemoryStore};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_control::cell_view::LeaderRecord;
 use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
 use ospreywing_control::{
-    clock, keys, Call, CallError, CordonError, NodeSettings, Platform, Reply, RequestHead,
-    RequestLimits, Store, StoreError, Transaction, WorkerEntryError, WorkerPoll,
+    clock, keys, Call, CallError, CordonError, Platform, Reply, RequestHead, RequestLimits, Store,
+    StoreError, Transaction, WorkerEntryError, WorkerPoll,
 };
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, Features, HoldReply, JobId, JobRecord, JobSpec, Queue,
-    RunningRun, ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey,
-    WorkerFacts,
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
+    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -248,31 +247,6 @@
     }
 }
 
-fn settings() -> NodeSettings {
-    let any_port = "127.0.0.1:0".parse().expect("an address");
-    NodeSettings {
-        name: "n0".to_owned(),
-        front_address: any_port,
-        ready_address: any_port,
-        peer_address: any_port,
-        metrics_address: None,
-        data_centre: String::new(),
-        cores_milli: 1000,
-        relays_min_workers_count: 600,
-        sharing_min_nodes_count: 100,
-        lease_limit: Duration::from_s(6),
-        grace: Duration::from_s(6),
-        retention: Duration::from_s(120),
-        apply_limit: Duration::from_s(2),
-        stretch_limit: Duration::from_s(5),
-        cordon_limit: Duration::from_s(5),
-        drain_limit: Duration::from_s(2),
-        stop_grace: Duration::from_ms(200),
-        revoke_limit: None,
-        features: Features::default(),
-    }
-}
-
 /// Writes the initial content of the store: a configuration, a worker and jobs.
 async fn write_initial_items(store: &MemoryStore) {
     let mut initial_items = Transaction::new()
