Control: a relay gives up starts that it held too long

Callers saw a task that ended well run again: the start was carried out long after its sender had given it up, possibly by the worker's next incarnation.

Cause: a relay checked only the session of a batch. A relay that stood still reads the batch from its socket when it wakes, and the session is still the newest that it knows, so it sent every start, however old.

Change: a batch carries the time at which it was sent, on the relay's clock (`SentAt`). The leader reads that clock (`PeerRequest::Clock`) before the first batch of a session and each 10 s, and adds the boot-time since (`RelayClock`). A reading is counted from the arrival of its answer, so the estimate lags and never runs ahead of the relay's clock, except by drift; of the last minute's readings the best one is used. Right before it sends a start, the relay compares: from 400 ms on, the leader's timeout for a batch, the start is answered as certainly not sent (refused, late), as the leader reports its own unsent starts. A time over 100 ms ahead of the relay's clock was read from another machine's clock and counts as expired. Stops and polls are sent as before: a stop refuses a run wherever it arrives, and acknowledgements are bound to a connection.

Versions: the time is the last field of its message, which an earlier relay ignores; it goes on sending whatever it reads. An earlier relay can't parse the request for its clock and answers 400; the leader then sends batches without a time and asks again after 10 s. A batch of an earlier leader has no time; its age counts from when the relay has read it. So the time that a batch lies in the socket is covered once both nodes have this version.

Cost: one round trip before the first batch of a session, and one each 10 s (each 0.5 s while answers take over 50 ms). A relay that does not answer it is lost before any order was sent to it.

Weighed: - The age since the relay decoded the batch, alone: misses the batch in the socket, which is the fault; kept for earlier leaders. - The relay notices a gap in its own ticks and drops what it reads next: the loop may read the batch before it ticks, and a batch that arrives whole after the wake would be dropped too. - The closed connection: the batch is read before the end of the connection, and over a cut link the end may not arrive at all. - A reading in each answer to a batch: the first batch of a session would have none, and the answer's form would change.

Not run here: real processes.

--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::caller::Caller;
 use crate::cell_view::LeaderRecord;
-use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
+use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply, SentAt};
 use crate::store::{LeaseId, Revision};
 use core::fmt;
 use http::Method;
@@ -13,7 +13,7 @@
 use hyper::body::Bytes;
 use ospreywing_http::{Call, HttpClient, HttpError};
 use ospreywing_scheduler::{Forecast, JobId, JobRecord, JobView, Learned, StepKey};
-use ospreywing_types::Duration;
+use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use thiserror::Error;
@@ -77,6 +77,8 @@
         session: RelaySession,
         /// The orders.
         orders: Vec<RelayedOrder>,
+        /// When they were sent; the last field.
+        sent_at: SentAt,
     },
     /// Collects the replies to relayed orders.
     RelayReplies {
@@ -94,6 +96,8 @@
     IsLeaderSilent(LeaseId),
     /// Passes on the leader's learned statistics, in case the receiver leads next.
     Learned(Learned),
+    /// Queries the receiver's clock; for a relay.
+    Clock,
 }
 
 /// The reply to a [`PeerRequest`].
@@ -129,6 +133,8 @@
     LeaderSilent(bool),
     /// The notification was accepted by a leader whose services are overloaded; its forecast.
     TakenInOverload(Forecast),
+    /// The node's clock.
+    Clock(Instant),
 }
 
 /// A node's reply to a configuration fetch.
--- a/crates/control/src/relay/link.rs
+++ b/crates/control/src/relay/link.rs
@@ -2,10 +2,11 @@
 
 use crate::leader::Term;
 use crate::node::Node;
-use crate::peer::{self, PeerReply, PeerRequest};
+use crate::peer::{self, PeerError, PeerReply, PeerRequest};
 use crate::platform::Platform;
-use crate::relay::message::{Order, RelaySession, RelayedOrder};
+use crate::relay::message::{Order, RelaySession, RelayedOrder, SentAt};
 use crate::relay::order::{is_unanswered, OpenOrder};
+use crate::relay::relay_clock::RelayClock;
 use crate::relay::server::COLLECT_TIMEOUT;
 use ospreywing_scheduler::Endpoint;
 use ospreywing_types::{Duration, Instant};
@@ -19,7 +20,7 @@
 
 /// The timeout for a relay to acknowledge a batch, and to answer a collect call beyond
 /// its wait. An answer usually takes some milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_ms(400);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_ms(400);
 /// The minimum time between two batches to one relay. Starts are sent in groups, one
 /// for each commit.
 const BATCH_INTERVAL: Duration = Duration::from_ms(8);
@@ -48,6 +49,7 @@
     open: RefCell<BTreeMap<u64, OpenEntry>>,
     queued: Notify,
     opened: Notify,
+    relay_clock: Cell<RelayClock>,
     is_lost: Cell<bool>,
     /// Whether no further orders are sent to the relay.
     is_retired: Cell<bool>,
@@ -64,6 +66,7 @@
             open: RefCell::default(),
             queued: Notify::new(),
             opened: Notify::new(),
+            relay_clock: Cell::default(),
             is_lost: Cell::new(false),
             is_retired: Cell::new(false),
         })
@@ -162,12 +165,15 @@
 /// Sends queued orders until the link is closed.
 async fn send_orders<P: Platform>(node: Rc<Node<P>>, term: Rc<Term<P>>, link: Rc<RelayLink>) {
     while !link.is_over(&term) {
-        let orders = link.take_batch();
-        if orders.is_empty() {
+        if link.queue.borrow().is_empty() {
             // Whether notified or timed out, the queue is checked again.
             let _ = timeout(IDLE_TIMEOUT.into(), link.queued.notified()).await;
             continue;
         }
+        if let Err(error) = read_clock_if_due(&node, &link).await {
+            return link.mark_lost(&node, &term, &error.to_string());
+        }
+        let orders = link.take_batch();
         let numbers: Vec<u64> = orders.iter().map(|order| order.number).collect();
         if !term.may_send_orders() {
             link.report_not_sent(&term, &numbers);
@@ -175,7 +181,12 @@
         }
         node.metrics.count_relayed_orders(orders.len());
         let session = link.session;
-        let request = PeerRequest::RelayOrders { session, orders };
+        let sent_at = SentAt(link.relay_clock.get().estimate(crate::clock::now()));
+        let request = PeerRequest::RelayOrders {
+            session,
+            orders,
+            sent_at,
+        };
         match peer::call(&node.peers, &link.address, &request, ANSWER_TIMEOUT).await {
             Ok(PeerReply::Taken) => {}
             Ok(_) => return link.mark_lost(&node, &term, "it refuses orders"),
@@ -190,6 +201,30 @@
     }
 }
 
+/// Reads the relay's clock unless a recent reading is known.
+///
+/// # Errors
+///
+/// Returns a [`PeerError`] if the relay does not answer.
+async fn read_clock_if_due<P: Platform>(node: &Node<P>, link: &RelayLink) -> Result<(), PeerError> {
+    let mut relay_clock = link.relay_clock.get();
+    let sent_at = crate::clock::now();
+    if !relay_clock.is_reading_due(sent_at) {
+        return Ok(());
+    }
+    let request = PeerRequest::Clock;
+    let reply = peer::call(&node.peers, &link.address, &request, ANSWER_TIMEOUT).await;
+    let now = crate::clock::now();
+    match reply {
+        Ok(PeerReply::Clock(relay_time)) => relay_clock.record(sent_at, now, relay_time),
+        // A node of an earlier version can't parse the request.
+        Ok(_) | Err(PeerError::Malformed) => relay_clock.record_none(now),
+        Err(error) => return Err(error),
+    }
+    link.relay_clock.set(relay_clock);
+    Ok(())
+}
+
 /// Collects replies until the link is closed.
 async fn collect_replies<P: Platform>(node: Rc<Node<P>>, term: Rc<Term<P>>, link: Rc<RelayLink>) {
     let request = PeerRequest::RelayReplies {
--- a/crates/control/src/relay/message.rs
+++ b/crates/control/src/relay/message.rs
@@ -2,7 +2,8 @@
 
 use crate::platform::{Platform, WorkerPoll};
 use ospreywing_scheduler::{Endpoint, HoldReply, StartOrder, StartReply, StopReply, TaskKey};
-use serde::{Deserialize, Serialize};
+use ospreywing_types::Instant;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Identifies a session: the use of one relay by one leader until a call between them fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -56,6 +57,29 @@
     pub order: Order,
 }
 
+/// When a batch was sent, on its relay's clock; `None` if that is not known.
+///
+/// It is the last field of its message, and `None` is encoded as nothing, so nodes of earlier
+/// versions ignore it and their messages lack it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentAt(pub Option<Instant>);
+
+impl Serialize for SentAt {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self.0 {
+            Some(sent_at) => sent_at.serialize(serializer),
+            None => serializer.serialize_unit(),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for SentAt {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        // The only error is that the message ends before the field.
+        Ok(Self(Instant::deserialize(deserializer).ok()))
+    }
+}
+
 /// The reply to an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderReply {
--- a/crates/control/src/relay/mod.rs
+++ b/crates/control/src/relay/mod.rs
@@ -10,12 +10,18 @@
 //! executed late, or executed while its reply is lost. If a relay does not answer, all
 //! its open orders count as unanswered, and further orders to its workers are sent
 //! directly.
+//!
+//! A start that a relay has held for longer than the leader waits for its answer is given up:
+//! the worker may be another incarnation by then. Its age includes the time that the batch lay
+//! unread in the socket of a relay that stood still.
 
 pub mod assignment;
+pub mod batch;
 pub(crate) mod link;
 pub(crate) mod links;
 pub mod message;
 mod order;
+pub mod relay_clock;
 pub(crate) mod server;
 
 pub(crate) use links::RelayLinks;
--- a/crates/control/src/relay/server.rs
+++ b/crates/control/src/relay/server.rs
@@ -1,10 +1,13 @@
 //! The relay's side: sends the orders of one leader to workers, and keeps the replies
 //! until the leader collects them.
 
+use crate::clock;
 use crate::node::Node;
 use crate::peer::PeerReply;
 use crate::platform::Platform;
-use crate::relay::message::{RelaySession, RelayedOrder, RelayedReply};
+use crate::relay::batch::Batch;
+use crate::relay::message::{Order, OrderReply, RelaySession, RelayedOrder, RelayedReply, SentAt};
+use ospreywing_scheduler::{Endpoint, RefusedStart, StartReply};
 use ospreywing_types::Duration;
 use slog::info;
 use std::cell::RefCell;
@@ -54,23 +57,25 @@
     }
 }
 
-/// Accepts orders and sends each to its worker in a spawned task.
+/// Accepts orders and sends each to its worker in a spawned task. Starts that were held for too
+/// long are answered as certainly not sent.
 pub(crate) fn accept_orders<P: Platform>(
     node: &Rc<Node<P>>,
     id: RelaySession,
     orders: Vec<RelayedOrder>,
+    sent_at: SentAt,
 ) -> PeerReply {
     let Some(session) = node.relay_server.session(id) else {
         info!(node.log, "relayed orders refused"; "reason" => "a later session",
             "fence" => id.fence, "orders" => orders.len());
         return PeerReply::Refused;
     };
+    let sent_at = sent_at.0.unwrap_or_else(clock::now);
+    let batch = Rc::new(Batch::new(id, sent_at, &orders));
     for RelayedOrder { number, to, order } in orders {
-        let (node, session) = (node.clone(), session.clone());
+        let (node, session, batch) = (node.clone(), session.clone(), batch.clone());
         tokio::task::spawn_local(async move {
-            let reply = order
-                .send_to_worker(&node.platform, &to, session.id.fence)
-                .await;
+            let reply = send_unless_expired(&node, &batch, &to, order, session.id.fence).await;
             let reply = RelayedReply { number, reply };
             session.replies.borrow_mut().push(reply);
             session.replied.notify_one();
@@ -79,6 +84,19 @@
     PeerReply::Taken
 }
 
+async fn send_unless_expired<P: Platform>(
+    node: &Node<P>,
+    batch: &Batch,
+    to: &Endpoint,
+    order: Order,
+    fence: u64,
+) -> OrderReply {
+    if matches!(order, Order::Start(_)) && !batch.may_send_start(node, clock::now()) {
+        return OrderReply::Start(StartReply::Refused(RefusedStart::Late));
+    }
+    order.send_to_worker(&node.platform, to, fence).await
+}
+
 /// Returns the replies that have arrived, after a short wait for some.
 pub(crate) async fn collect_replies<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -469,14 +469,17 @@
             let limit = Duration::from_ms(limit_ms);
             PeerReply::Advice(advice_answer(node.platform.advise(step, &ids, limit).await))
         }
-        PeerRequest::RelayOrders { session, orders } => {
-            server::accept_orders(node, session, orders)
-        }
+        PeerRequest::RelayOrders {
+            session,
+            orders,
+            sent_at,
+        } => server::accept_orders(node, session, orders, sent_at),
         PeerRequest::RelayReplies { session } => server::collect_replies(node, session).await,
         PeerRequest::Learned(learned) => {
             *node.learned.borrow_mut() = LearnedSnapshot::new(clock::now(), learned);
             PeerReply::Taken
         }
+        PeerRequest::Clock => PeerReply::Clock(clock::now()),
     }
 }
 
--- a/crates/control/tests/control/held_starts.rs
+++ b/crates/control/tests/control/held_starts.rs
@@ -8,17 +8,26 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_control::cell_view::NodeRecord;
+use ospreywing_control::peer::{self, PeerReply, PeerRequest};
+use ospreywing_control::relay::batch::START_HOLD_LIMIT;
+use ospreywing_control::relay::message::{
+    Order, OrderReply, RelaySession, RelayedOrder, RelayedReply, SentAt,
+};
 use ospreywing_control::{
     clock, keys, Call, CallError, CordonError, NodeSettings, Platform, Reply, RequestHead,
     RequestLimits, Store, Transaction, WorkerEntryError, WorkerPoll,
 };
+use ospreywing_http::HttpClient;
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
-    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue,
+    RefusedStart, RunningRun, ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply,
+    TaskKey, WorkerFacts, WorkerKey,
 };
-use ospreywing_types::{Duration, Resources};
+use ospreywing_types::{Duration, Instant, Resources};
+use rstest::rstest;
 use slog::{o, Drain, Logger, Never, OwnedKVList, Record};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -76,6 +85,8 @@
     worker: Worker,
     sent_starts: Rc<RefCell<Vec<TaskKey>>>,
     has_polled: Rc<Cell<bool>>,
+    /// For how long the next poll suspends the machine.
+    suspend_at_poll: Rc<Cell<Duration>>,
 }
 
 impl WorkerPlatform {
@@ -85,6 +96,7 @@
             worker: worker.clone(),
             sent_starts: Rc::default(),
             has_polled: Rc::default(),
+            suspend_at_poll: Rc::default(),
         }
     }
 
@@ -182,6 +194,7 @@
 
     async fn hold(&self, _to: &Endpoint, _fence: u64, poll: WorkerPoll) -> HoldReply {
         self.has_polled.set(true);
+        clock::simulation::suspend(self.suspend_at_poll.take());
         let wait = poll.wait.as_ms().min(20);
         tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
         HoldReply::Listed {
@@ -377,3 +390,243 @@
         assert!(sent.is_empty(), "the relay sent held starts: {sent:?}");
     });
 }
+
+const SESSION: RelaySession = RelaySession {
+    fence: 7,
+    number: 1,
+};
+const START_NUMBER: u64 = 1;
+
+/// A client that calls a relay as a leader does.
+struct LeaderCalls {
+    client: HttpClient,
+    relay: String,
+}
+
+impl LeaderCalls {
+    async fn call(&self, request: PeerRequest) -> PeerReply {
+        let reply = peer::call(&self.client, &self.relay, &request, Duration::from_s(5)).await;
+        reply.expect("a reply")
+    }
+
+    async fn relay_time(&self) -> Instant {
+        match self.call(PeerRequest::Clock).await {
+            PeerReply::Clock(relay_time) => relay_time,
+            other => panic!("not a clock: {other:?}"),
+        }
+    }
+
+    /// Sends a poll and a start, and returns the reply to the start.
+    async fn relay_poll_and_start(&self, sent_at: Option<Instant>) -> OrderReply {
+        let relayed = |number, order| RelayedOrder {
+            number,
+            to: Endpoint {
+                worker: WorkerKey::from_u32(0),
+                id: Arc::from("w0"),
+                incarnation: None,
+                address: Arc::from("127.0.0.1:9"),
+            },
+            order,
+        };
+        let poll = Order::Hold(WorkerPoll {
+            until_ms: None,
+            last_seen: 0,
+            wait: Duration::ZERO,
+            patience: Duration::from_s(1),
+        });
+        let step = StepKey {
+            job: JobId::new(1),
+            round: 0,
+            step: 0,
+        };
+        let start = Order::Start(StartOrder {
+            task: TaskKey { step, index: 0 },
+            run: 1,
+            payload: Arc::from(PAYLOAD),
+            until_ms: 0,
+            checkpoint: None,
+            ticket: None,
+        });
+        let orders = PeerRequest::RelayOrders {
+            session: SESSION,
+            orders: vec![relayed(0, poll), relayed(START_NUMBER, start)],
+            sent_at: SentAt(sent_at),
+        };
+        assert_eq!(self.call(orders).await, PeerReply::Taken);
+        loop {
+            let collect = PeerRequest::RelayReplies { session: SESSION };
+            let PeerReply::Relayed(replies) = self.call(collect).await else {
+                panic!("the relay refuses to tell replies");
+            };
+            let mut replies = replies.into_iter();
+            if let Some(found) = replies.find(|relayed| relayed.number == START_NUMBER) {
+                return found.reply;
+            }
+        }
+    }
+}
+
+async fn open_relay() -> (WorkerPlatform, LeaderCalls) {
+    let platform = WorkerPlatform::new(&Worker::default());
+    let relay = spawn_relay(&platform, &Messages::default()).await;
+    let calls = LeaderCalls {
+        client: HttpClient::new(1),
+        relay: relay.to_string(),
+    };
+    (platform, calls)
+}
+
+const NOT_SENT: StartReply = StartReply::Refused(RefusedStart::Late);
+const LONG: Duration = Duration::from_s(30);
+
+/// Runs a test on a thread of its own, on which only the test advances the clock.
+fn run_with_stopped_clock<F: Future<Output = ()>>(test: impl FnOnce() -> F + Send + 'static) {
+    let run = thread::spawn(move || {
+        clock::simulation::stop();
+        run_local(test());
+    });
+    run.join().expect("the test passes");
+}
+
+/// A start that was given up is answered as certainly not sent, so that the task may start
+/// elsewhere at once. One that came in time is sent.
+#[rstest]
+#[case::in_time(Duration::ZERO, StartReply::Started)]
+#[case::held_for_limit(START_HOLD_LIMIT, NOT_SENT)]
+#[case::held_for_long(LONG, NOT_SENT)]
+fn relay_start_by_age(#[case] age: Duration, #[case] expected: StartReply) {
+    run_with_stopped_clock(move || async move {
+        let (platform, calls) = open_relay().await;
+        let sent_at = calls.relay_time().await;
+        clock::simulation::suspend(age);
+        let reply = calls.relay_poll_and_start(Some(sent_at)).await;
+        assert_eq!(reply, OrderReply::Start(expected));
+        assert_eq!(platform.has_sent_start(), expected == StartReply::Started);
+    });
+}
+
+/// The relay may stand still after it has read a batch, also one of a leader that does not tell
+/// when it sent it.
+#[rstest]
+#[case::leader_tells_time(true, LONG, NOT_SENT)]
+#[case::earlier_leader(false, LONG, NOT_SENT)]
+#[case::earlier_leader_in_time(false, Duration::ZERO, StartReply::Started)]
+fn relay_start_suspended_after_read(
+    #[case] is_time_told: bool,
+    #[case] length: Duration,
+    #[case] expected: StartReply,
+) {
+    run_with_stopped_clock(move || async move {
+        let (platform, calls) = open_relay().await;
+        let sent_at = calls.relay_time().await;
+        platform.suspend_at_poll.set(length);
+        let reply = calls
+            .relay_poll_and_start(is_time_told.then_some(sent_at))
+            .await;
+        assert_eq!(reply, OrderReply::Start(expected));
+        assert_eq!(platform.has_sent_start(), expected == StartReply::Started);
+    });
+}
+
+/// Reads one HTTP request and returns its body; `None` at the end of the connection.
+fn read_request(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("text").to_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+    let length_bytes = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length_bytes];
+    stream.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+/// A relay of an earlier version, whose worker answers polls.
+#[derive(Default)]
+struct EarlierRelay {
+    has_start: AtomicBool,
+    replies: Mutex<Vec<RelayedReply>>,
+}
+
+impl EarlierRelay {
+    /// Returns the reply to a request; `None` if this version can't parse it.
+    fn reply(&self, request: Option<PeerRequest>) -> Option<PeerReply> {
+        let mut replies = self.replies.lock().expect("no panic while locked");
+        match request? {
+            PeerRequest::RelayOrders { orders, .. } => {
+                for relayed in orders {
+                    match relayed.order {
+                        Order::Start(_) => self.has_start.store(true, Ordering::SeqCst),
+                        Order::Hold(_) => replies.push(RelayedReply {
+                            number: relayed.number,
+                            reply: OrderReply::Hold(HoldReply::Listed {
+                                incarnation: None,
+                                clock_ms: clock::now().as_ms(),
+                                running: Vec::new(),
+                                ended: Vec::new(),
+                            }),
+                        }),
+                        Order::Stop { .. } => {}
+                    }
+                }
+                Some(PeerReply::Taken)
+            }
+            PeerRequest::RelayReplies { .. } => {
+                Some(PeerReply::Relayed(core::mem::take(&mut *replies)))
+            }
+            _ => None,
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        while let Some(body) = read_request(&mut stream) {
+            thread::sleep(CONDITION_CHECK_PERIOD);
+            let (status, body) = match self.reply(peer::decode(&body)) {
+                Some(reply) => ("200 OK", postcard::to_allocvec(&reply).expect("a reply")),
+                None => ("400 Bad Request", Vec::new()),
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let answer = [head.into_bytes(), body].concat();
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// During an upgrade, a leader must go on using relays that can't tell their clocks.
+#[test]
+fn relay_start_through_earlier_version() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let relay_address = listener.local_addr().expect("an address");
+        let relay = Arc::new(EarlierRelay::default());
+        let server = relay.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let server = server.clone();
+                let stream = stream.expect("a connection");
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        let leader = WorkerPlatform::new(&Worker::default());
+        write_initial_items(&leader.memory, relay_address).await;
+        submit(&leader.memory, 1).await;
+        let leader_settings = NodeSettings {
+            relays_min_workers_count: 1,
+            ..settings()
+        };
+        let messages = Messages::default();
+        spawn_node(&leader, leader_settings, &messages);
+        let has_start = || relay.has_start.load(Ordering::SeqCst);
+        wait_for("a start goes through the relay", has_start).await;
+        assert!(!messages.contain("relay lost"));
+    });
+}
--- a/crates/control/tests/control/relays.rs
+++ b/crates/control/tests/control/relays.rs
@@ -1,7 +1,13 @@
 //! The choice of relays and their assignment to workers.
 
 use ospreywing_control::cell_view::NodeRecord;
+use ospreywing_control::peer::{self, PeerRequest};
 use ospreywing_control::relay::assignment::{Assignment, RelayCandidate};
+use ospreywing_control::relay::batch::{is_start_expired, START_HOLD_LIMIT};
+use ospreywing_control::relay::message::{Order, RelaySession, RelayedOrder, SentAt};
+use ospreywing_control::relay::relay_clock::RelayClock;
+use ospreywing_scheduler::{Endpoint, JobId, StepKey, TaskKey, WorkerKey};
+use ospreywing_types::Instant;
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -93,3 +99,113 @@
     assert_eq!(NodeRecord::from_bytes(&earlier), Ok(expected));
     assert!(NodeRecord::from_bytes(&earlier[..3]).is_err());
 }
+
+/// The position of `RelayOrders` among the requests, by which nodes of all versions know it.
+const RELAY_ORDERS_TAG: u32 = 9;
+
+fn relay_orders(sent_at: Option<Instant>) -> (RelaySession, Vec<RelayedOrder>, PeerRequest) {
+    let session = RelaySession {
+        fence: 300,
+        number: 2,
+    };
+    let step = StepKey {
+        job: JobId::new(1),
+        round: 0,
+        step: 0,
+    };
+    let orders = vec![RelayedOrder {
+        number: 5,
+        to: Endpoint {
+            worker: WorkerKey::from_u32(3),
+            id: Arc::from("w3"),
+            incarnation: None,
+            address: Arc::from("127.0.0.1:9"),
+        },
+        order: Order::Stop {
+            task: TaskKey { step, index: 0 },
+            run: 1,
+        },
+    }];
+    let request = PeerRequest::RelayOrders {
+        session,
+        orders: orders.clone(),
+        sent_at: SentAt(sent_at),
+    };
+    (session, orders, request)
+}
+
+/// During an upgrade, nodes of two versions relay for one another.
+#[rstest]
+#[case::time_told(Some(Instant::from_ms(123_456_789)))]
+#[case::time_unknown(None)]
+fn relay_orders_between_versions(#[case] sent_at: Option<Instant>) {
+    let (session, orders, request) = relay_orders(sent_at);
+    let bytes = postcard::to_allocvec(&request).expect("the request can be encoded");
+    assert_eq!(peer::decode(&bytes).as_ref(), Some(&request));
+    let read: (u32, RelaySession, Vec<RelayedOrder>) =
+        postcard::from_bytes(&bytes).expect("an earlier version can decode it");
+    assert_eq!(read, (RELAY_ORDERS_TAG, session, orders.clone()));
+    let earlier = postcard::to_allocvec(&(RELAY_ORDERS_TAG, session, orders));
+    let earlier = earlier.expect("the earlier form can be encoded");
+    let (_, _, without_time) = relay_orders(None);
+    assert_eq!(peer::decode(&earlier), Some(without_time));
+}
+
+/// A relay's clock may be read from another machine at its address; such times are no evidence
+/// that a start is recent.
+#[rstest]
+#[case::just_sent(10_000, false)]
+#[case::before_limit(10_000 - START_HOLD_LIMIT.as_ms() + 1, false)]
+#[case::at_limit(10_000 - START_HOLD_LIMIT.as_ms(), true)]
+#[case::drifted_ahead(10_050, false)]
+#[case::far_ahead(20_000, true)]
+fn is_start_expired_by_time_sent(#[case] sent_at_ms: u64, #[case] expected: bool) {
+    let now = Instant::from_ms(10_000);
+    let sent_at = Instant::from_ms(sent_at_ms);
+    assert_eq!(is_start_expired(now, sent_at), expected);
+}
+
+/// Records readings, each as the times when it was requested, received and the relay's time,
+/// and returns the estimate at `now_ms`.
+fn estimate_after(readings_ms: &[(u64, u64, u64)], now_ms: u64) -> Option<u64> {
+    let mut clock = RelayClock::default();
+    for (sent_at, received_at, relay_time) in readings_ms {
+        let at = Instant::from_ms;
+        clock.record(at(*sent_at), at(*received_at), at(*relay_time));
+    }
+    let estimate = clock.estimate(Instant::from_ms(now_ms));
+    estimate.map(Instant::as_ms)
+}
+
+/// An estimate ahead of the relay's clock would let the relay hold starts for longer; one that
+/// lags by a slow answer would make it give starts up that it holds for a moment only.
+#[rstest]
+#[case::none(&[], 100, None)]
+#[case::goes_on(&[(0, 2, 5_000)], 102, Some(5_100))]
+#[case::slow_one_ignored(&[(0, 2, 5_000), (100, 500, 5_101)], 500, Some(5_498))]
+#[case::better_one_used(&[(0, 400, 5_001), (900, 901, 5_901)], 901, Some(5_901))]
+#[case::old_one_dropped(&[(0, 2, 5_000), (70_000, 70_002, 74_990)], 70_002, Some(74_990))]
+fn estimate_by_readings(
+    #[case] readings_ms: &[(u64, u64, u64)],
+    #[case] now_ms: u64,
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(estimate_after(readings_ms, now_ms), expected);
+}
+
+/// A reading that was slow lags, so it must not stand for long; a relay of an earlier version
+/// must not be asked before each batch.
+#[test]
+fn is_reading_due_by_last_answer() {
+    let at = Instant::from_ms;
+    let mut clock = RelayClock::default();
+    assert!(clock.is_reading_due(at(1)));
+    clock.record(at(1), at(3), at(5_000));
+    assert!(!clock.is_reading_due(at(10_002)));
+    assert!(clock.is_reading_due(at(10_003)));
+    clock.record(at(10_003), at(10_203), at(15_100));
+    assert!(clock.is_reading_due(at(10_703)));
+    clock.record_none(at(10_800));
+    assert!(!clock.is_reading_due(at(11_800)));
+    assert_eq!(clock.estimate(at(11_800)), None);
+}
