HTTP tests: a call whose process stands still while it connects

Callers see a task that ended well run again: a start that the leader sends itself, or a relay sends, may be written seconds after its sender believes it over.

Order of events: a call starts to connect; the process stands still, or its machine is suspended; the connection is established; the process goes on and writes the request.

Both cases fail on this code, "the request was sent", for two reasons: - While a machine is suspended, the timers of the runtime don't advance, so the call's timeout does not fire at all. - After a stop the timer fires late, and `wait_until` extends the wait by up to the timeout, which was meant for answers that have arrived.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -213,3 +213,43 @@
     let head = server.join().expect("a server that ends");
     assert!(head.contains(&format!("host: {expected}")), "{head}");
 }
+
+/// A pause of this process: its machine is suspended, or it is stopped itself.
+#[derive(Clone, Copy, Debug)]
+enum Pause {
+    Suspended,
+    Stopped,
+}
+
+impl Pause {
+    fn take(self) {
+        match self {
+            Self::Suspended => {
+                ospreywing_clock::simulation::suspend(ospreywing_types::Duration::from_s(30));
+            }
+            Self::Stopped => thread::sleep(LIMIT * 3),
+        }
+    }
+}
+
+/// A process that stands still while it connects must not send the request when it goes on: its
+/// caller believes that the call is over, and another process may listen at the address.
+#[rstest]
+#[case::suspended(Pause::Suspended)]
+#[case::stopped(Pause::Stopped)]
+fn call_paused_while_connecting(#[case] pause: Pause) {
+    let (listener, address) = listen();
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let answer = runtime.expect("a runtime").block_on(async move {
+        let client = HttpClient::new(1);
+        let call = client.call(Call::new(Method::GET, &address, "/", LIMIT));
+        // The call is polled first and connects; the pause comes before the connection is seen.
+        tokio::join!(call, async { pause.take() }).0
+    });
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received);
+    assert!(received.is_empty(), "the request was sent");
+    let error = answer.expect_err("a call that was given up");
+    assert!(error.is_not_sent(), "{error:?}");
+}
