HTTP: don't send a request that was held for twice its timeout

Callers saw a task that ended well run again: a process that stood still or was suspended while it connected to a worker wrote the start when it went on, after any time, to whichever incarnation then listened there.

Cause: only the runtime's timers limited a call. They stop while the machine is suspended, and after a stop `wait_until` extends the wait, so that answers which have arrived are still read; but the request itself was sent within the extension too.

Change: right before a request is handed to its connection, its age by the boot-time clock is compared with twice the call's timeout, and an older one is answered as not sent. Twice, since a process that is merely late may extend its wait by the timeout, and giving up its calls earlier would count starts as failures of their workers. It holds for all calls: an older request of any kind is one whose caller waited in vain.

What is left: the connection's task writes the request one turn of the runtime later; a pause within that turn, or of bytes in the kernel, is not seen.

Ruled out: a check by the leader in `send_directly`, which can't see the connect; no extension for calls that were not sent, which does not help after a suspend.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -186,7 +186,7 @@
     }
 
     async fn exchange(&self, call: Call, timeouts: &Timeouts) -> Result<Answer, HttpError> {
-        let (connection, response) = timeouts.await_head(self.send(&call)).await??;
+        let (connection, response) = timeouts.await_head(self.send(&call, timeouts)).await??;
         let id = connection.id();
         let (parts, body) = response.into_parts();
         let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
@@ -208,7 +208,11 @@
 
     /// Sends a request on an idle connection, or on a new one if no idle connection is
     /// still open.
-    async fn send(&self, call: &Call) -> Result<(Connection, Response<Incoming>), HttpError> {
+    async fn send(
+        &self,
+        call: &Call,
+        timeouts: &Timeouts,
+    ) -> Result<(Connection, Response<Incoming>), HttpError> {
         let peer = call.body_for_peer.as_ref().map(|(peer, _)| *peer);
         loop {
             let pooled = self.pool.take(&call.addr, peer);
@@ -218,12 +222,18 @@
                 None => Connection::open(&call.addr, self.pool.next_id()).await?,
             };
             let request = build_request(call, connection.peer())?;
-            match connection.send(request).await {
+            match connection
+                .send(request, timeouts.request_expires_at())
+                .await
+            {
                 SendOutcome::Answered(response) => return Ok((connection, response)),
                 SendOutcome::NotSent if is_pooled => {}
                 SendOutcome::NotSent => {
                     return Err(HttpError::NotSent("the connection was closed".to_owned()))
                 }
+                SendOutcome::Expired => {
+                    return Err(HttpError::NotSent("held for too long".to_owned()))
+                }
                 SendOutcome::Broken(error) => return Err(error),
             }
         }
@@ -259,6 +269,16 @@
         }
     }
 
+    /// Returns when a request that was not sent is given up: after twice the timeout, since a
+    /// late process may extend its wait by as much (see [`wait_until`]).
+    ///
+    /// Timers don't limit how long this process holds a request: they stop while the machine is
+    /// suspended, and a wait that is extended after a stop was over before.
+    fn request_expires_at(&self) -> ospreywing_types::Instant {
+        let limit_ms = (self.timeout * 2).as_millis() as u64;
+        self.called_at + ospreywing_types::Duration::from_ms(limit_ms)
+    }
+
     /// Waits for the response head.
     async fn await_head<T>(&self, head: impl Future<Output = T>) -> Result<T, HttpError> {
         let deadline = self.started_at + self.timeout;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -29,6 +29,8 @@
     Answered(Response<Incoming>),
     /// The connection was already closed; the request was not sent.
     NotSent,
+    /// The request was held for too long and was not sent.
+    Expired,
     /// The connection failed; the peer may have received the request.
     Broken(HttpError),
 }
@@ -100,11 +102,18 @@
         !self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the response head.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+    /// Sends a request, unless it is `expires_at` by then, and waits for the response head.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        expires_at: Instant,
+    ) -> SendOutcome {
         if self.sender.ready().await.is_err() {
             return SendOutcome::NotSent;
         }
+        if ospreywing_clock::now() >= expires_at {
+            return SendOutcome::Expired;
+        }
         match self.sender.try_send_request(request).await {
             Ok(response) => SendOutcome::Answered(response),
             Err(mut error) => match error.take_message() {
