--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -231,7 +231,7 @@
     }
 
     async fn exchange(&self, call: &Call, timeouts: &Timeouts) -> Result<Answer, HttpError> {
-        let (connection, response) = timeouts.await_head(self.send(call)).await??;
+        let (connection, response) = timeouts.await_head(self.send(call, timeouts)).await??;
         let answer = read_answer(connection.id(), response, timeouts).await?;
         Ok(self.keep(call, (connection, answer)))
     }
@@ -270,7 +270,11 @@
 
     /// Sends a request on an idle connection, or on a new one if no idle connection is
     /// still open.
-    async fn send(&self, call: &Call) -> Result<(Connection, Response<Incoming>), HttpError> {
+    async fn send(
+        &self,
+        call: &Call,
+        timeouts: &Timeouts,
+    ) -> Result<(Connection, Response<Incoming>), HttpError> {
         let peer = call.body_for_peer.as_ref().map(|(peer, _)| *peer);
         loop {
             let pooled = self.pool.take(&call.addr, peer);
@@ -280,10 +284,14 @@
                 None => Connection::open(&call.addr, self.pool.next_id()).await?,
             };
             let request = build_request(call, connection.peer())?;
-            match connection.send(request).await {
+            match connection
+                .send(request, timeouts.request_expires_at())
+                .await
+            {
                 SendOutcome::Answered(response) => return Ok((connection, response)),
                 SendOutcome::NotSent if is_pooled => {}
                 SendOutcome::NotSent => return Err(closed()),
+                SendOutcome::Expired => return Err(HttpError::Expired),
                 SendOutcome::Broken(error) => return Err(error),
             }
         }
@@ -326,6 +334,16 @@
         }
     }
 
+    /// Returns when a request that was not sent is given up: after twice the timeout, since a
+    /// late process may extend its wait by as much (see [`wait_until`]).
+    ///
+    /// Timers don't limit how long this process holds a request: they stop while the machine is
+    /// suspended, and a wait that is extended after a stop was over before.
+    fn request_expires_at(&self) -> ospreywing_types::Instant {
+        let limit_ms = (self.timeout * 2).as_millis() as u64;
+        self.called_at + ospreywing_types::Duration::from_ms(limit_ms)
+    }
+
     /// Waits for the response head.
     async fn await_head<T>(&self, head: impl Future<Output = T>) -> Result<T, HttpError> {
         let deadline = self.started_at + self.timeout;
@@ -433,9 +451,11 @@
     timeouts: &Timeouts,
 ) -> Result<Option<Answer>, HttpError> {
     let request = build_request(call, connection.peer())?;
-    let response = match timeouts.await_head(connection.send(request)).await? {
+    let sent = connection.send(request, timeouts.request_expires_at());
+    let response = match timeouts.await_head(sent).await? {
         SendOutcome::Answered(response) => response,
         SendOutcome::NotSent => return Ok(None),
+        SendOutcome::Expired => return Err(HttpError::Expired),
         SendOutcome::Broken(error) => return Err(error),
     };
     let answer = read_answer(connection.id(), response, timeouts).await?;
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -11,6 +11,9 @@
     /// The request was not sent, mostly because no connection was established.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The request was not sent, since this process held it for too long.
+    #[error("not sent: held for too long")]
+    Expired,
     /// The request was not sent, since the probe before it has no complete response.
     #[error("not sent after a probe: {0}")]
     ProbeFailed(String),
@@ -41,7 +44,7 @@
     pub const fn is_not_sent(&self) -> bool {
         matches!(
             self,
-            Self::Invalid(_) | Self::NotSent(_) | Self::ProbeFailed(_)
+            Self::Invalid(_) | Self::NotSent(_) | Self::Expired | Self::ProbeFailed(_)
         )
     }
 }
