Poll a worker at once after a start that was not sent

A start is not sent if nothing listens at the worker's address or another incarnation answers there. The scheduler took that as one failure of the worker and went on placing runs on it until the next regular poll, and until then it could not refuse late copies of earlier starts at the next incarnation.

Change: such a reply puts the incarnation in doubt, as an entry of another one does: the worker is polled at once, unless a poll is open, and no run is placed on it until a poll sent after that is answered.

Ruled out: OtherIncarnation as the reply, which marks the incarnation as gone without beginning the next one, so that its open starts would not be refused there.

--- a/crates/scheduler/src/incarnations.rs
+++ b/crates/scheduler/src/incarnations.rs
@@ -61,12 +61,19 @@
             .is_none_or(|known| known.incarnation != facts.incarnation);
         worker.other_entry = Some(facts);
         if is_new {
-            worker.unconfirmed_since = Some(now);
-            worker.next_poll_at = now;
-            self.next_poll_scan_at = now;
+            self.doubt_incarnation(now, key);
         }
     }
 
+    /// Polls a worker at once, and places no run on it until its incarnation has answered a
+    /// poll that was sent after this.
+    pub(crate) fn doubt_incarnation(&mut self, now: Instant, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.unconfirmed_since = Some(now);
+        worker.next_poll_at = now;
+        self.next_poll_scan_at = now;
+    }
+
     /// Ends an incarnation because another one has answered under its id, and returns the
     /// key of the new one.
     ///
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -165,6 +165,11 @@
             self.on_incarnation_over(now, key, out);
             return;
         }
+        let is_not_sent = reply == StartReply::Refused(RefusedStart::NotSent);
+        if is_not_sent {
+            // Nothing listens at the address, or another incarnation does.
+            self.doubt_incarnation(now, key);
+        }
         // The run may have moved to an incarnation that has answered meanwhile.
         let key = self.incarnation_with(key, task);
         let worker = &mut self.workers[key];
@@ -175,8 +180,7 @@
             return;
         }
         run.start_answers_count += u32::from(reply != StartReply::Unanswered);
-        let is_refused = reply == StartReply::Refused(RefusedStart::NotSent);
-        run.was_cut_off |= is_refused && run.start_sends_count > 1;
+        run.was_cut_off |= is_not_sent && run.start_sends_count > 1;
         let reply = interpret_repeat(reply, run.start_sends_count);
         let id = worker.facts.id.clone();
         let line = |kind, reason| {
--- a/crates/scheduler/tests/scheduler/retries.rs
+++ b/crates/scheduler/tests/scheduler/retries.rs
@@ -90,6 +90,27 @@
     assert!(others.iter().all(|other| *other == start), "no other run");
 }
 
+/// A start is not sent if nothing listens at the worker's address or another incarnation does.
+/// Until a poll names that incarnation, late copies of earlier starts can't be refused there, and
+/// each further start on the worker would be lost too.
+#[test]
+fn on_start_answered_not_sent_polled_at_once() {
+    let (mut harness, start) = after_start();
+    harness.answer_poll(start.0, vec![]);
+    harness.actions.clear();
+    answer(
+        &mut harness,
+        start,
+        StartReply::Refused(RefusedStart::NotSent),
+    );
+    harness.handle(Event::Tick);
+    let is_poll =
+        |action: &Action| matches!(action, Action::Hold { to, .. } if to.worker == start.0);
+    assert!(harness.actions.iter().any(is_poll), "polled at once");
+    let status = harness.scheduler.status(harness.now);
+    assert_eq!(status.placeable_workers_count, 1, "only the other worker");
+}
+
 /// One lost answer once left the ends of a worker's runs unknown for two seconds.
 #[test]
 fn on_poll_answered_unanswered_polled_again_at_once() {
