Search tests: arrival and execution of a late start as two events

Cause: a late order was one event: 2 to 12 s after sending, whoever had the id carried it out.

Change: two faults. With `start_in_flight` the start arrives 2 to 12 s late and is carried out on arrival, by whichever incarnation is there. With `start_held_by_worker` it arrives at once, and that process carries it out 2 to 12 s later; it ends with the process, as in the soak test's workers. The trace prints arrivals of both, with the incarnation that was meant and the one that was reached, beside the executions. Limits apply to them as to late orders. `late_order` and its tests are as before.

Ruled out: a change of existing plays.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -40,6 +40,8 @@
     restart: 0,
     cordon: 0,
     held_order: 0,
+    start_in_flight: 0,
+    start_held_by_worker: 0,
 };
 
 /// Most kinds of faults at once.
@@ -62,6 +64,13 @@
     ..NO_FAULTS
 };
 
+/// The same with starts that arrive late.
+const RESTARTS_BESIDE_STARTS_IN_FLIGHT: Faults = Faults {
+    restart: 40,
+    start_in_flight: 80,
+    ..NO_FAULTS
+};
+
 /// Seeds that have exposed failures, in any case: always searched.
 const CRASH_REGRESSION_SEEDS: [u64; 8] = [71, 119, 123, 284, 311, 500_089, 500_370, 13];
 const RESTART_REGRESSION_SEEDS: [u64; 2] = [4_000_023, 4_000_458];
@@ -227,6 +236,62 @@
     run_with_restarts(seed, simulation);
 }
 
+/// A start that got no answer is in flight while its worker starts again under its id, and
+/// arrives there after a repeat of it has ended, or runs elsewhere: the task must not run again.
+#[rstest]
+#[case::alone(RESTARTS_BESIDE_STARTS_IN_FLIGHT)]
+#[case::takeovers(Faults { restart: 40, start_in_flight: 80, takeover: 40, ..NO_FAULTS })]
+#[case::partitions(Faults { restart: 40, start_in_flight: 80, partition: 40, crash: 10, ..NO_FAULTS })]
+#[case::held_orders(Faults { restart: 40, start_in_flight: 40, held_order: 300, ..NO_FAULTS })]
+#[case::everything(Faults {
+    restart: 30,
+    start_in_flight: 40,
+    start_held_by_worker: 40,
+    held_order: 100,
+    late_order: 0,
+    pause: 20,
+    ..ALL_FAULTS
+})]
+fn start_in_flight_reaches_next_incarnation(#[case] faults: Faults) {
+    search_restarts_without_advice(faults);
+}
+
+/// The same, with seeds in which the task ran again.
+#[rstest]
+fn start_in_flight_carried_out_by_next_incarnation(
+    #[values(910_219, 910_257, 910_578, 910_651, 910_791)] seed: u64,
+) {
+    run_restarts_without_advice(seed, RESTARTS_BESIDE_STARTS_IN_FLIGHT);
+}
+
+/// A start that got no answer is held by the process that received it, which carries it out
+/// seconds later or ends first: no other process carries it out, and the task must not run again.
+#[rstest]
+#[case::alone(Faults { restart: 40, start_held_by_worker: 80, ..NO_FAULTS })]
+#[case::takeovers(Faults { restart: 40, start_held_by_worker: 80, takeover: 40, ..NO_FAULTS })]
+#[case::partitions(Faults {
+    restart: 40,
+    start_held_by_worker: 80,
+    partition: 40,
+    crash: 10,
+    ..NO_FAULTS
+})]
+fn start_held_by_worker_ends_with_its_process(#[case] faults: Faults) {
+    search_restarts_without_advice(faults);
+}
+
+fn search_restarts_without_advice(faults: Faults) {
+    for seed in seeds() {
+        run_restarts_without_advice(seed, faults);
+    }
+}
+
+fn run_restarts_without_advice(seed: u64, faults: Faults) {
+    let mut simulation = Simulation::new(seed, 6, faults, None);
+    simulation.report_incarnation_starts(false);
+    run_with_restarts(seed, simulation);
+}
+
 /// Submits jobs of all kinds while faults are injected.
 fn submit_during_faults(simulation: &mut Simulation) {
     for number in 1..=16 {
--- a/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
@@ -1,7 +1,7 @@
 //! Messages in flight, and their handling on arrival.
 
-use super::{Message, Simulation, LEASE_LIMIT_MS, RELAY_HOLD_LIMIT_MS};
-use crate::support::worker::{FakeRun, FakeWorker};
+use super::{Message, Simulation, StartPath, LEASE_LIMIT_MS, RELAY_HOLD_LIMIT_MS};
+use crate::support::worker::{FakeRun, FakeWorker, HeldStart};
 use ospreywing_scheduler::{
     Change, ChangeKind, EndKind, Endpoint, Event, HoldReply, RefusedStart, StartOrder, StartReply,
     StopReply, StoredJob, TaskKey,
@@ -20,23 +20,36 @@
             self.has_advice,
             "a start has a ticket if and only if its queue needs advice"
         );
-        let is_late = self.draw_fault(self.faults.late_order);
-        let after_ms = self.delay(is_late) + self.relay_hold_ms();
-        if is_late {
+        let path = self.draw_start_path();
+        let arrives_late = matches!(path, StartPath::Late | StartPath::InFlight);
+        let after_ms = self.delay(arrives_late) + self.relay_hold_ms();
+        if arrives_late {
             self.post_unanswered_start(term, &to, &order);
         }
-        let is_answered = !is_late;
         self.post(
             after_ms,
             Message::Start {
                 term,
                 to,
                 order,
-                is_answered,
+                path,
             },
         );
     }
 
+    fn draw_start_path(&mut self) -> StartPath {
+        let faults = self.faults;
+        if self.draw_fault(faults.late_order) {
+            StartPath::Late
+        } else if faults.start_in_flight > 0 && self.draw_fault(faults.start_in_flight) {
+            StartPath::InFlight
+        } else if faults.start_held_by_worker > 0 && self.draw_fault(faults.start_held_by_worker) {
+            StartPath::HeldByWorker
+        } else {
+            StartPath::Prompt
+        }
+    }
+
     fn post_unanswered_start(&mut self, term: u64, to: &Endpoint, order: &StartOrder) {
         let event = Event::StartAnswered {
             worker: to.worker,
@@ -132,8 +145,11 @@
                 term,
                 to,
                 order,
-                is_answered,
-            } => self.deliver_start(term, &to, &order, is_answered),
+                path,
+            } => self.deliver_start(term, &to, order, path),
+            Message::ExecuteHeldStart { worker, number } => {
+                self.execute_held_start(worker, number);
+            }
             Message::Stop {
                 term,
                 to,
@@ -173,7 +189,7 @@
         self.send_to_leader(term, Event::Committed { lane });
     }
 
-    fn is_lost(&mut self, index: usize) -> bool {
+    fn is_lost(&self, index: usize) -> bool {
         let worker = &self.workers[index];
         !worker.is_alive || worker.is_partitioned
     }
@@ -222,21 +238,15 @@
         reply
     }
 
-    fn deliver_start(&mut self, term: u64, to: &Endpoint, order: &StartOrder, is_answered: bool) {
+    fn deliver_start(&mut self, term: u64, to: &Endpoint, order: StartOrder, path: StartPath) {
         let index = self.worker_index(to);
-        let mut reply = StartReply::Unanswered;
-        if self.is_other_incarnation(index) {
-            reply = StartReply::OtherIncarnation;
-        } else if !self.is_lost(index) {
-            reply = self.start_at(term, index, order, !is_answered);
-        }
-        let worker = &self.workers[index];
-        self.trace
-            .print_start(self.now_ms, worker, order, !is_answered, reply);
+        let (task, run) = (order.task, order.run);
+        self.trace_arrival(index, to, &order, path);
+        let mut reply = self.receive_start(term, index, order, path);
         if self.draw_fault(self.faults.lost_answer) {
             reply = StartReply::Unanswered;
         }
-        if !is_answered {
+        if matches!(path, StartPath::Late | StartPath::InFlight) {
             return;
         }
         let after_ms = if reply == StartReply::Unanswered {
@@ -246,13 +256,71 @@
         };
         let event = Event::StartAnswered {
             worker: to.worker,
-            task: order.task,
-            run: order.run,
+            task,
+            run,
             reply,
         };
         self.post(after_ms, Message::HandleEvent { term, event });
     }
 
+    fn trace_arrival(&self, index: usize, to: &Endpoint, order: &StartOrder, path: StartPath) {
+        if matches!(path, StartPath::InFlight | StartPath::HeldByWorker) {
+            let reached = (!self.is_lost(index)).then(|| &self.workers[index]);
+            self.trace
+                .print_arrival(self.now_ms, to, order, path, reached);
+        }
+    }
+
+    /// Has the worker at the address carry out or hold a start; returns its answer.
+    fn receive_start(
+        &mut self,
+        term: u64,
+        index: usize,
+        order: StartOrder,
+        path: StartPath,
+    ) -> StartReply {
+        let mut reply = StartReply::Unanswered;
+        if self.is_other_incarnation(index) {
+            reply = StartReply::OtherIncarnation;
+        } else if !self.is_lost(index) {
+            if path == StartPath::HeldByWorker {
+                self.hold_start(index, HeldStart { term, order });
+                return StartReply::Unanswered;
+            }
+            reply = self.start_at(term, index, &order, path != StartPath::Prompt);
+        }
+        let worker = &self.workers[index];
+        let is_late = path != StartPath::Prompt;
+        self.trace
+            .print_start(self.now_ms, worker, &order, is_late, reply);
+        reply
+    }
+
+    /// Has a worker's process keep a start that it carries out later.
+    fn hold_start(&mut self, index: usize, start: HeldStart) {
+        // Unique over all processes, so that none finds another's start.
+        let number = self.next_message;
+        self.workers[index].held_starts.insert(number, start);
+        let after_ms = self.delay(true);
+        let worker = index;
+        self.post(after_ms, Message::ExecuteHeldStart { worker, number });
+    }
+
+    /// Carries out a start that a process has held. It is gone if the process has ended.
+    fn execute_held_start(&mut self, index: usize, number: u64) {
+        let worker = &mut self.workers[index];
+        let Some(start) = worker.held_starts.remove(&number) else {
+            return;
+        };
+        if !worker.is_alive {
+            return;
+        }
+        let reply = self.start_at(start.term, index, &start.order, true);
+        let worker = &self.workers[index];
+        self.trace
+            .print_start(self.now_ms, worker, &start.order, true, reply);
+    }
+
     fn start_at(
         &mut self,
         term: u64,
--- a/crates/scheduler/tests/scheduler/support/simulation/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/mod.rs
@@ -67,6 +67,32 @@
     pub cordon: u32,
     /// Starts that a relay holds for a while.
     pub held_order: u32,
+    /// Starts without an answer that arrive 2 to 12 s late, at the incarnation that is then at
+    /// the worker's address.
+    pub start_in_flight: u32,
+    /// Starts without an answer that arrive at once and are carried out 2 to 12 s later, unless
+    /// the process that received them has ended.
+    pub start_held_by_worker: u32,
+}
+
+impl Faults {
+    /// Returns whether starts may be carried out seconds after they were sent.
+    const fn delay_starts(&self) -> bool {
+        self.late_order > 0 || self.start_in_flight > 0 || self.start_held_by_worker > 0
+    }
+}
+
+/// How a start reaches its execution.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartPath {
+    /// It is carried out on arrival and answered.
+    Prompt,
+    /// Arrival and execution are one late event: whoever then has the id carries it out.
+    Late,
+    /// It arrives late and is carried out on arrival.
+    InFlight,
+    /// It is carried out late by the process at which it arrived.
+    HeldByWorker,
 }
 
 /// A message in flight, or an event of the simulation itself.
@@ -82,7 +108,12 @@
         term: u64,
         to: Endpoint,
         order: StartOrder,
-        is_answered: bool,
+        path: StartPath,
+    },
+    /// A process carries out a start that it has held.
+    ExecuteHeldStart {
+        worker: usize,
+        number: u64,
     },
     Stop {
         term: u64,
@@ -243,7 +274,7 @@
             hands_over_learned: false,
             job_run_durations_ms: BTreeMap::new(),
             keeps_ids: false,
-            limit_rule: LimitRule::new(faults.late_order > 0),
+            limit_rule: LimitRule::new(faults.delay_starts()),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
                 RELAY_HOLD_LIMIT_MS
             } else {
--- a/crates/scheduler/tests/scheduler/support/simulation/trace.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/trace.rs
@@ -1,8 +1,11 @@
 //! An optional trace of a simulation: decisions, orders as they arrive, and workers'
 //! incarnations.
 
+use super::StartPath;
 use crate::support::worker::FakeWorker;
-use ospreywing_scheduler::{Decision, StartOrder, StartReply, StopReply, TaskKey};
+use ospreywing_scheduler::{
+    Decision, Endpoint, Incarnation, StartOrder, StartReply, StopReply, TaskKey,
+};
 
 /// If set to any value, each simulation prints its trace.
 const TRACE_VARIABLE: &str = "OSPREYWING_SEARCH_TRACE";
@@ -34,6 +37,32 @@
         );
     }
 
+    /// Prints the arrival of a start, with the incarnation that it was meant for and the worker
+    /// that it has reached, if any.
+    pub(super) fn print_arrival(
+        &self,
+        now_ms: u64,
+        to: &Endpoint,
+        order: &StartOrder,
+        path: StartPath,
+        reached: Option<&FakeWorker>,
+    ) {
+        if !self.is_on {
+            return;
+        }
+        let name = |incarnation: Option<Incarnation>| {
+            incarnation.map_or("unknown".to_owned(), |start| start.as_ms().to_string())
+        };
+        let reached = reached.map_or("nobody".to_owned(), |worker| name(worker.incarnation));
+        println!(
+            "{now_ms:>6} {} gets a start of {} run {}, {path:?}: meant for {}, reaches {reached}",
+            to.id,
+            order.task,
+            order.run,
+            name(to.incarnation)
+        );
+    }
+
     pub(super) fn print_start(
         &self,
         now_ms: u64,
--- a/crates/scheduler/tests/scheduler/support/worker.rs
+++ b/crates/scheduler/tests/scheduler/support/worker.rs
@@ -33,6 +33,13 @@
     }
 }
 
+/// A start that a worker has received and carries out later.
+pub struct HeldStart {
+    /// The term of the leader that sent it.
+    pub term: u64,
+    pub order: StartOrder,
+}
+
 /// A fake worker. Times ending in `_ms` are on the simulation's clock unless stated otherwise.
 pub struct FakeWorker {
     pub id: Arc<str>,
@@ -63,6 +70,9 @@
     /// The start of its current lease without a gap, on the simulation's clock.
     leased_since_ms: u64,
     pub runs: BTreeMap<TaskKey, FakeRun>,
+    /// Starts that its process has received and not carried out yet, by a number of the
+    /// simulation. They end with the process.
+    pub held_starts: BTreeMap<u64, HeldStart>,
     pub ended: Vec<EndedRun>,
     pub next_end: u64,
     /// When the listed ends occurred, on the simulation's clock, by the ends' numbers.
@@ -98,6 +108,7 @@
             lease_until_ms: 0,
             leased_since_ms: 0,
             runs: BTreeMap::new(),
+            held_starts: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
             ended_at_ms: BTreeMap::new(),
