Search tests: starts bound to the incarnation that they are meant for

Cause: in the plays with starts in flight, the worker's next incarnation carries out a start that was meant for the one before.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -236,8 +236,8 @@
     run_with_restarts(seed, simulation);
 }
 
-/// A start that got no answer is in flight while its worker starts again under its id, and
-/// arrives there after a repeat of it has ended, or runs elsewhere: the task must not run again.
+/// A start that got no answer arrives at the worker's next incarnation, after a repeat has ended
+/// or while the task runs elsewhere: the task must not run again.
 #[rstest]
 #[case::alone(RESTARTS_BESIDE_STARTS_IN_FLIGHT)]
 #[case::takeovers(Faults { restart: 40, start_in_flight: 80, takeover: 40, ..NO_FAULTS })]
@@ -289,6 +289,7 @@
 fn run_restarts_without_advice(seed: u64, faults: Faults) {
     let mut simulation = Simulation::new(seed, 6, faults, None);
     simulation.report_incarnation_starts(false);
+    simulation.binds_starts = true;
     run_with_restarts(seed, simulation);
 }
 
--- a/crates/scheduler/tests/scheduler/support/simulation/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/mod.rs
@@ -223,6 +223,8 @@
     pub job_run_durations_ms: BTreeMap<JobId, core::ops::Range<u64>>,
     /// Whether workers that a task has crashed start again under their ids.
     pub keeps_ids: bool,
+    /// Whether starts are bound to the incarnation that they are meant for.
+    pub binds_starts: bool,
     limit_rule: LimitRule,
     cordon_rule: CordonRule,
     trace: Trace,
@@ -274,6 +276,7 @@
             hands_over_learned: false,
             job_run_durations_ms: BTreeMap::new(),
             keeps_ids: false,
+            binds_starts: false,
             limit_rule: LimitRule::new(faults.delay_starts()),
             cordon_rule: CordonRule::new(if faults.held_order > 0 {
                 RELAY_HOLD_LIMIT_MS
