Watch workers with unanswered starts, and stop these early

What callers see: a task that has ended well runs again. The first copy of a start gets no answer, a repeat is carried out and ends well, the worker crashes, and its next incarnation under the same id carries the first copy out before the leader has polled it.

Change: a worker with an ended run whose start has an unanswered copy is polled for as long as an order may be late (15 s), without a wait while there are at most 16 such workers. While it may be restarting (the answer to a poll is overdue for 40 ms or missing, or its incarnation is in doubt) stops of these starts go out every 20 ms. A known incarnation gets them every 40 ms until it answers, in place of 400 ms. All of them share a budget of 200 a second. Only the first stop of a start is logged. Runs that may be alive are never stopped by this.

Why it works: a worker refuses a run for which a stop arrived first, also one that is not there yet. What is left is a copy that comes between the beginning of an incarnation and the first stop that it reads.

Evidence: `poll_idle_worker_with_unanswered_start` and `stop_open_starts_poll_overdue` failed before and pass.

`begin_next_incarnation_refuses_open_start_until_answered` answers one more poll before its last check: it left a poll unanswered for a second, and a worker that does so is now sent stops. Its assertions are the same, and it passes on the code before too.

--- a/crates/scheduler/src/incarnations.rs
+++ b/crates/scheduler/src/incarnations.rs
@@ -7,7 +7,7 @@
 //! identifies it is wall-clock time, which may be set back.
 
 use crate::decision::{Decision, DecisionKind};
-use crate::event::{Action, Endpoint};
+use crate::event::Action;
 use crate::incarnation::Incarnation;
 use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
@@ -100,7 +100,8 @@
         self.move_runs(key, next, open.clone());
         self.release_all_runs(now, key, "another start answers", out);
         self.stop_in_next_incarnation(now, next, &open, out);
-        self.stop_open_starts(now, key, next, out);
+        self.move_open_starts(now, key, next);
+        self.send_due_stops_of_open_starts(now, next, out);
         next
     }
 
@@ -152,32 +153,6 @@
         }
     }
 
-    /// Sends the new incarnation stops for starts that were meant for the previous one and
-    /// may still arrive, though their runs have ended or were released.
-    fn stop_open_starts(
-        &mut self,
-        now: Instant,
-        from: WorkerKey,
-        to: WorkerKey,
-        out: &mut Vec<Action>,
-    ) {
-        let mut open_starts = core::mem::take(&mut self.workers[from].open_starts);
-        let stops = open_starts.begin_incarnation(now);
-        self.workers[to].open_starts = open_starts;
-        send_open_start_stops(self.workers[to].endpoint(to), stops, out);
-    }
-
-    /// Repeats the unanswered stops of starts that were meant for earlier incarnations.
-    pub(crate) fn repeat_open_start_stops(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let retry = self.config.stop_retry;
-        for (key, worker) in self.workers.iter_mut().filter(|(_, it)| !it.is_gone) {
-            let stops = worker.open_starts.stops_to_repeat(now, retry);
-            if !stops.is_empty() {
-                send_open_start_stops(worker.endpoint(key), stops, out);
-            }
-        }
-    }
-
     /// Stops in the new incarnation the runs that were being stopped in the previous one or
     /// may still begin there. A stop that arrives before the start makes the worker refuse
     /// it.
@@ -214,19 +189,6 @@
     }
 }
 
-fn send_open_start_stops(to: Endpoint, stops: Vec<(TaskKey, u32)>, out: &mut Vec<Action>) {
-    for (task, run) in stops {
-        let line = Decision::new(
-            DecisionKind::StopSent,
-            "start of an earlier life unanswered",
-        );
-        let line = line.with_run(task, run).with_worker(&to.id);
-        out.push(Action::Log(line));
-        let to = to.clone();
-        out.push(Action::Stop { to, task, run });
-    }
-}
-
 fn disposition_of(run: &Run, is_listed: bool, sent_at: Instant) -> Disposition {
     if is_listed {
         return Disposition::Kept;
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -64,6 +64,7 @@
         let busy = self.workers.values().filter(|w| !w.runs.is_empty());
         let wait = self.poll_wait(now, busy.count());
         let interval_during_commit = self.config.poll_interval_during_commit;
+        let may_watch_closely = self.may_watch_closely(now);
         for (key, worker) in self.workers.iter_mut() {
             if !is_poll_due(worker, now, interval_during_commit) {
                 continue;
@@ -80,17 +81,20 @@
             let is_immediate = !renews_lease
                 || worker.runs.is_empty()
                 || has_listed_end
+                || may_watch_closely && worker.open_starts.has_pending(now)
                 || worker.unconfirmed_since.is_some();
             let until_ms = if renews_lease {
                 worker.grant_lease(now, lease_duration)
             } else {
                 None
             };
+            let wait = if is_immediate { Duration::ZERO } else { wait };
+            worker.poll_held_until = now + wait;
             out.push(Action::Hold {
                 to: worker.endpoint(key),
                 until_ms,
                 last_seen: worker.acked_end,
-                wait: if is_immediate { Duration::ZERO } else { wait },
+                wait,
                 patience: poll_timeout(worker.unanswered_polls_count),
             });
         }
@@ -448,6 +452,7 @@
     let has_new_ack = worker.ackable_end() > worker.acked_end;
     has_runs
         || has_new_ack
+        || worker.open_starts.has_pending(now)
         || worker.has_unknown_run
         || (worker.is_listed && worker.has_service && (!worker.is_synced || !worker.is_reachable))
 }
--- a/crates/scheduler/src/open_starts.rs
+++ b/crates/scheduler/src/open_starts.rs
@@ -15,14 +15,12 @@
 /// few tens of runs, and a start is sent three times at most.
 const STARTS_LIMIT_COUNT: usize = 64;
 
-/// Whether the worker's current incarnation is known to refuse a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StopState {
-    /// It refuses the start: the run ended there, or the stop was answered.
-    Confirmed,
-    /// A stop was sent at this instant and is unanswered.
-    SentAt(Instant),
-}
+/// The time after which a stop is repeated if the worker does not refuse the start yet; an
+/// answer normally takes a few milliseconds.
+const STOP_RETRY: Duration = Duration::from_ms(40);
+/// The interval between stops sent to a worker that may be restarting, one of which should be
+/// the first call that the next incarnation reads.
+const EARLY_STOP_INTERVAL: Duration = Duration::from_ms(20);
 
 /// An unanswered start whose run has ended or was released.
 #[derive(Clone, Copy, Debug)]
@@ -30,7 +28,20 @@
     task: TaskKey,
     run: u32,
     sent_at: Instant,
-    stop_state: StopState,
+    /// Whether the worker's current incarnation refuses the start: the run ended there, or a
+    /// stop was answered.
+    is_refused: bool,
+    /// When a stop was last sent, if ever.
+    stop_sent_at: Option<Instant>,
+}
+
+/// A stop to send because a start may still be carried out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopDue {
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+    /// Whether it is the first stop for this start.
+    pub(crate) is_first: bool,
 }
 
 /// The starts sent to one worker that may still be carried out, though their runs have
@@ -50,34 +61,41 @@
             task,
             run,
             sent_at,
-            stop_state: StopState::Confirmed,
+            is_refused: true,
+            stop_sent_at: None,
         });
     }
 
-    /// Records that a new incarnation has begun, which does not refuse any of the starts
-    /// yet; returns the runs to stop there.
-    pub(crate) fn begin_incarnation(&mut self, now: Instant) -> Vec<(TaskKey, u32)> {
-        self.starts
-            .retain(|start| now.since(start.sent_at) < LATE_LIMIT);
+    /// Returns whether any start may still be carried out.
+    pub(crate) fn has_pending(&self, now: Instant) -> bool {
+        self.starts.iter().any(|start| start.is_pending(now))
+    }
+
+    /// Records that a new incarnation has begun, which refuses none of the starts yet.
+    pub(crate) fn begin_incarnation(&mut self, now: Instant) {
+        self.starts.retain(|start| start.is_pending(now));
         for start in &mut self.starts {
-            start.stop_state = StopState::SentAt(now);
+            start.is_refused = false;
+            start.stop_sent_at = None;
         }
-        self.starts.iter().map(OpenStart::run).collect()
     }
 
-    /// Returns the runs whose stops are unanswered for at least `retry`, and records that
-    /// these are sent again.
-    pub(crate) fn stops_to_repeat(&mut self, now: Instant, retry: Duration) -> Vec<(TaskKey, u32)> {
-        let is_due = |start: &OpenStart| match start.stop_state {
-            StopState::Confirmed => false,
-            StopState::SentAt(at) => {
-                now.since(at) >= retry && now.since(start.sent_at) < LATE_LIMIT
-            }
+    /// Returns the stops that are due, and records that they are sent.
+    ///
+    /// A worker that may be restarting is sent stops for all starts, since the incarnation that
+    /// reads them may be one that refuses none.
+    pub(crate) fn stops_due(&mut self, now: Instant, may_be_restarting: bool) -> Vec<StopDue> {
+        let interval = if may_be_restarting {
+            EARLY_STOP_INTERVAL
+        } else {
+            STOP_RETRY
         };
         let mut due = Vec::new();
-        for start in self.starts.iter_mut().filter(|start| is_due(start)) {
-            start.stop_state = StopState::SentAt(now);
-            due.push(start.run());
+        for start in self.starts.iter_mut().filter(|it| it.is_pending(now)) {
+            let is_wanted = may_be_restarting || !start.is_refused;
+            if is_wanted && start.is_interval_over(now, interval) {
+                due.push(start.send_stop(now));
+            }
         }
         due
     }
@@ -85,22 +103,33 @@
     /// Records that the current incarnation has answered the stop of a run.
     pub(crate) fn confirm_stop(&mut self, task: TaskKey, run: u32) {
         for start in &mut self.starts {
-            if start.run() == (task, run) {
-                start.stop_state = StopState::Confirmed;
+            if (start.task, start.run) == (task, run) {
+                start.is_refused = true;
             }
         }
     }
 
-    /// Returns the number of unanswered stops.
-    pub(crate) fn unanswered_stops_count(&self) -> usize {
-        let unanswered = self.starts.iter();
-        let unanswered = unanswered.filter(|start| start.stop_state != StopState::Confirmed);
-        unanswered.count()
+    /// Returns the number of starts that the current incarnation is not known to refuse.
+    pub(crate) fn unrefused_count(&self) -> usize {
+        self.starts.iter().filter(|start| !start.is_refused).count()
     }
 }
 
 impl OpenStart {
-    const fn run(&self) -> (TaskKey, u32) {
-        (self.task, self.run)
+    fn is_pending(&self, now: Instant) -> bool {
+        now.since(self.sent_at) < LATE_LIMIT
+    }
+
+    fn is_interval_over(&self, now: Instant, interval: Duration) -> bool {
+        self.stop_sent_at
+            .is_none_or(|sent_at| now.since(sent_at) >= interval)
+    }
+
+    const fn send_stop(&mut self, now: Instant) -> StopDue {
+        StopDue {
+            task: self.task,
+            run: self.run,
+            is_first: self.stop_sent_at.replace(now).is_none(),
+        }
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::durations::ForecastError;
+use crate::early_stops;
 use crate::event::{Action, Event};
 use crate::forecast::Forecasts;
 use crate::fragmentation::ServiceFragmentation;
@@ -22,6 +23,7 @@
 use crate::shapes::Shapes;
 use crate::share_accounts::Shares;
 use crate::state::Phase;
+use crate::token_bucket::TokenBucket;
 use crate::wait_reasons::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
 use cranelift_entity::PrimaryMap;
@@ -158,6 +160,8 @@
     pub(crate) recovered_leases_until: Instant,
     /// The retry budgets.
     pub(crate) retries: RetryBudgets,
+    /// The budget of stops of unanswered starts.
+    pub(crate) stop_budget: TokenBucket,
     /// When a reachable worker last left a poll unanswered.
     pub(crate) last_lost_poll_at: Option<Instant>,
     /// Whether a change since the last scheduling cycle may let a task be placed.
@@ -208,6 +212,7 @@
             is_store_degraded: false,
             recovered_leases_until: Instant::default(),
             retries: RetryBudgets::default(),
+            stop_budget: early_stops::stop_budget(),
             last_lost_poll_at: None,
             is_cycle_due: true,
             next_cycle_at: Instant::default(),
@@ -360,7 +365,7 @@
                 .workers
                 .values()
                 .filter(|worker| !worker.is_gone)
-                .map(|worker| worker.open_starts.unanswered_stops_count())
+                .map(|worker| worker.open_starts.unrefused_count())
                 .sum(),
             placeable_workers_count: placeable().count(),
             listed_workers_count: self
@@ -376,7 +381,7 @@
         self.stop_broken_gangs(now, out);
         self.evict_fillers(now, out);
         self.repeat_stops(now, out);
-        self.repeat_open_start_stops(now, out);
+        self.stop_open_starts(now, out);
         self.refresh_speeds(now, out);
         if now >= self.next_housekeeping_at {
             self.next_housekeeping_at = now + HOUSEKEEPING_PERIOD;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -278,6 +278,8 @@
     /// Ends whose changes are not yet committed.
     pub(crate) uncommitted_ends: Vec<u64>,
     pub(crate) is_poll_open: bool,
+    /// The latest time at which a worker that runs would hold the open poll.
+    pub(crate) poll_held_until: Instant,
     /// The number of consecutive unanswered polls.
     pub(crate) unanswered_polls_count: u32,
     pub(crate) next_poll_at: Instant,
@@ -328,6 +330,7 @@
             first_unreadable_end: None,
             uncommitted_ends: Vec::new(),
             is_poll_open: false,
+            poll_held_until: Instant::default(),
             unanswered_polls_count: 0,
             next_poll_at: Instant::default(),
             failures_count: 0,
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -32,6 +32,12 @@
 const OUTCOME_LIMIT_MS: u64 = 20_000;
 /// Longer than a leader waits for the answer to a stop.
 const STOP_RETRY: Duration = Duration::from_ms(1_000);
+/// At least the interval between polls that are not held.
+const POLL_INTERVAL: Duration = Duration::from_ms(100);
+/// The longest period between stops to a worker that leaves polls unanswered.
+const EARLY_STOP_PERIOD: Duration = Duration::from_ms(50);
+/// At least the time after which no order is carried out any more.
+const LATE_LIMIT: Duration = Duration::from_ms(16_000);
 
 /// Returns a simulation of workers that report their incarnations, in which some jobs have run.
 fn simulation_at_work(seed: u64, workers_count: usize) -> Simulation {
@@ -167,6 +173,8 @@
         [(next, task, run)],
         "the stop is repeated, and answered this time"
     );
+    // A worker that leaves polls unanswered would be sent stops, since it may be restarting.
+    answer_poll_as(&mut harness, next, 2, Vec::new());
     harness.now = harness.now + STOP_RETRY;
     harness.handle(Event::Tick);
     assert!(
@@ -175,6 +183,91 @@
     );
 }
 
+/// Returns a harness whose only worker has ended a run, of which an earlier copy of the start was
+/// never answered.
+fn harness_with_open_start() -> (Harness, (WorkerKey, TaskKey, u32)) {
+    let (mut harness, start) = harness_with_start();
+    let (worker, task, run) = start;
+    harness.handle(Event::StartAnswered {
+        worker,
+        task,
+        run,
+        reply: StartReply::Unanswered,
+    });
+    harness.answer_started(start);
+    let ended = vec![end(1, task, run, EndKind::Done)];
+    answer_poll_as(&mut harness, worker, 1, ended);
+    harness.commit_all();
+    // The poll that acknowledges the end.
+    answer_poll_as(&mut harness, worker, 1, Vec::new());
+    harness.actions.clear();
+    (harness, start)
+}
+
+fn tick_after(harness: &mut Harness, duration: Duration) {
+    harness.now = harness.now + duration;
+    harness.handle(Event::Tick);
+}
+
+/// A worker without runs was not polled, so its next incarnation went unnoticed until its entry
+/// changed, and carried out an unanswered start meanwhile.
+#[test]
+fn poll_idle_worker_with_unanswered_start() {
+    let (mut harness, (worker, ..)) = harness_with_open_start();
+    for _ in 0..3 {
+        tick_after(&mut harness, POLL_INTERVAL);
+        let polled = core::mem::take(&mut harness.actions);
+        let polled = polled.iter().any(|action| {
+            matches!(action, Action::Hold { to, wait, .. }
+                if to.worker == worker && *wait == Duration::ZERO)
+        });
+        assert!(polled, "polled at {} ms", harness.now.as_ms());
+        answer_poll_as(&mut harness, worker, 1, Vec::new());
+    }
+    // After this time no order is carried out any more.
+    tick_after(&mut harness, LATE_LIMIT);
+    harness.actions.clear();
+    answer_poll_as(&mut harness, worker, 1, Vec::new());
+    tick_after(&mut harness, POLL_INTERVAL);
+    let is_poll = |action: &Action| matches!(action, Action::Hold { .. });
+    assert!(!harness.actions.iter().any(is_poll), "polled for ever");
+}
+
+/// The next incarnation carried out an unanswered start before the leader had heard of it. While
+/// a worker does not answer, stops of such starts go out at short intervals, so that one of them
+/// arrives there first.
+#[test]
+fn stop_open_starts_poll_overdue() {
+    let (mut harness, start) = harness_with_open_start();
+    tick_after(&mut harness, POLL_INTERVAL);
+    assert!(drain_stops(&mut harness).is_empty(), "it may still answer");
+    for _ in 0..10 {
+        tick_after(&mut harness, EARLY_STOP_PERIOD);
+        assert_eq!(drain_stops(&mut harness), [start]);
+    }
+    tick_after(&mut harness, LATE_LIMIT);
+    assert!(drain_stops(&mut harness).is_empty(), "stopped for ever");
+}
+
+/// A run that may be alive must not be stopped only because its worker does not answer.
+#[test]
+fn stop_open_starts_run_alive() {
+    let (mut harness, start) = harness_with_start();
+    let (worker, task, run) = start;
+    harness.handle(Event::StartAnswered {
+        worker,
+        task,
+        run,
+        reply: StartReply::Unanswered,
+    });
+    harness.answer_started(start);
+    harness.actions.clear();
+    for _ in 0..10 {
+        tick_after(&mut harness, EARLY_STOP_PERIOD);
+        assert!(drain_stops(&mut harness).is_empty());
+    }
+}
+
 /// Drains the stops that were sent without answering them.
 fn drain_stops(harness: &mut Harness) -> Vec<(WorkerKey, TaskKey, u32)> {
     let actions = core::mem::take(&mut harness.actions);
