Watch workers for late starts only where incarnations are reported

Where they are not, each incarnation has an id of its own, and the header that names the id keeps an order from the next one: neither the polls nor the stops are of use there.

--- a/crates/scheduler/src/early_stops.rs
+++ b/crates/scheduler/src/early_stops.rs
@@ -28,6 +28,12 @@
 }
 
 impl Worker {
+    /// Returns whether the worker's next incarnation may carry out an unanswered start. Where
+    /// incarnations are not reported, each has an id of its own and refuses such a start.
+    pub(crate) fn has_start_at_risk(&self, now: Instant) -> bool {
+        self.incarnation.is_some() && self.open_starts.has_pending(now)
+    }
+
     /// Returns whether the worker may be restarting: the answer to a poll is overdue or missing,
     /// or another incarnation may be there.
     fn may_be_restarting(&self, now: Instant) -> bool {
@@ -44,7 +50,7 @@
     /// Returns whether workers with unanswered starts may be polled without a wait.
     pub(crate) fn may_watch_closely(&self, now: Instant) -> bool {
         let workers = self.workers.values();
-        let watched = workers.filter(|worker| worker.open_starts.has_pending(now));
+        let watched = workers.filter(|worker| worker.has_start_at_risk(now));
         watched.count() <= CLOSELY_WATCHED_LIMIT_COUNT
     }
 
@@ -70,7 +76,7 @@
         out: &mut Vec<Action>,
     ) {
         let worker = &mut self.workers[key];
-        if worker.is_gone {
+        if worker.is_gone || !worker.has_start_at_risk(now) {
             return;
         }
         let may_be_restarting = worker.may_be_restarting(now);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -81,7 +81,7 @@
             let is_immediate = !renews_lease
                 || worker.runs.is_empty()
                 || has_listed_end
-                || may_watch_closely && worker.open_starts.has_pending(now)
+                || may_watch_closely && worker.has_start_at_risk(now)
                 || worker.unconfirmed_since.is_some();
             let until_ms = if renews_lease {
                 worker.grant_lease(now, lease_duration)
@@ -452,7 +452,7 @@
     let has_new_ack = worker.ackable_end() > worker.acked_end;
     has_runs
         || has_new_ack
-        || worker.open_starts.has_pending(now)
+        || worker.has_start_at_risk(now)
         || worker.has_unknown_run
         || (worker.is_listed && worker.has_service && (!worker.is_synced || !worker.is_reachable))
 }
