Leave a task placed when an earlier run of it ends elsewhere

What callers see: a task runs twice at the same time. In the test without the verifier, run 3 is sent to the worker that has run 2.

Cause: a start that an earlier leader or this one sent, and that got no answer, is carried out late. The worker lists run 1, which is stopped and counts against the worker's capacity, while run 2 is placed on another worker. When run 1 ended, `handle_end` compared the end with the worker's own runs only, found it there, and `record_end` set the task to waiting. The next cycle placed it again, beside run 2. The verifier reports "the state of task disagrees with its placement" or, if the new run goes to the worker of run 2, "the used capacity differs".

Change: an end sets its task to waiting only if the task is placed on the worker that lists the end. The earlier run's capacity is still released, its failure or success still counts, and it no longer breaks the gang of the later run when it was only stopped.

Evidence: `handle_end_earlier_run_placed_elsewhere` failed before, with Capacity("w1"), and passes.

Why nothing is lost: a task without a placement is waiting or done already, which the verifier checks after each event of the tests.

Ruled out: setting the later run aside when the earlier one is listed. It may have begun, and is the one that the store names.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -37,13 +37,15 @@
             .with_worker(&worker.facts.id)
             .with_figure(end.number);
         out.push(Action::Log(line));
-        let is_current = worker.runs.get(&end.task).map(|run| run.run) == Some(end.run);
+        let is_known = worker.runs.get(&end.task).map(|run| run.run) == Some(end.run);
+        // A later run of the task may be placed on another worker.
+        let is_current = is_known && self.placements.get(&end.task) == Some(&key);
         let finished = self.finished_run(now, key, &end);
-        if is_current {
+        if is_known {
             self.remove_run(key, end.task);
-            if self.placements.get(&end.task) == Some(&key) {
-                self.placements.remove(&end.task);
-            }
+        }
+        if is_current {
+            self.placements.remove(&end.task);
         }
         self.record_health(now, key, end.kind, out);
         self.is_cycle_due = true;
