Hold a waiting task while an earlier run of it is alive

What callers see: a task runs twice at the same time, on two workers or on the same one. On the same one the earlier run's capacity counts as used for ever: with the verifier off, 2000 of 4000 thousandths of a core were still used after the job was complete and both runs had ended.

Cause: a late start is carried out after its run was given up, and the worker lists run 1 while the task has no placement, since run 2 was lost with an earlier incarnation or never begun. Run 1 was stopped and its demand counted, but the task stayed waiting, so the next cycle placed run 3 before run 1 had ended. A worker's runs are kept by task: run 3 on that same worker replaced the entry of run 1, whose demand was then never subtracted. The verifier reports "the used capacity of worker differs from its runs".

Change: a listed run of a waiting task becomes the task's placement until it has ended, like any run that is being stopped. Runs that are not listed are released before listed ones are handled, so that a recorded run 2 that never began does not hide run 1.

Evidence: the four cases of `handle_running_earlier_run_of_waiting_task` failed before and pass; without the change of order the two cases with a run recorded for the answering incarnation fail. The tests of the crate without searches and loads: 263 passed.

Ruled out: keeping only that worker from getting the task. Another worker would still run it beside run 1, which `fits_elsewhere` shows.

Not covered: a run of the task that is already placed elsewhere when the earlier one is listed; both may be alive until the stop has arrived.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -230,14 +230,15 @@
             self.handle_end(now, key, end, out);
         }
         self.record_lost_incarnations(now, key, &listed, out);
-        self.workers[key].has_unknown_run = false;
-        for run in running {
-            self.handle_running(now, key, run, out);
-        }
+        // Unlisted runs come first: an earlier run of the same task may be listed.
         if is_complete {
             self.workers[key].mark_absent_runs(sent_at, &listed);
             self.release_unlisted(now, key, sent_at, &listed, out);
         }
+        self.workers[key].has_unknown_run = false;
+        for run in running {
+            self.handle_running(now, key, run, out);
+        }
     }
 
     /// Limits the lease that earlier leaders granted to a worker that has answered under
@@ -297,6 +298,7 @@
                     ..Run::new(listed.run, demand, now)
                 };
                 self.add_foreign_run(key, task, run);
+                self.place_where_alive(key, task);
             }
             _ => self.workers[key].has_unknown_run = true,
         }
@@ -312,6 +314,26 @@
         });
     }
 
+    /// Places a waiting task on the worker that has a run of it, so that it is not started
+    /// anywhere before that run has ended.
+    fn place_where_alive(&mut self, key: WorkerKey, task: TaskKey) {
+        let job = self.jobs.get(&task.step.job);
+        if job.is_none_or(|job| job.state.phase != Phase::Active) {
+            return;
+        }
+        let worker = &self.workers[key];
+        let placed = TaskStatus::Placed {
+            worker: worker.facts.id.to_string(),
+            incarnation: worker.incarnation,
+        };
+        let state = self.task_state_mut(task);
+        if let Some(state) = state.filter(|state| state.status == TaskStatus::Waiting) {
+            state.status = placed;
+            self.placements.insert(task, key);
+            self.queue_commit(task.step.job, None);
+        }
+    }
+
     /// Returns whether a task's runs are no longer needed: its job was cancelled or has
     /// failed, or the task is done. The members of a gang that is done end by themselves.
     fn is_obsolete(&self, task: TaskKey) -> bool {
