Drop the estimate of a relay's clock after the relay has rebooted

What callers would see: their tasks wait. A relay whose machine has rebooted, or was replaced at its address, while its link stayed open gave up every start for up to 60 s.

Cause: of the readings of a relay's clock the largest estimate is kept, since each lags behind the clock. After a reboot the clock begins anew, so the old estimate stays far ahead of it, and the relay takes the time in each batch for one of another machine.

Change: an estimate that exceeds the relay's reading by more than the round trip and the tolerance for drift is of another clock, and is dropped.

Found by review. `estimate_by_readings::case_6_relay_rebooted` failed before (5010001 in place of 20000) and passes.

--- a/crates/control/src/relay/batch.rs
+++ b/crates/control/src/relay/batch.rs
@@ -12,7 +12,7 @@
 pub const START_HOLD_LIMIT: Duration = ANSWER_TIMEOUT;
 /// By how much the leader's estimate of this node's clock may be ahead of it, because of drift.
 /// A time further ahead was read from the clock of another machine at this address.
-const CLOCK_TOLERANCE: Duration = Duration::from_ms(100);
+pub(crate) const CLOCK_TOLERANCE: Duration = Duration::from_ms(100);
 
 /// Returns whether a start is to be given up: it was sent too long ago, or at a time that is
 /// not one of this clock.
--- a/crates/control/src/relay/relay_clock.rs
+++ b/crates/control/src/relay/relay_clock.rs
@@ -3,6 +3,7 @@
 //! The clocks of two machines have nothing in common. A relay can only tell how old a batch is
 //! if the batch carries the time at which it was sent on the relay's own clock.
 
+use crate::relay::batch::CLOCK_TOLERANCE;
 use ospreywing_types::{Duration, Instant};
 
 /// The time after which the clock is read again, for a restarted relay and for drift.
@@ -44,17 +45,21 @@
 
     /// Records a reading that was requested at `sent_at` and received at `received_at`.
     pub fn record(&mut self, sent_at: Instant, received_at: Instant, relay_time: Instant) {
-        let is_slow = received_at.since(sent_at) > SLOW_ROUND_TRIP;
+        let round_trip = received_at.since(sent_at);
+        let is_slow = round_trip > SLOW_ROUND_TRIP;
         let period = if is_slow {
             SLOW_READING_PERIOD
         } else {
             READING_PERIOD
         };
         self.next_reading_at = received_at + period;
-        // The reading was taken before it was received, so the largest estimate is the best.
+        // The reading was taken before it was received, so the largest estimate is the best. One
+        // that exceeds the relay's time even at the end of the round trip is of another clock.
         let is_better = self.best.is_none_or(|best| {
+            let estimate = best.estimate(received_at);
             received_at.since(best.received_at) > READING_MAX_AGE
-                || relay_time >= best.estimate(received_at)
+                || relay_time >= estimate
+                || estimate.since(relay_time) > round_trip + CLOCK_TOLERANCE
         });
         if is_better {
             self.best = Some(Reading {
--- a/crates/control/tests/control/relays.rs
+++ b/crates/control/tests/control/relays.rs
@@ -185,6 +185,7 @@
 #[case::slow_one_ignored(&[(0, 2, 5_000), (100, 500, 5_101)], 500, Some(5_498))]
 #[case::better_one_used(&[(0, 400, 5_001), (900, 901, 5_901)], 901, Some(5_901))]
 #[case::old_one_dropped(&[(0, 2, 5_000), (70_000, 70_002, 74_990)], 70_002, Some(74_990))]
+#[case::relay_rebooted(&[(0, 2, 5_000_000), (10_002, 10_003, 20_000)], 10_003, Some(20_000))]
 fn estimate_by_readings(
     #[case] readings_ms: &[(u64, u64, u64)],
     #[case] now_ms: u64,
