Don't evict a leader because a call to it was held too long

What callers would see: a change of leader, and a wait until the next one has recovered, though the leader was well.

Cause: a call that this process held for twice its timeout is certainly not sent (`HttpError::Expired`), and a call to the leader that is not sent was taken as a refused connection. So a node that stood still while it connected to the leader evicted it when it went on.

Change: only a connection that was not established, or was closed, makes a leader unreachable (`is_unreachable`).

Found by review, by reading; shown by `is_unreachable_by_error::case_2_held_too_long`, which is about the classification. A suspend of a whole node at that moment was not played.

--- a/crates/control/src/leader_probe.rs
+++ b/crates/control/src/leader_probe.rs
@@ -92,7 +92,7 @@
     let mut detector = node.detector.get();
     detector.record_miss();
     node.detector.set(detector);
-    if reply.is_err_and(|error| error.is_not_sent()) {
+    if reply.is_err_and(|error| error.is_unreachable()) {
         election::evict_unreachable_leader(node, leader.clone());
     }
 }
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -195,6 +195,12 @@
 }
 
 impl PeerError {
+    /// Returns whether nothing listens at the other node's address. A call that this node held
+    /// for too long shows nothing of the other one.
+    pub const fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Http(error) if error.is_unreachable())
+    }
+
     /// Returns whether the other node certainly has not received the call.
     pub const fn is_not_sent(&self) -> bool {
         matches!(self, Self::Http(error) if error.is_not_sent())
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -281,7 +281,7 @@
     if reply.is_ok() {
         leader_probe::record_answer(node, leader.lease, sent_at);
     }
-    if reply.as_ref().is_err_and(PeerError::is_not_sent) {
+    if reply.as_ref().is_err_and(PeerError::is_unreachable) {
         election::evict_unreachable_leader(node, leader);
     }
     reply
--- a/crates/control/tests/control/failure_detector.rs
+++ b/crates/control/tests/control/failure_detector.rs
@@ -3,6 +3,8 @@
 use ospreywing_control::failure_detector::{
     FailureDetector, NEW_LEADER_GRACE_TIME, PROBE_TIMEOUT, SUSPECT_AFTER, SUSPECT_MISSES_COUNT,
 };
+use ospreywing_control::peer::PeerError;
+use ospreywing_http::HttpError;
 use ospreywing_types::{Duration, Instant};
 use rstest::rstest;
 
@@ -57,3 +59,13 @@
     assert!(!detector.is_suspected(answered_at + Duration::from_ms(1000)));
     assert!(!detector.has_missed_probes());
 }
+
+/// A node that stood still while it connected to the leader evicted it, though it had only given
+/// up its own call.
+#[rstest]
+#[case::refused(HttpError::NotSent("refused".to_owned()), true)]
+#[case::held_too_long(HttpError::Expired, false)]
+#[case::unanswered(HttpError::TimedOut { limit_ms: 1, received_bytes: 0 }, false)]
+fn is_unreachable_by_error(#[case] error: HttpError, #[case] expected: bool) {
+    assert_eq!(PeerError::from(error).is_unreachable(), expected);
+}
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -40,6 +40,11 @@
 }
 
 impl HttpError {
+    /// Returns whether no connection to the peer was established, or it was closed.
+    pub const fn is_unreachable(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+
     /// Returns whether it is certain that the peer did not receive the request.
     pub const fn is_not_sent(&self) -> bool {
         matches!(
