Bound the polls and stops of workers with unanswered starts fairly

What callers would see: a task that ended well runs again on a worker whose stops never went out, or, after a fault that leaves many starts unanswered, all of them wait for a leader that is busy with polls.

Cause: the budget of these stops went to the first workers in the scheduler's order again and again (12 unresponsive workers with 60 starts each: 1000, 0, 0, ... stops in 2 s). The limit on closely watched workers held for busy ones only, since polls of idle workers are never held: 100 idle workers got 1,200 polls in 1 s.

Change: a worker has at most four stops due at once, the least recently repeated first, and a round begins with the worker at which the budget ended. An idle worker that is polled only because of an unanswered start is polled with a wait beyond 16 such workers, and counts among those by whose number the wait grows. Expired starts are removed, so the gauge of unanswered stops does not count them.

Found by review. `send_early_stops_budget_reaches_all_workers` and `send_due_polls_idle_workers_with_open_starts_limited` failed before and pass.

--- a/crates/scheduler/src/early_stops.rs
+++ b/crates/scheduler/src/early_stops.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::Scheduler;
 use crate::token_bucket::TokenBucket;
 use crate::worker::{Worker, WorkerKey};
+use cranelift_entity::EntityRef;
 use ospreywing_types::{Duration, Instant};
 
 /// The time after which the answer to a poll is overdue; it normally takes a few milliseconds.
@@ -34,6 +35,14 @@
         self.incarnation.is_some() && self.open_starts.has_pending(now)
     }
 
+    /// Returns whether an idle worker is polled only because of an unanswered start.
+    pub(crate) fn is_only_watched(&self, now: Instant) -> bool {
+        self.runs.is_empty()
+            && self.has_start_at_risk(now)
+            && !self.has_new_ack()
+            && !self.has_unknown_run
+    }
+
     /// Returns whether the worker may be restarting: the answer to a poll is overdue or missing,
     /// or another incarnation may be there.
     fn may_be_restarting(&self, now: Instant) -> bool {
@@ -50,39 +59,48 @@
     /// Returns whether workers with unanswered starts may be polled without a wait.
     pub(crate) fn may_watch_closely(&self, now: Instant) -> bool {
         let workers = self.workers.values();
-        let watched = workers.filter(|worker| worker.has_start_at_risk(now));
+        let watched = workers.filter(|it| !it.is_gone && it.has_start_at_risk(now));
         watched.count() <= CLOSELY_WATCHED_LIMIT_COUNT
     }
 
     /// Moves the unanswered starts to the next incarnation, which may carry them out.
-    pub(crate) fn move_open_starts(&mut self, now: Instant, from: WorkerKey, to: WorkerKey) {
+    pub(crate) fn move_open_starts(&mut self, from: WorkerKey, to: WorkerKey) {
         let mut open_starts = core::mem::take(&mut self.workers[from].open_starts);
-        open_starts.begin_incarnation(now);
+        open_starts.begin_incarnation();
         self.workers[to].open_starts = open_starts;
     }
 
-    /// Sends the stops of unanswered starts that are due.
+    /// Sends the stops of unanswered starts that are due, as far as the budget allows. The next
+    /// round begins with the first worker that got none.
     pub(crate) fn stop_open_starts(&mut self, now: Instant, out: &mut Vec<Action>) {
-        for key in self.workers.keys() {
-            self.send_due_stops_of_open_starts(now, key, out);
+        let count = self.workers.len();
+        let first = self.first_to_stop;
+        for offset in 0..count {
+            let index = (first + offset) % count;
+            if !self.send_due_stops_of_open_starts(now, WorkerKey::new(index), out) {
+                self.first_to_stop = index;
+                return;
+            }
         }
     }
 
-    /// Sends one worker the stops of unanswered starts that are due, as far as the budget allows.
+    /// Sends one worker the stops of unanswered starts that are due; returns whether the budget
+    /// allowed all of them.
     pub(crate) fn send_due_stops_of_open_starts(
         &mut self,
         now: Instant,
         key: WorkerKey,
         out: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         let worker = &mut self.workers[key];
+        worker.open_starts.remove_expired(now);
         if worker.is_gone || !worker.has_start_at_risk(now) {
-            return;
+            return true;
         }
         let may_be_restarting = worker.may_be_restarting(now);
         for stop in worker.open_starts.stops_due(now, may_be_restarting) {
             if !self.stop_budget.try_take(now) {
-                return;
+                return false;
             }
             let to = worker.endpoint(key);
             let (task, run) = (stop.task, stop.run);
@@ -96,5 +114,6 @@
             }
             out.push(Action::Stop { to, task, run });
         }
+        true
     }
 }
--- a/crates/scheduler/src/incarnations.rs
+++ b/crates/scheduler/src/incarnations.rs
@@ -100,7 +100,7 @@
         self.move_runs(key, next, open.clone());
         self.release_all_runs(now, key, "another start answers", out);
         self.stop_in_next_incarnation(now, next, &open, out);
-        self.move_open_starts(now, key, next);
+        self.move_open_starts(key, next);
         self.send_due_stops_of_open_starts(now, next, out);
         next
     }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -61,8 +61,9 @@
     /// Sends the polls that are due.
     pub(crate) fn send_due_polls(&mut self, now: Instant, out: &mut Vec<Action>) {
         let lease_duration = self.lease_duration();
-        let busy = self.workers.values().filter(|w| !w.runs.is_empty());
-        let wait = self.poll_wait(now, busy.count());
+        let polled = |worker: &&Worker| !worker.runs.is_empty() || worker.has_start_at_risk(now);
+        let polled_count = self.workers.values().filter(polled).count();
+        let wait = self.poll_wait(now, polled_count);
         let interval_during_commit = self.config.poll_interval_during_commit;
         let may_watch_closely = self.may_watch_closely(now);
         for (key, worker) in self.workers.iter_mut() {
@@ -79,7 +80,7 @@
             // A worker answers at once while it lists an end, so the poll isn't held.
             let has_listed_end = !worker.uncommitted_ends.is_empty();
             let is_immediate = !renews_lease
-                || worker.runs.is_empty()
+                || worker.runs.is_empty() && !worker.is_only_watched(now)
                 || has_listed_end
                 || may_watch_closely && worker.has_start_at_risk(now)
                 || worker.unconfirmed_since.is_some();
@@ -103,7 +104,7 @@
     /// Returns how long a worker holds a poll until a run ends. Ends stay unknown while an
     /// answer is missing, so after lost answers polls are short. They are longer the more
     /// workers are busy.
-    fn poll_wait(&self, now: Instant, busy_count: usize) -> Duration {
+    fn poll_wait(&self, now: Instant, polled_count: usize) -> Duration {
         let is_lossy = self
             .last_lost_poll_at
             .is_some_and(|at| now.since(at) < LOSSY_PERIOD);
@@ -112,7 +113,7 @@
         } else {
             (self.config.poll_wait, POLLS_PER_S)
         };
-        let affordable = Duration::from_ms(busy_count as u64 * 1000 / limit_per_s);
+        let affordable = Duration::from_ms(polled_count as u64 * 1000 / limit_per_s);
         affordable.clamp(least, self.config.poll_wait_limit)
     }
 
@@ -471,9 +472,8 @@
     if !worker.uncommitted_ends.is_empty() {
         return has_runs && now.since(worker.lease_granted_at) >= interval_during_commit;
     }
-    let has_new_ack = worker.ackable_end() > worker.acked_end;
     has_runs
-        || has_new_ack
+        || worker.has_new_ack()
         || worker.has_start_at_risk(now)
         || worker.has_unknown_run
         || (worker.is_listed && worker.has_service && (!worker.is_synced || !worker.is_reachable))
--- a/crates/scheduler/src/open_starts.rs
+++ b/crates/scheduler/src/open_starts.rs
@@ -21,6 +21,9 @@
 /// The interval between stops sent to a worker that may be restarting, one of which should be
 /// the first call that the next incarnation reads.
 const EARLY_STOP_INTERVAL: Duration = Duration::from_ms(20);
+/// The maximum number of stops that are due at once for a worker, so that one with many starts
+/// leaves some of the leader's budget to the others.
+const STOPS_DUE_LIMIT_COUNT: usize = 4;
 
 /// An unanswered start whose run has ended or was released.
 #[derive(Clone, Copy, Debug)]
@@ -71,16 +74,21 @@
         self.starts.iter().any(|start| start.is_pending(now))
     }
 
-    /// Records that a new incarnation has begun, which refuses none of the starts yet.
-    pub(crate) fn begin_incarnation(&mut self, now: Instant) {
+    /// Removes the starts that can't be carried out any more.
+    pub(crate) fn remove_expired(&mut self, now: Instant) {
         self.starts.retain(|start| start.is_pending(now));
+    }
+
+    /// Records that a new incarnation has begun, which refuses none of the starts yet.
+    pub(crate) fn begin_incarnation(&mut self) {
         for start in &mut self.starts {
             start.is_refused = false;
             start.stop_sent_at = None;
         }
     }
 
-    /// Returns the stops that are due, and records that they are sent.
+    /// Returns the stops that are due, the least recently repeated first, and records that they
+    /// are sent.
     ///
     /// A worker that may be restarting is sent stops for all starts, since the incarnation that
     /// reads them may be one that refuses none.
@@ -90,14 +98,14 @@
         } else {
             STOP_RETRY
         };
-        let mut due = Vec::new();
-        for start in self.starts.iter_mut().filter(|it| it.is_pending(now)) {
+        let is_due = |start: &&mut OpenStart| {
             let is_wanted = may_be_restarting || !start.is_refused;
-            if is_wanted && start.is_interval_over(now, interval) {
-                due.push(start.send_stop(now));
-            }
-        }
-        due
+            is_wanted && start.is_interval_over(now, interval)
+        };
+        let mut due: Vec<&mut OpenStart> = self.starts.iter_mut().filter(is_due).collect();
+        due.sort_by_key(|start| start.stop_sent_at);
+        let due = due.into_iter().take(STOPS_DUE_LIMIT_COUNT);
+        due.map(|start| start.send_stop(now)).collect()
     }
 
     /// Records that the current incarnation has answered the stop of a run.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -162,6 +162,8 @@
     pub(crate) retries: RetryBudgets,
     /// The budget of stops of unanswered starts.
     pub(crate) stop_budget: TokenBucket,
+    /// The index of the worker with which the next round of these stops begins.
+    pub(crate) first_to_stop: usize,
     /// When a reachable worker last left a poll unanswered.
     pub(crate) last_lost_poll_at: Option<Instant>,
     /// Whether a change since the last scheduling cycle may let a task be placed.
@@ -213,6 +215,7 @@
             recovered_leases_until: Instant::default(),
             retries: RetryBudgets::default(),
             stop_budget: early_stops::stop_budget(),
+            first_to_stop: 0,
             last_lost_poll_at: None,
             is_cycle_due: true,
             next_cycle_at: Instant::default(),
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -350,6 +350,11 @@
         last_readable.map_or(self.last_seen_end, |last| last.min(self.last_seen_end))
     }
 
+    /// Returns whether the worker may discard ends and has not been told so.
+    pub(crate) fn has_new_ack(&self) -> bool {
+        self.ackable_end() > self.acked_end
+    }
+
     /// Replaces the worker's entry.
     pub(crate) fn set_facts(&mut self, facts: WorkerFacts) {
         self.facts = facts;
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -24,8 +24,9 @@
     Action, EndKind, EndedRun, Event, HoldReply, Incarnation, JobId, JobState, Phase, Recovered,
     RunningRun, StartReply, StepSpec, TaskKey, WorkerKey,
 };
-use ospreywing_types::Duration;
+use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
+use std::collections::BTreeMap;
 
 /// Long enough for a job, and for a worker to restart.
 const JOB_MS: u64 = 4_000;
@@ -615,3 +616,125 @@
     assert_eq!(bytes.first(), Some(&format));
     assert_eq!(JobState::from_bytes(&bytes), Ok(state));
 }
+
+/// Returns a harness with idle workers, each of which has this many unanswered starts whose runs
+/// were released; they may still be carried out.
+fn harness_with_open_starts(workers_count: usize, starts_per_worker: u32) -> Harness {
+    let workers = workers(workers_count);
+    let mut harness = Harness::new(Recovered::default(), &workers);
+    let keys = keys_of(&harness, &workers);
+    for key in &keys {
+        answer_poll_as(&mut harness, *key, 1, Vec::new());
+    }
+    // After this time no start of an earlier leader is carried out.
+    tick_after(&mut harness, LATE_LIMIT);
+    let share = 4000 / starts_per_worker;
+    let tasks = StepSpec {
+        demand: Resources::new(share, share, 0),
+        ..step(workers_count as u32 * starts_per_worker)
+    };
+    harness.submit(1, vec![tasks]);
+    harness.commit_all();
+    loop {
+        let starts = harness.starts();
+        if starts.is_empty() {
+            break;
+        }
+        for (worker, task, run) in starts {
+            harness.handle(Event::StartAnswered {
+                worker,
+                task,
+                run,
+                reply: StartReply::Unanswered,
+            });
+        }
+    }
+    harness.cancel(1);
+    harness.stops();
+    // A poll that is sent after the stops.
+    harness.now = harness.now + Duration::from_ms(20);
+    for key in keys {
+        answer_poll_as(&mut harness, key, 1, Vec::new());
+    }
+    harness.commit_all();
+    harness.stops();
+    assert_eq!(harness.scheduler.status(harness.now).runs_count, 0);
+    harness.actions.clear();
+    harness
+}
+
+fn keys_of(harness: &Harness, workers: &[FakeWorker]) -> Vec<WorkerKey> {
+    let keys = workers
+        .iter()
+        .map(|it| harness.scheduler.worker_key(&it.id));
+    keys.map(|key| key.expect("a listed worker")).collect()
+}
+
+/// Callers see tasks that ended well run again on workers late in the scheduler's order: the
+/// budget of early stops goes to the first workers again and again, and the others get none.
+#[test]
+fn send_early_stops_budget_reaches_all_workers() {
+    const WORKERS_COUNT: usize = 12;
+    let mut harness = harness_with_open_starts(WORKERS_COUNT, 60);
+    let keys = keys_of(&harness, &workers(WORKERS_COUNT));
+    for key in &keys {
+        harness.handle(Event::HoldAnswered {
+            worker: *key,
+            sent_at: harness.now,
+            reply: HoldReply::Unanswered,
+        });
+    }
+    let mut counts: BTreeMap<WorkerKey, usize> = keys.iter().map(|key| (*key, 0)).collect();
+    for _ in 0..100 {
+        harness.now = harness.now + Duration::from_ms(20);
+        harness.handle(Event::Tick);
+        for (worker, ..) in drain_stops(&mut harness) {
+            *counts.entry(worker).or_default() += 1;
+        }
+    }
+    let counts: Vec<usize> = counts.into_values().collect();
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+}
+
+/// The limit on closely watched workers holds for idle ones too: otherwise the polls take the
+/// leader's time after a fault that leaves many starts unanswered, and callers wait.
+#[test]
+fn send_due_polls_idle_workers_with_open_starts_limited() {
+    const POLLS_LIMIT_COUNT: usize = 500;
+    let mut harness = harness_with_open_starts(100, 1);
+    for key in keys_of(&harness, &workers(100)) {
+        answer_poll_as(&mut harness, key, 1, Vec::new());
+    }
+    let mut polls_count = 0;
+    for _ in 0..100 {
+        harness.now = harness.now + Duration::from_ms(10);
+        harness.handle(Event::Tick);
+        let actions = core::mem::take(&mut harness.actions);
+        for action in actions {
+            let Action::Hold { to, wait, .. } = action else {
+                continue;
+            };
+            polls_count += 1;
+            // A poll that is held is answered after its wait.
+            if wait != Duration::ZERO {
+                continue;
+            }
+            let sent_at = harness.now;
+            let reply = HoldReply::Listed {
+                incarnation: Some(Incarnation::from_ms(1)),
+                clock_ms: sent_at.as_ms(),
+                running: Vec::new(),
+                ended: Vec::new(),
+            };
+            harness.handle(Event::HoldAnswered {
+                worker: to.worker,
+                sent_at,
+                reply,
+            });
+        }
+    }
+    assert!(
+        polls_count <= POLLS_LIMIT_COUNT,
+        "{polls_count} polls in 1 s"
+    );
+}
