--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,12 +4,15 @@
 //! size, and no request is sent twice. Errors distinguish requests that were not sent
 //! from requests that the peer may have received.
 
+mod call;
 mod client;
 mod connection;
 mod error;
 mod peer;
 mod pool;
+mod timeouts;
 
-pub use client::{Answer, Call, HttpClient, PeerAnswer};
+pub use call::{Answer, Call, PeerAnswer};
+pub use client::HttpClient;
 pub use error::HttpError;
 pub use peer::{ConnectionId, PeerId};
