--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -44,8 +44,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no complete response arrived. [`HttpError::is_not_sent`] returns
-    /// whether it is certain that the peer did not receive the request.
+    /// Returns an error if no complete response arrived, or [`HttpError::Expired`] if this process
+    /// held the call for twice its timeout. [`HttpError::is_not_sent`] returns whether it is
+    /// certain that the peer did not receive the request.
     pub async fn call(&self, call: Call) -> Result<Answer, HttpError> {
         let timeouts = call.start_timeouts();
         let answer = self.exchange(&call, &timeouts).await;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -213,7 +213,9 @@
 /// incarnation. A stop refuses the copy only if it arrives there first. The platform does not
 /// specify whether an order outlasts the incarnation that received it.
 #[rstest]
-fn late_start_in_life_not_heard_of(#[values(3125, 3202, 3260, 912_641, 3_000_229)] seed: u64) {
+fn late_start_in_life_not_heard_of(
+    #[values(3125, 3202, 3260, 912_641, 3_000_229, 910_650)] seed: u64,
+) {
     run_late_orders_without_advice(seed);
 }
 
