--- a/crates/scheduler/src/early_stops.rs
+++ b/crates/scheduler/src/early_stops.rs
@@ -32,9 +32,7 @@
     /// Returns whether the worker's next incarnation may carry out an unanswered start. Where
     /// incarnations are not reported, each has an id of its own and refuses such a start.
     pub(crate) fn has_start_at_risk(&self, now: Instant) -> bool {
-        let may_be_carried_out =
-            now < self.recovered_starts_until || self.open_starts.has_pending(now);
-        self.incarnation.is_some() && may_be_carried_out
+        self.incarnation.is_some() && self.open_starts.has_pending(now)
     }
 
     /// Returns whether an idle worker is polled only because of an unanswered start.
--- a/crates/scheduler/src/open_starts.rs
+++ b/crates/scheduler/src/open_starts.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 
 /// How late an order may be carried out; the longest delay observed is 12 s.
-pub(crate) const LATE_LIMIT: Duration = Duration::from_s(15);
+const LATE_LIMIT: Duration = Duration::from_s(15);
 /// The maximum number of starts kept for a worker; the oldest are dropped. A worker holds a
 /// few tens of runs, and a start is sent three times at most.
 const STARTS_LIMIT_COUNT: usize = 64;
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -6,7 +6,6 @@
 use crate::incarnation::Incarnation;
 use crate::job::{JobId, JobRecord, StepKey, TaskKey};
 use crate::jobs::Job;
-use crate::open_starts::LATE_LIMIT;
 use crate::scheduler::Scheduler;
 use crate::state::{JobOutcome, JobState, Phase, TaskStatus};
 use crate::worker::{lease_bound, Run, RunPhase, Worker, WorkerFacts, WorkerKey};
@@ -56,7 +55,6 @@
     ) -> Self {
         let mut scheduler = Self::empty(config, configuration);
         scheduler.recovered_leases_until = lease_bound(now, config.recovered_lease_limit);
-        scheduler.recovered_starts_until = now + LATE_LIMIT;
         scheduler.forecasts = Forecasts::new(now);
         scheduler.wall_ms = recovered.wall_ms;
         scheduler.cordons = Cordons::new(recovered.cordons);
@@ -143,7 +141,6 @@
         };
         let mut worker = Worker::new(facts, self.recovered_leases_until);
         worker.is_listed = false;
-        worker.recovered_starts_until = self.recovered_starts_until;
         let key = self.workers.push(worker);
         self.workers_by_id.insert(id, key);
         key
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -158,8 +158,6 @@
     /// never shortened and covers every run on its worker, including runs that only this
     /// leader starts.
     pub(crate) recovered_leases_until: Instant,
-    /// Until when a start of an earlier leader may be carried out.
-    pub(crate) recovered_starts_until: Instant,
     /// The retry budgets.
     pub(crate) retries: RetryBudgets,
     /// The budget of stops of unanswered starts.
@@ -215,7 +213,6 @@
             commits: CommitQueue::default(),
             is_store_degraded: false,
             recovered_leases_until: Instant::default(),
-            recovered_starts_until: Instant::default(),
             retries: RetryBudgets::default(),
             stop_budget: early_stops::stop_budget(),
             first_to_stop: 0,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -257,9 +257,6 @@
     pub(crate) probation_runs_count: usize,
     /// Unanswered starts whose runs have ended or were released.
     pub(crate) open_starts: OpenStarts,
-    /// Until when a start of an earlier leader may be carried out. Any poll of this leader makes
-    /// the incarnation that answers refuse it.
-    pub(crate) recovered_starts_until: Instant,
     /// Runs that were released while the worker was unresponsive; whether they have ended is
     /// unconfirmed.
     pub(crate) lost_runs: Vec<LostRun>,
@@ -323,7 +320,6 @@
             fillers_count: 0,
             probation_runs_count: 0,
             open_starts: OpenStarts::default(),
-            recovered_starts_until: Instant::default(),
             lost_runs: Vec::new(),
             gone_at: None,
             last_answer_at: Instant::default(),
--- a/crates/scheduler/src/worker_list.rs
+++ b/crates/scheduler/src/worker_list.rs
@@ -60,7 +60,6 @@
     /// Creates a worker under the current configuration and cordons.
     pub(crate) fn new_worker(&self, facts: WorkerFacts, leased_until: Instant) -> Worker {
         let mut worker = Worker::new(facts, leased_until);
-        worker.recovered_starts_until = self.recovered_starts_until;
         worker.has_service = self.configuration.has_service(&worker.facts.service);
         worker.is_cordoned = self.cordons.contains(&worker.facts.data_centre);
         worker
