Give the poll before a start a timeout of its own

What callers would see: hardly any of their tasks start where workers answer late.

Cause: the poll that goes before a start on a new connection, and the start, had to be answered within the 250 ms of the start. A worker whose answers take longer carries out a start that it receives; now it never received one, since each poll failed and its connection was closed.

Change: the poll has 500 ms of its own, and the start its 250 ms after it. With a relay's 400 ms that stays under the 1.5 s within which orders are delivered.

Evidence: `start_sent_to_slow_worker` fails with 250 ms (`Refused(Unhealthy)`, nothing received) and passes.

Ruled out: a second as for polls of unresponsive workers, which with the other limits is more than 1.5 s.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -58,7 +58,7 @@
     ///
     /// The call goes over an idle connection to `peer`. If there is none, `probe` is sent over
     /// a new connection, and the call follows on it if `identify` returns `peer` for the answer
-    /// to `probe`. All must be complete within the call's timeout.
+    /// to `probe`. Each has its own timeout.
     ///
     /// # Errors
     ///
@@ -78,7 +78,7 @@
                 return Ok(PeerAnswer::Answered(self.keep(&call, answered)));
             }
         }
-        let probed = self.probe(&probe, &timeouts).await;
+        let probed = self.probe(&probe, &probe.start_timeouts()).await;
         let (mut connection, answer) = probed.map_err(as_probe_error)?;
         let Some(answered_by) = identify(&answer) else {
             return Ok(PeerAnswer::NotSent(answer));
@@ -88,6 +88,7 @@
             let answer = self.keep(&probe, (connection, answer));
             return Ok(PeerAnswer::NotSent(answer));
         }
+        let timeouts = call.start_timeouts();
         let answered = self.exchange_on(connection, &call, &timeouts).await?;
         let answered = answered.ok_or_else(closed)?;
         Ok(PeerAnswer::Answered(self.keep(&call, answered)))
