Tests: one configuration and one worker's entry for nodes with a fake platform

The tests of held starts repeated the configuration and the worker's entry of the tests of suspension, word for word; both now take them from the support module. No assertion, case or value is changed.

--- a/crates/control/tests/control/held_starts.rs
+++ b/crates/control/tests/control/held_starts.rs
@@ -4,7 +4,9 @@
 //! that holds a batch as the socket of a relay that stands still does: the leader's calls are
 //! accepted by the system, and the relay reads them when it wakes.
 
-use crate::support::{run_local, settings, MemoryStore};
+use crate::support::{
+    one_queue_configuration, one_worker_facts, run_local, settings, MemoryStore, QUEUE, SERVICE,
+};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_control::cell_view::NodeRecord;
@@ -19,9 +21,9 @@
 };
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue,
-    RefusedStart, RunningRun, ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply,
-    TaskKey, WorkerFacts, WorkerKey,
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, RefusedStart,
+    RunningRun, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    WorkerKey,
 };
 use ospreywing_types::{Duration, Instant, Resources};
 use rstest::rstest;
@@ -36,8 +38,6 @@
 use std::thread;
 use tokio::time::timeout;
 
-const SERVICE: &str = "gallery";
-const QUEUE: &str = "render";
 const WORKERS_PREFIX: &str = "workers/";
 /// The job's payload, by which the link recognises the batch with its start.
 const PAYLOAD: &str = "the work that is held";
@@ -119,24 +119,7 @@
     }
 
     fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
-        let queue = Queue {
-            name: QUEUE.to_owned(),
-            service: SERVICE.to_owned(),
-            priority: 0,
-            attempts_limit_count: 3,
-            stretch: 2.0,
-            objective_ms: 1000,
-            advice: None,
-        };
-        let configuration = Configuration {
-            version: 1,
-            queues: [(QUEUE.to_owned(), queue)].into(),
-            services: vec![ServicePolicy {
-                name: SERVICE.to_owned(),
-            }],
-            ..Configuration::default()
-        };
-        Ok((configuration, ()))
+        Ok((one_queue_configuration(), ()))
     }
 
     fn workers_prefix(&self) -> &'static str {
@@ -152,19 +135,7 @@
     }
 
     fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, WorkerEntryError> {
-        Ok(WorkerFacts {
-            id: Arc::from("w0"),
-            incarnation: None,
-            address: Arc::from("127.0.0.1:9"),
-            service: Arc::from(SERVICE),
-            machine: None,
-            data_centre: Arc::from(""),
-            rack: None,
-            labels: Vec::new(),
-            capacity: Resources::new(64_000, 64_000, 0),
-            is_draining: false,
-            departs_at_clock_ms: None,
-        })
+        Ok(one_worker_facts())
     }
 
     fn limits(_routes: &()) -> RequestLimits {
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -4,11 +4,12 @@
     CommitError, Committed, Item, LeaseGrant, LeaseId, NodeSettings, Page, Revision, Store,
     StoreError, Transaction, Watched, WatchedChange,
 };
-use ospreywing_scheduler::Features;
-use ospreywing_types::Duration;
+use ospreywing_scheduler::{Configuration, Features, Queue, ServicePolicy, WorkerFacts};
+use ospreywing_types::{Duration, Resources};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How the store handles a transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -339,3 +340,44 @@
         features: Features::default(),
     }
 }
+
+pub const SERVICE: &str = "gallery";
+pub const QUEUE: &str = "render";
+
+/// Returns a configuration with one queue and its service.
+pub fn one_queue_configuration() -> Configuration {
+    let queue = Queue {
+        name: QUEUE.to_owned(),
+        service: SERVICE.to_owned(),
+        priority: 0,
+        attempts_limit_count: 3,
+        stretch: 2.0,
+        objective_ms: 1000,
+        advice: None,
+    };
+    Configuration {
+        version: 1,
+        queues: [(QUEUE.to_owned(), queue)].into(),
+        services: vec![ServicePolicy {
+            name: SERVICE.to_owned(),
+        }],
+        ..Configuration::default()
+    }
+}
+
+/// Returns the entry of the only worker, which has room for many runs.
+pub fn one_worker_facts() -> WorkerFacts {
+    WorkerFacts {
+        id: Arc::from("w0"),
+        incarnation: None,
+        address: Arc::from("127.0.0.1:9"),
+        service: Arc::from(SERVICE),
+        machine: None,
+        data_centre: Arc::from(""),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::new(64_000, 64_000, 0),
+        is_draining: false,
+        departs_at_clock_ms: None,
+    }
+}
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -4,7 +4,9 @@
 //! send orders until its next renewal fails. The test suspends the box at each of
 //! several calls that the node makes.
 
-use crate::support::{run_local, settings, MemoryStore};
+use crate::support::{
+    one_queue_configuration, one_worker_facts, run_local, settings, MemoryStore, QUEUE, SERVICE,
+};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_control::cell_view::LeaderRecord;
@@ -14,8 +16,8 @@
     StoreError, Transaction, WorkerEntryError, WorkerPoll,
 };
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, Queue, RunningRun,
-    ServicePolicy, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, RunningRun,
+    StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -25,8 +27,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-const SERVICE: &str = "gallery";
-const QUEUE: &str = "render";
 const WORKERS_PREFIX: &str = "workers/";
 /// How long the node runs after it was suspended.
 const RUN_TIME: std::time::Duration = std::time::Duration::from_millis(600);
@@ -138,24 +138,7 @@
     }
 
     fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
-        let queue = Queue {
-            name: QUEUE.to_owned(),
-            service: SERVICE.to_owned(),
-            priority: 0,
-            attempts_limit_count: 3,
-            stretch: 2.0,
-            objective_ms: 1000,
-            advice: None,
-        };
-        let configuration = Configuration {
-            version: 1,
-            queues: [(QUEUE.to_owned(), queue)].into(),
-            services: vec![ServicePolicy {
-                name: SERVICE.to_owned(),
-            }],
-            ..Configuration::default()
-        };
-        Ok((configuration, ()))
+        Ok((one_queue_configuration(), ()))
     }
 
     fn workers_prefix(&self) -> &'static str {
@@ -171,19 +154,7 @@
     }
 
     fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, WorkerEntryError> {
-        Ok(WorkerFacts {
-            id: Arc::from("w0"),
-            incarnation: None,
-            address: Arc::from("127.0.0.1:9"),
-            service: Arc::from(SERVICE),
-            machine: None,
-            data_centre: Arc::from(""),
-            rack: None,
-            labels: Vec::new(),
-            capacity: Resources::new(64_000, 64_000, 0),
-            is_draining: false,
-            departs_at_clock_ms: None,
-        })
+        Ok(one_worker_facts())
     }
 
     fn limits(_routes: &()) -> RequestLimits {
--- a/crates/scheduler/tests/scheduler/restarts.rs
+++ b/crates/scheduler/tests/scheduler/restarts.rs
@@ -148,14 +148,8 @@
 fn begin_next_incarnation_refuses_open_start_until_answered() {
     let (mut harness, start) = harness_with_start();
     let (first, task, run) = start;
-    harness.handle(Event::StartAnswered {
-        worker: first,
-        task,
-        run,
-        reply: StartReply::Unanswered,
-    });
-    // The repeat is carried out, and the run ends as done.
-    harness.answer_started(start);
+    answer_repeated_start(&mut harness, start);
+    // The run ends as done.
     answer_poll_as(
         &mut harness,
         first,
@@ -184,10 +178,8 @@
     );
 }
 
-/// Returns a harness whose only worker has ended a run, of which an earlier copy of the start was
-/// never answered.
-fn harness_with_open_start() -> (Harness, (WorkerKey, TaskKey, u32)) {
-    let (mut harness, start) = harness_with_start();
+/// Leaves a start unanswered, and answers its repeat.
+fn answer_repeated_start(harness: &mut Harness, start: (WorkerKey, TaskKey, u32)) {
     let (worker, task, run) = start;
     harness.handle(Event::StartAnswered {
         worker,
@@ -196,6 +188,14 @@
         reply: StartReply::Unanswered,
     });
     harness.answer_started(start);
+}
+
+/// Returns a harness whose only worker has ended a run, of which an earlier copy of the start was
+/// never answered.
+fn harness_with_open_start() -> (Harness, (WorkerKey, TaskKey, u32)) {
+    let (mut harness, start) = harness_with_start();
+    let (worker, task, run) = start;
+    answer_repeated_start(&mut harness, start);
     let ended = vec![end(1, task, run, EndKind::Done)];
     answer_poll_as(&mut harness, worker, 1, ended);
     harness.commit_all();
@@ -254,14 +254,7 @@
 #[test]
 fn stop_open_starts_run_alive() {
     let (mut harness, start) = harness_with_start();
-    let (worker, task, run) = start;
-    harness.handle(Event::StartAnswered {
-        worker,
-        task,
-        run,
-        reply: StartReply::Unanswered,
-    });
-    harness.answer_started(start);
+    answer_repeated_start(&mut harness, start);
     harness.actions.clear();
     for _ in 0..10 {
         tick_after(&mut harness, EARLY_STOP_PERIOD);
