Log each failed attempt with its limit and where the limit comes from

Change: a line "attempt failed" for each counted failure, with the number of failures, the limit, and its source (the configuration, or a default where the queue is gone).

--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -37,6 +37,13 @@
                 .map(|due_in| due_in.as_ms()),
             "reason" => decision.reason, "figure" => decision.figure);
     }
+    if let Some(attempts) = decision.attempts {
+        return info!(log, "{}", kind;
+            "task" => decision.task.map(|task| task.to_string()), "run" => decision.run,
+            "worker" => worker, "reason" => decision.reason,
+            "failed" => attempts.failed_count, "limit" => attempts.limit_count,
+            "limit_source" => attempts.limit_source.as_str(), "fence" => fence);
+    }
     match (decision.task, decision.job) {
         (None, Some(job)) if decision.kind == DecisionKind::AdviceAnswered => {
             info!(log, "{}", kind;
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -2,6 +2,7 @@
 
 use crate::customers::CustomerUsage;
 use crate::job::{JobId, StepKey, TaskKey};
+use crate::policies::PolicySource;
 use ospreywing_types::Duration;
 use std::sync::Arc;
 
@@ -28,6 +29,8 @@
     StopSent,
     /// A run's end was handled.
     RunEnded,
+    /// A task, or its gang, has failed.
+    AttemptFailed,
     /// A run was released as lost.
     RunLost,
     /// A job ended, or clients can see its outcome.
@@ -80,6 +83,7 @@
             Self::StartUnknown => "start unknown",
             Self::StopSent => "stop sent",
             Self::RunEnded => "run ended",
+            Self::AttemptFailed => "attempt failed",
             Self::RunLost => "run lost",
             Self::JobEnded => "job ended",
             Self::WorkerListed => "worker listed",
@@ -111,6 +115,17 @@
     pub due_in: Option<Duration>,
 }
 
+/// How many of a task's attempts are used, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptsUsed {
+    /// The number of runs that have failed.
+    pub failed_count: usize,
+    /// The number of failures at which the job fails.
+    pub limit_count: u32,
+    /// Where the limit comes from.
+    pub limit_source: PolicySource,
+}
+
 /// A log entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -134,6 +149,8 @@
     pub customer: Option<CustomerUsage>,
     /// The reservation of the customer's limit, if there is one.
     pub reserved: Option<ReservedLimit>,
+    /// The attempts that the task has used, if one of them has failed.
+    pub attempts: Option<AttemptsUsed>,
     /// The reason or the result.
     pub reason: &'static str,
     /// A number that depends on the kind, such as an age in milliseconds or a count.
@@ -156,6 +173,7 @@
             service: None,
             customer: None,
             reserved: None,
+            attempts: None,
             reason,
             figure: 0,
             suitable_count: 0,
@@ -211,6 +229,12 @@
         self
     }
 
+    /// Sets the attempts that the task has used.
+    pub const fn with_attempts(mut self, attempts: AttemptsUsed) -> Self {
+        self.attempts = Some(attempts);
+        self
+    }
+
     /// Sets the number of suitable workers.
     pub const fn with_suitable_count(mut self, suitable_count: usize) -> Self {
         self.suitable_count = suitable_count;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -1,9 +1,11 @@
 //! Ends of runs and their effects on tasks, jobs and workers.
 
 use crate::commits::Effect;
-use crate::decision::{Decision, DecisionKind};
+use crate::decision::{AttemptsUsed, Decision, DecisionKind};
 use crate::event::{Action, EndKind, EndedRun, Endpoint};
 use crate::job::{StepKey, TaskKey};
+use crate::jobs::DEFAULT_ATTEMPTS_COUNT;
+use crate::policies::PolicySource;
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
@@ -156,9 +158,20 @@
             self.complete_if_done(now, step.job, out);
             return;
         }
-        if end.kind == EndKind::Failed && self.has_failed_too_often(end.task) {
-            self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
-            return;
+        if end.kind == EndKind::Failed {
+            let attempts = self.attempts_used(end.task);
+            let is_last = attempts.is_some_and(|it| it.failed_count >= it.limit_count as usize);
+            if let Some(attempts) = attempts {
+                let reason = if is_last { "last" } else { "may be repeated" };
+                let line = Decision::new(DecisionKind::AttemptFailed, reason)
+                    .with_run(end.task, end.run)
+                    .with_attempts(attempts);
+                out.push(Action::Log(line));
+            }
+            if is_last {
+                self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
+                return;
+            }
         }
         self.break_gang(now, step);
     }
@@ -180,19 +193,24 @@
         }
     }
 
-    fn has_failed_too_often(&self, task: TaskKey) -> bool {
-        let limit = self.attempts_limit(task.step.job);
-        let job = self.jobs.get(&task.step.job);
-        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
-        if spec.is_none_or(|spec| spec.is_perpetual) {
-            return false;
+    /// Returns how many attempts of a task, or of its gang, have failed; `None` for perpetual
+    /// tasks, which may fail without a limit.
+    fn attempts_used(&self, task: TaskKey) -> Option<AttemptsUsed> {
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        if spec.is_perpetual {
+            return None;
         }
-        let round = job.and_then(|job| job.state.round(task.step.round));
-        let step = round.and_then(|round| round.steps.get(task.step.step as usize));
-        step.is_some_and(|step| {
-            let task = step.tasks.get(task.index as usize);
-            let failed_count = task.map_or(0, |task| task.failed_runs.len());
-            step.gang_failed_runs.len().max(failed_count) >= limit as usize
+        let round = job.state.round(task.step.round)?;
+        let step = round.steps.get(task.step.step as usize)?;
+        let task = step.tasks.get(task.index as usize);
+        let failed_count = task.map_or(0, |task| task.failed_runs.len());
+        let queue = self.configuration.queue(&job.record.queue);
+        let source = queue.map_or(PolicySource::Default, |_| PolicySource::Configured);
+        Some(AttemptsUsed {
+            failed_count: step.gang_failed_runs.len().max(failed_count),
+            limit_count: queue.map_or(DEFAULT_ATTEMPTS_COUNT, |it| it.attempts_limit_count),
+            limit_source: source,
         })
     }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 
 /// How often a task may fail if the queue is no longer configured.
-const DEFAULT_ATTEMPTS_COUNT: u32 = 3;
+pub(crate) const DEFAULT_ATTEMPTS_COUNT: u32 = 3;
 /// The priority of a queue that is no longer configured.
 const DEFAULT_PRIORITY: u32 = 9;
 
@@ -432,13 +432,6 @@
         }
     }
 
-    /// Returns how often a task of the job may fail.
-    pub(crate) fn attempts_limit(&self, id: JobId) -> u32 {
-        let queue = self.jobs.get(&id).map(|job| job.record.queue.as_str());
-        let queue = queue.and_then(|name| self.configuration.queue(name));
-        queue.map_or(DEFAULT_ATTEMPTS_COUNT, |queue| queue.attempts_limit_count)
-    }
-
     /// Queues the removal of jobs whose outcome has been kept for the retention time.
     pub(crate) fn remove_expired_jobs(&mut self, now: Instant) {
         let retention = self.config.retention;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -57,6 +57,7 @@
 mod packing;
 mod placed_incarnations;
 mod placement;
+mod policies;
 mod preemption;
 mod recovery;
 mod resource_totals;
@@ -84,7 +85,7 @@
 };
 pub use crash_records::{CrashRecord, Suspicion};
 pub use customers::{Customer, CustomerUsage};
-pub use decision::{Decision, DecisionKind, ReservedLimit};
+pub use decision::{AttemptsUsed, Decision, DecisionKind, ReservedLimit};
 pub use durations::{DurationForecast, Durations, ForecastError, StepClass};
 pub use event::{
     Action, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Endpoint, Event, HoldReply,
@@ -96,6 +97,7 @@
 pub use incarnation::Incarnation;
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::poll_timeout;
+pub use policies::PolicySource;
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
 pub use shares::ShareView;
