Keep the attempts limit of an accepted job when its queue is removed

What callers saw: a task of a queue with maxAttempts 1 ran three times once the queue's route was removed (BUDGET); with maxAttempts above 3 its job was shown as failed after the third run (LOST).

Cause: a job lives under later configurations than that of its acceptance. Its record held the queue's name and service; the limit was looked up by name when a run failed, and a queue that was no longer configured meant a default of 3.

Change: a node stores with a job what its configuration says for it (`JobPolicy`: queue, customer, version). The present configuration applies while it has the queue; else what is stored. A later policy goes into the job's progress with its next write, and at once if the queue or the customer is removed. `Job::queue` answers for all.

Compatibility: the policy is the last part of the record, the progress and the two messages that carry a record. Nodes of the version before ignore it, and what they write lacks it; a leader that sees the queue supplies it. Tests state the old forms.

Weighed: the limit at acceptance for ever (an operator's change would not reach accepted jobs, and the advice policy must follow the workers'); the leader's last known queue in memory (lost with the leader, and unknown to one that hears of the job after the removal); a record per queue in the store (one more thing to recover, and none for that leader either).

Why it works: no lookup by name decides alone any more, and what a later leader must know is written before it may be needed.

--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -12,7 +12,9 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use ospreywing_http::{Call, HttpClient, HttpError};
-use ospreywing_scheduler::{Forecast, JobId, JobRecord, JobView, Learned, StepKey};
+use ospreywing_scheduler::{
+    Forecast, JobId, JobPolicy, JobRecord, JobView, Learned, StepKey, Trailing,
+};
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -22,7 +24,7 @@
 pub const PATH: &str = "/peer";
 
 /// A request of one node to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Queries a job's state; for the leader.
     Status {
@@ -37,8 +39,10 @@
     JobTaken {
         /// The job.
         job: JobId,
-        /// The accepted job.
+        /// The accepted job, without its policy.
         record: JobRecord,
+        /// The policy of the record; the last field.
+        policy: Trailing<Box<JobPolicy>>,
     },
     /// Notifies the leader of a cancel that was written to the store.
     CancelTaken(JobId),
@@ -46,10 +50,12 @@
     Submit {
         /// The job.
         job: JobId,
-        /// The job to be accepted.
+        /// The job to be accepted, without its policy.
         record: JobRecord,
         /// The version of the configuration with which the job was parsed.
         version: u64,
+        /// The policy of the record; the last field.
+        policy: Trailing<Box<JobPolicy>>,
     },
     /// Writes a cancel to the store, which the sender can't reach.
     Cancel {
@@ -194,6 +200,30 @@
     Malformed,
 }
 
+impl PeerRequest {
+    /// Creates the notification of a job that was written to the store.
+    pub fn job_taken(job: JobId, mut record: JobRecord) -> Self {
+        let policy = Trailing(record.policy.take());
+        Self::JobTaken {
+            job,
+            record,
+            policy,
+        }
+    }
+
+    /// Creates the request to write a job that was parsed with a configuration of version
+    /// `version`.
+    pub fn submit(job: JobId, mut record: JobRecord, version: u64) -> Self {
+        let policy = Trailing(record.policy.take());
+        Self::Submit {
+            job,
+            record,
+            version,
+            policy,
+        }
+    }
+}
+
 impl PeerError {
     /// Returns whether nothing listens at the other node's address. A call that this node held
     /// for too long shows nothing of the other one.
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -14,7 +14,7 @@
 use crate::stored_view::{access, read_view, Access, StoredView};
 use crate::{admission, clock, configuration_sharing, keys, leader_probe};
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Event, JobId, JobRecord, JobView, StoredJob,
+    AdviceReply, Configuration, Event, JobId, JobPolicy, JobRecord, JobView, StoredJob,
 };
 use ospreywing_types::Duration;
 use slog::info;
@@ -52,12 +52,14 @@
             spec,
             caller,
         } => {
+            let policy = configuration.policy(&queue, caller.customer());
             let record = JobRecord {
                 queue,
                 service,
                 accepted_ms: clock::wall_ms(),
                 spec,
                 customer: caller.customer().map(str::to_owned),
+                policy: policy.map(Box::new),
             };
             submit(node, job, record, configuration).await
         }
@@ -134,12 +136,7 @@
     record: &JobRecord,
     version: u64,
 ) -> Reply {
-    let record = record.clone();
-    let request = PeerRequest::Submit {
-        job,
-        record,
-        version,
-    };
+    let request = PeerRequest::submit(job, record.clone(), version);
     forward(node, request, Reply::Accepted).await
 }
 
@@ -226,7 +223,7 @@
         term.send_event(Event::JobAccepted { job, record });
         return;
     }
-    send_to_leader(node, PeerRequest::JobTaken { job, record });
+    send_to_leader(node, PeerRequest::job_taken(job, record));
 }
 
 /// Sends a message to the leader. If the message is lost, the leader reads the change from
@@ -438,16 +435,25 @@
             Some(term) => PeerReply::Pending(term.pending_count(&queue)),
             None => not_leader_reply(node),
         },
-        PeerRequest::JobTaken { job, record } => {
+        PeerRequest::JobTaken {
+            job,
+            mut record,
+            policy,
+        } => {
+            record.policy = policy.0;
             let record = Box::new(record);
             deliver_to_own_term(node, Event::JobAccepted { job, record })
         }
         PeerRequest::CancelTaken(job) => deliver_to_own_term(node, Event::CancelAccepted { job }),
         PeerRequest::Submit {
             job,
-            record,
+            mut record,
             version,
-        } => write_for_peer(node, job, &record, version).await,
+            policy,
+        } => {
+            record.policy = policy.0;
+            write_for_peer(node, job, record, version).await
+        }
         PeerRequest::Cancel { job, caller } => write_cancel(node, job, &caller).await,
         PeerRequest::Leader => match node.valid_term() {
             Some(_) => PeerReply::NotLeader(Some(election::own_leader_record(node))),
@@ -488,15 +494,19 @@
 async fn write_for_peer<P: Platform>(
     node: &Rc<Node<P>>,
     job: JobId,
-    record: &JobRecord,
+    mut record: JobRecord,
     version: u64,
 ) -> PeerReply {
-    if !node.is_current() || !is_admissible(node, record, version) {
+    if !node.is_current() || !is_admissible(node, &record, version) {
         info!(node.log, "job of another node rejected";
             "job" => %job, "version" => version, "known" => node.configuration.version());
         return PeerReply::Refused;
     }
-    match write_job(node, job, record).await {
+    if record.policy.is_none() {
+        // A node of an earlier version sends none.
+        record.policy = configured_policy(node, &record);
+    }
+    match write_job(node, job, &record).await {
         JobWriteOutcome::Stored => PeerReply::Accepted,
         JobWriteOutcome::IdTaken => PeerReply::IdTaken,
         JobWriteOutcome::NotStored => PeerReply::Refused,
@@ -523,6 +533,15 @@
     record.customer.is_none() && queue.is_some_and(|queue| queue.service == record.service)
 }
 
+/// Returns what this node's configuration says for a job.
+fn configured_policy<P: Platform>(node: &Node<P>, record: &JobRecord) -> Option<Box<JobPolicy>> {
+    let active = node.configuration.active()?;
+    let policy = active
+        .configuration
+        .policy(&record.queue, record.customer.as_deref());
+    policy.map(Box::new)
+}
+
 fn deliver_to_own_term<P: Platform>(node: &Rc<Node<P>>, event: Event) -> PeerReply {
     match node.valid_term() {
         Some(term) => {
--- a/crates/control/tests/control/held_starts.rs
+++ b/crates/control/tests/control/held_starts.rs
@@ -322,6 +322,7 @@
             schedule: None,
         },
         customer: None,
+        policy: None,
     };
     let write = Transaction::new().with_put(keys::job(JobId::new(number)), job.to_bytes());
     store.commit(&write).await.expect("no condition");
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -11,6 +11,7 @@
 mod lateness;
 mod logging;
 mod metrics;
+mod peer_messages;
 mod recovery;
 mod relays;
 mod store_outage;
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -240,6 +240,7 @@
                 schedule: None,
             },
             customer: None,
+            policy: None,
         };
         initial_items = initial_items.with_put(keys::job(JobId::new(number)), record.to_bytes());
     }
--- a/crates/scheduler/benches/leader.rs
+++ b/crates/scheduler/benches/leader.rs
@@ -349,6 +349,7 @@
             schedule: None,
         },
         customer: None,
+        policy: None,
     })
 }
 
--- a/crates/scheduler/src/commits.rs
+++ b/crates/scheduler/src/commits.rs
@@ -139,6 +139,9 @@
             job.is_dirty = false;
             job.is_in_flight = true;
             let kind = next_change(job, has_runs);
+            if matches!(kind, ChangeKind::Progress(_)) {
+                job.is_policy_unsaved = false;
+            }
             open.push(OpenChange {
                 job: id,
                 version: job.version,
--- a/crates/scheduler/src/config.rs
+++ b/crates/scheduler/src/config.rs
@@ -3,11 +3,12 @@
 use crate::customers::Customer;
 use crate::features::Features;
 use ospreywing_types::Duration;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 
 /// The cost and validity of a queue's advice.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdvicePolicy {
     /// The time that the adviser takes for a request, in milliseconds.
     pub decision_ms: f64,
@@ -26,7 +27,7 @@
 }
 
 /// A configured queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// The queue's name.
     pub name: String,
--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -12,11 +12,12 @@
 use crate::token_bucket::TokenBucket;
 use cranelift_entity::{entity_impl, PrimaryMap};
 use ospreywing_types::{Instant, Resources};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 
 /// A customer as configured by the operators.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Customer {
     /// The name.
     pub name: Arc<str>,
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -4,8 +4,6 @@
 use crate::decision::{AttemptsUsed, Decision, DecisionKind};
 use crate::event::{Action, EndKind, EndedRun, Endpoint};
 use crate::job::{StepKey, TaskKey};
-use crate::jobs::DEFAULT_ATTEMPTS_COUNT;
-use crate::policies::PolicySource;
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
@@ -205,12 +203,10 @@
         let step = round.steps.get(task.step.step as usize)?;
         let task = step.tasks.get(task.index as usize);
         let failed_count = task.map_or(0, |task| task.failed_runs.len());
-        let queue = self.configuration.queue(&job.record.queue);
-        let source = queue.map_or(PolicySource::Default, |_| PolicySource::Configured);
         Some(AttemptsUsed {
             failed_count: step.gang_failed_runs.len().max(failed_count),
-            limit_count: queue.map_or(DEFAULT_ATTEMPTS_COUNT, |it| it.attempts_limit_count),
-            limit_source: source,
+            limit_count: job.queue(&self.configuration).attempts_limit_count,
+            limit_source: job.queue_source(&self.configuration),
         })
     }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -1,5 +1,6 @@
 //! The definition of jobs, steps and tasks, as submitted and stored.
 
+use crate::policies::JobPolicy;
 use core::fmt;
 use core::str::FromStr;
 use ospreywing_types::Resources;
@@ -153,7 +154,7 @@
 }
 
 /// An accepted job as it is stored.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// The queue to which the job was submitted.
     pub queue: String,
@@ -166,6 +167,10 @@
     pub spec: JobSpec,
     /// The customer that submitted the job; `None` for an open queue.
     pub customer: Option<String>,
+    /// What the configuration said for the job when it was accepted; `None` if a node of an
+    /// earlier version accepted it. It is encoded separately, after the rest of the record.
+    #[serde(skip)]
+    pub policy: Option<Box<JobPolicy>>,
 }
 
 impl JobRecord {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -16,8 +16,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How often a task may fail if the queue is no longer configured.
-pub(crate) const DEFAULT_ATTEMPTS_COUNT: u32 = 3;
 /// The priority of a queue that is no longer configured.
 const DEFAULT_PRIORITY: u32 = 9;
 
@@ -28,6 +26,8 @@
     pub(crate) state: JobState,
     /// The number of changes of the state.
     pub(crate) version: u64,
+    /// Whether the policy in the state has changed since the last write of the state.
+    pub(crate) is_policy_unsaved: bool,
     /// Whether the job waits to be committed.
     pub(crate) is_dirty: bool,
     /// Whether a transaction in flight contains the job.
@@ -86,6 +86,7 @@
             payload: Arc::from(record.spec.payload.as_str()),
             record: Arc::new(record),
             version: 0,
+            is_policy_unsaved: false,
             is_dirty: false,
             is_in_flight: false,
             effects: Vec::new(),
@@ -121,6 +122,7 @@
         self.payload = Arc::from("");
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
+        self.state.policy = None;
         self.finished_step_durations.clear();
         self.clear_derived();
     }
@@ -271,6 +273,7 @@
         }
         let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
+        self.update_policy(id);
         self.update_remaining(id);
         if is_active {
             self.open_in_share_account(id);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -73,6 +73,7 @@
 mod state;
 mod step_durations;
 mod token_bucket;
+mod trailing;
 mod verifier;
 mod wait_reasons;
 mod worker;
@@ -97,7 +98,7 @@
 pub use incarnation::Incarnation;
 pub use job::{JobId, JobIdError, JobRecord, JobSpec, Schedule, StepKey, StepSpec, TaskKey};
 pub use leases::poll_timeout;
-pub use policies::PolicySource;
+pub use policies::{JobPolicy, PolicySource};
 pub use recovery::Recovered;
 pub use scheduler::{JobView, Scheduler, SchedulerStatus};
 pub use shares::ShareView;
@@ -106,6 +107,7 @@
     JobOutcome, JobState, Phase, RoundState, StateError, StepState, StoredJob, TaskState,
     TaskStatus,
 };
+pub use trailing::Trailing;
 pub use verifier::Violation;
 pub use wait_reasons::{WaitReason, WaitSummary};
 pub use worker::{WorkerFacts, WorkerKey};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -410,6 +410,7 @@
         out.push(Action::Log(line.with_figure(configuration.version)));
         self.accounts.configure(configuration.customers.values());
         self.configuration = configuration;
+        self.update_policies();
         self.update_share_services();
         self.update_has_service();
         self.is_cycle_due = true;
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -6,6 +6,8 @@
 use crate::incarnation::Incarnation;
 use crate::job::{is_visible_to, JobRecord, JobSpec};
 use crate::placed_incarnations::PlacedIncarnation;
+use crate::policies::JobPolicy;
+use crate::trailing::Trailing;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -95,7 +97,7 @@
 }
 
 /// A job's progress.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobState {
     /// The job's phase.
     pub phase: Phase,
@@ -107,6 +109,10 @@
     /// the rest of the progress.
     #[serde(skip)]
     pub crashes: Vec<CrashRecord>,
+    /// What a later configuration than that of the job's acceptance says for the job. It is
+    /// the last part of the encoding, and nodes of the previous version ignore it.
+    #[serde(skip)]
+    pub policy: Option<Box<JobPolicy>>,
 }
 
 /// The stored bytes are not a valid job state.
@@ -181,14 +187,15 @@
     /// Returns the encoding for the store.
     pub fn to_bytes(&self) -> Vec<u8> {
         let incarnations = self.placed_incarnations();
+        let policy = Trailing(self.policy.as_deref());
         if !incarnations.is_empty() {
-            let parts = (self, &self.crashes, incarnations);
+            let parts = (self, &self.crashes, incarnations, policy);
             return encode(INCARNATIONS_FORMAT, &parts);
         }
         if self.crashes.is_empty() {
-            return encode(FORMAT_VERSION, self);
+            return encode(FORMAT_VERSION, &(self, policy));
         }
-        let parts = (self, &self.crashes);
+        let parts = (self, &self.crashes, policy);
         encode(CRASHES_FORMAT, &parts)
     }
 
@@ -200,47 +207,67 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, StateError> {
         match bytes.split_first() {
             Some((&CRASHES_FORMAT, rest)) => {
-                let (state, crashes): (Self, Vec<CrashRecord>) = decode_postcard(rest)?;
-                Ok(Self { crashes, ..state })
+                let (state, crashes, policy): CrashesParts = decode_postcard(rest)?;
+                let state = Self { crashes, ..state };
+                Ok(state.with_policy(policy))
             }
             Some((&INCARNATIONS_FORMAT, rest)) => {
-                let (state, crashes, incarnations): (
-                    Self,
-                    Vec<CrashRecord>,
-                    Vec<PlacedIncarnation>,
-                ) = decode_postcard(rest)?;
+                let (state, crashes, incarnations, policy): IncarnationsParts =
+                    decode_postcard(rest)?;
                 let mut state = Self { crashes, ..state };
                 state.set_placed_incarnations(&incarnations);
-                Ok(state)
+                Ok(state.with_policy(policy))
+            }
+            _ => {
+                let (state, policy): (Self, TrailingPolicy) = decode(bytes)?;
+                Ok(state.with_policy(policy))
             }
-            _ => decode(bytes),
         }
     }
+
+    fn with_policy(mut self, policy: TrailingPolicy) -> Self {
+        self.policy = policy.0;
+        self
+    }
 }
 
 impl JobRecord {
     /// Returns the encoding for the store.
     pub fn to_bytes(&self) -> Vec<u8> {
+        let policy = Trailing(self.policy.as_deref());
         if self.customer.is_some() {
-            return encode(CUSTOMERS_JOB_FORMAT, self);
+            return encode(CUSTOMERS_JOB_FORMAT, &(self, policy));
         }
-        let parts = (&self.queue, &self.service, self.accepted_ms, &self.spec);
+        let (queue, service) = (&self.queue, &self.service);
+        let parts = (queue, service, self.accepted_ms, &self.spec, policy);
         encode(FORMAT_VERSION, &parts)
     }
 
-    fn from_parts((queue, service, accepted_ms, spec): RecordParts) -> Self {
+    fn from_parts((queue, service, accepted_ms, spec, policy): RecordParts) -> Self {
         Self {
             queue,
             service,
             accepted_ms,
             spec,
             customer: None,
+            policy: policy.0,
         }
     }
 }
 
+/// A policy at the end of an encoding.
+type TrailingPolicy = Trailing<Box<JobPolicy>>;
 /// The fields of a [`JobRecord`] without a customer, in stored order.
-type RecordParts = (String, String, u64, JobSpec);
+type RecordParts = (String, String, u64, JobSpec, TrailingPolicy);
+/// The parts of progress with crash records, in stored order.
+type CrashesParts = (JobState, Vec<CrashRecord>, TrailingPolicy);
+/// The parts of progress with crash records and incarnations, in stored order.
+type IncarnationsParts = (
+    JobState,
+    Vec<CrashRecord>,
+    Vec<PlacedIncarnation>,
+    TrailingPolicy,
+);
 
 /// The outcome of a job and its customer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -285,7 +312,7 @@
 ///
 /// The key remains while clients may query or resubmit the job. Once the job has ended, its
 /// outcome replaces its specification, which a new leader would otherwise have to read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum StoredJob {
     /// The accepted job.
     Accepted(Box<JobRecord>),
@@ -314,7 +341,11 @@
                 Ok(Self::Ended(JobOutcome::new(phase)))
             }
             Some((&CUSTOMERS_OUTCOME_FORMAT, rest)) => decode_postcard(rest).map(Self::Ended),
-            Some((&CUSTOMERS_JOB_FORMAT, rest)) => decode_postcard(rest).map(Self::Accepted),
+            Some((&CUSTOMERS_JOB_FORMAT, rest)) => {
+                let (record, policy): (Box<JobRecord>, TrailingPolicy) = decode_postcard(rest)?;
+                let policy = policy.0;
+                Ok(Self::Accepted(Box::new(JobRecord { policy, ..*record })))
+            }
             _ => {
                 let record = JobRecord::from_parts(decode(bytes)?);
                 Ok(Self::Accepted(Box::new(record)))
--- a/crates/scheduler/tests/scheduler/damaged_records.rs
+++ b/crates/scheduler/tests/scheduler/damaged_records.rs
@@ -1,6 +1,8 @@
 //! Decoding of stored records whose bytes are damaged.
 
-use crate::support::{job, job_of, placed_at_incarnation, placed_state, step};
+use crate::support::{
+    accepted_under, configuration, job, job_of, placed_at_incarnation, placed_state, step, QUEUE,
+};
 use ospreywing_scheduler::{
     CrashRecord, JobOutcome, JobState, Phase, StoredJob, Suspicion, TaskKey,
 };
@@ -44,12 +46,18 @@
     state
 }
 
+fn with_policy(mut state: JobState) -> JobState {
+    state.policy = configuration(None).policy(QUEUE, None).map(Box::new);
+    state
+}
+
 /// Decoding a job's progress terminates without a panic, whatever its bytes.
 #[rstest]
 #[case::plain(placed_state("w0", 1))]
 #[case::crashes(with_crash(placed_state("w0", 1)))]
 #[case::incarnations(placed_at_incarnation("w0", 7, 1))]
 #[case::incarnations_and_crashes(with_crash(placed_at_incarnation("w0", 7, 1)))]
+#[case::policy(with_policy(placed_state("w0", 1)))]
 fn job_state_any_bytes(#[case] state: JobState) {
     let mut rng = Pcg64::seed_from_u64(4);
     let valid = state.to_bytes();
@@ -63,6 +71,9 @@
 #[rstest]
 #[case::job(job(1, vec![step(3)]).1.to_bytes())]
 #[case::job_of_customer(job_of("one", 1, vec![step(3)]).1.to_bytes())]
+#[case::job_with_policy(
+    accepted_under(&configuration(None), job_of("one", 1, vec![step(3)])).1.to_bytes()
+)]
 #[case::outcome(JobOutcome::new(Phase::Complete).to_bytes())]
 #[case::outcome_of_customer(
     JobOutcome::new(Phase::Failed).with_customer(Some("one".to_owned())).to_bytes()
--- a/crates/scheduler/tests/scheduler/support/harness.rs
+++ b/crates/scheduler/tests/scheduler/support/harness.rs
@@ -3,8 +3,8 @@
 use super::worker::FakeWorker;
 use super::{configuration, job};
 use ospreywing_scheduler::{
-    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, EndKind, EndedRun, Event, Features,
-    HoldReply, Incarnation, JobId, JobRecord, JobState, Recovered, RunningRun, Scheduler,
+    Action, AdvicePolicy, AdviceReply, Change, ChangeKind, Configuration, EndKind, EndedRun, Event,
+    Features, HoldReply, Incarnation, JobId, JobRecord, JobState, Recovered, RunningRun, Scheduler,
     SchedulerConfig, StartReply, StepSpec, StopReply, StoredJob, TaskKey, Ticket, WorkerFacts,
     WorkerKey,
 };
@@ -67,11 +67,29 @@
         Self::begin(config, recovered, None)
     }
 
+    /// Begins a term under this configuration.
+    pub fn with_configuration(
+        recovered: Recovered,
+        workers: &[FakeWorker],
+        configuration: Configuration,
+    ) -> Self {
+        let config = SchedulerConfig::new(FENCE, LEASE_LIMIT);
+        Self::begin_under(config, recovered, configuration).with_workers(workers)
+    }
+
     fn begin(config: SchedulerConfig, recovered: Recovered, advice: Option<AdvicePolicy>) -> Self {
+        Self::begin_under(config, recovered, configuration(advice))
+    }
+
+    fn begin_under(
+        config: SchedulerConfig,
+        recovered: Recovered,
+        configuration: Configuration,
+    ) -> Self {
         let now = Instant::from_ms(50_000);
         Self {
             now,
-            scheduler: Scheduler::new(config, configuration(advice), now, recovered),
+            scheduler: Scheduler::new(config, configuration, now, recovered),
             actions: Vec::new(),
         }
     }
--- a/crates/scheduler/tests/scheduler/support/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/mod.rs
@@ -83,10 +83,21 @@
             schedule: None,
         },
         customer: None,
+        policy: None,
     };
     (JobId::new(number), record)
 }
 
+/// Returns the job as a node accepts it under a configuration.
+pub fn accepted_under(
+    configuration: &Configuration,
+    (id, mut record): (JobId, JobRecord),
+) -> (JobId, JobRecord) {
+    let policy = configuration.policy(&record.queue, record.customer.as_deref());
+    record.policy = policy.map(Box::new);
+    (id, record)
+}
+
 /// Returns a job of one step in [`LOW_PRIORITY_QUEUE`]. Its tasks save checkpoints and have
 /// time to spare.
 pub fn deferrable_job(number: u64, tasks_count: u32) -> (JobId, JobRecord) {
