Keep the advice policy of an accepted job when its queue is removed

What workers saw: starts without a ticket, on workers that the queue's policy excludes; they refuse them, again and again, and the job never runs (LOST; refused starts are paid for).

Whether a step needs a ticket, what a request costs and whether a firm reservation may hold the step back were looked up by the queue's name, and a removed queue had no advice policy.

Change: these three ask `Job::queue`, which goes on with what is stored.

--- a/crates/scheduler/src/backfill.rs
+++ b/crates/scheduler/src/backfill.rs
@@ -391,8 +391,7 @@
         let Some(job) = self.jobs.get(&step.job) else {
             return false;
         };
-        let queue = self.configuration.queue(&job.record.queue);
-        let advice = queue.and_then(|queue| queue.advice);
+        let advice = job.queue(&self.configuration).advice;
         let has_long_advice = advice.is_some_and(|policy| policy.cost(1) > FIRM_ADVICE_LIMIT);
         let spec = job.record.spec.steps.get(step.step as usize);
         has_long_advice || spec.is_some_and(|spec| spec.is_perpetual)
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -344,14 +344,14 @@
             return None;
         }
         waiting.truncate(allowed_count as usize);
-        let queue = self.configuration.queue(&job.record.queue);
-        let service = queue.map_or(&job.record.service, |queue| &queue.service);
+        let configured = self.configuration.queue(&job.record.queue);
+        let service = configured.map_or(&job.record.service, |queue| &queue.service);
         Some(PendingStep {
             service: self.name_interner.intern(service),
             key,
             waiting,
             demand: counted_demand(spec),
-            advice: queue.and_then(|queue| queue.advice),
+            advice: job.queue(&self.configuration).advice,
             record: job.record.clone(),
         })
     }
@@ -359,8 +359,7 @@
     /// Returns whether tasks of a step need a ticket to start on a worker.
     pub(crate) fn needs_ticket(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
-        let queue = job.and_then(|job| self.configuration.queue(&job.record.queue));
-        queue.is_some_and(|queue| queue.advice.is_some())
+        job.is_some_and(|job| job.queue(&self.configuration).advice.is_some())
     }
 
     /// Places as many waiting tasks as fit; a gang is placed whole or not at all. Returns the
--- a/crates/scheduler/tests/scheduler/removed_queues.rs
+++ b/crates/scheduler/tests/scheduler/removed_queues.rs
@@ -1,12 +1,13 @@
 //! Accepted jobs whose queue or customer the operators remove, change or add again.
 
 use crate::support::harness::{failed, workers, Harness};
-use crate::support::{accepted_under, configuration, job, step, QUEUE};
+use crate::support::{accepted_under, advice, configuration, job, step, QUEUE};
 use ospreywing_scheduler::{
-    Configuration, Event, JobId, JobRecord, JobState, Phase, Queue, Recovered, StepSpec, StoredJob,
-    TaskKey, WorkerKey,
+    Action, Configuration, Event, JobId, JobRecord, JobState, Phase, Queue, Recovered, StepSpec,
+    StoredJob, TaskKey, WorkerKey,
 };
 use rstest::rstest;
+use std::sync::Arc;
 
 /// How many starts a test waits for at most.
 const STARTS_LIMIT_COUNT: u32 = 10;
@@ -96,6 +97,15 @@
         next
     }
 
+    /// Answers a poll of each listed worker, without runs.
+    fn answer_polls(&mut self) {
+        let listed = self.harness.scheduler.listed_workers();
+        let workers: Vec<WorkerKey> = listed.map(|(worker, _)| worker).collect();
+        for worker in workers {
+            self.harness.answer_poll(worker, Vec::new());
+        }
+    }
+
     /// Waits for the next starts.
     fn await_starts(&mut self) -> Vec<(WorkerKey, TaskKey, u32)> {
         for _ in 0..WAITS_LIMIT_COUNT {
@@ -273,3 +283,44 @@
     assert_eq!(term.fail_until_job_fails(0), STARTS_LIMIT_COUNT);
     assert_eq!(term.phase(), Some(Phase::Active));
 }
+
+/// Guards against starts without a ticket, which workers refuse: the advice policy was lost with
+/// the queue.
+#[rstest]
+#[case::removed_after_acceptance(false)]
+#[case::next_leader(true)]
+fn start_queue_with_advice_removed(#[case] is_next_leader: bool) {
+    let accepted = configured(1, |queue| queue.advice = Some(advice()));
+    let mut term = Term::new(vec![step(1)], &accepted, accepted.clone());
+    term.configure(without_queue(2));
+    if is_next_leader {
+        term = term.next_leader(without_queue(2));
+        term.answer_polls();
+    }
+    assert_eq!(start_with_advice(&mut term), Some("ticket".into()));
+}
+
+/// Guards against the same where the leader already knows the removal when it hears of the job.
+#[test]
+fn start_queue_with_advice_removed_before_leader_knew_job() {
+    let accepted = configured(1, |queue| queue.advice = Some(advice()));
+    let mut term = Term::new(vec![step(1)], &accepted, without_queue(2));
+    assert_eq!(start_with_advice(&mut term), Some("ticket".into()));
+}
+
+/// Answers advice requests until a start is sent; returns the start's ticket.
+fn start_with_advice(term: &mut Term) -> Option<Arc<str>> {
+    term.harness.handle(Event::NodesListed(vec!["n1".into()]));
+    for _ in 0..WAITS_LIMIT_COUNT {
+        term.harness.answer_advice_requests(&["w0", "w1"]);
+        term.commit();
+        let ticket = term.harness.actions.iter().find_map(|action| match action {
+            Action::Start { order, .. } => Some(order.ticket.clone()),
+            _ => None,
+        });
+        if let Some(ticket) = ticket {
+            return ticket;
+        }
+    }
+    panic!("no start was sent");
+}
