Keep the priority and the objective of an accepted job when its queue is removed

What callers saw: under the next leader a job of a removed queue came after all others (priority 9), and its objective was another one (stretch 3, 1 s), so that it could be treated as late or worthless while it was on time, or the other way round.

Change: rank and objective ask `Job::queue`. A job's line "job taken" follows its insertion, which looks up the queue.

Evidence: order_jobs_queue_removed_next_leader (before: the job of the less urgent queue started first) and objective_queue_removed (before: 4,000 ms instead of 6,000), 2 of 2 failed before.

Seen and left: a priority that is changed while its queue stays applies to accepted jobs only from the next leader on, as before.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -81,7 +81,7 @@
         let queue = configuration.queue(&record.queue)?;
         let mut forecasts = self.queues.iter();
         let forecast = forecasts.find(|it| it.queue == record.queue)?;
-        let objective = objective_of(record, Some(queue));
+        let objective = objective_of(record, queue);
         let is_covered =
             objective.as_ms() >= forecast.objective_ms && total_work(record).covers(forecast.work);
         let done_ms = forecast.done_ms.saturating_sub(age.as_ms());
--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -191,7 +191,7 @@
             let known = done.filter(|_| self.is_learning()).or_else(likely);
             known.map_or(spec.estimate_ms, Duration::as_ms)
         };
-        self.objective(record, duration_ms)
+        self.objective(job, duration_ms)
     }
 
     fn remaining_of_round(&self, id: JobId, job: &Job, round: &RoundState) -> RoundRemaining {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -16,9 +16,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The priority of a queue that is no longer configured.
-const DEFAULT_PRIORITY: u32 = 9;
-
 /// A job in memory.
 pub(crate) struct Job {
     pub(crate) record: Arc<JobRecord>,
@@ -79,7 +76,7 @@
     pub(crate) fn new(
         record: JobRecord,
         state: JobState,
-        rank: (u32, u64),
+        number: u64,
         accepted_at: Instant,
     ) -> Self {
         Self {
@@ -93,7 +90,7 @@
             has_begun: state.has_certainly_begun(),
             committed_phase: state.phase,
             ended_at: None,
-            rank,
+            rank: (0, number),
             customer: None,
             service: None,
             is_beyond_rate: false,
@@ -233,13 +230,17 @@
         if self.jobs.contains_key(&id) || self.unreadable.contains(&id) {
             return;
         }
+        self.insert_job(now, id, record, JobState::default());
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let record = job.record.clone();
         let line = Decision::new(DecisionKind::JobAccepted, "accepted")
             .with_job(id)
             .with_queue(&record.queue)
-            .with_figure(self.estimated_objective(&record).as_ms());
+            .with_figure(self.estimated_objective(job).as_ms());
         out.push(Action::Log(line));
         self.record_shapes(now, &record);
-        self.insert_job(now, id, record, JobState::default());
     }
 
     /// Adds a job to the tables; begins the first round if it is due.
@@ -250,12 +251,12 @@
         record: JobRecord,
         state: JobState,
     ) {
-        let priority = self.configuration.queue(&record.queue);
-        let priority = priority.map_or(DEFAULT_PRIORITY, |queue| queue.priority);
-        let rank = (priority, self.next_order);
+        let number = self.next_order;
         self.next_order += 1;
         let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
-        let mut job = Job::new(record, state, rank, now - age);
+        let mut job = Job::new(record, state, number, now - age);
+        job.update_policy(&self.configuration);
+        job.rank.0 = job.queue(&self.configuration).priority;
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_or_insert(name);
             job.customer = Some(customer);
@@ -263,7 +264,7 @@
         }
         job.probation_until = now + self.config.crash_policy.probation_wait;
         if job.state.phase == Phase::Active {
-            self.active.insert(rank, id);
+            self.active.insert(job.rank, id);
             if job.record.spec.schedule.is_some() {
                 self.scheduled.push(id);
             } else if job.state.next_round == 0 {
@@ -273,7 +274,7 @@
         }
         let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
-        self.update_policy(id);
+        self.save_policy_if_missing(id);
         self.update_remaining(id);
         if is_active {
             self.open_in_share_account(id);
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -123,7 +123,7 @@
     }
 
     /// Takes over what a configuration says, unless that is known already or outdated.
-    fn update_policy(&mut self, configuration: &Configuration) {
+    pub(crate) fn update_policy(&mut self, configuration: &Configuration) {
         let queue = configuration.queue(&self.record.queue);
         let customer = self.record.customer.as_deref();
         let customer = customer.and_then(|name| configuration.customer(name));
@@ -163,20 +163,20 @@
     pub(crate) fn update_policies(&mut self) {
         let ids: Vec<JobId> = self.active.values().copied().collect();
         for id in ids {
-            self.update_policy(id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.update_policy(&self.configuration);
+            }
+            self.save_policy_if_missing(id);
         }
     }
 
-    /// Updates a job's policy. It is stored at once if the configuration no longer shows it.
-    pub(crate) fn update_policy(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
+    /// Stores a job's policy at once if it isn't stored and the configuration lacks it.
+    pub(crate) fn save_policy_if_missing(&mut self, id: JobId) {
+        let is_at_risk = |job: &Job| {
+            let is_active = job.state.phase == Phase::Active;
+            is_active && job.is_policy_unsaved && job.is_missing_in(&self.configuration)
         };
-        if job.state.phase != Phase::Active {
-            return;
-        }
-        job.update_policy(&self.configuration);
-        if job.is_policy_unsaved && job.is_missing_in(&self.configuration) {
+        if self.jobs.get(&id).is_some_and(is_at_risk) {
             self.queue_commit(id, None);
         }
     }
--- a/crates/scheduler/src/scheduling_order.rs
+++ b/crates/scheduler/src/scheduling_order.rs
@@ -16,10 +16,6 @@
 /// The percentage of its estimate that a step is assumed to take at least. Estimates are rough, and
 /// a job must not be treated as late while it could still be on time.
 pub(crate) const MIN_DURATION_PERCENT: u64 = 60;
-/// The objective's stretch factor for queues that are no longer configured.
-const DEFAULT_STRETCH: f64 = 3.0;
-/// The objective's fixed part for queues that are no longer configured, in milliseconds.
-const DEFAULT_OBJECTIVE_MS: u64 = 1000;
 
 /// The best possible outcome for a waiting job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -193,36 +189,26 @@
     }
 
     /// Returns a job's objective, the time within which it should end, from its estimates.
-    pub(crate) fn estimated_objective(&self, record: &JobRecord) -> Duration {
-        objective_of(record, self.configuration.queue(&record.queue))
+    pub(crate) fn estimated_objective(&self, job: &Job) -> Duration {
+        objective_of(&job.record, job.queue(&self.configuration))
     }
 
     /// Returns a job's objective, given the duration of each step in milliseconds.
-    pub(crate) fn objective(
-        &self,
-        record: &JobRecord,
-        duration_ms: impl Fn(usize) -> u64,
-    ) -> Duration {
-        objective_by(record, self.configuration.queue(&record.queue), duration_ms)
+    pub(crate) fn objective(&self, job: &Job, duration_ms: impl Fn(usize) -> u64) -> Duration {
+        objective_by(&job.record, job.queue(&self.configuration), duration_ms)
     }
 }
 
 /// Returns the objective of a job in a queue, from its estimates.
-pub(crate) fn objective_of(record: &JobRecord, queue: Option<&Queue>) -> Duration {
+pub(crate) fn objective_of(record: &JobRecord, queue: &Queue) -> Duration {
     objective_by(record, queue, |number| {
         record.spec.steps[number].estimate_ms
     })
 }
 
-fn objective_by(
-    record: &JobRecord,
-    queue: Option<&Queue>,
-    duration_ms: impl Fn(usize) -> u64,
-) -> Duration {
-    let stretch = queue.map_or(DEFAULT_STRETCH, |queue| queue.stretch);
-    let fixed_ms = queue.map_or(DEFAULT_OBJECTIVE_MS, |queue| queue.objective_ms);
+fn objective_by(record: &JobRecord, queue: &Queue, duration_ms: impl Fn(usize) -> u64) -> Duration {
     let critical_path = critical_path(record, None, duration_ms) as f64;
-    Duration::from_ms((critical_path * stretch) as u64 + fixed_ms)
+    Duration::from_ms((critical_path * queue.stretch) as u64 + queue.objective_ms)
 }
 
 /// Returns the latest start at which a job still ends before it is worthless.
--- a/crates/scheduler/tests/scheduler/removed_queues.rs
+++ b/crates/scheduler/tests/scheduler/removed_queues.rs
@@ -1,10 +1,11 @@
 //! Accepted jobs whose queue or customer the operators remove, change or add again.
 
 use crate::support::harness::{failed, workers, Harness};
-use crate::support::{accepted_under, advice, configuration, job, step, QUEUE};
+use crate::support::worker::FakeWorker;
+use crate::support::{accepted_under, advice, configuration, job, step, LOW_PRIORITY_QUEUE, QUEUE};
 use ospreywing_scheduler::{
-    Action, Configuration, Event, JobId, JobRecord, JobState, Phase, Queue, Recovered, StepSpec,
-    StoredJob, TaskKey, WorkerKey,
+    Action, Configuration, DecisionKind, Event, JobId, JobRecord, JobState, Phase, Queue,
+    Recovered, StepSpec, StoredJob, TaskKey, WorkerKey,
 };
 use rstest::rstest;
 use std::sync::Arc;
@@ -324,3 +325,42 @@
     }
     panic!("no start was sent");
 }
+
+/// Returns a worker with capacity for one task.
+fn small_worker() -> FakeWorker {
+    let mut worker = FakeWorker::new("w0", 1000);
+    worker.set_capacity(step(1).demand);
+    worker
+}
+
+/// Guards against a lower priority than the queue had, under the next leader.
+#[test]
+fn order_jobs_queue_removed_next_leader() {
+    let accepted = configured(1, |_| {});
+    let (low_id, mut low) = job(1, vec![step(1)]);
+    low.queue = LOW_PRIORITY_QUEUE.to_owned();
+    let recovered = Recovered {
+        jobs: vec![
+            accepted_under(&accepted, (low_id, low)),
+            accepted_under(&accepted, job(2, vec![step(1)])),
+        ],
+        ..Recovered::default()
+    };
+    let worker = [small_worker()];
+    let mut harness = Harness::with_configuration(recovered, &worker, without_queue(2));
+    harness.commit_all();
+    let started: Vec<JobId> = harness.starts().iter().map(|it| it.1.step.job).collect();
+    assert_eq!(started, [JobId::new(2)]);
+}
+
+/// Guards against another objective than the queue's: stretch and fixed part were lost with it.
+#[test]
+fn objective_queue_removed() {
+    let accepted = configured(1, |queue| queue.stretch = 5.0);
+    let term = Term::new(vec![step(1)], &accepted, without_queue(2));
+    let objective_ms = term.harness.actions.iter().find_map(|action| match action {
+        Action::Log(line) if line.kind == DecisionKind::JobAccepted => Some(line.figure),
+        _ => None,
+    });
+    assert_eq!(objective_ms, Some(5 * 1000 + 1000));
+}
