Keep the last service of an accepted job when its queue was moved and then removed

What callers saw: a queue is moved to another service and later removed; the waiting tasks of its accepted jobs go back to the workers of the service that it had when they were accepted. Nothing forbids these workers (ROUTE asks for any configuration), but the operators have moved the work away from them, and the jobs wait if they are gone.

Evidence: place_queue_moved_then_removed, 2 of 2 cases (same and next leader) started on a worker of the first service before, on one of the last service now. No use of `Configuration::queue` for an accepted job is left outside policies.rs.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -231,16 +231,14 @@
             return;
         }
         self.insert_job(now, id, record, JobState::default());
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        let record = job.record.clone();
-        let line = Decision::new(DecisionKind::JobAccepted, "accepted")
-            .with_job(id)
-            .with_queue(&record.queue)
-            .with_figure(self.estimated_objective(job).as_ms());
-        out.push(Action::Log(line));
-        self.record_shapes(now, &record);
+        self.record_shapes(now, id);
+        if let Some(job) = self.jobs.get(&id) {
+            let line = Decision::new(DecisionKind::JobAccepted, "accepted")
+                .with_job(id)
+                .with_queue(&job.record.queue)
+                .with_figure(self.estimated_objective(job).as_ms());
+            out.push(Action::Log(line));
+        }
     }
 
     /// Adds a job to the tables; begins the first round if it is due.
--- a/crates/scheduler/src/overloads.rs
+++ b/crates/scheduler/src/overloads.rs
@@ -252,8 +252,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let queue = self.configuration.queue(&job.record.queue);
-        let service = queue.map_or(&job.record.service, |queue| &queue.service);
+        let service = &job.queue(&self.configuration).service;
         let Some(jobs) = services.iter_mut().find(|it| *it.service == **service) else {
             return;
         };
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -344,14 +344,13 @@
             return None;
         }
         waiting.truncate(allowed_count as usize);
-        let configured = self.configuration.queue(&job.record.queue);
-        let service = configured.map_or(&job.record.service, |queue| &queue.service);
+        let queue = job.queue(&self.configuration);
         Some(PendingStep {
-            service: self.name_interner.intern(service),
+            service: self.name_interner.intern(&queue.service),
             key,
             waiting,
             demand: counted_demand(spec),
-            advice: job.queue(&self.configuration).advice,
+            advice: queue.advice,
             record: job.record.clone(),
         })
     }
--- a/crates/scheduler/src/shapes.rs
+++ b/crates/scheduler/src/shapes.rs
@@ -1,6 +1,6 @@
 //! Shapes of the tasks that arrive at each service, and how often each arrived recently.
 
-use crate::job::JobRecord;
+use crate::job::JobId;
 use crate::scheduler::Scheduler;
 use ospreywing_types::{Duration, Instant, Resources};
 use std::collections::BTreeMap;
@@ -156,11 +156,14 @@
 
 impl Scheduler {
     /// Counts the tasks of an accepted job by shape. Fillers are not counted.
-    pub(crate) fn record_shapes(&mut self, now: Instant, record: &JobRecord) {
-        let queue = self.configuration.queue(&record.queue);
-        let service = queue.map_or(&record.service, |queue| &queue.service);
+    pub(crate) fn record_shapes(&mut self, now: Instant, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let service = &job.queue(&self.configuration).service;
         let service = self.name_interner.intern(service);
-        for step in record.spec.steps.iter().filter(|step| !step.is_filler) {
+        let steps = &job.record.spec.steps;
+        for step in steps.iter().filter(|step| !step.is_filler) {
             let service = service.clone();
             self.shapes
                 .record_tasks(now, service, step.demand, step.tasks_count);
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -107,8 +107,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let queue = self.configuration.queue(&job.record.queue);
-        let service = queue.map_or(&job.record.service, |queue| &queue.service);
+        let service = &job.queue(&self.configuration).service;
         let service = self.shares.key_or_insert(service);
         self.shares.open_job(service, job.customer);
         if let Some(before) = job.service.replace(service) {
--- a/crates/scheduler/tests/scheduler/removed_queues.rs
+++ b/crates/scheduler/tests/scheduler/removed_queues.rs
@@ -2,7 +2,10 @@
 
 use crate::support::harness::{failed, workers, Harness};
 use crate::support::worker::FakeWorker;
-use crate::support::{accepted_under, advice, configuration, job, step, LOW_PRIORITY_QUEUE, QUEUE};
+use crate::support::{
+    accepted_under, advice, configuration, job, step, with_other_service, LOW_PRIORITY_QUEUE,
+    OTHER_SERVICE, QUEUE,
+};
 use ospreywing_scheduler::{
     Action, Configuration, DecisionKind, Event, JobId, JobRecord, JobState, Phase, Queue,
     Recovered, StepSpec, StoredJob, TaskKey, WorkerKey,
@@ -364,3 +367,29 @@
     });
     assert_eq!(objective_ms, Some(5 * 1000 + 1000));
 }
+
+/// Guards against work that goes back to a service from which its queue was moved, once the queue
+/// is removed.
+#[rstest]
+fn place_queue_moved_then_removed(#[values(false, true)] is_next_leader: bool) {
+    let moved = |version, change: fn(&mut Queue)| with_other_service(configured(version, change));
+    let accepted = moved(1, |_| {});
+    let mut removed = moved(3, |_| {});
+    removed.queues.remove(QUEUE);
+    let mut term = Term::new(vec![step(1)], &accepted, accepted.clone());
+    let first = term.await_starts()[0];
+    let mut other = FakeWorker::new("w9", 1000);
+    other.service = Arc::from(OTHER_SERVICE);
+    let all: Vec<FakeWorker> = workers(WORKERS_COUNT).into_iter().chain([other]).collect();
+    term.harness.list_workers(&all);
+    term.configure(moved(2, |queue| queue.service = OTHER_SERVICE.to_owned()));
+    term.configure(removed.clone());
+    if is_next_leader {
+        term = term.next_leader(removed);
+        term.harness.list_workers(&all);
+    }
+    term.fail(first);
+    term.answer_polls();
+    let worker = term.harness.scheduler.worker_key("w9");
+    assert_eq!(Some(term.await_starts()[0].0), worker);
+}
