Keep the limit and the weight of a customer that is removed under the next leader too

What customers saw: none of this was reported. A customer is removed from the configuration while its accepted jobs wait; the leader keeps its last limit, but the next leader, and one that hears of a job only after the removal, has none at all and runs as much as fits (QUOTA), with the mean weight in fair shares.

Cause: the same as of the limit of attempts: a limit that only the configuration held, with "no limit" as the default.

Change: an account also takes its terms from the policies of the customer's jobs, the newest version first. docs/design/customers.md said that "this leader" keeps the limit.

--- a/crates/scheduler/src/customers.rs
+++ b/crates/scheduler/src/customers.rs
@@ -5,8 +5,10 @@
 //! their leases have certainly expired. The same table of runs keeps workers from being
 //! overcommitted, so both counts are equally reliable.
 
+use crate::config::Configuration;
 use crate::job::{JobRecord, StepKey, StepSpec};
 use crate::limits::min_start_count;
+use crate::policies::JobPolicy;
 use crate::scheduler::Scheduler;
 use crate::share_accounts::ServiceKey;
 use crate::token_bucket::TokenBucket;
@@ -91,6 +93,8 @@
     rate: TokenBucket,
     /// The weight in fair shares, if it has one.
     weight: Option<f64>,
+    /// The version of the configuration that set the limit and the weight; 0 if none did.
+    version: u64,
 }
 
 impl Account {
@@ -101,9 +105,18 @@
             used: Resources::ZERO,
             rate: TokenBucket::default(),
             weight: None,
+            version: 0,
         }
     }
 
+    fn configure(&mut self, customer: &Customer, version: u64) {
+        self.limit = customer.limit;
+        self.rate.set_rate(customer.jobs_per_s);
+        let is_weight = customer.jobs_per_s.is_finite() && customer.jobs_per_s > 0.0;
+        self.weight = is_weight.then_some(customer.jobs_per_s);
+        self.version = version;
+    }
+
     /// Returns the usage and the limit for the log.
     pub(crate) fn to_usage(&self) -> CustomerUsage {
         CustomerUsage {
@@ -159,15 +172,21 @@
         key
     }
 
-    /// Applies the configuration of customers.
-    pub(crate) fn configure<'a>(&mut self, customers: impl Iterator<Item = &'a Customer>) {
-        for customer in customers {
+    /// Applies a configuration.
+    pub(crate) fn configure(&mut self, configuration: &Configuration) {
+        for customer in configuration.customers.values() {
             let key = self.key_or_insert(&customer.name);
-            let account = &mut self.accounts[key];
-            account.limit = customer.limit;
-            account.rate.set_rate(customer.jobs_per_s);
-            let is_weight = customer.jobs_per_s.is_finite() && customer.jobs_per_s > 0.0;
-            account.weight = is_weight.then_some(customer.jobs_per_s);
+            self.accounts[key].configure(customer, configuration.version);
+        }
+    }
+
+    /// Applies what a job's policy says for its customer, unless a later configuration is known.
+    pub(crate) fn apply_policy(&mut self, key: CustomerKey, policy: &JobPolicy) {
+        let account = &mut self.accounts[key];
+        if let Some(customer) = &policy.customer {
+            if policy.version > account.version {
+                account.configure(customer, policy.version);
+            }
         }
     }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -258,6 +258,9 @@
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_or_insert(name);
             job.customer = Some(customer);
+            if let Some(policy) = job.known_policy() {
+                self.accounts.apply_policy(customer, policy);
+            }
             job.is_beyond_rate = self.accounts.record_job(customer, job.accepted_at);
         }
         job.probation_until = now + self.config.crash_policy.probation_wait;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -179,7 +179,7 @@
 impl Scheduler {
     pub(crate) fn empty(config: SchedulerConfig, configuration: Configuration) -> Self {
         let mut accounts = Accounts::default();
-        accounts.configure(configuration.customers.values());
+        accounts.configure(&configuration);
         Self {
             config,
             configuration,
@@ -408,7 +408,7 @@
         }
         let line = Decision::new(DecisionKind::Configured, "newer version");
         out.push(Action::Log(line.with_figure(configuration.version)));
-        self.accounts.configure(configuration.customers.values());
+        self.accounts.configure(&configuration);
         self.configuration = configuration;
         self.update_policies();
         self.update_share_services();
--- a/crates/scheduler/tests/scheduler/removed_queues.rs
+++ b/crates/scheduler/tests/scheduler/removed_queues.rs
@@ -3,8 +3,8 @@
 use crate::support::harness::{failed, workers, Harness};
 use crate::support::worker::FakeWorker;
 use crate::support::{
-    accepted_under, advice, configuration, job, step, with_other_service, LOW_PRIORITY_QUEUE,
-    OTHER_SERVICE, QUEUE,
+    accepted_under, advice, configuration, configuration_with, customer, job, job_of, step,
+    with_other_service, LOW_PRIORITY_QUEUE, OTHER_SERVICE, QUEUE,
 };
 use ospreywing_scheduler::{
     Action, Configuration, DecisionKind, Event, JobId, JobRecord, JobState, Phase, Queue,
@@ -393,3 +393,44 @@
     let worker = term.harness.scheduler.worker_key("w9");
     assert_eq!(Some(term.await_starts()[0].0), worker);
 }
+
+/// Returns a configuration in which the customer `one` may run this many tasks.
+fn with_customer_limit(version: u64, tasks_count: u32) -> Configuration {
+    configuration_with(version, None, vec![customer("one", tasks_count, 100.0)])
+}
+
+/// Guards against a customer without any limit under the next leader: it was removed while its
+/// jobs waited.
+#[test]
+fn place_customer_removed_next_leader() {
+    let accepted = with_customer_limit(1, 2);
+    let job = accepted_under(&accepted, job_of("one", 1, vec![step(5)]));
+    let mut term = Term::with_record(job, accepted);
+    term.configure(with_customer_limit(2, 3));
+    let removed = configuration_with(3, None, Vec::new());
+    term.configure(removed.clone());
+    let mut term = term.next_leader(removed);
+    term.answer_polls();
+    assert_eq!(term.await_starts().len(), 3);
+    assert_eq!(term.await_starts().len(), 0);
+}
+
+/// Guards against the same where the leader already knows the removal when it hears of the job.
+#[test]
+fn place_customer_removed_before_leader_knew_job() {
+    let job = accepted_under(&with_customer_limit(1, 2), job_of("one", 1, vec![step(5)]));
+    let mut term = Term::with_record(job, configuration_with(2, None, Vec::new()));
+    assert_eq!(term.await_starts().len(), 2);
+    assert_eq!(term.await_starts().len(), 0);
+}
+
+/// A limit that is configured again applies.
+#[test]
+fn place_customer_added_again() {
+    let accepted = with_customer_limit(1, 2);
+    let job = accepted_under(&accepted, job_of("one", 1, vec![step(5)]));
+    let mut term = Term::with_record(job, configuration_with(2, None, Vec::new()));
+    assert_eq!(term.await_starts().len(), 2);
+    term.configure(with_customer_limit(3, 4));
+    assert_eq!(term.await_starts().len(), 2);
+}
