Search: operators remove queues and add them again beside failing runs

The search never removed a queue, and its limit of attempts was the default of queues of which nothing is known, so it could not show that default.

Change: a fault that removes all queues, or adds them again; jobs are submitted as a node accepts them, with their policy; the rule on attempts takes the limit of the job's policy (for all other searches the same number as before); a job that is shown as failed must have used up its attempts; limits 2 and 5; a start has a ticket if and only if its queue needs advice, as before.

--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -37,6 +37,7 @@
     pause: 0,
     stale_entry: 0,
     limit: 0,
+    queue: 0,
     restart: 0,
     cordon: 0,
     held_order: 0,
@@ -627,6 +628,48 @@
     }
 }
 
+/// Operators remove the queues of accepted jobs and add them again: no task starts after its
+/// attempts are used up, no job is failed before that, and each start has its ticket. The limit
+/// differs from the default of queues of which nothing is known.
+#[rstest]
+#[case::quiet(Faults { queue: 100, failing_run: 300, ..Faults::default() })]
+#[case::takeovers(Faults { queue: 100, failing_run: 300, takeover: 40, ..Faults::default() })]
+#[case::paused(Faults { queue: 100, failing_run: 300, pause: 60, ..Faults::default() })]
+#[case::lost_answers(Faults {
+    queue: 100, failing_run: 300, lost_answer: 40, partition: 20, degraded_store: 10, takeover: 20,
+    ..Faults::default()
+})]
+fn scheduler_keeps_policies_of_removed_queues(
+    #[case] faults: Faults,
+    #[values(2, 5)] limit_count: u32,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Printed if the test fails.
+        println!("seed {seed}");
+        let policy = has_advice.then(advice);
+        let mut simulation = Simulation::new(seed, 8, faults, policy);
+        let mut configuration = configuration_with(2, policy, Vec::new());
+        for queue in configuration.queues.values_mut() {
+            queue.attempts_limit_count = limit_count;
+        }
+        simulation.configure(configuration);
+        simulation.faults_end_ms = simulation.now_ms + FAULT_PHASE_MS;
+        for number in 1..=12 {
+            let steps = match number % 3 {
+                0 => vec![gang(3)],
+                1 => vec![step(2), after(0, step(3))],
+                _ => vec![step(4)],
+            };
+            simulation.submit(job(number, steps));
+            simulation.run_for(300);
+        }
+        simulation.run_for(FAULT_PHASE_MS);
+        simulation.run_until_done(RECOVERY_LIMIT_MS);
+        simulation.assert_failed_jobs_used_attempts();
+    }
+}
+
 /// Customers' gangs need up to all of their limit, which is lowered meanwhile, alongside short
 /// jobs at two services: no customer has more running than its limit allows, and every gang
 /// starts.
--- a/crates/scheduler/tests/scheduler/support/rules.rs
+++ b/crates/scheduler/tests/scheduler/support/rules.rs
@@ -16,6 +16,8 @@
     pub first_started_ms: BTreeMap<TaskKey, u64>,
     /// Tasks with any end `done`.
     pub done: BTreeSet<TaskKey>,
+    /// Runs with any end `failed`, by task.
+    pub failed: BTreeMap<TaskKey, BTreeSet<u32>>,
     /// Runs with an acknowledged end `failed`, by task.
     pub failed_recorded: BTreeMap<TaskKey, BTreeSet<u32>>,
     /// Acknowledged ends `done` that don't count, because the lease had expired since the end.
@@ -47,7 +49,35 @@
 /// The number of counted starts that breaks the rule.
 const STARTS_AFTER_LIMIT_COUNT: usize = 3;
 
+/// Returns how often a task of the job may fail.
+fn attempts_limit_of(record: &JobRecord) -> usize {
+    let policy = record.policy.as_ref();
+    let limit_count = policy.map_or(super::ATTEMPTS_COUNT, |policy| {
+        policy.queue.attempts_limit_count
+    });
+    limit_count as usize
+}
+
 impl Rules {
+    /// Checks that a job that is shown as failed has used up its attempts. The members of a gang
+    /// use up one limit together.
+    pub fn check_failed_job(&self, id: JobId, record: &JobRecord) {
+        let limit_count = attempts_limit_of(record);
+        let mut runs_of_steps: BTreeMap<StepKey, BTreeSet<u32>> = BTreeMap::new();
+        let mut is_used_up = false;
+        for (task, runs) in self.failed.iter().filter(|(task, _)| task.step.job == id) {
+            let runs_of_step = runs_of_steps.entry(task.step).or_default();
+            runs_of_step.extend(runs);
+            let is_gang = record.spec.steps[task.step.step as usize].is_gang;
+            let counted = if is_gang { &*runs_of_step } else { runs };
+            is_used_up |= counted.len() >= limit_count;
+        }
+        assert!(
+            is_used_up,
+            "job {id} was failed before its attempts were used up"
+        );
+    }
+
     /// Records the ends that a worker is about to forget.
     ///
     /// A start after an end `done` breaks the rule even if the end is acknowledged only later.
@@ -106,7 +136,7 @@
         );
         let failed_count = self.failed_recorded.get(&task).map_or(0, BTreeSet::len);
         assert!(
-            failed_count < super::ATTEMPTS_COUNT as usize,
+            failed_count < attempts_limit_of(record),
             "{task} starts after its attempts were used up"
         );
         for (other, worker) in workers.iter().enumerate() {
--- a/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
@@ -445,6 +445,14 @@
         for worker in &self.workers {
             let done = worker.ended.iter().filter(|end| end.kind == EndKind::Done);
             self.rules.done.extend(done.map(|end| end.task));
+            let failed = worker
+                .ended
+                .iter()
+                .filter(|end| end.kind == EndKind::Failed);
+            for end in failed {
+                let runs = self.rules.failed.entry(end.task).or_default();
+                runs.insert(end.run);
+            }
         }
     }
 }
--- a/crates/scheduler/tests/scheduler/support/simulation/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/faults.rs
@@ -5,6 +5,7 @@
 use crate::support::worker::FakeWorker;
 use ospreywing_scheduler::{Event, TaskKey};
 use rand::Rng;
+use std::collections::HashMap;
 
 /// How long a worker is listed after its incarnation is over, alongside its machine's next one.
 const LISTED_AFTER_END_MS: core::ops::Range<u64> = 500..9_000;
@@ -84,6 +85,9 @@
         if self.faults.limit > 0 && self.draw_fault(self.faults.limit) {
             self.change_limits();
         }
+        if self.faults.queue > 0 && self.draw_fault(self.faults.queue) {
+            self.toggle_queues();
+        }
         if self.faults.cordon > 0 && self.draw_fault(self.faults.cordon) {
             self.toggle_cordon();
         }
@@ -110,6 +114,18 @@
         self.configure(configuration);
     }
 
+    /// Removes all queues, or adds them again.
+    fn toggle_queues(&mut self) {
+        let mut configuration = self.configuration.clone();
+        configuration.version += 1;
+        configuration.queues = if configuration.queues.is_empty() {
+            self.accepting_configuration.queues.clone()
+        } else {
+            HashMap::new()
+        };
+        self.configure(configuration);
+    }
+
     /// Cordons the data centre of a random worker, or lifts its cordon.
     fn toggle_cordon(&mut self) {
         let index = self.rng.random_range(0..self.workers.len());
--- a/crates/scheduler/tests/scheduler/support/simulation/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/mod.rs
@@ -8,7 +8,7 @@
 use super::limits::LimitRule;
 use super::rules::Rules;
 use super::worker::FakeWorker;
-use super::OTHER_SERVICE;
+use super::{accepted_under, OTHER_SERVICE};
 use ospreywing_scheduler::{
     Action, AdvicePolicy, AdviceReply, Change, Configuration, CrashPolicy, Endpoint, Event,
     Features, Forecast, JobId, JobOutcome, JobRecord, JobState, Phase, Recovered, Scheduler,
@@ -61,6 +61,8 @@
     pub stale_entry: u32,
     /// Ticks at which operators change the limits of all customers.
     pub limit: u32,
+    /// Ticks at which operators remove all queues, or add them again.
+    pub queue: u32,
     /// Ticks at which a worker crashes and starts again under its id.
     pub restart: u32,
     /// Ticks at which operators cordon a data centre, or lift its cordon.
@@ -182,6 +184,8 @@
     rng: Pcg64,
     faults: Faults,
     configuration: Configuration,
+    /// The last configuration with queues.
+    accepting_configuration: Configuration,
     has_advice: bool,
     leaders: Vec<Leader>,
     pub workers: Vec<FakeWorker>,
@@ -248,6 +252,7 @@
             rng,
             faults,
             configuration: super::configuration(advice),
+            accepting_configuration: super::configuration(advice),
             has_advice: advice.is_some(),
             leaders: Vec::new(),
             workers,
@@ -293,6 +298,9 @@
     pub fn configure(&mut self, configuration: Configuration) {
         let customers = configuration.customers.values();
         self.limit_rule.record_limits(self.now_ms, customers);
+        if !configuration.queues.is_empty() {
+            self.accepting_configuration = configuration.clone();
+        }
         self.configuration = configuration.clone();
         self.send_to_leaders(Event::Configured(configuration));
     }
@@ -463,7 +471,9 @@
         self.send_to_leader(fence, Event::WorkersListed(list));
     }
 
-    pub fn submit(&mut self, (id, record): (JobId, JobRecord)) {
+    /// Submits a job to a node that knows the last configuration with queues.
+    pub fn submit(&mut self, job: (JobId, JobRecord)) {
+        let (id, record) = accepted_under(&self.accepting_configuration, job);
         self.jobs.insert(id, record.clone());
         self.submitted_jobs.push(id);
         let record = Box::new(record);
@@ -678,6 +688,15 @@
         panic!("no outcome in time for {open:?}");
     }
 
+    /// Checks that every job that is shown as failed has used up its attempts.
+    pub fn assert_failed_jobs_used_attempts(&self) {
+        for (id, record) in &self.jobs {
+            if self.phase(*id) == Some(Phase::Failed) {
+                self.rules.check_failed_job(*id, record);
+            }
+        }
+    }
+
     /// Returns the adviser's ticket for the current incarnation of a worker.
     fn ticket_of(&self, to: &Endpoint) -> Arc<str> {
         let worker = self.workers.iter().find(|worker| worker.id == to.id);
