Read as a newcomer: a function for the last attempt, one assignment of the rank, names

No behaviour changes: `was_last_attempt` logs and judges a failed attempt, a job's rank is set in one place, and `is_unconfigured` says what `is_missing_in` meant.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -156,20 +156,9 @@
             self.complete_if_done(now, step.job, out);
             return;
         }
-        if end.kind == EndKind::Failed {
-            let attempts = self.attempts_used(end.task);
-            let is_last = attempts.is_some_and(|it| it.failed_count >= it.limit_count as usize);
-            if let Some(attempts) = attempts {
-                let reason = if is_last { "last" } else { "may be repeated" };
-                let line = Decision::new(DecisionKind::AttemptFailed, reason)
-                    .with_run(end.task, end.run)
-                    .with_attempts(attempts);
-                out.push(Action::Log(line));
-            }
-            if is_last {
-                self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
-                return;
-            }
+        if end.kind == EndKind::Failed && self.was_last_attempt(end, out) {
+            self.end_job(now, step.job, Phase::Failed, "attempts used up", out);
+            return;
         }
         self.break_gang(now, step);
     }
@@ -191,6 +180,20 @@
         }
     }
 
+    /// Logs a failed attempt; returns whether the task, or its gang, has no attempts left.
+    fn was_last_attempt(&self, end: &EndedRun, out: &mut Vec<Action>) -> bool {
+        let Some(attempts) = self.attempts_used(end.task) else {
+            return false;
+        };
+        let is_last = attempts.failed_count >= attempts.limit_count as usize;
+        let reason = if is_last { "last" } else { "may be repeated" };
+        let line = Decision::new(DecisionKind::AttemptFailed, reason)
+            .with_run(end.task, end.run)
+            .with_attempts(attempts);
+        out.push(Action::Log(line));
+        is_last
+    }
+
     /// Returns how many attempts of a task, or of its gang, have failed; `None` for perpetual
     /// tasks, which may fail without a limit.
     fn attempts_used(&self, task: TaskKey) -> Option<AttemptsUsed> {
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -73,12 +73,7 @@
 }
 
 impl Job {
-    pub(crate) fn new(
-        record: JobRecord,
-        state: JobState,
-        number: u64,
-        accepted_at: Instant,
-    ) -> Self {
+    pub(crate) fn new(record: JobRecord, state: JobState, accepted_at: Instant) -> Self {
         Self {
             payload: Arc::from(record.spec.payload.as_str()),
             record: Arc::new(record),
@@ -90,7 +85,7 @@
             has_begun: state.has_certainly_begun(),
             committed_phase: state.phase,
             ended_at: None,
-            rank: (0, number),
+            rank: (0, 0),
             customer: None,
             service: None,
             is_beyond_rate: false,
@@ -249,12 +244,11 @@
         record: JobRecord,
         state: JobState,
     ) {
-        let number = self.next_order;
-        self.next_order += 1;
         let age = Duration::from_ms(self.wall_ms.saturating_sub(record.accepted_ms));
-        let mut job = Job::new(record, state, number, now - age);
+        let mut job = Job::new(record, state, now - age);
         job.update_policy(&self.configuration);
-        job.rank.0 = job.queue(&self.configuration).priority;
+        job.rank = (job.queue(&self.configuration).priority, self.next_order);
+        self.next_order += 1;
         if let Some(name) = &job.record.customer {
             let customer = self.accounts.key_or_insert(name);
             job.customer = Some(customer);
@@ -275,7 +269,7 @@
         }
         let is_active = job.state.phase == Phase::Active;
         self.jobs.insert(id, job);
-        self.save_policy_if_missing(id);
+        self.save_policy_if_unconfigured(id);
         self.update_remaining(id);
         if is_active {
             self.open_in_share_account(id);
--- a/crates/scheduler/src/policies.rs
+++ b/crates/scheduler/src/policies.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Takes over what a configuration says, unless that is known already or outdated.
+    /// Adopts what a configuration says, unless that is known already or outdated.
     pub(crate) fn update_policy(&mut self, configuration: &Configuration) {
         let queue = configuration.queue(&self.record.queue);
         let customer = self.record.customer.as_deref();
@@ -151,7 +151,7 @@
     }
 
     /// Returns whether the configuration lacks the job's queue or customer.
-    fn is_missing_in(&self, configuration: &Configuration) -> bool {
+    fn is_unconfigured(&self, configuration: &Configuration) -> bool {
         let customer = self.record.customer.as_deref();
         configuration.queue(&self.record.queue).is_none()
             || customer.is_some_and(|name| configuration.customer(name).is_none())
@@ -166,15 +166,15 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.update_policy(&self.configuration);
             }
-            self.save_policy_if_missing(id);
+            self.save_policy_if_unconfigured(id);
         }
     }
 
     /// Stores a job's policy at once if it isn't stored and the configuration lacks it.
-    pub(crate) fn save_policy_if_missing(&mut self, id: JobId) {
+    pub(crate) fn save_policy_if_unconfigured(&mut self, id: JobId) {
         let is_at_risk = |job: &Job| {
             let is_active = job.state.phase == Phase::Active;
-            is_active && job.is_policy_unsaved && job.is_missing_in(&self.configuration)
+            is_active && job.is_policy_unsaved && job.is_unconfigured(&self.configuration)
         };
         if self.jobs.get(&id).is_some_and(is_at_risk) {
             self.queue_commit(id, None);
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -84,7 +84,7 @@
             customer: outcome.customer,
             ..JobRecord::default()
         };
-        let mut job = Job::new(record, state, 0, now);
+        let mut job = Job::new(record, state, now);
         job.ended_at = Some(now);
         self.jobs.insert(id, job);
     }
