--- a/crates/control/tests/control/held_starts.rs
+++ b/crates/control/tests/control/held_starts.rs
@@ -4,198 +4,35 @@
 //! that holds a batch as the socket of a relay that stands still does: the leader's calls are
 //! accepted by the system, and the relay reads them when it wakes.
 
-use crate::support::{
-    one_queue_configuration, one_worker_facts, run_local, settings, MemoryStore, QUEUE, SERVICE,
+use crate::support::node::{
+    spawn_node, wait_for, Messages, Worker, WorkerPlatform, CONDITION_CHECK_PERIOD, WORKERS_PREFIX,
 };
-use http_body_util::Full;
-use hyper::body::Bytes;
+use crate::support::{run_local, settings, MemoryStore, QUEUE, SERVICE};
 use ospreywing_control::cell_view::NodeRecord;
 use ospreywing_control::peer::{self, PeerReply, PeerRequest};
 use ospreywing_control::relay::batch::START_HOLD_LIMIT;
 use ospreywing_control::relay::message::{
     Order, OrderReply, RelaySession, RelayedOrder, RelayedReply, SentAt,
 };
-use ospreywing_control::{
-    clock, keys, Call, CallError, CordonError, NodeSettings, Platform, Reply, RequestHead,
-    RequestLimits, Store, Transaction, WorkerEntryError, WorkerPoll,
-};
+use ospreywing_control::{clock, keys, NodeSettings, Store, Transaction, WorkerPoll};
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, RefusedStart,
-    RunningRun, StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
-    WorkerKey,
+    Endpoint, HoldReply, JobId, JobRecord, JobSpec, RefusedStart, StartOrder, StartReply, StepKey,
+    StepSpec, TaskKey, WorkerKey,
 };
 use ospreywing_types::{Duration, Instant, Resources};
 use rstest::rstest;
-use slog::{o, Drain, Logger, Never, OwnedKVList, Record};
-use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use tokio::time::timeout;
 
-const WORKERS_PREFIX: &str = "workers/";
 /// The job's payload, by which the link recognises the batch with its start.
 const PAYLOAD: &str = "the work that is held";
 /// The message with which a relay logs that it gave up starts.
 const GIVEN_UP: &str = "relayed starts given up";
-const CONDITION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
-const CONDITION_CHECK_PERIOD: std::time::Duration = std::time::Duration::from_millis(2);
-
-/// The messages that a node logged.
-#[derive(Clone, Default)]
-struct Messages(Arc<Mutex<Vec<String>>>);
-
-impl Messages {
-    fn logger(&self) -> Logger {
-        Logger::root(self.clone(), o!())
-    }
-
-    fn contain(&self, message: &str) -> bool {
-        let messages = self.0.lock().expect("no panic while locked");
-        messages.iter().any(|logged| logged == message)
-    }
-}
-
-impl Drain for Messages {
-    type Ok = ();
-    type Err = Never;
-
-    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), Never> {
-        let mut messages = self.0.lock().expect("no panic while locked");
-        messages.push(record.msg().to_string());
-        Ok(())
-    }
-}
-
-/// A worker whose runs never end.
-#[derive(Clone, Default)]
-struct Worker {
-    running: Rc<RefCell<Vec<RunningRun>>>,
-}
-
-/// One node's access to the worker, with the starts that this node sent.
-#[derive(Clone)]
-struct WorkerPlatform {
-    memory: MemoryStore,
-    worker: Worker,
-    sent_starts: Rc<RefCell<Vec<TaskKey>>>,
-    has_polled: Rc<Cell<bool>>,
-    /// For how long the next poll suspends the machine.
-    suspend_at_poll: Rc<Cell<Duration>>,
-}
-
-impl WorkerPlatform {
-    fn new(worker: &Worker) -> Self {
-        Self {
-            memory: MemoryStore::new(),
-            worker: worker.clone(),
-            sent_starts: Rc::default(),
-            has_polled: Rc::default(),
-            suspend_at_poll: Rc::default(),
-        }
-    }
-
-    fn has_sent_start(&self) -> bool {
-        !self.sent_starts.borrow().is_empty()
-    }
-}
-
-impl Platform for WorkerPlatform {
-    type Store = MemoryStore;
-    type Routes = ();
-    type Admission = ();
-
-    fn store(&self) -> MemoryStore {
-        self.memory.clone()
-    }
-
-    fn configuration_key(&self) -> &'static str {
-        "configuration"
-    }
-
-    fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
-        Ok((one_queue_configuration(), ()))
-    }
-
-    fn workers_prefix(&self) -> &'static str {
-        WORKERS_PREFIX
-    }
-
-    fn cordons_prefix(&self) -> &'static str {
-        "cordons/"
-    }
-
-    fn parse_cordon(&self, key: &str, _value: &[u8]) -> Result<Arc<str>, CordonError> {
-        Ok(Arc::from(key))
-    }
-
-    fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, WorkerEntryError> {
-        Ok(one_worker_facts())
-    }
-
-    fn limits(_routes: &()) -> RequestLimits {
-        RequestLimits {
-            head_limit_bytes: 4096,
-            body_limit_bytes: 4096,
-            read_timeout: Duration::from_s(1),
-            idle_timeout: Duration::from_s(60),
-        }
-    }
-
-    fn admit(&self, _routes: &(), _head: RequestHead<'_>) -> Result<(), Reply> {
-        Err(Reply::NoMethod)
-    }
-
-    fn parse_call(&self, _admission: (), _body: &[u8]) -> Result<Call, Reply> {
-        Err(Reply::NoMethod)
-    }
-
-    fn encode(&self, _reply: &Reply) -> http::Response<Full<Bytes>> {
-        http::Response::new(Full::default())
-    }
-
-    fn is_readiness_probe(&self, _method: &http::Method, _path: &str) -> bool {
-        false
-    }
-
-    async fn hold(&self, _to: &Endpoint, _fence: u64, poll: WorkerPoll) -> HoldReply {
-        self.has_polled.set(true);
-        clock::simulation::suspend(self.suspend_at_poll.take());
-        let wait = poll.wait.as_ms().min(20);
-        tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
-        HoldReply::Listed {
-            incarnation: None,
-            clock_ms: clock::now().as_ms(),
-            running: self.worker.running.borrow().clone(),
-            ended: Vec::new(),
-        }
-    }
-
-    async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
-        self.sent_starts.borrow_mut().push(order.task);
-        self.worker.running.borrow_mut().push(RunningRun {
-            task: order.task,
-            run: order.run,
-            checkpoint: None,
-            progress_percent: 0,
-            usage_figure: 0,
-        });
-        StartReply::Started
-    }
-
-    async fn stop(&self, _to: &Endpoint, _fence: u64, _task: TaskKey, _run: u32) -> StopReply {
-        StopReply::Stopping
-    }
-
-    async fn advise(&self, _step: StepKey, _workers: &[Arc<str>], _limit: Duration) -> AdviceReply {
-        AdviceReply::Unanswered
-    }
-}
 
 /// A link to a relay. It holds the first batch with [`PAYLOAD`] until its sender has closed the
 /// connection, and then delivers it.
@@ -261,25 +98,6 @@
     }
 }
 
-async fn wait_for(what: &str, condition: impl Fn() -> bool) {
-    let wait = async {
-        while !condition() {
-            tokio::time::sleep(CONDITION_CHECK_PERIOD).await;
-        }
-    };
-    let waited = timeout(CONDITION_TIMEOUT, wait).await;
-    assert!(waited.is_ok(), "not seen in time: {what}");
-}
-
-/// Runs a node until the test ends.
-fn spawn_node(platform: &WorkerPlatform, settings: NodeSettings, messages: &Messages) {
-    let buffer = ospreywing_control::log::LogBuffer::new();
-    let node = ospreywing_control::run(platform.clone(), settings, messages.logger(), buffer);
-    tokio::task::spawn_local(async move {
-        let _ = node.await;
-    });
-}
-
 /// Starts the node that is the relay and returns its address for calls of other nodes.
 async fn spawn_relay(platform: &WorkerPlatform, messages: &Messages) -> SocketAddr {
     spawn_node(platform, settings(), messages);
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -1,5 +1,7 @@
 //! An in-memory store that loses, refuses or delays calls as a test requests.
 
+pub mod node;
+
 use ospreywing_control::{
     CommitError, Committed, Item, LeaseGrant, LeaseId, NodeSettings, Page, Revision, Store,
     StoreError, Transaction, Watched, WatchedChange,
