Handle the cancels of an intake that was read whole after their jobs

Cause: after a lost history the leader reads the intake whole. The store returns it in the order of the keys, `cancel/ID` before `job/ID`, and the items were handled in that order. A job and its cancel that were both written while the watches returned nothing came as a cancel of an unknown job, which was dropped, and a job, which was started. Nothing looked at the cancel again before the next election.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod front;
 pub mod handover;
 pub mod intake;
+pub mod intake_snapshot;
 pub mod keys;
 pub mod lateness;
 pub mod layered;
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -1,7 +1,8 @@
 //! Recovery of the scheduler's state from the store at the start of a term.
 
 use crate::follow::{read_all, Update};
-use crate::keys::{self, IntakeKey};
+use crate::intake_snapshot::IntakeSnapshot;
+use crate::keys;
 use crate::leader::Term;
 use crate::node::Node;
 use crate::platform::Platform;
@@ -66,30 +67,21 @@
 /// tasks may be running or finished. Such jobs are listed in `unreadable` instead.
 pub fn assemble_recovered(
     log: &Logger,
-    mut intake: Vec<Item>,
+    intake: Vec<Item>,
     states: &[Item],
     wall_ms: u64,
 ) -> Recovered {
-    // By the order in which the jobs were accepted.
-    intake.sort_by_key(|item| item.revision);
+    let intake = IntakeSnapshot::new(log, intake);
+    let accepted = intake.accepted.into_iter().map(|job| (job.id, job.record));
+    let ended = intake.ended.into_iter().map(|job| (job.id, job.outcome));
     let mut recovered = Recovered {
+        jobs: accepted.collect(),
+        ended: ended.collect(),
+        cancels: intake.cancelled,
+        unreadable: intake.unreadable,
         wall_ms,
         ..Recovered::default()
     };
-    for item in &intake {
-        match keys::parse_intake(&item.key) {
-            Some(IntakeKey::Job(id)) => match parse_stored_job(item) {
-                Ok(StoredJob::Accepted(record)) => recovered.jobs.push((id, *record)),
-                Ok(StoredJob::Ended(outcome)) => recovered.ended.push((id, outcome)),
-                Err(error) => {
-                    log_unreadable_item(log, &item.key, &error.to_string());
-                    recovered.unreadable.push(id);
-                }
-            },
-            Some(IntakeKey::Cancel(id)) => recovered.cancels.push(id),
-            None => log_unreadable_item(log, &item.key, "unknown key"),
-        }
-    }
     for item in states {
         let state = parse_stored_state(item);
         match (keys::parse_state(&item.key), state) {
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -1,16 +1,17 @@
 //! The leader's watches of the intake and of the worker list in the store.
 
 use crate::follow::{follow, FollowPolicy, Update, FULL_ANSWER_COUNT};
+use crate::intake_snapshot::{AcceptedJob, IntakeSnapshot};
 use crate::keys::{self, IntakeKey};
 use crate::leader::Term;
 use crate::node::Node;
 use crate::platform::{Platform, WorkerEntryError, WorkerEntryFault};
-use crate::recovery::parse_stored_job;
+use crate::recovery::{log_unreadable_item, parse_stored_job};
 use crate::store::{Item, Revision, WatchedChange};
 use crate::worker_entries::{EntryChange, WorkerEntries, WorkerEntry};
 use ospreywing_scheduler::{Event, StoredJob};
 use ospreywing_types::Duration;
-use slog::warn;
+use slog::{info, warn};
 use std::rc::Rc;
 
 /// How the intake is followed. Nodes notify the leader of what they accepted, so this
@@ -45,15 +46,13 @@
             match update {
                 Update::Snapshot(items) => {
                     node.record_store_contact();
-                    items
-                        .iter()
-                        .for_each(|item| handle_intake_item(&term, item));
+                    handle_intake_snapshot(&node, &term, items);
                 }
                 Update::Changes(changes) => {
                     node.record_store_contact();
                     for change in &changes {
                         if let WatchedChange::Put(item) = change {
-                            handle_intake_item(&term, item);
+                            handle_intake_item(&node, &term, item);
                         }
                     }
                 }
@@ -69,15 +68,36 @@
     .await;
 }
 
-fn handle_intake_item<P: Platform>(term: &Term<P>, item: &Item) {
+/// Passes the jobs and cancels to the scheduler that it has missed, each cancel after its job.
+fn handle_intake_snapshot<P: Platform>(node: &Node<P>, term: &Term<P>, items: Vec<Item>) {
+    let snapshot = IntakeSnapshot::new(&node.log, items);
+    let is_new = |job: &AcceptedJob| term.job(job.id).is_none();
+    let new_jobs: Vec<AcceptedJob> = snapshot.accepted.into_iter().filter(is_new).collect();
+    info!(node.log, "intake read whole";
+        "new_jobs" => new_jobs.len(), "cancels" => snapshot.cancelled.len(),
+        "ended" => snapshot.ended.len(), "fence" => term.fence);
+    for AcceptedJob { id: job, record } in new_jobs {
+        let record = Box::new(record);
+        term.send_event(Event::JobAccepted { job, record });
+    }
+    for job in snapshot.cancelled {
+        term.send_event(Event::CancelAccepted { job });
+    }
+}
+
+/// Passes a written item to the scheduler. A watch returns a job before its cancel.
+fn handle_intake_item<P: Platform>(node: &Node<P>, term: &Term<P>, item: &Item) {
     match keys::parse_intake(&item.key) {
-        Some(IntakeKey::Job(job)) if term.job(job).is_none() => {
-            if let Ok(StoredJob::Accepted(record)) = parse_stored_job(item) {
+        Some(IntakeKey::Job(job)) if term.job(job).is_none() => match parse_stored_job(item) {
+            Ok(StoredJob::Accepted(record)) => {
                 term.send_event(Event::JobAccepted { job, record });
             }
-        }
+            Ok(StoredJob::Ended(_)) => {}
+            Err(error) => log_unreadable_item(&node.log, &item.key, &error.to_string()),
+        },
+        Some(IntakeKey::Job(_)) => {}
         Some(IntakeKey::Cancel(job)) => term.send_event(Event::CancelAccepted { job }),
-        _ => {}
+        None => log_unreadable_item(&node.log, &item.key, "unknown key"),
     }
 }
 
--- /dev/null
+++ b/crates/control/tests/control/cancels.rs
@@ -0,0 +1,162 @@
+//! Cancels that a leader learns of by its watch of the intake, by reading the intake whole, or
+//! by messages, before or after it learns of their jobs.
+
+use crate::support::node::{
+    spawn_node, wait_for, Messages, Worker, WorkerPlatform, CONDITION_CHECK_PERIOD,
+    CONDITION_TIMEOUT, WORKERS_PREFIX,
+};
+use crate::support::{run_local, settings, MemoryStore, QUEUE, SERVICE};
+use ospreywing_control::cell_view::NodeRecord;
+use ospreywing_control::peer::{self, PeerReply, PeerRequest};
+use ospreywing_control::{keys, Caller, Store, Transaction};
+use ospreywing_http::HttpClient;
+use ospreywing_scheduler::{JobId, JobRecord, JobSpec, JobView, Phase, StepSpec};
+use ospreywing_types::{Duration, Resources};
+use tokio::time::timeout;
+
+/// The job that is cancelled.
+const JOB: JobId = JobId::new(1);
+/// A job that is not cancelled. Once it is started, [`JOB`] would have been started too.
+const OTHER_JOB: JobId = JobId::new(2);
+
+fn record() -> JobRecord {
+    let step = StepSpec {
+        tasks_count: 1,
+        demand: Resources::new(1000, 1000, 0),
+        estimate_ms: 1000,
+        ..StepSpec::default()
+    };
+    JobRecord {
+        queue: QUEUE.to_owned(),
+        service: SERVICE.to_owned(),
+        spec: JobSpec {
+            payload: "work".to_owned(),
+            steps: vec![step],
+            schedule: None,
+        },
+        ..JobRecord::default()
+    }
+}
+
+fn put_job(job: JobId) -> Transaction {
+    Transaction::new().with_put(keys::job(job), record().to_bytes())
+}
+
+fn put_cancel(job: JobId) -> Transaction {
+    Transaction::new().with_put(keys::cancel(job), Vec::new())
+}
+
+async fn commit(store: &MemoryStore, transaction: Transaction) {
+    store.commit(&transaction).await.expect("no condition");
+}
+
+/// A node that leads a cell of its own.
+struct Leader {
+    platform: WorkerPlatform,
+    address: String,
+    client: HttpClient,
+}
+
+impl Leader {
+    /// Returns the platform of a leader that does not run yet.
+    async fn prepare() -> WorkerPlatform {
+        let platform = WorkerPlatform::new(&Worker::default());
+        let initial_items = Transaction::new()
+            .with_put("configuration".to_owned(), vec![1])
+            .with_put(format!("{WORKERS_PREFIX}w0"), vec![1]);
+        commit(&platform.memory, initial_items).await;
+        platform
+    }
+
+    /// Starts a leader and waits until it polls the worker.
+    async fn run(platform: WorkerPlatform) -> Self {
+        spawn_node(&platform, settings(), &Messages::default());
+        wait_for("the worker is polled", || platform.has_polled.get()).await;
+        let item = platform.memory.value(&keys::node(&settings().name));
+        let record = NodeRecord::from_bytes(&item.expect("a record")).expect("a record");
+        Self {
+            platform,
+            address: record.address,
+            client: HttpClient::new(1),
+        }
+    }
+
+    fn store(&self) -> &MemoryStore {
+        &self.platform.memory
+    }
+
+    async fn call(&self, request: PeerRequest) -> PeerReply {
+        let limit = Duration::from_s(5);
+        let reply = peer::call(&self.client, &self.address, &request, limit).await;
+        reply.expect("a reply")
+    }
+
+    /// Has the store lose its history while these transactions are committed: the watches
+    /// return nothing, and then have to begin again.
+    async fn commit_unwatched(&self, transactions: Vec<Transaction>) {
+        self.store().hold_watches(true);
+        for transaction in transactions {
+            commit(self.store(), transaction).await;
+        }
+        self.store().compact();
+        self.store().hold_watches(false);
+    }
+
+    fn has_started(&self, job: JobId) -> bool {
+        let sent = self.platform.sent_starts.borrow();
+        sent.iter().any(|task| task.step.job == job)
+    }
+
+    async fn wait_for_start(&self, job: JobId) {
+        wait_for("the job is started", || self.has_started(job)).await;
+    }
+
+    async fn wait_for_phase(&self, job: JobId, phase: Phase) {
+        let shown = async {
+            while self.view(job).await.map(|view| view.phase) != Some(phase) {
+                tokio::time::sleep(CONDITION_CHECK_PERIOD).await;
+            }
+        };
+        let shown = timeout(CONDITION_TIMEOUT, shown).await;
+        assert!(shown.is_ok(), "not seen in time: {job} as {phase:?}");
+    }
+
+    async fn view(&self, job: JobId) -> Option<JobView> {
+        let caller = Caller::anonymous();
+        match self.call(PeerRequest::Status { job, caller }).await {
+            PeerReply::Status(view) => view,
+            other => panic!("not a status: {other:?}"),
+        }
+    }
+}
+
+/// After a lost history, the intake is read whole in the order of the keys, with cancels before
+/// their jobs. These jobs were once started.
+#[test]
+fn cancel_read_whole_with_job() {
+    run_local(async {
+        let leader = Leader::run(Leader::prepare().await).await;
+        let unwatched = vec![put_job(JOB), put_cancel(JOB), put_job(OTHER_JOB)];
+        leader.commit_unwatched(unwatched).await;
+        leader.wait_for_start(OTHER_JOB).await;
+        assert!(!leader.has_started(JOB), "the cancelled job was started");
+    });
+}
+
+/// A job and its cancel that are written while a new leader reads the intake, between the page
+/// with the cancels and that with the jobs: the leader reads the job alone.
+#[test]
+fn cancel_written_between_pages() {
+    run_local(async {
+        let platform = Leader::prepare().await;
+        for number in 11..=13 {
+            commit(&platform.memory, put_job(JobId::new(number))).await;
+        }
+        let key = keys::cancel(JobId::new(14));
+        let both = put_job(JobId::new(14)).with_put(key, Vec::new());
+        platform.memory.commit_after_page(keys::INTAKE_PREFIX, both);
+        let leader = Leader::run(platform).await;
+        leader.wait_for_phase(JobId::new(14), Phase::Canceled).await;
+        leader.wait_for_start(JobId::new(13)).await;
+    });
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,12 +2,14 @@
 
 mod admission;
 mod campaign;
+mod cancels;
 mod cordons;
 mod failure_detector;
 mod follow;
 mod freshness;
 mod handover;
 mod held_starts;
+mod intake_snapshot;
 mod lateness;
 mod logging;
 mod metrics;
--- a/crates/control/tests/control/recovery.rs
+++ b/crates/control/tests/control/recovery.rs
@@ -1,9 +1,9 @@
 //! The state that a new leader recovers from the stored items.
 
+use crate::support::{discarding_log, stored_item};
 use ospreywing_control::recovery::assemble_recovered;
 use ospreywing_control::{keys, Item};
 use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, JobState, Phase};
-use slog::{o, Discard, Logger};
 
 const WALL_MS: u64 = 1_000;
 /// The first byte of an encoding of a later version.
@@ -13,21 +13,9 @@
     format!("{number:016x}").parse().expect("an id")
 }
 
-fn item(key: String, value: Vec<u8>, revision: u64) -> Item {
-    Item {
-        key,
-        value: Ok(value),
-        revision,
-    }
-}
-
 fn accepted(number: u64, revision: u64) -> Item {
     let record = JobRecord::default();
-    item(keys::job(id(number)), record.to_bytes(), revision)
-}
-
-fn log() -> Logger {
-    Logger::root(Discard, o!())
+    stored_item(keys::job(id(number)), record.to_bytes(), revision)
 }
 
 #[test]
@@ -36,12 +24,12 @@
     let intake = vec![
         accepted(1, 9),
         accepted(2, 4),
-        item(keys::job(id(3)), outcome, 2),
-        item(keys::cancel(id(1)), Vec::new(), 10),
+        stored_item(keys::job(id(3)), outcome, 2),
+        stored_item(keys::cancel(id(1)), Vec::new(), 10),
     ];
     let state = JobState::default().to_bytes();
-    let states = [item(keys::state(id(1)), state, 11)];
-    let recovered = assemble_recovered(&log(), intake, &states, WALL_MS);
+    let states = [stored_item(keys::state(id(1)), state, 11)];
+    let recovered = assemble_recovered(&discarding_log(), intake, &states, WALL_MS);
     let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
     assert_eq!(jobs, [id(2), id(1)]);
     assert_eq!(recovered.ended, [(id(3), JobOutcome::new(Phase::Complete))]);
@@ -53,10 +41,10 @@
 /// The job must not be recovered without it, since it would start from the beginning.
 #[test]
 fn assemble_recovered_unreadable_state() {
-    let unreadable = item(keys::job(id(3)), vec![LATER_FORMAT, 1], 5);
+    let unreadable = stored_item(keys::job(id(3)), vec![LATER_FORMAT, 1], 5);
     let intake = vec![accepted(1, 3), accepted(2, 4), unreadable];
-    let states = [item(keys::state(id(2)), vec![LATER_FORMAT, 1], 5)];
-    let recovered = assemble_recovered(&log(), intake, &states, WALL_MS);
+    let states = [stored_item(keys::state(id(2)), vec![LATER_FORMAT, 1], 5)];
+    let recovered = assemble_recovered(&discarding_log(), intake, &states, WALL_MS);
     let jobs: Vec<JobId> = recovered.jobs.iter().map(|(id, _)| *id).collect();
     assert_eq!(jobs, [id(1)]);
     assert_eq!(recovered.unreadable, [id(3), id(2)]);
--- a/crates/control/tests/control/stored_view.rs
+++ b/crates/control/tests/control/stored_view.rs
@@ -64,7 +64,7 @@
         let outcome = Transaction::new()
             .with_put(keys::job(job), JobOutcome::new(phase).to_bytes())
             .with_remove(keys::state(job));
-        store.commit_after_read(outcome);
+        store.commit_after_read_of(&keys::state(job), outcome);
         assert_eq!(phase_of(view(&store).await), Some(phase));
     });
 }
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -8,6 +8,7 @@
 };
 use ospreywing_scheduler::{Configuration, Features, Queue, ServicePolicy, WorkerFacts};
 use ospreywing_types::{Duration, Resources};
+use slog::{o, Discard, Logger};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -40,7 +41,9 @@
     failing_reads_count: usize,
     reads: Vec<Read>,
     item_keys: Vec<String>,
-    after_read: Option<Transaction>,
+    after_read: Option<(String, Transaction)>,
+    after_page: Option<(String, Transaction)>,
+    are_watches_held: bool,
     is_unresponsive: bool,
     commit_time: Duration,
 }
@@ -104,9 +107,19 @@
         self.0.borrow().reads.clone()
     }
 
-    /// Commits a transaction right after the next read of an item.
-    pub fn commit_after_read(&self, transaction: Transaction) {
-        self.0.borrow_mut().after_read = Some(transaction);
+    /// Commits a transaction right after the next read of an item with this key.
+    pub fn commit_after_read_of(&self, key: &str, transaction: Transaction) {
+        self.0.borrow_mut().after_read = Some((key.to_owned(), transaction));
+    }
+
+    /// Commits a transaction right after the next read of a page with this prefix.
+    pub fn commit_after_page(&self, prefix: &str, transaction: Transaction) {
+        self.0.borrow_mut().after_page = Some((prefix.to_owned(), transaction));
+    }
+
+    /// Sets whether watches return nothing, not even when their wait is over.
+    pub fn hold_watches(&self, are_held: bool) {
+        self.0.borrow_mut().are_watches_held = are_held;
     }
 
     /// Returns the keys of the items that were read so far.
@@ -205,8 +218,9 @@
         self.0.borrow_mut().item_keys.push(key.to_owned());
         self.0.borrow_mut().record_read(Read::Item)?;
         let found = self.0.borrow().items.get(key).cloned();
-        let after = self.0.borrow_mut().after_read.take();
-        if let Some(transaction) = after {
+        let is_chosen = |(chosen, _): &mut (String, Transaction)| chosen == key;
+        let after = self.0.borrow_mut().after_read.take_if(is_chosen);
+        if let Some((_, transaction)) = after {
             self.commit(&transaction)
                 .await
                 .expect("its condition holds");
@@ -216,8 +230,8 @@
 
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
         const PAGE_COUNT: usize = 2;
-        self.0.borrow_mut().record_read(Read::Page)?;
-        let inner = self.0.borrow();
+        let mut inner = self.0.borrow_mut();
+        inner.record_read(Read::Page)?;
         let found = inner
             .items
             .values()
@@ -226,10 +240,15 @@
         let mut items: Vec<Item> = found.cloned().collect();
         let has_more = items.len() > PAGE_COUNT;
         items.truncate(PAGE_COUNT);
+        let at = inner.revision;
+        let is_chosen = |(chosen, _): &mut (String, Transaction)| chosen == prefix;
+        if let Some((_, transaction)) = inner.after_page.take_if(is_chosen) {
+            inner.apply(&transaction).expect("its condition holds");
+        }
         Ok(Page {
             items,
             has_more,
-            at: inner.revision,
+            at,
         })
     }
 
@@ -240,6 +259,9 @@
         wait: Duration,
     ) -> Result<Watched, StoreError> {
         tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        while self.0.borrow().are_watches_held {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
         let mut inner = self.0.borrow_mut();
         inner.watch_waits.push(wait);
         if inner.failing_watches_count > 0 {
@@ -308,6 +330,20 @@
     }
 }
 
+/// Returns a logger whose entries are discarded.
+pub fn discarding_log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Returns an item that was read from a store.
+pub fn stored_item(key: String, value: Vec<u8>, revision: Revision) -> Item {
+    Item {
+        key,
+        value: Ok(value),
+        revision,
+    }
+}
+
 /// Runs a test on a single thread, as a node runs.
 pub fn run_local(test: impl std::future::Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/control/tests/control/support/node.rs
+++ b/crates/control/tests/control/support/node.rs
@@ -20,7 +20,7 @@
 
 pub const WORKERS_PREFIX: &str = "workers/";
 pub const CONDITION_CHECK_PERIOD: std::time::Duration = std::time::Duration::from_millis(2);
-const CONDITION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
+pub const CONDITION_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
 
 /// The messages that a node logged.
 #[derive(Clone, Default)]
