Keep a cancel that reaches the leader before its job

Cause: the messages about a job and about its cancel come from different nodes. Where the cancel's came first, the leader dropped it, as it did with the cancels of a whole reading. The watch brings the cancel again, but during a lost history only after seconds, and in a reading of the intake a page of cancels may be older than the page with the job.

Change: a cancel of an unknown job is kept for 10 s, 10,000 of them at most, and applied when the job is accepted. Both limits concern messages alone: a job that comes from the store is followed by its cancel. A job's id may be used again after its outcome was removed, minutes later, so a kept cancel must not stay for long. The gauge early_cancels and the line "early cancel" show each. The verifier checks that no kept cancel has a known job.

Weighed: the cancels as a view of the store beside the scheduler, from which each start is checked: exact without a time limit, but one more copy of the intake's keys, and a look-up at each acceptance and start of 10,000 live jobs for what happens in the first second only.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -71,6 +71,7 @@
     unusable_cordons: Family<EntryLabels, Counter>,
     cordons: IntGauge,
     unanswered_refusals: IntGauge,
+    early_cancels: IntGauge,
     worker_entries: Counter,
     worker_list_age_ms: IntGauge,
     waiting_steps: Family<WaitLabels, IntGauge>,
@@ -129,6 +130,7 @@
             unusable_cordons: Family::default(),
             cordons: IntGauge::default(),
             unanswered_refusals: IntGauge::default(),
+            early_cancels: IntGauge::default(),
             worker_entries: Counter::default(),
             worker_list_age_ms: IntGauge::default(),
             waiting_steps: Family::default(),
@@ -256,6 +258,11 @@
             ("runs", "Runs that occupy workers", &self.runs),
             ("workers", "Workers that are listed", &self.workers),
             ("cordons", "Data centres that are cordoned", &self.cordons),
+            (
+                "early_cancels",
+                "Cancels of jobs that are not known yet",
+                &self.early_cancels,
+            ),
             (
                 "unanswered_refusals",
                 "Stops of starts meant for an earlier life of a worker, not answered yet",
@@ -528,6 +535,7 @@
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
         set(&self.unanswered_refusals, status.unanswered_stops_count);
+        set(&self.early_cancels, status.early_cancels_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
--- a/crates/control/tests/control/cancels.rs
+++ b/crates/control/tests/control/cancels.rs
@@ -12,6 +12,7 @@
 use ospreywing_http::HttpClient;
 use ospreywing_scheduler::{JobId, JobRecord, JobSpec, JobView, Phase, StepSpec};
 use ospreywing_types::{Duration, Resources};
+use rstest::rstest;
 use tokio::time::timeout;
 
 /// The job that is cancelled.
@@ -143,6 +144,50 @@
     });
 }
 
+/// An event about [`JOB`] that the leader learns of.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The job is written and the leader is notified.
+    JobMessage,
+    /// The cancel is written and the leader is notified.
+    CancelMessage,
+    /// The job, the cancel and the other job are read whole.
+    ReadWhole,
+    /// The other job is written, and the watch returns it.
+    WatchOther,
+}
+
+/// Messages of two nodes may overtake each other, and either may come by a message and the
+/// other one from the store.
+#[rstest]
+#[case::cancel_first(&[Step::CancelMessage, Step::JobMessage, Step::WatchOther])]
+#[case::job_first(&[Step::JobMessage, Step::CancelMessage, Step::WatchOther])]
+#[case::cancel_then_read_whole(&[Step::CancelMessage, Step::ReadWhole])]
+#[case::job_then_read_whole(&[Step::JobMessage, Step::ReadWhole])]
+#[case::read_whole_twice(&[Step::ReadWhole, Step::ReadWhole])]
+fn cancel_by_message_and_by_store(#[case] steps: &[Step]) {
+    run_local(async {
+        let leader = Leader::run(Leader::prepare().await).await;
+        for step in steps {
+            match step {
+                Step::JobMessage => {
+                    leader.call(PeerRequest::job_taken(JOB, record())).await;
+                }
+                Step::CancelMessage => {
+                    leader.call(PeerRequest::CancelTaken(JOB)).await;
+                }
+                Step::ReadWhole => {
+                    let unwatched = vec![put_job(JOB), put_cancel(JOB), put_job(OTHER_JOB)];
+                    leader.commit_unwatched(unwatched).await;
+                }
+                Step::WatchOther => commit(leader.store(), put_job(OTHER_JOB)).await,
+            }
+        }
+        leader.wait_for_start(OTHER_JOB).await;
+        leader.wait_for_phase(JOB, Phase::Canceled).await;
+    });
+}
+
 /// A job and its cancel that are written while a new leader reads the intake, between the page
 /// with the cancels and that with the jobs: the leader reads the job alone.
 #[test]
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -11,6 +11,8 @@
 pub enum DecisionKind {
     /// A job was accepted.
     JobAccepted,
+    /// A cancel arrived before its job, was applied to it later, or was dropped.
+    EarlyCancel,
     /// A job's work waits for its customer's limit.
     JobHeldByLimit,
     /// A step has waited for a long time.
@@ -74,6 +76,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::JobAccepted => "job taken",
+            Self::EarlyCancel => "early cancel",
             Self::JobHeldByLimit => "job held",
             Self::StepWaits => "step waits",
             Self::Placed => "placed",
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -234,6 +234,7 @@
                 .with_figure(self.estimated_objective(job).as_ms());
             out.push(Action::Log(line));
         }
+        self.apply_early_cancel(now, id, out);
     }
 
     /// Adds a job to the tables; begins the first round if it is due.
@@ -314,8 +315,13 @@
         job.state.next_round < schedule.rounds_count
     }
 
+    /// Cancels a job, or keeps the cancel until the job is accepted.
     pub(crate) fn cancel_job(&mut self, now: Instant, id: JobId, out: &mut Vec<Action>) {
-        self.end_job(now, id, Phase::Canceled, "cancelled", out);
+        if self.jobs.contains_key(&id) {
+            self.end_job(now, id, Phase::Canceled, "cancelled", out);
+        } else {
+            self.keep_early_cancel(now, id, out);
+        }
     }
 
     /// Ends a job with an outcome, unless it has one already.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,6 +30,7 @@
 mod decision;
 mod departures;
 mod durations;
+mod early_cancels;
 mod early_stops;
 mod ends;
 mod estimates;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::cycle::CycleSummary;
 use crate::decision::{Decision, DecisionKind};
 use crate::durations::ForecastError;
+use crate::early_cancels::EarlyCancels;
 use crate::early_stops;
 use crate::event::{Action, Event};
 use crate::forecast::Forecasts;
@@ -66,6 +67,8 @@
     pub listed_workers_count: usize,
     /// Cordoned data centres.
     pub cordons_count: usize,
+    /// Cancels of jobs that are not known yet.
+    pub early_cancels_count: usize,
     /// Unanswered stops of starts that were meant for an earlier incarnation.
     pub unanswered_stops_count: usize,
     /// The CPU capacity of the placeable workers, in thousandths of a core.
@@ -128,6 +131,8 @@
     /// Jobs whose stored state can't be read. None of their runs is started or stopped, and
     /// their ends stay with the workers for a leader that can read them.
     pub(crate) unreadable: BTreeSet<JobId>,
+    /// Cancels of jobs that are not known yet.
+    pub(crate) early_cancels: EarlyCancels,
     pub(crate) next_order: u64,
     /// The worker of each task's run.
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
@@ -197,6 +202,7 @@
             scheduled: Vec::new(),
             unsettled: BTreeSet::new(),
             unreadable: BTreeSet::new(),
+            early_cancels: EarlyCancels::default(),
             next_order: 0,
             placements: HashMap::new(),
             advice: HashMap::new(),
@@ -364,6 +370,7 @@
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
             cordons_count: self.cordons.len(),
+            early_cancels_count: self.early_cancels.len(),
             unanswered_stops_count: self
                 .workers
                 .values()
@@ -398,6 +405,7 @@
             self.shapes.remove_stale(now);
             self.name_interner.remove_unused();
             self.remove_expired_jobs(now);
+            self.drop_expired_cancels(now, out);
         }
         self.is_cycle_due = true;
     }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -51,6 +51,9 @@
     /// The table of task shapes is over its limit or contains an invalid shape.
     #[error("the table of task shapes is inconsistent")]
     Shapes,
+    /// A cancel is kept although its job is known.
+    #[error("the cancel of job {0} is kept although the job is known")]
+    EarlyCancel(JobId),
     /// A job that has ended is still in the scheduling order.
     #[error("an ended job is still in the scheduling order")]
     Outcome,
@@ -75,6 +78,13 @@
         if !self.shapes.are_bounded() {
             return Err(Violation::Shapes);
         }
+        if let Some(job) = self
+            .jobs
+            .keys()
+            .find(|job| self.early_cancels.contains(**job))
+        {
+            return Err(Violation::EarlyCancel(*job));
+        }
         let is_over = |id| {
             self.jobs
                 .get(id)
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -12,6 +12,7 @@
 mod customers_load;
 mod damaged_records;
 mod departures;
+mod early_cancels;
 mod foreign_runs;
 mod gang_load;
 mod job_views;
--- a/crates/scheduler/tests/scheduler/search.rs
+++ b/crates/scheduler/tests/scheduler/search.rs
@@ -43,6 +43,7 @@
     held_order: 0,
     start_in_flight: 0,
     start_held_by_worker: 0,
+    lost_history: 0,
 };
 
 /// Most kinds of faults at once.
@@ -561,6 +562,7 @@
 #[rstest]
 #[case::late_orders(Faults { late_order: 150, lost_answer: 80, ..Faults::default() })]
 #[case::takeovers(Faults { late_order: 80, takeover: 40, ..Faults::default() })]
+#[case::lost_histories(Faults { late_order: 80, takeover: 20, lost_history: 80, ..Faults::default() })]
 #[case::everything(Faults {
     late_order: 80,
     resize: 20,
@@ -587,6 +589,49 @@
     }
 }
 
+/// Histories are lost while jobs are submitted and every second one is cancelled right after:
+/// the leaders learn of both by messages in any order, some of which are lost, by their watches
+/// or by reading the intake whole. No leader starts a job of whose cancel it has learned, every
+/// cancelled job ends, and no other job is cancelled.
+#[rstest]
+#[case::alone(Faults { lost_history: 150, ..Faults::default() })]
+#[case::takeovers(Faults { lost_history: 100, takeover: 60, ..Faults::default() })]
+#[case::paused(Faults { lost_history: 100, pause: 60, ..Faults::default() })]
+#[case::late_orders(Faults { lost_history: 100, late_order: 80, lost_answer: 80, ..Faults::default() })]
+#[case::everything(Faults { lost_history: 100, resize: 20, pause: 20, ..ALL_FAULTS })]
+fn scheduler_cancels_beside_lost_histories(
+    #[case] faults: Faults,
+    #[values(false, true)] has_advice: bool,
+) {
+    for seed in seeds() {
+        // Printed if the test fails.
+        println!("seed {seed}");
+        let mut simulation = Simulation::new(seed, 6, faults, has_advice.then(advice));
+        simulation.run_durations_ms = 200..10_000;
+        simulation.faults_end_ms = simulation.now_ms + FAULT_PHASE_MS;
+        let is_cancelled = |number: u64| number.is_multiple_of(2);
+        for number in 1..=24 {
+            simulation.submit(job(number, vec![step(2)]));
+            simulation.run_for((seed + number) % 5 * 100);
+            if is_cancelled(number) {
+                simulation.cancel(JobId::new(number));
+            }
+        }
+        simulation.run_for(FAULT_PHASE_MS);
+        simulation.run_until_done(RECOVERY_LIMIT_MS);
+        for number in 1..=24 {
+            let phase = simulation.phase(JobId::new(number));
+            let is_canceled = phase == Some(Phase::Canceled);
+            assert!(
+                is_cancelled(number) || !is_canceled,
+                "seed {seed}: job {number}"
+            );
+        }
+        simulation.run_for(LATE_LIMIT_MS);
+        simulation.assert_no_strays();
+    }
+}
+
 /// Customers' limits change continually, to below what they have running and up again: no
 /// customer has more running than its limit allows.
 #[rstest]
--- a/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/delivery.rs
@@ -118,6 +118,7 @@
             Message::ResumeLeader { term } => self.resume_leader(term),
             Message::ListWorkers => self.list_workers(),
             Message::EndStoreDegradation => self.end_store_degradation(),
+            Message::EndHistoryLoss => self.end_history_loss(),
             Message::Commit {
                 term,
                 lane,
--- a/crates/scheduler/tests/scheduler/support/simulation/faults.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/faults.rs
@@ -69,6 +69,9 @@
             let duration_ms = self.rng.random_range(STORE_DEGRADED_MS);
             self.post(duration_ms, Message::EndStoreDegradation);
         }
+        if self.faults.lost_history > 0 && self.draw_fault(self.faults.lost_history) {
+            self.lose_history();
+        }
         if self.faults.pause > 0 && self.draw_fault(self.faults.pause) {
             self.pause_leader();
         }
--- a/crates/scheduler/tests/scheduler/support/simulation/mod.rs
+++ b/crates/scheduler/tests/scheduler/support/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod delivery;
 mod faults;
+mod intake;
 mod trace;
 
 use super::cordons::CordonRule;
@@ -75,6 +76,9 @@
     /// Starts without an answer that arrive at once and are carried out 2 to 12 s later, unless
     /// the process that received them has ended.
     pub start_held_by_worker: u32,
+    /// Ticks at which the store's watches return nothing for a while, after which the leaders
+    /// read the intake whole.
+    pub lost_history: u32,
 }
 
 impl Faults {
@@ -165,6 +169,7 @@
     },
     ListWorkers,
     EndStoreDegradation,
+    EndHistoryLoss,
 }
 
 /// A term and its scheduler.
@@ -176,6 +181,8 @@
     /// Whether it is paused, and the events that have arrived meanwhile.
     is_paused: bool,
     backlog: Vec<Event>,
+    /// The jobs of which it has learned that they are cancelled.
+    cancelled_jobs: BTreeSet<JobId>,
 }
 
 /// A simulated cell.
@@ -202,6 +209,8 @@
     pub rules: Rules,
     last_faults_at_ms: u64,
     is_store_degraded: bool,
+    /// Whether the watches return nothing.
+    is_history_lost: bool,
     /// The range of the runs' durations.
     pub run_durations_ms: core::ops::Range<u64>,
     /// The same in percent of the steps' estimates; takes precedence where set.
@@ -267,6 +276,7 @@
             rules: Rules::default(),
             last_faults_at_ms: 0,
             is_store_degraded: false,
+            is_history_lost: false,
             run_durations_ms: 200..2_500,
             run_durations_percent: None,
             faults_end_ms: u64::MAX,
@@ -428,6 +438,7 @@
             acts_until_ms: u64::MAX,
             is_paused: false,
             backlog: Vec::new(),
+            cancelled_jobs: self.cancels.iter().copied().collect(),
         });
         self.send_to_leaders(Event::NodesListed(vec![Arc::from("n1"), Arc::from("n2")]));
         self.send_to_leader(fence, Event::StoreDegraded(self.is_store_degraded));
@@ -477,12 +488,12 @@
         self.jobs.insert(id, record.clone());
         self.submitted_jobs.push(id);
         let record = Box::new(record);
-        self.send_to_leaders(Event::JobAccepted { job: id, record });
+        self.announce(Event::JobAccepted { job: id, record });
     }
 
     pub fn cancel(&mut self, id: JobId) {
         self.cancels.push(id);
-        self.send_to_leaders(Event::CancelAccepted { job: id });
+        self.announce(Event::CancelAccepted { job: id });
     }
 
     /// Returns the newest leader's forecast.
@@ -519,6 +530,8 @@
             return;
         }
         let mut actions = Vec::new();
+        let cancelled_jobs = events.iter().filter_map(intake::cancelled_job);
+        leader.cancelled_jobs.extend(cancelled_jobs);
         leader.scheduler.handle_all(now, events, &mut actions);
         let acts = now_ms < leader.acts_until_ms;
         if acts {
@@ -569,7 +582,10 @@
                     },
                 );
             }
-            Action::Start { to, order } => self.send_start(term, to, order),
+            Action::Start { to, order } => {
+                self.check_not_cancelled(term, order.task);
+                self.send_start(term, to, order);
+            }
             Action::Stop { to, task, run } => self.send_stop(term, to, task, run),
             Action::Advise {
                 step,
