Let a cancel end only the job that was accepted before it

Cause: recovery applied every cancel in the store to the job with its id.

Change: both keys have revisions, and an accepted job's is that of its acceptance; a cancel with a lower one was for an earlier job, and is ignored with a log line.

--- a/crates/control/src/intake_snapshot.rs
+++ b/crates/control/src/intake_snapshot.rs
@@ -1,11 +1,11 @@
 //! The jobs and cancels of the intake, when it was read whole.
 //!
 //! The items are read in the order of their keys, in which a cancel comes before its job. Here
-//! each cancel is matched with its job.
+//! each cancel is matched with its job, by the revisions of both.
 
 use crate::keys::{self, IntakeKey};
 use crate::recovery::{log_unreadable_item, parse_stored_job};
-use crate::store::Item;
+use crate::store::{Item, Revision};
 use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, StoredJob};
 use slog::{warn, Logger};
 use std::collections::HashMap;
@@ -44,7 +44,8 @@
 /// What a cancel needs to know about its job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CancelTarget {
-    Accepted,
+    /// The job was accepted at this revision and has not ended.
+    Accepted(Revision),
     Ended,
     Unreadable,
 }
@@ -79,7 +80,7 @@
             Ok(StoredJob::Accepted(record)) => {
                 let record = *record;
                 self.accepted.push(AcceptedJob { id, record });
-                CancelTarget::Accepted
+                CancelTarget::Accepted(item.revision)
             }
             Ok(StoredJob::Ended(outcome)) => {
                 self.ended.push(EndedJob { id, outcome });
@@ -95,13 +96,17 @@
 }
 
 /// Returns whether a cancel concerns the job that is stored under its id.
+///
+/// A cancel that is older than the job was for an earlier job with the same id. The revision of
+/// an accepted job is that of its acceptance, since only the outcome replaces the item.
 fn is_effective(log: &Logger, cancel: &Item, target: Option<CancelTarget>) -> bool {
-    match target {
-        Some(CancelTarget::Accepted | CancelTarget::Unreadable) => true,
-        Some(CancelTarget::Ended) => false,
-        None => {
-            warn!(log, "cancel ignored"; "key" => &cancel.key, "reason" => "no such job");
-            false
-        }
-    }
+    let reason = match target {
+        Some(CancelTarget::Accepted(accepted_at)) if cancel.revision > accepted_at => return true,
+        Some(CancelTarget::Unreadable) => return true,
+        Some(CancelTarget::Ended) => return false,
+        Some(CancelTarget::Accepted(_)) => "older than the job",
+        None => "no such job",
+    };
+    warn!(log, "cancel ignored"; "key" => &cancel.key, "reason" => reason);
+    false
 }
--- a/crates/control/tests/control/cancels.rs
+++ b/crates/control/tests/control/cancels.rs
@@ -205,3 +205,25 @@
         leader.wait_for_start(JobId::new(13)).await;
     });
 }
+
+/// A cancel must not end a later job with the id of the job that it was for.
+#[rstest]
+#[case::read_by_new_leader(true)]
+#[case::read_after_lost_history(false)]
+fn cancel_of_earlier_job_with_the_id(#[case] is_read_by_new_leader: bool) {
+    run_local(async {
+        let platform = Leader::prepare().await;
+        commit(&platform.memory, put_cancel(JOB)).await;
+        let leader = if is_read_by_new_leader {
+            commit(&platform.memory, put_job(JOB)).await;
+            Leader::run(platform).await
+        } else {
+            let leader = Leader::run(platform).await;
+            leader.commit_unwatched(vec![put_job(JOB)]).await;
+            leader
+        };
+        leader.wait_for_start(JOB).await;
+        let phase = leader.view(JOB).await.map(|view| view.phase);
+        assert_eq!(phase, Some(Phase::Active));
+    });
+}
--- a/crates/control/tests/control/intake_snapshot.rs
+++ b/crates/control/tests/control/intake_snapshot.rs
@@ -38,9 +38,11 @@
     [cancel].into_iter().chain(job_item(stored)).collect()
 }
 
-/// A cancel is read before its job, and concerns it.
+/// A cancel concerns the job that was accepted before it. That of an earlier job with the same
+/// id once ended the later one.
 #[rstest]
 #[case::of_the_job(Stored::Accepted { revision: 4 }, &[JOB])]
+#[case::of_an_earlier_job(Stored::Accepted { revision: 9 }, &[])]
 #[case::of_an_ended_job(Stored::Ended { revision: 9 }, &[])]
 #[case::of_an_unreadable_job(Stored::Unreadable { revision: 4 }, &[JOB])]
 #[case::of_no_job(Stored::Nothing, &[])]
