Write a cancel on the condition that its job is unchanged

Cause: a node reads the job and then writes the cancel. If the leader removes the job, with its cancel, between the two, or if the store carries the write out seconds later, the cancel is written without a job.

Change: the transaction with the cancel expects the revision of the job that was read. After a conflict the job is read again: one that has ended needs no cancel and gets its 2xx, one that is gone gets 410. A cancel that an earlier version left behind is replaced, as it would stand for the new one and be ignored for its age. A group takes 30 conditions and writes, as before: 15 jobs, or 10 cancels. Two equal cancels in one group both get their answer; the second got "unknown".

Cost: a third entry a cancel; no write for a job that has ended.

Evidence: cancel_of_job_removed_meanwhile and cancel_of_job_ended_meanwhile failed before; write_cancel_* play lost, late and refused writes.

--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -3,17 +3,21 @@
 //! Every entry is written on the condition that its key does not exist. So a
 //! repeated id stays one job whichever node accepts it, and a write that is
 //! applied late overwrites nothing.
+//!
+//! A cancel is also written on the condition that its job is unchanged, since the job and its
+//! cancel are removed together: a cancel that was written after that would remain, and would
+//! concern the next job with the same id.
 
 use crate::clock;
-use crate::store::{CommitError, Item, Store, StoreError, Transaction};
+use crate::store::{CommitError, Item, Revision, Store, StoreError, Transaction};
 use ospreywing_types::Duration;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
-/// The maximum number of entries of one transaction; each needs a condition and a write.
-const GROUP_LIMIT_COUNT: usize = 15;
+/// The maximum number of conditions and writes of one transaction.
+const GROUP_LIMIT_COUNT: usize = 30;
 /// The maximum number of entries that may be queued.
 const QUEUE_LIMIT_COUNT: usize = 400;
 /// How long an entry is retried that may already be in the store.
@@ -33,15 +37,30 @@
     Stored,
     /// The key already exists, with this other value.
     Exists(Vec<u8>),
+    /// The item that the entry requires has changed or is gone; the entry is not in the store
+    /// and the write will not be applied.
+    RequirementChanged,
     /// The entry is not in the store and the write will not be applied.
     NotStored,
     /// The write may have been applied, or may still be.
     Unknown,
 }
 
+/// An item that an entry needs to be unchanged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Requirement {
+    /// The item's key.
+    pub key: String,
+    /// The item's revision.
+    pub revision: Revision,
+}
+
 struct Entry {
     key: String,
     value: Vec<u8>,
+    /// The revision that the key must have; 0 if it must not exist.
+    expected: Revision,
+    requirement: Option<Requirement>,
     queued_at: ospreywing_types::Instant,
     /// Whether a commit with this entry had no answer, so that it may have been applied.
     is_unconfirmed: bool,
@@ -49,13 +68,50 @@
 }
 
 impl Entry {
+    /// Returns the number of conditions and writes that the entry needs.
+    const fn operations_count(&self) -> usize {
+        if self.requirement.is_some() {
+            3
+        } else {
+            2
+        }
+    }
+
+    /// Adds the entry's conditions and its write to a transaction.
+    fn add_to(&self, transaction: Transaction) -> Transaction {
+        let transaction = match &self.requirement {
+            Some(required) => transaction.with_expect(required.key.clone(), required.revision),
+            None => transaction,
+        };
+        transaction
+            .with_expect(self.key.clone(), self.expected)
+            .with_put(self.key.clone(), self.value.clone())
+    }
+
+    /// Returns the outcome after a conflict with these items; `None` if the entry is to be
+    /// written again.
+    fn conflict_outcome(&mut self, items: &HashMap<String, Item>) -> Option<IntakeOutcome> {
+        let revision_of = |key: &str| items.get(key).map_or(0, |item| item.revision);
+        let required = self.requirement.as_ref();
+        if required.is_some_and(|required| revision_of(&required.key) != required.revision) {
+            return Some(IntakeOutcome::RequirementChanged);
+        }
+        let item = items.get(&self.key)?;
+        if required.is_some_and(|required| item.revision < required.revision) {
+            // It was written for an earlier item with the key of the required one.
+            self.expected = item.revision;
+            return None;
+        }
+        Some(self.existing_outcome(item))
+    }
+
     /// Returns the outcome for an entry whose key exists as `item`.
-    fn existing_outcome(&self, item: Item) -> IntakeOutcome {
+    fn existing_outcome(&self, item: &Item) -> IntakeOutcome {
         if item.has_value(&self.value) {
             return IntakeOutcome::Stored;
         }
-        item.value
-            .map_or(IntakeOutcome::Unknown, IntakeOutcome::Exists)
+        let value = item.value.clone();
+        value.map_or(IntakeOutcome::Unknown, IntakeOutcome::Exists)
     }
 
     fn answer(self, outcome: IntakeOutcome) {
@@ -85,6 +141,26 @@
 
     /// Writes an entry if its key does not exist, and waits for the outcome.
     pub async fn write(&self, key: String, value: Vec<u8>) -> IntakeOutcome {
+        self.enqueue(key, value, None).await
+    }
+
+    /// Writes an entry if its key does not exist and the required item is unchanged, and waits
+    /// for the outcome. An existing item that is older than the required one is replaced.
+    pub async fn write_dependent(
+        &self,
+        key: String,
+        value: Vec<u8>,
+        requirement: Requirement,
+    ) -> IntakeOutcome {
+        self.enqueue(key, value, Some(requirement)).await
+    }
+
+    async fn enqueue(
+        &self,
+        key: String,
+        value: Vec<u8>,
+        requirement: Option<Requirement>,
+    ) -> IntakeOutcome {
         let (reply, outcome) = oneshot::channel();
         if self.queue.borrow().len() >= QUEUE_LIMIT_COUNT {
             return IntakeOutcome::NotStored;
@@ -92,6 +168,8 @@
         self.queue.borrow_mut().push_back(Entry {
             key,
             value,
+            expected: 0,
+            requirement,
             queued_at: clock::now(),
             is_unconfirmed: false,
             reply,
@@ -118,19 +196,26 @@
                 self.arrived.notified().await;
                 continue;
             }
-            let count = self.queue.borrow().len().min(GROUP_LIMIT_COUNT);
-            let group: Vec<Entry> = self.queue.borrow_mut().drain(..count).collect();
+            let group = self.take_group();
             self.write_group(group).await;
         }
     }
 
+    /// Removes from the queue as many entries as one transaction holds.
+    fn take_group(&self) -> Vec<Entry> {
+        let mut queue = self.queue.borrow_mut();
+        let mut operations_count = 0;
+        let fits = |entry: &&Entry| {
+            operations_count += entry.operations_count();
+            operations_count <= GROUP_LIMIT_COUNT
+        };
+        let count = queue.iter().take_while(fits).count();
+        queue.drain(..count).collect()
+    }
+
     async fn write_group(&self, mut group: Vec<Entry>) {
-        let mut transaction = Transaction::new();
-        for entry in &group {
-            transaction = transaction
-                .with_expect(entry.key.clone(), 0)
-                .with_put(entry.key.clone(), entry.value.clone());
-        }
+        let entries = group.iter();
+        let transaction = entries.fold(Transaction::new(), |all, entry| entry.add_to(all));
         match self.store.commit(&transaction).await {
             Ok(_) => {
                 self.failures_count.set(0);
@@ -138,23 +223,7 @@
             }
             Err(CommitError::Conflict(items)) => {
                 self.failures_count.set(0);
-                let existing = items.into_iter().filter(|item| item.revision > 0);
-                let mut existing: HashMap<String, Item> =
-                    existing.map(|item| (item.key.clone(), item)).collect();
-                let (found, rest): (Vec<Entry>, Vec<Entry>) = group
-                    .into_iter()
-                    .partition(|entry| existing.contains_key(&entry.key));
-                if found.is_empty() {
-                    // The conflict does not show which entries exist.
-                    return answer_all(rest, &IntakeOutcome::Unknown);
-                }
-                for entry in found {
-                    let item = existing.remove(&entry.key);
-                    let outcome =
-                        item.map_or(IntakeOutcome::Unknown, |item| entry.existing_outcome(item));
-                    entry.answer(outcome);
-                }
-                self.requeue(rest);
+                self.resolve_conflict(group, items);
             }
             Err(CommitError::Store(error)) => {
                 self.failures_count.set(self.failures_count.get() + 1);
@@ -168,6 +237,34 @@
         }
     }
 
+    /// Answers the entries that caused a conflict, and queues the others again.
+    fn resolve_conflict(&self, group: Vec<Entry>, items: Vec<Item>) {
+        let existing = items.into_iter().filter(|item| item.revision > 0);
+        let existing: HashMap<String, Item> =
+            existing.map(|item| (item.key.clone(), item)).collect();
+        let mut rest = Vec::new();
+        let mut is_explained = false;
+        for mut entry in group {
+            let expected = entry.expected;
+            match entry.conflict_outcome(&existing) {
+                Some(outcome) => {
+                    entry.answer(outcome);
+                    is_explained = true;
+                }
+                None => {
+                    is_explained |= entry.expected != expected;
+                    rest.push(entry);
+                }
+            }
+        }
+        if is_explained {
+            self.requeue(rest);
+        } else {
+            // Writing the same again would fail again.
+            answer_all(rest, &IntakeOutcome::Unknown);
+        }
+    }
+
     async fn retry_or_give_up(&self, group: Vec<Entry>) {
         let now = clock::now();
         let has_timed_out = |entry: &Entry| {
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -4,7 +4,7 @@
 use crate::cell_view::LeaderRecord;
 use crate::election;
 use crate::handover::LearnedSnapshot;
-use crate::intake::IntakeOutcome;
+use crate::intake::{IntakeOutcome, Requirement};
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, PeerError, PeerReply, PeerRequest, SuitableWorker};
 use crate::platform::{Call, Platform, Reply, Retry};
@@ -31,6 +31,9 @@
 /// How long a write to the store may be unanswered before it is forwarded to another node
 /// as well: many times its usual duration, and well below a call's timeout.
 const FORWARD_AFTER: Duration = Duration::from_ms(120);
+/// The attempts to write a cancel while its job changes: the job ends and is removed at most
+/// once, and may be submitted again.
+const CANCEL_ATTEMPTS_COUNT: usize = 3;
 /// When a client may retry a request that this node could not serve.
 const RETRY_LATER: Retry = Retry {
     after: Duration::from_ms(1000),
@@ -191,7 +194,7 @@
         IntakeOutcome::Exists(value) if is_same_customer(&value, record) => JobWriteOutcome::Stored,
         IntakeOutcome::Exists(_) => JobWriteOutcome::IdTaken,
         IntakeOutcome::NotStored => JobWriteOutcome::NotStored,
-        IntakeOutcome::Unknown => JobWriteOutcome::Unknown,
+        IntakeOutcome::RequirementChanged | IntakeOutcome::Unknown => JobWriteOutcome::Unknown,
     };
     if written == JobWriteOutcome::Unknown {
         node.forecasts.record_unconfirmed_write(clock::now());
@@ -340,26 +343,60 @@
     if is_store_unreachable(node) {
         return PeerReply::Refused;
     }
-    match node.store.get(&keys::job(job)).await {
-        Ok(Some(item)) => match access(&item, caller) {
-            Access::Open => {}
-            Access::Closed => return PeerReply::NoJob,
-            // Another node may be able to parse it.
-            Access::Unreadable => return PeerReply::Refused,
-        },
-        Ok(None) => return PeerReply::NoJob,
-        Err(_) => return PeerReply::Refused,
-    }
-    match node.intake.write(keys::cancel(job), Vec::new()).await {
-        IntakeOutcome::Stored | IntakeOutcome::Exists(_) => {
-            match node.valid_term() {
-                Some(term) => term.send_event(Event::CancelAccepted { job }),
-                None => send_to_leader(node, PeerRequest::CancelTaken(job)),
+    for _ in 0..CANCEL_ATTEMPTS_COUNT {
+        let requirement = match find_cancellable(node, job, caller).await {
+            Ok(requirement) => requirement,
+            Err(reply) => return reply,
+        };
+        let written = node
+            .intake
+            .write_dependent(keys::cancel(job), Vec::new(), requirement)
+            .await;
+        match written {
+            IntakeOutcome::Stored | IntakeOutcome::Exists(_) => {
+                notify_leader_of_cancel(node, job);
+                return PeerReply::Accepted;
             }
-            PeerReply::Accepted
+            // The job has ended or was removed.
+            IntakeOutcome::RequirementChanged => {}
+            IntakeOutcome::NotStored => return PeerReply::Refused,
+            IntakeOutcome::Unknown => return PeerReply::Unknown,
         }
-        IntakeOutcome::NotStored => PeerReply::Refused,
-        IntakeOutcome::Unknown => PeerReply::Unknown,
+    }
+    PeerReply::Refused
+}
+
+/// Returns the item that a job's cancel depends on.
+///
+/// # Errors
+///
+/// Returns the reply if the job can't be cancelled, or has ended and needs no cancel.
+async fn find_cancellable<P: Platform>(
+    node: &Rc<Node<P>>,
+    job: JobId,
+    caller: &Caller,
+) -> Result<Requirement, PeerReply> {
+    let key = keys::job(job);
+    let found = node.store.get(&key).await;
+    let item = found
+        .map_err(|_| PeerReply::Refused)?
+        .ok_or(PeerReply::NoJob)?;
+    match access(&item, caller) {
+        Access::Open => Ok(Requirement {
+            key,
+            revision: item.revision,
+        }),
+        Access::Ended => Err(PeerReply::Accepted),
+        Access::Closed => Err(PeerReply::NoJob),
+        // Another node may be able to parse it.
+        Access::Unreadable => Err(PeerReply::Refused),
+    }
+}
+
+fn notify_leader_of_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) {
+    match node.valid_term() {
+        Some(term) => term.send_event(Event::CancelAccepted { job }),
+        None => send_to_leader(node, PeerRequest::CancelTaken(job)),
     }
 }
 
--- a/crates/control/src/stored_view.rs
+++ b/crates/control/src/stored_view.rs
@@ -21,8 +21,10 @@
 /// Whether a caller may access a stored job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
-    /// The caller may access it.
+    /// The caller may access it, and it has not ended.
     Open,
+    /// The caller may access it, and it has ended.
+    Ended,
     /// The job belongs to another customer.
     Closed,
     /// The job can't be parsed; a node of a later version may have written it.
@@ -32,8 +34,9 @@
 /// Returns whether a caller may access the job of a stored item.
 pub fn access(item: &Item, caller: &Caller) -> Access {
     match parse_stored_job(item) {
-        Ok(stored) if stored.is_visible_to(caller.customer()) => Access::Open,
-        Ok(_) => Access::Closed,
+        Ok(stored) if !stored.is_visible_to(caller.customer()) => Access::Closed,
+        Ok(StoredJob::Accepted(_)) => Access::Open,
+        Ok(StoredJob::Ended(_)) => Access::Ended,
         Err(_) => Access::Unreadable,
     }
 }
--- a/crates/control/tests/control/cancels.rs
+++ b/crates/control/tests/control/cancels.rs
@@ -10,7 +10,7 @@
 use ospreywing_control::peer::{self, PeerReply, PeerRequest};
 use ospreywing_control::{keys, Caller, Store, Transaction};
 use ospreywing_http::HttpClient;
-use ospreywing_scheduler::{JobId, JobRecord, JobSpec, JobView, Phase, StepSpec};
+use ospreywing_scheduler::{JobId, JobOutcome, JobRecord, JobSpec, JobView, Phase, StepSpec};
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
 use tokio::time::timeout;
@@ -227,3 +227,41 @@
         assert_eq!(phase, Some(Phase::Active));
     });
 }
+
+/// Has a node cancel [`JOB`], which changes after the node has read it; returns the reply and
+/// whether a cancel is stored.
+async fn cancel_while(job_changes: Transaction) -> (PeerReply, bool) {
+    let leader = Leader::run(Leader::prepare().await).await;
+    commit(leader.store(), put_job(JOB)).await;
+    leader
+        .store()
+        .commit_after_read_of(&keys::job(JOB), job_changes);
+    let caller = Caller::anonymous();
+    let reply = leader.call(PeerRequest::Cancel { job: JOB, caller }).await;
+    let is_stored = leader.store().value(&keys::cancel(JOB)).is_some();
+    (reply, is_stored)
+}
+
+/// The key of a cancel that was written after its job had been removed once stayed in the store,
+/// and ended the next job with the id.
+#[test]
+fn cancel_of_job_removed_meanwhile() {
+    run_local(async {
+        let removed = Transaction::new().with_remove(keys::job(JOB));
+        let (reply, is_stored) = cancel_while(removed).await;
+        assert_eq!(reply, PeerReply::NoJob);
+        assert!(!is_stored, "the cancel stays in the store");
+    });
+}
+
+/// A job that has ended needs no cancel.
+#[test]
+fn cancel_of_job_ended_meanwhile() {
+    run_local(async {
+        let outcome = JobOutcome::new(Phase::Complete).to_bytes();
+        let ended = Transaction::new().with_put(keys::job(JOB), outcome);
+        let (reply, is_stored) = cancel_while(ended).await;
+        assert_eq!(reply, PeerReply::Accepted);
+        assert!(!is_stored, "the cancel stays in the store");
+    });
+}
--- a/crates/control/tests/control/store_writes.rs
+++ b/crates/control/tests/control/store_writes.rs
@@ -2,9 +2,9 @@
 
 use crate::support::{run_local, MemoryStore, Treatment};
 use ospreywing_control::commit::{lane_value, CommitLane, CommitOutcome};
-use ospreywing_control::intake::{Intake, IntakeOutcome};
-use ospreywing_control::{keys, Store, Transaction};
-use ospreywing_scheduler::{Change, ChangeKind, JobId, JobOutcome, Phase, StoredJob};
+use ospreywing_control::intake::{Intake, IntakeOutcome, Requirement};
+use ospreywing_control::{keys, Revision, Store, Transaction};
+use ospreywing_scheduler::{Change, ChangeKind, JobId, JobOutcome, JobRecord, Phase, StoredJob};
 use rstest::rstest;
 
 const FENCE: u64 = 9;
@@ -167,3 +167,163 @@
         assert_eq!(kept, Ok(StoredJob::Ended(JobOutcome::new(Phase::Complete))));
     });
 }
+
+/// The items of a job and of its cancel before the cancel is written.
+struct Scene {
+    store: MemoryStore,
+    job: JobId,
+    accepted_at: Revision,
+}
+
+impl Scene {
+    /// Returns a store with an accepted job.
+    async fn new() -> Self {
+        let store = MemoryStore::new();
+        let job = JobId::new(1);
+        let accepted_at = put(&store, keys::job(job), JobRecord::default().to_bytes()).await;
+        Self {
+            store,
+            job,
+            accepted_at,
+        }
+    }
+
+    /// Returns a store with an accepted job, and with the cancel of an earlier job with its id.
+    async fn with_older_cancel() -> Self {
+        let scene = Self::new().await;
+        let Self { store, job, .. } = scene;
+        put(&store, keys::cancel(job), Vec::new()).await;
+        let remove = Transaction::new().with_remove(keys::job(job));
+        store.commit(&remove).await.expect("the store answers");
+        let accepted_at = put(&store, keys::job(job), JobRecord::default().to_bytes()).await;
+        Self {
+            store,
+            job,
+            accepted_at,
+        }
+    }
+
+    /// Writes the cancel of the job as it was accepted.
+    async fn write_cancel(&self) -> IntakeOutcome {
+        let intake = Intake::new(self.store.clone());
+        let runner = intake.clone();
+        tokio::task::spawn_local(async move { runner.run().await });
+        let requirement = Requirement {
+            key: keys::job(self.job),
+            revision: self.accepted_at,
+        };
+        let key = keys::cancel(self.job);
+        intake.write_dependent(key, Vec::new(), requirement).await
+    }
+
+    async fn cancelled_at(&self) -> Option<Revision> {
+        let item = self.store.get(&keys::cancel(self.job)).await;
+        item.expect("the store answers").map(|item| item.revision)
+    }
+}
+
+async fn put(store: &MemoryStore, key: String, value: Vec<u8>) -> Revision {
+    let transaction = Transaction::new().with_put(key, value);
+    let committed = store.commit(&transaction).await;
+    committed.expect("the store answers").revision
+}
+
+#[rstest]
+#[case::answered(&[], IntakeOutcome::Stored)]
+#[case::answer_lost(&[Treatment::Lose], IntakeOutcome::Stored)]
+#[case::refused_once(&[Treatment::Refuse], IntakeOutcome::Stored)]
+#[case::always_refused(&[Treatment::Refuse; 60], IntakeOutcome::NotStored)]
+fn write_cancel_to_failing_store(
+    #[case] treatments: &[Treatment],
+    #[case] expected: IntakeOutcome,
+) {
+    run_local(async {
+        let scene = Scene::new().await;
+        scene.store.set_treatments(treatments);
+        assert_eq!(scene.write_cancel().await, expected);
+        let is_stored = scene.cancelled_at().await.is_some();
+        assert_eq!(is_stored, expected == IntakeOutcome::Stored);
+    });
+}
+
+/// A cancel that was written after its job had been removed once remained in the store, and
+/// ended the next job with the same id.
+#[test]
+fn write_cancel_of_removed_job() {
+    run_local(async {
+        let scene = Scene::new().await;
+        let lane = lane_of(&scene.store, FENCE).await;
+        let forget = vec![Change {
+            job: scene.job,
+            kind: ChangeKind::Forget,
+        }];
+        assert_eq!(lane.commit(forget, || false).await, CommitOutcome::Done);
+        assert_eq!(
+            scene.write_cancel().await,
+            IntakeOutcome::RequirementChanged
+        );
+        assert_eq!(scene.cancelled_at().await, None);
+    });
+}
+
+/// The store may carry a call out seconds after it was sent.
+#[test]
+fn write_cancel_applied_after_removal() {
+    run_local(async {
+        let scene = Scene::new().await;
+        scene.store.set_treatments(&[Treatment::Delay; 60]);
+        assert_eq!(scene.write_cancel().await, IntakeOutcome::Unknown);
+        let remove = Transaction::new().with_remove(keys::job(scene.job));
+        // The delays that are left over concern the next transactions.
+        while scene.store.commit(&remove).await.is_err() {}
+        scene.store.apply_delayed();
+        assert_eq!(scene.cancelled_at().await, None);
+    });
+}
+
+/// A cancel that an earlier version left behind must not stand for that of the later job.
+#[test]
+fn write_cancel_over_older_one() {
+    run_local(async {
+        let scene = Scene::with_older_cancel().await;
+        assert!(scene.cancelled_at().await < Some(scene.accepted_at));
+        assert_eq!(scene.write_cancel().await, IntakeOutcome::Stored);
+        assert!(scene.cancelled_at().await > Some(scene.accepted_at));
+    });
+}
+
+/// Cancels of several jobs share a transaction; one whose job was removed does not affect the
+/// others.
+#[test]
+fn write_group_with_cancels() {
+    run_local(async {
+        let store = MemoryStore::new();
+        let intake = Intake::new(store.clone());
+        let mut writes = Vec::new();
+        for number in 1..=25 {
+            let key = keys::job(JobId::new(number));
+            let revision = put(&store, key.clone(), b"job".to_vec()).await;
+            let requirement = Requirement {
+                key,
+                // Every third job has changed since.
+                revision: revision - u64::from(number % 3 == 0),
+            };
+            let intake = intake.clone();
+            writes.push(tokio::task::spawn_local(async move {
+                let key = keys::cancel(JobId::new(number));
+                intake.write_dependent(key, Vec::new(), requirement).await
+            }));
+        }
+        tokio::task::spawn_local(async move { intake.run().await });
+        for (number, write) in (1..).zip(writes) {
+            let outcome = write.await.expect("a write");
+            let is_stored = store.value(&keys::cancel(JobId::new(number))).is_some();
+            assert_eq!(is_stored, number % 3 != 0);
+            let expected = match number % 3 {
+                0 => IntakeOutcome::RequirementChanged,
+                _ => IntakeOutcome::Stored,
+            };
+            assert_eq!(outcome, expected);
+        }
+    });
+}
