Do not tell the leader of a job that has ended

Cause: a node that finds a job's key in the store answers 2xx and sends the leader the job as the client submitted it, also where the key holds the outcome. A leader that has removed the job in the meantime takes it for a new one, cancelled or not.

Change: no message is sent for a job that was found to have ended.

Evidence: submit_of_ended_job_not_known failed before.

--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -160,6 +160,8 @@
 enum JobWriteOutcome {
     /// The job is in the store.
     Stored,
+    /// The job was in the store before, and has ended.
+    Ended,
     /// Another customer's job has its id.
     IdTaken,
     /// The job is not in the store and the write will not be applied.
@@ -172,7 +174,7 @@
     /// Returns the client's reply, if it does not depend on another node's write.
     const fn reply(self) -> Option<Reply> {
         match self {
-            Self::Stored => Some(Reply::Accepted),
+            Self::Stored | Self::Ended => Some(Reply::Accepted),
             Self::IdTaken => Some(Reply::IdTaken),
             Self::NotStored | Self::Unknown => None,
         }
@@ -191,8 +193,7 @@
     let outcome = node.intake.write(keys::job(job), record.to_bytes()).await;
     let written = match outcome {
         IntakeOutcome::Stored => JobWriteOutcome::Stored,
-        IntakeOutcome::Exists(value) if is_same_customer(&value, record) => JobWriteOutcome::Stored,
-        IntakeOutcome::Exists(_) => JobWriteOutcome::IdTaken,
+        IntakeOutcome::Exists(value) => outcome_of_existing(&value, record),
         IntakeOutcome::NotStored => JobWriteOutcome::NotStored,
         IntakeOutcome::RequirementChanged | IntakeOutcome::Unknown => JobWriteOutcome::Unknown,
     };
@@ -206,13 +207,19 @@
     written
 }
 
-/// Returns whether a stored job belongs to the record's customer. A job that can't be parsed
-/// is taken to belong to it: a node of a later version may have written it.
-fn is_same_customer(stored: &[u8], record: &JobRecord) -> bool {
-    let stored = StoredJob::from_bytes(stored);
-    stored.map_or(true, |stored| {
-        stored.is_visible_to(record.customer.as_deref())
-    })
+/// Returns the outcome if a job with the record's id is stored. A job that can't be parsed is
+/// taken to belong to the record's customer: a node of a later version may have written it.
+fn outcome_of_existing(stored: &[u8], record: &JobRecord) -> JobWriteOutcome {
+    let Ok(stored) = StoredJob::from_bytes(stored) else {
+        return JobWriteOutcome::Stored;
+    };
+    if !stored.is_visible_to(record.customer.as_deref()) {
+        return JobWriteOutcome::IdTaken;
+    }
+    match stored {
+        StoredJob::Accepted(_) => JobWriteOutcome::Stored,
+        StoredJob::Ended(_) => JobWriteOutcome::Ended,
+    }
 }
 
 /// Returns whether the store is known not to answer this node.
@@ -544,7 +551,7 @@
         record.policy = configured_policy(node, &record);
     }
     match write_job(node, job, &record).await {
-        JobWriteOutcome::Stored => PeerReply::Accepted,
+        JobWriteOutcome::Stored | JobWriteOutcome::Ended => PeerReply::Accepted,
         JobWriteOutcome::IdTaken => PeerReply::IdTaken,
         JobWriteOutcome::NotStored => PeerReply::Refused,
         JobWriteOutcome::Unknown => PeerReply::Unknown,
--- a/crates/control/tests/control/cancels.rs
+++ b/crates/control/tests/control/cancels.rs
@@ -5,7 +5,7 @@
     spawn_node, wait_for, Messages, Worker, WorkerPlatform, CONDITION_CHECK_PERIOD,
     CONDITION_TIMEOUT, WORKERS_PREFIX,
 };
-use crate::support::{run_local, settings, MemoryStore, QUEUE, SERVICE};
+use crate::support::{one_queue_configuration, run_local, settings, MemoryStore, QUEUE, SERVICE};
 use ospreywing_control::cell_view::NodeRecord;
 use ospreywing_control::peer::{self, PeerReply, PeerRequest};
 use ospreywing_control::{keys, Caller, Store, Transaction};
@@ -265,3 +265,23 @@
         assert!(!is_stored, "the cancel stays in the store");
     });
 }
+
+/// A leader that has just removed a job's outcome once started the job when its id was submitted
+/// again, though the node that took it had found the outcome.
+#[test]
+fn submit_of_ended_job_not_known() {
+    run_local(async {
+        let leader = Leader::run(Leader::prepare().await).await;
+        let outcome = JobOutcome::new(Phase::Canceled).to_bytes();
+        let ended = Transaction::new().with_put(keys::job(JOB), outcome);
+        commit(leader.store(), ended).await;
+        let version = one_queue_configuration().version;
+        let reply = leader
+            .call(PeerRequest::submit(JOB, record(), version))
+            .await;
+        assert_eq!(reply, PeerReply::Accepted);
+        commit(leader.store(), put_job(OTHER_JOB)).await;
+        leader.wait_for_start(OTHER_JOB).await;
+        assert!(!leader.has_started(JOB), "the ended job was started");
+    });
+}
