Read as a newcomer: cancels in a module of their own, roles in a conflict

How an entry contributed to a conflict has a type, in place of an option and a comparison of fields.

--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -55,6 +55,16 @@
     pub revision: Revision,
 }
 
+/// How an entry contributed to a conflict of its group.
+enum ConflictRole {
+    /// It caused the conflict, and has this outcome.
+    Decided(IntakeOutcome),
+    /// It caused the conflict, and replaces the item with this revision.
+    Replaces(Revision),
+    /// It did not cause the conflict.
+    Unaffected,
+}
+
 struct Entry {
     key: String,
     value: Vec<u8>,
@@ -88,21 +98,27 @@
             .with_put(self.key.clone(), self.value.clone())
     }
 
-    /// Returns the outcome after a conflict with these items; `None` if the entry is to be
-    /// written again.
-    fn conflict_outcome(&mut self, items: &HashMap<String, Item>) -> Option<IntakeOutcome> {
-        let revision_of = |key: &str| items.get(key).map_or(0, |item| item.revision);
-        let required = self.requirement.as_ref();
-        if required.is_some_and(|required| revision_of(&required.key) != required.revision) {
-            return Some(IntakeOutcome::RequirementChanged);
+    /// Returns how the entry contributed to a conflict, by the items of the conditions.
+    fn conflict_role(&self, items: &HashMap<String, Item>) -> ConflictRole {
+        if let Some(required) = &self.requirement {
+            let revision = items.get(&required.key).map_or(0, |item| item.revision);
+            if revision != required.revision {
+                return ConflictRole::Decided(IntakeOutcome::RequirementChanged);
+            }
         }
-        let item = items.get(&self.key)?;
-        if required.is_some_and(|required| item.revision < required.revision) {
-            // It was written for an earlier item with the key of the required one.
-            self.expected = item.revision;
-            return None;
+        match items.get(&self.key) {
+            None => ConflictRole::Unaffected,
+            Some(item) if item.revision == self.expected => ConflictRole::Unaffected,
+            Some(item) if self.is_outdated(item) => ConflictRole::Replaces(item.revision),
+            Some(item) => ConflictRole::Decided(self.existing_outcome(item)),
         }
-        Some(self.existing_outcome(item))
+    }
+
+    /// Returns whether an item with the entry's key was written for an earlier item with the key
+    /// of the required one.
+    fn is_outdated(&self, item: &Item) -> bool {
+        let required = self.requirement.as_ref();
+        required.is_some_and(|required| item.revision < required.revision)
     }
 
     /// Returns the outcome for an entry whose key exists as `item`.
@@ -243,24 +259,25 @@
         let existing: HashMap<String, Item> =
             existing.map(|item| (item.key.clone(), item)).collect();
         let mut rest = Vec::new();
-        let mut is_explained = false;
+        let mut is_cause_known = false;
         for mut entry in group {
-            let expected = entry.expected;
-            match entry.conflict_outcome(&existing) {
-                Some(outcome) => {
+            match entry.conflict_role(&existing) {
+                ConflictRole::Decided(outcome) => {
+                    is_cause_known = true;
                     entry.answer(outcome);
-                    is_explained = true;
                 }
-                None => {
-                    is_explained |= entry.expected != expected;
+                ConflictRole::Replaces(revision) => {
+                    is_cause_known = true;
+                    entry.expected = revision;
                     rest.push(entry);
                 }
+                ConflictRole::Unaffected => rest.push(entry),
             }
         }
-        if is_explained {
+        if is_cause_known {
             self.requeue(rest);
         } else {
-            // Writing the same again would fail again.
+            // The same transaction would fail again.
             answer_all(rest, &IntakeOutcome::Unknown);
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 mod caller;
+mod cancels;
 mod cell_follow;
 pub mod cell_view;
 pub mod commit;
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -1,17 +1,18 @@
 //! Handles requests of clients and of other nodes.
 
 use crate::caller::Caller;
+use crate::cancels::{cancel, write_cancel};
 use crate::cell_view::LeaderRecord;
 use crate::election;
 use crate::handover::LearnedSnapshot;
-use crate::intake::{IntakeOutcome, Requirement};
+use crate::intake::IntakeOutcome;
 use crate::node::Node;
 use crate::peer::{self, AdviceAnswer, PeerError, PeerReply, PeerRequest, SuitableWorker};
 use crate::platform::{Call, Platform, Reply, Retry};
 use crate::relay::server;
 use crate::stable_hash::stable_hash_below;
 use crate::store::{LeaseId, Store};
-use crate::stored_view::{access, read_view, Access, StoredView};
+use crate::stored_view::{read_view, StoredView};
 use crate::{admission, clock, configuration_sharing, keys, leader_probe};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobPolicy, JobRecord, JobView, StoredJob,
@@ -31,9 +32,6 @@
 /// How long a write to the store may be unanswered before it is forwarded to another node
 /// as well: many times its usual duration, and well below a call's timeout.
 const FORWARD_AFTER: Duration = Duration::from_ms(120);
-/// The attempts to write a cancel while its job changes: the job ends and is removed at most
-/// once, and may be submitted again.
-const CANCEL_ATTEMPTS_COUNT: usize = 3;
 /// When a client may retry a request that this node could not serve.
 const RETRY_LATER: Retry = Retry {
     after: Duration::from_ms(1000),
@@ -223,7 +221,7 @@
 }
 
 /// Returns whether the store is known not to answer this node.
-fn is_store_unreachable<P: Platform>(node: &Rc<Node<P>>) -> bool {
+pub(crate) fn is_store_unreachable<P: Platform>(node: &Rc<Node<P>>) -> bool {
     !node.has_store_contact() || node.intake.is_failing()
 }
 
@@ -238,7 +236,7 @@
 
 /// Sends a message to the leader. If the message is lost, the leader reads the change from
 /// the store.
-fn send_to_leader<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) {
+pub(crate) fn send_to_leader<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest) {
     let node = node.clone();
     tokio::task::spawn_local(async move {
         let Some(leader) = find_leader(&node).await else {
@@ -295,7 +293,11 @@
 }
 
 /// Forwards a write to other nodes, since the store does not answer this one.
-async fn forward<P: Platform>(node: &Rc<Node<P>>, request: PeerRequest, success: Reply) -> Reply {
+pub(crate) async fn forward<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: PeerRequest,
+    success: Reply,
+) -> Reply {
     for address in forward_addresses(node) {
         match peer::call(&node.peers, &address, &request, FORWARD_TIMEOUT).await {
             Ok(PeerReply::Accepted) => return success,
@@ -330,83 +332,6 @@
     addresses
 }
 
-async fn cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: Caller) -> Reply {
-    let reply = match write_cancel(node, job, &caller).await {
-        PeerReply::Accepted => Reply::Cancelled,
-        PeerReply::NoJob => Reply::NoJob,
-        PeerReply::Refused => {
-            let request = PeerRequest::Cancel { job, caller };
-            forward(node, request, Reply::Cancelled).await
-        }
-        _ => Reply::Unknown,
-    };
-    let is_done = reply == Reply::Cancelled;
-    info!(node.log, "cancel answered"; "job" => %job, "is_done" => is_done);
-    reply
-}
-
-/// Writes a cancel to the store and notifies the leader.
-async fn write_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: &Caller) -> PeerReply {
-    if is_store_unreachable(node) {
-        return PeerReply::Refused;
-    }
-    for _ in 0..CANCEL_ATTEMPTS_COUNT {
-        let requirement = match find_cancellable(node, job, caller).await {
-            Ok(requirement) => requirement,
-            Err(reply) => return reply,
-        };
-        let written = node
-            .intake
-            .write_dependent(keys::cancel(job), Vec::new(), requirement)
-            .await;
-        match written {
-            IntakeOutcome::Stored | IntakeOutcome::Exists(_) => {
-                notify_leader_of_cancel(node, job);
-                return PeerReply::Accepted;
-            }
-            // The job has ended or was removed.
-            IntakeOutcome::RequirementChanged => {}
-            IntakeOutcome::NotStored => return PeerReply::Refused,
-            IntakeOutcome::Unknown => return PeerReply::Unknown,
-        }
-    }
-    PeerReply::Refused
-}
-
-/// Returns the item that a job's cancel depends on.
-///
-/// # Errors
-///
-/// Returns the reply if the job can't be cancelled, or has ended and needs no cancel.
-async fn find_cancellable<P: Platform>(
-    node: &Rc<Node<P>>,
-    job: JobId,
-    caller: &Caller,
-) -> Result<Requirement, PeerReply> {
-    let key = keys::job(job);
-    let found = node.store.get(&key).await;
-    let item = found
-        .map_err(|_| PeerReply::Refused)?
-        .ok_or(PeerReply::NoJob)?;
-    match access(&item, caller) {
-        Access::Open => Ok(Requirement {
-            key,
-            revision: item.revision,
-        }),
-        Access::Ended => Err(PeerReply::Accepted),
-        Access::Closed => Err(PeerReply::NoJob),
-        // Another node may be able to parse it.
-        Access::Unreadable => Err(PeerReply::Refused),
-    }
-}
-
-fn notify_leader_of_cancel<P: Platform>(node: &Rc<Node<P>>, job: JobId) {
-    match node.valid_term() {
-        Some(term) => term.send_event(Event::CancelAccepted { job }),
-        None => send_to_leader(node, PeerRequest::CancelTaken(job)),
-    }
-}
-
 async fn status<P: Platform>(node: &Rc<Node<P>>, job: JobId, caller: Caller) -> Reply {
     let leader_view = query_leader_view(node, job, &caller).await;
     if let Some(view) = leader_view.filter(|view| view.is_settled) {
