--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -280,6 +280,13 @@
                 .help("Also restart workers under the same ids")
                 .conflicts_with("plan"),
         )
+        .arg(
+            Arg::new("lost-histories")
+                .long("lost-histories")
+                .action(ArgAction::SetTrue)
+                .help("Also have the store lose its history, and cancel jobs right after they were accepted")
+                .conflicts_with("plan"),
+        )
         .arg(
             path("plan", "FILE", "Run this plan instead of generating one")
                 .conflicts_with_all(["seed", "seeds"]),
--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -113,6 +113,7 @@
     let seeds = seeds.first..=seeds.last;
     let has_crashes = matches.get_flag("crashes");
     let has_restarts = matches.get_flag("restarts");
+    let has_lost_histories = matches.get_flag("lost-histories");
     let draw = |seed| {
         let mut plan = Plan::draw(seed, size);
         if has_crashes {
@@ -121,6 +122,9 @@
         if has_restarts {
             plan = plan.with_restarts();
         }
+        if has_lost_histories {
+            plan = plan.with_lost_histories();
+        }
         plan
     };
     Ok(seeds.map(draw).collect())
