--- a/crates/control/tests/control/cancels.rs
+++ b/crates/control/tests/control/cancels.rs
@@ -65,15 +65,15 @@
         let initial_items = Transaction::new()
             .with_put("configuration".to_owned(), vec![1])
             .with_put(format!("{WORKERS_PREFIX}w0"), vec![1]);
-        commit(&platform.memory, initial_items).await;
+        commit(&platform.store, initial_items).await;
         platform
     }
 
     /// Starts a leader and waits until it polls the worker.
     async fn run(platform: WorkerPlatform) -> Self {
         spawn_node(&platform, settings(), &Messages::default());
-        wait_for("the worker is polled", || platform.has_polled.get()).await;
-        let item = platform.memory.value(&keys::node(&settings().name));
+        wait_for("the worker is polled", || platform.agent.has_polled.get()).await;
+        let item = platform.store.value(&keys::node(&settings().name));
         let record = NodeRecord::from_bytes(&item.expect("a record")).expect("a record");
         Self {
             platform,
@@ -83,7 +83,7 @@
     }
 
     fn store(&self) -> &MemoryStore {
-        &self.platform.memory
+        &self.platform.store
     }
 
     async fn call(&self, request: PeerRequest) -> PeerReply {
@@ -104,7 +104,7 @@
     }
 
     fn has_started(&self, job: JobId) -> bool {
-        let sent = self.platform.sent_starts.borrow();
+        let sent = self.platform.agent.sent_starts.borrow();
         sent.iter().any(|task| task.step.job == job)
     }
 
@@ -195,11 +195,11 @@
     run_local(async {
         let platform = Leader::prepare().await;
         for number in 11..=13 {
-            commit(&platform.memory, put_job(JobId::new(number))).await;
+            commit(&platform.store, put_job(JobId::new(number))).await;
         }
         let key = keys::cancel(JobId::new(14));
         let both = put_job(JobId::new(14)).with_put(key, Vec::new());
-        platform.memory.commit_after_page(keys::INTAKE_PREFIX, both);
+        platform.store.commit_after_page(keys::INTAKE_PREFIX, both);
         let leader = Leader::run(platform).await;
         leader.wait_for_phase(JobId::new(14), Phase::Canceled).await;
         leader.wait_for_start(JobId::new(13)).await;
@@ -213,9 +213,9 @@
 fn cancel_of_earlier_job_with_the_id(#[case] is_read_by_new_leader: bool) {
     run_local(async {
         let platform = Leader::prepare().await;
-        commit(&platform.memory, put_cancel(JOB)).await;
+        commit(&platform.store, put_cancel(JOB)).await;
         let leader = if is_read_by_new_leader {
-            commit(&platform.memory, put_job(JOB)).await;
+            commit(&platform.store, put_job(JOB)).await;
             Leader::run(platform).await
         } else {
             let leader = Leader::run(platform).await;
--- a/crates/control/tests/control/held_starts.rs
+++ b/crates/control/tests/control/held_starts.rs
@@ -101,7 +101,7 @@
 /// Starts the node that is the relay and returns its address for calls of other nodes.
 async fn spawn_relay(platform: &WorkerPlatform, messages: &Messages) -> SocketAddr {
     spawn_node(platform, settings(), messages);
-    let record = || platform.memory.value(&keys::node(&settings().name));
+    let record = || platform.store.value(&keys::node(&settings().name));
     wait_for("the relay is registered", || record().is_some()).await;
     let record = NodeRecord::from_bytes(&record().expect("a record")).expect("a record");
     record.address.parse().expect("an address")
@@ -156,27 +156,27 @@
         let (leader_messages, relay_messages) = (Messages::default(), Messages::default());
         let relay_address = spawn_relay(&relay, &relay_messages).await;
         let link = HoldingLink::open(relay_address);
-        write_initial_items(&leader.memory, link.address).await;
+        write_initial_items(&leader.store, link.address).await;
         let leader_settings = NodeSettings {
             relays_min_workers_count: 1,
             ..settings()
         };
         spawn_node(&leader, leader_settings, &leader_messages);
         wait_for("the worker is polled through the relay", || {
-            relay.has_polled.get()
+            relay.agent.has_polled.get()
         })
         .await;
-        submit(&leader.memory, 1).await;
+        submit(&leader.store, 1).await;
         wait_for("the start is held", || link.has_held()).await;
         wait_for("the leader has given the relay up", || {
             leader_messages.contain("relay lost")
         })
         .await;
         wait_for("the relay has handled the held batch", || {
-            relay.has_sent_start() || relay_messages.contain(GIVEN_UP)
+            relay.agent.has_sent_start() || relay_messages.contain(GIVEN_UP)
         })
         .await;
-        let sent = relay.sent_starts.borrow();
+        let sent = relay.agent.sent_starts.borrow();
         assert!(sent.is_empty(), "the relay sent held starts: {sent:?}");
     });
 }
@@ -291,7 +291,10 @@
         clock::simulation::suspend(age);
         let reply = calls.relay_poll_and_start(Some(sent_at)).await;
         assert_eq!(reply, OrderReply::Start(expected));
-        assert_eq!(platform.has_sent_start(), expected == StartReply::Started);
+        assert_eq!(
+            platform.agent.has_sent_start(),
+            expected == StartReply::Started
+        );
     });
 }
 
@@ -309,12 +312,15 @@
     run_with_stopped_clock(move || async move {
         let (platform, calls) = open_relay().await;
         let sent_at = calls.relay_time().await;
-        platform.suspend_at_poll.set(length);
+        platform.agent.suspend_at_poll.set(length);
         let reply = calls
             .relay_poll_and_start(is_time_told.then_some(sent_at))
             .await;
         assert_eq!(reply, OrderReply::Start(expected));
-        assert_eq!(platform.has_sent_start(), expected == StartReply::Started);
+        assert_eq!(
+            platform.agent.has_sent_start(),
+            expected == StartReply::Started
+        );
     });
 }
 
@@ -407,8 +413,8 @@
             }
         });
         let leader = WorkerPlatform::new(&Worker::default());
-        write_initial_items(&leader.memory, relay_address).await;
-        submit(&leader.memory, 1).await;
+        write_initial_items(&leader.store, relay_address).await;
+        submit(&leader.store, 1).await;
         let leader_settings = NodeSettings {
             relays_min_workers_count: 1,
             ..settings()
--- a/crates/control/tests/control/support/node.rs
+++ b/crates/control/tests/control/support/node.rs
@@ -5,7 +5,7 @@
 use hyper::body::Bytes;
 use ospreywing_control::{
     clock, Call, CallError, CordonError, NodeSettings, Platform, Reply, RequestHead, RequestLimits,
-    WorkerEntryError, WorkerPoll,
+    Store, WorkerEntryError, WorkerPoll,
 };
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Endpoint, HoldReply, RunningRun, StartOrder, StartReply, StepKey,
@@ -48,46 +48,28 @@
     }
 }
 
-/// A worker whose runs never end.
-#[derive(Clone, Default)]
-pub struct Worker {
-    running: Rc<RefCell<Vec<RunningRun>>>,
+/// How the only worker answers a node's orders.
+#[allow(async_fn_in_trait, reason = "every node runs on one thread")]
+pub trait Agent: Clone + 'static {
+    async fn hold(&self, poll: WorkerPoll) -> HoldReply;
+    async fn start(&self, order: &StartOrder) -> StartReply;
+    async fn stop(&self) -> StopReply;
 }
 
-/// One node's access to the worker, with the starts that this node sent.
+/// A platform with one worker and one queue, and without clients.
 #[derive(Clone)]
-pub struct WorkerPlatform {
-    pub memory: MemoryStore,
-    worker: Worker,
-    pub sent_starts: Rc<RefCell<Vec<TaskKey>>>,
-    pub has_polled: Rc<Cell<bool>>,
-    /// For how long the next poll suspends the machine.
-    pub suspend_at_poll: Rc<Cell<Duration>>,
+pub struct OneWorkerPlatform<S, A> {
+    pub store: S,
+    pub agent: A,
 }
 
-impl WorkerPlatform {
-    pub fn new(worker: &Worker) -> Self {
-        Self {
-            memory: MemoryStore::new(),
-            worker: worker.clone(),
-            sent_starts: Rc::default(),
-            has_polled: Rc::default(),
-            suspend_at_poll: Rc::default(),
-        }
-    }
-
-    pub fn has_sent_start(&self) -> bool {
-        !self.sent_starts.borrow().is_empty()
-    }
-}
-
-impl Platform for WorkerPlatform {
-    type Store = MemoryStore;
+impl<S: Store, A: Agent> Platform for OneWorkerPlatform<S, A> {
+    type Store = S;
     type Routes = ();
     type Admission = ();
 
-    fn store(&self) -> MemoryStore {
-        self.memory.clone()
+    fn store(&self) -> S {
+        self.store.clone()
     }
 
     fn configuration_key(&self) -> &'static str {
@@ -140,36 +122,104 @@
     }
 
     async fn hold(&self, _to: &Endpoint, _fence: u64, poll: WorkerPoll) -> HoldReply {
-        self.has_polled.set(true);
-        clock::simulation::suspend(self.suspend_at_poll.take());
+        self.agent.hold(poll).await
+    }
+
+    async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
+        self.agent.start(order).await
+    }
+
+    async fn stop(&self, _to: &Endpoint, _fence: u64, _task: TaskKey, _run: u32) -> StopReply {
+        self.agent.stop().await
+    }
+
+    async fn advise(&self, _step: StepKey, _workers: &[Arc<str>], _limit: Duration) -> AdviceReply {
+        AdviceReply::Unanswered
+    }
+}
+
+/// A worker whose runs never end.
+#[derive(Clone, Default)]
+pub struct Worker {
+    running: Rc<RefCell<Vec<RunningRun>>>,
+}
+
+impl Worker {
+    /// Answers a poll with the runs, after a part of its wait.
+    pub async fn list(&self, poll: &WorkerPoll) -> HoldReply {
         let wait = poll.wait.as_ms().min(20);
         tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
         HoldReply::Listed {
             incarnation: None,
             clock_ms: clock::now().as_ms(),
-            running: self.worker.running.borrow().clone(),
+            running: self.running.borrow().clone(),
             ended: Vec::new(),
         }
     }
 
-    async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
-        self.sent_starts.borrow_mut().push(order.task);
-        self.worker.running.borrow_mut().push(RunningRun {
+    pub fn begin(&self, order: &StartOrder) {
+        self.running.borrow_mut().push(RunningRun {
             task: order.task,
             run: order.run,
             checkpoint: None,
             progress_percent: 0,
             usage_figure: 0,
         });
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.running.borrow().is_empty()
+    }
+}
+
+/// One node's access to the worker, with the starts that this node sent.
+#[derive(Clone)]
+pub struct WorkerAccess {
+    worker: Worker,
+    pub sent_starts: Rc<RefCell<Vec<TaskKey>>>,
+    pub has_polled: Rc<Cell<bool>>,
+    /// For how long the next poll suspends the machine.
+    pub suspend_at_poll: Rc<Cell<Duration>>,
+}
+
+impl WorkerAccess {
+    pub fn has_sent_start(&self) -> bool {
+        !self.sent_starts.borrow().is_empty()
+    }
+}
+
+impl Agent for WorkerAccess {
+    async fn hold(&self, poll: WorkerPoll) -> HoldReply {
+        self.has_polled.set(true);
+        clock::simulation::suspend(self.suspend_at_poll.take());
+        self.worker.list(&poll).await
+    }
+
+    async fn start(&self, order: &StartOrder) -> StartReply {
+        self.sent_starts.borrow_mut().push(order.task);
+        self.worker.begin(order);
         StartReply::Started
     }
 
-    async fn stop(&self, _to: &Endpoint, _fence: u64, _task: TaskKey, _run: u32) -> StopReply {
+    async fn stop(&self) -> StopReply {
         StopReply::Stopping
     }
+}
 
-    async fn advise(&self, _step: StepKey, _workers: &[Arc<str>], _limit: Duration) -> AdviceReply {
-        AdviceReply::Unanswered
+/// The platform of one of the nodes that share a worker.
+pub type WorkerPlatform = OneWorkerPlatform<MemoryStore, WorkerAccess>;
+
+impl WorkerPlatform {
+    pub fn new(worker: &Worker) -> Self {
+        Self {
+            store: MemoryStore::new(),
+            agent: WorkerAccess {
+                worker: worker.clone(),
+                sent_starts: Rc::default(),
+                has_polled: Rc::default(),
+                suspend_at_poll: Rc::default(),
+            },
+        }
     }
 }
 
--- a/crates/control/tests/control/suspension.rs
+++ b/crates/control/tests/control/suspension.rs
@@ -4,20 +4,13 @@
 //! send orders until its next renewal fails. The test suspends the box at each of
 //! several calls that the node makes.
 
-use crate::support::{
-    one_queue_configuration, one_worker_facts, run_local, settings, MemoryStore, QUEUE, SERVICE,
-};
-use http_body_util::Full;
-use hyper::body::Bytes;
+use crate::support::node::{Agent, OneWorkerPlatform, Worker, WORKERS_PREFIX};
+use crate::support::{run_local, settings, MemoryStore, QUEUE, SERVICE};
 use ospreywing_control::cell_view::LeaderRecord;
 use ospreywing_control::layered::{CallFailure, LayeredStore, StoreCall, StoreLayer};
-use ospreywing_control::{
-    clock, keys, Call, CallError, CordonError, Platform, Reply, RequestHead, RequestLimits, Store,
-    StoreError, Transaction, WorkerEntryError, WorkerPoll,
-};
+use ospreywing_control::{clock, keys, Store, StoreError, Transaction, WorkerPoll};
 use ospreywing_scheduler::{
-    AdviceReply, Configuration, Endpoint, HoldReply, JobId, JobRecord, JobSpec, RunningRun,
-    StartOrder, StartReply, StepKey, StepSpec, StopReply, TaskKey, WorkerFacts,
+    HoldReply, JobId, JobRecord, JobSpec, StartOrder, StartReply, StepSpec, StopReply,
 };
 use ospreywing_types::{Duration, Resources};
 use rstest::rstest;
@@ -25,9 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
-use std::sync::Arc;
 
-const WORKERS_PREFIX: &str = "workers/";
 /// How long the node runs after it was suspended.
 const RUN_TIME: std::time::Duration = std::time::Duration::from_millis(600);
 /// The timeout for the node to make its calls and run on after the suspend.
@@ -44,7 +35,7 @@
     /// The orders that were sent after another node was elected.
     late_orders: RefCell<Vec<&'static str>>,
     has_other_leader: Cell<bool>,
-    running: RefCell<Vec<RunningRun>>,
+    worker: Worker,
 }
 
 impl Environment {
@@ -113,108 +104,48 @@
     }
 }
 
-/// A platform with one worker, on which started runs never end.
+/// A worker on which started runs never end, in the node's environment.
 #[derive(Clone)]
-struct OneWorker {
+struct WorkerInEnvironment {
     memory: MemoryStore,
     environment: Rc<Environment>,
 }
 
-impl Platform for OneWorker {
-    type Store = CountingStore;
-    type Routes = ();
-    type Admission = ();
-
-    fn store(&self) -> CountingStore {
-        let layer = CountingLayer {
-            store: self.memory.clone(),
-            environment: self.environment.clone(),
-        };
-        LayeredStore::with_layer(self.memory.clone(), layer)
-    }
-
-    fn configuration_key(&self) -> &'static str {
-        "configuration"
-    }
-
-    fn parse_configuration(&self, _value: &[u8]) -> Result<(Configuration, ()), CallError> {
-        Ok((one_queue_configuration(), ()))
-    }
-
-    fn workers_prefix(&self) -> &'static str {
-        WORKERS_PREFIX
-    }
-
-    fn cordons_prefix(&self) -> &'static str {
-        "cordons/"
-    }
-
-    fn parse_cordon(&self, key: &str, _value: &[u8]) -> Result<Arc<str>, CordonError> {
-        Ok(Arc::from(key))
-    }
-
-    fn parse_worker(&self, _key: &str, _value: &[u8]) -> Result<WorkerFacts, WorkerEntryError> {
-        Ok(one_worker_facts())
-    }
-
-    fn limits(_routes: &()) -> RequestLimits {
-        RequestLimits {
-            head_limit_bytes: 4096,
-            body_limit_bytes: 4096,
-            read_timeout: Duration::from_s(1),
-            idle_timeout: Duration::from_s(1),
-        }
-    }
-
-    fn admit(&self, _routes: &(), _head: RequestHead<'_>) -> Result<(), Reply> {
-        Err(Reply::NoMethod)
-    }
-
-    fn parse_call(&self, _admission: (), _body: &[u8]) -> Result<Call, Reply> {
-        Err(Reply::NoMethod)
-    }
-
-    fn encode(&self, _reply: &Reply) -> http::Response<Full<Bytes>> {
-        http::Response::new(Full::default())
-    }
-
-    fn is_readiness_probe(&self, _method: &http::Method, _path: &str) -> bool {
-        false
-    }
-
-    async fn hold(&self, _to: &Endpoint, _fence: u64, poll: WorkerPoll) -> HoldReply {
+impl Agent for WorkerInEnvironment {
+    async fn hold(&self, poll: WorkerPoll) -> HoldReply {
         self.environment.record_order("hold");
         self.environment.handle_call(&self.memory).await;
-        let wait = poll.wait.as_ms().min(20);
-        tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
-        HoldReply::Listed {
-            incarnation: None,
-            clock_ms: clock::now().as_ms(),
-            running: self.environment.running.borrow().clone(),
-            ended: Vec::new(),
-        }
+        self.environment.worker.list(&poll).await
     }
 
-    async fn start(&self, _to: &Endpoint, _fence: u64, order: &StartOrder) -> StartReply {
+    async fn start(&self, order: &StartOrder) -> StartReply {
         self.environment.record_order("start");
         self.environment.handle_call(&self.memory).await;
-        self.environment.running.borrow_mut().push(RunningRun {
-            task: order.task,
-            run: order.run,
-            checkpoint: None,
-            progress_percent: 0,
-            usage_figure: 0,
-        });
+        self.environment.worker.begin(order);
         StartReply::Started
     }
 
-    async fn stop(&self, _to: &Endpoint, _fence: u64, _task: TaskKey, _run: u32) -> StopReply {
+    async fn stop(&self) -> StopReply {
         self.environment.record_order("stop");
         StopReply::Stopping
     }
+}
 
-    async fn advise(&self, _step: StepKey, _workers: &[Arc<str>], _limit: Duration) -> AdviceReply {
-        AdviceReply::Unanswered
+/// Returns a platform whose calls the environment counts.
+fn platform(
+    memory: MemoryStore,
+    environment: &Rc<Environment>,
+) -> OneWorkerPlatform<CountingStore, WorkerInEnvironment> {
+    let layer = CountingLayer {
+        store: memory.clone(),
+        environment: environment.clone(),
+    };
+    OneWorkerPlatform {
+        store: LayeredStore::with_layer(memory.clone(), layer),
+        agent: WorkerInEnvironment {
+            memory,
+            environment: environment.clone(),
+        },
     }
 }
 
@@ -260,10 +191,7 @@
         environment.length.set(Duration::from_ms(length_ms));
         let memory = MemoryStore::new();
         write_initial_items(&memory).await;
-        let platform = OneWorker {
-            memory,
-            environment: environment.clone(),
-        };
+        let platform = platform(memory, &environment);
         let log = Logger::root(Discard, o!());
         let buffer = ospreywing_control::log::LogBuffer::new();
         let node = ospreywing_control::run(platform, settings(), log, buffer);
@@ -282,10 +210,7 @@
         let late = environment.late_orders.borrow();
         assert!(late.is_empty(), "orders after the lease was over: {late:?}");
         if length_ms < LEADER_LEASE.as_ms() {
-            assert!(
-                !environment.running.borrow().is_empty(),
-                "nothing was started"
-            );
+            assert!(!environment.worker.is_idle(), "nothing was started");
         }
     });
 }
