Review: cases renumbered, gravest first; case 4 comes, the crash case goes

Cases 4 to 7 become 5 to 8. New as case 4: a takeover beside 16,000 scheduled jobs, none of them due, leaves the system without a leader for good.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,7 +7,7 @@
 node=target/release/ospreywing-platformd
 [ -x "$standins" ] && [ -x "$node" ] || { echo "build first: the deploy file's build, review/build-2.sh"; exit 2; }
 folder=$(mktemp -d) || exit 2
-"$standins" hopeless-gang "$node" "$folder" review/6/record.txt &
+"$standins" failing-watch "$node" "$folder" review/6/record.txt &
 played=$!
 trap 'kill "$played" 2>/dev/null' TERM INT
 wait "$played"
--- a/review/standins-2/src/cell.rs
+++ b/review/standins-2/src/cell.rs
@@ -15,6 +15,8 @@
 
 /// A deployment.
 pub struct Cell {
+    store: Store,
+    specs: Vec<NodeSpec>,
     /// The minions.
     pub workers: Workers,
     /// The nodes.
@@ -59,6 +61,7 @@
         let workers = Workers::start(fleet, &store, &case.record).await;
         let advice = ospreywing_soak::adviser::start(100).await;
         let mut nodes = Vec::new();
+        let mut specs = Vec::new();
         for index in 0..nodes_count {
             let spec = NodeSpec {
                 name: format!("front-{}-{index}", ZONES[index % ZONES.len()]),
@@ -68,8 +71,14 @@
                 advice,
             };
             nodes.push(Node::start(&spec, &case.binary, &case.dir)?);
+            specs.push(spec);
         }
-        let cell = Self { workers, nodes };
+        let cell = Self {
+            store,
+            specs,
+            workers,
+            nodes,
+        };
         for _ in 0..150 {
             tokio::time::sleep(Duration::from_millis(100)).await;
             if cell.ready_count().await == nodes_count {
@@ -94,6 +103,24 @@
         count
     }
 
+    /// Kills the node that leads, by the store's record, and returns its index.
+    pub fn kill_leader(&mut self) -> Option<usize> {
+        let record = self.store.read("ospreywing/cell/leader")?;
+        let has_name = |name: &str| {
+            record
+                .windows(name.len())
+                .any(|text| text == name.as_bytes())
+        };
+        let index = self.specs.iter().position(|spec| has_name(&spec.name))?;
+        self.nodes[index].kill();
+        Some(index)
+    }
+
+    /// Starts a node that was killed, at the same addresses.
+    pub fn restart(&mut self, index: usize, case: &Case) -> std::io::Result<()> {
+        self.nodes[index].restart(&case.binary)
+    }
+
     /// Returns the addresses for clients.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(|node| node.front).collect()
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,7 +5,6 @@
 
 mod cell;
 mod client;
-mod crash_limit;
 mod failing_watch;
 mod hopeless_gang;
 mod node;
@@ -13,6 +12,7 @@
 mod scarce;
 mod schedule;
 mod small_jobs;
+mod takeover;
 mod workers;
 
 use std::path::PathBuf;
@@ -86,9 +86,9 @@
         match name.as_str() {
             "failing-watch" => failing_watch::run(case).await,
             "hopeless-gang" => hopeless_gang::run(case).await,
+            "takeover" => takeover::run(case).await,
             "scarce" => scarce::run(case).await,
             "schedule" => schedule::run(case).await,
-            "crash-limit" => crash_limit::run(case).await,
             _ => Err("no such case".into()),
         }
     };
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -26,9 +26,25 @@
     pub front: SocketAddr,
     /// The address of the readiness probe.
     pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    metrics: u16,
     child: Child,
 }
 
+fn spawn(binary: &Path, settings: &Path, log: &Path, metrics: u16) -> std::io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let errors = log.try_clone()?;
+    Command::new(binary)
+        .arg("--metrics-port")
+        .arg(metrics.to_string())
+        .env("OSPREYWING_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+}
+
 fn free_port(ip: Ipv4Addr) -> std::io::Result<u16> {
     Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
 }
@@ -87,23 +103,31 @@
         });
         let path: PathBuf = dir.join(format!("{}.json", spec.name));
         std::fs::write(&path, settings.to_string())?;
-        let log = File::create(dir.join(format!("{}.log", spec.name)))?;
-        let errors = log.try_clone()?;
-        let child = Command::new(binary)
-            .arg("--metrics-port")
-            .arg(metrics.to_string())
-            .env("OSPREYWING_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()?;
+        let log = dir.join(format!("{}.log", spec.name));
+        let child = spawn(binary, &path, &log, metrics)?;
         Ok(Self {
             front: at(front),
             ready: at(ready),
+            settings: path,
+            log,
+            metrics,
             child,
         })
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // Both fail only if it has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again, after it was killed.
+    pub fn restart(&mut self, binary: &Path) -> std::io::Result<()> {
+        self.child = spawn(binary, &self.settings, &self.log, self.metrics)?;
+        Ok(())
+    }
+
     /// Returns how the process ended, if it has.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.try_wait().ok()??;
@@ -113,8 +137,6 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        // Both fail only if it has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
--- a/review/standins-2/src/workers.rs
+++ b/review/standins-2/src/workers.rs
@@ -5,9 +5,7 @@
 use crate::record::Record;
 use http::StatusCode;
 use ospreywing_soak::adviser;
-use ospreywing_soak::server::{
-    never_respond, response, serve_with_disconnects, FakeRequest, FakeResponse,
-};
+use ospreywing_soak::server::{never_respond, response, serve, FakeRequest, FakeResponse};
 use ospreywing_soak::store::Store;
 use ospreywing_soak::work::StepName;
 use serde_json::{json, Value};
@@ -15,7 +13,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
 
 /// `gangWaitMs`.
 const GANG_WAIT_MS: u64 = 3000;
@@ -30,8 +27,6 @@
 pub const SERVICE: &str = "roster";
 /// A service that none of the queues uses.
 pub const OTHER_SERVICE: &str = "posting";
-/// An entry goes after three heartbeats of 1,500 ms.
-const ENTRY_LIFE: Duration = Duration::from_millis(4500);
 
 /// How many minions there are.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,7 +108,6 @@
     address: SocketAddr,
     lives_count: u64,
     life: Option<Life>,
-    disconnects: watch::Sender<()>,
 }
 
 /// A run as the minions saw it.
@@ -125,7 +119,7 @@
     pub task: String,
     /// The minion's index.
     pub worker: usize,
-    /// How it ended; `None` while it works, `"crashed"` if it was lost with its minion.
+    /// How it ended; `None` while it works.
     pub how: Option<&'static str>,
 }
 
@@ -190,18 +184,16 @@
             record: record.clone(),
         };
         for index in 0..fleet.count() {
-            let (disconnects, receiver) = watch::channel(());
             let served = workers.clone();
             let handle = move |request| {
                 let workers = served.clone();
                 async move { workers.handle(index, request).await }
             };
-            let address = serve_with_disconnects(handle, receiver).await;
+            let address = serve(handle).await;
             workers.lock().slots.push(Slot {
                 address,
                 lives_count: 0,
                 life: None,
-                disconnects,
             });
             workers.begin_life(index);
         }
@@ -259,44 +251,6 @@
         self.store.write(&format!("servers/{id}"), &entry);
     }
 
-    /// Crashes a minion; its entry goes after three heartbeats, and a new life begins at its
-    /// address `down` later.
-    pub fn crash(&self, index: usize, down: Duration) {
-        let id = {
-            let mut inner = self.lock();
-            let Inner { slots, seen, .. } = &mut *inner;
-            let Some(life) = slots[index].life.take() else {
-                return;
-            };
-            // It fails if nobody is connected.
-            let _ = slots[index].disconnects.send(());
-            for task in life.runs.keys() {
-                self.record
-                    .line(&format!("minion {} crashed with {task}", life.id));
-                set_how(seen, task, index, "crashed");
-            }
-            life.id
-        };
-        self.record.line(&format!("minion {id} crashed"));
-        let workers = self.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(down).await;
-            workers.begin_life(index);
-            tokio::time::sleep(ENTRY_LIFE.saturating_sub(down)).await;
-            workers.store.remove(&format!("servers/{id}"));
-        });
-    }
-
-    /// Returns the minion that runs a task of a job.
-    pub fn worker_of(&self, job: &str) -> Option<usize> {
-        let inner = self.lock();
-        let runs = |slot: &Slot| {
-            let life = slot.life.as_ref();
-            life.is_some_and(|life| life.runs.keys().any(|task| task.starts_with(job)))
-        };
-        inner.slots.iter().position(runs)
-    }
-
     /// Returns the runs in progress.
     pub fn runs_count(&self) -> usize {
         let inner = self.lock();
