--- a/review/standins-2/src/workers.rs
+++ b/review/standins-2/src/workers.rs
@@ -19,6 +19,10 @@
 /// `maxHoldMs` and `stopGraceMs`.
 const HOLD_LIMIT_MS: u64 = 6000;
 const STOP_MS: u64 = 100;
+/// Work of this length stands for a task that lasts.
+const LASTING_WORK_MS: u64 = 1_000_000;
+/// The rough figure of the `cpu` that a run uses.
+const USED_CPU: u64 = 500;
 /// The most ends in one answer.
 const ENDS_LIMIT_COUNT: usize = 500;
 /// The workers in a rack, as on the users' sheet.
@@ -62,6 +66,21 @@
     is_stopped: bool,
 }
 
+impl Run {
+    /// Returns how much of the work is done, in percent; a task that lasts is at work at 100.
+    fn percent(&self, now_ms: u64) -> u64 {
+        let lasts = self.work.fails || self.work.work_ms >= LASTING_WORK_MS;
+        match self.ends_at_ms {
+            None => 0,
+            Some(_) if lasts => 100,
+            Some(at_ms) => {
+                let left_ms = at_ms.saturating_sub(now_ms);
+                100 - (left_ms * 100 / self.work.work_ms.max(1)).min(100)
+            }
+        }
+    }
+}
+
 /// What a task does.
 #[derive(Clone, Copy, Debug)]
 struct Work {
@@ -453,10 +472,9 @@
                 if is_arrival {
                     life.ended.retain(|(number, ..)| *number > last_seen);
                 }
-                let running = life
-                    .runs
-                    .iter()
-                    .map(|(task, run)| json!([task, run.number, "", 50]));
+                let running = life.runs.iter().map(|(task, run)| {
+                    json!([task, run.number, "", run.percent(now_ms), USED_CPU])
+                });
                 let running: Vec<Value> = running.collect();
                 let ended = life.ended.iter().take(ENDS_LIMIT_COUNT);
                 let ended = ended.map(|(n, task, run, how)| json!([n, task, run, how, ""]));
