Limit the due rounds of a job that begin at once

What callers saw: one accepted job with 43,200 rounds that were all due stopped the cell.

Cause: every due round was begun at once, and a round was found by going through all of them, several times for each of their steps. The leader's first cycle lasted for seconds; it was evicted after 0.6 s without an answer, and the next one met the same job.

Evidence: perf on two leaders in turn, 91 and 95 % of the samples in the scheduling cycle.

Change: a job's next round begins while fewer than 32 of its latest rounds are without a recorded start, and its unfinished rounds have up to 4,096 tasks. Rounds are found by binary search. The rounds of a job have the same steps, so those that are held back would wait for the same capacity.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -280,41 +280,6 @@
         self.begin_due_rounds(wall_ms);
     }
 
-    pub(crate) fn begin_due_rounds(&mut self, wall_ms: u64) {
-        self.wall_ms = wall_ms;
-        let scheduled = core::mem::take(&mut self.scheduled);
-        for id in scheduled {
-            if self.begin_due_rounds_of(id, wall_ms) {
-                self.scheduled.push(id);
-            }
-        }
-    }
-
-    /// Returns whether the job has more rounds to begin.
-    fn begin_due_rounds_of(&mut self, id: JobId, wall_ms: u64) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
-        };
-        let Some(schedule) = job.record.spec.schedule else {
-            return false;
-        };
-        if job.state.phase != Phase::Active {
-            return false;
-        }
-        let due_ms = |round: u32| schedule.first_due_ms + u64::from(round) * schedule.interval_ms;
-        while job.state.next_round < schedule.rounds_count
-            && due_ms(job.state.next_round) <= wall_ms
-        {
-            let round = RoundState::new(job.state.next_round, &job.record);
-            job.state.rounds.push(round);
-            job.state.next_round += 1;
-            job.clear_derived();
-            self.stale_demands.insert(id);
-            self.is_cycle_due = true;
-        }
-        job.state.next_round < schedule.rounds_count
-    }
-
     /// Cancels a job, or keeps the cancel until the job is accepted.
     pub(crate) fn cancel_job(&mut self, now: Instant, id: JobId, out: &mut Vec<Action>) {
         if self.jobs.contains_key(&id) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -63,6 +63,7 @@
 mod recovery;
 mod resource_totals;
 mod retries;
+mod rounds;
 mod runs;
 mod scheduler;
 mod scheduling_order;
--- /dev/null
+++ b/crates/scheduler/src/rounds.rs
@@ -0,0 +1,82 @@
+//! Begins the rounds of scheduled jobs when they are due.
+//!
+//! Any number of a job's rounds may be due at once: the first may be due long before the job is
+//! submitted, and rounds become due while no worker is free. The state of a round is kept in memory
+//! and written with each commit of its job, and each scheduling cycle examines its steps. So only a
+//! limited number of rounds is begun ahead of the starts of their tasks.
+
+use crate::job::{JobId, JobRecord, Schedule};
+use crate::scheduler::Scheduler;
+use crate::state::{JobState, Phase, RoundState};
+
+/// The number of consecutive rounds without a recorded start up to which a job's next round begins.
+/// The rounds of a job have the same steps, so later rounds wait for the same capacity.
+const UNSTARTED_ROUNDS_LIMIT_COUNT: usize = 32;
+/// Limits the tasks of a job's unfinished rounds, so that its progress fits in one value of the
+/// store. The platform sets 1 MiB, and a task with a checkpoint takes some hundred bytes.
+const UNFINISHED_TASKS_LIMIT_COUNT: usize = 4096;
+
+impl Schedule {
+    /// Returns when a round is due, in milliseconds since 1970.
+    const fn due_ms(&self, round: u32) -> u64 {
+        self.first_due_ms + round as u64 * self.interval_ms
+    }
+}
+
+impl JobState {
+    /// Returns whether the next round may begin beside the unfinished ones.
+    fn may_begin_round(&self, record: &JobRecord) -> bool {
+        let latest = self.rounds.iter().rev();
+        let unstarted_count = latest.take_while(|round| round.is_unstarted()).count();
+        let round_tasks_count: usize = record
+            .spec
+            .steps
+            .iter()
+            .map(|step| step.tasks_count as usize)
+            .sum();
+        let tasks_count = round_tasks_count * (self.rounds.len() + 1);
+        self.rounds.is_empty()
+            || unstarted_count < UNSTARTED_ROUNDS_LIMIT_COUNT
+                && tasks_count <= UNFINISHED_TASKS_LIMIT_COUNT
+    }
+}
+
+impl Scheduler {
+    /// Sets the wall-clock time and begins the rounds that are due.
+    pub(crate) fn begin_due_rounds(&mut self, wall_ms: u64) {
+        self.wall_ms = wall_ms;
+        let scheduled = core::mem::take(&mut self.scheduled);
+        for id in scheduled {
+            if self.begin_due_rounds_of(id) {
+                self.scheduled.push(id);
+            }
+        }
+    }
+
+    /// Begins the due rounds of a job, as far as they may begin. Returns whether it has more
+    /// rounds to begin.
+    fn begin_due_rounds_of(&mut self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let Some(schedule) = job.record.spec.schedule else {
+            return false;
+        };
+        if job.state.phase != Phase::Active {
+            return false;
+        }
+        while job.state.next_round < schedule.rounds_count {
+            let due_ms = schedule.due_ms(job.state.next_round);
+            if due_ms > self.wall_ms || !job.state.may_begin_round(&job.record) {
+                return true;
+            }
+            let round = RoundState::new(job.state.next_round, &job.record);
+            job.state.rounds.push(round);
+            job.state.next_round += 1;
+            job.clear_derived();
+            self.stale_demands.insert(id);
+            self.is_cycle_due = true;
+        }
+        false
+    }
+}
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -103,7 +103,7 @@
     pub phase: Phase,
     /// The first round that is not yet due.
     pub next_round: u32,
-    /// The rounds that have begun and have work left.
+    /// The rounds that have begun and have work left, by ascending number.
     pub rounds: Vec<RoundState>,
     /// The worker crashes attributed to the job's tasks. They are stored separately, after
     /// the rest of the progress.
@@ -161,6 +161,12 @@
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(StepState::is_done)
     }
+
+    /// Returns whether no start of any task has been recorded.
+    pub fn is_unstarted(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        tasks.all(|task| task.last_run == 0)
+    }
 }
 
 impl JobState {
@@ -176,12 +182,19 @@
 
     /// Returns the round with this number if it has begun and has work left.
     pub fn round(&self, number: u32) -> Option<&RoundState> {
-        self.rounds.iter().find(|round| round.number == number)
+        let index = self.round_index(number)?;
+        self.rounds.get(index)
     }
 
     /// Returns a mutable reference to the round with this number.
     pub fn round_mut(&mut self, number: u32) -> Option<&mut RoundState> {
-        self.rounds.iter_mut().find(|round| round.number == number)
+        let index = self.round_index(number)?;
+        self.rounds.get_mut(index)
+    }
+
+    fn round_index(&self, number: u32) -> Option<usize> {
+        let found = self.rounds.binary_search_by_key(&number, |it| it.number);
+        found.ok()
     }
 
     /// Returns the encoding for the store.
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -27,6 +27,7 @@
 mod removed_queues;
 mod restarts;
 mod retries;
+mod rounds;
 mod scale;
 mod search;
 mod shares;
