Do not let the due time of a round wrap around

Cause, by reading beside the case of many due rounds: the due time of a round was computed without regard for its range. With an interval close to the largest number the second round of a job was due at once; a debug build ended.

Change: a time beyond the range of the clock is the largest one, and is never reached.

Before: begin_due_rounds_beyond_clock failed for the long interval (overflow). The case of a late first round passed before as well.

--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -17,9 +17,11 @@
 const UNFINISHED_TASKS_LIMIT_COUNT: usize = 4096;
 
 impl Schedule {
-    /// Returns when a round is due, in milliseconds since 1970.
+    /// Returns when a round is due, in milliseconds since 1970. A time beyond the range of the
+    /// clock is never reached.
     const fn due_ms(&self, round: u32) -> u64 {
-        self.first_due_ms + round as u64 * self.interval_ms
+        let offset_ms = self.interval_ms.saturating_mul(round as u64);
+        self.first_due_ms.saturating_add(offset_ms)
     }
 }
 
--- a/crates/scheduler/tests/scheduler/rounds.rs
+++ b/crates/scheduler/tests/scheduler/rounds.rs
@@ -136,3 +136,28 @@
     assert!(started_count >= 4000, "{started_count} tasks started");
     assert!(largest < VALUE_LIMIT_BYTES / 4, "{largest} bytes");
 }
+
+/// Guards against a due time that wraps around and begins a round far too early.
+#[rstest]
+#[case::late_first(u64::MAX - 1, 60_000, 0)]
+#[case::long_interval(WALL_MS, u64::MAX, 1)]
+fn begin_due_rounds_beyond_clock(
+    #[case] first_due_ms: u64,
+    #[case] interval_ms: u64,
+    #[case] expected_count: usize,
+) {
+    let recovered = Recovered {
+        wall_ms: WALL_MS,
+        ..Recovered::default()
+    };
+    let mut harness = Harness::new(recovered, &workers(2));
+    let (id, mut record) = job(1, vec![small_step()]);
+    record.spec.schedule = Some(Schedule {
+        rounds_count: 5,
+        first_due_ms,
+        interval_ms,
+    });
+    harness.submit_job((id, record));
+    harness.commit_all();
+    assert_eq!(harness.starts().len(), expected_count);
+}
