Examine a limited number of a job's rounds that have not started

Cause, by reading beside the case of many due rounds: the limit counted rounds, whatever their number of steps, and a leader of an earlier version may have stored a job with thousands of rounds begun. Every cycle of the next leader examines them all.

Change: the limit counts the steps of a job's rounds without a recorded start, and `ready_steps` applies it to rounds that an earlier leader began. Rounds with a recorded start are examined as before.

Before: ready_steps_many_rounds_begun failed (5,000 waiting steps).

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -8,6 +8,7 @@
 use crate::overloads::JobDemand;
 use crate::placement::counted_demand;
 use crate::resource_totals::ResourceTotals;
+use crate::rounds::unstarted_rounds_limit_count;
 use crate::scheduler::Scheduler;
 use crate::share_accounts::ServiceKey;
 use crate::state::{JobState, Phase, RoundState, TaskState, TaskStatus};
@@ -137,15 +138,23 @@
         self.effects.iter().any(|(_, e)| *e == Effect::Forget)
     }
 
-    /// Returns the steps that have a waiting task and whose dependencies are done.
+    /// Returns the steps that have a waiting task and whose dependencies are done, of the rounds
+    /// up to the limit of unstarted ones.
     pub(crate) fn ready_steps(&mut self, id: JobId) -> Vec<StepKey> {
         if let Some(ready) = &self.ready {
             return ready.clone();
         }
         let mut ready = Vec::new();
         if self.state.phase == Phase::Active {
+            // An earlier version of the leader may have begun any number of rounds.
+            let limit_count = unstarted_rounds_limit_count(&self.record);
+            let mut unstarted_count = 0;
             for round in &self.state.rounds {
-                self.push_ready_steps(id, round, &mut ready);
+                let is_unstarted = round.is_unstarted();
+                unstarted_count += usize::from(is_unstarted);
+                if !is_unstarted || unstarted_count <= limit_count {
+                    self.push_ready_steps(id, round, &mut ready);
+                }
             }
         }
         self.ready = Some(ready.clone());
--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -9,9 +9,9 @@
 use crate::scheduler::Scheduler;
 use crate::state::{JobState, Phase, RoundState};
 
-/// The number of consecutive rounds without a recorded start up to which a job's next round begins.
-/// The rounds of a job have the same steps, so later rounds wait for the same capacity.
-const UNSTARTED_ROUNDS_LIMIT_COUNT: usize = 32;
+/// Limits the steps of a job's rounds without a recorded start; one such round may have more. The
+/// rounds of a job have the same steps, so later rounds wait for the same capacity.
+const UNSTARTED_STEPS_LIMIT_COUNT: usize = 32;
 /// Limits the tasks of a job's unfinished rounds, so that its progress fits in one value of the
 /// store. The platform sets 1 MiB, and a task with a checkpoint takes some hundred bytes.
 const UNFINISHED_TASKS_LIMIT_COUNT: usize = 4096;
@@ -25,6 +25,12 @@
     }
 }
 
+/// Returns how many rounds of a job may be without a recorded start.
+pub(crate) fn unstarted_rounds_limit_count(record: &JobRecord) -> usize {
+    let steps_count = record.spec.steps.len().max(1);
+    (UNSTARTED_STEPS_LIMIT_COUNT / steps_count).max(1)
+}
+
 impl JobState {
     /// Returns whether the next round may begin beside the unfinished ones.
     fn may_begin_round(&self, record: &JobRecord) -> bool {
@@ -38,7 +44,7 @@
             .sum();
         let tasks_count = round_tasks_count * (self.rounds.len() + 1);
         self.rounds.is_empty()
-            || unstarted_count < UNSTARTED_ROUNDS_LIMIT_COUNT
+            || unstarted_count < unstarted_rounds_limit_count(record)
                 && tasks_count <= UNFINISHED_TASKS_LIMIT_COUNT
     }
 }
--- a/crates/scheduler/tests/scheduler/rounds.rs
+++ b/crates/scheduler/tests/scheduler/rounds.rs
@@ -3,7 +3,7 @@
 use super::support::harness::{end, workers, Harness};
 use super::support::{job, step};
 use ospreywing_scheduler::{
-    EndKind, Event, JobId, JobRecord, JobState, Phase, Recovered, Schedule, StepSpec,
+    EndKind, Event, JobId, JobRecord, JobState, Phase, Recovered, RoundState, Schedule, StepSpec,
 };
 use ospreywing_types::Resources;
 use rstest::rstest;
@@ -34,6 +34,13 @@
     }
 }
 
+fn filling_step() -> StepSpec {
+    StepSpec {
+        demand: Resources::new(4000, 1000, 0),
+        ..step(1)
+    }
+}
+
 fn largest_state(states: &[JobState]) -> usize {
     let sizes = states.iter().map(|state| state.to_bytes().len());
     sizes.max().unwrap_or(0)
@@ -137,6 +144,28 @@
     assert!(largest < VALUE_LIMIT_BYTES / 4, "{largest} bytes");
 }
 
+/// Guards against a leader that examines every round which a leader of an earlier version began.
+#[test]
+fn ready_steps_many_rounds_begun() {
+    let (id, record) = overdue_job(1, 5000, filling_step());
+    let rounds = (0..5000).map(|number| RoundState::new(number, &record));
+    let state = JobState {
+        next_round: 5000,
+        rounds: rounds.collect(),
+        ..JobState::default()
+    };
+    let recovered = Recovered {
+        wall_ms: WALL_MS,
+        jobs: vec![(id, record)],
+        states: vec![(id, state)],
+        ..Recovered::default()
+    };
+    let harness = Harness::new(recovered, &workers(2));
+    let waits = harness.scheduler.status(harness.now).waits;
+    let waiting_count: usize = waits.iter().map(|it| it.steps_count).sum();
+    assert!((1..100).contains(&waiting_count), "{waiting_count} steps");
+}
+
 /// Guards against a due time that wraps around and begins a round far too early.
 #[rstest]
 #[case::late_first(u64::MAX - 1, 60_000, 0)]
