Look only at the scheduled jobs whose next round is due

Cause, related to the case of many due rounds: each accepted job, and each job that a new leader reads, made the scheduler look at all scheduled jobs, as does each tick of the wall clock.

Change: the next rounds are kept in the order of their due times. An accepted job begins its own rounds, and a tick takes those that are due.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -270,9 +270,7 @@
         job.probation_until = now + self.config.crash_policy.probation_wait;
         if job.state.phase == Phase::Active {
             self.active.insert(job.rank, id);
-            if job.record.spec.schedule.is_some() {
-                self.scheduled.push(id);
-            } else if job.state.next_round == 0 {
+            if job.record.spec.schedule.is_none() && job.state.next_round == 0 {
                 job.state.rounds.push(RoundState::new(0, &job.record));
                 job.state.next_round = 1;
             }
@@ -285,8 +283,7 @@
             self.open_in_share_account(id);
         }
         self.is_cycle_due = true;
-        let wall_ms = self.wall_ms;
-        self.begin_due_rounds(wall_ms);
+        self.begin_due_rounds_of(id);
     }
 
     /// Cancels a job, or keeps the cancel until the job is accepted.
--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -16,6 +16,14 @@
 /// store. The platform sets 1 MiB, and a task with a checkpoint takes some hundred bytes.
 const UNFINISHED_TASKS_LIMIT_COUNT: usize = 4096;
 
+/// The next round of a scheduled job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct NextRound {
+    /// When the round is due, in milliseconds since 1970.
+    due_ms: u64,
+    job: JobId,
+}
+
 impl Schedule {
     /// Returns when a round is due, in milliseconds since 1970. A time beyond the range of the
     /// clock is never reached.
@@ -53,30 +61,33 @@
     /// Sets the wall-clock time and begins the rounds that are due.
     pub(crate) fn begin_due_rounds(&mut self, wall_ms: u64) {
         self.wall_ms = wall_ms;
-        let scheduled = core::mem::take(&mut self.scheduled);
-        for id in scheduled {
-            if self.begin_due_rounds_of(id) {
-                self.scheduled.push(id);
-            }
+        let rounds = self.next_rounds.iter();
+        let due: Vec<NextRound> = rounds
+            .take_while(|round| round.due_ms <= wall_ms)
+            .copied()
+            .collect();
+        for round in due {
+            self.next_rounds.remove(&round);
+            self.begin_due_rounds_of(round.job);
         }
     }
 
-    /// Begins the due rounds of a job, as far as they may begin. Returns whether it has more
-    /// rounds to begin.
-    fn begin_due_rounds_of(&mut self, id: JobId) -> bool {
+    /// Begins the due rounds of a job, as far as they may begin, and queues the next one.
+    pub(crate) fn begin_due_rounds_of(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
+            return;
         };
         let Some(schedule) = job.record.spec.schedule else {
-            return false;
+            return;
         };
         if job.state.phase != Phase::Active {
-            return false;
+            return;
         }
         while job.state.next_round < schedule.rounds_count {
             let due_ms = schedule.due_ms(job.state.next_round);
             if due_ms > self.wall_ms || !job.state.may_begin_round(&job.record) {
-                return true;
+                self.next_rounds.insert(NextRound { due_ms, job: id });
+                return;
             }
             let round = RoundState::new(job.state.next_round, &job.record);
             job.state.rounds.push(round);
@@ -85,6 +96,5 @@
             self.stale_demands.insert(id);
             self.is_cycle_due = true;
         }
-        false
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::name_interner::NameInterner;
 use crate::overloads::Overloads;
 use crate::retries::RetryBudgets;
+use crate::rounds::NextRound;
 use crate::shapes::Shapes;
 use crate::share_accounts::Shares;
 use crate::state::Phase;
@@ -124,8 +125,8 @@
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Jobs with work left, in scheduling order.
     pub(crate) active: BTreeMap<(u32, u64), JobId>,
-    /// Scheduled jobs with rounds left to begin.
-    pub(crate) scheduled: Vec<JobId>,
+    /// The next round of each scheduled job with rounds left to begin.
+    pub(crate) next_rounds: BTreeSet<NextRound>,
     /// Ended jobs of which a run may still be alive.
     pub(crate) unsettled: BTreeSet<JobId>,
     /// Jobs whose stored state can't be read. None of their runs is started or stopped, and
@@ -199,7 +200,7 @@
             name_interner: NameInterner::default(),
             jobs: HashMap::new(),
             active: BTreeMap::new(),
-            scheduled: Vec::new(),
+            next_rounds: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             unreadable: BTreeSet::new(),
             early_cancels: EarlyCancels::default(),
