Reserve nothing for a gang that its service can't hold

Cause: in each cycle the capacity that the gang would get first was reserved, also where its members could never fit together.

Change: such a gang reserves nothing, with advice or without, and does not count among the waiting gangs, so that other steps don't yield to it. Whether it fits is counted anew in each cycle, on the workers that are or may be suitable for it.

--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -123,6 +123,12 @@
         self.suitability_by_worker.contains_key(&worker)
     }
 
+    /// Returns whether the worker is known to be unsuitable.
+    pub(crate) fn is_unsuitable(&self, worker: WorkerKey) -> bool {
+        let suitability = self.suitability_by_worker.get(&worker);
+        matches!(suitability, Some(Suitability::Unsuitable))
+    }
+
     /// Expires the ticket of a worker that refused it.
     pub(crate) fn expire_ticket(&mut self, worker: WorkerKey) {
         if let Some(Suitability::Suitable { expiry, .. }) =
--- a/crates/scheduler/src/expected_capacity.rs
+++ b/crates/scheduler/src/expected_capacity.rs
@@ -93,7 +93,9 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
+        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT
+            || !self.can_fit_gang(pending, cycle)
+        {
             return;
         }
         cycle.waiting_gangs_count += 1;
@@ -123,6 +125,9 @@
             return;
         }
         let is_gang = pending.spec().is_gang;
+        if is_gang && !self.can_fit_gang(pending, cycle) {
+            return;
+        }
         let (waiting_count, limit_count) = if is_gang {
             (&mut cycle.waiting_gangs_count, WAITING_GANGS_LIMIT_COUNT)
         } else {
@@ -146,6 +151,28 @@
         }
     }
 
+    /// Returns whether a gang fits on the workers that are or may be suitable for it, once these
+    /// are empty. If it doesn't, it can't start before workers join, and capacity reserved for it
+    /// would only keep other work waiting.
+    pub(crate) fn can_fit_gang(&self, pending: &PendingStep, cycle: &SchedulingCycle) -> bool {
+        let advice = self.advice.get(&pending.key);
+        let mut missing_count = pending.waiting.len() as u64;
+        for key in cycle.workers() {
+            let worker = &self.workers[key];
+            let is_unsuitable = advice.is_some_and(|advice| advice.is_unsuitable(key));
+            if is_unsuitable || !Self::is_eligible(pending, worker) {
+                continue;
+            }
+            let fit_count = count_fitting(&worker.facts.capacity, &pending.demand);
+            let limit_count = remaining_count(worker, pending.key, pending.spec());
+            missing_count = missing_count.saturating_sub(u64::from(fit_count.min(limit_count)));
+            if missing_count == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns unknown workers to query, with or without free capacity, if those known to be
     /// suitable fit too few of the step's tasks.
     pub(crate) fn unknown_workers_to_query(
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -35,4 +35,5 @@
 mod support;
 mod takeover;
 mod wait_reasons;
+mod waiting_gangs;
 mod worker_reservations;
