Let steps of a half-empty service use reserved capacity after 1.5 s

What callers would see: a gang that fits its service waits for one long or perpetual run, and usual jobs of the idle service have nothing running meanwhile.

Cause: capacity reserved anew in each cycle was kept from other steps without a bound in time, however little of the service was in use.

Change: a step that has waited for 1.5 s ignores these reservations while less than half of its service is in use. The platform requires that work which fits twice over starts within 3 s then.

Before: reserve_expected_capacity_for_gang_under_half_used failed in 2 of 2 cases.

--- a/crates/scheduler/src/advice_requests.rs
+++ b/crates/scheduler/src/advice_requests.rs
@@ -122,7 +122,7 @@
             let Some(mut candidate) = self.candidate(pending, key, &self.workers[key]) else {
                 continue;
             };
-            candidate.free -= cycle.reserved_on(key);
+            candidate.free -= cycle.reserved_from(pending, key);
             if must_leave_headroom {
                 candidate.free -= cycle.headroom_on(key);
             }
@@ -159,7 +159,7 @@
             .filter(|key| !advice.is_known(*key));
         let fitting = unknown.filter_map(|key| {
             let mut candidate = self.candidate(pending, key, &self.workers[key])?;
-            candidate.free -= cycle.reserved_on(key) + self.workers[key].soft_reserved();
+            candidate.free -= cycle.reserved_from(pending, key) + self.workers[key].soft_reserved();
             if must_leave_headroom {
                 candidate.free -= cycle.headroom_on(key);
             }
@@ -396,9 +396,11 @@
     }
 }
 
-/// Returns whether the cycle has unreserved cores for at least one task.
+/// Returns whether the cycle has unreserved cores for at least one task of a step, or the step may
+/// use reserved ones.
 pub(crate) fn has_unreserved_capacity(cycle: &SchedulingCycle, pending: &PendingStep) -> bool {
-    cycle.unreserved_milli(&pending.service) >= i64::from(pending.demand.cores_milli)
+    pending.ignores_reservations
+        || cycle.unreserved_milli(&pending.service) >= i64::from(pending.demand.cores_milli)
 }
 
 /// Subtracts the demand of a step's tasks from the cycle's unreserved cores.
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -66,7 +66,7 @@
                 continue;
             }
             if let Some(mut candidate) = self.candidate(pending, key, worker) {
-                candidate.free -= cycle.reserved_on(key);
+                candidate.free -= cycle.reserved_from(pending, key);
                 if must_leave_headroom {
                     candidate.free -= cycle.headroom_on(key);
                 }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -6,6 +6,7 @@
 use crate::features::Feature;
 use crate::headroom::Headroom;
 use crate::packing::{Packing, Scarcity};
+use crate::placement::PendingStep;
 use crate::resource_totals::ResourceTotals;
 use crate::scheduler::Scheduler;
 use crate::shapes::Shape;
@@ -195,6 +196,16 @@
         self.reserved.contains_key(&worker)
     }
 
+    /// Returns the capacity on a worker that a step may not use, because it is reserved in this
+    /// cycle for steps examined earlier.
+    pub(crate) fn reserved_from(&self, pending: &PendingStep, worker: WorkerKey) -> Resources {
+        if pending.ignores_reservations {
+            Resources::ZERO
+        } else {
+            self.reserved_on(worker)
+        }
+    }
+
     /// Returns the number of workers with reserved capacity.
     pub(crate) fn reserved_workers_count(&self) -> usize {
         self.reserved.len()
@@ -218,6 +229,11 @@
         pool.is_some_and(|pool| pool.packing.is_some() && pool.is_half_used())
     }
 
+    /// Returns whether at least half of a service's cores and half of its accelerators are in use.
+    pub(crate) fn is_half_used(&self, service: &Arc<str>) -> bool {
+        self.pool(service).is_some_and(Pool::is_half_used)
+    }
+
     /// Returns a service's cores that are free and not yet reserved in this cycle, in
     /// thousandths of a core.
     pub(crate) fn unreserved_milli(&self, service: &Arc<str>) -> i64 {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -29,6 +29,11 @@
 /// loads).
 const YIELD_FREE_DIVISOR: u64 = 2;
 
+/// How long a step waits for capacity that is reserved for others while less than half of its
+/// service is in use. The platform requires that work which fits twice over starts within 3 s then;
+/// the rest of the time is for advice, the record and the start.
+const RESERVATIONS_WAIT_LIMIT: Duration = Duration::from_ms(1500);
+
 /// Returns the capacity that a task occupies on its worker. Fillers occupy no cores.
 pub(crate) fn counted_demand(spec: &StepSpec) -> Resources {
     let mut demand = spec.demand;
@@ -50,6 +55,9 @@
     pub(crate) advice: Option<AdvicePolicy>,
     /// The service on whose workers the step currently runs.
     pub(crate) service: Arc<str>,
+    /// Whether the step may use capacity that is reserved in the cycle for steps examined
+    /// earlier.
+    pub(crate) ignores_reservations: bool,
 }
 
 impl PendingStep {
@@ -144,10 +152,11 @@
             return Some(reason);
         }
         cycle.examined_count += 1;
-        let Some(pending) = self.pending_step(key, allowance.allowed_count) else {
+        let Some(mut pending) = self.pending_step(key, allowance.allowed_count) else {
             // Other members of the previous run may be alive.
             return Some(WaitReason::PreviousRun);
         };
+        pending.ignores_reservations = self.ignores_reservations(now, &pending, cycle);
         if self.yields_to_gangs(now, &pending, cycle) {
             return Some(WaitReason::Gangs);
         }
@@ -354,9 +363,24 @@
             demand: counted_demand(spec),
             advice: queue.advice,
             record: job.record.clone(),
+            ignores_reservations: false,
         })
     }
 
+    /// Returns whether a step may use capacity that is reserved for steps examined earlier. These
+    /// may wait long for the rest of the capacity they need, or for ever, and meanwhile less than
+    /// half of the service may be in use.
+    fn ignores_reservations(
+        &self,
+        now: Instant,
+        pending: &PendingStep,
+        cycle: &SchedulingCycle,
+    ) -> bool {
+        let since = self.waits.since(pending.key);
+        let has_waited = since.is_some_and(|at| now.since(at) >= RESERVATIONS_WAIT_LIMIT);
+        has_waited && !cycle.is_half_used(&pending.service)
+    }
+
     /// Returns whether tasks of a step need a ticket to start on a worker.
     pub(crate) fn needs_ticket(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
--- a/crates/scheduler/tests/scheduler/waiting_gangs.rs
+++ b/crates/scheduler/tests/scheduler/waiting_gangs.rs
@@ -91,3 +91,32 @@
     let jobs: Vec<JobId> = started.iter().map(|task| task.step.job).collect();
     assert_eq!(jobs, [JobId::new(2), JobId::new(2)]);
 }
+
+/// Guards against a gang that waits for runs which end late or never, and keeps a service reserved
+/// meanwhile of which less than half is in use: other work that fits must start within 3 s there.
+#[rstest]
+#[case::long_run(60_000, false)]
+#[case::perpetual_run(1000, true)]
+fn reserve_expected_capacity_for_gang_under_half_used(
+    #[case] estimate_ms: u64,
+    #[case] is_perpetual: bool,
+) {
+    let mut harness = begin(Some(advice()));
+    let running = StepSpec {
+        estimate_ms,
+        is_perpetual,
+        ..step(1)
+    };
+    harness.submit(3, vec![running]);
+    assert_eq!(pass(&mut harness, 10).len(), 1);
+    let (id, mut record) = gang(1, 2 * SERVICE_WORKERS_COUNT as u32);
+    record.spec.steps[0].is_perpetual = is_perpetual;
+    record.spec.steps[0].estimate_ms = 3000;
+    harness.submit_job((id, record));
+    assert_eq!(pass(&mut harness, 20), vec![]);
+    harness.submit(2, vec![step(2)]);
+    // The start itself takes part of the 3 s.
+    let started = pass(&mut harness, 120);
+    let jobs: Vec<JobId> = started.iter().map(|task| task.step.job).collect();
+    assert_eq!(jobs, [JobId::new(2), JobId::new(2)]);
+}
