Do not judge workers by a step that fails everywhere

Cause: every failed run counted against its worker. After two in a row the worker is avoided for 1.5 to 12 s; the tasks go on to the next worker and close it too.

Change: once a step has failed on two workers with no success between, its failures don't count until one of its runs succeeds. A perpetual task that fails after 6 s counts against nobody. A worker on which everything fails is found as before.

Before: record_failure_task_fails_everywhere failed in 2 of 2 cases (no worker accepted runs); record_failure_worker_fails_everything passed before as well.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -7,14 +7,7 @@
 use crate::scheduler::Scheduler;
 use crate::state::{Phase, StepState, TaskStatus};
 use crate::worker::{RunPhase, WorkerKey};
-use ospreywing_types::{Duration, Instant};
-
-/// The consecutive failures after which a worker is avoided.
-const AVOID_AFTER_COUNT: u32 = 2;
-/// How long a worker is avoided at first; doubled with each further failure.
-const AVOID_BASE: Duration = Duration::from_ms(1500);
-/// The maximum number of doublings.
-const AVOID_DOUBLINGS_COUNT: u32 = 3;
+use ospreywing_types::Instant;
 
 impl Scheduler {
     /// Handles an end that a worker lists.
@@ -41,13 +34,14 @@
         // A later run of the task may be placed on another worker.
         let is_current = is_known && self.placements.get(&end.task) == Some(&key);
         let finished = self.finished_run(now, key, &end);
+        let has_lasted = self.has_lasted(now, key, end.task);
         if is_known {
             self.remove_run(key, end.task);
         }
         if is_current {
             self.placements.remove(&end.task);
         }
-        self.record_health(now, key, end.kind, out);
+        self.record_health(now, key, &end, has_lasted, out);
         self.is_cycle_due = true;
         let changed = self.record_end(&end, is_current);
         if let Some(finished) = finished {
@@ -264,42 +258,6 @@
         self.break_gang(now, task.step);
     }
 
-    fn record_health(
-        &mut self,
-        now: Instant,
-        key: WorkerKey,
-        kind: EndKind,
-        out: &mut Vec<Action>,
-    ) {
-        match kind {
-            EndKind::Done => self.workers[key].failures_count = 0,
-            EndKind::Failed => self.record_failure(now, key, "runs fail", out),
-            _ => {}
-        }
-    }
-
-    /// Counts a failure of a worker; after a few consecutive ones the worker is avoided.
-    pub(crate) fn record_failure(
-        &mut self,
-        now: Instant,
-        key: WorkerKey,
-        reason: &'static str,
-        out: &mut Vec<Action>,
-    ) {
-        let worker = &mut self.workers[key];
-        worker.failures_count += 1;
-        if worker.failures_count < AVOID_AFTER_COUNT {
-            return;
-        }
-        let doublings = (worker.failures_count - AVOID_AFTER_COUNT).min(AVOID_DOUBLINGS_COUNT);
-        let duration = AVOID_BASE.times(1 << doublings);
-        worker.avoided_until = now + duration;
-        let line = Decision::new(DecisionKind::WorkerAvoided, reason)
-            .with_worker(&worker.facts.id)
-            .with_figure(duration.as_ms());
-        out.push(Action::Log(line));
-    }
-
     /// Removes all runs of a worker whose incarnation is over or whose leases have expired.
     pub(crate) fn release_all_runs(
         &mut self,
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -328,6 +328,7 @@
             self.remove_advice(step);
         }
         self.waits.remove_job(id);
+        self.failing_steps.remove_job(id);
         self.release_reservations_of_job(id);
         // The capacity that the job used or reserved may be free for others now.
         self.is_cycle_due = true;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -79,6 +79,7 @@
 mod verifier;
 mod wait_reasons;
 mod worker;
+mod worker_failures;
 mod worker_list;
 
 pub use admission::{Forecast, QueueForecast, Rejection, FORECAST_AGE_LIMIT};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -28,6 +28,7 @@
 use crate::token_bucket::TokenBucket;
 use crate::wait_reasons::{WaitReason, WaitSummary, Waits};
 use crate::worker::{Worker, WorkerFacts, WorkerKey};
+use crate::worker_failures::FailingSteps;
 use cranelift_entity::PrimaryMap;
 use ospreywing_types::{Duration, Instant};
 use serde::{Deserialize, Serialize};
@@ -134,6 +135,8 @@
     pub(crate) unreadable: BTreeSet<JobId>,
     /// Cancels of jobs that are not known yet.
     pub(crate) early_cancels: EarlyCancels,
+    /// The steps whose runs fail.
+    pub(crate) failing_steps: FailingSteps,
     pub(crate) next_order: u64,
     /// The worker of each task's run.
     pub(crate) placements: HashMap<TaskKey, WorkerKey>,
@@ -204,6 +207,7 @@
             unsettled: BTreeSet::new(),
             unreadable: BTreeSet::new(),
             early_cancels: EarlyCancels::default(),
+            failing_steps: FailingSteps::default(),
             next_order: 0,
             placements: HashMap::new(),
             advice: HashMap::new(),
--- /dev/null
+++ b/crates/scheduler/src/worker_failures.rs
@@ -0,0 +1,145 @@
+//! Failures by which workers are judged: a worker with consecutive failures is avoided for a while.
+//!
+//! A run may fail because of its worker or because of its task. The runs of a step that has failed on
+//! one worker and then on another, and has not succeeded meanwhile, say nothing about further workers.
+//! Otherwise a step that always fails would have each worker avoided that it is started on, and a
+//! perpetual step is started again without a limit.
+
+use crate::decision::{Decision, DecisionKind};
+use crate::event::{Action, EndKind, EndedRun};
+use crate::job::{JobId, StepKey, TaskKey};
+use crate::scheduler::Scheduler;
+use crate::worker::WorkerKey;
+use ospreywing_types::{Duration, Instant};
+use std::collections::BTreeMap;
+
+/// The consecutive failures after which a worker is avoided.
+const AVOID_AFTER_COUNT: u32 = 2;
+/// How long a worker is avoided at first; doubled with each further failure.
+const AVOID_BASE: Duration = Duration::from_ms(1500);
+/// The maximum number of doublings.
+const AVOID_DOUBLINGS_COUNT: u32 = 3;
+/// A perpetual task that has run for this long was started well, and its worker is sound.
+const SOUND_PERPETUAL_RUN: Duration = Duration::from_ms(6000);
+
+/// A step of a job, in any round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct JobStep {
+    job: JobId,
+    step: u32,
+}
+
+impl From<StepKey> for JobStep {
+    fn from(key: StepKey) -> Self {
+        Self {
+            job: key.job,
+            step: key.step,
+        }
+    }
+}
+
+/// Where the runs of a step have failed since one of them last succeeded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailedOn {
+    OneWorker(WorkerKey),
+    SeveralWorkers,
+}
+
+/// The steps of active jobs whose last runs have failed.
+#[derive(Debug, Default)]
+pub(crate) struct FailingSteps {
+    by_step: BTreeMap<JobStep, FailedOn>,
+}
+
+impl FailingSteps {
+    /// Records that a run of the step has failed on a worker. Returns whether the worker may be the
+    /// cause.
+    fn record_failure(&mut self, step: StepKey, worker: WorkerKey) -> bool {
+        let first = FailedOn::OneWorker(worker);
+        let known = self.by_step.entry(step.into()).or_insert(first);
+        if *known != first {
+            *known = FailedOn::SeveralWorkers;
+        }
+        *known == first
+    }
+
+    /// Records that a run of the step has succeeded.
+    fn record_success(&mut self, step: StepKey) {
+        self.by_step.remove(&step.into());
+    }
+
+    /// Removes the steps of a job.
+    pub(crate) fn remove_job(&mut self, job: JobId) {
+        let steps = JobStep { job, step: 0 }..=JobStep {
+            job,
+            step: u32::MAX,
+        };
+        let steps: Vec<JobStep> = self.by_step.range(steps).map(|(step, _)| *step).collect();
+        for step in steps {
+            self.by_step.remove(&step);
+        }
+    }
+}
+
+impl Scheduler {
+    /// Returns whether a task is perpetual and has run on the worker for so long that its start and
+    /// the worker are sound.
+    pub(crate) fn has_lasted(&self, now: Instant, key: WorkerKey, task: TaskKey) -> bool {
+        let run = self.workers[key].runs.get(&task);
+        let begun_at = run.and_then(|run| run.begun_at);
+        let has_lasted = begun_at.is_some_and(|at| now.since(at) >= SOUND_PERPETUAL_RUN);
+        has_lasted && self.is_perpetual(task.step)
+    }
+
+    fn is_perpetual(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(&step.job);
+        let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
+        spec.is_some_and(|spec| spec.is_perpetual)
+    }
+
+    /// Judges a worker by the end of a run. `has_lasted` is the result of [`Self::has_lasted`]
+    /// before the run was removed.
+    pub(crate) fn record_health(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        end: &EndedRun,
+        has_lasted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let step = end.task.step;
+        match end.kind {
+            EndKind::Done => {
+                self.workers[key].failures_count = 0;
+                self.failing_steps.record_success(step);
+            }
+            EndKind::Failed if has_lasted => self.failing_steps.record_success(step),
+            EndKind::Failed if self.failing_steps.record_failure(step, key) => {
+                self.record_failure(now, key, "runs fail", out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a failure of a worker; after a few consecutive ones the worker is avoided.
+    pub(crate) fn record_failure(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        worker.failures_count += 1;
+        if worker.failures_count < AVOID_AFTER_COUNT {
+            return;
+        }
+        let doublings = (worker.failures_count - AVOID_AFTER_COUNT).min(AVOID_DOUBLINGS_COUNT);
+        let duration = AVOID_BASE.times(1 << doublings);
+        worker.avoided_until = now + duration;
+        let line = Decision::new(DecisionKind::WorkerAvoided, reason)
+            .with_worker(&worker.facts.id)
+            .with_figure(duration.as_ms());
+        out.push(Action::Log(line));
+    }
+}
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -36,4 +36,5 @@
 mod takeover;
 mod wait_reasons;
 mod waiting_gangs;
+mod worker_failures;
 mod worker_reservations;
