Keep half of a service open to work whatever runs fail

What callers would see: as many failing jobs as a service has workers have all of them avoided for up to 12 s, and usual jobs have nothing running. Found by reading beside the one failing job.

Cause: no bound on the share of a service that is avoided for failed runs.

Change: a failed run is not counted if more than half of the workers of the service that would accept runs would be avoided then. Refused and unanswered starts are counted as before: they come from workers that are overloaded, and repeating them at once would add to their load.

Before: record_failure_many_tasks_fail failed (no worker accepted runs). After: it passes.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -442,6 +442,11 @@
 
     /// Returns whether a new run may be placed on the worker.
     pub(crate) fn is_placeable(&self, now: Instant) -> bool {
+        self.accepts_runs() && now >= self.avoided_until
+    }
+
+    /// Returns whether a new run may be placed on the worker unless it is avoided.
+    pub(crate) fn accepts_runs(&self) -> bool {
         self.is_listed
             && self.has_service
             && !self.is_cordoned
@@ -453,7 +458,6 @@
             && !self.facts.is_draining
             // No run joins one that may crash the worker.
             && !self.has_probation_run()
-            && now >= self.avoided_until
     }
 
     pub(crate) fn endpoint(&self, worker: WorkerKey) -> Endpoint {
--- a/crates/scheduler/src/worker_failures.rs
+++ b/crates/scheduler/src/worker_failures.rs
@@ -4,6 +4,10 @@
 //! one worker and then on another, and has not succeeded meanwhile, say nothing about further workers.
 //! Otherwise a step that always fails would have each worker avoided that it is started on, and a
 //! perpetual step is started again without a limit.
+//!
+//! Several such steps may each have a worker avoided. Failed runs therefore have at most half of a
+//! service's workers avoided; refused and unanswered starts may have all, since repeating these at
+//! once would add to the load of workers that are overloaded.
 
 use crate::decision::{Decision, DecisionKind};
 use crate::event::{Action, EndKind, EndedRun};
@@ -115,12 +119,32 @@
             }
             EndKind::Failed if has_lasted => self.failing_steps.record_success(step),
             EndKind::Failed if self.failing_steps.record_failure(step, key) => {
-                self.record_failure(now, key, "runs fail", out);
+                if self.may_avoid_another(now, key) {
+                    self.record_failure(now, key, "runs fail", out);
+                }
             }
             _ => {}
         }
     }
 
+    /// Returns whether at most half of the workers of a worker's service that accept runs are avoided
+    /// if this one is too.
+    fn may_avoid_another(&self, now: Instant, key: WorkerKey) -> bool {
+        let service = &self.workers[key].facts.service;
+        let (mut open_count, mut avoided_count) = (0, 0);
+        for (other, worker) in self.workers.iter() {
+            if worker.facts.service != *service || !worker.accepts_runs() {
+                continue;
+            }
+            if other == key || !worker.is_placeable(now) {
+                avoided_count += 1;
+            } else {
+                open_count += 1;
+            }
+        }
+        avoided_count <= open_count
+    }
+
     /// Counts a failure of a worker; after a few consecutive ones the worker is avoided.
     pub(crate) fn record_failure(
         &mut self,
--- a/crates/scheduler/tests/scheduler/worker_failures.rs
+++ b/crates/scheduler/tests/scheduler/worker_failures.rs
@@ -123,3 +123,25 @@
     let total: usize = starts_there.iter().sum();
     assert!(total <= 6, "{starts_there:?} starts on the worker");
 }
+
+/// Guards against several failing jobs that together have every worker of a service avoided.
+#[test]
+fn record_failure_many_tasks_fail() {
+    let mut cell = Cell::new();
+    let filling = StepSpec {
+        demand: Resources::new(4000, 100, 0),
+        ..perpetual(1)
+    };
+    for number in 0..WORKERS_COUNT as u64 {
+        cell.harness.submit(number, vec![filling.clone()]);
+    }
+    let mut lowest = WORKERS_COUNT;
+    for _ in 0..60 {
+        cell.pass(|_, _| EndKind::Failed);
+        lowest = lowest.min(cell.placeable_count());
+    }
+    assert!(
+        lowest >= WORKERS_COUNT / 2,
+        "{lowest} workers accepted runs"
+    );
+}
