Parse the box list entry by entry

What callers would see: after one odd entry of another program on the platform's list (nested deeply, a number too large) no daemon follows the list any more, and nothing is logged.

Cause: the list was parsed as a whole, and an error kept the last list in use. An address with a port out of range was taken for a worker's.

Change: each entry is parsed by itself; those that can't be used are logged and left out, and so is a list that can't be read. The stand-in's list may have entries of other programs.

Before: box_list_followed_beside_foreign_entries failed (after 60 s no daemon knew the new workers).

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -95,6 +95,7 @@
         engine.clone(),
         boxes_addr,
         settings.boxes_every,
+        log.clone(),
     ));
     if let Some(addr) = settings.statsd_addr {
         let client =
--- a/crates/daemon/tests/processes/cell.rs
+++ b/crates/daemon/tests/processes/cell.rs
@@ -3,14 +3,14 @@
 
 use http::Method;
 use ospreywing_http::{Call, HttpClient};
-use ospreywing_node::CellReport;
+use ospreywing_node::{BoxReport, CellReport};
 use ospreywing_standin::drive::{self, DriveConfig, DriveReport};
 use ospreywing_standin::judge::{self, Judgement};
 use ospreywing_standin::minion::{self, MinionHost};
 use ospreywing_standin::platform::{self, Platform, PlatformLimits};
 use ospreywing_standin::worker::{self, WorkerHost};
 use ospreywing_table::from_csv;
-use ospreywing_types::{Name, Resources};
+use ospreywing_types::{BoxFacts, Name, Resources};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use std::io::{BufRead, BufReader};
@@ -199,6 +199,30 @@
         self.call(call)?.json().ok()
     }
 
+    /// Returns the boxes on the list as a daemon knows it; empty without an answer.
+    pub fn boxes(&self, daemon: usize) -> Vec<BoxFacts> {
+        let addr = &self.daemons[daemon].http_addr;
+        let call = Call::new(Method::GET, addr, "/v1/boxes", CALL_TIMEOUT);
+        let answer = self.call(call);
+        let reports: Option<Vec<BoxReport>> = answer.and_then(|answer| answer.json().ok());
+        let reports = reports.unwrap_or_default().into_iter();
+        reports.map(|report| report.facts).collect()
+    }
+
+    /// Starts a further host of workers, whose names begin with `prefix`.
+    pub fn start_worker_host(&self, prefix: &str) {
+        let host = WorkerHost {
+            prefix: prefix.to_owned(),
+            count: 2,
+            capacity: Resources::new(16_000, 65_536, 2),
+            accelerated_count: 2,
+            rack_size: 4,
+            data_centres: vec![name("dc-a")],
+            platform_addr: self.platform_addr.clone(),
+        };
+        self.runtime.spawn(worker::run(host, listener()));
+    }
+
     /// Waits until `condition` holds.
     pub fn wait_for(&self, what: &str, mut condition: impl FnMut(&Self) -> bool) {
         let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,6 +4,7 @@
 //! conditions and assert no wall-clock times.
 
 mod bad_input;
+mod box_list;
 mod cell;
 mod failures;
 mod table;
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -16,6 +16,8 @@
     pub lose_answers_permille: u32,
     /// The box list is frozen.
     pub is_box_list_frozen: bool,
+    /// The JSON texts of entries that another program has added to the box list.
+    pub foreign_boxes: Vec<String>,
 }
 
 /// Faults of a minion host.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -296,17 +296,25 @@
     handle_call(ctx, wire::LEASE_REVOKE, |_| true, apply).await
 }
 
+/// Returns the box list as JSON, with the entries of other programs.
+fn box_list(state: &State) -> String {
+    let listed = state.boxes.list(clock::now().as_ms());
+    let own = listed.iter().map(serde_json::to_string);
+    let own = own.map(Result::unwrap_or_default);
+    let entries: Vec<String> = own.chain(state.faults.foreign_boxes.clone()).collect();
+    format!("[{}]", entries.join(","))
+}
+
 async fn boxes(ctx: &Context<'_>) -> WebResponse {
-    let list = ctx.state().lock().boxes.list(clock::now().as_ms());
-    let text = serde_json::to_string(&list).unwrap_or_default();
-    let tag = format!("\"{:016x}\"", stable_hash(&text));
+    let list = box_list(&ctx.state().lock());
+    let tag = format!("\"{:016x}\"", stable_hash(&list));
     let known_tag = ctx.req().headers().get(IF_NONE_MATCH);
     if known_tag.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
         let mut response = WebResponse::new(String::new().into());
         *response.status_mut() = StatusCode::NOT_MODIFIED;
         return response;
     }
-    let mut response = json(StatusCode::OK, &list);
+    let mut response = text(StatusCode::OK, &list);
     if let Ok(value) = HeaderValue::from_str(&tag) {
         response.headers_mut().insert(ETAG, value);
     }
