Let the end of a lease not wrap around on a worker's clock

Cause, found by a new test of extreme figures: a worker whose clock reads close to the largest number got a lease whose end had wrapped around and lay in the past; a debug build ended.

Change: the end is the largest time then.

Before: answer_poll_extreme_figures failed (overflow). list_workers_extreme_figures, for the entries of workers, passed before as well.

--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -525,7 +525,8 @@
         let bound = now + duration + slack + LEASE_MARGIN;
         self.leased_until = self.leased_until.max(bound);
         self.lease_granted_at = now;
-        Some(clock.clock_ms + age.as_ms() + duration.as_ms())
+        let span_ms = age.as_ms() + duration.as_ms();
+        Some(clock.clock_ms.saturating_add(span_ms))
     }
 }
 
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -13,6 +13,7 @@
 mod damaged_records;
 mod departures;
 mod early_cancels;
+mod extreme_entries;
 mod foreign_runs;
 mod gang_load;
 mod job_views;
