--- a/crates/scheduler/src/worker_failures.rs
+++ b/crates/scheduler/src/worker_failures.rs
@@ -118,8 +118,9 @@
                 self.failing_steps.record_success(step);
             }
             EndKind::Failed if has_lasted => self.failing_steps.record_success(step),
-            EndKind::Failed if self.failing_steps.record_failure(step, key) => {
-                if self.may_avoid_another(now, key) {
+            EndKind::Failed => {
+                let may_be_cause = self.failing_steps.record_failure(step, key);
+                if may_be_cause && self.may_avoid_another(now, key) {
                     self.record_failure(now, key, "runs fail", out);
                 }
             }
