Show held-back rounds and failing steps to operators

The gauge `overdue_rounds` counts the due rounds of scheduled jobs that have not begun, and the line `step fails` names a job whose step fails on several workers, so that its failed runs are no evidence against workers.

Tests: status_overdue_rounds (2 cases).

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -72,6 +72,7 @@
     cordons: IntGauge,
     unanswered_refusals: IntGauge,
     early_cancels: IntGauge,
+    overdue_rounds: IntGauge,
     worker_entries: Counter,
     worker_list_age_ms: IntGauge,
     waiting_steps: Family<WaitLabels, IntGauge>,
@@ -131,6 +132,7 @@
             cordons: IntGauge::default(),
             unanswered_refusals: IntGauge::default(),
             early_cancels: IntGauge::default(),
+            overdue_rounds: IntGauge::default(),
             worker_entries: Counter::default(),
             worker_list_age_ms: IntGauge::default(),
             waiting_steps: Family::default(),
@@ -263,6 +265,11 @@
                 "Cancels of jobs that are not known yet",
                 &self.early_cancels,
             ),
+            (
+                "overdue_rounds",
+                "Due rounds of scheduled jobs that have not begun",
+                &self.overdue_rounds,
+            ),
             (
                 "unanswered_refusals",
                 "Stops of starts meant for an earlier life of a worker, not answered yet",
@@ -536,6 +543,7 @@
         set(&self.cordons, status.cordons_count);
         set(&self.unanswered_refusals, status.unanswered_stops_count);
         set(&self.early_cancels, status.early_cancels_count);
+        set(&self.overdue_rounds, status.overdue_rounds_count);
         set(&self.placeable_workers, status.placeable_workers_count);
         set(&self.overloaded_services, status.overloaded_services_count);
         set(&self.waiting_gangs, status.waiting_gangs_count);
--- a/crates/scheduler/src/decision.rs
+++ b/crates/scheduler/src/decision.rs
@@ -57,6 +57,8 @@
     WorkerResized,
     /// A worker is avoided for some time.
     WorkerAvoided,
+    /// The runs of a step fail on several workers.
+    StepFails,
     /// Advice was requested.
     AdviceRequested,
     /// An advice request was answered or has failed.
@@ -99,6 +101,7 @@
             Self::WorkerCrashed => "worker crashed under run",
             Self::WorkerResized => "worker resized",
             Self::WorkerAvoided => "worker avoided",
+            Self::StepFails => "step fails",
             Self::AdviceRequested => "advice asked",
             Self::AdviceAnswered => "advice answered",
             Self::Configured => "configured",
--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -31,6 +31,18 @@
         let offset_ms = self.interval_ms.saturating_mul(round as u64);
         self.first_due_ms.saturating_add(offset_ms)
     }
+
+    /// Returns how many rounds from `next` on are due.
+    fn overdue_count(&self, next: u32, wall_ms: u64) -> usize {
+        let remaining_count = self.rounds_count.saturating_sub(next) as usize;
+        let Some(overdue_ms) = wall_ms.checked_sub(self.due_ms(next)) else {
+            return 0;
+        };
+        let due_count = overdue_ms.checked_div(self.interval_ms);
+        due_count.map_or(remaining_count, |count| {
+            remaining_count.min(count as usize + 1)
+        })
+    }
 }
 
 /// Returns how many rounds of a job may be without a recorded start.
@@ -58,6 +70,18 @@
 }
 
 impl Scheduler {
+    /// Returns the number of due rounds that have not begun.
+    pub(crate) fn overdue_rounds_count(&self) -> usize {
+        let rounds = self.next_rounds.iter();
+        let due = rounds.take_while(|round| round.due_ms <= self.wall_ms);
+        let counts = due.filter_map(|round| {
+            let job = self.jobs.get(&round.job)?;
+            let schedule = job.record.spec.schedule?;
+            Some(schedule.overdue_count(job.state.next_round, self.wall_ms))
+        });
+        counts.sum()
+    }
+
     /// Sets the wall-clock time and begins the rounds that are due.
     pub(crate) fn begin_due_rounds(&mut self, wall_ms: u64) {
         self.wall_ms = wall_ms;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -71,6 +71,8 @@
     pub cordons_count: usize,
     /// Cancels of jobs that are not known yet.
     pub early_cancels_count: usize,
+    /// Due rounds of scheduled jobs that have not begun.
+    pub overdue_rounds_count: usize,
     /// Unanswered stops of starts that were meant for an earlier incarnation.
     pub unanswered_stops_count: usize,
     /// The CPU capacity of the placeable workers, in thousandths of a core.
@@ -376,6 +378,7 @@
             runs_count: self.placements.len(),
             cordons_count: self.cordons.len(),
             early_cancels_count: self.early_cancels.len(),
+            overdue_rounds_count: self.overdue_rounds_count(),
             unanswered_stops_count: self
                 .workers
                 .values()
--- a/crates/scheduler/src/worker_failures.rs
+++ b/crates/scheduler/src/worker_failures.rs
@@ -49,6 +49,17 @@
     SeveralWorkers,
 }
 
+/// What a failed run shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// The worker may be the cause.
+    AgainstWorker,
+    /// The step has failed on a second worker.
+    AgainstStep,
+    /// It is known that the step fails on several workers.
+    Nothing,
+}
+
 /// The steps of active jobs whose last runs have failed.
 #[derive(Debug, Default)]
 pub(crate) struct FailingSteps {
@@ -56,15 +67,18 @@
 }
 
 impl FailingSteps {
-    /// Records that a run of the step has failed on a worker. Returns whether the worker may be the
-    /// cause.
-    fn record_failure(&mut self, step: StepKey, worker: WorkerKey) -> bool {
+    /// Records that a run of the step has failed on a worker.
+    fn record_failure(&mut self, step: StepKey, worker: WorkerKey) -> Evidence {
         let first = FailedOn::OneWorker(worker);
         let known = self.by_step.entry(step.into()).or_insert(first);
-        if *known != first {
-            *known = FailedOn::SeveralWorkers;
+        match *known {
+            FailedOn::SeveralWorkers => Evidence::Nothing,
+            FailedOn::OneWorker(other) if other == worker => Evidence::AgainstWorker,
+            FailedOn::OneWorker(_) => {
+                *known = FailedOn::SeveralWorkers;
+                Evidence::AgainstStep
+            }
         }
-        *known == first
     }
 
     /// Records that a run of the step has succeeded.
@@ -118,16 +132,30 @@
                 self.failing_steps.record_success(step);
             }
             EndKind::Failed if has_lasted => self.failing_steps.record_success(step),
-            EndKind::Failed => {
-                let may_be_cause = self.failing_steps.record_failure(step, key);
-                if may_be_cause && self.may_avoid_another(now, key) {
-                    self.record_failure(now, key, "runs fail", out);
-                }
-            }
+            EndKind::Failed => self.record_failed_run(now, key, step, out),
             _ => {}
         }
     }
 
+    fn record_failed_run(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        step: StepKey,
+        out: &mut Vec<Action>,
+    ) {
+        match self.failing_steps.record_failure(step, key) {
+            Evidence::AgainstWorker if self.may_avoid_another(now, key) => {
+                self.record_failure(now, key, "runs fail", out);
+            }
+            Evidence::AgainstStep => {
+                let line = Decision::new(DecisionKind::StepFails, "on several workers");
+                out.push(Action::Log(line.with_job(step.job)));
+            }
+            Evidence::AgainstWorker | Evidence::Nothing => {}
+        }
+    }
+
     /// Returns whether at most half of the workers of a worker's service that accept runs are avoided
     /// if this one is too.
     fn may_avoid_another(&self, now: Instant, key: WorkerKey) -> bool {
--- a/crates/scheduler/tests/scheduler/rounds.rs
+++ b/crates/scheduler/tests/scheduler/rounds.rs
@@ -190,3 +190,22 @@
     harness.commit_all();
     assert_eq!(harness.starts().len(), expected_count);
 }
+
+/// Rounds that are held back are shown to operators.
+#[rstest]
+#[case::interval(INTERVAL_MS)]
+#[case::all_due_at_once(0)]
+fn status_overdue_rounds(#[case] interval_ms: u64) {
+    let recovered = Recovered {
+        wall_ms: WALL_MS,
+        ..Recovered::default()
+    };
+    let mut harness = Harness::new(recovered, &workers(1));
+    let (id, mut record) = overdue_job(1, 500, filling_step());
+    if let Some(schedule) = &mut record.spec.schedule {
+        schedule.interval_ms = interval_ms;
+    }
+    harness.submit_job((id, record));
+    let status = harness.scheduler.status(harness.now);
+    assert!((400..500).contains(&status.overdue_rounds_count));
+}
