Keep no failures of steps whose job has ended

An end that is listed after its job was cancelled left an entry in the new table of failing steps for ever; found on reading the change again. Ends of such jobs are not judged any more, and the verifier checks that each entry belongs to an active job.

Before: record_failure_job_ended failed (FailingStep). After: it passes.

--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -40,7 +40,7 @@
         };
         let due_count = overdue_ms.checked_div(self.interval_ms);
         due_count.map_or(remaining_count, |count| {
-            remaining_count.min(count as usize + 1)
+            remaining_count.min((count as usize).saturating_add(1))
         })
     }
 }
--- a/crates/scheduler/src/verifier.rs
+++ b/crates/scheduler/src/verifier.rs
@@ -54,6 +54,9 @@
     /// A cancel is kept although its job is known.
     #[error("the cancel of job {0} is kept although the job is known")]
     EarlyCancel(JobId),
+    /// Failures of a step are kept although its job has ended.
+    #[error("failures of a step of job {0} are kept although the job has ended")]
+    FailingStep(JobId),
     /// A job that has ended is still in the scheduling order.
     #[error("an ended job is still in the scheduling order")]
     Outcome,
@@ -78,6 +81,10 @@
         if !self.shapes.are_bounded() {
             return Err(Violation::Shapes);
         }
+        let mut failing = self.failing_steps.jobs();
+        if let Some(job) = failing.find(|job| !self.is_active(*job)) {
+            return Err(Violation::FailingStep(job));
+        }
         if let Some(job) = self
             .jobs
             .keys()
--- a/crates/scheduler/src/worker_failures.rs
+++ b/crates/scheduler/src/worker_failures.rs
@@ -13,6 +13,7 @@
 use crate::event::{Action, EndKind, EndedRun};
 use crate::job::{JobId, StepKey, TaskKey};
 use crate::scheduler::Scheduler;
+use crate::state::Phase;
 use crate::worker::WorkerKey;
 use ospreywing_types::{Duration, Instant};
 use std::collections::BTreeMap;
@@ -86,6 +87,11 @@
         self.by_step.remove(&step.into());
     }
 
+    /// Returns the jobs of the steps, once for each step.
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.by_step.keys().map(|step| step.job)
+    }
+
     /// Removes the steps of a job.
     pub(crate) fn remove_job(&mut self, job: JobId) {
         let steps = JobStep { job, step: 0 }..=JobStep {
@@ -109,6 +115,12 @@
         has_lasted && self.is_perpetual(task.step)
     }
 
+    /// Returns whether a job is known and has not ended.
+    pub(crate) fn is_active(&self, job: JobId) -> bool {
+        let job = self.jobs.get(&job);
+        job.is_some_and(|job| job.state.phase == Phase::Active)
+    }
+
     fn is_perpetual(&self, step: StepKey) -> bool {
         let job = self.jobs.get(&step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
@@ -132,7 +144,9 @@
                 self.failing_steps.record_success(step);
             }
             EndKind::Failed if has_lasted => self.failing_steps.record_success(step),
-            EndKind::Failed => self.record_failed_run(now, key, step, out),
+            EndKind::Failed if self.is_active(step.job) => {
+                self.record_failed_run(now, key, step, out);
+            }
             _ => {}
         }
     }
--- a/crates/scheduler/tests/scheduler/worker_failures.rs
+++ b/crates/scheduler/tests/scheduler/worker_failures.rs
@@ -145,3 +145,17 @@
         "{lowest} workers accepted runs"
     );
 }
+
+/// Guards against failures that are kept for a job which has ended; the harness verifies this.
+#[test]
+fn record_failure_job_ended() {
+    let mut cell = Cell::new();
+    cell.harness.submit(FAILING_JOB, vec![perpetual(1)]);
+    cell.harness.commit_all();
+    let start = cell.harness.starts()[0];
+    let (worker, task, run) = start;
+    cell.harness.answer_started(start);
+    cell.harness.cancel(FAILING_JOB);
+    let end = end(1, task, run, EndKind::Failed);
+    cell.harness.answer_poll(worker, vec![end]);
+}
