Ask once in a cycle whether a gang fits its service

A gang with an open advice request was counted against all workers of its service twice in each cycle: where it subtracts its demand, and again where it reserves. Now its two callers ask, once each, before `reserve_expected_capacity_for_gang`.

--- a/crates/scheduler/src/expected_capacity.rs
+++ b/crates/scheduler/src/expected_capacity.rs
@@ -84,7 +84,7 @@
     }
 
     /// Reserves the workers on which a gang will fit first, and requests tickets for them shortly
-    /// before all its members fit.
+    /// before all its members fit. Call it only for gangs that [`Self::can_fit_gang`].
     pub(crate) fn reserve_expected_capacity_for_gang(
         &mut self,
         now: Instant,
@@ -93,9 +93,7 @@
         cycle: &mut SchedulingCycle,
         out: &mut Vec<Action>,
     ) {
-        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT
-            || !self.can_fit_gang(pending, cycle)
-        {
+        if cycle.waiting_gangs_count >= WAITING_GANGS_LIMIT_COUNT {
             return;
         }
         cycle.waiting_gangs_count += 1;
--- a/crates/scheduler/src/gang_search.rs
+++ b/crates/scheduler/src/gang_search.rs
@@ -78,7 +78,9 @@
                 return;
             }
         }
-        self.reserve_expected_capacity_for_gang(now, pending, policy, cycle, out);
+        if self.can_fit_gang(pending, cycle) {
+            self.reserve_expected_capacity_for_gang(now, pending, policy, cycle, out);
+        }
     }
 
     /// Reserves free capacity on suitable workers for a gang and requests its tickets. Returns
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -229,9 +229,10 @@
     ) -> Option<WaitReason> {
         let advice = self.advice.entry(pending.key).or_default();
         if advice.has_pending_request() {
-            if self.can_fit_gang(pending, cycle) {
-                reserve_in_cycle(cycle, pending, pending.waiting.len());
+            if !self.can_fit_gang(pending, cycle) {
+                return Some(WaitReason::Advice);
             }
+            reserve_in_cycle(cycle, pending, pending.waiting.len());
             if !self.reservations.contains_key(&pending.key) {
                 self.reserve_expected_capacity_for_gang(now, pending, policy, cycle, out);
             }
