Look up the definition of a step in one place

`is_perpetual`, added with the failures of steps, wrote the look-up of a step's definition once more; it stood in `is_gang`, `role_of`, `demand_of` and the wait reasons too. `Scheduler::step_spec` serves all five. No behaviour changes.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -215,8 +215,7 @@
     }
 
     pub(crate) fn is_gang(&self, step: StepKey) -> bool {
-        let job = self.jobs.get(&step.job);
-        let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
+        let spec = self.step_spec(step);
         spec.is_some_and(|spec| spec.is_gang)
     }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -4,7 +4,7 @@
 use crate::customers::CustomerKey;
 use crate::decision::{Decision, DecisionKind};
 use crate::event::Action;
-use crate::job::{JobId, JobRecord, StepKey, TaskKey};
+use crate::job::{JobId, JobRecord, StepKey, StepSpec, TaskKey};
 use crate::overloads::JobDemand;
 use crate::placement::counted_demand;
 use crate::resource_totals::ResourceTotals;
@@ -334,6 +334,12 @@
         self.is_cycle_due = true;
     }
 
+    /// Returns the definition of a step of a known job.
+    pub(crate) fn step_spec(&self, step: StepKey) -> Option<&StepSpec> {
+        let job = self.jobs.get(&step.job)?;
+        job.record.spec.steps.get(step.step as usize)
+    }
+
     /// Returns the steps of a job's rounds that have begun.
     fn steps_of(&self, id: JobId) -> Vec<StepKey> {
         let Some(job) = self.jobs.get(&id) else {
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -427,14 +427,12 @@
 
     /// Returns the role of a task's runs.
     pub(crate) fn role_of(&self, task: TaskKey) -> RunRole {
-        let job = self.jobs.get(&task.step.job);
-        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        let spec = self.step_spec(task.step);
         spec.map_or(RunRole::Plain, RunRole::of)
     }
 
     pub(crate) fn demand_of(&self, task: TaskKey) -> Option<Resources> {
-        let job = self.jobs.get(&task.step.job)?;
-        let spec = job.record.spec.steps.get(task.step.step as usize)?;
+        let spec = self.step_spec(task.step)?;
         Some(crate::placement::counted_demand(spec))
     }
 }
--- a/crates/scheduler/src/wait_reasons.rs
+++ b/crates/scheduler/src/wait_reasons.rs
@@ -236,8 +236,7 @@
     }
 
     fn tasks_of(&self, step: StepKey) -> impl Iterator<Item = TaskKey> + use<> {
-        let job = self.jobs.get(&step.job);
-        let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
+        let spec = self.step_spec(step);
         let tasks_count = spec.map_or(0, |spec| spec.tasks_count);
         (0..tasks_count).map(move |index| step.task(index))
     }
--- a/crates/scheduler/src/worker_failures.rs
+++ b/crates/scheduler/src/worker_failures.rs
@@ -122,8 +122,7 @@
     }
 
     fn is_perpetual(&self, step: StepKey) -> bool {
-        let job = self.jobs.get(&step.job);
-        let spec = job.and_then(|job| job.record.spec.steps.get(step.step as usize));
+        let spec = self.step_spec(step);
         spec.is_some_and(|spec| spec.is_perpetual)
     }
 
