Limit the open connections of clients

What callers saw: clients that opened connections and left their requests unfinished could take all of a node's descriptors. The node then could not open connections to the store, workers and other nodes, and ordinary clients waited.

Cause: the accepting loop had no limit. Each connection holds a descriptor, a task, a buffer of the HTTP library and what the kernel has received, which the platform counts as memory of the process.

Change: at most an eighth of the box's memory, at 48 KiB a connection, and a quarter of its sockets. At the limit a new connection closes the one that has waited the longest for its client. Connections whose request is being handled are never closed; if all are, the new one is closed at once. A closed connection promises what a broken one does on the platform's pages: the same id comes again, and nothing of the request was done. The clients' sockets have receive buffers of 16 KiB, and the backlog is as long as the limit. Refusals are counted by reason and logged once per reason in 10 s. Failures to accept are logged too.

Why it works: what is held is bounded whatever clients do, since the loop waits until a closed connection is gone before it accepts the next. An ordinary request arrives whole within milliseconds and is then not the one that waited longest.

--- /dev/null
+++ b/crates/control/src/client_limits.rs
@@ -0,0 +1,40 @@
+//! How much of a box clients may take up.
+
+/// The part of a box's memory that clients' connections may use: an eighth.
+const CONNECTIONS_MEMORY_DIVISOR: u64 = 8;
+/// The memory that is set aside for a connection: 16 KiB each for the HTTP library's buffer, for
+/// what the kernel has received and is not read yet, and for a short body.
+const CONNECTION_BYTES: u64 = 48 * 1024;
+/// The part of the sockets that clients' connections may use: a quarter. A leader needs the rest
+/// for the store, its workers and other nodes.
+const CONNECTIONS_SOCKETS_DIVISOR: u32 = 4;
+/// The smallest limit on connections, for boxes that are smaller than any known one.
+const MIN_CONNECTIONS_COUNT: usize = 16;
+
+/// The resources of a box that its clients and the node share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoxSize {
+    /// The memory of the process.
+    pub memory_bytes: u64,
+    /// The number of sockets that the process may open.
+    pub sockets_count: u32,
+}
+
+/// Limits on what clients may take up together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// The number of open connections.
+    pub connections_count: usize,
+}
+
+impl ClientLimits {
+    /// Returns the limits for a box.
+    pub fn of_box(size: BoxSize) -> Self {
+        let by_memory = size.memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+        let by_sockets = u64::from(size.sockets_count / CONNECTIONS_SOCKETS_DIVISOR);
+        let connections_count = by_memory.min(by_sockets) as usize;
+        Self {
+            connections_count: connections_count.max(MIN_CONNECTIONS_COUNT),
+        }
+    }
+}
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,23 +1,27 @@
 //! The HTTP servers for clients, readiness probes, other nodes and metrics.
 
+use crate::client_connections::{ClientConnection, OpenedConnection};
 use crate::node::{Node, NodeError};
 use crate::platform::{Platform, Reply, RequestHead, RequestLimits, Retry};
+use crate::refusal_log::Refusal;
 use crate::{clock, metrics, peer, requests};
 use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming as IncomingBody};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{service_fn, Service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ospreywing_types::Duration;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+/// The receive buffer of a client's connection. What it holds unread counts as memory of the
+/// process.
+const CLIENT_RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
 /// The smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 /// The largest request body of another node.
@@ -41,11 +45,9 @@
     after: Duration::from_ms(1000),
 };
 
-/// The kind of requests that a listener serves.
+/// The kind of requests that a listener serves other than clients'.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    /// Client requests.
-    Clients,
     /// The load balancer's readiness probes.
     Ready,
     /// Calls of other nodes.
@@ -73,97 +75,150 @@
         let address = listener.local_addr().map_err(failed)?;
         Ok(Self { listener, address })
     }
+
+    /// Listens on an address for clients; `backlog_count` connections may wait to be accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NodeError`] if the address can't be listened on.
+    pub fn bind_for_clients(address: SocketAddr, backlog_count: usize) -> Result<Self, NodeError> {
+        let failed = |error| NodeError::Listen { address, error };
+        let listener = listen_for_clients(address, backlog_count).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        Ok(Self { listener, address })
+    }
+}
+
+fn listen_for_clients(address: SocketAddr, backlog_count: usize) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size.
+    socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(u32::try_from(backlog_count).unwrap_or(u32::MAX))
 }
 
 /// The listeners of a node and their connections.
 pub struct Front<P: Platform> {
     node: Rc<Node<P>>,
     stopped: watch::Receiver<bool>,
-    open_count: Rc<Cell<usize>>,
-}
-
-/// Counts an open connection until it is dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
-
-impl ConnectionGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
 }
 
 impl<P: Platform> Front<P> {
     /// Creates a front without listeners, which shuts down when `stopped` becomes true.
-    pub fn new(node: Rc<Node<P>>, stopped: watch::Receiver<bool>) -> Self {
-        Self {
-            node,
-            stopped,
-            open_count: Rc::default(),
-        }
+    pub const fn new(node: Rc<Node<P>>, stopped: watch::Receiver<bool>) -> Self {
+        Self { node, stopped }
     }
 
     /// Returns the number of open client connections.
     pub fn open_count(&self) -> usize {
-        self.open_count.get()
+        self.node.clients.open_count()
     }
 
-    /// Serves a listener's connections until the front shuts down.
-    pub fn serve(&self, listener: Listener, role: Role) {
-        let accept = accept(
-            listener.listener,
-            self.node.clone(),
-            self.stopped.clone(),
-            self.open_count.clone(),
-            role,
-        );
+    /// Serves clients' connections until the front shuts down.
+    pub fn serve_clients(&self, listener: Listener) {
+        let accept = accept_clients(listener.listener, self.node.clone(), self.stopped.clone());
         tokio::task::spawn_local(accept);
     }
+
+    /// Serves other connections until the front shuts down.
+    pub fn serve(&self, listener: Listener, role: Role) {
+        let (node, stopped) = (self.node.clone(), self.stopped.clone());
+        tokio::task::spawn_local(accept_others(listener.listener, node, stopped, role));
+    }
 }
 
-async fn accept<P: Platform>(
+async fn accept_clients<P: Platform>(
+    listener: TcpListener,
+    node: Rc<Node<P>>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    while let Some(stream) = next_connection(&listener, &node, &mut stopped).await {
+        // Without room the connection is closed.
+        if let Some(client) = open_client_connection(&node).await {
+            let serve = serve_client(stream, node.clone(), stopped.clone(), client);
+            tokio::task::spawn_local(serve);
+        }
+    }
+}
+
+async fn accept_others<P: Platform>(
     listener: TcpListener,
     node: Rc<Node<P>>,
     mut stopped: watch::Receiver<bool>,
-    open_count: Rc<Cell<usize>>,
     role: Role,
 ) {
+    while let Some(stream) = next_connection(&listener, &node, &mut stopped).await {
+        let (node, stopped) = (node.clone(), stopped.clone());
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| respond_to_system(&node, request, role));
+            serve_until_stopped(stream, limits(&node), stopped, service).await;
+        });
+    }
+}
+
+/// Accepts the next connection; returns `None` when the front shuts down.
+async fn next_connection<P: Platform>(
+    listener: &TcpListener,
+    node: &Rc<Node<P>>,
+    stopped: &mut watch::Receiver<bool>,
+) -> Option<TcpStream> {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stopped| *stopped) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            continue;
+            _ = stopped.wait_for(|stopped| *stopped) => return None,
         };
-        let connection_guard = (role == Role::Clients).then(|| ConnectionGuard::new(&open_count));
-        let connection = serve(stream, node.clone(), stopped.clone(), role);
-        tokio::task::spawn_local(async move {
-            connection.await;
-            drop(connection_guard);
-        });
+        if let Ok((stream, _)) = accepted {
+            return Some(stream);
+        }
+        node.record_refusal(Refusal::AcceptFailed);
+        tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
     }
 }
 
-async fn serve<P: Platform>(
+/// Opens a client's connection; returns `None` if there is no room for it.
+async fn open_client_connection<P: Platform>(node: &Rc<Node<P>>) -> Option<ClientConnection> {
+    match node.clients.open() {
+        OpenedConnection::Opened(client) => Some(client),
+        OpenedConnection::Displaced(client) => {
+            node.record_refusal(Refusal::ConnectionDisplaced);
+            node.clients.displaced_closed().await;
+            Some(client)
+        }
+        OpenedConnection::Refused => {
+            node.record_refusal(Refusal::ConnectionRefused);
+            None
+        }
+    }
+}
+
+/// Serves a client's connection until it is closed, displaced, or the front shuts down.
+async fn serve_client<P: Platform>(
     stream: TcpStream,
     node: Rc<Node<P>>,
-    mut stopped: watch::Receiver<bool>,
-    role: Role,
+    stopped: watch::Receiver<bool>,
+    client: ClientConnection,
 ) {
+    let service = service_fn(|request| respond_to_client(&node, request, &client));
+    tokio::select! {
+        () = serve_until_stopped(stream, limits(&node), stopped, service) => {}
+        () = client.displaced() => {}
+    }
+}
+
+async fn serve_until_stopped<S>(
+    stream: TcpStream,
+    limits: RequestLimits,
+    mut stopped: watch::Receiver<bool>,
+    service: S,
+) where
+    S: Service<Request<IncomingBody>, Response = Response<Full<Bytes>>, Error = Infallible>,
+{
     // A failure only makes the connection slower.
     let _ = stream.set_nodelay(true);
-    let limits = limits(&node);
-    let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(respond(&node, request, role).await) }
-    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(core::time::Duration::from(limits.idle_timeout))
@@ -184,25 +239,35 @@
     active.map_or(DEFAULT_LIMITS, |active| P::limits(&active.routes))
 }
 
-async fn respond<P: Platform>(
+/// Responds to the load balancer, other nodes or a reader of metrics.
+async fn respond_to_system<P: Platform>(
     node: &Rc<Node<P>>,
     request: Request<IncomingBody>,
     role: Role,
-) -> Response<Full<Bytes>> {
-    match role {
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    Ok(match role {
         Role::Ready => respond_ready(node, &request),
         Role::Peer => respond_peer(node, request).await,
         Role::Metrics => respond_metrics(node),
-        Role::Clients => {
-            let reply = respond_client(node, request).await;
-            let mut response = node.platform.encode(&reply);
-            if node.is_draining.get() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            response
-        }
+    })
+}
+
+async fn respond_to_client<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: Request<IncomingBody>,
+    client: &ClientConnection,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    client.set_waiting();
+    let started_at = clock::now();
+    let reply = handle_client_request(node, request, client).await;
+    client.set_waiting();
+    node.metrics.count_reply(&reply, started_at);
+    let mut response = node.platform.encode(&reply);
+    if node.is_draining.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    Ok(response)
 }
 
 fn respond_ready<P: Platform>(
@@ -224,6 +289,8 @@
 
 fn respond_metrics<P: Platform>(node: &Rc<Node<P>>) -> Response<Full<Bytes>> {
     node.update_configuration_metrics();
+    node.metrics
+        .set_client_connections(node.clients.open_count());
     let text = node.metrics.to_text();
     let mut response = Response::new(Full::new(Bytes::from(text)));
     let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
@@ -246,17 +313,11 @@
     peer::encode(&requests::handle_peer_request(node, request).await)
 }
 
-async fn respond_client<P: Platform>(node: &Rc<Node<P>>, request: Request<IncomingBody>) -> Reply {
-    let started_at = clock::now();
-    let reply = handle_client_request(node, request).await;
-    node.metrics.count_reply(&reply, started_at);
-    reply
-}
-
 /// Handles a client request with the configuration that is active when its head is read.
 async fn handle_client_request<P: Platform>(
     node: &Rc<Node<P>>,
     request: Request<IncomingBody>,
+    client: &ClientConnection,
 ) -> Reply {
     let (parts, body) = request.into_parts();
     let Some(active) = node.current_configuration().await else {
@@ -280,6 +341,7 @@
         Ok(body) => body,
         Err(reply) => return reply,
     };
+    client.set_handling();
     match node.platform.parse_call(admission, &body) {
         Ok(call) => requests::handle_call(node, call, &active.configuration).await,
         Err(reply) => reply,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,9 +12,12 @@
 mod cancels;
 mod cell_follow;
 pub mod cell_view;
+mod client_connections;
+pub mod client_limits;
 pub mod commit;
 pub mod configuration;
 pub mod configuration_sharing;
+pub mod connection_table;
 pub mod cordons;
 mod credentials;
 mod decision_log;
@@ -43,6 +46,7 @@
 pub mod platform;
 pub mod probed;
 pub mod recovery;
+pub mod refusal_log;
 pub mod relay;
 pub mod requests;
 pub mod stable_hash;
@@ -55,6 +59,7 @@
 pub use ospreywing_clock as clock;
 
 pub use caller::Caller;
+pub use client_limits::{BoxSize, ClientLimits};
 pub use credentials::{Credentials, KeyHasher};
 pub use node::{run, NodeError, NodeSettings};
 pub use platform::{
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::platform::{CordonFault, Reply, WorkerEntryFault};
+use crate::refusal_log::Refusal;
 use ospreywing_scheduler::{Decision, Forecast, SchedulerStatus, ServiceFragmentation, WaitReason};
 use ospreywing_types::{Duration, Instant};
 use prometheus_client::encoding::text::encode;
@@ -37,6 +38,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WaitLabels {
     reason: &'static str,
@@ -66,6 +72,8 @@
     registry: Registry,
     replies: Family<ReplyLabels, Counter>,
     reply_s: Histogram,
+    refusals: Family<RefusalLabels, Counter>,
+    client_connections: IntGauge,
     decisions: Family<DecisionLabels, Counter>,
     unreadable_entries: Family<EntryLabels, Counter>,
     unusable_cordons: Family<EntryLabels, Counter>,
@@ -126,6 +134,8 @@
             registry: Registry::with_prefix("ospreywing"),
             replies: Family::default(),
             reply_s: new_histogram(),
+            refusals: Family::default(),
+            client_connections: IntGauge::default(),
             decisions: Family::default(),
             unreadable_entries: Family::default(),
             unusable_cordons: Family::default(),
@@ -190,6 +200,11 @@
             "Time from a whole request to its reply",
             self.reply_s.clone(),
         );
+        registry.register(
+            "client_refusals",
+            "Connections and requests of clients that were refused for lack of resources, by reason",
+            self.refusals.clone(),
+        );
         registry.register(
             "decisions",
             "The scheduler's decisions, by kind and reason",
@@ -370,6 +385,11 @@
                 "How late the leader's own loop was lately",
                 &self.loop_lateness_ms,
             ),
+            (
+                "client_connections",
+                "Open connections of clients",
+                &self.client_connections,
+            ),
             (
                 "resident_bytes",
                 "The process's resident memory",
@@ -519,6 +539,19 @@
         self.loop_lateness_ms.set(lateness.as_ms() as i64);
     }
 
+    /// Counts a client that was refused for lack of resources.
+    pub fn count_refusal(&self, refusal: Refusal) {
+        let labels = RefusalLabels {
+            reason: refusal.as_str(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of open connections of clients.
+    pub fn set_client_connections(&self, count: usize) {
+        self.client_connections.set(count as i64);
+    }
+
     /// Sets whether this node leads; counts a new term, and clears the leader's gauges after one.
     pub fn set_leading(&self, is_leader: bool) {
         self.is_leader.set(i64::from(is_leader));
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,6 +2,8 @@
 
 use crate::admission::ForecastView;
 use crate::cell_view::CellView;
+use crate::client_connections::ClientConnections;
+use crate::client_limits::{BoxSize, ClientLimits};
 use crate::configuration::{self, ConfigurationView};
 use crate::failure_detector::FailureDetector;
 use crate::front::{self, Front, Listener};
@@ -13,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::probed::ProbedStore;
+use crate::refusal_log::{Refusal, RefusalLog};
 use crate::relay::server::RelayServer;
 use crate::store::LeaseId;
 use crate::{cell_follow, clock, election, leader_probe, membership};
@@ -62,6 +65,8 @@
     pub data_centre: String,
     /// The node's CPU share, in thousandths of a core.
     pub cores_milli: u32,
+    /// The node's memory and sockets.
+    pub box_size: BoxSize,
     /// The number of workers from which other nodes relay the leader's orders.
     pub relays_min_workers_count: usize,
     /// The number of nodes from which nodes fetch configurations from one another.
@@ -162,6 +167,9 @@
     pub(crate) learned: RefCell<LearnedSnapshot>,
     /// Whether the node is stopping.
     pub is_draining: Cell<bool>,
+    /// The open connections of clients.
+    pub(crate) clients: ClientConnections,
+    refusal_log: RefCell<RefusalLog>,
 }
 
 impl<P: Platform> Node<P> {
@@ -188,6 +196,16 @@
             && !self.is_draining.get()
     }
 
+    /// Records that a client was refused for lack of resources.
+    pub(crate) fn record_refusal(&self, refusal: Refusal) {
+        self.metrics.count_refusal(refusal);
+        let due_count = self.refusal_log.borrow_mut().record(clock::now(), refusal);
+        if let Some(count) = due_count {
+            warn!(self.log, "clients refused"; "reason" => refusal.as_str(), "count" => count,
+                "open" => self.clients.open_count());
+        }
+    }
+
     /// Returns the node's term if its lease certainly still holds.
     pub fn valid_term(&self) -> Option<Rc<Term<P>>> {
         let term = self.term.borrow().clone();
@@ -230,10 +248,11 @@
 impl Sockets {
     /// Listens on the addresses in the settings, and writes the assigned ports back to them.
     async fn bind(settings: &mut NodeSettings) -> Result<Self, NodeError> {
+        let backlog_count = ClientLimits::of_box(settings.box_size).connections_count;
         let sockets = Self {
             ready: Listener::bind(settings.ready_address).await?,
             peer: Listener::bind(settings.peer_address).await?,
-            clients: Listener::bind(settings.front_address).await?,
+            clients: Listener::bind_for_clients(settings.front_address, backlog_count)?,
         };
         settings.ready_address = sockets.ready.address;
         settings.peer_address = sockets.peer.address;
@@ -254,6 +273,7 @@
     buffer: LogBuffer,
 ) -> Result<(), NodeError> {
     let sockets = Sockets::bind(&mut settings).await?;
+    let client_limits = ClientLimits::of_box(settings.box_size);
     let metrics = Rc::new(Metrics::new());
     let store = ProbedStore::new(MeteredStore::new(platform.store(), metrics.clone()));
     let node = Rc::new(Node {
@@ -275,6 +295,8 @@
         detector: Cell::new(FailureDetector::default()),
         next_eviction_at: Cell::new(Instant::default()),
         is_draining: Cell::new(false),
+        clients: ClientConnections::new(client_limits.connections_count),
+        refusal_log: RefCell::default(),
         settings,
     });
     let sigterm = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
@@ -283,7 +305,7 @@
     let front = Front::new(node.clone(), stopped);
     front.serve(sockets.ready, front::Role::Ready);
     front.serve(sockets.peer, front::Role::Peer);
-    front.serve(sockets.clients, front::Role::Clients);
+    front.serve_clients(sockets.clients);
     listen_for_metrics(&node, &front).await;
     info!(node.log, "started";
         "version" => env!("CARGO_PKG_VERSION"),
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod campaign;
 mod cancels;
+mod client_limits;
+mod connection_table;
 mod cordons;
 mod failure_detector;
 mod follow;
@@ -15,6 +17,7 @@
 mod metrics;
 mod peer_messages;
 mod recovery;
+mod refusal_log;
 mod relays;
 mod store_outage;
 mod store_writes;
--- a/crates/control/tests/control/support.rs
+++ b/crates/control/tests/control/support.rs
@@ -3,8 +3,8 @@
 pub mod node;
 
 use ospreywing_control::{
-    CommitError, Committed, Item, LeaseGrant, LeaseId, NodeSettings, Page, Revision, Store,
-    StoreError, Transaction, Watched, WatchedChange,
+    BoxSize, CommitError, Committed, Item, LeaseGrant, LeaseId, NodeSettings, Page, Revision,
+    Store, StoreError, Transaction, Watched, WatchedChange,
 };
 use ospreywing_scheduler::{Configuration, Features, Queue, ServicePolicy, WorkerFacts};
 use ospreywing_types::{Duration, Resources};
@@ -364,6 +364,10 @@
         metrics_address: None,
         data_centre: String::new(),
         cores_milli: 1000,
+        box_size: BoxSize {
+            memory_bytes: 260_000_000,
+            sockets_count: 4000,
+        },
         relays_min_workers_count: 600,
         sharing_min_nodes_count: 100,
         lease_limit: Duration::from_s(6),
