Keep request bodies at a cost near their size

What callers saw: a few clients that sent bodies in chunks of one byte made a node use many times the memory of the bodies, until it ended.

Cause: bodies were read with `collect`, which keeps each received chunk as an entry of its own. An entry costs tens of bytes and keeps alive the buffer that the chunk was received in. Once whole, the list was copied again.

Change: the data of each chunk is copied into segments of 16 KiB, also for calls of other nodes. Bodies that are only discarded are not kept at all.

Why it works: what a body takes up depends on its bytes, not on its chunks.

--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,5 +1,7 @@
 //! The HTTP servers for clients, readiness probes, other nodes and metrics.
 
+use crate::body_buffer::BodyBuffer;
+use crate::body_reader::{self, BodyError};
 use crate::client_connections::{ClientConnection, OpenedConnection};
 use crate::node::{Node, NodeError};
 use crate::platform::{Platform, Reply, RequestHead, RequestLimits, Retry};
@@ -7,7 +9,7 @@
 use crate::{clock, metrics, peer, requests};
 use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, Service};
@@ -302,9 +304,8 @@
     node: &Rc<Node<P>>,
     request: Request<IncomingBody>,
 ) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), PEER_BODY_LIMIT_BYTES);
-    let body = body.collect().await;
-    let request = body.ok().and_then(|body| peer::decode(&body.to_bytes()));
+    let body = body_reader::read_body(request.into_body(), PEER_BODY_LIMIT_BYTES).await;
+    let request = body.ok().and_then(|body| peer::decode(&body.into_bytes()));
     let Some(request) = request else {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::BAD_REQUEST;
@@ -337,25 +338,23 @@
         }
     };
     let limits = P::limits(&active.routes);
-    let body = match read_body(body, limits).await {
+    let body = match read_client_body(body, limits).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
     client.set_handling();
-    match node.platform.parse_call(admission, &body) {
+    match node.platform.parse_call(admission, &body.into_bytes()) {
         Ok(call) => requests::handle_call(node, call, &active.configuration).await,
         Err(reply) => reply,
     }
 }
 
-async fn read_body(body: IncomingBody, limits: RequestLimits) -> Result<Bytes, Reply> {
-    let body = Limited::new(body, limits.body_limit_bytes).collect();
-    match tokio::time::timeout(limits.read_timeout.into(), body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            let limit_bytes = limits.body_limit_bytes;
-            Err(Reply::TooLarge { limit_bytes })
-        }
+async fn read_client_body(body: IncomingBody, limits: RequestLimits) -> Result<BodyBuffer, Reply> {
+    let limit_bytes = limits.body_limit_bytes;
+    let reading = body_reader::read_body(body, limit_bytes);
+    match tokio::time::timeout(limits.read_timeout.into(), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(Reply::TooLarge { limit_bytes }),
         Ok(Err(error)) => Err(Reply::Invalid {
             field: "body".to_owned(),
             reason: error.to_string(),
@@ -368,7 +367,7 @@
 /// is short and arrives soon. Otherwise closing the connection would reset it, and the
 /// answer would be lost.
 async fn discard_body(body: IncomingBody) {
-    let body = Limited::new(body, DISCARDED_BODY_LIMIT_BYTES).collect();
+    let body = body_reader::discard_body(body, DISCARDED_BODY_LIMIT_BYTES);
     // A longer or slower body is dropped with its connection.
     let _ = tokio::time::timeout(DISCARD_BODY_TIMEOUT.into(), body).await;
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,8 @@
 //! through the [`Platform`] and [`Store`] traits.
 
 pub mod admission;
+pub mod body_buffer;
+mod body_reader;
 mod caller;
 mod cancels;
 mod cell_follow;
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a node's parts, mostly against an in-memory store.
 
 mod admission;
+mod body_buffer;
 mod campaign;
 mod cancels;
 mod client_limits;
