Limit the memory of clients' bodies together

What callers saw: clients that sent many bodies of legal size, whole, piece by piece or in large chunks, and stopped just short of their end, made a node use more memory than its box has. The process ended, and its other requests with it.

Cause: each body was limited, their sum was not. A body that stood still was held until the time-out, and its client came again.

Change: the first 16 KiB of a body are set aside with its connection. The rest of all bodies shares an eighth of the box's memory, until their requests are answered. At the limit the oldest long body that is still arriving is dropped and its connection closed. If there is none, or it is the one that needs room, its request gets 503 with Retry-After; it has not been parsed, so that it never runs. Both are counted and logged by reason. `client_long_bodies_bytes` shows the use.

Why it works: the pool holds the bytes itself, so that dropping frees them at once, and the sum never exceeds the limit. A request of up to 16 KiB never needs the pool. A long body that arrives quickly is younger than those that stand still.

--- a/crates/control/src/body_buffer.rs
+++ b/crates/control/src/body_buffer.rs
@@ -21,6 +21,11 @@
         full.len() * SEGMENT_BYTES + last.len()
     }
 
+    /// Returns the number of segments that it will have after more data is appended.
+    pub fn segments_count_with(&self, data_bytes: usize) -> usize {
+        (self.len_bytes() + data_bytes).div_ceil(SEGMENT_BYTES)
+    }
+
     /// Appends a copy of the data.
     pub fn append(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
@@ -42,7 +47,7 @@
 
     /// Returns a segment that is not full; the first one is only as large as the data needs.
     fn writable_segment(&mut self, data_bytes: usize) -> &mut Vec<u8> {
-        let is_full = |last: &Vec<u8>| last.len() == SEGMENT_BYTES;
+        let is_full = |segment: &Vec<u8>| segment.len() == SEGMENT_BYTES;
         if self.segments.last().is_none_or(is_full) {
             let is_first = self.segments.is_empty();
             let first_bytes = data_bytes.min(SEGMENT_BYTES);
--- a/crates/control/src/body_reader.rs
+++ b/crates/control/src/body_reader.rs
@@ -11,31 +11,54 @@
     /// It is too long.
     #[error("the body is too long")]
     TooLong,
+    /// There is no room for it.
+    #[error("there is no room for the body")]
+    NoRoom,
     /// Its encoding is malformed, or the client closed the connection.
     #[error(transparent)]
     Broken(#[from] hyper::Error),
 }
 
-/// Reads a body of at most `limit_bytes`.
+/// Reads a body of at most `limit_bytes` and passes its data to `keep`, which returns whether
+/// there is room for it.
 ///
-/// Each chunk is copied. Kept as it is, a chunk of one byte would cost an entry in a list, and
-/// keep alive the buffer that it was received in.
+/// The data has to be copied. Kept as it is, a chunk of one byte would cost an entry in a list,
+/// and keep alive the buffer that it was received in.
 ///
 /// # Errors
 ///
-/// Returns a [`BodyError`] if the body is too long or can't be read.
-pub(crate) async fn read_body(
+/// Returns a [`BodyError`] if the body is too long, has no room, or can't be read.
+pub(crate) async fn read_with(
     mut body: Incoming,
     limit_bytes: usize,
-) -> Result<BodyBuffer, BodyError> {
-    let mut buffer = BodyBuffer::default();
+    mut keep: impl FnMut(&[u8]) -> bool,
+) -> Result<(), BodyError> {
+    let mut read_bytes = 0;
     while let Some(data) = next_data(&mut body).await? {
-        if buffer.len_bytes() + data.len() > limit_bytes {
+        read_bytes += data.len();
+        if read_bytes > limit_bytes {
             return Err(BodyError::TooLong);
         }
-        buffer.append(&data);
+        if !keep(&data) {
+            return Err(BodyError::NoRoom);
+        }
     }
-    Ok(buffer)
+    Ok(())
+}
+
+/// Reads a body of at most `limit_bytes`.
+///
+/// # Errors
+///
+/// Returns a [`BodyError`] if the body is too long or can't be read.
+pub(crate) async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Vec<u8>, BodyError> {
+    let mut buffer = BodyBuffer::default();
+    let keep = |data: &[u8]| {
+        buffer.append(data);
+        true
+    };
+    read_with(body, limit_bytes, keep).await?;
+    Ok(buffer.into_bytes())
 }
 
 /// Reads a body to its end and keeps nothing of it.
@@ -43,15 +66,8 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body has more than `limit_bytes` or can't be read.
-pub(crate) async fn discard_body(mut body: Incoming, limit_bytes: usize) -> Result<(), BodyError> {
-    let mut read_bytes = 0;
-    while let Some(data) = next_data(&mut body).await? {
-        read_bytes += data.len();
-        if read_bytes > limit_bytes {
-            return Err(BodyError::TooLong);
-        }
-    }
-    Ok(())
+pub(crate) async fn discard_body(body: Incoming, limit_bytes: usize) -> Result<(), BodyError> {
+    read_with(body, limit_bytes, |_| true).await
 }
 
 /// Returns the next data of a body; skips trailers.
--- a/crates/control/src/client_connections.rs
+++ b/crates/control/src/client_connections.rs
@@ -1,5 +1,8 @@
-//! The open connections of clients.
+//! The open connections of clients and the bodies of their requests.
 
+use crate::body_buffer::{BodyBuffer, SEGMENT_BYTES};
+use crate::body_pool::{Appended, BodyPool};
+use crate::client_limits::ClientLimits;
 use crate::connection_table::{ConnectionId, ConnectionTable, Opening};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,6 +12,7 @@
 /// What the connections share.
 struct Shared {
     table: RefCell<ConnectionTable>,
+    bodies: RefCell<BodyPool>,
     /// Notified when a connection must be closed.
     closings: RefCell<BTreeMap<ConnectionId, Rc<Notify>>>,
     /// Notified when a connection has been closed.
@@ -29,11 +33,20 @@
     Refused,
 }
 
+/// The outcome of appending to a body.
+pub struct AppendedToBody {
+    /// Whether there was room; otherwise the body was dropped.
+    pub has_room: bool,
+    /// The number of connections that are being closed to make room.
+    pub displaced_count: usize,
+}
+
 impl ClientConnections {
-    /// Creates an empty set of at most `limit_count` connections.
-    pub fn new(limit_count: usize) -> Self {
+    /// Creates an empty set.
+    pub fn new(limits: ClientLimits) -> Self {
         Self(Rc::new(Shared {
-            table: RefCell::new(ConnectionTable::new(limit_count)),
+            table: RefCell::new(ConnectionTable::new(limits.connections_count)),
+            bodies: RefCell::new(BodyPool::new(limits.body_segments_count)),
             closings: RefCell::default(),
             closed: Notify::new(),
         }))
@@ -44,13 +57,18 @@
         self.0.closings.borrow().len()
     }
 
+    /// Returns the size of the bodies that are longer than one segment, without their first one.
+    pub fn long_bodies_bytes(&self) -> usize {
+        self.0.bodies.borrow().shared_count() * SEGMENT_BYTES
+    }
+
     /// Opens a connection; displaces the one that has waited the longest if there are too many.
     pub fn open(&self) -> OpenedConnection {
         let opening = self.0.table.borrow_mut().open();
         match opening {
             Opening::Opened(id) => OpenedConnection::Opened(self.insert(id)),
             Opening::Displaced { opened, closing } => {
-                self.notify_closing(closing);
+                self.displace(closing);
                 OpenedConnection::Displaced(self.insert(opened))
             }
             Opening::Refused => OpenedConnection::Refused,
@@ -80,7 +98,10 @@
         }
     }
 
-    fn notify_closing(&self, id: ConnectionId) {
+    /// Closes a connection in favour of another one.
+    fn displace(&self, id: ConnectionId) {
+        self.0.table.borrow_mut().close(id);
+        self.0.bodies.borrow_mut().end(id);
         if let Some(closing) = self.0.closings.borrow().get(&id) {
             closing.notify_waiters();
         }
@@ -106,14 +127,40 @@
         }
     }
 
-    /// Records that the head of a request has arrived, or that a request has been answered.
-    pub fn set_waiting(&self) {
+    /// Begins a request whose head has arrived.
+    pub fn begin_request(&self) {
         self.table().borrow_mut().set_waiting(self.id);
+        self.bodies().borrow_mut().begin(self.id);
     }
 
-    /// Records that a request has arrived whole and is being handled.
-    pub fn set_handling(&self) {
+    /// Appends to the body of the request; closes connections whose bodies arrive more slowly if
+    /// there is no room.
+    pub fn append_to_body(&self, data: &[u8]) -> AppendedToBody {
+        let Appended { has_room, dropped } = self.bodies().borrow_mut().append(self.id, data);
+        for connection in &dropped {
+            self.connections.displace(*connection);
+        }
+        AppendedToBody {
+            has_room,
+            displaced_count: dropped.len(),
+        }
+    }
+
+    /// Begins to handle a request that has arrived whole, and returns its body.
+    pub fn begin_handling(&self) -> BodyBuffer {
         self.table().borrow_mut().set_handling(self.id);
+        let body = self.bodies().borrow_mut().take(self.id);
+        body.unwrap_or_default()
+    }
+
+    /// Ends a request that has been answered.
+    pub fn end_request(&self) {
+        self.table().borrow_mut().set_waiting(self.id);
+        self.bodies().borrow_mut().end(self.id);
+    }
+
+    fn bodies(&self) -> &RefCell<BodyPool> {
+        &self.connections.0.bodies
     }
 
     fn table(&self) -> &RefCell<ConnectionTable> {
@@ -124,6 +171,7 @@
 impl Drop for ClientConnection {
     fn drop(&mut self) {
         self.table().borrow_mut().close(self.id);
+        self.bodies().borrow_mut().end(self.id);
         self.connections.0.closings.borrow_mut().remove(&self.id);
         self.connections.0.closed.notify_waiters();
     }
--- a/crates/control/src/client_limits.rs
+++ b/crates/control/src/client_limits.rs
@@ -1,5 +1,7 @@
 //! How much of a box clients may take up.
 
+use crate::body_buffer::SEGMENT_BYTES;
+
 /// The part of a box's memory that clients' connections may use: an eighth.
 const CONNECTIONS_MEMORY_DIVISOR: u64 = 8;
 /// The memory that is set aside for a connection: 16 KiB each for the HTTP library's buffer, for
@@ -8,8 +10,11 @@
 /// The part of the sockets that clients' connections may use: a quarter. A leader needs the rest
 /// for the store, its workers and other nodes.
 const CONNECTIONS_SOCKETS_DIVISOR: u32 = 4;
-/// The smallest limit on connections, for boxes that are smaller than any known one.
+/// The part of a box's memory that long bodies may use: an eighth.
+const BODIES_MEMORY_DIVISOR: u64 = 8;
+/// The smallest limits, for boxes that are smaller than any known one.
 const MIN_CONNECTIONS_COUNT: usize = 16;
+const MIN_BODY_SEGMENTS_COUNT: usize = 64;
 
 /// The resources of a box that its clients and the node share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +30,8 @@
 pub struct ClientLimits {
     /// The number of open connections.
     pub connections_count: usize,
+    /// The number of body segments beyond the first one of each body.
+    pub body_segments_count: usize,
 }
 
 impl ClientLimits {
@@ -33,8 +40,11 @@
         let by_memory = size.memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
         let by_sockets = u64::from(size.sockets_count / CONNECTIONS_SOCKETS_DIVISOR);
         let connections_count = by_memory.min(by_sockets) as usize;
+        let bodies_bytes = size.memory_bytes / BODIES_MEMORY_DIVISOR;
+        let body_segments_count = (bodies_bytes / SEGMENT_BYTES as u64) as usize;
         Self {
             connections_count: connections_count.max(MIN_CONNECTIONS_COUNT),
+            body_segments_count: body_segments_count.max(MIN_BODY_SEGMENTS_COUNT),
         }
     }
 }
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,6 +1,5 @@
 //! The HTTP servers for clients, readiness probes, other nodes and metrics.
 
-use crate::body_buffer::BodyBuffer;
 use crate::body_reader::{self, BodyError};
 use crate::client_connections::{ClientConnection, OpenedConnection};
 use crate::node::{Node, NodeError};
@@ -259,10 +258,10 @@
     request: Request<IncomingBody>,
     client: &ClientConnection,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    client.set_waiting();
+    client.begin_request();
     let started_at = clock::now();
     let reply = handle_client_request(node, request, client).await;
-    client.set_waiting();
+    client.end_request();
     node.metrics.count_reply(&reply, started_at);
     let mut response = node.platform.encode(&reply);
     if node.is_draining.get() {
@@ -291,8 +290,7 @@
 
 fn respond_metrics<P: Platform>(node: &Rc<Node<P>>) -> Response<Full<Bytes>> {
     node.update_configuration_metrics();
-    node.metrics
-        .set_client_connections(node.clients.open_count());
+    node.metrics.set_clients(&node.clients);
     let text = node.metrics.to_text();
     let mut response = Response::new(Full::new(Bytes::from(text)));
     let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
@@ -305,7 +303,7 @@
     request: Request<IncomingBody>,
 ) -> Response<Full<Bytes>> {
     let body = body_reader::read_body(request.into_body(), PEER_BODY_LIMIT_BYTES).await;
-    let request = body.ok().and_then(|body| peer::decode(&body.into_bytes()));
+    let request = body.ok().and_then(|body| peer::decode(&body));
     let Some(request) = request else {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::BAD_REQUEST;
@@ -338,24 +336,31 @@
         }
     };
     let limits = P::limits(&active.routes);
-    let body = match read_client_body(body, limits).await {
-        Ok(body) => body,
-        Err(reply) => return reply,
-    };
-    client.set_handling();
-    match node.platform.parse_call(admission, &body.into_bytes()) {
+    if let Err(reply) = read_client_body(node, body, limits, client).await {
+        return reply;
+    }
+    let body = client.begin_handling().into_bytes();
+    match node.platform.parse_call(admission, &body) {
         Ok(call) => requests::handle_call(node, call, &active.configuration).await,
         Err(reply) => reply,
     }
 }
 
-async fn read_client_body(body: IncomingBody, limits: RequestLimits) -> Result<BodyBuffer, Reply> {
+/// Reads a body into the memory that clients share.
+async fn read_client_body<P: Platform>(
+    node: &Rc<Node<P>>,
+    body: IncomingBody,
+    limits: RequestLimits,
+    client: &ClientConnection,
+) -> Result<(), Reply> {
     let limit_bytes = limits.body_limit_bytes;
-    let reading = body_reader::read_body(body, limit_bytes);
+    let keep = |data: &[u8]| keep_body_data(node, client, data);
+    let reading = body_reader::read_with(body, limit_bytes, keep);
     match tokio::time::timeout(limits.read_timeout.into(), reading).await {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(())) => Ok(()),
         Ok(Err(BodyError::TooLong)) => Err(Reply::TooLarge { limit_bytes }),
-        Ok(Err(error)) => Err(Reply::Invalid {
+        Ok(Err(BodyError::NoRoom)) => Err(Reply::Unavailable(RETRY_LATER)),
+        Ok(Err(BodyError::Broken(error))) => Err(Reply::Invalid {
             field: "body".to_owned(),
             reason: error.to_string(),
         }),
@@ -363,6 +368,18 @@
     }
 }
 
+/// Keeps received data of a body; returns whether there was room for it.
+fn keep_body_data<P: Platform>(node: &Rc<Node<P>>, client: &ClientConnection, data: &[u8]) -> bool {
+    let appended = client.append_to_body(data);
+    for _ in 0..appended.displaced_count {
+        node.record_refusal(Refusal::BodyDisplaced);
+    }
+    if !appended.has_room {
+        node.record_refusal(Refusal::BodyRefused);
+    }
+    appended.has_room
+}
+
 /// Reads and discards the body of a request that is answered by its head alone, if the body
 /// is short and arrives soon. Otherwise closing the connection would reset it, and the
 /// answer would be lost.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod body_buffer;
+pub mod body_pool;
 mod body_reader;
 mod caller;
 mod cancels;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,5 +1,6 @@
 //! A node's counters, gauges and histograms, exported in the OpenMetrics text format.
 
+use crate::client_connections::ClientConnections;
 use crate::clock;
 use crate::platform::{CordonFault, Reply, WorkerEntryFault};
 use crate::refusal_log::Refusal;
@@ -74,6 +75,7 @@
     reply_s: Histogram,
     refusals: Family<RefusalLabels, Counter>,
     client_connections: IntGauge,
+    client_long_bodies_bytes: IntGauge,
     decisions: Family<DecisionLabels, Counter>,
     unreadable_entries: Family<EntryLabels, Counter>,
     unusable_cordons: Family<EntryLabels, Counter>,
@@ -136,6 +138,7 @@
             reply_s: new_histogram(),
             refusals: Family::default(),
             client_connections: IntGauge::default(),
+            client_long_bodies_bytes: IntGauge::default(),
             decisions: Family::default(),
             unreadable_entries: Family::default(),
             unusable_cordons: Family::default(),
@@ -390,6 +393,11 @@
                 "Open connections of clients",
                 &self.client_connections,
             ),
+            (
+                "client_long_bodies_bytes",
+                "Bodies of more than 16 KiB that arrive or are handled, without their first 16 KiB",
+                &self.client_long_bodies_bytes,
+            ),
             (
                 "resident_bytes",
                 "The process's resident memory",
@@ -547,9 +555,11 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
-    /// Sets the number of open connections of clients.
-    pub fn set_client_connections(&self, count: usize) {
-        self.client_connections.set(count as i64);
+    /// Sets the gauges of clients' connections.
+    pub(crate) fn set_clients(&self, clients: &ClientConnections) {
+        self.client_connections.set(clients.open_count() as i64);
+        let bytes = clients.long_bodies_bytes();
+        self.client_long_bodies_bytes.set(bytes as i64);
     }
 
     /// Sets whether this node leads; counts a new term, and clears the leader's gauges after one.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -295,7 +295,7 @@
         detector: Cell::new(FailureDetector::default()),
         next_eviction_at: Cell::new(Instant::default()),
         is_draining: Cell::new(false),
-        clients: ClientConnections::new(client_limits.connections_count),
+        clients: ClientConnections::new(client_limits),
         refusal_log: RefCell::default(),
         settings,
     });
--- a/crates/control/src/refusal_log.rs
+++ b/crates/control/src/refusal_log.rs
@@ -12,19 +12,25 @@
     ConnectionDisplaced,
     /// A new connection was closed, since all connections handle requests.
     ConnectionRefused,
+    /// A body that arrived slowly was dropped, and its connection closed, in favour of another.
+    BodyDisplaced,
+    /// A request was refused, since there was no room for its body.
+    BodyRefused,
     /// A connection could not be accepted.
     AcceptFailed,
 }
 
 impl Refusal {
     /// The number of reasons.
-    pub const COUNT: usize = 3;
+    pub const COUNT: usize = 5;
 
     /// Returns the name of the reason in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::ConnectionDisplaced => "connection displaced",
             Self::ConnectionRefused => "connection refused",
+            Self::BodyDisplaced => "body displaced",
+            Self::BodyRefused => "body refused",
             Self::AcceptFailed => "accept failed",
         }
     }
--- a/crates/control/tests/control/client_limits.rs
+++ b/crates/control/tests/control/client_limits.rs
@@ -4,19 +4,21 @@
 use rstest::rstest;
 
 #[rstest]
-#[case::smallest_box(120, 2875, 305)]
-#[case::small_box(260, 4000, 661)]
-#[case::large_box(1024, 16_184, 2604)]
-#[case::few_sockets(1024, 128, 32)]
-#[case::tiny_box(1, 1, 16)]
-fn of_box_connections(
+#[case::smallest_box(120, 2875, 305, 915)]
+#[case::small_box(260, 4000, 661, 1983)]
+#[case::large_box(1024, 16_184, 2604, 7812)]
+#[case::few_sockets(1024, 128, 32, 7812)]
+#[case::tiny_box(1, 1, 16, 64)]
+fn of_box_limits(
     #[case] memory_mb: u64,
     #[case] sockets_count: u32,
-    #[case] expected_count: usize,
+    #[case] connections_count: usize,
+    #[case] body_segments_count: usize,
 ) {
     let limits = ClientLimits::of_box(BoxSize {
         memory_bytes: memory_mb * 1_000_000,
         sockets_count,
     });
-    assert_eq!(limits.connections_count, expected_count);
+    assert_eq!(limits.connections_count, connections_count);
+    assert_eq!(limits.body_segments_count, body_segments_count);
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod body_buffer;
+mod body_pool;
 mod campaign;
 mod cancels;
 mod client_limits;
