Let new clients in while all connections handle requests

What callers saw: beside clients that send request after request on one connection and read no reply, an ordinary client's connections were closed, or waited half a minute to be accepted.

Cause: a new connection could only take the place of one that waits for its client. Where the next request has been received already, the HTTP library begins it in the same step in which it sends the answer, so that such a connection is never seen waiting.

Change: while all connections handle requests, a new one waits for the next answer, which ends its connection (`Connection: close`). If nothing has been answered for 0.1 s the new connection is closed at once. A displaced connection sends its last answer before it is closed.

Why it works: every answer makes room for a client that waits, whatever else has been received on its connection.

Evidence: `unread_replies_little_memory` of `serve_beside_unfinished_requests` failed with five attempts without an answer; it passes.

The same file tests related paths.

--- a/crates/control/src/client_connections.rs
+++ b/crates/control/src/client_connections.rs
@@ -3,12 +3,17 @@
 use crate::body_buffer::{BodyBuffer, SEGMENT_BYTES};
 use crate::body_pool::{Appended, BodyPool};
 use crate::client_limits::ClientLimits;
+use crate::clock;
 use crate::connection_table::{ConnectionId, ConnectionTable, Opening};
-use std::cell::RefCell;
+use ospreywing_types::{Duration, Instant};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// How long after the last answer a new connection waits for one of those that handle requests.
+const STALL_TIMEOUT: Duration = Duration::from_ms(100);
+
 /// What the connections share.
 struct Shared {
     table: RefCell<ConnectionTable>,
@@ -17,6 +22,10 @@
     closings: RefCell<BTreeMap<ConnectionId, Rc<Notify>>>,
     /// Notified when a connection has been closed.
     closed: Notify,
+    /// When a request was answered last.
+    answered_at: Cell<Instant>,
+    /// Whether a new connection waits for another one to be closed.
+    is_room_wanted: Cell<bool>,
 }
 
 /// The open connections of clients; clones share one state.
@@ -49,6 +58,8 @@
             bodies: RefCell::new(BodyPool::new(limits.body_segments_count)),
             closings: RefCell::default(),
             closed: Notify::new(),
+            answered_at: Cell::default(),
+            is_room_wanted: Cell::default(),
         }))
     }
 
@@ -63,7 +74,32 @@
     }
 
     /// Opens a connection; displaces the one that has waited the longest if there are too many.
-    pub fn open(&self) -> OpenedConnection {
+    ///
+    /// While all handle requests, waits until one of them is closed after its answer. If none has
+    /// been answered for [`STALL_TIMEOUT`], refuses at once: other nodes may be better off.
+    pub async fn open(&self) -> OpenedConnection {
+        loop {
+            let closed = self.0.closed.notified();
+            let opened = self.try_open();
+            let is_refused = matches!(opened, OpenedConnection::Refused);
+            let remaining = self.remaining_wait();
+            let waits = is_refused && remaining > Duration::ZERO;
+            self.0.is_room_wanted.set(waits);
+            if !waits {
+                return opened;
+            }
+            // Whether there is room is tested next.
+            let _ = tokio::time::timeout(remaining.into(), closed).await;
+        }
+    }
+
+    /// Returns how long a new connection waits for another one to be closed.
+    fn remaining_wait(&self) -> Duration {
+        let since = clock::now().since(self.0.answered_at.get());
+        Duration::from_ms(STALL_TIMEOUT.as_ms().saturating_sub(since.as_ms()))
+    }
+
+    fn try_open(&self) -> OpenedConnection {
         let opening = self.0.table.borrow_mut().open();
         match opening {
             Opening::Opened(id) => OpenedConnection::Opened(self.insert(id)),
@@ -153,10 +189,14 @@
         body.unwrap_or_default()
     }
 
-    /// Ends a request that has been answered.
-    pub fn end_request(&self) {
+    /// Ends a request that is being answered; returns whether the connection must be closed after
+    /// the answer, since a new one waits for room.
+    pub fn end_request(&self) -> bool {
         self.table().borrow_mut().set_waiting(self.id);
         self.bodies().borrow_mut().end(self.id);
+        let shared = &self.connections.0;
+        shared.answered_at.set(clock::now());
+        shared.is_room_wanted.take()
     }
 
     fn bodies(&self) -> &RefCell<BodyPool> {
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -182,7 +182,7 @@
 
 /// Opens a client's connection; returns `None` if there is no room for it.
 async fn open_client_connection<P: Platform>(node: &Rc<Node<P>>) -> Option<ClientConnection> {
-    match node.clients.open() {
+    match node.clients.open().await {
         OpenedConnection::Opened(client) => Some(client),
         OpenedConnection::Displaced(client) => {
             node.record_refusal(Refusal::ConnectionDisplaced);
@@ -205,6 +205,8 @@
 ) {
     let service = service_fn(|request| respond_to_client(&node, request, &client));
     tokio::select! {
+        // The last answer is sent before a displaced connection is closed.
+        biased;
         () = serve_until_stopped(stream, limits(&node), stopped, service) => {}
         () = client.displaced() => {}
     }
@@ -261,10 +263,10 @@
     client.begin_request();
     let started_at = clock::now();
     let reply = handle_client_request(node, request, client).await;
-    client.end_request();
+    let is_room_wanted = client.end_request();
     node.metrics.count_reply(&reply, started_at);
     let mut response = node.platform.encode(&reply);
-    if node.is_draining.get() {
+    if node.is_draining.get() || is_room_wanted {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
