Hold room for parsed jobs while they are handled

What callers saw: clients that submitted many whole bodies of legal size with thousands of small steps each made a node use more memory than its box has.

Cause: a job takes up many times its body once it is parsed. The room of its request was that of the body.

Change: after a body is parsed, its request holds room for the job's steps and tasks, by estimate; without room it gets 503 and the job is not submitted. A job that is larger than all room is handled alone.

Why it works: until the reply, whatever a request holds is within one limit.

--- a/crates/control/src/body_pool.rs
+++ b/crates/control/src/body_pool.rs
@@ -5,7 +5,7 @@
 //! the long bodies that are still arriving is dropped: one that comes forward quickly is younger
 //! than those that stand still.
 
-use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::{BodyBuffer, SEGMENT_BYTES};
 use crate::connection_table::ConnectionId;
 use std::collections::BTreeMap;
 
@@ -77,7 +77,7 @@
     pub fn append(&mut self, connection: ConnectionId, data: &[u8]) -> Appended {
         let missing_count = self.missing_count(connection, data.len());
         let dropped = self.make_room(connection, missing_count);
-        let has_room = self.shared_count + missing_count <= self.shared_limit_count;
+        let has_room = missing_count == 0 || self.has_room_for(missing_count);
         Appended {
             has_room: has_room && self.append_within_limit(connection, data, missing_count),
             dropped,
@@ -88,7 +88,7 @@
     /// a connection's body. If that one is the oldest, it is dropped itself.
     fn make_room(&mut self, connection: ConnectionId, missing_count: usize) -> Vec<ConnectionId> {
         let mut dropped = Vec::new();
-        while self.shared_count + missing_count > self.shared_limit_count {
+        while missing_count > 0 && !self.has_room_for(missing_count) {
             let oldest = self.long_arriving.first_key_value();
             let oldest = oldest.map_or(connection, |(_, oldest)| *oldest);
             self.end(oldest);
@@ -107,6 +107,23 @@
         body.buffer.take()
     }
 
+    /// Holds room for what a request that is being handled takes up once it is parsed, in place of
+    /// its body; returns whether there is room.
+    pub fn hold_parsed(&mut self, connection: ConnectionId, parsed_bytes: usize) -> bool {
+        let Some(body) = self.bodies.get_mut(&connection) else {
+            return false;
+        };
+        let needed_count = parsed_bytes.div_ceil(SEGMENT_BYTES).saturating_sub(1);
+        let others_count = self.shared_count - body.shared_count;
+        // A job that is larger than all room is admitted alone.
+        let has_room = others_count + needed_count <= self.shared_limit_count || others_count == 0;
+        if has_room {
+            body.shared_count = needed_count;
+            self.shared_count = others_count + needed_count;
+        }
+        has_room
+    }
+
     /// Ends the request of a connection and frees the room of its body.
     pub fn end(&mut self, connection: ConnectionId) {
         if let Some(body) = self.bodies.remove(&connection) {
@@ -115,6 +132,10 @@
         }
     }
 
+    const fn has_room_for(&self, missing_count: usize) -> bool {
+        self.shared_count + missing_count <= self.shared_limit_count
+    }
+
     /// Returns how many more shared segments a body needs for more data.
     fn missing_count(&self, connection: ConnectionId, data_bytes: usize) -> usize {
         let Some(body) = self.bodies.get(&connection) else {
--- a/crates/control/src/client_connections.rs
+++ b/crates/control/src/client_connections.rs
@@ -189,6 +189,13 @@
         body.unwrap_or_default()
     }
 
+    /// Holds room for a parsed request in place of its body; returns whether there is room.
+    pub fn hold_parsed(&self, parsed_bytes: usize) -> bool {
+        self.bodies()
+            .borrow_mut()
+            .hold_parsed(self.id, parsed_bytes)
+    }
+
     /// Ends a request that is being answered; returns whether the connection must be closed after
     /// the answer, since a new one waits for room.
     pub fn end_request(&self) -> bool {
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -3,7 +3,7 @@
 use crate::body_reader::{self, BodyError};
 use crate::client_connections::{ClientConnection, OpenedConnection};
 use crate::node::{Node, NodeError};
-use crate::platform::{Platform, Reply, RequestHead, RequestLimits, Retry};
+use crate::platform::{Call, Platform, Reply, RequestHead, RequestLimits, Retry};
 use crate::refusal_log::Refusal;
 use crate::{clock, metrics, peer, requests};
 use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
@@ -342,12 +342,26 @@
         return reply;
     }
     let body = client.begin_handling().into_bytes();
-    match node.platform.parse_call(admission, &body) {
+    let parsed = node.platform.parse_call(admission, &body);
+    drop(body);
+    match parsed {
+        Ok(call) if !client.hold_parsed(parsed_bytes(&call)) => {
+            node.record_refusal(Refusal::BodyRefused);
+            Reply::Unavailable(RETRY_LATER)
+        }
         Ok(call) => requests::handle_call(node, call, &active.configuration).await,
         Err(reply) => reply,
     }
 }
 
+/// Returns how much memory a call takes up while it is handled.
+fn parsed_bytes(call: &Call) -> usize {
+    match call {
+        Call::Submit { spec, .. } => spec.memory_bytes(),
+        Call::Status { .. } | Call::Cancel { .. } | Call::Pending { .. } => 0,
+    }
+}
+
 /// Reads a body into the memory that clients share.
 async fn read_client_body<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/control/tests/control/body_pool.rs
+++ b/crates/control/tests/control/body_pool.rs
@@ -74,6 +74,31 @@
     assert_eq!(arrive(&mut pool, second, 2), appended(&[]));
 }
 
+#[test]
+fn hold_parsed_replaces_body() {
+    let (mut pool, [first, second]) = pool_and_connections();
+    arrive(&mut pool, first, 3);
+    pool.take(first).expect("the body is there");
+    assert!(pool.hold_parsed(first, LIMIT_COUNT * SEGMENT_BYTES));
+    assert_eq!(pool.shared_count(), LIMIT_COUNT - 1);
+    arrive(&mut pool, second, 2);
+    pool.take(second).expect("the body is there");
+    assert!(!pool.hold_parsed(second, 3 * SEGMENT_BYTES));
+    assert!(pool.hold_parsed(second, 2 * SEGMENT_BYTES));
+}
+
+#[test]
+fn hold_parsed_larger_than_all_room_alone() {
+    let (mut pool, [first, second]) = pool_and_connections();
+    arrive(&mut pool, first, 1);
+    pool.take(first).expect("the body is there");
+    assert!(pool.hold_parsed(first, 9 * SEGMENT_BYTES));
+    assert_eq!(arrive(&mut pool, second, 1), appended(&[]));
+    assert_eq!(arrive(&mut pool, second, 2), NO_ROOM);
+    pool.end(first);
+    assert_eq!(pool.shared_count(), 0);
+}
+
 #[test]
 fn begin_again_frees_earlier_body() {
     let (mut pool, [connection]) = pool_and_connections();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -47,6 +47,7 @@
 mod incarnations;
 mod interference;
 mod job;
+mod job_size;
 mod jobs;
 mod learning;
 mod leases;
