Refuse large jobs that the leader has no room for

What callers saw: clients that submitted legal jobs of thousands of steps again and again made the leader use more memory than its box has. Its successor read all of them back, and ended too.

Cause: accepted jobs are kept, and nothing bounded what they take up together. A job of 7,943 steps takes up 15 to 25 MB at a leader, its body has 256 KiB.

Change: before a job of more than 384 KiB by estimate is accepted, its node asks the leader for room. Large jobs together may take up an eighth of the leader's memory, at most of 120 MB, since the smallest box may be the successor. A single large job is accepted whatever its size. The leader reserves the room until it knows the job, for 5 s at most. Refused jobs get 503 with Retry-After and are logged (`large job refused`) and counted; a job that was accepted before is not refused. `jobs_bytes` shows what jobs take up by estimate.

Why it works: only the leader has the jobs of all nodes, and it decides before the job is accepted. Ordinary jobs are not asked about: the largest of the known deployments, with 1,200 tasks, has 200 KiB by estimate.

Open: many jobs just below 384 KiB are not refused.

--- a/crates/control/src/client_limits.rs
+++ b/crates/control/src/client_limits.rs
@@ -12,6 +12,9 @@
 const CONNECTIONS_SOCKETS_DIVISOR: u32 = 4;
 /// The part of a box's memory that long bodies may use: an eighth.
 const BODIES_MEMORY_DIVISOR: u64 = 8;
+/// The part of a leader's memory that large jobs may use: an eighth. A leader may be succeeded by the smallest box, which reads all jobs.
+const JOBS_MEMORY_DIVISOR: u64 = 8;
+const SMALLEST_BOX_BYTES: u64 = 120_000_000;
 /// The smallest limits, for boxes that are smaller than any known one.
 const MIN_CONNECTIONS_COUNT: usize = 16;
 const MIN_BODY_SEGMENTS_COUNT: usize = 64;
@@ -30,6 +33,8 @@
 pub struct ClientLimits {
     /// The number of open connections.
     pub connections_count: usize,
+    /// The memory of active large jobs, by estimate.
+    pub jobs_bytes: usize,
     /// The number of body segments beyond the first one of each body.
     pub body_segments_count: usize,
 }
@@ -42,7 +47,9 @@
         let connections_count = by_memory.min(by_sockets) as usize;
         let bodies_bytes = size.memory_bytes / BODIES_MEMORY_DIVISOR;
         let body_segments_count = (bodies_bytes / SEGMENT_BYTES as u64) as usize;
+        let jobs_bytes = size.memory_bytes.min(SMALLEST_BOX_BYTES) / JOBS_MEMORY_DIVISOR;
         Self {
+            jobs_bytes: jobs_bytes as usize,
             connections_count: connections_count.max(MIN_CONNECTIONS_COUNT),
             body_segments_count: body_segments_count.max(MIN_BODY_SEGMENTS_COUNT),
         }
--- a/crates/control/src/decision_log.rs
+++ b/crates/control/src/decision_log.rs
@@ -8,6 +8,7 @@
 pub(crate) fn log_status(log: &Logger, status: &SchedulerStatus) {
     info!(log, "status";
         "active_jobs" => status.active_jobs_count,
+        "jobs_bytes" => status.jobs_bytes,
         "jobs" => status.jobs_count,
         "runs" => status.runs_count,
         "workers" => status.listed_workers_count,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1,11 +1,13 @@
 //! A leader's term, from its election to its end.
 
 use crate::caller::Caller;
+use crate::client_limits::ClientLimits;
 use crate::commit::CommitLane;
 use crate::cordons;
 use crate::election::LEADER_LEASE;
 use crate::follow::Flow;
 use crate::freshness::{max_view_age, Freshness, StoreViews};
+use crate::job_room::{JobRoom, SMALL_JOB_BYTES};
 use crate::node::{Node, NodeStore};
 use crate::platform::Platform;
 use crate::relay::RelayLinks;
@@ -44,6 +46,7 @@
     pub(crate) is_resigned: Cell<bool>,
     pub(crate) ended: Notify,
     pub(crate) scheduler: RefCell<Scheduler>,
+    pub(crate) job_room: RefCell<JobRoom>,
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) relays: RelayLinks,
     pub(crate) store_views: StoreViews,
@@ -102,6 +105,15 @@
         self.scheduler.borrow().forecast(now)
     }
 
+    /// Reserves room for a large job before it is accepted; returns whether there is room.
+    pub fn reserve_room(&self, now: Instant, job: JobId, bytes: usize) -> bool {
+        let scheduler = self.scheduler.borrow();
+        let active_bytes = scheduler.large_jobs_bytes(SMALL_JOB_BYTES);
+        let is_known = |job| scheduler.job(job).is_some();
+        let mut room = self.job_room.borrow_mut();
+        room.reserve(now, job, bytes, active_bytes, is_known)
+    }
+
     /// Ends the term after waiting for the open commits.
     pub async fn resign(&self) {
         self.is_resigned.set(true);
@@ -162,6 +174,7 @@
         clock::now(),
         Recovered::default(),
     );
+    let client_limits = ClientLimits::of_box(node.settings.box_size);
     let term = Rc::new(Term::<P> {
         fence,
         started_at: clock::now(),
@@ -172,6 +185,7 @@
         is_resigned: Cell::new(false),
         ended: Notify::new(),
         scheduler: RefCell::new(empty),
+        job_room: RefCell::new(JobRoom::new(client_limits.jobs_bytes)),
         events,
         relays: RelayLinks::default(),
         store_views: new_store_views(node),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -102,6 +102,7 @@
     loop_lateness_ms: IntGauge,
     is_leader: IntGauge,
     active_jobs: IntGauge,
+    jobs_bytes: IntGauge,
     runs: IntGauge,
     workers: IntGauge,
     placeable_workers: IntGauge,
@@ -165,6 +166,7 @@
             loop_lateness_ms: IntGauge::default(),
             is_leader: IntGauge::default(),
             active_jobs: IntGauge::default(),
+            jobs_bytes: IntGauge::default(),
             runs: IntGauge::default(),
             workers: IntGauge::default(),
             placeable_workers: IntGauge::default(),
@@ -275,6 +277,11 @@
         let amounts = [
             ("is_leader", "1 while this node leads", &self.is_leader),
             ("active_jobs", "Jobs with work left", &self.active_jobs),
+            (
+                "jobs_bytes",
+                "Memory that jobs take up, by estimate",
+                &self.jobs_bytes,
+            ),
             ("runs", "Runs that occupy workers", &self.runs),
             ("workers", "Workers that are listed", &self.workers),
             ("cordons", "Data centres that are cordoned", &self.cordons),
@@ -581,6 +588,7 @@
             amount.set(count as i64);
         };
         set(&self.active_jobs, status.active_jobs_count);
+        set(&self.jobs_bytes, status.jobs_bytes);
         set(&self.runs, status.runs_count);
         set(&self.workers, status.listed_workers_count);
         set(&self.cordons, status.cordons_count);
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -104,6 +104,13 @@
     Learned(Learned),
     /// Queries the receiver's clock; for a relay.
     Clock,
+    /// Reserves room for a large job before it is accepted; for the leader.
+    ReserveRoom {
+        /// The job.
+        job: JobId,
+        /// The memory that a leader needs for it, by estimate.
+        bytes: u64,
+    },
 }
 
 /// The reply to a [`PeerRequest`].
--- a/crates/control/src/refusal_log.rs
+++ b/crates/control/src/refusal_log.rs
@@ -16,13 +16,15 @@
     BodyDisplaced,
     /// A request was refused, since there was no room for its body.
     BodyRefused,
+    /// A large job was refused, since the leader has no room for it.
+    JobRefused,
     /// A connection could not be accepted.
     AcceptFailed,
 }
 
 impl Refusal {
     /// The number of reasons.
-    pub const COUNT: usize = 5;
+    pub const COUNT: usize = 6;
 
     /// Returns the name of the reason in logs and metrics.
     pub const fn as_str(self) -> &'static str {
@@ -31,6 +33,7 @@
             Self::ConnectionRefused => "connection refused",
             Self::BodyDisplaced => "body displaced",
             Self::BodyRefused => "body refused",
+            Self::JobRefused => "large job refused",
             Self::AcceptFailed => "accept failed",
         }
     }
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -13,7 +13,7 @@
 use crate::stable_hash::stable_hash_below;
 use crate::store::{LeaseId, Store};
 use crate::stored_view::{read_view, StoredView};
-use crate::{admission, clock, configuration_sharing, keys, leader_probe};
+use crate::{admission, clock, configuration_sharing, keys, large_jobs, leader_probe};
 use ospreywing_scheduler::{
     AdviceReply, Configuration, Event, JobId, JobPolicy, JobRecord, JobView, StoredJob,
 };
@@ -81,6 +81,9 @@
         Some(step) => Reply::BeyondLimit { step },
         None => match admission::check_forecast(node, job, &record, configuration).await {
             Some(retry) => Reply::Unavailable(retry),
+            None if !large_jobs::has_room(node, job, &record).await => {
+                Reply::Unavailable(RETRY_LATER)
+            }
             None => write_or_forward(node, job, record, configuration.version).await,
         },
     };
@@ -256,7 +259,7 @@
 
 /// Returns the leader. A node without store contact may have an outdated view and asks
 /// other nodes.
-async fn find_leader<P: Platform>(node: &Rc<Node<P>>) -> Option<LeaderRecord> {
+pub(crate) async fn find_leader<P: Platform>(node: &Rc<Node<P>>) -> Option<LeaderRecord> {
     if node.has_store_contact() {
         return node.cell.borrow().leader.clone();
     }
@@ -276,7 +279,7 @@
 }
 
 /// Calls the leader, and evicts it if its address refuses the connection.
-async fn call_leader<P: Platform>(
+pub(crate) async fn call_leader<P: Platform>(
     node: &Rc<Node<P>>,
     leader: LeaderRecord,
     request: &PeerRequest,
@@ -432,6 +435,11 @@
             configuration_sharing::handle_request(node, known, Duration::from_ms(wait_ms)).await
         }
         PeerRequest::EndLease(lease) => end_lease(node, lease).await,
+        PeerRequest::ReserveRoom { job, bytes } => match node.valid_term() {
+            Some(term) if term.reserve_room(clock::now(), job, bytes as usize) => PeerReply::Taken,
+            Some(_) => PeerReply::Refused,
+            None => not_leader_reply(node),
+        },
         PeerRequest::IsLeaderSilent(lease) => {
             PeerReply::LeaderSilent(leader_probe::is_unresponsive(node, lease))
         }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -14,6 +14,7 @@
 mod handover;
 mod held_starts;
 mod intake_snapshot;
+mod job_room;
 mod lateness;
 mod logging;
 mod metrics;
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Job {
     pub(crate) record: Arc<JobRecord>,
     pub(crate) payload: Arc<str>,
+    /// An estimate of the memory that it takes up; 0 once only its outcome is kept.
+    pub(crate) memory_bytes: usize,
     pub(crate) state: JobState,
     /// The number of changes of the state.
     pub(crate) version: u64,
@@ -77,6 +79,7 @@
     pub(crate) fn new(record: JobRecord, state: JobState, accepted_at: Instant) -> Self {
         Self {
             payload: Arc::from(record.spec.payload.as_str()),
+            memory_bytes: record.spec.memory_bytes(),
             record: Arc::new(record),
             version: 0,
             is_policy_unsaved: false,
@@ -113,6 +116,7 @@
             ..JobRecord::default()
         });
         self.payload = Arc::from("");
+        self.memory_bytes = 0;
         self.state.rounds = Vec::new();
         self.state.crashes = Vec::new();
         self.state.policy = None;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -59,6 +59,8 @@
 pub struct SchedulerStatus {
     /// Jobs with work left.
     pub active_jobs_count: usize,
+    /// An estimate of the memory that the jobs take up.
+    pub jobs_bytes: usize,
     /// All known jobs.
     pub jobs_count: usize,
     /// Runs that occupy workers.
@@ -320,6 +322,17 @@
         self.job(job).filter(|_| record.is_visible_to(caller))
     }
 
+    /// Returns an estimate of the memory that the jobs take up.
+    pub fn jobs_bytes(&self) -> usize {
+        self.large_jobs_bytes(0)
+    }
+
+    /// Returns an estimate of the memory that the jobs of more than `small_bytes` take up.
+    pub fn large_jobs_bytes(&self, small_bytes: usize) -> usize {
+        let sizes = self.jobs.values().map(|job| job.memory_bytes);
+        sizes.filter(|bytes| *bytes > small_bytes).sum()
+    }
+
     /// Returns the state of a job as clients see it, if the job is known.
     pub fn job(&self, job: JobId) -> Option<JobView> {
         let job = self.jobs.get(&job)?;
@@ -374,6 +387,7 @@
             fragmentation: self.fragmentation(now),
             waits: self.waits.summaries(now),
             active_jobs_count: self.active.len(),
+            jobs_bytes: self.jobs_bytes(),
             jobs_count: self.jobs.len(),
             runs_count: self.placements.len(),
             cordons_count: self.cordons.len(),
