Limit the memory of request bodies in ospreywingd together

What callers saw: clients that sent many bodies of up to 1 MiB to a daemon of the product's own interface, and did not end them, made it use more memory than its box has.

Cause: as on the platform, each body was limited and their sum was not.

Change: bodies of more than 16 KiB share the memory that `--body-memory` sets, 16 MiB unless told otherwise, until the request is answered. Without room a request gets 503, `not_run` and Retry-After. Refused bodies are counted (`bodies_refused`) and one log line tells of 1,000.

Why it works: what bodies hold beyond their first 16 KiB is within one limit, and it is taken before the data is copied.

Open: connections are not limited by the daemon, only by its descriptors; and a long body waits for those that stand still until their time-out of 10 s.

--- a/crates/daemon/src/api.rs
+++ b/crates/daemon/src/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP API for callers and operators.
 
+use crate::body_memory::{BodyMemory, HeldBody};
 use crate::engine::{EngineHandle, RequestReply};
 use crate::metrics::{self, StoreCounts};
 use crate::minions::MinionAnswer;
@@ -13,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
+use slog::{warn, Logger};
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::runtime::Handle;
@@ -31,6 +33,10 @@
 const BODY_DISCARD_LIMIT_BYTES: usize = 8 * BODY_LIMIT_BYTES;
 /// The timeout for receiving a request body.
 const BODY_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
+/// The retry delay returned to callers whose body had no room.
+const BODY_RETRY_AFTER: Duration = Duration::from_s(1);
+/// One log line tells of so many refused bodies.
+const BODIES_REFUSED_PER_LINE: u64 = 1000;
 /// Maximum number of tasks in a list.
 const LIST_LIMIT_COUNT: usize = 1000;
 /// How long an idle connection is kept open.
@@ -47,6 +53,10 @@
     pub edits: TableEdits,
     /// The numbers of store calls, for the metrics.
     pub counts: Arc<StoreCounts>,
+    /// The memory of request bodies.
+    pub bodies: BodyMemory,
+    /// The log.
+    pub log: Logger,
     /// The runtime on which store calls run.
     pub runtime: Handle,
 }
@@ -121,7 +131,7 @@
 /// Reads the body. If it is too large, continues to read and discard it up to
 /// [`BODY_DISCARD_LIMIT_BYTES`], because a caller that is still sending would not see the
 /// response.
-async fn body(ctx: &Context<'_>) -> Result<Vec<u8>, Rejection> {
+async fn body(ctx: &Context<'_>) -> Result<HeldBody, Rejection> {
     let reading = tokio::time::timeout(BODY_TIMEOUT, read_body(ctx)).await;
     reading.unwrap_or_else(|_| {
         let ms = BODY_TIMEOUT.as_millis();
@@ -130,20 +140,22 @@
     })
 }
 
-async fn read_body(ctx: &Context<'_>) -> Result<Vec<u8>, Rejection> {
+async fn read_body(ctx: &Context<'_>) -> Result<HeldBody, Rejection> {
     let unreadable = |_| Rejection::bad_request("body: unreadable".to_owned());
     let Body(stream) = ctx
         .extract::<Body<RequestBody>>()
         .await
         .map_err(unreadable)?;
     let mut stream = core::pin::pin!(stream);
-    let mut body = Vec::new();
+    let mut body = ctx.state().bodies.new_body();
     let mut size_bytes = 0;
     while let Some(chunk) = stream.as_mut().data().await {
         let chunk = chunk.map_err(|_| Rejection::bad_request("body: broken off".to_owned()))?;
         size_bytes += chunk.len();
         if size_bytes <= BODY_LIMIT_BYTES {
-            body.extend_from_slice(chunk.as_ref());
+            if !body.append(chunk.as_ref()) {
+                return Err(no_room_for_body(ctx));
+            }
         } else if size_bytes > BODY_DISCARD_LIMIT_BYTES {
             break;
         }
@@ -157,7 +169,20 @@
 
 async fn json_body<T: DeserializeOwned>(ctx: &Context<'_>) -> Result<T, Rejection> {
     let body = body(ctx).await?;
-    serde_json::from_slice(&body).map_err(|error| Rejection::bad_request(format!("body: {error}")))
+    serde_json::from_slice(body.bytes())
+        .map_err(|error| Rejection::bad_request(format!("body: {error}")))
+}
+
+/// Returns the rejection of a body that there is no memory for, and logs it now and then.
+fn no_room_for_body(ctx: &Context<'_>) -> Rejection {
+    let state = ctx.state();
+    let refused_count = state.bodies.refused_count();
+    if refused_count % BODIES_REFUSED_PER_LINE == 1 {
+        warn!(state.log, "bodies refused"; "reason" => "memory", "count" => refused_count);
+    }
+    let reason = "body: too many long bodies at once".to_owned();
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Rejection::new(status, reason, Some(BODY_RETRY_AFTER))
 }
 
 /// A rejected request: the status and body of the response.
@@ -257,7 +282,7 @@
     let report = state.engine.query_node(|node, now| node.report(now)).await;
     match report {
         Ok(report) => {
-            let text = metrics::text(&report, &state.counts);
+            let text = metrics::text(&report, &state.counts, &state.bodies);
             respond(StatusCode::OK, "text/plain", text.into_bytes())
         }
         Err(_) => Rejection::stopping().response(),
@@ -403,8 +428,9 @@
         Some(text) => Some(parse_key(REQUEST_KEY, &text)?),
         None => None,
     };
-    let body = body(ctx).await?;
-    match ctx.state().engine.request(row, key, body).await {
+    let mut body = body(ctx).await?;
+    let bytes = body.take();
+    match ctx.state().engine.request(row, key, bytes).await {
         Ok(RequestReply::Answer(answer)) => Ok(answer_response(answer)),
         Ok(RequestReply::GiveUp(give_up)) => Err(rejection_from_give_up(give_up)),
         Err(_) => Err(Rejection::stopping()),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts the daemon's components, runs them and shuts them down.
 
 use crate::api::{self, Api};
+use crate::body_memory::BodyMemory;
 use crate::engine::{Effects, Engine, EngineHandle};
 use crate::error::DaemonError;
 use crate::layout::Layout;
@@ -69,10 +70,13 @@
         settings.name.clone(),
         Arc::clone(&wake),
     );
+    let bodies = BodyMemory::new(settings.body_memory_mib);
     let api = Api {
         engine: engine.clone(),
         edits,
         counts: Arc::clone(&counts),
+        bodies: bodies.clone(),
+        log: log.clone(),
         runtime: tokio::runtime::Handle::current(),
     };
     let stop_api = api::start(listener, api, API_THREADS_COUNT)
@@ -100,7 +104,7 @@
     if let Some(addr) = settings.statsd_addr {
         let client =
             metrics::client(addr).map_err(|source| socket_error("--statsd-addr", addr, source))?;
-        tokio::spawn(metrics::run(client, engine.clone(), counts));
+        tokio::spawn(metrics::run(client, engine.clone(), counts, bodies));
     }
     tokio::spawn(drain_on_signal(engine.clone(), log.clone()));
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`engine`], owns.
 
 pub mod api;
+pub mod body_memory;
 pub mod box_entries;
 pub mod box_list;
 pub mod daemon;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics, sent as StatsD packets over UDP and served as text over HTTP.
 
+use crate::body_memory::BodyMemory;
 use crate::engine::EngineHandle;
 use cadence::{Gauged, StatsdClient, UdpMetricSink};
 use ospreywing_node::CellReport;
@@ -41,7 +42,7 @@
     value: u64,
 }
 
-fn metrics(report: &CellReport, store: &StoreCounts) -> Vec<Metric> {
+fn metrics(report: &CellReport, store: &StoreCounts, bodies: &BodyMemory) -> Vec<Metric> {
     let stored = |count: &AtomicU64| count.load(Ordering::Relaxed);
     let sum = |part: fn(&ospreywing_node::ShardReport) -> u64| report.shards.iter().map(part).sum();
     let metric = |name, value| Metric { name, value };
@@ -59,6 +60,7 @@
         metric("commit_bytes", sum(|s| s.commit_bytes)),
         metric("shards_owned", report.shards.len() as u64),
         metric("table_revision", report.table_revision),
+        metric("bodies_refused", bodies.refused_count()),
         metric("store_polls", stored(&store.polls_count)),
         metric("store_commits", stored(&store.commits_count)),
         metric("store_claims", stored(&store.claims_count)),
@@ -70,9 +72,9 @@
 }
 
 /// Formats the metrics as text, one name and value per line.
-pub fn text(report: &CellReport, store: &StoreCounts) -> String {
+pub fn text(report: &CellReport, store: &StoreCounts, bodies: &BodyMemory) -> String {
     let mut text = String::new();
-    for metric in metrics(report, store) {
+    for metric in metrics(report, store, bodies) {
         // Writing to a string doesn't fail.
         let _ = writeln!(text, "ospreywing_{} {}", metric.name, metric.value);
     }
@@ -94,13 +96,18 @@
 }
 
 /// Sends the metrics every [`SEND_PERIOD`] until the engine stops.
-pub async fn run(client: StatsdClient, engine: EngineHandle, store: Arc<StoreCounts>) {
+pub async fn run(
+    client: StatsdClient,
+    engine: EngineHandle,
+    store: Arc<StoreCounts>,
+    bodies: BodyMemory,
+) {
     let mut ticks = tokio::time::interval(SEND_PERIOD);
     loop {
         ticks.tick().await;
         let report = engine.query_node(|node, now| node.report(now)).await;
         let Ok(report) = report else { return };
-        for metric in metrics(&report, &store) {
+        for metric in metrics(&report, &store, &bodies) {
             // A failed send is ignored: the next period sends the value again.
             let _ = client.gauge(metric.name, metric.value);
         }
--- a/crates/daemon/tests/processes/cell.rs
+++ b/crates/daemon/tests/processes/cell.rs
@@ -42,6 +42,15 @@
         kill_process(pid, signal).expect("the process is there");
     }
 
+    /// Returns the peak of its resident memory, in kB.
+    pub fn peak_resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process is there");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|rest| rest.trim().strip_suffix(" kB"));
+        peak.expect("a peak").parse().expect("a number")
+    }
+
     pub fn kill(&mut self) {
         self.signal(Signal::KILL);
         self.child.wait().expect("the process ends");
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -6,5 +6,6 @@
 mod bad_input;
 mod box_list;
 mod cell;
+mod clients;
 mod failures;
 mod table;
--- a/crates/settings/src/declare.rs
+++ b/crates/settings/src/declare.rs
@@ -177,6 +177,13 @@
         )
         .default_value("50000")
         .value_parser(value_parser!(u32).range(1..=10_000_000)),
+        setting(
+            "body-memory",
+            "OSPREYWINGD_BODY_MEMORY",
+            "MiB that request bodies of more than 16 KiB may use together",
+        )
+        .default_value("16")
+        .value_parser(value_parser!(u32).range(2..=65_536)),
     ]
 }
 
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -74,6 +74,8 @@
     pub queue_limit_count: u32,
     /// The maximum number of tasks that wait in one shard.
     pub waiting_limit_count: u32,
+    /// The memory that request bodies may use together, in MiB.
+    pub body_memory_mib: u32,
     /// The format of log lines.
     pub log_format: LogFormat,
 }
@@ -121,6 +123,7 @@
             commit_rate_per_s: get(matches, "commit-rate"),
             queue_limit_count: get(matches, "queue-limit"),
             waiting_limit_count: get(matches, "waiting-limit"),
+            body_memory_mib: get(matches, "body-memory"),
             log_format: get(matches, "log-format"),
         };
         settings.check()?;
