Bound how long the body of another node's call may take

What callers saw: nothing; by reading. Clients of the platform do not reach this listener.

Cause: a call of another node of up to 4 MiB was read without a time-out, so that one whose sender had gone silent was held for ever.

Change: it must arrive within 15 s, several times what its largest takes over the narrowest known link. Then it gets 400 as a malformed one does, and its connection is closed.

Not shown by a test of its own.

--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -27,6 +27,8 @@
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 /// The largest request body of another node.
 const PEER_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// The time within which it must arrive: several times what it takes over a link of 10 Mbit/s.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_s(15);
 /// The pause after a connection could not be accepted.
 const ACCEPT_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 /// The longest body that is read and discarded, and the time within which it must arrive.
@@ -304,8 +306,10 @@
     node: &Rc<Node<P>>,
     request: Request<IncomingBody>,
 ) -> Response<Full<Bytes>> {
-    let body = body_reader::read_body(request.into_body(), PEER_BODY_LIMIT_BYTES).await;
-    let request = body.ok().and_then(|body| peer::decode(&body));
+    let body = body_reader::read_body(request.into_body(), PEER_BODY_LIMIT_BYTES);
+    let body = tokio::time::timeout(PEER_BODY_TIMEOUT.into(), body).await;
+    let body = body.ok().and_then(Result::ok);
+    let request = body.and_then(|body| peer::decode(&body));
     let Some(request) = request else {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::BAD_REQUEST;
