Limit the requests that are handled at the same time

What callers saw: clients that send requests without reading replies made a node open twice as many connections of its own as it had of theirs, with the memory that goes with them. An ordinary client's node ran out of both.

Cause: every connection's request was handled at once. A request for a job that the leader does not know reads the store, and each call that is open needs a connection of its own.

Change: at most a quarter of the connections have their requests handled at the same time. The others wait in the order in which they arrived, for 1 s at most, and then get 503 with Retry-After; nothing has been done for them.

Why it works: what a node opens for its clients is bounded by the number of requests that it handles, and first come are first served.

--- a/crates/control/src/client_connections.rs
+++ b/crates/control/src/client_connections.rs
@@ -9,11 +9,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// How long after the last answer a new connection waits for one of those that handle requests.
 const STALL_TIMEOUT: Duration = Duration::from_ms(100);
 
+/// How long a request that has arrived waits until it is handled.
+const TURN_TIMEOUT: Duration = Duration::from_ms(1000);
+
 /// What the connections share.
 struct Shared {
     table: RefCell<ConnectionTable>,
@@ -22,6 +25,8 @@
     closings: RefCell<BTreeMap<ConnectionId, Rc<Notify>>>,
     /// Notified when a connection has been closed.
     closed: Notify,
+    /// A permit for each request that may be handled.
+    handling: Semaphore,
     /// When a request was answered last.
     answered_at: Cell<Instant>,
     /// Whether a new connection waits for another one to be closed.
@@ -58,6 +63,7 @@
             bodies: RefCell::new(BodyPool::new(limits.body_segments_count)),
             closings: RefCell::default(),
             closed: Notify::new(),
+            handling: Semaphore::new(limits.handled_count),
             answered_at: Cell::default(),
             is_room_wanted: Cell::default(),
         }))
@@ -189,6 +195,14 @@
         body.unwrap_or_default()
     }
 
+    /// Waits until the request may be handled, in the order in which requests have arrived.
+    /// Returns `None` if that takes longer than [`TURN_TIMEOUT`].
+    pub async fn turn(&self) -> Option<SemaphorePermit<'_>> {
+        let turn = self.connections.0.handling.acquire();
+        let turn = tokio::time::timeout(TURN_TIMEOUT.into(), turn).await;
+        turn.ok()?.ok()
+    }
+
     /// Holds room for a parsed request in place of its body; returns whether there is room.
     pub fn hold_parsed(&self, parsed_bytes: usize) -> bool {
         self.bodies()
--- a/crates/control/src/client_limits.rs
+++ b/crates/control/src/client_limits.rs
@@ -7,9 +7,12 @@
 /// The memory that is set aside for a connection: 16 KiB each for the HTTP library's buffer, for
 /// what the kernel has received and is not read yet, and for a short body.
 const CONNECTION_BYTES: u64 = 48 * 1024;
-/// The part of the sockets that clients' connections may use: a quarter. A leader needs the rest
-/// for the store, its workers and other nodes.
-const CONNECTIONS_SOCKETS_DIVISOR: u32 = 4;
+/// The eighths of the sockets that clients' connections may use. A leader needs the rest for the
+/// store, its workers and other nodes.
+const CONNECTIONS_SOCKETS_EIGHTHS: u64 = 2;
+/// The part of the connections whose requests are handled at the same time: a quarter. Each may
+/// have two calls to the store or to other nodes open, on connections of their own.
+const HANDLED_DIVISOR: usize = 4;
 /// The part of a box's memory that long bodies may use: an eighth.
 const BODIES_MEMORY_DIVISOR: u64 = 8;
 /// The part of a leader's memory that large jobs may use: an eighth. A leader may be succeeded by the smallest box, which reads all jobs.
@@ -33,6 +36,8 @@
 pub struct ClientLimits {
     /// The number of open connections.
     pub connections_count: usize,
+    /// The number of requests that are handled at the same time.
+    pub handled_count: usize,
     /// The memory of active large jobs, by estimate.
     pub jobs_bytes: usize,
     /// The number of body segments beyond the first one of each body.
@@ -43,14 +48,16 @@
     /// Returns the limits for a box.
     pub fn of_box(size: BoxSize) -> Self {
         let by_memory = size.memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
-        let by_sockets = u64::from(size.sockets_count / CONNECTIONS_SOCKETS_DIVISOR);
+        let by_sockets = u64::from(size.sockets_count) * CONNECTIONS_SOCKETS_EIGHTHS / 8;
         let connections_count = by_memory.min(by_sockets) as usize;
+        let connections_count = connections_count.max(MIN_CONNECTIONS_COUNT);
         let bodies_bytes = size.memory_bytes / BODIES_MEMORY_DIVISOR;
         let body_segments_count = (bodies_bytes / SEGMENT_BYTES as u64) as usize;
         let jobs_bytes = size.memory_bytes.min(SMALLEST_BOX_BYTES) / JOBS_MEMORY_DIVISOR;
         Self {
             jobs_bytes: jobs_bytes as usize,
-            connections_count: connections_count.max(MIN_CONNECTIONS_COUNT),
+            connections_count,
+            handled_count: connections_count / HANDLED_DIVISOR,
             body_segments_count: body_segments_count.max(MIN_BODY_SEGMENTS_COUNT),
         }
     }
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -353,7 +353,13 @@
             node.record_refusal(Refusal::BodyRefused);
             Reply::Unavailable(RETRY_LATER)
         }
-        Ok(call) => requests::handle_call(node, call, &active.configuration).await,
+        Ok(call) => {
+            let Some(_turn) = client.turn().await else {
+                node.record_refusal(Refusal::RequestRefused);
+                return Reply::Unavailable(RETRY_LATER);
+            };
+            requests::handle_call(node, call, &active.configuration).await
+        }
         Err(reply) => reply,
     }
 }
--- a/crates/control/src/refusal_log.rs
+++ b/crates/control/src/refusal_log.rs
@@ -16,6 +16,8 @@
     BodyDisplaced,
     /// A request was refused, since there was no room for its body.
     BodyRefused,
+    /// A request was refused, since others took too long to be handled.
+    RequestRefused,
     /// A large job was refused, since the leader has no room for it.
     JobRefused,
     /// A connection could not be accepted.
@@ -24,7 +26,7 @@
 
 impl Refusal {
     /// The number of reasons.
-    pub const COUNT: usize = 6;
+    pub const COUNT: usize = 7;
 
     /// Returns the name of the reason in logs and metrics.
     pub const fn as_str(self) -> &'static str {
@@ -33,6 +35,7 @@
             Self::ConnectionRefused => "connection refused",
             Self::BodyDisplaced => "body displaced",
             Self::BodyRefused => "body refused",
+            Self::RequestRefused => "request refused",
             Self::JobRefused => "large job refused",
             Self::AcceptFailed => "accept failed",
         }
--- a/crates/control/tests/control/client_limits.rs
+++ b/crates/control/tests/control/client_limits.rs
@@ -4,15 +4,16 @@
 use rstest::rstest;
 
 #[rstest]
-#[case::smallest_box(120, 2875, 305, 915)]
-#[case::small_box(260, 4000, 661, 1983)]
-#[case::large_box(1024, 16_184, 2604, 7812)]
-#[case::few_sockets(1024, 128, 32, 7812)]
-#[case::tiny_box(1, 1, 16, 64)]
+#[case::smallest_box(120, 2875, 305, 76, 915)]
+#[case::small_box(260, 4000, 661, 165, 1983)]
+#[case::large_box(1024, 16_184, 2604, 651, 7812)]
+#[case::few_sockets(1024, 128, 32, 8, 7812)]
+#[case::tiny_box(1, 1, 16, 4, 64)]
 fn of_box_limits(
     #[case] memory_mb: u64,
     #[case] sockets_count: u32,
     #[case] connections_count: usize,
+    #[case] handled_count: usize,
     #[case] body_segments_count: usize,
 ) {
     let limits = ClientLimits::of_box(BoxSize {
@@ -20,5 +21,6 @@
         sockets_count,
     });
     assert_eq!(limits.connections_count, connections_count);
+    assert_eq!(limits.handled_count, handled_count);
     assert_eq!(limits.body_segments_count, body_segments_count);
 }
