--- a/crates/control/src/client_limits.rs
+++ b/crates/control/src/client_limits.rs
@@ -2,19 +2,19 @@
 
 use crate::body_buffer::SEGMENT_BYTES;
 
-/// The part of a box's memory that clients' connections may use: an eighth.
-const CONNECTIONS_MEMORY_DIVISOR: u64 = 8;
+/// The part of a box's memory that clients' connections may use: a quarter.
+const CONNECTIONS_MEMORY_DIVISOR: u64 = 4;
 /// The memory that is set aside for a connection: 16 KiB each for the HTTP library's buffer, for
 /// what the kernel has received and is not read yet, and for a short body.
 const CONNECTION_BYTES: u64 = 48 * 1024;
 /// The eighths of the sockets that clients' connections may use. A leader needs the rest for the
 /// store, its workers and other nodes.
-const CONNECTIONS_SOCKETS_EIGHTHS: u64 = 2;
+const CONNECTIONS_SOCKETS_EIGHTHS: u64 = 3;
 /// The part of the connections whose requests are handled at the same time: a quarter. Each may
 /// have two calls to the store or to other nodes open, on connections of their own.
 const HANDLED_DIVISOR: usize = 4;
-/// The part of a box's memory that long bodies may use: an eighth.
-const BODIES_MEMORY_DIVISOR: u64 = 8;
+/// The part of a box's memory that long bodies may use: a sixteenth.
+const BODIES_MEMORY_DIVISOR: u64 = 16;
 /// The part of a leader's memory that large jobs may use: an eighth. A leader may be succeeded by the smallest box, which reads all jobs.
 const JOBS_MEMORY_DIVISOR: u64 = 8;
 const SMALLEST_BOX_BYTES: u64 = 120_000_000;
