Let whole requests have room before bodies that still arrive

An ordinary job would be refused while a single job larger than all room is handled, and a whole job of thousands of steps while unfinished bodies hold any room.

Cause: `hold_parsed` compared all that is held with the limit, also for a request that needs none of it, and counted bodies that still arrive as if they were handled.

Change: a request that fits into what is set aside for its connection needs no room. For a larger one the oldest long bodies that still arrive are dropped, as they are for a body.

Evidence: `hold_parsed_small_beside_larger_than_all_room` and `hold_parsed_drops_arriving`, of cases in which the code before returned no room.

--- a/crates/control/src/body_pool.rs
+++ b/crates/control/src/body_pool.rs
@@ -23,10 +23,10 @@
     buffer: Option<BodyBuffer>,
 }
 
-/// The outcome of appending to a body.
+/// Whether there was room for a body or a parsed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Appended {
-    /// Whether there was room; otherwise the body was dropped.
+pub struct Room {
+    /// Whether there was room; a body that had none was dropped.
     pub has_room: bool,
     /// The connections whose bodies were dropped to make room, and which must be closed.
     pub dropped: Vec<ConnectionId>,
@@ -74,11 +74,11 @@
     }
 
     /// Appends to the body of a connection. A body that was dropped has no room.
-    pub fn append(&mut self, connection: ConnectionId, data: &[u8]) -> Appended {
+    pub fn append(&mut self, connection: ConnectionId, data: &[u8]) -> Room {
         let missing_count = self.missing_count(connection, data.len());
         let dropped = self.make_room(connection, missing_count);
-        let has_room = missing_count == 0 || self.has_room_for(missing_count);
-        Appended {
+        let has_room = self.has_room_for(missing_count);
+        Room {
             has_room: has_room && self.append_within_limit(connection, data, missing_count),
             dropped,
         }
@@ -88,7 +88,7 @@
     /// a connection's body. If that one is the oldest, it is dropped itself.
     fn make_room(&mut self, connection: ConnectionId, missing_count: usize) -> Vec<ConnectionId> {
         let mut dropped = Vec::new();
-        while missing_count > 0 && !self.has_room_for(missing_count) {
+        while !self.has_room_for(missing_count) {
             let oldest = self.long_arriving.first_key_value();
             let oldest = oldest.map_or(connection, |(_, oldest)| *oldest);
             self.end(oldest);
@@ -108,20 +108,40 @@
     }
 
     /// Holds room for what a request that is being handled takes up once it is parsed, in place of
-    /// its body; returns whether there is room.
-    pub fn hold_parsed(&mut self, connection: ConnectionId, parsed_bytes: usize) -> bool {
-        let Some(body) = self.bodies.get_mut(&connection) else {
-            return false;
-        };
+    /// its body. Drops the oldest long bodies that arrive if there is no room.
+    ///
+    /// A request that is larger than all room is handled if no other one holds any.
+    pub fn hold_parsed(&mut self, connection: ConnectionId, parsed_bytes: usize) -> Room {
         let needed_count = parsed_bytes.div_ceil(SEGMENT_BYTES).saturating_sub(1);
-        let others_count = self.shared_count - body.shared_count;
-        // A job that is larger than all room is admitted alone.
-        let has_room = others_count + needed_count <= self.shared_limit_count || others_count == 0;
+        self.set_shared_count(connection, 0);
+        let dropped = self.drop_arriving_for(needed_count);
+        let has_room = self.has_room_for(needed_count) || self.shared_count == 0;
         if has_room {
-            body.shared_count = needed_count;
-            self.shared_count = others_count + needed_count;
+            self.set_shared_count(connection, needed_count);
+        }
+        Room { has_room, dropped }
+    }
+
+    /// Drops the oldest long bodies that arrive until there is room for more shared segments, or
+    /// no such body is left.
+    fn drop_arriving_for(&mut self, needed_count: usize) -> Vec<ConnectionId> {
+        let mut dropped = Vec::new();
+        while !self.has_room_for(needed_count) {
+            let Some((_, oldest)) = self.long_arriving.first_key_value() else {
+                break;
+            };
+            let oldest = *oldest;
+            self.end(oldest);
+            dropped.push(oldest);
+        }
+        dropped
+    }
+
+    fn set_shared_count(&mut self, connection: ConnectionId, count: usize) {
+        if let Some(body) = self.bodies.get_mut(&connection) {
+            self.shared_count = self.shared_count - body.shared_count + count;
+            body.shared_count = count;
         }
-        has_room
     }
 
     /// Ends the request of a connection and frees the room of its body.
@@ -132,8 +152,9 @@
         }
     }
 
+    /// Returns whether there is room for more shared segments; there always is for none.
     const fn has_room_for(&self, missing_count: usize) -> bool {
-        self.shared_count + missing_count <= self.shared_limit_count
+        missing_count == 0 || self.shared_count + missing_count <= self.shared_limit_count
     }
 
     /// Returns how many more shared segments a body needs for more data.
--- a/crates/control/src/client_connections.rs
+++ b/crates/control/src/client_connections.rs
@@ -1,7 +1,7 @@
 //! The open connections of clients and the bodies of their requests.
 
 use crate::body_buffer::{BodyBuffer, SEGMENT_BYTES};
-use crate::body_pool::{Appended, BodyPool};
+use crate::body_pool::{BodyPool, Room};
 use crate::client_limits::ClientLimits;
 use crate::clock;
 use crate::connection_table::{ConnectionId, ConnectionTable, Opening};
@@ -47,9 +47,9 @@
     Refused,
 }
 
-/// The outcome of appending to a body.
-pub struct AppendedToBody {
-    /// Whether there was room; otherwise the body was dropped.
+/// Whether there was room for a body or a parsed request.
+pub struct MadeRoom {
+    /// Whether there was room; a body that had none was dropped.
     pub has_room: bool,
     /// The number of connections that are being closed to make room.
     pub displaced_count: usize,
@@ -177,14 +177,28 @@
 
     /// Appends to the body of the request; closes connections whose bodies arrive more slowly if
     /// there is no room.
-    pub fn append_to_body(&self, data: &[u8]) -> AppendedToBody {
-        let Appended { has_room, dropped } = self.bodies().borrow_mut().append(self.id, data);
-        for connection in &dropped {
+    pub fn append_to_body(&self, data: &[u8]) -> MadeRoom {
+        let room = self.bodies().borrow_mut().append(self.id, data);
+        self.displace_for(room)
+    }
+
+    /// Holds room for a parsed request in place of its body; closes connections whose bodies still
+    /// arrive if there is no room.
+    pub fn hold_parsed(&self, parsed_bytes: usize) -> MadeRoom {
+        let room = self
+            .bodies()
+            .borrow_mut()
+            .hold_parsed(self.id, parsed_bytes);
+        self.displace_for(room)
+    }
+
+    fn displace_for(&self, room: Room) -> MadeRoom {
+        for connection in &room.dropped {
             self.connections.displace(*connection);
         }
-        AppendedToBody {
-            has_room,
-            displaced_count: dropped.len(),
+        MadeRoom {
+            has_room: room.has_room,
+            displaced_count: room.dropped.len(),
         }
     }
 
@@ -203,13 +217,6 @@
         turn.ok()?.ok()
     }
 
-    /// Holds room for a parsed request in place of its body; returns whether there is room.
-    pub fn hold_parsed(&self, parsed_bytes: usize) -> bool {
-        self.bodies()
-            .borrow_mut()
-            .hold_parsed(self.id, parsed_bytes)
-    }
-
     /// Ends a request that is being answered; returns whether the connection must be closed after
     /// the answer, since a new one waits for room.
     pub fn end_request(&self) -> bool {
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,7 +1,7 @@
 //! The HTTP servers for clients, readiness probes, other nodes and metrics.
 
 use crate::body_reader::{self, BodyError};
-use crate::client_connections::{ClientConnection, OpenedConnection};
+use crate::client_connections::{ClientConnection, MadeRoom, OpenedConnection};
 use crate::node::{Node, NodeError};
 use crate::platform::{Call, Platform, Reply, RequestHead, RequestLimits, Retry};
 use crate::refusal_log::Refusal;
@@ -349,8 +349,7 @@
     let parsed = node.platform.parse_call(admission, &body);
     drop(body);
     match parsed {
-        Ok(call) if !client.hold_parsed(parsed_bytes(&call)) => {
-            node.record_refusal(Refusal::BodyRefused);
+        Ok(call) if !record_room(node, &client.hold_parsed(parsed_bytes(&call))) => {
             Reply::Unavailable(RETRY_LATER)
         }
         Ok(call) => {
@@ -380,7 +379,7 @@
     client: &ClientConnection,
 ) -> Result<(), Reply> {
     let limit_bytes = limits.body_limit_bytes;
-    let keep = |data: &[u8]| keep_body_data(node, client, data);
+    let keep = |data: &[u8]| record_room(node, &client.append_to_body(data));
     let reading = body_reader::read_with(body, limit_bytes, keep);
     match tokio::time::timeout(limits.read_timeout.into(), reading).await {
         Ok(Ok(())) => Ok(()),
@@ -394,16 +393,15 @@
     }
 }
 
-/// Keeps received data of a body; returns whether there was room for it.
-fn keep_body_data<P: Platform>(node: &Rc<Node<P>>, client: &ClientConnection, data: &[u8]) -> bool {
-    let appended = client.append_to_body(data);
-    for _ in 0..appended.displaced_count {
+/// Records the refusals that were needed to make room; returns whether there was room.
+fn record_room<P: Platform>(node: &Rc<Node<P>>, room: &MadeRoom) -> bool {
+    for _ in 0..room.displaced_count {
         node.record_refusal(Refusal::BodyDisplaced);
     }
-    if !appended.has_room {
+    if !room.has_room {
         node.record_refusal(Refusal::BodyRefused);
     }
-    appended.has_room
+    room.has_room
 }
 
 /// Reads and discards the body of a request that is answered by its head alone, if the body
--- a/crates/control/tests/control/body_pool.rs
+++ b/crates/control/tests/control/body_pool.rs
@@ -1,7 +1,7 @@
 //! Which bodies of clients are dropped when there is no room for all.
 
 use ospreywing_control::body_buffer::SEGMENT_BYTES;
-use ospreywing_control::body_pool::{Appended, BodyPool};
+use ospreywing_control::body_pool::{BodyPool, Room};
 use ospreywing_control::connection_table::{ConnectionId, ConnectionTable, Opening};
 
 const LIMIT_COUNT: usize = 4;
@@ -17,19 +17,19 @@
 }
 
 /// Begins a body and appends this many segments.
-fn arrive(pool: &mut BodyPool, connection: ConnectionId, segments_count: usize) -> Appended {
+fn arrive(pool: &mut BodyPool, connection: ConnectionId, segments_count: usize) -> Room {
     pool.begin(connection);
     pool.append(connection, &vec![0; segments_count * SEGMENT_BYTES])
 }
 
-fn appended(dropped: &[ConnectionId]) -> Appended {
-    Appended {
+fn appended(dropped: &[ConnectionId]) -> Room {
+    Room {
         has_room: true,
         dropped: dropped.to_vec(),
     }
 }
 
-const NO_ROOM: Appended = Appended {
+const NO_ROOM: Room = Room {
     has_room: false,
     dropped: Vec::new(),
 };
@@ -79,12 +79,15 @@
     let (mut pool, [first, second]) = pool_and_connections();
     arrive(&mut pool, first, 3);
     pool.take(first).expect("the body is there");
-    assert!(pool.hold_parsed(first, LIMIT_COUNT * SEGMENT_BYTES));
+    assert_eq!(
+        pool.hold_parsed(first, LIMIT_COUNT * SEGMENT_BYTES),
+        appended(&[])
+    );
     assert_eq!(pool.shared_count(), LIMIT_COUNT - 1);
     arrive(&mut pool, second, 2);
     pool.take(second).expect("the body is there");
-    assert!(!pool.hold_parsed(second, 3 * SEGMENT_BYTES));
-    assert!(pool.hold_parsed(second, 2 * SEGMENT_BYTES));
+    assert_eq!(pool.hold_parsed(second, 3 * SEGMENT_BYTES), NO_ROOM);
+    assert_eq!(pool.hold_parsed(second, 2 * SEGMENT_BYTES), appended(&[]));
 }
 
 #[test]
@@ -92,13 +95,39 @@
     let (mut pool, [first, second]) = pool_and_connections();
     arrive(&mut pool, first, 1);
     pool.take(first).expect("the body is there");
-    assert!(pool.hold_parsed(first, 9 * SEGMENT_BYTES));
+    assert_eq!(pool.hold_parsed(first, 9 * SEGMENT_BYTES), appended(&[]));
     assert_eq!(arrive(&mut pool, second, 1), appended(&[]));
     assert_eq!(arrive(&mut pool, second, 2), NO_ROOM);
     pool.end(first);
     assert_eq!(pool.shared_count(), 0);
 }
 
+#[test]
+fn hold_parsed_small_beside_larger_than_all_room() {
+    let (mut pool, [first, second]) = pool_and_connections();
+    for connection in [first, second] {
+        arrive(&mut pool, connection, 1);
+        pool.take(connection).expect("the body is there");
+    }
+    assert_eq!(pool.hold_parsed(first, 9 * SEGMENT_BYTES), appended(&[]));
+    assert_eq!(pool.hold_parsed(second, SEGMENT_BYTES), appended(&[]));
+}
+
+#[test]
+fn hold_parsed_drops_arriving() {
+    let (mut pool, [first, second, whole]) = pool_and_connections();
+    arrive(&mut pool, first, 3);
+    arrive(&mut pool, second, 2);
+    arrive(&mut pool, whole, 1);
+    pool.take(whole).expect("the body is there");
+    assert_eq!(
+        pool.hold_parsed(whole, 3 * SEGMENT_BYTES),
+        appended(&[first])
+    );
+    let nine_segments = pool.hold_parsed(whole, 9 * SEGMENT_BYTES);
+    assert_eq!(nine_segments, appended(&[second]));
+}
+
 #[test]
 fn begin_again_frees_earlier_body() {
     let (mut pool, [connection]) = pool_and_connections();
