Move clients' requests into a module of their own

No change of behaviour: the requests of a client's connection in client_requests.rs, the listeners stay in front.rs.

--- a/crates/control/src/client_limits.rs
+++ b/crates/control/src/client_limits.rs
@@ -15,7 +15,8 @@
 const HANDLED_DIVISOR: usize = 4;
 /// The part of a box's memory that long bodies may use: a sixteenth.
 const BODIES_MEMORY_DIVISOR: u64 = 16;
-/// The part of a leader's memory that large jobs may use: an eighth. A leader may be succeeded by the smallest box, which reads all jobs.
+/// The part of a leader's memory that large jobs may use: an eighth. A leader may be succeeded by
+/// the smallest box, which reads all jobs.
 const JOBS_MEMORY_DIVISOR: u64 = 8;
 const SMALLEST_BOX_BYTES: u64 = 120_000_000;
 /// The smallest limits, for boxes that are smaller than any known one.
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,12 +1,11 @@
 //! The HTTP servers for clients, readiness probes, other nodes and metrics.
 
-use crate::body_reader::{self, BodyError};
-use crate::client_connections::{ClientConnection, MadeRoom, OpenedConnection};
+use crate::client_connections::{ClientConnection, OpenedConnection};
 use crate::node::{Node, NodeError};
-use crate::platform::{Call, Platform, Reply, RequestHead, RequestLimits, Retry};
+use crate::platform::{Platform, RequestLimits};
 use crate::refusal_log::Refusal;
-use crate::{clock, metrics, peer, requests};
-use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+use crate::{body_reader, client_requests, metrics, peer, requests};
+use http::header::{HeaderValue, CONTENT_TYPE};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
@@ -27,14 +26,11 @@
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 /// The largest request body of another node.
 const PEER_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-/// The time within which it must arrive: several times what it takes over a link of 10 Mbit/s.
+/// The time within which a body of another node must arrive: several times what the largest takes
+/// over a link of 10 Mbit/s.
 const PEER_BODY_TIMEOUT: Duration = Duration::from_s(15);
 /// The pause after a connection could not be accepted.
 const ACCEPT_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-/// The longest body that is read and discarded, and the time within which it must arrive.
-/// Bodies of a few kilobytes arrive with the head or some milliseconds later.
-const DISCARDED_BODY_LIMIT_BYTES: usize = 16 * 1024;
-const DISCARD_BODY_TIMEOUT: Duration = Duration::from_ms(50);
 /// The limits before there is a configuration.
 const DEFAULT_LIMITS: RequestLimits = RequestLimits {
     head_limit_bytes: 16 * 1024,
@@ -42,12 +38,6 @@
     read_timeout: Duration::from_ms(3000),
     idle_timeout: Duration::from_ms(15_000),
 };
-/// When a client may retry a request that arrived before there was a configuration, or
-/// while the configuration might be outdated.
-const RETRY_LATER: Retry = Retry {
-    after: Duration::from_ms(1000),
-};
-
 /// The kind of requests that a listener serves other than clients'.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -205,7 +195,7 @@
     stopped: watch::Receiver<bool>,
     client: ClientConnection,
 ) {
-    let service = service_fn(|request| respond_to_client(&node, request, &client));
+    let service = service_fn(|request| client_requests::respond(&node, request, &client));
     tokio::select! {
         // The last answer is sent before a displaced connection is closed.
         biased;
@@ -257,24 +247,6 @@
     })
 }
 
-async fn respond_to_client<P: Platform>(
-    node: &Rc<Node<P>>,
-    request: Request<IncomingBody>,
-    client: &ClientConnection,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    client.begin_request();
-    let started_at = clock::now();
-    let reply = handle_client_request(node, request, client).await;
-    let is_room_wanted = client.end_request();
-    node.metrics.count_reply(&reply, started_at);
-    let mut response = node.platform.encode(&reply);
-    if node.is_draining.get() || is_room_wanted {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-    Ok(response)
-}
-
 fn respond_ready<P: Platform>(
     node: &Rc<Node<P>>,
     request: &Request<IncomingBody>,
@@ -317,98 +289,3 @@
     };
     peer::encode(&requests::handle_peer_request(node, request).await)
 }
-
-/// Handles a client request with the configuration that is active when its head is read.
-async fn handle_client_request<P: Platform>(
-    node: &Rc<Node<P>>,
-    request: Request<IncomingBody>,
-    client: &ClientConnection,
-) -> Reply {
-    let (parts, body) = request.into_parts();
-    let Some(active) = node.current_configuration().await else {
-        discard_body(body).await;
-        return Reply::Unavailable(RETRY_LATER);
-    };
-    let head = RequestHead {
-        method: &parts.method,
-        path: parts.uri.path(),
-        headers: &parts.headers,
-    };
-    let admission = match node.platform.admit(&active.routes, head) {
-        Ok(admission) => admission,
-        Err(reply) => {
-            discard_body(body).await;
-            return reply;
-        }
-    };
-    let limits = P::limits(&active.routes);
-    if let Err(reply) = read_client_body(node, body, limits, client).await {
-        return reply;
-    }
-    let body = client.begin_handling().into_bytes();
-    let parsed = node.platform.parse_call(admission, &body);
-    drop(body);
-    match parsed {
-        Ok(call) if !record_room(node, &client.hold_parsed(parsed_bytes(&call))) => {
-            Reply::Unavailable(RETRY_LATER)
-        }
-        Ok(call) => {
-            let Some(_turn) = client.turn().await else {
-                node.record_refusal(Refusal::RequestRefused);
-                return Reply::Unavailable(RETRY_LATER);
-            };
-            requests::handle_call(node, call, &active.configuration).await
-        }
-        Err(reply) => reply,
-    }
-}
-
-/// Returns how much memory a call takes up while it is handled.
-fn parsed_bytes(call: &Call) -> usize {
-    match call {
-        Call::Submit { spec, .. } => spec.memory_bytes(),
-        Call::Status { .. } | Call::Cancel { .. } | Call::Pending { .. } => 0,
-    }
-}
-
-/// Reads a body into the memory that clients share.
-async fn read_client_body<P: Platform>(
-    node: &Rc<Node<P>>,
-    body: IncomingBody,
-    limits: RequestLimits,
-    client: &ClientConnection,
-) -> Result<(), Reply> {
-    let limit_bytes = limits.body_limit_bytes;
-    let keep = |data: &[u8]| record_room(node, &client.append_to_body(data));
-    let reading = body_reader::read_with(body, limit_bytes, keep);
-    match tokio::time::timeout(limits.read_timeout.into(), reading).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(BodyError::TooLong)) => Err(Reply::TooLarge { limit_bytes }),
-        Ok(Err(BodyError::NoRoom)) => Err(Reply::Unavailable(RETRY_LATER)),
-        Ok(Err(BodyError::Broken(error))) => Err(Reply::Invalid {
-            field: "body".to_owned(),
-            reason: error.to_string(),
-        }),
-        Err(_) => Err(Reply::TooSlow),
-    }
-}
-
-/// Records the refusals that were needed to make room; returns whether there was room.
-fn record_room<P: Platform>(node: &Rc<Node<P>>, room: &MadeRoom) -> bool {
-    for _ in 0..room.displaced_count {
-        node.record_refusal(Refusal::BodyDisplaced);
-    }
-    if !room.has_room {
-        node.record_refusal(Refusal::BodyRefused);
-    }
-    room.has_room
-}
-
-/// Reads and discards the body of a request that is answered by its head alone, if the body
-/// is short and arrives soon. Otherwise closing the connection would reset it, and the
-/// answer would be lost.
-async fn discard_body(body: IncomingBody) {
-    let body = body_reader::discard_body(body, DISCARDED_BODY_LIMIT_BYTES);
-    // A longer or slower body is dropped with its connection.
-    let _ = tokio::time::timeout(DISCARD_BODY_TIMEOUT.into(), body).await;
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cell_view;
 mod client_connections;
 pub mod client_limits;
+mod client_requests;
 pub mod commit;
 pub mod configuration;
 pub mod configuration_sharing;
